--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+BUILD ?= build
+
+.PHONY: all packages build demo test clean
+
+all: build
+
+packages:
+	sh scripts/install-packages.sh
+
+build: packages
+	test -f $(BUILD)/build.ninja || meson setup $(BUILD) >/dev/null
+	ninja -C $(BUILD)
+
+demo: build
+	sh scripts/demo.sh $(BUILD)
+
+test: build
+	sh scripts/run-tests.sh $(BUILD)
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/common/check.c
@@ -0,0 +1,186 @@
+#include "hornbeamwall/common/check.h"
+
+#include <string.h>
+
+/* Longest rendering of a found value in a report, in bytes. */
+#define FOUND_TEXT_MAX 60
+
+struct HbwReader
+{
+  HbwReport *report;
+  json_t *object;
+  char *place;
+  GHashTable *known; /* keys that were asked for */
+};
+
+static const char *
+type_name (json_type type)
+{
+  switch (type)
+    {
+    case JSON_OBJECT:
+      return "an object";
+    case JSON_ARRAY:
+      return "an array";
+    case JSON_STRING:
+      return "a string";
+    case JSON_INTEGER:
+      return "a whole number";
+    default:
+      return "another type";
+    }
+}
+
+static json_t *
+lookup (HbwReader *reader, const char *key)
+{
+  g_hash_table_add (reader->known, g_strdup (key));
+  return json_object_get (reader->object, key);
+}
+
+static void
+add (HbwReader *reader, const char *key, json_t *found, const char *remedy)
+{
+  char *place = hbw_reader_place (reader, key);
+  hbw_report_add (reader->report, place, found, remedy);
+  g_free (place);
+}
+
+static gint64
+read_int (HbwReader *reader, const char *key, json_t *value, gint64 min, gint64 max,
+          gint64 fallback)
+{
+  if (json_is_integer (value) && json_integer_value (value) >= min
+      && json_integer_value (value) <= max)
+    return json_integer_value (value);
+  char *remedy = g_strdup_printf ("give a whole number from %" G_GINT64_FORMAT
+                                  " to %" G_GINT64_FORMAT,
+                                  min, max);
+  add (reader, key, value, remedy);
+  g_free (remedy);
+  return fallback;
+}
+
+void
+hbw_report_init (HbwReport *report)
+{
+  report->text = g_string_new (NULL);
+  report->errors = 0;
+}
+
+void
+hbw_report_clear (HbwReport *report)
+{
+  g_string_free (report->text, TRUE);
+  report->text = NULL;
+}
+
+void
+hbw_report_add (HbwReport *report, const char *place, json_t *found,
+                const char *remedy)
+{
+  char *text
+      = found != NULL ? json_dumps (found, JSON_ENCODE_ANY | JSON_COMPACT) : NULL;
+  g_string_append_printf (report->text, "%s%s: found %.*s; %s",
+                          report->errors > 0 ? "\n" : "", place, FOUND_TEXT_MAX,
+                          text != NULL ? text : "nothing", remedy);
+  report->errors++;
+  free (text);
+}
+
+HbwReader *
+hbw_reader_create (HbwReport *report, json_t *object, const char *place)
+{
+  HbwReader *reader = g_new0 (HbwReader, 1);
+  reader->report = report;
+  reader->place = g_strdup (place);
+  reader->known = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  reader->object = json_is_object (object) ? object : NULL;
+  if (reader->object == NULL)
+    hbw_report_add (report, *place != '\0' ? place : "/", object,
+                    "give a JSON object");
+  return reader;
+}
+
+void
+hbw_reader_destroy (HbwReader *reader)
+{
+  const char *key;
+  json_t *value;
+  json_object_foreach (reader->object, key, value)
+    {
+      if (!g_hash_table_contains (reader->known, key))
+        add (reader, key, value, "unknown key, remove it or correct its spelling");
+    }
+  g_hash_table_destroy (reader->known);
+  g_free (reader->place);
+  g_free (reader);
+}
+
+gint64
+hbw_reader_int (HbwReader *reader, const char *key, gint64 min, gint64 max,
+                gint64 fallback)
+{
+  json_t *value = lookup (reader, key);
+  if (value == NULL)
+    return fallback;
+  return read_int (reader, key, value, min, max, fallback);
+}
+
+gint64
+hbw_reader_required_int (HbwReader *reader, const char *key, gint64 min, gint64 max)
+{
+  return read_int (reader, key, lookup (reader, key), min, max, min);
+}
+
+gboolean
+hbw_reader_bool (HbwReader *reader, const char *key, gboolean fallback)
+{
+  json_t *value = lookup (reader, key);
+  if (value == NULL)
+    return fallback;
+  if (!json_is_boolean (value))
+    add (reader, key, value, "give true or false");
+  return json_is_true (value);
+}
+
+void
+hbw_reader_string (HbwReader *reader, const char *key, char *buffer, gsize size,
+                   const char *fallback)
+{
+  json_t *value = lookup (reader, key);
+  const char *text = json_string_value (value);
+  if (value == NULL && fallback != NULL)
+    text = fallback;
+  else if (text == NULL || *text == '\0' || strlen (text) >= size)
+    {
+      char *remedy = g_strdup_printf (
+          "give a string of 1 to %" G_GSIZE_FORMAT " bytes", size - 1);
+      add (reader, key, value, remedy);
+      g_free (remedy);
+      text = "";
+    }
+  g_strlcpy (buffer, text, size);
+}
+
+json_t *
+hbw_reader_member (HbwReader *reader, const char *key, json_type type,
+                   gboolean required)
+{
+  json_t *value = lookup (reader, key);
+  if (value != NULL && json_typeof (value) == type)
+    return value;
+  if (value != NULL || required)
+    {
+      char *remedy = g_strdup_printf ("give %s", type_name (type));
+      add (reader, key, value, remedy);
+      g_free (remedy);
+    }
+  return NULL;
+}
+
+char *
+hbw_reader_place (const HbwReader *reader, const char *key)
+{
+  return g_strdup_printf ("%s/%s", reader->place, key);
+}
--- /dev/null
+++ b/core/catalogue.c
@@ -0,0 +1,338 @@
+#include "hornbeamwall/core/catalogue.h"
+
+#include "hornbeamwall/common/check.h"
+#include "hornbeamwall/common/clock.h"
+
+#include <stdatomic.h>
+#include <string.h>
+
+/* Length of a SHA-256 in hexadecimal, in bytes. */
+#define KEY_HASH_LENGTH 64
+
+/* Ranges of the numbers in a catalogue. */
+#define DURATION_MAX_MS 86400000
+#define QUEUE_BOUND_MAX 100000
+#define QUEUE_BOUND_DEFAULT 1000
+#define TOKENS_MAX 1000000
+#define EXPECTED_TOKENS_DEFAULT 256
+#define RATE_MAX 100000000
+#define WEIGHT_MAX 1000
+
+struct HbwCatalogue
+{
+  atomic_int references;
+  gint64 version;
+  GHashTable *classes;       /* name -> HbwClass */
+  GHashTable *pools;         /* name -> HbwPool */
+  GHashTable *organisations; /* name -> HbwOrganisation */
+  GHashTable *keys;          /* key hash -> HbwOrganisation, borrowed */
+};
+
+static void
+organisation_free (gpointer data)
+{
+  HbwOrganisation *organisation = data;
+  g_ptr_array_free (organisation->class_names, TRUE);
+  g_free (organisation);
+}
+
+static HbwCatalogue *
+catalogue_create (gint64 version)
+{
+  HbwCatalogue *catalogue = g_new0 (HbwCatalogue, 1);
+  atomic_init (&catalogue->references, 1);
+  catalogue->version = version;
+  catalogue->classes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  catalogue->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  catalogue->organisations
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, organisation_free);
+  catalogue->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return catalogue;
+}
+
+static gboolean
+check_name (HbwReport *report, const char *place, const char *name)
+{
+  if (*name != '\0' && strlen (name) < HBW_NAME_MAX
+      && strpbrk (name, "/\"\\ \n{}") == NULL)
+    return TRUE;
+  json_t *found = json_string (name);
+  hbw_report_add (report, place, found,
+                  "give a name of 1 to 47 bytes without blanks, quotes, braces "
+                  "or slashes");
+  json_decref (found);
+  return FALSE;
+}
+
+static void
+read_class (HbwCatalogue *catalogue, HbwReport *report, const char *name,
+            json_t *value, const char *place)
+{
+  HbwClass *class = g_new0 (HbwClass, 1);
+  g_strlcpy (class->name, name, sizeof class->name);
+  HbwReader *reader = hbw_reader_create (report, value, place);
+  class->tier
+      = (HbwTier)hbw_reader_required_int (reader, "tier", 0, HBW_TIER_COUNT - 1);
+  class->first_token_us
+      = HBW_US_PER_MS
+        * hbw_reader_required_int (reader, "first_token_ms", 1, DURATION_MAX_MS);
+  class->inter_token_us
+      = HBW_US_PER_MS
+        * hbw_reader_required_int (reader, "inter_token_ms", 1, DURATION_MAX_MS);
+  class->deadline_us
+      = HBW_US_PER_MS
+        * hbw_reader_int (reader, "deadline_ms", 0, DURATION_MAX_MS, 0);
+  class->queue_bound = (guint)hbw_reader_int (reader, "queue_bound", 1,
+                                              QUEUE_BOUND_MAX, QUEUE_BOUND_DEFAULT);
+  class->expected_tokens = (guint)hbw_reader_int (
+      reader, "expected_tokens", 1, TOKENS_MAX, EXPECTED_TOKENS_DEFAULT);
+  hbw_reader_destroy (reader);
+  g_hash_table_replace (catalogue->classes, class->name, class);
+}
+
+static void
+read_pool (HbwCatalogue *catalogue, HbwReport *report, const char *name,
+           json_t *value, const char *place)
+{
+  HbwPool *pool = g_new0 (HbwPool, 1);
+  g_strlcpy (pool->name, name, sizeof pool->name);
+  HbwReader *reader = hbw_reader_create (report, value, place);
+  char kind[16];
+  hbw_reader_string (reader, "kind", kind, sizeof kind, NULL);
+  pool->is_service = strcmp (kind, "service") == 0;
+  if (!pool->is_service && strcmp (kind, "model") != 0)
+    {
+      char *at = hbw_reader_place (reader, "kind");
+      hbw_report_add (report, at, json_object_get (value, "kind"),
+                      "give \"model\" or \"service\"");
+      g_free (at);
+    }
+  pool->idempotent = hbw_reader_bool (reader, "idempotent", !pool->is_service);
+  hbw_reader_destroy (reader);
+  g_hash_table_replace (catalogue->pools, pool->name, pool);
+}
+
+static void
+read_key (HbwCatalogue *catalogue, HbwReport *report, HbwOrganisation *organisation,
+          json_t *value, const char *place)
+{
+  const char *hash = json_string_value (value);
+  if (hash == NULL || strlen (hash) != KEY_HASH_LENGTH
+      || strspn (hash, "0123456789abcdef") != KEY_HASH_LENGTH)
+    {
+      hbw_report_add (report, place, value,
+                      "give the SHA-256 of the key in lower-case hexadecimal");
+      return;
+    }
+  if (!g_hash_table_insert (catalogue->keys, g_strdup (hash), organisation))
+    hbw_report_add (report, place, value,
+                    "the same key is listed twice, give each key one owner");
+}
+
+static void
+read_class_name (HbwCatalogue *catalogue, HbwReport *report,
+                 HbwOrganisation *organisation, json_t *value, const char *place)
+{
+  const char *name = json_string_value (value);
+  const HbwClass *class = name != NULL ? hbw_catalogue_class (catalogue, name)
+                                       : NULL;
+  if (class == NULL)
+    hbw_report_add (report, place, value, "name a class of this catalogue");
+  else
+    g_ptr_array_add (organisation->class_names, g_strdup (name));
+}
+
+typedef void (*ReadItem) (HbwCatalogue *catalogue, HbwReport *report,
+                          HbwOrganisation *organisation, json_t *value,
+                          const char *place);
+
+static void
+read_list (HbwCatalogue *catalogue, HbwReader *reader, HbwReport *report,
+           HbwOrganisation *organisation, const char *key, ReadItem read_item)
+{
+  json_t *list = hbw_reader_member (reader, key, JSON_ARRAY, TRUE);
+  size_t index;
+  json_t *value;
+  json_array_foreach (list, index, value)
+    {
+      char *list_place = hbw_reader_place (reader, key);
+      char *place = g_strdup_printf ("%s/%zu", list_place, index);
+      read_item (catalogue, report, organisation, value, place);
+      g_free (place);
+      g_free (list_place);
+    }
+}
+
+static void
+read_limits (HbwReader *parent, HbwReport *report, HbwLimits *limits)
+{
+  json_t *value = hbw_reader_member (parent, "limits", JSON_OBJECT, FALSE);
+  if (value == NULL)
+    return;
+  char *place = hbw_reader_place (parent, "limits");
+  HbwReader *reader = hbw_reader_create (report, value, place);
+  limits->requests_per_s
+      = (guint)hbw_reader_int (reader, "requests_per_s", 0, RATE_MAX, 0);
+  limits->tokens_per_s
+      = (guint)hbw_reader_int (reader, "tokens_per_s", 0, RATE_MAX, 0);
+  limits->in_progress
+      = (guint)hbw_reader_int (reader, "in_progress", 0, RATE_MAX, 0);
+  hbw_reader_destroy (reader);
+  g_free (place);
+}
+
+static void
+read_organisation (HbwCatalogue *catalogue, HbwReport *report, const char *name,
+                   json_t *value, const char *place)
+{
+  HbwOrganisation *organisation = g_new0 (HbwOrganisation, 1);
+  g_strlcpy (organisation->name, name, sizeof organisation->name);
+  organisation->class_names = g_ptr_array_new_with_free_func (g_free);
+  HbwReader *reader = hbw_reader_create (report, value, place);
+  organisation->weight = (guint)hbw_reader_int (reader, "weight", 1, WEIGHT_MAX, 1);
+  read_list (catalogue, reader, report, organisation, "keys", read_key);
+  read_list (catalogue, reader, report, organisation, "classes", read_class_name);
+  read_limits (reader, report, &organisation->limits);
+  hbw_reader_destroy (reader);
+  if (organisation->class_names->len == 0)
+    hbw_report_add (report, place, NULL, "list at least one class");
+  g_hash_table_replace (catalogue->organisations, organisation->name, organisation);
+}
+
+typedef void (*ReadEntry) (HbwCatalogue *catalogue, HbwReport *report,
+                           const char *name, json_t *value, const char *place);
+
+static void
+read_section (HbwCatalogue *catalogue, HbwReader *reader, HbwReport *report,
+              const char *key, ReadEntry read_entry)
+{
+  json_t *section = hbw_reader_member (reader, key, JSON_OBJECT, TRUE);
+  const char *name;
+  json_t *value;
+  json_object_foreach (section, name, value)
+    {
+      char *place = g_strdup_printf ("/%s/%s", key, name);
+      if (check_name (report, place, name))
+        read_entry (catalogue, report, name, value, place);
+      g_free (place);
+    }
+}
+
+static void
+read_catalogue (HbwCatalogue *catalogue, HbwReport *report, json_t *root)
+{
+  char change[HBW_NAME_MAX];
+  HbwReader *reader = hbw_reader_create (report, root, "");
+  hbw_reader_string (reader, "change", change, sizeof change, "none");
+  read_section (catalogue, reader, report, "classes", read_class);
+  read_section (catalogue, reader, report, "pools", read_pool);
+  read_section (catalogue, reader, report, "organisations", read_organisation);
+  hbw_reader_destroy (reader);
+}
+
+HbwCatalogue *
+hbw_catalogue_parse (const char *text, gsize length, gint64 version, HbwError *error)
+{
+  json_error_t where;
+  json_t *root = length <= HBW_DOCUMENT_MAX
+                     ? json_loadb (text, length, JSON_REJECT_DUPLICATES, &where)
+                     : NULL;
+  if (root == NULL)
+    {
+      if (length > HBW_DOCUMENT_MAX)
+        hbw_error_set (error, HBW_ERROR_DOCUMENT,
+                       "catalogue: %" G_GSIZE_FORMAT " bytes; keep it under %d",
+                       length, HBW_DOCUMENT_MAX);
+      else
+        hbw_error_set (error, HBW_ERROR_DOCUMENT,
+                       "catalogue: line %d column %d: %s; give valid JSON",
+                       where.line, where.column, where.text);
+      return NULL;
+    }
+  HbwCatalogue *catalogue = catalogue_create (version);
+  HbwReport report;
+  hbw_report_init (&report);
+  read_catalogue (catalogue, &report, root);
+  json_decref (root);
+  if (report.errors > 0)
+    {
+      hbw_error_set (error, HBW_ERROR_DOCUMENT, "%s", report.text->str);
+      g_clear_pointer (&catalogue, hbw_catalogue_unref);
+    }
+  hbw_report_clear (&report);
+  return catalogue;
+}
+
+HbwCatalogue *
+hbw_catalogue_ref (HbwCatalogue *catalogue)
+{
+  atomic_fetch_add (&catalogue->references, 1);
+  return catalogue;
+}
+
+void
+hbw_catalogue_unref (HbwCatalogue *catalogue)
+{
+  if (atomic_fetch_sub (&catalogue->references, 1) != 1)
+    return;
+  g_hash_table_destroy (catalogue->keys);
+  g_hash_table_destroy (catalogue->organisations);
+  g_hash_table_destroy (catalogue->pools);
+  g_hash_table_destroy (catalogue->classes);
+  g_free (catalogue);
+}
+
+gint64
+hbw_catalogue_version (const HbwCatalogue *catalogue)
+{
+  return catalogue->version;
+}
+
+const HbwClass *
+hbw_catalogue_class (const HbwCatalogue *catalogue, const char *name)
+{
+  return g_hash_table_lookup (catalogue->classes, name);
+}
+
+const HbwPool *
+hbw_catalogue_pool (const HbwCatalogue *catalogue, const char *name)
+{
+  return g_hash_table_lookup (catalogue->pools, name);
+}
+
+const HbwOrganisation *
+hbw_catalogue_organisation (const HbwCatalogue *catalogue, const char *name)
+{
+  return g_hash_table_lookup (catalogue->organisations, name);
+}
+
+const HbwOrganisation *
+hbw_catalogue_authenticate (const HbwCatalogue *catalogue, const char *key)
+{
+  char *hash = hbw_catalogue_hash_key (key);
+  const HbwOrganisation *organisation = g_hash_table_lookup (catalogue->keys, hash);
+  g_free (hash);
+  return organisation;
+}
+
+gboolean
+hbw_organisation_may_use (const HbwOrganisation *organisation, const char *name)
+{
+  for (guint i = 0; i < organisation->class_names->len; i++)
+    if (strcmp (g_ptr_array_index (organisation->class_names, i), name) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+GList *
+hbw_catalogue_pool_names (const HbwCatalogue *catalogue)
+{
+  return g_list_sort (g_hash_table_get_keys (catalogue->pools),
+                      (GCompareFunc)g_strcmp0);
+}
+
+char *
+hbw_catalogue_hash_key (const char *key)
+{
+  return g_compute_checksum_for_string (G_CHECKSUM_SHA256, key, -1);
+}
--- /dev/null
+++ b/core/entry.c
@@ -0,0 +1,632 @@
+#include "hornbeamwall/core/entry.h"
+
+#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/metrics.h"
+#include "hornbeamwall/core/quarantine.h"
+
+#include <string.h>
+#include <urcu/list.h>
+
+/* Retries of requests that may have run, for each that completed. */
+#define RETRY_PER_SUCCESS 0.1
+
+/* Retries that can be saved up. */
+#define RETRY_BUDGET_MAX 20.0
+
+/* Attempts that surely did not run before a request is refused. */
+#define UNRUN_ATTEMPTS_MAX 8
+
+/* Retry hints where nothing better is known. */
+#define RETRY_AFTER_DEFAULT_US (1 * HBW_US_PER_S)
+
+typedef enum
+{
+  STATE_LIMITED, /* waits for a share of its organisation's limit */
+  STATE_WAITING, /* waits for a grant */
+  STATE_RUNNING, /* an attempt is in progress */
+} State;
+
+typedef struct
+{
+  struct cds_list_head link; /* by arrival */
+  guint64 sequence;
+  HbwRequestSpec spec;
+  gint64 arrived_us;
+  State state;
+  guint attempt;
+  guint unrun_attempts;
+  guint sent_attempts;
+  gboolean may_have_run;
+  gboolean spill_allowed;
+  gboolean limit_held;
+  HbwShardKey shard;
+  guint64 owner;   /* who was told, or 0 */
+  guint64 granter; /* who granted the attempt in progress */
+  gint64 told_us;
+  gint64 started_us;
+  char server[HBW_NAME_MAX];
+  char avoid[HBW_NAME_MAX];
+} Request;
+
+struct HbwEntry
+{
+  GHashTable *requests; /* sequence -> Request */
+  struct cds_list_head order;
+  HbwLimiter *limiter;
+  HbwRoute *route;
+  const HbwTopology *topology;
+  HbwOwnerLookup lookup;
+  void *lookup_data;
+  double retry_budget;
+  gboolean draining;
+};
+
+static HbwClassMetrics *
+class_metrics (HbwContext *context, const Request *request)
+{
+  return hbw_metrics_class (context->metrics, request->spec.class_name);
+}
+
+static HbwClassMetrics *
+organisation_metrics (HbwContext *context, const Request *request)
+{
+  return hbw_metrics_organisation (context->metrics, request->spec.organisation);
+}
+
+static gint64
+remaining (const Request *request, gint64 duration_us, gint64 now_us)
+{
+  return duration_us - (now_us - request->arrived_us);
+}
+
+static gboolean
+is_past_deadline (const Request *request, gint64 now_us)
+{
+  return request->spec.deadline_us > 0
+         && remaining (request, request->spec.deadline_us, now_us) <= 0;
+}
+
+static HbwRequestId
+id_of (const HbwContext *context, const Request *request)
+{
+  const HbwRequestId id = { context->self, request->sequence };
+  return id;
+}
+
+static void
+post_want (HbwEntry *entry, HbwContext *context, Request *request)
+{
+  HbwMessage message = { .kind = HBW_MESSAGE_WANT };
+  HbwWant *want = &message.want;
+  want->id = id_of (context, request);
+  want->attempt = request->attempt;
+  want->shard = request->shard;
+  want->spec = request->spec;
+  want->spec.target_us
+      = remaining (request, request->spec.target_us, context->now_us);
+  if (request->spec.deadline_us > 0)
+    want->spec.deadline_us
+        = MAX (1, remaining (request, request->spec.deadline_us, context->now_us));
+  want->spec.failures = hbw_quarantine_failures (
+      context->quarantine, &request->spec.fingerprint, context->now_us);
+  g_strlcpy (want->avoid, request->avoid, sizeof want->avoid);
+  request->owner = entry->lookup (&request->shard, entry->lookup_data);
+  request->told_us = context->now_us;
+  if (request->owner != 0)
+    hbw_context_post (context, request->owner, &message);
+}
+
+static void
+post_withdraw (HbwContext *context, const Request *request)
+{
+  if (request->owner == 0 || request->state != STATE_WAITING)
+    return;
+  HbwMessage message = { .kind = HBW_MESSAGE_WITHDRAW };
+  message.refusal.id = id_of (context, request);
+  message.refusal.attempt = request->attempt;
+  hbw_context_post (context, request->owner, &message);
+}
+
+static void
+post_active (HbwEntry *entry, HbwContext *context, Request *request)
+{
+  HbwMessage message = { .kind = HBW_MESSAGE_ACTIVE };
+  message.active.id = id_of (context, request);
+  message.active.attempt = request->attempt;
+  message.active.shard = request->shard;
+  message.active.tier = request->spec.tier;
+  message.active.fingerprint = request->spec.fingerprint;
+  g_strlcpy (message.active.server, request->server, sizeof message.active.server);
+  request->owner = entry->lookup (&request->shard, entry->lookup_data);
+  request->told_us = context->now_us;
+  if (request->owner != 0)
+    hbw_context_post (context, request->owner, &message);
+}
+
+static void
+post_done (HbwContext *context, const Request *request, const HbwAttemptEnd *end)
+{
+  HbwMessage message = { .kind = HBW_MESSAGE_DONE };
+  message.done.id = id_of (context, request);
+  message.done.attempt = request->attempt;
+  message.done.shard = request->shard;
+  message.done.outcome = end->outcome;
+  message.done.first_token_us = end->first_token_us;
+  message.done.inter_token_us = end->inter_token_us;
+  message.done.tokens = end->tokens;
+  g_strlcpy (message.done.server, request->server, sizeof message.done.server);
+  hbw_context_post (context, request->granter, &message);
+  if (request->owner != 0 && request->owner != request->granter)
+    hbw_context_post (context, request->owner, &message);
+}
+
+static void
+hand_back (HbwContext *context, guint64 to, const HbwGrant *grant)
+{
+  HbwMessage message = { .kind = HBW_MESSAGE_DONE };
+  message.done.id = grant->id;
+  message.done.attempt = grant->attempt;
+  message.done.shard = grant->shard;
+  message.done.outcome = HBW_OUTCOME_UNUSED;
+  g_strlcpy (message.done.server, grant->server, sizeof message.done.server);
+  hbw_context_post (context, to, &message);
+  hbw_metrics_control (context->metrics)->grants_handed_back++;
+}
+
+static void
+remove_request (HbwEntry *entry, Request *request, guint tokens)
+{
+  if (request->limit_held)
+    hbw_limiter_end (entry->limiter, &request->spec, tokens);
+  if (request->state == STATE_LIMITED)
+    hbw_limiter_unwait (entry->limiter, &request->spec);
+  cds_list_del (&request->link);
+  guint64 sequence = request->sequence;
+  g_hash_table_remove (entry->requests, &sequence);
+}
+
+static void
+refuse_sequence (HbwContext *context, guint64 sequence, HbwReason reason,
+                 gboolean may_have_run, gint64 retry_after_us)
+{
+  HbwEffect *effect = hbw_effects_add (context->effects, HBW_EFFECT_REFUSE);
+  effect->refuse.sequence = sequence;
+  effect->refuse.reason = reason;
+  effect->refuse.executed = may_have_run ? HBW_EXECUTED_UNKNOWN : HBW_EXECUTED_NO;
+  effect->refuse.retry_after_us = retry_after_us;
+}
+
+static void
+refuse (HbwEntry *entry, HbwContext *context, Request *request, HbwReason reason,
+        gint64 retry_after_us)
+{
+  refuse_sequence (context, request->sequence, reason, request->may_have_run,
+                   retry_after_us);
+  class_metrics (context, request)->refused[reason]++;
+  organisation_metrics (context, request)->refused[reason]++;
+  post_withdraw (context, request);
+  remove_request (entry, request, 0);
+}
+
+/* Chooses a shard and asks its owner for a grant. */
+static void
+ask (HbwEntry *entry, HbwContext *context, Request *request)
+{
+  if (entry->topology == NULL
+      || !hbw_route_choose (entry->route, context, entry->topology, &request->spec,
+                            request->spill_allowed, &request->shard))
+    {
+      refuse (entry, context, request, HBW_REASON_NO_SERVER, RETRY_AFTER_DEFAULT_US);
+      return;
+    }
+  if (strcmp (request->shard.data_centre, context->data_centre) != 0)
+    hbw_metrics_control (context->metrics)->spilled++;
+  request->state = STATE_WAITING;
+  post_want (entry, context, request);
+}
+
+static void
+ask_again (HbwEntry *entry, HbwContext *context, Request *request)
+{
+  request->attempt++;
+  ask (entry, context, request);
+}
+
+static Request *
+find (HbwEntry *entry, guint64 sequence)
+{
+  return g_hash_table_lookup (entry->requests, &sequence);
+}
+
+static Request *
+add_request (HbwEntry *entry, HbwContext *context, const HbwArrival *arrival)
+{
+  Request *request = g_new0 (Request, 1);
+  request->sequence = arrival->sequence;
+  request->spec = arrival->spec;
+  request->arrived_us = context->now_us;
+  request->attempt = 1;
+  request->spill_allowed = TRUE;
+  cds_list_add_tail (&request->link, &entry->order);
+  g_hash_table_insert (entry->requests, &request->sequence, request);
+  class_metrics (context, request)->arrived++;
+  organisation_metrics (context, request)->arrived++;
+  return request;
+}
+
+static void
+record_complete (HbwContext *context, const Request *request,
+                 HbwClassMetrics *metrics, const HbwAttemptEnd *end)
+{
+  gint64 waited = request->started_us - request->arrived_us;
+  gint64 first_token = waited + end->first_token_us;
+  hbw_histogram_record (&metrics->first_token, first_token);
+  hbw_histogram_record (&metrics->inter_token, end->inter_token_us);
+  hbw_histogram_record (&metrics->total, context->now_us - request->arrived_us);
+  metrics->completed++;
+  metrics->good_tokens += end->tokens;
+  if (first_token <= request->spec.target_us
+      && end->inter_token_us <= request->spec.inter_token_us)
+    metrics->in_target++;
+}
+
+static void
+finish (HbwEntry *entry, HbwContext *context, Request *request,
+        const HbwAttemptEnd *end)
+{
+  hbw_effects_add (context->effects, HBW_EFFECT_FINISH)->sequence
+      = request->sequence;
+  HbwClassMetrics *both[] = { class_metrics (context, request),
+                              organisation_metrics (context, request) };
+  for (gsize i = 0; i < G_N_ELEMENTS (both); i++)
+    {
+      if (end->outcome == HBW_OUTCOME_COMPLETE)
+        record_complete (context, request, both[i], end);
+      else if (end->outcome == HBW_OUTCOME_CANCELLED)
+        both[i]->gone++;
+      else
+        both[i]->failed++;
+    }
+  remove_request (entry, request, end->tokens);
+}
+
+static void
+record_waste (HbwContext *context, const Request *request, const HbwAttemptEnd *end)
+{
+  if (end->outcome == HBW_OUTCOME_COMPLETE)
+    return;
+  class_metrics (context, request)->wasted_tokens += end->tokens;
+  organisation_metrics (context, request)->wasted_tokens += end->tokens;
+}
+
+typedef struct
+{
+  HbwContext *context;
+  HbwMessage message;
+} Broadcast;
+
+static void
+post_to_member (const HbwMemberUpdate *member, void *data)
+{
+  Broadcast *broadcast = data;
+  if (strcmp (member->data_centre, broadcast->context->data_centre) == 0)
+    hbw_context_post (broadcast->context, member->identity, &broadcast->message);
+}
+
+static void
+tell_suspect (HbwContext *context, const HbwFingerprint *fingerprint, guint failures)
+{
+  Broadcast broadcast = { context, { .kind = HBW_MESSAGE_SUSPECT } };
+  broadcast.message.suspect.fingerprint = *fingerprint;
+  broadcast.message.suspect.failures = failures;
+  broadcast.message.suspect.remaining_us = HBW_QUARANTINE_US;
+  hbw_membership_foreach (context->membership, post_to_member, &broadcast);
+}
+
+/* Counts a failure of the server against the request that was in progress there, or
+   clears the request by its success. */
+static void
+judge_request (HbwContext *context, const Request *request, HbwOutcome outcome)
+{
+  const HbwFingerprint *fingerprint = &request->spec.fingerprint;
+  if (outcome == HBW_OUTCOME_COMPLETE)
+    {
+      if (hbw_quarantine_clear (context->quarantine, fingerprint))
+        tell_suspect (context, fingerprint, 0);
+      return;
+    }
+  if (outcome != HBW_OUTCOME_BROKEN)
+    return;
+  guint failures
+      = hbw_quarantine_add (context->quarantine, fingerprint, context->now_us);
+  tell_suspect (context, fingerprint, failures);
+  gboolean quarantined = failures >= HBW_QUARANTINE_FAILURES;
+  hbw_effects_log (
+      context->effects,
+      quarantined ? HBW_LOG_REQUEST_QUARANTINED : HBW_LOG_REQUEST_SUSPECT,
+      "organisation=%s class=%s server=%s failures=%u", request->spec.organisation,
+      request->spec.class_name, request->server, failures);
+}
+
+static gboolean
+may_retry (HbwEntry *entry, HbwContext *context, const Request *request,
+           const HbwAttemptEnd *end)
+{
+  if (hbw_outcome_is_unrun (end->outcome))
+    return request->unrun_attempts < UNRUN_ATTEMPTS_MAX;
+  if (end->answer_begun || !request->spec.idempotent
+      || end->outcome == HBW_OUTCOME_CANCELLED)
+    return FALSE;
+  if (request->sent_attempts >= HBW_ATTEMPTS_MAX || entry->retry_budget < 1.0)
+    return FALSE;
+  return !is_past_deadline (request, context->now_us);
+}
+
+static void
+retry (HbwEntry *entry, HbwContext *context, Request *request, HbwOutcome outcome)
+{
+  if (!hbw_outcome_is_unrun (outcome))
+    {
+      entry->retry_budget -= 1.0;
+      class_metrics (context, request)->retries++;
+    }
+  if (outcome != HBW_OUTCOME_UNUSED)
+    g_strlcpy (request->avoid, request->server, sizeof request->avoid);
+  ask_again (entry, context, request);
+}
+
+static void
+give_up (HbwEntry *entry, HbwContext *context, Request *request,
+         const HbwAttemptEnd *end)
+{
+  if (end->answer_begun || end->outcome == HBW_OUTCOME_CANCELLED)
+    {
+      finish (entry, context, request, end);
+      return;
+    }
+  gboolean unrun = hbw_outcome_is_unrun (end->outcome);
+  refuse (entry, context, request, unrun ? HBW_REASON_NO_SERVER : HBW_REASON_BROKEN,
+          RETRY_AFTER_DEFAULT_US);
+}
+
+HbwEntry *
+hbw_entry_create (HbwOwnerLookup lookup, void *data)
+{
+  HbwEntry *entry = g_new0 (HbwEntry, 1);
+  entry->requests
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  CDS_INIT_LIST_HEAD (&entry->order);
+  entry->limiter = hbw_limiter_create ();
+  entry->route = hbw_route_create ();
+  entry->lookup = lookup;
+  entry->lookup_data = data;
+  entry->retry_budget = RETRY_BUDGET_MAX;
+  return entry;
+}
+
+void
+hbw_entry_destroy (HbwEntry *entry)
+{
+  g_hash_table_destroy (entry->requests);
+  hbw_limiter_destroy (entry->limiter);
+  hbw_route_destroy (entry->route);
+  g_free (entry);
+}
+
+void
+hbw_entry_set_topology (HbwEntry *entry, const HbwTopology *topology)
+{
+  entry->topology = topology;
+}
+
+void
+hbw_entry_handle_arrival (HbwEntry *entry, HbwContext *context,
+                          const HbwArrival *arrival)
+{
+  if (entry->draining || g_hash_table_size (entry->requests) >= HBW_REQUESTS_MAX)
+    {
+      refuse_sequence (context, arrival->sequence,
+                       entry->draining ? HBW_REASON_DRAINING : HBW_REASON_OVERLOADED,
+                       FALSE, RETRY_AFTER_DEFAULT_US);
+      return;
+    }
+  Request *request = add_request (entry, context, arrival);
+  const HbwFingerprint *fingerprint = &request->spec.fingerprint;
+  if (hbw_quarantine_failures (context->quarantine, fingerprint, context->now_us)
+      >= HBW_QUARANTINE_FAILURES)
+    {
+      refuse (entry, context, request, HBW_REASON_QUARANTINED,
+              hbw_quarantine_remaining (context->quarantine, fingerprint,
+                                        context->now_us));
+      return;
+    }
+  if (hbw_limiter_take (entry->limiter, context, &request->spec))
+    {
+      request->limit_held = TRUE;
+      ask (entry, context, request);
+      return;
+    }
+  request->state = STATE_LIMITED;
+  hbw_limiter_wait (entry->limiter, context, &request->spec);
+}
+
+void
+hbw_entry_handle_gone (HbwEntry *entry, HbwContext *context, guint64 sequence)
+{
+  Request *request = find (entry, sequence);
+  if (request == NULL)
+    return;
+  if (request->state == STATE_RUNNING)
+    {
+      hbw_effects_add (context->effects, HBW_EFFECT_CANCEL_ATTEMPT)->sequence
+          = sequence;
+      return;
+    }
+  class_metrics (context, request)->gone++;
+  organisation_metrics (context, request)->gone++;
+  hbw_effects_add (context->effects, HBW_EFFECT_FINISH)->sequence = sequence;
+  post_withdraw (context, request);
+  remove_request (entry, request, 0);
+}
+
+void
+hbw_entry_handle_end (HbwEntry *entry, HbwContext *context, const HbwAttemptEnd *end)
+{
+  Request *request = find (entry, end->sequence);
+  if (request == NULL || request->state != STATE_RUNNING
+      || request->attempt != end->attempt)
+    return;
+  post_done (context, request, end);
+  record_waste (context, request, end);
+  judge_request (context, request, end->outcome);
+  if (hbw_outcome_is_unrun (end->outcome))
+    request->unrun_attempts++;
+  else
+    {
+      request->sent_attempts++;
+      request->may_have_run = TRUE;
+    }
+  if (end->outcome == HBW_OUTCOME_COMPLETE)
+    {
+      entry->retry_budget
+          = MIN (RETRY_BUDGET_MAX, entry->retry_budget + RETRY_PER_SUCCESS);
+      finish (entry, context, request, end);
+    }
+  else if (may_retry (entry, context, request, end))
+    retry (entry, context, request, end->outcome);
+  else
+    give_up (entry, context, request, end);
+}
+
+void
+hbw_entry_handle_grant (HbwEntry *entry, HbwContext *context, guint64 from,
+                        const HbwGrant *grant)
+{
+  Request *request = find (entry, grant->id.sequence);
+  gboolean same = request != NULL && grant->id.instance == context->self
+                  && request->attempt == grant->attempt;
+  if (same && request->state == STATE_RUNNING && request->granter == from
+      && strcmp (request->server, grant->server) == 0)
+    return;
+  if (!same || request->state != STATE_WAITING || grant->valid_us <= 0)
+    {
+      hand_back (context, from, grant);
+      return;
+    }
+  request->state = STATE_RUNNING;
+  request->granter = from;
+  request->shard = grant->shard;
+  request->started_us = context->now_us;
+  request->told_us = context->now_us;
+  g_strlcpy (request->server, grant->server, sizeof request->server);
+  gint64 waited = context->now_us - request->arrived_us;
+  hbw_histogram_record (&class_metrics (context, request)->queue_wait, waited);
+  hbw_histogram_record (&organisation_metrics (context, request)->queue_wait,
+                        waited);
+  HbwEffect *effect = hbw_effects_add (context->effects, HBW_EFFECT_START_ATTEMPT);
+  HbwStart *start = &effect->start;
+  start->sequence = request->sequence;
+  start->attempt = request->attempt;
+  start->valid_us = MIN (grant->valid_us, G_GINT64_CONSTANT (1000000));
+  start->tier = request->spec.tier;
+  g_strlcpy (start->server, grant->server, sizeof start->server);
+  g_strlcpy (start->address, grant->address, sizeof start->address);
+}
+
+void
+hbw_entry_handle_refusal (HbwEntry *entry, HbwContext *context,
+                          const HbwRefusal *refusal)
+{
+  Request *request = find (entry, refusal->id.sequence);
+  if (request == NULL || refusal->id.instance != context->self
+      || request->state != STATE_WAITING || request->attempt != refusal->attempt)
+    return;
+  gboolean spilled = strcmp (request->shard.data_centre, context->data_centre) != 0;
+  if (spilled && refusal->reason == HBW_REASON_QUEUE_FULL)
+    {
+      request->spill_allowed = FALSE;
+      ask_again (entry, context, request);
+      return;
+    }
+  refuse (entry, context, request, refusal->reason, refusal->retry_after_us);
+}
+
+static void
+tick_limited (HbwEntry *entry, HbwContext *context, Request *request)
+{
+  if (hbw_limiter_take (entry->limiter, context, &request->spec))
+    {
+      hbw_limiter_unwait (entry->limiter, &request->spec);
+      request->limit_held = TRUE;
+      request->state = STATE_WAITING;
+      ask (entry, context, request);
+      return;
+    }
+  gint64 wait = hbw_limiter_expected_wait (entry->limiter, context, &request->spec);
+  if (wait < 0 || request->spec.deadline_us == 0)
+    return;
+  if (wait > remaining (request, request->spec.deadline_us, context->now_us))
+    refuse (entry, context, request, HBW_REASON_LIMIT, wait);
+}
+
+static void
+tick_told (HbwEntry *entry, HbwContext *context, Request *request)
+{
+  guint64 owner = entry->lookup (&request->shard, entry->lookup_data);
+  gboolean due = context->now_us - request->told_us >= HBW_RESTATE_US;
+  if (owner == request->owner && !due)
+    return;
+  if (request->state == STATE_RUNNING)
+    {
+      post_active (entry, context, request);
+      return;
+    }
+  if (owner != request->owner)
+    post_withdraw (context, request);
+  post_want (entry, context, request);
+}
+
+static void
+tick_request (HbwEntry *entry, HbwContext *context, Request *request)
+{
+  if (request->state != STATE_RUNNING && is_past_deadline (request, context->now_us))
+    refuse (entry, context, request, HBW_REASON_DEADLINE, RETRY_AFTER_DEFAULT_US);
+  else if (request->state == STATE_LIMITED)
+    tick_limited (entry, context, request);
+  else
+    tick_told (entry, context, request);
+}
+
+void
+hbw_entry_tick (HbwEntry *entry, HbwContext *context)
+{
+  Request *request;
+  Request *next;
+  cds_list_for_each_entry_safe (request, next, &entry->order, link)
+    tick_request (entry, context, request);
+  hbw_limiter_tick (entry->limiter, context);
+}
+
+void
+hbw_entry_drain (HbwEntry *entry)
+{
+  entry->draining = TRUE;
+}
+
+guint
+hbw_entry_count (const HbwEntry *entry)
+{
+  return g_hash_table_size (entry->requests);
+}
+
+HbwLimiter *
+hbw_entry_limiter (HbwEntry *entry)
+{
+  return entry->limiter;
+}
+
+HbwRoute *
+hbw_entry_route (HbwEntry *entry)
+{
+  return entry->route;
+}
--- /dev/null
+++ b/core/membership.c
@@ -0,0 +1,663 @@
+#include "hornbeamwall/core/membership.h"
+
+#include <string.h>
+
+/* How often a change is passed on, times the binary logarithm of the members. */
+#define SPREAD_FACTOR 3
+
+/* Members asked to probe one that does not answer. */
+#define INDIRECT_PROBES 3
+
+/* Members told directly that this instance leaves. */
+#define LEAVE_MESSAGES 8
+
+typedef struct
+{
+  HbwMemberUpdate info;
+  guint spread_left; /* pings that still carry it */
+  gint64 changed_us; /* when it entered its state */
+  gint64 heard_us;   /* last direct message */
+} Member;
+
+/* A ping that waits for its answer. */
+typedef struct
+{
+  guint64 number; /* 0 is none */
+  guint64 subject;
+  gint64 sent_us;
+  gboolean indirect_sent;
+} Probe;
+
+struct HbwMembership
+{
+  HbwMemberUpdate self;
+  GHashTable *members; /* identity -> Member */
+  GPtrArray *order;    /* Member, borrowed; rotation of probes */
+  guint next;
+  GPtrArray *seeds;  /* addresses from the settings */
+  GPtrArray *listed; /* addresses from the platform's list */
+  Probe probe;
+  guint64 last_number;
+  gint64 probe_at_us;
+  gint64 remote_at_us;
+  guint64 epoch;
+  guint spread_self;
+  HbwPingDecorator decorator;
+  void *decorator_data;
+};
+
+static gboolean
+is_local (const HbwMembership *membership, const Member *member)
+{
+  return strcmp (member->info.data_centre, membership->self.data_centre) == 0;
+}
+
+static gboolean
+is_present (const Member *member)
+{
+  return member->info.state == HBW_MEMBER_ALIVE
+         || member->info.state == HBW_MEMBER_SUSPECT;
+}
+
+static guint
+spread_count (const HbwMembership *membership)
+{
+  return SPREAD_FACTOR * g_bit_storage (membership->order->len + 2);
+}
+
+static Member *
+find (HbwMembership *membership, guint64 identity)
+{
+  return g_hash_table_lookup (membership->members, &identity);
+}
+
+static void
+log_state (HbwContext *context, const Member *member)
+{
+  static const HbwLogEvent numbers[] = {
+    [HBW_MEMBER_ALIVE] = HBW_LOG_PEER_JOINED,
+    [HBW_MEMBER_SUSPECT] = HBW_LOG_PEER_SUSPECT,
+    [HBW_MEMBER_DEAD] = HBW_LOG_PEER_LOST,
+    [HBW_MEMBER_LEFT] = HBW_LOG_PEER_LEFT,
+  };
+  hbw_effects_log (context->effects, numbers[member->info.state],
+                   "instance=%s data_centre=%s address=%s", member->info.name,
+                   member->info.data_centre, member->info.address);
+}
+
+static void
+set_state (HbwMembership *membership, HbwContext *context, Member *member,
+           HbwMemberState state, guint32 incarnation)
+{
+  gboolean changed = member->info.state != state;
+  member->info.incarnation = incarnation;
+  member->spread_left = spread_count (membership);
+  if (!changed)
+    return;
+  member->info.state = state;
+  member->changed_us = context->now_us;
+  membership->epoch++;
+  log_state (context, member);
+}
+
+/* A restarted instance has a higher identity at the same address. */
+static gboolean
+supersede (HbwMembership *membership, HbwContext *context,
+           const HbwMemberUpdate *update)
+{
+  for (guint i = 0; i < membership->order->len; i++)
+    {
+      Member *member = g_ptr_array_index (membership->order, i);
+      if (strcmp (member->info.address, update->address) != 0)
+        continue;
+      if (member->info.identity > update->identity)
+        return FALSE;
+      if (is_present (member))
+        set_state (membership, context, member, HBW_MEMBER_DEAD,
+                   member->info.incarnation);
+    }
+  return TRUE;
+}
+
+static Member *
+add_member (HbwMembership *membership, HbwContext *context,
+            const HbwMemberUpdate *update)
+{
+  Member *member = g_new0 (Member, 1);
+  member->info = *update;
+  member->changed_us = context->now_us;
+  member->spread_left = spread_count (membership);
+  g_hash_table_insert (membership->members, &member->info.identity, member);
+  guint at = (guint)g_rand_int_range (context->random, 0,
+                                      (gint32)membership->order->len + 1);
+  g_ptr_array_insert (membership->order, (gint)at, member);
+  membership->epoch++;
+  if (is_present (member))
+    log_state (context, member);
+  return member;
+}
+
+static void
+refute (HbwMembership *membership, const HbwMemberUpdate *update)
+{
+  if (update->state == HBW_MEMBER_ALIVE
+      || update->incarnation < membership->self.incarnation
+      || membership->self.state == HBW_MEMBER_LEFT)
+    return;
+  membership->self.incarnation = update->incarnation + 1;
+  membership->spread_self = spread_count (membership);
+}
+
+static void
+apply_update (HbwMembership *membership, HbwContext *context,
+              const HbwMemberUpdate *update)
+{
+  if (update->identity == membership->self.identity)
+    {
+      refute (membership, update);
+      return;
+    }
+  if (strcmp (update->address, membership->self.address) == 0)
+    return;
+  Member *member = find (membership, update->identity);
+  if (member == NULL)
+    {
+      if (update->state != HBW_MEMBER_ALIVE && update->state != HBW_MEMBER_SUSPECT)
+        return;
+      if (supersede (membership, context, update))
+        add_member (membership, context, update);
+      return;
+    }
+  if (member->info.state == HBW_MEMBER_LEFT)
+    return;
+  gboolean newer = update->incarnation > member->info.incarnation;
+  gboolean worse = update->incarnation == member->info.incarnation
+                   && update->state > member->info.state;
+  if (newer || worse)
+    set_state (membership, context, member, update->state, update->incarnation);
+}
+
+static void
+add_to_ping (HbwPing *ping, const HbwMemberUpdate *update)
+{
+  if (ping->member_count < HBW_PING_MEMBERS_MAX)
+    ping->members[ping->member_count++] = *update;
+}
+
+static void
+fill_members (HbwMembership *membership, HbwContext *context, HbwPing *ping,
+              const Member *target)
+{
+  add_to_ping (ping, &membership->self);
+  if (target != NULL && target->info.state != HBW_MEMBER_ALIVE)
+    add_to_ping (ping, &target->info);
+  guint count = membership->order->len;
+  if (count == 0)
+    return;
+  guint start = (guint)g_rand_int_range (context->random, 0, (gint32)count);
+  for (guint i = 0; i < count && ping->member_count < HBW_PING_MEMBERS_MAX; i++)
+    {
+      Member *member = g_ptr_array_index (membership->order, (start + i) % count);
+      if (member->spread_left == 0)
+        continue;
+      member->spread_left--;
+      add_to_ping (ping, &member->info);
+    }
+  const Member *other = g_ptr_array_index (membership->order, start);
+  if (is_present (other))
+    add_to_ping (ping, &other->info);
+}
+
+static void
+send_ping (HbwMembership *membership, HbwContext *context, HbwMessageKind kind,
+           guint64 to, const char *address, const HbwPing *base)
+{
+  HbwEffect *effect = hbw_effects_add (context->effects, HBW_EFFECT_SEND);
+  effect->send.to = to;
+  g_strlcpy (effect->send.address, address, sizeof effect->send.address);
+  effect->send.message.kind = kind;
+  effect->send.message.from = membership->self.identity;
+  HbwPing *ping = &effect->send.message.ping;
+  ping->number = base->number;
+  ping->subject = base->subject;
+  ping->on_behalf_of = base->on_behalf_of;
+  fill_members (membership, context, ping, find (membership, to));
+  if (membership->decorator != NULL)
+    membership->decorator (ping, membership->decorator_data);
+}
+
+static Member *
+random_member (HbwMembership *membership, HbwContext *context,
+               gboolean (*wanted) (const HbwMembership *membership,
+                                   const Member *member))
+{
+  guint count = membership->order->len;
+  if (count == 0)
+    return NULL;
+  guint start = (guint)g_rand_int_range (context->random, 0, (gint32)count);
+  for (guint i = 0; i < count; i++)
+    {
+      Member *member = g_ptr_array_index (membership->order, (start + i) % count);
+      if (wanted (membership, member))
+        return member;
+    }
+  return NULL;
+}
+
+static gboolean
+wanted_remote (const HbwMembership *membership, const Member *member)
+{
+  return !is_local (membership, member) && is_present (member);
+}
+
+static gboolean
+wanted_dead (const HbwMembership *membership G_GNUC_UNUSED, const Member *member)
+{
+  return member->info.state == HBW_MEMBER_DEAD;
+}
+
+static gboolean
+wanted_helper (const HbwMembership *membership, const Member *member)
+{
+  return is_local (membership, member) && member->info.state == HBW_MEMBER_ALIVE
+         && member->info.identity != membership->probe.subject;
+}
+
+static void
+probe_indirectly (HbwMembership *membership, HbwContext *context)
+{
+  membership->probe.indirect_sent = TRUE;
+  HbwPing base = { .number = membership->probe.number };
+  base.subject = membership->probe.subject;
+  for (guint i = 0; i < INDIRECT_PROBES; i++)
+    {
+      const Member *helper = random_member (membership, context, wanted_helper);
+      if (helper != NULL)
+        send_ping (membership, context, HBW_MESSAGE_PROBE_FOR, helper->info.identity,
+                   helper->info.address, &base);
+    }
+}
+
+static void
+judge_probe (HbwMembership *membership, HbwContext *context)
+{
+  Probe *probe = &membership->probe;
+  if (probe->number == 0)
+    return;
+  gint64 age = context->now_us - probe->sent_us;
+  if (age >= HBW_PROBE_INDIRECT_US && !probe->indirect_sent)
+    probe_indirectly (membership, context);
+  if (age < HBW_PROBE_TIMEOUT_US)
+    return;
+  Member *member = find (membership, probe->subject);
+  probe->number = 0;
+  if (member != NULL && member->info.state == HBW_MEMBER_ALIVE
+      && member->heard_us < probe->sent_us)
+    set_state (membership, context, member, HBW_MEMBER_SUSPECT,
+               member->info.incarnation);
+}
+
+static void
+probe_next (HbwMembership *membership, HbwContext *context)
+{
+  if (membership->probe.number != 0 || context->now_us < membership->probe_at_us)
+    return;
+  membership->probe_at_us = context->now_us + HBW_PROBE_INTERVAL_US;
+  for (guint i = 0; i < membership->order->len; i++)
+    {
+      guint at = membership->next++ % membership->order->len;
+      const Member *member = g_ptr_array_index (membership->order, at);
+      if (!is_local (membership, member) || !is_present (member))
+        continue;
+      membership->probe.number = ++membership->last_number;
+      membership->probe.subject = member->info.identity;
+      membership->probe.sent_us = context->now_us;
+      membership->probe.indirect_sent = FALSE;
+      HbwPing base = { .number = membership->probe.number };
+      base.subject = member->info.identity;
+      send_ping (membership, context, HBW_MESSAGE_PING, member->info.identity,
+                 member->info.address, &base);
+      return;
+    }
+}
+
+static gboolean
+is_member_address (HbwMembership *membership, const char *address)
+{
+  if (strcmp (address, membership->self.address) == 0)
+    return TRUE;
+  for (guint i = 0; i < membership->order->len; i++)
+    {
+      const Member *member = g_ptr_array_index (membership->order, i);
+      if (is_present (member) && strcmp (member->info.address, address) == 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+ping_seed (HbwMembership *membership, HbwContext *context, const GPtrArray *list)
+{
+  if (list->len == 0)
+    return;
+  guint start = (guint)g_rand_int_range (context->random, 0, (gint32)list->len);
+  const HbwPing base = { .number = 0 };
+  for (guint i = 0; i < list->len; i++)
+    {
+      const char *address = g_ptr_array_index (list, (start + i) % list->len);
+      if (is_member_address (membership, address))
+        continue;
+      send_ping (membership, context, HBW_MESSAGE_PING, 0, address, &base);
+      return;
+    }
+}
+
+static void
+ping_far (HbwMembership *membership, HbwContext *context)
+{
+  if (context->now_us < membership->remote_at_us)
+    return;
+  membership->remote_at_us = context->now_us + HBW_REMOTE_INTERVAL_US;
+  const HbwPing base = { .number = 0 };
+  const Member *remote = random_member (membership, context, wanted_remote);
+  if (remote != NULL)
+    send_ping (membership, context, HBW_MESSAGE_PING, remote->info.identity,
+               remote->info.address, &base);
+  const Member *dead = random_member (membership, context, wanted_dead);
+  if (dead != NULL)
+    send_ping (membership, context, HBW_MESSAGE_PING, dead->info.identity,
+               dead->info.address, &base);
+  ping_seed (membership, context, membership->seeds);
+  ping_seed (membership, context, membership->listed);
+}
+
+static void
+remove_at (HbwMembership *membership, guint index)
+{
+  const Member *member = g_ptr_array_index (membership->order, index);
+  guint64 identity = member->info.identity;
+  g_ptr_array_remove_index (membership->order, index);
+  g_hash_table_remove (membership->members, &identity);
+}
+
+static void
+judge_members (HbwMembership *membership, HbwContext *context)
+{
+  for (guint i = membership->order->len; i > 0; i--)
+    {
+      Member *member = g_ptr_array_index (membership->order, i - 1);
+      gint64 age = context->now_us - member->changed_us;
+      if (member->info.state == HBW_MEMBER_SUSPECT && age > HBW_SUSPECT_US)
+        set_state (membership, context, member, HBW_MEMBER_DEAD,
+                   member->info.incarnation);
+      else if (!is_present (member) && age > HBW_MEMBER_FORGET_US)
+        remove_at (membership, i - 1);
+    }
+}
+
+static void
+handle_ping (HbwMembership *membership, HbwContext *context,
+             const HbwMessage *message)
+{
+  const HbwPing *ping = &message->ping;
+  const HbwPing base = { .number = ping->number,
+                         .on_behalf_of = ping->on_behalf_of,
+                         .subject = membership->self.identity };
+  const char *address = ping->member_count > 0 ? ping->members[0].address : NULL;
+  if (address != NULL)
+    send_ping (membership, context, HBW_MESSAGE_ACK, message->from, address, &base);
+}
+
+static void
+handle_probe_for (HbwMembership *membership, HbwContext *context,
+                  const HbwMessage *message)
+{
+  const Member *subject = find (membership, message->ping.subject);
+  if (subject == NULL)
+    return;
+  const HbwPing base = { .number = message->ping.number,
+                         .on_behalf_of = message->from,
+                         .subject = subject->info.identity };
+  send_ping (membership, context, HBW_MESSAGE_PING, subject->info.identity,
+             subject->info.address, &base);
+}
+
+static void
+handle_ack (HbwMembership *membership, HbwContext *context,
+            const HbwMessage *message)
+{
+  const HbwPing *ping = &message->ping;
+  if (ping->on_behalf_of != 0 && ping->on_behalf_of != membership->self.identity)
+    {
+      const Member *asker = find (membership, ping->on_behalf_of);
+      const HbwPing base = { .number = ping->number,
+                             .on_behalf_of = ping->on_behalf_of,
+                             .subject = ping->subject };
+      if (asker != NULL)
+        send_ping (membership, context, HBW_MESSAGE_ACK, asker->info.identity,
+                   asker->info.address, &base);
+      return;
+    }
+  if (ping->number == membership->probe.number
+      && ping->subject == membership->probe.subject)
+    membership->probe.number = 0;
+}
+
+HbwMembership *
+hbw_membership_create (const HbwMemberUpdate *self)
+{
+  HbwMembership *membership = g_new0 (HbwMembership, 1);
+  membership->self = *self;
+  membership->self.state = HBW_MEMBER_ALIVE;
+  membership->members
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  membership->order = g_ptr_array_new ();
+  membership->seeds = g_ptr_array_new_with_free_func (g_free);
+  membership->listed = g_ptr_array_new_with_free_func (g_free);
+  membership->epoch = 1;
+  return membership;
+}
+
+void
+hbw_membership_destroy (HbwMembership *membership)
+{
+  g_ptr_array_free (membership->order, TRUE);
+  g_ptr_array_free (membership->seeds, TRUE);
+  g_ptr_array_free (membership->listed, TRUE);
+  g_hash_table_destroy (membership->members);
+  g_free (membership);
+}
+
+void
+hbw_membership_add_seed (HbwMembership *membership, const char *address)
+{
+  g_ptr_array_add (membership->seeds, g_strdup (address));
+}
+
+void
+hbw_membership_set_listed (HbwMembership *membership, const GPtrArray *instances)
+{
+  g_ptr_array_set_size (membership->listed, 0);
+  for (guint i = 0; i < instances->len; i++)
+    {
+      const HbwInstanceEntry *entry = g_ptr_array_index (instances, i);
+      g_ptr_array_add (membership->listed, g_strdup (entry->address));
+    }
+}
+
+void
+hbw_membership_tick (HbwMembership *membership, HbwContext *context)
+{
+  judge_probe (membership, context);
+  judge_members (membership, context);
+  probe_next (membership, context);
+  ping_far (membership, context);
+}
+
+void
+hbw_membership_handle (HbwMembership *membership, HbwContext *context,
+                       const HbwMessage *message)
+{
+  Member *sender = find (membership, message->from);
+  if (sender != NULL)
+    sender->heard_us = context->now_us;
+  if (message->kind > HBW_MESSAGE_PROBE_FOR)
+    return;
+  const HbwPing *ping = &message->ping;
+  for (guint i = 0; i < ping->member_count; i++)
+    apply_update (membership, context, &ping->members[i]);
+  sender = find (membership, message->from);
+  if (sender != NULL)
+    sender->heard_us = context->now_us;
+  if (message->kind == HBW_MESSAGE_PING)
+    handle_ping (membership, context, message);
+  else if (message->kind == HBW_MESSAGE_PROBE_FOR)
+    handle_probe_for (membership, context, message);
+  else
+    handle_ack (membership, context, message);
+}
+
+void
+hbw_membership_leave (HbwMembership *membership, HbwContext *context)
+{
+  membership->self.state = HBW_MEMBER_LEFT;
+  membership->self.incarnation++;
+  membership->epoch++;
+  const HbwPing base = { .number = 0 };
+  guint told = 0;
+  for (guint i = 0; i < membership->order->len && told < LEAVE_MESSAGES; i++)
+    {
+      const Member *member = g_ptr_array_index (membership->order, i);
+      if (!is_present (member))
+        continue;
+      send_ping (membership, context, HBW_MESSAGE_PING, member->info.identity,
+                 member->info.address, &base);
+      told++;
+    }
+}
+
+void
+hbw_membership_resume (HbwMembership *membership, gint64 now_us)
+{
+  membership->probe.number = 0;
+  membership->probe_at_us = now_us;
+  for (guint i = 0; i < membership->order->len; i++)
+    {
+      Member *member = g_ptr_array_index (membership->order, i);
+      member->heard_us = now_us;
+      if (member->info.state == HBW_MEMBER_SUSPECT)
+        member->changed_us = now_us;
+    }
+}
+
+const char *
+hbw_membership_address (HbwMembership *membership, guint64 identity)
+{
+  const Member *member = find (membership, identity);
+  if (member == NULL || member->info.state == HBW_MEMBER_DEAD)
+    return NULL;
+  return member->info.address;
+}
+
+gboolean
+hbw_membership_is_alive (HbwMembership *membership, guint64 identity)
+{
+  if (identity == membership->self.identity)
+    return membership->self.state == HBW_MEMBER_ALIVE;
+  const Member *member = find (membership, identity);
+  return member != NULL && member->info.state == HBW_MEMBER_ALIVE;
+}
+
+gboolean
+hbw_membership_is_dead (HbwMembership *membership, guint64 identity)
+{
+  const Member *member = find (membership, identity);
+  return member != NULL && member->info.state == HBW_MEMBER_DEAD;
+}
+
+static gboolean
+is_candidate (const HbwMemberUpdate *info, const char *data_centre)
+{
+  return info->state == HBW_MEMBER_ALIVE
+         && (data_centre == NULL || strcmp (info->data_centre, data_centre) == 0);
+}
+
+guint64
+hbw_membership_owner (HbwMembership *membership, const char *data_centre,
+                      const char *key)
+{
+  guint64 best = 0;
+  guint64 highest = 0;
+  if (is_candidate (&membership->self, data_centre))
+    {
+      best = membership->self.identity;
+      highest = hbw_rendezvous_weight (best, key);
+    }
+  for (guint i = 0; i < membership->order->len; i++)
+    {
+      const Member *member = g_ptr_array_index (membership->order, i);
+      if (!is_candidate (&member->info, data_centre))
+        continue;
+      guint64 weight = hbw_rendezvous_weight (member->info.identity, key);
+      if (best != 0 && weight <= highest)
+        continue;
+      best = member->info.identity;
+      highest = weight;
+    }
+  return best;
+}
+
+gboolean
+hbw_membership_is_ranked (HbwMembership *membership, const char *key, guint count)
+{
+  guint64 own = hbw_rendezvous_weight (membership->self.identity, key);
+  guint before = 0;
+  for (guint i = 0; i < membership->order->len; i++)
+    {
+      const Member *member = g_ptr_array_index (membership->order, i);
+      if (is_candidate (&member->info, membership->self.data_centre)
+          && hbw_rendezvous_weight (member->info.identity, key) > own)
+        before++;
+    }
+  return before < count;
+}
+
+guint
+hbw_membership_count (HbwMembership *membership, const char *data_centre)
+{
+  guint count = is_candidate (&membership->self, data_centre) ? 1 : 0;
+  for (guint i = 0; i < membership->order->len; i++)
+    {
+      const Member *member = g_ptr_array_index (membership->order, i);
+      if (is_candidate (&member->info, data_centre))
+        count++;
+    }
+  return count;
+}
+
+guint64
+hbw_membership_epoch (const HbwMembership *membership)
+{
+  return membership->epoch;
+}
+
+void
+hbw_membership_foreach (HbwMembership *membership,
+                        void (*visit) (const HbwMemberUpdate *member, void *data),
+                        void *data)
+{
+  for (guint i = 0; i < membership->order->len; i++)
+    {
+      const Member *member = g_ptr_array_index (membership->order, i);
+      if (is_present (member))
+        visit (&member->info, data);
+    }
+}
+
+void
+hbw_membership_set_decorator (HbwMembership *membership, HbwPingDecorator decorator,
+                              void *data)
+{
+  membership->decorator = decorator;
+  membership->decorator_data = data;
+}
--- /dev/null
+++ b/core/metrics.c
@@ -0,0 +1,151 @@
+#include "hornbeamwall/core/metrics.h"
+
+#include "hornbeamwall/common/clock.h"
+
+/* Upper edges of the rendered buckets, in microseconds. */
+static const gint64 edges_us[]
+    = { 1000,   5000,    10000,   25000,   44000,    100000,  250000,
+        390000, 1000000, 2500000, 5000000, 10000000, 60000000 };
+
+struct HbwMetrics
+{
+  GHashTable *classes;
+  GHashTable *organisations;
+  HbwControlMetrics control;
+};
+
+static HbwClassMetrics *
+ensure (GHashTable *table, const char *name)
+{
+  HbwClassMetrics *metrics = g_hash_table_lookup (table, name);
+  if (metrics == NULL)
+    {
+      metrics = g_new0 (HbwClassMetrics, 1);
+      g_hash_table_insert (table, g_strdup (name), metrics);
+    }
+  return metrics;
+}
+
+static void
+render_histogram (GString *text, const char *name, const char *label,
+                  const char *value, const HbwHistogram *histogram)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (edges_us); i++)
+    g_string_append_printf (
+        text,
+        "hornbeamwall_%s_seconds_bucket{%s=\"%s\",le=\"%g\"} %" G_GUINT64_FORMAT
+        "\n",
+        name, label, value, (double)edges_us[i] / HBW_US_PER_S,
+        hbw_histogram_count_upto (histogram, edges_us[i]));
+  g_string_append_printf (
+      text,
+      "hornbeamwall_%s_seconds_bucket{%s=\"%s\",le=\"+Inf\"} %" G_GUINT64_FORMAT
+      "\n",
+      name, label, value, histogram->count);
+  g_string_append_printf (text, "hornbeamwall_%s_seconds_sum{%s=\"%s\"} %.6f\n",
+                          name, label, value,
+                          (double)histogram->sum_us / HBW_US_PER_S);
+  g_string_append_printf (
+      text, "hornbeamwall_%s_seconds_count{%s=\"%s\"} %" G_GUINT64_FORMAT "\n", name,
+      label, value, histogram->count);
+}
+
+static void
+render_counter (GString *text, const char *name, const char *label,
+                const char *value, guint64 count)
+{
+  g_string_append_printf (text,
+                          "hornbeamwall_%s_total{%s=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                          name, label, value, count);
+}
+
+static void
+render_one (GString *text, const char *label, const char *name,
+            const HbwClassMetrics *metrics)
+{
+  render_counter (text, "requests", label, name, metrics->arrived);
+  render_counter (text, "completed", label, name, metrics->completed);
+  render_counter (text, "in_target", label, name, metrics->in_target);
+  render_counter (text, "failed", label, name, metrics->failed);
+  render_counter (text, "caller_gone", label, name, metrics->gone);
+  render_counter (text, "retries", label, name, metrics->retries);
+  render_counter (text, "good_tokens", label, name, metrics->good_tokens);
+  render_counter (text, "wasted_tokens", label, name, metrics->wasted_tokens);
+  for (guint i = 0; i < HBW_REASON_COUNT; i++)
+    if (metrics->refused[i] > 0)
+      g_string_append_printf (
+          text,
+          "hornbeamwall_refused_total{%s=\"%s\",reason=\"%s\"} %" G_GUINT64_FORMAT
+          "\n",
+          label, name, hbw_reason_name ((HbwReason)i), metrics->refused[i]);
+  render_histogram (text, "queue_wait", label, name, &metrics->queue_wait);
+  render_histogram (text, "first_token", label, name, &metrics->first_token);
+  render_histogram (text, "inter_token", label, name, &metrics->inter_token);
+  render_histogram (text, "total", label, name, &metrics->total);
+}
+
+static void
+render_table (GString *text, const char *label, GHashTable *table)
+{
+  GList *names
+      = g_list_sort (g_hash_table_get_keys (table), (GCompareFunc)g_strcmp0);
+  for (GList *at = names; at != NULL; at = at->next)
+    render_one (text, label, at->data, g_hash_table_lookup (table, at->data));
+  g_list_free (names);
+}
+
+HbwMetrics *
+hbw_metrics_create (void)
+{
+  HbwMetrics *metrics = g_new0 (HbwMetrics, 1);
+  metrics->classes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  metrics->organisations
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return metrics;
+}
+
+void
+hbw_metrics_destroy (HbwMetrics *metrics)
+{
+  g_hash_table_destroy (metrics->classes);
+  g_hash_table_destroy (metrics->organisations);
+  g_free (metrics);
+}
+
+HbwClassMetrics *
+hbw_metrics_class (HbwMetrics *metrics, const char *name)
+{
+  return ensure (metrics->classes, name);
+}
+
+HbwClassMetrics *
+hbw_metrics_organisation (HbwMetrics *metrics, const char *name)
+{
+  return ensure (metrics->organisations, name);
+}
+
+HbwControlMetrics *
+hbw_metrics_control (HbwMetrics *metrics)
+{
+  return &metrics->control;
+}
+
+void
+hbw_metrics_render (HbwMetrics *metrics, GString *text)
+{
+  render_table (text, "class", metrics->classes);
+  render_table (text, "organisation", metrics->organisations);
+  for (guint i = 0; i < HBW_MESSAGE_COUNT; i++)
+    {
+      const char *kind = hbw_message_kind_name ((HbwMessageKind)i);
+      render_counter (text, "messages_sent", "kind", kind,
+                      metrics->control.messages_sent[i]);
+      render_counter (text, "messages_received", "kind", kind,
+                      metrics->control.messages_received[i]);
+    }
+  g_string_append_printf (
+      text, "hornbeamwall_grants_handed_back_total %" G_GUINT64_FORMAT "\n",
+      metrics->control.grants_handed_back);
+  g_string_append_printf (text, "hornbeamwall_spilled_total %" G_GUINT64_FORMAT "\n",
+                          metrics->control.spilled);
+}
--- /dev/null
+++ b/core/reducer.c
@@ -0,0 +1,598 @@
+#include "hornbeamwall/core/reducer.h"
+
+#include "hornbeamwall/core/documents.h"
+#include "hornbeamwall/core/entry.h"
+#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/metrics.h"
+#include "hornbeamwall/core/quarantine.h"
+#include "hornbeamwall/core/status.h"
+
+/* A shard of another owner that nobody has spoken of for so long is dropped. */
+#define SHARD_IDLE_US (10 * HBW_US_PER_S)
+
+struct HbwReducer
+{
+  HbwContext context;
+  const HbwPolicy *policy;
+  HbwDocuments *documents;
+  HbwTopology *topology;
+  HbwEntry *entry;
+  GHashTable *shards; /* key text -> HbwShard */
+  guint64 epoch;      /* of the membership, last acted on */
+  gint64 ticked_us;
+  gboolean store_up;
+  gboolean draining;
+};
+
+static guint64
+owner_of (const HbwShardKey *key, void *data)
+{
+  HbwReducer *reducer = data;
+  if (!reducer->policy->shared)
+    return reducer->context.self;
+  char text[HBW_SHARD_KEY_TEXT_MAX];
+  hbw_shard_key_format (key, text, sizeof text);
+  guint64 owner
+      = hbw_membership_owner (reducer->context.membership, key->data_centre, text);
+  return owner != 0 ? owner : reducer->context.self;
+}
+
+static HbwShard *
+find_shard (const HbwReducer *reducer, const HbwShardKey *key)
+{
+  char text[HBW_SHARD_KEY_TEXT_MAX];
+  hbw_shard_key_format (key, text, sizeof text);
+  return g_hash_table_lookup (reducer->shards, text);
+}
+
+static void
+refresh_shard (HbwReducer *reducer, HbwShard *shard)
+{
+  const GPtrArray *servers
+      = reducer->topology != NULL
+            ? hbw_topology_servers (reducer->topology, &shard->key)
+            : NULL;
+  GPtrArray *none = g_ptr_array_new ();
+  hbw_shard_set_servers (shard, &reducer->context, servers != NULL ? servers : none);
+  g_ptr_array_free (none, TRUE);
+}
+
+/* Returns the shard of KEY, taking it up where it is not held yet. */
+static HbwShard *
+ensure_shard (HbwReducer *reducer, const HbwShardKey *key)
+{
+  HbwShard *shard = find_shard (reducer, key);
+  if (shard != NULL)
+    return shard;
+  HbwContext *context = &reducer->context;
+  guint peers = hbw_membership_count (context->membership, key->data_centre);
+  gboolean alone = peers <= 1 || !reducer->policy->shared;
+  shard = hbw_shard_create (reducer->policy, key, context->now_us,
+                            alone ? 0 : HBW_REBUILD_US);
+  char text[HBW_SHARD_KEY_TEXT_MAX];
+  hbw_shard_key_format (key, text, sizeof text);
+  g_hash_table_insert (reducer->shards, g_strdup (text), shard);
+  hbw_effects_log (context->effects, HBW_LOG_OWNER_GAINED, "shard=%s", text);
+  refresh_shard (reducer, shard);
+  return shard;
+}
+
+static gboolean
+drop_idle_shard (gpointer key, gpointer value, gpointer data)
+{
+  HbwReducer *reducer = data;
+  HbwShard *shard = value;
+  HbwContext *context = &reducer->context;
+  if (context->now_us - shard->wanted_at_us < SHARD_IDLE_US
+      || g_hash_table_size (shard->reservations) > 0
+      || hbw_queue_length (shard->queue) > 0
+      || owner_of (&shard->key, reducer) == context->self)
+    return FALSE;
+  hbw_effects_log (context->effects, HBW_LOG_OWNER_LOST, "shard=%s",
+                   (const char *)key);
+  return TRUE;
+}
+
+static void
+refresh_shards (HbwReducer *reducer)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, reducer->shards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    refresh_shard (reducer, value);
+}
+
+static gboolean
+adopt_catalogue (HbwReducer *reducer, const char *text, gsize length, gint64 version,
+                 HbwError *error)
+{
+  HbwContext *context = &reducer->context;
+  HbwCatalogue *catalogue = hbw_catalogue_parse (text, length, version, error);
+  if (catalogue == NULL)
+    return FALSE;
+  if (context->catalogue != NULL)
+    hbw_catalogue_unref (context->catalogue);
+  context->catalogue = catalogue;
+  hbw_effects_add (context->effects, HBW_EFFECT_PUBLISH)->catalogue
+      = hbw_catalogue_ref (catalogue);
+  return TRUE;
+}
+
+static gboolean
+adopt_servers (HbwReducer *reducer, const char *text, gsize length, HbwError *error)
+{
+  GPtrArray *servers = hbw_directory_parse_servers (text, length, error);
+  if (servers == NULL)
+    return FALSE;
+  if (reducer->topology != NULL)
+    hbw_topology_destroy (reducer->topology);
+  reducer->topology = hbw_topology_create (servers);
+  hbw_entry_set_topology (reducer->entry, reducer->topology);
+  refresh_shards (reducer);
+  return TRUE;
+}
+
+static gboolean
+adopt_instances (HbwReducer *reducer, const char *text, gsize length,
+                 HbwError *error)
+{
+  GPtrArray *instances = hbw_directory_parse_instances (text, length, error);
+  if (instances == NULL)
+    return FALSE;
+  hbw_membership_set_listed (reducer->context.membership, instances);
+  g_ptr_array_unref (instances);
+  return TRUE;
+}
+
+static gboolean
+adopt_stops (HbwReducer *reducer, const char *text, gsize length, HbwError *error)
+{
+  GHashTable *stops = hbw_directory_parse_stops (text, length, error);
+  if (stops == NULL)
+    return FALSE;
+  g_hash_table_unref (reducer->context.stops);
+  reducer->context.stops = stops;
+  refresh_shards (reducer);
+  return TRUE;
+}
+
+static gboolean
+apply_document (HbwReducer *reducer, const HbwDocument *document, HbwError *error)
+{
+  gsize length;
+  const char *text = g_bytes_get_data (document->body, &length);
+  switch (document->kind)
+    {
+    case HBW_DOCUMENT_CATALOGUE:
+      return adopt_catalogue (reducer, text, length, document->version, error);
+    case HBW_DOCUMENT_SERVERS:
+      return adopt_servers (reducer, text, length, error);
+    case HBW_DOCUMENT_INSTANCES:
+      return adopt_instances (reducer, text, length, error);
+    case HBW_DOCUMENT_STOPS:
+      return adopt_stops (reducer, text, length, error);
+    default:
+      hbw_error_set (error, HBW_ERROR_DOCUMENT, "unknown kind of document");
+      return FALSE;
+    }
+}
+
+static void
+handle_document (HbwReducer *reducer, const HbwDocument *document)
+{
+  HbwContext *context = &reducer->context;
+  HbwOffer offer = hbw_documents_compare (reducer->documents, document->kind,
+                                          document->version);
+  const char *name = hbw_document_kind_name (document->kind);
+  if (offer == HBW_OFFER_OLDER)
+    hbw_effects_log (context->effects, HBW_LOG_DOCUMENT_OLDER,
+                     "document=%s offered=%" G_GINT64_FORMAT, name,
+                     document->version);
+  if (offer != HBW_OFFER_NEWER || document->body == NULL)
+    return;
+  HbwError error = { HBW_ERROR_NONE, "" };
+  if (!apply_document (reducer, document, &error))
+    {
+      hbw_documents_reject (reducer->documents, document->kind, document->version);
+      hbw_effects_log (context->effects, HBW_LOG_DOCUMENT_REJECTED,
+                       "document=%s version=%" G_GINT64_FORMAT " error=\"%s\"", name,
+                       document->version, error.message);
+      return;
+    }
+  hbw_documents_adopt (reducer->documents, document->kind, document->version,
+                       document->body);
+  hbw_effects_log (context->effects, HBW_LOG_DOCUMENT_ADOPTED,
+                   "document=%s version=%" G_GINT64_FORMAT, name, document->version);
+}
+
+static void
+decorate_ping (HbwPing *ping, void *data)
+{
+  HbwReducer *reducer = data;
+  HbwContext *context = &reducer->context;
+  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+    ping->versions[i]
+        = hbw_documents_version (reducer->documents, (HbwDocumentKind)i);
+  hbw_route_share (hbw_entry_route (reducer->entry), context, ping);
+}
+
+static void
+handle_ping (HbwReducer *reducer, const HbwMessage *message)
+{
+  HbwContext *context = &reducer->context;
+  const HbwPing *ping = &message->ping;
+  HbwRoute *route = hbw_entry_route (reducer->entry);
+  for (guint i = 0; i < ping->summary_count; i++)
+    if (owner_of (&ping->summaries[i].key, reducer) != context->self)
+      hbw_route_learn (route, &ping->summaries[i], context->now_us);
+  hbw_documents_ask (reducer->documents, context, message->from, ping);
+}
+
+static void
+handle_message (HbwReducer *reducer, const HbwMessage *message)
+{
+  HbwContext *context = &reducer->context;
+  HbwLimiter *limiter = hbw_entry_limiter (reducer->entry);
+  if ((guint)message->kind >= HBW_MESSAGE_COUNT)
+    return;
+  hbw_metrics_control (context->metrics)->messages_received[message->kind]++;
+  hbw_membership_handle (context->membership, context, message);
+  switch (message->kind)
+    {
+    case HBW_MESSAGE_PING:
+    case HBW_MESSAGE_ACK:
+      handle_ping (reducer, message);
+      break;
+    case HBW_MESSAGE_WANT:
+      hbw_shard_want (ensure_shard (reducer, &message->want.shard), context,
+                      message->from, &message->want);
+      break;
+    case HBW_MESSAGE_WITHDRAW:
+      {
+        GHashTableIter iter;
+        gpointer shard;
+        g_hash_table_iter_init (&iter, reducer->shards);
+        while (g_hash_table_iter_next (&iter, NULL, &shard))
+          hbw_shard_withdraw (shard, context, &message->refusal);
+        break;
+      }
+    case HBW_MESSAGE_GRANT:
+      hbw_entry_handle_grant (reducer->entry, context, message->from,
+                              &message->grant);
+      break;
+    case HBW_MESSAGE_REFUSAL:
+      hbw_entry_handle_refusal (reducer->entry, context, &message->refusal);
+      break;
+    case HBW_MESSAGE_ACTIVE:
+      hbw_shard_active (ensure_shard (reducer, &message->active.shard), context,
+                        message->from, &message->active);
+      break;
+    case HBW_MESSAGE_DONE:
+      {
+        HbwShard *shard = find_shard (reducer, &message->done.shard);
+        if (shard != NULL)
+          hbw_shard_done (shard, context, &message->done);
+        break;
+      }
+    case HBW_MESSAGE_DOCUMENT_ASK:
+      hbw_documents_answer (reducer->documents, context, message->from,
+                            &message->document);
+      break;
+    case HBW_MESSAGE_DOCUMENT:
+      handle_document (reducer, &message->document);
+      break;
+    case HBW_MESSAGE_SUSPECT:
+      hbw_quarantine_merge (context->quarantine, &message->suspect, context->now_us);
+      break;
+    default:
+      hbw_limiter_handle (limiter, context, message);
+      break;
+    }
+}
+
+static void
+deliver_loopback (HbwReducer *reducer)
+{
+  HbwMessage *message;
+  while ((message = g_queue_pop_head (reducer->context.loopback)) != NULL)
+    {
+      handle_message (reducer, message);
+      hbw_message_clear (message);
+      g_free (message);
+    }
+}
+
+static void
+resume (HbwReducer *reducer, gint64 gap_us)
+{
+  HbwContext *context = &reducer->context;
+  hbw_effects_log (context->effects, HBW_LOG_CLOCK_JUMP,
+                   "paused_ms=%" G_GINT64_FORMAT, gap_us / HBW_US_PER_MS);
+  hbw_membership_resume (context->membership, context->now_us);
+  GHashTableIter iter;
+  gpointer shard;
+  g_hash_table_iter_init (&iter, reducer->shards);
+  while (g_hash_table_iter_next (&iter, NULL, &shard))
+    hbw_shard_resume (shard, context->now_us);
+}
+
+static void
+follow_membership (HbwReducer *reducer)
+{
+  HbwContext *context = &reducer->context;
+  guint64 epoch = hbw_membership_epoch (context->membership);
+  if (epoch == reducer->epoch)
+    return;
+  reducer->epoch = epoch;
+  GHashTableIter iter;
+  gpointer shard;
+  g_hash_table_iter_init (&iter, reducer->shards);
+  while (g_hash_table_iter_next (&iter, NULL, &shard))
+    hbw_shard_forget_dead (shard, context);
+}
+
+static void
+tick_shards (HbwReducer *reducer)
+{
+  HbwContext *context = &reducer->context;
+  HbwRoute *route = hbw_entry_route (reducer->entry);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, reducer->shards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      HbwShard *shard = value;
+      hbw_shard_tick (shard, context);
+      if (owner_of (&shard->key, reducer) != context->self)
+        continue;
+      HbwShardSummary summary;
+      hbw_shard_summarize (shard, &summary);
+      hbw_route_learn (route, &summary, context->now_us);
+    }
+  g_hash_table_foreach_remove (reducer->shards, drop_idle_shard, reducer);
+}
+
+static void
+handle_tick (HbwReducer *reducer)
+{
+  HbwContext *context = &reducer->context;
+  gint64 gap = context->now_us - reducer->ticked_us;
+  if (reducer->ticked_us > 0 && gap > HBW_PAUSE_US)
+    resume (reducer, gap);
+  reducer->ticked_us = context->now_us;
+  hbw_membership_tick (context->membership, context);
+  follow_membership (reducer);
+  tick_shards (reducer);
+  hbw_entry_tick (reducer->entry, context);
+}
+
+static void
+handle_store_state (HbwReducer *reducer, gboolean up)
+{
+  if (reducer->store_up == up)
+    return;
+  reducer->store_up = up;
+  hbw_effects_log (reducer->context.effects,
+                   up ? HBW_LOG_STORE_UP : HBW_LOG_STORE_DOWN,
+                   "instance=%" G_GUINT64_FORMAT, reducer->context.self);
+}
+
+static void
+handle_drain (HbwReducer *reducer)
+{
+  if (reducer->draining)
+    return;
+  reducer->draining = TRUE;
+  hbw_entry_drain (reducer->entry);
+  hbw_membership_leave (reducer->context.membership, &reducer->context);
+  hbw_effects_log (reducer->context.effects, HBW_LOG_INSTANCE_DRAINING,
+                   "in_progress=%u", hbw_entry_count (reducer->entry));
+}
+
+static void
+handle_event (HbwReducer *reducer, const HbwEvent *event)
+{
+  HbwContext *context = &reducer->context;
+  switch (event->kind)
+    {
+    case HBW_EVENT_TICK:
+      handle_tick (reducer);
+      break;
+    case HBW_EVENT_REQUEST_ARRIVED:
+      hbw_entry_handle_arrival (reducer->entry, context, &event->arrival);
+      break;
+    case HBW_EVENT_CALLER_GONE:
+      hbw_entry_handle_gone (reducer->entry, context, event->sequence);
+      break;
+    case HBW_EVENT_ATTEMPT_ENDED:
+      hbw_entry_handle_end (reducer->entry, context, &event->end);
+      break;
+    case HBW_EVENT_LOAD_REPORT:
+      {
+        GHashTableIter iter;
+        gpointer shard;
+        g_hash_table_iter_init (&iter, reducer->shards);
+        while (g_hash_table_iter_next (&iter, NULL, &shard))
+          hbw_shard_load (shard, context, &event->load);
+        break;
+      }
+    case HBW_EVENT_DOCUMENT:
+      handle_document (reducer, &event->document);
+      break;
+    case HBW_EVENT_STORE_STATE:
+      handle_store_state (reducer, event->store_up);
+      break;
+    case HBW_EVENT_MESSAGE:
+      handle_message (reducer, &event->message);
+      break;
+    case HBW_EVENT_DRAIN:
+      handle_drain (reducer);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+hbw_context_post (HbwContext *context, guint64 to, const HbwMessage *message)
+{
+  if (to == context->self)
+    {
+      HbwMessage *copy = g_new (HbwMessage, 1);
+      hbw_message_copy (copy, message);
+      copy->from = context->self;
+      g_queue_push_tail (context->loopback, copy);
+      return;
+    }
+  const char *address = hbw_membership_address (context->membership, to);
+  if (address == NULL)
+    return;
+  HbwEffect *effect = hbw_effects_add (context->effects, HBW_EFFECT_SEND);
+  effect->send.to = to;
+  g_strlcpy (effect->send.address, address, sizeof effect->send.address);
+  hbw_message_copy (&effect->send.message, message);
+  effect->send.message.from = context->self;
+}
+
+static void
+count_sent (HbwReducer *reducer, const HbwEffects *effects, guint from)
+{
+  HbwControlMetrics *control = hbw_metrics_control (reducer->context.metrics);
+  for (guint i = from; i < hbw_effects_count (effects); i++)
+    {
+      const HbwEffect *effect = hbw_effects_get (effects, i);
+      if (effect->kind == HBW_EFFECT_SEND)
+        control->messages_sent[effect->send.message.kind]++;
+    }
+}
+
+HbwReducer *
+hbw_reducer_create (const HbwReducerConfig *config)
+{
+  HbwReducer *reducer = g_new0 (HbwReducer, 1);
+  HbwContext *context = &reducer->context;
+  context->now_us = config->now_us;
+  context->self = config->self.identity;
+  g_strlcpy (context->data_centre, config->self.data_centre,
+             sizeof context->data_centre);
+  context->random = g_rand_new_with_seed (config->seed);
+  context->stops = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  context->loopback = g_queue_new ();
+  context->membership = hbw_membership_create (&config->self);
+  context->metrics = hbw_metrics_create ();
+  context->quarantine = hbw_quarantine_create ();
+  hbw_membership_set_decorator (context->membership, decorate_ping, reducer);
+  for (guint i = 0; config->seeds != NULL && config->seeds[i] != NULL; i++)
+    hbw_membership_add_seed (context->membership, config->seeds[i]);
+  reducer->policy = config->policy;
+  reducer->documents = hbw_documents_create ();
+  reducer->entry = hbw_entry_create (owner_of, reducer);
+  reducer->shards = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                           (GDestroyNotify)hbw_shard_destroy);
+  reducer->store_up = TRUE;
+  return reducer;
+}
+
+void
+hbw_reducer_destroy (HbwReducer *reducer)
+{
+  HbwContext *context = &reducer->context;
+  HbwMessage *message;
+  while ((message = g_queue_pop_head (context->loopback)) != NULL)
+    {
+      hbw_message_clear (message);
+      g_free (message);
+    }
+  g_queue_free (context->loopback);
+  g_hash_table_destroy (reducer->shards);
+  hbw_entry_destroy (reducer->entry);
+  hbw_documents_destroy (reducer->documents);
+  if (reducer->topology != NULL)
+    hbw_topology_destroy (reducer->topology);
+  if (context->catalogue != NULL)
+    hbw_catalogue_unref (context->catalogue);
+  hbw_membership_destroy (context->membership);
+  hbw_metrics_destroy (context->metrics);
+  hbw_quarantine_destroy (context->quarantine);
+  g_hash_table_unref (context->stops);
+  g_rand_free (context->random);
+  g_free (reducer);
+}
+
+void
+hbw_reducer_step (HbwReducer *reducer, const HbwEvent *event, HbwEffects *effects)
+{
+  HbwContext *context = &reducer->context;
+  guint before = hbw_effects_count (effects);
+  context->now_us = event->now_us;
+  context->effects = effects;
+  handle_event (reducer, event);
+  deliver_loopback (reducer);
+  context->effects = NULL;
+  count_sent (reducer, effects, before);
+}
+
+gboolean
+hbw_reducer_is_ready (const HbwReducer *reducer)
+{
+  return reducer->context.catalogue != NULL && reducer->topology != NULL
+         && !reducer->draining;
+}
+
+gboolean
+hbw_reducer_is_watcher (const HbwReducer *reducer)
+{
+  return hbw_membership_is_ranked (reducer->context.membership, "watch",
+                                   HBW_WATCHERS);
+}
+
+guint
+hbw_reducer_request_count (const HbwReducer *reducer)
+{
+  return hbw_entry_count (reducer->entry);
+}
+
+gint64
+hbw_reducer_version (const HbwReducer *reducer, HbwDocumentKind kind)
+{
+  return hbw_documents_version (reducer->documents, kind);
+}
+
+void
+hbw_reducer_render_metrics (const HbwReducer *reducer, GString *text)
+{
+  hbw_metrics_render (reducer->context.metrics, text);
+}
+
+void
+hbw_reducer_render_status (const HbwReducer *reducer, GString *text)
+{
+  const HbwStatusSource source = {
+    .context = &reducer->context,
+    .documents = reducer->documents,
+    .shards = reducer->shards,
+    .requests = hbw_entry_count (reducer->entry),
+    .store_up = reducer->store_up,
+    .draining = reducer->draining,
+  };
+  hbw_status_render (&source, text);
+}
+
+HbwMetrics *
+hbw_reducer_metrics (const HbwReducer *reducer)
+{
+  return reducer->context.metrics;
+}
+
+HbwShard *
+hbw_reducer_find_shard (const HbwReducer *reducer, const HbwShardKey *key)
+{
+  return find_shard (reducer, key);
+}
+
+HbwMembership *
+hbw_reducer_membership (const HbwReducer *reducer)
+{
+  return reducer->context.membership;
+}
--- /dev/null
+++ b/core/server.c
@@ -0,0 +1,247 @@
+#include "hornbeamwall/core/server.h"
+
+#include "hornbeamwall/common/clock.h"
+
+#include <string.h>
+
+/* Weight of the newest measurement in a moving average. */
+#define AVERAGE_WEIGHT 0.2
+
+/* Multiplicative decrease and how often it may happen. */
+#define DECREASE_FACTOR 0.9
+#define DECREASE_INTERVAL_US (250 * HBW_US_PER_MS)
+
+/* Additive increase of the limit, spread over one round of the limit. */
+#define INCREASE_STEP 1.0
+
+/* Waits before a probe of a server that failed. */
+#define PROBE_WAIT_MIN_US (500 * HBW_US_PER_MS)
+#define PROBE_WAIT_MAX_US (8 * HBW_US_PER_S)
+
+/* A server that answers no load report either is tried with any request only this
+   much later than with one that may run twice. */
+#define PROBE_ANY_EXTRA_US (1 * HBW_US_PER_S)
+
+/* Failures in a row, without any success, that take a server down. */
+#define FAILURES_DOWN 1
+
+/* A load report older than this is not used. */
+#define REPORT_AGE_MAX_US (3 * HBW_US_PER_S)
+
+/* Times the shard's median at which a server starts and ends to be a straggler. */
+#define STRAGGLER_ENTER 2.0
+#define STRAGGLER_LEAVE 1.5
+
+static const char *const state_names[] = { "up", "down", "probing" };
+
+static void
+average (double *value, gint64 sample_us)
+{
+  if (sample_us <= 0)
+    return;
+  if (*value <= 0)
+    *value = (double)sample_us;
+  else
+    *value += AVERAGE_WEIGHT * ((double)sample_us - *value);
+}
+
+static void
+lower_limit (HbwServer *server, gint64 now_us)
+{
+  if (now_us - server->lowered_at_us < DECREASE_INTERVAL_US)
+    return;
+  server->lowered_at_us = now_us;
+  server->limit = MAX (1.0, server->limit * DECREASE_FACTOR);
+}
+
+static void
+raise_limit (HbwServer *server)
+{
+  if ((double)server->in_progress + 1.0 < server->limit)
+    return;
+  server->limit = MIN ((double)server->entry.slots,
+                       server->limit + INCREASE_STEP / server->limit);
+}
+
+static void
+note_success (HbwServer *server, const HbwDone *done, gint64 target_us,
+              gint64 now_us)
+{
+  server->failures = 0;
+  server->state = HBW_SERVER_UP;
+  average (&server->first_token_us, done->first_token_us);
+  average (&server->inter_token_us, done->inter_token_us);
+  if (done->inter_token_us > target_us && target_us > 0)
+    lower_limit (server, now_us);
+  else
+    raise_limit (server);
+}
+
+static void
+note_failure (HbwServer *server, gint64 now_us)
+{
+  if (server->state == HBW_SERVER_DOWN)
+    return;
+  server->failures++;
+  if (server->failures < FAILURES_DOWN)
+    return;
+  guint doublings = MIN (server->failures - FAILURES_DOWN, 4);
+  gint64 wait = PROBE_WAIT_MIN_US << doublings;
+  server->state = HBW_SERVER_DOWN;
+  server->probe_at_us = now_us + MIN (wait, PROBE_WAIT_MAX_US);
+}
+
+static guint
+room_of (const HbwServer *server, HbwTier tier)
+{
+  guint limit = MAX (1, (guint)server->limit);
+  if (tier == 0)
+    limit += limit * HBW_SERVER_OVERCOMMIT_PERCENT / 100;
+  return limit;
+}
+
+HbwServer *
+hbw_server_create (const HbwServerEntry *entry)
+{
+  HbwServer *server = g_new0 (HbwServer, 1);
+  server->entry = *entry;
+  server->limit = entry->slots;
+  server->stopping = entry->leaving;
+  return server;
+}
+
+void
+hbw_server_destroy (HbwServer *server)
+{
+  g_free (server);
+}
+
+void
+hbw_server_update (HbwServer *server, const HbwServerEntry *entry)
+{
+  gboolean restarted = server->entry.start != entry->start;
+  gboolean resized = server->entry.slots != entry->slots;
+  server->entry = *entry;
+  if (resized)
+    server->limit = entry->slots;
+  if (!restarted)
+    return;
+  server->state = HBW_SERVER_UP;
+  server->failures = 0;
+  server->straggler = FALSE;
+  server->limit = entry->slots;
+  server->first_token_us = 0;
+  server->inter_token_us = 0;
+  memset (server->prefixes, 0, sizeof server->prefixes);
+}
+
+gboolean
+hbw_server_has_room (const HbwServer *server, const HbwRequestSpec *spec,
+                     gint64 now_us)
+{
+  if (server->stopping || server->state == HBW_SERVER_PROBING)
+    return FALSE;
+  if (server->state == HBW_SERVER_DOWN)
+    return now_us
+           >= server->probe_at_us + (spec->idempotent ? 0 : PROBE_ANY_EXTRA_US);
+  return server->in_progress < room_of (server, spec->tier);
+}
+
+void
+hbw_server_begin (HbwServer *server, const HbwRequestSpec *spec)
+{
+  server->in_progress++;
+  server->granted_since_report++;
+  if (server->state == HBW_SERVER_DOWN)
+    server->state = HBW_SERVER_PROBING;
+  if (spec->prefix == 0 || hbw_server_knows_prefix (server, spec->prefix))
+    return;
+  server->prefixes[server->next_prefix] = spec->prefix;
+  server->next_prefix = (server->next_prefix + 1) % HBW_SERVER_PREFIXES;
+}
+
+void
+hbw_server_end (HbwServer *server, const HbwDone *done, gint64 target_us,
+                gint64 now_us)
+{
+  if (server->in_progress > 0)
+    server->in_progress--;
+  switch (done->outcome)
+    {
+    case HBW_OUTCOME_COMPLETE:
+      note_success (server, done, target_us, now_us);
+      break;
+    case HBW_OUTCOME_REFUSED:
+      if (server->state == HBW_SERVER_PROBING)
+        server->state = HBW_SERVER_UP;
+      lower_limit (server, now_us);
+      break;
+    case HBW_OUTCOME_NOT_CONNECTED:
+    case HBW_OUTCOME_BROKEN:
+    case HBW_OUTCOME_TIMED_OUT:
+      note_failure (server, now_us);
+      break;
+    default:
+      if (server->state == HBW_SERVER_PROBING)
+        {
+          server->state = HBW_SERVER_DOWN;
+          server->probe_at_us = now_us;
+        }
+      break;
+    }
+}
+
+void
+hbw_server_report (HbwServer *server, const HbwLoadReport *load, gint64 now_us)
+{
+  if (load->age_us > REPORT_AGE_MAX_US)
+    return;
+  if (server->state == HBW_SERVER_DOWN && now_us >= server->probe_at_us)
+    server->state = HBW_SERVER_UP;
+  server->reported_running = load->running;
+  server->reported_waiting = load->waiting;
+  server->reported_at_us = now_us - load->age_us;
+  server->granted_since_report = 0;
+  if (load->waiting > 0)
+    lower_limit (server, now_us);
+}
+
+gboolean
+hbw_server_compare (HbwServer *server, double median_us)
+{
+  double ratio = median_us > 0 ? server->inter_token_us / median_us : 0;
+  gboolean before = server->straggler;
+  if (ratio > STRAGGLER_ENTER)
+    server->straggler = TRUE;
+  else if (ratio < STRAGGLER_LEAVE)
+    server->straggler = FALSE;
+  if (server->straggler)
+    server->limit
+        = CLAMP (server->limit, 1.0, MAX (1.0, server->entry.slots / ratio));
+  return server->straggler != before;
+}
+
+gboolean
+hbw_server_knows_prefix (const HbwServer *server, guint64 prefix)
+{
+  for (guint i = 0; i < HBW_SERVER_PREFIXES; i++)
+    if (server->prefixes[i] == prefix)
+      return TRUE;
+  return FALSE;
+}
+
+guint
+hbw_server_free (const HbwServer *server)
+{
+  guint limit = MAX (1, (guint)server->limit);
+  if (server->stopping || server->state != HBW_SERVER_UP
+      || server->in_progress >= limit)
+    return 0;
+  return limit - server->in_progress;
+}
+
+const char *
+hbw_server_state_name (HbwServerState state)
+{
+  return state_names[state];
+}
--- /dev/null
+++ b/core/shard.c
@@ -0,0 +1,614 @@
+#include "hornbeamwall/core/shard.h"
+
+#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/quarantine.h"
+
+#include <string.h>
+
+/* Weight of the newest measurement in the moving average of service time. */
+#define SERVICE_AVERAGE_WEIGHT 0.05
+
+/* Service time assumed before anything is measured. */
+#define SERVICE_DEFAULT_US (1 * HBW_US_PER_S)
+
+/* How often servers are compared with each other. */
+#define COMPARE_INTERVAL_US (1 * HBW_US_PER_S)
+
+/* An unused grant is kept this much longer than it is valid. */
+#define GRANT_GRACE_US (500 * HBW_US_PER_MS)
+
+/* Bounds of the retry hint in a refusal. */
+#define RETRY_AFTER_MIN_US (100 * HBW_US_PER_MS)
+#define RETRY_AFTER_MAX_US (60 * HBW_US_PER_S)
+
+typedef struct
+{
+  HbwRequestId id;
+  guint attempt;
+} ReservationKey;
+
+typedef struct
+{
+  ReservationKey key;
+  guint64 origin;
+  char server[HBW_NAME_MAX];
+  guint64 server_start;
+  HbwRequestSpec spec;
+  gboolean suspect;
+  gboolean active; /* the holder has said that it uses it */
+  gint64 granted_us;
+  gint64 heard_us;
+} Reservation;
+
+static guint
+reservation_hash (gconstpointer data)
+{
+  const ReservationKey *key = data;
+  return hbw_request_id_hash (&key->id) ^ key->attempt;
+}
+
+static gboolean
+reservation_equal (gconstpointer a, gconstpointer b)
+{
+  const ReservationKey *left = a;
+  const ReservationKey *right = b;
+  return hbw_request_id_equal (&left->id, &right->id)
+         && left->attempt == right->attempt;
+}
+
+static Reservation *
+find_reservation (HbwShard *shard, const HbwRequestId *id, guint attempt)
+{
+  const ReservationKey key = { *id, attempt };
+  return g_hash_table_lookup (shard->reservations, &key);
+}
+
+static Reservation *
+reserve (HbwShard *shard, HbwContext *context, HbwServer *server,
+         const HbwRequestId *id, guint attempt, const HbwRequestSpec *spec)
+{
+  Reservation *reservation = g_new0 (Reservation, 1);
+  reservation->key.id = *id;
+  reservation->key.attempt = attempt;
+  reservation->spec = *spec;
+  reservation->suspect
+      = hbw_quarantine_failures (context->quarantine, &spec->fingerprint,
+                                 context->now_us)
+        > 0;
+  reservation->granted_us = context->now_us;
+  reservation->heard_us = context->now_us;
+  reservation->server_start = server->entry.start;
+  g_strlcpy (reservation->server, server->entry.id, sizeof reservation->server);
+  hbw_server_begin (server, spec);
+  if (reservation->suspect)
+    server->suspects++;
+  shard->in_progress[spec->tier]++;
+  g_hash_table_insert (shard->reservations, &reservation->key, reservation);
+  return reservation;
+}
+
+static void
+release (HbwShard *shard, HbwContext *context, Reservation *reservation,
+         const HbwDone *done)
+{
+  HbwServer *server = hbw_shard_find_server (shard, reservation->server);
+  if (server != NULL && server->entry.start == reservation->server_start)
+    {
+      hbw_server_end (server, done, reservation->spec.inter_token_us,
+                      context->now_us);
+      if (reservation->suspect && server->suspects > 0)
+        server->suspects--;
+      if (server->stopping && server->in_progress == 0)
+        hbw_effects_log (context->effects, HBW_LOG_SERVER_DRAINED,
+                         "server=%s pool=%s", server->entry.id, server->entry.pool);
+    }
+  shard->in_progress[reservation->spec.tier]--;
+  g_hash_table_remove (shard->reservations, &reservation->key);
+}
+
+static void
+release_unused (HbwShard *shard, HbwContext *context, Reservation *reservation)
+{
+  HbwDone done = { .id = reservation->key.id, .attempt = reservation->key.attempt };
+  done.outcome = HBW_OUTCOME_UNUSED;
+  release (shard, context, reservation, &done);
+}
+
+static void
+send_grant (HbwContext *context, const HbwShard *shard, guint64 to,
+            const Reservation *reservation, const HbwServer *server)
+{
+  HbwMessage message = { .kind = HBW_MESSAGE_GRANT };
+  message.grant.id = reservation->key.id;
+  message.grant.attempt = reservation->key.attempt;
+  message.grant.shard = shard->key;
+  message.grant.valid_us
+      = HBW_GRANT_VALID_US - (context->now_us - reservation->granted_us);
+  g_strlcpy (message.grant.server, server->entry.id, sizeof message.grant.server);
+  g_strlcpy (message.grant.address, server->entry.address,
+             sizeof message.grant.address);
+  hbw_context_post (context, to, &message);
+}
+
+static void
+send_refusal (HbwContext *context, const HbwShard *shard, guint64 to,
+              const HbwWant *want, HbwReason reason)
+{
+  gint64 wait = hbw_shard_expected_wait (shard, want->spec.tier);
+  HbwMessage message = { .kind = HBW_MESSAGE_REFUSAL };
+  message.refusal.id = want->id;
+  message.refusal.attempt = want->attempt;
+  message.refusal.reason = reason;
+  message.refusal.retry_after_us
+      = CLAMP (wait, RETRY_AFTER_MIN_US, RETRY_AFTER_MAX_US);
+  if (reason == HBW_REASON_QUARANTINED)
+    message.refusal.retry_after_us = hbw_quarantine_remaining (
+        context->quarantine, &want->spec.fingerprint, context->now_us);
+  hbw_context_post (context, to, &message);
+}
+
+static void
+refuse_ticket (HbwShard *shard, HbwContext *context, HbwTicket *ticket,
+               HbwReason reason)
+{
+  send_refusal (context, shard, ticket->origin, &ticket->want, reason);
+  hbw_queue_remove (shard->queue, ticket);
+}
+
+static gboolean
+grant_one (HbwShard *shard, HbwContext *context)
+{
+  HbwTicket *ticket = shard->policy->select_ticket (shard, context);
+  if (ticket == NULL)
+    return FALSE;
+  HbwServer *server = shard->policy->select_server (shard, context, ticket);
+  if (server == NULL)
+    return FALSE;
+  const HbwWant *want = &ticket->want;
+  Reservation *reservation
+      = reserve (shard, context, server, &want->id, want->attempt, &want->spec);
+  reservation->origin = ticket->origin;
+  hbw_queue_charge (shard->queue, ticket);
+  send_grant (context, shard, ticket->origin, reservation, server);
+  hbw_queue_remove (shard->queue, ticket);
+  return TRUE;
+}
+
+static void
+schedule (HbwShard *shard, HbwContext *context)
+{
+  while (hbw_queue_length (shard->queue) > 0 && grant_one (shard, context))
+    continue;
+}
+
+static gboolean
+is_quarantined (HbwContext *context, const HbwRequestSpec *spec)
+{
+  return hbw_quarantine_failures (context->quarantine, &spec->fingerprint,
+                                  context->now_us)
+         >= HBW_QUARANTINE_FAILURES;
+}
+
+/* Makes room for WANT in a full queue; returns whether there is room now. */
+static gboolean
+make_room (HbwShard *shard, HbwContext *context, const HbwWant *want)
+{
+  if (hbw_queue_class_length (shard->queue, want->spec.class_name)
+      >= want->spec.queue_bound)
+    return FALSE;
+  if (hbw_queue_length (shard->queue) < HBW_SHARD_QUEUE_MAX)
+    return TRUE;
+  HbwTicket *victim = hbw_queue_youngest_below (shard->queue, want->spec.tier);
+  if (victim == NULL)
+    return FALSE;
+  refuse_ticket (shard, context, victim, HBW_REASON_QUEUE_FULL);
+  return TRUE;
+}
+
+/* Answers a want that is already known; returns whether it was. */
+static gboolean
+restate_known (HbwShard *shard, HbwContext *context, guint64 from,
+               const HbwWant *want)
+{
+  HbwTicket *ticket = hbw_queue_find (shard->queue, &want->id);
+  if (ticket != NULL)
+    {
+      ticket->restated_us = context->now_us;
+      ticket->want.attempt = MAX (ticket->want.attempt, want->attempt);
+      return TRUE;
+    }
+  Reservation *reservation = find_reservation (shard, &want->id, want->attempt);
+  if (reservation == NULL)
+    return FALSE;
+  HbwServer *server = hbw_shard_find_server (shard, reservation->server);
+  gint64 age = context->now_us - reservation->granted_us;
+  if (server != NULL && !server->stopping && age < HBW_GRANT_VALID_US / 2)
+    {
+      send_grant (context, shard, from, reservation, server);
+      return TRUE;
+    }
+  release_unused (shard, context, reservation);
+  return FALSE;
+}
+
+static void
+end_overdue (HbwTicket *ticket, void *data)
+{
+  void **arguments = data;
+  HbwShard *shard = arguments[0];
+  HbwContext *context = arguments[1];
+  if (context->now_us - ticket->restated_us > HBW_TICKET_SILENT_US)
+    hbw_queue_remove (shard->queue, ticket);
+  else if (ticket->deadline_at_us > 0 && context->now_us >= ticket->deadline_at_us)
+    refuse_ticket (shard, context, ticket, HBW_REASON_DEADLINE);
+  else if (is_quarantined (context, &ticket->want.spec))
+    refuse_ticket (shard, context, ticket, HBW_REASON_QUARANTINED);
+}
+
+static void
+release_silent (HbwShard *shard, HbwContext *context)
+{
+  GList *all = g_hash_table_get_values (shard->reservations);
+  for (GList *at = all; at != NULL; at = at->next)
+    {
+      Reservation *reservation = at->data;
+      gint64 silent = context->now_us - reservation->heard_us;
+      gint64 allowed = reservation->active ? HBW_RESERVATION_SILENT_US
+                                           : HBW_GRANT_VALID_US + GRANT_GRACE_US;
+      if (silent > allowed)
+        release_unused (shard, context, reservation);
+    }
+  g_list_free (all);
+}
+
+static void
+poll_loads (HbwShard *shard, HbwContext *context)
+{
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      HbwServer *server = g_ptr_array_index (shard->servers, i);
+      if (context->now_us - server->polled_at_us < HBW_POLL_INTERVAL_US)
+        continue;
+      server->polled_at_us = context->now_us;
+      HbwEffect *effect = hbw_effects_add (context->effects, HBW_EFFECT_POLL_LOAD);
+      g_strlcpy (effect->poll.server, server->entry.id, sizeof effect->poll.server);
+      g_strlcpy (effect->poll.address, server->entry.address,
+                 sizeof effect->poll.address);
+    }
+}
+
+static int
+compare_doubles (gconstpointer a, gconstpointer b)
+{
+  double left = *(const double *)a;
+  double right = *(const double *)b;
+  return left < right ? -1 : left > right;
+}
+
+static double
+median_inter_token (const HbwShard *shard)
+{
+  GArray *values = g_array_new (FALSE, FALSE, sizeof (double));
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      const HbwServer *server = g_ptr_array_index (shard->servers, i);
+      if (server->inter_token_us > 0)
+        g_array_append_val (values, server->inter_token_us);
+    }
+  g_array_sort (values, compare_doubles);
+  double median
+      = values->len > 0 ? g_array_index (values, double, (values->len - 1) / 2) : 0;
+  g_array_free (values, TRUE);
+  return median;
+}
+
+static void
+compare_servers (HbwShard *shard, HbwContext *context)
+{
+  if (context->now_us - shard->compared_at_us < COMPARE_INTERVAL_US)
+    return;
+  shard->compared_at_us = context->now_us;
+  double median = median_inter_token (shard);
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      HbwServer *server = g_ptr_array_index (shard->servers, i);
+      if (hbw_server_compare (server, median) && server->straggler)
+        hbw_effects_log (context->effects, HBW_LOG_SERVER_STRAGGLER,
+                         "server=%s inter_token_us=%.0f median_us=%.0f",
+                         server->entry.id, server->inter_token_us, median);
+    }
+}
+
+static void
+note_service (HbwShard *shard, gint64 duration_us)
+{
+  shard->service_us
+      += SERVICE_AVERAGE_WEIGHT * ((double)duration_us - shard->service_us);
+}
+
+static void
+log_state_change (HbwContext *context, const HbwServer *server,
+                  HbwServerState before)
+{
+  if (server->state == before || server->state == HBW_SERVER_PROBING)
+    return;
+  gboolean up = server->state == HBW_SERVER_UP;
+  if (!up && before == HBW_SERVER_PROBING)
+    return;
+  hbw_effects_log (context->effects, up ? HBW_LOG_SERVER_UP : HBW_LOG_SERVER_DOWN,
+                   "server=%s pool=%s", server->entry.id, server->entry.pool);
+}
+
+static void
+set_stopping (HbwContext *context, HbwServer *server, gboolean stopping)
+{
+  if (stopping && !server->stopping)
+    hbw_effects_log (context->effects, HBW_LOG_SERVER_LEAVING,
+                     "server=%s pool=%s in_progress=%u", server->entry.id,
+                     server->entry.pool, server->in_progress);
+  server->stopping = stopping;
+}
+
+HbwShard *
+hbw_shard_create (const HbwPolicy *policy, const HbwShardKey *key, gint64 now_us,
+                  gint64 rebuild_us)
+{
+  HbwShard *shard = g_new0 (HbwShard, 1);
+  shard->policy = policy;
+  shard->key = *key;
+  shard->servers
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)hbw_server_destroy);
+  shard->queue = hbw_queue_create ();
+  shard->reservations
+      = g_hash_table_new_full (reservation_hash, reservation_equal, NULL, g_free);
+  shard->rebuilt_at_us = now_us + rebuild_us;
+  shard->wanted_at_us = now_us;
+  shard->service_us = SERVICE_DEFAULT_US;
+  return shard;
+}
+
+void
+hbw_shard_destroy (HbwShard *shard)
+{
+  g_ptr_array_free (shard->servers, TRUE);
+  hbw_queue_destroy (shard->queue);
+  g_hash_table_destroy (shard->reservations);
+  g_free (shard);
+}
+
+static const HbwServerEntry *
+find_entry (const GPtrArray *entries, const char *id)
+{
+  for (guint i = 0; i < entries->len; i++)
+    {
+      const HbwServerEntry *entry = g_ptr_array_index (entries, i);
+      if (strcmp (entry->id, id) == 0)
+        return entry;
+    }
+  return NULL;
+}
+
+void
+hbw_shard_set_servers (HbwShard *shard, HbwContext *context,
+                       const GPtrArray *entries)
+{
+  for (guint i = shard->servers->len; i > 0; i--)
+    {
+      HbwServer *server = g_ptr_array_index (shard->servers, i - 1);
+      if (find_entry (entries, server->entry.id) != NULL)
+        continue;
+      set_stopping (context, server, TRUE);
+      if (server->in_progress == 0)
+        g_ptr_array_remove_index (shard->servers, i - 1);
+    }
+  for (guint i = 0; i < entries->len; i++)
+    {
+      const HbwServerEntry *entry = g_ptr_array_index (entries, i);
+      HbwServer *server = hbw_shard_find_server (shard, entry->id);
+      if (server != NULL)
+        {
+          gboolean restarted = server->entry.start != entry->start;
+          hbw_server_update (server, entry);
+          if (restarted)
+            server->in_progress = server->suspects = 0;
+        }
+      else
+        {
+          server = hbw_server_create (entry);
+          server->stopping = FALSE;
+          g_ptr_array_add (shard->servers, server);
+        }
+      gboolean stopping
+          = entry->leaving || g_hash_table_contains (context->stops, entry->id);
+      set_stopping (context, server, stopping);
+    }
+  schedule (shard, context);
+}
+
+void
+hbw_shard_want (HbwShard *shard, HbwContext *context, guint64 from,
+                const HbwWant *want)
+{
+  shard->wanted_at_us = context->now_us;
+  const HbwSuspect known
+      = { want->spec.fingerprint, want->spec.failures, HBW_QUARANTINE_US };
+  if (known.failures > 0)
+    hbw_quarantine_merge (context->quarantine, &known, context->now_us);
+  if (restate_known (shard, context, from, want))
+    return;
+  if (is_quarantined (context, &want->spec))
+    {
+      send_refusal (context, shard, from, want, HBW_REASON_QUARANTINED);
+      return;
+    }
+  if (!make_room (shard, context, want))
+    {
+      send_refusal (context, shard, from, want, HBW_REASON_QUEUE_FULL);
+      return;
+    }
+  hbw_queue_add (shard->queue, want, from, context->now_us);
+  schedule (shard, context);
+}
+
+void
+hbw_shard_withdraw (HbwShard *shard, HbwContext *context,
+                    const HbwRefusal *withdrawal)
+{
+  HbwTicket *ticket = hbw_queue_find (shard->queue, &withdrawal->id);
+  if (ticket != NULL && ticket->want.attempt <= withdrawal->attempt)
+    hbw_queue_remove (shard->queue, ticket);
+  schedule (shard, context);
+}
+
+void
+hbw_shard_active (HbwShard *shard, HbwContext *context, guint64 from,
+                  const HbwActive *active)
+{
+  shard->wanted_at_us = context->now_us;
+  Reservation *reservation = find_reservation (shard, &active->id, active->attempt);
+  if (reservation == NULL)
+    {
+      HbwServer *server = hbw_shard_find_server (shard, active->server);
+      if (server == NULL)
+        return;
+      HbwRequestSpec spec = { .tier = active->tier };
+      spec.fingerprint = active->fingerprint;
+      reservation
+          = reserve (shard, context, server, &active->id, active->attempt, &spec);
+      reservation->origin = from;
+    }
+  reservation->active = TRUE;
+  reservation->heard_us = context->now_us;
+}
+
+void
+hbw_shard_done (HbwShard *shard, HbwContext *context, const HbwDone *done)
+{
+  Reservation *reservation = find_reservation (shard, &done->id, done->attempt);
+  if (reservation == NULL || strcmp (reservation->server, done->server) != 0)
+    return;
+  HbwServer *server = hbw_shard_find_server (shard, reservation->server);
+  HbwServerState before = server != NULL ? server->state : HBW_SERVER_UP;
+  if (done->outcome == HBW_OUTCOME_COMPLETE)
+    note_service (shard, context->now_us - reservation->granted_us);
+  if (done->outcome != HBW_OUTCOME_UNUSED && reservation->spec.cost_tokens > 0)
+    hbw_queue_correct (shard->queue, &reservation->spec, done->tokens);
+  release (shard, context, reservation, done);
+  if (server != NULL)
+    log_state_change (context, server, before);
+  schedule (shard, context);
+}
+
+void
+hbw_shard_load (HbwShard *shard, HbwContext *context, const HbwLoadReport *load)
+{
+  HbwServer *server = hbw_shard_find_server (shard, load->server);
+  if (server == NULL)
+    return;
+  hbw_server_report (server, load, context->now_us);
+  schedule (shard, context);
+}
+
+void
+hbw_shard_tick (HbwShard *shard, HbwContext *context)
+{
+  void *arguments[] = { shard, context };
+  hbw_queue_foreach (shard->queue, end_overdue, arguments);
+  release_silent (shard, context);
+  compare_servers (shard, context);
+  poll_loads (shard, context);
+  schedule (shard, context);
+}
+
+static void
+forget_ticket (HbwTicket *ticket, void *data)
+{
+  void **arguments = data;
+  HbwShard *shard = arguments[0];
+  HbwContext *context = arguments[1];
+  if (hbw_membership_is_dead (context->membership, ticket->origin))
+    hbw_queue_remove (shard->queue, ticket);
+}
+
+void
+hbw_shard_forget_dead (HbwShard *shard, HbwContext *context)
+{
+  void *arguments[] = { shard, context };
+  hbw_queue_foreach (shard->queue, forget_ticket, arguments);
+  GList *all = g_hash_table_get_values (shard->reservations);
+  for (GList *at = all; at != NULL; at = at->next)
+    {
+      Reservation *reservation = at->data;
+      if (hbw_membership_is_dead (context->membership, reservation->origin))
+        release_unused (shard, context, reservation);
+    }
+  g_list_free (all);
+  schedule (shard, context);
+}
+
+void
+hbw_shard_resume (HbwShard *shard, gint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, shard->reservations);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((Reservation *)value)->heard_us = now_us;
+  shard->rebuilt_at_us = now_us + HBW_REBUILD_US;
+}
+
+void
+hbw_shard_summarize (const HbwShard *shard, HbwShardSummary *summary)
+{
+  memset (summary, 0, sizeof *summary);
+  summary->key = shard->key;
+  for (guint i = 0; i < shard->servers->len; i++)
+    summary->free_slots += hbw_server_free (g_ptr_array_index (shard->servers, i));
+  for (HbwTier tier = 0; tier < HBW_TIER_COUNT; tier++)
+    summary->expected_wait_us[tier] = hbw_shard_expected_wait (shard, tier);
+}
+
+gint64
+hbw_shard_expected_wait (const HbwShard *shard, HbwTier tier)
+{
+  guint waiting = 0;
+  double limit = 0;
+  guint free_slots = 0;
+  for (HbwTier i = 0; i <= tier; i++)
+    waiting += hbw_queue_tier_length (shard->queue, i);
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      const HbwServer *server = g_ptr_array_index (shard->servers, i);
+      free_slots += hbw_server_free (server);
+      if (!server->stopping && server->state == HBW_SERVER_UP)
+        limit += server->limit;
+    }
+  if (free_slots > 0 && waiting == 0)
+    return 0;
+  return (gint64)((waiting + 1.0) * shard->service_us / MAX (limit, 1.0));
+}
+
+HbwServer *
+hbw_shard_find_server (const HbwShard *shard, const char *id)
+{
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      HbwServer *server = g_ptr_array_index (shard->servers, i);
+      if (strcmp (server->entry.id, id) == 0)
+        return server;
+    }
+  return NULL;
+}
+
+guint
+hbw_shard_slots (const HbwShard *shard)
+{
+  guint slots = 0;
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      const HbwServer *server = g_ptr_array_index (shard->servers, i);
+      if (!server->stopping)
+        slots += server->entry.slots;
+    }
+  return slots;
+}
--- /dev/null
+++ b/core/spec.c
@@ -0,0 +1,113 @@
+#include "hornbeamwall/core/spec.h"
+
+#include "hornbeamwall/common/clock.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Bytes at the beginning of a body that stand for its prompt prefix. */
+#define PREFIX_BYTES 512
+
+static const char *
+pick_class (const HbwOrganisation *organisation, const HbwSpecInput *input)
+{
+  if (input->class_name != NULL)
+    return input->class_name;
+  return g_ptr_array_index (organisation->class_names, 0);
+}
+
+static gboolean
+read_flag (const char *text, gboolean fallback, gboolean *valid)
+{
+  if (text == NULL)
+    return fallback;
+  gboolean yes = g_ascii_strcasecmp (text, "true") == 0;
+  if (!yes && g_ascii_strcasecmp (text, "false") != 0)
+    *valid = FALSE;
+  return yes;
+}
+
+static gint64
+read_deadline (const char *text, gint64 fallback_us, gboolean *valid)
+{
+  if (text == NULL)
+    return fallback_us;
+  guint64 value;
+  if (!g_ascii_string_to_unsigned (text, 10, 1, HBW_DEADLINE_MAX_MS, &value, NULL))
+    {
+      *valid = FALSE;
+      return fallback_us;
+    }
+  return (gint64)value * HBW_US_PER_MS;
+}
+
+static HbwFingerprint
+fingerprint_of (const char *organisation, const HbwSpecInput *input)
+{
+  XXH64_hash_t seed = XXH64 (organisation, strlen (organisation), 0);
+  XXH128_hash_t hash = XXH3_128bits_withSeed (input->body, input->body_length, seed);
+  const HbwFingerprint fingerprint = { hash.high64, hash.low64 };
+  return fingerprint;
+}
+
+static void
+fill_class (HbwRequestSpec *spec, const HbwClass *class, const HbwSpecInput *input)
+{
+  g_strlcpy (spec->class_name, class->name, sizeof spec->class_name);
+  spec->tier = class->tier;
+  spec->queue_bound = class->queue_bound;
+  spec->target_us = class->first_token_us;
+  spec->inter_token_us = class->inter_token_us;
+  spec->cost_tokens = class->expected_tokens;
+  if (input->max_tokens > 0 && input->max_tokens < class->expected_tokens)
+    spec->cost_tokens = (guint)input->max_tokens;
+}
+
+HbwSpecResult
+hbw_spec_fill (HbwRequestSpec *spec, const HbwCatalogue *catalogue,
+               const HbwOrganisation *organisation, const HbwSpecInput *input,
+               HbwError *error)
+{
+  memset (spec, 0, sizeof *spec);
+  const HbwPool *pool
+      = input->pool != NULL ? hbw_catalogue_pool (catalogue, input->pool) : NULL;
+  if (pool == NULL)
+    {
+      hbw_error_set (error, HBW_ERROR_NOT_FOUND,
+                     "name one of the models or services "
+                     "that /v1/models lists");
+      return HBW_SPEC_NO_POOL;
+    }
+  const char *class_name = pick_class (organisation, input);
+  const HbwClass *class = hbw_catalogue_class (catalogue, class_name);
+  if (class == NULL)
+    {
+      hbw_error_set (error, HBW_ERROR_NOT_FOUND,
+                     "name a class of the catalogue in Hornbeamwall-Class");
+      return HBW_SPEC_NO_CLASS;
+    }
+  if (!hbw_organisation_may_use (organisation, class_name))
+    {
+      hbw_error_set (error, HBW_ERROR_USAGE,
+                     "use a class that the catalogue lists for organisation %s",
+                     organisation->name);
+      return HBW_SPEC_CLASS_FORBIDDEN;
+    }
+  gboolean valid = TRUE;
+  fill_class (spec, class, input);
+  spec->idempotent = read_flag (input->idempotent, pool->idempotent, &valid);
+  spec->deadline_us = read_deadline (input->deadline_ms, class->deadline_us, &valid);
+  spec->weight = organisation->weight;
+  spec->fingerprint = fingerprint_of (organisation->name, input);
+  if (!pool->is_service && input->body_length > 0)
+    spec->prefix = XXH3_64bits (input->body, MIN (input->body_length, PREFIX_BYTES));
+  g_strlcpy (spec->organisation, organisation->name, sizeof spec->organisation);
+  g_strlcpy (spec->pool, pool->name, sizeof spec->pool);
+  if (valid)
+    return HBW_SPEC_OK;
+  hbw_error_set (error, HBW_ERROR_USAGE,
+                 "give Hornbeamwall-Idempotent as true or false and "
+                 "Hornbeamwall-Deadline-Ms as a number from 1 to %d",
+                 HBW_DEADLINE_MAX_MS);
+  return HBW_SPEC_BAD_HEADER;
+}
--- /dev/null
+++ b/core/topology.c
@@ -0,0 +1,151 @@
+#include "hornbeamwall/core/topology.h"
+
+#include <string.h>
+
+typedef struct
+{
+  HbwShardKey key;
+  char text[HBW_SHARD_KEY_TEXT_MAX];
+  GPtrArray *servers; /* borrowed */
+} Shard;
+
+struct HbwTopology
+{
+  GPtrArray *servers;
+  GPtrArray *shards;  /* Shard, in order of pool, data centre and index */
+  GHashTable *by_key; /* key text -> Shard */
+  GHashTable *counts; /* "pool/data centre" -> number of shards */
+  GPtrArray *data_centres;
+};
+
+static int
+compare_servers (gconstpointer a, gconstpointer b)
+{
+  const HbwServerEntry *left = *(HbwServerEntry *const *)a;
+  const HbwServerEntry *right = *(HbwServerEntry *const *)b;
+  int order = strcmp (left->pool, right->pool);
+  if (order == 0)
+    order = strcmp (left->data_centre, right->data_centre);
+  if (order == 0)
+    order = strcmp (left->id, right->id);
+  return order;
+}
+
+static void
+shard_free (gpointer data)
+{
+  Shard *shard = data;
+  g_ptr_array_free (shard->servers, TRUE);
+  g_free (shard);
+}
+
+static gboolean
+same_group (const HbwServerEntry *a, const HbwServerEntry *b)
+{
+  return strcmp (a->pool, b->pool) == 0
+         && strcmp (a->data_centre, b->data_centre) == 0;
+}
+
+static void
+add_data_centre (HbwTopology *topology, const char *name)
+{
+  for (guint i = 0; i < topology->data_centres->len; i++)
+    if (strcmp (g_ptr_array_index (topology->data_centres, i), name) == 0)
+      return;
+  g_ptr_array_add (topology->data_centres, g_strdup (name));
+}
+
+static void
+add_group (HbwTopology *topology, guint first, guint count)
+{
+  const HbwServerEntry *lead = g_ptr_array_index (topology->servers, first);
+  guint shards = (count + HBW_SHARD_SERVERS_MAX - 1) / HBW_SHARD_SERVERS_MAX;
+  for (guint i = 0; i < shards; i++)
+    {
+      Shard *shard = g_new0 (Shard, 1);
+      g_strlcpy (shard->key.pool, lead->pool, sizeof shard->key.pool);
+      g_strlcpy (shard->key.data_centre, lead->data_centre,
+                 sizeof shard->key.data_centre);
+      shard->key.index = i;
+      hbw_shard_key_format (&shard->key, shard->text, sizeof shard->text);
+      shard->servers = g_ptr_array_new ();
+      for (guint k = i * count / shards; k < (i + 1) * count / shards; k++)
+        g_ptr_array_add (shard->servers,
+                         g_ptr_array_index (topology->servers, first + k));
+      g_ptr_array_add (topology->shards, shard);
+      g_hash_table_insert (topology->by_key, shard->text, shard);
+    }
+  g_hash_table_insert (topology->counts,
+                       g_strconcat (lead->pool, "/", lead->data_centre, NULL),
+                       GUINT_TO_POINTER (shards));
+  add_data_centre (topology, lead->data_centre);
+}
+
+HbwTopology *
+hbw_topology_create (GPtrArray *servers)
+{
+  HbwTopology *topology = g_new0 (HbwTopology, 1);
+  topology->servers = servers;
+  topology->shards = g_ptr_array_new_with_free_func (shard_free);
+  topology->by_key = g_hash_table_new (g_str_hash, g_str_equal);
+  topology->counts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  topology->data_centres = g_ptr_array_new_with_free_func (g_free);
+  g_ptr_array_sort (servers, compare_servers);
+  guint first = 0;
+  for (guint i = 1; i <= servers->len; i++)
+    {
+      if (i < servers->len
+          && same_group (g_ptr_array_index (servers, first),
+                         g_ptr_array_index (servers, i)))
+        continue;
+      add_group (topology, first, i - first);
+      first = i;
+    }
+  return topology;
+}
+
+void
+hbw_topology_destroy (HbwTopology *topology)
+{
+  g_hash_table_destroy (topology->by_key);
+  g_hash_table_destroy (topology->counts);
+  g_ptr_array_free (topology->shards, TRUE);
+  g_ptr_array_free (topology->data_centres, TRUE);
+  g_ptr_array_free (topology->servers, TRUE);
+  g_free (topology);
+}
+
+guint
+hbw_topology_shard_count (const HbwTopology *topology, const char *pool,
+                          const char *data_centre)
+{
+  char name[2 * HBW_NAME_MAX];
+  g_snprintf (name, sizeof name, "%s/%s", pool, data_centre);
+  return GPOINTER_TO_UINT (g_hash_table_lookup (topology->counts, name));
+}
+
+const GPtrArray *
+hbw_topology_servers (const HbwTopology *topology, const HbwShardKey *key)
+{
+  char text[HBW_SHARD_KEY_TEXT_MAX];
+  hbw_shard_key_format (key, text, sizeof text);
+  const Shard *shard = g_hash_table_lookup (topology->by_key, text);
+  return shard != NULL ? shard->servers : NULL;
+}
+
+const GPtrArray *
+hbw_topology_data_centres (const HbwTopology *topology)
+{
+  return topology->data_centres;
+}
+
+void
+hbw_topology_foreach (const HbwTopology *topology,
+                      void (*visit) (const HbwShardKey *key, void *data), void *data)
+{
+  for (guint i = 0; i < topology->shards->len; i++)
+    {
+      const Shard *shard = g_ptr_array_index (topology->shards, i);
+      visit (&shard->key, data);
+    }
+}
--- /dev/null
+++ b/core/types.c
@@ -0,0 +1,69 @@
+#include "hornbeamwall/core/types.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+static const char *const outcome_names[HBW_OUTCOME_COUNT] = {
+  [HBW_OUTCOME_COMPLETE] = "complete",
+  [HBW_OUTCOME_NOT_CONNECTED] = "not_connected",
+  [HBW_OUTCOME_REFUSED] = "refused",
+  [HBW_OUTCOME_BROKEN] = "broken",
+  [HBW_OUTCOME_TIMED_OUT] = "timed_out",
+  [HBW_OUTCOME_CANCELLED] = "cancelled",
+  [HBW_OUTCOME_UNUSED] = "unused",
+};
+
+static const char *const reason_names[HBW_REASON_COUNT] = {
+  [HBW_REASON_QUEUE_FULL] = "queue_full",
+  [HBW_REASON_DEADLINE] = "deadline",
+  [HBW_REASON_LIMIT] = "limit",
+  [HBW_REASON_NO_SERVER] = "no_server",
+  [HBW_REASON_QUARANTINED] = "quarantined",
+  [HBW_REASON_BROKEN] = "broken",
+  [HBW_REASON_DRAINING] = "draining",
+  [HBW_REASON_DUPLICATE_KEY] = "duplicate_key",
+  [HBW_REASON_OVERLOADED] = "overloaded",
+};
+
+const char *
+hbw_outcome_name (HbwOutcome outcome)
+{
+  return (guint)outcome < HBW_OUTCOME_COUNT ? outcome_names[outcome] : "unknown";
+}
+
+const char *
+hbw_reason_name (HbwReason reason)
+{
+  return (guint)reason < HBW_REASON_COUNT ? reason_names[reason] : "unknown";
+}
+
+gboolean
+hbw_outcome_is_unrun (HbwOutcome outcome)
+{
+  return outcome == HBW_OUTCOME_NOT_CONNECTED || outcome == HBW_OUTCOME_REFUSED
+         || outcome == HBW_OUTCOME_UNUSED;
+}
+
+guint
+hbw_request_id_hash (gconstpointer id)
+{
+  return (guint)XXH64 (id, sizeof (HbwRequestId), 0);
+}
+
+gboolean
+hbw_request_id_equal (gconstpointer a, gconstpointer b)
+{
+  return memcmp (a, b, sizeof (HbwRequestId)) == 0;
+}
+
+gboolean
+hbw_fingerprint_equal (const HbwFingerprint *a, const HbwFingerprint *b)
+{
+  return a->high == b->high && a->low == b->low;
+}
+
+guint64
+hbw_rendezvous_weight (guint64 member, const char *key)
+{
+  return XXH64 (key, strlen (key), member);
+}
--- /dev/null
+++ b/hornbeamwall/client.c
@@ -0,0 +1,121 @@
+#include "hornbeamwall/client.h"
+
+#include "hornbeamwall/commands.h"
+
+#include <neon/ne_request.h>
+#include <neon/ne_session.h>
+#include <neon/ne_socket.h>
+#include <neon/ne_utils.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* How long the instance may take to answer, in seconds. */
+#define READ_TIMEOUT_S 30
+
+static int
+read_block (void *data, const char *bytes, size_t length)
+{
+  g_string_append_len (data, bytes, (gssize)length);
+  return 0;
+}
+
+static gboolean
+split_address (const char *address, char **host, guint *port, HbwError *error)
+{
+  const char *colon = address != NULL ? strrchr (address, ':') : NULL;
+  *port = colon != NULL ? (guint)g_ascii_strtoull (colon + 1, NULL, 10) : 0;
+  if (*port == 0 || *port > G_MAXUINT16)
+    {
+      hbw_error_set (error, HBW_ERROR_USAGE,
+                     "give the administration address as --address IP:PORT");
+      return FALSE;
+    }
+  *host = g_strndup (address, (gsize)(colon - address));
+  return TRUE;
+}
+
+static void
+add_headers (ne_request *request, const HbwClientOptions *options, const char *body,
+             const char *if_match)
+{
+  const char *token
+      = options->token != NULL ? options->token : getenv ("HORNBEAMWALL_TOKEN");
+  ne_set_request_flag (request, NE_REQFLAG_IDEMPOTENT, 0);
+  if (token != NULL)
+    ne_print_request_header (request, "Authorization", "Bearer %s", token);
+  if (if_match != NULL)
+    ne_add_request_header (request, "If-Match", if_match);
+  if (body == NULL)
+    return;
+  ne_add_request_header (request, "Content-Type", "application/json");
+  ne_set_request_body_buffer (request, body, strlen (body));
+}
+
+gboolean
+hbw_client_call (const HbwClientOptions *options, const char *method,
+                 const char *path, const char *body, const char *if_match,
+                 HbwClientAnswer *answer, HbwError *error)
+{
+  char *host;
+  guint port;
+  memset (answer, 0, sizeof *answer);
+  if (!split_address (options->address, &host, &port, error))
+    return FALSE;
+  ne_sock_init ();
+  ne_session *session = ne_session_create ("http", host, port);
+  ne_set_session_flag (session, NE_SESSFLAG_PERSIST, 0);
+  ne_set_read_timeout (session, READ_TIMEOUT_S);
+  ne_request *request = ne_request_create (session, method, path);
+  add_headers (request, options, body, if_match);
+  GString *text = g_string_new (NULL);
+  ne_add_response_body_reader (request, ne_accept_always, read_block, text);
+  gboolean answered = ne_request_dispatch (request) == NE_OK;
+  if (answered)
+    {
+      answer->status = ne_get_status (request)->code;
+      answer->etag = g_strdup (ne_get_response_header (request, "ETag"));
+    }
+  else
+    hbw_error_set (error, HBW_ERROR_NETWORK,
+                   "%s: %s; check the address and that the instance runs",
+                   options->address, ne_get_error (session));
+  answer->body = g_string_free (text, FALSE);
+  ne_request_destroy (request);
+  ne_session_destroy (session);
+  g_free (host);
+  return answered;
+}
+
+void
+hbw_client_answer_clear (HbwClientAnswer *answer)
+{
+  g_clear_pointer (&answer->body, g_free);
+  g_clear_pointer (&answer->etag, g_free);
+}
+
+int
+hbw_client_run (const HbwClientOptions *options, const char *method,
+                const char *path, const char *body, const char *if_match)
+{
+  HbwClientAnswer answer;
+  HbwError error;
+  if (!hbw_client_call (options, method, path, body, if_match, &answer, &error))
+    {
+      fprintf (stderr, "hornbeamwall: %s\n", error.message);
+      hbw_client_answer_clear (&answer);
+      return HBW_EXIT_FAILED;
+    }
+  gboolean accepted = answer.status >= 200 && answer.status < 300;
+  FILE *out = accepted ? stdout : stderr;
+  fprintf (out, "%s\n", answer.body);
+  hbw_client_answer_clear (&answer);
+  return accepted ? HBW_EXIT_OK : HBW_EXIT_FAILED;
+}
+
+void
+hbw_client_options_clear (HbwClientOptions *options)
+{
+  g_clear_pointer (&options->address, g_free);
+  g_clear_pointer (&options->token, g_free);
+}
--- /dev/null
+++ b/hornbeamwall/commands/hash_key.c
@@ -0,0 +1,27 @@
+#include "hornbeamwall/commands.h"
+#include "hornbeamwall/core/catalogue.h"
+
+#include <stdio.h>
+
+/* Longest key that is read, in bytes, with its end mark. */
+#define KEY_MAX 1024
+
+int
+hbw_command_hash_key (int argc, char **argv)
+{
+  const GOptionEntry entries[] = { { NULL } };
+  if (!hbw_command_parse (&argc, &argv, entries, "",
+                          "Reads a key from standard input and prints the hash that "
+                          "stands for it in the catalogue and in settings."))
+    return HBW_EXIT_USAGE;
+  char key[KEY_MAX];
+  if (fgets (key, sizeof key, stdin) == NULL || *g_strchomp (key) == '\0')
+    {
+      fprintf (stderr, "hornbeamwall: give the key on standard input\n");
+      return HBW_EXIT_FAILED;
+    }
+  char *hash = hbw_catalogue_hash_key (key);
+  printf ("%s\n", hash);
+  g_free (hash);
+  return HBW_EXIT_OK;
+}
--- /dev/null
+++ b/include/hornbeamwall/commands.h
@@ -0,0 +1,38 @@
+/*
+ * commands - the subcommands of the program
+ *
+ * Each handler gets the arguments after its name and returns the exit status: 0
+ * done, 1 refused or failed, 2 wrong command line.
+ */
+#ifndef HORNBEAMWALL_COMMANDS_H
+#define HORNBEAMWALL_COMMANDS_H
+
+#include "hornbeamwall/common/error.h"
+
+#define HBW_EXIT_OK 0
+#define HBW_EXIT_FAILED 1
+#define HBW_EXIT_USAGE 2
+
+typedef int (*HbwCommandHandler) (int argc, char **argv);
+
+typedef struct
+{
+  const char *name;
+  const char *summary;
+  HbwCommandHandler handler;
+} HbwCommand;
+
+int hbw_command_catalogue (int argc, char **argv);
+int hbw_command_check_config (int argc, char **argv);
+int hbw_command_events (int argc, char **argv);
+int hbw_command_hash_key (int argc, char **argv);
+int hbw_command_serve (int argc, char **argv);
+int hbw_command_status (int argc, char **argv);
+int hbw_command_stop (int argc, char **argv);
+
+/* Parses ENTRIES out of the arguments; prints what is wrong.  SUMMARY and PARAMETERS
+   are for --help.  Returns FALSE where the command line is wrong. */
+gboolean hbw_command_parse (int *argc, char ***argv, const GOptionEntry *entries,
+                            const char *parameters, const char *summary);
+
+#endif
--- /dev/null
+++ b/include/hornbeamwall/core/context.h
@@ -0,0 +1,31 @@
+/*
+ * context - what the parts of the reducer share during one step
+ */
+#ifndef HORNBEAMWALL_CORE_CONTEXT_H
+#define HORNBEAMWALL_CORE_CONTEXT_H
+
+#include "hornbeamwall/core/effect.h"
+
+typedef struct HbwMembership HbwMembership;
+typedef struct HbwMetrics HbwMetrics;
+typedef struct HbwQuarantine HbwQuarantine;
+
+typedef struct
+{
+  gint64 now_us;
+  guint64 self;
+  char data_centre[HBW_NAME_MAX];
+  GRand *random;           /* seeded by the creator of the reducer */
+  HbwEffects *effects;     /* of the step in progress */
+  HbwCatalogue *catalogue; /* newest adopted, or NULL */
+  GHashTable *stops;       /* names of servers and instances that stop */
+  GQueue *loopback;        /* HbwMessage to this instance itself */
+  HbwMembership *membership;
+  HbwMetrics *metrics;
+  HbwQuarantine *quarantine;
+} HbwContext;
+
+/* Sends a copy of MESSAGE to the instance TO; drops it if that one is unknown. */
+void hbw_context_post (HbwContext *context, guint64 to, const HbwMessage *message);
+
+#endif
--- /dev/null
+++ b/include/hornbeamwall/core/documents.h
@@ -0,0 +1,52 @@
+/*
+ * documents - the platform's documents in their newest adopted versions
+ *
+ * A document is offered by the platform's store or by a peer; only a higher
+ * version is ever adopted, whoever offers a lower one.  Peers tell each other
+ * their versions on pings and ask for what is newer.
+ */
+#ifndef HORNBEAMWALL_CORE_DOCUMENTS_H
+#define HORNBEAMWALL_CORE_DOCUMENTS_H
+
+#include "hornbeamwall/common/clock.h"
+#include "hornbeamwall/core/context.h"
+
+/* A document is asked for again only after this time. */
+#define HBW_DOCUMENT_ASK_US (500 * HBW_US_PER_MS)
+
+typedef struct HbwDocuments HbwDocuments;
+
+typedef enum
+{
+  HBW_OFFER_OLDER,
+  HBW_OFFER_SAME,
+  HBW_OFFER_NEWER,
+} HbwOffer;
+
+HbwDocuments *hbw_documents_create (void);
+void hbw_documents_destroy (HbwDocuments *documents);
+
+/* Compares VERSION with the newest that was adopted or found not valid. */
+HbwOffer hbw_documents_compare (const HbwDocuments *documents, HbwDocumentKind kind,
+                                gint64 version);
+
+/* Adopts BODY (takes a reference). */
+void hbw_documents_adopt (HbwDocuments *documents, HbwDocumentKind kind,
+                          gint64 version, GBytes *body);
+
+/* Notes that VERSION is not valid and not to be asked for again. */
+void hbw_documents_reject (HbwDocuments *documents, HbwDocumentKind kind,
+                           gint64 version);
+
+/* Returns the adopted version; 0 is none. */
+gint64 hbw_documents_version (const HbwDocuments *documents, HbwDocumentKind kind);
+
+/* Asks the sender of a ping for every document that it has newer. */
+void hbw_documents_ask (HbwDocuments *documents, HbwContext *context, guint64 from,
+                        const HbwPing *ping);
+
+/* Answers a peer that asked for what is newer than its version. */
+void hbw_documents_answer (const HbwDocuments *documents, HbwContext *context,
+                           guint64 to, const HbwDocument *ask);
+
+#endif
--- /dev/null
+++ b/include/hornbeamwall/core/effect.h
@@ -0,0 +1,100 @@
+/*
+ * effect - everything that the reducer asks the runtime to do
+ */
+#ifndef HORNBEAMWALL_CORE_EFFECT_H
+#define HORNBEAMWALL_CORE_EFFECT_H
+
+#include "hornbeamwall/common/log.h"
+#include "hornbeamwall/core/catalogue.h"
+#include "hornbeamwall/core/message.h"
+
+typedef enum
+{
+  HBW_EFFECT_START_ATTEMPT,
+  HBW_EFFECT_CANCEL_ATTEMPT,
+  HBW_EFFECT_REFUSE,
+  HBW_EFFECT_FINISH, /* nothing more comes: the last outcome stands */
+  HBW_EFFECT_SEND,
+  HBW_EFFECT_POLL_LOAD, /* ask a backend server for its load report */
+  HBW_EFFECT_PUBLISH,   /* a catalogue is in force */
+  HBW_EFFECT_LOG,
+} HbwEffectKind;
+
+typedef enum
+{
+  HBW_EXECUTED_NO,
+  HBW_EXECUTED_UNKNOWN,
+} HbwExecuted;
+
+typedef struct
+{
+  guint64 sequence;
+  guint attempt;
+  char server[HBW_NAME_MAX];
+  char address[HBW_ADDRESS_MAX];
+  gint64 valid_us;
+  HbwTier tier;
+} HbwStart;
+
+typedef struct
+{
+  guint64 sequence;
+  HbwReason reason;
+  HbwExecuted executed;
+  gint64 retry_after_us;
+} HbwRefuse;
+
+typedef struct
+{
+  guint64 to; /* identity of the peer */
+  char address[HBW_ADDRESS_MAX];
+  HbwMessage message; /* owned */
+} HbwSend;
+
+typedef struct
+{
+  char server[HBW_NAME_MAX];
+  char address[HBW_ADDRESS_MAX];
+} HbwPoll;
+
+typedef struct
+{
+  HbwLogEvent number;
+  char *text; /* owned */
+} HbwLogLine;
+
+typedef struct
+{
+  HbwEffectKind kind;
+  union
+  {
+    HbwStart start;
+    guint64 sequence; /* CANCEL_ATTEMPT, FINISH */
+    HbwRefuse refuse;
+    HbwSend send;
+    HbwPoll poll;
+    HbwCatalogue *catalogue; /* owned reference */
+    HbwLogLine log;
+  };
+} HbwEffect;
+
+/* A list of effects in the order in which they were asked for. */
+typedef struct HbwEffects HbwEffects;
+
+HbwEffects *hbw_effects_create (void);
+void hbw_effects_destroy (HbwEffects *effects);
+
+/* Drops all effects. */
+void hbw_effects_clear (HbwEffects *effects);
+
+guint hbw_effects_count (const HbwEffects *effects);
+const HbwEffect *hbw_effects_get (const HbwEffects *effects, guint index);
+
+/* Adds an empty effect of KIND and returns it, valid until the next one is added. */
+HbwEffect *hbw_effects_add (HbwEffects *effects, HbwEffectKind kind);
+
+/* Adds a log line. */
+void hbw_effects_log (HbwEffects *effects, HbwLogEvent number, const char *format,
+                      ...) G_GNUC_PRINTF (3, 4);
+
+#endif
--- /dev/null
+++ b/include/hornbeamwall/core/event.h
@@ -0,0 +1,64 @@
+/*
+ * event - everything that can happen to the reducer
+ */
+#ifndef HORNBEAMWALL_CORE_EVENT_H
+#define HORNBEAMWALL_CORE_EVENT_H
+
+#include "hornbeamwall/core/message.h"
+
+typedef enum
+{
+  HBW_EVENT_TICK,
+  HBW_EVENT_REQUEST_ARRIVED,
+  HBW_EVENT_CALLER_GONE,
+  HBW_EVENT_FIRST_TOKEN,
+  HBW_EVENT_ATTEMPT_ENDED,
+  HBW_EVENT_LOAD_REPORT,
+  HBW_EVENT_DOCUMENT, /* read from the platform's store */
+  HBW_EVENT_STORE_STATE,
+  HBW_EVENT_MESSAGE,
+  HBW_EVENT_DRAIN, /* planned stop of this instance */
+} HbwEventKind;
+
+typedef struct
+{
+  guint64 sequence; /* given by the runtime, never used twice */
+  HbwRequestSpec spec;
+} HbwArrival;
+
+typedef struct
+{
+  guint64 sequence;
+  guint attempt;
+  HbwOutcome outcome;
+  gboolean answer_begun; /* bytes of this answer have reached the caller */
+  gint64 first_token_us; /* from the start of the attempt; 0 where none came */
+  gint64 inter_token_us;
+  guint tokens;
+} HbwAttemptEnd;
+
+typedef struct
+{
+  char server[HBW_NAME_MAX];
+  guint running;
+  guint waiting;
+  gint64 age_us;
+} HbwLoadReport;
+
+typedef struct
+{
+  HbwEventKind kind;
+  gint64 now_us;
+  union
+  {
+    HbwArrival arrival;
+    guint64 sequence; /* CALLER_GONE, FIRST_TOKEN */
+    HbwAttemptEnd end;
+    HbwLoadReport load;
+    HbwDocument document; /* body borrowed for the step */
+    gboolean store_up;
+    HbwMessage message; /* borrowed for the step */
+  };
+} HbwEvent;
+
+#endif
--- /dev/null
+++ b/include/hornbeamwall/core/metrics.h
@@ -0,0 +1,50 @@
+/*
+ * metrics - counters and histograms by class and by organisation
+ *
+ * They are kept by the reducer and rendered in the Prometheus text format.
+ */
+#ifndef HORNBEAMWALL_CORE_METRICS_H
+#define HORNBEAMWALL_CORE_METRICS_H
+
+#include "hornbeamwall/common/histogram.h"
+#include "hornbeamwall/core/context.h"
+
+typedef struct
+{
+  HbwHistogram queue_wait;
+  HbwHistogram first_token;
+  HbwHistogram inter_token;
+  HbwHistogram total;
+  guint64 arrived;
+  guint64 completed;
+  guint64 in_target; /* complete, with first and inter-token time in target */
+  guint64 failed;    /* ended without a whole answer after it may have run */
+  guint64 gone;      /* the caller went away */
+  guint64 refused[HBW_REASON_COUNT];
+  guint64 retries;
+  guint64 good_tokens;
+  guint64 wasted_tokens;
+} HbwClassMetrics;
+
+HbwMetrics *hbw_metrics_create (void);
+void hbw_metrics_destroy (HbwMetrics *metrics);
+
+/* Returns the metrics of a class or organisation, made on first use. */
+HbwClassMetrics *hbw_metrics_class (HbwMetrics *metrics, const char *name);
+HbwClassMetrics *hbw_metrics_organisation (HbwMetrics *metrics, const char *name);
+
+/* Counters of the control plane. */
+typedef struct
+{
+  guint64 messages_sent[HBW_MESSAGE_COUNT];
+  guint64 messages_received[HBW_MESSAGE_COUNT];
+  guint64 grants_handed_back;
+  guint64 spilled;
+} HbwControlMetrics;
+
+HbwControlMetrics *hbw_metrics_control (HbwMetrics *metrics);
+
+/* Adds the metrics to TEXT in the Prometheus text format, sorted by name. */
+void hbw_metrics_render (HbwMetrics *metrics, GString *text);
+
+#endif
--- /dev/null
+++ b/include/hornbeamwall/core/reducer.h
@@ -0,0 +1,57 @@
+/*
+ * reducer - the state of one instance, as a function of its events
+ *
+ * hbw_reducer_step() reads no clock, does no I/O and draws random numbers only from
+ * its seeded generator: the same events give the same effects.  One thread uses a
+ * reducer.
+ */
+#ifndef HORNBEAMWALL_CORE_REDUCER_H
+#define HORNBEAMWALL_CORE_REDUCER_H
+
+#include "hornbeamwall/core/effect.h"
+#include "hornbeamwall/core/event.h"
+#include "hornbeamwall/core/shard.h"
+
+typedef struct HbwReducer HbwReducer;
+
+typedef struct
+{
+  HbwMemberUpdate self;     /* identity, name, data centre and address */
+  const char *const *seeds; /* addresses, NULL at the end; may be NULL */
+  const HbwPolicy *policy;
+  guint32 seed;
+  gint64 now_us;
+} HbwReducerConfig;
+
+HbwReducer *hbw_reducer_create (const HbwReducerConfig *config);
+void hbw_reducer_destroy (HbwReducer *reducer);
+
+/* Takes EVENT in and adds what is to be done to EFFECTS. */
+void hbw_reducer_step (HbwReducer *reducer, const HbwEvent *event,
+                       HbwEffects *effects);
+
+/* Returns whether a catalogue and a list of servers are in force. */
+gboolean hbw_reducer_is_ready (const HbwReducer *reducer);
+
+/* Returns whether this instance is one of those of its data centre that watch the
+   platform's store. */
+gboolean hbw_reducer_is_watcher (const HbwReducer *reducer);
+
+/* Returns how many requests of this instance have not ended. */
+guint hbw_reducer_request_count (const HbwReducer *reducer);
+
+/* Returns the adopted version of a document; 0 is none. */
+gint64 hbw_reducer_version (const HbwReducer *reducer, HbwDocumentKind kind);
+
+/* Adds the metrics in the Prometheus text format. */
+void hbw_reducer_render_metrics (const HbwReducer *reducer, GString *text);
+
+/* Adds the state as a JSON object: versions, members, shards, servers, stops. */
+void hbw_reducer_render_status (const HbwReducer *reducer, GString *text);
+
+/* The parts, for tests and measurements. */
+HbwMetrics *hbw_reducer_metrics (const HbwReducer *reducer);
+HbwShard *hbw_reducer_find_shard (const HbwReducer *reducer, const HbwShardKey *key);
+HbwMembership *hbw_reducer_membership (const HbwReducer *reducer);
+
+#endif
--- /dev/null
+++ b/include/hornbeamwall/runtime/call.h
@@ -0,0 +1,54 @@
+/*
+ * call - the mailbox of one request, between the control thread and the traffic
+ * thread that serves its caller
+ *
+ * Counted by references; thread-safe.
+ */
+#ifndef HORNBEAMWALL_RUNTIME_CALL_H
+#define HORNBEAMWALL_RUNTIME_CALL_H
+
+#include "hornbeamwall/core/effect.h"
+
+typedef struct HbwCall HbwCall;
+
+typedef enum
+{
+  HBW_ORDER_NONE, /* the time is over */
+  HBW_ORDER_START,
+  HBW_ORDER_CANCEL,
+  HBW_ORDER_REFUSE,
+  HBW_ORDER_FINISH,
+  HBW_ORDER_GONE, /* the caller has closed its connection */
+} HbwOrderKind;
+
+typedef struct
+{
+  HbwOrderKind kind;
+  HbwStart start;
+  gint64 expires_us; /* START: the attempt must not connect after this */
+  HbwRefuse refuse;
+} HbwOrder;
+
+/* Creates the mailbox of request SEQUENCE, or NULL where no descriptor is left. */
+HbwCall *hbw_call_create (guint64 sequence);
+HbwCall *hbw_call_ref (HbwCall *call);
+void hbw_call_unref (HbwCall *call);
+
+guint64 hbw_call_sequence (const HbwCall *call);
+
+/* Returns a descriptor that is readable while an order waits. */
+int hbw_call_descriptor (const HbwCall *call);
+
+void hbw_call_post (HbwCall *call, const HbwOrder *order);
+
+/* Takes the next order if there is one. */
+gboolean hbw_call_take (HbwCall *call, HbwOrder *order);
+
+/* Waits for an order, or for the caller at CALLER_FD (-1: not watched) to go away.
+   TIMEOUT_MS of -1 waits for ever. */
+void hbw_call_wait (HbwCall *call, int caller_fd, int timeout_ms, HbwOrder *order);
+
+/* Returns whether the peer of a connected socket has closed it. */
+gboolean hbw_caller_is_gone (int fd);
+
+#endif
--- /dev/null
+++ b/include/hornbeamwall/runtime/settings.h
@@ -0,0 +1,40 @@
+/*
+ * settings - the settings file of one instance
+ */
+#ifndef HORNBEAMWALL_RUNTIME_SETTINGS_H
+#define HORNBEAMWALL_RUNTIME_SETTINGS_H
+
+#include "hornbeamwall/common/error.h"
+#include "hornbeamwall/core/directory.h"
+
+/* Longest token of the administration API, in bytes, with its end mark. */
+#define HBW_TOKEN_MAX 128
+
+typedef struct
+{
+  char name[HBW_NAME_MAX];
+  char data_centre[HBW_NAME_MAX];
+  char caller_address[HBW_ADDRESS_MAX];
+  char admin_address[HBW_ADDRESS_MAX];
+  char peer_address[HBW_ADDRESS_MAX];
+  char platform_address[HBW_ADDRESS_MAX];
+  char admin_token_hash[HBW_TOKEN_MAX]; /* SHA-256 in hexadecimal */
+  GPtrArray *seeds;                     /* peer addresses; NULL at the end */
+  guint connection_limit;
+  guint body_max;              /* bytes of a caller's request */
+  guint answer_max;            /* bytes of a buffered answer */
+  guint connect_timeout_ms;    /* to a backend server */
+  guint first_byte_timeout_ms; /* of an answer */
+  guint stall_timeout_ms;      /* between two pieces of an answer */
+  guint caller_timeout_s;      /* a caller that sends or takes nothing */
+} HbwSettings;
+
+/* Reads and checks the file at PATH as a whole. */
+HbwSettings *hbw_settings_load (const char *path, HbwError *error);
+
+/* Checks TEXT, as hbw_settings_load() does with a file. */
+HbwSettings *hbw_settings_parse (const char *text, gsize length, HbwError *error);
+
+void hbw_settings_destroy (HbwSettings *settings);
+
+#endif
--- /dev/null
+++ b/net/attempt.c
@@ -0,0 +1,425 @@
+#include "hornbeamwall/net/attempt.h"
+
+#include <curl/curl.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <string.h>
+
+/* How long one wait for the network lasts at most, in milliseconds, so that the
+   timeouts are looked at. */
+#define WAIT_MS 100
+
+/* Headers of the protocol towards backend servers. */
+#define HEADER_REQUEST_ID "X-Request-Id"
+#define HEADER_EXECUTED "X-Request-Executed"
+
+/* Bytes of an event stream's line that are looked at. */
+#define LINE_MAX_BYTES 16
+
+struct HbwAttempt
+{
+  HbwAttemptConfig config;
+  CURL *easy;
+  CURLM *multi;
+  struct curl_slist *headers;
+  char url[HBW_ADDRESS_MAX + 2048];
+  gboolean sent;    /* a byte of the request may have left */
+  gboolean expired; /* the grant was too old */
+  gboolean ended;
+  gboolean cancelled;
+  gboolean timed_out;
+  gboolean too_large;
+  gboolean stream;
+  gboolean chunked;
+  gboolean has_length;
+  gboolean other_id;
+  gboolean says_unrun;
+  gboolean stream_done;
+  CURLcode code;
+  char content_type[128];
+  GByteArray *answer;
+  char line[LINE_MAX_BYTES + 1];
+  guint line_length;
+  gint64 started_us;
+  gint64 active_us; /* last byte, or the start */
+  gint64 first_us;  /* first and last piece of the answer; 0 is none */
+  gint64 last_us;
+  guint tokens;
+};
+
+static pthread_once_t curl_once = PTHREAD_ONCE_INIT;
+
+static void
+start_curl (void)
+{
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+}
+
+static int
+before_request (void *data, char *remote G_GNUC_UNUSED, char *local G_GNUC_UNUSED,
+                int remote_port G_GNUC_UNUSED, int local_port G_GNUC_UNUSED)
+{
+  HbwAttempt *attempt = data;
+  if (hbw_clock_now (attempt->config.clock) > attempt->config.expires_us)
+    {
+      attempt->expired = TRUE;
+      return CURL_PREREQFUNC_ABORT;
+    }
+  attempt->sent = TRUE;
+  return CURL_PREREQFUNC_OK;
+}
+
+static gboolean
+header_value (const char *line, gsize length, const char *name, char *value,
+              gsize size)
+{
+  gsize name_length = strlen (name);
+  if (length <= name_length || line[name_length] != ':'
+      || g_ascii_strncasecmp (line, name, name_length) != 0)
+    return FALSE;
+  gsize rest = MIN (length - name_length - 1, size - 1);
+  memcpy (value, line + name_length + 1, rest);
+  value[rest] = '\0';
+  g_strstrip (value);
+  return TRUE;
+}
+
+static size_t
+read_header (char *line, size_t size, size_t count, void *data)
+{
+  HbwAttempt *attempt = data;
+  gsize length = size * count;
+  char value[128];
+  if (header_value (line, length, "Content-Type", value, sizeof value))
+    {
+      g_strlcpy (attempt->content_type, value, sizeof attempt->content_type);
+      attempt->stream = g_str_has_prefix (value, "text/event-stream");
+    }
+  else if (header_value (line, length, "Transfer-Encoding", value, sizeof value))
+    attempt->chunked = strstr (value, "chunked") != NULL;
+  else if (header_value (line, length, "Content-Length", value, sizeof value))
+    attempt->has_length = TRUE;
+  else if (header_value (line, length, HEADER_REQUEST_ID, value, sizeof value))
+    attempt->other_id = strcmp (value, attempt->config.attempt_id) != 0;
+  else if (header_value (line, length, HEADER_EXECUTED, value, sizeof value))
+    attempt->says_unrun = strcmp (value, "no") == 0;
+  return length;
+}
+
+static void
+end_line (HbwAttempt *attempt)
+{
+  attempt->line[MIN (attempt->line_length, LINE_MAX_BYTES)] = '\0';
+  gboolean is_data = g_str_has_prefix (attempt->line, "data:");
+  attempt->line_length = 0;
+  if (!is_data)
+    return;
+  if (strstr (attempt->line, "[DONE]") != NULL)
+    attempt->stream_done = TRUE;
+  else
+    attempt->tokens++;
+}
+
+static void
+scan_stream (HbwAttempt *attempt, const char *bytes, gsize length)
+{
+  for (gsize i = 0; i < length; i++)
+    {
+      if (bytes[i] == '\n')
+        end_line (attempt);
+      else if (bytes[i] != '\r')
+        {
+          if (attempt->line_length < LINE_MAX_BYTES)
+            attempt->line[attempt->line_length] = bytes[i];
+          attempt->line_length++;
+        }
+    }
+}
+
+static size_t
+read_body (char *bytes, size_t size, size_t count, void *data)
+{
+  HbwAttempt *attempt = data;
+  gsize length = size * count;
+  attempt->active_us = hbw_clock_now (attempt->config.clock);
+  if (attempt->first_us == 0)
+    attempt->first_us = attempt->active_us;
+  attempt->last_us = attempt->active_us;
+  if (attempt->answer->len + length > attempt->config.answer_max)
+    {
+      attempt->too_large = TRUE;
+      return 0;
+    }
+  if (attempt->stream)
+    scan_stream (attempt, bytes, length);
+  g_byte_array_append (attempt->answer, (const guint8 *)bytes, (guint)length);
+  return length;
+}
+
+static void
+add_header (HbwAttempt *attempt, const char *name, const char *value)
+{
+  char *line = g_strdup_printf ("%s: %s", name, value);
+  attempt->headers = curl_slist_append (attempt->headers, line);
+  g_free (line);
+}
+
+static void
+set_up (HbwAttempt *attempt)
+{
+  const HbwAttemptConfig *config = &attempt->config;
+  CURL *easy = attempt->easy;
+  add_header (attempt, HEADER_REQUEST_ID, config->attempt_id);
+  add_header (attempt, "Expect", "");
+  if (config->content_type != NULL)
+    add_header (attempt, "Content-Type", config->content_type);
+  curl_easy_setopt (easy, CURLOPT_URL, attempt->url);
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, config->method);
+  if (config->body_length > 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, config->body);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)config->body_length);
+    }
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, attempt->headers);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)config->connect_timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, before_request);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, attempt);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, read_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, attempt);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, read_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, attempt);
+}
+
+HbwAttempt *
+hbw_attempt_create (const HbwAttemptConfig *config)
+{
+  pthread_once (&curl_once, start_curl);
+  HbwAttempt *attempt = g_new0 (HbwAttempt, 1);
+  attempt->config = *config;
+  attempt->answer = g_byte_array_new ();
+  attempt->started_us = hbw_clock_now (config->clock);
+  attempt->active_us = attempt->started_us;
+  g_snprintf (attempt->url, sizeof attempt->url, "http://%s%s", config->address,
+              config->path);
+  attempt->easy = curl_easy_init ();
+  attempt->multi = curl_multi_init ();
+  set_up (attempt);
+  if (attempt->started_us > config->expires_us)
+    {
+      attempt->expired = TRUE;
+      attempt->ended = TRUE;
+    }
+  else
+    curl_multi_add_handle (attempt->multi, attempt->easy);
+  return attempt;
+}
+
+void
+hbw_attempt_destroy (HbwAttempt *attempt)
+{
+  curl_multi_remove_handle (attempt->multi, attempt->easy);
+  curl_easy_cleanup (attempt->easy);
+  curl_multi_cleanup (attempt->multi);
+  curl_slist_free_all (attempt->headers);
+  g_byte_array_free (attempt->answer, TRUE);
+  g_free (attempt);
+}
+
+static void
+collect_end (HbwAttempt *attempt)
+{
+  int left;
+  const CURLMsg *message = curl_multi_info_read (attempt->multi, &left);
+  if (message == NULL || message->msg != CURLMSG_DONE)
+    return;
+  attempt->code = message->data.result;
+  attempt->ended = TRUE;
+}
+
+static void
+look_at_orders (HbwAttempt *attempt)
+{
+  HbwOrder order;
+  while (hbw_call_take (attempt->config.call, &order))
+    if (order.kind == HBW_ORDER_CANCEL)
+      attempt->cancelled = TRUE;
+  if (hbw_caller_is_gone (attempt->config.caller_fd))
+    attempt->cancelled = TRUE;
+  if (attempt->cancelled)
+    attempt->ended = TRUE;
+}
+
+static void
+look_at_timeouts (HbwAttempt *attempt)
+{
+  const HbwAttemptConfig *config = &attempt->config;
+  guint limit_ms = attempt->first_us == 0 ? config->first_byte_timeout_ms
+                                          : config->stall_timeout_ms;
+  gint64 silent = hbw_clock_now (config->clock) - attempt->active_us;
+  if (silent <= limit_ms * HBW_US_PER_MS)
+    return;
+  attempt->timed_out = TRUE;
+  attempt->ended = TRUE;
+}
+
+static void
+wait_once (HbwAttempt *attempt)
+{
+  struct curl_waitfd extra[] = {
+    { hbw_call_descriptor (attempt->config.call), CURL_WAIT_POLLIN, 0 },
+    { attempt->config.caller_fd, CURL_WAIT_POLLIN, 0 },
+  };
+  /* A caller that sends more ahead of its answer would keep its descriptor
+     readable; its end is then found at the next look. */
+  char peek;
+  gboolean watch
+      = attempt->config.caller_fd >= 0
+        && recv (attempt->config.caller_fd, &peek, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+  curl_multi_poll (attempt->multi, extra, watch ? 2 : 1, WAIT_MS, NULL);
+}
+
+static void
+advance (HbwAttempt *attempt)
+{
+  int running;
+  curl_multi_perform (attempt->multi, &running);
+  collect_end (attempt);
+  if (attempt->other_id)
+    attempt->ended = TRUE;
+  if (!attempt->ended)
+    look_at_orders (attempt);
+  if (!attempt->ended)
+    look_at_timeouts (attempt);
+}
+
+static void
+run_until_bytes (HbwAttempt *attempt, gboolean any_answer)
+{
+  while (!attempt->ended)
+    {
+      advance (attempt);
+      gboolean enough = (attempt->stream || any_answer) && attempt->answer->len > 0;
+      if (attempt->ended || enough)
+        return;
+      wait_once (attempt);
+    }
+}
+
+void
+hbw_attempt_begin (HbwAttempt *attempt)
+{
+  run_until_bytes (attempt, FALSE);
+}
+
+gboolean
+hbw_attempt_has_ended (const HbwAttempt *attempt)
+{
+  return attempt->ended;
+}
+
+gboolean
+hbw_attempt_is_stream (const HbwAttempt *attempt)
+{
+  return attempt->stream && !attempt->other_id;
+}
+
+guint
+hbw_attempt_status (const HbwAttempt *attempt)
+{
+  long status = 0;
+  curl_easy_getinfo (attempt->easy, CURLINFO_RESPONSE_CODE, &status);
+  return (guint)status;
+}
+
+const char *
+hbw_attempt_content_type (const HbwAttempt *attempt)
+{
+  return attempt->content_type;
+}
+
+gsize
+hbw_attempt_read (HbwAttempt *attempt, char *buffer, gsize size)
+{
+  run_until_bytes (attempt, TRUE);
+  gsize length = MIN (size, attempt->answer->len);
+  if (length == 0)
+    return 0;
+  memcpy (buffer, attempt->answer->data, length);
+  g_byte_array_remove_range (attempt->answer, 0, (guint)length);
+  return length;
+}
+
+const GByteArray *
+hbw_attempt_answer (const HbwAttempt *attempt)
+{
+  return attempt->answer;
+}
+
+static gboolean
+has_end_marker (const HbwAttempt *attempt)
+{
+  if (attempt->stream)
+    return attempt->stream_done;
+  return attempt->has_length || attempt->chunked
+         || hbw_attempt_status (attempt) == 204;
+}
+
+static gboolean
+is_refusal (const HbwAttempt *attempt)
+{
+  guint status = hbw_attempt_status (attempt);
+  return attempt->says_unrun && (status == 429 || status == 503);
+}
+
+static HbwOutcome
+outcome_of (const HbwAttempt *attempt)
+{
+  if (attempt->expired)
+    return HBW_OUTCOME_UNUSED;
+  if (attempt->cancelled || !attempt->ended)
+    return HBW_OUTCOME_CANCELLED;
+  if (!attempt->sent)
+    return HBW_OUTCOME_NOT_CONNECTED;
+  if (attempt->timed_out)
+    return HBW_OUTCOME_TIMED_OUT;
+  if (attempt->code != CURLE_OK || attempt->other_id)
+    return HBW_OUTCOME_BROKEN;
+  if (is_refusal (attempt))
+    return HBW_OUTCOME_REFUSED;
+  return has_end_marker (attempt) ? HBW_OUTCOME_COMPLETE : HBW_OUTCOME_BROKEN;
+}
+
+/* An answer that is not a stream tells its tokens in "usage". */
+static guint
+count_tokens (const HbwAttempt *attempt)
+{
+  if (attempt->stream || strstr (attempt->content_type, "json") == NULL)
+    return attempt->tokens;
+  json_t *root = json_loadb ((const char *)attempt->answer->data,
+                             attempt->answer->len, 0, NULL);
+  json_t *usage = json_object_get (root, "usage");
+  json_int_t tokens
+      = json_integer_value (json_object_get (usage, "completion_tokens"));
+  json_decref (root);
+  return (guint)CLAMP (tokens, 0, G_MAXINT32);
+}
+
+void
+hbw_attempt_result (const HbwAttempt *attempt, HbwAttemptEnd *end)
+{
+  end->outcome = outcome_of (attempt);
+  end->tokens = count_tokens (attempt);
+  if (attempt->first_us > 0)
+    end->first_token_us = MAX (1, attempt->first_us - attempt->started_us);
+  if (attempt->stream && end->tokens > 1)
+    end->inter_token_us
+        = (attempt->last_us - attempt->first_us) / (gint64)(end->tokens - 1);
+}
--- /dev/null
+++ b/net/caller.c
@@ -0,0 +1,257 @@
+#include "hornbeamwall/net/caller.h"
+
+#include "hornbeamwall/core/spec.h"
+#include "hornbeamwall/net/relay.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#define SERVICES_PREFIX "/services/"
+
+struct HbwCaller
+{
+  HbwControl *control;
+  const HbwSettings *settings;
+  HbwHttp *http;
+};
+
+static enum MHD_Result
+problem (HbwHttpRequest *request, guint status, const char *title,
+         const char *remedy)
+{
+  const HbwProblem value
+      = { .status = status, .title = title, .remedy = remedy, .executed = "no" };
+  return hbw_http_problem (request, &value);
+}
+
+static enum MHD_Result
+not_ready (HbwHttpRequest *request)
+{
+  const HbwProblem value = { .status = 503,
+                             .title = "this instance has no catalogue yet",
+                             .remedy = "send it again after retry_after_ms",
+                             .executed = "no",
+                             .retry_after_us = HBW_US_PER_S };
+  return hbw_http_problem (request, &value);
+}
+
+static enum MHD_Result
+spec_problem (HbwHttpRequest *request, HbwSpecResult result, const HbwError *error)
+{
+  switch (result)
+    {
+    case HBW_SPEC_NO_POOL:
+      return problem (request, 404, "no such model or service", error->message);
+    case HBW_SPEC_NO_CLASS:
+      return problem (request, 400, "no such class", error->message);
+    case HBW_SPEC_CLASS_FORBIDDEN:
+      return problem (request, 403, "class not allowed", error->message);
+    default:
+      return problem (request, 400, "request header not valid", error->message);
+    }
+}
+
+static enum MHD_Result
+relay (HbwCaller *caller, HbwHttpRequest *request, const HbwCatalogue *catalogue,
+       const HbwOrganisation *organisation, HbwSpecInput *input,
+       HbwRelayConfig *config)
+{
+  HbwError error = { HBW_ERROR_NONE, "" };
+  input->class_name = hbw_http_header (request, "Hornbeamwall-Class");
+  input->idempotent = hbw_http_header (request, "Hornbeamwall-Idempotent");
+  input->deadline_ms = hbw_http_header (request, "Hornbeamwall-Deadline-Ms");
+  input->body = (const char *)request->body->data;
+  input->body_length = request->body->len;
+  HbwSpecResult result
+      = hbw_spec_fill (&config->spec, catalogue, organisation, input, &error);
+  if (result != HBW_SPEC_OK)
+    return spec_problem (request, result, &error);
+  config->control = caller->control;
+  config->settings = caller->settings;
+  return hbw_relay_run (config, request);
+}
+
+/* Gives the engine the tier as its priority. */
+static char *
+engine_body (json_t *root, HbwTier tier)
+{
+  json_object_set_new (root, "priority", json_integer (tier));
+  return json_dumps (root, JSON_COMPACT);
+}
+
+static HbwTier
+tier_of (const HbwCatalogue *catalogue, const HbwOrganisation *organisation,
+         const HbwHttpRequest *request)
+{
+  const char *name = hbw_http_header (request, "Hornbeamwall-Class");
+  if (name == NULL)
+    name = g_ptr_array_index (organisation->class_names, 0);
+  const HbwClass *class = hbw_catalogue_class (catalogue, name);
+  return class != NULL ? class->tier : HBW_TIER_COUNT - 1;
+}
+
+static enum MHD_Result
+handle_completion (HbwCaller *caller, HbwHttpRequest *request,
+                   const HbwCatalogue *catalogue,
+                   const HbwOrganisation *organisation)
+{
+  json_t *root = json_loadb ((const char *)request->body->data, request->body->len,
+                             JSON_REJECT_DUPLICATES, NULL);
+  const char *model = json_string_value (json_object_get (root, "model"));
+  if (model == NULL)
+    {
+      json_decref (root);
+      return problem (request, 400, "request body not valid",
+                      "send a JSON object with a model");
+    }
+  char *pool = g_strdup (model);
+  HbwSpecInput input = { .pool = pool };
+  input.max_tokens = json_integer_value (json_object_get (root, "max_tokens"));
+  char *body = engine_body (root, tier_of (catalogue, organisation, request));
+  json_decref (root);
+  HbwRelayConfig config = { .path = request->path };
+  config.body = body;
+  config.body_length = strlen (body);
+  enum MHD_Result result
+      = relay (caller, request, catalogue, organisation, &input, &config);
+  free (body);
+  g_free (pool);
+  return result;
+}
+
+static enum MHD_Result
+handle_service (HbwCaller *caller, HbwHttpRequest *request,
+                const HbwCatalogue *catalogue, const HbwOrganisation *organisation)
+{
+  const char *name = request->target + strlen (SERVICES_PREFIX);
+  const char *rest = strpbrk (name, "/?");
+  if (rest == NULL)
+    rest = name + strlen (name);
+  char *service = g_strndup (name, (gsize)(rest - name));
+  char *path = g_strconcat (*rest == '/' ? "" : "/", rest, NULL);
+  HbwSpecInput input = { .pool = service };
+  HbwRelayConfig config = { .path = path };
+  config.body = (const char *)request->body->data;
+  config.body_length = request->body->len;
+  const HbwPool *pool = hbw_catalogue_pool (catalogue, service);
+  enum MHD_Result result
+      = pool != NULL && !pool->is_service
+            ? problem (request, 404, "no such service",
+                       "call models under /v1/chat/completions")
+            : relay (caller, request, catalogue, organisation, &input, &config);
+  g_free (path);
+  g_free (service);
+  return result;
+}
+
+static enum MHD_Result
+handle_models (HbwHttpRequest *request, const HbwCatalogue *catalogue)
+{
+  json_t *list = json_array ();
+  GList *names = hbw_catalogue_pool_names (catalogue);
+  for (GList *at = names; at != NULL; at = at->next)
+    json_array_append_new (
+        list,
+        json_pack ("{s:s, s:s}", "id", at->data, "object",
+                   hbw_catalogue_pool (catalogue, at->data)->is_service ? "service"
+                                                                        : "model"));
+  g_list_free (names);
+  json_t *root = json_pack ("{s:s, s:o}", "object", "list", "data", list);
+  char *text = json_dumps (root, JSON_COMPACT);
+  json_decref (root);
+  enum MHD_Result result
+      = hbw_http_answer (request, 200, "application/json", text, strlen (text));
+  free (text);
+  return result;
+}
+
+static enum MHD_Result
+dispatch (HbwCaller *caller, HbwHttpRequest *request, const HbwCatalogue *catalogue,
+          const HbwOrganisation *organisation)
+{
+  gboolean is_post = strcmp (request->method, "POST") == 0;
+  gboolean is_get = strcmp (request->method, "GET") == 0;
+  if (g_str_has_prefix (request->target, SERVICES_PREFIX))
+    return handle_service (caller, request, catalogue, organisation);
+  if (is_get && strcmp (request->path, "/v1/models") == 0)
+    return handle_models (request, catalogue);
+  if (is_post
+      && (strcmp (request->path, "/v1/chat/completions") == 0
+          || strcmp (request->path, "/v1/completions") == 0))
+    return handle_completion (caller, request, catalogue, organisation);
+  return problem (request, 404, "no such path",
+                  "use /v1/chat/completions, /v1/completions, /v1/models or "
+                  "/services/NAME/");
+}
+
+static enum MHD_Result
+handle_health (HbwCaller *caller, HbwHttpRequest *request)
+{
+  static const char text[] = "ok\n";
+  gboolean wants_ready = strcmp (request->path, "/readyz") == 0;
+  if (wants_ready && !hbw_control_is_ready (caller->control))
+    return not_ready (request);
+  return hbw_http_answer (request, 200, "text/plain", text, strlen (text));
+}
+
+static enum MHD_Result
+handle (HbwHttpRequest *request, void *data)
+{
+  HbwCaller *caller = data;
+  if (strcmp (request->path, "/healthz") == 0
+      || strcmp (request->path, "/readyz") == 0)
+    return handle_health (caller, request);
+  HbwCatalogue *catalogue
+      = hbw_snapshot_acquire (hbw_control_snapshot (caller->control));
+  if (catalogue == NULL)
+    return not_ready (request);
+  const char *key = hbw_http_bearer (request);
+  const HbwOrganisation *organisation
+      = key != NULL ? hbw_catalogue_authenticate (catalogue, key) : NULL;
+  enum MHD_Result result
+      = organisation != NULL
+            ? dispatch (caller, request, catalogue, organisation)
+            : problem (request, 401, "key not known",
+                       "send Authorization: Bearer with a key of the catalogue");
+  hbw_catalogue_unref (catalogue);
+  return result;
+}
+
+HbwCaller *
+hbw_caller_create (HbwControl *control, const HbwSettings *settings, HbwError *error)
+{
+  HbwCaller *caller = g_new0 (HbwCaller, 1);
+  caller->control = control;
+  caller->settings = settings;
+  const HbwHttpConfig config = {
+    .address = settings->caller_address,
+    .connection_limit = settings->connection_limit,
+    .timeout_s = settings->caller_timeout_s,
+    .body_max = settings->body_max,
+    .handler = handle,
+    .data = caller,
+  };
+  caller->http = hbw_http_create (&config, error);
+  if (caller->http == NULL)
+    g_clear_pointer (&caller, g_free);
+  return caller;
+}
+
+void
+hbw_caller_quiesce (HbwCaller *caller)
+{
+  hbw_http_quiesce (caller->http);
+}
+
+void
+hbw_caller_destroy (HbwCaller *caller)
+{
+  hbw_http_destroy (caller->http);
+  g_free (caller);
+}
+
+guint
+hbw_caller_port (const HbwCaller *caller)
+{
+  return hbw_http_port (caller->http);
+}
--- /dev/null
+++ b/net/http.c
@@ -0,0 +1,281 @@
+#include "hornbeamwall/net/http.h"
+
+#include "hornbeamwall/common/clock.h"
+#include "hornbeamwall/core/directory.h"
+
+#include <arpa/inet.h>
+#include <jansson.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Stack of a connection's thread, and memory for its headers, in bytes. */
+#define CONNECTION_STACK ((size_t)256 * 1024)
+#define CONNECTION_MEMORY ((size_t)32 * 1024)
+
+struct HbwHttp
+{
+  struct MHD_Daemon *daemon;
+  HbwHttpHandler handler;
+  void *data;
+  gsize body_max;
+  MHD_socket quiesced;
+};
+
+static void *
+begin_request (void *data G_GNUC_UNUSED, const char *uri,
+               struct MHD_Connection *connection)
+{
+  HbwHttpRequest *request = g_new0 (HbwHttpRequest, 1);
+  request->connection = connection;
+  request->target = g_strdup (uri);
+  request->body = g_byte_array_new ();
+  return request;
+}
+
+static void
+end_request (void *data G_GNUC_UNUSED,
+             struct MHD_Connection *connection G_GNUC_UNUSED, void **state,
+             enum MHD_RequestTerminationCode code G_GNUC_UNUSED)
+{
+  HbwHttpRequest *request = *state;
+  if (request == NULL)
+    return;
+  g_byte_array_free (request->body, TRUE);
+  g_free (request->target);
+  g_free (request);
+  *state = NULL;
+}
+
+static enum MHD_Result
+reject (HbwHttpRequest *request, guint status, const char *title, const char *remedy)
+{
+  const HbwProblem problem
+      = { .status = status, .title = title, .remedy = remedy, .executed = "no" };
+  return hbw_http_problem (request, &problem);
+}
+
+static enum MHD_Result
+handle (void *data, struct MHD_Connection *connection G_GNUC_UNUSED, const char *url,
+        const char *method, const char *version G_GNUC_UNUSED, const char *upload,
+        size_t *upload_size, void **state)
+{
+  HbwHttp *http = data;
+  HbwHttpRequest *request = *state;
+  request->method = method;
+  request->path = url;
+  if (!request->begun)
+    {
+      request->begun = TRUE;
+      return MHD_YES;
+    }
+  if (*upload_size > 0)
+    {
+      if (request->body->len + *upload_size > http->body_max)
+        request->too_large = TRUE;
+      else
+        g_byte_array_append (request->body, (const guint8 *)upload,
+                             (guint)*upload_size);
+      *upload_size = 0;
+      return MHD_YES;
+    }
+  if (request->too_large)
+    return reject (request, 413, "request body too large", "send a smaller body");
+  if (strlen (request->target) > HBW_PATH_MAX)
+    return reject (request, 414, "path too long", "send a shorter path");
+  return http->handler (request, http->data);
+}
+
+static gboolean
+parse_address (const char *text, struct sockaddr_in *address)
+{
+  char host[HBW_ADDRESS_MAX];
+  const char *colon = strrchr (text, ':');
+  if (colon == NULL)
+    return FALSE;
+  g_strlcpy (host, text, MIN (sizeof host, (gsize)(colon - text) + 1));
+  memset (address, 0, sizeof *address);
+  address->sin_family = AF_INET;
+  address->sin_port = htons ((guint16)g_ascii_strtoull (colon + 1, NULL, 10));
+  return inet_pton (AF_INET, host, &address->sin_addr) == 1;
+}
+
+HbwHttp *
+hbw_http_create (const HbwHttpConfig *config, HbwError *error)
+{
+  struct sockaddr_in address;
+  HbwHttp *http = g_new0 (HbwHttp, 1);
+  http->handler = config->handler;
+  http->data = config->data;
+  http->body_max = config->body_max;
+  http->quiesced = MHD_INVALID_SOCKET;
+  if (parse_address (config->address, &address))
+    http->daemon = MHD_start_daemon (
+        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD
+            | MHD_USE_POLL | MHD_USE_ITC,
+        0, NULL, NULL, handle, http, MHD_OPTION_SOCK_ADDR, &address,
+        MHD_OPTION_URI_LOG_CALLBACK, begin_request, NULL,
+        MHD_OPTION_NOTIFY_COMPLETED, end_request, NULL, MHD_OPTION_CONNECTION_LIMIT,
+        config->connection_limit, MHD_OPTION_CONNECTION_TIMEOUT, config->timeout_s,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY,
+        MHD_OPTION_THREAD_STACK_SIZE, CONNECTION_STACK,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  if (http->daemon != NULL)
+    return http;
+  hbw_error_set (error, HBW_ERROR_NETWORK,
+                 "cannot listen at %s; give an address of this machine that is free",
+                 config->address);
+  g_free (http);
+  return NULL;
+}
+
+void
+hbw_http_quiesce (HbwHttp *http)
+{
+  if (http->quiesced == MHD_INVALID_SOCKET)
+    http->quiesced = MHD_quiesce_daemon (http->daemon);
+}
+
+void
+hbw_http_destroy (HbwHttp *http)
+{
+  MHD_stop_daemon (http->daemon);
+  if (http->quiesced != MHD_INVALID_SOCKET)
+    close (http->quiesced);
+  g_free (http);
+}
+
+guint
+hbw_http_port (const HbwHttp *http)
+{
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (http->daemon, MHD_DAEMON_INFO_BIND_PORT);
+  return info != NULL ? info->port : 0;
+}
+
+const char *
+hbw_http_header (const HbwHttpRequest *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, name);
+}
+
+const char *
+hbw_http_bearer (const HbwHttpRequest *request)
+{
+  static const char scheme[] = "Bearer ";
+  const char *value = hbw_http_header (request, "Authorization");
+  if (value == NULL || g_ascii_strncasecmp (value, scheme, strlen (scheme)) != 0)
+    return NULL;
+  return value + strlen (scheme);
+}
+
+int
+hbw_http_caller_fd (const HbwHttpRequest *request)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  return info != NULL ? info->connect_fd : -1;
+}
+
+static enum MHD_Result
+queue_answer (HbwHttpRequest *request, guint status, const char *content_type,
+              const char *body, gsize length, gint64 retry_after_us)
+{
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      length, (void *)body, MHD_RESPMEM_MUST_COPY);
+  if (content_type != NULL && *content_type != '\0')
+    MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
+  if (retry_after_us > 0)
+    {
+      char seconds[32];
+      g_snprintf (seconds, sizeof seconds, "%" G_GINT64_FORMAT,
+                  (retry_after_us + HBW_US_PER_S - 1) / HBW_US_PER_S);
+      MHD_add_response_header (response, MHD_HTTP_HEADER_RETRY_AFTER, seconds);
+    }
+  enum MHD_Result result
+      = MHD_queue_response (request->connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+enum MHD_Result
+hbw_http_answer (HbwHttpRequest *request, guint status, const char *content_type,
+                 const char *body, gsize length)
+{
+  return queue_answer (request, status, content_type, body, length, 0);
+}
+
+enum MHD_Result
+hbw_http_problem (HbwHttpRequest *request, const HbwProblem *problem)
+{
+  char *body = hbw_problem_format (problem);
+  enum MHD_Result result
+      = queue_answer (request, problem->status, "application/problem+json", body,
+                      strlen (body), problem->retry_after_us);
+  g_free (body);
+  return result;
+}
+
+char *
+hbw_problem_format (const HbwProblem *problem)
+{
+  json_t *root = json_pack ("{s:s, s:i, s:s}", "type", "about:blank", "status",
+                            (int)problem->status, "title", problem->title);
+  if (problem->detail != NULL)
+    json_object_set_new (root, "detail", json_string (problem->detail));
+  if (problem->remedy != NULL)
+    json_object_set_new (root, "remedy", json_string (problem->remedy));
+  if (problem->executed != NULL)
+    json_object_set_new (root, "executed", json_string (problem->executed));
+  if (problem->retry_after_us > 0)
+    json_object_set_new (root, "retry_after_ms",
+                         json_integer (problem->retry_after_us / HBW_US_PER_MS));
+  char *dump = json_dumps (root, JSON_COMPACT);
+  char *text = g_strdup (dump);
+  free (dump);
+  json_decref (root);
+  return text;
+}
+
+typedef struct
+{
+  guint status;
+  const char *title;
+  const char *remedy;
+} ReasonText;
+
+static const ReasonText reason_texts[HBW_REASON_COUNT] = {
+  [HBW_REASON_QUEUE_FULL]
+  = { 503, "the queue of this class is full", "send it again after retry_after_ms" },
+  [HBW_REASON_DEADLINE]
+  = { 504, "the deadline cannot be met", "allow more time or send it again later" },
+  [HBW_REASON_LIMIT] = { 429, "the organisation's limit is used up",
+                         "send it again after retry_after_ms" },
+  [HBW_REASON_NO_SERVER] = { 503, "no backend server could take the request",
+                             "send it again after retry_after_ms" },
+  [HBW_REASON_QUARANTINED]
+  = { 422, "backend servers failed while they ran this request",
+      "change the request; it is refused until retry_after_ms have passed" },
+  [HBW_REASON_BROKEN] = { 502, "the backend server's answer broke off",
+                          "send it again only if it may run twice" },
+  [HBW_REASON_DRAINING]
+  = { 503, "this instance is stopping", "send it again over a new connection" },
+  [HBW_REASON_DUPLICATE_KEY]
+  = { 409, "a request with this Idempotency-Key was accepted before",
+      "look up the outcome of the first one" },
+  [HBW_REASON_OVERLOADED] = { 503, "this instance holds too many requests",
+                              "send it again after retry_after_ms" },
+};
+
+HbwProblem
+hbw_problem_of_refusal (const HbwRefuse *refuse)
+{
+  const ReasonText *text = &reason_texts[refuse->reason];
+  HbwProblem problem = { .status = text->status,
+                         .title = text->title,
+                         .detail = hbw_reason_name (refuse->reason),
+                         .remedy = text->remedy };
+  problem.executed = refuse->executed == HBW_EXECUTED_NO ? "no" : "unknown";
+  problem.retry_after_us = refuse->retry_after_us;
+  return problem;
+}
--- /dev/null
+++ b/net/platform.c
@@ -0,0 +1,204 @@
+#include "hornbeamwall/net/platform.h"
+
+#include <neon/ne_request.h>
+#include <neon/ne_session.h>
+#include <neon/ne_socket.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* How long the store may take to accept a connection or to answer, in seconds. */
+#define CONNECT_TIMEOUT_S 2
+#define READ_TIMEOUT_S 5
+
+/* Largest object that is read, in bytes. */
+#define OBJECT_MAX (1024 * 1024)
+
+struct HbwPlatform
+{
+  char *host;
+  guint port;
+};
+
+typedef struct
+{
+  GByteArray *body;
+  gboolean too_large;
+} Download;
+
+static pthread_once_t neon_once = PTHREAD_ONCE_INIT;
+
+static void
+start_neon (void)
+{
+  ne_sock_init ();
+}
+
+static int
+read_block (void *data, const char *bytes, size_t length)
+{
+  Download *download = data;
+  if (download->body->len + length > OBJECT_MAX)
+    {
+      download->too_large = TRUE;
+      return NE_ERROR;
+    }
+  g_byte_array_append (download->body, (const guint8 *)bytes, (guint)length);
+  return 0;
+}
+
+static gint64
+version_of (ne_request *request)
+{
+  const char *tag = ne_get_response_header (request, "ETag");
+  if (tag == NULL)
+    return 0;
+  return g_ascii_strtoll (*tag == '"' ? tag + 1 : tag, NULL, 10);
+}
+
+static HbwStoreResult
+result_of_status (int status)
+{
+  switch (status)
+    {
+    case 200:
+    case 201:
+      return HBW_STORE_OK;
+    case 304:
+      return HBW_STORE_UNCHANGED;
+    case 404:
+      return HBW_STORE_ABSENT;
+    case 409:
+    case 412:
+      return HBW_STORE_CONFLICT;
+    default:
+      return HBW_STORE_FAILED;
+    }
+}
+
+static ne_session *
+open_session (HbwPlatform *platform, int extra_wait_s)
+{
+  ne_session *session = ne_session_create ("http", platform->host, platform->port);
+  ne_set_session_flag (session, NE_SESSFLAG_PERSIST, 0);
+  ne_set_connect_timeout (session, CONNECT_TIMEOUT_S);
+  ne_set_read_timeout (session, READ_TIMEOUT_S + extra_wait_s);
+  return session;
+}
+
+static HbwStoreAnswer
+dispatch (ne_session *session, ne_request *request, gboolean is_write,
+          HbwError *error)
+{
+  HbwStoreAnswer answer = { HBW_STORE_FAILED, 0, NULL };
+  Download download = { g_byte_array_new (), FALSE };
+  ne_add_response_body_reader (request, ne_accept_2xx, read_block, &download);
+  int code = ne_request_dispatch (request);
+  int status = ne_get_status (request)->code;
+  if (code == NE_OK)
+    {
+      answer.result = result_of_status (status);
+      answer.version = version_of (request);
+    }
+  else if (is_write && code != NE_LOOKUP && code != NE_CONNECT)
+    answer.result = HBW_STORE_UNKNOWN;
+  if (code != NE_OK)
+    hbw_error_set (error, HBW_ERROR_STORE,
+                   "platform store: %s; try again when it answers",
+                   ne_get_error (session));
+  else if (answer.result == HBW_STORE_FAILED)
+    hbw_error_set (error, HBW_ERROR_STORE,
+                   "platform store: answer %d; try again later", status);
+  if (answer.result == HBW_STORE_OK && !is_write)
+    answer.body = g_byte_array_free_to_bytes (download.body);
+  else
+    g_byte_array_free (download.body, TRUE);
+  return answer;
+}
+
+HbwPlatform *
+hbw_platform_create (const char *address, HbwError *error)
+{
+  pthread_once (&neon_once, start_neon);
+  const char *colon = strrchr (address, ':');
+  long port = colon != NULL ? strtol (colon + 1, NULL, 10) : 0;
+  if (port <= 0 || port > G_MAXUINT16)
+    {
+      hbw_error_set (error, HBW_ERROR_SETTINGS,
+                     "platform address %s: give an IP number and a port", address);
+      return NULL;
+    }
+  HbwPlatform *platform = g_new0 (HbwPlatform, 1);
+  platform->host = g_strndup (address, (gsize)(colon - address));
+  platform->port = (guint)port;
+  return platform;
+}
+
+void
+hbw_platform_destroy (HbwPlatform *platform)
+{
+  g_free (platform->host);
+  g_free (platform);
+}
+
+static HbwStoreAnswer
+read_object (HbwPlatform *platform, const char *path, int extra_wait_s,
+             HbwError *error)
+{
+  ne_session *session = open_session (platform, extra_wait_s);
+  ne_request *request = ne_request_create (session, "GET", path);
+  HbwStoreAnswer answer = dispatch (session, request, FALSE, error);
+  ne_request_destroy (request);
+  ne_session_destroy (session);
+  return answer;
+}
+
+HbwStoreAnswer
+hbw_platform_get (HbwPlatform *platform, const char *name, HbwError *error)
+{
+  char *path = g_strdup_printf ("/objects/%s", name);
+  HbwStoreAnswer answer = read_object (platform, path, 0, error);
+  g_free (path);
+  return answer;
+}
+
+HbwStoreAnswer
+hbw_platform_get_path (HbwPlatform *platform, const char *path, HbwError *error)
+{
+  return read_object (platform, path, 0, error);
+}
+
+HbwStoreAnswer
+hbw_platform_watch (HbwPlatform *platform, const char *name, gint64 version,
+                    guint timeout_ms, HbwError *error)
+{
+  char *path
+      = g_strdup_printf ("/objects/%s?watch=%" G_GINT64_FORMAT "&timeout_ms=%u",
+                         name, version, timeout_ms);
+  HbwStoreAnswer answer
+      = read_object (platform, path, (int)(timeout_ms / 1000) + 1, error);
+  g_free (path);
+  return answer;
+}
+
+HbwStoreAnswer
+hbw_platform_put (HbwPlatform *platform, const char *name, gint64 version,
+                  const char *body, gsize length, HbwError *error)
+{
+  char *path = g_strdup_printf ("/objects/%s", name);
+  ne_session *session = open_session (platform, 0);
+  ne_request *request = ne_request_create (session, "PUT", path);
+  ne_set_request_flag (request, NE_REQFLAG_IDEMPOTENT, 0);
+  ne_set_request_body_buffer (request, body, length);
+  ne_add_request_header (request, "Content-Type", "application/json");
+  if (version > 0)
+    ne_print_request_header (request, "If-Match", "\"%" G_GINT64_FORMAT "\"",
+                             version);
+  else
+    ne_add_request_header (request, "If-None-Match", "*");
+  HbwStoreAnswer answer = dispatch (session, request, TRUE, error);
+  ne_request_destroy (request);
+  ne_session_destroy (session);
+  g_free (path);
+  return answer;
+}
--- /dev/null
+++ b/net/relay.c
@@ -0,0 +1,273 @@
+#include "hornbeamwall/net/relay.h"
+
+#include "hornbeamwall/net/attempt.h"
+
+#include <string.h>
+
+/* Size of the pieces in which a stream is handed on, in bytes. */
+#define STREAM_BLOCK ((size_t)16 * 1024)
+
+/* Longest text of an attempt's id, in bytes, with its end mark. */
+#define ATTEMPT_ID_MAX 64
+
+typedef struct
+{
+  HbwControl *control;
+  HbwCall *call;
+  HbwAttempt *attempt;
+  HbwAttemptConfig config;
+  guint number; /* of the attempt, as the reducer counts */
+  char attempt_id[ATTEMPT_ID_MAX];
+  char address[HBW_ADDRESS_MAX];
+  char *method;
+  char *path;
+  char *content_type;
+  char *body;
+  gboolean reported; /* the attempt's end was submitted */
+  gboolean told;     /* the caller of a stream got its end or an error event */
+} Relay;
+
+static Relay *
+relay_create (const HbwRelayConfig *config, HbwHttpRequest *request)
+{
+  HbwCall *call = hbw_call_create (hbw_control_next_sequence (config->control));
+  if (call == NULL)
+    return NULL;
+  Relay *relay = g_new0 (Relay, 1);
+  relay->control = config->control;
+  relay->call = call;
+  relay->method = g_strdup (request->method);
+  relay->path = g_strdup (config->path);
+  relay->content_type = g_strdup (hbw_http_header (request, "Content-Type"));
+  relay->body = g_strndup (config->body, config->body_length);
+  HbwAttemptConfig *attempt = &relay->config;
+  attempt->method = relay->method;
+  attempt->address = relay->address;
+  attempt->path = relay->path;
+  attempt->content_type = relay->content_type;
+  attempt->body = relay->body;
+  attempt->body_length = config->body_length;
+  attempt->attempt_id = relay->attempt_id;
+  attempt->connect_timeout_ms = config->settings->connect_timeout_ms;
+  attempt->first_byte_timeout_ms = config->settings->first_byte_timeout_ms;
+  attempt->stall_timeout_ms = config->settings->stall_timeout_ms;
+  attempt->answer_max = config->settings->answer_max;
+  attempt->clock = hbw_control_clock (config->control);
+  attempt->call = relay->call;
+  attempt->caller_fd = hbw_http_caller_fd (request);
+  return relay;
+}
+
+static void
+report_end (Relay *relay, const HbwAttemptEnd *end)
+{
+  HbwEvent event = { .kind = HBW_EVENT_ATTEMPT_ENDED, .end = *end };
+  event.end.sequence = hbw_call_sequence (relay->call);
+  event.end.attempt = relay->number;
+  hbw_control_submit (relay->control, &event, NULL);
+  relay->reported = TRUE;
+}
+
+static void
+drop_attempt (Relay *relay)
+{
+  g_clear_pointer (&relay->attempt, hbw_attempt_destroy);
+}
+
+static void
+relay_destroy (void *data)
+{
+  Relay *relay = data;
+  if (relay->attempt != NULL && !relay->reported)
+    {
+      HbwAttemptEnd end = { .answer_begun = TRUE };
+      hbw_attempt_result (relay->attempt, &end);
+      end.outcome = HBW_OUTCOME_CANCELLED;
+      report_end (relay, &end);
+    }
+  drop_attempt (relay);
+  hbw_call_unref (relay->call);
+  g_free (relay->method);
+  g_free (relay->path);
+  g_free (relay->content_type);
+  g_free (relay->body);
+  g_free (relay);
+}
+
+static void
+submit_arrival (Relay *relay, const HbwRequestSpec *spec)
+{
+  HbwEvent event = { .kind = HBW_EVENT_REQUEST_ARRIVED };
+  event.arrival.sequence = hbw_call_sequence (relay->call);
+  event.arrival.spec = *spec;
+  hbw_control_submit (relay->control, &event, relay->call);
+}
+
+static void
+submit_gone (Relay *relay)
+{
+  HbwEvent event = { .kind = HBW_EVENT_CALLER_GONE };
+  event.sequence = hbw_call_sequence (relay->call);
+  hbw_control_submit (relay->control, &event, NULL);
+}
+
+static void
+start_attempt (Relay *relay, const HbwOrder *order)
+{
+  drop_attempt (relay);
+  relay->number = order->start.attempt;
+  relay->reported = FALSE;
+  relay->config.expires_us = order->expires_us;
+  g_strlcpy (relay->address, order->start.address, sizeof relay->address);
+  g_snprintf (relay->attempt_id, sizeof relay->attempt_id,
+              "%016" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT "-%u",
+              hbw_control_identity (relay->control), hbw_call_sequence (relay->call),
+              order->start.attempt);
+  relay->attempt = hbw_attempt_create (&relay->config);
+  hbw_attempt_begin (relay->attempt);
+}
+
+/* Ends an attempt that has nothing to stream and tells the reducer. */
+static void
+report_attempt (Relay *relay)
+{
+  HbwAttemptEnd end = { .answer_begun = FALSE };
+  hbw_attempt_result (relay->attempt, &end);
+  report_end (relay, &end);
+}
+
+static void
+report_not_started (Relay *relay, const HbwOrder *order)
+{
+  HbwAttemptEnd end = { .outcome = HBW_OUTCOME_CANCELLED };
+  relay->number = order->start.attempt;
+  report_end (relay, &end);
+}
+
+/* Tells the caller that a stream that has begun is not complete. */
+static gsize
+write_error_event (char *buffer, gsize size)
+{
+  const HbwProblem problem = { .status = 502,
+                               .title = "the backend server's answer broke off",
+                               .remedy = "send it again only if it may run twice",
+                               .executed = "unknown" };
+  char *text = hbw_problem_format (&problem);
+  int length = g_snprintf (buffer, size, "\n\nevent: error\ndata: %s\n\n", text);
+  g_free (text);
+  return MIN ((gsize)length, size - 1);
+}
+
+static ssize_t
+stream_block (void *data, uint64_t position G_GNUC_UNUSED, char *buffer, size_t size)
+{
+  Relay *relay = data;
+  if (relay->told)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  gsize length = hbw_attempt_read (relay->attempt, buffer, size);
+  if (length > 0)
+    return (ssize_t)length;
+  HbwAttemptEnd end = { .answer_begun = TRUE };
+  hbw_attempt_result (relay->attempt, &end);
+  report_end (relay, &end);
+  relay->told = TRUE;
+  if (end.outcome == HBW_OUTCOME_COMPLETE)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  return (ssize_t)write_error_event (buffer, size);
+}
+
+static enum MHD_Result
+answer_stream (Relay *relay, HbwHttpRequest *request)
+{
+  struct MHD_Response *response = MHD_create_response_from_callback (
+      MHD_SIZE_UNKNOWN, STREAM_BLOCK, stream_block, relay, relay_destroy);
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                           hbw_attempt_content_type (relay->attempt));
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CACHE_CONTROL, "no-store");
+  MHD_add_response_header (response, "X-Request-Id", relay->attempt_id);
+  enum MHD_Result result = MHD_queue_response (
+      request->connection, hbw_attempt_status (relay->attempt), response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static enum MHD_Result
+answer_whole (Relay *relay, HbwHttpRequest *request)
+{
+  const GByteArray *answer = hbw_attempt_answer (relay->attempt);
+  HbwAttemptEnd end = { .answer_begun = FALSE };
+  hbw_attempt_result (relay->attempt, &end);
+  if (end.outcome != HBW_OUTCOME_COMPLETE)
+    return MHD_NO;
+  return hbw_http_answer (request, hbw_attempt_status (relay->attempt),
+                          hbw_attempt_content_type (relay->attempt),
+                          (const char *)answer->data, answer->len);
+}
+
+static enum MHD_Result
+answer_refusal (HbwHttpRequest *request, const HbwRefuse *refuse)
+{
+  HbwProblem problem = hbw_problem_of_refusal (refuse);
+  return hbw_http_problem (request, &problem);
+}
+
+/* Follows the reducer's orders until the request has ended.  Returns TRUE where the
+   answer streams and the relay belongs to it. */
+static gboolean
+follow_orders (Relay *relay, HbwHttpRequest *request, enum MHD_Result *result)
+{
+  gboolean gone = FALSE;
+  HbwOrder order;
+  *result = MHD_NO;
+  for (;;)
+    {
+      hbw_call_wait (relay->call, gone ? -1 : relay->config.caller_fd, -1, &order);
+      if (order.kind == HBW_ORDER_GONE)
+        {
+          gone = TRUE;
+          submit_gone (relay);
+        }
+      else if (order.kind == HBW_ORDER_START && gone)
+        report_not_started (relay, &order);
+      else if (order.kind == HBW_ORDER_START)
+        {
+          start_attempt (relay, &order);
+          if (!hbw_attempt_has_ended (relay->attempt)
+              && hbw_attempt_is_stream (relay->attempt))
+            {
+              *result = answer_stream (relay, request);
+              return TRUE;
+            }
+          report_attempt (relay);
+        }
+      else if (order.kind == HBW_ORDER_FINISH)
+        {
+          if (relay->attempt != NULL)
+            *result = answer_whole (relay, request);
+          return FALSE;
+        }
+      else if (order.kind == HBW_ORDER_REFUSE)
+        {
+          *result = answer_refusal (request, &order.refuse);
+          return FALSE;
+        }
+    }
+}
+
+enum MHD_Result
+hbw_relay_run (const HbwRelayConfig *config, HbwHttpRequest *request)
+{
+  Relay *relay = relay_create (config, request);
+  if (relay == NULL)
+    {
+      const HbwRefuse refuse = { .reason = HBW_REASON_OVERLOADED,
+                                 .executed = HBW_EXECUTED_NO,
+                                 .retry_after_us = HBW_US_PER_S };
+      return answer_refusal (request, &refuse);
+    }
+  enum MHD_Result result;
+  submit_arrival (relay, &config->spec);
+  if (!follow_orders (relay, request, &result))
+    relay_destroy (relay);
+  return result;
+}
