--- /dev/null
+++ b/runtime/control.c
@@ -0,0 +1,429 @@
+#include "hornbeamwall/runtime/control.h"
+
+#include "hornbeamwall/common/log.h"
+#include "hornbeamwall/core/policy.h"
+#include "hornbeamwall/core/reducer.h"
+#include "hornbeamwall/net/peer.h"
+#include "hornbeamwall/runtime/load.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <urcu/wfcqueue.h>
+
+/* Stack of the control thread, in bytes. */
+#define CONTROL_STACK (1024 * 1024)
+
+/* Bits of an identity below the start time, for a random number. */
+#define IDENTITY_RANDOM_BITS 12
+
+typedef struct
+{
+  pthread_mutex_t lock;
+  pthread_cond_t done;
+  HbwQueryKind kind;
+  char *text;
+} Query;
+
+typedef struct
+{
+  struct cds_wfcq_node node;
+  HbwEvent event;
+  HbwCall *call; /* reference, or NULL */
+  Query *query;  /* owned by the asker, or NULL */
+} Item;
+
+struct HbwControl
+{
+  HbwClock *clock;
+  HbwReducer *reducer;
+  HbwEffects *effects;
+  HbwPeer *peer;
+  HbwSnapshot *snapshot;
+  HbwLoad *load;
+  GHashTable *calls; /* sequence -> HbwCall */
+  struct cds_wfcq_head head;
+  struct cds_wfcq_tail tail;
+  int wake_fd;
+  pthread_t thread;
+  gboolean started;
+  guint64 identity;
+  gint64 tick_at_us;
+  atomic_bool stopping;
+  atomic_bool ready;
+  atomic_bool watcher;
+  atomic_uint requests;
+  _Atomic gint64 versions[HBW_DOCUMENT_COUNT];
+  _Atomic guint64 last_sequence;
+};
+
+static void
+post_order (HbwControl *control, guint64 sequence, const HbwOrder *order)
+{
+  HbwCall *call = g_hash_table_lookup (control->calls, &sequence);
+  if (call == NULL)
+    return;
+  hbw_call_post (call, order);
+  if (order->kind == HBW_ORDER_REFUSE || order->kind == HBW_ORDER_FINISH)
+    g_hash_table_remove (control->calls, &sequence);
+}
+
+static void
+carry_out (HbwControl *control, const HbwEffect *effect, gint64 now_us)
+{
+  HbwOrder order = { HBW_ORDER_NONE };
+  switch (effect->kind)
+    {
+    case HBW_EFFECT_START_ATTEMPT:
+      order.kind = HBW_ORDER_START;
+      order.start = effect->start;
+      order.expires_us = now_us + effect->start.valid_us;
+      post_order (control, effect->start.sequence, &order);
+      break;
+    case HBW_EFFECT_CANCEL_ATTEMPT:
+      order.kind = HBW_ORDER_CANCEL;
+      post_order (control, effect->sequence, &order);
+      break;
+    case HBW_EFFECT_REFUSE:
+      order.kind = HBW_ORDER_REFUSE;
+      order.refuse = effect->refuse;
+      post_order (control, effect->refuse.sequence, &order);
+      break;
+    case HBW_EFFECT_FINISH:
+      order.kind = HBW_ORDER_FINISH;
+      post_order (control, effect->sequence, &order);
+      break;
+    case HBW_EFFECT_SEND:
+      hbw_peer_post (control->peer, effect->send.address, &effect->send.message);
+      break;
+    case HBW_EFFECT_POLL_LOAD:
+      hbw_load_poll (control->load, &effect->poll);
+      break;
+    case HBW_EFFECT_PUBLISH:
+      hbw_snapshot_publish (control->snapshot, effect->catalogue);
+      break;
+    case HBW_EFFECT_LOG:
+      hbw_log_write (effect->log.number, effect->log.text);
+      break;
+    }
+}
+
+static void
+publish_state (HbwControl *control)
+{
+  const HbwReducer *reducer = control->reducer;
+  atomic_store (&control->ready, hbw_reducer_is_ready (reducer));
+  atomic_store (&control->requests, hbw_reducer_request_count (reducer));
+  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+    atomic_store (&control->versions[i],
+                  hbw_reducer_version (reducer, (HbwDocumentKind)i));
+}
+
+static void
+step (HbwControl *control, HbwEvent *event)
+{
+  event->now_us = hbw_clock_now (control->clock);
+  hbw_reducer_step (control->reducer, event, control->effects);
+  for (guint i = 0; i < hbw_effects_count (control->effects); i++)
+    carry_out (control, hbw_effects_get (control->effects, i), event->now_us);
+  hbw_effects_clear (control->effects);
+}
+
+static void
+answer_query (HbwControl *control, Query *query)
+{
+  GString *text = g_string_new (NULL);
+  if (query->kind == HBW_QUERY_METRICS)
+    {
+      hbw_reducer_render_metrics (control->reducer, text);
+      g_string_append_printf (
+          text,
+          "hornbeamwall_peer_bytes_sent_total %" G_GUINT64_FORMAT "\n"
+          "hornbeamwall_peer_bytes_received_total %" G_GUINT64_FORMAT "\n",
+          hbw_peer_bytes_sent (control->peer),
+          hbw_peer_bytes_received (control->peer));
+    }
+  else
+    hbw_reducer_render_status (control->reducer, text);
+  pthread_mutex_lock (&query->lock);
+  query->text = g_string_free (text, FALSE);
+  pthread_cond_signal (&query->done);
+  pthread_mutex_unlock (&query->lock);
+}
+
+static void
+handle_item (HbwControl *control, Item *item)
+{
+  if (item->query != NULL)
+    {
+      answer_query (control, item->query);
+      g_free (item);
+      return;
+    }
+  if (item->call != NULL)
+    {
+      guint64 *key = g_new (guint64, 1);
+      *key = item->event.arrival.sequence;
+      g_hash_table_insert (control->calls, key, item->call);
+    }
+  step (control, &item->event);
+  if (item->event.kind == HBW_EVENT_DOCUMENT)
+    g_bytes_unref (item->event.document.body);
+  g_free (item);
+}
+
+static void
+handle_items (HbwControl *control)
+{
+  guint64 count;
+  if (read (control->wake_fd, &count, sizeof count) < 0)
+    count = 0; /* nothing new; the queue is looked at all the same */
+  struct cds_wfcq_node *node;
+  while ((node = __cds_wfcq_dequeue_blocking (&control->head, &control->tail))
+         != NULL)
+    handle_item (control, caa_container_of (node, Item, node));
+}
+
+static void
+handle_peer_message (const HbwMessage *message, void *data)
+{
+  HbwEvent event = { .kind = HBW_EVENT_MESSAGE, .message = *message };
+  step (data, &event);
+}
+
+static void
+handle_peers (HbwControl *control)
+{
+  HbwError error = { HBW_ERROR_NONE, "" };
+  guint invalid
+      = hbw_peer_receive (control->peer, handle_peer_message, control, &error);
+  if (invalid > 0)
+    hbw_log_write (HBW_LOG_MESSAGE_REJECTED, error.message);
+}
+
+static void
+tick_if_due (HbwControl *control)
+{
+  gint64 now_us = hbw_clock_now (control->clock);
+  if (now_us < control->tick_at_us)
+    return;
+  control->tick_at_us = now_us + HBW_TICK_US;
+  HbwEvent event = { .kind = HBW_EVENT_TICK };
+  step (control, &event);
+  atomic_store (&control->watcher, hbw_reducer_is_watcher (control->reducer));
+}
+
+static void *
+run (void *data)
+{
+  HbwControl *control = data;
+  while (!atomic_load (&control->stopping))
+    {
+      hbw_peer_wait (control->peer, control->wake_fd, HBW_TICK_US / HBW_US_PER_MS);
+      handle_items (control);
+      handle_peers (control);
+      tick_if_due (control);
+      publish_state (control);
+      hbw_peer_flush (control->peer, hbw_clock_now (control->clock));
+    }
+  return NULL;
+}
+
+static void
+wake (HbwControl *control)
+{
+  const guint64 one = 1;
+  if (write (control->wake_fd, &one, sizeof one) < 0)
+    return; /* the counter is full, so the thread is awake */
+}
+
+static void
+enqueue (HbwControl *control, Item *item)
+{
+  cds_wfcq_node_init (&item->node);
+  cds_wfcq_enqueue (&control->head, &control->tail, &item->node);
+  wake (control);
+}
+
+/* A later start has a higher identity, so that peers can tell which of two at one
+   address is the newer. */
+static guint64
+make_identity (void)
+{
+  guint64 start = (guint64)g_get_real_time ();
+  return (start << IDENTITY_RANDOM_BITS)
+         | (g_random_int () & ((1U << IDENTITY_RANDOM_BITS) - 1));
+}
+
+static HbwReducer *
+make_reducer (HbwControl *control, const HbwSettings *settings)
+{
+  HbwReducerConfig config = { .policy = hbw_policy_owner () };
+  config.self.identity = control->identity;
+  config.seed = (guint32)control->identity;
+  config.now_us = hbw_clock_now (control->clock);
+  config.seeds = (const char *const *)settings->seeds->pdata;
+  g_strlcpy (config.self.name, settings->name, sizeof config.self.name);
+  g_strlcpy (config.self.data_centre, settings->data_centre,
+             sizeof config.self.data_centre);
+  g_strlcpy (config.self.address, hbw_peer_address (control->peer),
+             sizeof config.self.address);
+  return hbw_reducer_create (&config);
+}
+
+HbwControl *
+hbw_control_create (const HbwSettings *settings, HbwClock *clock, HbwError *error)
+{
+  guint64 identity = make_identity ();
+  HbwPeer *peer = hbw_peer_create (settings->peer_address, identity, error);
+  if (peer == NULL)
+    return NULL;
+  HbwControl *control = g_new0 (HbwControl, 1);
+  control->clock = clock;
+  control->identity = identity;
+  control->peer = peer;
+  control->wake_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
+  control->effects = hbw_effects_create ();
+  control->snapshot = hbw_snapshot_create ();
+  control->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
+                                          (GDestroyNotify)hbw_call_unref);
+  cds_wfcq_init (&control->head, &control->tail);
+  control->reducer = make_reducer (control, settings);
+  control->load = hbw_load_create (control);
+  return control;
+}
+
+gboolean
+hbw_control_start (HbwControl *control, HbwError *error)
+{
+  pthread_attr_t attributes;
+  pthread_attr_init (&attributes);
+  pthread_attr_setstacksize (&attributes, CONTROL_STACK);
+  int code = pthread_create (&control->thread, &attributes, run, control);
+  pthread_attr_destroy (&attributes);
+  control->started = code == 0;
+  if (code != 0)
+    hbw_error_set (error, HBW_ERROR_NETWORK,
+                   "control thread: %s; raise the limit of threads",
+                   g_strerror (code));
+  return control->started;
+}
+
+static void
+drop_items (HbwControl *control)
+{
+  struct cds_wfcq_node *node;
+  while ((node = __cds_wfcq_dequeue_blocking (&control->head, &control->tail))
+         != NULL)
+    {
+      Item *item = caa_container_of (node, Item, node);
+      if (item->call != NULL)
+        hbw_call_unref (item->call);
+      if (item->query == NULL && item->event.kind == HBW_EVENT_DOCUMENT)
+        g_bytes_unref (item->event.document.body);
+      g_free (item);
+    }
+}
+
+void
+hbw_control_destroy (HbwControl *control)
+{
+  atomic_store (&control->stopping, TRUE);
+  wake (control);
+  if (control->started)
+    pthread_join (control->thread, NULL);
+  hbw_load_destroy (control->load);
+  drop_items (control);
+  g_hash_table_destroy (control->calls);
+  hbw_reducer_destroy (control->reducer);
+  hbw_effects_destroy (control->effects);
+  hbw_snapshot_destroy (control->snapshot);
+  hbw_peer_destroy (control->peer);
+  close (control->wake_fd);
+  g_free (control);
+}
+
+void
+hbw_control_submit (HbwControl *control, const HbwEvent *event, HbwCall *call)
+{
+  Item *item = g_new0 (Item, 1);
+  item->event = *event;
+  item->call = call != NULL ? hbw_call_ref (call) : NULL;
+  if (event->kind == HBW_EVENT_DOCUMENT)
+    g_bytes_ref (event->document.body);
+  enqueue (control, item);
+}
+
+char *
+hbw_control_query (HbwControl *control, HbwQueryKind kind)
+{
+  Query query = { .kind = kind };
+  pthread_mutex_init (&query.lock, NULL);
+  pthread_cond_init (&query.done, NULL);
+  Item *item = g_new0 (Item, 1);
+  item->query = &query;
+  enqueue (control, item);
+  pthread_mutex_lock (&query.lock);
+  while (query.text == NULL)
+    pthread_cond_wait (&query.done, &query.lock);
+  pthread_mutex_unlock (&query.lock);
+  pthread_cond_destroy (&query.done);
+  pthread_mutex_destroy (&query.lock);
+  return query.text;
+}
+
+guint64
+hbw_control_next_sequence (HbwControl *control)
+{
+  return atomic_fetch_add (&control->last_sequence, 1) + 1;
+}
+
+HbwSnapshot *
+hbw_control_snapshot (HbwControl *control)
+{
+  return control->snapshot;
+}
+
+HbwClock *
+hbw_control_clock (HbwControl *control)
+{
+  return control->clock;
+}
+
+guint64
+hbw_control_identity (const HbwControl *control)
+{
+  return control->identity;
+}
+
+gboolean
+hbw_control_is_ready (const HbwControl *control)
+{
+  return atomic_load (&control->ready);
+}
+
+gboolean
+hbw_control_is_watcher (const HbwControl *control)
+{
+  return atomic_load (&control->watcher);
+}
+
+guint
+hbw_control_request_count (const HbwControl *control)
+{
+  return atomic_load (&control->requests);
+}
+
+gint64
+hbw_control_version (const HbwControl *control, HbwDocumentKind kind)
+{
+  return atomic_load (&control->versions[kind]);
+}
+
+const char *
+hbw_control_peer_address (const HbwControl *control)
+{
+  return hbw_peer_address (control->peer);
+}
--- /dev/null
+++ b/runtime/settings.c
@@ -0,0 +1,179 @@
+#include "hornbeamwall/runtime/settings.h"
+
+#include "hornbeamwall/common/check.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define CONNECTION_LIMIT_DEFAULT 1024
+#define CONNECTION_LIMIT_MAX 16384
+#define BODY_MAX_DEFAULT (4 * 1024 * 1024)
+#define ANSWER_MAX_DEFAULT (16 * 1024 * 1024)
+#define BYTES_MAX (256 * 1024 * 1024)
+#define CONNECT_TIMEOUT_DEFAULT_MS 1000
+#define FIRST_BYTE_TIMEOUT_DEFAULT_MS 600000
+#define STALL_TIMEOUT_DEFAULT_MS 10000
+#define TIMEOUT_MAX_MS 86400000
+#define CALLER_TIMEOUT_DEFAULT_S 60
+#define CALLER_TIMEOUT_MAX_S 86400
+#define KEY_HASH_LENGTH 64
+
+static gboolean
+is_address (const char *text)
+{
+  char host[HBW_ADDRESS_MAX];
+  unsigned char binary[sizeof (struct in6_addr)];
+  const char *colon = strrchr (text, ':');
+  if (colon == NULL || colon == text)
+    return FALSE;
+  char *end;
+  guint64 port = g_ascii_strtoull (colon + 1, &end, 10);
+  if (end == colon + 1 || *end != '\0' || port > G_MAXUINT16)
+    return FALSE;
+  g_strlcpy (host, text, MIN (sizeof host, (gsize)(colon - text) + 1));
+  return inet_pton (AF_INET, host, binary) == 1;
+}
+
+static void
+check_address (HbwReport *report, const char *place, const char *text)
+{
+  if (*text == '\0' || is_address (text))
+    return;
+  json_t *found = json_string (text);
+  hbw_report_add (report, place, found,
+                  "give an IP number and a port, as 127.0.0.1:8080");
+  json_decref (found);
+}
+
+static void
+read_address (HbwReader *reader, HbwReport *report, const char *key, char *buffer)
+{
+  hbw_reader_string (reader, key, buffer, HBW_ADDRESS_MAX, NULL);
+  char *place = hbw_reader_place (reader, key);
+  check_address (report, place, buffer);
+  g_free (place);
+}
+
+static void
+read_seeds (HbwReader *reader, HbwReport *report, HbwSettings *settings)
+{
+  json_t *list = hbw_reader_member (reader, "seeds", JSON_ARRAY, FALSE);
+  size_t index;
+  json_t *value;
+  json_array_foreach (list, index, value)
+    {
+      char *place = g_strdup_printf ("/seeds/%zu", index);
+      const char *text = json_string_value (value);
+      if (text == NULL || !is_address (text))
+        hbw_report_add (report, place, value,
+                        "give an IP number and a port, as 127.0.0.1:8080");
+      else
+        g_ptr_array_add (settings->seeds, g_strdup (text));
+      g_free (place);
+    }
+  g_ptr_array_add (settings->seeds, NULL);
+}
+
+static void
+read_token_hash (HbwReader *reader, HbwReport *report, json_t *root,
+                 HbwSettings *settings)
+{
+  hbw_reader_string (reader, "admin_token_sha256", settings->admin_token_hash,
+                     sizeof settings->admin_token_hash, NULL);
+  const char *hash = settings->admin_token_hash;
+  if (*hash != '\0'
+      && (strlen (hash) != KEY_HASH_LENGTH
+          || strspn (hash, "0123456789abcdef") != KEY_HASH_LENGTH))
+    hbw_report_add (report, "/admin_token_sha256",
+                    json_object_get (root, "admin_token_sha256"),
+                    "give the SHA-256 of the token in lower-case hexadecimal");
+}
+
+static void
+read_bounds (HbwReader *reader, HbwSettings *settings)
+{
+  settings->connection_limit = (guint)hbw_reader_int (
+      reader, "connection_limit", 1, CONNECTION_LIMIT_MAX, CONNECTION_LIMIT_DEFAULT);
+  settings->body_max = (guint)hbw_reader_int (reader, "body_max", 1024, BYTES_MAX,
+                                              BODY_MAX_DEFAULT);
+  settings->answer_max = (guint)hbw_reader_int (reader, "answer_max", 1024,
+                                                BYTES_MAX, ANSWER_MAX_DEFAULT);
+  settings->connect_timeout_ms = (guint)hbw_reader_int (
+      reader, "connect_timeout_ms", 1, TIMEOUT_MAX_MS, CONNECT_TIMEOUT_DEFAULT_MS);
+  settings->first_byte_timeout_ms
+      = (guint)hbw_reader_int (reader, "first_byte_timeout_ms", 1, TIMEOUT_MAX_MS,
+                               FIRST_BYTE_TIMEOUT_DEFAULT_MS);
+  settings->stall_timeout_ms = (guint)hbw_reader_int (
+      reader, "stall_timeout_ms", 1, TIMEOUT_MAX_MS, STALL_TIMEOUT_DEFAULT_MS);
+  settings->caller_timeout_s = (guint)hbw_reader_int (
+      reader, "caller_timeout_s", 1, CALLER_TIMEOUT_MAX_S, CALLER_TIMEOUT_DEFAULT_S);
+}
+
+static void
+read_settings (HbwSettings *settings, HbwReport *report, json_t *root)
+{
+  HbwReader *reader = hbw_reader_create (report, root, "");
+  hbw_reader_string (reader, "name", settings->name, sizeof settings->name, NULL);
+  hbw_reader_string (reader, "data_centre", settings->data_centre,
+                     sizeof settings->data_centre, NULL);
+  read_address (reader, report, "caller_address", settings->caller_address);
+  read_address (reader, report, "admin_address", settings->admin_address);
+  read_address (reader, report, "peer_address", settings->peer_address);
+  read_address (reader, report, "platform_address", settings->platform_address);
+  read_token_hash (reader, report, root, settings);
+  read_seeds (reader, report, settings);
+  read_bounds (reader, settings);
+  hbw_reader_destroy (reader);
+}
+
+HbwSettings *
+hbw_settings_parse (const char *text, gsize length, HbwError *error)
+{
+  json_error_t where;
+  json_t *root = json_loadb (text, length, JSON_REJECT_DUPLICATES, &where);
+  if (root == NULL)
+    {
+      hbw_error_set (error, HBW_ERROR_SETTINGS,
+                     "line %d column %d: %s; give valid JSON", where.line,
+                     where.column, where.text);
+      return NULL;
+    }
+  HbwSettings *settings = g_new0 (HbwSettings, 1);
+  settings->seeds = g_ptr_array_new_with_free_func (g_free);
+  HbwReport report;
+  hbw_report_init (&report);
+  read_settings (settings, &report, root);
+  json_decref (root);
+  if (report.errors > 0)
+    {
+      hbw_error_set (error, HBW_ERROR_SETTINGS, "%s", report.text->str);
+      g_clear_pointer (&settings, hbw_settings_destroy);
+    }
+  hbw_report_clear (&report);
+  return settings;
+}
+
+HbwSettings *
+hbw_settings_load (const char *path, HbwError *error)
+{
+  char *text;
+  gsize length;
+  GError *reason = NULL;
+  if (!g_file_get_contents (path, &text, &length, &reason))
+    {
+      hbw_error_set (error, HBW_ERROR_SETTINGS, "%s; name a file that can be read",
+                     reason->message);
+      g_error_free (reason);
+      return NULL;
+    }
+  HbwSettings *settings = hbw_settings_parse (text, length, error);
+  g_free (text);
+  return settings;
+}
+
+void
+hbw_settings_destroy (HbwSettings *settings)
+{
+  g_ptr_array_free (settings->seeds, TRUE);
+  g_free (settings);
+}
--- /dev/null
+++ b/runtime/snapshot.c
@@ -0,0 +1,43 @@
+#include "hornbeamwall/runtime/snapshot.h"
+
+#include <urcu-bp.h>
+
+struct HbwSnapshot
+{
+  HbwCatalogue *catalogue; /* under RCU */
+};
+
+HbwSnapshot *
+hbw_snapshot_create (void)
+{
+  return g_new0 (HbwSnapshot, 1);
+}
+
+void
+hbw_snapshot_destroy (HbwSnapshot *snapshot)
+{
+  g_clear_pointer (&snapshot->catalogue, hbw_catalogue_unref);
+  g_free (snapshot);
+}
+
+void
+hbw_snapshot_publish (HbwSnapshot *snapshot, HbwCatalogue *catalogue)
+{
+  HbwCatalogue *before = snapshot->catalogue;
+  rcu_assign_pointer (snapshot->catalogue, hbw_catalogue_ref (catalogue));
+  if (before == NULL)
+    return;
+  synchronize_rcu ();
+  hbw_catalogue_unref (before);
+}
+
+HbwCatalogue *
+hbw_snapshot_acquire (HbwSnapshot *snapshot)
+{
+  rcu_read_lock ();
+  HbwCatalogue *catalogue = rcu_dereference (snapshot->catalogue);
+  if (catalogue != NULL)
+    hbw_catalogue_ref (catalogue);
+  rcu_read_unlock ();
+  return catalogue;
+}
--- /dev/null
+++ b/runtime/watch.c
@@ -0,0 +1,179 @@
+#include "hornbeamwall/runtime/watch.h"
+
+#include "hornbeamwall/net/platform.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+
+/* How long one watch stays open, in milliseconds. */
+#define WATCH_MS 3000
+
+/* Pause of an instance that does not watch, in microseconds. */
+#define IDLE_US (200 * HBW_US_PER_MS)
+
+/* Pauses after a call that failed. */
+#define RETRY_MIN_US (200 * HBW_US_PER_MS)
+#define RETRY_MAX_US (3 * HBW_US_PER_S)
+
+/* Pause before an object that does not exist is looked for again. */
+#define ABSENT_US (1 * HBW_US_PER_S)
+
+static const char *const object_names[HBW_DOCUMENT_COUNT] = {
+  [HBW_DOCUMENT_CATALOGUE] = "hornbeamwall-catalogue",
+  [HBW_DOCUMENT_SERVERS] = "servers",
+  [HBW_DOCUMENT_INSTANCES] = "instances",
+  [HBW_DOCUMENT_STOPS] = "hornbeamwall-stops",
+};
+
+typedef struct
+{
+  HbwWatch *watch;
+  HbwDocumentKind kind;
+  pthread_t thread;
+  gboolean started;
+  gint64 seen; /* highest version that was read, adopted or not */
+} Follower;
+
+struct HbwWatch
+{
+  HbwControl *control;
+  HbwPlatform *platform;
+  pthread_mutex_t lock;
+  pthread_cond_t wake;
+  atomic_bool stopping;
+  Follower followers[HBW_DOCUMENT_COUNT];
+};
+
+static void
+pause_for (HbwWatch *watch, gint64 duration_us)
+{
+  struct timespec until;
+  clock_gettime (CLOCK_MONOTONIC, &until);
+  until.tv_sec += duration_us / HBW_US_PER_S;
+  until.tv_nsec += (duration_us % HBW_US_PER_S) * 1000;
+  if (until.tv_nsec >= 1000000000)
+    {
+      until.tv_sec++;
+      until.tv_nsec -= 1000000000;
+    }
+  pthread_mutex_lock (&watch->lock);
+  if (!atomic_load (&watch->stopping))
+    pthread_cond_timedwait (&watch->wake, &watch->lock, &until);
+  pthread_mutex_unlock (&watch->lock);
+}
+
+static void
+submit_state (HbwWatch *watch, gboolean up)
+{
+  HbwEvent event = { .kind = HBW_EVENT_STORE_STATE, .store_up = up };
+  hbw_control_submit (watch->control, &event, NULL);
+}
+
+static void
+submit_document (HbwWatch *watch, HbwDocumentKind kind, const HbwStoreAnswer *answer)
+{
+  HbwEvent event = { .kind = HBW_EVENT_DOCUMENT };
+  event.document.kind = kind;
+  event.document.version = answer->version;
+  event.document.body = answer->body;
+  hbw_control_submit (watch->control, &event, NULL);
+}
+
+/* Makes one call; returns the pause before the next one. */
+static gint64
+follow_once (Follower *follower, gboolean has_read, gint64 *failed_us)
+{
+  HbwWatch *watch = follower->watch;
+  HbwError error;
+  const char *name = object_names[follower->kind];
+  gint64 version
+      = MAX (hbw_control_version (watch->control, follower->kind), follower->seen);
+  HbwStoreAnswer answer
+      = has_read
+            ? hbw_platform_watch (watch->platform, name, version, WATCH_MS, &error)
+            : hbw_platform_get (watch->platform, name, &error);
+  gboolean failed = answer.result == HBW_STORE_FAILED;
+  submit_state (watch, !failed);
+  if (answer.result == HBW_STORE_OK)
+    {
+      submit_document (watch, follower->kind, &answer);
+      follower->seen = MAX (follower->seen, answer.version);
+      g_bytes_unref (answer.body);
+    }
+  if (!failed)
+    {
+      *failed_us = RETRY_MIN_US;
+      return answer.result == HBW_STORE_ABSENT ? ABSENT_US : 0;
+    }
+  gint64 pause = *failed_us;
+  *failed_us = MIN (RETRY_MAX_US, 2 * *failed_us);
+  return pause;
+}
+
+static void *
+follow (void *data)
+{
+  Follower *follower = data;
+  HbwWatch *watch = follower->watch;
+  gboolean has_read = FALSE;
+  gint64 failed_us = RETRY_MIN_US;
+  while (!atomic_load (&watch->stopping))
+    {
+      gboolean idle = has_read && !hbw_control_is_watcher (watch->control);
+      gint64 pause = idle ? IDLE_US : follow_once (follower, has_read, &failed_us);
+      if (!idle && pause < RETRY_MIN_US)
+        has_read = TRUE;
+      if (pause > 0)
+        pause_for (watch, pause);
+    }
+  return NULL;
+}
+
+HbwWatch *
+hbw_watch_create (HbwControl *control, const char *platform_address, HbwError *error)
+{
+  HbwPlatform *platform = hbw_platform_create (platform_address, error);
+  if (platform == NULL)
+    return NULL;
+  HbwWatch *watch = g_new0 (HbwWatch, 1);
+  watch->control = control;
+  watch->platform = platform;
+  pthread_condattr_t attributes;
+  pthread_condattr_init (&attributes);
+  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
+  pthread_cond_init (&watch->wake, &attributes);
+  pthread_condattr_destroy (&attributes);
+  pthread_mutex_init (&watch->lock, NULL);
+  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+    {
+      Follower *follower = &watch->followers[i];
+      follower->watch = watch;
+      follower->kind = (HbwDocumentKind)i;
+      follower->started
+          = pthread_create (&follower->thread, NULL, follow, follower) == 0;
+    }
+  return watch;
+}
+
+void
+hbw_watch_destroy (HbwWatch *watch)
+{
+  pthread_mutex_lock (&watch->lock);
+  atomic_store (&watch->stopping, TRUE);
+  pthread_cond_broadcast (&watch->wake);
+  pthread_mutex_unlock (&watch->lock);
+  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+    if (watch->followers[i].started)
+      pthread_join (watch->followers[i].thread, NULL);
+  pthread_cond_destroy (&watch->wake);
+  pthread_mutex_destroy (&watch->lock);
+  hbw_platform_destroy (watch->platform);
+  g_free (watch);
+}
+
+const char *
+hbw_watch_object_name (HbwDocumentKind kind)
+{
+  return object_names[kind];
+}
--- /dev/null
+++ b/scripts/run-tests.sh
@@ -0,0 +1,27 @@
+#!/bin/sh
+# Runs all tests of a build folder and adds up their closing lines.
+set -u
+build=${1:-build}
+passed=0
+failed=0
+run() {
+  out=$("$@" 2>&1)
+  status=$?
+  line=$(printf '%s\n' "$out" | grep -E '^[0-9]+ passed, [0-9]+ failed$' | tail -n 1)
+  if [ -z "$line" ]; then
+    printf '%s\n' "$out" | tail -n 40
+    line="0 passed, 1 failed"
+  elif [ "$status" -ne 0 ]; then
+    printf '%s\n' "$out" | tail -n 40
+    [ "${line##*, }" = "0 failed" ] && line="${line%%,*}, 1 failed"
+  fi
+  echo "$(basename "$1"): $line"
+  passed=$((passed + ${line%% passed*}))
+  rest=${line##*, }
+  failed=$((failed + ${rest%% failed}))
+}
+for test in "$build"/tests/*_test; do
+  run "$test"
+done
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
--- /dev/null
+++ b/tests/rig.c
@@ -0,0 +1,232 @@
+#include "rig.h"
+
+#include "hornbeamwall/core/catalogue.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <string.h>
+
+/* How long a test waits for an instance to become ready, in steps of 10 ms. */
+#define READY_STEPS 1000
+
+static const char catalogue_format[]
+    = "{\"classes\":{"
+      "\"top\":{\"tier\":0,\"first_token_ms\":390,\"inter_token_ms\":44},"
+      "\"low\":{\"tier\":2,\"first_token_ms\":60000,\"inter_token_ms\":1000}},"
+      "\"pools\":{\"m\":{\"kind\":\"model\"},"
+      "\"s\":{\"kind\":\"service\",\"idempotent\":false}},"
+      "\"organisations\":{\"o\":{\"keys\":[\"%s\"],\"classes\":[\"top\",\"low\"]}}}";
+
+static void
+add_server (GString *text, const char *id, const char *pool, guint port, guint slots)
+{
+  g_string_append_printf (text,
+                          "%s{\"id\":\"%s\",\"pool\":\"%s\",\"data_centre\":\"a\","
+                          "\"address\":\"127.0.0.1:%u\",\"slots\":%u,\"start\":1}",
+                          text->str[text->len - 1] == '[' ? "" : ",", id, pool, port,
+                          slots);
+}
+
+static void
+fill_store (Rig *rig, guint count, guint slots)
+{
+  char *hash = hbw_catalogue_hash_key ("key");
+  char *catalogue = g_strdup_printf (catalogue_format, hash);
+  store_set (rig->store, "hornbeamwall-catalogue", catalogue);
+  g_free (catalogue);
+  g_free (hash);
+  GString *servers = g_string_new ("{\"servers\":[");
+  for (guint i = 0; i < count; i++)
+    {
+      char id[8];
+      g_snprintf (id, sizeof id, "e%u", i);
+      add_server (servers, id, "m", engine_port (rig->engines[i]), slots);
+    }
+  add_server (servers, "s0", "s", engine_port (rig->engines[0]), slots);
+  g_string_append (servers, "]}");
+  store_set (rig->store, "servers", servers->str);
+  g_string_free (servers, TRUE);
+}
+
+static HbwSettings *
+make_settings (Rig *rig)
+{
+  char *hash = hbw_catalogue_hash_key (RIG_TOKEN);
+  char *text = g_strdup_printf (
+      "{\"name\":\"i1\",\"data_centre\":\"a\",\"caller_address\":\"127.0.0.1:0\","
+      "\"admin_address\":\"127.0.0.1:0\",\"peer_address\":\"127.0.0.1:0\","
+      "\"platform_address\":\"127.0.0.1:%u\",\"admin_token_sha256\":\"%s\","
+      "\"stall_timeout_ms\":500,\"first_byte_timeout_ms\":1000}",
+      store_port (rig->store), hash);
+  HbwError error;
+  HbwSettings *settings = hbw_settings_parse (text, strlen (text), &error);
+  g_free (text);
+  g_free (hash);
+  return settings;
+}
+
+Rig *
+rig_create (guint count, guint slots)
+{
+  Rig *rig = g_new0 (Rig, 1);
+  HbwError error;
+  rig->store = store_create ("127.0.0.1:0");
+  for (guint i = 0; i < count; i++)
+    {
+      const EngineConfig config = {
+        .address = "127.0.0.1:0", .slots = slots, .first_token_ms = 5, .token_ms = 2
+      };
+      rig->engines[i] = engine_create (&config);
+    }
+  fill_store (rig, count, slots);
+  rig->clock = hbw_clock_create_system ();
+  rig->settings = make_settings (rig);
+  rig->instance = hbw_instance_create (rig->settings, rig->clock, &error);
+  HbwControl *control = hbw_instance_control (rig->instance);
+  for (guint i = 0; i < READY_STEPS && !hbw_control_is_ready (control); i++)
+    g_usleep (10000);
+  return rig;
+}
+
+void
+rig_destroy (Rig *rig)
+{
+  hbw_instance_destroy (rig->instance);
+  hbw_settings_destroy (rig->settings);
+  hbw_clock_destroy (rig->clock);
+  for (guint i = 0; i < RIG_ENGINES; i++)
+    if (rig->engines[i] != NULL)
+      engine_destroy (rig->engines[i]);
+  store_destroy (rig->store);
+  g_free (rig);
+}
+
+static size_t
+append_body (char *bytes, size_t size, size_t count, void *data)
+{
+  g_string_append_len (data, bytes, (gssize)(size * count));
+  return size * count;
+}
+
+static size_t
+find_etag (char *line, size_t size, size_t count, void *data)
+{
+  char **etag = data;
+  if (size * count > 6 && g_ascii_strncasecmp (line, "ETag:", 5) == 0)
+    {
+      g_free (*etag);
+      *etag = g_strstrip (g_strndup (line + 5, size * count - 5));
+    }
+  return size * count;
+}
+
+static RigAnswer
+perform (const char *url, const char *method, const char *body,
+         struct curl_slist *headers, long timeout_ms)
+{
+  RigAnswer answer = { 0, NULL, NULL, FALSE };
+  GString *text = g_string_new (NULL);
+  CURL *easy = curl_easy_init ();
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, text);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, find_etag);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, &answer.etag);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+  if (body != NULL)
+    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body);
+  answer.cut = curl_easy_perform (easy) != CURLE_OK;
+  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &answer.status);
+  curl_easy_cleanup (easy);
+  curl_slist_free_all (headers);
+  answer.body = g_string_free (text, FALSE);
+  return answer;
+}
+
+RigAnswer
+rig_call (Rig *rig, const char *path, const char *class_name, const char *body,
+          const char *const *headers)
+{
+  char url[256];
+  char line[64];
+  struct curl_slist *list = curl_slist_append (NULL, "Authorization: Bearer key");
+  if (class_name != NULL)
+    {
+      g_snprintf (line, sizeof line, "Hornbeamwall-Class: %s", class_name);
+      list = curl_slist_append (list, line);
+    }
+  for (guint i = 0; headers != NULL && headers[i] != NULL; i++)
+    list = curl_slist_append (list, headers[i]);
+  g_snprintf (url, sizeof url, "http://127.0.0.1:%u%s",
+              hbw_instance_caller_port (rig->instance), path);
+  return perform (url, "POST", body, list, 20000);
+}
+
+RigAnswer
+rig_admin (Rig *rig, const char *method, const char *path, const char *body,
+           const char *if_match)
+{
+  char url[256];
+  char line[64];
+  struct curl_slist *list
+      = curl_slist_append (NULL, "Authorization: Bearer " RIG_TOKEN);
+  if (if_match != NULL)
+    {
+      g_snprintf (line, sizeof line, "If-Match: %s", if_match);
+      list = curl_slist_append (list, line);
+    }
+  g_snprintf (url, sizeof url, "http://127.0.0.1:%u%s",
+              hbw_instance_admin_port (rig->instance), path);
+  return perform (url, method, body, list, 20000);
+}
+
+void
+rig_call_and_leave (Rig *rig, const char *body, long timeout_ms)
+{
+  char url[256];
+  struct curl_slist *list = curl_slist_append (NULL, "Authorization: Bearer key");
+  g_snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/chat/completions",
+              hbw_instance_caller_port (rig->instance));
+  RigAnswer answer = perform (url, "POST", body, list, timeout_ms);
+  rig_answer_clear (&answer);
+}
+
+void
+rig_answer_clear (RigAnswer *answer)
+{
+  g_clear_pointer (&answer->body, g_free);
+  g_clear_pointer (&answer->etag, g_free);
+}
+
+guint
+rig_runs (Rig *rig, const char *tag)
+{
+  guint runs = 0;
+  for (guint i = 0; i < RIG_ENGINES; i++)
+    if (rig->engines[i] != NULL)
+      runs += engine_runs (rig->engines[i], tag);
+  return runs;
+}
+
+char *
+rig_expected (const char *tag, guint tokens)
+{
+  GString *text = g_string_new (NULL);
+  for (guint i = 0; i < tokens; i++)
+    g_string_append_printf (text, "%s:%u ", tag, i);
+  return g_string_free (text, FALSE);
+}
+
+guint
+rig_count (const char *text, const char *needle)
+{
+  guint count = 0;
+  for (const char *at = strstr (text, needle); at != NULL;
+       at = strstr (at + 1, needle))
+    count++;
+  return count;
+}
--- /dev/null
+++ b/tests/standin/engine.c
@@ -0,0 +1,372 @@
+#include "engine.h"
+
+#include <arpa/inet.h>
+#include <jansson.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define STREAM_BLOCK ((size_t)4096)
+
+struct Engine
+{
+  EngineConfig config;
+  struct MHD_Daemon *daemon;
+  pthread_mutex_t lock;
+  pthread_cond_t slot_free;
+  GHashTable *runs; /* tag -> count */
+  guint running;
+  guint waiting;
+  guint peak;
+  atomic_bool crashed;
+};
+
+typedef struct
+{
+  Engine *engine;
+  GByteArray *body;
+  char tag[128];
+  char fault[32];
+  char id[96];
+  guint tokens;
+  guint next; /* token to send */
+  gboolean stream;
+  gboolean holds_slot;
+  gboolean begun;
+  gboolean done;
+  GString *pending;
+} Job;
+
+static void
+take_slot (Job *job)
+{
+  Engine *engine = job->engine;
+  pthread_mutex_lock (&engine->lock);
+  engine->waiting++;
+  while (engine->running >= engine->config.slots && !atomic_load (&engine->crashed))
+    pthread_cond_wait (&engine->slot_free, &engine->lock);
+  engine->waiting--;
+  engine->running++;
+  engine->peak = MAX (engine->peak, engine->running);
+  job->holds_slot = TRUE;
+  guint count = GPOINTER_TO_UINT (g_hash_table_lookup (engine->runs, job->tag));
+  g_hash_table_replace (engine->runs, g_strdup (job->tag),
+                        GUINT_TO_POINTER (count + 1));
+  pthread_mutex_unlock (&engine->lock);
+}
+
+static void
+release_slot (Job *job)
+{
+  Engine *engine = job->engine;
+  if (!job->holds_slot)
+    return;
+  pthread_mutex_lock (&engine->lock);
+  engine->running--;
+  job->holds_slot = FALSE;
+  pthread_cond_signal (&engine->slot_free);
+  pthread_mutex_unlock (&engine->lock);
+}
+
+static void
+job_free (void *data)
+{
+  Job *job = data;
+  release_slot (job);
+  g_byte_array_free (job->body, TRUE);
+  g_string_free (job->pending, TRUE);
+  g_free (job);
+}
+
+static void
+read_job (Job *job)
+{
+  json_t *root = json_loadb ((const char *)job->body->data, job->body->len, 0, NULL);
+  const char *tag = json_string_value (json_object_get (root, "tag"));
+  const char *fault = json_string_value (json_object_get (root, "fault"));
+  g_strlcpy (job->tag, tag != NULL ? tag : "none", sizeof job->tag);
+  g_strlcpy (job->fault, fault != NULL ? fault : "", sizeof job->fault);
+  job->stream = json_is_true (json_object_get (root, "stream"));
+  json_int_t tokens = json_integer_value (json_object_get (root, "max_tokens"));
+  job->tokens = tokens > 0 ? (guint)tokens : 4;
+  json_decref (root);
+}
+
+static gboolean
+has_fault (const Job *job, const char *name)
+{
+  return strcmp (job->fault, name) == 0;
+}
+
+static void
+sleep_ms (guint milliseconds)
+{
+  g_usleep ((gulong)milliseconds * 1000);
+}
+
+static void
+crash (Engine *engine)
+{
+  if (engine->config.exit_on_crash)
+    _exit (1);
+  engine_set_crashed (engine, TRUE);
+}
+
+static void
+next_piece (Job *job)
+{
+  if (job->next > 0)
+    sleep_ms (job->engine->config.token_ms);
+  if (job->next < job->tokens)
+    g_string_printf (
+        job->pending,
+        "data: {\"choices\":[{\"delta\":{\"content\":\"%s:%u \"}}]}\n\n", job->tag,
+        job->next++);
+  else if (!job->done)
+    {
+      job->done = TRUE;
+      g_string_assign (job->pending,
+                       has_fault (job, "no_done") ? "" : "data: [DONE]\n\n");
+    }
+}
+
+static ssize_t
+stream_block (void *data, uint64_t position G_GNUC_UNUSED, char *buffer, size_t size)
+{
+  Job *job = data;
+  if (has_fault (job, "crash") && job->next == 2)
+    crash (job->engine);
+  if (atomic_load (&job->engine->crashed)
+      || (has_fault (job, "cut") && job->next == 2))
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (has_fault (job, "stall") && job->next == 2)
+    sleep_ms (3000);
+  if (job->pending->len == 0)
+    next_piece (job);
+  if (job->pending->len == 0)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  size_t length = MIN (size, job->pending->len);
+  memcpy (buffer, job->pending->str, length);
+  g_string_erase (job->pending, 0, (gssize)length);
+  return (ssize_t)length;
+}
+
+static ssize_t
+cut_block (void *data, uint64_t position, char *buffer, size_t size)
+{
+  Job *job = data;
+  if (position > 0)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  size_t length = MIN (size, job->pending->len / 2);
+  memcpy (buffer, job->pending->str, length);
+  return (ssize_t)length;
+}
+
+static void
+write_whole (Job *job)
+{
+  g_string_assign (job->pending, "{\"choices\":[{\"message\":{\"content\":\"");
+  for (guint i = 0; i < job->tokens; i++)
+    g_string_append_printf (job->pending, "%s:%u ", job->tag, i);
+  g_string_append_printf (
+      job->pending, "\"}}],\"usage\":{\"completion_tokens\":%u}}", job->tokens);
+}
+
+static enum MHD_Result
+queue (struct MHD_Connection *connection, Job *job, unsigned status,
+       struct MHD_Response *response, const char *type)
+{
+  MHD_add_response_header (response, "Content-Type", type);
+  MHD_add_response_header (response, "X-Request-Id",
+                           has_fault (job, "wrong_id") ? "another" : job->id);
+  if (status == 503)
+    MHD_add_response_header (response, "X-Request-Executed", "no");
+  enum MHD_Result result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static enum MHD_Result
+answer (struct MHD_Connection *connection, Job *job)
+{
+  Engine *engine = job->engine;
+  if (has_fault (job, "refuse"))
+    return queue (
+        connection, job, 503,
+        MHD_create_response_from_buffer (2, (void *)"no", MHD_RESPMEM_PERSISTENT),
+        "text/plain");
+  take_slot (job);
+  sleep_ms (engine->config.first_token_ms);
+  if (has_fault (job, "crash") && !job->stream)
+    crash (engine);
+  if (atomic_load (&engine->crashed) || has_fault (job, "reset"))
+    return MHD_NO;
+  if (has_fault (job, "stall") && !job->stream)
+    sleep_ms (3000);
+  if (job->stream)
+    return queue (connection, job, 200,
+                  MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, STREAM_BLOCK,
+                                                     stream_block, job, NULL),
+                  "text/event-stream");
+  for (guint i = 1; i < job->tokens && !atomic_load (&engine->crashed); i++)
+    sleep_ms (engine->config.token_ms);
+  if (atomic_load (&engine->crashed))
+    return MHD_NO;
+  write_whole (job);
+  struct MHD_Response *response
+      = has_fault (job, "truncate")
+            ? MHD_create_response_from_callback (job->pending->len, STREAM_BLOCK,
+                                                 cut_block, job, NULL)
+            : MHD_create_response_from_buffer (job->pending->len, job->pending->str,
+                                               MHD_RESPMEM_MUST_COPY);
+  return queue (connection, job, 200, response, "application/json");
+}
+
+static enum MHD_Result
+answer_text (struct MHD_Connection *connection, char *text)
+{
+  struct MHD_Response *response
+      = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_FREE);
+  enum MHD_Result result = MHD_queue_response (connection, 200, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static enum MHD_Result
+answer_state (Engine *engine, struct MHD_Connection *connection, const char *url)
+{
+  const char *tag
+      = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, "tag");
+  char *text = NULL;
+  if (strcmp (url, "/runs") == 0 && tag != NULL)
+    return answer_text (connection,
+                        strdup (engine_runs (engine, tag) == 0 ? "0" : "1+"));
+  pthread_mutex_lock (&engine->lock);
+  if (asprintf (&text, "{\"running\":%u,\"waiting\":%u}", engine->running,
+                engine->waiting)
+      < 0)
+    text = strdup ("");
+  pthread_mutex_unlock (&engine->lock);
+  return answer_text (connection, text);
+}
+
+static enum MHD_Result
+handle (void *data, struct MHD_Connection *connection, const char *url,
+        const char *method, const char *version G_GNUC_UNUSED, const char *upload,
+        size_t *upload_size, void **state)
+{
+  Engine *engine = data;
+  Job *job = *state;
+  if (atomic_load (&engine->crashed))
+    return MHD_NO;
+  if (job == NULL)
+    {
+      job = g_new0 (Job, 1);
+      job->engine = engine;
+      job->body = g_byte_array_new ();
+      job->pending = g_string_new (NULL);
+      *state = job;
+      return MHD_YES;
+    }
+  if (*upload_size > 0)
+    {
+      g_byte_array_append (job->body, (const guint8 *)upload, (guint)*upload_size);
+      *upload_size = 0;
+      return MHD_YES;
+    }
+  if (strcmp (method, "GET") == 0)
+    return answer_state (engine, connection, url);
+  const char *id
+      = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "X-Request-Id");
+  g_strlcpy (job->id, id != NULL ? id : "", sizeof job->id);
+  read_job (job);
+  return answer (connection, job);
+}
+
+static void
+completed (void *data G_GNUC_UNUSED, struct MHD_Connection *connection G_GNUC_UNUSED,
+           void **state, enum MHD_RequestTerminationCode code G_GNUC_UNUSED)
+{
+  if (*state != NULL)
+    job_free (*state);
+  *state = NULL;
+}
+
+static gboolean
+listen_at (Engine *engine, const char *text)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  char host[64];
+  const char *colon = strrchr (text, ':');
+  g_strlcpy (host, text, MIN (sizeof host, (gsize)(colon - text) + 1));
+  address.sin_port = htons ((guint16)atoi (colon + 1));
+  inet_pton (AF_INET, host, &address.sin_addr);
+  engine->daemon = MHD_start_daemon (
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
+      0, NULL, NULL, handle, engine, MHD_OPTION_SOCK_ADDR, &address,
+      MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  return engine->daemon != NULL;
+}
+
+Engine *
+engine_create (const EngineConfig *config)
+{
+  Engine *engine = g_new0 (Engine, 1);
+  engine->config = *config;
+  pthread_mutex_init (&engine->lock, NULL);
+  pthread_cond_init (&engine->slot_free, NULL);
+  engine->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  if (listen_at (engine, config->address))
+    return engine;
+  g_hash_table_destroy (engine->runs);
+  g_free (engine);
+  return NULL;
+}
+
+void
+engine_destroy (Engine *engine)
+{
+  MHD_stop_daemon (engine->daemon);
+  g_hash_table_destroy (engine->runs);
+  pthread_cond_destroy (&engine->slot_free);
+  pthread_mutex_destroy (&engine->lock);
+  g_free (engine);
+}
+
+guint
+engine_port (const Engine *engine)
+{
+  return MHD_get_daemon_info (engine->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+guint
+engine_runs (Engine *engine, const char *tag)
+{
+  pthread_mutex_lock (&engine->lock);
+  guint count = GPOINTER_TO_UINT (g_hash_table_lookup (engine->runs, tag));
+  pthread_mutex_unlock (&engine->lock);
+  return count;
+}
+
+guint
+engine_peak (Engine *engine)
+{
+  pthread_mutex_lock (&engine->lock);
+  guint peak = engine->peak;
+  pthread_mutex_unlock (&engine->lock);
+  return peak;
+}
+
+void
+engine_set_crashed (Engine *engine, gboolean crashed)
+{
+  atomic_store (&engine->crashed, crashed);
+  pthread_mutex_lock (&engine->lock);
+  pthread_cond_broadcast (&engine->slot_free);
+  pthread_mutex_unlock (&engine->lock);
+}
--- /dev/null
+++ b/tests/standin/store.c
@@ -0,0 +1,277 @@
+#include "store.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define PREFIX "/objects/"
+
+typedef struct
+{
+  gint64 version;
+  char *body;
+  char *before; /* body of the version before */
+} Object;
+
+struct Store
+{
+  struct MHD_Daemon *daemon;
+  pthread_mutex_t lock;
+  pthread_cond_t changed;
+  GHashTable *objects;
+  atomic_bool down;
+  atomic_bool lagging;
+  atomic_bool stopping;
+  atomic_uint lose;
+  _Atomic guint64 calls;
+};
+
+static void
+object_free (gpointer data)
+{
+  Object *object = data;
+  g_free (object->body);
+  g_free (object->before);
+  g_free (object);
+}
+
+static enum MHD_Result
+reply (struct MHD_Connection *connection, unsigned status, gint64 version,
+       const char *body)
+{
+  char tag[32];
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (body), (void *)body, MHD_RESPMEM_MUST_COPY);
+  g_snprintf (tag, sizeof tag, "\"%" G_GINT64_FORMAT "\"", version);
+  if (version > 0)
+    MHD_add_response_header (response, "ETag", tag);
+  enum MHD_Result result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static gint64
+number_argument (struct MHD_Connection *connection, const char *name)
+{
+  const char *text
+      = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, name);
+  return text != NULL ? g_ascii_strtoll (text, NULL, 10) : 0;
+}
+
+static void
+wait_for_change (Store *store, const char *name, gint64 version, gint64 timeout_ms)
+{
+  struct timespec until;
+  clock_gettime (CLOCK_REALTIME, &until);
+  until.tv_sec += timeout_ms / 1000;
+  until.tv_nsec += (timeout_ms % 1000) * 1000000;
+  if (until.tv_nsec >= 1000000000)
+    {
+      until.tv_sec++;
+      until.tv_nsec -= 1000000000;
+    }
+  for (;;)
+    {
+      const Object *object = g_hash_table_lookup (store->objects, name);
+      if ((object != NULL && object->version > version)
+          || atomic_load (&store->stopping) || atomic_load (&store->down))
+        return;
+      if (pthread_cond_timedwait (&store->changed, &store->lock, &until) != 0)
+        return;
+    }
+}
+
+static enum MHD_Result
+read_object (Store *store, struct MHD_Connection *connection, const char *name)
+{
+  gint64 version = number_argument (connection, "watch");
+  gint64 timeout_ms = number_argument (connection, "timeout_ms");
+  enum MHD_Result result;
+  pthread_mutex_lock (&store->lock);
+  if (timeout_ms > 0)
+    wait_for_change (store, name, version, timeout_ms);
+  const Object *object = g_hash_table_lookup (store->objects, name);
+  gboolean old
+      = atomic_load (&store->lagging) && object != NULL && object->before != NULL;
+  if (atomic_load (&store->down))
+    result = reply (connection, 503, 0, "down");
+  else if (object == NULL)
+    result = reply (connection, 404, 0, "absent");
+  else if (timeout_ms > 0 && object->version <= version)
+    result = reply (connection, 304, object->version, "");
+  else
+    result = reply (connection, 200, object->version - (old ? 1 : 0),
+                    old ? object->before : object->body);
+  pthread_mutex_unlock (&store->lock);
+  return result;
+}
+
+static gint64
+set_locked (Store *store, const char *name, const char *body)
+{
+  Object *object = g_hash_table_lookup (store->objects, name);
+  if (object == NULL)
+    {
+      object = g_new0 (Object, 1);
+      g_hash_table_insert (store->objects, g_strdup (name), object);
+    }
+  g_free (object->before);
+  object->before = object->body;
+  object->body = g_strdup (body);
+  object->version++;
+  pthread_cond_broadcast (&store->changed);
+  return object->version;
+}
+
+static enum MHD_Result
+write_object (Store *store, struct MHD_Connection *connection, const char *name,
+              const char *body)
+{
+  const char *match
+      = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "If-Match");
+  gint64 expected = match != NULL ? g_ascii_strtoll (match + 1, NULL, 10) : 0;
+  pthread_mutex_lock (&store->lock);
+  const Object *object = g_hash_table_lookup (store->objects, name);
+  gint64 current = object != NULL ? object->version : 0;
+  gint64 version = expected == current ? set_locked (store, name, body) : 0;
+  pthread_mutex_unlock (&store->lock);
+  if (version == 0)
+    return reply (connection, 412, current, "conflict");
+  if (atomic_load (&store->lose) > 0)
+    {
+      atomic_fetch_sub (&store->lose, 1);
+      return MHD_NO;
+    }
+  return reply (connection, 200, version, "");
+}
+
+static enum MHD_Result
+handle (void *data, struct MHD_Connection *connection, const char *url,
+        const char *method, const char *version G_GNUC_UNUSED, const char *upload,
+        size_t *upload_size, void **state)
+{
+  Store *store = data;
+  GString *body = *state;
+  if (body == NULL)
+    {
+      *state = g_string_new (NULL);
+      return MHD_YES;
+    }
+  if (*upload_size > 0)
+    {
+      g_string_append_len (body, upload, (gssize)*upload_size);
+      *upload_size = 0;
+      return MHD_YES;
+    }
+  atomic_fetch_add (&store->calls, 1);
+  if (atomic_load (&store->down))
+    return reply (connection, 503, 0, "down");
+  if (!g_str_has_prefix (url, PREFIX))
+    return reply (connection, 404, 0, "absent");
+  const char *name = url + strlen (PREFIX);
+  if (strcmp (method, "PUT") == 0)
+    return write_object (store, connection, name, body->str);
+  return read_object (store, connection, name);
+}
+
+static void
+completed (void *data G_GNUC_UNUSED, struct MHD_Connection *connection G_GNUC_UNUSED,
+           void **state, enum MHD_RequestTerminationCode code G_GNUC_UNUSED)
+{
+  if (*state != NULL)
+    g_string_free (*state, TRUE);
+  *state = NULL;
+}
+
+Store *
+store_create (const char *text)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  char host[64];
+  const char *colon = strrchr (text, ':');
+  g_strlcpy (host, text, MIN (sizeof host, (gsize)(colon - text) + 1));
+  address.sin_port = htons ((guint16)atoi (colon + 1));
+  inet_pton (AF_INET, host, &address.sin_addr);
+  Store *store = g_new0 (Store, 1);
+  pthread_mutex_init (&store->lock, NULL);
+  pthread_cond_init (&store->changed, NULL);
+  store->objects
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_free);
+  store->daemon = MHD_start_daemon (
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
+      0, NULL, NULL, handle, store, MHD_OPTION_SOCK_ADDR, &address,
+      MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  return store;
+}
+
+void
+store_destroy (Store *store)
+{
+  pthread_mutex_lock (&store->lock);
+  atomic_store (&store->stopping, TRUE);
+  pthread_cond_broadcast (&store->changed);
+  pthread_mutex_unlock (&store->lock);
+  if (store->daemon != NULL)
+    MHD_stop_daemon (store->daemon);
+  g_hash_table_destroy (store->objects);
+  pthread_cond_destroy (&store->changed);
+  pthread_mutex_destroy (&store->lock);
+  g_free (store);
+}
+
+guint
+store_port (const Store *store)
+{
+  return MHD_get_daemon_info (store->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+gint64
+store_set (Store *store, const char *name, const char *body)
+{
+  pthread_mutex_lock (&store->lock);
+  gint64 version = set_locked (store, name, body);
+  pthread_mutex_unlock (&store->lock);
+  return version;
+}
+
+char *
+store_get (Store *store, const char *name)
+{
+  pthread_mutex_lock (&store->lock);
+  const Object *object = g_hash_table_lookup (store->objects, name);
+  char *body = object != NULL ? g_strdup (object->body) : NULL;
+  pthread_mutex_unlock (&store->lock);
+  return body;
+}
+
+void
+store_set_down (Store *store, gboolean down)
+{
+  pthread_mutex_lock (&store->lock);
+  atomic_store (&store->down, down);
+  pthread_cond_broadcast (&store->changed);
+  pthread_mutex_unlock (&store->lock);
+}
+
+void
+store_lose_answers (Store *store, guint count)
+{
+  atomic_store (&store->lose, count);
+}
+
+void
+store_set_lagging (Store *store, gboolean lagging)
+{
+  atomic_store (&store->lagging, lagging);
+}
+
+guint64
+store_calls (Store *store)
+{
+  return atomic_load (&store->calls);
+}
