--- a/core/limiter.c
+++ b/core/limiter.c
@@ -370,6 +370,8 @@
                guint index, double shares[KINDS])
 {
   guint count = ledger->claims->len;
+  if (count == 0)
+    return;
   double *demands = g_new (double, count);
   for (guint kind = 0; kind < KINDS; kind++)
     {
--- /dev/null
+++ b/tests/scenario/world.c
@@ -0,0 +1,1346 @@
+#include "world.h"
+
+#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/metrics.h"
+#include "hornbeamwall/core/policy.h"
+#include "hornbeamwall/core/quarantine.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#define TICK_US (25 * HBW_US_PER_MS)
+#define STORE_LOOK_US (300 * HBW_US_PER_MS)
+#define START_US (1 * HBW_US_PER_S)
+
+/* How much more than its slots an engine takes into a batch, in percent. */
+#define BATCH_EXTRA_PERCENT 25
+
+/* How long a caller waits before it sends a failed request again. */
+#define RESEND_US (200 * HBW_US_PER_MS)
+
+/* How long a failed server stays away before it is back by itself. */
+#define REBOOT_US (15 * HBW_US_PER_S)
+
+typedef struct
+{
+  gint64 at_us;
+  guint64 order;
+  void (*run) (World *world, void *data);
+  void *data;
+} Action;
+
+typedef struct
+{
+  char name[HBW_NAME_MAX];
+  char data_centre[HBW_NAME_MAX];
+  char address[HBW_ADDRESS_MAX];
+  guint index;
+  guint64 identity; /* 0 while it is not running */
+  guint starts;
+  HbwReducer *reducer;
+  HbwEffects *effects;
+  gint64 paused_until_us;
+  gint64 versions[HBW_DOCUMENT_COUNT]; /* highest in force so far */
+  gboolean has_read;
+  gboolean draining;
+} Instance;
+
+typedef struct
+{
+  HbwServerEntry entry;
+  gint64 prefill_us;
+  gint64 token_us;
+  double slow;
+  gboolean dead;
+  gint64 leaving_since_us; /* 0: not leaving */
+  GPtrArray *running;      /* Attempt */
+  GPtrArray *queue;        /* Attempt */
+} Server;
+
+typedef struct
+{
+  guint64 sequence;
+  WorldClass *class;
+  const WorldLoad *load;
+  Instance *instance;
+  guint64 identity; /* of the instance that took it */
+  HbwRequestSpec spec;
+  gint64 arrived_us;
+  guint tokens;
+  guint runs;
+  guint resends;
+  gboolean ended;
+  gboolean begun;
+} Request;
+
+typedef struct
+{
+  Request *request;
+  Server *server;
+  Instance *instance;
+  guint64 identity;
+  guint64 server_start;
+  guint number;
+  gint64 begun_us;   /* when the instance made it */
+  gint64 running_us; /* when the engine began to run it */
+  gint64 first_us;   /* duration to the first token */
+  gint64 token_us;
+  gboolean over;
+} Attempt;
+
+typedef struct
+{
+  char address[HBW_ADDRESS_MAX];
+  HbwMessage message;
+} Delivery;
+
+typedef struct
+{
+  char verb[16];
+  char subject[HBW_NAME_MAX];
+  char argument[HBW_NAME_MAX];
+} Fault;
+
+struct World
+{
+  gint64 now_us;
+  guint64 order;
+  GPtrArray *heap; /* Action */
+  GRand *random;
+  const HbwPolicy *policy;
+  WorldLink link;
+  gboolean trace;
+  GPtrArray *instances;
+  GPtrArray *servers;
+  GPtrArray *loads;
+  GPtrArray *classes;
+  GHashTable *requests; /* sequence -> Request */
+  GPtrArray *attempts;  /* every Attempt, for the end */
+  guint64 last_sequence;
+  GPtrArray *cuts; /* "a|b" names that cannot reach each other */
+  gboolean store_down;
+  char *documents[HBW_DOCUMENT_COUNT];
+  gint64 versions[HBW_DOCUMENT_COUNT];
+  gint64 changed_us[HBW_DOCUMENT_COUNT];
+  GHashTable *stops;
+  guint poisoned;
+  guint64 messages;
+  char *breach;
+};
+
+/* --- time --------------------------------------------------------------- */
+
+static gboolean
+is_before (const Action *a, const Action *b)
+{
+  return a->at_us < b->at_us || (a->at_us == b->at_us && a->order < b->order);
+}
+
+static void
+swap (GPtrArray *heap, guint a, guint b)
+{
+  gpointer kept = heap->pdata[a];
+  heap->pdata[a] = heap->pdata[b];
+  heap->pdata[b] = kept;
+}
+
+static void
+schedule (World *world, gint64 at_us, void (*run) (World *world, void *data),
+          void *data)
+{
+  Action *action = g_new (Action, 1);
+  action->at_us = MAX (at_us, world->now_us);
+  action->order = world->order++;
+  action->run = run;
+  action->data = data;
+  g_ptr_array_add (world->heap, action);
+  guint at = world->heap->len - 1;
+  while (at > 0
+         && is_before (world->heap->pdata[at], world->heap->pdata[(at - 1) / 2]))
+    {
+      swap (world->heap, at, (at - 1) / 2);
+      at = (at - 1) / 2;
+    }
+}
+
+static Action *
+pop (World *world)
+{
+  GPtrArray *heap = world->heap;
+  Action *first = heap->pdata[0];
+  g_ptr_array_remove_index_fast (heap, 0);
+  guint at = 0;
+  for (;;)
+    {
+      guint least = at;
+      for (guint child = 2 * at + 1; child <= 2 * at + 2 && child < heap->len;
+           child++)
+        if (is_before (heap->pdata[child], heap->pdata[least]))
+          least = child;
+      if (least == at)
+        return first;
+      swap (heap, at, least);
+      at = least;
+    }
+}
+
+static void G_GNUC_PRINTF (2, 3) breach (World *world, const char *format, ...)
+{
+  if (world->breach != NULL)
+    return;
+  va_list args;
+  va_start (args, format);
+  char *text = g_strdup_vprintf (format, args);
+  va_end (args);
+  world->breach = g_strdup_printf ("at %.3f s: %s",
+                                   (double)world->now_us / HBW_US_PER_S, text);
+  g_free (text);
+}
+
+static void G_GNUC_PRINTF (2, 3) trace (const World *world, const char *format, ...)
+{
+  if (!world->trace)
+    return;
+  va_list args;
+  va_start (args, format);
+  printf ("%10.4f ", (double)world->now_us / HBW_US_PER_S);
+  vprintf (format, args);
+  putchar ('\n');
+  va_end (args);
+}
+
+/* --- look-ups ------------------------------------------------------------ */
+
+static Instance *
+find_instance (const World *world, const char *name)
+{
+  for (guint i = 0; i < world->instances->len; i++)
+    {
+      Instance *instance = world->instances->pdata[i];
+      if (strcmp (instance->name, name) == 0
+          || strcmp (instance->address, name) == 0)
+        return instance;
+    }
+  return NULL;
+}
+
+static Server *
+find_server (const World *world, const char *id)
+{
+  for (guint i = 0; i < world->servers->len; i++)
+    {
+      Server *server = world->servers->pdata[i];
+      if (strcmp (server->entry.id, id) == 0)
+        return server;
+    }
+  return NULL;
+}
+
+static WorldClass *
+class_of (World *world, const char *name, guint tier)
+{
+  for (guint i = 0; i < world->classes->len; i++)
+    {
+      WorldClass *class = world->classes->pdata[i];
+      if (strcmp (class->name, name) == 0)
+        return class;
+    }
+  WorldClass *class = g_new0 (WorldClass, 1);
+  g_strlcpy (class->name, name, sizeof class->name);
+  class->tier = tier;
+  g_ptr_array_add (world->classes, class);
+  return class;
+}
+
+static gboolean
+is_cut (const World *world, const char *a, const char *b)
+{
+  for (guint i = 0; i < world->cuts->len; i++)
+    {
+      char **pair = g_strsplit (world->cuts->pdata[i], "|", 2);
+      gboolean match = (strcmp (pair[0], a) == 0 && strcmp (pair[1], b) == 0)
+                       || (strcmp (pair[0], b) == 0 && strcmp (pair[1], a) == 0);
+      g_strfreev (pair);
+      if (match)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static gboolean
+can_reach (const World *world, const Instance *from, const Instance *to)
+{
+  return !is_cut (world, from->data_centre, to->data_centre)
+         && !is_cut (world, from->name, to->name)
+         && !is_cut (world, from->name, "all") && !is_cut (world, to->name, "all");
+}
+
+static gboolean
+can_reach_store (const World *world, const Instance *instance)
+{
+  return !world->store_down && !is_cut (world, instance->data_centre, "store")
+         && !is_cut (world, instance->name, "store");
+}
+
+/* --- requests ------------------------------------------------------------ */
+
+static void
+end_request (World *world, Request *request)
+{
+  if (request->ended)
+    breach (world, "request %" G_GUINT64_FORMAT " was answered twice",
+            request->sequence);
+  request->ended = TRUE;
+  request->class->open--;
+}
+
+static void submit_request (World *world, void *data);
+
+static void
+maybe_resend (World *world, Request *request)
+{
+  if (request->resends >= request->load->resend)
+    return;
+  Request *again = g_new0 (Request, 1);
+  *again = *request;
+  again->resends++;
+  again->ended = again->begun = FALSE;
+  again->runs = 0;
+  schedule (world, world->now_us + RESEND_US, submit_request, again);
+}
+
+static void
+complete_request (Request *request, const Attempt *attempt)
+{
+  WorldClass *class = request->class;
+  gint64 first_token = attempt->running_us + attempt->first_us - request->arrived_us;
+  class->completed++;
+  class->good_tokens += request->tokens;
+  if (first_token <= request->spec.target_us
+      && attempt->token_us <= request->spec.inter_token_us)
+    class->in_target++;
+}
+
+/* --- engines ------------------------------------------------------------- */
+
+static void step (World *world, Instance *instance, HbwEvent *event);
+
+static gboolean
+is_running (const Instance *instance, guint64 identity)
+{
+  return instance->identity == identity && identity != 0;
+}
+
+typedef struct
+{
+  Attempt *attempt;
+  HbwOutcome outcome;
+  guint tokens;
+} Report;
+
+static void
+report_to_instance (World *world, void *data)
+{
+  Report *report = data;
+  Attempt *attempt = report->attempt;
+  Instance *instance = attempt->instance;
+  if (is_running (instance, attempt->identity)
+      && world->now_us < instance->paused_until_us)
+    {
+      schedule (world, instance->paused_until_us, report_to_instance, report);
+      return;
+    }
+  if (is_running (instance, attempt->identity))
+    {
+      HbwEvent event = { .kind = HBW_EVENT_ATTEMPT_ENDED };
+      event.end.sequence = attempt->request->sequence;
+      event.end.attempt = attempt->number;
+      event.end.outcome = report->outcome;
+      event.end.tokens = report->tokens;
+      if (report->outcome == HBW_OUTCOME_COMPLETE)
+        {
+          event.end.first_token_us
+              = attempt->running_us + attempt->first_us - attempt->begun_us;
+          event.end.inter_token_us = attempt->token_us;
+          complete_request (attempt->request, attempt);
+        }
+      else
+        attempt->request->class->wasted_tokens += report->tokens;
+      step (world, instance, &event);
+    }
+  else
+    attempt->request->class->wasted_tokens += report->tokens;
+  g_free (report);
+}
+
+static void
+report_end (World *world, Attempt *attempt, HbwOutcome outcome, guint tokens)
+{
+  Report *report = g_new0 (Report, 1);
+  report->attempt = attempt;
+  report->outcome = outcome;
+  report->tokens = tokens;
+  attempt->over = TRUE;
+  schedule (world, world->now_us + world->link.local_us, report_to_instance, report);
+}
+
+static guint
+tokens_so_far (const World *world, const Attempt *attempt)
+{
+  gint64 since = world->now_us - attempt->running_us - attempt->first_us;
+  if (since < 0)
+    return 0;
+  return (guint)MIN ((gint64)attempt->request->tokens,
+                     1 + since / MAX (attempt->token_us, 1));
+}
+
+static void fill_batch (World *world, Server *server);
+
+static void
+end_attempt (World *world, void *data)
+{
+  Attempt *attempt = data;
+  if (attempt->over)
+    return;
+  g_ptr_array_remove (attempt->server->running, attempt);
+  report_end (world, attempt, HBW_OUTCOME_COMPLETE, attempt->request->tokens);
+  fill_batch (world, attempt->server);
+}
+
+static void
+fail_server (World *world, Server *server, gboolean by_poison)
+{
+  server->dead = TRUE;
+  if (by_poison)
+    world->poisoned++;
+  for (guint i = 0; i < server->running->len; i++)
+    {
+      Attempt *attempt = server->running->pdata[i];
+      if (server->leaving_since_us > 0 && !by_poison)
+        breach (world, "server %s cut a request by its planned stop",
+                server->entry.id);
+      report_end (world, attempt, HBW_OUTCOME_BROKEN,
+                  tokens_so_far (world, attempt));
+    }
+  for (guint i = 0; i < server->queue->len; i++)
+    report_end (world, server->queue->pdata[i], HBW_OUTCOME_BROKEN, 0);
+  g_ptr_array_set_size (server->running, 0);
+  g_ptr_array_set_size (server->queue, 0);
+}
+
+static void publish_servers (World *world);
+
+static void
+reboot_server (World *world, void *data)
+{
+  Server *server = data;
+  server->dead = FALSE;
+  server->entry.start++;
+  publish_servers (world);
+}
+
+static void
+crash_by_poison (World *world, void *data)
+{
+  Attempt *attempt = data;
+  Server *server = attempt->server;
+  if (attempt->over)
+    return;
+  trace (world, "poison fails server %s", server->entry.id);
+  fail_server (world, server, TRUE);
+  schedule (world, world->now_us + REBOOT_US, reboot_server, server);
+}
+
+static void
+run_attempt (World *world, Attempt *attempt)
+{
+  Server *server = attempt->server;
+  Request *request = attempt->request;
+  g_ptr_array_add (server->running, attempt);
+  double crowd = MAX (1.0, (double)server->running->len / server->entry.slots);
+  attempt->running_us = world->now_us;
+  attempt->first_us = (gint64)((double)server->prefill_us * server->slow);
+  attempt->token_us = (gint64)((double)server->token_us * server->slow * crowd);
+  request->runs++;
+  if (!request->spec.idempotent && request->runs > 1)
+    breach (world, "non-idempotent request %" G_GUINT64_FORMAT " ran %u times",
+            request->sequence, request->runs);
+  if (request->load->poison)
+    schedule (world, world->now_us + attempt->first_us, crash_by_poison, attempt);
+  else
+    schedule (world,
+              world->now_us + attempt->first_us
+                  + attempt->token_us * ((gint64)request->tokens - 1),
+              end_attempt, attempt);
+}
+
+static void
+fill_batch (World *world, Server *server)
+{
+  guint most = server->entry.slots * (100 + BATCH_EXTRA_PERCENT) / 100;
+  while (server->queue->len > 0 && server->running->len < most)
+    {
+      guint best = 0;
+      for (guint i = 1; i < server->queue->len; i++)
+        if (((Attempt *)server->queue->pdata[i])->request->spec.tier
+            < ((Attempt *)server->queue->pdata[best])->request->spec.tier)
+          best = i;
+      run_attempt (world, g_ptr_array_remove_index (server->queue, best));
+    }
+}
+
+static void
+arrive_at_engine (World *world, void *data)
+{
+  Attempt *attempt = data;
+  Server *server = attempt->server;
+  if (attempt->over)
+    return;
+  if (server->dead)
+    {
+      report_end (world, attempt, HBW_OUTCOME_NOT_CONNECTED, 0);
+      return;
+    }
+  attempt->server_start = server->entry.start;
+  if (server->leaving_since_us > 0
+      && world->now_us - server->leaving_since_us > WORLD_LEAVE_US)
+    breach (world, "server %s got work %.1f s after it began to leave",
+            server->entry.id,
+            (double)(world->now_us - server->leaving_since_us) / HBW_US_PER_S);
+  g_ptr_array_add (server->queue, attempt);
+  fill_batch (world, server);
+}
+
+/* Closes the connections of an instance that died, and of cancelled attempts. */
+static void
+drop_attempt (World *world, Attempt *attempt)
+{
+  Server *server = attempt->server;
+  if (attempt->over)
+    return;
+  attempt->over = TRUE;
+  if (g_ptr_array_remove (server->running, attempt))
+    attempt->request->class->wasted_tokens += tokens_so_far (world, attempt);
+  g_ptr_array_remove (server->queue, attempt);
+  fill_batch (world, server);
+}
+
+/* --- effects ------------------------------------------------------------- */
+
+/* The traffic thread: looks at the age of the grant directly before it connects. */
+static void
+connect_attempt (World *world, void *data)
+{
+  Attempt *attempt = data;
+  Instance *instance = attempt->instance;
+  if (!is_running (instance, attempt->identity))
+    return;
+  if (world->now_us < instance->paused_until_us)
+    {
+      schedule (world, instance->paused_until_us, connect_attempt, attempt);
+      return;
+    }
+  if (world->now_us - attempt->begun_us > HBW_GRANT_VALID_US)
+    {
+      report_end (world, attempt, HBW_OUTCOME_UNUSED, 0);
+      return;
+    }
+  gboolean remote
+      = strcmp (instance->data_centre, attempt->server->entry.data_centre) != 0;
+  gboolean reachable
+      = !is_cut (world, instance->data_centre, attempt->server->entry.data_centre);
+  if (!reachable)
+    {
+      report_end (world, attempt, HBW_OUTCOME_NOT_CONNECTED, 0);
+      return;
+    }
+  schedule (world,
+            world->now_us + (remote ? world->link.remote_us : world->link.local_us),
+            arrive_at_engine, attempt);
+}
+
+static void
+start_attempt (World *world, Instance *instance, const HbwStart *start)
+{
+  Request *request = g_hash_table_lookup (world->requests, &start->sequence);
+  Attempt *attempt = g_new0 (Attempt, 1);
+  attempt->request = request;
+  attempt->server = find_server (world, start->server);
+  attempt->instance = instance;
+  attempt->identity = instance->identity;
+  attempt->number = start->attempt;
+  attempt->begun_us = world->now_us;
+  request->begun = TRUE;
+  request->class->begun_us = world->now_us;
+  g_ptr_array_add (world->attempts, attempt);
+  schedule (world, world->now_us + g_rand_int_range (world->random, 50, 1000),
+            connect_attempt, attempt);
+}
+
+static void
+refuse_request (World *world, const HbwRefuse *refuse)
+{
+  Request *request = g_hash_table_lookup (world->requests, &refuse->sequence);
+  if (refuse->executed == HBW_EXECUTED_NO && request->runs > 0)
+    breach (world, "request %" G_GUINT64_FORMAT " ran, and was said not to have run",
+            request->sequence);
+  if (refuse->executed == HBW_EXECUTED_UNKNOWN)
+    request->class->broken++;
+  request->class->refused[refuse->reason]++;
+  if (refuse->reason == HBW_REASON_DEADLINE
+      && world->now_us < request->arrived_us + request->spec.deadline_us)
+    breach (world, "request %" G_GUINT64_FORMAT " was refused before its deadline",
+            request->sequence);
+  end_request (world, request);
+  maybe_resend (world, request);
+}
+
+static void
+deliver (World *world, void *data)
+{
+  Delivery *delivery = data;
+  Instance *instance = find_instance (world, delivery->address);
+  if (instance != NULL && instance->identity != 0)
+    {
+      if (world->now_us < instance->paused_until_us)
+        {
+          schedule (world, instance->paused_until_us, deliver, delivery);
+          return;
+        }
+      HbwEvent event = { .kind = HBW_EVENT_MESSAGE, .message = delivery->message };
+      step (world, instance, &event);
+    }
+  hbw_message_clear (&delivery->message);
+  g_free (delivery);
+}
+
+static void
+send_message (World *world, const Instance *from, const HbwSend *send)
+{
+  const WorldLink *link = &world->link;
+  const Instance *to = find_instance (world, send->address);
+  world->messages++;
+  if (to == NULL || !can_reach (world, from, to))
+    return;
+  if (link->loss > 0 && g_rand_double (world->random) < link->loss)
+    return;
+  guint copies
+      = link->duplicate > 0 && g_rand_double (world->random) < link->duplicate ? 2
+                                                                               : 1;
+  gboolean remote = strcmp (from->data_centre, to->data_centre) != 0;
+  for (guint i = 0; i < copies; i++)
+    {
+      Delivery *delivery = g_new0 (Delivery, 1);
+      g_strlcpy (delivery->address, send->address, sizeof delivery->address);
+      hbw_message_copy (&delivery->message, &send->message);
+      gint64 delay = remote ? link->remote_us : link->local_us;
+      if (link->jitter_us > 0)
+        delay += g_rand_int_range (world->random, 0, (gint32)link->jitter_us);
+      schedule (world, world->now_us + delay, deliver, delivery);
+    }
+}
+
+typedef struct
+{
+  Instance *instance;
+  guint64 identity;
+  HbwLoadReport load;
+} Poll;
+
+static void
+answer_poll (World *world, void *data)
+{
+  Poll *poll = data;
+  if (is_running (poll->instance, poll->identity)
+      && world->now_us >= poll->instance->paused_until_us)
+    {
+      HbwEvent event = { .kind = HBW_EVENT_LOAD_REPORT, .load = poll->load };
+      step (world, poll->instance, &event);
+    }
+  g_free (poll);
+}
+
+static void
+poll_load (World *world, Instance *instance, const HbwPoll *wanted)
+{
+  const Server *server = find_server (world, wanted->server);
+  if (server == NULL || server->dead
+      || is_cut (world, instance->data_centre, server->entry.data_centre))
+    return;
+  Poll *poll = g_new0 (Poll, 1);
+  poll->instance = instance;
+  poll->identity = instance->identity;
+  g_strlcpy (poll->load.server, wanted->server, sizeof poll->load.server);
+  poll->load.running = server->running->len;
+  poll->load.waiting = server->queue->len;
+  schedule (world, world->now_us + 2 * world->link.local_us, answer_poll, poll);
+}
+
+static void
+carry_out (World *world, Instance *instance, const HbwEffect *effect)
+{
+  Request *request;
+  switch (effect->kind)
+    {
+    case HBW_EFFECT_START_ATTEMPT:
+      trace (world, "%s starts %" G_GUINT64_FORMAT "/%u on %s", instance->name,
+             effect->start.sequence, effect->start.attempt, effect->start.server);
+      start_attempt (world, instance, &effect->start);
+      break;
+    case HBW_EFFECT_REFUSE:
+      trace (world, "%s refuses %" G_GUINT64_FORMAT ": %s", instance->name,
+             effect->refuse.sequence, hbw_reason_name (effect->refuse.reason));
+      refuse_request (world, &effect->refuse);
+      break;
+    case HBW_EFFECT_FINISH:
+      request = g_hash_table_lookup (world->requests, &effect->sequence);
+      end_request (world, request);
+      break;
+    case HBW_EFFECT_SEND:
+      send_message (world, instance, &effect->send);
+      break;
+    case HBW_EFFECT_POLL_LOAD:
+      poll_load (world, instance, &effect->poll);
+      break;
+    case HBW_EFFECT_LOG:
+      trace (world, "%s logs %s %s", instance->name,
+             hbw_log_find (effect->log.number)->name, effect->log.text);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+check_versions (World *world, Instance *instance)
+{
+  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+    {
+      gint64 version = hbw_reducer_version (instance->reducer, (HbwDocumentKind)i);
+      if (version < instance->versions[i])
+        breach (world, "%s went back in document %s", instance->name,
+                hbw_document_kind_name ((HbwDocumentKind)i));
+      instance->versions[i] = version;
+    }
+}
+
+static void
+step (World *world, Instance *instance, HbwEvent *event)
+{
+  event->now_us = world->now_us;
+  HbwEffects *effects = hbw_effects_create ();
+  hbw_reducer_step (instance->reducer, event, effects);
+  for (guint i = 0; i < hbw_effects_count (effects); i++)
+    carry_out (world, instance, hbw_effects_get (effects, i));
+  hbw_effects_destroy (effects);
+  check_versions (world, instance);
+}
+
+/* --- instances ----------------------------------------------------------- */
+
+static void
+tick (World *world, void *data)
+{
+  Instance *instance = data;
+  schedule (world, world->now_us + TICK_US, tick, instance);
+  if (instance->identity == 0 || world->now_us < instance->paused_until_us)
+    return;
+  HbwEvent event = { .kind = HBW_EVENT_TICK };
+  step (world, instance, &event);
+}
+
+static void
+look_at_store (World *world, void *data)
+{
+  Instance *instance = data;
+  schedule (world, world->now_us + STORE_LOOK_US, look_at_store, instance);
+  if (instance->identity == 0 || world->now_us < instance->paused_until_us
+      || !can_reach_store (world, instance))
+    return;
+  if (instance->has_read && !hbw_reducer_is_watcher (instance->reducer))
+    return;
+  instance->has_read = TRUE;
+  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+    {
+      if (world->documents[i] == NULL
+          || hbw_reducer_version (instance->reducer, (HbwDocumentKind)i)
+                 >= world->versions[i])
+        continue;
+      HbwEvent event = { .kind = HBW_EVENT_DOCUMENT };
+      event.document.kind = (HbwDocumentKind)i;
+      event.document.version = world->versions[i];
+      event.document.body
+          = g_bytes_new (world->documents[i], strlen (world->documents[i]));
+      step (world, instance, &event);
+      g_bytes_unref (event.document.body);
+    }
+}
+
+static void
+start_instance (World *world, Instance *instance)
+{
+  const char *seeds[] = { NULL, NULL, NULL };
+  guint count = 0;
+  for (guint i = 0; i < world->instances->len && count < 2; i++)
+    {
+      const Instance *other = world->instances->pdata[i];
+      if (other != instance)
+        seeds[count++] = other->address;
+    }
+  instance->starts++;
+  instance->identity = ((guint64)world->now_us << 20)
+                       | ((guint64)instance->index << 8) | instance->starts;
+  instance->has_read = FALSE;
+  instance->draining = FALSE;
+  instance->paused_until_us = 0;
+  memset (instance->versions, 0, sizeof instance->versions);
+  HbwReducerConfig config = { .policy = world->policy, .now_us = world->now_us };
+  config.seeds = seeds;
+  config.seed = g_rand_int (world->random);
+  config.self.identity = instance->identity;
+  g_strlcpy (config.self.name, instance->name, sizeof config.self.name);
+  g_strlcpy (config.self.data_centre, instance->data_centre,
+             sizeof config.self.data_centre);
+  g_strlcpy (config.self.address, instance->address, sizeof config.self.address);
+  instance->reducer = hbw_reducer_create (&config);
+}
+
+static void
+stop_instance (World *world, Instance *instance)
+{
+  if (instance->identity == 0)
+    return;
+  guint64 identity = instance->identity;
+  instance->identity = 0;
+  for (guint i = 0; i < world->attempts->len; i++)
+    {
+      Attempt *attempt = world->attempts->pdata[i];
+      if (attempt->identity == identity)
+        drop_attempt (world, attempt);
+    }
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, world->requests);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Request *request = value;
+      if (request->identity != identity || request->ended)
+        continue;
+      request->class->lost++;
+      end_request (world, request);
+    }
+  g_clear_pointer (&instance->reducer, hbw_reducer_destroy);
+}
+
+static Instance *
+pick_instance (World *world, const WorldLoad *load)
+{
+  guint count = world->instances->len;
+  guint start = (guint)g_rand_int_range (world->random, 0, (gint32)count);
+  for (guint i = 0; i < count; i++)
+    {
+      Instance *instance = world->instances->pdata[(start + i) % count];
+      gboolean here = *load->data_centre == '\0'
+                      || strcmp (load->data_centre, instance->data_centre) == 0;
+      if (here && instance->identity != 0 && !instance->draining
+          && world->now_us >= instance->paused_until_us
+          && hbw_reducer_is_ready (instance->reducer))
+        return instance;
+    }
+  return NULL;
+}
+
+static gboolean
+fill_spec (World *world, const WorldLoad *load, Request *request)
+{
+  HbwError error;
+  HbwCatalogue *catalogue = hbw_catalogue_parse (
+      world->documents[HBW_DOCUMENT_CATALOGUE],
+      strlen (world->documents[HBW_DOCUMENT_CATALOGUE]), 1, &error);
+  const HbwClass *class = hbw_catalogue_class (catalogue, load->class_name);
+  const HbwOrganisation *organisation
+      = hbw_catalogue_organisation (catalogue, load->organisation);
+  gboolean known = class != NULL && organisation != NULL;
+  HbwRequestSpec *spec = &request->spec;
+  if (known)
+    {
+      spec->tier = class->tier;
+      spec->weight = organisation->weight;
+      spec->cost_tokens = class->expected_tokens;
+      spec->queue_bound = class->queue_bound;
+      spec->target_us = class->first_token_us;
+      spec->inter_token_us = class->inter_token_us;
+      spec->deadline_us = class->deadline_us;
+      spec->idempotent = !load->not_idempotent;
+      g_strlcpy (spec->organisation, load->organisation, sizeof spec->organisation);
+      g_strlcpy (spec->class_name, load->class_name, sizeof spec->class_name);
+      g_strlcpy (spec->pool, load->pool, sizeof spec->pool);
+    }
+  hbw_catalogue_unref (catalogue);
+  return known;
+}
+
+static void
+submit_request (World *world, void *data)
+{
+  Request *request = data;
+  Instance *instance = pick_instance (world, request->load);
+  if (instance == NULL)
+    {
+      g_free (request);
+      return;
+    }
+  request->sequence = ++world->last_sequence;
+  request->instance = instance;
+  request->identity = instance->identity;
+  request->arrived_us = world->now_us;
+  request->class->arrived++;
+  request->class->open++;
+  if (request->spec.fingerprint.low == 0)
+    request->spec.fingerprint.low = request->sequence;
+  g_hash_table_insert (world->requests, &request->sequence, request);
+  HbwEvent event = { .kind = HBW_EVENT_REQUEST_ARRIVED };
+  event.arrival.sequence = request->sequence;
+  event.arrival.spec = request->spec;
+  step (world, instance, &event);
+}
+
+static void
+arrive (World *world, void *data)
+{
+  const WorldLoad *load = data;
+  if (world->now_us >= load->to_us)
+    return;
+  Request *request = g_new0 (Request, 1);
+  request->load = load;
+  request->tokens = load->tokens_min;
+  if (load->tokens_max > load->tokens_min)
+    request->tokens = (guint)g_rand_int_range (
+        world->random, (gint32)load->tokens_min, (gint32)load->tokens_max + 1);
+  if (fill_spec (world, load, request))
+    {
+      request->class = class_of (world, load->class_name, request->spec.tier);
+      submit_request (world, request);
+    }
+  else
+    g_free (request);
+  double gap_s = -log (1.0 - g_rand_double (world->random)) / load->rate;
+  schedule (world, world->now_us + (gint64)(gap_s * HBW_US_PER_S) + 1, arrive, data);
+}
+
+/* --- store and faults ---------------------------------------------------- */
+
+static void
+check_rollout (World *world, void *data)
+{
+  HbwDocumentKind kind = (HbwDocumentKind)GPOINTER_TO_INT (data);
+  if (world->now_us - world->changed_us[kind] < WORLD_ROLLOUT_US)
+    return;
+  for (guint i = 0; i < world->instances->len; i++)
+    {
+      const Instance *instance = world->instances->pdata[i];
+      if (instance->identity == 0 || world->store_down || world->cuts->len > 0
+          || world->now_us < instance->paused_until_us + WORLD_ROLLOUT_US
+          || (instance->identity >> 20)
+                 > (guint64)(world->now_us - WORLD_ROLLOUT_US))
+        continue;
+      if (hbw_reducer_version (instance->reducer, kind) < world->versions[kind])
+        breach (world, "%s does not have the newest %s", instance->name,
+                hbw_document_kind_name (kind));
+    }
+}
+
+void
+world_set_document (World *world, HbwDocumentKind kind, const char *body)
+{
+  g_free (world->documents[kind]);
+  world->documents[kind] = g_strdup (body);
+  world->versions[kind]++;
+  world->changed_us[kind] = world->now_us;
+  schedule (world, world->now_us + WORLD_ROLLOUT_US, check_rollout,
+            GINT_TO_POINTER (kind));
+}
+
+static void
+publish_servers (World *world)
+{
+  GString *text = g_string_new ("{\"servers\":[");
+  for (guint i = 0; i < world->servers->len; i++)
+    {
+      const HbwServerEntry *entry = &((Server *)world->servers->pdata[i])->entry;
+      g_string_append_printf (
+          text,
+          "%s{\"id\":\"%s\",\"pool\":\"%s\",\"data_centre\":\"%s\","
+          "\"address\":\"%s\",\"slots\":%u,\"start\":%" G_GUINT64_FORMAT
+          ",\"state\":\"%s\"}",
+          i > 0 ? "," : "", entry->id, entry->pool, entry->data_centre,
+          entry->address, entry->slots, entry->start,
+          entry->leaving ? "leaving" : "live");
+    }
+  g_string_append (text, "]}");
+  world_set_document (world, HBW_DOCUMENT_SERVERS, text->str);
+  g_string_free (text, TRUE);
+}
+
+static void
+publish_stops (World *world)
+{
+  GString *text = g_string_new ("{\"stops\":[");
+  GList *names
+      = g_list_sort (g_hash_table_get_keys (world->stops), (GCompareFunc)g_strcmp0);
+  for (GList *at = names; at != NULL; at = at->next)
+    g_string_append_printf (text, "%s\"%s\"", at == names ? "" : ",",
+                            (const char *)at->data);
+  g_list_free (names);
+  g_string_append (text, "]}");
+  world_set_document (world, HBW_DOCUMENT_STOPS, text->str);
+  g_string_free (text, TRUE);
+}
+
+static void
+apply_server_fault (World *world, Server *server, const Fault *fault)
+{
+  const char *verb = fault->verb;
+  if (strcmp (verb, "crash") == 0)
+    fail_server (world, server, FALSE);
+  else if (strcmp (verb, "restart") == 0)
+    reboot_server (world, server);
+  else if (strcmp (verb, "slow") == 0)
+    server->slow = g_ascii_strtod (fault->argument, NULL);
+  else if (strcmp (verb, "leave") == 0)
+    {
+      server->entry.leaving = TRUE;
+      server->leaving_since_us = world->now_us;
+      publish_servers (world);
+    }
+  else if (strcmp (verb, "stop") == 0)
+    {
+      g_hash_table_add (world->stops, g_strdup (server->entry.id));
+      server->leaving_since_us = world->now_us;
+      publish_stops (world);
+    }
+  else if (strcmp (verb, "unstop") == 0)
+    {
+      g_hash_table_remove (world->stops, server->entry.id);
+      server->leaving_since_us = 0;
+      publish_stops (world);
+    }
+}
+
+static void
+apply_instance_fault (World *world, Instance *instance, const Fault *fault)
+{
+  const char *verb = fault->verb;
+  if (strcmp (verb, "kill") == 0)
+    stop_instance (world, instance);
+  else if (strcmp (verb, "revive") == 0)
+    {
+      stop_instance (world, instance);
+      start_instance (world, instance);
+    }
+  else if (strcmp (verb, "pause") == 0)
+    instance->paused_until_us
+        = world->now_us
+          + (gint64)(g_ascii_strtod (fault->argument, NULL) * HBW_US_PER_S);
+  else if (strcmp (verb, "drain") == 0 && instance->identity != 0)
+    {
+      HbwEvent event = { .kind = HBW_EVENT_DRAIN };
+      instance->draining = TRUE;
+      step (world, instance, &event);
+    }
+}
+
+static void
+apply_fault (World *world, void *data)
+{
+  const Fault *fault = data;
+  const char *verb = fault->verb;
+  trace (world, "fault: %s %s %s", verb, fault->subject, fault->argument);
+  Server *server = find_server (world, fault->subject);
+  Instance *instance = find_instance (world, fault->subject);
+  char *pair = g_strconcat (fault->subject, "|", fault->argument, NULL);
+  if (strcmp (verb, "cut") == 0)
+    g_ptr_array_add (world->cuts, g_strdup (pair));
+  else if (strcmp (verb, "heal") == 0)
+    {
+      for (guint i = world->cuts->len; i > 0; i--)
+        if (strcmp (world->cuts->pdata[i - 1], pair) == 0)
+          g_ptr_array_remove_index (world->cuts, i - 1);
+    }
+  else if (strcmp (verb, "store-down") == 0)
+    world->store_down = TRUE;
+  else if (strcmp (verb, "store-up") == 0)
+    world->store_down = FALSE;
+  else if (strcmp (verb, "edit") == 0)
+    {
+      char *body = g_strdup (world->documents[HBW_DOCUMENT_CATALOGUE]);
+      world_set_document (world, HBW_DOCUMENT_CATALOGUE, body);
+      g_free (body);
+    }
+  else if (server != NULL)
+    apply_server_fault (world, server, fault);
+  else if (instance != NULL)
+    apply_instance_fault (world, instance, fault);
+  g_free (pair);
+}
+
+/* --- progress ------------------------------------------------------------ */
+
+/* Once a second: a class of which some wait must not stand still. */
+static void
+look_at_progress (World *world, void *data G_GNUC_UNUSED)
+{
+  schedule (world, world->now_us + HBW_US_PER_S, look_at_progress, NULL);
+  for (guint i = 0; i < world->classes->len; i++)
+    {
+      WorldClass *class = world->classes->pdata[i];
+      gint64 oldest = 0;
+      GHashTableIter iter;
+      gpointer value;
+      g_hash_table_iter_init (&iter, world->requests);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          const Request *request = value;
+          if (request->class == class && !request->ended && !request->begun
+              && (oldest == 0 || request->arrived_us < oldest))
+            oldest = request->arrived_us;
+        }
+      if (oldest > 0)
+        class->longest_gap_us = MAX (class->longest_gap_us,
+                                     world->now_us - MAX (oldest, class->begun_us));
+    }
+}
+
+/* --- the world ----------------------------------------------------------- */
+
+World *
+world_create (guint32 seed, const char *policy)
+{
+  World *world = g_new0 (World, 1);
+  world->heap = g_ptr_array_new ();
+  world->random = g_rand_new_with_seed (seed);
+  world->policy = hbw_policy_find (policy);
+  world->link.local_us = HBW_US_PER_MS;
+  world->link.remote_us = HBW_US_PER_MS;
+  world->instances = g_ptr_array_new ();
+  world->servers = g_ptr_array_new ();
+  world->loads = g_ptr_array_new_with_free_func (g_free);
+  world->classes = g_ptr_array_new_with_free_func (g_free);
+  world->requests
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  world->attempts = g_ptr_array_new_with_free_func (g_free);
+  world->cuts = g_ptr_array_new_with_free_func (g_free);
+  world->stops = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  schedule (world, HBW_US_PER_S, look_at_progress, NULL);
+  return world;
+}
+
+static void
+discard (const Action *action)
+{
+  if (action->run == deliver)
+    {
+      Delivery *delivery = action->data;
+      hbw_message_clear (&delivery->message);
+      g_free (delivery);
+    }
+  else if (action->run == report_to_instance || action->run == apply_fault
+           || action->run == answer_poll || action->run == submit_request)
+    g_free (action->data);
+}
+
+void
+world_destroy (World *world)
+{
+  for (guint i = 0; i < world->heap->len; i++)
+    {
+      discard (world->heap->pdata[i]);
+      g_free (world->heap->pdata[i]);
+    }
+  for (guint i = 0; i < world->instances->len; i++)
+    {
+      Instance *instance = world->instances->pdata[i];
+      if (instance->reducer != NULL)
+        hbw_reducer_destroy (instance->reducer);
+      g_free (instance);
+    }
+  for (guint i = 0; i < world->servers->len; i++)
+    {
+      Server *server = world->servers->pdata[i];
+      g_ptr_array_free (server->running, TRUE);
+      g_ptr_array_free (server->queue, TRUE);
+      g_free (server);
+    }
+  g_ptr_array_free (world->heap, TRUE);
+  g_ptr_array_free (world->instances, TRUE);
+  g_ptr_array_free (world->servers, TRUE);
+  g_ptr_array_free (world->attempts, TRUE);
+  g_hash_table_destroy (world->requests);
+  g_ptr_array_free (world->loads, TRUE);
+  g_ptr_array_free (world->classes, TRUE);
+  g_ptr_array_free (world->cuts, TRUE);
+  g_hash_table_destroy (world->stops);
+  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+    g_free (world->documents[i]);
+  g_rand_free (world->random);
+  g_free (world->breach);
+  g_free (world);
+}
+
+void
+world_set_link (World *world, const WorldLink *link)
+{
+  world->link = *link;
+}
+
+void
+world_set_trace (World *world, gboolean on)
+{
+  world->trace = on;
+}
+
+void
+world_add_instances (World *world, const char *data_centre, guint count)
+{
+  for (guint i = 0; i < count; i++)
+    {
+      Instance *instance = g_new0 (Instance, 1);
+      instance->index = world->instances->len;
+      g_snprintf (instance->name, sizeof instance->name, "%s%u", data_centre, i + 1);
+      g_strlcpy (instance->data_centre, data_centre, sizeof instance->data_centre);
+      g_snprintf (instance->address, sizeof instance->address, "10.0.%u.%u:1",
+                  instance->index / 250, instance->index % 250 + 1);
+      g_ptr_array_add (world->instances, instance);
+    }
+}
+
+void
+world_add_servers (World *world, const char *pool, const char *data_centre,
+                   guint count, guint slots, gint64 prefill_us, gint64 token_us)
+{
+  for (guint i = 0; i < count; i++)
+    {
+      Server *server = g_new0 (Server, 1);
+      g_snprintf (server->entry.id, sizeof server->entry.id, "%s-%s-%u", pool,
+                  data_centre, i + 1);
+      g_strlcpy (server->entry.pool, pool, sizeof server->entry.pool);
+      g_strlcpy (server->entry.data_centre, data_centre,
+                 sizeof server->entry.data_centre);
+      g_snprintf (server->entry.address, sizeof server->entry.address, "10.9.0.%u:1",
+                  i + 1);
+      server->entry.slots = slots;
+      server->entry.start = 1;
+      server->prefill_us = prefill_us;
+      server->token_us = token_us;
+      server->slow = 1.0;
+      server->running = g_ptr_array_new ();
+      server->queue = g_ptr_array_new ();
+      g_ptr_array_add (world->servers, server);
+    }
+}
+
+void
+world_add_load (World *world, const WorldLoad *load)
+{
+  WorldLoad *copy = g_new (WorldLoad, 1);
+  *copy = *load;
+  g_ptr_array_add (world->loads, copy);
+}
+
+gboolean
+world_add_fault (World *world, gint64 at_us, const char *verb, const char *subject,
+                 const char *argument)
+{
+  static const char *const verbs[]
+      = { "crash",      "restart",  "slow",  "leave", "stop", "unstop",
+          "kill",       "revive",   "pause", "drain", "cut",  "heal",
+          "store-down", "store-up", "edit",  NULL };
+  gboolean needs_subject = !g_str_has_prefix (verb, "store-")
+                           && strcmp (verb, "edit") != 0 && strcmp (verb, "cut") != 0
+                           && strcmp (verb, "heal") != 0;
+  if (!g_strv_contains (verbs, verb))
+    return FALSE;
+  if (needs_subject && find_server (world, subject) == NULL
+      && find_instance (world, subject) == NULL)
+    return FALSE;
+  Fault *fault = g_new0 (Fault, 1);
+  g_strlcpy (fault->verb, verb, sizeof fault->verb);
+  g_strlcpy (fault->subject, subject, sizeof fault->subject);
+  g_strlcpy (fault->argument, argument, sizeof fault->argument);
+  schedule (world, START_US + at_us, apply_fault, fault);
+  return TRUE;
+}
+
+static void
+start (World *world)
+{
+  publish_servers (world);
+  for (guint i = 0; i < world->instances->len; i++)
+    {
+      Instance *instance = world->instances->pdata[i];
+      start_instance (world, instance);
+      schedule (world, (gint64)i * 1000, tick, instance);
+      schedule (world, (gint64)i * 1000, look_at_store, instance);
+    }
+  for (guint i = 0; i < world->loads->len; i++)
+    {
+      WorldLoad *load = world->loads->pdata[i];
+      load->from_us += START_US;
+      load->to_us += START_US;
+      schedule (world, load->from_us, arrive, load);
+    }
+}
+
+static int
+compare_classes (gconstpointer a, gconstpointer b)
+{
+  const WorldClass *left = *(WorldClass *const *)a;
+  const WorldClass *right = *(WorldClass *const *)b;
+  return strcmp (left->name, right->name);
+}
+
+gboolean
+world_run (World *world, gint64 until_us)
+{
+  if (world->now_us == 0)
+    start (world);
+  while (world->heap->len > 0 && world->breach == NULL)
+    {
+      if (((Action *)world->heap->pdata[0])->at_us > START_US + until_us)
+        break;
+      Action *action = pop (world);
+      world->now_us = action->at_us;
+      action->run (world, action->data);
+      if (action->run == apply_fault)
+        g_free (action->data);
+      g_free (action);
+    }
+  g_ptr_array_sort (world->classes, compare_classes);
+  return world->breach == NULL;
+}
+
+const char *
+world_breach (const World *world)
+{
+  return world->breach;
+}
+
+const GPtrArray *
+world_classes (const World *world)
+{
+  return world->classes;
+}
+
+guint
+world_poisoned_servers (const World *world)
+{
+  return world->poisoned;
+}
+
+double
+world_message_rate (const World *world)
+{
+  return (double)world->messages / world->instances->len
+         / ((double)world->now_us / HBW_US_PER_S);
+}
