--- a/common/error.c
+++ b/common/error.c
@@ -26,7 +26,7 @@
 const char *
 hbw_error_kind_name (HbwErrorKind kind)
 {
-  if ((gsize)kind >= G_N_ELEMENTS (kind_names))
+  if ((gsize) kind >= G_N_ELEMENTS (kind_names))
     return "unknown";
   return kind_names[kind];
 }
--- a/common/histogram.c
+++ b/common/histogram.c
@@ -8,9 +8,9 @@
 bucket_of (guint64 value)
 {
   if (value < HBW_HISTOGRAM_SUB_BUCKETS)
-    return (guint)value;
+    return (guint) value;
   guint octave = g_bit_storage (value) - 1 - SUB_BUCKET_BITS;
-  guint sub = (guint)(value >> octave) & (HBW_HISTOGRAM_SUB_BUCKETS - 1);
+  guint sub = (guint) (value >> octave) & (HBW_HISTOGRAM_SUB_BUCKETS - 1);
   guint bucket = (octave + 1) * HBW_HISTOGRAM_SUB_BUCKETS + sub;
   return MIN (bucket, HBW_HISTOGRAM_BUCKETS - 1);
 }
@@ -22,13 +22,13 @@
     return bucket;
   guint octave = bucket / HBW_HISTOGRAM_SUB_BUCKETS - 1;
   guint64 sub = bucket % HBW_HISTOGRAM_SUB_BUCKETS + HBW_HISTOGRAM_SUB_BUCKETS;
-  return (gint64)(((sub + 1) << octave) - 1);
+  return (gint64) (((sub + 1) << octave) - 1);
 }
 
 void
 hbw_histogram_record (HbwHistogram *histogram, gint64 value_us)
 {
-  guint64 value = value_us < 0 ? 0 : (guint64)value_us;
+  guint64 value = value_us < 0 ? 0 : (guint64) value_us;
   histogram->buckets[bucket_of (value)]++;
   histogram->count++;
   histogram->sum_us += value;
@@ -39,7 +39,7 @@
 {
   if (histogram->count == 0)
     return 0;
-  guint64 rank = (guint64)ceil (quantile * (double)histogram->count);
+  guint64 rank = (guint64) ceil (quantile * (double) histogram->count);
   guint64 seen = 0;
   for (guint i = 0; i < HBW_HISTOGRAM_BUCKETS; i++)
     {
--- a/common/log.c
+++ b/common/log.c
@@ -83,6 +83,6 @@
     active_hook (entry, text, hook_data);
   else if (category != NULL)
     log4c_category_log (category, priority_of (entry->level), "event=%d name=%s %s",
-                        (int)entry->number, entry->name, text);
+                        (int) entry->number, entry->name, text);
   pthread_mutex_unlock (&lock);
 }
--- a/core/catalogue.c
+++ b/core/catalogue.c
@@ -72,7 +72,7 @@
   g_strlcpy (class->name, name, sizeof class->name);
   HbwReader *reader = hbw_reader_create (report, value, place);
   class->tier
-      = (HbwTier)hbw_reader_required_int (reader, "tier", 0, HBW_TIER_COUNT - 1);
+      = (HbwTier) hbw_reader_required_int (reader, "tier", 0, HBW_TIER_COUNT - 1);
   class->first_token_us
       = HBW_US_PER_MS
         * hbw_reader_required_int (reader, "first_token_ms", 1, DURATION_MAX_MS);
@@ -82,9 +82,9 @@
   class->deadline_us
       = HBW_US_PER_MS
         * hbw_reader_int (reader, "deadline_ms", 0, DURATION_MAX_MS, 0);
-  class->queue_bound = (guint)hbw_reader_int (reader, "queue_bound", 1,
-                                              QUEUE_BOUND_MAX, QUEUE_BOUND_DEFAULT);
-  class->expected_tokens = (guint)hbw_reader_int (
+  class->queue_bound = (guint) hbw_reader_int (reader, "queue_bound", 1,
+                                               QUEUE_BOUND_MAX, QUEUE_BOUND_DEFAULT);
+  class->expected_tokens = (guint) hbw_reader_int (
       reader, "expected_tokens", 1, TOKENS_MAX, EXPECTED_TOKENS_DEFAULT);
   hbw_reader_destroy (reader);
   g_hash_table_replace (catalogue->classes, class->name, class);
@@ -172,11 +172,11 @@
   char *place = hbw_reader_place (parent, "limits");
   HbwReader *reader = hbw_reader_create (report, value, place);
   limits->requests_per_s
-      = (guint)hbw_reader_int (reader, "requests_per_s", 0, RATE_MAX, 0);
+      = (guint) hbw_reader_int (reader, "requests_per_s", 0, RATE_MAX, 0);
   limits->tokens_per_s
-      = (guint)hbw_reader_int (reader, "tokens_per_s", 0, RATE_MAX, 0);
+      = (guint) hbw_reader_int (reader, "tokens_per_s", 0, RATE_MAX, 0);
   limits->in_progress
-      = (guint)hbw_reader_int (reader, "in_progress", 0, RATE_MAX, 0);
+      = (guint) hbw_reader_int (reader, "in_progress", 0, RATE_MAX, 0);
   hbw_reader_destroy (reader);
   g_free (place);
 }
@@ -189,7 +189,7 @@
   g_strlcpy (organisation->name, name, sizeof organisation->name);
   organisation->class_names = g_ptr_array_new_with_free_func (g_free);
   HbwReader *reader = hbw_reader_create (report, value, place);
-  organisation->weight = (guint)hbw_reader_int (reader, "weight", 1, WEIGHT_MAX, 1);
+  organisation->weight = (guint) hbw_reader_int (reader, "weight", 1, WEIGHT_MAX, 1);
   read_list (catalogue, reader, report, organisation, "keys", read_key);
   read_list (catalogue, reader, report, organisation, "classes", read_class_name);
   read_limits (reader, report, &organisation->limits);
@@ -328,7 +328,7 @@
 hbw_catalogue_pool_names (const HbwCatalogue *catalogue)
 {
   return g_list_sort (g_hash_table_get_keys (catalogue->pools),
-                      (GCompareFunc)g_strcmp0);
+                      (GCompareFunc) g_strcmp0);
 }
 
 char *
--- a/core/documents.c
+++ b/core/documents.c
@@ -2,7 +2,7 @@
 
 typedef struct
 {
-  gint64 version;  /* adopted; 0 is none */
+  gint64 version;  /* adopted */
   gint64 rejected; /* highest version found not valid */
   GBytes *body;
   gint64 asked_us;
@@ -18,7 +18,11 @@
 {
   HbwDocuments *documents = g_new0 (HbwDocuments, 1);
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
-    documents->held[i].asked_us = -HBW_DOCUMENT_ASK_US;
+    {
+      documents->held[i].asked_us = -HBW_DOCUMENT_ASK_US;
+      documents->held[i].version = HBW_VERSION_UNKNOWN;
+      documents->held[i].rejected = HBW_VERSION_UNKNOWN;
+    }
   return documents;
 }
 
@@ -46,7 +50,7 @@
 {
   Held *held = &documents->held[kind];
   g_clear_pointer (&held->body, g_bytes_unref);
-  held->body = g_bytes_ref (body);
+  held->body = body != NULL ? g_bytes_ref (body) : NULL;
   held->version = version;
 }
 
@@ -69,14 +73,14 @@
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     {
       Held *held = &documents->held[i];
-      HbwOffer offer
-          = hbw_documents_compare (documents, (HbwDocumentKind)i, ping->versions[i]);
-      if (offer != HBW_OFFER_NEWER
+      HbwOffer offer = hbw_documents_compare (documents, (HbwDocumentKind) i,
+                                              ping->versions[i]);
+      if (offer != HBW_OFFER_NEWER || ping->versions[i] <= HBW_VERSION_ABSENT
           || context->now_us - held->asked_us < HBW_DOCUMENT_ASK_US)
         continue;
       held->asked_us = context->now_us;
       HbwMessage message = { .kind = HBW_MESSAGE_DOCUMENT_ASK };
-      message.document.kind = (HbwDocumentKind)i;
+      message.document.kind = (HbwDocumentKind) i;
       message.document.version = held->version;
       hbw_context_post (context, from, &message);
     }
--- a/core/limiter.c
+++ b/core/limiter.c
@@ -119,7 +119,7 @@
 static void
 refill (Account *account, gint64 now_us)
 {
-  double elapsed_s = (double)(now_us - account->refilled_us) / HBW_US_PER_S;
+  double elapsed_s = (double) (now_us - account->refilled_us) / HBW_US_PER_S;
   account->refilled_us = now_us;
   for (guint i = 0; i < 2; i++)
     {
@@ -188,7 +188,7 @@
     return;
   if (account->in_progress > 0)
     account->in_progress--;
-  account->level[TOKENS] += (double)spec->cost_tokens - (double)tokens;
+  account->level[TOKENS] += (double) spec->cost_tokens - (double) tokens;
 }
 
 void
@@ -236,7 +236,7 @@
   if (limits->tokens_per_s > 0)
     wait_s = MAX (wait_s, (account->waiting_tokens - account->level[TOKENS])
                               / MAX (account->share[TOKENS], 1e-3));
-  return (gint64)(wait_s * HBW_US_PER_S);
+  return (gint64) (wait_s * HBW_US_PER_S);
 }
 
 double
@@ -272,7 +272,7 @@
 static void
 measure_demand (Account *account, gint64 now_us)
 {
-  double elapsed_s = (double)(now_us - account->demanded_us) / HBW_US_PER_S;
+  double elapsed_s = (double) (now_us - account->demanded_us) / HBW_US_PER_S;
   elapsed_s = CLAMP (elapsed_s, 0.1, 1.0);
   account->demand[REQUESTS]
       = (account->arrived[REQUESTS] / elapsed_s) * DEMAND_HEADROOM
--- a/core/membership.c
+++ b/core/membership.c
@@ -128,9 +128,9 @@
   member->changed_us = context->now_us;
   member->spread_left = spread_count (membership);
   g_hash_table_insert (membership->members, &member->info.identity, member);
-  guint at = (guint)g_rand_int_range (context->random, 0,
-                                      (gint32)membership->order->len + 1);
-  g_ptr_array_insert (membership->order, (gint)at, member);
+  guint at = (guint) g_rand_int_range (context->random, 0,
+                                       (gint32) membership->order->len + 1);
+  g_ptr_array_insert (membership->order, (gint) at, member);
   membership->epoch++;
   if (is_present (member))
     log_state (context, member);
@@ -194,7 +194,7 @@
   guint count = membership->order->len;
   if (count == 0)
     return;
-  guint start = (guint)g_rand_int_range (context->random, 0, (gint32)count);
+  guint start = (guint) g_rand_int_range (context->random, 0, (gint32) count);
   for (guint i = 0; i < count && ping->member_count < HBW_PING_MEMBERS_MAX; i++)
     {
       Member *member = g_ptr_array_index (membership->order, (start + i) % count);
@@ -234,7 +234,7 @@
   guint count = membership->order->len;
   if (count == 0)
     return NULL;
-  guint start = (guint)g_rand_int_range (context->random, 0, (gint32)count);
+  guint start = (guint) g_rand_int_range (context->random, 0, (gint32) count);
   for (guint i = 0; i < count; i++)
     {
       Member *member = g_ptr_array_index (membership->order, (start + i) % count);
@@ -340,7 +340,7 @@
 {
   if (list->len == 0)
     return;
-  guint start = (guint)g_rand_int_range (context->random, 0, (gint32)list->len);
+  guint start = (guint) g_rand_int_range (context->random, 0, (gint32) list->len);
   const HbwPing base = { .number = 0 };
   for (guint i = 0; i < list->len; i++)
     {
--- a/core/message.c
+++ b/core/message.c
@@ -41,13 +41,13 @@
 const char *
 hbw_message_kind_name (HbwMessageKind kind)
 {
-  return (guint)kind < HBW_MESSAGE_COUNT ? message_names[kind] : "unknown";
+  return (guint) kind < HBW_MESSAGE_COUNT ? message_names[kind] : "unknown";
 }
 
 const char *
 hbw_document_kind_name (HbwDocumentKind kind)
 {
-  return (guint)kind < HBW_DOCUMENT_COUNT ? document_names[kind] : "unknown";
+  return (guint) kind < HBW_DOCUMENT_COUNT ? document_names[kind] : "unknown";
 }
 
 void
--- a/core/metrics.c
+++ b/core/metrics.c
@@ -35,7 +35,7 @@
         text,
         "hornbeamwall_%s_seconds_bucket{%s=\"%s\",le=\"%g\"} %" G_GUINT64_FORMAT
         "\n",
-        name, label, value, (double)edges_us[i] / HBW_US_PER_S,
+        name, label, value, (double) edges_us[i] / HBW_US_PER_S,
         hbw_histogram_count_upto (histogram, edges_us[i]));
   g_string_append_printf (
       text,
@@ -44,7 +44,7 @@
       name, label, value, histogram->count);
   g_string_append_printf (text, "hornbeamwall_%s_seconds_sum{%s=\"%s\"} %.6f\n",
                           name, label, value,
-                          (double)histogram->sum_us / HBW_US_PER_S);
+                          (double) histogram->sum_us / HBW_US_PER_S);
   g_string_append_printf (
       text, "hornbeamwall_%s_seconds_count{%s=\"%s\"} %" G_GUINT64_FORMAT "\n", name,
       label, value, histogram->count);
@@ -77,7 +77,7 @@
           text,
           "hornbeamwall_refused_total{%s=\"%s\",reason=\"%s\"} %" G_GUINT64_FORMAT
           "\n",
-          label, name, hbw_reason_name ((HbwReason)i), metrics->refused[i]);
+          label, name, hbw_reason_name ((HbwReason) i), metrics->refused[i]);
   render_histogram (text, "queue_wait", label, name, &metrics->queue_wait);
   render_histogram (text, "first_token", label, name, &metrics->first_token);
   render_histogram (text, "inter_token", label, name, &metrics->inter_token);
@@ -88,7 +88,7 @@
 render_table (GString *text, const char *label, GHashTable *table)
 {
   GList *names
-      = g_list_sort (g_hash_table_get_keys (table), (GCompareFunc)g_strcmp0);
+      = g_list_sort (g_hash_table_get_keys (table), (GCompareFunc) g_strcmp0);
   for (GList *at = names; at != NULL; at = at->next)
     render_one (text, label, at->data, g_hash_table_lookup (table, at->data));
   g_list_free (names);
@@ -137,7 +137,7 @@
   render_table (text, "organisation", metrics->organisations);
   for (guint i = 0; i < HBW_MESSAGE_COUNT; i++)
     {
-      const char *kind = hbw_message_kind_name ((HbwMessageKind)i);
+      const char *kind = hbw_message_kind_name ((HbwMessageKind) i);
       render_counter (text, "messages_sent", "kind", kind,
                       metrics->control.messages_sent[i]);
       render_counter (text, "messages_received", "kind", kind,
--- a/core/policy.c
+++ b/core/policy.c
@@ -32,7 +32,7 @@
 {
   if (now_us >= shard->rebuilt_at_us)
     return TRUE;
-  guint limit = (guint)(server->limit * HBW_REBUILD_PERCENT / 100);
+  guint limit = (guint) (server->limit * HBW_REBUILD_PERCENT / 100);
   return server->in_progress < MAX (1, limit);
 }
 
@@ -50,7 +50,7 @@
 static double
 score_by_own_count (const HbwServer *server, const HbwRequestSpec *spec)
 {
-  double score = ((double)server->in_progress + 1.0) / MAX (1.0, server->limit);
+  double score = ((double) server->in_progress + 1.0) / MAX (1.0, server->limit);
   if (spec->prefix != 0 && hbw_server_knows_prefix (server, spec->prefix))
     score -= PREFIX_BONUS;
   return score;
@@ -59,7 +59,7 @@
 static double
 score_by_report (const HbwServer *server, const HbwRequestSpec *spec G_GNUC_UNUSED)
 {
-  double load = (double)server->reported_running + server->reported_waiting
+  double load = (double) server->reported_running + server->reported_waiting
                 + server->granted_since_report;
   return (load + 1.0) / server->entry.slots;
 }
@@ -135,7 +135,7 @@
           && (least <= 0 || server->first_token_us < least))
         least = server->first_token_us;
     }
-  return (gint64)least;
+  return (gint64) least;
 }
 
 static HbwTicket *
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -19,7 +19,7 @@
 static guint
 fingerprint_hash (gconstpointer key)
 {
-  return (guint)((const HbwFingerprint *)key)->low;
+  return (guint) ((const HbwFingerprint *) key)->low;
 }
 
 static gboolean
--- a/core/queue.c
+++ b/core/queue.c
@@ -236,7 +236,7 @@
   Flow *flow = tier_flow (tier, spec->organisation);
   tier->choices++;
   tier->service = MAX (tier->service, flow->service);
-  flow->service += (double)spec->cost_tokens / MAX (spec->weight, 1);
+  flow->service += (double) spec->cost_tokens / MAX (spec->weight, 1);
 }
 
 void
@@ -246,7 +246,7 @@
       = g_hash_table_lookup (queue->tiers[spec->tier].flows, spec->organisation);
   if (flow != NULL)
     flow->service
-        += ((double)tokens - (double)spec->cost_tokens) / MAX (spec->weight, 1);
+        += ((double) tokens - (double) spec->cost_tokens) / MAX (spec->weight, 1);
 }
 
 guint
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -89,7 +89,7 @@
       || owner_of (&shard->key, reducer) == context->self)
     return FALSE;
   hbw_effects_log (context->effects, HBW_LOG_OWNER_LOST, "shard=%s",
-                   (const char *)key);
+                   (const char *) key);
   return TRUE;
 }
 
@@ -153,6 +153,7 @@
     return FALSE;
   g_hash_table_unref (reducer->context.stops);
   reducer->context.stops = stops;
+  reducer->context.stops_known = TRUE;
   refresh_shards (reducer);
   return TRUE;
 }
@@ -185,11 +186,20 @@
   HbwOffer offer = hbw_documents_compare (reducer->documents, document->kind,
                                           document->version);
   const char *name = hbw_document_kind_name (document->kind);
-  if (offer == HBW_OFFER_OLDER)
+  if (offer == HBW_OFFER_OLDER && document->version > HBW_VERSION_ABSENT)
     hbw_effects_log (context->effects, HBW_LOG_DOCUMENT_OLDER,
                      "document=%s offered=%" G_GINT64_FORMAT, name,
                      document->version);
-  if (offer != HBW_OFFER_NEWER || document->body == NULL)
+  if (offer != HBW_OFFER_NEWER)
+    return;
+  if (document->version == HBW_VERSION_ABSENT)
+    {
+      hbw_documents_adopt (reducer->documents, document->kind, HBW_VERSION_ABSENT,
+                           NULL);
+      context->stops_known |= document->kind == HBW_DOCUMENT_STOPS;
+      return;
+    }
+  if (document->body == NULL)
     return;
   HbwError error = { HBW_ERROR_NONE, "" };
   if (!apply_document (reducer, document, &error))
@@ -213,7 +223,7 @@
   HbwContext *context = &reducer->context;
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     ping->versions[i]
-        = hbw_documents_version (reducer->documents, (HbwDocumentKind)i);
+        = hbw_documents_version (reducer->documents, (HbwDocumentKind) i);
   hbw_route_share (hbw_entry_route (reducer->entry), context, ping);
 }
 
@@ -226,6 +236,12 @@
   for (guint i = 0; i < ping->summary_count; i++)
     if (owner_of (&ping->summaries[i].key, reducer) != context->self)
       hbw_route_learn (route, &ping->summaries[i], context->now_us);
+  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+    if (ping->versions[i] == HBW_VERSION_ABSENT)
+      {
+        const HbwDocument absent = { .kind = (HbwDocumentKind) i };
+        handle_document (reducer, &absent);
+      }
   hbw_documents_ask (reducer->documents, context, message->from, ping);
 }
 
@@ -234,7 +250,7 @@
 {
   HbwContext *context = &reducer->context;
   HbwLimiter *limiter = hbw_entry_limiter (reducer->entry);
-  if ((guint)message->kind >= HBW_MESSAGE_COUNT)
+  if ((guint) message->kind >= HBW_MESSAGE_COUNT)
     return;
   hbw_metrics_control (context->metrics)->messages_received[message->kind]++;
   hbw_membership_handle (context->membership, context, message);
@@ -489,7 +505,7 @@
   reducer->documents = hbw_documents_create ();
   reducer->entry = hbw_entry_create (owner_of, reducer);
   reducer->shards = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                           (GDestroyNotify)hbw_shard_destroy);
+                                           (GDestroyNotify) hbw_shard_destroy);
   reducer->store_up = TRUE;
   return reducer;
 }
@@ -537,7 +553,7 @@
 hbw_reducer_is_ready (const HbwReducer *reducer)
 {
   return reducer->context.catalogue != NULL && reducer->topology != NULL
-         && !reducer->draining;
+         && reducer->context.stops_known && !reducer->draining;
 }
 
 gboolean
--- a/core/route.c
+++ b/core/route.c
@@ -46,10 +46,10 @@
 choose_local (const HbwRoute *route, HbwContext *context, const HbwRequestSpec *spec,
               guint count, HbwShardKey *key)
 {
-  guint first = (guint)g_rand_int_range (context->random, 0, (gint32)count);
+  guint first = (guint) g_rand_int_range (context->random, 0, (gint32) count);
   if (spec->prefix != 0)
-    first = (guint)(spec->prefix % count);
-  guint second = (guint)g_rand_int_range (context->random, 0, (gint32)count);
+    first = (guint) (spec->prefix % count);
+  guint second = (guint) g_rand_int_range (context->random, 0, (gint32) count);
   HbwShardKey other = *key;
   key->index = first;
   other.index = second;
@@ -66,8 +66,8 @@
 is_worth_it (const Known *known, HbwTier tier, gint64 home_wait_us)
 {
   return known != NULL && known->summary.free_slots > 0
-         && (double)known->summary.expected_wait_us[tier]
-                <= (double)home_wait_us * SPILL_GAIN_FACTOR;
+         && (double) known->summary.expected_wait_us[tier]
+                <= (double) home_wait_us * SPILL_GAIN_FACTOR;
 }
 
 static gboolean
@@ -96,7 +96,7 @@
             continue;
           guint weight = known != NULL ? known->summary.free_slots : 0;
           total += MAX (weight, 1);
-          if ((guint)g_rand_int_range (context->random, 0, (gint32)total)
+          if ((guint) g_rand_int_range (context->random, 0, (gint32) total)
               < MAX (weight, 1))
             *key = candidate;
           found = TRUE;
@@ -144,7 +144,7 @@
   guint size = g_hash_table_size (route->known);
   if (size == 0)
     return;
-  guint skip = (guint)g_rand_int_range (context->random, 0, (gint32)size);
+  guint skip = (guint) g_rand_int_range (context->random, 0, (gint32) size);
   for (guint round = 0; round < 2; round++)
     {
       GHashTableIter iter;
--- a/core/server.c
+++ b/core/server.c
@@ -40,9 +40,9 @@
   if (sample_us <= 0)
     return;
   if (*value <= 0)
-    *value = (double)sample_us;
+    *value = (double) sample_us;
   else
-    *value += AVERAGE_WEIGHT * ((double)sample_us - *value);
+    *value += AVERAGE_WEIGHT * ((double) sample_us - *value);
 }
 
 static void
@@ -57,9 +57,9 @@
 static void
 raise_limit (HbwServer *server)
 {
-  if ((double)server->in_progress + 1.0 < server->limit)
+  if ((double) server->in_progress + 1.0 < server->limit)
     return;
-  server->limit = MIN ((double)server->entry.slots,
+  server->limit = MIN ((double) server->entry.slots,
                        server->limit + INCREASE_STEP / server->limit);
 }
 
@@ -94,7 +94,7 @@
 static guint
 room_of (const HbwServer *server, HbwTier tier)
 {
-  guint limit = MAX (1, (guint)server->limit);
+  guint limit = MAX (1, (guint) server->limit);
   if (tier == 0)
     limit += limit * HBW_SERVER_OVERCOMMIT_PERCENT / 100;
   return limit;
@@ -233,7 +233,7 @@
 guint
 hbw_server_free (const HbwServer *server)
 {
-  guint limit = MAX (1, (guint)server->limit);
+  guint limit = MAX (1, (guint) server->limit);
   if (server->stopping || server->state != HBW_SERVER_UP
       || server->in_progress >= limit)
     return 0;
--- a/core/shard.c
+++ b/core/shard.c
@@ -177,6 +177,8 @@
 static void
 schedule (HbwShard *shard, HbwContext *context)
 {
+  if (!context->stops_known)
+    return;
   while (hbw_queue_length (shard->queue) > 0 && grant_one (shard, context))
     continue;
 }
@@ -280,8 +282,8 @@
 static int
 compare_doubles (gconstpointer a, gconstpointer b)
 {
-  double left = *(const double *)a;
-  double right = *(const double *)b;
+  double left = *(const double *) a;
+  double right = *(const double *) b;
   return left < right ? -1 : left > right;
 }
 
@@ -323,7 +325,7 @@
 note_service (HbwShard *shard, gint64 duration_us)
 {
   shard->service_us
-      += SERVICE_AVERAGE_WEIGHT * ((double)duration_us - shard->service_us);
+      += SERVICE_AVERAGE_WEIGHT * ((double) duration_us - shard->service_us);
 }
 
 static void
@@ -357,7 +359,7 @@
   shard->policy = policy;
   shard->key = *key;
   shard->servers
-      = g_ptr_array_new_with_free_func ((GDestroyNotify)hbw_server_destroy);
+      = g_ptr_array_new_with_free_func ((GDestroyNotify) hbw_server_destroy);
   shard->queue = hbw_queue_create ();
   shard->reservations
       = g_hash_table_new_full (reservation_hash, reservation_equal, NULL, g_free);
@@ -553,7 +555,7 @@
   gpointer value;
   g_hash_table_iter_init (&iter, shard->reservations);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((Reservation *)value)->heard_us = now_us;
+    ((Reservation *) value)->heard_us = now_us;
   shard->rebuilt_at_us = now_us + HBW_REBUILD_US;
 }
 
@@ -585,7 +587,7 @@
     }
   if (free_slots > 0 && waiting == 0)
     return 0;
-  return (gint64)((waiting + 1.0) * shard->service_us / MAX (limit, 1.0));
+  return (gint64) ((waiting + 1.0) * shard->service_us / MAX (limit, 1.0));
 }
 
 HbwServer *
--- a/core/spec.c
+++ b/core/spec.c
@@ -38,7 +38,7 @@
       *valid = FALSE;
       return fallback_us;
     }
-  return (gint64)value * HBW_US_PER_MS;
+  return (gint64) value * HBW_US_PER_MS;
 }
 
 static HbwFingerprint
@@ -60,7 +60,7 @@
   spec->inter_token_us = class->inter_token_us;
   spec->cost_tokens = class->expected_tokens;
   if (input->max_tokens > 0 && input->max_tokens < class->expected_tokens)
-    spec->cost_tokens = (guint)input->max_tokens;
+    spec->cost_tokens = (guint) input->max_tokens;
 }
 
 HbwSpecResult
--- a/core/status.c
+++ b/core/status.c
@@ -14,8 +14,8 @@
   json_t *object = json_object ();
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     json_object_set_new (
-        object, hbw_document_kind_name ((HbwDocumentKind)i),
-        json_integer (hbw_documents_version (documents, (HbwDocumentKind)i)));
+        object, hbw_document_kind_name ((HbwDocumentKind) i),
+        json_integer (hbw_documents_version (documents, (HbwDocumentKind) i)));
   return object;
 }
 
@@ -34,7 +34,7 @@
   return json_pack ("{s:s, s:s, s:b, s:b, s:f, s:i, s:f, s:f}", "id",
                     server->entry.id, "state", hbw_server_state_name (server->state),
                     "stopping", server->stopping, "straggler", server->straggler,
-                    "limit", server->limit, "in_progress", (int)server->in_progress,
+                    "limit", server->limit, "in_progress", (int) server->in_progress,
                     "first_token_ms", server->first_token_us / HBW_US_PER_MS,
                     "inter_token_ms", server->inter_token_us / HBW_US_PER_MS);
 }
@@ -52,7 +52,7 @@
         waiting, json_integer (hbw_queue_tier_length (shard->queue, tier)));
   return json_pack ("{s:s, s:s, s:i, s:o, s:o}", "pool", shard->key.pool,
                     "data_centre", shard->key.data_centre, "index",
-                    (int)shard->key.index, "waiting", waiting, "servers", servers);
+                    (int) shard->key.index, "waiting", waiting, "servers", servers);
 }
 
 static json_t *
@@ -60,7 +60,7 @@
 {
   json_t *list = json_array ();
   GList *keys
-      = g_list_sort (g_hash_table_get_keys (shards), (GCompareFunc)g_strcmp0);
+      = g_list_sort (g_hash_table_get_keys (shards), (GCompareFunc) g_strcmp0);
   for (GList *at = keys; at != NULL; at = at->next)
     json_array_append_new (list,
                            render_shard (g_hash_table_lookup (shards, at->data)));
@@ -73,7 +73,7 @@
 {
   json_t *list = json_array ();
   GList *names
-      = g_list_sort (g_hash_table_get_keys (stops), (GCompareFunc)g_strcmp0);
+      = g_list_sort (g_hash_table_get_keys (stops), (GCompareFunc) g_strcmp0);
   for (GList *at = names; at != NULL; at = at->next)
     json_array_append_new (list, json_string (at->data));
   g_list_free (names);
@@ -89,8 +89,8 @@
   json_t *root = json_pack (
       "{s:s, s:b, s:b, s:i, s:i, s:o, s:o, s:o, s:o}", "data_centre",
       context->data_centre, "draining", source->draining, "store_up",
-      source->store_up, "requests", (int)source->requests, "suspects",
-      (int)hbw_quarantine_size (context->quarantine), "documents",
+      source->store_up, "requests", (int) source->requests, "suspects",
+      (int) hbw_quarantine_size (context->quarantine), "documents",
       render_documents (source->documents), "stops", render_stops (context->stops),
       "members", members, "shards", render_shards (source->shards));
   char *dump = json_dumps (root, JSON_INDENT (2));
--- a/core/topology.c
+++ b/core/topology.c
@@ -21,8 +21,8 @@
 static int
 compare_servers (gconstpointer a, gconstpointer b)
 {
-  const HbwServerEntry *left = *(HbwServerEntry *const *)a;
-  const HbwServerEntry *right = *(HbwServerEntry *const *)b;
+  const HbwServerEntry *left = *(HbwServerEntry *const *) a;
+  const HbwServerEntry *right = *(HbwServerEntry *const *) b;
   int order = strcmp (left->pool, right->pool);
   if (order == 0)
     order = strcmp (left->data_centre, right->data_centre);
--- a/core/types.c
+++ b/core/types.c
@@ -28,13 +28,13 @@
 const char *
 hbw_outcome_name (HbwOutcome outcome)
 {
-  return (guint)outcome < HBW_OUTCOME_COUNT ? outcome_names[outcome] : "unknown";
+  return (guint) outcome < HBW_OUTCOME_COUNT ? outcome_names[outcome] : "unknown";
 }
 
 const char *
 hbw_reason_name (HbwReason reason)
 {
-  return (guint)reason < HBW_REASON_COUNT ? reason_names[reason] : "unknown";
+  return (guint) reason < HBW_REASON_COUNT ? reason_names[reason] : "unknown";
 }
 
 gboolean
@@ -47,7 +47,7 @@
 guint
 hbw_request_id_hash (gconstpointer id)
 {
-  return (guint)XXH64 (id, sizeof (HbwRequestId), 0);
+  return (guint) XXH64 (id, sizeof (HbwRequestId), 0);
 }
 
 gboolean
--- a/hornbeamwall/client.c
+++ b/hornbeamwall/client.c
@@ -16,7 +16,7 @@
 static int
 read_block (void *data, const char *bytes, size_t length)
 {
-  g_string_append_len (data, bytes, (gssize)length);
+  g_string_append_len (data, bytes, (gssize) length);
   return 0;
 }
 
@@ -24,14 +24,14 @@
 split_address (const char *address, char **host, guint *port, HbwError *error)
 {
   const char *colon = address != NULL ? strrchr (address, ':') : NULL;
-  *port = colon != NULL ? (guint)g_ascii_strtoull (colon + 1, NULL, 10) : 0;
+  *port = colon != NULL ? (guint) g_ascii_strtoull (colon + 1, NULL, 10) : 0;
   if (*port == 0 || *port > G_MAXUINT16)
     {
       hbw_error_set (error, HBW_ERROR_USAGE,
                      "give the administration address as --address IP:PORT");
       return FALSE;
     }
-  *host = g_strndup (address, (gsize)(colon - address));
+  *host = g_strndup (address, (gsize) (colon - address));
   return TRUE;
 }
 
--- a/hornbeamwall/commands/events.c
+++ b/hornbeamwall/commands/events.c
@@ -20,7 +20,7 @@
       "| number | name | level | meaning | what to do |\n"
       "| --- | --- | --- | --- | --- |\n");
   for (gsize i = 0; i < count; i++)
-    printf ("| %d | %s | %s | %s | %s |\n", (int)list[i].number, list[i].name,
+    printf ("| %d | %s | %s | %s | %s |\n", (int) list[i].number, list[i].name,
             levels[list[i].level], list[i].meaning, list[i].action);
   return HBW_EXIT_OK;
 }
--- a/include/hornbeamwall/core/context.h
+++ b/include/hornbeamwall/core/context.h
@@ -19,6 +19,7 @@
   HbwEffects *effects;     /* of the step in progress */
   HbwCatalogue *catalogue; /* newest adopted, or NULL */
   GHashTable *stops;       /* names of servers and instances that stop */
+  gboolean stops_known;    /* whether the stops were ever read; no grants before */
   GQueue *loopback;        /* HbwMessage to this instance itself */
   HbwMembership *membership;
   HbwMetrics *metrics;
--- a/include/hornbeamwall/core/documents.h
+++ b/include/hornbeamwall/core/documents.h
@@ -14,6 +14,11 @@
 /* A document is asked for again only after this time. */
 #define HBW_DOCUMENT_ASK_US (500 * HBW_US_PER_MS)
 
+/* Versions of a document of which nothing is known, and of one that is known not to
+   exist. */
+#define HBW_VERSION_UNKNOWN (-1)
+#define HBW_VERSION_ABSENT 0
+
 typedef struct HbwDocuments HbwDocuments;
 
 typedef enum
@@ -30,7 +35,7 @@
 HbwOffer hbw_documents_compare (const HbwDocuments *documents, HbwDocumentKind kind,
                                 gint64 version);
 
-/* Adopts BODY (takes a reference). */
+/* Adopts BODY (takes a reference; NULL for HBW_VERSION_ABSENT). */
 void hbw_documents_adopt (HbwDocuments *documents, HbwDocumentKind kind,
                           gint64 version, GBytes *body);
 
@@ -38,7 +43,7 @@
 void hbw_documents_reject (HbwDocuments *documents, HbwDocumentKind kind,
                            gint64 version);
 
-/* Returns the adopted version; 0 is none. */
+/* Returns the adopted version. */
 gint64 hbw_documents_version (const HbwDocuments *documents, HbwDocumentKind kind);
 
 /* Asks the sender of a ping for every document that it has newer. */
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -55,7 +55,7 @@
     guint64 sequence; /* CALLER_GONE, FIRST_TOKEN */
     HbwAttemptEnd end;
     HbwLoadReport load;
-    HbwDocument document; /* body borrowed for the step */
+    HbwDocument document; /* body borrowed for the step; NULL: does not exist */
     gboolean store_up;
     HbwMessage message; /* borrowed for the step */
   };
--- a/include/hornbeamwall/core/reducer.h
+++ b/include/hornbeamwall/core/reducer.h
@@ -30,7 +30,7 @@
 void hbw_reducer_step (HbwReducer *reducer, const HbwEvent *event,
                        HbwEffects *effects);
 
-/* Returns whether a catalogue and a list of servers are in force. */
+/* Returns whether a catalogue, a list of servers and the planned stops are known. */
 gboolean hbw_reducer_is_ready (const HbwReducer *reducer);
 
 /* Returns whether this instance is one of those of its data centre that watch the
@@ -40,7 +40,7 @@
 /* Returns how many requests of this instance have not ended. */
 guint hbw_reducer_request_count (const HbwReducer *reducer);
 
-/* Returns the adopted version of a document; 0 is none. */
+/* Returns the adopted version of a document; see documents.h. */
 gint64 hbw_reducer_version (const HbwReducer *reducer, HbwDocumentKind kind);
 
 /* Adds the metrics in the Prometheus text format. */
--- a/net/attempt.c
+++ b/net/attempt.c
@@ -152,7 +152,7 @@
     }
   if (attempt->stream)
     scan_stream (attempt, bytes, length);
-  g_byte_array_append (attempt->answer, (const guint8 *)bytes, (guint)length);
+  g_byte_array_append (attempt->answer, (const guint8 *) bytes, (guint) length);
   return length;
 }
 
@@ -177,7 +177,7 @@
   curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, config->method);
@@ -185,11 +185,11 @@
     {
       curl_easy_setopt (easy, CURLOPT_POSTFIELDS, config->body);
       curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                        (curl_off_t)config->body_length);
+                        (curl_off_t) config->body_length);
     }
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, attempt->headers);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
-                    (long)config->connect_timeout_ms);
+                    (long) config->connect_timeout_ms);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, before_request);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, attempt);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, read_header);
@@ -336,7 +336,7 @@
 {
   long status = 0;
   curl_easy_getinfo (attempt->easy, CURLINFO_RESPONSE_CODE, &status);
-  return (guint)status;
+  return (guint) status;
 }
 
 const char *
@@ -353,7 +353,7 @@
   if (length == 0)
     return 0;
   memcpy (buffer, attempt->answer->data, length);
-  g_byte_array_remove_range (attempt->answer, 0, (guint)length);
+  g_byte_array_remove_range (attempt->answer, 0, (guint) length);
   return length;
 }
 
@@ -403,13 +403,13 @@
 {
   if (attempt->stream || strstr (attempt->content_type, "json") == NULL)
     return attempt->tokens;
-  json_t *root = json_loadb ((const char *)attempt->answer->data,
+  json_t *root = json_loadb ((const char *) attempt->answer->data,
                              attempt->answer->len, 0, NULL);
   json_t *usage = json_object_get (root, "usage");
   json_int_t tokens
       = json_integer_value (json_object_get (usage, "completion_tokens"));
   json_decref (root);
-  return (guint)CLAMP (tokens, 0, G_MAXINT32);
+  return (guint) CLAMP (tokens, 0, G_MAXINT32);
 }
 
 void
@@ -421,5 +421,5 @@
     end->first_token_us = MAX (1, attempt->first_us - attempt->started_us);
   if (attempt->stream && end->tokens > 1)
     end->inter_token_us
-        = (attempt->last_us - attempt->first_us) / (gint64)(end->tokens - 1);
+        = (attempt->last_us - attempt->first_us) / (gint64) (end->tokens - 1);
 }
--- a/net/caller.c
+++ b/net/caller.c
@@ -60,7 +60,7 @@
   input->class_name = hbw_http_header (request, "Hornbeamwall-Class");
   input->idempotent = hbw_http_header (request, "Hornbeamwall-Idempotent");
   input->deadline_ms = hbw_http_header (request, "Hornbeamwall-Deadline-Ms");
-  input->body = (const char *)request->body->data;
+  input->body = (const char *) request->body->data;
   input->body_length = request->body->len;
   HbwSpecResult result
       = hbw_spec_fill (&config->spec, catalogue, organisation, input, &error);
@@ -95,7 +95,7 @@
                    const HbwCatalogue *catalogue,
                    const HbwOrganisation *organisation)
 {
-  json_t *root = json_loadb ((const char *)request->body->data, request->body->len,
+  json_t *root = json_loadb ((const char *) request->body->data, request->body->len,
                              JSON_REJECT_DUPLICATES, NULL);
   const char *model = json_string_value (json_object_get (root, "model"));
   if (model == NULL)
@@ -127,11 +127,11 @@
   const char *rest = strpbrk (name, "/?");
   if (rest == NULL)
     rest = name + strlen (name);
-  char *service = g_strndup (name, (gsize)(rest - name));
+  char *service = g_strndup (name, (gsize) (rest - name));
   char *path = g_strconcat (*rest == '/' ? "" : "/", rest, NULL);
   HbwSpecInput input = { .pool = service };
   HbwRelayConfig config = { .path = path };
-  config.body = (const char *)request->body->data;
+  config.body = (const char *) request->body->data;
   config.body_length = request->body->len;
   const HbwPool *pool = hbw_catalogue_pool (catalogue, service);
   enum MHD_Result result
--- a/net/codec.c
+++ b/net/codec.c
@@ -59,7 +59,7 @@
   pack_text (packer, member->name);
   pack_text (packer, member->data_centre);
   pack_text (packer, member->address);
-  msgpack_pack_uint8 (packer, (guint8)member->state);
+  msgpack_pack_uint8 (packer, (guint8) member->state);
   msgpack_pack_uint32 (packer, member->incarnation);
 }
 
@@ -124,7 +124,7 @@
 pack_refusal (msgpack_packer *packer, const HbwRefusal *refusal)
 {
   pack_id (packer, &refusal->id, refusal->attempt);
-  msgpack_pack_uint8 (packer, (guint8)refusal->reason);
+  msgpack_pack_uint8 (packer, (guint8) refusal->reason);
   msgpack_pack_int64 (packer, refusal->retry_after_us);
 }
 
@@ -144,7 +144,7 @@
   pack_id (packer, &done->id, done->attempt);
   pack_shard (packer, &done->shard);
   pack_text (packer, done->server);
-  msgpack_pack_uint8 (packer, (guint8)done->outcome);
+  msgpack_pack_uint8 (packer, (guint8) done->outcome);
   msgpack_pack_int64 (packer, done->first_token_us);
   msgpack_pack_int64 (packer, done->inter_token_us);
   msgpack_pack_uint32 (packer, done->tokens);
@@ -156,7 +156,7 @@
   gsize size = 0;
   const void *bytes
       = document->body != NULL ? g_bytes_get_data (document->body, &size) : NULL;
-  msgpack_pack_uint8 (packer, (guint8)document->kind);
+  msgpack_pack_uint8 (packer, (guint8) document->kind);
   msgpack_pack_int64 (packer, document->version);
   msgpack_pack_bin (packer, size);
   msgpack_pack_bin_body (packer, bytes, size);
@@ -257,7 +257,7 @@
       fields->failed = TRUE;
       return 0;
     }
-  return (gint64)item->via.u64;
+  return (gint64) item->via.u64;
 }
 
 static double
@@ -308,7 +308,7 @@
 {
   id->instance = take_uint (fields, G_MAXUINT64);
   id->sequence = take_uint (fields, G_MAXUINT64);
-  *attempt = (guint)take_uint (fields, G_MAXUINT32);
+  *attempt = (guint) take_uint (fields, G_MAXUINT32);
 }
 
 static void
@@ -316,7 +316,7 @@
 {
   take_text (fields, key->pool, sizeof key->pool);
   take_text (fields, key->data_centre, sizeof key->data_centre);
-  key->index = (guint)take_uint (fields, HBW_SHARDS_MAX - 1);
+  key->index = (guint) take_uint (fields, HBW_SHARDS_MAX - 1);
 }
 
 static void
@@ -334,8 +334,8 @@
   take_text (&inner, member->name, sizeof member->name);
   take_text (&inner, member->data_centre, sizeof member->data_centre);
   take_text (&inner, member->address, sizeof member->address);
-  member->state = (HbwMemberState)take_uint (&inner, HBW_MEMBER_LEFT);
-  member->incarnation = (guint32)take_uint (&inner, G_MAXUINT32);
+  member->state = (HbwMemberState) take_uint (&inner, HBW_MEMBER_LEFT);
+  member->incarnation = (guint32) take_uint (&inner, G_MAXUINT32);
   fields->failed |= inner.failed || member->identity == 0;
 }
 
@@ -345,7 +345,7 @@
   Fields inner = take_array (fields, G_MAXUINT16);
   take_shard (&inner, &summary->key);
   summary->age_us = take_int (&inner);
-  summary->free_slots = (guint)take_uint (&inner, G_MAXUINT16);
+  summary->free_slots = (guint) take_uint (&inner, G_MAXUINT16);
   for (guint i = 0; i < HBW_TIER_COUNT; i++)
     summary->expected_wait_us[i] = take_int (&inner);
   fields->failed |= inner.failed;
@@ -375,17 +375,17 @@
   take_text (fields, spec->organisation, sizeof spec->organisation);
   take_text (fields, spec->class_name, sizeof spec->class_name);
   take_text (fields, spec->pool, sizeof spec->pool);
-  spec->tier = (HbwTier)take_uint (fields, HBW_TIER_COUNT - 1);
+  spec->tier = (HbwTier) take_uint (fields, HBW_TIER_COUNT - 1);
   spec->idempotent = take_uint (fields, 1) != 0;
-  spec->weight = (guint)take_uint (fields, G_MAXUINT32);
-  spec->cost_tokens = (guint)take_uint (fields, G_MAXUINT32);
-  spec->queue_bound = (guint)take_uint (fields, G_MAXUINT32);
+  spec->weight = (guint) take_uint (fields, G_MAXUINT32);
+  spec->cost_tokens = (guint) take_uint (fields, G_MAXUINT32);
+  spec->queue_bound = (guint) take_uint (fields, G_MAXUINT32);
   spec->target_us = take_int (fields);
   spec->inter_token_us = take_int (fields);
   spec->deadline_us = take_int (fields);
   spec->prefix = take_uint (fields, G_MAXUINT64);
   take_fingerprint (fields, &spec->fingerprint);
-  spec->failures = (guint)take_uint (fields, G_MAXUINT16);
+  spec->failures = (guint) take_uint (fields, G_MAXUINT16);
 }
 
 static void
@@ -402,7 +402,7 @@
 take_refusal (Fields *fields, HbwRefusal *refusal)
 {
   take_id (fields, &refusal->id, &refusal->attempt);
-  refusal->reason = (HbwReason)take_uint (fields, HBW_REASON_COUNT - 1);
+  refusal->reason = (HbwReason) take_uint (fields, HBW_REASON_COUNT - 1);
   refusal->retry_after_us = take_int (fields);
 }
 
@@ -412,7 +412,7 @@
   take_id (fields, &active->id, &active->attempt);
   take_shard (fields, &active->shard);
   take_text (fields, active->server, sizeof active->server);
-  active->tier = (HbwTier)take_uint (fields, HBW_TIER_COUNT - 1);
+  active->tier = (HbwTier) take_uint (fields, HBW_TIER_COUNT - 1);
   take_fingerprint (fields, &active->fingerprint);
 }
 
@@ -422,16 +422,16 @@
   take_id (fields, &done->id, &done->attempt);
   take_shard (fields, &done->shard);
   take_text (fields, done->server, sizeof done->server);
-  done->outcome = (HbwOutcome)take_uint (fields, HBW_OUTCOME_COUNT - 1);
+  done->outcome = (HbwOutcome) take_uint (fields, HBW_OUTCOME_COUNT - 1);
   done->first_token_us = take_int (fields);
   done->inter_token_us = take_int (fields);
-  done->tokens = (guint)take_uint (fields, G_MAXUINT32);
+  done->tokens = (guint) take_uint (fields, G_MAXUINT32);
 }
 
 static void
 take_document (Fields *fields, HbwDocument *document)
 {
-  document->kind = (HbwDocumentKind)take_uint (fields, HBW_DOCUMENT_COUNT - 1);
+  document->kind = (HbwDocumentKind) take_uint (fields, HBW_DOCUMENT_COUNT - 1);
   document->version = take_int (fields);
   const msgpack_object *body = next_field (fields);
   if (body == NULL || body->type != MSGPACK_OBJECT_BIN)
@@ -445,7 +445,7 @@
 static void
 take_rates (Fields *fields, HbwRates *rates)
 {
-  rates->level = (guint)take_uint (fields, 1);
+  rates->level = (guint) take_uint (fields, 1);
   take_text (fields, rates->organisation, sizeof rates->organisation);
   rates->requests_per_s = take_double (fields);
   rates->tokens_per_s = take_double (fields);
@@ -487,7 +487,7 @@
       break;
     case HBW_MESSAGE_SUSPECT:
       take_fingerprint (fields, &message->suspect.fingerprint);
-      message->suspect.failures = (guint)take_uint (fields, G_MAXUINT16);
+      message->suspect.failures = (guint) take_uint (fields, G_MAXUINT16);
       message->suspect.remaining_us = take_int (fields);
       break;
     default:
@@ -505,7 +505,7 @@
   guint64 kind = take_uint (&fields, G_MAXUINT16);
   if (!fields.failed && kind >= HBW_MESSAGE_COUNT)
     return TRUE; /* a kind of a newer version */
-  message.kind = (HbwMessageKind)kind;
+  message.kind = (HbwMessageKind) kind;
   if (!fields.failed)
     take_fields (&fields, &message);
   if (!fields.failed)
@@ -542,7 +542,7 @@
 hbw_frame_add (HbwFrame *frame, const HbwMessage *message)
 {
   msgpack_pack_array (&frame->packer, 1 + field_counts[message->kind]);
-  msgpack_pack_uint8 (&frame->packer, (guint8)message->kind);
+  msgpack_pack_uint8 (&frame->packer, (guint8) message->kind);
   pack_fields (&frame->packer, message);
   frame->count++;
 }
--- a/net/http.c
+++ b/net/http.c
@@ -10,8 +10,8 @@
 #include <unistd.h>
 
 /* Stack of a connection's thread, and memory for its headers, in bytes. */
-#define CONNECTION_STACK ((size_t)256 * 1024)
-#define CONNECTION_MEMORY ((size_t)32 * 1024)
+#define CONNECTION_STACK ((size_t) 256 * 1024)
+#define CONNECTION_MEMORY ((size_t) 32 * 1024)
 
 struct HbwHttp
 {
@@ -74,8 +74,8 @@
       if (request->body->len + *upload_size > http->body_max)
         request->too_large = TRUE;
       else
-        g_byte_array_append (request->body, (const guint8 *)upload,
-                             (guint)*upload_size);
+        g_byte_array_append (request->body, (const guint8 *) upload,
+                             (guint) *upload_size);
       *upload_size = 0;
       return MHD_YES;
     }
@@ -93,10 +93,10 @@
   const char *colon = strrchr (text, ':');
   if (colon == NULL)
     return FALSE;
-  g_strlcpy (host, text, MIN (sizeof host, (gsize)(colon - text) + 1));
+  g_strlcpy (host, text, MIN (sizeof host, (gsize) (colon - text) + 1));
   memset (address, 0, sizeof *address);
   address->sin_family = AF_INET;
-  address->sin_port = htons ((guint16)g_ascii_strtoull (colon + 1, NULL, 10));
+  address->sin_port = htons ((guint16) g_ascii_strtoull (colon + 1, NULL, 10));
   return inet_pton (AF_INET, host, &address->sin_addr) == 1;
 }
 
@@ -182,7 +182,7 @@
               const char *body, gsize length, gint64 retry_after_us)
 {
   struct MHD_Response *response = MHD_create_response_from_buffer (
-      length, (void *)body, MHD_RESPMEM_MUST_COPY);
+      length, (void *) body, MHD_RESPMEM_MUST_COPY);
   if (content_type != NULL && *content_type != '\0')
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
   if (retry_after_us > 0)
@@ -220,7 +220,7 @@
 hbw_problem_format (const HbwProblem *problem)
 {
   json_t *root = json_pack ("{s:s, s:i, s:s}", "type", "about:blank", "status",
-                            (int)problem->status, "title", problem->title);
+                            (int) problem->status, "title", problem->title);
   if (problem->detail != NULL)
     json_object_set_new (root, "detail", json_string (problem->detail));
   if (problem->remedy != NULL)
--- a/net/platform.c
+++ b/net/platform.c
@@ -43,7 +43,7 @@
       download->too_large = TRUE;
       return NE_ERROR;
     }
-  g_byte_array_append (download->body, (const guint8 *)bytes, (guint)length);
+  g_byte_array_append (download->body, (const guint8 *) bytes, (guint) length);
   return 0;
 }
 
@@ -129,8 +129,8 @@
       return NULL;
     }
   HbwPlatform *platform = g_new0 (HbwPlatform, 1);
-  platform->host = g_strndup (address, (gsize)(colon - address));
-  platform->port = (guint)port;
+  platform->host = g_strndup (address, (gsize) (colon - address));
+  platform->port = (guint) port;
   return platform;
 }
 
@@ -176,7 +176,7 @@
       = g_strdup_printf ("/objects/%s?watch=%" G_GINT64_FORMAT "&timeout_ms=%u",
                          name, version, timeout_ms);
   HbwStoreAnswer answer
-      = read_object (platform, path, (int)(timeout_ms / 1000) + 1, error);
+      = read_object (platform, path, (int) (timeout_ms / 1000) + 1, error);
   g_free (path);
   return answer;
 }
--- a/net/relay.c
+++ b/net/relay.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* Size of the pieces in which a stream is handed on, in bytes. */
-#define STREAM_BLOCK ((size_t)16 * 1024)
+#define STREAM_BLOCK ((size_t) 16 * 1024)
 
 /* Longest text of an attempt's id, in bytes, with its end mark. */
 #define ATTEMPT_ID_MAX 64
@@ -155,7 +155,7 @@
   char *text = hbw_problem_format (&problem);
   int length = g_snprintf (buffer, size, "\n\nevent: error\ndata: %s\n\n", text);
   g_free (text);
-  return MIN ((gsize)length, size - 1);
+  return MIN ((gsize) length, size - 1);
 }
 
 static ssize_t
@@ -166,14 +166,14 @@
     return MHD_CONTENT_READER_END_OF_STREAM;
   gsize length = hbw_attempt_read (relay->attempt, buffer, size);
   if (length > 0)
-    return (ssize_t)length;
+    return (ssize_t) length;
   HbwAttemptEnd end = { .answer_begun = TRUE };
   hbw_attempt_result (relay->attempt, &end);
   report_end (relay, &end);
   relay->told = TRUE;
   if (end.outcome == HBW_OUTCOME_COMPLETE)
     return MHD_CONTENT_READER_END_OF_STREAM;
-  return (ssize_t)write_error_event (buffer, size);
+  return (ssize_t) write_error_event (buffer, size);
 }
 
 static enum MHD_Result
@@ -201,7 +201,7 @@
     return MHD_NO;
   return hbw_http_answer (request, hbw_attempt_status (relay->attempt),
                           hbw_attempt_content_type (relay->attempt),
-                          (const char *)answer->data, answer->len);
+                          (const char *) answer->data, answer->len);
 }
 
 static enum MHD_Result
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -118,7 +118,7 @@
   atomic_store (&control->requests, hbw_reducer_request_count (reducer));
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     atomic_store (&control->versions[i],
-                  hbw_reducer_version (reducer, (HbwDocumentKind)i));
+                  hbw_reducer_version (reducer, (HbwDocumentKind) i));
 }
 
 static void
@@ -170,7 +170,7 @@
     }
   step (control, &item->event);
   if (item->event.kind == HBW_EVENT_DOCUMENT)
-    g_bytes_unref (item->event.document.body);
+    g_clear_pointer (&item->event.document.body, g_bytes_unref);
   g_free (item);
 }
 
@@ -252,7 +252,7 @@
 static guint64
 make_identity (void)
 {
-  guint64 start = (guint64)g_get_real_time ();
+  guint64 start = (guint64) g_get_real_time ();
   return (start << IDENTITY_RANDOM_BITS)
          | (g_random_int () & ((1U << IDENTITY_RANDOM_BITS) - 1));
 }
@@ -262,9 +262,9 @@
 {
   HbwReducerConfig config = { .policy = hbw_policy_owner () };
   config.self.identity = control->identity;
-  config.seed = (guint32)control->identity;
+  config.seed = (guint32) control->identity;
   config.now_us = hbw_clock_now (control->clock);
-  config.seeds = (const char *const *)settings->seeds->pdata;
+  config.seeds = (const char *const *) settings->seeds->pdata;
   g_strlcpy (config.self.name, settings->name, sizeof config.self.name);
   g_strlcpy (config.self.data_centre, settings->data_centre,
              sizeof config.self.data_centre);
@@ -288,9 +288,10 @@
   control->effects = hbw_effects_create ();
   control->snapshot = hbw_snapshot_create ();
   control->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
-                                          (GDestroyNotify)hbw_call_unref);
+                                          (GDestroyNotify) hbw_call_unref);
   cds_wfcq_init (&control->head, &control->tail);
   control->reducer = make_reducer (control, settings);
+  publish_state (control);
   control->load = hbw_load_create (control);
   return control;
 }
@@ -322,7 +323,7 @@
       if (item->call != NULL)
         hbw_call_unref (item->call);
       if (item->query == NULL && item->event.kind == HBW_EVENT_DOCUMENT)
-        g_bytes_unref (item->event.document.body);
+        g_clear_pointer (&item->event.document.body, g_bytes_unref);
       g_free (item);
     }
 }
@@ -351,7 +352,7 @@
   Item *item = g_new0 (Item, 1);
   item->event = *event;
   item->call = call != NULL ? hbw_call_ref (call) : NULL;
-  if (event->kind == HBW_EVENT_DOCUMENT)
+  if (event->kind == HBW_EVENT_DOCUMENT && event->document.body != NULL)
     g_bytes_ref (event->document.body);
   enqueue (control, item);
 }
--- a/runtime/load.c
+++ b/runtime/load.c
@@ -28,9 +28,9 @@
       HbwEvent event = { .kind = HBW_EVENT_LOAD_REPORT };
       g_strlcpy (event.load.server, poll->server, sizeof event.load.server);
       event.load.running
-          = (guint)CLAMP (json_integer_value (running), 0, G_MAXINT32);
+          = (guint) CLAMP (json_integer_value (running), 0, G_MAXINT32);
       event.load.waiting
-          = (guint)CLAMP (json_integer_value (waiting), 0, G_MAXINT32);
+          = (guint) CLAMP (json_integer_value (waiting), 0, G_MAXINT32);
       event.load.age_us = age_us;
       hbw_control_submit (load->control, &event, NULL);
     }
--- a/runtime/settings.c
+++ b/runtime/settings.c
@@ -30,7 +30,7 @@
   guint64 port = g_ascii_strtoull (colon + 1, &end, 10);
   if (end == colon + 1 || *end != '\0' || port > G_MAXUINT16)
     return FALSE;
-  g_strlcpy (host, text, MIN (sizeof host, (gsize)(colon - text) + 1));
+  g_strlcpy (host, text, MIN (sizeof host, (gsize) (colon - text) + 1));
   return inet_pton (AF_INET, host, binary) == 1;
 }
 
@@ -92,20 +92,20 @@
 static void
 read_bounds (HbwReader *reader, HbwSettings *settings)
 {
-  settings->connection_limit = (guint)hbw_reader_int (
+  settings->connection_limit = (guint) hbw_reader_int (
       reader, "connection_limit", 1, CONNECTION_LIMIT_MAX, CONNECTION_LIMIT_DEFAULT);
-  settings->body_max = (guint)hbw_reader_int (reader, "body_max", 1024, BYTES_MAX,
-                                              BODY_MAX_DEFAULT);
-  settings->answer_max = (guint)hbw_reader_int (reader, "answer_max", 1024,
-                                                BYTES_MAX, ANSWER_MAX_DEFAULT);
-  settings->connect_timeout_ms = (guint)hbw_reader_int (
+  settings->body_max = (guint) hbw_reader_int (reader, "body_max", 1024, BYTES_MAX,
+                                               BODY_MAX_DEFAULT);
+  settings->answer_max = (guint) hbw_reader_int (reader, "answer_max", 1024,
+                                                 BYTES_MAX, ANSWER_MAX_DEFAULT);
+  settings->connect_timeout_ms = (guint) hbw_reader_int (
       reader, "connect_timeout_ms", 1, TIMEOUT_MAX_MS, CONNECT_TIMEOUT_DEFAULT_MS);
   settings->first_byte_timeout_ms
-      = (guint)hbw_reader_int (reader, "first_byte_timeout_ms", 1, TIMEOUT_MAX_MS,
-                               FIRST_BYTE_TIMEOUT_DEFAULT_MS);
-  settings->stall_timeout_ms = (guint)hbw_reader_int (
+      = (guint) hbw_reader_int (reader, "first_byte_timeout_ms", 1, TIMEOUT_MAX_MS,
+                                FIRST_BYTE_TIMEOUT_DEFAULT_MS);
+  settings->stall_timeout_ms = (guint) hbw_reader_int (
       reader, "stall_timeout_ms", 1, TIMEOUT_MAX_MS, STALL_TIMEOUT_DEFAULT_MS);
-  settings->caller_timeout_s = (guint)hbw_reader_int (
+  settings->caller_timeout_s = (guint) hbw_reader_int (
       reader, "caller_timeout_s", 1, CALLER_TIMEOUT_MAX_S, CALLER_TIMEOUT_DEFAULT_S);
 }
 
--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -32,7 +32,7 @@
   HbwDocumentKind kind;
   pthread_t thread;
   gboolean started;
-  gint64 seen; /* highest version that was read, adopted or not */
+  gint64 seen; /* highest version that was read, adopted or not; -1 is none */
 } Follower;
 
 struct HbwWatch
@@ -101,6 +101,11 @@
       follower->seen = MAX (follower->seen, answer.version);
       g_bytes_unref (answer.body);
     }
+  else if (answer.result == HBW_STORE_ABSENT && version < 0)
+    {
+      answer.version = 0;
+      submit_document (watch, follower->kind, &answer);
+    }
   if (!failed)
     {
       *failed_us = RETRY_MIN_US;
@@ -149,7 +154,8 @@
     {
       Follower *follower = &watch->followers[i];
       follower->watch = watch;
-      follower->kind = (HbwDocumentKind)i;
+      follower->kind = (HbwDocumentKind) i;
+      follower->seen = -1;
       follower->started
           = pthread_create (&follower->thread, NULL, follow, follower) == 0;
     }
--- a/tests/rig.c
+++ b/tests/rig.c
@@ -104,7 +104,7 @@
 static size_t
 append_body (char *bytes, size_t size, size_t count, void *data)
 {
-  g_string_append_len (data, bytes, (gssize)(size * count));
+  g_string_append_len (data, bytes, (gssize) (size * count));
   return size * count;
 }
 
--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -43,10 +43,10 @@
   char *end;
   double value = g_ascii_strtod (text, &end);
   if (strcmp (end, "ms") == 0)
-    return (gint64)(value * HBW_US_PER_MS);
+    return (gint64) (value * HBW_US_PER_MS);
   if (strcmp (end, "us") == 0)
-    return (gint64)value;
-  return (gint64)(value * HBW_US_PER_S);
+    return (gint64) value;
+  return (gint64) (value * HBW_US_PER_S);
 }
 
 static gint64
@@ -66,7 +66,7 @@
 static guint
 count_option (const Line *line, const char *key, const char *fallback)
 {
-  return (guint)number_option (line, key, fallback);
+  return (guint) number_option (line, key, fallback);
 }
 
 static void
@@ -74,8 +74,8 @@
               guint *last)
 {
   char **parts = g_strsplit (option (line, key, fallback), "..", 2);
-  *first = (guint)g_ascii_strtoull (parts[0], NULL, 10);
-  *last = parts[1] != NULL ? (guint)g_ascii_strtoull (parts[1], NULL, 10) : *first;
+  *first = (guint) g_ascii_strtoull (parts[0], NULL, 10);
+  *last = parts[1] != NULL ? (guint) g_ascii_strtoull (parts[1], NULL, 10) : *first;
   g_strfreev (parts);
 }
 
@@ -152,12 +152,12 @@
   for (gint64 at = duration_option (line, "from", "5s");
        at < duration_option (line, "to", "30s"); at += step)
     {
-      const char *subject
-          = subjects[g_rand_int_range (random, 0, (gint32)g_strv_length (subjects))];
+      const char *subject = subjects[g_rand_int_range (
+          random, 0, (gint32) g_strv_length (subjects))];
       const char *kind
-          = kinds[g_rand_int_range (random, 0, (gint32)g_strv_length (kinds))];
+          = kinds[g_rand_int_range (random, 0, (gint32) g_strv_length (kinds))];
       double length = g_rand_double_range (random, 1, 4);
-      gint64 end = at + (gint64)(length * HBW_US_PER_S);
+      gint64 end = at + (gint64) (length * HBW_US_PER_S);
       char text[32];
       g_snprintf (text, sizeof text, "%.2f", length);
       if (strcmp (kind, "pause") == 0)
@@ -225,9 +225,9 @@
       "\"%s\":{\"tier\":%u,\"first_token_ms\":%d,\"inter_token_ms\":%d,"
       "\"deadline_ms\":%d,\"queue_bound\":%u,\"expected_tokens\":%u}",
       line->argv[1], count_option (line, "tier", "0"),
-      (int)(duration_option (line, "first_token", "390ms") / HBW_US_PER_MS),
-      (int)(duration_option (line, "inter_token", "44ms") / HBW_US_PER_MS),
-      (int)(duration_option (line, "deadline", "0") / HBW_US_PER_MS),
+      (int) (duration_option (line, "first_token", "390ms") / HBW_US_PER_MS),
+      (int) (duration_option (line, "inter_token", "44ms") / HBW_US_PER_MS),
+      (int) (duration_option (line, "deadline", "0") / HBW_US_PER_MS),
       count_option (line, "queue", "1000"), count_option (line, "tokens", "60"));
 }
 
@@ -291,25 +291,25 @@
 {
   guint64 ended = class->arrived - class->open;
   if (strcmp (what, "attainment") == 0)
-    return ended > 0 ? (double)class->in_target / (double)ended : 1;
+    return ended > 0 ? (double) class->in_target / (double) ended : 1;
   if (strcmp (what, "gap") == 0)
-    return (double)class->longest_gap_us / HBW_US_PER_S;
+    return (double) class->longest_gap_us / HBW_US_PER_S;
   if (strcmp (what, "completed") == 0)
-    return (double)class->completed;
+    return (double) class->completed;
   if (strcmp (what, "answered") == 0)
-    return ended > 0 ? (double)class->completed / (double)ended : 1;
+    return ended > 0 ? (double) class->completed / (double) ended : 1;
   if (strcmp (what, "broken") == 0)
-    return (double)class->broken;
+    return (double) class->broken;
   if (strcmp (what, "lost") == 0)
-    return (double)class->lost;
+    return (double) class->lost;
   if (strcmp (what, "open") == 0)
-    return (double)class->open;
+    return (double) class->open;
   if (strcmp (what, "wasted") == 0)
-    return (double)class->wasted_tokens
-           / MAX (1.0, (double)(class->wasted_tokens + class->good_tokens));
+    return (double) class->wasted_tokens
+           / MAX (1.0, (double) (class->wasted_tokens + class->good_tokens));
   for (guint i = 0; i < HBW_REASON_COUNT; i++)
-    if (strcmp (what, hbw_reason_name ((HbwReason)i)) == 0)
-      return (double)class->refused[i];
+    if (strcmp (what, hbw_reason_name ((HbwReason) i)) == 0)
+      return (double) class->refused[i];
   *known = FALSE;
   return 0;
 }
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -194,7 +194,7 @@
   char *text = g_strdup_vprintf (format, args);
   va_end (args);
   world->breach = g_strdup_printf ("at %.3f s: %s",
-                                   (double)world->now_us / HBW_US_PER_S, text);
+                                   (double) world->now_us / HBW_US_PER_S, text);
   g_free (text);
 }
 
@@ -204,7 +204,7 @@
     return;
   va_list args;
   va_start (args, format);
-  printf ("%10.4f ", (double)world->now_us / HBW_US_PER_S);
+  printf ("%10.4f ", (double) world->now_us / HBW_US_PER_S);
   vprintf (format, args);
   putchar ('\n');
   va_end (args);
@@ -391,8 +391,8 @@
   gint64 since = world->now_us - attempt->running_us - attempt->first_us;
   if (since < 0)
     return 0;
-  return (guint)MIN ((gint64)attempt->request->tokens,
-                     1 + since / MAX (attempt->token_us, 1));
+  return (guint) MIN ((gint64) attempt->request->tokens,
+                      1 + since / MAX (attempt->token_us, 1));
 }
 
 static void fill_batch (World *world, Server *server);
@@ -458,10 +458,10 @@
   Server *server = attempt->server;
   Request *request = attempt->request;
   g_ptr_array_add (server->running, attempt);
-  double crowd = MAX (1.0, (double)server->running->len / server->entry.slots);
+  double crowd = MAX (1.0, (double) server->running->len / server->entry.slots);
   attempt->running_us = world->now_us;
-  attempt->first_us = (gint64)((double)server->prefill_us * server->slow);
-  attempt->token_us = (gint64)((double)server->token_us * server->slow * crowd);
+  attempt->first_us = (gint64) ((double) server->prefill_us * server->slow);
+  attempt->token_us = (gint64) ((double) server->token_us * server->slow * crowd);
   request->runs++;
   if (!request->spec.idempotent && request->runs > 1)
     breach (world, "non-idempotent request %" G_GUINT64_FORMAT " ran %u times",
@@ -471,7 +471,7 @@
   else
     schedule (world,
               world->now_us + attempt->first_us
-                  + attempt->token_us * ((gint64)request->tokens - 1),
+                  + attempt->token_us * ((gint64) request->tokens - 1),
               end_attempt, attempt);
 }
 
@@ -483,8 +483,8 @@
     {
       guint best = 0;
       for (guint i = 1; i < server->queue->len; i++)
-        if (((Attempt *)server->queue->pdata[i])->request->spec.tier
-            < ((Attempt *)server->queue->pdata[best])->request->spec.tier)
+        if (((Attempt *) server->queue->pdata[i])->request->spec.tier
+            < ((Attempt *) server->queue->pdata[best])->request->spec.tier)
           best = i;
       run_attempt (world, g_ptr_array_remove_index (server->queue, best));
     }
@@ -507,7 +507,7 @@
       && world->now_us - server->leaving_since_us > WORLD_LEAVE_US)
     breach (world, "server %s got work %.1f s after it began to leave",
             server->entry.id,
-            (double)(world->now_us - server->leaving_since_us) / HBW_US_PER_S);
+            (double) (world->now_us - server->leaving_since_us) / HBW_US_PER_S);
   g_ptr_array_add (server->queue, attempt);
   fill_batch (world, server);
 }
@@ -636,7 +636,7 @@
       hbw_message_copy (&delivery->message, &send->message);
       gint64 delay = remote ? link->remote_us : link->local_us;
       if (link->jitter_us > 0)
-        delay += g_rand_int_range (world->random, 0, (gint32)link->jitter_us);
+        delay += g_rand_int_range (world->random, 0, (gint32) link->jitter_us);
       schedule (world, world->now_us + delay, deliver, delivery);
     }
 }
@@ -717,10 +717,10 @@
 {
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     {
-      gint64 version = hbw_reducer_version (instance->reducer, (HbwDocumentKind)i);
+      gint64 version = hbw_reducer_version (instance->reducer, (HbwDocumentKind) i);
       if (version < instance->versions[i])
         breach (world, "%s went back in document %s", instance->name,
-                hbw_document_kind_name ((HbwDocumentKind)i));
+                hbw_document_kind_name ((HbwDocumentKind) i));
       instance->versions[i] = version;
     }
 }
@@ -763,17 +763,18 @@
   instance->has_read = TRUE;
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     {
-      if (world->documents[i] == NULL
-          || hbw_reducer_version (instance->reducer, (HbwDocumentKind)i)
-                 >= world->versions[i])
+      if (hbw_reducer_version (instance->reducer, (HbwDocumentKind) i)
+          >= world->versions[i])
         continue;
       HbwEvent event = { .kind = HBW_EVENT_DOCUMENT };
-      event.document.kind = (HbwDocumentKind)i;
+      event.document.kind = (HbwDocumentKind) i;
       event.document.version = world->versions[i];
-      event.document.body
-          = g_bytes_new (world->documents[i], strlen (world->documents[i]));
+      if (world->documents[i] != NULL)
+        event.document.body
+            = g_bytes_new (world->documents[i], strlen (world->documents[i]));
+      GBytes *body = event.document.body;
       step (world, instance, &event);
-      g_bytes_unref (event.document.body);
+      g_clear_pointer (&body, g_bytes_unref);
     }
 }
 
@@ -789,12 +790,13 @@
         seeds[count++] = other->address;
     }
   instance->starts++;
-  instance->identity = ((guint64)world->now_us << 20)
-                       | ((guint64)instance->index << 8) | instance->starts;
+  instance->identity = ((guint64) world->now_us << 20)
+                       | ((guint64) instance->index << 8) | instance->starts;
   instance->has_read = FALSE;
   instance->draining = FALSE;
   instance->paused_until_us = 0;
-  memset (instance->versions, 0, sizeof instance->versions);
+  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+    instance->versions[i] = -1;
   HbwReducerConfig config = { .policy = world->policy, .now_us = world->now_us };
   config.seeds = seeds;
   config.seed = g_rand_int (world->random);
@@ -837,7 +839,7 @@
 pick_instance (World *world, const WorldLoad *load)
 {
   guint count = world->instances->len;
-  guint start = (guint)g_rand_int_range (world->random, 0, (gint32)count);
+  guint start = (guint) g_rand_int_range (world->random, 0, (gint32) count);
   for (guint i = 0; i < count; i++)
     {
       Instance *instance = world->instances->pdata[(start + i) % count];
@@ -916,8 +918,8 @@
   request->load = load;
   request->tokens = load->tokens_min;
   if (load->tokens_max > load->tokens_min)
-    request->tokens = (guint)g_rand_int_range (
-        world->random, (gint32)load->tokens_min, (gint32)load->tokens_max + 1);
+    request->tokens = (guint) g_rand_int_range (
+        world->random, (gint32) load->tokens_min, (gint32) load->tokens_max + 1);
   if (fill_spec (world, load, request))
     {
       request->class = class_of (world, load->class_name, request->spec.tier);
@@ -926,7 +928,8 @@
   else
     g_free (request);
   double gap_s = -log (1.0 - g_rand_double (world->random)) / load->rate;
-  schedule (world, world->now_us + (gint64)(gap_s * HBW_US_PER_S) + 1, arrive, data);
+  schedule (world, world->now_us + (gint64) (gap_s * HBW_US_PER_S) + 1, arrive,
+            data);
 }
 
 /* --- store and faults ---------------------------------------------------- */
@@ -934,7 +937,7 @@
 static void
 check_rollout (World *world, void *data)
 {
-  HbwDocumentKind kind = (HbwDocumentKind)GPOINTER_TO_INT (data);
+  HbwDocumentKind kind = (HbwDocumentKind) GPOINTER_TO_INT (data);
   if (world->now_us - world->changed_us[kind] < WORLD_ROLLOUT_US)
     return;
   for (guint i = 0; i < world->instances->len; i++)
@@ -943,7 +946,7 @@
       if (instance->identity == 0 || world->store_down || world->cuts->len > 0
           || world->now_us < instance->paused_until_us + WORLD_ROLLOUT_US
           || (instance->identity >> 20)
-                 > (guint64)(world->now_us - WORLD_ROLLOUT_US))
+                 > (guint64) (world->now_us - WORLD_ROLLOUT_US))
         continue;
       if (hbw_reducer_version (instance->reducer, kind) < world->versions[kind])
         breach (world, "%s does not have the newest %s", instance->name,
@@ -968,7 +971,7 @@
   GString *text = g_string_new ("{\"servers\":[");
   for (guint i = 0; i < world->servers->len; i++)
     {
-      const HbwServerEntry *entry = &((Server *)world->servers->pdata[i])->entry;
+      const HbwServerEntry *entry = &((Server *) world->servers->pdata[i])->entry;
       g_string_append_printf (
           text,
           "%s{\"id\":\"%s\",\"pool\":\"%s\",\"data_centre\":\"%s\","
@@ -988,10 +991,10 @@
 {
   GString *text = g_string_new ("{\"stops\":[");
   GList *names
-      = g_list_sort (g_hash_table_get_keys (world->stops), (GCompareFunc)g_strcmp0);
+      = g_list_sort (g_hash_table_get_keys (world->stops), (GCompareFunc) g_strcmp0);
   for (GList *at = names; at != NULL; at = at->next)
     g_string_append_printf (text, "%s\"%s\"", at == names ? "" : ",",
-                            (const char *)at->data);
+                            (const char *) at->data);
   g_list_free (names);
   g_string_append (text, "]}");
   world_set_document (world, HBW_DOCUMENT_STOPS, text->str);
@@ -1042,7 +1045,7 @@
   else if (strcmp (verb, "pause") == 0)
     instance->paused_until_us
         = world->now_us
-          + (gint64)(g_ascii_strtod (fault->argument, NULL) * HBW_US_PER_S);
+          + (gint64) (g_ascii_strtod (fault->argument, NULL) * HBW_US_PER_S);
   else if (strcmp (verb, "drain") == 0 && instance->identity != 0)
     {
       HbwEvent event = { .kind = HBW_EVENT_DRAIN };
@@ -1280,8 +1283,8 @@
     {
       Instance *instance = world->instances->pdata[i];
       start_instance (world, instance);
-      schedule (world, (gint64)i * 1000, tick, instance);
-      schedule (world, (gint64)i * 1000, look_at_store, instance);
+      schedule (world, (gint64) i * 1000, tick, instance);
+      schedule (world, (gint64) i * 1000, look_at_store, instance);
     }
   for (guint i = 0; i < world->loads->len; i++)
     {
@@ -1295,8 +1298,8 @@
 static int
 compare_classes (gconstpointer a, gconstpointer b)
 {
-  const WorldClass *left = *(WorldClass *const *)a;
-  const WorldClass *right = *(WorldClass *const *)b;
+  const WorldClass *left = *(WorldClass *const *) a;
+  const WorldClass *right = *(WorldClass *const *) b;
   return strcmp (left->name, right->name);
 }
 
@@ -1307,7 +1310,7 @@
     start (world);
   while (world->heap->len > 0 && world->breach == NULL)
     {
-      if (((Action *)world->heap->pdata[0])->at_us > START_US + until_us)
+      if (((Action *) world->heap->pdata[0])->at_us > START_US + until_us)
         break;
       Action *action = pop (world);
       world->now_us = action->at_us;
@@ -1341,6 +1344,6 @@
 double
 world_message_rate (const World *world)
 {
-  return (double)world->messages / world->instances->len
-         / ((double)world->now_us / HBW_US_PER_S);
+  return (double) world->messages / world->instances->len
+         / ((double) world->now_us / HBW_US_PER_S);
 }
--- a/tests/scenario_test.c
+++ b/tests/scenario_test.c
@@ -28,14 +28,14 @@
       for (guint k = 0; k < HBW_REASON_COUNT; k++)
         refused += class->refused[k];
       guint64 ended = class->arrived - class->open;
-      double spent = (double)(class->good_tokens + class->wasted_tokens);
+      double spent = (double) (class->good_tokens + class->wasted_tokens);
       printf ("| %u | %s | %u | %" G_GUINT64_FORMAT " | %.3f | %" G_GUINT64_FORMAT
               " | %.4f | %" G_GUINT64_FORMAT " | %" G_GUINT64_FORMAT " | %.1f |\n",
               seed, class->name, class->tier, class->arrived,
-              ended > 0 ? (double)class->in_target / (double)ended : 1,
+              ended > 0 ? (double) class->in_target / (double) ended : 1,
               class->good_tokens,
-              spent > 0 ? (double)class->wasted_tokens / spent : 0, refused,
-              class->open, (double)class->longest_gap_us / HBW_US_PER_S);
+              spent > 0 ? (double) class->wasted_tokens / spent : 0, refused,
+              class->open, (double) class->longest_gap_us / HBW_US_PER_S);
     }
 }
 
@@ -67,7 +67,7 @@
       guint last;
       script_seeds (script, &first, &last);
       if (only_seed > 0)
-        first = last = (guint)only_seed;
+        first = last = (guint) only_seed;
       if (show_table)
         printf (
             "\n%s, policy %s\n\n| seed | class | tier | arrived | in target | good "
@@ -96,7 +96,7 @@
   while (dir != NULL && (name = g_dir_read_name (dir)) != NULL)
     if (g_str_has_suffix (name, ".scn"))
       names = g_list_insert_sorted (names, g_build_filename (folder, name, NULL),
-                                    (GCompareFunc)strcmp);
+                                    (GCompareFunc) strcmp);
   for (GList *at = names; at != NULL; at = at->next)
     run_file (at->data);
   g_list_free_full (names, g_free);
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -10,7 +10,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#define STREAM_BLOCK ((size_t)4096)
+#define STREAM_BLOCK ((size_t) 4096)
 
 struct Engine
 {
@@ -85,14 +85,15 @@
 static void
 read_job (Job *job)
 {
-  json_t *root = json_loadb ((const char *)job->body->data, job->body->len, 0, NULL);
+  json_t *root
+      = json_loadb ((const char *) job->body->data, job->body->len, 0, NULL);
   const char *tag = json_string_value (json_object_get (root, "tag"));
   const char *fault = json_string_value (json_object_get (root, "fault"));
   g_strlcpy (job->tag, tag != NULL ? tag : "none", sizeof job->tag);
   g_strlcpy (job->fault, fault != NULL ? fault : "", sizeof job->fault);
   job->stream = json_is_true (json_object_get (root, "stream"));
   json_int_t tokens = json_integer_value (json_object_get (root, "max_tokens"));
-  job->tokens = tokens > 0 ? (guint)tokens : 4;
+  job->tokens = tokens > 0 ? (guint) tokens : 4;
   json_decref (root);
 }
 
@@ -105,7 +106,7 @@
 static void
 sleep_ms (guint milliseconds)
 {
-  g_usleep ((gulong)milliseconds * 1000);
+  g_usleep ((gulong) milliseconds * 1000);
 }
 
 static void
@@ -151,8 +152,8 @@
     return MHD_CONTENT_READER_END_OF_STREAM;
   size_t length = MIN (size, job->pending->len);
   memcpy (buffer, job->pending->str, length);
-  g_string_erase (job->pending, 0, (gssize)length);
-  return (ssize_t)length;
+  g_string_erase (job->pending, 0, (gssize) length);
+  return (ssize_t) length;
 }
 
 static ssize_t
@@ -163,7 +164,7 @@
     return MHD_CONTENT_READER_END_WITH_ERROR;
   size_t length = MIN (size, job->pending->len / 2);
   memcpy (buffer, job->pending->str, length);
-  return (ssize_t)length;
+  return (ssize_t) length;
 }
 
 static void
@@ -197,7 +198,7 @@
   if (has_fault (job, "refuse"))
     return queue (
         connection, job, 503,
-        MHD_create_response_from_buffer (2, (void *)"no", MHD_RESPMEM_PERSISTENT),
+        MHD_create_response_from_buffer (2, (void *) "no", MHD_RESPMEM_PERSISTENT),
         "text/plain");
   take_slot (job);
   sleep_ms (engine->config.first_token_ms);
@@ -274,7 +275,7 @@
     }
   if (*upload_size > 0)
     {
-      g_byte_array_append (job->body, (const guint8 *)upload, (guint)*upload_size);
+      g_byte_array_append (job->body, (const guint8 *) upload, (guint) *upload_size);
       *upload_size = 0;
       return MHD_YES;
     }
@@ -302,8 +303,8 @@
   struct sockaddr_in address = { .sin_family = AF_INET };
   char host[64];
   const char *colon = strrchr (text, ':');
-  g_strlcpy (host, text, MIN (sizeof host, (gsize)(colon - text) + 1));
-  address.sin_port = htons ((guint16)atoi (colon + 1));
+  g_strlcpy (host, text, MIN (sizeof host, (gsize) (colon - text) + 1));
+  address.sin_port = htons ((guint16) atoi (colon + 1));
   inet_pton (AF_INET, host, &address.sin_addr);
   engine->daemon = MHD_start_daemon (
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -19,10 +19,10 @@
 run_engine (int argc, char **argv, sigset_t *set)
 {
   EngineConfig config = { .address = argv[2], .exit_on_crash = TRUE };
-  config.slots = argc > 3 ? (guint)g_ascii_strtoull (argv[3], NULL, 10) : 16;
+  config.slots = argc > 3 ? (guint) g_ascii_strtoull (argv[3], NULL, 10) : 16;
   config.first_token_ms
-      = argc > 4 ? (guint)g_ascii_strtoull (argv[4], NULL, 10) : 20;
-  config.token_ms = argc > 5 ? (guint)g_ascii_strtoull (argv[5], NULL, 10) : 5;
+      = argc > 4 ? (guint) g_ascii_strtoull (argv[4], NULL, 10) : 20;
+  config.token_ms = argc > 5 ? (guint) g_ascii_strtoull (argv[5], NULL, 10) : 5;
   Engine *engine = engine_create (&config);
   if (engine == NULL)
     return 1;
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -45,7 +45,7 @@
 {
   char tag[32];
   struct MHD_Response *response = MHD_create_response_from_buffer (
-      strlen (body), (void *)body, MHD_RESPMEM_MUST_COPY);
+      strlen (body), (void *) body, MHD_RESPMEM_MUST_COPY);
   g_snprintf (tag, sizeof tag, "\"%" G_GINT64_FORMAT "\"", version);
   if (version > 0)
     MHD_add_response_header (response, "ETag", tag);
@@ -163,7 +163,7 @@
     }
   if (*upload_size > 0)
     {
-      g_string_append_len (body, upload, (gssize)*upload_size);
+      g_string_append_len (body, upload, (gssize) *upload_size);
       *upload_size = 0;
       return MHD_YES;
     }
@@ -193,8 +193,8 @@
   struct sockaddr_in address = { .sin_family = AF_INET };
   char host[64];
   const char *colon = strrchr (text, ':');
-  g_strlcpy (host, text, MIN (sizeof host, (gsize)(colon - text) + 1));
-  address.sin_port = htons ((guint16)atoi (colon + 1));
+  g_strlcpy (host, text, MIN (sizeof host, (gsize) (colon - text) + 1));
+  address.sin_port = htons ((guint16) atoi (colon + 1));
   inet_pton (AF_INET, host, &address.sin_addr);
   Store *store = g_new0 (Store, 1);
   pthread_mutex_init (&store->lock, NULL);
