--- a/core/entry.c
+++ b/core/entry.c
@@ -43,6 +43,7 @@
   guint64 owner;   /* who was told, or 0 */
   guint64 granter; /* who granted the attempt in progress */
   gint64 told_us;
+  guint64 told_epoch; /* of the membership, when the owner was looked up */
   gint64 started_us;
   char server[HBW_NAME_MAX];
   char avoid[HBW_NAME_MAX];
@@ -572,8 +573,12 @@
 static void
 tick_told (HbwEntry *entry, HbwContext *context, Request *request)
 {
-  guint64 owner = entry->lookup (&request->shard, entry->lookup_data);
+  guint64 epoch = hbw_membership_epoch (context->membership);
   gboolean due = context->now_us - request->told_us >= HBW_RESTATE_US;
+  if (epoch == request->told_epoch && !due)
+    return;
+  request->told_epoch = epoch;
+  guint64 owner = entry->lookup (&request->shard, entry->lookup_data);
   if (owner == request->owner && !due)
     return;
   if (request->state == STATE_RUNNING)
--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -346,10 +346,33 @@
   return FALSE;
 }
 
+/* "expect CLASS WHAT within 1% without LOAD": the same seed is run once more. */
 static char *
-judge_line (const Script *script, const Line *line, const World *world)
+judge_without (const Script *script, const Line *line, const World *world,
+               const ScriptRun *run)
+{
+  gboolean known = line->argc > 6;
+  ScriptRun bare = *run;
+  bare.without = known ? line->argv[6] : "";
+  bare.trace = FALSE;
+  World *other = script_run (script, &bare);
+  double value = subject_value (world, line->argv[1], line->argv[2], &known);
+  double base = subject_value (other, line->argv[1], line->argv[2], &known);
+  double bound = g_ascii_strtod (line->argv[4], NULL) / 100;
+  world_destroy (other);
+  if (known && ABS (value - base) <= bound)
+    return NULL;
+  return g_strdup_printf ("%s:%u: found %g, without %s %g", script->path, line->line,
+                          value, bare.without, base);
+}
+
+static char *
+judge_line (const Script *script, const Line *line, const World *world,
+            const ScriptRun *run)
 {
   gboolean known = TRUE;
+  if (strcmp (line->argv[3], "within") == 0)
+    return judge_without (script, line, world, run);
   const char *relation = line->argv[3];
   const char *bound_text = line->argc > 4 ? line->argv[4] : "";
   char *end;
@@ -453,21 +476,24 @@
 }
 
 World *
-script_run (const Script *script, guint seed, const char *policy, gboolean trace)
+script_run (const Script *script, const ScriptRun *how)
 {
+  const char *policy = how->policy;
   const Line *own = find_line (script, "policy");
   const Line *run = find_line (script, "run");
   if (policy == NULL)
     policy = own != NULL ? own->argv[1] : "owner";
-  World *world = world_create (seed, policy);
+  World *world = world_create (how->seed, policy);
   char *catalogue = make_catalogue (script);
-  world_set_trace (world, trace);
+  world_set_trace (world, how->trace);
   world_set_document (world, HBW_DOCUMENT_CATALOGUE, catalogue);
   g_free (catalogue);
   for (guint i = 0; i < script->lines->len; i++)
     {
       const Line *line = script->lines->pdata[i];
-      if (find_statement (line->argv[0])->apply (world, line, seed))
+      gboolean left_out = how->without != NULL && strcmp (line->argv[0], "load") == 0
+                          && strcmp (line->argv[1], how->without) == 0;
+      if (left_out || find_statement (line->argv[0])->apply (world, line, how->seed))
         continue;
       fprintf (stderr, "%s:%u: names something that is not there\n", script->path,
                line->line);
@@ -479,7 +505,7 @@
 }
 
 char *
-script_judge (const Script *script, const World *world)
+script_judge (const Script *script, const World *world, const ScriptRun *run)
 {
   if (world_breach (world) != NULL)
     return g_strdup_printf ("%s: %s", script->path, world_breach (world));
@@ -488,7 +514,7 @@
       const Line *line = script->lines->pdata[i];
       if (strcmp (line->argv[0], "expect") != 0)
         continue;
-      char *miss = judge_line (script, line, world);
+      char *miss = judge_line (script, line, world, run);
       if (miss != NULL)
         return miss;
     }
--- a/tests/scenario/script.h
+++ b/tests/scenario/script.h
@@ -10,6 +10,14 @@
 
 typedef struct Script Script;
 
+typedef struct
+{
+  guint seed;
+  const char *policy; /* NULL takes the file's own */
+  gboolean trace;
+  const char *without; /* a load that is left out, or NULL */
+} ScriptRun;
+
 /* Reads a file; returns NULL after printing what is wrong with which line. */
 Script *script_load (const char *path);
 void script_destroy (Script *script);
@@ -17,13 +25,12 @@
 /* Returns the seeds of the file, FIRST to LAST. */
 void script_seeds (const Script *script, guint *first, guint *last);
 
-/* Runs the scenario once; a NULL policy takes the file's own.  Returns the world,
-   run to its end, or NULL where a line names something that is not there. */
-World *script_run (const Script *script, guint seed, const char *policy,
-                   gboolean trace);
+/* Runs the scenario once.  Returns the world, run to its end, or NULL where a line
+   names something that is not there. */
+World *script_run (const Script *script, const ScriptRun *run);
 
 /* Returns the first expectation that WORLD does not meet, or that it broke something
    that must always hold, as a new text; NULL where all is well. */
-char *script_judge (const Script *script, const World *world);
+char *script_judge (const Script *script, const World *world, const ScriptRun *run);
 
 #endif
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -108,6 +108,7 @@
   guint64 order;
   GPtrArray *heap; /* Action */
   GRand *random;
+  guint32 seed;
   const HbwPolicy *policy;
   WorldLink link;
   gboolean trace;
@@ -311,12 +312,17 @@
 }
 
 static void
-complete_request (Request *request, const Attempt *attempt)
+complete_request (const World *world, Request *request, const Attempt *attempt)
 {
   WorldClass *class = request->class;
   gint64 first_token = attempt->running_us + attempt->first_us - request->arrived_us;
   class->completed++;
-  class->good_tokens += request->tokens;
+  /* An answer that comes after the deadline is of no use. */
+  gint64 deadline_us = request->spec.deadline_us;
+  if (deadline_us > 0 && world->now_us > request->arrived_us + deadline_us)
+    class->wasted_tokens += request->tokens;
+  else
+    class->good_tokens += request->tokens;
   if (first_token <= request->spec.target_us
       && attempt->token_us <= request->spec.inter_token_us)
     class->in_target++;
@@ -363,7 +369,7 @@
           event.end.first_token_us
               = attempt->running_us + attempt->first_us - attempt->begun_us;
           event.end.inter_token_us = attempt->token_us;
-          complete_request (attempt->request, attempt);
+          complete_request (world, attempt->request, attempt);
         }
       else
         attempt->request->class->wasted_tokens += report->tokens;
@@ -911,7 +917,7 @@
 static void
 arrive (World *world, void *data)
 {
-  const WorldLoad *load = data;
+  WorldLoad *load = data;
   if (world->now_us >= load->to_us)
     return;
   Request *request = g_new0 (Request, 1);
@@ -919,7 +925,7 @@
   request->tokens = load->tokens_min;
   if (load->tokens_max > load->tokens_min)
     request->tokens = (guint) g_rand_int_range (
-        world->random, (gint32) load->tokens_min, (gint32) load->tokens_max + 1);
+        load->random, (gint32) load->tokens_min, (gint32) load->tokens_max + 1);
   if (fill_spec (world, load, request))
     {
       request->class = class_of (world, load->class_name, request->spec.tier);
@@ -927,7 +933,7 @@
     }
   else
     g_free (request);
-  double gap_s = -log (1.0 - g_rand_double (world->random)) / load->rate;
+  double gap_s = -log (1.0 - g_rand_double (load->random)) / load->rate;
   schedule (world, world->now_us + (gint64) (gap_s * HBW_US_PER_S) + 1, arrive,
             data);
 }
@@ -1117,18 +1123,27 @@
 
 /* --- the world ----------------------------------------------------------- */
 
+static void
+load_free (gpointer data)
+{
+  WorldLoad *load = data;
+  g_rand_free (load->random);
+  g_free (load);
+}
+
 World *
 world_create (guint32 seed, const char *policy)
 {
   World *world = g_new0 (World, 1);
   world->heap = g_ptr_array_new ();
   world->random = g_rand_new_with_seed (seed);
+  world->seed = seed;
   world->policy = hbw_policy_find (policy);
   world->link.local_us = HBW_US_PER_MS;
   world->link.remote_us = HBW_US_PER_MS;
   world->instances = g_ptr_array_new ();
   world->servers = g_ptr_array_new ();
-  world->loads = g_ptr_array_new_with_free_func (g_free);
+  world->loads = g_ptr_array_new_with_free_func (load_free);
   world->classes = g_ptr_array_new_with_free_func (g_free);
   world->requests
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -1248,6 +1263,7 @@
 {
   WorldLoad *copy = g_new (WorldLoad, 1);
   *copy = *load;
+  copy->random = g_rand_new_with_seed (world->seed * 31 + world->loads->len);
   g_ptr_array_add (world->loads, copy);
 }
 
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -33,6 +33,7 @@
   gint64 to_us;
   gboolean not_idempotent;
   gboolean poison; /* each server that runs it fails */
+  GRand *random;   /* of its own, so that every policy meets the same requests */
   guint resend;    /* times its caller sends it again after a failure */
 } WorldLoad;
 
--- a/tests/scenario_test.c
+++ b/tests/scenario_test.c
@@ -42,10 +42,11 @@
 static gboolean
 run_seed (const Script *script, guint seed)
 {
-  World *world = script_run (script, seed, policy, show_trace);
+  const ScriptRun run = { .seed = seed, .policy = policy, .trace = show_trace };
+  World *world = script_run (script, &run);
   if (world == NULL)
     return FALSE;
-  char *miss = script_judge (script, world);
+  char *miss = script_judge (script, world, &run);
   if (show_table)
     print_table (world, seed);
   if (miss != NULL)
