Requests whose answer would come too late are served last in their tier

Ruled out: refusing them (an output may be short: a false refusal). Change: a third list a flow for requests whose expected work (learned tokens a class, fastest server) no longer fits before the deadline.

--- a/core/queue.c
+++ b/core/queue.c
@@ -11,12 +11,21 @@
 typedef struct
 {
   char organisation[HBW_NAME_MAX];
-  double service;               /* charged tokens over weight */
-  struct cds_list_head in_time; /* HbwTicket, by target */
-  struct cds_list_head late;    /* HbwTicket, by target */
+  double service;                /* charged tokens over weight */
+  struct cds_list_head in_time;  /* HbwTicket, by target */
+  struct cds_list_head late;     /* HbwTicket, by target */
+  struct cds_list_head hopeless; /* HbwTicket, by target */
   guint length;
 } Flow;
 
+/* What may still come of a request. */
+typedef enum
+{
+  HOPE_IN_TIME,
+  HOPE_LATE,
+  HOPE_NONE,
+} Hope;
+
 typedef struct
 {
   GHashTable *flows; /* organisation -> Flow */
@@ -60,6 +69,7 @@
   flow->service = tier->service;
   CDS_INIT_LIST_HEAD (&flow->in_time);
   CDS_INIT_LIST_HEAD (&flow->late);
+  CDS_INIT_LIST_HEAD (&flow->hopeless);
   g_hash_table_insert (tier->flows, flow->organisation, flow);
   g_ptr_array_add (tier->order, flow);
   return flow;
@@ -76,6 +86,25 @@
   cds_list_add (&ticket->in_flow, at);
 }
 
+static gboolean
+is_hopeless (const HbwTicket *ticket, gint64 now_us)
+{
+  return ticket->hopeless_at_us > 0 && now_us > ticket->hopeless_at_us;
+}
+
+static void
+flow_drop_hope (Flow *flow, gint64 now_us)
+{
+  while (!cds_list_empty (&flow->late))
+    {
+      HbwTicket *head = cds_list_first_entry (&flow->late, HbwTicket, in_flow);
+      if (!is_hopeless (head, now_us))
+        return;
+      cds_list_del (&head->in_flow);
+      insert_by_target (&flow->hopeless, head);
+    }
+}
+
 static void
 flow_age (Flow *flow, gint64 due_us)
 {
@@ -105,8 +134,22 @@
   return NULL;
 }
 
+static struct cds_list_head *
+flow_list (Flow *flow, Hope hope)
+{
+  switch (hope)
+    {
+    case HOPE_IN_TIME:
+      return &flow->in_time;
+    case HOPE_LATE:
+      return &flow->late;
+    default:
+      return &flow->hopeless;
+    }
+}
+
 static HbwTicket *
-tier_next (Tier *tier, gboolean late, HbwTicketFilter filter, void *data)
+tier_next (Tier *tier, Hope hope, HbwTicketFilter filter, void *data)
 {
   HbwTicket *best = NULL;
   double least = 0;
@@ -115,8 +158,7 @@
       Flow *flow = g_ptr_array_index (tier->order, i);
       if (flow->length == 0 || (best != NULL && flow->service >= least))
         continue;
-      HbwTicket *ticket
-          = list_first (late ? &flow->late : &flow->in_time, filter, data);
+      HbwTicket *ticket = list_first (flow_list (flow, hope), filter, data);
       if (ticket == NULL)
         continue;
       best = ticket;
@@ -169,7 +211,8 @@
 }
 
 HbwTicket *
-hbw_queue_add (HbwQueue *queue, const HbwWant *want, guint64 origin, gint64 now_us)
+hbw_queue_add (HbwQueue *queue, const HbwWant *want, guint64 origin, gint64 now_us,
+               gint64 work_us)
 {
   HbwTicket *ticket = g_new0 (HbwTicket, 1);
   ticket->want = *want;
@@ -178,7 +221,10 @@
   ticket->restated_us = now_us;
   ticket->target_at_us = now_us + want->spec.target_us;
   if (want->spec.deadline_us > 0)
-    ticket->deadline_at_us = now_us + want->spec.deadline_us;
+    {
+      ticket->deadline_at_us = now_us + want->spec.deadline_us;
+      ticket->hopeless_at_us = MAX (1, ticket->deadline_at_us - work_us);
+    }
   Tier *tier = &queue->tiers[want->spec.tier];
   Flow *flow = tier_flow (tier, want->spec.organisation);
   if (flow->length == 0)
@@ -220,11 +266,17 @@
   if (tier->length == 0)
     return NULL;
   for (guint i = 0; i < tier->order->len; i++)
-    flow_age (g_ptr_array_index (tier->order, i), now_us + lead_us);
+    {
+      Flow *flow = g_ptr_array_index (tier->order, i);
+      flow_age (flow, now_us + lead_us);
+      flow_drop_hope (flow, now_us);
+    }
   gboolean late_first = (tier->choices + 1) % HBW_QUEUE_LATE_EVERY == 0;
-  HbwTicket *ticket = tier_next (tier, late_first, filter, data);
-  if (ticket == NULL)
-    ticket = tier_next (tier, !late_first, filter, data);
+  const Hope order[] = { late_first ? HOPE_LATE : HOPE_IN_TIME,
+                         late_first ? HOPE_IN_TIME : HOPE_LATE, HOPE_NONE };
+  HbwTicket *ticket = NULL;
+  for (gsize i = 0; i < G_N_ELEMENTS (order) && ticket == NULL; i++)
+    ticket = tier_next (tier, order[i], filter, data);
   return ticket;
 }
 
--- a/core/shard.c
+++ b/core/shard.c
@@ -328,6 +328,47 @@
       += SERVICE_AVERAGE_WEIGHT * ((double) duration_us - shard->service_us);
 }
 
+/* Output lengths are not known before: classes are estimated by what they took. */
+static void
+note_tokens (HbwShard *shard, const HbwRequestSpec *spec, guint tokens)
+{
+  double *average = g_hash_table_lookup (shard->class_tokens, spec->class_name);
+  if (*spec->class_name == '\0' || tokens == 0)
+    return;
+  if (average == NULL)
+    {
+      average = g_new (double, 1);
+      *average = spec->cost_tokens;
+      g_hash_table_insert (shard->class_tokens, g_strdup (spec->class_name),
+                           average);
+    }
+  *average += SERVICE_AVERAGE_WEIGHT * ((double) tokens - *average);
+}
+
+static guint
+expected_tokens (const HbwShard *shard, const HbwRequestSpec *spec)
+{
+  const double *average
+      = g_hash_table_lookup (shard->class_tokens, spec->class_name);
+  return average != NULL ? MAX (1, (guint) *average) : spec->cost_tokens;
+}
+
+/* From the grant to the last token, on the fastest server. */
+static gint64
+expected_work (const HbwShard *shard, const HbwRequestSpec *spec)
+{
+  double least = 0;
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      const HbwServer *server = g_ptr_array_index (shard->servers, i);
+      double work
+          = server->first_token_us + server->inter_token_us * spec->cost_tokens;
+      if (work > 0 && (least <= 0 || work < least))
+        least = work;
+    }
+  return (gint64) least;
+}
+
 static void
 log_state_change (HbwContext *context, const HbwServer *server,
                   HbwServerState before)
@@ -366,6 +407,8 @@
   shard->rebuilt_at_us = now_us + rebuild_us;
   shard->wanted_at_us = now_us;
   shard->service_us = SERVICE_DEFAULT_US;
+  shard->class_tokens
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return shard;
 }
 
@@ -375,6 +418,7 @@
   g_ptr_array_free (shard->servers, TRUE);
   hbw_queue_destroy (shard->queue);
   g_hash_table_destroy (shard->reservations);
+  g_hash_table_destroy (shard->class_tokens);
   g_free (shard);
 }
 
@@ -448,7 +492,10 @@
       send_refusal (context, shard, from, want, HBW_REASON_QUEUE_FULL);
       return;
     }
-  hbw_queue_add (shard->queue, want, from, context->now_us);
+  HbwWant known_cost = *want;
+  known_cost.spec.cost_tokens = expected_tokens (shard, &want->spec);
+  hbw_queue_add (shard->queue, &known_cost, from, context->now_us,
+                 expected_work (shard, &known_cost.spec));
   schedule (shard, context);
 }
 
@@ -492,7 +539,10 @@
   HbwServer *server = hbw_shard_find_server (shard, reservation->server);
   HbwServerState before = server != NULL ? server->state : HBW_SERVER_UP;
   if (done->outcome == HBW_OUTCOME_COMPLETE)
-    note_service (shard, context->now_us - reservation->granted_us);
+    {
+      note_service (shard, context->now_us - reservation->granted_us);
+      note_tokens (shard, &reservation->spec, done->tokens);
+    }
   if (done->outcome != HBW_OUTCOME_UNUSED && reservation->spec.cost_tokens > 0)
     hbw_queue_correct (shard->queue, &reservation->spec, done->tokens);
   release (shard, context, reservation, done);
--- a/include/hornbeamwall/core/queue.h
+++ b/include/hornbeamwall/core/queue.h
@@ -2,7 +2,8 @@
  * queue - the requests that wait in one shard
  *
  * Tiers are strict.  Within a tier, requests that can still meet their target
- * come before those that cannot; then the organisation that has had the least
+ * come before those that cannot, and last those whose answer would probably come
+ * after their deadline; then the organisation that has had the least
  * service for its weight; then the earliest target.  One choice in
  * HBW_QUEUE_LATE_EVERY of a tier goes to its late requests first, so that they
  * progress under a lasting burst.
@@ -31,6 +32,7 @@
   gint64 restated_us; /* last time the origin spoke of it */
   gint64 target_at_us;
   gint64 deadline_at_us; /* 0 is none */
+  gint64 hopeless_at_us; /* from here the answer is expected too late; 0 is never */
   gboolean late;
 } HbwTicket;
 
@@ -40,9 +42,10 @@
 HbwQueue *hbw_queue_create (void);
 void hbw_queue_destroy (HbwQueue *queue);
 
-/* Adds a request that arrived at NOW_US; returns its ticket. */
+/* Adds a request that arrived at NOW_US and is expected to take WORK_US once it is
+   granted; returns its ticket. */
 HbwTicket *hbw_queue_add (HbwQueue *queue, const HbwWant *want, guint64 origin,
-                          gint64 now_us);
+                          gint64 now_us, gint64 work_us);
 
 /* Removes TICKET and frees it. */
 void hbw_queue_remove (HbwQueue *queue, HbwTicket *ticket);
--- a/include/hornbeamwall/core/shard.h
+++ b/include/hornbeamwall/core/shard.h
@@ -57,11 +57,12 @@
   HbwQueue *queue;
   GHashTable *reservations;
   guint in_progress[HBW_TIER_COUNT];
-  gint64 rebuilt_at_us;  /* end of the rebuild window */
-  gint64 compared_at_us; /* last look for stragglers */
-  gint64 wanted_at_us;   /* last message from an entry instance */
-  double service_us;     /* moving average from grant to end */
-  guint rotation;        /* for round robin */
+  gint64 rebuilt_at_us;     /* end of the rebuild window */
+  gint64 compared_at_us;    /* last look for stragglers */
+  gint64 wanted_at_us;      /* last message from an entry instance */
+  double service_us;        /* moving average from grant to end */
+  GHashTable *class_tokens; /* class name -> moving average of tokens, owned */
+  guint rotation;           /* for round robin */
 };
 
 /* Creates a shard without servers.  REBUILD_US is how long peers may hold work of
