A convicted request explains its servers' failures

Change: each failure carries its server; when a request is convicted, the others' suspicions that rest on the same failures are dropped. Ruled out: isolating each suspect on a server of its own (16 bystanders for 2 s each would block the shard). Left: two such requests whose second victim comes before the first is convicted.

--- a/core/entry.c
+++ b/core/entry.c
@@ -315,11 +315,13 @@
 }
 
 static void
-tell_suspect (HbwContext *context, const HbwFingerprint *fingerprint, guint failures)
+tell_suspect (HbwContext *context, const HbwFingerprint *fingerprint, guint failures,
+              guint64 server)
 {
   Broadcast broadcast = { context, { .kind = HBW_MESSAGE_SUSPECT } };
   broadcast.message.suspect.fingerprint = *fingerprint;
   broadcast.message.suspect.failures = failures;
+  broadcast.message.suspect.server = server;
   broadcast.message.suspect.remaining_us = HBW_QUARANTINE_US;
   hbw_membership_foreach (context->membership, post_to_member, &broadcast);
 }
@@ -333,14 +335,15 @@
   if (outcome == HBW_OUTCOME_COMPLETE)
     {
       if (hbw_quarantine_clear (context->quarantine, fingerprint))
-        tell_suspect (context, fingerprint, 0);
+        tell_suspect (context, fingerprint, 0, 0);
       return;
     }
   if (outcome != HBW_OUTCOME_BROKEN)
     return;
-  guint failures
-      = hbw_quarantine_add (context->quarantine, fingerprint, context->now_us);
-  tell_suspect (context, fingerprint, failures);
+  guint64 server = hbw_rendezvous_weight (0, request->server);
+  guint failures = hbw_quarantine_add (context->quarantine, fingerprint, server,
+                                       context->now_us);
+  tell_suspect (context, fingerprint, failures, server);
   gboolean quarantined = failures >= HBW_QUARANTINE_FAILURES;
   hbw_effects_log (
       context->effects,
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -2,11 +2,18 @@
 
 #include <urcu/list.h>
 
+typedef struct
+{
+  guint64 server; /* 0 is not known */
+  gint64 at_us;
+} Failure;
+
 typedef struct
 {
   struct cds_list_head link; /* oldest first */
   HbwFingerprint fingerprint;
-  guint failures;
+  guint count; /* failures; may be higher than those known one by one */
+  Failure failures[HBW_QUARANTINE_FAILURES];
   gint64 until_us;
 } Suspect;
 
@@ -82,7 +89,7 @@
                          const HbwFingerprint *fingerprint, gint64 now_us)
 {
   const Suspect *suspect = find (quarantine, fingerprint, now_us);
-  return suspect != NULL ? suspect->failures : 0;
+  return suspect != NULL ? suspect->count : 0;
 }
 
 gint64
@@ -93,20 +100,72 @@
   return suspect != NULL ? suspect->until_us - now_us : 0;
 }
 
+static gboolean
+is_same (const Failure *a, const Failure *b)
+{
+  return a->server != 0 && a->server == b->server
+         && ABS (a->at_us - b->at_us) <= HBW_QUARANTINE_SAME_US;
+}
+
+static gboolean
+is_explained (const Failure *failure, const Suspect *convicted)
+{
+  for (guint i = 0; i < HBW_QUARANTINE_FAILURES; i++)
+    if (is_same (failure, &convicted->failures[i]))
+      return TRUE;
+  return FALSE;
+}
+
+/* Drops the suspicions that rest on the failures which CONVICTED explains. */
+static void
+discharge_others (HbwQuarantine *quarantine, const Suspect *convicted)
+{
+  Suspect *suspect;
+  Suspect *next;
+  cds_list_for_each_entry_safe (suspect, next, &quarantine->by_age, link)
+    {
+      if (suspect == convicted)
+        continue;
+      for (guint i = 0; i < HBW_QUARANTINE_FAILURES; i++)
+        {
+          if (suspect->count == 0
+              || !is_explained (&suspect->failures[i], convicted))
+            continue;
+          suspect->failures[i].server = 0;
+          suspect->count--;
+        }
+      if (suspect->count == 0)
+        forget (quarantine, suspect);
+    }
+}
+
+static void
+note_failure (HbwQuarantine *quarantine, Suspect *suspect, guint64 server,
+              gint64 now_us)
+{
+  Failure *failure = &suspect->failures[suspect->count % HBW_QUARANTINE_FAILURES];
+  failure->server = server;
+  failure->at_us = now_us;
+  suspect->count++;
+  if (suspect->count == HBW_QUARANTINE_FAILURES)
+    discharge_others (quarantine, suspect);
+}
+
 guint
 hbw_quarantine_add (HbwQuarantine *quarantine, const HbwFingerprint *fingerprint,
-                    gint64 now_us)
+                    guint64 server, gint64 now_us)
 {
   Suspect *suspect = ensure (quarantine, fingerprint, now_us);
   suspect->until_us = now_us + HBW_QUARANTINE_US;
-  return ++suspect->failures;
+  note_failure (quarantine, suspect, server, now_us);
+  return suspect->count;
 }
 
 gboolean
 hbw_quarantine_clear (HbwQuarantine *quarantine, const HbwFingerprint *fingerprint)
 {
   Suspect *suspect = g_hash_table_lookup (quarantine->suspects, fingerprint);
-  if (suspect == NULL || suspect->failures >= HBW_QUARANTINE_FAILURES)
+  if (suspect == NULL || suspect->count >= HBW_QUARANTINE_FAILURES)
     return FALSE;
   forget (quarantine, suspect);
   return TRUE;
@@ -123,7 +182,11 @@
     }
   Suspect *suspect = ensure (quarantine, &told->fingerprint, now_us);
   gint64 remaining = MIN (told->remaining_us, HBW_QUARANTINE_US);
-  suspect->failures = MAX (suspect->failures, told->failures);
+  if (told->failures > suspect->count)
+    {
+      suspect->count = told->failures - 1;
+      note_failure (quarantine, suspect, told->server, now_us);
+    }
   suspect->until_us = MAX (suspect->until_us, now_us + remaining);
 }
 
--- a/core/shard.c
+++ b/core/shard.c
@@ -476,8 +476,9 @@
                 const HbwWant *want)
 {
   shard->wanted_at_us = context->now_us;
-  const HbwSuspect known
-      = { want->spec.fingerprint, want->spec.failures, HBW_QUARANTINE_US };
+  const HbwSuspect known = { .fingerprint = want->spec.fingerprint,
+                             .failures = want->spec.failures,
+                             .remaining_us = HBW_QUARANTINE_US };
   if (known.failures > 0)
     hbw_quarantine_merge (context->quarantine, &known, context->now_us);
   if (restate_known (shard, context, from, want))
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -173,6 +173,7 @@
 {
   HbwFingerprint fingerprint;
   guint failures; /* 0 clears the suspicion */
+  guint64 server; /* hash of the server that failed last; 0 is not known */
   gint64 remaining_us;
 } HbwSuspect;
 
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -3,7 +3,8 @@
  *
  * Each fingerprint in progress on a server that breaks becomes a suspect.  A
  * suspect runs only where no other suspect runs; a success clears it; the second
- * failure quarantines it for HBW_QUARANTINE_US, in all instances.
+ * failure quarantines it for HBW_QUARANTINE_US, in all instances.  That explains the
+ * failures of those servers: the suspicions that rest on them are dropped.
  */
 #ifndef HORNBEAMWALL_CORE_QUARANTINE_H
 #define HORNBEAMWALL_CORE_QUARANTINE_H
@@ -14,6 +15,9 @@
 /* Failures after which a request is refused. */
 #define HBW_QUARANTINE_FAILURES 2
 
+/* Two failures of one server within this time are one. */
+#define HBW_QUARANTINE_SAME_US (2 * HBW_US_PER_S)
+
 /* How long a suspicion or a quarantine lasts. */
 #define HBW_QUARANTINE_US (300 * HBW_US_PER_S)
 
@@ -31,9 +35,10 @@
 gint64 hbw_quarantine_remaining (HbwQuarantine *quarantine,
                                  const HbwFingerprint *fingerprint, gint64 now_us);
 
-/* Counts one more failure and returns the count. */
+/* Counts one more failure, of SERVER (a hash), and returns the count. */
 guint hbw_quarantine_add (HbwQuarantine *quarantine,
-                          const HbwFingerprint *fingerprint, gint64 now_us);
+                          const HbwFingerprint *fingerprint, guint64 server,
+                          gint64 now_us);
 
 /* Forgets FINGERPRINT; returns whether it was known. */
 gboolean hbw_quarantine_clear (HbwQuarantine *quarantine,
--- a/net/codec.c
+++ b/net/codec.c
@@ -199,6 +199,7 @@
       pack_fingerprint (packer, &message->suspect.fingerprint);
       msgpack_pack_uint32 (packer, message->suspect.failures);
       msgpack_pack_int64 (packer, message->suspect.remaining_us);
+      msgpack_pack_uint64 (packer, message->suspect.server);
       break;
     default:
       msgpack_pack_uint32 (packer, message->rates.level);
@@ -217,7 +218,7 @@
   [HBW_MESSAGE_WITHDRAW] = 5,  [HBW_MESSAGE_GRANT] = 9,
   [HBW_MESSAGE_REFUSAL] = 5,   [HBW_MESSAGE_ACTIVE] = 10,
   [HBW_MESSAGE_DONE] = 11,     [HBW_MESSAGE_DOCUMENT_ASK] = 3,
-  [HBW_MESSAGE_DOCUMENT] = 3,  [HBW_MESSAGE_SUSPECT] = 4,
+  [HBW_MESSAGE_DOCUMENT] = 3,  [HBW_MESSAGE_SUSPECT] = 5,
   [HBW_MESSAGE_DEMAND] = 5,    [HBW_MESSAGE_SHARE] = 5,
 };
 
@@ -489,6 +490,7 @@
       take_fingerprint (fields, &message->suspect.fingerprint);
       message->suspect.failures = (guint) take_uint (fields, G_MAXUINT16);
       message->suspect.remaining_us = take_int (fields);
+      message->suspect.server = take_uint (fields, G_MAXUINT64);
       break;
     default:
       take_rates (fields, &message->rates);
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -126,6 +126,7 @@
   gint64 changed_us[HBW_DOCUMENT_COUNT];
   GHashTable *stops;
   guint poisoned;
+  GHashTable *poisons; /* fingerprint -> servers that it failed */
   guint64 messages;
   char *breach;
 };
@@ -455,6 +456,12 @@
     return;
   trace (world, "poison fails server %s", server->entry.id);
   fail_server (world, server, TRUE);
+  gpointer key = GUINT_TO_POINTER ((guint) attempt->request->spec.fingerprint.low);
+  guint failed = GPOINTER_TO_UINT (g_hash_table_lookup (world->poisons, key)) + 1;
+  g_hash_table_replace (world->poisons, key, GUINT_TO_POINTER (failed));
+  if (failed > HBW_QUARANTINE_FAILURES)
+    breach (world, "request %" G_GUINT64_FORMAT " failed a third server",
+            attempt->request->sequence);
   schedule (world, world->now_us + REBOOT_US, reboot_server, server);
 }
 
@@ -1149,6 +1156,7 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   world->attempts = g_ptr_array_new_with_free_func (g_free);
   world->cuts = g_ptr_array_new_with_free_func (g_free);
+  world->poisons = g_hash_table_new (NULL, NULL);
   world->stops = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   schedule (world, HBW_US_PER_S, look_at_progress, NULL);
   return world;
@@ -1199,6 +1207,7 @@
   g_ptr_array_free (world->classes, TRUE);
   g_ptr_array_free (world->cuts, TRUE);
   g_hash_table_destroy (world->stops);
+  g_hash_table_destroy (world->poisons);
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     g_free (world->documents[i]);
   g_rand_free (world->random);
