Administration API: conditional edits, planned stops, rollout

Cause: the catalogue could not be changed, nor a stop declared. Change: catalogue entries by GET, PUT and DELETE with ETag and If-Match; a change id in the document settles a lost answer; stops of servers and instances; rollout surveys every instance by a ping. Conclusion: an edit is accepted only after its conditional write.

--- a/core/catalogue.c
+++ b/core/catalogue.c
@@ -221,9 +221,8 @@
 static void
 read_catalogue (HbwCatalogue *catalogue, HbwReport *report, json_t *root)
 {
-  char change[HBW_NAME_MAX];
   HbwReader *reader = hbw_reader_create (report, root, "");
-  hbw_reader_string (reader, "change", change, sizeof change, "none");
+  hbw_reader_member (reader, "changes", JSON_ARRAY, FALSE);
   read_section (catalogue, reader, report, "classes", read_class);
   read_section (catalogue, reader, report, "pools", read_pool);
   read_section (catalogue, reader, report, "organisations", read_organisation);
--- a/core/directory.c
+++ b/core/directory.c
@@ -104,10 +104,9 @@
     return NULL;
   GHashTable *stops = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   HbwReport report;
-  char change[HBW_NAME_MAX];
   hbw_report_init (&report);
   HbwReader *reader = hbw_reader_create (&report, root, "");
-  hbw_reader_string (reader, "change", change, sizeof change, "none");
+  hbw_reader_member (reader, "changes", JSON_ARRAY, FALSE);
   json_t *list = hbw_reader_member (reader, "stops", JSON_ARRAY, TRUE);
   size_t index;
   json_t *value;
--- a/core/membership.c
+++ b/core/membership.c
@@ -517,6 +517,19 @@
     handle_ack (membership, context, message);
 }
 
+void
+hbw_membership_ping_all (HbwMembership *membership, HbwContext *context)
+{
+  const HbwPing base = { .number = 0 };
+  for (guint i = 0; i < membership->order->len; i++)
+    {
+      const Member *member = g_ptr_array_index (membership->order, i);
+      if (is_present (member))
+        send_ping (membership, context, HBW_MESSAGE_PING, member->info.identity,
+                   member->info.address, &base);
+    }
+}
+
 void
 hbw_membership_leave (HbwMembership *membership, HbwContext *context)
 {
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -17,11 +17,13 @@
   HbwDocuments *documents;
   HbwTopology *topology;
   HbwEntry *entry;
-  GHashTable *shards; /* key text -> HbwShard */
-  guint64 epoch;      /* of the membership, last acted on */
+  GHashTable *shards;   /* key text -> HbwShard */
+  GHashTable *surveyed; /* identity -> HbwSurveyed */
+  guint64 epoch;        /* of the membership, last acted on */
   gint64 ticked_us;
   gboolean store_up;
   gboolean draining;
+  char name[HBW_NAME_MAX];
 };
 
 static guint64
@@ -145,6 +147,18 @@
   return TRUE;
 }
 
+static void
+handle_drain (HbwReducer *reducer)
+{
+  if (reducer->draining)
+    return;
+  reducer->draining = TRUE;
+  hbw_entry_drain (reducer->entry);
+  hbw_membership_leave (reducer->context.membership, &reducer->context);
+  hbw_effects_log (reducer->context.effects, HBW_LOG_INSTANCE_DRAINING,
+                   "in_progress=%u", hbw_entry_count (reducer->entry));
+}
+
 static gboolean
 adopt_stops (HbwReducer *reducer, const char *text, gsize length, HbwError *error)
 {
@@ -155,6 +169,8 @@
   reducer->context.stops = stops;
   reducer->context.stops_known = TRUE;
   refresh_shards (reducer);
+  if (g_hash_table_contains (stops, reducer->name))
+    handle_drain (reducer);
   return TRUE;
 }
 
@@ -227,12 +243,35 @@
   hbw_route_share (hbw_entry_route (reducer->entry), context, ping);
 }
 
+static void
+note_version (HbwReducer *reducer, guint64 from, gint64 version)
+{
+  HbwSurveyed *surveyed = g_hash_table_lookup (reducer->surveyed, &from);
+  if (surveyed == NULL)
+    {
+      surveyed = g_new0 (HbwSurveyed, 1);
+      surveyed->identity = from;
+      g_hash_table_insert (reducer->surveyed, &surveyed->identity, surveyed);
+    }
+  surveyed->version = version;
+  surveyed->heard_us = reducer->context.now_us;
+}
+
+static gboolean
+is_forgotten (gpointer key, gpointer value G_GNUC_UNUSED, gpointer data)
+{
+  const guint64 *identity = key;
+  HbwReducer *reducer = data;
+  return hbw_membership_address (reducer->context.membership, *identity) == NULL;
+}
+
 static void
 handle_ping (HbwReducer *reducer, const HbwMessage *message)
 {
   HbwContext *context = &reducer->context;
   const HbwPing *ping = &message->ping;
   HbwRoute *route = hbw_entry_route (reducer->entry);
+  note_version (reducer, message->from, ping->versions[HBW_DOCUMENT_CATALOGUE]);
   for (guint i = 0; i < ping->summary_count; i++)
     if (owner_of (&ping->summaries[i].key, reducer) != context->self)
       hbw_route_learn (route, &ping->summaries[i], context->now_us);
@@ -341,6 +380,7 @@
   if (epoch == reducer->epoch)
     return;
   reducer->epoch = epoch;
+  g_hash_table_foreach_remove (reducer->surveyed, is_forgotten, reducer);
   GHashTableIter iter;
   gpointer shard;
   g_hash_table_iter_init (&iter, reducer->shards);
@@ -394,18 +434,6 @@
                    "instance=%" G_GUINT64_FORMAT, reducer->context.self);
 }
 
-static void
-handle_drain (HbwReducer *reducer)
-{
-  if (reducer->draining)
-    return;
-  reducer->draining = TRUE;
-  hbw_entry_drain (reducer->entry);
-  hbw_membership_leave (reducer->context.membership, &reducer->context);
-  hbw_effects_log (reducer->context.effects, HBW_LOG_INSTANCE_DRAINING,
-                   "in_progress=%u", hbw_entry_count (reducer->entry));
-}
-
 static void
 handle_event (HbwReducer *reducer, const HbwEvent *event)
 {
@@ -445,6 +473,9 @@
     case HBW_EVENT_DRAIN:
       handle_drain (reducer);
       break;
+    case HBW_EVENT_SURVEY:
+      hbw_membership_ping_all (context->membership, context);
+      break;
     default:
       break;
     }
@@ -502,10 +533,13 @@
   for (guint i = 0; config->seeds != NULL && config->seeds[i] != NULL; i++)
     hbw_membership_add_seed (context->membership, config->seeds[i]);
   reducer->policy = config->policy;
+  g_strlcpy (reducer->name, config->self.name, sizeof reducer->name);
   reducer->documents = hbw_documents_create ();
   reducer->entry = hbw_entry_create (owner_of, reducer);
   reducer->shards = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                            (GDestroyNotify) hbw_shard_destroy);
+  reducer->surveyed
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   reducer->store_up = TRUE;
   return reducer;
 }
@@ -522,6 +556,7 @@
     }
   g_queue_free (context->loopback);
   g_hash_table_destroy (reducer->shards);
+  g_hash_table_destroy (reducer->surveyed);
   hbw_entry_destroy (reducer->entry);
   hbw_documents_destroy (reducer->documents);
   if (reducer->topology != NULL)
@@ -569,6 +604,12 @@
   return hbw_entry_count (reducer->entry);
 }
 
+gboolean
+hbw_reducer_is_draining (const HbwReducer *reducer)
+{
+  return reducer->draining;
+}
+
 gint64
 hbw_reducer_version (const HbwReducer *reducer, HbwDocumentKind kind)
 {
@@ -581,20 +622,44 @@
   hbw_metrics_render (reducer->context.metrics, text);
 }
 
-void
-hbw_reducer_render_status (const HbwReducer *reducer, GString *text)
+static HbwStatusSource
+status_source (const HbwReducer *reducer)
 {
   const HbwStatusSource source = {
     .context = &reducer->context,
     .documents = reducer->documents,
     .shards = reducer->shards,
+    .surveyed = reducer->surveyed,
+    .topology = reducer->topology,
+    .route = hbw_entry_route (reducer->entry),
     .requests = hbw_entry_count (reducer->entry),
     .store_up = reducer->store_up,
     .draining = reducer->draining,
   };
+  return source;
+}
+
+void
+hbw_reducer_render_status (const HbwReducer *reducer, GString *text)
+{
+  const HbwStatusSource source = status_source (reducer);
   hbw_status_render (&source, text);
 }
 
+void
+hbw_reducer_render_stops (const HbwReducer *reducer, GString *text)
+{
+  const HbwStatusSource source = status_source (reducer);
+  hbw_status_render_stops (&source, text);
+}
+
+void
+hbw_reducer_render_rollout (const HbwReducer *reducer, GString *text)
+{
+  const HbwStatusSource source = status_source (reducer);
+  hbw_status_render_rollout (&source, text);
+}
+
 HbwMetrics *
 hbw_reducer_metrics (const HbwReducer *reducer)
 {
--- a/core/route.c
+++ b/core/route.c
@@ -138,6 +138,18 @@
   known->made_us = made_us;
 }
 
+gboolean
+hbw_route_summary (const HbwRoute *route, const HbwShardKey *key, gint64 now_us,
+                   HbwShardSummary *summary)
+{
+  const Known *known = find (route, key, now_us);
+  if (known == NULL)
+    return FALSE;
+  *summary = known->summary;
+  summary->age_us = now_us - known->made_us;
+  return TRUE;
+}
+
 void
 hbw_route_share (const HbwRoute *route, HbwContext *context, HbwPing *ping)
 {
--- a/core/shard.c
+++ b/core/shard.c
@@ -616,7 +616,12 @@
   memset (summary, 0, sizeof *summary);
   summary->key = shard->key;
   for (guint i = 0; i < shard->servers->len; i++)
-    summary->free_slots += hbw_server_free (g_ptr_array_index (shard->servers, i));
+    {
+      const HbwServer *server = g_ptr_array_index (shard->servers, i);
+      summary->free_slots += hbw_server_free (server);
+      if (server->stopping)
+        summary->draining += server->in_progress;
+    }
   for (HbwTier tier = 0; tier < HBW_TIER_COUNT; tier++)
     summary->expected_wait_us[tier] = hbw_shard_expected_wait (shard, tier);
 }
--- a/core/status.c
+++ b/core/status.c
@@ -80,6 +80,15 @@
   return list;
 }
 
+static void
+append_json (GString *text, json_t *root)
+{
+  char *dump = json_dumps (root, JSON_INDENT (2));
+  g_string_append (text, dump);
+  free (dump);
+  json_decref (root);
+}
+
 void
 hbw_status_render (const HbwStatusSource *source, GString *text)
 {
@@ -93,8 +102,103 @@
       (int) hbw_quarantine_size (context->quarantine), "documents",
       render_documents (source->documents), "stops", render_stops (context->stops),
       "members", members, "shards", render_shards (source->shards));
-  char *dump = json_dumps (root, JSON_INDENT (2));
-  g_string_append (text, dump);
-  free (dump);
-  json_decref (root);
+  append_json (text, root);
+}
+
+static json_t *
+render_stop (const HbwStatusSource *source, const char *name)
+{
+  HbwShardKey key;
+  HbwShardSummary summary;
+  json_t *item = json_pack ("{s:s}", "name", name);
+  gboolean listed
+      = source->topology != NULL && hbw_topology_find (source->topology, name, &key);
+  json_object_set_new (item, "backend_server", json_boolean (listed));
+  if (!listed)
+    return item;
+  json_object_set_new (item, "pool", json_string (key.pool));
+  json_object_set_new (item, "data_centre", json_string (key.data_centre));
+  if (hbw_route_summary (source->route, &key, source->context->now_us, &summary))
+    {
+      json_object_set_new (item, "shard_in_progress",
+                           json_integer (summary.draining));
+      json_object_set_new (item, "age_ms",
+                           json_integer (summary.age_us / HBW_US_PER_MS));
+    }
+  return item;
+}
+
+void
+hbw_status_render_stops (const HbwStatusSource *source, GString *text)
+{
+  json_t *list = json_array ();
+  GList *names = g_list_sort (g_hash_table_get_keys (source->context->stops),
+                              (GCompareFunc) g_strcmp0);
+  for (GList *at = names; at != NULL; at = at->next)
+    json_array_append_new (list, render_stop (source, at->data));
+  g_list_free (names);
+  append_json (text, json_pack ("{s:I, s:o}", "revision",
+                                (json_int_t) hbw_documents_version (
+                                    source->documents, HBW_DOCUMENT_STOPS),
+                                "stops", list));
+}
+
+/* How long ago an instance may have told of its version, to count. */
+#define SURVEY_AGE_US (5 * HBW_US_PER_S)
+
+typedef struct
+{
+  const HbwStatusSource *source;
+  json_t *centres;
+  gint64 newest;
+} Rollout;
+
+static void
+count_instance (Rollout *rollout, const char *data_centre, gboolean heard,
+                gint64 version)
+{
+  json_t *centre = json_object_get (rollout->centres, data_centre);
+  if (centre == NULL)
+    {
+      centre = json_pack ("{s:i, s:i, s:i, s:i}", "instances", 0, "in_force", 0,
+                          "behind", 0, "silent", 0);
+      json_object_set_new (rollout->centres, data_centre, centre);
+    }
+  const char *key = !heard                       ? "silent"
+                    : version >= rollout->newest ? "in_force"
+                                                 : "behind";
+  json_t *count = json_object_get (centre, key);
+  json_integer_set (count, json_integer_value (count) + 1);
+  json_t *instances = json_object_get (centre, "instances");
+  json_integer_set (instances, json_integer_value (instances) + 1);
+}
+
+static void
+count_member (const HbwMemberUpdate *member, void *data)
+{
+  Rollout *rollout = data;
+  const HbwSurveyed *surveyed
+      = g_hash_table_lookup (rollout->source->surveyed, &member->identity);
+  gboolean heard
+      = surveyed != NULL
+        && rollout->source->context->now_us - surveyed->heard_us < SURVEY_AGE_US;
+  count_instance (rollout, member->data_centre, heard,
+                  surveyed != NULL ? surveyed->version : 0);
+}
+
+void
+hbw_status_render_rollout (const HbwStatusSource *source, GString *text)
+{
+  gint64 own = hbw_documents_version (source->documents, HBW_DOCUMENT_CATALOGUE);
+  Rollout rollout = { source, json_object (), own };
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, source->surveyed);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    rollout.newest = MAX (rollout.newest, ((HbwSurveyed *) value)->version);
+  count_instance (&rollout, source->context->data_centre, TRUE, own);
+  hbw_membership_foreach (source->context->membership, count_member, &rollout);
+  append_json (text,
+               json_pack ("{s:I, s:o}", "revision", (json_int_t) rollout.newest,
+                          "data_centres", rollout.centres));
 }
--- a/core/topology.c
+++ b/core/topology.c
@@ -133,6 +133,24 @@
   return shard != NULL ? shard->servers : NULL;
 }
 
+gboolean
+hbw_topology_find (const HbwTopology *topology, const char *id, HbwShardKey *key)
+{
+  for (guint i = 0; i < topology->shards->len; i++)
+    {
+      const Shard *shard = g_ptr_array_index (topology->shards, i);
+      for (guint k = 0; k < shard->servers->len; k++)
+        {
+          const HbwServerEntry *server = g_ptr_array_index (shard->servers, k);
+          if (strcmp (server->id, id) != 0)
+            continue;
+          *key = shard->key;
+          return TRUE;
+        }
+    }
+  return FALSE;
+}
+
 const GPtrArray *
 hbw_topology_data_centres (const HbwTopology *topology)
 {
--- a/hornbeamwall/commands/serve.c
+++ b/hornbeamwall/commands/serve.c
@@ -33,6 +33,17 @@
   while (hbw_instance_is_busy (instance));
 }
 
+/* Waits for a signal, or for a planned stop of this instance to be declared. */
+static void
+wait_for_stop (HbwInstance *instance, const sigset_t *set)
+{
+  const struct timespec look = { 0, DRAIN_LOOK_NS };
+  const HbwControl *control = hbw_instance_control (instance);
+  while (!hbw_control_is_draining (control))
+    if (sigtimedwait (set, NULL, &look) > 0)
+      return;
+}
+
 static int
 serve (const HbwSettings *settings)
 {
@@ -44,8 +55,7 @@
   HbwInstance *instance = hbw_instance_create (settings, clock, &error);
   if (instance != NULL)
     {
-      int received;
-      sigwait (&set, &received);
+      wait_for_stop (instance, &set);
       wait_for_drain (instance, &set);
       hbw_instance_destroy (instance);
       hbw_log_write (HBW_LOG_INSTANCE_STOPPED, settings->name);
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -17,7 +17,8 @@
   HBW_EVENT_DOCUMENT, /* read from the platform's store */
   HBW_EVENT_STORE_STATE,
   HBW_EVENT_MESSAGE,
-  HBW_EVENT_DRAIN, /* planned stop of this instance */
+  HBW_EVENT_DRAIN,  /* planned stop of this instance */
+  HBW_EVENT_SURVEY, /* ask every instance for its versions */
 } HbwEventKind;
 
 typedef struct
--- a/include/hornbeamwall/core/membership.h
+++ b/include/hornbeamwall/core/membership.h
@@ -45,6 +45,9 @@
 void hbw_membership_handle (HbwMembership *membership, HbwContext *context,
                             const HbwMessage *message);
 
+/* Pings every other member. */
+void hbw_membership_ping_all (HbwMembership *membership, HbwContext *context);
+
 /* Tells some members that this instance leaves. */
 void hbw_membership_leave (HbwMembership *membership, HbwContext *context);
 
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -60,6 +60,7 @@
   HbwShardKey key;
   gint64 age_us;
   guint free_slots;
+  guint draining; /* requests in progress on servers that stop */
   gint64 expected_wait_us[HBW_TIER_COUNT];
 } HbwShardSummary;
 
--- a/include/hornbeamwall/core/reducer.h
+++ b/include/hornbeamwall/core/reducer.h
@@ -37,6 +37,9 @@
    platform's store. */
 gboolean hbw_reducer_is_watcher (const HbwReducer *reducer);
 
+/* Returns whether a planned stop of this instance is under way. */
+gboolean hbw_reducer_is_draining (const HbwReducer *reducer);
+
 /* Returns how many requests of this instance have not ended. */
 guint hbw_reducer_request_count (const HbwReducer *reducer);
 
@@ -49,6 +52,13 @@
 /* Adds the state as a JSON object: versions, members, shards, servers, stops. */
 void hbw_reducer_render_status (const HbwReducer *reducer, GString *text);
 
+/* Adds the planned stops, with what is left of each, as a JSON object. */
+void hbw_reducer_render_stops (const HbwReducer *reducer, GString *text);
+
+/* Adds which data centres have the newest catalogue in force, as a JSON object; to
+   be asked about a second after HBW_EVENT_SURVEY. */
+void hbw_reducer_render_rollout (const HbwReducer *reducer, GString *text);
+
 /* The parts, for tests and measurements. */
 HbwMetrics *hbw_reducer_metrics (const HbwReducer *reducer);
 HbwShard *hbw_reducer_find_shard (const HbwReducer *reducer, const HbwShardKey *key);
--- a/include/hornbeamwall/core/route.h
+++ b/include/hornbeamwall/core/route.h
@@ -28,6 +28,10 @@
 void hbw_route_learn (HbwRoute *route, const HbwShardSummary *summary,
                       gint64 now_us);
 
+/* Returns the summary of a shard with its age, or FALSE where none is fresh. */
+gboolean hbw_route_summary (const HbwRoute *route, const HbwShardKey *key,
+                            gint64 now_us, HbwShardSummary *summary);
+
 /* Adds known summaries to a ping, up to its bound, starting anywhere. */
 void hbw_route_share (const HbwRoute *route, HbwContext *context, HbwPing *ping);
 
--- a/include/hornbeamwall/net/http.h
+++ b/include/hornbeamwall/net/http.h
@@ -64,6 +64,11 @@
                                  const char *content_type, const char *body,
                                  gsize length);
 
+/* Queues an answer with a text and its VERSION as ETag. */
+enum MHD_Result hbw_http_answer_tagged (HbwHttpRequest *request, guint status,
+                                        const char *content_type, const char *text,
+                                        gint64 version);
+
 /* A refusal as problem JSON (RFC 9457). */
 typedef struct
 {
--- a/include/hornbeamwall/runtime/control.h
+++ b/include/hornbeamwall/runtime/control.h
@@ -22,6 +22,8 @@
 {
   HBW_QUERY_METRICS,
   HBW_QUERY_STATUS,
+  HBW_QUERY_STOPS,
+  HBW_QUERY_ROLLOUT,
 } HbwQueryKind;
 
 /* Binds the peer address and makes the reducer; no thread runs yet. */
@@ -50,6 +52,7 @@
 HbwClock *hbw_control_clock (HbwControl *control);
 guint64 hbw_control_identity (const HbwControl *control);
 gboolean hbw_control_is_ready (const HbwControl *control);
+gboolean hbw_control_is_draining (const HbwControl *control);
 gboolean hbw_control_is_watcher (const HbwControl *control);
 guint hbw_control_request_count (const HbwControl *control);
 gint64 hbw_control_version (const HbwControl *control, HbwDocumentKind kind);
--- a/net/codec.c
+++ b/net/codec.c
@@ -66,12 +66,13 @@
 static void
 pack_summary (msgpack_packer *packer, const HbwShardSummary *summary)
 {
-  msgpack_pack_array (packer, 5 + HBW_TIER_COUNT);
+  msgpack_pack_array (packer, 6 + HBW_TIER_COUNT);
   pack_shard (packer, &summary->key);
   msgpack_pack_int64 (packer, summary->age_us);
   msgpack_pack_uint32 (packer, summary->free_slots);
   for (guint i = 0; i < HBW_TIER_COUNT; i++)
     msgpack_pack_int64 (packer, summary->expected_wait_us[i]);
+  msgpack_pack_uint32 (packer, summary->draining);
 }
 
 static void
@@ -349,6 +350,7 @@
   summary->free_slots = (guint) take_uint (&inner, G_MAXUINT16);
   for (guint i = 0; i < HBW_TIER_COUNT; i++)
     summary->expected_wait_us[i] = take_int (&inner);
+  summary->draining = (guint) take_uint (&inner, G_MAXUINT32);
   fields->failed |= inner.failed;
 }
 
--- /dev/null
+++ b/net/edit.c
@@ -0,0 +1,177 @@
+#include "hornbeamwall/net/edit.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* How often a lost race or a lost answer is tried again. */
+#define TRIES 5
+
+/* Pause before the store is asked again, in microseconds. */
+#define PAUSE_US 200000
+
+/* What came of one try. */
+typedef enum
+{
+  TRY_DONE,
+  TRY_AGAIN,
+  TRY_FAILED,
+} Try;
+
+static void
+add_change_id (json_t *root, const char *id)
+{
+  json_t *changes = json_object_get (root, "changes");
+  if (!json_is_array (changes))
+    {
+      changes = json_array ();
+      json_object_set_new (root, "changes", changes);
+    }
+  json_array_append_new (changes, json_string (id));
+  while (json_array_size (changes) > HBW_EDIT_CHANGES)
+    json_array_remove (changes, 0);
+}
+
+static gboolean
+has_change_id (GBytes *body, const char *id)
+{
+  gsize length;
+  const char *text = g_bytes_get_data (body, &length);
+  json_t *root = json_loadb (text, length, 0, NULL);
+  size_t index;
+  json_t *value;
+  gboolean found = FALSE;
+  json_array_foreach (json_object_get (root, "changes"), index, value)
+    {
+      if (g_strcmp0 (json_string_value (value), id) == 0)
+        found = TRUE;
+    }
+  json_decref (root);
+  return found;
+}
+
+static json_t *
+parse (GBytes *body, const char *empty)
+{
+  if (body == NULL)
+    return json_loads (empty, 0, NULL);
+  gsize length;
+  const char *text = g_bytes_get_data (body, &length);
+  return json_loadb (text, length, 0, NULL);
+}
+
+static char *
+render_change (const HbwEdit *edit, GBytes *body, const char *id, HbwError *error)
+{
+  json_t *root = parse (body, edit->empty);
+  if (!json_is_object (root))
+    {
+      json_decref (root);
+      hbw_error_set (error, HBW_ERROR_DOCUMENT,
+                     "the stored document is no JSON object; replace it as a whole");
+      return NULL;
+    }
+  if (!edit->change (root, edit->data, error))
+    {
+      json_decref (root);
+      return NULL;
+    }
+  add_change_id (root, id);
+  char *text = json_dumps (root, JSON_COMPACT);
+  json_decref (root);
+  if (edit->check (text, strlen (text), error))
+    return text;
+  free (text);
+  return NULL;
+}
+
+/* Finds out what became of a write whose answer was lost. */
+static Try
+settle (HbwPlatform *platform, const HbwEdit *edit, const char *id,
+        HbwEditResult *result, HbwError *error)
+{
+  for (guint i = 0; i < TRIES; i++)
+    {
+      HbwStoreAnswer answer = hbw_platform_get (platform, edit->object, error);
+      if (answer.result == HBW_STORE_OK)
+        {
+          gboolean found = has_change_id (answer.body, id);
+          result->version = answer.version;
+          g_bytes_unref (answer.body);
+          return found ? TRY_DONE : TRY_AGAIN;
+        }
+      if (answer.result == HBW_STORE_ABSENT)
+        return TRY_AGAIN;
+      g_usleep (PAUSE_US);
+    }
+  hbw_error_set (error, HBW_ERROR_STORE,
+                 "the store's answer was lost and it cannot be read back; look at "
+                 "the document for change %s before you repeat it",
+                 id);
+  return TRY_FAILED;
+}
+
+static Try
+write_change (HbwPlatform *platform, const HbwEdit *edit, gint64 version,
+              const char *text, const char *id, HbwEditResult *result,
+              HbwError *error)
+{
+  HbwStoreAnswer answer = hbw_platform_put (platform, edit->object, version, text,
+                                            strlen (text), error);
+  switch (answer.result)
+    {
+    case HBW_STORE_OK:
+      result->version = answer.version;
+      return TRY_DONE;
+    case HBW_STORE_UNKNOWN:
+      return settle (platform, edit, id, result, error);
+    case HBW_STORE_CONFLICT:
+      return TRY_AGAIN;
+    default:
+      return TRY_FAILED;
+    }
+}
+
+static Try
+try_once (HbwPlatform *platform, const HbwEdit *edit, const char *id,
+          HbwEditResult *result, HbwError *error)
+{
+  HbwStoreAnswer current = hbw_platform_get (platform, edit->object, error);
+  if (current.result != HBW_STORE_OK && current.result != HBW_STORE_ABSENT)
+    return TRY_FAILED;
+  result->version = current.version;
+  if (edit->expected > 0 && edit->expected != current.version)
+    {
+      hbw_error_set (error, HBW_ERROR_CONFLICT,
+                     "the revision is now %" G_GINT64_FORMAT
+                     "; read it again and repeat the change",
+                     current.version);
+      g_clear_pointer (&current.body, g_bytes_unref);
+      return TRY_FAILED;
+    }
+  char *text = render_change (edit, current.body, id, error);
+  g_clear_pointer (&current.body, g_bytes_unref);
+  if (text == NULL)
+    return TRY_FAILED;
+  Try tried
+      = write_change (platform, edit, current.version, text, id, result, error);
+  if (tried == TRY_DONE)
+    result->body = g_strdup (text);
+  free (text);
+  return tried;
+}
+
+HbwEditResult
+hbw_edit_run (HbwPlatform *platform, const HbwEdit *edit, HbwError *error)
+{
+  HbwEditResult result = { FALSE, 0, NULL };
+  char *id = g_uuid_string_random ();
+  Try tried = TRY_AGAIN;
+  for (guint i = 0; i < TRIES && tried == TRY_AGAIN; i++)
+    tried = try_once (platform, edit, id, &result, error);
+  if (tried == TRY_AGAIN)
+    hbw_error_set (error, HBW_ERROR_CONFLICT,
+                   "other changes came first each time; repeat the change");
+  result.accepted = tried == TRY_DONE;
+  g_free (id);
+  return result;
+}
--- a/net/http.c
+++ b/net/http.c
@@ -177,20 +177,32 @@
   return info != NULL ? info->connect_fd : -1;
 }
 
+/* Headers that an answer may carry besides its type. */
+typedef struct
+{
+  gint64 retry_after_us; /* 0: none */
+  gint64 version;        /* as ETag; 0: none */
+} AnswerExtras;
+
 static enum MHD_Result
 queue_answer (HbwHttpRequest *request, guint status, const char *content_type,
-              const char *body, gsize length, gint64 retry_after_us)
+              const char *body, gsize length, const AnswerExtras *extras)
 {
+  char text[32];
   struct MHD_Response *response = MHD_create_response_from_buffer (
       length, (void *) body, MHD_RESPMEM_MUST_COPY);
   if (content_type != NULL && *content_type != '\0')
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
-  if (retry_after_us > 0)
+  if (extras->retry_after_us > 0)
+    {
+      g_snprintf (text, sizeof text, "%" G_GINT64_FORMAT,
+                  (extras->retry_after_us + HBW_US_PER_S - 1) / HBW_US_PER_S);
+      MHD_add_response_header (response, MHD_HTTP_HEADER_RETRY_AFTER, text);
+    }
+  if (extras->version > 0)
     {
-      char seconds[32];
-      g_snprintf (seconds, sizeof seconds, "%" G_GINT64_FORMAT,
-                  (retry_after_us + HBW_US_PER_S - 1) / HBW_US_PER_S);
-      MHD_add_response_header (response, MHD_HTTP_HEADER_RETRY_AFTER, seconds);
+      g_snprintf (text, sizeof text, "\"%" G_GINT64_FORMAT "\"", extras->version);
+      MHD_add_response_header (response, MHD_HTTP_HEADER_ETAG, text);
     }
   enum MHD_Result result
       = MHD_queue_response (request->connection, status, response);
@@ -202,16 +214,26 @@
 hbw_http_answer (HbwHttpRequest *request, guint status, const char *content_type,
                  const char *body, gsize length)
 {
-  return queue_answer (request, status, content_type, body, length, 0);
+  const AnswerExtras extras = { 0, 0 };
+  return queue_answer (request, status, content_type, body, length, &extras);
+}
+
+enum MHD_Result
+hbw_http_answer_tagged (HbwHttpRequest *request, guint status,
+                        const char *content_type, const char *text, gint64 version)
+{
+  const AnswerExtras extras = { 0, version };
+  return queue_answer (request, status, content_type, text, strlen (text), &extras);
 }
 
 enum MHD_Result
 hbw_http_problem (HbwHttpRequest *request, const HbwProblem *problem)
 {
+  const AnswerExtras extras = { problem->retry_after_us, 0 };
   char *body = hbw_problem_format (problem);
   enum MHD_Result result
       = queue_answer (request, problem->status, "application/problem+json", body,
-                      strlen (body), problem->retry_after_us);
+                      strlen (body), &extras);
   g_free (body);
   return result;
 }
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -54,6 +54,7 @@
   atomic_bool stopping;
   atomic_bool ready;
   atomic_bool watcher;
+  atomic_bool draining;
   atomic_uint requests;
   _Atomic gint64 versions[HBW_DOCUMENT_COUNT];
   _Atomic guint64 last_sequence;
@@ -115,6 +116,7 @@
 {
   const HbwReducer *reducer = control->reducer;
   atomic_store (&control->ready, hbw_reducer_is_ready (reducer));
+  atomic_store (&control->draining, hbw_reducer_is_draining (reducer));
   atomic_store (&control->requests, hbw_reducer_request_count (reducer));
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     atomic_store (&control->versions[i],
@@ -145,6 +147,10 @@
           hbw_peer_bytes_sent (control->peer),
           hbw_peer_bytes_received (control->peer));
     }
+  else if (query->kind == HBW_QUERY_STOPS)
+    hbw_reducer_render_stops (control->reducer, text);
+  else if (query->kind == HBW_QUERY_ROLLOUT)
+    hbw_reducer_render_rollout (control->reducer, text);
   else
     hbw_reducer_render_status (control->reducer, text);
   pthread_mutex_lock (&query->lock);
@@ -405,6 +411,12 @@
   return atomic_load (&control->ready);
 }
 
+gboolean
+hbw_control_is_draining (const HbwControl *control)
+{
+  return atomic_load (&control->draining);
+}
+
 gboolean
 hbw_control_is_watcher (const HbwControl *control)
 {
