--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BUILD ?= build
 
-.PHONY: all packages build demo test clean
+.PHONY: all packages build demo soak test clean
 
 all: build
 
@@ -14,6 +14,9 @@
 demo: build
 	sh scripts/demo.sh $(BUILD)
 
+soak: build
+	sh scripts/soak.sh $(BUILD)
+
 test: build
 	sh scripts/run-tests.sh $(BUILD)
 
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,93 @@
+# Starts a fleet on loopback: a store, engines and instances in three data centres.
+# To be read in by other scripts; needs $build and a folder $dir.
+pids=
+stop_fleet() {
+  for pid in $pids; do kill -CONT "$pid" 2>/dev/null || true; kill "$pid" 2>/dev/null || true; done
+  sleep 0.5
+  for pid in $pids; do kill -9 "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+}
+key_hash() { printf '%s\n' "$1" | "$build/hornbeamwall" hash-key; }
+
+write_catalogue() {
+  cat >"$dir/catalogue.json" <<EOF
+{"classes": {
+  "top": {"tier": 0, "first_token_ms": 390, "inter_token_ms": 44, "deadline_ms": 20000},
+  "low": {"tier": 2, "first_token_ms": 60000, "inter_token_ms": 1000}},
+ "pools": {"m": {"kind": "model"}},
+ "organisations": {"o": {"keys": ["$(key_hash key)"], "classes": ["top", "low"]}}}
+EOF
+}
+
+# write_servers ENGINES: engine i listens at port 19100 + i, data centres in turn.
+write_servers() {
+  {
+    printf '{"servers": ['
+    i=0
+    while [ $i -lt "$1" ]; do
+      [ $i -gt 0 ] && printf ','
+      printf '{"id": "e%d", "pool": "m", "data_centre": "dc%d", "address": "127.0.0.1:%d", "slots": 8, "start": 1}' \
+        $i $((i % 3 + 1)) $((19100 + i))
+      i=$((i + 1))
+    done
+    printf ']}'
+  } >"$dir/servers.json"
+}
+
+# write_settings I: instance i of data centre i % 3 + 1.
+write_settings() {
+  cat >"$dir/i$1.json" <<EOF
+{"name": "i$1", "data_centre": "dc$(($1 % 3 + 1))",
+ "caller_address": "127.0.0.1:$((19200 + $1))", "admin_address": "127.0.0.1:$((19300 + $1))",
+ "peer_address": "127.0.0.1:$((19400 + $1))", "platform_address": "127.0.0.1:19000",
+ "admin_token_sha256": "$token", "connect_timeout_ms": 300, "stall_timeout_ms": 3000,
+ "seeds": ["127.0.0.1:19400", "127.0.0.1:19401", "127.0.0.1:19402"]}
+EOF
+}
+
+start_engine() {
+  "$build/tests/standin" engine "127.0.0.1:$((19100 + $1))" 8 10 5 &
+  eval "engine_$1=$!"
+  pids="$pids $!"
+}
+
+start_instance() {
+  "$build/hornbeamwall" serve --config "$dir/i$1.json" 2>>"$dir/i$1.log" &
+  eval "instance_$1=$!"
+  pids="$pids $!"
+}
+
+start_store() {
+  "$build/tests/standin" store 127.0.0.1:19000 \
+    hornbeamwall-catalogue "$dir/catalogue.json" servers "$dir/servers.json" &
+  store=$!
+  pids="$pids $!"
+}
+
+# start_fleet INSTANCES ENGINES
+start_fleet() {
+  token=$(key_hash admin)
+  write_catalogue
+  write_servers "$2"
+  start_store
+  i=0; while [ $i -lt "$2" ]; do start_engine $i; i=$((i + 1)); done
+  i=0; while [ $i -lt "$1" ]; do write_settings $i; start_instance $i; i=$((i + 1)); done
+  i=0
+  while [ $i -lt "$1" ]; do
+    tries=0
+    until curl -fs "http://127.0.0.1:$((19200 + i))/readyz" >/dev/null 2>&1; do
+      tries=$((tries + 1))
+      [ $tries -lt 200 ] || { echo "instance $i did not become ready" >&2; exit 1; }
+      sleep 0.1
+    done
+    i=$((i + 1))
+  done
+}
+
+# list_of FIRST COUNT: addresses joined by commas.
+list_of() {
+  out=
+  k=0
+  while [ $k -lt "$2" ]; do out="$out${out:+,}127.0.0.1:$(($1 + k))"; k=$((k + 1)); done
+  echo "$out"
+}
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -245,7 +245,7 @@
   char *text = NULL;
   if (strcmp (url, "/runs") == 0 && tag != NULL)
     return answer_text (connection,
-                        strdup (engine_runs (engine, tag) == 0 ? "0" : "1+"));
+                        g_strdup_printf ("%u", engine_runs (engine, tag)));
   pthread_mutex_lock (&engine->lock);
   if (asprintf (&text, "{\"running\":%u,\"waiting\":%u}", engine->running,
                 engine->waiting)
