--- /dev/null
+++ b/tests/core_test.c
@@ -0,0 +1,373 @@
+/*
+ * Tests of the small parts: histogram, queue, limits, documents, quarantine, codec,
+ * settings, and the list of log events.
+ */
+#include "suite.h"
+
+#include "hornbeamwall/common/clock.h"
+#include "hornbeamwall/common/histogram.h"
+#include "hornbeamwall/common/log.h"
+#include "hornbeamwall/core/catalogue.h"
+#include "hornbeamwall/core/documents.h"
+#include "hornbeamwall/core/limiter.h"
+#include "hornbeamwall/core/quarantine.h"
+#include "hornbeamwall/core/queue.h"
+#include "hornbeamwall/core/server.h"
+#include "hornbeamwall/core/topology.h"
+#include "hornbeamwall/net/codec.h"
+#include "hornbeamwall/runtime/settings.h"
+
+#include <string.h>
+
+START_TEST (manual_clock_stands_until_advanced)
+{
+  HbwClock *clock = hbw_clock_create_manual (5);
+  ck_assert_int_eq (hbw_clock_now (clock), 5);
+  hbw_clock_advance (clock, 7);
+  ck_assert_int_eq (hbw_clock_now (clock), 12);
+  hbw_clock_destroy (clock);
+}
+END_TEST
+
+START_TEST (histogram_is_within_an_eighth)
+{
+  HbwHistogram histogram = { { 0 }, 0, 0 };
+  for (gint64 i = 1; i <= 100000; i++)
+    hbw_histogram_record (&histogram, i);
+  gint64 median = hbw_histogram_quantile (&histogram, 0.5);
+  ck_assert_int_ge (median, 50000);
+  ck_assert_int_le (median, 50000 + 50000 / 8);
+  ck_assert_uint_eq (hbw_histogram_count_upto (&histogram, G_MAXINT64), 100000);
+}
+END_TEST
+
+static HbwWant
+make_want (guint64 sequence, const char *organisation, guint tier, gint64 target_us)
+{
+  HbwWant want = { .id = { 1, sequence }, .attempt = 1 };
+  g_strlcpy (want.spec.organisation, organisation, HBW_NAME_MAX);
+  g_strlcpy (want.spec.class_name, "c", HBW_NAME_MAX);
+  want.spec.tier = (HbwTier) tier;
+  want.spec.target_us = target_us;
+  want.spec.cost_tokens = 10;
+  want.spec.weight = 1;
+  return want;
+}
+
+static guint64
+serve_next (HbwQueue *queue, HbwTier tier, gint64 now_us)
+{
+  HbwTicket *ticket = hbw_queue_next (queue, tier, now_us, 0, NULL, NULL);
+  guint64 sequence = ticket->want.id.sequence;
+  hbw_queue_charge (queue, ticket);
+  hbw_queue_remove (queue, ticket);
+  return sequence;
+}
+
+START_TEST (queue_takes_in_time_before_late)
+{
+  HbwQueue *queue = hbw_queue_create ();
+  const HbwWant late = make_want (1, "a", 0, 10);
+  const HbwWant in_time = make_want (2, "a", 0, 1000);
+  hbw_queue_add (queue, &late, 1, 0, 0);
+  hbw_queue_add (queue, &in_time, 1, 0, 0);
+  ck_assert_uint_eq (serve_next (queue, 0, 100), 2);
+  ck_assert_uint_eq (serve_next (queue, 0, 100), 1);
+  hbw_queue_destroy (queue);
+}
+END_TEST
+
+START_TEST (queue_is_fair_between_organisations)
+{
+  HbwQueue *queue = hbw_queue_create ();
+  guint served_small = 0;
+  for (guint i = 0; i < 100; i++)
+    {
+      const HbwWant big = make_want (i, "big", 1, 1000000);
+      hbw_queue_add (queue, &big, 1, 0, 0);
+    }
+  for (guint i = 0; i < 10; i++)
+    {
+      const HbwWant small = make_want (1000 + i, "small", 1, 1000000);
+      hbw_queue_add (queue, &small, 1, 0, 0);
+    }
+  for (guint i = 0; i < 20; i++)
+    if (serve_next (queue, 1, 0) >= 1000)
+      served_small++;
+  ck_assert_uint_ge (served_small, 9);
+  hbw_queue_destroy (queue);
+}
+END_TEST
+
+START_TEST (limit_is_divided_by_need)
+{
+  const double demands[] = { 2, 100, 100 };
+  ck_assert_double_eq_tol (hbw_limiter_divide (30, demands, 3, 3, 0), 2, 1e-9);
+  ck_assert_double_eq_tol (hbw_limiter_divide (30, demands, 3, 3, 1), 14, 1e-9);
+  const double little[] = { 1, 2 };
+  double first = hbw_limiter_divide (30, little, 2, 10, 0);
+  double second = hbw_limiter_divide (30, little, 2, 10, 1);
+  ck_assert_double_ge (first, 1);
+  ck_assert_double_ge (second, 2);
+  ck_assert_double_le (first + second, 30);
+}
+END_TEST
+
+START_TEST (lower_version_is_never_newer)
+{
+  HbwDocuments *documents = hbw_documents_create ();
+  GBytes *body = g_bytes_new ("x", 1);
+  ck_assert (hbw_documents_compare (documents, HBW_DOCUMENT_CATALOGUE, 0)
+             == HBW_OFFER_NEWER);
+  hbw_documents_adopt (documents, HBW_DOCUMENT_CATALOGUE, 5, body);
+  ck_assert (hbw_documents_compare (documents, HBW_DOCUMENT_CATALOGUE, 4)
+             == HBW_OFFER_OLDER);
+  ck_assert (hbw_documents_compare (documents, HBW_DOCUMENT_CATALOGUE, 5)
+             == HBW_OFFER_SAME);
+  hbw_documents_reject (documents, HBW_DOCUMENT_CATALOGUE, 6);
+  ck_assert (hbw_documents_compare (documents, HBW_DOCUMENT_CATALOGUE, 6)
+             == HBW_OFFER_SAME);
+  ck_assert (hbw_documents_compare (documents, HBW_DOCUMENT_CATALOGUE, 7)
+             == HBW_OFFER_NEWER);
+  g_bytes_unref (body);
+  hbw_documents_destroy (documents);
+}
+END_TEST
+
+START_TEST (conviction_clears_bystanders)
+{
+  HbwQuarantine *quarantine = hbw_quarantine_create ();
+  const HbwFingerprint guilty = { 1, 1 };
+  const HbwFingerprint bystander = { 2, 2 };
+  hbw_quarantine_add (quarantine, &guilty, 7, 0);
+  hbw_quarantine_add (quarantine, &bystander, 7, 0);
+  ck_assert_uint_eq (hbw_quarantine_failures (quarantine, &bystander, 1), 1);
+  ck_assert_uint_eq (hbw_quarantine_add (quarantine, &guilty, 8, 1000), 2);
+  ck_assert_uint_eq (hbw_quarantine_failures (quarantine, &bystander, 1001), 0);
+  ck_assert (!hbw_quarantine_clear (quarantine, &guilty));
+  ck_assert_uint_eq (
+      hbw_quarantine_failures (quarantine, &guilty, 1000 + HBW_QUARANTINE_US), 0);
+  hbw_quarantine_destroy (quarantine);
+}
+END_TEST
+
+START_TEST (failed_server_gets_one_probe)
+{
+  const HbwServerEntry entry = { .id = "s", .slots = 4, .start = 1 };
+  const HbwRequestSpec spec = { .idempotent = TRUE };
+  HbwServer *server = hbw_server_create (&entry);
+  hbw_server_begin (server, &spec);
+  const HbwDone broken = { .outcome = HBW_OUTCOME_BROKEN };
+  hbw_server_end (server, &broken, 0, 0);
+  ck_assert (!hbw_server_has_room (server, &spec, 1));
+  gint64 probe = server->probe_at_us;
+  ck_assert (hbw_server_has_room (server, &spec, probe));
+  hbw_server_begin (server, &spec);
+  ck_assert (!hbw_server_has_room (server, &spec, probe));
+  const HbwDone complete = { .outcome = HBW_OUTCOME_COMPLETE };
+  hbw_server_end (server, &complete, 0, probe);
+  ck_assert (hbw_server_has_room (server, &spec, probe));
+  hbw_server_destroy (server);
+}
+END_TEST
+
+START_TEST (shards_are_bounded_and_whole)
+{
+  GPtrArray *servers = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < 180; i++)
+    {
+      HbwServerEntry *entry = g_new0 (HbwServerEntry, 1);
+      g_snprintf (entry->id, sizeof entry->id, "s%u", i);
+      g_strlcpy (entry->pool, "m", sizeof entry->pool);
+      g_strlcpy (entry->data_centre, "a", sizeof entry->data_centre);
+      g_ptr_array_add (servers, entry);
+    }
+  HbwTopology *topology = hbw_topology_create (servers);
+  guint count = hbw_topology_shard_count (topology, "m", "a");
+  guint sum = 0;
+  for (guint i = 0; i < count; i++)
+    {
+      HbwShardKey key = { .pool = "m", .data_centre = "a", .index = i };
+      const GPtrArray *shard = hbw_topology_servers (topology, &key);
+      ck_assert_uint_le (shard->len, HBW_SHARD_SERVERS_MAX);
+      sum += shard->len;
+    }
+  ck_assert_uint_eq (sum, 180);
+  hbw_topology_destroy (topology);
+}
+END_TEST
+
+static void
+keep_message (const HbwMessage *message, void *data)
+{
+  hbw_message_copy (data, message);
+}
+
+static HbwMessage
+sample_message (HbwMessageKind kind)
+{
+  HbwMessage message = { .kind = kind };
+  if (kind <= HBW_MESSAGE_PROBE_FOR)
+    {
+      message.ping.number = 3;
+      message.ping.member_count = 1;
+      message.ping.members[0].identity = 9;
+      g_strlcpy (message.ping.members[0].name, "i1", HBW_NAME_MAX);
+      message.ping.summary_count = 1;
+      message.ping.summaries[0].free_slots = 4;
+      message.ping.versions[0] = -1;
+    }
+  else if (kind == HBW_MESSAGE_WANT)
+    message.want = make_want (7, "o", 2, -5);
+  else if (kind == HBW_MESSAGE_DOCUMENT || kind == HBW_MESSAGE_DOCUMENT_ASK)
+    message.document.body = g_bytes_new ("{}", 2);
+  return message;
+}
+
+START_TEST (codec_gives_back_every_kind)
+{
+  for (guint kind = 0; kind < HBW_MESSAGE_COUNT; kind++)
+    {
+      HbwMessage sent = sample_message ((HbwMessageKind) kind);
+      HbwMessage received = { .kind = HBW_MESSAGE_COUNT };
+      HbwError error;
+      HbwFrame *frame = hbw_frame_create (77);
+      hbw_frame_add (frame, &sent);
+      GBytes *bytes = hbw_frame_finish (frame);
+      gsize size;
+      const void *data = g_bytes_get_data (bytes, &size);
+      ck_assert_msg (hbw_frame_parse (data, size, keep_message, &received, &error),
+                     "%s", hbw_message_kind_name ((HbwMessageKind) kind));
+      ck_assert_uint_eq (received.kind, kind);
+      ck_assert_uint_eq (received.from, 77);
+      if (kind == HBW_MESSAGE_WANT)
+        ck_assert_int_eq (memcmp (&received.want, &sent.want, sizeof sent.want), 0);
+      if (kind == HBW_MESSAGE_PING)
+        ck_assert_int_eq (memcmp (&received.ping, &sent.ping, sizeof sent.ping), 0);
+      hbw_message_clear (&received);
+      if (kind == HBW_MESSAGE_DOCUMENT_ASK)
+        g_bytes_unref (sent.document.body);
+      hbw_message_clear (&sent);
+      g_bytes_unref (bytes);
+      hbw_frame_destroy (frame);
+    }
+}
+END_TEST
+
+static void
+ignore_message (const HbwMessage *message G_GNUC_UNUSED, void *data G_GNUC_UNUSED)
+{
+}
+
+START_TEST (codec_survives_damaged_frames)
+{
+  GRand *random = g_rand_new_with_seed (42);
+  HbwFrame *frame = hbw_frame_create (77);
+  for (guint kind = 0; kind <= HBW_MESSAGE_DONE; kind++)
+    {
+      HbwMessage message = sample_message ((HbwMessageKind) kind);
+      hbw_frame_add (frame, &message);
+    }
+  GBytes *bytes = hbw_frame_finish (frame);
+  gsize size;
+  const guint8 *data = g_bytes_get_data (bytes, &size);
+  guint refused = 0;
+  for (guint i = 0; i < 20000; i++)
+    {
+      HbwError error;
+      guint8 *copy = g_memdup2 (data, size);
+      gsize length = (gsize) g_rand_int_range (random, 0, (gint32) size + 1);
+      for (guint k = 0; k < 3; k++)
+        copy[g_rand_int_range (random, 0, (gint32) size)]
+            = (guint8) g_rand_int_range (random, 0, 256);
+      if (!hbw_frame_parse (copy, length, ignore_message, NULL, &error))
+        refused++;
+      g_free (copy);
+    }
+  ck_assert_uint_gt (refused, 10000);
+  g_bytes_unref (bytes);
+  hbw_frame_destroy (frame);
+  g_rand_free (random);
+}
+END_TEST
+
+START_TEST (settings_report_every_error)
+{
+  static const char text[]
+      = "{\"name\":\"\",\"data_centre\":\"a\",\"caller_address\":\"nowhere\","
+        "\"admin_address\":\"127.0.0.1:1\",\"peer_address\":\"127.0.0.1:2\","
+        "\"platform_address\":\"127.0.0.1:3\",\"admin_token_sha256\":\"x\","
+        "\"body_max\":5,\"colour\":\"red\"}";
+  HbwError error;
+  ck_assert (hbw_settings_parse (text, strlen (text), &error) == NULL);
+  static const char *const places[]
+      = { "/name:", "/caller_address: found \"nowhere\"",
+          "/admin_token_sha256:", "/body_max: found 5", "/colour:" };
+  for (gsize i = 0; i < G_N_ELEMENTS (places); i++)
+    ck_assert_msg (strstr (error.message, places[i]) != NULL, "%s in %s", places[i],
+                   error.message);
+}
+END_TEST
+
+START_TEST (catalogue_reports_every_error)
+{
+  static const char text[]
+      = "{\"classes\":{\"c\":{\"tier\":7,\"first_token_ms\":1,\"inter_token_ms\":1}}"
+        ","
+        "\"pools\":{\"p\":{\"kind\":\"other\"}},"
+        "\"organisations\":{\"o\":{\"keys\":[\"k\"],\"classes\":[\"d\"]}}}";
+  HbwError error;
+  ck_assert (hbw_catalogue_parse (text, strlen (text), 1, &error) == NULL);
+  static const char *const places[]
+      = { "/classes/c/tier: found 7", "/pools/p/kind: found \"other\"",
+          "/organisations/o/keys/0", "/organisations/o/classes/0: found \"d\"" };
+  for (gsize i = 0; i < G_N_ELEMENTS (places); i++)
+    ck_assert_msg (strstr (error.message, places[i]) != NULL, "%s in %s", places[i],
+                   error.message);
+}
+END_TEST
+
+START_TEST (every_log_event_is_in_the_docs)
+{
+  char *page;
+  ck_assert (g_file_get_contents (DOCS_DIR "/EVENTS.md", &page, NULL, NULL));
+  gsize count;
+  const HbwLogEntry *entries = hbw_log_entries (&count);
+  guint lines = 0;
+  for (char *at = strstr (page, "\n| "); at != NULL; at = strstr (at + 1, "\n| "))
+    lines++;
+  ck_assert_uint_eq (lines, count + 2);
+  for (gsize i = 0; i < count; i++)
+    {
+      char *row = g_strdup_printf ("| %d | %s | ", (int) entries[i].number,
+                                   entries[i].name);
+      ck_assert_msg (strstr (page, row) != NULL, "%s", row);
+      g_free (row);
+    }
+  g_free (page);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("core");
+  TCase *cases = tcase_create ("core");
+  tcase_set_timeout (cases, 0);
+  tcase_add_test (cases, manual_clock_stands_until_advanced);
+  tcase_add_test (cases, histogram_is_within_an_eighth);
+  tcase_add_test (cases, queue_takes_in_time_before_late);
+  tcase_add_test (cases, queue_is_fair_between_organisations);
+  tcase_add_test (cases, limit_is_divided_by_need);
+  tcase_add_test (cases, lower_version_is_never_newer);
+  tcase_add_test (cases, conviction_clears_bystanders);
+  tcase_add_test (cases, failed_server_gets_one_probe);
+  tcase_add_test (cases, shards_are_bounded_and_whole);
+  tcase_add_test (cases, codec_gives_back_every_kind);
+  tcase_add_test (cases, codec_survives_damaged_frames);
+  tcase_add_test (cases, settings_report_every_error);
+  tcase_add_test (cases, catalogue_reports_every_error);
+  tcase_add_test (cases, every_log_event_is_in_the_docs);
+  suite_add_tcase (suite, cases);
+  return suite_run (suite);
+}
