--- a/core/limiter.c
+++ b/core/limiter.c
@@ -411,7 +411,7 @@
   drop_old_claims (ledger, context->now_us);
   guint index = note_claim (ledger, from, rates, context->now_us);
   double whole[KINDS];
-  double shares[KINDS];
+  double shares[KINDS] = { 0 };
   limits_to_array (limits, whole);
   guint members = ledger->claims->len;
   if (rates->level == 0)
--- a/net/codec.c
+++ b/net/codec.c
@@ -279,12 +279,14 @@
   const msgpack_object *item = next_field (fields);
   buffer[0] = '\0';
   if (item == NULL || item->type != MSGPACK_OBJECT_STR || item->via.str.size >= size
-      || memchr (item->via.str.ptr, '\0', item->via.str.size) != NULL)
+      || (item->via.str.size > 0
+          && memchr (item->via.str.ptr, '\0', item->via.str.size) != NULL))
     {
       fields->failed = TRUE;
       return;
     }
-  memcpy (buffer, item->via.str.ptr, item->via.str.size);
+  if (item->via.str.size > 0)
+    memcpy (buffer, item->via.str.ptr, item->via.str.size);
   buffer[item->via.str.size] = '\0';
 }
 
@@ -582,6 +584,91 @@
   return bytes;
 }
 
+/* Size of the header at the beginning of an object, without its first byte, and what
+   follows it: bytes of its own, or a count of more objects. */
+typedef struct
+{
+  gsize header;
+  guint64 bytes;
+  guint64 objects;
+} Extent;
+
+static guint64
+read_big_endian (const guint8 *bytes, gsize size)
+{
+  guint64 value = 0;
+  for (gsize i = 0; i < size; i++)
+    value = value << 8 | bytes[i];
+  return value;
+}
+
+/* Types from 0xc4 on that are followed by a length or count of so many bytes. */
+static gsize
+length_size (guint8 type)
+{
+  switch (type)
+    {
+    case 0xc4: /* bin 8, str 8 */
+    case 0xd9:
+      return 1;
+    case 0xc5: /* bin 16, str 16, array 16, map 16 */
+    case 0xda:
+    case 0xdc:
+    case 0xde:
+      return 2;
+    case 0xc6: /* bin 32, str 32, array 32, map 32 */
+    case 0xdb:
+    case 0xdd:
+    case 0xdf:
+      return 4;
+    default:
+      return 0;
+    }
+}
+
+static Extent
+extent_of (const guint8 *at, gsize left)
+{
+  static const guint8 fixed[] = { 4, 8, 1, 2, 4, 8, 1, 2, 4, 8 }; /* 0xca to 0xd3 */
+  Extent extent = { length_size (*at), 0, 0 };
+  guint8 type = *at;
+  if (extent.header >= left)
+    {
+      extent.bytes = G_MAXUINT32;
+      return extent;
+    }
+  guint64 length = read_big_endian (at + 1, extent.header);
+  if (type >= 0xdc && type <= 0xdf)
+    extent.objects = type >= 0xde ? 2 * length : length;
+  else if (extent.header > 0)
+    extent.bytes = length;
+  else if (type >= 0xca && type <= 0xd3)
+    extent.bytes = fixed[type - 0xca];
+  else if (type >= 0xa0 && type <= 0xbf)
+    extent.bytes = type & 0x1f;
+  else if (type >= 0x80 && type <= 0x9f)
+    extent.objects = (guint64) (type & 0x0f) * (type < 0x90 ? 2 : 1);
+  return extent;
+}
+
+/* The library makes room for as many objects as a header announces.  A frame that
+   announces more than it has bytes is refused before. */
+static gboolean
+counts_fit (const guint8 *bytes, gsize size)
+{
+  gsize at = 0;
+  while (at < size)
+    {
+      Extent extent = extent_of (bytes + at, size - at);
+      gsize left = size - at - 1;
+      if (extent.header > left || extent.bytes > left - extent.header
+          || extent.objects > left - extent.header)
+        return FALSE;
+      at += 1 + extent.header + (gsize) extent.bytes;
+    }
+  return TRUE;
+}
+
 static gboolean
 parse_root (const msgpack_object *root, HbwMessageVisitor visit, void *data,
             HbwError *error)
@@ -612,7 +699,7 @@
   msgpack_unpacked result;
   size_t offset = 0;
   msgpack_unpacked_init (&result);
-  gboolean unpacked = size <= HBW_FRAME_MAX
+  gboolean unpacked = size <= HBW_FRAME_MAX && counts_fit (bytes, size)
                       && msgpack_unpack_next (&result, bytes, size, &offset)
                              == MSGPACK_UNPACK_SUCCESS;
   gboolean valid = unpacked && parse_root (&result.data, visit, data, error);
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -1,6 +1,7 @@
 #include "hornbeamwall/runtime/control.h"
 
 #include "hornbeamwall/common/log.h"
+#include "hornbeamwall/common/sync.h"
 #include "hornbeamwall/core/policy.h"
 #include "hornbeamwall/core/reducer.h"
 #include "hornbeamwall/net/peer.h"
@@ -189,7 +190,11 @@
   struct cds_wfcq_node *node;
   while ((node = __cds_wfcq_dequeue_blocking (&control->head, &control->tail))
          != NULL)
-    handle_item (control, caa_container_of (node, Item, node));
+    {
+      Item *item = caa_container_of (node, Item, node);
+      HBW_SYNC_ACQUIRE (item);
+      handle_item (control, item);
+    }
 }
 
 static void
@@ -249,6 +254,7 @@
 enqueue (HbwControl *control, Item *item)
 {
   cds_wfcq_node_init (&item->node);
+  HBW_SYNC_RELEASE (item);
   cds_wfcq_enqueue (&control->head, &control->tail, &item->node);
   wake (control);
 }
@@ -326,6 +332,7 @@
          != NULL)
     {
       Item *item = caa_container_of (node, Item, node);
+      HBW_SYNC_ACQUIRE (item);
       if (item->call != NULL)
         hbw_call_unref (item->call);
       if (item->query == NULL && item->event.kind == HBW_EVENT_DOCUMENT)
--- a/runtime/snapshot.c
+++ b/runtime/snapshot.c
@@ -1,5 +1,7 @@
 #include "hornbeamwall/runtime/snapshot.h"
 
+#include "hornbeamwall/common/sync.h"
+
 #include <urcu-bp.h>
 
 struct HbwSnapshot
@@ -24,6 +26,7 @@
 hbw_snapshot_publish (HbwSnapshot *snapshot, HbwCatalogue *catalogue)
 {
   HbwCatalogue *before = snapshot->catalogue;
+  HBW_SYNC_RELEASE (snapshot);
   rcu_assign_pointer (snapshot->catalogue, hbw_catalogue_ref (catalogue));
   if (before == NULL)
     return;
@@ -36,6 +39,7 @@
 {
   rcu_read_lock ();
   HbwCatalogue *catalogue = rcu_dereference (snapshot->catalogue);
+  HBW_SYNC_ACQUIRE (snapshot);
   if (catalogue != NULL)
     hbw_catalogue_ref (catalogue);
   rcu_read_unlock ();
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Runs all tests of a build folder and adds up their closing lines.
+# Runs all tests of a build folder and adds up their closing lines.  SEEDS bounds the
+# seeds of each scenario; 0 leaves scenarios out, which run in one thread.
 set -u
 build=${1:-build}
 passed=0
@@ -21,7 +22,12 @@
   failed=$((failed + ${rest%% failed}))
 }
 for test in "$build"/tests/*_test; do
-  run "$test"
+  case "$test,${SEEDS:-}" in
+  *scenario_test,) run "$test" ;;
+  *scenario_test,0) ;;
+  *scenario_test,*) run "$test" --most "$SEEDS" ;;
+  *) run "$test" ;;
+  esac
 done
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/tests/scenario_test.c
+++ b/tests/scenario_test.c
@@ -13,6 +13,7 @@
 static gboolean show_table;
 static gboolean show_trace;
 static int only_seed;
+static int most_seeds;
 static char *policy;
 static int passed;
 static int failed;
@@ -69,6 +70,8 @@
       script_seeds (script, &first, &last);
       if (only_seed > 0)
         first = last = (guint) only_seed;
+      if (most_seeds > 0)
+        last = MIN (last, first + (guint) most_seeds - 1);
       if (show_table)
         printf (
             "\n%s, policy %s\n\n| seed | class | tier | arrived | in target | good "
@@ -112,6 +115,8 @@
       = { { "table", 0, 0, G_OPTION_ARG_NONE, &show_table, "Print figures", NULL },
           { "trace", 0, 0, G_OPTION_ARG_NONE, &show_trace, "Print steps", NULL },
           { "seed", 0, 0, G_OPTION_ARG_INT, &only_seed, "One seed only", "N" },
+          { "most", 0, 0, G_OPTION_ARG_INT, &most_seeds, "At most so many seeds",
+            "N" },
           { "policy", 0, 0, G_OPTION_ARG_STRING, &policy, "A baseline", "NAME" },
           { NULL } };
   GOptionContext *context = g_option_context_new ("[FILE...]");
