One run for each Idempotency-Key; orders under a lease with a fencing number

Cause: a bid sent again through another instance could run twice; orders to backend servers had no holder. Change: a key is claimed in the platform's store directly before the first attempt, settled by change id when the answer is lost, given back when the request surely did not run; without the store such a request is refused as not run. A lease, counted on the holder's own clock less a margin and asked for directly before each order. Left: an order already on the wire when the holder is paused between check and send.

--- a/core/entry.c
+++ b/core/entry.c
@@ -356,6 +356,8 @@
 may_retry (HbwEntry *entry, HbwContext *context, const Request *request,
            const HbwAttemptEnd *end)
 {
+  if (end->outcome == HBW_OUTCOME_DENIED)
+    return FALSE;
   if (hbw_outcome_is_unrun (end->outcome))
     return request->unrun_attempts < UNRUN_ATTEMPTS_MAX;
   if (end->answer_begun || !request->spec.idempotent
@@ -388,6 +390,13 @@
       finish (entry, context, request, end);
       return;
     }
+  if (end->outcome == HBW_OUTCOME_DENIED)
+    {
+      /* The first request with the key may have run. */
+      request->may_have_run |= end->reason == HBW_REASON_DUPLICATE_KEY;
+      refuse (entry, context, request, end->reason, RETRY_AFTER_DEFAULT_US);
+      return;
+    }
   gboolean unrun = hbw_outcome_is_unrun (end->outcome);
   refuse (entry, context, request, unrun ? HBW_REASON_NO_SERVER : HBW_REASON_BROKEN,
           RETRY_AFTER_DEFAULT_US);
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -604,6 +604,13 @@
   return hbw_entry_count (reducer->entry);
 }
 
+gboolean
+hbw_reducer_is_orderer (const HbwReducer *reducer)
+{
+  return !reducer->draining
+         && hbw_membership_is_ranked (reducer->context.membership, "orders", 1);
+}
+
 gboolean
 hbw_reducer_is_draining (const HbwReducer *reducer)
 {
--- a/core/types.c
+++ b/core/types.c
@@ -11,6 +11,7 @@
   [HBW_OUTCOME_TIMED_OUT] = "timed_out",
   [HBW_OUTCOME_CANCELLED] = "cancelled",
   [HBW_OUTCOME_UNUSED] = "unused",
+  [HBW_OUTCOME_DENIED] = "denied",
 };
 
 static const char *const reason_names[HBW_REASON_COUNT] = {
@@ -23,6 +24,7 @@
   [HBW_REASON_DRAINING] = "draining",
   [HBW_REASON_DUPLICATE_KEY] = "duplicate_key",
   [HBW_REASON_OVERLOADED] = "overloaded",
+  [HBW_REASON_NO_STORE] = "no_store",
 };
 
 const char *
@@ -41,7 +43,7 @@
 hbw_outcome_is_unrun (HbwOutcome outcome)
 {
   return outcome == HBW_OUTCOME_NOT_CONNECTED || outcome == HBW_OUTCOME_REFUSED
-         || outcome == HBW_OUTCOME_UNUSED;
+         || outcome == HBW_OUTCOME_UNUSED || outcome == HBW_OUTCOME_DENIED;
 }
 
 guint
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -32,6 +32,7 @@
   guint64 sequence;
   guint attempt;
   HbwOutcome outcome;
+  HbwReason reason;      /* with DENIED */
   gboolean answer_begun; /* bytes of this answer have reached the caller */
   gint64 first_token_us; /* from the start of the attempt; 0 where none came */
   gint64 inter_token_us;
--- a/include/hornbeamwall/core/reducer.h
+++ b/include/hornbeamwall/core/reducer.h
@@ -37,6 +37,10 @@
    platform's store. */
 gboolean hbw_reducer_is_watcher (const HbwReducer *reducer);
 
+/* Returns whether sending orders to backend servers falls to this instance; the
+   lease decides whether it may. */
+gboolean hbw_reducer_is_orderer (const HbwReducer *reducer);
+
 /* Returns whether a planned stop of this instance is under way. */
 gboolean hbw_reducer_is_draining (const HbwReducer *reducer);
 
--- a/include/hornbeamwall/core/types.h
+++ b/include/hornbeamwall/core/types.h
@@ -40,6 +40,7 @@
   HBW_OUTCOME_TIMED_OUT,     /* sent, no complete answer in time */
   HBW_OUTCOME_CANCELLED,     /* the caller went away */
   HBW_OUTCOME_UNUSED,        /* the grant was given back or lapsed */
+  HBW_OUTCOME_DENIED,        /* nothing was sent, and nothing may be */
   HBW_OUTCOME_COUNT,
 } HbwOutcome;
 
@@ -55,6 +56,7 @@
   HBW_REASON_DRAINING,
   HBW_REASON_DUPLICATE_KEY,
   HBW_REASON_OVERLOADED,
+  HBW_REASON_NO_STORE,
   HBW_REASON_COUNT,
 } HbwReason;
 
--- a/include/hornbeamwall/net/relay.h
+++ b/include/hornbeamwall/net/relay.h
@@ -14,6 +14,7 @@
   const HbwSettings *settings;
   HbwRequestSpec spec;
   const char *path; /* at the backend server */
+  const char *key;  /* Idempotency-Key of a request that may run once, or NULL */
   const char *body;
   gsize body_length;
 } HbwRelayConfig;
--- a/include/hornbeamwall/runtime/control.h
+++ b/include/hornbeamwall/runtime/control.h
@@ -52,6 +52,7 @@
 HbwClock *hbw_control_clock (HbwControl *control);
 guint64 hbw_control_identity (const HbwControl *control);
 gboolean hbw_control_is_ready (const HbwControl *control);
+gboolean hbw_control_is_orderer (const HbwControl *control);
 gboolean hbw_control_is_draining (const HbwControl *control);
 gboolean hbw_control_is_watcher (const HbwControl *control);
 guint hbw_control_request_count (const HbwControl *control);
--- a/net/caller.c
+++ b/net/caller.c
@@ -1,6 +1,7 @@
 #include "hornbeamwall/net/caller.h"
 
 #include "hornbeamwall/core/spec.h"
+#include "hornbeamwall/net/key_claim.h"
 #include "hornbeamwall/net/relay.h"
 
 #include <jansson.h>
@@ -66,6 +67,11 @@
       = hbw_spec_fill (&config->spec, catalogue, organisation, input, &error);
   if (result != HBW_SPEC_OK)
     return spec_problem (request, result, &error);
+  const char *key = hbw_http_header (request, "Idempotency-Key");
+  if (key != NULL && strlen (key) > HBW_KEY_MAX)
+    return problem (request, 400, "Idempotency-Key too long", "send a shorter key");
+  if (!config->spec.idempotent)
+    config->key = key;
   config->control = caller->control;
   config->settings = caller->settings;
   return hbw_relay_run (config, request);
--- a/net/http.c
+++ b/net/http.c
@@ -285,6 +285,9 @@
   [HBW_REASON_DUPLICATE_KEY]
   = { 409, "a request with this Idempotency-Key was accepted before",
       "look up the outcome of the first one" },
+  [HBW_REASON_NO_STORE]
+  = { 503, "the platform's store does not answer, which keeps Idempotency-Keys",
+      "send it again after retry_after_ms" },
   [HBW_REASON_OVERLOADED] = { 503, "this instance holds too many requests",
                               "send it again after retry_after_ms" },
 };
--- /dev/null
+++ b/net/key_claim.c
@@ -0,0 +1,115 @@
+#include "hornbeamwall/net/key_claim.h"
+
+#include "hornbeamwall/net/edit.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+typedef struct
+{
+  char hash[33];
+  const char *owner;
+  gint64 now_s;
+  gboolean release;
+} Claim;
+
+static Claim
+make_claim (const char *organisation, const char *key, const char *owner)
+{
+  char *text = g_strconcat (organisation, "\n", key, NULL);
+  XXH128_hash_t hash = XXH3_128bits (text, strlen (text));
+  Claim claim = { .owner = owner };
+  claim.now_s = g_get_real_time () / G_USEC_PER_SEC;
+  g_snprintf (claim.hash, sizeof claim.hash,
+              "%016" G_GINT64_MODIFIER "x%016" G_GINT64_MODIFIER "x",
+              (guint64) hash.high64, (guint64) hash.low64);
+  g_free (text);
+  return claim;
+}
+
+static void
+drop_expired (json_t *claims, gint64 now_s)
+{
+  const char *hash;
+  json_t *value;
+  void *next;
+  json_object_foreach_safe (claims, next, hash, value)
+  {
+    if (json_integer_value (json_object_get (value, "until")) < now_s)
+      json_object_del (claims, hash);
+  }
+}
+
+static gboolean
+change_claims (json_t *root, void *data, HbwError *error)
+{
+  const Claim *claim = data;
+  json_t *claims = json_object_get (root, "claims");
+  if (!json_is_object (claims))
+    {
+      claims = json_object ();
+      json_object_set_new (root, "claims", claims);
+    }
+  drop_expired (claims, claim->now_s);
+  json_t *held = json_object_get (claims, claim->hash);
+  const char *owner = json_string_value (json_object_get (held, "owner"));
+  gboolean own = g_strcmp0 (owner, claim->owner) == 0;
+  if (claim->release && own)
+    json_object_del (claims, claim->hash);
+  if (claim->release || own)
+    return TRUE;
+  if (held != NULL)
+    {
+      hbw_error_set (error, HBW_ERROR_USAGE, "the key is claimed by %s", owner);
+      return FALSE;
+    }
+  json_object_set_new (claims, claim->hash,
+                       json_pack ("{s:s, s:I}", "owner", claim->owner, "until",
+                                  (json_int_t) (claim->now_s + HBW_KEY_LIFE_S)));
+  return TRUE;
+}
+
+static gboolean
+accept (const char *text G_GNUC_UNUSED, gsize length, HbwError *error)
+{
+  if (length <= HBW_DOCUMENT_MAX)
+    return TRUE;
+  hbw_error_set (error, HBW_ERROR_STORE, "too many claims; try again later");
+  return FALSE;
+}
+
+static HbwClaimResult
+run (HbwPlatform *platform, Claim *claim)
+{
+  char object[64];
+  guint64 slot = g_ascii_strtoull (claim->hash + 16, NULL, 16) % HBW_KEY_SLOTS;
+  g_snprintf (object, sizeof object, "hornbeamwall-keys-%u", (guint) slot);
+  const HbwEdit edit = { .object = object,
+                         .empty = "{\"claims\":{}}",
+                         .change = change_claims,
+                         .data = claim,
+                         .check = accept };
+  HbwError error = { HBW_ERROR_NONE, "" };
+  HbwEditResult result = hbw_edit_run (platform, &edit, &error);
+  g_free (result.body);
+  if (result.accepted)
+    return HBW_CLAIM_GRANTED;
+  return error.kind == HBW_ERROR_USAGE ? HBW_CLAIM_DUPLICATE : HBW_CLAIM_UNAVAILABLE;
+}
+
+HbwClaimResult
+hbw_key_claim (HbwPlatform *platform, const char *organisation, const char *key,
+               const char *owner)
+{
+  Claim claim = make_claim (organisation, key, owner);
+  return run (platform, &claim);
+}
+
+void
+hbw_key_release (HbwPlatform *platform, const char *organisation, const char *key,
+                 const char *owner)
+{
+  Claim claim = make_claim (organisation, key, owner);
+  claim.release = TRUE;
+  run (platform, &claim);
+}
--- /dev/null
+++ b/net/orders.c
@@ -0,0 +1,224 @@
+#include "hornbeamwall/net/orders.h"
+
+#include "hornbeamwall/common/log.h"
+#include "hornbeamwall/core/directory.h"
+#include "hornbeamwall/runtime/watch.h"
+
+#include <jansson.h>
+#include <neon/ne_request.h>
+#include <neon/ne_session.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ORDERS_OBJECT "hornbeamwall-orders"
+
+/* How long a backend server may take to answer an order, in seconds. */
+#define ORDER_TIMEOUT_S 5
+
+struct HbwOrders
+{
+  HbwOrdersConfig config;
+  HbwPlatform *platform;
+  HbwLease *lease;
+  char object[HBW_NAME_MAX + 32];
+  GHashTable *confirmed; /* "server start" -> order text that it took */
+  gboolean was_holder;
+};
+
+HbwOrders *
+hbw_orders_create (const HbwOrdersConfig *config, HbwError *error)
+{
+  HbwPlatform *platform = hbw_platform_create (config->platform_address, error);
+  if (platform == NULL)
+    return NULL;
+  HbwOrders *orders = g_new0 (HbwOrders, 1);
+  orders->config = *config;
+  orders->platform = platform;
+  orders->lease = hbw_lease_create (config->identity);
+  orders->confirmed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_snprintf (orders->object, sizeof orders->object, "hornbeamwall-lease-%s",
+              config->data_centre);
+  return orders;
+}
+
+void
+hbw_orders_destroy (HbwOrders *orders)
+{
+  g_hash_table_destroy (orders->confirmed);
+  hbw_lease_destroy (orders->lease);
+  hbw_platform_destroy (orders->platform);
+  g_free (orders);
+}
+
+static gboolean
+read_record (HbwOrders *orders, HbwLeaseRecord *record)
+{
+  HbwError error;
+  memset (record, 0, sizeof *record);
+  HbwStoreAnswer answer
+      = hbw_platform_get (orders->platform, orders->object, &error);
+  if (answer.result == HBW_STORE_ABSENT)
+    return TRUE;
+  if (answer.result != HBW_STORE_OK)
+    return FALSE;
+  gsize length;
+  const char *text = g_bytes_get_data (answer.body, &length);
+  json_t *root = json_loadb (text, length, 0, NULL);
+  const char *holder = json_string_value (json_object_get (root, "holder"));
+  record->version = answer.version;
+  record->holder = holder != NULL ? g_ascii_strtoull (holder, NULL, 16) : 0;
+  record->number = (guint64) json_integer_value (json_object_get (root, "number"));
+  json_decref (root);
+  g_bytes_unref (answer.body);
+  return TRUE;
+}
+
+static void
+write_record (HbwOrders *orders, HbwLeaseRecord *next)
+{
+  HbwError error;
+  char text[128];
+  g_snprintf (text, sizeof text,
+              "{\"holder\":\"%" G_GINT64_MODIFIER "x\",\"number\":%" G_GUINT64_FORMAT
+              "}",
+              next->holder, next->number);
+  gint64 asked_us = hbw_clock_now (orders->config.clock);
+  HbwStoreAnswer answer = hbw_platform_put (
+      orders->platform, orders->object, next->version, text, strlen (text), &error);
+  /* A lost answer needs no settling: the next read shows who holds the lease, and it
+     counts as held here only after a write that was answered. */
+  if (answer.result != HBW_STORE_OK)
+    return;
+  next->version = answer.version;
+  hbw_lease_written (orders->lease, next, asked_us);
+}
+
+static void
+log_change (HbwOrders *orders)
+{
+  gboolean holder = hbw_orders_is_holder (orders);
+  if (holder == orders->was_holder)
+    return;
+  orders->was_holder = holder;
+  hbw_log_write (holder ? HBW_LOG_LEASE_TAKEN : HBW_LOG_LEASE_LOST, orders->object);
+}
+
+void
+hbw_orders_keep_lease (HbwOrders *orders)
+{
+  HbwLeaseRecord record;
+  HbwLeaseRecord next;
+  if (read_record (orders, &record))
+    {
+      gint64 now_us = hbw_clock_now (orders->config.clock);
+      hbw_lease_observe (orders->lease, &record, now_us);
+      if (hbw_lease_wants_write (orders->lease, now_us, &next))
+        write_record (orders, &next);
+    }
+  log_change (orders);
+}
+
+gboolean
+hbw_orders_is_holder (const HbwOrders *orders)
+{
+  return hbw_lease_number (orders->lease, hbw_clock_now (orders->config.clock)) > 0;
+}
+
+static json_t *
+read_json (HbwOrders *orders, const char *name)
+{
+  HbwError error;
+  HbwStoreAnswer answer = hbw_platform_get (orders->platform, name, &error);
+  if (answer.result != HBW_STORE_OK)
+    return NULL;
+  gsize length;
+  const char *text = g_bytes_get_data (answer.body, &length);
+  json_t *root = json_loadb (text, length, 0, NULL);
+  g_bytes_unref (answer.body);
+  return root;
+}
+
+/* Sends one order; the number is asked for directly before it leaves. */
+static gboolean
+send_order (HbwOrders *orders, const char *address, const char *text, int *status)
+{
+  const char *colon = strrchr (address, ':');
+  if (colon == NULL)
+    return FALSE;
+  char *host = g_strndup (address, (gsize) (colon - address));
+  ne_session *session
+      = ne_session_create ("http", host, (unsigned) strtoul (colon + 1, NULL, 10));
+  ne_set_session_flag (session, NE_SESSFLAG_PERSIST, 0);
+  ne_set_read_timeout (session, ORDER_TIMEOUT_S);
+  ne_request *request = ne_request_create (session, "PUT", "/orders");
+  ne_set_request_flag (request, NE_REQFLAG_IDEMPOTENT, 0);
+  ne_set_request_body_buffer (request, text, strlen (text));
+  guint64 number
+      = hbw_lease_number (orders->lease, hbw_clock_now (orders->config.clock));
+  gboolean left = number > 0;
+  if (left)
+    {
+      ne_print_request_header (request, "X-Fencing-Number", "%" G_GUINT64_FORMAT,
+                               number);
+      *status = ne_request_dispatch (request) == NE_OK
+                    ? ne_get_status (request)->code
+                    : 0;
+    }
+  ne_request_destroy (request);
+  ne_session_destroy (session);
+  g_free (host);
+  return left;
+}
+
+static gboolean
+order_server (HbwOrders *orders, json_t *server, json_t *wanted)
+{
+  const char *id = json_string_value (json_object_get (server, "id"));
+  const char *address = json_string_value (json_object_get (server, "address"));
+  json_t *order = id != NULL ? json_object_get (wanted, id) : NULL;
+  if (order == NULL || address == NULL)
+    return FALSE;
+  char *key
+      = g_strdup_printf ("%s %" JSON_INTEGER_FORMAT, id,
+                         json_integer_value (json_object_get (server, "start")));
+  char *text = json_dumps (order, JSON_COMPACT | JSON_SORT_KEYS);
+  gboolean left = FALSE;
+  if (g_strcmp0 (g_hash_table_lookup (orders->confirmed, key), text) != 0)
+    {
+      int status = 0;
+      left = send_order (orders, address, text, &status);
+      if (left)
+        hbw_log_write (status == 200 ? HBW_LOG_ORDER_SENT : HBW_LOG_ORDER_REFUSED,
+                       id);
+      if (status == 200)
+        g_hash_table_replace (orders->confirmed, g_strdup (key), g_strdup (text));
+    }
+  free (text);
+  g_free (key);
+  return left;
+}
+
+guint
+hbw_orders_send (HbwOrders *orders)
+{
+  if (!hbw_orders_is_holder (orders))
+    return 0;
+  json_t *declared = read_json (orders, ORDERS_OBJECT);
+  json_t *listed = read_json (orders, hbw_watch_object_name (HBW_DOCUMENT_SERVERS));
+  json_t *wanted = json_object_get (declared, "orders");
+  size_t index;
+  json_t *server;
+  guint sent = 0;
+  json_array_foreach (json_object_get (listed, "servers"), index, server)
+    {
+      const char *centre
+          = json_string_value (json_object_get (server, "data_centre"));
+      if (g_strcmp0 (centre, orders->config.data_centre) == 0
+          && order_server (orders, server, wanted))
+        sent++;
+    }
+  json_decref (declared);
+  json_decref (listed);
+  return sent;
+}
--- a/net/relay.c
+++ b/net/relay.c
@@ -1,6 +1,7 @@
 #include "hornbeamwall/net/relay.h"
 
 #include "hornbeamwall/net/attempt.h"
+#include "hornbeamwall/net/key_claim.h"
 
 #include <string.h>
 
@@ -23,6 +24,10 @@
   char *path;
   char *content_type;
   char *body;
+  char *organisation;
+  char *key; /* Idempotency-Key, or NULL */
+  const char *platform_address;
+  gboolean claimed;  /* the key is claimed for this request */
   gboolean reported; /* the attempt's end was submitted */
   gboolean told;     /* the caller of a stream got its end or an error event */
 } Relay;
@@ -40,6 +45,9 @@
   relay->path = g_strdup (config->path);
   relay->content_type = g_strdup (hbw_http_header (request, "Content-Type"));
   relay->body = g_strndup (config->body, config->body_length);
+  relay->organisation = g_strdup (config->spec.organisation);
+  relay->key = g_strdup (config->key);
+  relay->platform_address = config->settings->platform_address;
   HbwAttemptConfig *attempt = &relay->config;
   attempt->method = relay->method;
   attempt->address = relay->address;
@@ -91,6 +99,8 @@
   g_free (relay->path);
   g_free (relay->content_type);
   g_free (relay->body);
+  g_free (relay->organisation);
+  g_free (relay->key);
   g_free (relay);
 }
 
@@ -111,6 +121,62 @@
   hbw_control_submit (relay->control, &event, NULL);
 }
 
+static void
+format_owner (const Relay *relay, char *text, gsize size)
+{
+  g_snprintf (text, size, "%016" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT,
+              hbw_control_identity (relay->control),
+              hbw_call_sequence (relay->call));
+}
+
+static HbwClaimResult
+claim_key (Relay *relay)
+{
+  HbwError error;
+  char owner[ATTEMPT_ID_MAX];
+  HbwPlatform *platform = hbw_platform_create (relay->platform_address, &error);
+  if (platform == NULL)
+    return HBW_CLAIM_UNAVAILABLE;
+  format_owner (relay, owner, sizeof owner);
+  HbwClaimResult result
+      = hbw_key_claim (platform, relay->organisation, relay->key, owner);
+  relay->claimed = result == HBW_CLAIM_GRANTED;
+  hbw_platform_destroy (platform);
+  return result;
+}
+
+/* A caller that is told its request did not run may send it again with its key. */
+static void
+release_key (Relay *relay)
+{
+  HbwError error;
+  char owner[ATTEMPT_ID_MAX];
+  HbwPlatform *platform = hbw_platform_create (relay->platform_address, &error);
+  if (platform == NULL)
+    return;
+  format_owner (relay, owner, sizeof owner);
+  hbw_key_release (platform, relay->organisation, relay->key, owner);
+  relay->claimed = FALSE;
+  hbw_platform_destroy (platform);
+}
+
+/* Returns whether the attempt may go on; otherwise its end is reported. */
+static gboolean
+ensure_claim (Relay *relay, const HbwOrder *order)
+{
+  if (relay->key == NULL || relay->claimed)
+    return TRUE;
+  HbwClaimResult result = claim_key (relay);
+  if (result == HBW_CLAIM_GRANTED)
+    return TRUE;
+  HbwAttemptEnd end = { .outcome = HBW_OUTCOME_DENIED };
+  end.reason = result == HBW_CLAIM_DUPLICATE ? HBW_REASON_DUPLICATE_KEY
+                                             : HBW_REASON_NO_STORE;
+  relay->number = order->start.attempt;
+  report_end (relay, &end);
+  return FALSE;
+}
+
 static void
 start_attempt (Relay *relay, const HbwOrder *order)
 {
@@ -229,7 +295,7 @@
         }
       else if (order.kind == HBW_ORDER_START && gone)
         report_not_started (relay, &order);
-      else if (order.kind == HBW_ORDER_START)
+      else if (order.kind == HBW_ORDER_START && ensure_claim (relay, &order))
         {
           start_attempt (relay, &order);
           if (!hbw_attempt_has_ended (relay->attempt)
@@ -248,6 +314,8 @@
         }
       else if (order.kind == HBW_ORDER_REFUSE)
         {
+          if (relay->claimed && order.refuse.executed == HBW_EXECUTED_NO)
+            release_key (relay);
           *result = answer_refusal (request, &order.refuse);
           return FALSE;
         }
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -56,6 +56,7 @@
   atomic_bool ready;
   atomic_bool watcher;
   atomic_bool draining;
+  atomic_bool orderer;
   atomic_uint requests;
   _Atomic gint64 versions[HBW_DOCUMENT_COUNT];
   _Atomic guint64 last_sequence;
@@ -224,6 +225,7 @@
   HbwEvent event = { .kind = HBW_EVENT_TICK };
   step (control, &event);
   atomic_store (&control->watcher, hbw_reducer_is_watcher (control->reducer));
+  atomic_store (&control->orderer, hbw_reducer_is_orderer (control->reducer));
 }
 
 static void *
@@ -418,6 +420,12 @@
   return atomic_load (&control->ready);
 }
 
+gboolean
+hbw_control_is_orderer (const HbwControl *control)
+{
+  return atomic_load (&control->orderer);
+}
+
 gboolean
 hbw_control_is_draining (const HbwControl *control)
 {
--- a/runtime/instance.c
+++ b/runtime/instance.c
@@ -3,12 +3,14 @@
 #include "hornbeamwall/common/log.h"
 #include "hornbeamwall/net/admin.h"
 #include "hornbeamwall/net/caller.h"
+#include "hornbeamwall/runtime/orderer.h"
 #include "hornbeamwall/runtime/watch.h"
 
 struct HbwInstance
 {
   HbwControl *control;
   HbwWatch *watch;
+  HbwOrderer *orderer;
   HbwAdmin *admin;
   HbwCaller *caller;
 };
@@ -24,6 +26,9 @@
       = hbw_watch_create (instance->control, settings->platform_address, error);
   if (instance->watch == NULL)
     return FALSE;
+  instance->orderer = hbw_orderer_create (instance->control, settings, error);
+  if (instance->orderer == NULL)
+    return FALSE;
   instance->admin = hbw_admin_create (instance->control, settings, error);
   if (instance->admin == NULL)
     return FALSE;
@@ -68,6 +73,8 @@
     hbw_caller_destroy (instance->caller);
   if (instance->admin != NULL)
     hbw_admin_destroy (instance->admin);
+  if (instance->orderer != NULL)
+    hbw_orderer_destroy (instance->orderer);
   if (instance->watch != NULL)
     hbw_watch_destroy (instance->watch);
   if (instance->control != NULL)
--- a/tests/path_test.c
+++ b/tests/path_test.c
@@ -1,6 +1,7 @@
 /*
  * Tests of the whole path: a caller, one instance, engines and a store, over HTTP.
  */
+#include "hornbeamwall/net/orders.h"
 #include "rig.h"
 #include "suite.h"
 
@@ -190,6 +191,119 @@
 }
 END_TEST
 
+static const char *const keyed[]
+    = { "Hornbeamwall-Idempotent: false", "Idempotency-Key: k1", NULL };
+
+START_TEST (key_runs_once_across_instances)
+{
+  Rig *rig = rig_create (2, 4);
+  HbwInstance *first = rig->instance;
+  HbwInstance *second = rig_start_instance (rig);
+  RigAnswer answer = chat (rig, "bid", 3, FALSE, "", keyed);
+  ck_assert_int_eq (answer.status, 200);
+  rig_answer_clear (&answer);
+  rig->instance = second;
+  answer = chat (rig, "bid", 3, FALSE, "", keyed);
+  ck_assert_msg (answer.status == 409, "%s", answer.body);
+  ck_assert (strstr (answer.body, "\"executed\":\"unknown\"") != NULL);
+  rig_answer_clear (&answer);
+  ck_assert_uint_eq (rig_runs (rig, "bid"), 1);
+  rig->instance = first;
+  hbw_instance_destroy (second);
+  rig_destroy (rig);
+}
+END_TEST
+
+START_TEST (lost_answer_to_a_claim_is_settled)
+{
+  Rig *rig = rig_create (1, 4);
+  store_lose_answers (rig->store, 1);
+  RigAnswer answer = chat (rig, "bid", 3, FALSE, "", keyed);
+  ck_assert_msg (answer.status == 200, "%s", answer.body);
+  rig_answer_clear (&answer);
+  ck_assert_uint_eq (rig_runs (rig, "bid"), 1);
+  rig_destroy (rig);
+}
+END_TEST
+
+START_TEST (key_is_given_back_when_not_run)
+{
+  Rig *rig = rig_create (1, 4);
+  RigAnswer answer = chat (rig, "bid", 3, FALSE, "refuse", keyed);
+  ck_assert (strstr (answer.body, "\"executed\":\"no\"") != NULL);
+  rig_answer_clear (&answer);
+  answer = chat (rig, "bid", 3, FALSE, "", keyed);
+  ck_assert_msg (answer.status == 200, "%s", answer.body);
+  rig_answer_clear (&answer);
+  rig_destroy (rig);
+}
+END_TEST
+
+START_TEST (key_without_store_is_refused_unrun)
+{
+  Rig *rig = rig_create (1, 4);
+  store_set_down (rig->store, TRUE);
+  RigAnswer answer = chat (rig, "bid", 3, FALSE, "", keyed);
+  ck_assert_int_eq (answer.status, 503);
+  ck_assert (strstr (answer.body, "\"executed\":\"no\"") != NULL);
+  rig_answer_clear (&answer);
+  ck_assert_uint_eq (rig_runs (rig, "bid"), 0);
+  answer = chat (rig, "other", 3, FALSE, "", NULL);
+  ck_assert_int_eq (answer.status, 200);
+  rig_answer_clear (&answer);
+  rig_destroy (rig);
+}
+END_TEST
+
+/* The first holder is paused past its lease, another takes it, the first wakes: no
+   order leaves it, whether or not the backend server checks the number. */
+START_TEST (paused_holder_sends_no_order)
+{
+  Store *store = store_create ("127.0.0.1:0");
+  const EngineConfig engine_config
+      = { .address = "127.0.0.1:0", .slots = 1, .checks_fencing = FALSE };
+  Engine *engine = engine_create (&engine_config);
+  char *servers
+      = g_strdup_printf ("{\"servers\":[{\"id\":\"e\",\"data_centre\":\"a\","
+                         "\"address\":\"127.0.0.1:%u\",\"start\":1}]}",
+                         engine_port (engine));
+  store_set (store, "servers", servers);
+  store_set (store, "hornbeamwall-orders", "{\"orders\":{\"e\":{\"model\":\"x\"}}}");
+  char *address = g_strdup_printf ("127.0.0.1:%u", store_port (store));
+  HbwClock *clocks[]
+      = { hbw_clock_create_manual (1000), hbw_clock_create_manual (1000) };
+  HbwOrders *holders[2];
+  HbwError error;
+  guint64 number;
+  for (guint i = 0; i < 2; i++)
+    {
+      const HbwOrdersConfig config = { address, "a", 100 + i, clocks[i] };
+      holders[i] = hbw_orders_create (&config, &error);
+      hbw_orders_keep_lease (holders[i]);
+    }
+  ck_assert (hbw_orders_is_holder (holders[0]));
+  ck_assert (!hbw_orders_is_holder (holders[1]));
+  ck_assert_uint_eq (hbw_orders_send (holders[1]), 0);
+  hbw_clock_advance (clocks[1], HBW_LEASE_US + 2 * HBW_LEASE_MARGIN_US);
+  hbw_orders_keep_lease (holders[1]);
+  ck_assert (hbw_orders_is_holder (holders[1]));
+  ck_assert_uint_eq (hbw_orders_send (holders[1]), 1);
+  hbw_clock_advance (clocks[0], HBW_LEASE_US + 2 * HBW_LEASE_MARGIN_US);
+  ck_assert_uint_eq (hbw_orders_send (holders[0]), 0);
+  ck_assert_uint_eq (engine_orders (engine, &number), 1);
+  ck_assert_uint_eq (number, 2);
+  for (guint i = 0; i < 2; i++)
+    {
+      hbw_orders_destroy (holders[i]);
+      hbw_clock_destroy (clocks[i]);
+    }
+  g_free (address);
+  g_free (servers);
+  engine_destroy (engine);
+  store_destroy (store);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -203,6 +317,11 @@
   tcase_add_test (cases, crashing_request_is_quarantined_after_two);
   tcase_add_test (cases, bad_requests_get_a_remedy);
   tcase_add_test (cases, caller_that_leaves_frees_its_place);
+  tcase_add_test (cases, key_runs_once_across_instances);
+  tcase_add_test (cases, lost_answer_to_a_claim_is_settled);
+  tcase_add_test (cases, key_is_given_back_when_not_run);
+  tcase_add_test (cases, key_without_store_is_refused_unrun);
+  tcase_add_test (cases, paused_holder_sends_no_order);
   suite_add_tcase (suite, cases);
   return suite_run (suite);
 }
--- a/tests/rig.c
+++ b/tests/rig.c
@@ -65,11 +65,21 @@
   return settings;
 }
 
+HbwInstance *
+rig_start_instance (Rig *rig)
+{
+  HbwError error;
+  HbwInstance *instance = hbw_instance_create (rig->settings, rig->clock, &error);
+  HbwControl *control = hbw_instance_control (instance);
+  for (guint i = 0; i < READY_STEPS && !hbw_control_is_ready (control); i++)
+    g_usleep (10000);
+  return instance;
+}
+
 Rig *
 rig_create (guint count, guint slots)
 {
   Rig *rig = g_new0 (Rig, 1);
-  HbwError error;
   rig->store = store_create ("127.0.0.1:0");
   for (guint i = 0; i < count; i++)
     {
@@ -81,10 +91,7 @@
   fill_store (rig, count, slots);
   rig->clock = hbw_clock_create_system ();
   rig->settings = make_settings (rig);
-  rig->instance = hbw_instance_create (rig->settings, rig->clock, &error);
-  HbwControl *control = hbw_instance_control (rig->instance);
-  for (guint i = 0; i < READY_STEPS && !hbw_control_is_ready (control); i++)
-    g_usleep (10000);
+  rig->instance = rig_start_instance (rig);
   return rig;
 }
 
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -33,6 +33,10 @@
 Rig *rig_create (guint count, guint slots);
 void rig_destroy (Rig *rig);
 
+/* Starts one more instance of the same settings and waits until it is ready; to be
+   put into rig->instance by the test. */
+HbwInstance *rig_start_instance (Rig *rig);
+
 /* Sends a request of CLASS (may be NULL) with more header lines, NULL at the end. */
 RigAnswer rig_call (Rig *rig, const char *path, const char *class_name,
                     const char *body, const char *const *headers);
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -22,6 +22,9 @@
   guint running;
   guint waiting;
   guint peak;
+  guint orders;
+  guint64 fencing; /* highest number seen */
+  guint64 last_number;
   atomic_bool crashed;
 };
 
@@ -255,6 +258,29 @@
   return answer_text (connection, text);
 }
 
+static enum MHD_Result
+take_order (Engine *engine, struct MHD_Connection *connection)
+{
+  const char *text = MHD_lookup_connection_value (connection, MHD_HEADER_KIND,
+                                                  "X-Fencing-Number");
+  guint64 number = text != NULL ? g_ascii_strtoull (text, NULL, 10) : 0;
+  pthread_mutex_lock (&engine->lock);
+  gboolean old = engine->config.checks_fencing && number < engine->fencing;
+  if (!old)
+    {
+      engine->orders++;
+      engine->last_number = number;
+      engine->fencing = MAX (engine->fencing, number);
+    }
+  pthread_mutex_unlock (&engine->lock);
+  struct MHD_Response *response
+      = MHD_create_response_from_buffer (0, (void *) "", MHD_RESPMEM_PERSISTENT);
+  enum MHD_Result result
+      = MHD_queue_response (connection, old ? 409 : 200, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
 static enum MHD_Result
 handle (void *data, struct MHD_Connection *connection, const char *url,
         const char *method, const char *version G_GNUC_UNUSED, const char *upload,
@@ -281,6 +307,8 @@
     }
   if (strcmp (method, "GET") == 0)
     return answer_state (engine, connection, url);
+  if (strcmp (method, "PUT") == 0 && strcmp (url, "/orders") == 0)
+    return take_order (engine, connection);
   const char *id
       = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "X-Request-Id");
   g_strlcpy (job->id, id != NULL ? id : "", sizeof job->id);
@@ -363,6 +391,16 @@
   return peak;
 }
 
+guint
+engine_orders (Engine *engine, guint64 *number)
+{
+  pthread_mutex_lock (&engine->lock);
+  guint count = engine->orders;
+  *number = engine->last_number;
+  pthread_mutex_unlock (&engine->lock);
+  return count;
+}
+
 void
 engine_set_crashed (Engine *engine, gboolean crashed)
 {
--- a/tests/standin/engine.h
+++ b/tests/standin/engine.h
@@ -18,7 +18,8 @@
   guint slots;
   guint first_token_ms;
   guint token_ms;
-  gboolean exit_on_crash; /* end the process at fault "crash" */
+  gboolean exit_on_crash;  /* end the process at fault "crash" */
+  gboolean checks_fencing; /* refuse orders with an old fencing number */
 } EngineConfig;
 
 Engine *engine_create (const EngineConfig *config);
@@ -31,6 +32,9 @@
 /* Returns the most requests that ran at once. */
 guint engine_peak (Engine *engine);
 
+/* Returns how many orders were carried out, and the number of the last one. */
+guint engine_orders (Engine *engine, guint64 *number);
+
 /* Breaks every answer in progress and refuses new connections, or undoes it. */
 void engine_set_crashed (Engine *engine, gboolean crashed);
 
