Capacity: slopes measured on fakes

Cause: the size to design for had no figures. Change: a program that prints what an idle fleet, a request, a catalogue and a waiting request cost, at three or more sizes each.

--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 /* How long one watch stays open, in milliseconds. */
-#define WATCH_MS 3000
+#define WATCH_MS 1000
 
 /* Pause of an instance that does not watch, in microseconds. */
 #define IDLE_US (200 * HBW_US_PER_MS)
--- /dev/null
+++ b/tests/capacity.c
@@ -0,0 +1,228 @@
+/*
+ * capacity - slopes for docs/CAPACITY.md, measured on fakes in virtual time
+ *
+ * Prints a table for each question: what an idle fleet costs by its size, what a
+ * request costs, what a catalogue costs by its organisations, and what a request
+ * that waits takes in memory.
+ */
+#include "scenario/world.h"
+
+#include "hornbeamwall/core/policy.h"
+
+#include <malloc.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#define SETTLE_US (15 * HBW_US_PER_S)
+#define MEASURE_US (10 * HBW_US_PER_S)
+
+static const char catalogue[]
+    = "{\"classes\":{\"c\":{\"tier\":0,\"first_token_ms\":390,\"inter_token_ms\":44}"
+      "},"
+      "\"pools\":{\"m\":{\"kind\":\"model\"}},"
+      "\"organisations\":{\"o\":{\"keys\":[],\"classes\":[\"c\"],"
+      "\"limits\":{\"requests_per_s\":%u}}}}";
+
+static gint64
+processor_ns (void)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_THREAD_CPUTIME_ID, &now);
+  return (gint64) now.tv_sec * 1000000000 + now.tv_nsec;
+}
+
+static World *
+make_world (guint centres, guint per_centre, guint servers, guint limit)
+{
+  World *world = world_create (1, "owner");
+  const WorldLink link = { .local_us = 1000, .remote_us = 5000, .jitter_us = 500 };
+  char *text = g_strdup_printf (catalogue, limit);
+  world_set_link (world, &link);
+  world_set_measure (world, TRUE);
+  world_set_document (world, HBW_DOCUMENT_CATALOGUE, text);
+  g_free (text);
+  for (guint i = 0; i < centres; i++)
+    {
+      char name[8];
+      g_snprintf (name, sizeof name, "d%u-", i);
+      world_add_instances (world, name, per_centre);
+      world_add_servers (world, "m", name, servers, 16, 80 * HBW_US_PER_MS,
+                         20 * HBW_US_PER_MS);
+    }
+  return world;
+}
+
+static WorldCost
+measure (World *world)
+{
+  world_run (world, SETTLE_US);
+  world_take_cost (world);
+  world_run (world, SETTLE_US + MEASURE_US);
+  return world_take_cost (world);
+}
+
+static void
+measure_fleet (void)
+{
+  static const guint sizes[][2]
+      = { { 1, 8 }, { 1, 32 }, { 1, 74 }, { 3, 32 }, { 5, 32 }, { 5, 74 } };
+  printf ("\nIdle fleet, 12 servers a data centre\n\n"
+          "| data centres | instances | messages/s | bytes/s | core %% |\n"
+          "| --- | --- | --- | --- | --- |\n");
+  for (gsize i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      guint count = sizes[i][0] * sizes[i][1];
+      World *world = make_world (sizes[i][0], sizes[i][1], 12, 0);
+      WorldCost cost = measure (world);
+      double seconds = (double) cost.virtual_us / HBW_US_PER_S * count;
+      printf ("| %u | %u | %.1f | %.0f | %.3f |\n", sizes[i][0], count,
+              (double) cost.messages / seconds, (double) cost.bytes / seconds,
+              (double) cost.step_ns / seconds / 1e7);
+      world_destroy (world);
+    }
+}
+
+static void
+measure_requests (guint limit)
+{
+  static const guint rates[] = { 0, 20, 40, 80 };
+  printf (
+      "\nEight instances, 12 servers, requests of 20 tokens%s\n\n"
+      "| requests/s, all | messages/s | bytes/s | core %% | messages a request | "
+      "bytes a request | us a request |\n"
+      "| --- | --- | --- | --- | --- | --- | --- |\n",
+      limit > 0 ? ", of an organisation with a limit" : "");
+  double idle[3] = { 0 };
+  for (gsize i = 0; i < G_N_ELEMENTS (rates); i++)
+    {
+      World *world = make_world (1, 8, 12, limit);
+      WorldLoad load = { .rate = MAX (rates[i], 0.001),
+                         .tokens_min = 20,
+                         .tokens_max = 20,
+                         .to_us = SETTLE_US + MEASURE_US };
+      g_strlcpy (load.class_name, "c", sizeof load.class_name);
+      g_strlcpy (load.organisation, "o", sizeof load.organisation);
+      g_strlcpy (load.pool, "m", sizeof load.pool);
+      world_add_load (world, &load);
+      WorldCost cost = measure (world);
+      double seconds = (double) cost.virtual_us / HBW_US_PER_S;
+      double values[] = { (double) cost.messages / seconds / 8,
+                          (double) cost.bytes / seconds / 8,
+                          (double) cost.step_ns / seconds / 8 / 1000 };
+      if (i == 0)
+        memcpy (idle, values, sizeof idle);
+      double rate = MAX (rates[i], 1) / 8.0;
+      printf ("| %u | %.1f | %.0f | %.3f | %.1f | %.0f | %.0f |\n", rates[i],
+              values[0], values[1], values[2] / 1e4, (values[0] - idle[0]) / rate,
+              (values[1] - idle[1]) / rate, (values[2] - idle[2]) / rate);
+      world_destroy (world);
+    }
+}
+
+static char *
+make_catalogue (guint organisations)
+{
+  GString *text
+      = g_string_new ("{\"classes\":{\"c\":{\"tier\":0,\"first_token_ms\":390,"
+                      "\"inter_token_ms\":44}},"
+                      "\"pools\":{\"m\":{\"kind\":\"model\"}},\"organisations\":{");
+  for (guint i = 0; i < organisations; i++)
+    g_string_append_printf (
+        text,
+        "%s\"organisation-%u\":{\"keys\":[\"%064x\",\"%064x\"],\"classes\":[\"c\"],"
+        "\"weight\":1,\"limits\":{\"requests_per_s\":10,\"tokens_per_s\":1000,"
+        "\"in_progress\":20}}",
+        i > 0 ? "," : "", i, 2 * i + 1, 2 * i + 2);
+  g_string_append (text, "}}");
+  return g_string_free (text, FALSE);
+}
+
+static void
+measure_catalogue (void)
+{
+  static const guint sizes[] = { 75, 300, 1200, 2400 };
+  printf ("\nCatalogue\n\n| organisations | bytes | parse ms | memory KB |\n"
+          "| --- | --- | --- | --- |\n");
+  for (gsize i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      HbwError error;
+      char *text = make_catalogue (sizes[i]);
+      gsize before = mallinfo2 ().uordblks;
+      gint64 started_ns = processor_ns ();
+      HbwCatalogue *parsed = hbw_catalogue_parse (text, strlen (text), 1, &error);
+      double parse_ms = (double) (processor_ns () - started_ns) / 1e6;
+      gsize used = mallinfo2 ().uordblks - before;
+      printf ("| %u | %zu | %.1f | %zu |\n", sizes[i], strlen (text), parse_ms,
+              used / 1024);
+      hbw_catalogue_unref (parsed);
+      g_free (text);
+    }
+}
+
+static void
+measure_waiting (void)
+{
+  static const guint sizes[] = { 500, 1000, 2000, 4000 };
+  printf ("\nRequests that wait, entry and owner in one instance\n\n"
+          "| waiting | KB | bytes each | us a tick |\n| --- | --- | --- | --- |\n");
+  for (gsize i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      HbwReducerConfig config = { .policy = hbw_policy_owner (), .seed = 1 };
+      config.self.identity = 1;
+      g_strlcpy (config.self.data_centre, "a", sizeof config.self.data_centre);
+      HbwReducer *reducer = hbw_reducer_create (&config);
+      HbwEffects *effects = hbw_effects_create ();
+      static const char servers[]
+          = "{\"servers\":[{\"id\":\"e\",\"pool\":\"m\",\"data_centre\":\"a\","
+            "\"address\":\"10.0.0.1:1\",\"slots\":1,\"state\":\"leaving\"}]}";
+      HbwEvent event = { .kind = HBW_EVENT_DOCUMENT };
+      event.document.kind = HBW_DOCUMENT_SERVERS;
+      event.document.version = 1;
+      event.document.body = g_bytes_new_static (servers, strlen (servers));
+      hbw_reducer_step (reducer, &event, effects);
+      GBytes *body = event.document.body;
+      gsize before = mallinfo2 ().uordblks;
+      for (guint k = 0; k < sizes[i]; k++)
+        {
+          HbwEvent arrival = { .kind = HBW_EVENT_REQUEST_ARRIVED, .now_us = k };
+          arrival.arrival.sequence = k + 1;
+          HbwRequestSpec *spec = &arrival.arrival.spec;
+          spec->queue_bound = 100000;
+          spec->target_us = HBW_US_PER_S;
+          spec->cost_tokens = 10;
+          spec->fingerprint.low = k + 1;
+          g_strlcpy (spec->organisation, "o", sizeof spec->organisation);
+          g_strlcpy (spec->class_name, "c", sizeof spec->class_name);
+          g_strlcpy (spec->pool, "m", sizeof spec->pool);
+          hbw_reducer_step (reducer, &arrival, effects);
+          hbw_effects_clear (effects);
+        }
+      gsize used = mallinfo2 ().uordblks - before;
+      gint64 started_ns = processor_ns ();
+      for (guint k = 0; k < 40; k++)
+        {
+          HbwEvent tick = { .kind = HBW_EVENT_TICK };
+          tick.now_us = 100000 + (gint64) k * 25000;
+          hbw_reducer_step (reducer, &tick, effects);
+          hbw_effects_clear (effects);
+        }
+      double tick_us = (double) (processor_ns () - started_ns) / 40 / 1000;
+      printf ("| %u | %zu | %zu | %.0f |\n", sizes[i], used / 1024, used / sizes[i],
+              tick_us);
+      hbw_effects_destroy (effects);
+      hbw_reducer_destroy (reducer);
+      g_bytes_unref (body);
+    }
+}
+
+int
+main (void)
+{
+  measure_fleet ();
+  measure_requests (0);
+  measure_requests (100000);
+  measure_catalogue ();
+  measure_waiting ();
+  return 0;
+}
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -4,10 +4,12 @@
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/policy.h"
 #include "hornbeamwall/core/quarantine.h"
+#include "hornbeamwall/net/codec.h"
 
 #include <math.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 
 #define TICK_US (25 * HBW_US_PER_MS)
 #define STORE_LOOK_US (300 * HBW_US_PER_MS)
@@ -128,6 +130,9 @@
   guint poisoned;
   GHashTable *poisons; /* fingerprint -> servers that it failed */
   guint64 messages;
+  gboolean measure;
+  WorldCost cost;
+  gint64 cost_since_us;
   char *breach;
 };
 
@@ -634,6 +639,16 @@
   const WorldLink *link = &world->link;
   const Instance *to = find_instance (world, send->address);
   world->messages++;
+  if (world->measure)
+    {
+      HbwFrame *frame = hbw_frame_create (from->identity);
+      hbw_frame_add (frame, &send->message);
+      GBytes *bytes = hbw_frame_finish (frame);
+      world->cost.bytes += g_bytes_get_size (bytes);
+      world->cost.messages++;
+      g_bytes_unref (bytes);
+      hbw_frame_destroy (frame);
+    }
   if (to == NULL || !can_reach (world, from, to))
     return;
   if (link->loss > 0 && g_rand_double (world->random) < link->loss)
@@ -725,6 +740,15 @@
     }
 }
 
+static gint64
+processor_ns (const World *world)
+{
+  struct timespec now = { 0, 0 };
+  if (world->measure)
+    clock_gettime (CLOCK_THREAD_CPUTIME_ID, &now);
+  return (gint64) now.tv_sec * 1000000000 + now.tv_nsec;
+}
+
 static void
 check_versions (World *world, Instance *instance)
 {
@@ -743,7 +767,9 @@
 {
   event->now_us = world->now_us;
   HbwEffects *effects = hbw_effects_create ();
+  gint64 before_ns = processor_ns (world);
   hbw_reducer_step (instance->reducer, event, effects);
+  world->cost.step_ns += processor_ns (world) - before_ns;
   for (guint i = 0; i < hbw_effects_count (effects); i++)
     carry_out (world, instance, hbw_effects_get (effects, i));
   hbw_effects_destroy (effects);
@@ -1348,6 +1374,22 @@
   return world->breach == NULL;
 }
 
+void
+world_set_measure (World *world, gboolean measure)
+{
+  world->measure = measure;
+}
+
+WorldCost
+world_take_cost (World *world)
+{
+  WorldCost cost = world->cost;
+  cost.virtual_us = world->now_us - world->cost_since_us;
+  memset (&world->cost, 0, sizeof world->cost);
+  world->cost_since_us = world->now_us;
+  return cost;
+}
+
 const char *
 world_breach (const World *world)
 {
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -97,6 +97,18 @@
 /* Returns how many servers failed by a poison request. */
 guint world_poisoned_servers (const World *world);
 
+/* What the instances spent since the last call, in all. */
+typedef struct
+{
+  guint64 messages;
+  guint64 bytes;  /* of frames with one message each; needs world_set_measure() */
+  gint64 step_ns; /* processor time in the reducers */
+  gint64 virtual_us;
+} WorldCost;
+
+void world_set_measure (World *world, gboolean measure);
+WorldCost world_take_cost (World *world);
+
 /* Returns the messages that one instance sent and received in a second, on average.
  */
 double world_message_rate (const World *world);
