--- a/core/policy.c
+++ b/core/policy.c
@@ -36,11 +36,20 @@
   return server->in_progress < MAX (1, limit);
 }
 
+/* What is owed to a tier's floor must find room too while the highest tier keeps
+   every server at its overcommitted limit. */
+static gboolean
+may_overcommit (const HbwShard *shard, const HbwRequestSpec *spec)
+{
+  return spec->tier == 0 || shard->floor_pick;
+}
+
 static gboolean
 fits (const HbwShard *shard, HbwContext *context, const HbwServer *server,
       const HbwWant *want, gboolean suspect)
 {
-  if (!hbw_server_has_room (server, &want->spec, context->now_us))
+  if (!hbw_server_has_room (server, &want->spec, may_overcommit (shard, &want->spec),
+                            context->now_us))
     return FALSE;
   if (suspect && server->suspects > 0)
     return FALSE;
@@ -110,7 +119,7 @@
   const HbwRequestSpec probe = { .tier = tier, .idempotent = TRUE };
   for (guint i = 0; i < shard->servers->len; i++)
     if (hbw_server_has_room (g_ptr_array_index (shard->servers, i), &probe,
-                             context->now_us))
+                             may_overcommit (shard, &probe), context->now_us))
       return TRUE;
   return FALSE;
 }
@@ -154,9 +163,11 @@
 {
   HbwTicket *ticket = NULL;
   guint floor = floor_of (shard);
+  shard->floor_pick = TRUE;
   for (HbwTier tier = 1; tier < HBW_TIER_COUNT && ticket == NULL; tier++)
     if (shard->in_progress[tier] < floor)
       ticket = next_of_tier (shard, context, tier);
+  shard->floor_pick = ticket != NULL;
   for (HbwTier tier = 0; tier < HBW_TIER_COUNT && ticket == NULL; tier++)
     ticket = next_of_tier (shard, context, tier);
   return ticket;
--- a/core/server.c
+++ b/core/server.c
@@ -92,10 +92,10 @@
 }
 
 static guint
-room_of (const HbwServer *server, HbwTier tier)
+room_of (const HbwServer *server, gboolean overcommit)
 {
   guint limit = MAX (1, (guint) server->limit);
-  if (tier == 0)
+  if (overcommit)
     limit += limit * HBW_SERVER_OVERCOMMIT_PERCENT / 100;
   return limit;
 }
@@ -137,14 +137,14 @@
 
 gboolean
 hbw_server_has_room (const HbwServer *server, const HbwRequestSpec *spec,
-                     gint64 now_us)
+                     gboolean overcommit, gint64 now_us)
 {
   if (server->stopping || server->state == HBW_SERVER_PROBING)
     return FALSE;
   if (server->state == HBW_SERVER_DOWN)
     return now_us
            >= server->probe_at_us + (spec->idempotent ? 0 : PROBE_ANY_EXTRA_US);
-  return server->in_progress < room_of (server, spec->tier);
+  return server->in_progress < room_of (server, overcommit);
 }
 
 void
--- a/include/hornbeamwall/core/server.h
+++ b/include/hornbeamwall/core/server.h
@@ -51,10 +51,10 @@
    server, of which nothing is known. */
 void hbw_server_update (HbwServer *server, const HbwServerEntry *entry);
 
-/* Returns whether a request of TIER fits now; the highest tier may exceed the limit
-   by HBW_SERVER_OVERCOMMIT_PERCENT. */
+/* Returns whether a request of SPEC fits now; with OVERCOMMIT the limit may be
+   exceeded by HBW_SERVER_OVERCOMMIT_PERCENT. */
 gboolean hbw_server_has_room (const HbwServer *server, const HbwRequestSpec *spec,
-                              gint64 now_us);
+                              gboolean overcommit, gint64 now_us);
 #define HBW_SERVER_OVERCOMMIT_PERCENT 10
 
 /* Notes that a request of SPEC was granted. */
--- a/include/hornbeamwall/core/shard.h
+++ b/include/hornbeamwall/core/shard.h
@@ -63,6 +63,7 @@
   double service_us;        /* moving average from grant to end */
   GHashTable *class_tokens; /* class name -> moving average of tokens, owned */
   guint rotation;           /* for round robin */
+  gboolean floor_pick; /* the ticket selected last is owed to its tier's floor */
 };
 
 /* Creates a shard without servers.  REBUILD_US is how long peers may hold work of
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -190,14 +190,14 @@
   hbw_server_begin (server, &spec);
   const HbwDone broken = { .outcome = HBW_OUTCOME_BROKEN };
   hbw_server_end (server, &broken, 0, 0);
-  ck_assert (!hbw_server_has_room (server, &spec, 1));
+  ck_assert (!hbw_server_has_room (server, &spec, FALSE, 1));
   gint64 probe = server->probe_at_us;
-  ck_assert (hbw_server_has_room (server, &spec, probe));
+  ck_assert (hbw_server_has_room (server, &spec, FALSE, probe));
   hbw_server_begin (server, &spec);
-  ck_assert (!hbw_server_has_room (server, &spec, probe));
+  ck_assert (!hbw_server_has_room (server, &spec, FALSE, probe));
   const HbwDone complete = { .outcome = HBW_OUTCOME_COMPLETE };
   hbw_server_end (server, &complete, 0, probe);
-  ck_assert (hbw_server_has_room (server, &spec, probe));
+  ck_assert (hbw_server_has_room (server, &spec, FALSE, probe));
   hbw_server_destroy (server);
 }
 END_TEST
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -975,6 +975,16 @@
 
 /* --- store and faults ---------------------------------------------------- */
 
+/* A cut from the store alone is no excuse: peers pass a change on. */
+static gboolean
+has_instance_cut (const World *world)
+{
+  for (guint i = 0; i < world->cuts->len; i++)
+    if (!g_str_has_suffix (world->cuts->pdata[i], "|store"))
+      return TRUE;
+  return FALSE;
+}
+
 static void
 check_rollout (World *world, void *data)
 {
@@ -984,7 +994,7 @@
   for (guint i = 0; i < world->instances->len; i++)
     {
       const Instance *instance = world->instances->pdata[i];
-      if (instance->identity == 0 || world->store_down || world->cuts->len > 0
+      if (instance->identity == 0 || world->store_down || has_instance_cut (world)
           || world->now_us < instance->paused_until_us + WORLD_ROLLOUT_US
           || (instance->identity >> 20)
                  > (guint64) (world->now_us - WORLD_ROLLOUT_US))
