--- a/core/server.c
+++ b/core/server.c
@@ -25,6 +25,9 @@
 /* Failures in a row, without any success, that take a server down. */
 #define FAILURES_DOWN 1
 
+/* Part of the room below the inter-token target that overcommitment may use. */
+#define OVERCOMMIT_ROOM_PART 0.8
+
 /* A load report older than this is not used. */
 #define REPORT_AGE_MAX_US (3 * HBW_US_PER_S)
 
@@ -91,12 +94,24 @@
   server->probe_at_us = now_us + MIN (wait, PROBE_WAIT_MAX_US);
 }
 
+/* Each request more slows all tokens of the server in proportion, so that the room
+   below the target bounds how many may be added. */
+static double
+overcommit_factor (const HbwServer *server, gint64 inter_token_target_us)
+{
+  double most = HBW_SERVER_OVERCOMMIT_PERCENT / 100.0;
+  if (server->inter_token_us <= 0 || inter_token_target_us <= 0)
+    return most;
+  double room = (double) inter_token_target_us / server->inter_token_us - 1.0;
+  return CLAMP (room * OVERCOMMIT_ROOM_PART, 0, most);
+}
+
 static guint
-room_of (const HbwServer *server, gboolean overcommit)
+room_of (const HbwServer *server, const HbwRequestSpec *spec, gboolean overcommit)
 {
   guint limit = MAX (1, (guint) server->limit);
   if (overcommit)
-    limit += limit * HBW_SERVER_OVERCOMMIT_PERCENT / 100;
+    limit += (guint) (limit * overcommit_factor (server, spec->inter_token_us));
   return limit;
 }
 
@@ -144,7 +159,7 @@
   if (server->state == HBW_SERVER_DOWN)
     return now_us
            >= server->probe_at_us + (spec->idempotent ? 0 : PROBE_ANY_EXTRA_US);
-  return server->in_progress < room_of (server, overcommit);
+  return server->in_progress < room_of (server, spec, overcommit);
 }
 
 void
--- a/include/hornbeamwall/core/server.h
+++ b/include/hornbeamwall/core/server.h
@@ -52,10 +52,11 @@
 void hbw_server_update (HbwServer *server, const HbwServerEntry *entry);
 
 /* Returns whether a request of SPEC fits now; with OVERCOMMIT the limit may be
-   exceeded by HBW_SERVER_OVERCOMMIT_PERCENT. */
+   exceeded by HBW_SERVER_OVERCOMMIT_PERCENT, or by less where the measured
+   inter-token time leaves less room below the request's target. */
 gboolean hbw_server_has_room (const HbwServer *server, const HbwRequestSpec *spec,
                               gboolean overcommit, gint64 now_us);
-#define HBW_SERVER_OVERCOMMIT_PERCENT 10
+#define HBW_SERVER_OVERCOMMIT_PERCENT 20
 
 /* Notes that a request of SPEC was granted. */
 void hbw_server_begin (HbwServer *server, const HbwRequestSpec *spec);
