--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BUILD ?= build
 
-.PHONY: all packages build demo soak test clean
+.PHONY: all packages build demo golden soak test clean
 
 all: build
 
@@ -20,5 +20,8 @@
 test: build
 	sh scripts/run-tests.sh $(BUILD)
 
+golden: build
+	$(BUILD)/tests/golden_test --update
+
 clean:
 	rm -rf $(BUILD)
--- a/tests/rig.c
+++ b/tests/rig.c
@@ -76,8 +76,8 @@
   return instance;
 }
 
-Rig *
-rig_create (guint count, guint slots)
+static Rig *
+create (guint count, guint slots, HbwClock *clock)
 {
   Rig *rig = g_new0 (Rig, 1);
   rig->store = store_create ("127.0.0.1:0");
@@ -89,12 +89,24 @@
       rig->engines[i] = engine_create (&config);
     }
   fill_store (rig, count, slots);
-  rig->clock = hbw_clock_create_system ();
+  rig->clock = clock;
   rig->settings = make_settings (rig);
   rig->instance = rig_start_instance (rig);
   return rig;
 }
 
+Rig *
+rig_create (guint count, guint slots)
+{
+  return create (count, slots, hbw_clock_create_system ());
+}
+
+Rig *
+rig_create_paused (guint count, guint slots)
+{
+  return create (count, slots, hbw_clock_create_manual (HBW_US_PER_S));
+}
+
 void
 rig_destroy (Rig *rig)
 {
@@ -173,6 +185,16 @@
   return perform (url, "POST", body, list, 20000);
 }
 
+RigAnswer
+rig_get (Rig *rig, const char *path)
+{
+  char url[256];
+  struct curl_slist *list = curl_slist_append (NULL, "Authorization: Bearer key");
+  g_snprintf (url, sizeof url, "http://127.0.0.1:%u%s",
+              hbw_instance_caller_port (rig->instance), path);
+  return perform (url, "GET", NULL, list, 20000);
+}
+
 RigAnswer
 rig_admin (Rig *rig, const char *method, const char *path, const char *body,
            const char *if_match)
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -31,6 +31,8 @@
 /* Starts COUNT engines of SLOTS slots in pool "m" (engine 0 is also the service
    "s"), a store with a catalogue, and one instance; waits until it is ready. */
 Rig *rig_create (guint count, guint slots);
+/* The same with a clock that stands still. */
+Rig *rig_create_paused (guint count, guint slots);
 void rig_destroy (Rig *rig);
 
 /* Starts one more instance of the same settings and waits until it is ready; to be
@@ -41,6 +43,9 @@
 RigAnswer rig_call (Rig *rig, const char *path, const char *class_name,
                     const char *body, const char *const *headers);
 
+/* Reads a path of the callers' listener. */
+RigAnswer rig_get (Rig *rig, const char *path);
+
 /* Calls the administration API. */
 RigAnswer rig_admin (Rig *rig, const char *method, const char *path,
                      const char *body, const char *if_match);
