--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -12,8 +12,10 @@
 #include "hornbeamwall/core/documents.h"
 #include "hornbeamwall/core/lease.h"
 #include "hornbeamwall/core/limiter.h"
+#include "hornbeamwall/core/policy.h"
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/queue.h"
+#include "hornbeamwall/core/reducer.h"
 #include "hornbeamwall/core/server.h"
 #include "hornbeamwall/core/topology.h"
 #include "hornbeamwall/net/codec.h"
@@ -101,6 +103,83 @@
 }
 END_TEST
 
+static void
+step_document (HbwReducer *reducer, HbwEffects *effects, HbwDocumentKind kind,
+               const char *text)
+{
+  HbwEvent event = { .kind = HBW_EVENT_DOCUMENT };
+  event.document.kind = kind;
+  event.document.version = text != NULL ? 1 : 0;
+  GBytes *body = text != NULL ? g_bytes_new_static (text, strlen (text)) : NULL;
+  event.document.body = body;
+  hbw_reducer_step (reducer, &event, effects);
+  g_clear_pointer (&body, g_bytes_unref);
+}
+
+static void
+step_arrival (HbwReducer *reducer, HbwEffects *effects, guint64 sequence, guint tier)
+{
+  HbwEvent event = { .kind = HBW_EVENT_REQUEST_ARRIVED, .now_us = 1 };
+  const HbwWant want = make_want (sequence, "a", tier, HBW_US_PER_S);
+  event.arrival.sequence = sequence;
+  event.arrival.spec = want.spec;
+  event.arrival.spec.queue_bound = 100;
+  event.arrival.spec.fingerprint.low = sequence;
+  g_strlcpy (event.arrival.spec.pool, "m", HBW_NAME_MAX);
+  hbw_reducer_step (reducer, &event, effects);
+}
+
+/* Returns the first started request among EFFECTS from START on, and empties them.
+ */
+static guint64
+take_started (HbwEffects *effects)
+{
+  guint64 sequence = 0;
+  for (guint i = 0; i < hbw_effects_count (effects); i++)
+    {
+      const HbwEffect *effect = hbw_effects_get (effects, i);
+      if (effect->kind == HBW_EFFECT_START_ATTEMPT && sequence == 0)
+        sequence = effect->start.sequence;
+    }
+  hbw_effects_clear (effects);
+  return sequence;
+}
+
+/* One slot beside the floors: whatever waits longer, the higher tier is next. */
+START_TEST (higher_tier_is_granted_first)
+{
+  HbwReducerConfig config = { .policy = hbw_policy_owner (), .seed = 1 };
+  config.self.identity = 1;
+  g_strlcpy (config.self.data_centre, "a", sizeof config.self.data_centre);
+  HbwReducer *reducer = hbw_reducer_create (&config);
+  HbwEffects *effects = hbw_effects_create ();
+  step_document (reducer, effects, HBW_DOCUMENT_STOPS, NULL);
+  step_document (reducer, effects, HBW_DOCUMENT_SERVERS,
+                 "{\"servers\":[{\"id\":\"e\",\"pool\":\"m\",\"data_centre\":\"a\","
+                 "\"address\":\"10.0.0.1:1\",\"slots\":3}]}");
+  for (guint64 i = 1; i <= 9; i++)
+    step_arrival (reducer, effects, i, 2);
+  for (guint64 i = 10; i <= 13; i++)
+    step_arrival (reducer, effects, i, 0);
+  hbw_effects_clear (effects);
+  guint64 ended = 1;
+  for (guint64 expected = 10; expected <= 13; expected++)
+    {
+      HbwEvent event = { .kind = HBW_EVENT_ATTEMPT_ENDED, .now_us = 2 };
+      event.end.sequence = ended;
+      event.end.attempt = 1;
+      event.end.outcome = HBW_OUTCOME_COMPLETE;
+      event.end.tokens = 10;
+      hbw_reducer_step (reducer, &event, effects);
+      guint64 started = take_started (effects);
+      ck_assert_uint_eq (started, expected);
+      ended = expected == 10 ? 2 : expected - 1;
+    }
+  hbw_effects_destroy (effects);
+  hbw_reducer_destroy (reducer);
+}
+END_TEST
+
 START_TEST (limit_is_divided_by_need)
 {
   const double demands[] = { 2, 100, 100 };
@@ -420,6 +499,7 @@
   tcase_add_test (cases, histogram_is_within_an_eighth);
   tcase_add_test (cases, queue_takes_in_time_before_late);
   tcase_add_test (cases, queue_is_fair_between_organisations);
+  tcase_add_test (cases, higher_tier_is_granted_first);
   tcase_add_test (cases, limit_is_divided_by_need);
   tcase_add_test (cases, lower_version_is_never_newer);
   tcase_add_test (cases, difference_makes_the_newer_document);
