--- /dev/null
+++ b/tests/fuzz_test.c
@@ -0,0 +1,169 @@
+/*
+ * fuzz_test - each thing that parses outside bytes, over a kept corpus, each file
+ * whole and damaged in seeded ways
+ *
+ * A target must neither crash nor read out of bounds; the sanitizer builds see to
+ * that. What it makes of a whole file is compared with the file's folder: documents
+ * and settings of the corpus are valid.
+ */
+#include "hornbeamwall/core/catalogue.h"
+#include "hornbeamwall/core/delta.h"
+#include "hornbeamwall/core/directory.h"
+#include "hornbeamwall/net/codec.h"
+#include "hornbeamwall/runtime/settings.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Damaged copies of each file. */
+#define ROUNDS 3000
+
+/* Returns whether the bytes were taken as valid. */
+typedef gboolean (*Target) (const char *bytes, gsize length);
+
+static gboolean
+parse_settings (const char *bytes, gsize length)
+{
+  HbwError error;
+  HbwSettings *settings = hbw_settings_parse (bytes, length, &error);
+  if (settings == NULL)
+    return FALSE;
+  hbw_settings_destroy (settings);
+  return TRUE;
+}
+
+static gboolean
+parse_catalogue (const char *bytes, gsize length)
+{
+  HbwError error;
+  HbwCatalogue *catalogue = hbw_catalogue_parse (bytes, length, 1, &error);
+  if (catalogue == NULL)
+    return FALSE;
+  hbw_catalogue_unref (catalogue);
+  return TRUE;
+}
+
+static gboolean
+parse_directory (const char *bytes, gsize length)
+{
+  HbwError error;
+  GPtrArray *servers = hbw_directory_parse_servers (bytes, length, &error);
+  GPtrArray *instances = hbw_directory_parse_instances (bytes, length, &error);
+  GHashTable *stops = hbw_directory_parse_stops (bytes, length, &error);
+  gboolean valid = servers != NULL || instances != NULL || stops != NULL;
+  g_clear_pointer (&servers, g_ptr_array_unref);
+  g_clear_pointer (&instances, g_ptr_array_unref);
+  g_clear_pointer (&stops, g_hash_table_unref);
+  return valid;
+}
+
+static void
+ignore (const HbwMessage *message G_GNUC_UNUSED, void *data G_GNUC_UNUSED)
+{
+}
+
+static gboolean
+parse_frame (const char *bytes, gsize length)
+{
+  HbwError error;
+  return hbw_frame_parse (bytes, length, ignore, NULL, &error);
+}
+
+static gboolean
+apply_delta (const char *bytes, gsize length)
+{
+  static const char text[] = "{\"classes\":{\"c\":{\"tier\":0}}}";
+  GBytes *old = g_bytes_new_static (text, strlen (text));
+  GBytes *delta = g_bytes_new (bytes, length);
+  GBytes *made = hbw_delta_apply (old, delta);
+  gboolean valid = made != NULL;
+  g_clear_pointer (&made, g_bytes_unref);
+  g_bytes_unref (delta);
+  g_bytes_unref (old);
+  return valid;
+}
+
+static const struct
+{
+  const char *folder;
+  Target target;
+  gboolean whole_is_valid;
+} targets[] = {
+  { "settings", parse_settings, TRUE },   { "catalogue", parse_catalogue, TRUE },
+  { "directory", parse_directory, TRUE }, { "frame", parse_frame, FALSE },
+  { "delta", apply_delta, FALSE },
+};
+
+static void
+damage (char *bytes, gsize *length, GRand *random)
+{
+  guint changes = (guint) g_rand_int_range (random, 1, 5);
+  for (guint i = 0; i<changes && * length> 0; i++)
+    {
+      gsize at = (gsize) g_rand_int_range (random, 0, (gint32) *length);
+      switch (g_rand_int_range (random, 0, 3))
+        {
+        case 0:
+          bytes[at] = (char) g_rand_int_range (random, 0, 256);
+          break;
+        case 1:
+          memmove (bytes + at, bytes + at + 1, *length - at - 1);
+          (*length)--;
+          break;
+        default:
+          *length = at;
+          break;
+        }
+    }
+}
+
+static gboolean
+run_file (const char *path, Target target, gboolean whole_is_valid)
+{
+  char *bytes;
+  gsize length;
+  if (!g_file_get_contents (path, &bytes, &length, NULL))
+    return FALSE;
+  gboolean met = target (bytes, length) == whole_is_valid;
+  GRand *random = g_rand_new_with_seed (7);
+  for (guint i = 0; i < ROUNDS; i++)
+    {
+      gsize left = length;
+      char *copy = g_memdup2 (bytes, length);
+      damage (copy, &left, random);
+      target (copy, left);
+      g_free (copy);
+    }
+  g_rand_free (random);
+  g_free (bytes);
+  return met;
+}
+
+int
+main (void)
+{
+  guint passed = 0;
+  guint failed = 0;
+  for (gsize i = 0; i < G_N_ELEMENTS (targets); i++)
+    {
+      char *folder = g_build_filename (FUZZ_DIR, targets[i].folder, NULL);
+      GDir *dir = g_dir_open (folder, 0, NULL);
+      const char *name;
+      while (dir != NULL && (name = g_dir_read_name (dir)) != NULL)
+        {
+          char *path = g_build_filename (folder, name, NULL);
+          gboolean met
+              = run_file (path, targets[i].target, targets[i].whole_is_valid);
+          passed += met ? 1 : 0;
+          failed += met ? 0 : 1;
+          if (!met)
+            printf ("%s was not taken as expected\n", path);
+          g_free (path);
+        }
+      if (dir != NULL)
+        g_dir_close (dir);
+      g_free (folder);
+    }
+  printf ("%u passed, %u failed\n", passed, failed);
+  return failed == 0 && passed > 0 ? 0 : 1;
+}
