--- /dev/null
+++ b/common/address.c
@@ -0,0 +1,19 @@
+#include "hornbeamwall/common/address.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+gboolean
+hbw_address_parse (const char *text, HbwHostPort *address)
+{
+  struct in_addr binary;
+  guint64 port;
+  const char *colon = text != NULL ? strrchr (text, ':') : NULL;
+  if (colon == NULL || (gsize) (colon - text) >= sizeof address->host)
+    return FALSE;
+  g_strlcpy (address->host, text, (gsize) (colon - text) + 1);
+  if (!g_ascii_string_to_unsigned (colon + 1, 10, 0, G_MAXUINT16, &port, NULL))
+    return FALSE;
+  address->port = (guint) port;
+  return inet_pton (AF_INET, address->host, &binary) == 1;
+}
--- a/common/check.c
+++ b/common/check.c
@@ -5,6 +5,9 @@
 /* Longest rendering of a found value in a report, in bytes. */
 #define FOUND_TEXT_MAX 60
 
+/* Length of a SHA-256 in hexadecimal, in bytes. */
+#define SHA256_LENGTH 64
+
 struct HbwReader
 {
   HbwReport *report;
@@ -61,6 +64,24 @@
   return fallback;
 }
 
+json_t *
+hbw_check_load (const char *text, gsize length, HbwErrorKind kind, HbwError *error)
+{
+  json_error_t where;
+  json_t *root = json_loadb (text, length, JSON_REJECT_DUPLICATES, &where);
+  if (root == NULL)
+    hbw_error_set (error, kind, "line %d column %d: %s; give valid JSON", where.line,
+                   where.column, where.text);
+  return root;
+}
+
+gboolean
+hbw_check_is_sha256 (const char *text)
+{
+  return strlen (text) == SHA256_LENGTH
+         && strspn (text, "0123456789abcdef") == SHA256_LENGTH;
+}
+
 void
 hbw_report_init (HbwReport *report)
 {
--- a/core/catalogue.c
+++ b/core/catalogue.c
@@ -6,9 +6,6 @@
 #include <stdatomic.h>
 #include <string.h>
 
-/* Length of a SHA-256 in hexadecimal, in bytes. */
-#define KEY_HASH_LENGTH 64
-
 /* Ranges of the numbers in a catalogue. */
 #define DURATION_MAX_MS 86400000
 #define QUEUE_BOUND_MAX 100000
@@ -117,8 +114,7 @@
           json_t *value, const char *place)
 {
   const char *hash = json_string_value (value);
-  if (hash == NULL || strlen (hash) != KEY_HASH_LENGTH
-      || strspn (hash, "0123456789abcdef") != KEY_HASH_LENGTH)
+  if (hash == NULL || !hbw_check_is_sha256 (hash))
     {
       hbw_report_add (report, place, value,
                       "give the SHA-256 of the key in lower-case hexadecimal");
@@ -232,22 +228,16 @@
 HbwCatalogue *
 hbw_catalogue_parse (const char *text, gsize length, gint64 version, HbwError *error)
 {
-  json_error_t where;
-  json_t *root = length <= HBW_DOCUMENT_MAX
-                     ? json_loadb (text, length, JSON_REJECT_DUPLICATES, &where)
-                     : NULL;
-  if (root == NULL)
+  if (length > HBW_DOCUMENT_MAX)
     {
-      if (length > HBW_DOCUMENT_MAX)
-        hbw_error_set (error, HBW_ERROR_DOCUMENT,
-                       "catalogue: %" G_GSIZE_FORMAT " bytes; keep it under %d",
-                       length, HBW_DOCUMENT_MAX);
-      else
-        hbw_error_set (error, HBW_ERROR_DOCUMENT,
-                       "catalogue: line %d column %d: %s; give valid JSON",
-                       where.line, where.column, where.text);
+      hbw_error_set (error, HBW_ERROR_DOCUMENT,
+                     "catalogue: %" G_GSIZE_FORMAT " bytes; keep it under %d",
+                     length, HBW_DOCUMENT_MAX);
       return NULL;
     }
+  json_t *root = hbw_check_load (text, length, HBW_ERROR_DOCUMENT, error);
+  if (root == NULL)
+    return NULL;
   HbwCatalogue *catalogue = catalogue_create (version);
   HbwReport report;
   hbw_report_init (&report);
--- a/core/directory.c
+++ b/core/directory.c
@@ -9,18 +9,6 @@
 
 typedef void (*ReadItem) (GPtrArray *items, HbwReader *reader);
 
-static json_t *
-load (const char *text, gsize length, HbwError *error)
-{
-  json_error_t where;
-  json_t *root = json_loadb (text, length, JSON_REJECT_DUPLICATES, &where);
-  if (root == NULL)
-    hbw_error_set (error, HBW_ERROR_DOCUMENT,
-                   "line %d column %d: %s; give valid JSON", where.line,
-                   where.column, where.text);
-  return root;
-}
-
 static void
 read_server (GPtrArray *items, HbwReader *reader)
 {
@@ -55,7 +43,7 @@
 parse_list (const char *text, gsize length, const char *key, ReadItem read_item,
             HbwError *error)
 {
-  json_t *root = load (text, length, error);
+  json_t *root = hbw_check_load (text, length, HBW_ERROR_DOCUMENT, error);
   if (root == NULL)
     return NULL;
   GPtrArray *items = g_ptr_array_new_with_free_func (g_free);
@@ -99,7 +87,7 @@
 GHashTable *
 hbw_directory_parse_stops (const char *text, gsize length, HbwError *error)
 {
-  json_t *root = load (text, length, error);
+  json_t *root = hbw_check_load (text, length, HBW_ERROR_DOCUMENT, error);
   if (root == NULL)
     return NULL;
   GHashTable *stops = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/hornbeamwall/client.c
+++ b/hornbeamwall/client.c
@@ -1,6 +1,7 @@
 #include "hornbeamwall/client.h"
 
 #include "hornbeamwall/commands.h"
+#include "hornbeamwall/common/address.h"
 
 #include <neon/ne_request.h>
 #include <neon/ne_session.h>
@@ -20,21 +21,6 @@
   return 0;
 }
 
-static gboolean
-split_address (const char *address, char **host, guint *port, HbwError *error)
-{
-  const char *colon = address != NULL ? strrchr (address, ':') : NULL;
-  *port = colon != NULL ? (guint) g_ascii_strtoull (colon + 1, NULL, 10) : 0;
-  if (*port == 0 || *port > G_MAXUINT16)
-    {
-      hbw_error_set (error, HBW_ERROR_USAGE,
-                     "give the administration address as --address IP:PORT");
-      return FALSE;
-    }
-  *host = g_strndup (address, (gsize) (colon - address));
-  return TRUE;
-}
-
 static void
 add_headers (ne_request *request, const HbwClientOptions *options, const char *body,
              const char *if_match)
@@ -57,13 +43,16 @@
                  const char *path, const char *body, const char *if_match,
                  HbwClientAnswer *answer, HbwError *error)
 {
-  char *host;
-  guint port;
+  HbwHostPort address;
   memset (answer, 0, sizeof *answer);
-  if (!split_address (options->address, &host, &port, error))
-    return FALSE;
+  if (!hbw_address_parse (options->address, &address) || address.port == 0)
+    {
+      hbw_error_set (error, HBW_ERROR_USAGE,
+                     "give the administration address as --address IP:PORT");
+      return FALSE;
+    }
   ne_sock_init ();
-  ne_session *session = ne_session_create ("http", host, port);
+  ne_session *session = ne_session_create ("http", address.host, address.port);
   ne_set_session_flag (session, NE_SESSFLAG_PERSIST, 0);
   ne_set_read_timeout (session, READ_TIMEOUT_S);
   ne_request *request = ne_request_create (session, method, path);
@@ -83,7 +72,6 @@
   answer->body = g_string_free (text, FALSE);
   ne_request_destroy (request);
   ne_session_destroy (session);
-  g_free (host);
   return answered;
 }
 
--- a/include/hornbeamwall/common/check.h
+++ b/include/hornbeamwall/common/check.h
@@ -8,7 +8,8 @@
 #ifndef HORNBEAMWALL_COMMON_CHECK_H
 #define HORNBEAMWALL_COMMON_CHECK_H
 
-#include <glib.h>
+#include "hornbeamwall/common/error.h"
+
 #include <jansson.h>
 
 typedef struct
@@ -19,6 +20,14 @@
 
 typedef struct HbwReader HbwReader;
 
+/* Parses TEXT; returns NULL with line and column in ERROR, of KIND, where it is not
+   valid JSON. */
+json_t *hbw_check_load (const char *text, gsize length, HbwErrorKind kind,
+                        HbwError *error);
+
+/* Returns whether TEXT is a SHA-256 in lower-case hexadecimal. */
+gboolean hbw_check_is_sha256 (const char *text);
+
 void hbw_report_init (HbwReport *report);
 void hbw_report_clear (HbwReport *report);
 
--- /dev/null
+++ b/net/codec_pack.c
@@ -0,0 +1,215 @@
+#include "hornbeamwall/net/codec_fields.h"
+
+#include <string.h>
+
+static void
+pack_text (msgpack_packer *packer, const char *text)
+{
+  size_t length = strlen (text);
+  msgpack_pack_str (packer, length);
+  msgpack_pack_str_body (packer, text, length);
+}
+
+static void
+pack_id (msgpack_packer *packer, const HbwRequestId *id, guint attempt)
+{
+  msgpack_pack_uint64 (packer, id->instance);
+  msgpack_pack_uint64 (packer, id->sequence);
+  msgpack_pack_uint32 (packer, attempt);
+}
+
+static void
+pack_shard (msgpack_packer *packer, const HbwShardKey *key)
+{
+  pack_text (packer, key->pool);
+  pack_text (packer, key->data_centre);
+  msgpack_pack_uint32 (packer, key->index);
+}
+
+static void
+pack_fingerprint (msgpack_packer *packer, const HbwFingerprint *fingerprint)
+{
+  msgpack_pack_uint64 (packer, fingerprint->high);
+  msgpack_pack_uint64 (packer, fingerprint->low);
+}
+
+static void
+pack_member (msgpack_packer *packer, const HbwMemberUpdate *member)
+{
+  msgpack_pack_array (packer, 6);
+  msgpack_pack_uint64 (packer, member->identity);
+  pack_text (packer, member->name);
+  pack_text (packer, member->data_centre);
+  pack_text (packer, member->address);
+  msgpack_pack_uint8 (packer, (guint8) member->state);
+  msgpack_pack_uint32 (packer, member->incarnation);
+}
+
+static void
+pack_summary (msgpack_packer *packer, const HbwShardSummary *summary)
+{
+  msgpack_pack_array (packer, 6 + HBW_TIER_COUNT);
+  pack_shard (packer, &summary->key);
+  msgpack_pack_int64 (packer, summary->age_us);
+  msgpack_pack_uint32 (packer, summary->free_slots);
+  for (guint i = 0; i < HBW_TIER_COUNT; i++)
+    msgpack_pack_int64 (packer, summary->expected_wait_us[i]);
+  msgpack_pack_uint32 (packer, summary->draining);
+}
+
+static void
+pack_ping (msgpack_packer *packer, const HbwPing *ping)
+{
+  msgpack_pack_uint64 (packer, ping->number);
+  msgpack_pack_uint64 (packer, ping->on_behalf_of);
+  msgpack_pack_uint64 (packer, ping->subject);
+  msgpack_pack_array (packer, HBW_DOCUMENT_COUNT);
+  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+    msgpack_pack_int64 (packer, ping->versions[i]);
+  msgpack_pack_array (packer, ping->member_count);
+  for (guint i = 0; i < ping->member_count; i++)
+    pack_member (packer, &ping->members[i]);
+  msgpack_pack_array (packer, ping->summary_count);
+  for (guint i = 0; i < ping->summary_count; i++)
+    pack_summary (packer, &ping->summaries[i]);
+}
+
+static void
+pack_spec (msgpack_packer *packer, const HbwRequestSpec *spec)
+{
+  pack_text (packer, spec->organisation);
+  pack_text (packer, spec->class_name);
+  pack_text (packer, spec->pool);
+  msgpack_pack_uint8 (packer, spec->tier);
+  msgpack_pack_uint8 (packer, spec->idempotent ? 1 : 0);
+  msgpack_pack_uint32 (packer, spec->weight);
+  msgpack_pack_uint32 (packer, spec->cost_tokens);
+  msgpack_pack_uint32 (packer, spec->queue_bound);
+  msgpack_pack_int64 (packer, spec->target_us);
+  msgpack_pack_int64 (packer, spec->inter_token_us);
+  msgpack_pack_int64 (packer, spec->deadline_us);
+  msgpack_pack_uint64 (packer, spec->prefix);
+  pack_fingerprint (packer, &spec->fingerprint);
+  msgpack_pack_uint32 (packer, spec->failures);
+}
+
+static void
+pack_grant (msgpack_packer *packer, const HbwGrant *grant)
+{
+  pack_id (packer, &grant->id, grant->attempt);
+  pack_shard (packer, &grant->shard);
+  pack_text (packer, grant->server);
+  pack_text (packer, grant->address);
+  msgpack_pack_int64 (packer, grant->valid_us);
+}
+
+static void
+pack_refusal (msgpack_packer *packer, const HbwRefusal *refusal)
+{
+  pack_id (packer, &refusal->id, refusal->attempt);
+  msgpack_pack_uint8 (packer, (guint8) refusal->reason);
+  msgpack_pack_int64 (packer, refusal->retry_after_us);
+}
+
+static void
+pack_active (msgpack_packer *packer, const HbwActive *active)
+{
+  pack_id (packer, &active->id, active->attempt);
+  pack_shard (packer, &active->shard);
+  pack_text (packer, active->server);
+  msgpack_pack_uint8 (packer, active->tier);
+  pack_fingerprint (packer, &active->fingerprint);
+}
+
+static void
+pack_done (msgpack_packer *packer, const HbwDone *done)
+{
+  pack_id (packer, &done->id, done->attempt);
+  pack_shard (packer, &done->shard);
+  pack_text (packer, done->server);
+  msgpack_pack_uint8 (packer, (guint8) done->outcome);
+  msgpack_pack_int64 (packer, done->first_token_us);
+  msgpack_pack_int64 (packer, done->inter_token_us);
+  msgpack_pack_uint32 (packer, done->tokens);
+}
+
+static void
+pack_document (msgpack_packer *packer, const HbwDocument *document)
+{
+  gsize size = 0;
+  const void *bytes
+      = document->body != NULL ? g_bytes_get_data (document->body, &size) : NULL;
+  msgpack_pack_uint8 (packer, (guint8) document->kind);
+  msgpack_pack_int64 (packer, document->version);
+  msgpack_pack_bin (packer, size);
+  msgpack_pack_bin_body (packer, bytes, size);
+  msgpack_pack_int64 (packer, document->base);
+}
+
+static void
+pack_fields (msgpack_packer *packer, const HbwMessage *message)
+{
+  switch (message->kind)
+    {
+    case HBW_MESSAGE_PING:
+    case HBW_MESSAGE_ACK:
+    case HBW_MESSAGE_PROBE_FOR:
+      pack_ping (packer, &message->ping);
+      break;
+    case HBW_MESSAGE_WANT:
+      pack_id (packer, &message->want.id, message->want.attempt);
+      pack_shard (packer, &message->want.shard);
+      pack_spec (packer, &message->want.spec);
+      pack_text (packer, message->want.avoid);
+      break;
+    case HBW_MESSAGE_GRANT:
+      pack_grant (packer, &message->grant);
+      break;
+    case HBW_MESSAGE_REFUSAL:
+    case HBW_MESSAGE_WITHDRAW:
+      pack_refusal (packer, &message->refusal);
+      break;
+    case HBW_MESSAGE_ACTIVE:
+      pack_active (packer, &message->active);
+      break;
+    case HBW_MESSAGE_DONE:
+      pack_done (packer, &message->done);
+      break;
+    case HBW_MESSAGE_DOCUMENT_ASK:
+    case HBW_MESSAGE_DOCUMENT:
+      pack_document (packer, &message->document);
+      break;
+    case HBW_MESSAGE_SUSPECT:
+      pack_fingerprint (packer, &message->suspect.fingerprint);
+      msgpack_pack_uint32 (packer, message->suspect.failures);
+      msgpack_pack_int64 (packer, message->suspect.remaining_us);
+      msgpack_pack_uint64 (packer, message->suspect.server);
+      break;
+    default:
+      msgpack_pack_uint32 (packer, message->rates.level);
+      pack_text (packer, message->rates.organisation);
+      msgpack_pack_double (packer, message->rates.requests_per_s);
+      msgpack_pack_double (packer, message->rates.tokens_per_s);
+      msgpack_pack_double (packer, message->rates.in_progress);
+      break;
+    }
+}
+
+/* Number of fields that pack_fields() writes, by kind. */
+static const guint field_counts[HBW_MESSAGE_COUNT] = {
+  [HBW_MESSAGE_PING] = 6,      [HBW_MESSAGE_ACK] = 6,
+  [HBW_MESSAGE_PROBE_FOR] = 6, [HBW_MESSAGE_WANT] = 22,
+  [HBW_MESSAGE_WITHDRAW] = 5,  [HBW_MESSAGE_GRANT] = 9,
+  [HBW_MESSAGE_REFUSAL] = 5,   [HBW_MESSAGE_ACTIVE] = 10,
+  [HBW_MESSAGE_DONE] = 11,     [HBW_MESSAGE_DOCUMENT_ASK] = 4,
+  [HBW_MESSAGE_DOCUMENT] = 4,  [HBW_MESSAGE_SUSPECT] = 5,
+  [HBW_MESSAGE_DEMAND] = 5,    [HBW_MESSAGE_SHARE] = 5,
+};
+
+void
+hbw_fields_pack (msgpack_packer *packer, const HbwMessage *message)
+{
+  msgpack_pack_array (packer, 1 + field_counts[message->kind]);
+  msgpack_pack_uint8 (packer, (guint8) message->kind);
+  pack_fields (packer, message);
+}
--- /dev/null
+++ b/net/codec_take.c
@@ -0,0 +1,284 @@
+#include "hornbeamwall/net/codec_fields.h"
+
+#include <string.h>
+
+static const msgpack_object *
+next_field (HbwFields *fields)
+{
+  if (fields->failed || fields->next >= fields->count)
+    {
+      fields->failed = TRUE;
+      return NULL;
+    }
+  return &fields->items[fields->next++];
+}
+
+guint64
+hbw_fields_take_uint (HbwFields *fields, guint64 max)
+{
+  const msgpack_object *item = next_field (fields);
+  if (item == NULL || item->type != MSGPACK_OBJECT_POSITIVE_INTEGER
+      || item->via.u64 > max)
+    {
+      fields->failed = TRUE;
+      return 0;
+    }
+  return item->via.u64;
+}
+
+static gint64
+take_int (HbwFields *fields)
+{
+  const msgpack_object *item = next_field (fields);
+  if (item != NULL && item->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+    return item->via.i64;
+  if (item == NULL || item->type != MSGPACK_OBJECT_POSITIVE_INTEGER
+      || item->via.u64 > G_MAXINT64)
+    {
+      fields->failed = TRUE;
+      return 0;
+    }
+  return (gint64) item->via.u64;
+}
+
+static double
+take_double (HbwFields *fields)
+{
+  const msgpack_object *item = next_field (fields);
+  gboolean valid = item != NULL && item->type == MSGPACK_OBJECT_FLOAT64
+                   && item->via.f64 >= 0 && item->via.f64 < 1e15;
+  if (!valid)
+    fields->failed = TRUE;
+  return valid ? item->via.f64 : 0;
+}
+
+static void
+take_text (HbwFields *fields, char *buffer, gsize size)
+{
+  const msgpack_object *item = next_field (fields);
+  buffer[0] = '\0';
+  if (item == NULL || item->type != MSGPACK_OBJECT_STR || item->via.str.size >= size
+      || (item->via.str.size > 0
+          && memchr (item->via.str.ptr, '\0', item->via.str.size) != NULL))
+    {
+      fields->failed = TRUE;
+      return;
+    }
+  if (item->via.str.size > 0)
+    memcpy (buffer, item->via.str.ptr, item->via.str.size);
+  buffer[item->via.str.size] = '\0';
+}
+
+HbwFields
+hbw_fields_take_array (HbwFields *fields, guint max)
+{
+  const msgpack_object *item = next_field (fields);
+  HbwFields inner = { .failed = TRUE };
+  if (item == NULL || item->type != MSGPACK_OBJECT_ARRAY
+      || item->via.array.size > max)
+    {
+      fields->failed = TRUE;
+      return inner;
+    }
+  inner.items = item->via.array.ptr;
+  inner.count = item->via.array.size;
+  inner.failed = FALSE;
+  return inner;
+}
+
+static void
+take_id (HbwFields *fields, HbwRequestId *id, guint *attempt)
+{
+  id->instance = hbw_fields_take_uint (fields, G_MAXUINT64);
+  id->sequence = hbw_fields_take_uint (fields, G_MAXUINT64);
+  *attempt = (guint) hbw_fields_take_uint (fields, G_MAXUINT32);
+}
+
+static void
+take_shard (HbwFields *fields, HbwShardKey *key)
+{
+  take_text (fields, key->pool, sizeof key->pool);
+  take_text (fields, key->data_centre, sizeof key->data_centre);
+  key->index = (guint) hbw_fields_take_uint (fields, HBW_SHARDS_MAX - 1);
+}
+
+static void
+take_fingerprint (HbwFields *fields, HbwFingerprint *fingerprint)
+{
+  fingerprint->high = hbw_fields_take_uint (fields, G_MAXUINT64);
+  fingerprint->low = hbw_fields_take_uint (fields, G_MAXUINT64);
+}
+
+static void
+take_member (HbwFields *fields, HbwMemberUpdate *member)
+{
+  HbwFields inner = hbw_fields_take_array (fields, G_MAXUINT16);
+  member->identity = hbw_fields_take_uint (&inner, G_MAXUINT64);
+  take_text (&inner, member->name, sizeof member->name);
+  take_text (&inner, member->data_centre, sizeof member->data_centre);
+  take_text (&inner, member->address, sizeof member->address);
+  member->state = (HbwMemberState) hbw_fields_take_uint (&inner, HBW_MEMBER_LEFT);
+  member->incarnation = (guint32) hbw_fields_take_uint (&inner, G_MAXUINT32);
+  fields->failed |= inner.failed || member->identity == 0;
+}
+
+static void
+take_summary (HbwFields *fields, HbwShardSummary *summary)
+{
+  HbwFields inner = hbw_fields_take_array (fields, G_MAXUINT16);
+  take_shard (&inner, &summary->key);
+  summary->age_us = take_int (&inner);
+  summary->free_slots = (guint) hbw_fields_take_uint (&inner, G_MAXUINT16);
+  for (guint i = 0; i < HBW_TIER_COUNT; i++)
+    summary->expected_wait_us[i] = take_int (&inner);
+  summary->draining = (guint) hbw_fields_take_uint (&inner, G_MAXUINT32);
+  fields->failed |= inner.failed;
+}
+
+static void
+take_ping (HbwFields *fields, HbwPing *ping)
+{
+  ping->number = hbw_fields_take_uint (fields, G_MAXUINT64);
+  ping->on_behalf_of = hbw_fields_take_uint (fields, G_MAXUINT64);
+  ping->subject = hbw_fields_take_uint (fields, G_MAXUINT64);
+  HbwFields versions = hbw_fields_take_array (fields, G_MAXUINT16);
+  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+    ping->versions[i] = take_int (&versions);
+  HbwFields members = hbw_fields_take_array (fields, HBW_PING_MEMBERS_MAX);
+  while (!members.failed && members.next < members.count)
+    take_member (&members, &ping->members[ping->member_count++]);
+  HbwFields summaries = hbw_fields_take_array (fields, HBW_PING_SUMMARIES_MAX);
+  while (!summaries.failed && summaries.next < summaries.count)
+    take_summary (&summaries, &ping->summaries[ping->summary_count++]);
+  fields->failed |= versions.failed || members.failed || summaries.failed;
+}
+
+static void
+take_spec (HbwFields *fields, HbwRequestSpec *spec)
+{
+  take_text (fields, spec->organisation, sizeof spec->organisation);
+  take_text (fields, spec->class_name, sizeof spec->class_name);
+  take_text (fields, spec->pool, sizeof spec->pool);
+  spec->tier = (HbwTier) hbw_fields_take_uint (fields, HBW_TIER_COUNT - 1);
+  spec->idempotent = hbw_fields_take_uint (fields, 1) != 0;
+  spec->weight = (guint) hbw_fields_take_uint (fields, G_MAXUINT32);
+  spec->cost_tokens = (guint) hbw_fields_take_uint (fields, G_MAXUINT32);
+  spec->queue_bound = (guint) hbw_fields_take_uint (fields, G_MAXUINT32);
+  spec->target_us = take_int (fields);
+  spec->inter_token_us = take_int (fields);
+  spec->deadline_us = take_int (fields);
+  spec->prefix = hbw_fields_take_uint (fields, G_MAXUINT64);
+  take_fingerprint (fields, &spec->fingerprint);
+  spec->failures = (guint) hbw_fields_take_uint (fields, G_MAXUINT16);
+}
+
+static void
+take_grant (HbwFields *fields, HbwGrant *grant)
+{
+  take_id (fields, &grant->id, &grant->attempt);
+  take_shard (fields, &grant->shard);
+  take_text (fields, grant->server, sizeof grant->server);
+  take_text (fields, grant->address, sizeof grant->address);
+  grant->valid_us = take_int (fields);
+}
+
+static void
+take_refusal (HbwFields *fields, HbwRefusal *refusal)
+{
+  take_id (fields, &refusal->id, &refusal->attempt);
+  refusal->reason = (HbwReason) hbw_fields_take_uint (fields, HBW_REASON_COUNT - 1);
+  refusal->retry_after_us = take_int (fields);
+}
+
+static void
+take_active (HbwFields *fields, HbwActive *active)
+{
+  take_id (fields, &active->id, &active->attempt);
+  take_shard (fields, &active->shard);
+  take_text (fields, active->server, sizeof active->server);
+  active->tier = (HbwTier) hbw_fields_take_uint (fields, HBW_TIER_COUNT - 1);
+  take_fingerprint (fields, &active->fingerprint);
+}
+
+static void
+take_done (HbwFields *fields, HbwDone *done)
+{
+  take_id (fields, &done->id, &done->attempt);
+  take_shard (fields, &done->shard);
+  take_text (fields, done->server, sizeof done->server);
+  done->outcome = (HbwOutcome) hbw_fields_take_uint (fields, HBW_OUTCOME_COUNT - 1);
+  done->first_token_us = take_int (fields);
+  done->inter_token_us = take_int (fields);
+  done->tokens = (guint) hbw_fields_take_uint (fields, G_MAXUINT32);
+}
+
+static void
+take_document (HbwFields *fields, HbwDocument *document)
+{
+  document->kind
+      = (HbwDocumentKind) hbw_fields_take_uint (fields, HBW_DOCUMENT_COUNT - 1);
+  document->version = take_int (fields);
+  const msgpack_object *body = next_field (fields);
+  if (body == NULL || body->type != MSGPACK_OBJECT_BIN)
+    {
+      fields->failed = TRUE;
+      return;
+    }
+  document->body = g_bytes_new (body->via.bin.ptr, body->via.bin.size);
+  document->base = take_int (fields);
+}
+
+static void
+take_rates (HbwFields *fields, HbwRates *rates)
+{
+  rates->level = (guint) hbw_fields_take_uint (fields, 1);
+  take_text (fields, rates->organisation, sizeof rates->organisation);
+  rates->requests_per_s = take_double (fields);
+  rates->tokens_per_s = take_double (fields);
+  rates->in_progress = take_double (fields);
+}
+
+void
+hbw_fields_take (HbwFields *fields, HbwMessage *message)
+{
+  switch (message->kind)
+    {
+    case HBW_MESSAGE_PING:
+    case HBW_MESSAGE_ACK:
+    case HBW_MESSAGE_PROBE_FOR:
+      take_ping (fields, &message->ping);
+      break;
+    case HBW_MESSAGE_WANT:
+      take_id (fields, &message->want.id, &message->want.attempt);
+      take_shard (fields, &message->want.shard);
+      take_spec (fields, &message->want.spec);
+      take_text (fields, message->want.avoid, sizeof message->want.avoid);
+      break;
+    case HBW_MESSAGE_GRANT:
+      take_grant (fields, &message->grant);
+      break;
+    case HBW_MESSAGE_REFUSAL:
+    case HBW_MESSAGE_WITHDRAW:
+      take_refusal (fields, &message->refusal);
+      break;
+    case HBW_MESSAGE_ACTIVE:
+      take_active (fields, &message->active);
+      break;
+    case HBW_MESSAGE_DONE:
+      take_done (fields, &message->done);
+      break;
+    case HBW_MESSAGE_DOCUMENT_ASK:
+    case HBW_MESSAGE_DOCUMENT:
+      take_document (fields, &message->document);
+      break;
+    case HBW_MESSAGE_SUSPECT:
+      take_fingerprint (fields, &message->suspect.fingerprint);
+      message->suspect.failures = (guint) hbw_fields_take_uint (fields, G_MAXUINT16);
+      message->suspect.remaining_us = take_int (fields);
+      message->suspect.server = hbw_fields_take_uint (fields, G_MAXUINT64);
+      break;
+    default:
+      take_rates (fields, &message->rates);
+      break;
+    }
+}
--- a/net/http.c
+++ b/net/http.c
@@ -1,7 +1,7 @@
 #include "hornbeamwall/net/http.h"
 
+#include "hornbeamwall/common/address.h"
 #include "hornbeamwall/common/clock.h"
-#include "hornbeamwall/core/directory.h"
 
 #include <arpa/inet.h>
 #include <jansson.h>
@@ -89,15 +89,13 @@
 static gboolean
 parse_address (const char *text, struct sockaddr_in *address)
 {
-  char host[HBW_ADDRESS_MAX];
-  const char *colon = strrchr (text, ':');
-  if (colon == NULL)
+  HbwHostPort parts;
+  if (!hbw_address_parse (text, &parts))
     return FALSE;
-  g_strlcpy (host, text, MIN (sizeof host, (gsize) (colon - text) + 1));
   memset (address, 0, sizeof *address);
   address->sin_family = AF_INET;
-  address->sin_port = htons ((guint16) g_ascii_strtoull (colon + 1, NULL, 10));
-  return inet_pton (AF_INET, host, &address->sin_addr) == 1;
+  address->sin_port = htons ((guint16) parts.port);
+  return inet_pton (AF_INET, parts.host, &address->sin_addr) == 1;
 }
 
 HbwHttp *
--- a/net/orders.c
+++ b/net/orders.c
@@ -1,5 +1,6 @@
 #include "hornbeamwall/net/orders.h"
 
+#include "hornbeamwall/common/address.h"
 #include "hornbeamwall/common/log.h"
 #include "hornbeamwall/core/directory.h"
 #include "hornbeamwall/runtime/watch.h"
@@ -143,12 +144,10 @@
 static gboolean
 send_order (HbwOrders *orders, const char *address, const char *text, int *status)
 {
-  const char *colon = strrchr (address, ':');
-  if (colon == NULL)
+  HbwHostPort parts;
+  if (!hbw_address_parse (address, &parts))
     return FALSE;
-  char *host = g_strndup (address, (gsize) (colon - address));
-  ne_session *session
-      = ne_session_create ("http", host, (unsigned) strtoul (colon + 1, NULL, 10));
+  ne_session *session = ne_session_create ("http", parts.host, parts.port);
   ne_set_session_flag (session, NE_SESSFLAG_PERSIST, 0);
   ne_set_read_timeout (session, ORDER_TIMEOUT_S);
   ne_request *request = ne_request_create (session, "PUT", "/orders");
@@ -167,7 +166,6 @@
     }
   ne_request_destroy (request);
   ne_session_destroy (session);
-  g_free (host);
   return left;
 }
 
--- a/net/platform.c
+++ b/net/platform.c
@@ -1,10 +1,11 @@
 #include "hornbeamwall/net/platform.h"
 
+#include "hornbeamwall/common/address.h"
+
 #include <neon/ne_request.h>
 #include <neon/ne_session.h>
 #include <neon/ne_socket.h>
 #include <pthread.h>
-#include <stdlib.h>
 #include <string.h>
 
 /* How long the store may take to accept a connection or to answer, in seconds. */
@@ -16,8 +17,7 @@
 
 struct HbwPlatform
 {
-  char *host;
-  guint port;
+  HbwHostPort address;
 };
 
 typedef struct
@@ -79,7 +79,8 @@
 static ne_session *
 open_session (HbwPlatform *platform, int extra_wait_s)
 {
-  ne_session *session = ne_session_create ("http", platform->host, platform->port);
+  ne_session *session
+      = ne_session_create ("http", platform->address.host, platform->address.port);
   ne_set_session_flag (session, NE_SESSFLAG_PERSIST, 0);
   ne_set_connect_timeout (session, CONNECT_TIMEOUT_S);
   ne_set_read_timeout (session, READ_TIMEOUT_S + extra_wait_s);
@@ -120,24 +121,21 @@
 hbw_platform_create (const char *address, HbwError *error)
 {
   pthread_once (&neon_once, start_neon);
-  const char *colon = strrchr (address, ':');
-  long port = colon != NULL ? strtol (colon + 1, NULL, 10) : 0;
-  if (port <= 0 || port > G_MAXUINT16)
+  HbwHostPort parts;
+  if (!hbw_address_parse (address, &parts) || parts.port == 0)
     {
       hbw_error_set (error, HBW_ERROR_SETTINGS,
-                     "platform address %s: give an IP number and a port", address);
+                     "address %s: give an IP number and a port", address);
       return NULL;
     }
   HbwPlatform *platform = g_new0 (HbwPlatform, 1);
-  platform->host = g_strndup (address, (gsize) (colon - address));
-  platform->port = (guint) port;
+  platform->address = parts;
   return platform;
 }
 
 void
 hbw_platform_destroy (HbwPlatform *platform)
 {
-  g_free (platform->host);
   g_free (platform);
 }
 
--- a/runtime/settings.c
+++ b/runtime/settings.c
@@ -1,8 +1,8 @@
 #include "hornbeamwall/runtime/settings.h"
 
+#include "hornbeamwall/common/address.h"
 #include "hornbeamwall/common/check.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 
 #define CONNECTION_LIMIT_DEFAULT 1024
@@ -16,22 +16,12 @@
 #define TIMEOUT_MAX_MS 86400000
 #define CALLER_TIMEOUT_DEFAULT_S 60
 #define CALLER_TIMEOUT_MAX_S 86400
-#define KEY_HASH_LENGTH 64
 
 static gboolean
 is_address (const char *text)
 {
-  char host[HBW_ADDRESS_MAX];
-  unsigned char binary[sizeof (struct in6_addr)];
-  const char *colon = strrchr (text, ':');
-  if (colon == NULL || colon == text)
-    return FALSE;
-  char *end;
-  guint64 port = g_ascii_strtoull (colon + 1, &end, 10);
-  if (end == colon + 1 || *end != '\0' || port > G_MAXUINT16)
-    return FALSE;
-  g_strlcpy (host, text, MIN (sizeof host, (gsize) (colon - text) + 1));
-  return inet_pton (AF_INET, host, binary) == 1;
+  HbwHostPort address;
+  return hbw_address_parse (text, &address);
 }
 
 static void
@@ -81,9 +71,7 @@
   hbw_reader_string (reader, "admin_token_sha256", settings->admin_token_hash,
                      sizeof settings->admin_token_hash, NULL);
   const char *hash = settings->admin_token_hash;
-  if (*hash != '\0'
-      && (strlen (hash) != KEY_HASH_LENGTH
-          || strspn (hash, "0123456789abcdef") != KEY_HASH_LENGTH))
+  if (*hash != '\0' && !hbw_check_is_sha256 (hash))
     hbw_report_add (report, "/admin_token_sha256",
                     json_object_get (root, "admin_token_sha256"),
                     "give the SHA-256 of the token in lower-case hexadecimal");
@@ -129,15 +117,9 @@
 HbwSettings *
 hbw_settings_parse (const char *text, gsize length, HbwError *error)
 {
-  json_error_t where;
-  json_t *root = json_loadb (text, length, JSON_REJECT_DUPLICATES, &where);
+  json_t *root = hbw_check_load (text, length, HBW_ERROR_SETTINGS, error);
   if (root == NULL)
-    {
-      hbw_error_set (error, HBW_ERROR_SETTINGS,
-                     "line %d column %d: %s; give valid JSON", where.line,
-                     where.column, where.text);
-      return NULL;
-    }
+    return NULL;
   HbwSettings *settings = g_new0 (HbwSettings, 1);
   settings->seeds = g_ptr_array_new_with_free_func (g_free);
   HbwReport report;
