Half as much again as the expected work must fit before the deadline; bounded spill

Nothing bounded how many requests of an instance wait at the same free slots elsewhere. Change: a request is hopeless when 1.5 times its expected work no longer fits; an instance has at most two requests that wait in other data centres.

--- a/core/entry.c
+++ b/core/entry.c
@@ -39,6 +39,7 @@
   gboolean may_have_run;
   gboolean spill_allowed;
   gboolean limit_held;
+  gboolean spilled; /* waits in another data centre */
   HbwShardKey shard;
   guint64 owner;   /* who was told, or 0 */
   guint64 granter; /* who granted the attempt in progress */
@@ -60,6 +61,7 @@
   HbwOwnerLookup lookup;
   void *lookup_data;
   double retry_budget;
+  guint spilled_waiting;
   gboolean draining;
 };
 
@@ -88,6 +90,15 @@
          && remaining (request, request->spec.deadline_us, now_us) <= 0;
 }
 
+static void
+set_spilled (HbwEntry *entry, Request *request, gboolean spilled)
+{
+  if (request->spilled == spilled)
+    return;
+  request->spilled = spilled;
+  entry->spilled_waiting += spilled ? 1 : -1;
+}
+
 static HbwRequestId
 id_of (const HbwContext *context, const Request *request)
 {
@@ -182,6 +193,7 @@
     hbw_limiter_end (entry->limiter, &request->spec, tokens);
   if (request->state == STATE_LIMITED)
     hbw_limiter_unwait (entry->limiter, &request->spec);
+  set_spilled (entry, request, FALSE);
   cds_list_del (&request->link);
   guint64 sequence = request->sequence;
   g_hash_table_remove (entry->requests, &sequence);
@@ -214,15 +226,21 @@
 static void
 ask (HbwEntry *entry, HbwContext *context, Request *request)
 {
+  set_spilled (entry, request, FALSE);
+  gboolean spill_allowed
+      = request->spill_allowed && entry->spilled_waiting < HBW_SPILL_WAITING_MAX;
   if (entry->topology == NULL
       || !hbw_route_choose (entry->route, context, entry->topology, &request->spec,
-                            request->spill_allowed, &request->shard))
+                            spill_allowed, &request->shard))
     {
       refuse (entry, context, request, HBW_REASON_NO_SERVER, RETRY_AFTER_DEFAULT_US);
       return;
     }
   if (strcmp (request->shard.data_centre, context->data_centre) != 0)
-    hbw_metrics_control (context->metrics)->spilled++;
+    {
+      set_spilled (entry, request, TRUE);
+      hbw_metrics_control (context->metrics)->spilled++;
+    }
   request->state = STATE_WAITING;
   request->restate_us = HBW_RESTATE_US;
   post_want (entry, context, request);
@@ -528,6 +546,7 @@
       hand_back (context, from, grant);
       return;
     }
+  set_spilled (entry, request, FALSE);
   request->state = STATE_RUNNING;
   request->restate_us = HBW_RESTATE_MAX_US;
   request->granter = from;
--- a/core/queue.c
+++ b/core/queue.c
@@ -4,6 +4,10 @@
    back by the filter. */
 #define FILTER_DEPTH 8
 
+/* Times the expected work that must fit before the deadline; lengths vary, and an
+   answer that comes too late is wasted. */
+#define HOPE_MARGIN 1.5
+
 /* An organisation's flow that has been empty is forgotten when its tier holds more
    flows than this. */
 #define IDLE_FLOWS_MAX 256
@@ -223,7 +227,8 @@
   if (want->spec.deadline_us > 0)
     {
       ticket->deadline_at_us = now_us + want->spec.deadline_us;
-      ticket->hopeless_at_us = MAX (1, ticket->deadline_at_us - work_us);
+      ticket->hopeless_at_us = MAX (
+          1, ticket->deadline_at_us - (gint64) (HOPE_MARGIN * (double) work_us));
     }
   Tier *tier = &queue->tiers[want->spec.tier];
   Flow *flow = tier_flow (tier, want->spec.organisation);
--- a/include/hornbeamwall/core/route.h
+++ b/include/hornbeamwall/core/route.h
@@ -16,7 +16,7 @@
 /* A request spills over only if it waits longer than this at home. */
 #define HBW_SPILL_WAIT_US (250 * HBW_US_PER_MS)
 
-/* Waits for spilled requests that one instance may have at one remote shard. */
+/* Requests of one instance that may wait in other data centres at once. */
 #define HBW_SPILL_WAITING_MAX 2
 
 typedef struct HbwRoute HbwRoute;
