A straggler is capped only for requests whose target it misses

Change: the cap holds for requests with a tighter target than the server's time; a straggler's limit is not lowered by its own slowness.

--- a/core/server.c
+++ b/core/server.c
@@ -74,7 +74,7 @@
   server->state = HBW_SERVER_UP;
   average (&server->first_token_us, done->first_token_us);
   average (&server->inter_token_us, done->inter_token_us);
-  if (done->inter_token_us > target_us && target_us > 0)
+  if (done->inter_token_us > target_us && target_us > 0 && !server->straggler)
     lower_limit (server, now_us);
   else
     raise_limit (server);
@@ -110,6 +110,8 @@
 room_of (const HbwServer *server, const HbwRequestSpec *spec, gboolean overcommit)
 {
   guint limit = MAX (1, (guint) server->limit);
+  if (server->straggler && (double) spec->inter_token_us < server->inter_token_us)
+    return (guint) MIN ((double) limit, server->straggler_limit);
   if (overcommit)
     limit += (guint) (limit * overcommit_factor (server, spec->inter_token_us));
   return limit;
@@ -231,8 +233,7 @@
   else if (ratio < STRAGGLER_LEAVE)
     server->straggler = FALSE;
   if (server->straggler)
-    server->limit
-        = CLAMP (server->limit, 1.0, MAX (1.0, server->entry.slots / ratio));
+    server->straggler_limit = MAX (1.0, server->entry.slots / ratio);
   return server->straggler != before;
 }
 
--- a/include/hornbeamwall/core/server.h
+++ b/include/hornbeamwall/core/server.h
@@ -27,7 +27,8 @@
   HbwServerState state;
   gboolean stopping; /* planned stop or leaving: no new work */
   gboolean straggler;
-  double limit; /* requests in progress */
+  double straggler_limit; /* for requests whose target it is too slow for */
+  double limit;           /* requests in progress */
   guint in_progress;
   guint suspects; /* suspect requests in progress */
   guint failures; /* in a row */
@@ -69,8 +70,9 @@
    that is down and due for a probe has passed it by answering. */
 void hbw_server_report (HbwServer *server, const HbwLoadReport *load, gint64 now_us);
 
-/* Caps a server that is slower than MEDIAN_US between tokens by the ratio.  Returns
-   whether its standing as a straggler changed. */
+/* Caps a server that is slower than MEDIAN_US between tokens by the ratio, for those
+   requests whose inter-token target it does not meet.  Returns whether its standing
+   as a straggler changed. */
 gboolean hbw_server_compare (HbwServer *server, double median_us);
 
 gboolean hbw_server_knows_prefix (const HbwServer *server, guint64 prefix);
