--- a/scripts/engine-faults.sh
+++ b/scripts/engine-faults.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# One instance before four engines, one of which is killed in mid-stream and one of which
-# straggles: 64 callers, every answer checked.  Real time, bounded; not part of CI.
+# One instance before four engines, one of which is killed in mid-stream, one straggles
+# and one breaks answers off: 64 callers, every answer checked.  Real time, bounded; not part of CI.
 set -eu
 build=${1:-build}
 seconds=${2:-30}
@@ -9,7 +9,9 @@
 . "$(dirname "$0")/fleet.sh"
 trap 'stop_fleet; rm -rf "$dir"' EXIT INT TERM
 start_fleet 1 4
-kill "$engine_3"; sleep 0.5; start_engine 3 40
+kill "$engine_3" "$engine_2"; sleep 0.5
+start_engine 3 40   # a straggler
+start_engine 2 5 20 # breaks every twentieth answer off
 "$build/tests/load" --targets "$(list_of 19200 1)" --engines "$(list_of 19100 4)" \
   --callers 64 --seconds "$seconds" >"$dir/load.txt" &
 load=$!
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -46,7 +46,7 @@
 }
 
 start_engine() {
-  "$build/tests/standin" engine "127.0.0.1:$((19100 + $1))" "${slots:-8}" "${first_ms:-10}" "${2:-5}" &
+  "$build/tests/standin" engine "127.0.0.1:$((19100 + $1))" "${slots:-8}" "${first_ms:-10}" "${2:-5}" "${3:-0}" &
   eval "engine_$1=$!"
   pids="$pids $!"
 }
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -22,6 +22,7 @@
   guint running;
   guint waiting;
   guint peak;
+  guint begun;
   guint orders;
   guint64 fencing; /* highest number seen */
   guint64 last_number;
@@ -59,7 +60,11 @@
   guint count = GPOINTER_TO_UINT (g_hash_table_lookup (engine->runs, job->tag));
   g_hash_table_replace (engine->runs, g_strdup (job->tag),
                         GUINT_TO_POINTER (count + 1));
+  gboolean cut = engine->config.cut_every > 0
+                 && ++engine->begun % engine->config.cut_every == 0;
   pthread_mutex_unlock (&engine->lock);
+  if (cut)
+    g_strlcpy (job->fault, job->stream ? "cut" : "reset", sizeof job->fault);
 }
 
 static void
--- a/tests/standin/engine.h
+++ b/tests/standin/engine.h
@@ -19,6 +19,7 @@
   guint first_token_ms;
   guint token_ms;
   gboolean exit_on_crash;  /* end the process at fault "crash" */
+  guint cut_every;         /* break every so many answers off; 0 is none */
   gboolean checks_fencing; /* refuse orders with an old fencing number */
 } EngineConfig;
 
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -23,6 +23,7 @@
   config.first_token_ms
       = argc > 4 ? (guint) g_ascii_strtoull (argv[4], NULL, 10) : 20;
   config.token_ms = argc > 5 ? (guint) g_ascii_strtoull (argv[5], NULL, 10) : 5;
+  config.cut_every = argc > 6 ? (guint) g_ascii_strtoull (argv[6], NULL, 10) : 0;
   Engine *engine = engine_create (&config);
   if (engine == NULL)
     return 1;
@@ -61,7 +62,8 @@
     return run_engine (argc, argv, &set);
   if (argc >= 3 && strcmp (argv[1], "store") == 0)
     return run_store (argc, argv, &set);
-  fprintf (stderr, "Usage: standin engine IP:PORT [SLOTS FIRST_MS TOKEN_MS]\n"
-                   "       standin store IP:PORT [NAME FILE]...\n");
+  fprintf (stderr,
+           "Usage: standin engine IP:PORT [SLOTS FIRST_MS TOKEN_MS CUT_EVERY]\n"
+           "       standin store IP:PORT [NAME FILE]...\n");
   return 2;
 }
