--- a/core/shard.c
+++ b/core/shard.c
@@ -2,18 +2,14 @@
 
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/quarantine.h"
+#include "hornbeamwall/core/shard_estimate.h"
+#include "hornbeamwall/core/shard_health.h"
 
 #include <string.h>
 
-/* Weight of the newest measurement in the moving average of service time. */
-#define SERVICE_AVERAGE_WEIGHT 0.05
-
 /* Service time assumed before anything is measured. */
 #define SERVICE_DEFAULT_US (1 * HBW_US_PER_S)
 
-/* How often servers are compared with each other. */
-#define COMPARE_INTERVAL_US (1 * HBW_US_PER_S)
-
 /* Bounds of the retry hint in a refusal. */
 #define RETRY_AFTER_MIN_US (100 * HBW_US_PER_MS)
 #define RETRY_AFTER_MAX_US (60 * HBW_US_PER_S)
@@ -257,112 +253,6 @@
   g_list_free (all);
 }
 
-static void
-poll_loads (HbwShard *shard, HbwContext *context)
-{
-  for (guint i = 0; i < shard->servers->len; i++)
-    {
-      HbwServer *server = g_ptr_array_index (shard->servers, i);
-      if (context->now_us - server->polled_at_us < HBW_POLL_INTERVAL_US)
-        continue;
-      server->polled_at_us = context->now_us;
-      HbwEffect *effect = hbw_effects_add (context->effects, HBW_EFFECT_POLL_LOAD);
-      g_strlcpy (effect->poll.server, server->entry.id, sizeof effect->poll.server);
-      g_strlcpy (effect->poll.address, server->entry.address,
-                 sizeof effect->poll.address);
-    }
-}
-
-static int
-compare_doubles (gconstpointer a, gconstpointer b)
-{
-  double left = *(const double *) a;
-  double right = *(const double *) b;
-  return left < right ? -1 : left > right;
-}
-
-static double
-median_inter_token (const HbwShard *shard)
-{
-  GArray *values = g_array_new (FALSE, FALSE, sizeof (double));
-  for (guint i = 0; i < shard->servers->len; i++)
-    {
-      const HbwServer *server = g_ptr_array_index (shard->servers, i);
-      if (server->inter_token_us > 0)
-        g_array_append_val (values, server->inter_token_us);
-    }
-  g_array_sort (values, compare_doubles);
-  double median
-      = values->len > 0 ? g_array_index (values, double, (values->len - 1) / 2) : 0;
-  g_array_free (values, TRUE);
-  return median;
-}
-
-static void
-compare_servers (HbwShard *shard, HbwContext *context)
-{
-  if (context->now_us - shard->compared_at_us < COMPARE_INTERVAL_US)
-    return;
-  shard->compared_at_us = context->now_us;
-  double median = median_inter_token (shard);
-  for (guint i = 0; i < shard->servers->len; i++)
-    {
-      HbwServer *server = g_ptr_array_index (shard->servers, i);
-      if (hbw_server_compare (server, median) && server->straggler)
-        hbw_effects_log (context->effects, HBW_LOG_SERVER_STRAGGLER,
-                         "server=%s inter_token_us=%.0f median_us=%.0f",
-                         server->entry.id, server->inter_token_us, median);
-    }
-}
-
-static void
-note_service (HbwShard *shard, gint64 duration_us)
-{
-  shard->service_us
-      += SERVICE_AVERAGE_WEIGHT * ((double) duration_us - shard->service_us);
-}
-
-/* Output lengths are not known before: classes are estimated by what they took. */
-static void
-note_tokens (HbwShard *shard, const HbwRequestSpec *spec, guint tokens)
-{
-  double *average = g_hash_table_lookup (shard->class_tokens, spec->class_name);
-  if (*spec->class_name == '\0' || tokens == 0)
-    return;
-  if (average == NULL)
-    {
-      average = g_new (double, 1);
-      *average = spec->cost_tokens;
-      g_hash_table_insert (shard->class_tokens, g_strdup (spec->class_name),
-                           average);
-    }
-  *average += SERVICE_AVERAGE_WEIGHT * ((double) tokens - *average);
-}
-
-static guint
-expected_tokens (const HbwShard *shard, const HbwRequestSpec *spec)
-{
-  const double *average
-      = g_hash_table_lookup (shard->class_tokens, spec->class_name);
-  return average != NULL ? MAX (1, (guint) *average) : spec->cost_tokens;
-}
-
-/* From the grant to the last token, on the fastest server. */
-static gint64
-expected_work (const HbwShard *shard, const HbwRequestSpec *spec)
-{
-  double least = 0;
-  for (guint i = 0; i < shard->servers->len; i++)
-    {
-      const HbwServer *server = g_ptr_array_index (shard->servers, i);
-      double work
-          = server->first_token_us + server->inter_token_us * spec->cost_tokens;
-      if (work > 0 && (least <= 0 || work < least))
-        least = work;
-    }
-  return (gint64) least;
-}
-
 static void
 log_state_change (HbwContext *context, const HbwServer *server,
                   HbwServerState before)
@@ -488,9 +378,9 @@
       return;
     }
   HbwWant known_cost = *want;
-  known_cost.spec.cost_tokens = expected_tokens (shard, &want->spec);
+  known_cost.spec.cost_tokens = hbw_shard_expected_tokens (shard, &want->spec);
   hbw_queue_add (shard->queue, &known_cost, from, context->now_us,
-                 expected_work (shard, &known_cost.spec));
+                 hbw_shard_expected_work (shard, &known_cost.spec));
   schedule (shard, context);
 }
 
@@ -534,8 +424,8 @@
   HbwServerState before = server != NULL ? server->state : HBW_SERVER_UP;
   if (done->outcome == HBW_OUTCOME_COMPLETE)
     {
-      note_service (shard, context->now_us - reservation->granted_us);
-      note_tokens (shard, &reservation->spec, done->tokens);
+      hbw_shard_note_service (shard, context->now_us - reservation->granted_us);
+      hbw_shard_note_tokens (shard, &reservation->spec, done->tokens);
     }
   if (done->outcome != HBW_OUTCOME_UNUSED && reservation->spec.cost_tokens > 0)
     hbw_queue_correct (shard->queue, &reservation->spec, done->tokens);
@@ -561,8 +451,8 @@
   void *arguments[] = { shard, context };
   hbw_queue_foreach (shard->queue, end_overdue, arguments);
   release_silent (shard, context);
-  compare_servers (shard, context);
-  poll_loads (shard, context);
+  hbw_shard_compare_servers (shard, context);
+  hbw_shard_poll_loads (shard, context);
   schedule (shard, context);
 }
 
@@ -619,26 +509,6 @@
     summary->expected_wait_us[tier] = hbw_shard_expected_wait (shard, tier);
 }
 
-gint64
-hbw_shard_expected_wait (const HbwShard *shard, HbwTier tier)
-{
-  guint waiting = 0;
-  double limit = 0;
-  guint free_slots = 0;
-  for (HbwTier i = 0; i <= tier; i++)
-    waiting += hbw_queue_tier_length (shard->queue, i);
-  for (guint i = 0; i < shard->servers->len; i++)
-    {
-      const HbwServer *server = g_ptr_array_index (shard->servers, i);
-      free_slots += hbw_server_free (server);
-      if (!server->stopping && server->state == HBW_SERVER_UP)
-        limit += server->limit;
-    }
-  if (free_slots > 0 && waiting == 0)
-    return 0;
-  return (gint64) ((waiting + 1.0) * shard->service_us / MAX (limit, 1.0));
-}
-
 HbwServer *
 hbw_shard_find_server (const HbwShard *shard, const char *id)
 {
--- /dev/null
+++ b/core/shard_estimate.c
@@ -0,0 +1,72 @@
+#include "hornbeamwall/core/shard_estimate.h"
+
+/* Weight of the newest measurement in the moving average of service time. */
+#define SERVICE_AVERAGE_WEIGHT 0.05
+
+void
+hbw_shard_note_service (HbwShard *shard, gint64 duration_us)
+{
+  shard->service_us
+      += SERVICE_AVERAGE_WEIGHT * ((double) duration_us - shard->service_us);
+}
+
+/* Output lengths are not known before: classes are estimated by what they took. */
+void
+hbw_shard_note_tokens (HbwShard *shard, const HbwRequestSpec *spec, guint tokens)
+{
+  double *average = g_hash_table_lookup (shard->class_tokens, spec->class_name);
+  if (*spec->class_name == '\0' || tokens == 0)
+    return;
+  if (average == NULL)
+    {
+      average = g_new (double, 1);
+      *average = spec->cost_tokens;
+      g_hash_table_insert (shard->class_tokens, g_strdup (spec->class_name),
+                           average);
+    }
+  *average += SERVICE_AVERAGE_WEIGHT * ((double) tokens - *average);
+}
+
+guint
+hbw_shard_expected_tokens (const HbwShard *shard, const HbwRequestSpec *spec)
+{
+  const double *average
+      = g_hash_table_lookup (shard->class_tokens, spec->class_name);
+  return average != NULL ? MAX (1, (guint) *average) : spec->cost_tokens;
+}
+
+/* From the grant to the last token, on the fastest server. */
+gint64
+hbw_shard_expected_work (const HbwShard *shard, const HbwRequestSpec *spec)
+{
+  double least = 0;
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      const HbwServer *server = g_ptr_array_index (shard->servers, i);
+      double work
+          = server->first_token_us + server->inter_token_us * spec->cost_tokens;
+      if (work > 0 && (least <= 0 || work < least))
+        least = work;
+    }
+  return (gint64) least;
+}
+
+gint64
+hbw_shard_expected_wait (const HbwShard *shard, HbwTier tier)
+{
+  guint waiting = 0;
+  double limit = 0;
+  guint free_slots = 0;
+  for (HbwTier i = 0; i <= tier; i++)
+    waiting += hbw_queue_tier_length (shard->queue, i);
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      const HbwServer *server = g_ptr_array_index (shard->servers, i);
+      free_slots += hbw_server_free (server);
+      if (!server->stopping && server->state == HBW_SERVER_UP)
+        limit += server->limit;
+    }
+  if (free_slots > 0 && waiting == 0)
+    return 0;
+  return (gint64) ((waiting + 1.0) * shard->service_us / MAX (limit, 1.0));
+}
--- /dev/null
+++ b/core/shard_health.c
@@ -0,0 +1,62 @@
+#include "hornbeamwall/core/shard_health.h"
+
+/* How often servers are compared with each other. */
+#define COMPARE_INTERVAL_US (1 * HBW_US_PER_S)
+
+static int
+compare_doubles (gconstpointer a, gconstpointer b)
+{
+  double left = *(const double *) a;
+  double right = *(const double *) b;
+  return left < right ? -1 : left > right;
+}
+
+static double
+median_inter_token (const HbwShard *shard)
+{
+  GArray *values = g_array_new (FALSE, FALSE, sizeof (double));
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      const HbwServer *server = g_ptr_array_index (shard->servers, i);
+      if (server->inter_token_us > 0)
+        g_array_append_val (values, server->inter_token_us);
+    }
+  g_array_sort (values, compare_doubles);
+  double median
+      = values->len > 0 ? g_array_index (values, double, (values->len - 1) / 2) : 0;
+  g_array_free (values, TRUE);
+  return median;
+}
+
+void
+hbw_shard_compare_servers (HbwShard *shard, HbwContext *context)
+{
+  if (context->now_us - shard->compared_at_us < COMPARE_INTERVAL_US)
+    return;
+  shard->compared_at_us = context->now_us;
+  double median = median_inter_token (shard);
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      HbwServer *server = g_ptr_array_index (shard->servers, i);
+      if (hbw_server_compare (server, median) && server->straggler)
+        hbw_effects_log (context->effects, HBW_LOG_SERVER_STRAGGLER,
+                         "server=%s inter_token_us=%.0f median_us=%.0f",
+                         server->entry.id, server->inter_token_us, median);
+    }
+}
+
+void
+hbw_shard_poll_loads (HbwShard *shard, HbwContext *context)
+{
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      HbwServer *server = g_ptr_array_index (shard->servers, i);
+      if (context->now_us - server->polled_at_us < HBW_POLL_INTERVAL_US)
+        continue;
+      server->polled_at_us = context->now_us;
+      HbwEffect *effect = hbw_effects_add (context->effects, HBW_EFFECT_POLL_LOAD);
+      g_strlcpy (effect->poll.server, server->entry.id, sizeof effect->poll.server);
+      g_strlcpy (effect->poll.address, server->entry.address,
+                 sizeof effect->poll.address);
+    }
+}
--- a/include/hornbeamwall/core/shard.h
+++ b/include/hornbeamwall/core/shard.h
@@ -99,9 +99,6 @@
 
 void hbw_shard_summarize (const HbwShard *shard, HbwShardSummary *summary);
 
-/* Returns the expected wait of a new request of TIER, in microseconds. */
-gint64 hbw_shard_expected_wait (const HbwShard *shard, HbwTier tier);
-
 HbwServer *hbw_shard_find_server (const HbwShard *shard, const char *id);
 
 /* Returns all slots of the servers that take work. */
--- /dev/null
+++ b/include/hornbeamwall/core/shard_estimate.h
@@ -0,0 +1,26 @@
+/*
+ * shard_estimate - what requests of a shard are expected to take
+ */
+#ifndef HORNBEAMWALL_CORE_SHARD_ESTIMATE_H
+#define HORNBEAMWALL_CORE_SHARD_ESTIMATE_H
+
+#include "hornbeamwall/core/shard.h"
+
+/* Notes how long a complete request took, from its grant to its end. */
+void hbw_shard_note_service (HbwShard *shard, gint64 duration_us);
+
+/* Notes how many tokens a complete request took. */
+void hbw_shard_note_tokens (HbwShard *shard, const HbwRequestSpec *spec,
+                            guint tokens);
+
+/* Returns the tokens that a request of this class is expected to take. */
+guint hbw_shard_expected_tokens (const HbwShard *shard, const HbwRequestSpec *spec);
+
+/* Returns the expected time from the grant to the last token, in microseconds; 0
+   before anything was measured. */
+gint64 hbw_shard_expected_work (const HbwShard *shard, const HbwRequestSpec *spec);
+
+/* Returns the expected wait of a new request of TIER, in microseconds. */
+gint64 hbw_shard_expected_wait (const HbwShard *shard, HbwTier tier);
+
+#endif
