What a request's owner is told, in a file of its own

Cause: core/entry.c had 655 lines and both decided and wrote messages. Change: core/request holds the request and its messages; behaviour as before.

--- a/core/entry.c
+++ b/core/entry.c
@@ -3,9 +3,9 @@
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/quarantine.h"
+#include "hornbeamwall/core/request.h"
 
 #include <string.h>
-#include <urcu/list.h>
 
 /* Retries of requests that may have run, for each that completed. */
 #define RETRY_PER_SUCCESS 0.1
@@ -19,41 +19,9 @@
 /* Retry hints where nothing better is known. */
 #define RETRY_AFTER_DEFAULT_US (1 * HBW_US_PER_S)
 
-typedef enum
-{
-  STATE_LIMITED, /* waits for a share of its organisation's limit */
-  STATE_WAITING, /* waits for a grant */
-  STATE_RUNNING, /* an attempt is in progress */
-} State;
-
-typedef struct
-{
-  struct cds_list_head link; /* by arrival */
-  guint64 sequence;
-  HbwRequestSpec spec;
-  gint64 arrived_us;
-  State state;
-  guint attempt;
-  guint unrun_attempts;
-  guint sent_attempts;
-  gboolean may_have_run;
-  gboolean spill_allowed;
-  gboolean limit_held;
-  gboolean spilled; /* waits in another data centre */
-  HbwShardKey shard;
-  guint64 owner;   /* who was told, or 0 */
-  guint64 granter; /* who granted the attempt in progress */
-  gint64 told_us;
-  gint64 restate_us;  /* until the owner is told again */
-  guint64 told_epoch; /* of the membership, when the owner was looked up */
-  gint64 started_us;
-  char server[HBW_NAME_MAX];
-  char avoid[HBW_NAME_MAX];
-} Request;
-
 struct HbwEntry
 {
-  GHashTable *requests; /* sequence -> Request */
+  GHashTable *requests; /* sequence -> HbwRequest */
   struct cds_list_head order;
   HbwLimiter *limiter;
   HbwRoute *route;
@@ -65,33 +33,26 @@
   gboolean draining;
 };
 
-static HbwClassMetrics *
-class_metrics (HbwContext *context, const Request *request)
+static guint64
+lookup_owner (const HbwEntry *entry, const HbwRequest *request)
 {
-  return hbw_metrics_class (context->metrics, request->spec.class_name);
+  return entry->lookup (&request->shard, entry->lookup_data);
 }
 
 static HbwClassMetrics *
-organisation_metrics (HbwContext *context, const Request *request)
-{
-  return hbw_metrics_organisation (context->metrics, request->spec.organisation);
-}
-
-static gint64
-remaining (const Request *request, gint64 duration_us, gint64 now_us)
+class_metrics (HbwContext *context, const HbwRequest *request)
 {
-  return duration_us - (now_us - request->arrived_us);
+  return hbw_metrics_class (context->metrics, request->spec.class_name);
 }
 
-static gboolean
-is_past_deadline (const Request *request, gint64 now_us)
+static HbwClassMetrics *
+organisation_metrics (HbwContext *context, const HbwRequest *request)
 {
-  return request->spec.deadline_us > 0
-         && remaining (request, request->spec.deadline_us, now_us) <= 0;
+  return hbw_metrics_organisation (context->metrics, request->spec.organisation);
 }
 
 static void
-set_spilled (HbwEntry *entry, Request *request, gboolean spilled)
+set_spilled (HbwEntry *entry, HbwRequest *request, gboolean spilled)
 {
   if (request->spilled == spilled)
     return;
@@ -99,80 +60,6 @@
   entry->spilled_waiting += spilled ? 1 : -1;
 }
 
-static HbwRequestId
-id_of (const HbwContext *context, const Request *request)
-{
-  const HbwRequestId id = { context->self, request->sequence };
-  return id;
-}
-
-static void
-post_want (HbwEntry *entry, HbwContext *context, Request *request)
-{
-  HbwMessage message = { .kind = HBW_MESSAGE_WANT };
-  HbwWant *want = &message.want;
-  want->id = id_of (context, request);
-  want->attempt = request->attempt;
-  want->shard = request->shard;
-  want->spec = request->spec;
-  want->spec.target_us
-      = remaining (request, request->spec.target_us, context->now_us);
-  if (request->spec.deadline_us > 0)
-    want->spec.deadline_us
-        = MAX (1, remaining (request, request->spec.deadline_us, context->now_us));
-  want->spec.failures = hbw_quarantine_failures (
-      context->quarantine, &request->spec.fingerprint, context->now_us);
-  g_strlcpy (want->avoid, request->avoid, sizeof want->avoid);
-  request->owner = entry->lookup (&request->shard, entry->lookup_data);
-  request->told_us = context->now_us;
-  if (request->owner != 0)
-    hbw_context_post (context, request->owner, &message);
-}
-
-static void
-post_withdraw (HbwContext *context, const Request *request)
-{
-  if (request->owner == 0 || request->state != STATE_WAITING)
-    return;
-  HbwMessage message = { .kind = HBW_MESSAGE_WITHDRAW };
-  message.refusal.id = id_of (context, request);
-  message.refusal.attempt = request->attempt;
-  hbw_context_post (context, request->owner, &message);
-}
-
-static void
-post_active (HbwEntry *entry, HbwContext *context, Request *request)
-{
-  HbwMessage message = { .kind = HBW_MESSAGE_ACTIVE };
-  message.active.id = id_of (context, request);
-  message.active.attempt = request->attempt;
-  message.active.shard = request->shard;
-  message.active.tier = request->spec.tier;
-  message.active.fingerprint = request->spec.fingerprint;
-  g_strlcpy (message.active.server, request->server, sizeof message.active.server);
-  request->owner = entry->lookup (&request->shard, entry->lookup_data);
-  request->told_us = context->now_us;
-  if (request->owner != 0)
-    hbw_context_post (context, request->owner, &message);
-}
-
-static void
-post_done (HbwContext *context, const Request *request, const HbwAttemptEnd *end)
-{
-  HbwMessage message = { .kind = HBW_MESSAGE_DONE };
-  message.done.id = id_of (context, request);
-  message.done.attempt = request->attempt;
-  message.done.shard = request->shard;
-  message.done.outcome = end->outcome;
-  message.done.first_token_us = end->first_token_us;
-  message.done.inter_token_us = end->inter_token_us;
-  message.done.tokens = end->tokens;
-  g_strlcpy (message.done.server, request->server, sizeof message.done.server);
-  hbw_context_post (context, request->granter, &message);
-  if (request->owner != 0 && request->owner != request->granter)
-    hbw_context_post (context, request->owner, &message);
-}
-
 static void
 hand_back (HbwContext *context, guint64 to, const HbwGrant *grant)
 {
@@ -187,11 +74,11 @@
 }
 
 static void
-remove_request (HbwEntry *entry, Request *request, guint tokens)
+remove_request (HbwEntry *entry, HbwRequest *request, guint tokens)
 {
   if (request->limit_held)
     hbw_limiter_end (entry->limiter, &request->spec, tokens);
-  if (request->state == STATE_LIMITED)
+  if (request->state == HBW_REQUEST_LIMITED)
     hbw_limiter_unwait (entry->limiter, &request->spec);
   set_spilled (entry, request, FALSE);
   cds_list_del (&request->link);
@@ -211,20 +98,20 @@
 }
 
 static void
-refuse (HbwEntry *entry, HbwContext *context, Request *request, HbwReason reason,
+refuse (HbwEntry *entry, HbwContext *context, HbwRequest *request, HbwReason reason,
         gint64 retry_after_us)
 {
   refuse_sequence (context, request->sequence, reason, request->may_have_run,
                    retry_after_us);
   class_metrics (context, request)->refused[reason]++;
   organisation_metrics (context, request)->refused[reason]++;
-  post_withdraw (context, request);
+  hbw_request_post_withdraw (request, context);
   remove_request (entry, request, 0);
 }
 
 /* Chooses a shard and asks its owner for a grant. */
 static void
-ask (HbwEntry *entry, HbwContext *context, Request *request)
+ask (HbwEntry *entry, HbwContext *context, HbwRequest *request)
 {
   set_spilled (entry, request, FALSE);
   gboolean spill_allowed
@@ -241,28 +128,28 @@
       set_spilled (entry, request, TRUE);
       hbw_metrics_control (context->metrics)->spilled++;
     }
-  request->state = STATE_WAITING;
+  request->state = HBW_REQUEST_WAITING;
   request->restate_us = HBW_RESTATE_US;
-  post_want (entry, context, request);
+  hbw_request_post_want (request, context, lookup_owner (entry, request));
 }
 
 static void
-ask_again (HbwEntry *entry, HbwContext *context, Request *request)
+ask_again (HbwEntry *entry, HbwContext *context, HbwRequest *request)
 {
   request->attempt++;
   ask (entry, context, request);
 }
 
-static Request *
+static HbwRequest *
 find (HbwEntry *entry, guint64 sequence)
 {
   return g_hash_table_lookup (entry->requests, &sequence);
 }
 
-static Request *
+static HbwRequest *
 add_request (HbwEntry *entry, HbwContext *context, const HbwArrival *arrival)
 {
-  Request *request = g_new0 (Request, 1);
+  HbwRequest *request = g_new0 (HbwRequest, 1);
   request->sequence = arrival->sequence;
   request->spec = arrival->spec;
   request->arrived_us = context->now_us;
@@ -276,7 +163,7 @@
 }
 
 static void
-record_complete (HbwContext *context, const Request *request,
+record_complete (HbwContext *context, const HbwRequest *request,
                  HbwClassMetrics *metrics, const HbwAttemptEnd *end)
 {
   gint64 waited = request->started_us - request->arrived_us;
@@ -292,7 +179,7 @@
 }
 
 static void
-finish (HbwEntry *entry, HbwContext *context, Request *request,
+finish (HbwEntry *entry, HbwContext *context, HbwRequest *request,
         const HbwAttemptEnd *end)
 {
   hbw_effects_add (context->effects, HBW_EFFECT_FINISH)->sequence
@@ -312,7 +199,8 @@
 }
 
 static void
-record_waste (HbwContext *context, const Request *request, const HbwAttemptEnd *end)
+record_waste (HbwContext *context, const HbwRequest *request,
+              const HbwAttemptEnd *end)
 {
   if (end->outcome == HBW_OUTCOME_COMPLETE)
     return;
@@ -349,7 +237,7 @@
 /* Counts a failure of the server against the request that was in progress there, or
    clears the request by its success. */
 static void
-judge_request (HbwContext *context, const Request *request, HbwOutcome outcome)
+judge_request (HbwContext *context, const HbwRequest *request, HbwOutcome outcome)
 {
   const HbwFingerprint *fingerprint = &request->spec.fingerprint;
   if (outcome == HBW_OUTCOME_COMPLETE)
@@ -373,7 +261,7 @@
 }
 
 static gboolean
-may_retry (HbwEntry *entry, HbwContext *context, const Request *request,
+may_retry (HbwEntry *entry, HbwContext *context, const HbwRequest *request,
            const HbwAttemptEnd *end)
 {
   if (end->outcome == HBW_OUTCOME_DENIED)
@@ -385,11 +273,11 @@
     return FALSE;
   if (request->sent_attempts >= HBW_ATTEMPTS_MAX || entry->retry_budget < 1.0)
     return FALSE;
-  return !is_past_deadline (request, context->now_us);
+  return !hbw_request_is_past_deadline (request, context->now_us);
 }
 
 static void
-retry (HbwEntry *entry, HbwContext *context, Request *request, HbwOutcome outcome)
+retry (HbwEntry *entry, HbwContext *context, HbwRequest *request, HbwOutcome outcome)
 {
   if (!hbw_outcome_is_unrun (outcome))
     {
@@ -402,7 +290,7 @@
 }
 
 static void
-give_up (HbwEntry *entry, HbwContext *context, Request *request,
+give_up (HbwEntry *entry, HbwContext *context, HbwRequest *request,
          const HbwAttemptEnd *end)
 {
   if (end->answer_begun || end->outcome == HBW_OUTCOME_CANCELLED)
@@ -463,7 +351,7 @@
                        FALSE, RETRY_AFTER_DEFAULT_US);
       return;
     }
-  Request *request = add_request (entry, context, arrival);
+  HbwRequest *request = add_request (entry, context, arrival);
   const HbwFingerprint *fingerprint = &request->spec.fingerprint;
   if (hbw_quarantine_failures (context->quarantine, fingerprint, context->now_us)
       >= HBW_QUARANTINE_FAILURES)
@@ -479,17 +367,17 @@
       ask (entry, context, request);
       return;
     }
-  request->state = STATE_LIMITED;
+  request->state = HBW_REQUEST_LIMITED;
   hbw_limiter_wait (entry->limiter, context, &request->spec);
 }
 
 void
 hbw_entry_handle_gone (HbwEntry *entry, HbwContext *context, guint64 sequence)
 {
-  Request *request = find (entry, sequence);
+  HbwRequest *request = find (entry, sequence);
   if (request == NULL)
     return;
-  if (request->state == STATE_RUNNING)
+  if (request->state == HBW_REQUEST_RUNNING)
     {
       hbw_effects_add (context->effects, HBW_EFFECT_CANCEL_ATTEMPT)->sequence
           = sequence;
@@ -498,18 +386,18 @@
   class_metrics (context, request)->gone++;
   organisation_metrics (context, request)->gone++;
   hbw_effects_add (context->effects, HBW_EFFECT_FINISH)->sequence = sequence;
-  post_withdraw (context, request);
+  hbw_request_post_withdraw (request, context);
   remove_request (entry, request, 0);
 }
 
 void
 hbw_entry_handle_end (HbwEntry *entry, HbwContext *context, const HbwAttemptEnd *end)
 {
-  Request *request = find (entry, end->sequence);
-  if (request == NULL || request->state != STATE_RUNNING
+  HbwRequest *request = find (entry, end->sequence);
+  if (request == NULL || request->state != HBW_REQUEST_RUNNING
       || request->attempt != end->attempt)
     return;
-  post_done (context, request, end);
+  hbw_request_post_done (request, context, end);
   record_waste (context, request, end);
   judge_request (context, request, end->outcome);
   if (hbw_outcome_is_unrun (end->outcome))
@@ -535,19 +423,19 @@
 hbw_entry_handle_grant (HbwEntry *entry, HbwContext *context, guint64 from,
                         const HbwGrant *grant)
 {
-  Request *request = find (entry, grant->id.sequence);
+  HbwRequest *request = find (entry, grant->id.sequence);
   gboolean same = request != NULL && grant->id.instance == context->self
                   && request->attempt == grant->attempt;
-  if (same && request->state == STATE_RUNNING && request->granter == from
+  if (same && request->state == HBW_REQUEST_RUNNING && request->granter == from
       && strcmp (request->server, grant->server) == 0)
     return;
-  if (!same || request->state != STATE_WAITING || grant->valid_us <= 0)
+  if (!same || request->state != HBW_REQUEST_WAITING || grant->valid_us <= 0)
     {
       hand_back (context, from, grant);
       return;
     }
   set_spilled (entry, request, FALSE);
-  request->state = STATE_RUNNING;
+  request->state = HBW_REQUEST_RUNNING;
   request->restate_us = HBW_RESTATE_MAX_US;
   request->granter = from;
   request->shard = grant->shard;
@@ -572,9 +460,10 @@
 hbw_entry_handle_refusal (HbwEntry *entry, HbwContext *context,
                           const HbwRefusal *refusal)
 {
-  Request *request = find (entry, refusal->id.sequence);
+  HbwRequest *request = find (entry, refusal->id.sequence);
   if (request == NULL || refusal->id.instance != context->self
-      || request->state != STATE_WAITING || request->attempt != refusal->attempt)
+      || request->state != HBW_REQUEST_WAITING
+      || request->attempt != refusal->attempt)
     return;
   gboolean spilled = strcmp (request->shard.data_centre, context->data_centre) != 0;
   if (spilled && refusal->reason == HBW_REASON_QUEUE_FULL)
@@ -587,53 +476,55 @@
 }
 
 static void
-tick_limited (HbwEntry *entry, HbwContext *context, Request *request)
+tick_limited (HbwEntry *entry, HbwContext *context, HbwRequest *request)
 {
   if (hbw_limiter_take (entry->limiter, context, &request->spec))
     {
       hbw_limiter_unwait (entry->limiter, &request->spec);
       request->limit_held = TRUE;
-      request->state = STATE_WAITING;
+      request->state = HBW_REQUEST_WAITING;
       ask (entry, context, request);
       return;
     }
   gint64 wait = hbw_limiter_expected_wait (entry->limiter, context, &request->spec);
   if (wait < 0 || request->spec.deadline_us == 0)
     return;
-  if (wait > remaining (request, request->spec.deadline_us, context->now_us))
+  if (wait
+      > hbw_request_remaining (request, request->spec.deadline_us, context->now_us))
     refuse (entry, context, request, HBW_REASON_LIMIT, wait);
 }
 
 static void
-tick_told (HbwEntry *entry, HbwContext *context, Request *request)
+tick_told (HbwEntry *entry, HbwContext *context, HbwRequest *request)
 {
   guint64 epoch = hbw_membership_epoch (context->membership);
   gboolean due = context->now_us - request->told_us >= request->restate_us;
   if (epoch == request->told_epoch && !due)
     return;
   request->told_epoch = epoch;
-  guint64 owner = entry->lookup (&request->shard, entry->lookup_data);
+  guint64 owner = lookup_owner (entry, request);
   if (owner == request->owner && !due)
     return;
   request->restate_us = MIN (2 * request->restate_us, HBW_RESTATE_MAX_US);
-  if (owner != request->owner && request->state == STATE_WAITING)
+  if (owner != request->owner && request->state == HBW_REQUEST_WAITING)
     request->restate_us = HBW_RESTATE_US;
-  if (request->state == STATE_RUNNING)
+  if (request->state == HBW_REQUEST_RUNNING)
     {
-      post_active (entry, context, request);
+      hbw_request_post_active (request, context, lookup_owner (entry, request));
       return;
     }
   if (owner != request->owner)
-    post_withdraw (context, request);
-  post_want (entry, context, request);
+    hbw_request_post_withdraw (request, context);
+  hbw_request_post_want (request, context, lookup_owner (entry, request));
 }
 
 static void
-tick_request (HbwEntry *entry, HbwContext *context, Request *request)
+tick_request (HbwEntry *entry, HbwContext *context, HbwRequest *request)
 {
-  if (request->state != STATE_RUNNING && is_past_deadline (request, context->now_us))
+  if (request->state != HBW_REQUEST_RUNNING
+      && hbw_request_is_past_deadline (request, context->now_us))
     refuse (entry, context, request, HBW_REASON_DEADLINE, RETRY_AFTER_DEFAULT_US);
-  else if (request->state == STATE_LIMITED)
+  else if (request->state == HBW_REQUEST_LIMITED)
     tick_limited (entry, context, request);
   else
     tick_told (entry, context, request);
@@ -642,8 +533,8 @@
 void
 hbw_entry_tick (HbwEntry *entry, HbwContext *context)
 {
-  Request *request;
-  Request *next;
+  HbwRequest *request;
+  HbwRequest *next;
   cds_list_for_each_entry_safe (request, next, &entry->order, link)
     tick_request (entry, context, request);
   hbw_limiter_tick (entry->limiter, context);
