--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -321,6 +321,10 @@
 {
   if (strcmp (subject, "servers") == 0 && strcmp (what, "poisoned") == 0)
     return world_poisoned_servers (world);
+  if (strcmp (subject, "rollout") == 0 && strcmp (what, "median") == 0)
+    return world_rollout (world, 0.5);
+  if (strcmp (subject, "rollout") == 0 && strcmp (what, "p99") == 0)
+    return world_rollout (world, 0.99);
   if (strcmp (subject, "messages") == 0 && strcmp (what, "rate") == 0)
     return world_message_rate (world);
   const GPtrArray *classes = world_classes (world);
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -133,6 +133,7 @@
   guint64 messages;
   gboolean measure;
   WorldCost cost;
+  GArray *lags; /* gint64: from each change of the catalogue to its adoption */
   gint64 cost_since_us;
   char *breach;
 };
@@ -759,6 +760,14 @@
       if (version < instance->versions[i])
         breach (world, "%s went back in document %s", instance->name,
                 hbw_document_kind_name ((HbwDocumentKind) i));
+      gboolean is_change = i == HBW_DOCUMENT_CATALOGUE && instance->versions[i] > 0
+                           && version > instance->versions[i]
+                           && version == world->versions[i];
+      if (is_change)
+        {
+          gint64 lag_us = world->now_us - world->changed_us[i];
+          g_array_append_val (world->lags, lag_us);
+        }
       instance->versions[i] = version;
     }
 }
@@ -1205,6 +1214,7 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   world->attempts = g_ptr_array_new_with_free_func (g_free);
   world->cuts = g_ptr_array_new_with_free_func (g_free);
+  world->lags = g_array_new (FALSE, FALSE, sizeof (gint64));
   world->poisons = g_hash_table_new (NULL, NULL);
   world->stops = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   schedule (world, HBW_US_PER_S, look_at_progress, NULL);
@@ -1255,6 +1265,7 @@
   g_ptr_array_free (world->loads, TRUE);
   g_ptr_array_free (world->classes, TRUE);
   g_ptr_array_free (world->cuts, TRUE);
+  g_array_free (world->lags, TRUE);
   g_hash_table_destroy (world->stops);
   g_hash_table_destroy (world->poisons);
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
@@ -1425,6 +1436,24 @@
   return world->classes;
 }
 
+static int
+compare_lags (gconstpointer a, gconstpointer b)
+{
+  gint64 left = *(const gint64 *) a;
+  gint64 right = *(const gint64 *) b;
+  return left < right ? -1 : left > right;
+}
+
+double
+world_rollout (const World *world, double quantile)
+{
+  if (world->lags->len == 0)
+    return 0;
+  g_array_sort (world->lags, compare_lags);
+  guint at = (guint) (quantile * (world->lags->len - 1));
+  return (double) g_array_index (world->lags, gint64, at) / HBW_US_PER_S;
+}
+
 guint
 world_poisoned_servers (const World *world)
 {
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -112,6 +112,10 @@
 void world_set_measure (World *world, gboolean measure);
 WorldCost world_take_cost (World *world);
 
+/* Returns the time, in seconds, in which the part QUANTILE of all instances that
+   were up had put a change of the catalogue in force. */
+double world_rollout (const World *world, double quantile);
+
 /* Returns the messages that one instance sent and received in a second, on average.
  */
 double world_message_rate (const World *world);
--- a/tests/scenario_test.c
+++ b/tests/scenario_test.c
@@ -23,6 +23,10 @@
 print_table (const World *world, guint seed)
 {
   const GPtrArray *classes = world_classes (world);
+  if (world_rollout (world, 0.99) > 0)
+    printf (
+        "seed %u: catalogue in force after %.2f s (median), %.2f s (99 of 100)\n",
+        seed, world_rollout (world, 0.5), world_rollout (world, 0.99));
   for (guint i = 0; i < classes->len; i++)
     {
       const WorldClass *class = classes->pdata[i];
