Calls without a body, and HEAD, to plain services

Cause: a POST without a body went out without a length, and HEAD waited for a body. Change: both are said to the library; a test of the former.

--- a/net/attempt.c
+++ b/net/attempt.c
@@ -181,9 +181,14 @@
   curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, config->method);
-  if (config->body_length > 0)
+  gboolean has_body = config->body_length > 0 || strcmp (config->method, "POST") == 0
+                      || strcmp (config->method, "PUT") == 0;
+  if (strcmp (config->method, "HEAD") == 0)
+    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+  if (has_body)
     {
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, config->body);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS,
+                        config->body != NULL ? config->body : "");
       curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
                         (curl_off_t) config->body_length);
     }
--- a/tests/path_test.c
+++ b/tests/path_test.c
@@ -142,6 +142,18 @@
 }
 END_TEST
 
+/* A call without a body still says that it has none. */
+START_TEST (service_call_without_body)
+{
+  Rig *rig = rig_create (1, 4);
+  RigAnswer answer = rig_call (rig, "/services/s/ping", NULL, "", NULL);
+  ck_assert_msg (answer.status == 200, "%ld %s", answer.status, answer.body);
+  rig_answer_clear (&answer);
+  ck_assert_uint_eq (rig_runs (rig, "none"), 1);
+  rig_destroy (rig);
+}
+END_TEST
+
 START_TEST (bad_requests_get_a_remedy)
 {
   static const char *const bad_deadline[]
@@ -362,6 +374,7 @@
   tcase_add_test (cases, non_idempotent_runs_at_most_once);
   tcase_add_test (cases, idempotent_is_retried_elsewhere);
   tcase_add_test (cases, crashing_request_is_quarantined_after_two);
+  tcase_add_test (cases, service_call_without_body);
   tcase_add_test (cases, bad_requests_get_a_remedy);
   tcase_add_test (cases, caller_that_leaves_frees_its_place);
   tcase_add_test (cases, stale_grant_sends_nothing);
