One broken answer does not take a busy server down

Change: a broken answer takes a server down only if nothing else is in progress there, the next one breaks too, or it was the probe; a refused connection does so at once.

--- a/core/server.c
+++ b/core/server.c
@@ -22,8 +22,8 @@
    much later than with one that may run twice. */
 #define PROBE_ANY_EXTRA_US (1 * HBW_US_PER_S)
 
-/* Failures in a row, without any success, that take a server down. */
-#define FAILURES_DOWN 1
+/* Broken answers in a row that take a server down while others are in progress. */
+#define FAILURES_DOWN 2
 
 /* Part of the room below the inter-token target that overcommitment may use. */
 #define OVERCOMMIT_ROOM_PART 0.8
@@ -80,15 +80,19 @@
     raise_limit (server);
 }
 
+/* One answer that breaks off says little of a server with others in progress; a
+   server that does not connect, or had nothing else in progress, is down. */
 static void
-note_failure (HbwServer *server, gint64 now_us)
+note_failure (HbwServer *server, HbwOutcome outcome, gint64 now_us)
 {
   if (server->state == HBW_SERVER_DOWN)
     return;
   server->failures++;
-  if (server->failures < FAILURES_DOWN)
+  gboolean probing = server->state == HBW_SERVER_PROBING;
+  if (server->failures < FAILURES_DOWN && server->in_progress > 0 && !probing
+      && outcome != HBW_OUTCOME_NOT_CONNECTED)
     return;
-  guint doublings = MIN (server->failures - FAILURES_DOWN, 4);
+  guint doublings = MIN (server->failures - 1, 4);
   gint64 wait = PROBE_WAIT_MIN_US << doublings;
   server->state = HBW_SERVER_DOWN;
   server->probe_at_us = now_us + MIN (wait, PROBE_WAIT_MAX_US);
@@ -196,7 +200,7 @@
     case HBW_OUTCOME_NOT_CONNECTED:
     case HBW_OUTCOME_BROKEN:
     case HBW_OUTCOME_TIMED_OUT:
-      note_failure (server, now_us);
+      note_failure (server, done->outcome, now_us);
       break;
     default:
       if (server->state == HBW_SERVER_PROBING)
