--- a/core/reducer.c
+++ b/core/reducer.c
@@ -679,21 +679,3 @@
   const HbwStatusSource source = status_source (reducer);
   hbw_status_render_rollout (&source, text);
 }
-
-HbwMetrics *
-hbw_reducer_metrics (const HbwReducer *reducer)
-{
-  return reducer->context.metrics;
-}
-
-HbwShard *
-hbw_reducer_find_shard (const HbwReducer *reducer, const HbwShardKey *key)
-{
-  return find_shard (reducer, key);
-}
-
-HbwMembership *
-hbw_reducer_membership (const HbwReducer *reducer)
-{
-  return reducer->context.membership;
-}
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -11,7 +11,6 @@
   HBW_EVENT_TICK,
   HBW_EVENT_REQUEST_ARRIVED,
   HBW_EVENT_CALLER_GONE,
-  HBW_EVENT_FIRST_TOKEN,
   HBW_EVENT_ATTEMPT_ENDED,
   HBW_EVENT_LOAD_REPORT,
   HBW_EVENT_DOCUMENT, /* read from the platform's store */
@@ -54,7 +53,7 @@
   union
   {
     HbwArrival arrival;
-    guint64 sequence; /* CALLER_GONE, FIRST_TOKEN */
+    guint64 sequence; /* CALLER_GONE */
     HbwAttemptEnd end;
     HbwLoadReport load;
     HbwDocument document; /* body borrowed for the step; NULL: does not exist */
--- a/include/hornbeamwall/core/limiter.h
+++ b/include/hornbeamwall/core/limiter.h
@@ -40,8 +40,8 @@
                        const HbwRequestSpec *spec);
 void hbw_limiter_unwait (HbwLimiter *limiter, const HbwRequestSpec *spec);
 
-/* Returns how long the request at place POSITION of those that wait will have to
-   wait, in microseconds, or -1 while no share is known that takes them into
+/* Returns how long the last of the requests that wait will have to wait, in
+   microseconds, or -1 while no share is known that takes them into
    account. */
 gint64 hbw_limiter_expected_wait (HbwLimiter *limiter, HbwContext *context,
                                   const HbwRequestSpec *spec);
--- a/include/hornbeamwall/core/reducer.h
+++ b/include/hornbeamwall/core/reducer.h
@@ -63,9 +63,4 @@
    be asked about a second after HBW_EVENT_SURVEY. */
 void hbw_reducer_render_rollout (const HbwReducer *reducer, GString *text);
 
-/* The parts, for tests and measurements. */
-HbwMetrics *hbw_reducer_metrics (const HbwReducer *reducer);
-HbwShard *hbw_reducer_find_shard (const HbwReducer *reducer, const HbwShardKey *key);
-HbwMembership *hbw_reducer_membership (const HbwReducer *reducer);
-
 #endif
--- a/include/hornbeamwall/net/peer.h
+++ b/include/hornbeamwall/net/peer.h
@@ -27,7 +27,7 @@
 /* Adds a message to the next frame for ADDRESS. */
 void hbw_peer_post (HbwPeer *peer, const char *address, const HbwMessage *message);
 
-/* Sends all frames that have messages, and closes sockets unused since IDLE_US. */
+/* Sends all frames that have messages, and closes sockets that were long unused. */
 void hbw_peer_flush (HbwPeer *peer, gint64 now_us);
 
 /* Waits up to TIMEOUT_MS for messages or for FD to be readable. */
--- a/include/hornbeamwall/runtime/control.h
+++ b/include/hornbeamwall/runtime/control.h
@@ -57,6 +57,5 @@
 gboolean hbw_control_is_watcher (const HbwControl *control);
 guint hbw_control_request_count (const HbwControl *control);
 gint64 hbw_control_version (const HbwControl *control, HbwDocumentKind kind);
-const char *hbw_control_peer_address (const HbwControl *control);
 
 #endif
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -449,9 +449,3 @@
 {
   return atomic_load (&control->versions[kind]);
 }
-
-const char *
-hbw_control_peer_address (const HbwControl *control)
-{
-  return hbw_peer_address (control->peer);
-}
