No lease without orders; a golden session that no background thread disturbs

Cause: golden_test failed about once in 20 runs on a busy machine: the thread for orders took its lease, and logged it, in the middle of the session.

--- a/include/hornbeamwall/net/orders.h
+++ b/include/hornbeamwall/net/orders.h
@@ -27,6 +27,9 @@
 HbwOrders *hbw_orders_create (const HbwOrdersConfig *config, HbwError *error);
 void hbw_orders_destroy (HbwOrders *orders);
 
+/* Returns whether any orders are declared; without them no lease is needed. */
+gboolean hbw_orders_are_declared (HbwOrders *orders);
+
 /* Reads, takes or renews the lease, as is due.  Blocks for calls to the store. */
 void hbw_orders_keep_lease (HbwOrders *orders);
 
--- a/net/orders.c
+++ b/net/orders.c
@@ -140,6 +140,15 @@
   return root;
 }
 
+gboolean
+hbw_orders_are_declared (HbwOrders *orders)
+{
+  json_t *declared = read_json (orders, ORDERS_OBJECT);
+  gboolean any = json_object_size (json_object_get (declared, "orders")) > 0;
+  json_decref (declared);
+  return any;
+}
+
 /* Sends one order; the number is asked for directly before it leaves. */
 static gboolean
 send_order (HbwOrders *orders, const char *address, const char *text, int *status)
--- a/runtime/orderer.c
+++ b/runtime/orderer.c
@@ -33,6 +33,8 @@
           || hbw_clock_now (clock) < look_at_us)
         continue;
       look_at_us = hbw_clock_now (clock) + LOOK_US;
+      if (!hbw_orders_are_declared (orderer->orders))
+        continue;
       hbw_orders_keep_lease (orderer->orders);
       hbw_orders_send (orderer->orders);
     }
