Clean-up after a second reading: twins joined, work that was done twice done once

Found: the count of failures was turned into 'suspect' and 'quarantined' in four places; a buffered answer was judged twice, its JSON parsed each time; a caller's class was looked up once for the body's priority and again for the request; the two stand-ins each had a listener; the text that names a request stood twice. Change: hbw_quarantine_is_suspect and _is_convicted; the relay keeps the outcome it reported; the body is written after the class is known, and the parsed one is dropped before the request waits, as before; one listener for stand-ins; one format_owner.

--- a/core/entry.c
+++ b/core/entry.c
@@ -353,8 +353,8 @@
     }
   HbwRequest *request = add_request (entry, context, arrival);
   const HbwFingerprint *fingerprint = &request->spec.fingerprint;
-  if (hbw_quarantine_failures (context->quarantine, fingerprint, context->now_us)
-      >= HBW_QUARANTINE_FAILURES)
+  if (hbw_quarantine_is_convicted (context->quarantine, fingerprint,
+                                   context->now_us))
     {
       refuse (entry, context, request, HBW_REASON_QUARANTINED,
               hbw_quarantine_remaining (context->quarantine, fingerprint,
--- a/core/policy.c
+++ b/core/policy.c
@@ -19,14 +19,6 @@
   return MAX (1, hbw_shard_slots (shard) * HBW_FLOOR_PERCENT / 100);
 }
 
-static gboolean
-is_suspect (HbwContext *context, const HbwRequestSpec *spec)
-{
-  return hbw_quarantine_failures (context->quarantine, &spec->fingerprint,
-                                  context->now_us)
-         > 0;
-}
-
 static gboolean
 rebuild_allows (const HbwShard *shard, const HbwServer *server, gint64 now_us)
 {
@@ -80,7 +72,8 @@
               Score score)
 {
   const HbwWant *want = &ticket->want;
-  gboolean suspect = is_suspect (context, &want->spec);
+  gboolean suspect = hbw_quarantine_is_suspect (
+      context->quarantine, &want->spec.fingerprint, context->now_us);
   HbwServer *best = NULL;
   HbwServer *avoided = NULL;
   gboolean others = FALSE; /* whether another server is worth waiting for */
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -92,6 +92,21 @@
   return suspect != NULL ? suspect->count : 0;
 }
 
+gboolean
+hbw_quarantine_is_suspect (HbwQuarantine *quarantine,
+                           const HbwFingerprint *fingerprint, gint64 now_us)
+{
+  return hbw_quarantine_failures (quarantine, fingerprint, now_us) > 0;
+}
+
+gboolean
+hbw_quarantine_is_convicted (HbwQuarantine *quarantine,
+                             const HbwFingerprint *fingerprint, gint64 now_us)
+{
+  return hbw_quarantine_failures (quarantine, fingerprint, now_us)
+         >= HBW_QUARANTINE_FAILURES;
+}
+
 gint64
 hbw_quarantine_remaining (HbwQuarantine *quarantine,
                           const HbwFingerprint *fingerprint, gint64 now_us)
--- a/core/shard.c
+++ b/core/shard.c
@@ -63,10 +63,8 @@
   reservation->key.id = *id;
   reservation->key.attempt = attempt;
   reservation->spec = *spec;
-  reservation->suspect
-      = hbw_quarantine_failures (context->quarantine, &spec->fingerprint,
-                                 context->now_us)
-        > 0;
+  reservation->suspect = hbw_quarantine_is_suspect (
+      context->quarantine, &spec->fingerprint, context->now_us);
   reservation->granted_us = context->now_us;
   reservation->heard_us = context->now_us;
   reservation->server_start = server->entry.start;
@@ -175,14 +173,6 @@
     continue;
 }
 
-static gboolean
-is_quarantined (HbwContext *context, const HbwRequestSpec *spec)
-{
-  return hbw_quarantine_failures (context->quarantine, &spec->fingerprint,
-                                  context->now_us)
-         >= HBW_QUARANTINE_FAILURES;
-}
-
 /* Makes room for WANT in a full queue; returns whether there is room now. */
 static gboolean
 make_room (HbwShard *shard, HbwContext *context, const HbwWant *want)
@@ -235,7 +225,8 @@
     hbw_queue_remove (shard->queue, ticket);
   else if (ticket->deadline_at_us > 0 && context->now_us >= ticket->deadline_at_us)
     refuse_ticket (shard, context, ticket, HBW_REASON_DEADLINE);
-  else if (is_quarantined (context, &ticket->want.spec))
+  else if (hbw_quarantine_is_convicted (
+               context->quarantine, &ticket->want.spec.fingerprint, context->now_us))
     refuse_ticket (shard, context, ticket, HBW_REASON_QUARANTINED);
 }
 
@@ -367,7 +358,8 @@
     hbw_quarantine_merge (context->quarantine, &known, context->now_us);
   if (restate_known (shard, context, from, want))
     return;
-  if (is_quarantined (context, &want->spec))
+  if (hbw_quarantine_is_convicted (context->quarantine, &want->spec.fingerprint,
+                                   context->now_us))
     {
       send_refusal (context, shard, from, want, HBW_REASON_QUARANTINED);
       return;
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -31,6 +31,15 @@
 guint hbw_quarantine_failures (HbwQuarantine *quarantine,
                                const HbwFingerprint *fingerprint, gint64 now_us);
 
+/* Returns whether FINGERPRINT may only run where no other suspect runs, and whether
+   it may not run at all. */
+gboolean hbw_quarantine_is_suspect (HbwQuarantine *quarantine,
+                                    const HbwFingerprint *fingerprint,
+                                    gint64 now_us);
+gboolean hbw_quarantine_is_convicted (HbwQuarantine *quarantine,
+                                      const HbwFingerprint *fingerprint,
+                                      gint64 now_us);
+
 /* Returns how long FINGERPRINT is still remembered, in microseconds. */
 gint64 hbw_quarantine_remaining (HbwQuarantine *quarantine,
                                  const HbwFingerprint *fingerprint, gint64 now_us);
--- a/net/caller.c
+++ b/net/caller.c
@@ -52,10 +52,19 @@
     }
 }
 
-static enum MHD_Result
-relay (HbwCaller *caller, HbwHttpRequest *request, const HbwCatalogue *catalogue,
-       const HbwOrganisation *organisation, HbwSpecInput *input,
-       HbwRelayConfig *config)
+/* Gives the engine the tier as its priority. */
+static char *
+engine_body (json_t *root, HbwTier tier)
+{
+  json_object_set_new (root, "priority", json_integer (tier));
+  return json_dumps (root, JSON_COMPACT);
+}
+
+/* Fills in what the request asks for; on FALSE the refusal is queued in RESULT. */
+static gboolean
+fill_config (HbwCaller *caller, HbwHttpRequest *request,
+             const HbwCatalogue *catalogue, const HbwOrganisation *organisation,
+             HbwSpecInput *input, HbwRelayConfig *config, enum MHD_Result *result)
 {
   HbwError error = { HBW_ERROR_NONE, "" };
   input->class_name = hbw_http_header (request, "Hornbeamwall-Class");
@@ -63,37 +72,25 @@
   input->deadline_ms = hbw_http_header (request, "Hornbeamwall-Deadline-Ms");
   input->body = (const char *) request->body->data;
   input->body_length = request->body->len;
-  HbwSpecResult result
+  HbwSpecResult filled
       = hbw_spec_fill (&config->spec, catalogue, organisation, input, &error);
-  if (result != HBW_SPEC_OK)
-    return spec_problem (request, result, &error);
+  if (filled != HBW_SPEC_OK)
+    {
+      *result = spec_problem (request, filled, &error);
+      return FALSE;
+    }
   const char *key = hbw_http_header (request, "Idempotency-Key");
   if (key != NULL && strlen (key) > HBW_KEY_MAX)
-    return problem (request, 400, "Idempotency-Key too long", "send a shorter key");
+    {
+      *result
+          = problem (request, 400, "Idempotency-Key too long", "send a shorter key");
+      return FALSE;
+    }
   if (!config->spec.idempotent)
     config->key = key;
   config->control = caller->control;
   config->settings = caller->settings;
-  return hbw_relay_run (config, request);
-}
-
-/* Gives the engine the tier as its priority. */
-static char *
-engine_body (json_t *root, HbwTier tier)
-{
-  json_object_set_new (root, "priority", json_integer (tier));
-  return json_dumps (root, JSON_COMPACT);
-}
-
-static HbwTier
-tier_of (const HbwCatalogue *catalogue, const HbwOrganisation *organisation,
-         const HbwHttpRequest *request)
-{
-  const char *name = hbw_http_header (request, "Hornbeamwall-Class");
-  if (name == NULL)
-    name = g_ptr_array_index (organisation->class_names, 0);
-  const HbwClass *class = hbw_catalogue_class (catalogue, name);
-  return class != NULL ? class->tier : HBW_TIER_COUNT - 1;
+  return TRUE;
 }
 
 static enum MHD_Result
@@ -110,18 +107,20 @@
       return problem (request, 400, "request body not valid",
                       "send a JSON object with a model");
     }
-  char *pool = g_strdup (model);
-  HbwSpecInput input = { .pool = pool };
+  HbwSpecInput input = { .pool = model };
   input.max_tokens = json_integer_value (json_object_get (root, "max_tokens"));
-  char *body = engine_body (root, tier_of (catalogue, organisation, request));
-  json_decref (root);
   HbwRelayConfig config = { .path = request->path };
+  enum MHD_Result result;
+  gboolean filled = fill_config (caller, request, catalogue, organisation, &input,
+                                 &config, &result);
+  char *body = filled ? engine_body (root, config.spec.tier) : NULL;
+  json_decref (root);
+  if (!filled)
+    return result;
   config.body = body;
   config.body_length = strlen (body);
-  enum MHD_Result result
-      = relay (caller, request, catalogue, organisation, &input, &config);
+  result = hbw_relay_run (&config, request);
   free (body);
-  g_free (pool);
   return result;
 }
 
@@ -140,11 +139,13 @@
   config.body = (const char *) request->body->data;
   config.body_length = request->body->len;
   const HbwPool *pool = hbw_catalogue_pool (catalogue, service);
-  enum MHD_Result result
-      = pool != NULL && !pool->is_service
-            ? problem (request, 404, "no such service",
-                       "call models under /v1/chat/completions")
-            : relay (caller, request, catalogue, organisation, &input, &config);
+  enum MHD_Result result;
+  if (pool != NULL && !pool->is_service)
+    result = problem (request, 404, "no such service",
+                      "call models under /v1/chat/completions");
+  else if (fill_config (caller, request, catalogue, organisation, &input, &config,
+                        &result))
+    result = hbw_relay_run (&config, request);
   g_free (path);
   g_free (service);
   return result;
--- a/net/relay.c
+++ b/net/relay.c
@@ -11,6 +11,9 @@
 /* Longest text of an attempt's id, in bytes, with its end mark. */
 #define ATTEMPT_ID_MAX 64
 
+/* Longest text that names a request, in bytes, with its end mark. */
+#define OWNER_MAX 48
+
 typedef struct
 {
   HbwControl *control;
@@ -27,9 +30,10 @@
   char *organisation;
   char *key; /* Idempotency-Key, or NULL */
   const char *platform_address;
-  gboolean claimed;  /* the key is claimed for this request */
-  gboolean reported; /* the attempt's end was submitted */
-  gboolean told;     /* the caller of a stream got its end or an error event */
+  gboolean claimed;   /* the key is claimed for this request */
+  HbwOutcome outcome; /* of the attempt that was reported last */
+  gboolean reported;  /* the attempt's end was submitted */
+  gboolean told;      /* the caller of a stream got its end or an error event */
 } Relay;
 
 static Relay *
@@ -73,6 +77,7 @@
   event.end.sequence = hbw_call_sequence (relay->call);
   event.end.attempt = relay->number;
   hbw_control_submit (relay->control, &event, NULL);
+  relay->outcome = end->outcome;
   relay->reported = TRUE;
 }
 
@@ -133,7 +138,7 @@
 claim_key (Relay *relay)
 {
   HbwError error;
-  char owner[ATTEMPT_ID_MAX];
+  char owner[OWNER_MAX];
   HbwPlatform *platform = hbw_platform_create (relay->platform_address, &error);
   if (platform == NULL)
     return HBW_CLAIM_UNAVAILABLE;
@@ -150,7 +155,7 @@
 release_key (Relay *relay)
 {
   HbwError error;
-  char owner[ATTEMPT_ID_MAX];
+  char owner[OWNER_MAX];
   HbwPlatform *platform = hbw_platform_create (relay->platform_address, &error);
   if (platform == NULL)
     return;
@@ -185,9 +190,9 @@
   relay->reported = FALSE;
   relay->config.expires_us = order->expires_us;
   g_strlcpy (relay->address, order->start.address, sizeof relay->address);
-  g_snprintf (relay->attempt_id, sizeof relay->attempt_id,
-              "%016" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT "-%u",
-              hbw_control_identity (relay->control), hbw_call_sequence (relay->call),
+  char owner[OWNER_MAX];
+  format_owner (relay, owner, sizeof owner);
+  g_snprintf (relay->attempt_id, sizeof relay->attempt_id, "%s-%u", owner,
               order->start.attempt);
   relay->attempt = hbw_attempt_create (&relay->config);
   hbw_attempt_begin (relay->attempt);
@@ -261,9 +266,7 @@
 answer_whole (Relay *relay, HbwHttpRequest *request)
 {
   const GByteArray *answer = hbw_attempt_answer (relay->attempt);
-  HbwAttemptEnd end = { .answer_begun = FALSE };
-  hbw_attempt_result (relay->attempt, &end);
-  if (end.outcome != HBW_OUTCOME_COMPLETE)
+  if (relay->outcome != HBW_OUTCOME_COMPLETE)
     return MHD_NO;
   return hbw_http_answer (request, hbw_attempt_status (relay->attempt),
                           hbw_attempt_content_type (relay->attempt),
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -1,6 +1,7 @@
 #include "engine.h"
 
-#include <arpa/inet.h>
+#include "listen.h"
+
 #include <jansson.h>
 #include <microhttpd.h>
 #include <pthread.h>
@@ -330,23 +331,6 @@
   *state = NULL;
 }
 
-static gboolean
-listen_at (Engine *engine, const char *text)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  char host[64];
-  const char *colon = strrchr (text, ':');
-  g_strlcpy (host, text, MIN (sizeof host, (gsize) (colon - text) + 1));
-  address.sin_port = htons ((guint16) atoi (colon + 1));
-  inet_pton (AF_INET, host, &address.sin_addr);
-  engine->daemon = MHD_start_daemon (
-      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
-      0, NULL, NULL, handle, engine, MHD_OPTION_SOCK_ADDR, &address,
-      MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
-  return engine->daemon != NULL;
-}
-
 Engine *
 engine_create (const EngineConfig *config)
 {
@@ -355,7 +339,8 @@
   pthread_mutex_init (&engine->lock, NULL);
   pthread_cond_init (&engine->slot_free, NULL);
   engine->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  if (listen_at (engine, config->address))
+  engine->daemon = standin_listen (config->address, handle, completed, engine);
+  if (engine->daemon != NULL)
     return engine;
   g_hash_table_destroy (engine->runs);
   g_free (engine);
@@ -375,7 +360,7 @@
 guint
 engine_port (const Engine *engine)
 {
-  return MHD_get_daemon_info (engine->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+  return standin_port (engine->daemon);
 }
 
 guint
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -1,6 +1,7 @@
 #include "store.h"
 
-#include <arpa/inet.h>
+#include "listen.h"
+
 #include <microhttpd.h>
 #include <pthread.h>
 #include <stdatomic.h>
@@ -190,22 +191,12 @@
 Store *
 store_create (const char *text)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  char host[64];
-  const char *colon = strrchr (text, ':');
-  g_strlcpy (host, text, MIN (sizeof host, (gsize) (colon - text) + 1));
-  address.sin_port = htons ((guint16) atoi (colon + 1));
-  inet_pton (AF_INET, host, &address.sin_addr);
   Store *store = g_new0 (Store, 1);
   pthread_mutex_init (&store->lock, NULL);
   pthread_cond_init (&store->changed, NULL);
   store->objects
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_free);
-  store->daemon = MHD_start_daemon (
-      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
-      0, NULL, NULL, handle, store, MHD_OPTION_SOCK_ADDR, &address,
-      MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  store->daemon = standin_listen (text, handle, completed, store);
   return store;
 }
 
@@ -227,7 +218,7 @@
 guint
 store_port (const Store *store)
 {
-  return MHD_get_daemon_info (store->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+  return standin_port (store->daemon);
 }
 
 gint64
