Endpoints, admission, a retry budget for the fleet, and a policy that chooses alone

Cause: the users' platform routes by host and path prefix, bounds how often one request and all requests together may be repeated, and takes keys away with a bound; the product had none of these. They are the product's own: the catalogue may name endpoints, and a request carries its limits and the parts of its prompt. Ruled out: keeping them in the adapter, which must not decide.

--- a/core/catalogue.c
+++ b/core/catalogue.c
@@ -2,6 +2,7 @@
 
 #include "hornbeamwall/common/check.h"
 #include "hornbeamwall/common/clock.h"
+#include "hornbeamwall/core/endpoint.h"
 
 #include <stdatomic.h>
 #include <string.h>
@@ -15,6 +16,9 @@
 #define RATE_MAX 100000000
 #define WEIGHT_MAX 1000
 
+/* A list of classes with this name in it allows every class. */
+#define ANY_CLASS "*"
+
 struct HbwCatalogue
 {
   atomic_int references;
@@ -23,6 +27,8 @@
   GHashTable *pools;         /* name -> HbwPool */
   GHashTable *organisations; /* name -> HbwOrganisation */
   GHashTable *keys;          /* key hash -> HbwOrganisation, borrowed */
+  HbwEndpoints *endpoints;
+  HbwCallerLimits caller_limits;
 };
 
 static void
@@ -44,6 +50,7 @@
   catalogue->organisations
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, organisation_free);
   catalogue->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  catalogue->endpoints = hbw_endpoints_create ();
   return catalogue;
 }
 
@@ -132,7 +139,7 @@
   const char *name = json_string_value (value);
   const HbwClass *class = name != NULL ? hbw_catalogue_class (catalogue, name)
                                        : NULL;
-  if (class == NULL)
+  if (class == NULL && g_strcmp0 (name, ANY_CLASS) != 0)
     hbw_report_add (report, place, value, "name a class of this catalogue");
   else
     g_ptr_array_add (organisation->class_names, g_strdup (name));
@@ -186,6 +193,8 @@
   organisation->class_names = g_ptr_array_new_with_free_func (g_free);
   HbwReader *reader = hbw_reader_create (report, value, place);
   organisation->weight = (guint) hbw_reader_int (reader, "weight", 1, WEIGHT_MAX, 1);
+  organisation->tier = (gint) hbw_reader_int (reader, "tier", 0, HBW_TIER_COUNT - 1,
+                                              HBW_TIER_OF_CLASS);
   read_list (catalogue, reader, report, organisation, "keys", read_key);
   read_list (catalogue, reader, report, organisation, "classes", read_class_name);
   read_limits (reader, report, &organisation->limits);
@@ -195,14 +204,48 @@
   g_hash_table_replace (catalogue->organisations, organisation->name, organisation);
 }
 
+static void
+read_endpoint (HbwCatalogue *catalogue, HbwReport *report, const char *name,
+               json_t *value, const char *place)
+{
+  const HbwEndpoint *endpoint
+      = hbw_endpoints_add (catalogue->endpoints, report, name, value, place);
+  if (hbw_catalogue_class (catalogue, endpoint->class_name) == NULL)
+    hbw_report_add (report, place, json_object_get (value, "class"),
+                    "name a class of this catalogue");
+  for (guint i = 0; i < endpoint->target_count; i++)
+    if (hbw_catalogue_pool (catalogue, endpoint->targets[i].pool) == NULL)
+      hbw_report_add (report, place, json_object_get (value, "targets"),
+                      "name pools of this catalogue");
+}
+
+static void
+read_caller_limits (HbwCatalogue *catalogue, HbwReader *parent, HbwReport *report)
+{
+  json_t *value = hbw_reader_member (parent, "caller_limits", JSON_OBJECT, FALSE);
+  if (value == NULL)
+    return;
+  HbwCallerLimits *limits = &catalogue->caller_limits;
+  HbwReader *reader = hbw_reader_create (report, value, "/caller_limits");
+  limits->header_max = (guint) hbw_reader_int (reader, "header_max", 0, RATE_MAX, 0);
+  limits->body_max = (guint) hbw_reader_int (reader, "body_max", 0, RATE_MAX, 0);
+  limits->header_timeout_us
+      = HBW_US_PER_MS
+        * hbw_reader_int (reader, "header_timeout_ms", 0, DURATION_MAX_MS, 0);
+  limits->idle_timeout_us
+      = HBW_US_PER_MS
+        * hbw_reader_int (reader, "idle_timeout_ms", 0, DURATION_MAX_MS, 0);
+  hbw_reader_destroy (reader);
+}
+
 typedef void (*ReadEntry) (HbwCatalogue *catalogue, HbwReport *report,
                            const char *name, json_t *value, const char *place);
 
 static void
 read_section (HbwCatalogue *catalogue, HbwReader *reader, HbwReport *report,
-              const char *key, ReadEntry read_entry)
+              const char *key, gboolean required, ReadEntry read_entry)
 {
-  json_t *section = hbw_reader_member (reader, key, JSON_OBJECT, TRUE);
+  json_t *section = hbw_reader_member (reader, key, JSON_OBJECT, required);
   const char *name;
   json_t *value;
   json_object_foreach (section, name, value)
@@ -219,9 +262,11 @@
 {
   HbwReader *reader = hbw_reader_create (report, root, "");
   hbw_reader_member (reader, "changes", JSON_ARRAY, FALSE);
-  read_section (catalogue, reader, report, "classes", read_class);
-  read_section (catalogue, reader, report, "pools", read_pool);
-  read_section (catalogue, reader, report, "organisations", read_organisation);
+  read_section (catalogue, reader, report, "classes", TRUE, read_class);
+  read_section (catalogue, reader, report, "pools", TRUE, read_pool);
+  read_section (catalogue, reader, report, "organisations", TRUE, read_organisation);
+  read_section (catalogue, reader, report, "endpoints", FALSE, read_endpoint);
+  read_caller_limits (catalogue, reader, report);
   hbw_reader_destroy (reader);
 }
 
@@ -264,6 +309,7 @@
 {
   if (atomic_fetch_sub (&catalogue->references, 1) != 1)
     return;
+  hbw_endpoints_destroy (catalogue->endpoints);
   g_hash_table_destroy (catalogue->keys);
   g_hash_table_destroy (catalogue->organisations);
   g_hash_table_destroy (catalogue->pools);
@@ -304,12 +350,34 @@
   return organisation;
 }
 
+const HbwEndpoint *
+hbw_catalogue_endpoint (const HbwCatalogue *catalogue, const char *host,
+                        const char *path)
+{
+  return hbw_endpoints_find (catalogue->endpoints, host, path);
+}
+
+gboolean
+hbw_catalogue_has_keys (const HbwCatalogue *catalogue)
+{
+  return g_hash_table_size (catalogue->keys) > 0;
+}
+
+const HbwCallerLimits *
+hbw_catalogue_caller_limits (const HbwCatalogue *catalogue)
+{
+  return &catalogue->caller_limits;
+}
+
 gboolean
 hbw_organisation_may_use (const HbwOrganisation *organisation, const char *name)
 {
   for (guint i = 0; i < organisation->class_names->len; i++)
-    if (strcmp (g_ptr_array_index (organisation->class_names, i), name) == 0)
-      return TRUE;
+    {
+      const char *allowed = g_ptr_array_index (organisation->class_names, i);
+      if (strcmp (allowed, name) == 0 || strcmp (allowed, ANY_CLASS) == 0)
+        return TRUE;
+    }
   return FALSE;
 }
 
--- a/core/entry.c
+++ b/core/entry.c
@@ -7,12 +7,6 @@
 
 #include <string.h>
 
-/* Retries of requests that may have run, for each that completed. */
-#define RETRY_PER_SUCCESS 0.1
-
-/* Retries that can be saved up. */
-#define RETRY_BUDGET_MAX 20.0
-
 /* Attempts that surely did not run before a request is refused. */
 #define UNRUN_ATTEMPTS_MAX 8
 
@@ -28,7 +22,7 @@
   const HbwTopology *topology;
   HbwOwnerLookup lookup;
   void *lookup_data;
-  double retry_budget;
+  HbwRetryBudget *budget;
   guint spilled_waiting;
   gboolean draining;
 };
@@ -155,6 +149,7 @@
   request->arrived_us = context->now_us;
   request->attempt = 1;
   request->spill_allowed = TRUE;
+  hbw_retry_budget_note_request (entry->budget, request->spec.pool, context->now_us);
   cds_list_add_tail (&request->link, &entry->order);
   g_hash_table_insert (entry->requests, &request->sequence, request);
   class_metrics (context, request)->arrived++;
@@ -260,30 +255,47 @@
       request->spec.class_name, request->server, failures);
 }
 
+/* Whether an attempt that may have run may be followed by another one. */
+static gboolean
+may_repeat (const HbwRequest *request, const HbwAttemptEnd *end)
+{
+  if (!request->spec.idempotent || end->outcome == HBW_OUTCOME_CANCELLED)
+    return FALSE;
+  return !end->answer_begun || request->spec.resumable;
+}
+
+static gboolean
+has_attempts_left (const HbwRequest *request)
+{
+  guint most = request->spec.attempts_max > 0 ? request->spec.attempts_max
+                                              : HBW_ATTEMPTS_MAX;
+  return request->sent_attempts < most;
+}
+
 static gboolean
 may_retry (HbwEntry *entry, HbwContext *context, const HbwRequest *request,
            const HbwAttemptEnd *end)
 {
-  if (end->outcome == HBW_OUTCOME_DENIED)
+  if (end->outcome == HBW_OUTCOME_DENIED
+      || hbw_request_is_past_deadline (request, context->now_us))
     return FALSE;
-  if (hbw_outcome_is_unrun (end->outcome))
-    return request->unrun_attempts < UNRUN_ATTEMPTS_MAX;
-  if (end->answer_begun || !request->spec.idempotent
-      || end->outcome == HBW_OUTCOME_CANCELLED)
+  gboolean unrun = hbw_outcome_is_unrun (end->outcome);
+  if (unrun && request->unrun_attempts >= UNRUN_ATTEMPTS_MAX)
     return FALSE;
-  if (request->sent_attempts >= HBW_ATTEMPTS_MAX || entry->retry_budget < 1.0)
+  if (unrun && end->outcome != HBW_OUTCOME_REFUSED)
+    return TRUE;
+  if (!has_attempts_left (request) || (!unrun && !may_repeat (request, end)))
     return FALSE;
-  return !hbw_request_is_past_deadline (request, context->now_us);
+  return hbw_retry_budget_take (entry->budget, request->spec.pool,
+                                hbw_membership_count (context->membership, NULL),
+                                context->now_us);
 }
 
 static void
 retry (HbwEntry *entry, HbwContext *context, HbwRequest *request, HbwOutcome outcome)
 {
   if (!hbw_outcome_is_unrun (outcome))
-    {
-      entry->retry_budget -= 1.0;
-      class_metrics (context, request)->retries++;
-    }
+    class_metrics (context, request)->retries++;
   if (outcome != HBW_OUTCOME_UNUSED)
     g_strlcpy (request->avoid, request->server, sizeof request->avoid);
   ask_again (entry, context, request);
@@ -293,7 +305,8 @@
 give_up (HbwEntry *entry, HbwContext *context, HbwRequest *request,
          const HbwAttemptEnd *end)
 {
-  if (end->answer_begun || end->outcome == HBW_OUTCOME_CANCELLED)
+  if (end->answer_begun || end->outcome == HBW_OUTCOME_CANCELLED
+      || end->outcome == HBW_OUTCOME_FAILED)
     {
       finish (entry, context, request, end);
       return;
@@ -311,7 +324,8 @@
 }
 
 HbwEntry *
-hbw_entry_create (HbwOwnerLookup lookup, void *data)
+hbw_entry_create (HbwOwnerLookup lookup, void *data,
+                  const HbwRetryLimits *retry_limits)
 {
   HbwEntry *entry = g_new0 (HbwEntry, 1);
   entry->requests
@@ -321,7 +335,7 @@
   entry->route = hbw_route_create ();
   entry->lookup = lookup;
   entry->lookup_data = data;
-  entry->retry_budget = RETRY_BUDGET_MAX;
+  entry->budget = hbw_retry_budget_create (retry_limits);
   return entry;
 }
 
@@ -331,6 +345,7 @@
   g_hash_table_destroy (entry->requests);
   hbw_limiter_destroy (entry->limiter);
   hbw_route_destroy (entry->route);
+  hbw_retry_budget_destroy (entry->budget);
   g_free (entry);
 }
 
@@ -390,6 +405,18 @@
   remove_request (entry, request, 0);
 }
 
+void
+hbw_entry_handle_begun (HbwEntry *entry, HbwContext *context,
+                        const HbwAttemptBegin *begin)
+{
+  HbwRequest *request = find (entry, begin->sequence);
+  if (request == NULL || request->state != HBW_REQUEST_RUNNING
+      || request->attempt != begin->attempt)
+    return;
+  request->begun = TRUE;
+  hbw_request_post_begun (request, context, begin);
+}
+
 void
 hbw_entry_handle_end (HbwEntry *entry, HbwContext *context, const HbwAttemptEnd *end)
 {
@@ -400,19 +427,14 @@
   hbw_request_post_done (request, context, end);
   record_waste (context, request, end);
   judge_request (context, request, end->outcome);
-  if (hbw_outcome_is_unrun (end->outcome))
+  gboolean unrun = hbw_outcome_is_unrun (end->outcome);
+  if (unrun)
     request->unrun_attempts++;
-  else
-    {
-      request->sent_attempts++;
-      request->may_have_run = TRUE;
-    }
+  if (!unrun || end->outcome == HBW_OUTCOME_REFUSED)
+    request->sent_attempts++;
+  request->may_have_run |= !unrun;
   if (end->outcome == HBW_OUTCOME_COMPLETE)
-    {
-      entry->retry_budget
-          = MIN (RETRY_BUDGET_MAX, entry->retry_budget + RETRY_PER_SUCCESS);
-      finish (entry, context, request, end);
-    }
+    finish (entry, context, request, end);
   else if (may_retry (entry, context, request, end))
     retry (entry, context, request, end->outcome);
   else
@@ -436,6 +458,7 @@
     }
   set_spilled (entry, request, FALSE);
   request->state = HBW_REQUEST_RUNNING;
+  request->begun = FALSE;
   request->restate_us = HBW_RESTATE_MAX_US;
   request->granter = from;
   request->shard = grant->shard;
@@ -518,9 +541,34 @@
   hbw_request_post_want (request, context, lookup_owner (entry, request));
 }
 
+/* Ends a request whose time is over while a server works on it. */
+static void
+end_running (HbwEntry *entry, HbwContext *context, HbwRequest *request)
+{
+  HbwAttemptEnd end = { .sequence = request->sequence };
+  end.attempt = request->attempt;
+  end.outcome = request->begun ? HBW_OUTCOME_CANCELLED : HBW_OUTCOME_TIMED_OUT;
+  request->may_have_run = TRUE;
+  hbw_request_post_done (request, context, &end);
+  refuse (entry, context, request, HBW_REASON_TIMEOUT, RETRY_AFTER_DEFAULT_US);
+}
+
+static gboolean
+is_past_timeout (const HbwRequest *request, gint64 now_us)
+{
+  gint64 timeout = request->spec.timeout_us;
+  return timeout > 0 && now_us - request->arrived_us >= timeout;
+}
+
 static void
 tick_request (HbwEntry *entry, HbwContext *context, HbwRequest *request)
 {
+  if (request->state == HBW_REQUEST_RUNNING
+      && is_past_timeout (request, context->now_us))
+    {
+      end_running (entry, context, request);
+      return;
+    }
   if (request->state != HBW_REQUEST_RUNNING
       && hbw_request_is_past_deadline (request, context->now_us))
     refuse (entry, context, request, HBW_REASON_DEADLINE, RETRY_AFTER_DEFAULT_US);
--- a/core/policy.c
+++ b/core/policy.c
@@ -1,5 +1,6 @@
 #include "hornbeamwall/core/policy.h"
 
+#include "hornbeamwall/core/policy_direct.h"
 #include "hornbeamwall/core/quarantine.h"
 
 #include <string.h>
@@ -207,9 +208,10 @@
 }
 
 static const HbwPolicy policies[] = {
-  { "owner", TRUE, tiers_select_ticket, owner_select_server },
-  { "independent", FALSE, tiers_select_ticket, independent_select_server },
-  { "round_robin", FALSE, fifo_select_ticket, rotate_select_server },
+  { "owner", TRUE, FALSE, tiers_select_ticket, owner_select_server },
+  { "independent", FALSE, FALSE, tiers_select_ticket, independent_select_server },
+  { "round_robin", FALSE, FALSE, fifo_select_ticket, rotate_select_server },
+  { "direct", FALSE, TRUE, tiers_select_ticket, hbw_direct_select_server },
 };
 
 const HbwPolicy *
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -1,5 +1,6 @@
 #include "hornbeamwall/core/reducer.h"
 
+#include "hornbeamwall/core/admission.h"
 #include "hornbeamwall/core/documents.h"
 #include "hornbeamwall/core/entry.h"
 #include "hornbeamwall/core/membership.h"
@@ -10,6 +11,9 @@
 /* A shard of another owner that nobody has spoken of for so long is dropped. */
 #define SHARD_IDLE_US (10 * HBW_US_PER_S)
 
+static const HbwRetryLimits default_retry_limits
+    = { .percent = 10, .extra = 160, .window_us = 10 * HBW_US_PER_S };
+
 struct HbwReducer
 {
   HbwContext context;
@@ -21,6 +25,7 @@
   GHashTable *surveyed; /* identity -> HbwSurveyed */
   guint64 epoch;        /* of the membership, last acted on */
   gint64 ticked_us;
+  gint64 revocation_us;
   gboolean store_up;
   gboolean draining;
   char name[HBW_NAME_MAX];
@@ -129,7 +134,8 @@
     return FALSE;
   if (reducer->topology != NULL)
     hbw_topology_destroy (reducer->topology);
-  reducer->topology = hbw_topology_create (servers);
+  reducer->topology = hbw_topology_create (
+      servers, reducer->policy->across ? reducer->context.data_centre : NULL);
   hbw_entry_set_topology (reducer->entry, reducer->topology);
   refresh_shards (reducer);
   return TRUE;
@@ -336,6 +342,13 @@
       hbw_shard_active (ensure_shard (reducer, &message->active.shard), context,
                         message->from, &message->active);
       break;
+    case HBW_MESSAGE_BEGUN:
+      {
+        HbwShard *shard = find_shard (reducer, &message->begun.shard);
+        if (shard != NULL)
+          hbw_shard_begun (shard, context, &message->begun);
+        break;
+      }
     case HBW_MESSAGE_DONE:
       {
         HbwShard *shard = find_shard (reducer, &message->done.shard);
@@ -462,6 +475,12 @@
     case HBW_EVENT_CALLER_GONE:
       hbw_entry_handle_gone (reducer->entry, context, event->sequence);
       break;
+    case HBW_EVENT_ATTEMPT_BEGUN:
+      hbw_entry_handle_begun (reducer->entry, context, &event->begin);
+      break;
+    case HBW_EVENT_CONFIRMED:
+      context->confirmed_us = MAX (context->confirmed_us, event->confirmed_us);
+      break;
     case HBW_EVENT_ATTEMPT_ENDED:
       hbw_entry_handle_end (reducer->entry, context, &event->end);
       break;
@@ -546,9 +565,14 @@
   for (guint i = 0; config->seeds != NULL && config->seeds[i] != NULL; i++)
     hbw_membership_add_seed (context->membership, config->seeds[i]);
   reducer->policy = config->policy;
+  reducer->revocation_us = config->revocation_us;
+  context->load_in_answers = config->load_in_answers;
   g_strlcpy (reducer->name, config->self.name, sizeof reducer->name);
   reducer->documents = hbw_documents_create ();
-  reducer->entry = hbw_entry_create (owner_of, reducer);
+  reducer->entry = hbw_entry_create (owner_of, reducer,
+                                     config->retry_limits.window_us > 0
+                                         ? &config->retry_limits
+                                         : &default_retry_limits);
   reducer->shards = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                            (GDestroyNotify) hbw_shard_destroy);
   reducer->surveyed
@@ -597,11 +621,23 @@
   count_sent (reducer, effects, before);
 }
 
+/* An instance that cannot tell whether keys still hold leaves its callers to the
+   others. */
+static gboolean
+is_fresh (const HbwReducer *reducer)
+{
+  const HbwContext *context = &reducer->context;
+  const HbwFreshness freshness
+      = { context->now_us - context->confirmed_us, reducer->revocation_us };
+  return hbw_freshness_accepts_keys (&freshness);
+}
+
 gboolean
 hbw_reducer_is_ready (const HbwReducer *reducer)
 {
-  return reducer->context.catalogue != NULL && reducer->topology != NULL
-         && reducer->context.stops_known && !reducer->draining;
+  return is_fresh (reducer) && reducer->context.catalogue != NULL
+         && reducer->topology != NULL && reducer->context.stops_known
+         && !reducer->draining;
 }
 
 gboolean
--- a/core/request.c
+++ b/core/request.c
@@ -73,6 +73,18 @@
     hbw_context_post (context, request->owner, &message);
 }
 
+void
+hbw_request_post_begun (const HbwRequest *request, HbwContext *context,
+                        const HbwAttemptBegin *begin)
+{
+  HbwMessage message = { .kind = HBW_MESSAGE_BEGUN };
+  message.begun.id = id_of (context, request);
+  message.begun.attempt = request->attempt;
+  message.begun.shard = request->shard;
+  message.begun.first_token_us = begin->first_token_us;
+  hbw_context_post (context, request->granter, &message);
+}
+
 void
 hbw_request_post_done (const HbwRequest *request, HbwContext *context,
                        const HbwAttemptEnd *end)
--- a/core/server.c
+++ b/core/server.c
@@ -7,6 +7,8 @@
 /* Weight of the newest measurement in a moving average. */
 #define AVERAGE_WEIGHT 0.2
 
+#define FAILING_AVERAGE_WEIGHT 0.15
+
 /* Multiplicative decrease and how often it may happen. */
 #define DECREASE_FACTOR 0.9
 #define DECREASE_INTERVAL_US (250 * HBW_US_PER_MS)
@@ -66,6 +68,19 @@
                        server->limit + INCREASE_STEP / server->limit);
 }
 
+/* Moves the part of failures towards what just came. */
+static void
+note_answer (HbwServer *server, HbwOutcome outcome)
+{
+  gboolean failed = outcome == HBW_OUTCOME_FAILED || outcome == HBW_OUTCOME_BROKEN
+                    || outcome == HBW_OUTCOME_TIMED_OUT
+                    || outcome == HBW_OUTCOME_NOT_CONNECTED;
+  if (!failed && outcome != HBW_OUTCOME_COMPLETE)
+    return;
+  server->failing
+      += FAILING_AVERAGE_WEIGHT * ((failed ? 1.0 : 0.0) - server->failing);
+}
+
 static void
 note_success (HbwServer *server, const HbwDone *done, gint64 target_us,
               gint64 now_us)
@@ -128,12 +143,14 @@
   server->entry = *entry;
   server->limit = entry->slots;
   server->stopping = entry->leaving;
+  server->prompts = hbw_prompt_cache_create ();
   return server;
 }
 
 void
 hbw_server_destroy (HbwServer *server)
 {
+  hbw_prompt_cache_destroy (server->prompts);
   g_free (server);
 }
 
@@ -153,7 +170,17 @@
   server->limit = entry->slots;
   server->first_token_us = 0;
   server->inter_token_us = 0;
+  server->others = 0;
+  server->failing = 0;
   memset (server->prefixes, 0, sizeof server->prefixes);
+  hbw_prompt_cache_clear (server->prompts);
+}
+
+guint
+hbw_server_uncached (const HbwServer *server, const HbwRequestSpec *spec)
+{
+  guint cached = hbw_prompt_cache_find (server->prompts, spec);
+  return spec->prompt_tokens - MIN (cached, spec->prompt_tokens);
 }
 
 gboolean
@@ -175,6 +202,7 @@
   server->granted_since_report++;
   if (server->state == HBW_SERVER_DOWN)
     server->state = HBW_SERVER_PROBING;
+  hbw_prompt_cache_note (server->prompts, spec);
   if (spec->prefix == 0 || hbw_server_knows_prefix (server, spec->prefix))
     return;
   server->prefixes[server->next_prefix] = spec->prefix;
@@ -187,9 +215,11 @@
 {
   if (server->in_progress > 0)
     server->in_progress--;
+  note_answer (server, done->outcome);
   switch (done->outcome)
     {
     case HBW_OUTCOME_COMPLETE:
+    case HBW_OUTCOME_FAILED:
       note_success (server, done, target_us, now_us);
       break;
     case HBW_OUTCOME_REFUSED:
@@ -223,6 +253,8 @@
   server->reported_waiting = load->waiting;
   server->reported_at_us = now_us - load->age_us;
   server->granted_since_report = 0;
+  guint total = load->running + load->waiting;
+  server->others = total - MIN (total, server->in_progress);
   if (load->waiting > 0)
     lower_limit (server, now_us);
 }
--- a/core/shard.c
+++ b/core/shard.c
@@ -28,6 +28,8 @@
   guint64 server_start;
   HbwRequestSpec spec;
   gboolean suspect;
+  guint unread_tokens; /* of the prompt, until the first token has come */
+  guint ahead_tokens;  /* that the server had to read before, at the grant */
   gint64 granted_us;
   gint64 heard_us;
 } Reservation;
@@ -69,6 +71,9 @@
   reservation->heard_us = context->now_us;
   reservation->server_start = server->entry.start;
   g_strlcpy (reservation->server, server->entry.id, sizeof reservation->server);
+  reservation->ahead_tokens = server->unread_tokens;
+  reservation->unread_tokens = hbw_server_uncached (server, spec);
+  server->unread_tokens += reservation->unread_tokens;
   hbw_server_begin (server, spec);
   if (reservation->suspect)
     server->suspects++;
@@ -77,6 +82,13 @@
   return reservation;
 }
 
+static void
+forget_unread (HbwServer *server, Reservation *reservation)
+{
+  server->unread_tokens -= MIN (server->unread_tokens, reservation->unread_tokens);
+  reservation->unread_tokens = 0;
+}
+
 static void
 release (HbwShard *shard, HbwContext *context, Reservation *reservation,
          const HbwDone *done)
@@ -88,6 +100,7 @@
                       context->now_us);
       if (reservation->suspect && server->suspects > 0)
         server->suspects--;
+      forget_unread (server, reservation);
       if (server->stopping && server->in_progress == 0)
         hbw_effects_log (context->effects, HBW_LOG_SERVER_DRAINED,
                          "server=%s pool=%s", server->entry.id, server->entry.pool);
@@ -282,6 +295,7 @@
   shard->rebuilt_at_us = now_us + rebuild_us;
   shard->wanted_at_us = now_us;
   shard->service_us = SERVICE_DEFAULT_US;
+  shard->prompt_rate = HBW_PROMPT_RATE_DEFAULT;
   shard->class_tokens
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return shard;
@@ -331,7 +345,7 @@
           gboolean restarted = server->entry.start != entry->start;
           hbw_server_update (server, entry);
           if (restarted)
-            server->in_progress = server->suspects = 0;
+            server->in_progress = server->suspects = server->unread_tokens = 0;
         }
       else
         {
@@ -406,6 +420,21 @@
   reservation->heard_us = context->now_us;
 }
 
+void
+hbw_shard_begun (HbwShard *shard, HbwContext *context, const HbwBegun *begun)
+{
+  Reservation *reservation = find_reservation (shard, &begun->id, begun->attempt);
+  if (reservation == NULL)
+    return;
+  reservation->heard_us = context->now_us;
+  HbwServer *server = hbw_shard_find_server (shard, reservation->server);
+  if (server == NULL || server->entry.start != reservation->server_start)
+    return;
+  hbw_shard_note_prompt (shard, reservation->unread_tokens,
+                         reservation->ahead_tokens, begun->first_token_us);
+  forget_unread (server, reservation);
+}
+
 void
 hbw_shard_done (HbwShard *shard, HbwContext *context, const HbwDone *done)
 {
--- a/core/shard_estimate.c
+++ b/core/shard_estimate.c
@@ -3,6 +3,15 @@
 /* Weight of the newest measurement in the moving average of service time. */
 #define SERVICE_AVERAGE_WEIGHT 0.05
 
+/* Prompts with fewer tokens to read say little of the speed. */
+#define PROMPT_SAMPLE_MIN 500
+
+/* Weight of the newest measurement in the moving average of the speed, and its
+   bounds in tokens a second. */
+#define PROMPT_AVERAGE_WEIGHT 0.05
+#define PROMPT_RATE_MIN 1000.0
+#define PROMPT_RATE_MAX 1000000.0
+
 void
 hbw_shard_note_service (HbwShard *shard, gint64 duration_us)
 {
@@ -10,6 +19,19 @@
       += SERVICE_AVERAGE_WEIGHT * ((double) duration_us - shard->service_us);
 }
 
+/* A first token of a short prompt tells little of how fast prompts are read. */
+void
+hbw_shard_note_prompt (HbwShard *shard, guint tokens, guint ahead_tokens,
+                       gint64 first_token_us)
+{
+  if (tokens < PROMPT_SAMPLE_MIN || first_token_us <= 0)
+    return;
+  double rate
+      = ((double) tokens + ahead_tokens) * HBW_US_PER_S / (double) first_token_us;
+  shard->prompt_rate += PROMPT_AVERAGE_WEIGHT * (rate - shard->prompt_rate);
+  shard->prompt_rate = CLAMP (shard->prompt_rate, PROMPT_RATE_MIN, PROMPT_RATE_MAX);
+}
+
 /* Output lengths are not known before: classes are estimated by what they took. */
 void
 hbw_shard_note_tokens (HbwShard *shard, const HbwRequestSpec *spec, guint tokens)
--- a/core/shard_health.c
+++ b/core/shard_health.c
@@ -48,6 +48,8 @@
 void
 hbw_shard_poll_loads (HbwShard *shard, HbwContext *context)
 {
+  if (context->load_in_answers)
+    return;
   for (guint i = 0; i < shard->servers->len; i++)
     {
       HbwServer *server = g_ptr_array_index (shard->servers, i);
--- a/core/topology.c
+++ b/core/topology.c
@@ -16,6 +16,7 @@
   GHashTable *by_key; /* key text -> Shard */
   GHashTable *counts; /* "pool/data centre" -> number of shards */
   GPtrArray *data_centres;
+  const char *across; /* data centre that all servers count to, or NULL */
 };
 
 static int
@@ -40,10 +41,12 @@
 }
 
 static gboolean
-same_group (const HbwServerEntry *a, const HbwServerEntry *b)
+same_group (const HbwTopology *topology, const HbwServerEntry *a,
+            const HbwServerEntry *b)
 {
   return strcmp (a->pool, b->pool) == 0
-         && strcmp (a->data_centre, b->data_centre) == 0;
+         && (topology->across != NULL
+             || strcmp (a->data_centre, b->data_centre) == 0);
 }
 
 static void
@@ -59,13 +62,16 @@
 add_group (HbwTopology *topology, guint first, guint count)
 {
   const HbwServerEntry *lead = g_ptr_array_index (topology->servers, first);
-  guint shards = (count + HBW_SHARD_SERVERS_MAX - 1) / HBW_SHARD_SERVERS_MAX;
+  const char *data_centre
+      = topology->across != NULL ? topology->across : lead->data_centre;
+  guint shards = topology->across != NULL
+                     ? 1
+                     : (count + HBW_SHARD_SERVERS_MAX - 1) / HBW_SHARD_SERVERS_MAX;
   for (guint i = 0; i < shards; i++)
     {
       Shard *shard = g_new0 (Shard, 1);
       g_strlcpy (shard->key.pool, lead->pool, sizeof shard->key.pool);
-      g_strlcpy (shard->key.data_centre, lead->data_centre,
-                 sizeof shard->key.data_centre);
+      g_strlcpy (shard->key.data_centre, data_centre, sizeof shard->key.data_centre);
       shard->key.index = i;
       hbw_shard_key_format (&shard->key, shard->text, sizeof shard->text);
       shard->servers = g_ptr_array_new ();
@@ -76,16 +82,17 @@
       g_hash_table_insert (topology->by_key, shard->text, shard);
     }
   g_hash_table_insert (topology->counts,
-                       g_strconcat (lead->pool, "/", lead->data_centre, NULL),
+                       g_strconcat (lead->pool, "/", data_centre, NULL),
                        GUINT_TO_POINTER (shards));
-  add_data_centre (topology, lead->data_centre);
+  add_data_centre (topology, data_centre);
 }
 
 HbwTopology *
-hbw_topology_create (GPtrArray *servers)
+hbw_topology_create (GPtrArray *servers, const char *across)
 {
   HbwTopology *topology = g_new0 (HbwTopology, 1);
   topology->servers = servers;
+  topology->across = across;
   topology->shards = g_ptr_array_new_with_free_func (shard_free);
   topology->by_key = g_hash_table_new (g_str_hash, g_str_equal);
   topology->counts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -95,7 +102,7 @@
   for (guint i = 1; i <= servers->len; i++)
     {
       if (i < servers->len
-          && same_group (g_ptr_array_index (servers, first),
+          && same_group (topology, g_ptr_array_index (servers, first),
                          g_ptr_array_index (servers, i)))
         continue;
       add_group (topology, first, i - first);
--- a/core/types.c
+++ b/core/types.c
@@ -12,6 +12,7 @@
   [HBW_OUTCOME_CANCELLED] = "cancelled",
   [HBW_OUTCOME_UNUSED] = "unused",
   [HBW_OUTCOME_DENIED] = "denied",
+  [HBW_OUTCOME_FAILED] = "failed",
 };
 
 static const char *const reason_names[HBW_REASON_COUNT] = {
@@ -25,6 +26,10 @@
   [HBW_REASON_DUPLICATE_KEY] = "duplicate_key",
   [HBW_REASON_OVERLOADED] = "overloaded",
   [HBW_REASON_NO_STORE] = "no_store",
+  [HBW_REASON_TIMEOUT] = "timeout",
+  [HBW_REASON_NO_CATALOGUE] = "no_catalogue",
+  [HBW_REASON_NO_ENDPOINT] = "no_endpoint",
+  [HBW_REASON_NO_KEY] = "no_key",
 };
 
 const char *
--- a/include/hornbeamwall/core/context.h
+++ b/include/hornbeamwall/core/context.h
@@ -15,12 +15,14 @@
   gint64 now_us;
   guint64 self;
   char data_centre[HBW_NAME_MAX];
-  GRand *random;           /* seeded by the creator of the reducer */
-  HbwEffects *effects;     /* of the step in progress */
-  HbwCatalogue *catalogue; /* newest adopted, or NULL */
-  GHashTable *stops;       /* names of servers and instances that stop */
-  gboolean stops_known;    /* whether the stops were ever read; no grants before */
-  GQueue *loopback;        /* HbwMessage to this instance itself */
+  GRand *random;            /* seeded by the creator of the reducer */
+  HbwEffects *effects;      /* of the step in progress */
+  HbwCatalogue *catalogue;  /* newest adopted, or NULL */
+  GHashTable *stops;        /* names of servers and instances that stop */
+  gint64 confirmed_us;      /* when the catalogue was last known to be the newest */
+  gboolean load_in_answers; /* no server is asked for its load */
+  gboolean stops_known;     /* whether the stops were ever read; no grants before */
+  GQueue *loopback;         /* HbwMessage to this instance itself */
   HbwMembership *membership;
   HbwMetrics *metrics;
   HbwQuarantine *quarantine;
--- a/include/hornbeamwall/core/entry.h
+++ b/include/hornbeamwall/core/entry.h
@@ -11,6 +11,7 @@
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/event.h"
 #include "hornbeamwall/core/limiter.h"
+#include "hornbeamwall/core/retry_budget.h"
 #include "hornbeamwall/core/route.h"
 
 /* Most attempts of one request that may have reached a backend server. */
@@ -29,7 +30,8 @@
 /* Returns the identity of the owner of a shard, or 0. */
 typedef guint64 (*HbwOwnerLookup) (const HbwShardKey *key, void *data);
 
-HbwEntry *hbw_entry_create (HbwOwnerLookup lookup, void *data);
+HbwEntry *hbw_entry_create (HbwOwnerLookup lookup, void *data,
+                            const HbwRetryLimits *retry_limits);
 void hbw_entry_destroy (HbwEntry *entry);
 
 /* Sets what the platform's list says; NULL while nothing is known. */
@@ -38,6 +40,8 @@
 void hbw_entry_handle_arrival (HbwEntry *entry, HbwContext *context,
                                const HbwArrival *arrival);
 void hbw_entry_handle_gone (HbwEntry *entry, HbwContext *context, guint64 sequence);
+void hbw_entry_handle_begun (HbwEntry *entry, HbwContext *context,
+                             const HbwAttemptBegin *begin);
 void hbw_entry_handle_end (HbwEntry *entry, HbwContext *context,
                            const HbwAttemptEnd *end);
 void hbw_entry_handle_grant (HbwEntry *entry, HbwContext *context, guint64 from,
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -11,10 +11,12 @@
   HBW_EVENT_TICK,
   HBW_EVENT_REQUEST_ARRIVED,
   HBW_EVENT_CALLER_GONE,
+  HBW_EVENT_ATTEMPT_BEGUN, /* its first token has come */
   HBW_EVENT_ATTEMPT_ENDED,
   HBW_EVENT_LOAD_REPORT,
   HBW_EVENT_DOCUMENT, /* read from the platform's store */
   HBW_EVENT_STORE_STATE,
+  HBW_EVENT_CONFIRMED, /* the newest catalogue was asked for and is known */
   HBW_EVENT_MESSAGE,
   HBW_EVENT_DRAIN,  /* planned stop of this instance */
   HBW_EVENT_SURVEY, /* ask every instance for its versions */
@@ -26,6 +28,13 @@
   HbwRequestSpec spec;
 } HbwArrival;
 
+typedef struct
+{
+  guint64 sequence;
+  guint attempt;
+  gint64 first_token_us; /* from the start of the attempt */
+} HbwAttemptBegin;
+
 typedef struct
 {
   guint64 sequence;
@@ -54,11 +63,13 @@
   {
     HbwArrival arrival;
     guint64 sequence; /* CALLER_GONE */
+    HbwAttemptBegin begin;
     HbwAttemptEnd end;
     HbwLoadReport load;
     HbwDocument document; /* body borrowed for the step; NULL: does not exist */
     gboolean store_up;
-    HbwMessage message; /* borrowed for the step */
+    gint64 confirmed_us; /* when the store was asked */
+    HbwMessage message;  /* borrowed for the step */
   };
 } HbwEvent;
 
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -64,6 +64,16 @@
   gint64 expected_wait_us[HBW_TIER_COUNT];
 } HbwShardSummary;
 
+/* A part of a prompt that other requests may share. */
+typedef struct
+{
+  guint64 hash; /* of this part and all before it */
+  guint tokens;
+} HbwPromptPart;
+
+/* Most parts of one prompt that are looked at. */
+#define HBW_PROMPT_PARTS_MAX 4
+
 /* What a request asks for, as durations that remain. */
 typedef struct
 {
@@ -80,7 +90,13 @@
   gint64 deadline_us;    /* until the answer is of no use; 0 is none */
   guint64 prefix;        /* hash of the prompt's beginning; 0 is none */
   HbwFingerprint fingerprint;
-  guint failures; /* servers that failed while they ran it */
+  guint failures;      /* servers that failed while they ran it */
+  gint64 timeout_us;   /* until the caller must have a whole answer; 0 is none */
+  guint attempts_max;  /* servers that it may be sent to; 0 is HBW_ATTEMPTS_MAX */
+  gboolean resumable;  /* a stream that another server may go on with */
+  guint prompt_tokens; /* 0 is not known */
+  guint part_count;
+  HbwPromptPart parts[HBW_PROMPT_PARTS_MAX]; /* in the order of the prompt */
 } HbwRequestSpec;
 
 typedef enum
@@ -99,6 +115,7 @@
   HBW_MESSAGE_SUSPECT, /* a fingerprint's failures */
   HBW_MESSAGE_DEMAND,  /* an instance's demand for an organisation's limit */
   HBW_MESSAGE_SHARE,   /* the limit keeper's answer */
+  HBW_MESSAGE_BEGUN,   /* the first token of an attempt has come */
   HBW_MESSAGE_COUNT,
 } HbwMessageKind;
 
@@ -151,6 +168,14 @@
   HbwFingerprint fingerprint;
 } HbwActive;
 
+typedef struct
+{
+  HbwRequestId id;
+  guint attempt;
+  HbwShardKey shard;
+  gint64 first_token_us;
+} HbwBegun;
+
 typedef struct
 {
   HbwRequestId id;
@@ -201,6 +226,7 @@
     HbwGrant grant;
     HbwRefusal refusal; /* REFUSAL, WITHDRAW */
     HbwActive active;
+    HbwBegun begun;
     HbwDone done;
     HbwDocument document; /* DOCUMENT_ASK, DOCUMENT */
     HbwSuspect suspect;
--- /dev/null
+++ b/include/hornbeamwall/core/policy_direct.h
@@ -0,0 +1,20 @@
+/*
+ * policy_direct - an instance chooses for itself among the servers of all data
+ * centres, by the time in which each would probably answer
+ *
+ * The estimate adds what waits at the server (its own requests there and those of
+ * other instances by the server's last report), the part of the prompt that it would
+ * have to read, the distance, and what it has failed lately.  Prompts that begin
+ * alike are drawn to one server, the same for all instances, by rendezvous hashing;
+ * a busy one loses the draw, so that a sudden favourite is spread.
+ */
+#ifndef HORNBEAMWALL_CORE_POLICY_DIRECT_H
+#define HORNBEAMWALL_CORE_POLICY_DIRECT_H
+
+#include "hornbeamwall/core/shard.h"
+
+/* Returns the server for TICKET, or NULL while none has room. */
+HbwServer *hbw_direct_select_server (HbwShard *shard, HbwContext *context,
+                                     const HbwTicket *ticket);
+
+#endif
--- a/include/hornbeamwall/core/reducer.h
+++ b/include/hornbeamwall/core/reducer.h
@@ -10,6 +10,7 @@
 
 #include "hornbeamwall/core/effect.h"
 #include "hornbeamwall/core/event.h"
+#include "hornbeamwall/core/retry_budget.h"
 #include "hornbeamwall/core/shard.h"
 
 typedef struct HbwReducer HbwReducer;
@@ -19,6 +20,10 @@
   HbwMemberUpdate self;     /* identity, name, data centre and address */
   const char *const *seeds; /* addresses, NULL at the end; may be NULL */
   const HbwPolicy *policy;
+  HbwRetryLimits retry_limits; /* a window of 0 stands for the default limits */
+  gint64 revocation_us; /* see HbwFreshness; 0 where nothing needs confirmation */
+  gboolean
+      load_in_answers; /* servers tell their load with each answer: none is asked */
   guint32 seed;
   gint64 now_us;
 } HbwReducerConfig;
--- a/include/hornbeamwall/core/request.h
+++ b/include/hornbeamwall/core/request.h
@@ -29,6 +29,7 @@
   guint unrun_attempts;
   guint sent_attempts;
   gboolean may_have_run;
+  gboolean begun; /* the first token of the attempt in progress has come */
   gboolean spill_allowed;
   gboolean limit_held;
   gboolean spilled; /* waits in another data centre */
@@ -57,6 +58,10 @@
 /* Tells the owner that a waiting request waits no longer. */
 void hbw_request_post_withdraw (const HbwRequest *request, HbwContext *context);
 
+/* Tells the granter that the first token of the attempt in progress has come. */
+void hbw_request_post_begun (const HbwRequest *request, HbwContext *context,
+                             const HbwAttemptBegin *begin);
+
 /* Tells the granter, and the owner if that is another one, how an attempt ended. */
 void hbw_request_post_done (const HbwRequest *request, HbwContext *context,
                             const HbwAttemptEnd *end);
--- a/include/hornbeamwall/core/server.h
+++ b/include/hornbeamwall/core/server.h
@@ -10,6 +10,7 @@
 #define HORNBEAMWALL_CORE_SERVER_H
 
 #include "hornbeamwall/core/event.h"
+#include "hornbeamwall/core/prompt_cache.h"
 
 /* Prompt prefixes that are remembered for each server. */
 #define HBW_SERVER_PREFIXES 128
@@ -41,8 +42,12 @@
   gint64 reported_at_us;
   gint64 polled_at_us; /* last time a report was asked for */
   guint granted_since_report;
+  guint others;        /* requests of other instances, by the last report */
+  guint unread_tokens; /* of the prompts that were sent here */
+  double failing;      /* part of the answers that were failures, moving average */
   guint64 prefixes[HBW_SERVER_PREFIXES];
   guint next_prefix;
+  HbwPromptCache *prompts; /* what it has read lately */
 } HbwServer;
 
 HbwServer *hbw_server_create (const HbwServerEntry *entry);
@@ -77,6 +82,9 @@
 
 gboolean hbw_server_knows_prefix (const HbwServer *server, guint64 prefix);
 
+/* Returns how many tokens of the prompt of SPEC the server has not read lately. */
+guint hbw_server_uncached (const HbwServer *server, const HbwRequestSpec *spec);
+
 /* Returns the free slots for all tiers. */
 guint hbw_server_free (const HbwServer *server);
 
--- a/include/hornbeamwall/core/shard.h
+++ b/include/hornbeamwall/core/shard.h
@@ -44,6 +44,7 @@
 {
   const char *name;
   gboolean shared; /* one owner for all instances, not one shard each */
+  gboolean across; /* a shard has the servers of all data centres */
   HbwTicket *(*select_ticket) (HbwShard *shard, HbwContext *context);
   HbwServer *(*select_server) (HbwShard *shard, HbwContext *context,
                                const HbwTicket *ticket);
@@ -61,6 +62,7 @@
   gint64 compared_at_us;    /* last look for stragglers */
   gint64 wanted_at_us;      /* last message from an entry instance */
   double service_us;        /* moving average from grant to end */
+  double prompt_rate;       /* prompt tokens that a server reads in a second */
   GHashTable *class_tokens; /* class name -> moving average of tokens, owned */
   guint rotation;           /* for round robin */
   gboolean floor_pick; /* the ticket selected last is owed to its tier's floor */
@@ -83,6 +85,7 @@
                          const HbwRefusal *withdrawal);
 void hbw_shard_active (HbwShard *shard, HbwContext *context, guint64 from,
                        const HbwActive *active);
+void hbw_shard_begun (HbwShard *shard, HbwContext *context, const HbwBegun *begun);
 void hbw_shard_done (HbwShard *shard, HbwContext *context, const HbwDone *done);
 void hbw_shard_load (HbwShard *shard, HbwContext *context,
                      const HbwLoadReport *load);
--- a/include/hornbeamwall/core/shard_estimate.h
+++ b/include/hornbeamwall/core/shard_estimate.h
@@ -23,4 +23,13 @@
 /* Returns the expected wait of a new request of TIER, in microseconds. */
 gint64 hbw_shard_expected_wait (const HbwShard *shard, HbwTier tier);
 
+/* Speed at which a server reads prompts before anything is measured, in tokens a
+   second. */
+#define HBW_PROMPT_RATE_DEFAULT 20000.0
+
+/* Notes that the first token came FIRST_TOKEN_US after the start of an attempt with
+   TOKENS of its prompt to read, and AHEAD_TOKENS of others before them. */
+void hbw_shard_note_prompt (HbwShard *shard, guint tokens, guint ahead_tokens,
+                            gint64 first_token_us);
+
 #endif
--- a/include/hornbeamwall/core/topology.h
+++ b/include/hornbeamwall/core/topology.h
@@ -14,8 +14,10 @@
 
 typedef struct HbwTopology HbwTopology;
 
-/* Creates a topology of SERVERS (HbwServerEntry), which it takes over. */
-HbwTopology *hbw_topology_create (GPtrArray *servers);
+/* Creates a topology of SERVERS (HbwServerEntry), which it takes over.  With ACROSS,
+   the name of a data centre, all servers of a pool are one shard there, wherever
+   they are. */
+HbwTopology *hbw_topology_create (GPtrArray *servers, const char *across);
 void hbw_topology_destroy (HbwTopology *topology);
 
 /* Returns the number of shards of POOL in DATA_CENTRE. */
--- a/include/hornbeamwall/core/types.h
+++ b/include/hornbeamwall/core/types.h
@@ -41,6 +41,7 @@
   HBW_OUTCOME_CANCELLED,     /* the caller went away */
   HBW_OUTCOME_UNUSED,        /* the grant was given back or lapsed */
   HBW_OUTCOME_DENIED,        /* nothing was sent, and nothing may be */
+  HBW_OUTCOME_FAILED, /* a whole answer that reports the server's own failure */
   HBW_OUTCOME_COUNT,
 } HbwOutcome;
 
@@ -57,6 +58,10 @@
   HBW_REASON_DUPLICATE_KEY,
   HBW_REASON_OVERLOADED,
   HBW_REASON_NO_STORE,
+  HBW_REASON_TIMEOUT,      /* the operator's limit for the request is over */
+  HBW_REASON_NO_CATALOGUE, /* nothing is known yet, or it is too old to go by */
+  HBW_REASON_NO_ENDPOINT,
+  HBW_REASON_NO_KEY,
   HBW_REASON_COUNT,
 } HbwReason;
 
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -74,6 +74,14 @@
     pack_summary (packer, &ping->summaries[i]);
 }
 
+static void
+pack_part (msgpack_packer *packer, const HbwPromptPart *part)
+{
+  msgpack_pack_array (packer, 2);
+  msgpack_pack_uint64 (packer, part->hash);
+  msgpack_pack_uint32 (packer, part->tokens);
+}
+
 static void
 pack_spec (msgpack_packer *packer, const HbwRequestSpec *spec)
 {
@@ -93,6 +101,19 @@
   msgpack_pack_uint32 (packer, spec->failures);
 }
 
+/* Fields of a request that came later than the first version of the message. */
+static void
+pack_spec_more (msgpack_packer *packer, const HbwRequestSpec *spec)
+{
+  msgpack_pack_int64 (packer, spec->timeout_us);
+  msgpack_pack_uint32 (packer, spec->attempts_max);
+  msgpack_pack_uint8 (packer, spec->resumable ? 1 : 0);
+  msgpack_pack_uint32 (packer, spec->prompt_tokens);
+  msgpack_pack_array (packer, spec->part_count);
+  for (guint i = 0; i < spec->part_count; i++)
+    pack_part (packer, &spec->parts[i]);
+}
+
 static void
 pack_grant (msgpack_packer *packer, const HbwGrant *grant)
 {
@@ -161,6 +182,7 @@
       pack_shard (packer, &message->want.shard);
       pack_spec (packer, &message->want.spec);
       pack_text (packer, message->want.avoid);
+      pack_spec_more (packer, &message->want.spec);
       break;
     case HBW_MESSAGE_GRANT:
       pack_grant (packer, &message->grant);
@@ -172,6 +194,11 @@
     case HBW_MESSAGE_ACTIVE:
       pack_active (packer, &message->active);
       break;
+    case HBW_MESSAGE_BEGUN:
+      pack_id (packer, &message->begun.id, message->begun.attempt);
+      pack_shard (packer, &message->begun.shard);
+      msgpack_pack_int64 (packer, message->begun.first_token_us);
+      break;
     case HBW_MESSAGE_DONE:
       pack_done (packer, &message->done);
       break;
@@ -198,12 +225,13 @@
 /* Number of fields that pack_fields() writes, by kind. */
 static const guint field_counts[HBW_MESSAGE_COUNT] = {
   [HBW_MESSAGE_PING] = 6,      [HBW_MESSAGE_ACK] = 6,
-  [HBW_MESSAGE_PROBE_FOR] = 6, [HBW_MESSAGE_WANT] = 22,
+  [HBW_MESSAGE_PROBE_FOR] = 6, [HBW_MESSAGE_WANT] = 27,
   [HBW_MESSAGE_WITHDRAW] = 5,  [HBW_MESSAGE_GRANT] = 9,
   [HBW_MESSAGE_REFUSAL] = 5,   [HBW_MESSAGE_ACTIVE] = 10,
   [HBW_MESSAGE_DONE] = 11,     [HBW_MESSAGE_DOCUMENT_ASK] = 4,
   [HBW_MESSAGE_DOCUMENT] = 4,  [HBW_MESSAGE_SUSPECT] = 5,
   [HBW_MESSAGE_DEMAND] = 5,    [HBW_MESSAGE_SHARE] = 5,
+  [HBW_MESSAGE_BEGUN] = 7,
 };
 
 void
--- a/net/codec_take.c
+++ b/net/codec_take.c
@@ -172,6 +172,28 @@
   spec->failures = (guint) hbw_fields_take_uint (fields, G_MAXUINT16);
 }
 
+/* An instance of an older version sends none of these. */
+static void
+take_spec_more (HbwFields *fields, HbwRequestSpec *spec)
+{
+  if (fields->failed || fields->next >= fields->count)
+    return;
+  spec->timeout_us = take_int (fields);
+  spec->attempts_max = (guint) hbw_fields_take_uint (fields, G_MAXUINT16);
+  spec->resumable = hbw_fields_take_uint (fields, 1) != 0;
+  spec->prompt_tokens = (guint) hbw_fields_take_uint (fields, G_MAXUINT32);
+  HbwFields parts = hbw_fields_take_array (fields, HBW_PROMPT_PARTS_MAX);
+  while (!parts.failed && parts.next < parts.count)
+    {
+      HbwPromptPart *part = &spec->parts[spec->part_count++];
+      HbwFields inner = hbw_fields_take_array (&parts, G_MAXUINT16);
+      part->hash = hbw_fields_take_uint (&inner, G_MAXUINT64);
+      part->tokens = (guint) hbw_fields_take_uint (&inner, G_MAXUINT32);
+      parts.failed |= inner.failed;
+    }
+  fields->failed |= parts.failed;
+}
+
 static void
 take_grant (HbwFields *fields, HbwGrant *grant)
 {
@@ -253,6 +275,7 @@
       take_shard (fields, &message->want.shard);
       take_spec (fields, &message->want.spec);
       take_text (fields, message->want.avoid, sizeof message->want.avoid);
+      take_spec_more (fields, &message->want.spec);
       break;
     case HBW_MESSAGE_GRANT:
       take_grant (fields, &message->grant);
@@ -264,6 +287,11 @@
     case HBW_MESSAGE_ACTIVE:
       take_active (fields, &message->active);
       break;
+    case HBW_MESSAGE_BEGUN:
+      take_id (fields, &message->begun.id, &message->begun.attempt);
+      take_shard (fields, &message->begun.shard);
+      message->begun.first_token_us = take_int (fields);
+      break;
     case HBW_MESSAGE_DONE:
       take_done (fields, &message->done);
       break;
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -294,7 +294,7 @@
       g_strlcpy (entry->data_centre, "a", sizeof entry->data_centre);
       g_ptr_array_add (servers, entry);
     }
-  HbwTopology *topology = hbw_topology_create (servers);
+  HbwTopology *topology = hbw_topology_create (servers, NULL);
   guint count = hbw_topology_shard_count (topology, "m", "a");
   guint sum = 0;
   for (guint i = 0; i < count; i++)
