--- a/common/check.c
+++ b/common/check.c
@@ -154,6 +154,22 @@
   return read_int (reader, key, lookup (reader, key), min, max, min);
 }
 
+double
+hbw_reader_real (HbwReader *reader, const char *key, double min, double max,
+                 double fallback)
+{
+  json_t *value = lookup (reader, key);
+  if (value == NULL)
+    return fallback;
+  double number = json_number_value (value);
+  if (json_is_number (value) && number >= min && number <= max)
+    return number;
+  char remedy[128];
+  g_snprintf (remedy, sizeof remedy, "give a number from %g to %g", min, max);
+  add (reader, key, value, remedy);
+  return fallback;
+}
+
 gboolean
 hbw_reader_bool (HbwReader *reader, const char *key, gboolean fallback)
 {
--- a/core/entry.c
+++ b/core/entry.c
@@ -24,7 +24,7 @@
   void *lookup_data;
   HbwRetryBudget *budget;
   guint spilled_waiting;
-  gboolean draining;
+  gint64 closed_at_us; /* from here arrivals are refused */
 };
 
 static guint64
@@ -336,6 +336,7 @@
   entry->lookup = lookup;
   entry->lookup_data = data;
   entry->budget = hbw_retry_budget_create (retry_limits);
+  entry->closed_at_us = G_MAXINT64;
   return entry;
 }
 
@@ -359,10 +360,11 @@
 hbw_entry_handle_arrival (HbwEntry *entry, HbwContext *context,
                           const HbwArrival *arrival)
 {
-  if (entry->draining || g_hash_table_size (entry->requests) >= HBW_REQUESTS_MAX)
+  gboolean closed = context->now_us >= entry->closed_at_us;
+  if (closed || g_hash_table_size (entry->requests) >= HBW_REQUESTS_MAX)
     {
       refuse_sequence (context, arrival->sequence,
-                       entry->draining ? HBW_REASON_DRAINING : HBW_REASON_OVERLOADED,
+                       closed ? HBW_REASON_DRAINING : HBW_REASON_OVERLOADED,
                        FALSE, RETRY_AFTER_DEFAULT_US);
       return;
     }
@@ -589,9 +591,9 @@
 }
 
 void
-hbw_entry_drain (HbwEntry *entry)
+hbw_entry_drain (HbwEntry *entry, gint64 closed_at_us)
 {
-  entry->draining = TRUE;
+  entry->closed_at_us = closed_at_us;
 }
 
 guint
--- a/core/membership.c
+++ b/core/membership.c
@@ -471,6 +471,9 @@
 void
 hbw_membership_add_seed (HbwMembership *membership, const char *address)
 {
+  for (guint i = 0; i < membership->seeds->len; i++)
+    if (strcmp (g_ptr_array_index (membership->seeds, i), address) == 0)
+      return;
   g_ptr_array_add (membership->seeds, g_strdup (address));
 }
 
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -14,6 +14,9 @@
 static const HbwRetryLimits default_retry_limits
     = { .percent = 10, .extra = 160, .window_us = 10 * HBW_US_PER_S };
 
+/* Age of a catalogue that was never confirmed. */
+#define UNCONFIRMED_US (3600 * HBW_US_PER_S)
+
 struct HbwReducer
 {
   HbwContext context;
@@ -26,6 +29,7 @@
   guint64 epoch;        /* of the membership, last acted on */
   gint64 ticked_us;
   gint64 revocation_us;
+  gint64 linger_us;
   gboolean store_up;
   gboolean draining;
   char name[HBW_NAME_MAX];
@@ -159,7 +163,7 @@
   if (reducer->draining)
     return;
   reducer->draining = TRUE;
-  hbw_entry_drain (reducer->entry);
+  hbw_entry_drain (reducer->entry, reducer->context.now_us + reducer->linger_us);
   hbw_membership_leave (reducer->context.membership, &reducer->context);
   hbw_effects_log (reducer->context.effects, HBW_LOG_INSTANCE_DRAINING,
                    "in_progress=%u", hbw_entry_count (reducer->entry));
@@ -460,6 +464,16 @@
                    "instance=%" G_GUINT64_FORMAT, reducer->context.self);
 }
 
+/* A newer catalogue that was not valid here leaves the older one unconfirmed. */
+static void
+handle_confirmation (HbwReducer *reducer, const HbwConfirmation *confirmation)
+{
+  HbwContext *context = &reducer->context;
+  if (hbw_documents_version (reducer->documents, HBW_DOCUMENT_CATALOGUE)
+      >= confirmation->version)
+    context->confirmed_us = MAX (context->confirmed_us, confirmation->asked_us);
+}
+
 static void
 handle_event (HbwReducer *reducer, const HbwEvent *event)
 {
@@ -479,7 +493,7 @@
       hbw_entry_handle_begun (reducer->entry, context, &event->begin);
       break;
     case HBW_EVENT_CONFIRMED:
-      context->confirmed_us = MAX (context->confirmed_us, event->confirmed_us);
+      handle_confirmation (reducer, &event->confirmation);
       break;
     case HBW_EVENT_ATTEMPT_ENDED:
       hbw_entry_handle_end (reducer->entry, context, &event->end);
@@ -505,6 +519,9 @@
     case HBW_EVENT_DRAIN:
       handle_drain (reducer);
       break;
+    case HBW_EVENT_SEED:
+      hbw_membership_add_seed (context->membership, event->seed);
+      break;
     case HBW_EVENT_SURVEY:
       hbw_membership_ping_all (context->membership, context);
       break;
@@ -566,6 +583,8 @@
     hbw_membership_add_seed (context->membership, config->seeds[i]);
   reducer->policy = config->policy;
   reducer->revocation_us = config->revocation_us;
+  reducer->linger_us = config->linger_us;
+  context->confirmed_us = config->now_us - UNCONFIRMED_US;
   context->load_in_answers = config->load_in_answers;
   g_strlcpy (reducer->name, config->self.name, sizeof reducer->name);
   reducer->documents = hbw_documents_create ();
@@ -640,6 +659,12 @@
          && !reducer->draining;
 }
 
+gint64
+hbw_reducer_confirmed_us (const HbwReducer *reducer)
+{
+  return reducer->context.confirmed_us;
+}
+
 gboolean
 hbw_reducer_is_watcher (const HbwReducer *reducer)
 {
--- a/include/hornbeamwall/common/check.h
+++ b/include/hornbeamwall/common/check.h
@@ -50,6 +50,10 @@
 gint64 hbw_reader_required_int (HbwReader *reader, const char *key, gint64 min,
                                 gint64 max);
 
+/* Returns a number from MIN to MAX, FALLBACK where the key is absent. */
+double hbw_reader_real (HbwReader *reader, const char *key, double min, double max,
+                        double fallback);
+
 gboolean hbw_reader_bool (HbwReader *reader, const char *key, gboolean fallback);
 
 /* Copies a string of 1 to SIZE - 1 bytes into BUFFER.  Where the key is absent,
--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -18,6 +18,11 @@
      "Nothing.")                                                                    \
   X (1003, INSTANCE_DRAINING, INFO, "The instance takes no new requests.",          \
      "Wait until it has ended.")                                                    \
+  X (1004, SETTINGS_RELOADED, INFO, "The settings file was read again.",            \
+     "Nothing; addresses change with the next start.")                              \
+  X (1005, SETTINGS_REJECTED, ERROR,                                                \
+     "The settings file was read again and is not valid.",                          \
+     "Correct it as the line says; the settings before stay in force.")             \
   X (2001, DOCUMENT_ADOPTED, INFO, "A newer platform document is in force.",        \
      "Nothing.")                                                                    \
   X (2002, DOCUMENT_REJECTED, ERROR,                                                \
--- a/include/hornbeamwall/core/effect.h
+++ b/include/hornbeamwall/core/effect.h
@@ -34,6 +34,8 @@
   char address[HBW_ADDRESS_MAX];
   gint64 valid_us;
   HbwTier tier;
+  gint64 first_us; /* wait for the answer to begin; 0 is as long as it takes */
+  gint64 stall_us; /* longest pause of the answer; 0 is any */
 } HbwStart;
 
 typedef struct
--- a/include/hornbeamwall/core/entry.h
+++ b/include/hornbeamwall/core/entry.h
@@ -52,8 +52,8 @@
 /* Ends what is overdue and restates what the owners must know. */
 void hbw_entry_tick (HbwEntry *entry, HbwContext *context);
 
-/* Refuses every later arrival. */
-void hbw_entry_drain (HbwEntry *entry);
+/* Refuses every arrival from CLOSED_AT_US on. */
+void hbw_entry_drain (HbwEntry *entry, gint64 closed_at_us);
 
 guint hbw_entry_count (const HbwEntry *entry);
 HbwLimiter *hbw_entry_limiter (HbwEntry *entry);
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -19,6 +19,7 @@
   HBW_EVENT_CONFIRMED, /* the newest catalogue was asked for and is known */
   HBW_EVENT_MESSAGE,
   HBW_EVENT_DRAIN,  /* planned stop of this instance */
+  HBW_EVENT_SEED,   /* an address to ask for members */
   HBW_EVENT_SURVEY, /* ask every instance for its versions */
 } HbwEventKind;
 
@@ -55,6 +56,13 @@
   gint64 age_us;
 } HbwLoadReport;
 
+/* The store says that VERSION is the newest catalogue. */
+typedef struct
+{
+  gint64 asked_us; /* when the store was asked */
+  gint64 version;
+} HbwConfirmation;
+
 typedef struct
 {
   HbwEventKind kind;
@@ -68,8 +76,9 @@
     HbwLoadReport load;
     HbwDocument document; /* body borrowed for the step; NULL: does not exist */
     gboolean store_up;
-    gint64 confirmed_us; /* when the store was asked */
-    HbwMessage message;  /* borrowed for the step */
+    HbwConfirmation confirmation;
+    char seed[HBW_ADDRESS_MAX];
+    HbwMessage message; /* borrowed for the step */
   };
 } HbwEvent;
 
--- a/include/hornbeamwall/core/reducer.h
+++ b/include/hornbeamwall/core/reducer.h
@@ -22,6 +22,7 @@
   const HbwPolicy *policy;
   HbwRetryLimits retry_limits; /* a window of 0 stands for the default limits */
   gint64 revocation_us; /* see HbwFreshness; 0 where nothing needs confirmation */
+  gint64 linger_us; /* arrivals are still taken so long after a planned stop */
   gboolean
       load_in_answers; /* servers tell their load with each answer: none is asked */
   guint32 seed;
@@ -38,6 +39,9 @@
 /* Returns whether a catalogue, a list of servers and the planned stops are known. */
 gboolean hbw_reducer_is_ready (const HbwReducer *reducer);
 
+/* Returns when the catalogue in force was last known to be the newest. */
+gint64 hbw_reducer_confirmed_us (const HbwReducer *reducer);
+
 /* Returns whether this instance is one of those of its data centre that watch the
    platform's store. */
 gboolean hbw_reducer_is_watcher (const HbwReducer *reducer);
--- a/include/hornbeamwall/net/http.h
+++ b/include/hornbeamwall/net/http.h
@@ -7,7 +7,7 @@
 #define HORNBEAMWALL_NET_HTTP_H
 
 #include "hornbeamwall/common/error.h"
-#include "hornbeamwall/core/effect.h"
+#include "hornbeamwall/net/problem.h"
 
 #include <microhttpd.h>
 
@@ -69,24 +69,7 @@
                                         const char *content_type, const char *text,
                                         gint64 version);
 
-/* A refusal as problem JSON (RFC 9457). */
-typedef struct
-{
-  guint status;
-  const char *title;
-  const char *detail;
-  const char *remedy;
-  const char *executed;  /* "no" or "unknown"; NULL leaves it out */
-  gint64 retry_after_us; /* 0 leaves it out */
-} HbwProblem;
-
 enum MHD_Result hbw_http_problem (HbwHttpRequest *request,
                                   const HbwProblem *problem);
 
-/* Returns the JSON of a problem, as a new string. */
-char *hbw_problem_format (const HbwProblem *problem);
-
-/* Returns what a caller is told about a refusal by the reducer. */
-HbwProblem hbw_problem_of_refusal (const HbwRefuse *refuse);
-
 #endif
--- a/include/hornbeamwall/runtime/call.h
+++ b/include/hornbeamwall/runtime/call.h
@@ -7,28 +7,10 @@
 #ifndef HORNBEAMWALL_RUNTIME_CALL_H
 #define HORNBEAMWALL_RUNTIME_CALL_H
 
-#include "hornbeamwall/core/effect.h"
+#include "hornbeamwall/runtime/order.h"
 
 typedef struct HbwCall HbwCall;
 
-typedef enum
-{
-  HBW_ORDER_NONE, /* the time is over */
-  HBW_ORDER_START,
-  HBW_ORDER_CANCEL,
-  HBW_ORDER_REFUSE,
-  HBW_ORDER_FINISH,
-  HBW_ORDER_GONE, /* the caller has closed its connection */
-} HbwOrderKind;
-
-typedef struct
-{
-  HbwOrderKind kind;
-  HbwStart start;
-  gint64 expires_us; /* START: the attempt must not connect after this */
-  HbwRefuse refuse;
-} HbwOrder;
-
 /* Creates the mailbox of request SEQUENCE, or NULL where no descriptor is left. */
 HbwCall *hbw_call_create (guint64 sequence);
 HbwCall *hbw_call_ref (HbwCall *call);
--- a/include/hornbeamwall/runtime/control.h
+++ b/include/hornbeamwall/runtime/control.h
@@ -8,6 +8,7 @@
 #define HORNBEAMWALL_RUNTIME_CONTROL_H
 
 #include "hornbeamwall/common/clock.h"
+#include "hornbeamwall/core/admission.h"
 #include "hornbeamwall/core/event.h"
 #include "hornbeamwall/runtime/call.h"
 #include "hornbeamwall/runtime/settings.h"
@@ -41,6 +42,13 @@
    body is taken over by reference. */
 void hbw_control_submit (HbwControl *control, const HbwEvent *event, HbwCall *call);
 
+/* Sets who gets the orders of requests that were submitted without a call; NULL drops
+   them. */
+void hbw_control_set_sink (HbwControl *control, HbwOrderSink *sink);
+
+/* Notes that the store, asked at ASKED_US, gave VERSION as the newest catalogue. */
+void hbw_control_confirm (HbwControl *control, gint64 asked_us, gint64 version);
+
 /* Returns a new text, made by the control thread. */
 char *hbw_control_query (HbwControl *control, HbwQueryKind kind);
 
@@ -55,6 +63,7 @@
 gboolean hbw_control_is_orderer (const HbwControl *control);
 gboolean hbw_control_is_draining (const HbwControl *control);
 gboolean hbw_control_is_watcher (const HbwControl *control);
+HbwFreshness hbw_control_freshness (const HbwControl *control);
 guint hbw_control_request_count (const HbwControl *control);
 gint64 hbw_control_version (const HbwControl *control, HbwDocumentKind kind);
 
--- a/include/hornbeamwall/runtime/instance.h
+++ b/include/hornbeamwall/runtime/instance.h
@@ -13,6 +13,10 @@
                                   HbwError *error);
 
 /* Begins a planned stop: no new requests are taken. */
+/* Takes over what SETTINGS may change in a running instance: the peers to ask for
+   members. */
+void hbw_instance_reload (HbwInstance *instance, const HbwSettings *settings);
+
 void hbw_instance_drain (HbwInstance *instance);
 
 /* Returns whether requests are still in progress. */
--- /dev/null
+++ b/include/hornbeamwall/runtime/listing.h
@@ -0,0 +1,58 @@
+/*
+ * listing - all objects of one kind in the platform's store, kept up to date
+ *
+ * A listing is read whole, then follows changes.  An object is never replaced by an
+ * older version of itself.  Objects that are missing after the store was away are
+ * kept a moment longer: their owners may have had no way to renew them.
+ */
+#ifndef HORNBEAMWALL_RUNTIME_LISTING_H
+#define HORNBEAMWALL_RUNTIME_LISTING_H
+
+#include "hornbeamwall/common/clock.h"
+
+#include <jansson.h>
+
+/* How long after the store's return a missing object is kept. */
+#define HBW_LISTING_GRACE_US (2 * HBW_US_PER_S)
+
+/* One object, or that it was removed. */
+typedef struct
+{
+  char *name;
+  gint64 revision;
+  json_t *value; /* NULL: removed; owned */
+} HbwChange;
+
+void hbw_change_clear (HbwChange *change);
+
+typedef struct HbwListing HbwListing;
+
+HbwListing *hbw_listing_create (void);
+void hbw_listing_destroy (HbwListing *listing);
+
+/* The store did not answer at NOW_US. */
+void hbw_listing_note_outage (HbwListing *listing, gint64 now_us);
+
+/* The store answered at NOW_US. */
+void hbw_listing_note_answer (HbwListing *listing, gint64 now_us);
+
+/* Begins to read all objects anew; those that are not added until hbw_listing_end()
+   are removed then. */
+void hbw_listing_begin (HbwListing *listing);
+void hbw_listing_end (HbwListing *listing);
+
+/* Takes CHANGE over. */
+void hbw_listing_apply (HbwListing *listing, HbwChange *change);
+
+/* Drops what was kept for long enough. */
+void hbw_listing_expire (HbwListing *listing, gint64 now_us);
+
+/* Returns whether anything changed since the last call. */
+gboolean hbw_listing_take_changed (HbwListing *listing);
+
+/* Calls VISIT on every object. */
+void hbw_listing_foreach (HbwListing *listing,
+                          void (*visit) (const char *name, json_t *value, void *data),
+                          void *data);
+
+#endif
--- a/include/hornbeamwall/runtime/settings.h
+++ b/include/hornbeamwall/runtime/settings.h
@@ -6,10 +6,15 @@
 
 #include "hornbeamwall/common/error.h"
 #include "hornbeamwall/core/directory.h"
+#include "hornbeamwall/core/retry_budget.h"
 
 /* Longest token of the administration API, in bytes, with its end mark. */
 #define HBW_TOKEN_MAX 128
 
+/* Names of the interfaces. */
+#define HBW_INTERFACE_NATIVE "native"
+#define HBW_INTERFACE_PLATFORM "platform"
+
 typedef struct
 {
   char name[HBW_NAME_MAX];
@@ -27,6 +32,13 @@
   guint first_byte_timeout_ms; /* of an answer */
   guint stall_timeout_ms;      /* between two pieces of an answer */
   guint caller_timeout_s;      /* a caller that sends or takes nothing */
+  char interface[HBW_NAME_MAX];      /* how callers and servers speak */
+  char ready_address[HBW_ADDRESS_MAX]; /* of the load balancer's question; "" none */
+  char policy[HBW_NAME_MAX];         /* see policy.h */
+  HbwRetryLimits retry_limits;
+  guint revocation_ms;      /* a key that was taken away is refused at latest then */
+  gboolean load_in_answers; /* servers tell their load with each answer */
+  guint stop_grace_ms;      /* from the signal to stop until the process is killed */
 } HbwSettings;
 
 /* Reads and checks the file at PATH as a whole. */
--- a/include/hornbeamwall/runtime/watch.h
+++ b/include/hornbeamwall/runtime/watch.h
@@ -12,8 +12,8 @@
 
 typedef struct HbwWatch HbwWatch;
 
-/* Starts one thread for each document of the store at PLATFORM_ADDRESS. */
-HbwWatch *hbw_watch_create (HbwControl *control, const char *platform_address,
+/* Starts one thread for each document that the store of the settings keeps. */
+HbwWatch *hbw_watch_create (HbwControl *control, const HbwSettings *settings,
                             HbwError *error);
 
 /* Ends the threads; waits for calls in progress. */
--- /dev/null
+++ b/net/channel.c
@@ -0,0 +1,287 @@
+#include "hornbeamwall/net/channel.h"
+
+#include "hornbeamwall/common/address.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Bytes that are read at once. */
+#define READ_MAX ((gsize) 16 * 1024)
+
+/* Connections that may wait to be accepted. */
+#define BACKLOG 512
+
+/* What was sent and is not acknowledged for so long ends the connection, in
+   milliseconds: the other side may be cut off without a reset. */
+#define USER_TIMEOUT_MS 4000
+
+struct HbwChannel
+{
+  HbwWatcher watcher;
+  HbwLoop *loop;
+  HbwChannelUser *user;
+  GByteArray *out;
+  gsize sent; /* bytes of OUT that are gone */
+  gboolean connecting;
+  gboolean reading;
+  gboolean finishing;
+  gboolean finished;
+};
+
+static gboolean
+parse (const char *text, struct sockaddr_in *address)
+{
+  HbwHostPort parts;
+  memset (address, 0, sizeof *address);
+  if (!hbw_address_parse (text, &parts))
+    return FALSE;
+  address->sin_family = AF_INET;
+  address->sin_port = htons ((guint16) parts.port);
+  return inet_pton (AF_INET, parts.host, &address->sin_addr) == 1;
+}
+
+static void
+set_options (int fd)
+{
+  const int on = 1;
+  const unsigned timeout = USER_TIMEOUT_MS;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+}
+
+static void
+update_events (HbwChannel *channel)
+{
+  guint events = 0;
+  if (channel->reading && !channel->connecting)
+    events |= EPOLLIN;
+  if (channel->connecting || hbw_channel_pending (channel) > 0)
+    events |= EPOLLOUT;
+  hbw_loop_change (channel->loop, &channel->watcher, events);
+}
+
+static void
+shut_down (HbwChannel *channel)
+{
+  if (!channel->finishing || channel->finished)
+    return;
+  channel->finished = TRUE;
+  shutdown (channel->watcher.fd, SHUT_WR);
+}
+
+/* Sends what waits; returns FALSE where the connection is broken. */
+static gboolean
+flush (HbwChannel *channel)
+{
+  while (channel->sent < channel->out->len)
+    {
+      ssize_t count
+          = send (channel->watcher.fd, channel->out->data + channel->sent,
+                  channel->out->len - channel->sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (count < 0 && errno == EINTR)
+        continue;
+      if (count < 0)
+        return errno == EAGAIN || errno == EWOULDBLOCK;
+      channel->sent += (gsize) count;
+    }
+  g_byte_array_set_size (channel->out, 0);
+  channel->sent = 0;
+  shut_down (channel);
+  return TRUE;
+}
+
+static void
+end (HbwChannel *channel, gboolean clean)
+{
+  channel->reading = FALSE;
+  update_events (channel);
+  channel->user->class->handle_end (channel->user, clean);
+}
+
+static void
+handle_readable (HbwChannel *channel)
+{
+  char bytes[READ_MAX];
+  ssize_t count = recv (channel->watcher.fd, bytes, sizeof bytes, MSG_DONTWAIT);
+  if (count > 0)
+    channel->user->class->handle_bytes (channel->user, bytes, (gsize) count);
+  else if (count == 0)
+    end (channel, TRUE);
+  else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+    end (channel, FALSE);
+}
+
+static void
+handle_connect (HbwChannel *channel)
+{
+  int code = 0;
+  socklen_t size = sizeof code;
+  getsockopt (channel->watcher.fd, SOL_SOCKET, SO_ERROR, &code, &size);
+  if (code != 0)
+    {
+      end (channel, FALSE);
+      return;
+    }
+  channel->connecting = FALSE;
+  update_events (channel);
+  channel->user->class->handle_connected (channel->user);
+}
+
+static void
+handle_writable (HbwChannel *channel)
+{
+  if (!flush (channel))
+    {
+      end (channel, FALSE);
+      return;
+    }
+  update_events (channel);
+  if (hbw_channel_pending (channel) == 0
+      && channel->user->class->handle_drained != NULL)
+    channel->user->class->handle_drained (channel->user);
+}
+
+static void
+handle_ready (HbwWatcher *watcher, guint events)
+{
+  HbwChannel *channel = caa_container_of (watcher, HbwChannel, watcher);
+  if (channel->connecting)
+    handle_connect (channel);
+  else if ((events & EPOLLOUT) != 0)
+    handle_writable (channel); /* what can be read is handled in the next round */
+  else if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0 && channel->reading)
+    handle_readable (channel);
+  else if ((events & (EPOLLHUP | EPOLLERR)) != 0)
+    end (channel, FALSE);
+}
+
+static HbwChannel *
+channel_create (HbwLoop *loop, int fd, HbwChannelUser *user, gboolean connecting)
+{
+  HbwChannel *channel = g_new0 (HbwChannel, 1);
+  channel->loop = loop;
+  channel->user = user;
+  channel->watcher.fd = fd;
+  channel->watcher.handle_ready = handle_ready;
+  channel->connecting = connecting;
+  channel->reading = TRUE;
+  channel->out = g_byte_array_new ();
+  set_options (fd);
+  if (hbw_loop_watch (loop, &channel->watcher, connecting ? EPOLLOUT : EPOLLIN))
+    return channel;
+  hbw_channel_destroy (channel);
+  return NULL;
+}
+
+HbwChannel *
+hbw_channel_adopt (HbwLoop *loop, int fd, HbwChannelUser *user)
+{
+  return channel_create (loop, fd, user, FALSE);
+}
+
+HbwChannel *
+hbw_channel_connect (HbwLoop *loop, const char *address, HbwChannelUser *user)
+{
+  struct sockaddr_in target;
+  if (!parse (address, &target))
+    return NULL;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return NULL;
+  if (connect (fd, (struct sockaddr *) &target, sizeof target) == 0
+      || errno == EINPROGRESS)
+    return channel_create (loop, fd, user, TRUE);
+  close (fd);
+  return NULL;
+}
+
+void
+hbw_channel_destroy (HbwChannel *channel)
+{
+  hbw_loop_unwatch (channel->loop, &channel->watcher);
+  close (channel->watcher.fd);
+  g_byte_array_free (channel->out, TRUE);
+  g_free (channel);
+}
+
+void
+hbw_channel_abort (HbwChannel *channel)
+{
+  const struct linger now = { 1, 0 };
+  setsockopt (channel->watcher.fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  hbw_channel_destroy (channel);
+}
+
+void
+hbw_channel_write (HbwChannel *channel, const char *bytes, gsize length)
+{
+  g_byte_array_append (channel->out, (const guint8 *) bytes, (guint) length);
+  if (!channel->connecting)
+    flush (channel); /* a broken connection shows when it is next read or written */
+  update_events (channel);
+}
+
+void
+hbw_channel_finish (HbwChannel *channel)
+{
+  channel->finishing = TRUE;
+  if (hbw_channel_pending (channel) == 0)
+    shut_down (channel);
+}
+
+gboolean
+hbw_channel_is_quiet (const HbwChannel *channel)
+{
+  char byte;
+  return recv (channel->watcher.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+gsize
+hbw_channel_pending (const HbwChannel *channel)
+{
+  return channel->out->len - channel->sent;
+}
+
+void
+hbw_channel_set_reading (HbwChannel *channel, gboolean reading)
+{
+  channel->reading = reading;
+  update_events (channel);
+}
+
+int
+hbw_listen (const char *address, HbwError *error)
+{
+  const int on = 1;
+  struct sockaddr_in target;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd >= 0)
+    setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (fd >= 0 && parse (address, &target)
+      && bind (fd, (struct sockaddr *) &target, sizeof target) == 0
+      && listen (fd, BACKLOG) == 0)
+    return fd;
+  hbw_error_set (error, HBW_ERROR_NETWORK,
+                 "address %s: %s; give a free IP number and port of this machine",
+                 address, strerror (errno));
+  if (fd >= 0)
+    close (fd);
+  return -1;
+}
+
+guint
+hbw_listen_port (int fd)
+{
+  struct sockaddr_in address;
+  socklen_t size = sizeof address;
+  if (getsockname (fd, (struct sockaddr *) &address, &size) != 0)
+    return 0;
+  return ntohs (address.sin_port);
+}
--- /dev/null
+++ b/net/downstream.c
@@ -0,0 +1,390 @@
+#include "hornbeamwall/net/downstream.h"
+
+#include "hornbeamwall/net/channel.h"
+#include "hornbeamwall/net/exchange.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Bytes of later requests that are kept while one is being answered. */
+#define AHEAD_MAX ((guint) 64 * 1024)
+
+/* How long a caller may take to close after this side has. */
+#define LINGER_US (1 * HBW_US_PER_S)
+
+/* A request that is refused with its body unread ends the connection. */
+#define RETRY_AFTER_US (500 * HBW_US_PER_MS)
+
+/* Bytes of request bodies that are held at once. */
+#define BODIES_MAX ((gsize) 32 * 1024 * 1024)
+
+struct HbwDownstream
+{
+  HbwChannelUser channel_user;
+  HbwParserUser parser_user;
+  struct cds_list_head link;
+  HbwTraffic *traffic;
+  HbwChannel *channel;
+  HbwParser *parser;
+  HbwTimer timer;         /* for a head, for more of a body, or lying idle */
+  GByteArray *ahead;      /* what came while a request is being answered */
+  HbwExchange *exchange;  /* in progress, or NULL */
+  guint refused;          /* status to refuse the request with, or 0 */
+  gboolean reads_request; /* the exchange's request is not whole yet */
+  gboolean answering;
+  gboolean chunked; /* the answer in progress */
+  gboolean close_after;
+  gboolean closing; /* this side has sent its last byte */
+  gboolean reading; /* within read_ahead(), where nothing is freed */
+  gboolean gone;
+};
+
+static void read_ahead (HbwDownstream *downstream);
+
+static void
+downstream_destroy (HbwDownstream *downstream)
+{
+  HbwTraffic *traffic = downstream->traffic;
+  HbwExchange *exchange = downstream->exchange;
+  downstream->exchange = NULL;
+  if (exchange != NULL)
+    hbw_exchange_handle_gone (exchange);
+  downstream->gone = TRUE;
+  if (downstream->reading)
+    return;
+  hbw_loop_clear_timer (traffic->loop, &downstream->timer);
+  cds_list_del (&downstream->link);
+  traffic->downstream_count--;
+  hbw_parser_destroy (downstream->parser);
+  if (downstream->channel != NULL)
+    hbw_channel_destroy (downstream->channel);
+  g_byte_array_free (downstream->ahead, TRUE);
+  g_free (downstream);
+}
+
+static void
+begin_closing (HbwDownstream *downstream)
+{
+  downstream->closing = TRUE;
+  hbw_channel_finish (downstream->channel);
+  hbw_loop_set_timer (downstream->traffic->loop, &downstream->timer, LINGER_US);
+}
+
+static void
+set_timer (HbwDownstream *downstream, gint64 delay_us)
+{
+  hbw_loop_set_timer (downstream->traffic->loop, &downstream->timer, delay_us);
+}
+
+static void
+become_idle (HbwDownstream *downstream)
+{
+  const HbwCallerLimits limits = hbw_traffic_limits (downstream->traffic);
+  set_timer (downstream, limits.idle_timeout_us);
+}
+
+/* Answers a request that was never handed on. */
+static void
+refuse_plainly (HbwDownstream *downstream, guint status)
+{
+  downstream->close_after = TRUE;
+  char fields[64] = "";
+  if (status == 503)
+    g_snprintf (fields, sizeof fields, "Retry-After: %.3f\r\n",
+                (double) RETRY_AFTER_US / HBW_US_PER_S);
+  hbw_downstream_begin (downstream, status, fields, 0);
+  hbw_downstream_end (downstream);
+}
+
+static HbwDownstream *
+of_parser (HbwParserUser *user)
+{
+  return caa_container_of (user, HbwDownstream, parser_user);
+}
+
+/* What cannot be forwarded as it is, or could be read in two ways. */
+static gboolean
+is_proper (const HbwHead *head)
+{
+  return *head->target == '/' && hbw_head_count (head, "Host") == 1
+         && hbw_head_count (head, "Content-Length") <= 1
+         && hbw_head_count (head, "Transfer-Encoding") <= 1
+         && strcmp (head->method, "CONNECT") != 0;
+}
+
+static void
+handle_head (HbwParserUser *user, HbwHead *head)
+{
+  HbwDownstream *downstream = of_parser (user);
+  HbwTraffic *traffic = downstream->traffic;
+  const HbwCallerLimits limits = hbw_traffic_limits (traffic);
+  downstream->close_after |= !head->keep_alive || traffic->draining;
+  set_timer (downstream, limits.idle_timeout_us);
+  if (head->size > limits.header_max)
+    downstream->refused = 431;
+  else if (head->has_length && head->length > limits.body_max)
+    downstream->refused = 413;
+  else if (!is_proper (head))
+    downstream->refused = 400;
+  if (downstream->refused != 0)
+    return;
+  const char *expect = hbw_head_find (head, "Expect");
+  downstream->exchange = hbw_exchange_create (traffic, downstream,
+                                              hbw_parser_steal_head (
+                                                  downstream->parser));
+  downstream->reads_request = TRUE;
+  if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") == 0)
+    {
+      static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+      hbw_channel_write (downstream->channel, go_on, strlen (go_on));
+    }
+}
+
+static void
+handle_body (HbwParserUser *user, const char *bytes, gsize length)
+{
+  HbwDownstream *downstream = of_parser (user);
+  const HbwCallerLimits limits = hbw_traffic_limits (downstream->traffic);
+  if (downstream->exchange == NULL || downstream->refused != 0)
+    return;
+  set_timer (downstream, limits.idle_timeout_us);
+  if (hbw_exchange_add_body (downstream->exchange, bytes, length) > limits.body_max)
+    downstream->refused = 413;
+  else if (downstream->traffic->body_bytes > BODIES_MAX)
+    downstream->refused = 503;
+}
+
+static const HbwParserUserClass parser_user_class = { handle_head, handle_body };
+
+/* Ends what is read with an error that the caller is told. */
+static void
+reject (HbwDownstream *downstream, guint status)
+{
+  HbwExchange *exchange = downstream->exchange;
+  downstream->exchange = NULL;
+  downstream->reads_request = FALSE;
+  if (exchange != NULL)
+    hbw_exchange_destroy (exchange);
+  refuse_plainly (downstream, status);
+}
+
+static void
+submit (HbwDownstream *downstream)
+{
+  downstream->reads_request = FALSE;
+  downstream->answering = TRUE;
+  hbw_loop_clear_timer (downstream->traffic->loop, &downstream->timer);
+  hbw_exchange_submit (downstream->exchange);
+}
+
+/* Parses BYTES; returns how many were used. */
+static gsize
+feed (HbwDownstream *downstream, const char *bytes, gsize length)
+{
+  gsize used;
+  const HbwCallerLimits limits = hbw_traffic_limits (downstream->traffic);
+  if (!hbw_parser_has_begun (downstream->parser))
+    set_timer (downstream, limits.header_timeout_us);
+  HbwParserState state = hbw_parser_feed (downstream->parser, bytes, length, &used);
+  if (downstream->gone)
+    return used;
+  if (downstream->refused != 0)
+    reject (downstream, downstream->refused);
+  else if (state == HBW_PARSER_ERROR)
+    reject (downstream, 400);
+  else if (state == HBW_PARSER_ENDED)
+    submit (downstream);
+  else if (hbw_parser_head_size (downstream->parser) > limits.header_max)
+    reject (downstream, 431);
+  return used;
+}
+
+static HbwDownstream *
+of_channel (HbwChannelUser *user)
+{
+  return caa_container_of (user, HbwDownstream, channel_user);
+}
+
+static void
+handle_bytes (HbwChannelUser *user, const char *bytes, gsize length)
+{
+  HbwDownstream *downstream = of_channel (user);
+  if (downstream->closing)
+    return;
+  g_byte_array_append (downstream->ahead, (const guint8 *) bytes, (guint) length);
+  if (!downstream->answering)
+    read_ahead (downstream);
+  else if (downstream->ahead->len > AHEAD_MAX)
+    hbw_channel_set_reading (downstream->channel, FALSE);
+}
+
+/* A request may be answered, and its connection closed, while it is read. */
+static void
+read_ahead (HbwDownstream *downstream)
+{
+  if (downstream->reading)
+    return;
+  downstream->reading = TRUE;
+  GByteArray *ahead = downstream->ahead;
+  while (ahead->len > 0 && !downstream->gone && !downstream->answering
+         && !downstream->closing)
+    {
+      gsize used = feed (downstream, (const char *) ahead->data, ahead->len);
+      g_byte_array_remove_range (ahead, 0, (guint) used);
+    }
+  downstream->reading = FALSE;
+  if (downstream->gone)
+    downstream_destroy (downstream);
+}
+
+static void
+handle_end (HbwChannelUser *user, gboolean clean G_GNUC_UNUSED)
+{
+  downstream_destroy (of_channel (user));
+}
+
+static void
+handle_drained (HbwChannelUser *user)
+{
+  HbwDownstream *downstream = of_channel (user);
+  if (downstream->exchange != NULL && downstream->answering)
+    hbw_exchange_handle_drained (downstream->exchange);
+}
+
+static const HbwChannelUserClass channel_user_class = {
+  .handle_bytes = handle_bytes,
+  .handle_end = handle_end,
+  .handle_drained = handle_drained,
+};
+
+static void
+handle_timeout (HbwTimer *timer)
+{
+  HbwDownstream *downstream = caa_container_of (timer, HbwDownstream, timer);
+  if (downstream->closing)
+    downstream_destroy (downstream);
+  else if (hbw_parser_has_begun (downstream->parser))
+    reject (downstream, 408);
+  else
+    begin_closing (downstream);
+}
+
+void
+hbw_downstream_adopt (HbwTraffic *traffic, int fd)
+{
+  HbwDownstream *downstream = g_new0 (HbwDownstream, 1);
+  downstream->channel_user.class = &channel_user_class;
+  downstream->parser_user.class = &parser_user_class;
+  downstream->traffic = traffic;
+  downstream->timer.handle_due = handle_timeout;
+  downstream->ahead = g_byte_array_new ();
+  downstream->parser
+      = hbw_parser_create (HBW_PARSER_REQUEST, &downstream->parser_user);
+  cds_list_add_tail (&downstream->link, &traffic->downstreams);
+  traffic->downstream_count++;
+  downstream->channel
+      = hbw_channel_adopt (traffic->loop, fd, &downstream->channel_user);
+  if (downstream->channel == NULL)
+    downstream_destroy (downstream);
+  else
+    become_idle (downstream);
+}
+
+void
+hbw_downstream_abort (HbwDownstream *downstream)
+{
+  downstream->exchange = NULL;
+  if (downstream->channel != NULL)
+    {
+      hbw_channel_abort (downstream->channel);
+      downstream->channel = NULL;
+    }
+  downstream_destroy (downstream);
+}
+
+void
+hbw_downstream_retire_all (HbwTraffic *traffic)
+{
+  HbwDownstream *downstream;
+  cds_list_for_each_entry (downstream, &traffic->downstreams, link)
+    {
+      downstream->close_after = TRUE;
+      if (downstream->exchange == NULL && !downstream->answering
+          && !hbw_parser_has_begun (downstream->parser) && !downstream->closing)
+        begin_closing (downstream);
+    }
+}
+
+void
+hbw_downstream_abort_all (HbwTraffic *traffic)
+{
+  HbwDownstream *downstream;
+  HbwDownstream *next;
+  cds_list_for_each_entry_safe (downstream, next, &traffic->downstreams, link)
+    downstream_destroy (downstream);
+}
+
+void
+hbw_downstream_begin (HbwDownstream *downstream, guint status, const char *fields,
+                      gint64 length)
+{
+  downstream->answering = TRUE;
+  downstream->close_after |= downstream->traffic->draining;
+  downstream->chunked = length < 0;
+  GString *head = g_string_new (NULL);
+  g_string_append_printf (head, "HTTP/1.1 %u \r\n%s", status, fields);
+  if (length >= 0)
+    g_string_append_printf (head, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
+  else
+    g_string_append (head, "Transfer-Encoding: chunked\r\n");
+  if (downstream->close_after)
+    g_string_append (head, "Connection: close\r\n");
+  g_string_append (head, "\r\n");
+  hbw_channel_write (downstream->channel, head->str, head->len);
+  g_string_free (head, TRUE);
+}
+
+void
+hbw_downstream_write (HbwDownstream *downstream, const guint8 *bytes, gsize length)
+{
+  if (length == 0)
+    return;
+  if (!downstream->chunked)
+    {
+      hbw_channel_write (downstream->channel, (const char *) bytes, length);
+      return;
+    }
+  GString *chunk = g_string_sized_new (length + 16);
+  g_string_append_printf (chunk, "%zx\r\n", length);
+  g_string_append_len (chunk, (const char *) bytes, (gssize) length);
+  g_string_append (chunk, "\r\n");
+  hbw_channel_write (downstream->channel, chunk->str, chunk->len);
+  g_string_free (chunk, TRUE);
+}
+
+void
+hbw_downstream_end (HbwDownstream *downstream)
+{
+  static const char last_chunk[] = "0\r\n\r\n";
+  if (downstream->chunked)
+    hbw_channel_write (downstream->channel, last_chunk, strlen (last_chunk));
+  downstream->chunked = FALSE;
+  downstream->exchange = NULL;
+  downstream->answering = FALSE;
+  downstream->refused = 0;
+  if (downstream->close_after)
+    {
+      begin_closing (downstream);
+      return;
+    }
+  hbw_parser_reset (downstream->parser, FALSE);
+  become_idle (downstream);
+  hbw_channel_set_reading (downstream->channel, TRUE);
+  read_ahead (downstream);
+}
+
+gboolean
+hbw_downstream_is_full (const HbwDownstream *downstream)
+{
+  return hbw_channel_pending (downstream->channel) > HBW_DOWNSTREAM_PENDING_MAX;
+}
--- /dev/null
+++ b/net/event_stream.c
@@ -0,0 +1,155 @@
+#include "hornbeamwall/net/event_stream.h"
+
+#include <string.h>
+
+#define ID_FIELD "id:"
+
+struct HbwEventStream
+{
+  GByteArray *buffer;
+  gsize scanned; /* bytes that hold no end of an event */
+  char last_id[HBW_EVENT_ID_MAX];
+};
+
+/* Returns the length of the first event with its blank line, or 0. */
+static gsize
+find_end (HbwEventStream *stream)
+{
+  const guint8 *data = stream->buffer->data;
+  gsize length = stream->buffer->len;
+  gsize line = 0; /* bytes of the present line, without its end */
+  gsize from = stream->scanned;
+  while (from > 0 && data[from - 1] != '\n')
+    from--;
+  for (gsize i = from; i < length; i++)
+    {
+      if (data[i] == '\n' && line == 0 && i > 0)
+        return i + 1;
+      if (data[i] == '\n')
+        line = 0;
+      else if (data[i] != '\r')
+        line++;
+    }
+  stream->scanned = length;
+  return 0;
+}
+
+static void
+read_id (const guint8 *event, gsize length, char *id, gsize size)
+{
+  const char *at = (const char *) event;
+  const char *end = at + length;
+  *id = '\0';
+  while (at < end)
+    {
+      const char *line_end = memchr (at, '\n', (gsize) (end - at));
+      if (line_end == NULL)
+        line_end = end;
+      gsize prefix = strlen (ID_FIELD);
+      if ((gsize) (line_end - at) > prefix && memcmp (at, ID_FIELD, prefix) == 0)
+        {
+          gsize count = MIN ((gsize) (line_end - at) - prefix, size - 1);
+          memcpy (id, at + prefix, count);
+          id[count] = '\0';
+          g_strstrip (id);
+        }
+      at = line_end + 1;
+    }
+}
+
+static gboolean
+is_number (const char *text)
+{
+  return *text != '\0' && strspn (text, "0123456789") == strlen (text);
+}
+
+/* Ids are numbers that rise; others cannot be compared. */
+static gboolean
+is_after (const char *id, const char *last)
+{
+  if (!is_number (id) || !is_number (last))
+    return TRUE;
+  return g_ascii_strtoull (id, NULL, 10) > g_ascii_strtoull (last, NULL, 10);
+}
+
+HbwEventStream *
+hbw_event_stream_create (void)
+{
+  HbwEventStream *stream = g_new0 (HbwEventStream, 1);
+  stream->buffer = g_byte_array_new ();
+  return stream;
+}
+
+void
+hbw_event_stream_destroy (HbwEventStream *stream)
+{
+  g_byte_array_free (stream->buffer, TRUE);
+  g_free (stream);
+}
+
+gboolean
+hbw_event_stream_feed (HbwEventStream *stream, const char *bytes, gsize length)
+{
+  if (stream->buffer->len + length > HBW_EVENT_MAX)
+    return FALSE;
+  g_byte_array_append (stream->buffer, (const guint8 *) bytes, (guint) length);
+  return TRUE;
+}
+
+static void
+drop_front (HbwEventStream *stream, gsize length)
+{
+  g_byte_array_remove_range (stream->buffer, 0, (guint) length);
+  stream->scanned = 0;
+}
+
+gboolean
+hbw_event_stream_next (HbwEventStream *stream, GByteArray *out)
+{
+  gsize length;
+  while ((length = find_end (stream)) > 0)
+    {
+      char id[HBW_EVENT_ID_MAX];
+      read_id (stream->buffer->data, length, id, sizeof id);
+      gboolean wanted = is_after (id, stream->last_id);
+      if (wanted)
+        g_byte_array_append (out, stream->buffer->data, (guint) length);
+      if (wanted && *id != '\0')
+        g_strlcpy (stream->last_id, id, sizeof stream->last_id);
+      drop_front (stream, length);
+      if (wanted)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+void
+hbw_event_stream_rest (HbwEventStream *stream, GByteArray *out)
+{
+  g_byte_array_append (out, stream->buffer->data, stream->buffer->len);
+  hbw_event_stream_cut (stream);
+}
+
+void
+hbw_event_stream_cut (HbwEventStream *stream)
+{
+  drop_front (stream, stream->buffer->len);
+}
+
+gboolean
+hbw_event_stream_is_cut (const HbwEventStream *stream)
+{
+  return stream->buffer->len > 0;
+}
+
+const char *
+hbw_event_stream_last_id (const HbwEventStream *stream)
+{
+  return stream->last_id;
+}
+
+void
+hbw_event_stream_set_last_id (HbwEventStream *stream, const char *id)
+{
+  g_strlcpy (stream->last_id, id, sizeof stream->last_id);
+}
--- /dev/null
+++ b/net/loop.c
@@ -0,0 +1,227 @@
+#include "hornbeamwall/net/loop.h"
+
+#include "hornbeamwall/common/sync.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+/* Events that one round handles at most. */
+#define EVENTS_MAX 64
+
+/* Longest wait of one round, in milliseconds, so that a paused test clock is looked
+   at again. */
+#define WAIT_MAX_MS 1000
+
+struct HbwLoop
+{
+  HbwClock *clock;
+  void *data;
+  int epoll_fd;
+  HbwWatcher wake;   /* an eventfd that other threads write to */
+  GSequence *timers; /* HbwTimer, by time */
+  struct cds_wfcq_head head;
+  struct cds_wfcq_tail tail;
+  struct epoll_event events[EVENTS_MAX];
+  guint event_count;
+  gint64 now_us;
+  gboolean stopped;
+};
+
+static int
+compare_timers (gconstpointer a, gconstpointer b, gpointer data G_GNUC_UNUSED)
+{
+  const HbwTimer *left = a;
+  const HbwTimer *right = b;
+  return left->due_us < right->due_us ? -1 : left->due_us > right->due_us;
+}
+
+static void
+handle_tasks (HbwLoop *loop)
+{
+  struct cds_wfcq_node *node;
+  while ((node = __cds_wfcq_dequeue_blocking (&loop->head, &loop->tail)) != NULL)
+    {
+      HbwTask *task = caa_container_of (node, HbwTask, node);
+      HBW_SYNC_ACQUIRE (task);
+      task->handle (task, loop->data);
+    }
+}
+
+static void
+handle_wake (HbwWatcher *watcher, guint events G_GNUC_UNUSED)
+{
+  guint64 count;
+  HbwLoop *loop = caa_container_of (watcher, HbwLoop, wake);
+  if (read (watcher->fd, &count, sizeof count) < 0)
+    count = 0; /* another read came first; the queue is looked at all the same */
+  handle_tasks (loop);
+}
+
+static HbwTimer *
+first_timer (const HbwLoop *loop)
+{
+  GSequenceIter *first = g_sequence_get_begin_iter (loop->timers);
+  return g_sequence_iter_is_end (first) ? NULL : g_sequence_get (first);
+}
+
+static void
+handle_timers (HbwLoop *loop)
+{
+  HbwTimer *timer;
+  while ((timer = first_timer (loop)) != NULL && timer->due_us <= loop->now_us)
+    {
+      hbw_loop_clear_timer (loop, timer);
+      timer->handle_due (timer);
+    }
+}
+
+static int
+wait_ms (const HbwLoop *loop)
+{
+  const HbwTimer *timer = first_timer (loop);
+  if (timer == NULL)
+    return WAIT_MAX_MS;
+  gint64 left = timer->due_us - hbw_clock_now (loop->clock);
+  gint64 rounded_up = (left + HBW_US_PER_MS - 1) / HBW_US_PER_MS;
+  return (int) CLAMP (rounded_up, 0, WAIT_MAX_MS);
+}
+
+static void
+run_round (HbwLoop *loop)
+{
+  int count
+      = epoll_wait (loop->epoll_fd, loop->events, EVENTS_MAX, wait_ms (loop));
+  loop->now_us = hbw_clock_now (loop->clock);
+  loop->event_count = count > 0 ? (guint) count : 0;
+  for (guint i = 0; i < loop->event_count; i++)
+    {
+      HbwWatcher *watcher = loop->events[i].data.ptr;
+      if (watcher != NULL)
+        watcher->handle_ready (watcher, loop->events[i].events);
+    }
+  loop->event_count = 0;
+  handle_timers (loop);
+}
+
+HbwLoop *
+hbw_loop_create (HbwClock *clock, void *data, HbwError *error)
+{
+  HbwLoop *loop = g_new0 (HbwLoop, 1);
+  loop->clock = clock;
+  loop->data = data;
+  loop->now_us = hbw_clock_now (clock);
+  loop->timers = g_sequence_new (NULL);
+  cds_wfcq_init (&loop->head, &loop->tail);
+  loop->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
+  loop->wake.fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
+  loop->wake.handle_ready = handle_wake;
+  if (loop->epoll_fd >= 0 && loop->wake.fd >= 0
+      && hbw_loop_watch (loop, &loop->wake, EPOLLIN))
+    return loop;
+  hbw_error_set (error, HBW_ERROR_NETWORK,
+                 "event loop: %s; raise the limit of open files", strerror (errno));
+  hbw_loop_destroy (loop, NULL);
+  return NULL;
+}
+
+void
+hbw_loop_destroy (HbwLoop *loop, void (*discard) (HbwTask *task))
+{
+  struct cds_wfcq_node *node;
+  while ((node = __cds_wfcq_dequeue_blocking (&loop->head, &loop->tail)) != NULL)
+    {
+      HbwTask *task = caa_container_of (node, HbwTask, node);
+      HBW_SYNC_ACQUIRE (task);
+      discard (task);
+    }
+  if (loop->wake.fd >= 0)
+    close (loop->wake.fd);
+  if (loop->epoll_fd >= 0)
+    close (loop->epoll_fd);
+  g_sequence_free (loop->timers);
+  g_free (loop);
+}
+
+HbwClock *
+hbw_loop_clock (HbwLoop *loop)
+{
+  return loop->clock;
+}
+
+gint64
+hbw_loop_now (HbwLoop *loop)
+{
+  return loop->now_us;
+}
+
+void
+hbw_loop_run (HbwLoop *loop)
+{
+  while (!loop->stopped)
+    run_round (loop);
+}
+
+void
+hbw_loop_stop (HbwLoop *loop)
+{
+  loop->stopped = TRUE;
+}
+
+gboolean
+hbw_loop_watch (HbwLoop *loop, HbwWatcher *watcher, guint events)
+{
+  struct epoll_event event = { .events = events, .data.ptr = watcher };
+  watcher->events = events;
+  return epoll_ctl (loop->epoll_fd, EPOLL_CTL_ADD, watcher->fd, &event) == 0;
+}
+
+void
+hbw_loop_change (HbwLoop *loop, HbwWatcher *watcher, guint events)
+{
+  if (watcher->events == events)
+    return;
+  struct epoll_event event = { .events = events, .data.ptr = watcher };
+  watcher->events = events;
+  epoll_ctl (loop->epoll_fd, EPOLL_CTL_MOD, watcher->fd, &event);
+}
+
+void
+hbw_loop_unwatch (HbwLoop *loop, HbwWatcher *watcher)
+{
+  epoll_ctl (loop->epoll_fd, EPOLL_CTL_DEL, watcher->fd, NULL);
+  for (guint i = 0; i < loop->event_count; i++)
+    if (loop->events[i].data.ptr == watcher)
+      loop->events[i].data.ptr = NULL; /* its event of this round is not handled */
+}
+
+void
+hbw_loop_set_timer (HbwLoop *loop, HbwTimer *timer, gint64 delay_us)
+{
+  hbw_loop_clear_timer (loop, timer);
+  timer->due_us = hbw_clock_now (loop->clock) + delay_us;
+  timer->place
+      = g_sequence_insert_sorted (loop->timers, timer, compare_timers, NULL);
+}
+
+void
+hbw_loop_clear_timer (HbwLoop *loop G_GNUC_UNUSED, HbwTimer *timer)
+{
+  if (timer->place == NULL)
+    return;
+  g_sequence_remove (timer->place);
+  timer->place = NULL;
+}
+
+void
+hbw_loop_post (HbwLoop *loop, HbwTask *task)
+{
+  const guint64 one = 1;
+  cds_wfcq_node_init (&task->node);
+  HBW_SYNC_RELEASE (task);
+  cds_wfcq_enqueue (&loop->head, &loop->tail, &task->node);
+  if (write (loop->wake.fd, &one, sizeof one) < 0)
+    return; /* the counter is full, so the thread is awake */
+}
--- /dev/null
+++ b/net/parser.c
@@ -0,0 +1,289 @@
+#include "hornbeamwall/net/parser.h"
+
+#include <http_parser.h>
+#include <string.h>
+
+/* Characters of a field's name besides letters and digits. */
+#define TOKEN_MARKS "!#$%&'*+-.^_`|~"
+
+struct HbwParser
+{
+  http_parser parser;
+  HbwParserKind kind;
+  HbwParserUser *user;
+  HbwHead *head;
+  GString *target;
+  GString *name;
+  GString *value;
+  gboolean in_value; /* the last piece belonged to a value */
+  gboolean begun;
+  gboolean ended;
+  gboolean answers_head;
+};
+
+static const char *const hop_fields[]
+    = { "Connection", "Keep-Alive",        "Proxy-Connection", "Transfer-Encoding",
+        "TE",         "Trailer",           "Upgrade",          "Content-Length",
+        "Expect",     "Proxy-Authenticate" };
+
+static void
+field_free (gpointer data)
+{
+  HbwField *field = data;
+  g_free (field->name);
+  g_free (field->value);
+  g_free (field);
+}
+
+static HbwHead *
+head_create (void)
+{
+  HbwHead *head = g_new0 (HbwHead, 1);
+  head->fields = g_ptr_array_new_with_free_func (field_free);
+  return head;
+}
+
+void
+hbw_head_destroy (HbwHead *head)
+{
+  g_ptr_array_free (head->fields, TRUE);
+  g_free (head->target);
+  g_free (head);
+}
+
+/* A name with a blank in it would be read in another way by the next hop. */
+static gboolean
+is_token (const char *name)
+{
+  if (*name == '\0')
+    return FALSE;
+  for (const char *at = name; *at != '\0'; at++)
+    if (!g_ascii_isalnum (*at) && strchr (TOKEN_MARKS, *at) == NULL)
+      return FALSE;
+  return TRUE;
+}
+
+/* Moves a field that is whole into the head; returns whether it is well formed. */
+static gboolean
+flush_field (HbwParser *parser)
+{
+  if (!parser->in_value)
+    return TRUE;
+  gboolean valid = is_token (parser->name->str);
+  HbwField *field = g_new0 (HbwField, 1);
+  field->name = g_strdup (parser->name->str);
+  field->value = g_strdup (g_strchomp (parser->value->str));
+  g_ptr_array_add (parser->head->fields, field);
+  g_string_truncate (parser->name, 0);
+  g_string_truncate (parser->value, 0);
+  parser->in_value = FALSE;
+  return valid;
+}
+
+static HbwParser *
+parser_of (http_parser *inner)
+{
+  return inner->data;
+}
+
+static int
+on_begin (http_parser *inner)
+{
+  parser_of (inner)->begun = TRUE;
+  return 0;
+}
+
+static int
+on_url (http_parser *inner, const char *bytes, size_t length)
+{
+  HbwParser *parser = parser_of (inner);
+  g_string_append_len (parser->target, bytes, (gssize) length);
+  parser->head->size += length;
+  return 0;
+}
+
+static int
+on_field (http_parser *inner, const char *bytes, size_t length)
+{
+  HbwParser *parser = parser_of (inner);
+  if (parser->head == NULL)
+    return 0; /* a trailer, which nobody asked for */
+  if (!flush_field (parser))
+    return 1;
+  g_string_append_len (parser->name, bytes, (gssize) length);
+  parser->head->size += length;
+  return 0;
+}
+
+static int
+on_value (http_parser *inner, const char *bytes, size_t length)
+{
+  HbwParser *parser = parser_of (inner);
+  if (parser->head == NULL)
+    return 0;
+  parser->in_value = TRUE;
+  g_string_append_len (parser->value, bytes, (gssize) length);
+  parser->head->size += length;
+  return 0;
+}
+
+static int
+on_head (http_parser *inner)
+{
+  HbwParser *parser = parser_of (inner);
+  HbwHead *head = parser->head;
+  if (!flush_field (parser))
+    return -1;
+  head->status = inner->status_code;
+  head->target = g_strdup (parser->target->str);
+  head->keep_alive = http_should_keep_alive (inner) != 0;
+  head->chunked = (inner->flags & F_CHUNKED) != 0;
+  head->has_length = (inner->flags & F_CONTENTLENGTH) != 0;
+  head->length = head->has_length ? inner->content_length : 0;
+  if (parser->kind == HBW_PARSER_REQUEST)
+    g_strlcpy (head->method, http_method_str (inner->method), sizeof head->method);
+  parser->user->class->handle_head (parser->user, head);
+  return parser->answers_head ? 1 : 0;
+}
+
+static int
+on_body (http_parser *inner, const char *bytes, size_t length)
+{
+  HbwParser *parser = parser_of (inner);
+  parser->user->class->handle_body (parser->user, bytes, length);
+  return 0;
+}
+
+static int
+on_end (http_parser *inner)
+{
+  parser_of (inner)->ended = TRUE;
+  http_parser_pause (inner, 1);
+  return 0;
+}
+
+static const http_parser_settings callbacks = {
+  .on_message_begin = on_begin,
+  .on_url = on_url,
+  .on_header_field = on_field,
+  .on_header_value = on_value,
+  .on_headers_complete = on_head,
+  .on_body = on_body,
+  .on_message_complete = on_end,
+};
+
+HbwParser *
+hbw_parser_create (HbwParserKind kind, HbwParserUser *user)
+{
+  HbwParser *parser = g_new0 (HbwParser, 1);
+  parser->kind = kind;
+  parser->user = user;
+  parser->target = g_string_new (NULL);
+  parser->name = g_string_new (NULL);
+  parser->value = g_string_new (NULL);
+  hbw_parser_reset (parser, FALSE);
+  return parser;
+}
+
+void
+hbw_parser_destroy (HbwParser *parser)
+{
+  if (parser->head != NULL)
+    hbw_head_destroy (parser->head);
+  g_string_free (parser->target, TRUE);
+  g_string_free (parser->name, TRUE);
+  g_string_free (parser->value, TRUE);
+  g_free (parser);
+}
+
+void
+hbw_parser_reset (HbwParser *parser, gboolean answers_head)
+{
+  http_parser_init (&parser->parser, parser->kind == HBW_PARSER_REQUEST
+                                         ? HTTP_REQUEST
+                                         : HTTP_RESPONSE);
+  parser->parser.data = parser;
+  if (parser->head != NULL)
+    hbw_head_destroy (parser->head);
+  parser->head = head_create ();
+  g_string_truncate (parser->target, 0);
+  g_string_truncate (parser->name, 0);
+  g_string_truncate (parser->value, 0);
+  parser->in_value = FALSE;
+  parser->begun = FALSE;
+  parser->ended = FALSE;
+  parser->answers_head = answers_head;
+}
+
+HbwParserState
+hbw_parser_feed (HbwParser *parser, const char *bytes, gsize length, gsize *used)
+{
+  *used = http_parser_execute (&parser->parser, &callbacks, bytes, length);
+  if (parser->ended)
+    return HBW_PARSER_ENDED;
+  if (HTTP_PARSER_ERRNO (&parser->parser) != HPE_OK || parser->parser.upgrade
+      || *used != length)
+    return HBW_PARSER_ERROR;
+  return HBW_PARSER_MORE;
+}
+
+gboolean
+hbw_parser_end (HbwParser *parser)
+{
+  http_parser_execute (&parser->parser, &callbacks, NULL, 0);
+  return parser->ended;
+}
+
+gboolean
+hbw_parser_has_begun (const HbwParser *parser)
+{
+  return parser->begun;
+}
+
+gsize
+hbw_parser_head_size (const HbwParser *parser)
+{
+  return parser->head != NULL ? parser->head->size : 0;
+}
+
+HbwHead *
+hbw_parser_steal_head (HbwParser *parser)
+{
+  HbwHead *head = parser->head;
+  parser->head = NULL;
+  return head;
+}
+
+const char *
+hbw_head_find (const HbwHead *head, const char *name)
+{
+  for (guint i = 0; i < head->fields->len; i++)
+    {
+      const HbwField *field = g_ptr_array_index (head->fields, i);
+      if (g_ascii_strcasecmp (field->name, name) == 0)
+        return field->value;
+    }
+  return NULL;
+}
+
+guint
+hbw_head_count (const HbwHead *head, const char *name)
+{
+  guint count = 0;
+  for (guint i = 0; i < head->fields->len; i++)
+    {
+      const HbwField *field = g_ptr_array_index (head->fields, i);
+      if (g_ascii_strcasecmp (field->name, name) == 0)
+        count++;
+    }
+  return count;
+}
+
+gboolean
+hbw_field_is_hop (const char *name)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (hop_fields); i++)
+    if (g_ascii_strcasecmp (hop_fields[i], name) == 0)
+      return TRUE;
+  return FALSE;
+}
--- a/net/platform.c
+++ b/net/platform.c
@@ -15,9 +15,15 @@
 /* Largest object that is read, in bytes. */
 #define OBJECT_MAX (1024 * 1024)
 
+/* The same for a client that keeps its connection: one that went silent must be
+   found soon. */
+#define KEPT_CONNECT_TIMEOUT_S 1
+#define KEPT_READ_TIMEOUT_S 1
+
 struct HbwPlatform
 {
   HbwHostPort address;
+  ne_session *kept; /* session for call after call, or NULL */
 };
 
 typedef struct
@@ -68,6 +74,8 @@
       return HBW_STORE_UNCHANGED;
     case 404:
       return HBW_STORE_ABSENT;
+    case 410:
+      return HBW_STORE_GONE;
     case 409:
     case 412:
       return HBW_STORE_CONFLICT;
@@ -79,6 +87,11 @@
 static ne_session *
 open_session (HbwPlatform *platform, int extra_wait_s)
 {
+  if (platform->kept != NULL)
+    {
+      ne_set_read_timeout (platform->kept, KEPT_READ_TIMEOUT_S + extra_wait_s);
+      return platform->kept;
+    }
   ne_session *session
       = ne_session_create ("http", platform->address.host, platform->address.port);
   ne_set_session_flag (session, NE_SESSFLAG_PERSIST, 0);
@@ -87,6 +100,13 @@
   return session;
 }
 
+static void
+close_session (HbwPlatform *platform, ne_session *session)
+{
+  if (session != platform->kept)
+    ne_session_destroy (session);
+}
+
 static HbwStoreAnswer
 dispatch (ne_session *session, ne_request *request, gboolean is_write,
           HbwError *error)
@@ -136,9 +156,20 @@
 void
 hbw_platform_destroy (HbwPlatform *platform)
 {
+  if (platform->kept != NULL)
+    ne_session_destroy (platform->kept);
   g_free (platform);
 }
 
+void
+hbw_platform_keep_connection (HbwPlatform *platform)
+{
+  ne_session *session
+      = ne_session_create ("http", platform->address.host, platform->address.port);
+  ne_set_connect_timeout (session, KEPT_CONNECT_TIMEOUT_S);
+  platform->kept = session;
+}
+
 static HbwStoreAnswer
 read_object (HbwPlatform *platform, const char *path, int extra_wait_s,
              HbwError *error)
@@ -147,7 +178,9 @@
   ne_request *request = ne_request_create (session, "GET", path);
   HbwStoreAnswer answer = dispatch (session, request, FALSE, error);
   ne_request_destroy (request);
-  ne_session_destroy (session);
+  if (answer.result == HBW_STORE_FAILED && platform->kept != NULL)
+    ne_close_connection (session); /* an answer that comes late is not the next one */
+  close_session (platform, session);
   return answer;
 }
 
@@ -166,6 +199,13 @@
   return read_object (platform, path, 0, error);
 }
 
+HbwStoreAnswer
+hbw_platform_wait_path (HbwPlatform *platform, const char *path, guint wait_ms,
+                        HbwError *error)
+{
+  return read_object (platform, path, (int) ((wait_ms + 999) / 1000), error);
+}
+
 HbwStoreAnswer
 hbw_platform_watch (HbwPlatform *platform, const char *name, gint64 version,
                     guint timeout_ms, HbwError *error)
@@ -196,7 +236,7 @@
     ne_add_request_header (request, "If-None-Match", "*");
   HbwStoreAnswer answer = dispatch (session, request, TRUE, error);
   ne_request_destroy (request);
-  ne_session_destroy (session);
+  close_session (platform, session);
   g_free (path);
   return answer;
 }
--- /dev/null
+++ b/net/traffic.c
@@ -0,0 +1,282 @@
+#include "hornbeamwall/net/traffic.h"
+
+#include "hornbeamwall/net/channel.h"
+#include "hornbeamwall/net/downstream.h"
+#include "hornbeamwall/net/exchange.h"
+
+#include <pthread.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Stack of the thread, in bytes. */
+#define TRAFFIC_STACK ((size_t) 256 * 1024)
+
+/* Connections that are accepted in one round. */
+#define ACCEPT_MAX 32
+
+/* What callers may send where the catalogue says nothing. */
+#define HEADER_MAX_DEFAULT ((guint) 64 * 1024)
+#define HEADER_TIMEOUT_DEFAULT_US (10 * HBW_US_PER_S)
+
+typedef struct
+{
+  HbwWatcher watcher;
+  HbwTraffic *traffic;
+} Listener;
+
+typedef struct
+{
+  HbwTraffic traffic;
+  Listener callers;
+  Listener readiness;
+  pthread_t thread;
+  gboolean started;
+} Thread;
+
+typedef struct
+{
+  HbwTask task;
+  guint64 sequence;
+  HbwOrder order;
+} OrderTask;
+
+static Thread *
+thread_of (HbwTraffic *traffic)
+{
+  return caa_container_of (traffic, Thread, traffic);
+}
+
+static void
+handle_order (HbwTask *task, void *data)
+{
+  OrderTask *given = caa_container_of (task, OrderTask, task);
+  HbwTraffic *traffic = data;
+  HbwExchange *exchange = g_hash_table_lookup (traffic->exchanges, &given->sequence);
+  if (exchange != NULL)
+    hbw_exchange_handle_order (exchange, &given->order);
+  g_free (given);
+}
+
+static void
+post_order (HbwOrderSink *sink, guint64 sequence, const HbwOrder *order)
+{
+  HbwTraffic *traffic = caa_container_of (sink, HbwTraffic, sink);
+  OrderTask *given = g_new0 (OrderTask, 1);
+  given->task.handle = handle_order;
+  given->sequence = sequence;
+  given->order = *order;
+  hbw_loop_post (traffic->loop, &given->task);
+}
+
+static const HbwOrderSinkClass sink_class = { post_order };
+
+static void
+handle_drain (HbwTask *task, void *data)
+{
+  HbwTraffic *traffic = data;
+  traffic->draining = TRUE;
+  g_free (task);
+}
+
+static void
+handle_retire (HbwTask *task, void *data)
+{
+  HbwTraffic *traffic = data;
+  hbw_downstream_retire_all (traffic);
+  g_free (task);
+}
+
+static void
+handle_stop (HbwTask *task, void *data)
+{
+  HbwTraffic *traffic = data;
+  hbw_loop_stop (traffic->loop);
+  g_free (task);
+}
+
+static void
+post (HbwTraffic *traffic, void (*handle) (HbwTask *task, void *data))
+{
+  HbwTask *task = g_new0 (HbwTask, 1);
+  task->handle = handle;
+  hbw_loop_post (traffic->loop, task);
+}
+
+static void
+discard (HbwTask *task)
+{
+  g_free (task); /* a task is the first member of what was allocated */
+}
+
+static void
+handle_accept (HbwWatcher *watcher, guint events G_GNUC_UNUSED)
+{
+  Listener *listener = caa_container_of (watcher, Listener, watcher);
+  HbwTraffic *traffic = listener->traffic;
+  for (guint i = 0; i < ACCEPT_MAX; i++)
+    {
+      int fd = accept4 (watcher->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0)
+        return;
+      if (traffic->downstream_count < traffic->settings->connection_limit)
+        hbw_downstream_adopt (traffic, fd);
+      else
+        close (fd);
+    }
+}
+
+static gboolean
+open_listener (HbwTraffic *traffic, Listener *listener, const char *address,
+               HbwError *error)
+{
+  listener->traffic = traffic;
+  listener->watcher.fd = -1;
+  if (*address == '\0')
+    return TRUE;
+  listener->watcher.fd = hbw_listen (address, error);
+  listener->watcher.handle_ready = handle_accept;
+  return listener->watcher.fd >= 0
+         && hbw_loop_watch (traffic->loop, &listener->watcher, EPOLLIN);
+}
+
+static void
+close_listener (Listener *listener)
+{
+  if (listener->watcher.fd >= 0)
+    close (listener->watcher.fd);
+}
+
+static void
+drop_exchanges (HbwTraffic *traffic)
+{
+  GList *all = g_hash_table_get_values (traffic->exchanges);
+  for (GList *at = all; at != NULL; at = at->next)
+    hbw_exchange_destroy (at->data);
+  g_list_free (all);
+}
+
+static void *
+run (void *data)
+{
+  HbwTraffic *traffic = data;
+  hbw_loop_run (traffic->loop);
+  return NULL;
+}
+
+static gboolean
+start (Thread *thread, HbwError *error)
+{
+  pthread_attr_t attributes;
+  pthread_attr_init (&attributes);
+  pthread_attr_setstacksize (&attributes, TRAFFIC_STACK);
+  int code = pthread_create (&thread->thread, &attributes, run, &thread->traffic);
+  pthread_attr_destroy (&attributes);
+  thread->started = code == 0;
+  if (code != 0)
+    hbw_error_set (error, HBW_ERROR_NETWORK,
+                   "traffic thread: %s; raise the limit of threads",
+                   g_strerror (code));
+  return thread->started;
+}
+
+static gboolean
+set_up (Thread *thread, HbwError *error)
+{
+  HbwTraffic *traffic = &thread->traffic;
+  const HbwSettings *settings = traffic->settings;
+  traffic->loop
+      = hbw_loop_create (hbw_control_clock (traffic->control), traffic, error);
+  if (traffic->loop == NULL)
+    return FALSE;
+  traffic->upstreams = hbw_upstreams_create (traffic->loop);
+  if (!open_listener (traffic, &thread->callers, settings->caller_address, error)
+      || !open_listener (traffic, &thread->readiness, settings->ready_address,
+                         error))
+    return FALSE;
+  hbw_control_set_sink (traffic->control, &traffic->sink);
+  return start (thread, error);
+}
+
+HbwTraffic *
+hbw_traffic_create (HbwControl *control, const HbwSettings *settings,
+                    HbwFront *front, HbwError *error)
+{
+  Thread *thread = g_new0 (Thread, 1);
+  HbwTraffic *traffic = &thread->traffic;
+  traffic->sink.class = &sink_class;
+  traffic->control = control;
+  traffic->settings = settings;
+  traffic->front = front;
+  thread->callers.watcher.fd = thread->readiness.watcher.fd = -1;
+  traffic->exchanges = g_hash_table_new (g_int64_hash, g_int64_equal);
+  CDS_INIT_LIST_HEAD (&traffic->downstreams);
+  if (set_up (thread, error))
+    return traffic;
+  hbw_traffic_destroy (traffic);
+  return NULL;
+}
+
+void
+hbw_traffic_destroy (HbwTraffic *traffic)
+{
+  Thread *thread = thread_of (traffic);
+  if (thread->started)
+    {
+      post (traffic, handle_stop);
+      pthread_join (thread->thread, NULL);
+    }
+  hbw_control_set_sink (traffic->control, NULL);
+  hbw_downstream_abort_all (traffic);
+  drop_exchanges (traffic);
+  g_hash_table_destroy (traffic->exchanges);
+  if (traffic->upstreams != NULL)
+    hbw_upstreams_destroy (traffic->upstreams);
+  close_listener (&thread->callers);
+  close_listener (&thread->readiness);
+  if (traffic->loop != NULL)
+    hbw_loop_destroy (traffic->loop, discard);
+  g_free (thread);
+}
+
+void
+hbw_traffic_drain (HbwTraffic *traffic)
+{
+  post (traffic, handle_drain);
+}
+
+void
+hbw_traffic_retire_idle (HbwTraffic *traffic)
+{
+  post (traffic, handle_retire);
+}
+
+guint
+hbw_traffic_port (const HbwTraffic *traffic)
+{
+  const Thread *thread = caa_container_of (traffic, Thread, traffic);
+  return hbw_listen_port (thread->callers.watcher.fd);
+}
+
+HbwCallerLimits
+hbw_traffic_limits (HbwTraffic *traffic)
+{
+  HbwCallerLimits limits = { 0 };
+  HbwCatalogue *catalogue
+      = hbw_snapshot_acquire (hbw_control_snapshot (traffic->control));
+  if (catalogue != NULL)
+    {
+      limits = *hbw_catalogue_caller_limits (catalogue);
+      hbw_catalogue_unref (catalogue);
+    }
+  if (limits.header_max == 0)
+    limits.header_max = HEADER_MAX_DEFAULT;
+  if (limits.body_max == 0)
+    limits.body_max = traffic->settings->body_max;
+  if (limits.header_timeout_us == 0)
+    limits.header_timeout_us = HEADER_TIMEOUT_DEFAULT_US;
+  if (limits.idle_timeout_us == 0)
+    limits.idle_timeout_us = traffic->settings->caller_timeout_s * HBW_US_PER_S;
+  return limits;
+}
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -20,6 +20,10 @@
 /* Bits of an identity below the start time, for a random number. */
 #define IDENTITY_RANDOM_BITS 12
 
+/* Part of the time to stop in which requests are still taken: a load balancer needs a
+   while to send its callers elsewhere. */
+#define LINGER_PERCENT 55
+
 typedef struct
 {
   pthread_mutex_t lock;
@@ -60,12 +64,18 @@
   atomic_uint requests;
   _Atomic gint64 versions[HBW_DOCUMENT_COUNT];
   _Atomic guint64 last_sequence;
+  _Atomic gint64 confirmed_us;
+  gint64 revocation_us;
+  HbwOrderSink *_Atomic sink;
 };
 
 static void
 post_order (HbwControl *control, guint64 sequence, const HbwOrder *order)
 {
   HbwCall *call = g_hash_table_lookup (control->calls, &sequence);
+  HbwOrderSink *sink = atomic_load (&control->sink);
+  if (call == NULL && sink != NULL)
+    sink->class->post (sink, sequence, order);
   if (call == NULL)
     return;
   hbw_call_post (call, order);
@@ -119,6 +129,7 @@
   const HbwReducer *reducer = control->reducer;
   atomic_store (&control->ready, hbw_reducer_is_ready (reducer));
   atomic_store (&control->draining, hbw_reducer_is_draining (reducer));
+  atomic_store (&control->confirmed_us, hbw_reducer_confirmed_us (reducer));
   atomic_store (&control->requests, hbw_reducer_request_count (reducer));
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     atomic_store (&control->versions[i],
@@ -274,11 +285,16 @@
 static HbwReducer *
 make_reducer (HbwControl *control, const HbwSettings *settings)
 {
-  HbwReducerConfig config = { .policy = hbw_policy_owner () };
+  HbwReducerConfig config = { .policy = hbw_policy_find (settings->policy) };
   config.self.identity = control->identity;
   config.seed = (guint32) control->identity;
   config.now_us = hbw_clock_now (control->clock);
   config.seeds = (const char *const *) settings->seeds->pdata;
+  config.retry_limits = settings->retry_limits;
+  config.revocation_us = settings->revocation_ms * HBW_US_PER_MS;
+  config.linger_us
+      = settings->stop_grace_ms * HBW_US_PER_MS / 100 * LINGER_PERCENT;
+  config.load_in_answers = settings->load_in_answers;
   g_strlcpy (config.self.name, settings->name, sizeof config.self.name);
   g_strlcpy (config.self.data_centre, settings->data_centre,
              sizeof config.self.data_centre);
@@ -298,6 +314,7 @@
   control->clock = clock;
   control->identity = identity;
   control->peer = peer;
+  control->revocation_us = settings->revocation_ms * HBW_US_PER_MS;
   control->wake_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
   control->effects = hbw_effects_create ();
   control->snapshot = hbw_snapshot_create ();
@@ -396,6 +413,30 @@
   return atomic_fetch_add (&control->last_sequence, 1) + 1;
 }
 
+void
+hbw_control_set_sink (HbwControl *control, HbwOrderSink *sink)
+{
+  atomic_store (&control->sink, sink);
+}
+
+void
+hbw_control_confirm (HbwControl *control, gint64 asked_us, gint64 version)
+{
+  HbwEvent event = { .kind = HBW_EVENT_CONFIRMED };
+  event.confirmation.asked_us = asked_us;
+  event.confirmation.version = version;
+  hbw_control_submit (control, &event, NULL);
+}
+
+HbwFreshness
+hbw_control_freshness (const HbwControl *control)
+{
+  const HbwFreshness freshness
+      = { hbw_clock_now (control->clock) - atomic_load (&control->confirmed_us),
+          control->revocation_us };
+  return freshness;
+}
+
 HbwSnapshot *
 hbw_control_snapshot (HbwControl *control)
 {
--- a/runtime/instance.c
+++ b/runtime/instance.c
@@ -3,16 +3,21 @@
 #include "hornbeamwall/common/log.h"
 #include "hornbeamwall/net/admin.h"
 #include "hornbeamwall/net/caller.h"
+#include "hornbeamwall/net/traffic.h"
+#include "hornbeamwall/platform/front.h"
 #include "hornbeamwall/runtime/orderer.h"
 #include "hornbeamwall/runtime/watch.h"
 
+#include <string.h>
+
 struct HbwInstance
 {
   HbwControl *control;
   HbwWatch *watch;
   HbwOrderer *orderer;
   HbwAdmin *admin;
-  HbwCaller *caller;
+  HbwCaller *caller;   /* of the native interface, or NULL */
+  HbwTraffic *traffic; /* of the platform's interface, or NULL */
 };
 
 static gboolean
@@ -23,15 +28,23 @@
   if (instance->control == NULL || !hbw_control_start (instance->control, error))
     return FALSE;
   instance->watch
-      = hbw_watch_create (instance->control, settings->platform_address, error);
+      = hbw_watch_create (instance->control, settings, error);
   if (instance->watch == NULL)
     return FALSE;
-  instance->orderer = hbw_orderer_create (instance->control, settings, error);
-  if (instance->orderer == NULL)
+  gboolean native = strcmp (settings->interface, HBW_INTERFACE_NATIVE) == 0;
+  if (native)
+    instance->orderer = hbw_orderer_create (instance->control, settings, error);
+  if (native && instance->orderer == NULL)
     return FALSE;
   instance->admin = hbw_admin_create (instance->control, settings, error);
   if (instance->admin == NULL)
     return FALSE;
+  if (!native)
+    {
+      instance->traffic = hbw_traffic_create (instance->control, settings,
+                                              hbw_platform_front (), error);
+      return instance->traffic != NULL;
+    }
   instance->caller = hbw_caller_create (instance->control, settings, error);
   return instance->caller != NULL;
 }
@@ -52,12 +65,27 @@
   return instance;
 }
 
+void
+hbw_instance_reload (HbwInstance *instance, const HbwSettings *settings)
+{
+  for (guint i = 0; i + 1 < settings->seeds->len; i++)
+    {
+      HbwEvent event = { .kind = HBW_EVENT_SEED };
+      g_strlcpy (event.seed, g_ptr_array_index (settings->seeds, i),
+                 sizeof event.seed);
+      hbw_control_submit (instance->control, &event, NULL);
+    }
+}
+
 void
 hbw_instance_drain (HbwInstance *instance)
 {
   const HbwEvent event = { .kind = HBW_EVENT_DRAIN };
   hbw_control_submit (instance->control, &event, NULL);
-  hbw_caller_quiesce (instance->caller);
+  if (instance->caller != NULL)
+    hbw_caller_quiesce (instance->caller);
+  if (instance->traffic != NULL)
+    hbw_traffic_drain (instance->traffic);
 }
 
 gboolean
@@ -71,6 +99,8 @@
 {
   if (instance->caller != NULL)
     hbw_caller_destroy (instance->caller);
+  if (instance->traffic != NULL)
+    hbw_traffic_destroy (instance->traffic);
   if (instance->admin != NULL)
     hbw_admin_destroy (instance->admin);
   if (instance->orderer != NULL)
@@ -85,7 +115,8 @@
 guint
 hbw_instance_caller_port (const HbwInstance *instance)
 {
-  return hbw_caller_port (instance->caller);
+  return instance->caller != NULL ? hbw_caller_port (instance->caller)
+                                  : hbw_traffic_port (instance->traffic);
 }
 
 guint
--- a/runtime/settings.c
+++ b/runtime/settings.c
@@ -2,6 +2,7 @@
 
 #include "hornbeamwall/common/address.h"
 #include "hornbeamwall/common/check.h"
+#include "hornbeamwall/core/policy.h"
 
 #include <string.h>
 
@@ -16,6 +17,7 @@
 #define TIMEOUT_MAX_MS 86400000
 #define CALLER_TIMEOUT_DEFAULT_S 60
 #define CALLER_TIMEOUT_MAX_S 86400
+#define RETRY_EXTRA_MAX 1000000
 
 static gboolean
 is_address (const char *text)
@@ -69,7 +71,7 @@
                  HbwSettings *settings)
 {
   hbw_reader_string (reader, "admin_token_sha256", settings->admin_token_hash,
-                     sizeof settings->admin_token_hash, NULL);
+                     sizeof settings->admin_token_hash, "");
   const char *hash = settings->admin_token_hash;
   if (*hash != '\0' && !hbw_check_is_sha256 (hash))
     hbw_report_add (report, "/admin_token_sha256",
@@ -97,6 +99,49 @@
       reader, "caller_timeout_s", 1, CALLER_TIMEOUT_MAX_S, CALLER_TIMEOUT_DEFAULT_S);
 }
 
+static void
+check_choice (HbwReport *report, const char *place, const char *text, gboolean known,
+              const char *remedy)
+{
+  if (known)
+    return;
+  json_t *found = json_string (text);
+  hbw_report_add (report, place, found, remedy);
+  json_decref (found);
+}
+
+static void
+read_choices (HbwReader *reader, HbwReport *report, HbwSettings *settings)
+{
+  hbw_reader_string (reader, "interface", settings->interface,
+                     sizeof settings->interface, HBW_INTERFACE_NATIVE);
+  hbw_reader_string (reader, "policy", settings->policy, sizeof settings->policy,
+                     "owner");
+  check_choice (report, "/interface", settings->interface,
+                strcmp (settings->interface, HBW_INTERFACE_NATIVE) == 0
+                    || strcmp (settings->interface, HBW_INTERFACE_PLATFORM) == 0,
+                "give \"native\" or \"platform\"");
+  check_choice (report, "/policy", settings->policy,
+                hbw_policy_find (settings->policy) != NULL,
+                "give \"owner\", \"direct\", \"independent\" or \"round_robin\"");
+  hbw_reader_string (reader, "ready_address", settings->ready_address,
+                     HBW_ADDRESS_MAX, "");
+  check_address (report, "/ready_address", settings->ready_address);
+  settings->load_in_answers = hbw_reader_bool (reader, "load_in_answers", FALSE);
+  settings->revocation_ms
+      = (guint) hbw_reader_int (reader, "revocation_ms", 0, TIMEOUT_MAX_MS, 0);
+  settings->stop_grace_ms
+      = (guint) hbw_reader_int (reader, "stop_grace_ms", 0, TIMEOUT_MAX_MS, 0);
+  HbwRetryLimits *limits = &settings->retry_limits;
+  limits->percent
+      = (guint) (100 * hbw_reader_real (reader, "retry_ratio", 0, 1, 0.1) + 0.5);
+  limits->extra
+      = (guint) hbw_reader_int (reader, "retry_extra", 0, RETRY_EXTRA_MAX, 160);
+  limits->window_us
+      = HBW_US_PER_MS
+        * hbw_reader_int (reader, "retry_window_ms", 100, TIMEOUT_MAX_MS, 10000);
+}
+
 static void
 read_settings (HbwSettings *settings, HbwReport *report, json_t *root)
 {
@@ -108,6 +153,7 @@
   read_address (reader, report, "admin_address", settings->admin_address);
   read_address (reader, report, "peer_address", settings->peer_address);
   read_address (reader, report, "platform_address", settings->platform_address);
+  read_choices (reader, report, settings);
   read_token_hash (reader, report, root, settings);
   read_seeds (reader, report, settings);
   read_bounds (reader, settings);
--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -1,6 +1,8 @@
 #include "hornbeamwall/runtime/watch.h"
 
-#include "hornbeamwall/net/platform.h"
+#include "hornbeamwall/core/documents.h"
+#include "hornbeamwall/platform/store.h"
+#include "hornbeamwall/runtime/feed.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
@@ -30,6 +32,7 @@
 {
   HbwWatch *watch;
   HbwDocumentKind kind;
+  HbwFeed *feed; /* NULL where the store has no such document */
   pthread_t thread;
   gboolean started;
   gint64 seen; /* highest version that was read, adopted or not; -1 is none */
@@ -38,7 +41,7 @@
 struct HbwWatch
 {
   HbwControl *control;
-  HbwPlatform *platform;
+  gboolean shares; /* only some instances watch, and tell the others */
   pthread_mutex_t lock;
   pthread_cond_t wake;
   atomic_bool stopping;
@@ -71,7 +74,7 @@
 }
 
 static void
-submit_document (HbwWatch *watch, HbwDocumentKind kind, const HbwStoreAnswer *answer)
+submit_document (HbwWatch *watch, HbwDocumentKind kind, const HbwFeedAnswer *answer)
 {
   HbwEvent event = { .kind = HBW_EVENT_DOCUMENT };
   event.document.kind = kind;
@@ -82,17 +85,15 @@
 
 /* Makes one call; returns the pause before the next one. */
 static gint64
-follow_once (Follower *follower, gboolean has_read, gint64 *failed_us)
+follow_once (Follower *follower, gint64 *failed_us)
 {
   HbwWatch *watch = follower->watch;
-  HbwError error;
-  const char *name = object_names[follower->kind];
+  HbwError error = { HBW_ERROR_NONE, "" };
   gint64 version
       = MAX (hbw_control_version (watch->control, follower->kind), follower->seen);
-  HbwStoreAnswer answer
-      = has_read
-            ? hbw_platform_watch (watch->platform, name, version, WATCH_MS, &error)
-            : hbw_platform_get (watch->platform, name, &error);
+  gint64 asked_us = hbw_clock_now (hbw_control_clock (watch->control));
+  HbwFeedAnswer answer
+      = follower->feed->class->next (follower->feed, version, WATCH_MS, &error);
   gboolean failed = answer.result == HBW_STORE_FAILED;
   submit_state (watch, !failed);
   if (answer.result == HBW_STORE_OK)
@@ -106,6 +107,8 @@
       answer.version = 0;
       submit_document (watch, follower->kind, &answer);
     }
+  if (answer.confirmed && follower->kind == HBW_DOCUMENT_CATALOGUE)
+    hbw_control_confirm (watch->control, asked_us, follower->seen);
   if (!failed)
     {
       *failed_us = RETRY_MIN_US;
@@ -125,8 +128,9 @@
   gint64 failed_us = RETRY_MIN_US;
   while (!atomic_load (&watch->stopping))
     {
-      gboolean idle = has_read && !hbw_control_is_watcher (watch->control);
-      gint64 pause = idle ? IDLE_US : follow_once (follower, has_read, &failed_us);
+      gboolean idle = has_read && watch->shares
+                      && !hbw_control_is_watcher (watch->control);
+      gint64 pause = idle ? IDLE_US : follow_once (follower, &failed_us);
       if (!idle && pause < RETRY_MIN_US)
         has_read = TRUE;
       if (pause > 0)
@@ -135,30 +139,61 @@
   return NULL;
 }
 
-HbwWatch *
-hbw_watch_create (HbwControl *control, const char *platform_address, HbwError *error)
+static HbwFeed *
+open_feed (HbwWatch *watch, const HbwSettings *settings, HbwDocumentKind kind,
+           HbwError *error)
 {
-  HbwPlatform *platform = hbw_platform_create (platform_address, error);
-  if (platform == NULL)
+  const char *address = settings->platform_address;
+  if (strcmp (settings->interface, HBW_INTERFACE_NATIVE) == 0)
+    return hbw_object_feed_create (address, object_names[kind], error);
+  const HbwStoreForm *form = hbw_platform_store_form (kind);
+  if (form == NULL)
     return NULL;
+  return hbw_listing_feed_create (address, form, hbw_control_clock (watch->control),
+                                  error);
+}
+
+/* A document that this kind of store does not keep counts as one that is empty. */
+static void
+submit_absent (HbwWatch *watch, HbwDocumentKind kind)
+{
+  const HbwFeedAnswer absent = { .version = HBW_VERSION_ABSENT };
+  submit_document (watch, kind, &absent);
+}
+
+static void
+start_follower (HbwWatch *watch, const HbwSettings *settings, HbwDocumentKind kind,
+                HbwError *error)
+{
+  Follower *follower = &watch->followers[kind];
+  follower->watch = watch;
+  follower->kind = kind;
+  follower->seen = -1;
+  follower->feed = open_feed (watch, settings, kind, error);
+  if (follower->feed != NULL)
+    follower->started
+        = pthread_create (&follower->thread, NULL, follow, follower) == 0;
+  else if (error->kind == HBW_ERROR_NONE)
+    submit_absent (watch, kind);
+}
+
+HbwWatch *
+hbw_watch_create (HbwControl *control, const HbwSettings *settings, HbwError *error)
+{
   HbwWatch *watch = g_new0 (HbwWatch, 1);
   watch->control = control;
-  watch->platform = platform;
+  watch->shares = strcmp (settings->interface, HBW_INTERFACE_NATIVE) == 0;
   pthread_condattr_t attributes;
   pthread_condattr_init (&attributes);
   pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
   pthread_cond_init (&watch->wake, &attributes);
   pthread_condattr_destroy (&attributes);
   pthread_mutex_init (&watch->lock, NULL);
+  error->kind = HBW_ERROR_NONE;
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
-    {
-      Follower *follower = &watch->followers[i];
-      follower->watch = watch;
-      follower->kind = (HbwDocumentKind) i;
-      follower->seen = -1;
-      follower->started
-          = pthread_create (&follower->thread, NULL, follow, follower) == 0;
-    }
+    start_follower (watch, settings, (HbwDocumentKind) i, error);
+  if (error->kind != HBW_ERROR_NONE)
+    g_clear_pointer (&watch, hbw_watch_destroy);
   return watch;
 }
 
@@ -172,9 +207,11 @@
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     if (watch->followers[i].started)
       pthread_join (watch->followers[i].thread, NULL);
+  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+    if (watch->followers[i].feed != NULL)
+      watch->followers[i].feed->class->destroy (watch->followers[i].feed);
   pthread_cond_destroy (&watch->wake);
   pthread_mutex_destroy (&watch->lock);
-  hbw_platform_destroy (watch->platform);
   g_free (watch);
 }
 
--- /dev/null
+++ b/target/meson-private/sanitycheckc.c
@@ -0,0 +1,1 @@
+int main(void) { int class=0; return class; }
