--- a/common/log.c
+++ b/common/log.c
@@ -1,7 +1,21 @@
 #include "hornbeamwall/common/log.h"
 
+#include <ctype.h>
+#include <errno.h>
+#include <jansson.h>
 #include <log4c.h>
+#include <poll.h>
 #include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+/* Lines of one event that are written in one second; more are counted. */
+#define LINES_PER_S 200
+
+/* Longest line, in bytes: a pipe that is ready takes so much without blocking. */
+#define LINE_MAX_BYTES 4096
 
 static const HbwLogEntry entries[] = {
 #define LOG_ENTRY(number, name, level, meaning, action)                             \
@@ -10,10 +24,26 @@
 #undef LOG_ENTRY
 };
 
+static const char *const level_names[] = {
+  [HBW_LOG_LEVEL_ERROR] = "error",
+  [HBW_LOG_LEVEL_WARN] = "warn",
+  [HBW_LOG_LEVEL_INFO] = "info",
+};
+
+/* How many lines of an event were written in the present second. */
+typedef struct
+{
+  gint64 second;
+  guint written;
+  guint folded;
+} Volume;
+
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static log4c_category_t *category;
 static HbwLogHook active_hook;
 static void *hook_data;
+static Volume volumes[G_N_ELEMENTS (entries)];
+static guint64 lost; /* lines that nobody took */
 
 static int
 priority_of (HbwLogLevel level)
@@ -29,6 +59,139 @@
     }
 }
 
+/* --- the appender: standard output, never waiting for its reader --------------- */
+
+static gboolean
+is_writable (int fd)
+{
+  struct pollfd output = { fd, POLLOUT, 0 };
+  return poll (&output, 1, 0) > 0 && (output.revents & POLLOUT) != 0;
+}
+
+static int
+append (log4c_appender_t *appender G_GNUC_UNUSED, const log4c_logging_event_t *event)
+{
+  gsize length = strlen (event->evt_msg);
+  if (!is_writable (STDOUT_FILENO)
+      || write (STDOUT_FILENO, event->evt_msg, length) != (ssize_t) length)
+    lost++;
+  return 0;
+}
+
+static const log4c_appender_type_t appender_type
+    = { .name = "hornbeamwall_stdout", .append = append };
+
+/* --- lines ------------------------------------------------------------------------ */
+
+static json_t *
+value_of (const char *text)
+{
+  char *end;
+  errno = 0;
+  long long number = strtoll (text, &end, 10);
+  gboolean whole = *text != '\0' && *end == '\0' && errno == 0;
+  json_t *value = whole ? json_integer (number) : json_string (text);
+  return value != NULL ? value : json_string ("(not text)");
+}
+
+/* Takes the next "key=value" or "key="quoted value"" off TEXT. */
+static const char *
+take_pair (const char *text, json_t *line)
+{
+  gsize key_length = strcspn (text, "= ");
+  if (text[key_length] != '=')
+    return NULL;
+  const char *value = text + key_length + 1;
+  gboolean quoted = *value == '"';
+  const char *end = quoted ? strstr (value + 1, "\" ") : strchr (value, ' ');
+  gsize length = end != NULL ? (gsize) (end - value) : strlen (value);
+  if (quoted && end == NULL && length > 1 && value[length - 1] == '"')
+    length--;
+  char *key = g_strndup (text, key_length);
+  char *copy = quoted ? g_strndup (value + 1, length - 1) : g_strndup (value, length);
+  json_object_set_new (line, key, quoted ? json_string (copy) : value_of (copy));
+  g_free (copy);
+  g_free (key);
+  if (end == NULL)
+    return value + strlen (value);
+  return end + (quoted ? 2 : 1);
+}
+
+static void
+add_pairs (json_t *line, const char *text)
+{
+  const char *at = text;
+  while (at != NULL && *at != '\0')
+    {
+      const char *next = take_pair (at, line);
+      if (next == NULL)
+        json_object_set_new (line, "text", value_of (at));
+      at = next;
+    }
+}
+
+static double
+time_of_day (void)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (double) now.tv_sec + (double) (now.tv_nsec / 1000000) / 1000;
+}
+
+static void
+write_line (const HbwLogEntry *entry, const char *text)
+{
+  char buffer[LINE_MAX_BYTES];
+  json_t *line = json_pack ("{s:f, s:s, s:i, s:s}", "time", time_of_day (), "level",
+                            level_names[entry->level], "number",
+                            (int) entry->number, "event", entry->name);
+  add_pairs (line, text);
+  size_t length
+      = json_dumpb (line, buffer, sizeof buffer - 2,
+                    JSON_COMPACT | JSON_PRESERVE_ORDER | JSON_REAL_PRECISION (13));
+  json_decref (line);
+  if (length == 0 || length > sizeof buffer - 2)
+    {
+      lost++; /* too long, or not text */
+      return;
+    }
+  buffer[length] = '\n';
+  buffer[length + 1] = '\0';
+  log4c_category_log (category, priority_of (entry->level), "%s", buffer);
+}
+
+static void
+report_folded (const HbwLogEntry *entry, Volume *volume)
+{
+  char text[128];
+  g_snprintf (text, sizeof text, "of=%s lines=%u lost=%" G_GUINT64_FORMAT,
+              entry->name, volume->folded, lost);
+  volume->folded = 0;
+  write_line (hbw_log_find (HBW_LOG_LINES_FOLDED), text);
+}
+
+/* Returns whether a line of ENTRY may be written now. */
+static gboolean
+take_volume (const HbwLogEntry *entry)
+{
+  Volume *volume = &volumes[entry - entries];
+  gint64 second = g_get_monotonic_time () / G_USEC_PER_SEC;
+  if (volume->second != second)
+    {
+      if (volume->folded > 0)
+        report_folded (entry, volume);
+      volume->second = second;
+      volume->written = 0;
+    }
+  if (volume->written >= LINES_PER_S)
+    {
+      volume->folded++;
+      return FALSE;
+    }
+  volume->written++;
+  return TRUE;
+}
+
 const HbwLogEntry *
 hbw_log_entries (gsize *count)
 {
@@ -49,13 +212,13 @@
 hbw_log_open (void)
 {
   log4c_init ();
+  log4c_appender_type_set (&appender_type);
   category = log4c_category_get ("hornbeamwall");
-  log4c_appender_t *appender = log4c_appender_get ("stderr");
-  log4c_layout_t *layout = log4c_layout_get ("hornbeamwall");
-  log4c_layout_set_type (layout, log4c_layout_type_get ("dated"));
-  log4c_appender_set_layout (appender, layout);
+  log4c_appender_t *appender = log4c_appender_get ("hornbeamwall");
+  log4c_appender_set_type (appender, &appender_type);
   log4c_category_set_appender (category, appender);
   log4c_category_set_priority (category, LOG4C_PRIORITY_INFO);
+  log4c_category_set_additivity (category, 0);
 }
 
 void
@@ -81,8 +244,7 @@
   pthread_mutex_lock (&lock);
   if (active_hook != NULL)
     active_hook (entry, text, hook_data);
-  else if (category != NULL)
-    log4c_category_log (category, priority_of (entry->level), "event=%d name=%s %s",
-                        (int) entry->number, entry->name, text);
+  else if (category != NULL && take_volume (entry))
+    write_line (entry, text);
   pthread_mutex_unlock (&lock);
 }
--- a/core/entry.c
+++ b/core/entry.c
@@ -97,6 +97,7 @@
 {
   refuse_sequence (context, request->sequence, reason, request->may_have_run,
                    retry_after_us);
+  hbw_request_log_refused (request, context, reason, retry_after_us);
   class_metrics (context, request)->refused[reason]++;
   organisation_metrics (context, request)->refused[reason]++;
   hbw_request_post_withdraw (request, context);
@@ -145,6 +146,7 @@
 {
   HbwRequest *request = g_new0 (HbwRequest, 1);
   request->sequence = arrival->sequence;
+  g_strlcpy (request->trace, arrival->trace, sizeof request->trace);
   request->spec = arrival->spec;
   request->arrived_us = context->now_us;
   request->attempt = 1;
@@ -152,6 +154,7 @@
   hbw_retry_budget_note_request (entry->budget, request->spec.pool, context->now_us);
   cds_list_add_tail (&request->link, &entry->order);
   g_hash_table_insert (entry->requests, &request->sequence, request);
+  hbw_request_log_admitted (request, context, arrival);
   class_metrics (context, request)->arrived++;
   organisation_metrics (context, request)->arrived++;
   return request;
@@ -177,6 +180,7 @@
 finish (HbwEntry *entry, HbwContext *context, HbwRequest *request,
         const HbwAttemptEnd *end)
 {
+  hbw_request_log_ended (request, context, end->outcome);
   hbw_effects_add (context->effects, HBW_EFFECT_FINISH)->sequence
       = request->sequence;
   HbwClassMetrics *both[] = { class_metrics (context, request),
@@ -400,6 +404,7 @@
           = sequence;
       return;
     }
+  hbw_request_log_ended (request, context, HBW_OUTCOME_CANCELLED);
   class_metrics (context, request)->gone++;
   organisation_metrics (context, request)->gone++;
   hbw_effects_add (context->effects, HBW_EFFECT_FINISH)->sequence = sequence;
@@ -435,9 +440,13 @@
   if (!unrun || end->outcome == HBW_OUTCOME_REFUSED)
     request->sent_attempts++;
   request->may_have_run |= !unrun;
-  if (end->outcome == HBW_OUTCOME_COMPLETE)
+  gboolean complete = end->outcome == HBW_OUTCOME_COMPLETE;
+  gboolean again = !complete && may_retry (entry, context, request, end);
+  hbw_request_log_attempt (request, context, end,
+                           again ? "retry" : complete ? "done" : "give_up");
+  if (complete)
     finish (entry, context, request, end);
-  else if (may_retry (entry, context, request, end))
+  else if (again)
     retry (entry, context, request, end->outcome);
   else
     give_up (entry, context, request, end);
@@ -467,6 +476,8 @@
   request->started_us = context->now_us;
   request->told_us = context->now_us;
   g_strlcpy (request->server, grant->server, sizeof request->server);
+  request->facts = grant->facts;
+  hbw_request_log_started (request, context);
   gint64 waited = context->now_us - request->arrived_us;
   hbw_histogram_record (&class_metrics (context, request)->queue_wait, waited);
   hbw_histogram_record (&organisation_metrics (context, request)->queue_wait,
--- /dev/null
+++ b/core/load_share.c
@@ -0,0 +1,199 @@
+#include "hornbeamwall/core/load_share.h"
+
+#include "hornbeamwall/common/clock.h"
+#include "hornbeamwall/core/membership.h"
+
+#include <string.h>
+
+/* Instances to which the shortest time between two messages is scaled. */
+#define MEMBERS_UNIT 8
+
+/* What one peer said of one server. */
+typedef struct
+{
+  guint64 peer;
+  HbwLoadSum load;
+  gint64 heard_us;
+} Claim;
+
+typedef struct
+{
+  guint64 server; /* hash of its id */
+  HbwLoadSum own;
+  HbwLoadSum told;
+  gint64 told_us;
+  GArray *claims; /* Claim */
+} Account;
+
+struct HbwLoadShare
+{
+  GHashTable *accounts; /* server hash -> Account */
+  HbwLoads pending;     /* prompt parts that are not told yet */
+  gint64 sent_us;
+};
+
+static void
+account_free (gpointer data)
+{
+  Account *account = data;
+  g_array_free (account->claims, TRUE);
+  g_free (account);
+}
+
+static Account *
+ensure (HbwLoadShare *share, guint64 server)
+{
+  Account *account = g_hash_table_lookup (share->accounts, &server);
+  if (account != NULL)
+    return account;
+  account = g_new0 (Account, 1);
+  account->server = server;
+  account->claims = g_array_new (FALSE, FALSE, sizeof (Claim));
+  g_hash_table_insert (share->accounts, &account->server, account);
+  return account;
+}
+
+HbwLoadShare *
+hbw_load_share_create (void)
+{
+  HbwLoadShare *share = g_new0 (HbwLoadShare, 1);
+  share->accounts
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, account_free);
+  return share;
+}
+
+void
+hbw_load_share_destroy (HbwLoadShare *share)
+{
+  g_hash_table_destroy (share->accounts);
+  g_free (share);
+}
+
+void
+hbw_load_share_note (HbwLoadShare *share, const HbwServer *server)
+{
+  Account *account = ensure (share, server->hash);
+  account->own.in_progress = server->in_progress;
+  account->own.unread_tokens = server->unread_tokens;
+}
+
+void
+hbw_load_share_note_prompt (HbwLoadShare *share, const HbwServer *server,
+                            const HbwRequestSpec *spec)
+{
+  HbwLoads *pending = &share->pending;
+  for (guint i = 0; i + 1 < spec->part_count; i++)
+    {
+      if (pending->part_count >= HBW_LOAD_PARTS_MAX)
+        return;
+      HbwLoadPart *part = &pending->parts[pending->part_count++];
+      part->server = server->hash;
+      part->hash = spec->parts[i].hash;
+    }
+}
+
+static gboolean
+is_due (const Account *account, gint64 now_us)
+{
+  if (memcmp (&account->own, &account->told, sizeof account->own) != 0)
+    return TRUE;
+  return account->own.in_progress > 0
+         && now_us - account->told_us >= HBW_LOAD_RESTATE_US;
+}
+
+/* Moves what is due into LOADS; returns whether more is left. */
+static gboolean
+collect (HbwLoadShare *share, HbwLoads *loads, gint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, share->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Account *account = value;
+      if (!is_due (account, now_us))
+        continue;
+      if (loads->load_count >= HBW_LOADS_MAX)
+        return TRUE;
+      HbwServerLoad *load = &loads->loads[loads->load_count++];
+      load->server = account->server;
+      load->in_progress = account->own.in_progress;
+      load->unread_tokens = account->own.unread_tokens;
+      account->told = account->own;
+      account->told_us = now_us;
+    }
+  return FALSE;
+}
+
+typedef struct
+{
+  HbwContext *context;
+  HbwMessage message;
+} Broadcast;
+
+static void
+post_to_member (const HbwMemberUpdate *member, void *data)
+{
+  Broadcast *broadcast = data;
+  hbw_context_post (broadcast->context, member->identity, &broadcast->message);
+}
+
+void
+hbw_load_share_send (HbwLoadShare *share, HbwContext *context)
+{
+  guint members = hbw_membership_count (context->membership, NULL);
+  gint64 least_us = HBW_LOAD_SHARE_US * (1 + members / MEMBERS_UNIT);
+  if (context->now_us - share->sent_us < least_us)
+    return;
+  Broadcast broadcast = { context, { .kind = HBW_MESSAGE_LOADS } };
+  HbwLoads *loads = &broadcast.message.loads;
+  *loads = share->pending;
+  collect (share, loads, context->now_us);
+  if (loads->load_count == 0 && loads->part_count == 0)
+    return;
+  share->pending.part_count = 0;
+  share->sent_us = context->now_us;
+  hbw_membership_foreach (context->membership, post_to_member, &broadcast);
+}
+
+static void
+set_claim (Account *account, guint64 peer, const HbwServerLoad *load, gint64 now_us)
+{
+  const Claim claim
+      = { peer, { load->in_progress, load->unread_tokens }, now_us };
+  for (guint i = account->claims->len; i > 0; i--)
+    {
+      Claim *known = &g_array_index (account->claims, Claim, i - 1);
+      if (known->peer == peer || now_us - known->heard_us > HBW_LOAD_AGE_US)
+        g_array_remove_index_fast (account->claims, i - 1);
+    }
+  if (load->in_progress > 0)
+    g_array_append_val (account->claims, claim);
+}
+
+void
+hbw_load_share_handle (HbwLoadShare *share, HbwContext *context,
+                       const HbwMessage *message)
+{
+  const HbwLoads *loads = &message->loads;
+  for (guint i = 0; i < loads->load_count; i++)
+    set_claim (ensure (share, loads->loads[i].server), message->from,
+               &loads->loads[i], context->now_us);
+}
+
+HbwLoadSum
+hbw_load_share_sum (const HbwLoadShare *share, const HbwServer *server,
+                    gint64 now_us)
+{
+  HbwLoadSum sum = { 0, 0 };
+  const Account *account = g_hash_table_lookup (share->accounts, &server->hash);
+  for (guint i = 0; account != NULL && i < account->claims->len; i++)
+    {
+      const Claim *claim = &g_array_index (account->claims, Claim, i);
+      if (now_us - claim->heard_us > HBW_LOAD_AGE_US)
+        continue;
+      sum.in_progress += claim->load.in_progress;
+      sum.unread_tokens += claim->load.unread_tokens;
+    }
+  return sum;
+}
--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -1,7 +1,9 @@
 #include "hornbeamwall/core/policy_direct.h"
 
+#include "hornbeamwall/core/load_share.h"
 #include "hornbeamwall/core/quarantine.h"
 
+#include <math.h>
 #include <string.h>
 
 /* What a request costs more in another data centre: the way there and back, and the
@@ -14,20 +16,38 @@
 /* What it costs to meet a failure and to try again elsewhere. */
 #define FAILURE_US (400 * HBW_US_PER_MS)
 
-/* Part of the prompt that a server which the prompt's beginning falls to is taken to
-   know, in percent, before anything was sent there. */
-#define HOME_PERCENT 60
+/* What it costs to send a prompt elsewhere than where prompts with the same beginning
+   are drawn to. */
+#define NOT_HOME_US (50 * HBW_US_PER_MS)
+
+/* What a token of a shared part that is read once more costs besides its time, in
+   tokens: the server could have read something else. */
+#define READ_AGAIN_FACTOR 6
 
 /* Percent of its slots up to which a plain server is given work; its own queue takes
    what is over. */
 #define PLAIN_ROOM_PERCENT 150
 
+/* Doublings of the usual prompt's length above which one counts as long. */
+#define LONG_DOUBLINGS 0.7
+
+/* Part of the servers that long prompts are drawn to. */
+#define LONG_PROMPT_PART 0.6
+
+/* What a server of the other part costs a long and a short prompt. */
+#define LONG_PROMPT_US (1500 * HBW_US_PER_MS)
+#define SHORT_PROMPT_US (200 * HBW_US_PER_MS)
+
+/* A server's report is used for so long. */
+#define REPORT_AGE_MAX_US (500 * HBW_US_PER_MS)
+
 typedef struct
 {
   HbwShard *shard;
   HbwContext *context;
   const HbwWant *want;
   gboolean suspect;
+  gboolean long_prompt;
   const HbwServer *home; /* where the prompt's beginning falls to, or NULL */
 } Choice;
 
@@ -37,10 +57,20 @@
   return spec->prompt_tokens > 0;
 }
 
-static guint
-load_of (const HbwServer *server)
+/* Other instances tell what they have in progress; a server's own report counts for
+   those that cannot be heard. */
+static HbwLoadSum
+load_of (const Choice *choice, const HbwServer *server)
 {
-  return server->in_progress + server->others;
+  gint64 now_us = choice->context->now_us;
+  HbwLoadSum load = { 0, 0 };
+  if (choice->context->loads != NULL)
+    load = hbw_load_share_sum (choice->context->loads, server, now_us);
+  if (now_us - server->reported_at_us < REPORT_AGE_MAX_US)
+    load.in_progress = MAX (load.in_progress, server->others);
+  load.in_progress += server->in_progress;
+  load.unread_tokens += server->unread_tokens;
+  return load;
 }
 
 /* The last part of a prompt is its own or its session's; those before are shared. */
@@ -52,17 +82,52 @@
   return spec->parts[spec->part_count > 1 ? spec->part_count - 2 : 0].hash;
 }
 
+static gboolean
+is_long (const Choice *choice)
+{
+  double length = log2 (MAX (1.0, choice->want->spec.prompt_tokens));
+  return length > choice->shard->prompt_log2 + LONG_DOUBLINGS;
+}
+
+/* Returns the server's place in the order, from 0 to 1. */
+static double
+place_of (const HbwShard *shard, const HbwServer *server)
+{
+  guint before = 0;
+  guint others = 0;
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      const HbwServer *other = g_ptr_array_index (shard->servers, i);
+      if (other == server || other->stopping || other->state != HBW_SERVER_UP)
+        continue;
+      others++;
+      before += other->hash < server->hash ? 1 : 0;
+    }
+  return others > 0 ? (double) before / others : 0;
+}
+
+/* Returns whether the server stands in the part of the order that prompts of this
+   length are drawn to. */
+static gboolean
+is_preferred (const Choice *choice, const HbwServer *server)
+{
+  gboolean for_long = place_of (choice->shard, server) < LONG_PROMPT_PART;
+  return for_long == choice->long_prompt;
+}
+
 static const HbwServer *
-find_home (const HbwShard *shard, const HbwRequestSpec *spec)
+find_home (const Choice *choice)
 {
-  guint64 hash = shared_hash (spec);
+  const HbwShard *shard = choice->shard;
+  guint64 hash = shared_hash (&choice->want->spec);
   const HbwServer *home = NULL;
   guint64 highest = 0;
   for (guint i = 0; hash != 0 && i < shard->servers->len; i++)
     {
       const HbwServer *server = g_ptr_array_index (shard->servers, i);
       guint64 weight = hbw_rendezvous_weight (hash, server->entry.id);
-      if (server->stopping || server->state != HBW_SERVER_UP || weight < highest)
+      if (server->stopping || server->state != HBW_SERVER_UP || weight < highest
+          || !is_preferred (choice, server))
         continue;
       home = server;
       highest = weight;
@@ -70,26 +135,23 @@
   return home;
 }
 
-static guint
-unread_at (const Choice *choice, const HbwServer *server)
-{
-  guint unread = hbw_server_uncached (server, &choice->want->spec);
-  guint known_at_home
-      = choice->want->spec.prompt_tokens / 100 * (100 - HOME_PERCENT);
-  return server == choice->home ? MIN (unread, known_at_home) : unread;
-}
-
+/* The part of the prompt that is no other request's is read wherever it goes; the
+   shared parts are read once more for nothing where they are not at hand. */
 static double
-prompt_us (const Choice *choice, const HbwServer *server)
+prompt_us (const Choice *choice, const HbwServer *server, const HbwLoadSum *load)
 {
-  double tokens = (double) server->unread_tokens + unread_at (choice, server);
-  return tokens * HBW_US_PER_S / choice->shard->prompt_rate;
+  const HbwRequestSpec *spec = &choice->want->spec;
+  guint unread = hbw_server_uncached (server, spec);
+  guint own = spec->part_count > 0 ? spec->parts[spec->part_count - 1].tokens : unread;
+  guint again = unread - MIN (unread, own);
+  double tokens = (double) load->unread_tokens + unread + again * READ_AGAIN_FACTOR;
+  double time = tokens * HBW_US_PER_S / choice->shard->prompt_rate;
+  return server == choice->home ? time : time + NOT_HOME_US;
 }
 
 static double
-queue_us (const Choice *choice, const HbwServer *server)
+queue_us (const Choice *choice, const HbwServer *server, guint load)
 {
-  guint load = load_of (server);
   guint slots = MAX (1, server->entry.slots);
   double wait = (double) load * LOADED_US;
   if (load >= slots)
@@ -97,12 +159,25 @@
   return wait;
 }
 
+/* Servers stand in an order that is the same for all instances.  Long prompts are
+   drawn to its first part and short ones to the rest: while a server reads a long
+   prompt, the streams beside it pause. */
+static double
+position_us (const Choice *choice, const HbwServer *server)
+{
+  if (is_preferred (choice, server))
+    return 0;
+  return choice->long_prompt ? LONG_PROMPT_US : SHORT_PROMPT_US;
+}
+
 static double
 cost_us (const Choice *choice, const HbwServer *server)
 {
-  double cost = queue_us (choice, server) + server->failing * FAILURE_US;
+  const HbwLoadSum load = load_of (choice, server);
+  double cost = queue_us (choice, server, load.in_progress)
+                + server->failing * FAILURE_US;
   if (is_model (&choice->want->spec))
-    cost += prompt_us (choice, server);
+    cost += prompt_us (choice, server, &load) + position_us (choice, server);
   if (strcmp (server->entry.data_centre, choice->context->data_centre) != 0)
     cost += REMOTE_US;
   return cost;
@@ -117,7 +192,8 @@
   if (choice->suspect && server->suspects > 0)
     return FALSE;
   guint percent = is_model (spec) ? 100 : PLAIN_ROOM_PERCENT;
-  return load_of (server) < MAX (1, server->entry.slots) * percent / 100;
+  return load_of (choice, server).in_progress
+         < MAX (1, server->entry.slots) * percent / 100;
 }
 
 HbwServer *
@@ -125,7 +201,9 @@
                           const HbwTicket *ticket)
 {
   const HbwWant *want = &ticket->want;
-  Choice choice = { shard, context, want, FALSE, find_home (shard, &want->spec) };
+  Choice choice = { .shard = shard, .context = context, .want = want };
+  choice.long_prompt = is_long (&choice);
+  choice.home = find_home (&choice);
   choice.suspect = hbw_quarantine_is_suspect (
       context->quarantine, &want->spec.fingerprint, context->now_us);
   HbwServer *best = NULL;
--- a/core/prompt_cache.c
+++ b/core/prompt_cache.c
@@ -22,23 +22,6 @@
   g_hash_table_remove (cache->parts, &part->hash);
 }
 
-static void
-note_part (HbwPromptCache *cache, guint64 hash)
-{
-  Part *part = g_hash_table_lookup (cache->parts, &hash);
-  if (part != NULL)
-    cds_list_del (&part->link);
-  else
-    {
-      if (g_hash_table_size (cache->parts) >= HBW_PROMPT_CACHE_PARTS)
-        forget_oldest (cache);
-      part = g_new0 (Part, 1);
-      part->hash = hash;
-      g_hash_table_insert (cache->parts, &part->hash, part);
-    }
-  cds_list_add_tail (&part->link, &cache->by_use);
-}
-
 HbwPromptCache *
 hbw_prompt_cache_create (void)
 {
@@ -62,11 +45,28 @@
   g_hash_table_remove_all (cache->parts);
 }
 
+void
+hbw_prompt_cache_note_part (HbwPromptCache *cache, guint64 hash)
+{
+  Part *part = g_hash_table_lookup (cache->parts, &hash);
+  if (part != NULL)
+    cds_list_del (&part->link);
+  else
+    {
+      if (g_hash_table_size (cache->parts) >= HBW_PROMPT_CACHE_PARTS)
+        forget_oldest (cache);
+      part = g_new0 (Part, 1);
+      part->hash = hash;
+      g_hash_table_insert (cache->parts, &part->hash, part);
+    }
+  cds_list_add_tail (&part->link, &cache->by_use);
+}
+
 void
 hbw_prompt_cache_note (HbwPromptCache *cache, const HbwRequestSpec *spec)
 {
   for (guint i = 0; i < spec->part_count; i++)
-    note_part (cache, spec->parts[i].hash);
+    hbw_prompt_cache_note_part (cache, spec->parts[i].hash);
 }
 
 guint
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -3,6 +3,7 @@
 #include "hornbeamwall/core/admission.h"
 #include "hornbeamwall/core/documents.h"
 #include "hornbeamwall/core/entry.h"
+#include "hornbeamwall/core/load_share.h"
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/quarantine.h"
@@ -307,6 +308,20 @@
   hbw_documents_ask (reducer->documents, context, message->from, ping);
 }
 
+static void
+handle_loads (HbwReducer *reducer, const HbwMessage *message)
+{
+  HbwContext *context = &reducer->context;
+  if (context->loads == NULL)
+    return;
+  hbw_load_share_handle (context->loads, context, message);
+  GHashTableIter iter;
+  gpointer shard;
+  g_hash_table_iter_init (&iter, reducer->shards);
+  while (g_hash_table_iter_next (&iter, NULL, &shard))
+    hbw_shard_learn_prompts (shard, &message->loads);
+}
+
 static void
 handle_message (HbwReducer *reducer, const HbwMessage *message)
 {
@@ -360,6 +375,9 @@
           hbw_shard_done (shard, context, &message->done);
         break;
       }
+    case HBW_MESSAGE_LOADS:
+      handle_loads (reducer, message);
+      break;
     case HBW_MESSAGE_DOCUMENT_ASK:
       hbw_documents_answer (reducer->documents, context, message->from,
                             &message->document);
@@ -578,6 +596,7 @@
   context->membership = hbw_membership_create (&config->self);
   context->metrics = hbw_metrics_create ();
   context->quarantine = hbw_quarantine_create ();
+  context->loads = config->policy->across ? hbw_load_share_create () : NULL;
   hbw_membership_set_decorator (context->membership, decorate_ping, reducer);
   for (guint i = 0; config->seeds != NULL && config->seeds[i] != NULL; i++)
     hbw_membership_add_seed (context->membership, config->seeds[i]);
@@ -622,6 +641,8 @@
   hbw_membership_destroy (context->membership);
   hbw_metrics_destroy (context->metrics);
   hbw_quarantine_destroy (context->quarantine);
+  if (context->loads != NULL)
+    hbw_load_share_destroy (context->loads);
   g_hash_table_unref (context->stops);
   g_rand_free (context->random);
   g_free (reducer);
@@ -636,6 +657,8 @@
   context->effects = effects;
   handle_event (reducer, event);
   deliver_loopback (reducer);
+  if (context->loads != NULL)
+    hbw_load_share_send (context->loads, context);
   context->effects = NULL;
   count_sent (reducer, effects, before);
 }
--- a/core/request.c
+++ b/core/request.c
@@ -22,6 +22,87 @@
   return id;
 }
 
+/* Every line begins with the caller's id and this instance's own. */
+#define LINE_BEGIN "request=%s sequence=%" G_GUINT64_FORMAT " "
+
+static gint64
+to_ms (gint64 duration_us)
+{
+  return duration_us / HBW_US_PER_MS;
+}
+
+void
+hbw_request_log_admitted (const HbwRequest *request, HbwContext *context,
+                          const HbwArrival *arrival)
+{
+  const HbwRequestSpec *spec = &request->spec;
+  hbw_effects_log (context->effects, HBW_LOG_REQUEST_ADMITTED,
+                   LINE_BEGIN "class=%s organisation=%s pool=%s tier=%u "
+                              "catalogue=%" G_GINT64_FORMAT
+                              " catalogue_age_ms=%" G_GINT64_FORMAT
+                              " deadline_ms=%" G_GINT64_FORMAT " prompt_tokens=%u",
+                   request->trace, request->sequence, spec->class_name,
+                   spec->organisation, spec->pool, spec->tier,
+                   arrival->catalogue_version, to_ms (arrival->catalogue_age_us),
+                   to_ms (spec->deadline_us), spec->prompt_tokens);
+}
+
+void
+hbw_request_log_started (const HbwRequest *request, HbwContext *context)
+{
+  const HbwGrantFacts *facts = &request->facts;
+  hbw_effects_log (context->effects, HBW_LOG_ATTEMPT_STARTED,
+                   LINE_BEGIN "attempt=%u server=%s waited_ms=%" G_GINT64_FORMAT
+                              " in_progress=%u others=%u unread_tokens=%u "
+                              "report_age_ms=%" G_GINT64_FORMAT " waiting=%u",
+                   request->trace, request->sequence, request->attempt,
+                   request->server, to_ms (context->now_us - request->arrived_us),
+                   facts->in_progress, facts->others, facts->unread_tokens,
+                   to_ms (facts->report_age_us), facts->waiting);
+}
+
+void
+hbw_request_log_attempt (const HbwRequest *request, HbwContext *context,
+                         const HbwAttemptEnd *end, const char *next)
+{
+  hbw_effects_log (context->effects, HBW_LOG_ATTEMPT_ENDED,
+                   LINE_BEGIN "attempt=%u server=%s outcome=%s next=%s begun=%d "
+                              "first_ms=%" G_GINT64_FORMAT
+                              " gap_ms=%" G_GINT64_FORMAT
+                              " longest_gap_ms=%" G_GINT64_FORMAT " pieces=%u",
+                   request->trace, request->sequence, end->attempt, request->server,
+                   hbw_outcome_name (end->outcome), next, end->answer_begun,
+                   to_ms (end->first_token_us), to_ms (end->inter_token_us),
+                   to_ms (end->longest_gap_us), end->tokens);
+}
+
+void
+hbw_request_log_refused (const HbwRequest *request, HbwContext *context,
+                         HbwReason reason, gint64 retry_after_us)
+{
+  hbw_effects_log (context->effects, HBW_LOG_REQUEST_REFUSED,
+                   LINE_BEGIN "reason=%s executed=%s after_ms=%" G_GINT64_FORMAT
+                              " retry_after_ms=%" G_GINT64_FORMAT
+                              " sent=%u unrun=%u server=%s",
+                   request->trace, request->sequence, hbw_reason_name (reason),
+                   request->may_have_run ? "unknown" : "no",
+                   to_ms (context->now_us - request->arrived_us),
+                   to_ms (retry_after_us), request->sent_attempts,
+                   request->unrun_attempts, request->server);
+}
+
+void
+hbw_request_log_ended (const HbwRequest *request, HbwContext *context,
+                       HbwOutcome outcome)
+{
+  hbw_effects_log (context->effects, HBW_LOG_REQUEST_ENDED,
+                   LINE_BEGIN "outcome=%s total_ms=%" G_GINT64_FORMAT
+                              " attempts=%u server=%s",
+                   request->trace, request->sequence, hbw_outcome_name (outcome),
+                   to_ms (context->now_us - request->arrived_us), request->attempt,
+                   request->server);
+}
+
 void
 hbw_request_post_want (HbwRequest *request, HbwContext *context, guint64 owner)
 {
--- a/core/server.c
+++ b/core/server.c
@@ -141,6 +141,7 @@
 {
   HbwServer *server = g_new0 (HbwServer, 1);
   server->entry = *entry;
+  server->hash = hbw_rendezvous_weight (0, entry->id);
   server->limit = entry->slots;
   server->stopping = entry->leaving;
   server->prompts = hbw_prompt_cache_create ();
--- a/core/shard.c
+++ b/core/shard.c
@@ -1,5 +1,6 @@
 #include "hornbeamwall/core/shard.h"
 
+#include "hornbeamwall/core/load_share.h"
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/shard_estimate.h"
@@ -57,6 +58,20 @@
   return g_hash_table_lookup (shard->reservations, &key);
 }
 
+static void
+tell_load (HbwContext *context, const HbwServer *server)
+{
+  if (context->loads != NULL)
+    hbw_load_share_note (context->loads, server);
+}
+
+static void
+forget_unread (HbwServer *server, Reservation *reservation)
+{
+  server->unread_tokens -= MIN (server->unread_tokens, reservation->unread_tokens);
+  reservation->unread_tokens = 0;
+}
+
 static Reservation *
 reserve (HbwShard *shard, HbwContext *context, HbwServer *server,
          const HbwRequestId *id, guint attempt, const HbwRequestSpec *spec)
@@ -74,7 +89,10 @@
   reservation->ahead_tokens = server->unread_tokens;
   reservation->unread_tokens = hbw_server_uncached (server, spec);
   server->unread_tokens += reservation->unread_tokens;
+  if (context->loads != NULL)
+    hbw_load_share_note_prompt (context->loads, server, spec);
   hbw_server_begin (server, spec);
+  tell_load (context, server);
   if (reservation->suspect)
     server->suspects++;
   shard->in_progress[spec->tier]++;
@@ -82,13 +100,6 @@
   return reservation;
 }
 
-static void
-forget_unread (HbwServer *server, Reservation *reservation)
-{
-  server->unread_tokens -= MIN (server->unread_tokens, reservation->unread_tokens);
-  reservation->unread_tokens = 0;
-}
-
 static void
 release (HbwShard *shard, HbwContext *context, Reservation *reservation,
          const HbwDone *done)
@@ -101,6 +112,7 @@
       if (reservation->suspect && server->suspects > 0)
         server->suspects--;
       forget_unread (server, reservation);
+      tell_load (context, server);
       if (server->stopping && server->in_progress == 0)
         hbw_effects_log (context->effects, HBW_LOG_SERVER_DRAINED,
                          "server=%s pool=%s", server->entry.id, server->entry.pool);
@@ -130,6 +142,14 @@
   g_strlcpy (message.grant.server, server->entry.id, sizeof message.grant.server);
   g_strlcpy (message.grant.address, server->entry.address,
              sizeof message.grant.address);
+  HbwGrantFacts *facts = &message.grant.facts;
+  facts->in_progress = server->in_progress;
+  facts->others = server->others;
+  facts->unread_tokens = server->unread_tokens;
+  facts->waiting = hbw_queue_length (shard->queue);
+  facts->report_age_us = server->reported_at_us > 0
+                             ? context->now_us - server->reported_at_us
+                             : -1;
   hbw_context_post (context, to, &message);
 }
 
@@ -383,6 +403,7 @@
       send_refusal (context, shard, from, want, HBW_REASON_QUEUE_FULL);
       return;
     }
+  hbw_shard_note_arrival (shard, &want->spec);
   HbwWant known_cost = *want;
   known_cost.spec.cost_tokens = hbw_shard_expected_tokens (shard, &want->spec);
   hbw_queue_add (shard->queue, &known_cost, from, context->now_us,
@@ -433,6 +454,7 @@
   hbw_shard_note_prompt (shard, reservation->unread_tokens,
                          reservation->ahead_tokens, begun->first_token_us);
   forget_unread (server, reservation);
+  tell_load (context, server);
 }
 
 void
@@ -466,6 +488,18 @@
   schedule (shard, context);
 }
 
+void
+hbw_shard_learn_prompts (HbwShard *shard, const HbwLoads *loads)
+{
+  for (guint i = 0; i < loads->part_count; i++)
+    for (guint k = 0; k < shard->servers->len; k++)
+      {
+        HbwServer *server = g_ptr_array_index (shard->servers, k);
+        if (server->hash == loads->parts[i].server)
+          hbw_prompt_cache_note_part (server->prompts, loads->parts[i].hash);
+      }
+}
+
 void
 hbw_shard_tick (HbwShard *shard, HbwContext *context)
 {
--- a/core/shard_estimate.c
+++ b/core/shard_estimate.c
@@ -1,5 +1,7 @@
 #include "hornbeamwall/core/shard_estimate.h"
 
+#include <math.h>
+
 /* Weight of the newest measurement in the moving average of service time. */
 #define SERVICE_AVERAGE_WEIGHT 0.05
 
@@ -19,6 +21,17 @@
       += SERVICE_AVERAGE_WEIGHT * ((double) duration_us - shard->service_us);
 }
 
+void
+hbw_shard_note_arrival (HbwShard *shard, const HbwRequestSpec *spec)
+{
+  if (spec->prompt_tokens == 0)
+    return;
+  double length = log2 (spec->prompt_tokens);
+  if (shard->prompt_log2 <= 0)
+    shard->prompt_log2 = length;
+  shard->prompt_log2 += PROMPT_AVERAGE_WEIGHT * (length - shard->prompt_log2);
+}
+
 /* A first token of a short prompt tells little of how fast prompts are read. */
 void
 hbw_shard_note_prompt (HbwShard *shard, guint tokens, guint ahead_tokens,
--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -2,9 +2,10 @@
  * log - numbered log events
  *
  * Every line that the program logs belongs to one numbered event of the list
- * below; docs/EVENTS.md is checked against it.  A line carries the number, the
- * name and a text of key=value pairs.  Lines go through log4c; a test may catch
- * them with a hook instead.
+ * below; docs/EVENTS.md is checked against it.  A line is one JSON object on standard
+ * output: time, level, number, event and the key=value pairs of its text.  Lines go
+ * through log4c and never wait for their reader; what is too much in one second is
+ * counted instead.  A test may catch them with a hook.
  */
 #ifndef HORNBEAMWALL_COMMON_LOG_H
 #define HORNBEAMWALL_COMMON_LOG_H
@@ -59,6 +60,19 @@
   X (5005, SERVER_DRAINED, INFO,                                                    \
      "A leaving backend server has no work in progress here.",                      \
      "It can be stopped once every data centre says so.")                           \
+  X (6010, REQUEST_ADMITTED, INFO, "A caller's request may go on.", "Nothing.")     \
+  X (6011, REQUEST_DENIED, INFO,                                                    \
+     "A caller's request may not go on, by the catalogue that is known here.",      \
+     "Compare catalogue and catalogue_age_ms with the operator's newest version.")  \
+  X (6012, ATTEMPT_STARTED, INFO,                                                   \
+     "A backend server was chosen and gets the request.", "Nothing.")               \
+  X (6013, ATTEMPT_ENDED, INFO,                                                     \
+     "An attempt ended; next says what becomes of the request.",                    \
+     "Look at the backend server if outcome is broken, timed_out or failed.")       \
+  X (6014, REQUEST_REFUSED, INFO, "The caller is told that its request has ended.", \
+     "The reason is in the line; executed says whether it may have run.")           \
+  X (6015, REQUEST_ENDED, INFO, "The caller has its answer, or is gone.",           \
+     "Nothing.")                                                                    \
   X (6001, REQUEST_SUSPECT, INFO,                                                   \
      "A request was in progress when its backend server failed.", "Nothing.")       \
   X (6002, REQUEST_QUARANTINED, ERROR,                                              \
@@ -74,6 +88,9 @@
   X (8001, ADMIN_CHANGE, INFO, "An operator's change was accepted.", "Nothing.")    \
   X (8002, ADMIN_REFUSED, INFO, "An operator's change was refused.",                \
      "The operator has the reason.")                                                \
+  X (9002, LINES_FOLDED, INFO,                                                      \
+     "Lines of one event were counted and not written, as there were too many.",    \
+     "Take the counters on the metrics address for how many there were.")           \
   X (9001, INTERNAL_LIMIT, WARN, "A bound of the program was met.",                 \
      "See docs/OPERATORS.md for the bound named in the line.")
 
@@ -108,7 +125,7 @@
 /* Returns the entry of NUMBER, or NULL. */
 const HbwLogEntry *hbw_log_find (HbwLogEvent number);
 
-/* Opens log4c for the process, writing to standard error. */
+/* Opens log4c for the process, writing to standard output. */
 void hbw_log_open (void);
 void hbw_log_close (void);
 
--- a/include/hornbeamwall/core/context.h
+++ b/include/hornbeamwall/core/context.h
@@ -6,6 +6,7 @@
 
 #include "hornbeamwall/core/effect.h"
 
+typedef struct HbwLoadShare HbwLoadShare;
 typedef struct HbwMembership HbwMembership;
 typedef struct HbwMetrics HbwMetrics;
 typedef struct HbwQuarantine HbwQuarantine;
@@ -23,6 +24,7 @@
   gboolean load_in_answers; /* no server is asked for its load */
   gboolean stops_known;     /* whether the stops were ever read; no grants before */
   GQueue *loopback;         /* HbwMessage to this instance itself */
+  HbwLoadShare *loads; /* NULL where one owner sees all of a shard */
   HbwMembership *membership;
   HbwMetrics *metrics;
   HbwQuarantine *quarantine;
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -6,6 +6,9 @@
 
 #include "hornbeamwall/core/message.h"
 
+/* Longest id that a caller gives its request, in bytes, with its end mark. */
+#define HBW_TRACE_MAX 64
+
 typedef enum
 {
   HBW_EVENT_TICK,
@@ -27,6 +30,9 @@
 {
   guint64 sequence; /* given by the runtime, never used twice */
   HbwRequestSpec spec;
+  char trace[HBW_TRACE_MAX];   /* the caller's own id of the request, or "" */
+  gint64 catalogue_age_us;     /* by which it was admitted */
+  gint64 catalogue_version;
 } HbwArrival;
 
 typedef struct
@@ -45,6 +51,7 @@
   gboolean answer_begun; /* bytes of this answer have reached the caller */
   gint64 first_token_us; /* from the start of the attempt; 0 where none came */
   gint64 inter_token_us;
+  gint64 longest_gap_us; /* between two pieces of the answer */
   guint tokens;
 } HbwAttemptEnd;
 
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -116,6 +116,7 @@
   HBW_MESSAGE_DEMAND,  /* an instance's demand for an organisation's limit */
   HBW_MESSAGE_SHARE,   /* the limit keeper's answer */
   HBW_MESSAGE_BEGUN,   /* the first token of an attempt has come */
+  HBW_MESSAGE_LOADS,   /* what an instance has in progress on servers */
   HBW_MESSAGE_COUNT,
 } HbwMessageKind;
 
@@ -140,6 +141,16 @@
   char avoid[HBW_NAME_MAX]; /* server that failed the attempt before, or "" */
 } HbwWant;
 
+/* What the choice of a server rested on, for the log. */
+typedef struct
+{
+  guint in_progress; /* this instance's or owner's requests there */
+  guint others;
+  guint unread_tokens;
+  guint waiting; /* requests that wait in the shard */
+  gint64 report_age_us;
+} HbwGrantFacts;
+
 typedef struct
 {
   HbwRequestId id;
@@ -148,6 +159,7 @@
   char server[HBW_NAME_MAX];
   char address[HBW_ADDRESS_MAX];
   gint64 valid_us;
+  HbwGrantFacts facts;
 } HbwGrant;
 
 typedef struct
@@ -215,6 +227,31 @@
   double in_progress;
 } HbwRates;
 
+/* Most servers, and most prompt parts, that one message tells of. */
+#define HBW_LOADS_MAX 32
+#define HBW_LOAD_PARTS_MAX 32
+
+typedef struct
+{
+  guint64 server; /* hash of its id */
+  guint in_progress;
+  guint unread_tokens; /* of prompts */
+} HbwServerLoad;
+
+typedef struct
+{
+  guint64 server; /* hash of its id */
+  guint64 hash;   /* of the part and all before it */
+} HbwLoadPart;
+
+typedef struct
+{
+  guint load_count;
+  HbwServerLoad loads[HBW_LOADS_MAX];
+  guint part_count;
+  HbwLoadPart parts[HBW_LOAD_PARTS_MAX];
+} HbwLoads;
+
 typedef struct
 {
   HbwMessageKind kind;
@@ -227,6 +264,7 @@
     HbwRefusal refusal; /* REFUSAL, WITHDRAW */
     HbwActive active;
     HbwBegun begun;
+    HbwLoads loads;
     HbwDone done;
     HbwDocument document; /* DOCUMENT_ASK, DOCUMENT */
     HbwSuspect suspect;
--- a/include/hornbeamwall/core/prompt_cache.h
+++ b/include/hornbeamwall/core/prompt_cache.h
@@ -22,6 +22,9 @@
 /* Notes that the prompt of SPEC is read. */
 void hbw_prompt_cache_note (HbwPromptCache *cache, const HbwRequestSpec *spec);
 
+/* Notes that a part of HASH, as in HbwPromptPart, is read. */
+void hbw_prompt_cache_note_part (HbwPromptCache *cache, guint64 hash);
+
 /* Returns how many tokens at the beginning of the prompt of SPEC were read lately.
  */
 guint hbw_prompt_cache_find (const HbwPromptCache *cache,
--- a/include/hornbeamwall/core/request.h
+++ b/include/hornbeamwall/core/request.h
@@ -22,6 +22,7 @@
 {
   struct cds_list_head link; /* by arrival */
   guint64 sequence;
+  char trace[HBW_TRACE_MAX];
   HbwRequestSpec spec;
   gint64 arrived_us;
   HbwRequestState state;
@@ -40,6 +41,7 @@
   gint64 restate_us;  /* until the owner is told again */
   guint64 told_epoch; /* of the membership, when the owner was looked up */
   gint64 started_us;
+  HbwGrantFacts facts;
   char server[HBW_NAME_MAX];
   char avoid[HBW_NAME_MAX];
 } HbwRequest;
@@ -50,6 +52,17 @@
 
 gboolean hbw_request_is_past_deadline (const HbwRequest *request, gint64 now_us);
 
+/* Log what was decided about the request, with what decided it. */
+void hbw_request_log_admitted (const HbwRequest *request, HbwContext *context,
+                               const HbwArrival *arrival);
+void hbw_request_log_started (const HbwRequest *request, HbwContext *context);
+void hbw_request_log_attempt (const HbwRequest *request, HbwContext *context,
+                              const HbwAttemptEnd *end, const char *next);
+void hbw_request_log_refused (const HbwRequest *request, HbwContext *context,
+                              HbwReason reason, gint64 retry_after_us);
+void hbw_request_log_ended (const HbwRequest *request, HbwContext *context,
+                            HbwOutcome outcome);
+
 /* Tell OWNER (0: nobody) that the request waits, or is in progress. */
 void hbw_request_post_want (HbwRequest *request, HbwContext *context, guint64 owner);
 void hbw_request_post_active (HbwRequest *request, HbwContext *context,
--- a/include/hornbeamwall/core/server.h
+++ b/include/hornbeamwall/core/server.h
@@ -25,6 +25,7 @@
 typedef struct
 {
   HbwServerEntry entry;
+  guint64 hash; /* of its id */
   HbwServerState state;
   gboolean stopping; /* planned stop or leaving: no new work */
   gboolean straggler;
--- a/include/hornbeamwall/core/shard.h
+++ b/include/hornbeamwall/core/shard.h
@@ -62,6 +62,7 @@
   gint64 compared_at_us;    /* last look for stragglers */
   gint64 wanted_at_us;      /* last message from an entry instance */
   double service_us;        /* moving average from grant to end */
+  double prompt_log2;       /* moving average of the length of prompts */
   double prompt_rate;       /* prompt tokens that a server reads in a second */
   GHashTable *class_tokens; /* class name -> moving average of tokens, owned */
   guint rotation;           /* for round robin */
@@ -90,6 +91,9 @@
 void hbw_shard_load (HbwShard *shard, HbwContext *context,
                      const HbwLoadReport *load);
 
+/* Notes which prompt parts other instances have sent to its servers. */
+void hbw_shard_learn_prompts (HbwShard *shard, const HbwLoads *loads);
+
 /* Ends what is overdue and grants what has become possible. */
 void hbw_shard_tick (HbwShard *shard, HbwContext *context);
 
--- a/include/hornbeamwall/net/front.h
+++ b/include/hornbeamwall/net/front.h
@@ -9,11 +9,9 @@
 
 #include "hornbeamwall/core/admission.h"
 #include "hornbeamwall/core/effect.h"
+#include "hornbeamwall/core/event.h"
 #include "hornbeamwall/net/parser.h"
 
-/* Longest id that a caller gives its request, in bytes, with its end mark. */
-#define HBW_TRACE_MAX 64
-
 typedef struct HbwFront HbwFront;
 
 /* What the head of a server's answer says besides its status. */
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -122,6 +122,11 @@
   pack_text (packer, grant->server);
   pack_text (packer, grant->address);
   msgpack_pack_int64 (packer, grant->valid_us);
+  msgpack_pack_uint32 (packer, grant->facts.in_progress);
+  msgpack_pack_uint32 (packer, grant->facts.others);
+  msgpack_pack_uint32 (packer, grant->facts.unread_tokens);
+  msgpack_pack_uint32 (packer, grant->facts.waiting);
+  msgpack_pack_int64 (packer, grant->facts.report_age_us);
 }
 
 static void
@@ -167,6 +172,24 @@
   msgpack_pack_int64 (packer, document->base);
 }
 
+static void
+pack_loads (msgpack_packer *packer, const HbwLoads *loads)
+{
+  msgpack_pack_array (packer, 3 * loads->load_count);
+  for (guint i = 0; i < loads->load_count; i++)
+    {
+      msgpack_pack_uint64 (packer, loads->loads[i].server);
+      msgpack_pack_uint32 (packer, loads->loads[i].in_progress);
+      msgpack_pack_uint32 (packer, loads->loads[i].unread_tokens);
+    }
+  msgpack_pack_array (packer, 2 * loads->part_count);
+  for (guint i = 0; i < loads->part_count; i++)
+    {
+      msgpack_pack_uint64 (packer, loads->parts[i].server);
+      msgpack_pack_uint64 (packer, loads->parts[i].hash);
+    }
+}
+
 static void
 pack_fields (msgpack_packer *packer, const HbwMessage *message)
 {
@@ -199,6 +222,9 @@
       pack_shard (packer, &message->begun.shard);
       msgpack_pack_int64 (packer, message->begun.first_token_us);
       break;
+    case HBW_MESSAGE_LOADS:
+      pack_loads (packer, &message->loads);
+      break;
     case HBW_MESSAGE_DONE:
       pack_done (packer, &message->done);
       break;
@@ -226,12 +252,12 @@
 static const guint field_counts[HBW_MESSAGE_COUNT] = {
   [HBW_MESSAGE_PING] = 6,      [HBW_MESSAGE_ACK] = 6,
   [HBW_MESSAGE_PROBE_FOR] = 6, [HBW_MESSAGE_WANT] = 27,
-  [HBW_MESSAGE_WITHDRAW] = 5,  [HBW_MESSAGE_GRANT] = 9,
+  [HBW_MESSAGE_WITHDRAW] = 5,  [HBW_MESSAGE_GRANT] = 14,
   [HBW_MESSAGE_REFUSAL] = 5,   [HBW_MESSAGE_ACTIVE] = 10,
   [HBW_MESSAGE_DONE] = 11,     [HBW_MESSAGE_DOCUMENT_ASK] = 4,
   [HBW_MESSAGE_DOCUMENT] = 4,  [HBW_MESSAGE_SUSPECT] = 5,
   [HBW_MESSAGE_DEMAND] = 5,    [HBW_MESSAGE_SHARE] = 5,
-  [HBW_MESSAGE_BEGUN] = 7,
+  [HBW_MESSAGE_BEGUN] = 7,     [HBW_MESSAGE_LOADS] = 2,
 };
 
 void
--- a/net/codec_take.c
+++ b/net/codec_take.c
@@ -202,6 +202,13 @@
   take_text (fields, grant->server, sizeof grant->server);
   take_text (fields, grant->address, sizeof grant->address);
   grant->valid_us = take_int (fields);
+  if (fields->failed || fields->next >= fields->count)
+    return; /* from an instance of an older version */
+  grant->facts.in_progress = (guint) hbw_fields_take_uint (fields, G_MAXUINT32);
+  grant->facts.others = (guint) hbw_fields_take_uint (fields, G_MAXUINT32);
+  grant->facts.unread_tokens = (guint) hbw_fields_take_uint (fields, G_MAXUINT32);
+  grant->facts.waiting = (guint) hbw_fields_take_uint (fields, G_MAXUINT32);
+  grant->facts.report_age_us = take_int (fields);
 }
 
 static void
@@ -260,6 +267,27 @@
   rates->in_progress = take_double (fields);
 }
 
+static void
+take_loads (HbwFields *fields, HbwLoads *loads)
+{
+  HbwFields inner = hbw_fields_take_array (fields, 3 * HBW_LOADS_MAX);
+  while (!inner.failed && inner.next < inner.count)
+    {
+      HbwServerLoad *load = &loads->loads[loads->load_count++];
+      load->server = hbw_fields_take_uint (&inner, G_MAXUINT64);
+      load->in_progress = (guint) hbw_fields_take_uint (&inner, G_MAXUINT16);
+      load->unread_tokens = (guint) hbw_fields_take_uint (&inner, G_MAXINT32);
+    }
+  HbwFields parts = hbw_fields_take_array (fields, 2 * HBW_LOAD_PARTS_MAX);
+  while (!parts.failed && parts.next < parts.count)
+    {
+      HbwLoadPart *part = &loads->parts[loads->part_count++];
+      part->server = hbw_fields_take_uint (&parts, G_MAXUINT64);
+      part->hash = hbw_fields_take_uint (&parts, G_MAXUINT64);
+    }
+  fields->failed |= inner.failed || parts.failed;
+}
+
 void
 hbw_fields_take (HbwFields *fields, HbwMessage *message)
 {
@@ -292,6 +320,9 @@
       take_shard (fields, &message->begun.shard);
       message->begun.first_token_us = take_int (fields);
       break;
+    case HBW_MESSAGE_LOADS:
+      take_loads (fields, &message->loads);
+      break;
     case HBW_MESSAGE_DONE:
       take_done (fields, &message->done);
       break;
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -1,5 +1,7 @@
 #include "hornbeamwall/net/exchange.h"
 
+#include "hornbeamwall/common/log.h"
+#include "hornbeamwall/core/documents.h"
 #include "hornbeamwall/net/downstream.h"
 #include "hornbeamwall/net/event_stream.h"
 #include "hornbeamwall/net/problem.h"
@@ -25,6 +27,8 @@
   GByteArray *body;
   gint64 received_us;
   HbwRequestSpec spec;
+  gint64 catalogue_age_us; /* by which it was admitted */
+  gint64 catalogue_version;
   gboolean submitted; /* the reducer knows it */
 
   HbwUpstream *upstream; /* of the attempt in progress, or NULL */
@@ -35,6 +39,7 @@
   gint64 started_us;
   gint64 first_us; /* first and last piece of its answer; 0 is none */
   gint64 last_us;
+  gint64 longest_gap_us;
   guint pieces;
 
   guint status;      /* of the answer that is passed on */
@@ -68,6 +73,7 @@
   end->outcome = outcome;
   end->answer_begun = exchange->begun;
   end->tokens = exchange->pieces;
+  end->longest_gap_us = exchange->longest_gap_us;
   if (exchange->first_us > 0)
     end->first_token_us = MAX (1, exchange->first_us - exchange->started_us);
   if (exchange->pieces > 1)
@@ -102,7 +108,11 @@
 static void
 note_piece (HbwExchange *exchange)
 {
-  exchange->last_us = now_of (exchange);
+  gint64 now_us = now_of (exchange);
+  if (exchange->last_us > 0)
+    exchange->longest_gap_us
+        = MAX (exchange->longest_gap_us, now_us - exchange->last_us);
+  exchange->last_us = now_us;
   exchange->pieces++;
   if (exchange->first_us != 0)
     return;
@@ -457,6 +467,7 @@
   exchange->first_us = 0;
   exchange->last_us = 0;
   exchange->pieces = 0;
+  exchange->longest_gap_us = 0;
   exchange->stall_us = start->stall_us;
   g_strlcpy (exchange->server, start->server, sizeof exchange->server);
   g_byte_array_set_size (exchange->answer, 0);
@@ -606,6 +617,21 @@
   return XXH3_64bits_withSeed (exchange->body->data, exchange->body->len, seed);
 }
 
+static void
+log_denied (const HbwExchange *exchange, const HbwAsk *ask, HbwReason reason)
+{
+  char text[512];
+  g_snprintf (text, sizeof text,
+              "request=%s sequence=%" G_GUINT64_FORMAT
+              " reason=%s host=\"%.100s\" path=\"%.100s\" key=%s "
+              "catalogue=%" G_GINT64_FORMAT " catalogue_age_ms=%" G_GINT64_FORMAT,
+              exchange->trace, exchange->sequence, hbw_reason_name (reason),
+              ask->host != NULL ? ask->host : "", ask->path,
+              ask->key != NULL ? "given" : "none", exchange->catalogue_version,
+              exchange->catalogue_age_us / HBW_US_PER_MS);
+  hbw_log_write (HBW_LOG_REQUEST_DENIED, text);
+}
+
 static HbwReason
 admit (HbwExchange *exchange)
 {
@@ -618,6 +644,11 @@
       = hbw_snapshot_acquire (hbw_control_snapshot (traffic->control));
   traffic->front->class->read_ask (exchange->head, scratch, &ask);
   HbwReason reason = hbw_admit (catalogue, &freshness, &ask, &exchange->spec);
+  exchange->catalogue_age_us = freshness.age_us;
+  exchange->catalogue_version
+      = catalogue != NULL ? hbw_catalogue_version (catalogue) : HBW_VERSION_UNKNOWN;
+  if (reason != HBW_REASON_COUNT)
+    log_denied (exchange, &ask, reason);
   if (catalogue != NULL)
     hbw_catalogue_unref (catalogue);
   g_string_chunk_free (scratch);
@@ -657,6 +688,9 @@
   HbwEvent event = { .kind = HBW_EVENT_REQUEST_ARRIVED };
   event.arrival.sequence = exchange->sequence;
   event.arrival.spec = exchange->spec;
+  g_strlcpy (event.arrival.trace, exchange->trace, sizeof event.arrival.trace);
+  event.arrival.catalogue_age_us = exchange->catalogue_age_us;
+  event.arrival.catalogue_version = exchange->catalogue_version;
   exchange->submitted = TRUE;
   g_hash_table_insert (traffic->exchanges, &exchange->sequence, exchange);
   hbw_control_submit (traffic->control, &event, NULL);
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -22,7 +22,7 @@
 
 /* Part of the time to stop in which requests are still taken: a load balancer needs a
    while to send its callers elsewhere. */
-#define LINGER_PERCENT 55
+#define LINGER_PERCENT 35
 
 typedef struct
 {
--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -8,8 +8,14 @@
 #include <stdatomic.h>
 #include <string.h>
 
-/* How long one watch stays open, in milliseconds. */
-#define WATCH_MS 1000
+/* How long one watch stays open, in milliseconds.  Only the end of a watch on the
+   catalogue confirms that nothing has changed. */
+static const guint watch_ms[HBW_DOCUMENT_COUNT] = {
+  [HBW_DOCUMENT_CATALOGUE] = 1500,
+  [HBW_DOCUMENT_SERVERS] = 2500,
+  [HBW_DOCUMENT_INSTANCES] = 1000,
+  [HBW_DOCUMENT_STOPS] = 1000,
+};
 
 /* Pause of an instance that does not watch, in microseconds. */
 #define IDLE_US (200 * HBW_US_PER_MS)
@@ -93,7 +99,8 @@
       = MAX (hbw_control_version (watch->control, follower->kind), follower->seen);
   gint64 asked_us = hbw_clock_now (hbw_control_clock (watch->control));
   HbwFeedAnswer answer
-      = follower->feed->class->next (follower->feed, version, WATCH_MS, &error);
+      = follower->feed->class->next (follower->feed, version,
+                                     watch_ms[follower->kind], &error);
   gboolean failed = answer.result == HBW_STORE_FAILED;
   submit_state (watch, !failed);
   if (answer.result == HBW_STORE_OK)
