--- a/include/hornbeamwall/core/admission.h
+++ b/include/hornbeamwall/core/admission.h
@@ -36,7 +36,7 @@
 } HbwFreshness;
 
 /* Catalogue knowledge older than this refuses no caller for what is not in it. */
-#define HBW_DENY_AGE_US (G_GINT64_CONSTANT (1500) * 1000)
+#define HBW_DENY_AGE_US (G_GINT64_CONSTANT (1900) * 1000)
 
 /* Part of the bound on revocation after which keys are not accepted any more. */
 #define HBW_REVOCATION_PERCENT 85
--- a/include/hornbeamwall/net/platform.h
+++ b/include/hornbeamwall/net/platform.h
@@ -39,8 +39,9 @@
 HbwPlatform *hbw_platform_create (const char *address, HbwError *error);
 void hbw_platform_destroy (HbwPlatform *platform);
 
-/* Uses one connection for call after call; the client then belongs to one thread. */
-void hbw_platform_keep_connection (HbwPlatform *platform);
+/* Uses one connection for call after call, none of which waits longer than WAIT_MS
+   for its answer; the client then belongs to one thread. */
+void hbw_platform_keep_connection (HbwPlatform *platform, guint wait_ms);
 
 HbwStoreAnswer hbw_platform_get (HbwPlatform *platform, const char *name,
                                  HbwError *error);
@@ -49,10 +50,6 @@
 HbwStoreAnswer hbw_platform_get_path (HbwPlatform *platform, const char *path,
                                       HbwError *error);
 
-/* Reads PATH, whose answer may take WAIT_MS longer than that of others. */
-HbwStoreAnswer hbw_platform_wait_path (HbwPlatform *platform, const char *path,
-                                       guint wait_ms, HbwError *error);
-
 /* Waits up to TIMEOUT_MS for a version higher than VERSION. */
 HbwStoreAnswer hbw_platform_watch (HbwPlatform *platform, const char *name,
                                    gint64 version, guint timeout_ms,
--- a/include/hornbeamwall/runtime/listing_feed.h
+++ b/include/hornbeamwall/runtime/listing_feed.h
@@ -43,7 +43,8 @@
   const HbwStoreFormClass *class;
 };
 
+/* WAIT_MS is the longest wait that will be asked for. */
 HbwFeed *hbw_listing_feed_create (const char *address, const HbwStoreForm *form,
-                                  HbwClock *clock, HbwError *error);
+                                  guint wait_ms, HbwClock *clock, HbwError *error);
 
 #endif
--- a/net/platform.c
+++ b/net/platform.c
@@ -88,10 +88,7 @@
 open_session (HbwPlatform *platform, int extra_wait_s)
 {
   if (platform->kept != NULL)
-    {
-      ne_set_read_timeout (platform->kept, KEPT_READ_TIMEOUT_S + extra_wait_s);
-      return platform->kept;
-    }
+    return platform->kept;
   ne_session *session
       = ne_session_create ("http", platform->address.host, platform->address.port);
   ne_set_session_flag (session, NE_SESSFLAG_PERSIST, 0);
@@ -162,11 +159,13 @@
 }
 
 void
-hbw_platform_keep_connection (HbwPlatform *platform)
+hbw_platform_keep_connection (HbwPlatform *platform, guint wait_ms)
 {
   ne_session *session
       = ne_session_create ("http", platform->address.host, platform->address.port);
   ne_set_connect_timeout (session, KEPT_CONNECT_TIMEOUT_S);
+  ne_set_read_timeout (session,
+                       KEPT_READ_TIMEOUT_S + (int) ((wait_ms + 999) / 1000));
   platform->kept = session;
 }
 
@@ -179,7 +178,8 @@
   HbwStoreAnswer answer = dispatch (session, request, FALSE, error);
   ne_request_destroy (request);
   if (answer.result == HBW_STORE_FAILED && platform->kept != NULL)
-    ne_close_connection (session); /* an answer that comes late is not the next one */
+    ne_close_connection (
+        session); /* an answer that comes late is not the next one */
   close_session (platform, session);
   return answer;
 }
@@ -199,13 +199,6 @@
   return read_object (platform, path, 0, error);
 }
 
-HbwStoreAnswer
-hbw_platform_wait_path (HbwPlatform *platform, const char *path, guint wait_ms,
-                        HbwError *error)
-{
-  return read_object (platform, path, (int) ((wait_ms + 999) / 1000), error);
-}
-
 HbwStoreAnswer
 hbw_platform_watch (HbwPlatform *platform, const char *name, gint64 version,
                     guint timeout_ms, HbwError *error)
--- a/runtime/listing_feed.c
+++ b/runtime/listing_feed.c
@@ -26,18 +26,16 @@
 
 /* Makes one call and reads its answer into PAGE. */
 static HbwStoreResult
-read_page (ListingFeed *feed, char *path, guint wait_ms, gboolean changes,
-           HbwStorePage *page, HbwError *error)
+read_page (ListingFeed *feed, char *path, gboolean changes, HbwStorePage *page,
+           HbwError *error)
 {
-  HbwStoreAnswer answer
-      = hbw_platform_wait_path (feed->platform, path, wait_ms, error);
+  HbwStoreAnswer answer = hbw_platform_get_path (feed->platform, path, error);
   g_free (path);
   if (answer.result != HBW_STORE_OK)
     return answer.result;
   gsize length;
   const char *text = g_bytes_get_data (answer.body, &length);
-  gboolean valid
-      = feed->form->class->read_page (text, length, changes, page, error);
+  gboolean valid = feed->form->class->read_page (text, length, changes, page, error);
   g_bytes_unref (answer.body);
   return valid ? HBW_STORE_OK : HBW_STORE_FAILED;
 }
@@ -69,7 +67,7 @@
   HbwStoreResult result = HBW_STORE_OK;
   for (guint pages = 0; pages < PAGES_MAX; pages++)
     {
-      result = read_page (feed, feed->form->class->list_path (after), 0, FALSE, page,
+      result = read_page (feed, feed->form->class->list_path (after), FALSE, page,
                           error);
       if (result != HBW_STORE_OK)
         break;
@@ -98,7 +96,7 @@
 read_changes (ListingFeed *feed, guint wait_ms, HbwStorePage *page, HbwError *error)
 {
   char *path = feed->form->class->watch_path (feed->revision, wait_ms);
-  HbwStoreResult result = read_page (feed, path, wait_ms, TRUE, page, error);
+  HbwStoreResult result = read_page (feed, path, TRUE, page, error);
   if (result != HBW_STORE_OK)
     return result;
   hbw_listing_note_answer (feed->listing, hbw_clock_now (feed->clock));
@@ -126,8 +124,7 @@
 {
   ListingFeed *feed = (ListingFeed *) base;
   HbwFeedAnswer answer = { .result = HBW_STORE_UNCHANGED };
-  HbwStorePage page
-      = { .changes = g_array_new (FALSE, FALSE, sizeof (HbwChange)) };
+  HbwStorePage page = { .changes = g_array_new (FALSE, FALSE, sizeof (HbwChange)) };
   HbwStoreResult result = feed->revision > 0
                               ? read_changes (feed, wait_ms, &page, error)
                               : HBW_STORE_GONE;
@@ -163,12 +160,12 @@
 
 HbwFeed *
 hbw_listing_feed_create (const char *address, const HbwStoreForm *form,
-                         HbwClock *clock, HbwError *error)
+                         guint wait_ms, HbwClock *clock, HbwError *error)
 {
   HbwPlatform *platform = hbw_platform_create (address, error);
   if (platform == NULL)
     return NULL;
-  hbw_platform_keep_connection (platform);
+  hbw_platform_keep_connection (platform, wait_ms);
   ListingFeed *feed = g_new0 (ListingFeed, 1);
   feed->feed.class = &feed_class;
   feed->platform = platform;
--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -11,8 +11,8 @@
 /* How long one watch stays open, in milliseconds.  Only the end of a watch on the
    catalogue confirms that nothing has changed. */
 static const guint watch_ms[HBW_DOCUMENT_COUNT] = {
-  [HBW_DOCUMENT_CATALOGUE] = 1500,
-  [HBW_DOCUMENT_SERVERS] = 2500,
+  [HBW_DOCUMENT_CATALOGUE] = 900,
+  [HBW_DOCUMENT_SERVERS] = 2000,
   [HBW_DOCUMENT_INSTANCES] = 1000,
   [HBW_DOCUMENT_STOPS] = 1000,
 };
@@ -98,9 +98,8 @@
   gint64 version
       = MAX (hbw_control_version (watch->control, follower->kind), follower->seen);
   gint64 asked_us = hbw_clock_now (hbw_control_clock (watch->control));
-  HbwFeedAnswer answer
-      = follower->feed->class->next (follower->feed, version,
-                                     watch_ms[follower->kind], &error);
+  HbwFeedAnswer answer = follower->feed->class->next (
+      follower->feed, version, watch_ms[follower->kind], &error);
   gboolean failed = answer.result == HBW_STORE_FAILED;
   submit_state (watch, !failed);
   if (answer.result == HBW_STORE_OK)
@@ -135,8 +134,8 @@
   gint64 failed_us = RETRY_MIN_US;
   while (!atomic_load (&watch->stopping))
     {
-      gboolean idle = has_read && watch->shares
-                      && !hbw_control_is_watcher (watch->control);
+      gboolean idle
+          = has_read && watch->shares && !hbw_control_is_watcher (watch->control);
       gint64 pause = idle ? IDLE_US : follow_once (follower, &failed_us);
       if (!idle && pause < RETRY_MIN_US)
         has_read = TRUE;
@@ -156,8 +155,8 @@
   const HbwStoreForm *form = hbw_platform_store_form (kind);
   if (form == NULL)
     return NULL;
-  return hbw_listing_feed_create (address, form, hbw_control_clock (watch->control),
-                                  error);
+  return hbw_listing_feed_create (address, form, watch_ms[kind],
+                                  hbw_control_clock (watch->control), error);
 }
 
 /* A document that this kind of store does not keep counts as one that is empty. */
