--- a/target/meson-private/sanitycheckc.c
+++ /dev/null
@@ -1,1 +0,0 @@
-int main(void) { int class=0; return class; }
