--- a/common/log.c
+++ b/common/log.c
@@ -81,7 +81,8 @@
 static const log4c_appender_type_t appender_type
     = { .name = "hornbeamwall_stdout", .append = append };
 
-/* --- lines ------------------------------------------------------------------------ */
+/* --- lines ------------------------------------------------------------------------
+ */
 
 static json_t *
 value_of (const char *text)
@@ -108,7 +109,8 @@
   if (quoted && end == NULL && length > 1 && value[length - 1] == '"')
     length--;
   char *key = g_strndup (text, key_length);
-  char *copy = quoted ? g_strndup (value + 1, length - 1) : g_strndup (value, length);
+  char *copy
+      = quoted ? g_strndup (value + 1, length - 1) : g_strndup (value, length);
   json_object_set_new (line, key, quoted ? json_string (copy) : value_of (copy));
   g_free (copy);
   g_free (key);
@@ -135,7 +137,7 @@
 {
   struct timespec now;
   clock_gettime (CLOCK_REALTIME, &now);
-  return (double) now.tv_sec + (double) (now.tv_nsec / 1000000) / 1000;
+  return (double) now.tv_sec + (double) now.tv_nsec / 1e9;
 }
 
 static void
@@ -143,8 +145,8 @@
 {
   char buffer[LINE_MAX_BYTES];
   json_t *line = json_pack ("{s:f, s:s, s:i, s:s}", "time", time_of_day (), "level",
-                            level_names[entry->level], "number",
-                            (int) entry->number, "event", entry->name);
+                            level_names[entry->level], "number", (int) entry->number,
+                            "event", entry->name);
   add_pairs (line, text);
   size_t length
       = json_dumpb (line, buffer, sizeof buffer - 2,
--- a/core/directory.c
+++ b/core/directory.c
@@ -23,6 +23,7 @@
   hbw_reader_string (reader, "state", state, sizeof state, "live");
   server->slots = (guint) hbw_reader_required_int (reader, "slots", 1, SLOTS_MAX);
   server->start = (guint64) hbw_reader_int (reader, "start", 0, G_MAXINT64, 0);
+  server->lapsed = hbw_reader_bool (reader, "lapsed", FALSE);
   server->leaving = strcmp (state, "live") != 0;
   g_ptr_array_add (items, server);
 }
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -9,6 +9,8 @@
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/status.h"
 
+#include <string.h>
+
 /* A shard of another owner that nobody has spoken of for so long is dropped. */
 #define SHARD_IDLE_US (10 * HBW_US_PER_S)
 
@@ -131,12 +133,44 @@
   return TRUE;
 }
 
+/* Returns whether the server of ENTRY took work by the list in force. */
+static gboolean
+is_in_force (const HbwReducer *reducer, const HbwServerEntry *entry)
+{
+  HbwShardKey key;
+  if (reducer->topology == NULL
+      || !hbw_topology_find (reducer->topology, entry->id, &key))
+    return FALSE;
+  const GPtrArray *known = hbw_topology_servers (reducer->topology, &key);
+  for (guint i = 0; i < known->len; i++)
+    {
+      const HbwServerEntry *other = g_ptr_array_index (known, i);
+      if (strcmp (other->id, entry->id) == 0)
+        return !other->leaving && other->start == entry->start;
+    }
+  return FALSE;
+}
+
+/* An entry that lapsed while the store was away from one instance may have been seen
+   to leave by another one, whose list is in force meanwhile. */
+static void
+drop_lapsed (const HbwReducer *reducer, GPtrArray *servers)
+{
+  for (guint i = servers->len; i > 0; i--)
+    {
+      const HbwServerEntry *entry = g_ptr_array_index (servers, i - 1);
+      if (entry->lapsed && !is_in_force (reducer, entry))
+        g_ptr_array_remove_index (servers, i - 1);
+    }
+}
+
 static gboolean
 adopt_servers (HbwReducer *reducer, const char *text, gsize length, HbwError *error)
 {
   GPtrArray *servers = hbw_directory_parse_servers (text, length, error);
   if (servers == NULL)
     return FALSE;
+  drop_lapsed (reducer, servers);
   if (reducer->topology != NULL)
     hbw_topology_destroy (reducer->topology);
   reducer->topology = hbw_topology_create (
--- a/include/hornbeamwall/core/directory.h
+++ b/include/hornbeamwall/core/directory.h
@@ -23,7 +23,8 @@
   char address[HBW_ADDRESS_MAX]; /* IP number and port of its HTTP interface */
   guint slots;                   /* requests it can run at once, as reported */
   gboolean leaving;
-  guint64 start; /* another number after each restart */
+  gboolean lapsed; /* gone from the list, but perhaps only for want of renewal */
+  guint64 start;   /* another number after each restart */
 } HbwServerEntry;
 
 typedef struct
--- a/include/hornbeamwall/runtime/listing.h
+++ b/include/hornbeamwall/runtime/listing.h
@@ -50,9 +50,17 @@
 /* Returns whether anything changed since the last call. */
 gboolean hbw_listing_take_changed (HbwListing *listing);
 
+/* One object of a listing. */
+typedef struct
+{
+  const char *name;
+  json_t *value;
+  gboolean missing; /* it is not in the store any more, but may come back */
+} HbwListed;
+
 /* Calls VISIT on every object. */
 void hbw_listing_foreach (HbwListing *listing,
-                          void (*visit) (const char *name, json_t *value, void *data),
+                          void (*visit) (const HbwListed *listed, void *data),
                           void *data);
 
 #endif
--- a/net/channel.c
+++ b/net/channel.c
@@ -279,7 +279,7 @@
 guint
 hbw_listen_port (int fd)
 {
-  struct sockaddr_in address;
+  struct sockaddr_in address = { 0 };
   socklen_t size = sizeof address;
   if (getsockname (fd, (struct sockaddr *) &address, &size) != 0)
     return 0;
--- a/net/loop.c
+++ b/net/loop.c
@@ -92,8 +92,7 @@
 static void
 run_round (HbwLoop *loop)
 {
-  int count
-      = epoll_wait (loop->epoll_fd, loop->events, EVENTS_MAX, wait_ms (loop));
+  int count = epoll_wait (loop->epoll_fd, loop->events, EVENTS_MAX, wait_ms (loop));
   loop->now_us = hbw_clock_now (loop->clock);
   loop->event_count = count > 0 ? (guint) count : 0;
   for (guint i = 0; i < loop->event_count; i++)
@@ -135,7 +134,8 @@
     {
       HbwTask *task = caa_container_of (node, HbwTask, node);
       HBW_SYNC_ACQUIRE (task);
-      discard (task);
+      if (discard != NULL)
+        discard (task);
     }
   if (loop->wake.fd >= 0)
     close (loop->wake.fd);
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -27,7 +27,7 @@
 struct HbwUpstreams
 {
   HbwLoop *loop;
-  GHashTable *servers; /* server name -> Server */
+  GHashTable *servers;      /* server name -> Server */
   struct cds_list_head all; /* HbwUpstream */
   guint64 opened;
 };
@@ -205,7 +205,8 @@
     {
       gsize used;
       upstream->feeding = TRUE;
-      HbwParserState state = hbw_parser_feed (upstream->parser, bytes, length, &used);
+      HbwParserState state
+          = hbw_parser_feed (upstream->parser, bytes, length, &used);
       upstream->feeding = FALSE;
       if (upstream->cancelled)
         {
@@ -314,20 +315,25 @@
   return upstream;
 }
 
+/* Connections that were closed meanwhile are freed when the loop hears of it. */
+static HbwUpstream *
+find_quiet (const Server *server)
+{
+  HbwUpstream *upstream;
+  cds_list_for_each_entry (upstream, &server->idle, idle_link)
+    if (hbw_channel_is_quiet (upstream->channel))
+      return upstream;
+  return NULL;
+}
+
 static HbwUpstream *
 take_idle (HbwUpstreams *upstreams, const char *name)
 {
-  Server *server = ensure_server (upstreams, name);
-  HbwUpstream *upstream = NULL;
-  while (upstream == NULL && !cds_list_empty (&server->idle))
-    {
-      upstream = cds_list_first_entry (&server->idle, HbwUpstream, idle_link);
-      leave_idle (upstream);
-      hbw_loop_clear_timer (upstreams->loop, &upstream->timer);
-      if (hbw_channel_is_quiet (upstream->channel))
-        break;
-      g_clear_pointer (&upstream, upstream_destroy); /* closed meanwhile */
-    }
+  HbwUpstream *upstream = find_quiet (ensure_server (upstreams, name));
+  if (upstream == NULL)
+    return NULL;
+  leave_idle (upstream);
+  hbw_loop_clear_timer (upstreams->loop, &upstream->timer);
   return upstream;
 }
 
--- a/runtime/listing.c
+++ b/runtime/listing.c
@@ -73,8 +73,7 @@
 }
 
 static void
-mark_unseen (gpointer key G_GNUC_UNUSED, gpointer value,
-             gpointer data G_GNUC_UNUSED)
+mark_unseen (gpointer key G_GNUC_UNUSED, gpointer value, gpointer data G_GNUC_UNUSED)
 {
   ((Entry *) value)->seen = FALSE;
 }
@@ -91,6 +90,7 @@
 {
   if (in_grace (listing, listing->now_us))
     {
+      listing->changed |= !entry->missing;
       entry->missing = TRUE;
       return FALSE;
     }
@@ -122,10 +122,12 @@
       g_hash_table_insert (listing->entries, entry->name, entry);
     }
   entry->seen = TRUE;
+  listing->changed |= entry->missing;
   entry->missing = FALSE;
   if (entry->value != NULL && change->revision <= entry->revision)
     return;
-  listing->changed |= entry->value == NULL || !json_equal (entry->value, change->value);
+  listing->changed
+      |= entry->value == NULL || !json_equal (entry->value, change->value);
   json_decref (entry->value);
   entry->value = json_incref (change->value);
   entry->revision = change->revision;
@@ -178,15 +180,15 @@
 
 void
 hbw_listing_foreach (HbwListing *listing,
-                     void (*visit) (const char *name, json_t *value, void *data),
-                     void *data)
+                     void (*visit) (const HbwListed *listed, void *data), void *data)
 {
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, listing->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      Entry *entry = value;
-      visit (entry->name, entry->value, data);
+      const Entry *entry = value;
+      const HbwListed listed = { entry->name, entry->value, entry->missing };
+      visit (&listed, data);
     }
 }
--- /dev/null
+++ b/tests/adapter_test.c
@@ -0,0 +1,353 @@
+/*
+ * Tests of the adapter to the users' platform, and of what is built on it: heads,
+ * config, server entries, lists of objects, and the grace after an outage.
+ */
+#include "suite.h"
+
+#include "hornbeamwall/common/clock.h"
+#include "hornbeamwall/core/catalogue.h"
+#include "hornbeamwall/core/directory.h"
+#include "hornbeamwall/platform/front.h"
+#include "hornbeamwall/platform/store.h"
+#include "hornbeamwall/runtime/listing.h"
+#include "platform/config.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static const char config_text[]
+    = "{\"version\":7,\"routes\":["
+      "{\"name\":\"r1\",\"hostname\":\"Ficu95.example\",\"path_prefix\":\"/a/\","
+      "\"route_type\":\"streaming\",\"timeout_ms\":5000,\"latency_goal_ms\":1500,"
+      "\"priority\":2,\"split\":[{\"backend\":\"m\",\"weight\":90},"
+      "{\"backend\":\"s\",\"weight\":10}],\"max_attempts\":2,\"anonymous\":false,"
+      "\"sticky\":true,\"resumable\":true,\"gap_target_ms\":1000},"
+      "{\"name\":\"r2\",\"hostname\":\"ficu95.example\",\"path_prefix\":\"/a/b/\","
+      "\"route_type\":\"unsafe\",\"timeout_ms\":800,\"latency_goal_ms\":100,"
+      "\"priority\":0,\"backend\":\"s\",\"max_attempts\":1,\"anonymous\":true},"
+      "{\"name\":\"r3\",\"hostname\":\"ficu95.example\",\"path_prefix\":\"/c/\","
+      "\"route_type\":\"safe\",\"timeout_ms\":800,\"latency_goal_ms\":100,"
+      "\"priority\":9,\"backend\":\"s\",\"max_attempts\":2}],"
+      "\"backends\":[{\"name\":\"m\",\"engine\":{\"slots\":64}},{\"name\":\"s\"}],"
+      "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
+      "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+      "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":1},"
+      "{\"name\":\"u\",\"api_keys\":[\"k3\"]}]}";
+
+static HbwCatalogue *
+translate (const char *text)
+{
+  HbwError error = { HBW_ERROR_NONE, "" };
+  json_t *spec = json_loads (text, 0, NULL);
+  json_t *product = platform_config_translate (spec);
+  json_decref (spec);
+  if (product == NULL)
+    return NULL;
+  char *dump = json_dumps (product, 0);
+  HbwCatalogue *catalogue = hbw_catalogue_parse (dump, strlen (dump), 7, &error);
+  ck_assert_msg (catalogue != NULL, "%s", error.message);
+  free (dump);
+  json_decref (product);
+  return catalogue;
+}
+
+START_TEST (config_becomes_a_catalogue)
+{
+  HbwCatalogue *catalogue = translate (config_text);
+  const HbwEndpoint *outer
+      = hbw_catalogue_endpoint (catalogue, "ficu95.example", "/a/x/y");
+  const HbwEndpoint *inner
+      = hbw_catalogue_endpoint (catalogue, "ficu95.example", "/a/b/c");
+  const HbwEndpoint *safe
+      = hbw_catalogue_endpoint (catalogue, "ficu95.example", "/c/");
+  ck_assert_str_eq (outer->name, "r1");
+  ck_assert_int_eq (outer->repeat, HBW_REPEAT_RESUME);
+  ck_assert_uint_eq (outer->target_count, 2);
+  ck_assert_int_eq (outer->timeout_us, 5000 * HBW_US_PER_MS);
+  ck_assert_str_eq (inner->name, "r2");
+  ck_assert_int_eq (inner->repeat, HBW_REPEAT_NEVER);
+  ck_assert (inner->anonymous);
+  ck_assert_int_eq (safe->repeat, HBW_REPEAT_ALWAYS);
+  ck_assert_uint_eq (hbw_catalogue_class (catalogue, "r3")->tier,
+                     HBW_TIER_COUNT - 1);
+  ck_assert (hbw_catalogue_endpoint (catalogue, "ficu95.example", "/ab/") == NULL);
+  ck_assert (hbw_catalogue_endpoint (catalogue, "other.example", "/a/") == NULL);
+  ck_assert_str_eq (hbw_catalogue_authenticate (catalogue, "k2")->name, "t");
+  ck_assert_int_eq (hbw_catalogue_authenticate (catalogue, "k1")->tier, 1);
+  ck_assert_int_eq (hbw_catalogue_authenticate (catalogue, "k3")->tier,
+                    HBW_TIER_OF_CLASS);
+  ck_assert (hbw_catalogue_authenticate (catalogue, "k4") == NULL);
+  ck_assert_int_eq (hbw_catalogue_caller_limits (catalogue)->idle_timeout_us,
+                    15000 * HBW_US_PER_MS);
+  hbw_catalogue_unref (catalogue);
+  ck_assert (translate ("{\"version\":8,\"routes\":3}") == NULL);
+}
+END_TEST
+
+START_TEST (entries_of_other_writers_name_no_server)
+{
+  static const char *const bad[] = {
+    "{}",
+    "[]",
+    "{\"backend\":\"m\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":\"6\","
+    "\"state\":\"ready\"}",
+    "{\"backend\":\"m\",\"address\":\"nowhere\",\"zone\":\"z\",\"slots\":6,"
+    "\"state\":\"ready\"}",
+    "{\"backend\":\"m\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":6,"
+    "\"state\":\"sleeping\"}",
+    "{\"backend\":7,\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":6,"
+    "\"state\":\"ready\"}",
+    "{\"backend\":\"m\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":6,"
+    "\"state\":\"ready\",\"born\":\"x\"}",
+  };
+  for (gsize i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      json_t *spec = json_loads (bad[i], 0, NULL);
+      json_t *entry = platform_server_translate ("i-1", spec);
+      ck_assert_msg (entry == NULL, "%s", bad[i]);
+      json_decref (spec);
+    }
+  json_t *spec = json_loads (
+      "{\"backend\":\"m\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":6,"
+      "\"state\":\"draining\",\"born\":17,\"new\":[]}",
+      0, NULL);
+  json_t *entry = platform_server_translate ("i-1", spec);
+  ck_assert_str_eq (json_string_value (json_object_get (entry, "state")), "leaving");
+  ck_assert_int_eq (json_integer_value (json_object_get (entry, "start")), 17);
+  json_decref (entry);
+  json_decref (spec);
+}
+END_TEST
+
+static HbwHead *
+make_head (const char *const *fields)
+{
+  HbwHead *head = g_new0 (HbwHead, 1);
+  head->fields = g_ptr_array_new ();
+  head->target = g_strdup ("/a/x?q=1");
+  g_strlcpy (head->method, "POST", sizeof head->method);
+  for (gsize i = 0; fields[i] != NULL; i += 2)
+    {
+      HbwField *field = g_new0 (HbwField, 1);
+      field->name = g_strdup (fields[i]);
+      field->value = g_strdup (fields[i + 1]);
+      g_ptr_array_add (head->fields, field);
+    }
+  return head;
+}
+
+static void
+free_head (HbwHead *head)
+{
+  for (guint i = 0; i < head->fields->len; i++)
+    {
+      HbwField *field = g_ptr_array_index (head->fields, i);
+      g_free (field->name);
+      g_free (field->value);
+      g_free (field);
+    }
+  hbw_head_destroy (head);
+}
+
+START_TEST (head_becomes_an_ask)
+{
+  static const char *const fields[] = { "Host",
+                                        "Ficu95.example:80",
+                                        "X-Hornbeamwall-Token-Usage",
+                                        "1460,80",
+                                        "X-Hornbeamwall-Prefix-Hash",
+                                        "5c:800,91:410,e4:250",
+                                        "X-Hornbeamwall-Deadline-Ms",
+                                        "8000",
+                                        "x-hornbeamwall-key",
+                                        "k",
+                                        "X-Hornbeamwall-Attempt-Id",
+                                        "9c41",
+                                        NULL };
+  const HbwFrontClass *front = hbw_platform_front ()->class;
+  HbwHead *head = make_head (fields);
+  GStringChunk *scratch = g_string_chunk_new (64);
+  HbwAsk ask = { .draw = 0 };
+  char trace[HBW_TRACE_MAX];
+  front->read_ask (head, scratch, &ask);
+  front->read_trace (head, trace, sizeof trace);
+  ck_assert_str_eq (ask.host, "ficu95.example");
+  ck_assert_str_eq (ask.path, "/a/x");
+  ck_assert_str_eq (ask.key, "k");
+  ck_assert_str_eq (trace, "9c41");
+  ck_assert_int_eq (ask.deadline_us, 8000 * HBW_US_PER_MS);
+  ck_assert_uint_eq (ask.prompt_tokens, 1460);
+  ck_assert_uint_eq (ask.answer_tokens, 80);
+  ck_assert_uint_eq (ask.part_count, 3);
+  ck_assert_uint_eq (ask.parts[1].tokens, 410);
+  ck_assert (!front->passes_field ("X-Hornbeamwall-Key"));
+  ck_assert (!front->passes_field ("x-hornbeamwall-tenant"));
+  ck_assert (!front->passes_field ("Kv-From"));
+  ck_assert (front->passes_field ("X-Hornbeamwall-Prefix-Hash"));
+  ck_assert (front->passes_field ("Accept"));
+  g_string_chunk_free (scratch);
+  free_head (head);
+}
+END_TEST
+
+START_TEST (damaged_fields_are_read_as_far_as_they_go)
+{
+  static const char *const fields[] = { "Host",
+                                        "h",
+                                        "X-Hornbeamwall-Token-Usage",
+                                        "x",
+                                        "X-Hornbeamwall-Prefix-Hash",
+                                        "5c:8,zz,:,91",
+                                        NULL };
+  HbwHead *head = make_head (fields);
+  GStringChunk *scratch = g_string_chunk_new (64);
+  HbwAsk ask = { .draw = 0 };
+  hbw_platform_front ()->class->read_ask (head, scratch, &ask);
+  ck_assert_uint_eq (ask.part_count, 1);
+  ck_assert_uint_eq (ask.prompt_tokens, 0);
+  ck_assert_int_eq (ask.deadline_us, 0);
+  ck_assert (ask.key == NULL);
+  g_string_chunk_free (scratch);
+  free_head (head);
+}
+END_TEST
+
+/* A refusal that says "not run" bears a status with that meaning, and none that
+   callers take for a fault of their own. */
+START_TEST (refusals_keep_their_promise)
+{
+  const HbwFrontClass *front = hbw_platform_front ()->class;
+  for (guint reason = 0; reason < HBW_REASON_COUNT; reason++)
+    {
+      static const guint statuses[] = { 422, 429, 502, 503, 504 };
+      for (gsize i = 0; i < G_N_ELEMENTS (statuses); i++)
+        {
+          HbwRefuse refuse = { .reason = reason, .executed = HBW_EXECUTED_UNKNOWN };
+          guint status = front->refusal_status (&refuse, statuses[i]);
+          ck_assert_uint_ne (status, 422);
+          if (statuses[i] != 429 && statuses[i] != 503)
+            ck_assert (status == 502 || status == 504);
+          refuse.executed = HBW_EXECUTED_NO;
+          ck_assert_uint_ne (front->refusal_status (&refuse, 504), 504);
+        }
+    }
+}
+END_TEST
+
+static void
+apply (HbwListing *listing, const char *name, gint64 revision, const char *value)
+{
+  HbwChange change = { g_strdup (name), revision, NULL };
+  if (value != NULL)
+    change.value = json_loads (value, JSON_DECODE_ANY, NULL);
+  hbw_listing_apply (listing, &change);
+}
+
+static void
+count (const HbwListed *listed G_GNUC_UNUSED, void *data)
+{
+  (*(guint *) data)++;
+}
+
+static guint
+size_of (HbwListing *listing)
+{
+  guint size = 0;
+  hbw_listing_foreach (listing, count, &size);
+  return size;
+}
+
+static void
+list_at (HbwListing *listing, gint64 now_us, const char *first, const char *second)
+{
+  hbw_listing_note_answer (listing, now_us);
+  hbw_listing_begin (listing);
+  if (first != NULL)
+    apply (listing, first, 1, "1");
+  if (second != NULL)
+    apply (listing, second, 1, "1");
+  hbw_listing_end (listing);
+  hbw_listing_expire (listing, now_us);
+}
+
+START_TEST (older_versions_change_nothing)
+{
+  HbwListing *listing = hbw_listing_create ();
+  apply (listing, "a", 5, "{\"x\":5}");
+  ck_assert (hbw_listing_take_changed (listing));
+  apply (listing, "a", 4, "{\"x\":4}");
+  apply (listing, "a", 4, NULL);
+  ck_assert (!hbw_listing_take_changed (listing));
+  ck_assert_uint_eq (size_of (listing), 1);
+  apply (listing, "a", 6, NULL);
+  ck_assert (hbw_listing_take_changed (listing));
+  ck_assert_uint_eq (size_of (listing), 0);
+  hbw_listing_destroy (listing);
+}
+END_TEST
+
+START_TEST (missing_after_an_outage_is_kept_for_its_grace_only)
+{
+  HbwListing *listing = hbw_listing_create ();
+  list_at (listing, HBW_US_PER_S, "a", "b");
+  ck_assert_uint_eq (size_of (listing), 2);
+  list_at (listing, 2 * HBW_US_PER_S, "a", NULL);
+  ck_assert_uint_eq (size_of (listing), 1);
+  hbw_listing_note_outage (listing, 3 * HBW_US_PER_S);
+  gint64 back = 9 * HBW_US_PER_S;
+  list_at (listing, back, NULL, NULL);
+  ck_assert_uint_eq (size_of (listing), 1);
+  hbw_listing_expire (listing, back + HBW_LISTING_GRACE_US - 1);
+  ck_assert_uint_eq (size_of (listing), 1);
+  hbw_listing_expire (listing, back + HBW_LISTING_GRACE_US);
+  ck_assert_uint_eq (size_of (listing), 0);
+  hbw_listing_destroy (listing);
+}
+END_TEST
+
+START_TEST (pages_of_objects_are_read)
+{
+  static const char text[]
+      = "{\"events\":[{\"removed\":true,\"object\":{\"metadata\":{\"name\":\"a\","
+        "\"revision\":9}}},{\"removed\":false,\"object\":{\"metadata\":{\"name\":"
+        "\"b\",\"revision\":10,\"deleting\":true},\"spec\":{}}},{\"object\":3},"
+        "{\"removed\":false,\"object\":{\"metadata\":{\"name\":\"c\",\"revision\":"
+        "11},"
+        "\"spec\":{\"x\":1}}}],\"current_rev\":12}";
+  const HbwStoreFormClass *form
+      = hbw_platform_store_form (HBW_DOCUMENT_SERVERS)->class;
+  HbwError error;
+  HbwStorePage page = { .changes = g_array_new (FALSE, FALSE, sizeof (HbwChange)) };
+  ck_assert (form->read_page (text, strlen (text), TRUE, &page, &error));
+  ck_assert_int_eq (page.revision, 12);
+  ck_assert_uint_eq (page.changes->len, 3);
+  ck_assert (g_array_index (page.changes, HbwChange, 0).value == NULL);
+  ck_assert (g_array_index (page.changes, HbwChange, 1).value == NULL);
+  ck_assert (g_array_index (page.changes, HbwChange, 2).value != NULL);
+  for (guint i = 0; i < page.changes->len; i++)
+    hbw_change_clear (&g_array_index (page.changes, HbwChange, i));
+  g_array_set_size (page.changes, 0);
+  static const char *const bad[] = { "", "\xff\xfe", "[]", "{\"items\":[]}",
+                                     "{\"current_rev\":\"7\",\"events\":[]}" };
+  for (gsize i = 0; i < G_N_ELEMENTS (bad); i++)
+    ck_assert (!form->read_page (bad[i], strlen (bad[i]), TRUE, &page, &error));
+  g_array_free (page.changes, TRUE);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("adapter");
+  TCase *tests = tcase_create ("adapter");
+  tcase_add_test (tests, config_becomes_a_catalogue);
+  tcase_add_test (tests, entries_of_other_writers_name_no_server);
+  tcase_add_test (tests, head_becomes_an_ask);
+  tcase_add_test (tests, damaged_fields_are_read_as_far_as_they_go);
+  tcase_add_test (tests, refusals_keep_their_promise);
+  tcase_add_test (tests, older_versions_change_nothing);
+  tcase_add_test (tests, missing_after_an_outage_is_kept_for_its_grace_only);
+  tcase_add_test (tests, pages_of_objects_are_read);
+  suite_add_tcase (suite, tests);
+  return suite_run (suite);
+}
