--- a/core/policy.c
+++ b/core/policy.c
@@ -144,8 +144,9 @@
 static HbwTicket *
 next_of_tier (HbwShard *shard, HbwContext *context, HbwTier tier)
 {
-  if (hbw_queue_tier_length (shard->queue, tier) == 0
-      || !any_room (shard, context, tier))
+  if (hbw_queue_tier_length (shard->queue, tier) == 0)
+    return NULL;
+  if (!shard->policy->across && !any_room (shard, context, tier))
     return NULL;
   Selection selection = { shard, context };
   return hbw_queue_next (shard->queue, tier, context->now_us, lead_time (shard),
--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -16,13 +16,13 @@
 /* What it costs to meet a failure and to try again elsewhere. */
 #define FAILURE_US (400 * HBW_US_PER_MS)
 
-/* What it costs to send a prompt elsewhere than where prompts with the same beginning
-   are drawn to. */
+/* What it costs to send a prompt elsewhere than where prompts with the same
+   beginning are drawn to. */
 #define NOT_HOME_US (50 * HBW_US_PER_MS)
 
 /* What a token of a shared part that is read once more costs besides its time, in
    tokens: the server could have read something else. */
-#define READ_AGAIN_FACTOR 6
+#define READ_AGAIN_FACTOR 3
 
 /* Percent of its slots up to which a plain server is given work; its own queue takes
    what is over. */
@@ -47,6 +47,7 @@
   HbwContext *context;
   const HbwWant *want;
   gboolean suspect;
+  gboolean any_state; /* servers that are taken for failed are used too */
   gboolean long_prompt;
   const HbwServer *home; /* where the prompt's beginning falls to, or NULL */
 } Choice;
@@ -142,7 +143,8 @@
 {
   const HbwRequestSpec *spec = &choice->want->spec;
   guint unread = hbw_server_uncached (server, spec);
-  guint own = spec->part_count > 0 ? spec->parts[spec->part_count - 1].tokens : unread;
+  guint own
+      = spec->part_count > 0 ? spec->parts[spec->part_count - 1].tokens : unread;
   guint again = unread - MIN (unread, own);
   double tokens = (double) load->unread_tokens + unread + again * READ_AGAIN_FACTOR;
   double time = tokens * HBW_US_PER_S / choice->shard->prompt_rate;
@@ -174,8 +176,8 @@
 cost_us (const Choice *choice, const HbwServer *server)
 {
   const HbwLoadSum load = load_of (choice, server);
-  double cost = queue_us (choice, server, load.in_progress)
-                + server->failing * FAILURE_US;
+  double cost
+      = queue_us (choice, server, load.in_progress) + server->failing * FAILURE_US;
   if (is_model (&choice->want->spec))
     cost += prompt_us (choice, server, &load) + position_us (choice, server);
   if (strcmp (server->entry.data_centre, choice->context->data_centre) != 0)
@@ -187,7 +189,11 @@
 has_room (const Choice *choice, const HbwServer *server)
 {
   const HbwRequestSpec *spec = &choice->want->spec;
-  if (!hbw_server_has_room (server, spec, spec->tier == 0, choice->context->now_us))
+  if (server->stopping)
+    return FALSE;
+  if (!choice->any_state
+      && !hbw_server_has_room (server, spec, spec->tier == 0,
+                               choice->context->now_us))
     return FALSE;
   if (choice->suspect && server->suspects > 0)
     return FALSE;
@@ -196,30 +202,24 @@
          < MAX (1, server->entry.slots) * percent / 100;
 }
 
-HbwServer *
-hbw_direct_select_server (HbwShard *shard, HbwContext *context,
-                          const HbwTicket *ticket)
+static HbwServer *
+cheapest (const Choice *choice)
 {
-  const HbwWant *want = &ticket->want;
-  Choice choice = { .shard = shard, .context = context, .want = want };
-  choice.long_prompt = is_long (&choice);
-  choice.home = find_home (&choice);
-  choice.suspect = hbw_quarantine_is_suspect (
-      context->quarantine, &want->spec.fingerprint, context->now_us);
+  const HbwShard *shard = choice->shard;
   HbwServer *best = NULL;
   HbwServer *avoided = NULL;
   double least = 0;
   for (guint i = 0; i < shard->servers->len; i++)
     {
       HbwServer *server = g_ptr_array_index (shard->servers, i);
-      if (!has_room (&choice, server))
+      if (!has_room (choice, server))
         continue;
-      if (strcmp (server->entry.id, want->avoid) == 0)
+      if (strcmp (server->entry.id, choice->want->avoid) == 0)
         {
           avoided = server;
           continue;
         }
-      double cost = cost_us (&choice, server);
+      double cost = cost_us (choice, server);
       if (best != NULL && cost >= least)
         continue;
       best = server;
@@ -227,3 +227,30 @@
     }
   return best != NULL ? best : avoided;
 }
+
+/* Whether every server that stays is taken for failed. */
+static gboolean
+all_failed (const HbwShard *shard)
+{
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      const HbwServer *server = g_ptr_array_index (shard->servers, i);
+      if (!server->stopping && server->state == HBW_SERVER_UP)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+HbwServer *
+hbw_direct_select_server (HbwShard *shard, HbwContext *context,
+                          const HbwTicket *ticket)
+{
+  const HbwWant *want = &ticket->want;
+  Choice choice = { .shard = shard, .context = context, .want = want };
+  choice.long_prompt = is_long (&choice);
+  choice.home = find_home (&choice);
+  choice.suspect = hbw_quarantine_is_suspect (
+      context->quarantine, &want->spec.fingerprint, context->now_us);
+  choice.any_state = all_failed (shard);
+  return cheapest (&choice);
+}
--- a/include/hornbeamwall/core/policy_direct.h
+++ b/include/hornbeamwall/core/policy_direct.h
@@ -7,6 +7,9 @@
  * have to read, the distance, and what it has failed lately.  Prompts that begin
  * alike are drawn to one server, the same for all instances, by rendezvous hashing;
  * a busy one loses the draw, so that a sudden favourite is spread.
+ *
+ * Where all servers of a pool fail at once, the cause is probably elsewhere, and
+ * they are used all the same.
  */
 #ifndef HORNBEAMWALL_CORE_POLICY_DIRECT_H
 #define HORNBEAMWALL_CORE_POLICY_DIRECT_H
--- /dev/null
+++ b/tests/standin/objects.c
@@ -0,0 +1,281 @@
+#include "objects.h"
+
+#include "listen.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define PREFIX "/hornbeamwall/objects/"
+
+/* How long a silent call is held, in steps of 10 ms. */
+#define SILENT_STEPS 1000
+
+typedef struct
+{
+  char *kind;
+  char *name;
+  char *spec; /* NULL: removed */
+  gint64 revision;
+} Object;
+
+struct Objects
+{
+  struct MHD_Daemon *daemon;
+  pthread_mutex_t lock;
+  pthread_cond_t changed;
+  GPtrArray *history; /* Object, by revision; each state once */
+  gint64 revision;
+  gint64 forgotten; /* changes up to here are not told any more */
+  guint page;
+  atomic_int mood;
+  atomic_bool stopping;
+  _Atomic guint64 calls;
+};
+
+static void
+object_free (gpointer data)
+{
+  Object *object = data;
+  g_free (object->kind);
+  g_free (object->name);
+  g_free (object->spec);
+  g_free (object);
+}
+
+static enum MHD_Result
+reply (struct MHD_Connection *connection, unsigned status, const char *body)
+{
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (body), (void *) body, MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header (response, "Content-Type", "application/json");
+  enum MHD_Result result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static void
+append_object (GString *text, const Object *object)
+{
+  g_string_append_printf (
+      text,
+      "{\"metadata\":{\"name\":\"%s\",\"revision\":%" G_GINT64_FORMAT
+      ",\"finalizers\":[],\"deleting\":false},\"spec\":%s}",
+      object->name, object->revision, object->spec != NULL ? object->spec : "null");
+}
+
+/* Returns the newest state of the object that comes first after AFTER, or NULL. */
+static const Object *
+next_object (const Objects *objects, const char *kind, const char *after)
+{
+  const Object *best = NULL;
+  for (guint i = 0; i < objects->history->len; i++)
+    {
+      const Object *object = g_ptr_array_index (objects->history, i);
+      if (strcmp (object->kind, kind) != 0 || strcmp (object->name, after) <= 0)
+        continue;
+      if (best == NULL || strcmp (object->name, best->name) <= 0)
+        best = object;
+    }
+  return best;
+}
+
+static char *
+make_list (Objects *objects, const char *kind, const char *after)
+{
+  GString *text = g_string_new ("{\"items\":[");
+  guint count = 0;
+  const Object *object;
+  while ((object = next_object (objects, kind, after)) != NULL
+         && count < objects->page)
+    {
+      after = object->name;
+      if (object->spec == NULL)
+        continue;
+      if (count++ > 0)
+        g_string_append_c (text, ',');
+      append_object (text, object);
+    }
+  g_string_append_printf (text,
+                          "],\"truncated\":%s,\"current_rev\":%" G_GINT64_FORMAT "}",
+                          object != NULL ? "true" : "false", objects->revision);
+  return g_string_free (text, FALSE);
+}
+
+static guint
+append_events (Objects *objects, GString *text, const char *kind, gint64 since)
+{
+  guint count = 0;
+  for (guint i = 0; i < objects->history->len; i++)
+    {
+      const Object *object = g_ptr_array_index (objects->history, i);
+      if (object->revision <= since || strcmp (object->kind, kind) != 0)
+        continue;
+      g_string_append_printf (
+          text, "%s{\"removed\":%s,\"object\":", count++ > 0 ? "," : "",
+          object->spec == NULL ? "true" : "false");
+      append_object (text, object);
+      g_string_append_c (text, '}');
+    }
+  return count;
+}
+
+/* Waits for a change; returns NULL where the changes since then are forgotten. */
+static char *
+wait_events (Objects *objects, const char *kind, gint64 since, gint64 wait_ms)
+{
+  struct timespec until;
+  clock_gettime (CLOCK_REALTIME, &until);
+  until.tv_sec += wait_ms / 1000;
+  until.tv_nsec += wait_ms % 1000 * 1000000;
+  until.tv_sec += until.tv_nsec / 1000000000;
+  until.tv_nsec %= 1000000000;
+  GString *text = g_string_new (NULL);
+  int code = 0;
+  while (since >= objects->forgotten && !atomic_load (&objects->stopping))
+    {
+      g_string_assign (text, "{\"events\":[");
+      if (append_events (objects, text, kind, since) > 0 || code != 0)
+        break;
+      code = pthread_cond_timedwait (&objects->changed, &objects->lock, &until);
+    }
+  if (since < objects->forgotten)
+    {
+      g_string_free (text, TRUE);
+      return NULL;
+    }
+  g_string_append_printf (text, "],\"current_rev\":%" G_GINT64_FORMAT "}",
+                          objects->revision);
+  return g_string_free (text, FALSE);
+}
+
+static gint64
+argument (struct MHD_Connection *connection, const char *name)
+{
+  const char *text
+      = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, name);
+  return text != NULL ? g_ascii_strtoll (text, NULL, 10) : -1;
+}
+
+static enum MHD_Result
+handle_read (Objects *objects, struct MHD_Connection *connection, const char *kind)
+{
+  const char *after
+      = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, "after");
+  gint64 since = argument (connection, "watch");
+  pthread_mutex_lock (&objects->lock);
+  char *body = since >= 0 ? wait_events (objects, kind, since,
+                                         MAX (0, argument (connection, "wait_ms")))
+                          : make_list (objects, kind, after != NULL ? after : "");
+  pthread_mutex_unlock (&objects->lock);
+  if (body == NULL)
+    return reply (connection, 410, "{}");
+  enum MHD_Result result = reply (connection, 200, body);
+  g_free (body);
+  return result;
+}
+
+static enum MHD_Result
+handle (void *data, struct MHD_Connection *connection, const char *url,
+        const char *method G_GNUC_UNUSED, const char *version G_GNUC_UNUSED,
+        const char *upload G_GNUC_UNUSED, size_t *upload_size G_GNUC_UNUSED,
+        void **state)
+{
+  Objects *objects = data;
+  if (*state == NULL)
+    {
+      *state = objects; /* the next call of this function has the whole request */
+      return MHD_YES;
+    }
+  atomic_fetch_add (&objects->calls, 1);
+  for (guint i = 0;
+       i < SILENT_STEPS && atomic_load (&objects->mood) == OBJECTS_SILENT
+       && !atomic_load (&objects->stopping);
+       i++)
+    g_usleep (10000);
+  if (atomic_load (&objects->mood) == OBJECTS_BUSY)
+    return reply (connection, 503, "{}");
+  if (atomic_load (&objects->mood) == OBJECTS_MANY)
+    return reply (connection, 429, "{}");
+  if (!g_str_has_prefix (url, PREFIX))
+    return reply (connection, 404, "{}");
+  return handle_read (objects, connection, url + strlen (PREFIX));
+}
+
+static void
+completed (void *data G_GNUC_UNUSED, struct MHD_Connection *connection G_GNUC_UNUSED,
+           void **state, enum MHD_RequestTerminationCode code G_GNUC_UNUSED)
+{
+  *state = NULL;
+}
+
+Objects *
+objects_create (const char *address, guint page)
+{
+  Objects *objects = g_new0 (Objects, 1);
+  pthread_mutex_init (&objects->lock, NULL);
+  pthread_cond_init (&objects->changed, NULL);
+  objects->history = g_ptr_array_new_with_free_func (object_free);
+  objects->revision = 1;
+  objects->page = page;
+  objects->daemon = standin_listen (address, handle, completed, objects);
+  return objects;
+}
+
+void
+objects_destroy (Objects *objects)
+{
+  atomic_store (&objects->stopping, TRUE);
+  pthread_mutex_lock (&objects->lock);
+  pthread_cond_broadcast (&objects->changed);
+  pthread_mutex_unlock (&objects->lock);
+  MHD_stop_daemon (objects->daemon);
+  g_ptr_array_free (objects->history, TRUE);
+  pthread_cond_destroy (&objects->changed);
+  pthread_mutex_destroy (&objects->lock);
+  g_free (objects);
+}
+
+guint
+objects_port (const Objects *objects)
+{
+  return standin_port (objects->daemon);
+}
+
+gint64
+objects_set (Objects *objects, const char *kind, const char *name, const char *spec)
+{
+  Object *object = g_new0 (Object, 1);
+  object->kind = g_strdup (kind);
+  object->name = g_strdup (name);
+  object->spec = g_strdup (spec);
+  pthread_mutex_lock (&objects->lock);
+  object->revision = ++objects->revision;
+  g_ptr_array_add (objects->history, object);
+  pthread_cond_broadcast (&objects->changed);
+  pthread_mutex_unlock (&objects->lock);
+  return object->revision;
+}
+
+void
+objects_set_mood (Objects *objects, ObjectsMood mood)
+{
+  atomic_store (&objects->mood, mood);
+}
+
+void
+objects_forget (Objects *objects)
+{
+  pthread_mutex_lock (&objects->lock);
+  objects->forgotten = ++objects->revision;
+  pthread_cond_broadcast (&objects->changed);
+  pthread_mutex_unlock (&objects->lock);
+}
+
+guint64
+objects_calls (Objects *objects)
+{
+  return atomic_load (&objects->calls);
+}
--- /dev/null
+++ b/tests/standin/replica.c
@@ -0,0 +1,485 @@
+#include "replica.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ID_FIELD "X-Hornbeamwall-Attempt-Id"
+#define SEAL "X-Hornbeamwall-Response-Seal: 1.2.3\r\n"
+#define EVENTS 6
+#define EVENT_PAUSE_US 2000
+#define HEAD_MAX 32768
+
+struct Replica
+{
+  char *id;
+  int fd;
+  guint port;
+  pthread_t thread;
+  pthread_mutex_t lock;
+  pthread_cond_t ended;
+  GHashTable *runs; /* target -> count */
+  char *last_head;
+  guint open; /* connections that are served */
+  atomic_uint connections;
+  atomic_uint busy;
+  atomic_bool stopping;
+};
+
+typedef struct
+{
+  Replica *replica;
+  int fd;
+  GString *input;
+  char method[16];
+  char target[1024];
+  char trace[64];
+  char *head;
+  gsize body_length;
+  char *body;
+} Session;
+
+static gboolean
+read_more (Session *session)
+{
+  char bytes[4096];
+  struct pollfd input = { session->fd, POLLIN, 0 };
+  while (!atomic_load (&session->replica->stopping))
+    if (poll (&input, 1, 20) > 0)
+      {
+        ssize_t count = recv (session->fd, bytes, sizeof bytes, 0);
+        if (count <= 0)
+          return FALSE;
+        g_string_append_len (session->input, bytes, count);
+        return TRUE;
+      }
+  return FALSE;
+}
+
+static char *
+field_of (const char *head, const char *name)
+{
+  char *pattern = g_strconcat ("\r\n", name, ":", NULL);
+  char *lower_head = g_ascii_strdown (head, -1);
+  char *lower = g_ascii_strdown (pattern, -1);
+  const char *found = strstr (lower_head, lower);
+  char *value = NULL;
+  if (found != NULL)
+    {
+      const char *start = head + (found - lower_head) + strlen (lower);
+      value = g_strstrip (g_strndup (start, strcspn (start, "\r")));
+    }
+  g_free (pattern);
+  g_free (lower_head);
+  g_free (lower);
+  return value;
+}
+
+static gboolean
+read_head (Session *session)
+{
+  const char *end;
+  while ((end = strstr (session->input->str, "\r\n\r\n")) == NULL)
+    if (session->input->len > HEAD_MAX || !read_more (session))
+      return FALSE;
+  gsize length = (gsize) (end - session->input->str) + 4;
+  g_free (session->head);
+  session->head = g_strndup (session->input->str, length);
+  g_string_erase (session->input, 0, (gssize) length);
+  sscanf (session->head, "%15s %1023s", session->method, session->target);
+  char *trace = field_of (session->head, ID_FIELD);
+  char *size = field_of (session->head, "Content-Length");
+  g_strlcpy (session->trace, trace != NULL ? trace : "", sizeof session->trace);
+  session->body_length = size != NULL ? strtoul (size, NULL, 10) : 0;
+  g_free (trace);
+  g_free (size);
+  return TRUE;
+}
+
+static gboolean
+read_body (Session *session)
+{
+  while (session->input->len < session->body_length)
+    if (!read_more (session))
+      return FALSE;
+  g_free (session->body);
+  session->body = g_strndup (session->input->str, session->body_length);
+  g_string_erase (session->input, 0, (gssize) session->body_length);
+  return TRUE;
+}
+
+static void
+put (Session *session, const char *text)
+{
+  gsize length = strlen (text);
+  while (length > 0)
+    {
+      ssize_t count = send (session->fd, text, length, MSG_NOSIGNAL);
+      if (count <= 0)
+        return;
+      text += count;
+      length -= (gsize) count;
+    }
+}
+
+static void
+put_head (Session *session, const char *status, const char *more)
+{
+  char *text = g_strdup_printf ("HTTP/1.1 %s\r\n" ID_FIELD ": %s\r\n"
+                                "X-Hornbeamwall-Replica-Load: 1,0,8\r\n%s\r\n",
+                                status, session->trace, more);
+  put (session, text);
+  g_free (text);
+}
+
+static void
+put_answer (Session *session, const char *status, const char *seal, const char *body,
+            gsize announced)
+{
+  char *more = g_strdup_printf ("%sKeep-Alive: timeout=5\r\nContent-Length: %zu\r\n",
+                                seal, announced);
+  put_head (session, status, more);
+  put (session, body);
+  g_free (more);
+}
+
+static void
+reset (Session *session)
+{
+  const struct linger now = { 1, 0 };
+  setsockopt (session->fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+}
+
+/* Runs of a target at all stand-ins of the process together. */
+static pthread_mutex_t all_lock = PTHREAD_MUTEX_INITIALIZER;
+static GHashTable *all_runs;
+
+static guint
+note_anywhere (const char *target)
+{
+  pthread_mutex_lock (&all_lock);
+  if (all_runs == NULL)
+    all_runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  guint count = GPOINTER_TO_UINT (g_hash_table_lookup (all_runs, target));
+  g_hash_table_replace (all_runs, g_strdup (target), GUINT_TO_POINTER (count + 1));
+  pthread_mutex_unlock (&all_lock);
+  return count;
+}
+
+/* Returns how often the target ran before, anywhere. */
+static guint
+note_run (Session *session)
+{
+  Replica *replica = session->replica;
+  pthread_mutex_lock (&replica->lock);
+  guint runs
+      = GPOINTER_TO_UINT (g_hash_table_lookup (replica->runs, session->target));
+  g_hash_table_replace (replica->runs, g_strdup (session->target),
+                        GUINT_TO_POINTER (runs + 1));
+  pthread_mutex_unlock (&replica->lock);
+  return note_anywhere (session->target);
+}
+
+/* Waits for the other side to close. */
+static void
+hang (Session *session)
+{
+  while (read_more (session))
+    continue;
+}
+
+static gboolean
+is_gone (const Session *session)
+{
+  char byte;
+  return recv (session->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+/* Sends the events after the one that the caller has; returns whether it is whole.
+ */
+static gboolean
+put_events (Session *session, gboolean cut)
+{
+  char *last = field_of (session->head, "Last-Event-Id");
+  guint first = last != NULL ? (guint) strtoul (last, NULL, 10) + 1 : 1;
+  g_free (last);
+  put_head (session, "200 OK",
+            SEAL
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+  for (guint i = first; i <= EVENTS && !is_gone (session); i++)
+    {
+      char *event
+          = g_strdup_printf ("id: %u\ndata: %s %u\n\n", i, session->trace, i);
+      gboolean half = cut && i == 3;
+      char *chunk = g_strdup_printf ("%zx\r\n%.*s", strlen (event),
+                                     half ? 8 : (int) strlen (event), event);
+      put (session, chunk);
+      g_free (chunk);
+      g_free (event);
+      if (half)
+        return FALSE;
+      put (session, "\r\n");
+      g_usleep (EVENT_PAUSE_US);
+    }
+  put (session, "0\r\n\r\n");
+  return TRUE;
+}
+
+static gboolean
+put_ok (Session *session)
+{
+  char *body = g_strdup_printf ("%s %s %s", session->method, session->target,
+                                session->body != NULL ? session->body : "");
+  put_answer (session, "200 OK", SEAL, body, strlen (body));
+  g_free (body);
+  return TRUE;
+}
+
+/* Does what WORD says; returns whether the connection goes on. */
+static gboolean
+act (Session *session, const char *word)
+{
+  if (strcmp (word, "ok") == 0)
+    return put_ok (session);
+  if (strcmp (word, "events") == 0)
+    return put_events (session, FALSE);
+  if (strcmp (word, "cut") == 0)
+    return put_events (session, TRUE);
+  if (strcmp (word, "fail") == 0)
+    put_answer (session, "500 Failed", SEAL, "own", 3);
+  else if (strcmp (word, "noseal") == 0)
+    put_answer (session, "200 OK", "", "unmarked", 8);
+  else if (strcmp (word, "extra") == 0)
+    {
+      put_ok (session);
+      g_usleep (EVENT_PAUSE_US);
+      put_ok (session);
+    }
+  else if (strcmp (word, "hang") == 0)
+    hang (session);
+  else if (strcmp (word, "reset") == 0)
+    reset (session);
+  else if (strcmp (word, "short") == 0)
+    put_answer (session, "200 OK", SEAL, "half", 8);
+  else if (strcmp (word, "open") == 0 || strcmp (word, "torn") == 0)
+    {
+      put_head (session, "200 OK", SEAL);
+      put (session, "unframed");
+      g_usleep (10 * EVENT_PAUSE_US);
+      if (strcmp (word, "torn") == 0)
+        reset (session);
+    }
+  static const char *const ends[]
+      = { "hang", "reset", "close", "short", "open", "torn" };
+  for (gsize i = 0; i < G_N_ELEMENTS (ends); i++)
+    if (strcmp (word, ends[i]) == 0)
+      return FALSE;
+  return TRUE;
+}
+
+/* Returns the word for what to do with a request that ran RUNS times before. */
+static char *
+word_of (const Session *session, guint runs)
+{
+  char *path = g_strndup (session->target, strcspn (session->target, "?"));
+  char *word
+      = g_strdup (strrchr (path, '/') != NULL ? strrchr (path, '/') + 1 : path);
+  g_free (path);
+  char *digits = word + strcspn (word, "0123456789");
+  if (*digits == '\0')
+    return word;
+  guint most = (guint) strtoul (digits, NULL, 10);
+  *digits = '\0';
+  if (runs < most)
+    return word;
+  const char *then = strcmp (word, "cut") == 0 ? "events" : "ok";
+  g_free (word);
+  return g_strdup (then);
+}
+
+static gboolean
+is_expected (const Session *session)
+{
+  char *expected = field_of (session->head, "X-Hornbeamwall-Expect-Instance");
+  gboolean same = expected == NULL || strcmp (expected, session->replica->id) == 0;
+  g_free (expected);
+  return same;
+}
+
+static gboolean
+serve_one (Session *session)
+{
+  Replica *replica = session->replica;
+  if (!read_head (session))
+    return FALSE;
+  gboolean early = g_str_has_suffix (session->target, "/early");
+  if (early)
+    {
+      note_run (session);
+      put_answer (session, "200 OK", SEAL, "early", 5);
+    }
+  if (!read_body (session))
+    return FALSE;
+  if (early)
+    return TRUE;
+  pthread_mutex_lock (&replica->lock);
+  g_free (replica->last_head);
+  replica->last_head = g_strdup (session->head);
+  pthread_mutex_unlock (&replica->lock);
+  if (!is_expected (session))
+    {
+      put_head (session, "421 Misdirected Request", "Content-Length: 0\r\n");
+      return TRUE;
+    }
+  if (g_str_has_suffix (session->target, "/shed"))
+    {
+      put_head (session, "503 Full",
+                "X-Hornbeamwall-Not-Executed: 1\r\nContent-Length: 0\r\n");
+      return TRUE;
+    }
+  guint runs = note_run (session);
+  char *word = word_of (session, runs);
+  atomic_fetch_add (&replica->busy, 1);
+  gboolean goes_on = act (session, word);
+  atomic_fetch_sub (&replica->busy, 1);
+  g_free (word);
+  return goes_on;
+}
+
+static void *
+serve (void *data)
+{
+  Session *session = data;
+  Replica *replica = session->replica;
+  session->input = g_string_new (NULL);
+  while (serve_one (session))
+    continue;
+  close (session->fd);
+  g_string_free (session->input, TRUE);
+  g_free (session->head);
+  g_free (session->body);
+  g_free (session);
+  pthread_mutex_lock (&replica->lock);
+  replica->open--;
+  pthread_cond_signal (&replica->ended);
+  pthread_mutex_unlock (&replica->lock);
+  return NULL;
+}
+
+static void
+start_session (Replica *replica, int fd)
+{
+  pthread_t thread;
+  Session *session = g_new0 (Session, 1);
+  session->replica = replica;
+  session->fd = fd;
+  atomic_fetch_add (&replica->connections, 1);
+  pthread_mutex_lock (&replica->lock);
+  replica->open++;
+  pthread_mutex_unlock (&replica->lock);
+  if (pthread_create (&thread, NULL, serve, session) == 0)
+    pthread_detach (thread);
+}
+
+static void *
+run (void *data)
+{
+  Replica *replica = data;
+  struct pollfd input = { replica->fd, POLLIN, 0 };
+  while (!atomic_load (&replica->stopping))
+    {
+      if (poll (&input, 1, 20) <= 0)
+        continue;
+      int fd = accept (replica->fd, NULL, NULL);
+      if (fd >= 0)
+        start_session (replica, fd);
+    }
+  return NULL;
+}
+
+Replica *
+replica_create (const char *address, const char *id)
+{
+  Replica *replica = g_new0 (Replica, 1);
+  struct sockaddr_in target = { .sin_family = AF_INET };
+  socklen_t size = sizeof target;
+  const int on = 1;
+  char **parts = g_strsplit (address, ":", 2);
+  inet_pton (AF_INET, parts[0], &target.sin_addr);
+  target.sin_port = htons ((guint16) strtoul (parts[1], NULL, 10));
+  g_strfreev (parts);
+  replica->id = g_strdup (id);
+  replica->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  pthread_mutex_init (&replica->lock, NULL);
+  pthread_cond_init (&replica->ended, NULL);
+  replica->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt (replica->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (replica->fd, (struct sockaddr *) &target, sizeof target) != 0
+      || listen (replica->fd, 128) != 0)
+    g_error ("replica cannot listen at %s", address);
+  getsockname (replica->fd, (struct sockaddr *) &target, &size);
+  replica->port = ntohs (target.sin_port);
+  pthread_create (&replica->thread, NULL, run, replica);
+  return replica;
+}
+
+void
+replica_destroy (Replica *replica)
+{
+  atomic_store (&replica->stopping, TRUE);
+  pthread_join (replica->thread, NULL);
+  close (replica->fd);
+  pthread_mutex_lock (&replica->lock);
+  while (replica->open > 0)
+    pthread_cond_wait (&replica->ended, &replica->lock);
+  pthread_mutex_unlock (&replica->lock);
+  pthread_mutex_destroy (&replica->lock);
+  pthread_cond_destroy (&replica->ended);
+  g_hash_table_destroy (replica->runs);
+  g_free (replica->last_head);
+  g_free (replica->id);
+  g_free (replica);
+}
+
+guint
+replica_port (const Replica *replica)
+{
+  return replica->port;
+}
+
+guint
+replica_runs (Replica *replica, const char *path)
+{
+  pthread_mutex_lock (&replica->lock);
+  guint runs = GPOINTER_TO_UINT (g_hash_table_lookup (replica->runs, path));
+  pthread_mutex_unlock (&replica->lock);
+  return runs;
+}
+
+guint
+replica_connections (Replica *replica)
+{
+  return atomic_load (&replica->connections);
+}
+
+guint
+replica_busy (Replica *replica)
+{
+  return atomic_load (&replica->busy);
+}
+
+char *
+replica_last_head (Replica *replica)
+{
+  pthread_mutex_lock (&replica->lock);
+  char *head = g_strdup (replica->last_head);
+  pthread_mutex_unlock (&replica->lock);
+  return head;
+}
