A server that has gone silent is left for another one

Store backoff of up to 3 s kept landi without keys 1 s longer than needed after the store's return. Change: a request that may be repeated waits twice its target, at least 500 ms, for its first piece, and a resumable stream twice its pause, for the next; while the server sends anything to others it is given four times that.

--- a/core/entry.c
+++ b/core/entry.c
@@ -10,6 +10,11 @@
 /* Attempts that surely did not run before a request is refused. */
 #define UNRUN_ATTEMPTS_MAX 8
 
+/* How long a server may send nothing before another one is tried: so many times the
+   target, but not less than what an engine takes now and then. */
+#define SILENCE_TARGETS 2
+#define SILENCE_MIN_US (500 * HBW_US_PER_MS)
+
 /* Retry hints where nothing better is known. */
 #define RETRY_AFTER_DEFAULT_US (1 * HBW_US_PER_S)
 
@@ -259,6 +264,12 @@
       request->spec.class_name, request->server, failures);
 }
 
+static guint
+known_members (const HbwContext *context)
+{
+  return hbw_membership_count (context->membership, NULL);
+}
+
 /* Whether an attempt that may have run may be followed by another one. */
 static gboolean
 may_repeat (const HbwRequest *request, const HbwAttemptEnd *end)
@@ -276,6 +287,20 @@
   return request->sent_attempts < most;
 }
 
+/* Returns the longest silence for a target, or 0 where waiting is all that is left.
+ */
+static gint64
+longest_silence (HbwEntry *entry, HbwContext *context, const HbwRequest *request,
+                 gint64 target_us)
+{
+  guint most = request->spec.attempts_max;
+  gboolean another
+      = request->spec.idempotent && request->sent_attempts + 1 < most
+        && hbw_retry_budget_has (entry->budget, request->spec.pool,
+                                 known_members (context), context->now_us);
+  return another ? MAX (SILENCE_TARGETS * target_us, SILENCE_MIN_US) : 0;
+}
+
 static gboolean
 may_retry (HbwEntry *entry, HbwContext *context, const HbwRequest *request,
            const HbwAttemptEnd *end)
@@ -291,8 +316,7 @@
   if (!has_attempts_left (request) || (!unrun && !may_repeat (request, end)))
     return FALSE;
   return hbw_retry_budget_take (entry->budget, request->spec.pool,
-                                hbw_membership_count (context->membership, NULL),
-                                context->now_us);
+                                known_members (context), context->now_us);
 }
 
 static void
@@ -368,8 +392,8 @@
   if (closed || g_hash_table_size (entry->requests) >= HBW_REQUESTS_MAX)
     {
       refuse_sequence (context, arrival->sequence,
-                       closed ? HBW_REASON_DRAINING : HBW_REASON_OVERLOADED,
-                       FALSE, RETRY_AFTER_DEFAULT_US);
+                       closed ? HBW_REASON_DRAINING : HBW_REASON_OVERLOADED, FALSE,
+                       RETRY_AFTER_DEFAULT_US);
       return;
     }
   HbwRequest *request = add_request (entry, context, arrival);
@@ -443,7 +467,9 @@
   gboolean complete = end->outcome == HBW_OUTCOME_COMPLETE;
   gboolean again = !complete && may_retry (entry, context, request, end);
   hbw_request_log_attempt (request, context, end,
-                           again ? "retry" : complete ? "done" : "give_up");
+                           again      ? "retry"
+                           : complete ? "done"
+                                      : "give_up");
   if (complete)
     finish (entry, context, request, end);
   else if (again)
@@ -488,6 +514,12 @@
   start->attempt = request->attempt;
   start->valid_us = MIN (grant->valid_us, G_GINT64_CONSTANT (1000000));
   start->tier = request->spec.tier;
+  start->first_us
+      = longest_silence (entry, context, request, request->spec.target_us);
+  start->stall_us
+      = request->spec.resumable
+            ? longest_silence (entry, context, request, request->spec.inter_token_us)
+            : 0;
   g_strlcpy (start->server, grant->server, sizeof start->server);
   g_strlcpy (start->address, grant->address, sizeof start->address);
 }
--- a/core/retry_budget.c
+++ b/core/retry_budget.c
@@ -72,14 +72,14 @@
 }
 
 gboolean
-hbw_retry_budget_take (HbwRetryBudget *budget, const char *pool, guint members,
-                       gint64 now_us)
+hbw_retry_budget_has (const HbwRetryBudget *budget, const char *pool, guint members,
+                      gint64 now_us)
 {
-  Account *account = ensure (budget, pool);
+  const Account *account = g_hash_table_lookup (budget->accounts, pool);
   gint64 number = slice_number (budget, now_us);
   guint requests = 0;
   guint repeats = 0;
-  for (guint i = 0; i <= SLICES; i++)
+  for (guint i = 0; account != NULL && i <= SLICES; i++)
     {
       const Slice *slice = &account->slices[i];
       if (number - slice->number > SLICES)
@@ -89,8 +89,15 @@
         requests += slice->requests;
     }
   guint share = budget->limits.extra / MAX (members, HBW_RETRY_MEMBERS_MIN);
-  if (repeats + 1 > requests * budget->limits.percent / 100 + share)
+  return repeats + 1 <= requests * budget->limits.percent / 100 + share;
+}
+
+gboolean
+hbw_retry_budget_take (HbwRetryBudget *budget, const char *pool, guint members,
+                       gint64 now_us)
+{
+  if (!hbw_retry_budget_has (budget, pool, members, now_us))
     return FALSE;
-  current_slice (budget, account, now_us)->repeats++;
+  current_slice (budget, ensure (budget, pool), now_us)->repeats++;
   return TRUE;
 }
--- a/include/hornbeamwall/core/retry_budget.h
+++ b/include/hornbeamwall/core/retry_budget.h
@@ -31,6 +31,10 @@
 void hbw_retry_budget_note_request (HbwRetryBudget *budget, const char *pool,
                                     gint64 now_us);
 
+/* Returns whether a repeat for POOL would be allowed. */
+gboolean hbw_retry_budget_has (const HbwRetryBudget *budget, const char *pool,
+                               guint members, gint64 now_us);
+
 /* Takes one repeat for POOL; returns FALSE where none is left.  MEMBERS is the
    number of instances known. */
 gboolean hbw_retry_budget_take (HbwRetryBudget *budget, const char *pool,
--- a/include/hornbeamwall/net/upstream.h
+++ b/include/hornbeamwall/net/upstream.h
@@ -69,10 +69,13 @@
 /* Stops or goes on reading the answer. */
 void hbw_upstream_set_reading (HbwUpstream *upstream, gboolean reading);
 
-/* Lets the rest of the answer be read without its user, so that the connection can be
-   used again. */
+/* Lets the rest of the answer be read without its user, so that the connection can
+   be used again. */
 void hbw_upstream_detach (HbwUpstream *upstream);
 
+/* Returns when SERVER last sent anything on any connection; 0 is never. */
+gint64 hbw_upstreams_heard_us (const HbwUpstreams *upstreams, const char *server);
+
 /* Returns connections that were opened so far. */
 guint64 hbw_upstreams_opened (const HbwUpstreams *upstreams);
 
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -13,6 +13,10 @@
    that breaks off can then be asked for elsewhere. */
 #define WHOLE_MAX ((guint64) 64 * 1024)
 
+/* A server that sends nothing to this request but answers others is only slow: it is
+   given so many times the wait. */
+#define SILENCES_MAX 4
+
 #define EVENT_STREAM_TYPE "text/event-stream"
 #define LAST_EVENT_ID "Last-Event-Id"
 
@@ -35,7 +39,9 @@
   guint attempt;
   char server[HBW_NAME_MAX];
   HbwTimer silence; /* the server has sent nothing for too long */
-  gint64 stall_us;  /* longest pause of its answer; 0 is any */
+  gint64 silence_us;
+  guint silences;  /* in a row */
+  gint64 stall_us; /* longest pause of its answer; 0 is any */
   gint64 started_us;
   gint64 first_us; /* first and last piece of its answer; 0 is none */
   gint64 last_us;
@@ -209,6 +215,8 @@
 static void
 set_silence (HbwExchange *exchange, gint64 most_us)
 {
+  exchange->silence_us = most_us;
+  exchange->silences = 0;
   if (most_us > 0)
     hbw_loop_set_timer (exchange->traffic->loop, &exchange->silence, most_us);
   else
@@ -406,7 +414,13 @@
 handle_silence (HbwTimer *timer)
 {
   HbwExchange *exchange = caa_container_of (timer, HbwExchange, silence);
-  end_attempt (exchange, HBW_OUTCOME_TIMED_OUT);
+  HbwTraffic *traffic = exchange->traffic;
+  gint64 heard_us = hbw_upstreams_heard_us (traffic->upstreams, exchange->server);
+  gboolean answers_others = now_of (exchange) - heard_us < exchange->silence_us;
+  if (answers_others && ++exchange->silences < SILENCES_MAX)
+    hbw_loop_set_timer (traffic->loop, timer, exchange->silence_us);
+  else
+    end_attempt (exchange, HBW_OUTCOME_TIMED_OUT);
 }
 
 /* --- the request to the server ----------------------------------------------- */
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -37,6 +37,7 @@
   char name[HBW_NAME_MAX];
   struct cds_list_head idle; /* HbwUpstream, used last first */
   guint idle_count;
+  gint64 heard_us; /* when it last sent anything */
 } Server;
 
 struct HbwUpstream
@@ -254,6 +255,7 @@
 handle_bytes (HbwChannelUser *user, const char *bytes, gsize length)
 {
   HbwUpstream *upstream = upstream_of_channel (user);
+  upstream->server->heard_us = hbw_loop_now (upstream->upstreams->loop);
   if (upstream->idle)
     upstream_destroy (upstream); /* an answer that nobody asked for */
   else
@@ -412,6 +414,13 @@
   hbw_loop_set_timer (upstream->upstreams->loop, &upstream->timer, DETACHED_US);
 }
 
+gint64
+hbw_upstreams_heard_us (const HbwUpstreams *upstreams, const char *server)
+{
+  const Server *known = g_hash_table_lookup (upstreams->servers, server);
+  return known != NULL ? known->heard_us : 0;
+}
+
 guint64
 hbw_upstreams_opened (const HbwUpstreams *upstreams)
 {
--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -22,7 +22,7 @@
 
 /* Pauses after a call that failed. */
 #define RETRY_MIN_US (200 * HBW_US_PER_MS)
-#define RETRY_MAX_US (3 * HBW_US_PER_S)
+#define RETRY_MAX_US (600 * HBW_US_PER_MS)
 
 /* Pause before an object that does not exist is looked for again. */
 #define ABSENT_US (1 * HBW_US_PER_S)
