--- a/hornbeamwall/commands/serve.c
+++ b/hornbeamwall/commands/serve.c
@@ -50,7 +50,7 @@
                 const sigset_t *set)
 {
   const struct timespec look = { 0, DRAIN_LOOK_NS };
-  gint64 grace_us = settings->stop_grace_ms * HBW_US_PER_MS;
+  gint64 grace_us = settings->stop_grace_us;
   gint64 begun_us = hbw_clock_now (clock);
   gint64 least_us = grace_us / 100 * STOP_LEAST_PERCENT;
   gint64 most_us = grace_us / 100 * STOP_MOST_PERCENT;
--- a/include/hornbeamwall/runtime/settings.h
+++ b/include/hornbeamwall/runtime/settings.h
@@ -36,9 +36,9 @@
   char ready_address[HBW_ADDRESS_MAX]; /* of the load balancer's question; "" none */
   char policy[HBW_NAME_MAX];         /* see policy.h */
   HbwRetryLimits retry_limits;
-  guint revocation_ms;      /* a key that was taken away is refused at latest then */
+  gint64 revocation_us;      /* a key that was taken away is refused at latest then */
   gboolean load_in_answers; /* servers tell their load with each answer */
-  guint stop_grace_ms;      /* from the signal to stop until the process is killed */
+  gint64 stop_grace_us;      /* from the signal to stop until the process is killed */
 } HbwSettings;
 
 /* Reads and checks the file at PATH as a whole. */
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -291,9 +291,9 @@
   config.now_us = hbw_clock_now (control->clock);
   config.seeds = (const char *const *) settings->seeds->pdata;
   config.retry_limits = settings->retry_limits;
-  config.revocation_us = settings->revocation_ms * HBW_US_PER_MS;
+  config.revocation_us = settings->revocation_us;
   config.linger_us
-      = settings->stop_grace_ms * HBW_US_PER_MS / 100 * LINGER_PERCENT;
+      = settings->stop_grace_us / 100 * LINGER_PERCENT;
   config.load_in_answers = settings->load_in_answers;
   g_strlcpy (config.self.name, settings->name, sizeof config.self.name);
   g_strlcpy (config.self.data_centre, settings->data_centre,
@@ -314,7 +314,7 @@
   control->clock = clock;
   control->identity = identity;
   control->peer = peer;
-  control->revocation_us = settings->revocation_ms * HBW_US_PER_MS;
+  control->revocation_us = settings->revocation_us;
   control->wake_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
   control->effects = hbw_effects_create ();
   control->snapshot = hbw_snapshot_create ();
--- a/runtime/settings.c
+++ b/runtime/settings.c
@@ -2,6 +2,7 @@
 
 #include "hornbeamwall/common/address.h"
 #include "hornbeamwall/common/check.h"
+#include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/policy.h"
 
 #include <string.h>
@@ -110,6 +111,16 @@
   json_decref (found);
 }
 
+/* Reads a duration that may have a fraction, in units of UNIT_US. */
+static gint64
+read_duration (HbwReader *reader, const char *key, gint64 unit_us, double least,
+               double fallback)
+{
+  double most = (double) TIMEOUT_MAX_MS * HBW_US_PER_MS / (double) unit_us;
+  double value = hbw_reader_real (reader, key, least, most, fallback);
+  return (gint64) (value * (double) unit_us);
+}
+
 static void
 read_choices (HbwReader *reader, HbwReport *report, HbwSettings *settings)
 {
@@ -128,18 +139,17 @@
                      HBW_ADDRESS_MAX, "");
   check_address (report, "/ready_address", settings->ready_address);
   settings->load_in_answers = hbw_reader_bool (reader, "load_in_answers", FALSE);
-  settings->revocation_ms
-      = (guint) hbw_reader_int (reader, "revocation_ms", 0, TIMEOUT_MAX_MS, 0);
-  settings->stop_grace_ms
-      = (guint) hbw_reader_int (reader, "stop_grace_ms", 0, TIMEOUT_MAX_MS, 0);
+  settings->revocation_us
+      = read_duration (reader, "revocation_ms", HBW_US_PER_MS, 0, 0);
+  settings->stop_grace_us
+      = read_duration (reader, "stop_grace_s", HBW_US_PER_S, 0, 0);
   HbwRetryLimits *limits = &settings->retry_limits;
   limits->percent
       = (guint) (100 * hbw_reader_real (reader, "retry_ratio", 0, 1, 0.1) + 0.5);
   limits->extra
-      = (guint) hbw_reader_int (reader, "retry_extra", 0, RETRY_EXTRA_MAX, 160);
+      = (guint) hbw_reader_real (reader, "retry_extra", 0, RETRY_EXTRA_MAX, 160);
   limits->window_us
-      = HBW_US_PER_MS
-        * hbw_reader_int (reader, "retry_window_ms", 100, TIMEOUT_MAX_MS, 10000);
+      = read_duration (reader, "retry_window_s", HBW_US_PER_S, 0.1, 10);
 }
 
 static void
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -432,6 +432,25 @@
 }
 END_TEST
 
+/* Seen on kerlann-ring-grown: bounds that are no whole numbers. */
+START_TEST (settings_take_fractions)
+{
+  static const char text[]
+      = "{\"name\":\"i\",\"data_centre\":\"a\",\"caller_address\":\"127.0.0.1:0\","
+        "\"admin_address\":\"127.0.0.1:0\",\"peer_address\":\"127.0.0.1:0\","
+        "\"platform_address\":\"127.0.0.1:1\",\"retry_extra\":36.949,"
+        "\"revocation_ms\":4999.5,\"stop_grace_s\":7.25,\"retry_ratio\":0.2}";
+  HbwError error = { HBW_ERROR_NONE, "" };
+  HbwSettings *settings = hbw_settings_parse (text, strlen (text), &error);
+  ck_assert_msg (settings != NULL, "%s", error.message);
+  ck_assert_uint_eq (settings->retry_limits.extra, 36);
+  ck_assert_uint_eq (settings->retry_limits.percent, 20);
+  ck_assert_int_eq (settings->revocation_us, 4999500);
+  ck_assert_int_eq (settings->stop_grace_us, 7250000);
+  hbw_settings_destroy (settings);
+}
+END_TEST
+
 START_TEST (settings_report_every_error)
 {
   static const char text[]
@@ -509,6 +528,7 @@
   tcase_add_test (cases, codec_gives_back_every_kind);
   tcase_add_test (cases, codec_survives_damaged_frames);
   tcase_add_test (cases, lease_is_never_held_twice);
+  tcase_add_test (cases, settings_take_fractions);
   tcase_add_test (cases, settings_report_every_error);
   tcase_add_test (cases, catalogue_reports_every_error);
   tcase_add_test (cases, every_log_event_is_in_the_docs);
--- a/tests/traffic_test.c
+++ b/tests/traffic_test.c
@@ -88,7 +88,7 @@
       "\"admin_address\":\"127.0.0.1:0\",\"peer_address\":\"127.0.0.1:0\","
       "\"platform_address\":\"127.0.0.1:%u\",\"load_in_answers\":true,"
       "\"revocation_ms\":60000,\"retry_ratio\":1.0,\"retry_extra\":1000,"
-      "\"connect_timeout_ms\":500,\"stop_grace_ms\":8000}",
+      "\"connect_timeout_ms\":500,\"stop_grace_s\":8}",
       objects_port (bed->objects));
   HbwSettings *settings = hbw_settings_parse (text, strlen (text), &error);
   ck_assert_msg (settings != NULL, "%s", error.message);
