Watchers relay how sure they are of the catalogue; the long part of the servers follows the load

Now three instances of a data centre watch, the others ask one of them how old its confirmation is, count it from before the question, and watch themselves where the answer is missing or too old.

--- a/core/membership.c
+++ b/core/membership.c
@@ -638,6 +638,69 @@
   return before < count;
 }
 
+typedef struct
+{
+  guint64 identity;
+  guint64 weight;
+} Ranked;
+
+static int
+compare_ranked (gconstpointer a, gconstpointer b)
+{
+  const Ranked *left = a;
+  const Ranked *right = b;
+  return left->weight > right->weight ? -1 : left->weight < right->weight;
+}
+
+guint64
+hbw_membership_ranked (HbwMembership *membership, const char *key, guint before)
+{
+  GArray *all = g_array_new (FALSE, FALSE, sizeof (Ranked));
+  const char *data_centre = membership->self.data_centre;
+  Ranked self = { membership->self.identity, 0 };
+  self.weight = hbw_rendezvous_weight (self.identity, key);
+  if (is_candidate (&membership->self, data_centre))
+    g_array_append_val (all, self);
+  for (guint i = 0; i < membership->order->len; i++)
+    {
+      const Member *member = g_ptr_array_index (membership->order, i);
+      Ranked ranked = { member->info.identity, 0 };
+      ranked.weight = hbw_rendezvous_weight (ranked.identity, key);
+      if (is_candidate (&member->info, data_centre))
+        g_array_append_val (all, ranked);
+    }
+  g_array_sort (all, compare_ranked);
+  guint64 found
+      = before < all->len ? g_array_index (all, Ranked, before).identity : 0;
+  g_array_free (all, TRUE);
+  return found;
+}
+
+guint64
+hbw_membership_ask (HbwMembership *membership, HbwContext *context, guint64 identity)
+{
+  const Member *member = find (membership, identity);
+  if (member == NULL || !is_present (member))
+    return 0;
+  const HbwPing base = { .number = ++membership->last_number, .subject = identity };
+  send_ping (membership, context, HBW_MESSAGE_PING, identity, member->info.address,
+             &base);
+  return base.number;
+}
+
+void
+hbw_membership_ping_local (HbwMembership *membership, HbwContext *context)
+{
+  const HbwPing base = { .number = 0 };
+  for (guint i = 0; i < membership->order->len; i++)
+    {
+      const Member *member = g_ptr_array_index (membership->order, i);
+      if (is_local (membership, member) && is_present (member))
+        send_ping (membership, context, HBW_MESSAGE_PING, member->info.identity,
+                   member->info.address, &base);
+    }
+}
+
 guint
 hbw_membership_count (HbwMembership *membership, const char *data_centre)
 {
--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -2,8 +2,8 @@
 
 #include "hornbeamwall/core/load_share.h"
 #include "hornbeamwall/core/quarantine.h"
+#include "hornbeamwall/core/shard_estimate.h"
 
-#include <math.h>
 #include <string.h>
 
 /* What a request costs more in another data centre: the way there and back, and the
@@ -28,14 +28,14 @@
    what is over. */
 #define PLAIN_ROOM_PERCENT 150
 
-/* Doublings of the usual prompt's length above which one counts as long. */
-#define LONG_DOUBLINGS 0.7
-
-/* Part of the servers that long prompts are drawn to. */
-#define LONG_PROMPT_PART 0.6
+/* Long prompts are drawn to their part of all prompt tokens, and a little more, of
+   the servers; within these bounds. */
+#define LONG_PART_EXTRA 0.2
+#define LONG_PART_MIN 0.3
+#define LONG_PART_MAX 0.8
 
 /* What a server of the other part costs a long and a short prompt. */
-#define LONG_PROMPT_US (1500 * HBW_US_PER_MS)
+#define LONG_PROMPT_US (4000 * HBW_US_PER_MS)
 #define SHORT_PROMPT_US (200 * HBW_US_PER_MS)
 
 /* A server's report is used for so long. */
@@ -49,6 +49,7 @@
   gboolean suspect;
   gboolean any_state; /* servers that are taken for failed are used too */
   gboolean long_prompt;
+  double long_part;      /* of the servers, that long prompts are drawn to */
   const HbwServer *home; /* where the prompt's beginning falls to, or NULL */
 } Choice;
 
@@ -83,13 +84,6 @@
   return spec->parts[spec->part_count > 1 ? spec->part_count - 2 : 0].hash;
 }
 
-static gboolean
-is_long (const Choice *choice)
-{
-  double length = log2 (MAX (1.0, choice->want->spec.prompt_tokens));
-  return length > choice->shard->prompt_log2 + LONG_DOUBLINGS;
-}
-
 /* Returns the server's place in the order, from 0 to 1. */
 static double
 place_of (const HbwShard *shard, const HbwServer *server)
@@ -112,7 +106,7 @@
 static gboolean
 is_preferred (const Choice *choice, const HbwServer *server)
 {
-  gboolean for_long = place_of (choice->shard, server) < LONG_PROMPT_PART;
+  gboolean for_long = place_of (choice->shard, server) < choice->long_part;
   return for_long == choice->long_prompt;
 }
 
@@ -247,7 +241,9 @@
 {
   const HbwWant *want = &ticket->want;
   Choice choice = { .shard = shard, .context = context, .want = want };
-  choice.long_prompt = is_long (&choice);
+  choice.long_prompt = hbw_shard_is_long (shard, &want->spec);
+  choice.long_part
+      = CLAMP (shard->long_share + LONG_PART_EXTRA, LONG_PART_MIN, LONG_PART_MAX);
   choice.home = find_home (&choice);
   choice.suspect = hbw_quarantine_is_suspect (
       context->quarantine, &want->spec.fingerprint, context->now_us);
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -1,6 +1,7 @@
 #include "hornbeamwall/core/reducer.h"
 
 #include "hornbeamwall/core/admission.h"
+#include "hornbeamwall/core/confirm.h"
 #include "hornbeamwall/core/documents.h"
 #include "hornbeamwall/core/entry.h"
 #include "hornbeamwall/core/load_share.h"
@@ -27,6 +28,7 @@
   HbwDocuments *documents;
   HbwTopology *topology;
   HbwEntry *entry;
+  HbwConfirm *confirm;
   GHashTable *shards;   /* key text -> HbwShard */
   GHashTable *surveyed; /* identity -> HbwSurveyed */
   guint64 epoch;        /* of the membership, last acted on */
@@ -298,6 +300,7 @@
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     ping->versions[i]
         = hbw_documents_version (reducer->documents, (HbwDocumentKind) i);
+  ping->confirmed_age_us = context->now_us - context->confirmed_us;
   hbw_route_share (hbw_entry_route (reducer->entry), context, ping);
 }
 
@@ -367,8 +370,13 @@
   hbw_membership_handle (context->membership, context, message);
   switch (message->kind)
     {
-    case HBW_MESSAGE_PING:
     case HBW_MESSAGE_ACK:
+      hbw_confirm_handle_ack (
+          reducer->confirm, context, message,
+          hbw_documents_version (reducer->documents, HBW_DOCUMENT_CATALOGUE));
+      handle_ping (reducer, message);
+      break;
+    case HBW_MESSAGE_PING:
       handle_ping (reducer, message);
       break;
     case HBW_MESSAGE_WANT:
@@ -491,6 +499,13 @@
   g_hash_table_foreach_remove (reducer->shards, drop_idle_shard, reducer);
 }
 
+static gboolean
+is_ranked_watcher (const HbwReducer *reducer)
+{
+  return hbw_membership_is_ranked (reducer->context.membership, HBW_WATCH_KEY,
+                                   HBW_WATCHERS);
+}
+
 static void
 handle_tick (HbwReducer *reducer)
 {
@@ -503,6 +518,8 @@
   follow_membership (reducer);
   tick_shards (reducer);
   hbw_entry_tick (reducer->entry, context);
+  if (reducer->revocation_us > 0)
+    hbw_confirm_tick (reducer->confirm, context, is_ranked_watcher (reducer));
 }
 
 static void
@@ -526,6 +543,19 @@
     context->confirmed_us = MAX (context->confirmed_us, confirmation->asked_us);
 }
 
+/* What this instance has read from the store is news to those that do not watch it.
+ */
+static void
+handle_read_document (HbwReducer *reducer, const HbwDocument *document)
+{
+  HbwContext *context = &reducer->context;
+  gint64 before = hbw_documents_version (reducer->documents, document->kind);
+  handle_document (reducer, document);
+  if (reducer->revocation_us > 0
+      && hbw_documents_version (reducer->documents, document->kind) > before)
+    hbw_membership_ping_local (context->membership, context);
+}
+
 static void
 handle_event (HbwReducer *reducer, const HbwEvent *event)
 {
@@ -560,7 +590,7 @@
         break;
       }
     case HBW_EVENT_DOCUMENT:
-      handle_document (reducer, &event->document);
+      handle_read_document (reducer, &event->document);
       break;
     case HBW_EVENT_STORE_STATE:
       handle_store_state (reducer, event->store_up);
@@ -641,6 +671,7 @@
   context->load_in_answers = config->load_in_answers;
   g_strlcpy (reducer->name, config->self.name, sizeof reducer->name);
   reducer->documents = hbw_documents_create ();
+  reducer->confirm = hbw_confirm_create ();
   reducer->entry = hbw_entry_create (owner_of, reducer,
                                      config->retry_limits.window_us > 0
                                          ? &config->retry_limits
@@ -668,6 +699,7 @@
   g_hash_table_destroy (reducer->surveyed);
   hbw_entry_destroy (reducer->entry);
   hbw_documents_destroy (reducer->documents);
+  hbw_confirm_destroy (reducer->confirm);
   if (reducer->topology != NULL)
     hbw_topology_destroy (reducer->topology);
   if (context->catalogue != NULL)
@@ -725,8 +757,10 @@
 gboolean
 hbw_reducer_is_watcher (const HbwReducer *reducer)
 {
-  return hbw_membership_is_ranked (reducer->context.membership, "watch",
-                                   HBW_WATCHERS);
+  if (is_ranked_watcher (reducer))
+    return TRUE;
+  return reducer->revocation_us > 0
+         && hbw_confirm_needs_store (reducer->confirm, &reducer->context);
 }
 
 guint
--- a/core/shard.c
+++ b/core/shard.c
@@ -147,9 +147,8 @@
   facts->others = server->others;
   facts->unread_tokens = server->unread_tokens;
   facts->waiting = hbw_queue_length (shard->queue);
-  facts->report_age_us = server->reported_at_us > 0
-                             ? context->now_us - server->reported_at_us
-                             : -1;
+  facts->report_age_us
+      = server->reported_at_us > 0 ? context->now_us - server->reported_at_us : -1;
   hbw_context_post (context, to, &message);
 }
 
@@ -316,6 +315,7 @@
   shard->wanted_at_us = now_us;
   shard->service_us = SERVICE_DEFAULT_US;
   shard->prompt_rate = HBW_PROMPT_RATE_DEFAULT;
+  shard->long_share = HBW_LONG_SHARE_DEFAULT;
   shard->class_tokens
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return shard;
--- a/core/shard_estimate.c
+++ b/core/shard_estimate.c
@@ -8,6 +8,14 @@
 /* Prompts with fewer tokens to read say little of the speed. */
 #define PROMPT_SAMPLE_MIN 500
 
+/* Doublings of the usual prompt's length above which one counts as long. */
+#define LONG_DOUBLINGS 0.7
+
+/* Weight of the newest prompt in the share of long ones, and the most that a single
+   one of many times the usual tokens counts. */
+#define SHARE_AVERAGE_WEIGHT 0.01
+#define SHARE_MOST 8.0
+
 /* Weight of the newest measurement in the moving average of the speed, and its
    bounds in tokens a second. */
 #define PROMPT_AVERAGE_WEIGHT 0.05
@@ -21,6 +29,26 @@
       += SERVICE_AVERAGE_WEIGHT * ((double) duration_us - shard->service_us);
 }
 
+gboolean
+hbw_shard_is_long (const HbwShard *shard, const HbwRequestSpec *spec)
+{
+  double length = log2 (MAX (1, spec->prompt_tokens));
+  return length > shard->prompt_log2 + LONG_DOUBLINGS;
+}
+
+/* Moves the share of long prompts by the tokens of one that no other request has. */
+static void
+note_share (HbwShard *shard, const HbwRequestSpec *spec)
+{
+  double tokens = spec->part_count > 0 ? spec->parts[spec->part_count - 1].tokens
+                                       : spec->prompt_tokens;
+  shard->own_tokens += SHARE_AVERAGE_WEIGHT * (tokens - shard->own_tokens);
+  double weight
+      = SHARE_AVERAGE_WEIGHT * MIN (tokens / MAX (shard->own_tokens, 1), SHARE_MOST);
+  double sample = hbw_shard_is_long (shard, spec) ? 1 : 0;
+  shard->long_share += weight * (sample - shard->long_share);
+}
+
 void
 hbw_shard_note_arrival (HbwShard *shard, const HbwRequestSpec *spec)
 {
@@ -30,6 +58,7 @@
   if (shard->prompt_log2 <= 0)
     shard->prompt_log2 = length;
   shard->prompt_log2 += PROMPT_AVERAGE_WEIGHT * (length - shard->prompt_log2);
+  note_share (shard, spec);
 }
 
 /* A first token of a short prompt tells little of how fast prompts are read. */
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -130,6 +130,8 @@
   HbwMemberUpdate members[HBW_PING_MEMBERS_MAX];
   guint summary_count;
   HbwShardSummary summaries[HBW_PING_SUMMARIES_MAX];
+  gint64 confirmed_age_us; /* since the catalogue was known to be the newest; -1 is
+                              not known */
 } HbwPing;
 
 typedef struct
--- a/include/hornbeamwall/core/shard.h
+++ b/include/hornbeamwall/core/shard.h
@@ -63,6 +63,8 @@
   gint64 wanted_at_us;      /* last message from an entry instance */
   double service_us;        /* moving average from grant to end */
   double prompt_log2;       /* moving average of the length of prompts */
+  double own_tokens;        /* moving average, of prompts without shared parts */
+  double long_share;        /* moving average, part of prompt tokens in long ones */
   double prompt_rate;       /* prompt tokens that a server reads in a second */
   GHashTable *class_tokens; /* class name -> moving average of tokens, owned */
   guint rotation;           /* for round robin */
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -72,6 +72,7 @@
   msgpack_pack_array (packer, ping->summary_count);
   for (guint i = 0; i < ping->summary_count; i++)
     pack_summary (packer, &ping->summaries[i]);
+  msgpack_pack_int64 (packer, ping->confirmed_age_us);
 }
 
 static void
@@ -250,8 +251,8 @@
 
 /* Number of fields that pack_fields() writes, by kind. */
 static const guint field_counts[HBW_MESSAGE_COUNT] = {
-  [HBW_MESSAGE_PING] = 6,      [HBW_MESSAGE_ACK] = 6,
-  [HBW_MESSAGE_PROBE_FOR] = 6, [HBW_MESSAGE_WANT] = 27,
+  [HBW_MESSAGE_PING] = 7,      [HBW_MESSAGE_ACK] = 7,
+  [HBW_MESSAGE_PROBE_FOR] = 7, [HBW_MESSAGE_WANT] = 27,
   [HBW_MESSAGE_WITHDRAW] = 5,  [HBW_MESSAGE_GRANT] = 14,
   [HBW_MESSAGE_REFUSAL] = 5,   [HBW_MESSAGE_ACTIVE] = 10,
   [HBW_MESSAGE_DONE] = 11,     [HBW_MESSAGE_DOCUMENT_ASK] = 4,
--- a/net/codec_take.c
+++ b/net/codec_take.c
@@ -150,6 +150,9 @@
   HbwFields summaries = hbw_fields_take_array (fields, HBW_PING_SUMMARIES_MAX);
   while (!summaries.failed && summaries.next < summaries.count)
     take_summary (&summaries, &ping->summaries[ping->summary_count++]);
+  ping->confirmed_age_us = -1; /* where the sender is of an older version */
+  if (!fields->failed && fields->next < fields->count)
+    ping->confirmed_age_us = take_int (fields);
   fields->failed |= versions.failed || members.failed || summaries.failed;
 }
 
--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -11,14 +11,14 @@
 /* How long one watch stays open, in milliseconds.  Only the end of a watch on the
    catalogue confirms that nothing has changed. */
 static const guint watch_ms[HBW_DOCUMENT_COUNT] = {
-  [HBW_DOCUMENT_CATALOGUE] = 900,
+  [HBW_DOCUMENT_CATALOGUE] = 700,
   [HBW_DOCUMENT_SERVERS] = 2000,
   [HBW_DOCUMENT_INSTANCES] = 1000,
   [HBW_DOCUMENT_STOPS] = 1000,
 };
 
 /* Pause of an instance that does not watch, in microseconds. */
-#define IDLE_US (200 * HBW_US_PER_MS)
+#define IDLE_US (100 * HBW_US_PER_MS)
 
 /* Pauses after a call that failed. */
 #define RETRY_MIN_US (200 * HBW_US_PER_MS)
@@ -47,7 +47,6 @@
 struct HbwWatch
 {
   HbwControl *control;
-  gboolean shares; /* only some instances watch, and tell the others */
   pthread_mutex_t lock;
   pthread_cond_t wake;
   atomic_bool stopping;
@@ -134,8 +133,7 @@
   gint64 failed_us = RETRY_MIN_US;
   while (!atomic_load (&watch->stopping))
     {
-      gboolean idle
-          = has_read && watch->shares && !hbw_control_is_watcher (watch->control);
+      gboolean idle = has_read && !hbw_control_is_watcher (watch->control);
       gint64 pause = idle ? IDLE_US : follow_once (follower, &failed_us);
       if (!idle && pause < RETRY_MIN_US)
         has_read = TRUE;
@@ -188,7 +186,6 @@
 {
   HbwWatch *watch = g_new0 (HbwWatch, 1);
   watch->control = control;
-  watch->shares = strcmp (settings->interface, HBW_INTERFACE_NATIVE) == 0;
   pthread_condattr_t attributes;
   pthread_condattr_init (&attributes);
   pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
