--- a/core/entry.c
+++ b/core/entry.c
@@ -311,9 +311,11 @@
   gboolean unrun = hbw_outcome_is_unrun (end->outcome);
   if (unrun && request->unrun_attempts >= UNRUN_ATTEMPTS_MAX)
     return FALSE;
-  if (unrun && end->outcome != HBW_OUTCOME_REFUSED)
+  gboolean misdirected = end->outcome == HBW_OUTCOME_MISDIRECTED;
+  if (unrun && end->outcome != HBW_OUTCOME_REFUSED && !misdirected)
     return TRUE;
-  if (!has_attempts_left (request) || (!unrun && !may_repeat (request, end)))
+  if ((!misdirected && !has_attempts_left (request))
+      || (!unrun && !may_repeat (request, end)))
     return FALSE;
   return hbw_retry_budget_take (entry->budget, request->spec.pool,
                                 known_members (context), context->now_us);
--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -28,15 +28,20 @@
    what is over. */
 #define PLAIN_ROOM_PERCENT 150
 
-/* Long prompts are drawn to their part of all prompt tokens, and a little more, of
-   the servers; within these bounds. */
-#define LONG_PART_EXTRA 0.2
-#define LONG_PART_MIN 0.3
-#define LONG_PART_MAX 0.8
+/* Each length of prompt is drawn to its own part of the servers: this much, and the
+   rest in proportion to the prompt tokens that came in prompts of that length. */
+#define PART_MIN 0.1
 
-/* What a server of the other part costs a long and a short prompt. */
-#define LONG_PROMPT_US (4000 * HBW_US_PER_MS)
-#define SHORT_PROMPT_US (200 * HBW_US_PER_MS)
+/* Fewer servers are not divided. */
+#define PARTS_SERVERS_MIN 6
+
+/* What a server of another length's part costs, by the prompt's length and the
+   part's. */
+static const gint64 stray_us[HBW_LENGTH_COUNT][HBW_LENGTH_COUNT] = {
+  [HBW_LENGTH_LONG] = { 0, 2000 * HBW_US_PER_MS, 4000 * HBW_US_PER_MS },
+  [HBW_LENGTH_MEDIUM] = { 200 * HBW_US_PER_MS, 0, 1000 * HBW_US_PER_MS },
+  [HBW_LENGTH_SHORT] = { 600 * HBW_US_PER_MS, 200 * HBW_US_PER_MS, 0 },
+};
 
 /* A server's report is used for so long. */
 #define REPORT_AGE_MAX_US (500 * HBW_US_PER_MS)
@@ -48,8 +53,7 @@
   const HbwWant *want;
   gboolean suspect;
   gboolean any_state; /* servers that are taken for failed are used too */
-  gboolean long_prompt;
-  double long_part;      /* of the servers, that long prompts are drawn to */
+  HbwLength length;
   const HbwServer *home; /* where the prompt's beginning falls to, or NULL */
 } Choice;
 
@@ -101,13 +105,22 @@
   return others > 0 ? (double) before / others : 0;
 }
 
-/* Returns whether the server stands in the part of the order that prompts of this
-   length are drawn to. */
-static gboolean
-is_preferred (const Choice *choice, const HbwServer *server)
+/* Returns which length's part the server stands in. */
+static HbwLength
+part_of (const Choice *choice, const HbwServer *server)
 {
-  gboolean for_long = place_of (choice->shard, server) < choice->long_part;
-  return for_long == choice->long_prompt;
+  if (choice->shard->servers->len < PARTS_SERVERS_MIN)
+    return choice->length;
+  double place = place_of (choice->shard, server);
+  double end = 0;
+  for (guint length = 0; length + 1 < HBW_LENGTH_COUNT; length++)
+    {
+      end += PART_MIN
+             + (1.0 - PART_MIN * HBW_LENGTH_COUNT) * choice->shard->shares[length];
+      if (place < end)
+        return (HbwLength) length;
+    }
+  return HBW_LENGTH_COUNT - 1;
 }
 
 static const HbwServer *
@@ -122,7 +135,7 @@
       const HbwServer *server = g_ptr_array_index (shard->servers, i);
       guint64 weight = hbw_rendezvous_weight (hash, server->entry.id);
       if (server->stopping || server->state != HBW_SERVER_UP || weight < highest
-          || !is_preferred (choice, server))
+          || part_of (choice, server) != choice->length)
         continue;
       home = server;
       highest = weight;
@@ -155,15 +168,13 @@
   return wait;
 }
 
-/* Servers stand in an order that is the same for all instances.  Long prompts are
-   drawn to its first part and short ones to the rest: while a server reads a long
-   prompt, the streams beside it pause. */
+/* Servers stand in an order that is the same for all instances, cut into a part for
+   each length of prompt: while a server reads a long prompt, the streams beside it
+   pause. */
 static double
 position_us (const Choice *choice, const HbwServer *server)
 {
-  if (is_preferred (choice, server))
-    return 0;
-  return choice->long_prompt ? LONG_PROMPT_US : SHORT_PROMPT_US;
+  return (double) stray_us[choice->length][part_of (choice, server)];
 }
 
 static double
@@ -241,9 +252,7 @@
 {
   const HbwWant *want = &ticket->want;
   Choice choice = { .shard = shard, .context = context, .want = want };
-  choice.long_prompt = hbw_shard_is_long (shard, &want->spec);
-  choice.long_part
-      = CLAMP (shard->long_share + LONG_PART_EXTRA, LONG_PART_MIN, LONG_PART_MAX);
+  choice.length = hbw_shard_length_of (shard, &want->spec);
   choice.home = find_home (&choice);
   choice.suspect = hbw_quarantine_is_suspect (
       context->quarantine, &want->spec.fingerprint, context->now_us);
--- a/core/server.c
+++ b/core/server.c
@@ -74,7 +74,8 @@
 {
   gboolean failed = outcome == HBW_OUTCOME_FAILED || outcome == HBW_OUTCOME_BROKEN
                     || outcome == HBW_OUTCOME_TIMED_OUT
-                    || outcome == HBW_OUTCOME_NOT_CONNECTED;
+                    || outcome == HBW_OUTCOME_NOT_CONNECTED
+                    || outcome == HBW_OUTCOME_MISDIRECTED;
   if (!failed && outcome != HBW_OUTCOME_COMPLETE)
     return;
   server->failing
@@ -105,7 +106,7 @@
   server->failures++;
   gboolean probing = server->state == HBW_SERVER_PROBING;
   if (server->failures < FAILURES_DOWN && server->in_progress > 0 && !probing
-      && outcome != HBW_OUTCOME_NOT_CONNECTED)
+      && outcome != HBW_OUTCOME_NOT_CONNECTED && outcome != HBW_OUTCOME_MISDIRECTED)
     return;
   guint doublings = MIN (server->failures - 1, 4);
   gint64 wait = PROBE_WAIT_MIN_US << doublings;
@@ -229,6 +230,7 @@
       lower_limit (server, now_us);
       break;
     case HBW_OUTCOME_NOT_CONNECTED:
+    case HBW_OUTCOME_MISDIRECTED:
     case HBW_OUTCOME_BROKEN:
     case HBW_OUTCOME_TIMED_OUT:
       note_failure (server, done->outcome, now_us);
--- a/core/shard.c
+++ b/core/shard.c
@@ -315,7 +315,8 @@
   shard->wanted_at_us = now_us;
   shard->service_us = SERVICE_DEFAULT_US;
   shard->prompt_rate = HBW_PROMPT_RATE_DEFAULT;
-  shard->long_share = HBW_LONG_SHARE_DEFAULT;
+  for (guint i = 0; i < HBW_LENGTH_COUNT; i++)
+    shard->shares[i] = 1.0 / HBW_LENGTH_COUNT;
   shard->class_tokens
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return shard;
--- a/core/shard_estimate.c
+++ b/core/shard_estimate.c
@@ -8,10 +8,11 @@
 /* Prompts with fewer tokens to read say little of the speed. */
 #define PROMPT_SAMPLE_MIN 500
 
-/* Doublings of the usual prompt's length above which one counts as long. */
-#define LONG_DOUBLINGS 0.7
+/* Doublings of the usual prompt's length beyond which one counts as long or short.
+ */
+#define LENGTH_DOUBLINGS 0.7
 
-/* Weight of the newest prompt in the share of long ones, and the most that a single
+/* Weight of the newest prompt in the shares of lengths, and the most that a single
    one of many times the usual tokens counts. */
 #define SHARE_AVERAGE_WEIGHT 0.01
 #define SHARE_MOST 8.0
@@ -29,14 +30,16 @@
       += SERVICE_AVERAGE_WEIGHT * ((double) duration_us - shard->service_us);
 }
 
-gboolean
-hbw_shard_is_long (const HbwShard *shard, const HbwRequestSpec *spec)
+HbwLength
+hbw_shard_length_of (const HbwShard *shard, const HbwRequestSpec *spec)
 {
-  double length = log2 (MAX (1, spec->prompt_tokens));
-  return length > shard->prompt_log2 + LONG_DOUBLINGS;
+  double over = log2 (MAX (1, spec->prompt_tokens)) - shard->prompt_log2;
+  if (over > LENGTH_DOUBLINGS)
+    return HBW_LENGTH_LONG;
+  return over < -LENGTH_DOUBLINGS ? HBW_LENGTH_SHORT : HBW_LENGTH_MEDIUM;
 }
 
-/* Moves the share of long prompts by the tokens of one that no other request has. */
+/* Moves the shares by the tokens of a prompt that no other request has. */
 static void
 note_share (HbwShard *shard, const HbwRequestSpec *spec)
 {
@@ -45,8 +48,9 @@
   shard->own_tokens += SHARE_AVERAGE_WEIGHT * (tokens - shard->own_tokens);
   double weight
       = SHARE_AVERAGE_WEIGHT * MIN (tokens / MAX (shard->own_tokens, 1), SHARE_MOST);
-  double sample = hbw_shard_is_long (shard, spec) ? 1 : 0;
-  shard->long_share += weight * (sample - shard->long_share);
+  HbwLength length = hbw_shard_length_of (shard, spec);
+  for (guint i = 0; i < HBW_LENGTH_COUNT; i++)
+    shard->shares[i] += weight * ((i == length ? 1.0 : 0.0) - shard->shares[i]);
 }
 
 void
--- a/core/types.c
+++ b/core/types.c
@@ -12,6 +12,7 @@
   [HBW_OUTCOME_CANCELLED] = "cancelled",
   [HBW_OUTCOME_UNUSED] = "unused",
   [HBW_OUTCOME_DENIED] = "denied",
+  [HBW_OUTCOME_MISDIRECTED] = "misdirected",
   [HBW_OUTCOME_FAILED] = "failed",
 };
 
@@ -48,7 +49,8 @@
 hbw_outcome_is_unrun (HbwOutcome outcome)
 {
   return outcome == HBW_OUTCOME_NOT_CONNECTED || outcome == HBW_OUTCOME_REFUSED
-         || outcome == HBW_OUTCOME_UNUSED || outcome == HBW_OUTCOME_DENIED;
+         || outcome == HBW_OUTCOME_UNUSED || outcome == HBW_OUTCOME_DENIED
+         || outcome == HBW_OUTCOME_MISDIRECTED;
 }
 
 guint
--- a/include/hornbeamwall/core/shard.h
+++ b/include/hornbeamwall/core/shard.h
@@ -37,6 +37,15 @@
 /* Part of a shard's slots that each lower tier with waiting requests holds. */
 #define HBW_FLOOR_PERCENT 5
 
+/* How long a prompt is beside the usual one of its shard. */
+typedef enum
+{
+  HBW_LENGTH_LONG,
+  HBW_LENGTH_MEDIUM,
+  HBW_LENGTH_SHORT,
+  HBW_LENGTH_COUNT,
+} HbwLength;
+
 typedef struct HbwShard HbwShard;
 
 /* How a shard chooses; see policy.h. */
@@ -58,13 +67,13 @@
   HbwQueue *queue;
   GHashTable *reservations;
   guint in_progress[HBW_TIER_COUNT];
-  gint64 rebuilt_at_us;     /* end of the rebuild window */
-  gint64 compared_at_us;    /* last look for stragglers */
-  gint64 wanted_at_us;      /* last message from an entry instance */
-  double service_us;        /* moving average from grant to end */
-  double prompt_log2;       /* moving average of the length of prompts */
-  double own_tokens;        /* moving average, of prompts without shared parts */
-  double long_share;        /* moving average, part of prompt tokens in long ones */
+  gint64 rebuilt_at_us;  /* end of the rebuild window */
+  gint64 compared_at_us; /* last look for stragglers */
+  gint64 wanted_at_us;   /* last message from an entry instance */
+  double service_us;     /* moving average from grant to end */
+  double prompt_log2;    /* moving average of the length of prompts */
+  double own_tokens;     /* moving average, of prompts without shared parts */
+  double shares[HBW_LENGTH_COUNT]; /* of prompt tokens, by length; moving average */
   double prompt_rate;       /* prompt tokens that a server reads in a second */
   GHashTable *class_tokens; /* class name -> moving average of tokens, owned */
   guint rotation;           /* for round robin */
--- a/include/hornbeamwall/core/shard_estimate.h
+++ b/include/hornbeamwall/core/shard_estimate.h
@@ -27,14 +27,11 @@
    second. */
 #define HBW_PROMPT_RATE_DEFAULT 20000.0
 
-/* Part of prompt tokens that long ones hold before anything is measured. */
-#define HBW_LONG_SHARE_DEFAULT 0.5
-
 /* Notes how long the prompt of a new request is. */
 void hbw_shard_note_arrival (HbwShard *shard, const HbwRequestSpec *spec);
 
-/* Returns whether the prompt of SPEC is much longer than the usual one. */
-gboolean hbw_shard_is_long (const HbwShard *shard, const HbwRequestSpec *spec);
+/* Compares the prompt of SPEC with the usual one. */
+HbwLength hbw_shard_length_of (const HbwShard *shard, const HbwRequestSpec *spec);
 
 /* Notes that the first token came FIRST_TOKEN_US after the start of an attempt with
    TOKENS of its prompt to read, and AHEAD_TOKENS of others before them. */
--- a/include/hornbeamwall/core/types.h
+++ b/include/hornbeamwall/core/types.h
@@ -41,6 +41,7 @@
   HBW_OUTCOME_CANCELLED,     /* the caller went away */
   HBW_OUTCOME_UNUSED,        /* the grant was given back or lapsed */
   HBW_OUTCOME_DENIED,        /* nothing was sent, and nothing may be */
+  HBW_OUTCOME_MISDIRECTED,   /* another server has the address; it did not run it */
   HBW_OUTCOME_FAILED, /* a whole answer that reports the server's own failure */
   HBW_OUTCOME_COUNT,
 } HbwOutcome;
--- a/include/hornbeamwall/net/front.h
+++ b/include/hornbeamwall/net/front.h
@@ -19,6 +19,7 @@
 {
   char trace[HBW_TRACE_MAX]; /* of the request that it answers; "" is not said */
   gboolean unrun;            /* the server says that it did not run the request */
+  gboolean misdirected;      /* and that it is not the server that was expected */
   gboolean genuine;          /* it bears the mark of a server's own answer */
   gboolean has_load;
   guint running;
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -301,7 +301,8 @@
       HbwUpstream *upstream = exchange->upstream;
       exchange->upstream = NULL;
       hbw_upstream_detach (upstream);
-      report_end (exchange, HBW_OUTCOME_REFUSED);
+      report_end (exchange,
+                  facts.misdirected ? HBW_OUTCOME_MISDIRECTED : HBW_OUTCOME_REFUSED);
       return HBW_ANSWER_TAKE;
     }
   if (facts.unrun || !is_acceptable (exchange, head, &facts))
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -342,6 +342,26 @@
 }
 END_TEST
 
+/* Seen on gazetteer-eu, deploy/days/cuts_and_loss.toml: a server had left its
+   address to another one, and 29 requests that had run nowhere were refused. */
+START_TEST (misdirected_request_finds_another_server)
+{
+  Bench bench = bench_create (1, 3, 8);
+  HbwRequestSpec spec = make_spec ();
+  spec.idempotent = FALSE;
+  spec.attempts_max = 1;
+  arrive (&bench, 1, &spec);
+  char first[HBW_NAME_MAX];
+  g_strlcpy (first, started_at (&bench), sizeof first);
+  end (&bench, 1, 1, HBW_OUTCOME_MISDIRECTED, FALSE);
+  ck_assert_str_ne (started_at (&bench), "");
+  ck_assert_str_ne (started_at (&bench), first);
+  arrive (&bench, 2, &spec);
+  ck_assert_str_ne (started_at (&bench), first);
+  bench_destroy (&bench);
+}
+END_TEST
+
 START_TEST (only_a_stream_that_may_resume_goes_on_elsewhere)
 {
   Bench bench = bench_create (1, 3, 8);
@@ -603,6 +623,7 @@
   tcase_add_test (tests, retries_keep_within_the_budget_in_every_window);
   tcase_add_test (tests, request_that_may_not_repeat_runs_once);
   tcase_add_test (tests, unrun_attempts_count_against_the_endpoint);
+  tcase_add_test (tests, misdirected_request_finds_another_server);
   tcase_add_test (tests, only_a_stream_that_may_resume_goes_on_elsewhere);
   tcase_add_test (tests, answer_is_due_at_the_operators_limit);
   tcase_add_test (tests, planned_stop_takes_requests_for_a_while);
