Requests that cannot be in time are refused at once, with when to come back; soak of real processes

Change: the direct policy estimates the first piece at the server with the least before it; over 30 % of the deadline the request is refused with the time until it would be in its target. Only for prompts, as plain servers' times are not known at the start. A shared part that is read again costs nine times its tokens. Test: hopeless_requests_are_refused_at_once.

--- a/core/load_share.c
+++ b/core/load_share.c
@@ -159,8 +159,7 @@
 static void
 set_claim (Account *account, guint64 peer, const HbwServerLoad *load, gint64 now_us)
 {
-  const Claim claim
-      = { peer, { load->in_progress, load->unread_tokens }, now_us };
+  const Claim claim = { peer, { load->in_progress, load->unread_tokens }, now_us };
   for (guint i = account->claims->len; i > 0; i--)
     {
       Claim *known = &g_array_index (account->claims, Claim, i - 1);
--- a/core/policy.c
+++ b/core/policy.c
@@ -209,10 +209,12 @@
 }
 
 static const HbwPolicy policies[] = {
-  { "owner", TRUE, FALSE, tiers_select_ticket, owner_select_server },
-  { "independent", FALSE, FALSE, tiers_select_ticket, independent_select_server },
-  { "round_robin", FALSE, FALSE, fifo_select_ticket, rotate_select_server },
-  { "direct", FALSE, TRUE, tiers_select_ticket, hbw_direct_select_server },
+  { "owner", TRUE, FALSE, tiers_select_ticket, owner_select_server, NULL },
+  { "independent", FALSE, FALSE, tiers_select_ticket, independent_select_server,
+    NULL },
+  { "round_robin", FALSE, FALSE, fifo_select_ticket, rotate_select_server, NULL },
+  { "direct", FALSE, TRUE, tiers_select_ticket, hbw_direct_select_server,
+    hbw_direct_expected_first },
 };
 
 const HbwPolicy *
--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -22,7 +22,7 @@
 
 /* What a token of a shared part that is read once more costs besides its time, in
    tokens: the server could have read something else. */
-#define READ_AGAIN_FACTOR 3
+#define READ_AGAIN_FACTOR 9
 
 /* Percent of its slots up to which a plain server is given work; its own queue takes
    what is over. */
@@ -259,3 +259,24 @@
   choice.any_state = all_failed (shard);
   return cheapest (&choice);
 }
+
+gint64
+hbw_direct_expected_first (HbwShard *shard, HbwContext *context, const HbwWant *want)
+{
+  const Choice choice = { .shard = shard, .context = context, .want = want };
+  double least = -1;
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      const HbwServer *server = g_ptr_array_index (shard->servers, i);
+      if (server->stopping || server->state != HBW_SERVER_UP)
+        continue;
+      const HbwLoadSum load = load_of (&choice, server);
+      double tokens
+          = (double) load.unread_tokens + hbw_server_uncached (server, &want->spec);
+      double expected = queue_us (&choice, server, load.in_progress)
+                        + tokens * HBW_US_PER_S / shard->prompt_rate;
+      if (least < 0 || expected < least)
+        least = expected;
+    }
+  return (gint64) MAX (least, 0);
+}
--- a/core/request.c
+++ b/core/request.c
@@ -80,15 +80,14 @@
 hbw_request_log_refused (const HbwRequest *request, HbwContext *context,
                          HbwReason reason, gint64 retry_after_us)
 {
-  hbw_effects_log (context->effects, HBW_LOG_REQUEST_REFUSED,
-                   LINE_BEGIN "reason=%s executed=%s after_ms=%" G_GINT64_FORMAT
-                              " retry_after_ms=%" G_GINT64_FORMAT
-                              " sent=%u unrun=%u server=%s",
-                   request->trace, request->sequence, hbw_reason_name (reason),
-                   request->may_have_run ? "unknown" : "no",
-                   to_ms (context->now_us - request->arrived_us),
-                   to_ms (retry_after_us), request->sent_attempts,
-                   request->unrun_attempts, request->server);
+  hbw_effects_log (
+      context->effects, HBW_LOG_REQUEST_REFUSED,
+      LINE_BEGIN "reason=%s executed=%s after_ms=%" G_GINT64_FORMAT
+                 " retry_after_ms=%" G_GINT64_FORMAT " sent=%u unrun=%u server=%s",
+      request->trace, request->sequence, hbw_reason_name (reason),
+      request->may_have_run ? "unknown" : "no",
+      to_ms (context->now_us - request->arrived_us), to_ms (retry_after_us),
+      request->sent_attempts, request->unrun_attempts, request->server);
 }
 
 void
--- a/core/shard.c
+++ b/core/shard.c
@@ -11,6 +11,9 @@
 /* Service time assumed before anything is measured. */
 #define SERVICE_DEFAULT_US (1 * HBW_US_PER_S)
 
+/* Part of its deadline after which a first piece comes too late for the rest. */
+#define HOPELESS_PERCENT 30
+
 /* Bounds of the retry hint in a refusal. */
 #define RETRY_AFTER_MIN_US (100 * HBW_US_PER_MS)
 #define RETRY_AFTER_MAX_US (60 * HBW_US_PER_S)
@@ -153,22 +156,31 @@
 }
 
 static void
-send_refusal (HbwContext *context, const HbwShard *shard, guint64 to,
-              const HbwWant *want, HbwReason reason)
+post_refusal (HbwContext *context, guint64 to, const HbwWant *want, HbwReason reason,
+              gint64 wait_us)
 {
-  gint64 wait = hbw_shard_expected_wait (shard, want->spec.tier);
   HbwMessage message = { .kind = HBW_MESSAGE_REFUSAL };
   message.refusal.id = want->id;
   message.refusal.attempt = want->attempt;
   message.refusal.reason = reason;
   message.refusal.retry_after_us
-      = CLAMP (wait, RETRY_AFTER_MIN_US, RETRY_AFTER_MAX_US);
-  if (reason == HBW_REASON_QUARANTINED)
-    message.refusal.retry_after_us = hbw_quarantine_remaining (
-        context->quarantine, &want->spec.fingerprint, context->now_us);
+      = reason == HBW_REASON_QUARANTINED
+            ? wait_us
+            : CLAMP (wait_us, RETRY_AFTER_MIN_US, RETRY_AFTER_MAX_US);
   hbw_context_post (context, to, &message);
 }
 
+static void
+send_refusal (HbwContext *context, const HbwShard *shard, guint64 to,
+              const HbwWant *want, HbwReason reason)
+{
+  gint64 wait = hbw_shard_expected_wait (shard, want->spec.tier);
+  if (reason == HBW_REASON_QUARANTINED)
+    wait = hbw_quarantine_remaining (context->quarantine, &want->spec.fingerprint,
+                                     context->now_us);
+  post_refusal (context, to, want, reason, wait);
+}
+
 static void
 refuse_ticket (HbwShard *shard, HbwContext *context, HbwTicket *ticket,
                HbwReason reason)
@@ -381,6 +393,24 @@
   schedule (shard, context);
 }
 
+/* What cannot be in time any more would only take the time of others.  Whoever is
+   told so at once, with when there will be room, can still come back. */
+static gboolean
+refuse_hopeless (HbwShard *shard, HbwContext *context, guint64 to,
+                 const HbwWant *want)
+{
+  const HbwRequestSpec *spec = &want->spec;
+  if (shard->policy->expected_first_us == NULL || spec->deadline_us == 0
+      || spec->prompt_tokens == 0)
+    return FALSE;
+  gint64 expected = shard->policy->expected_first_us (shard, context, want);
+  if (expected <= spec->deadline_us / 100 * HOPELESS_PERCENT)
+    return FALSE;
+  post_refusal (context, to, want, HBW_REASON_OVERLOADED,
+                expected - MIN (expected, spec->target_us));
+  return TRUE;
+}
+
 void
 hbw_shard_want (HbwShard *shard, HbwContext *context, guint64 from,
                 const HbwWant *want)
@@ -405,6 +435,8 @@
       return;
     }
   hbw_shard_note_arrival (shard, &want->spec);
+  if (refuse_hopeless (shard, context, from, want))
+    return;
   HbwWant known_cost = *want;
   known_cost.spec.cost_tokens = hbw_shard_expected_tokens (shard, &want->spec);
   hbw_queue_add (shard->queue, &known_cost, from, context->now_us,
--- a/hornbeamwall/commands/serve.c
+++ b/hornbeamwall/commands/serve.c
@@ -54,6 +54,7 @@
   gint64 begun_us = hbw_clock_now (clock);
   gint64 least_us = grace_us / 100 * STOP_LEAST_PERCENT;
   gint64 most_us = grace_us / 100 * STOP_MOST_PERCENT;
+  gint64 linger_us = grace_us / 100 * HBW_STOP_LINGER_PERCENT;
   gint64 passed_us;
   hbw_instance_drain (instance);
   do
@@ -62,6 +63,8 @@
       if (number == SIGTERM || number == SIGINT)
         return;
       passed_us = hbw_clock_now (clock) - begun_us;
+      if (passed_us > linger_us)
+        hbw_instance_leave_store (instance);
       if (most_us > 0 && passed_us >= most_us)
         return;
     }
--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -2,10 +2,10 @@
  * log - numbered log events
  *
  * Every line that the program logs belongs to one numbered event of the list
- * below; docs/EVENTS.md is checked against it.  A line is one JSON object on standard
- * output: time, level, number, event and the key=value pairs of its text.  Lines go
- * through log4c and never wait for their reader; what is too much in one second is
- * counted instead.  A test may catch them with a hook.
+ * below; docs/EVENTS.md is checked against it.  A line is one JSON object on
+ * standard output: time, level, number, event and the key=value pairs of its text.
+ * Lines go through log4c and never wait for their reader; what is too much in one
+ * second is counted instead.  A test may catch them with a hook.
  */
 #ifndef HORNBEAMWALL_COMMON_LOG_H
 #define HORNBEAMWALL_COMMON_LOG_H
--- a/include/hornbeamwall/core/context.h
+++ b/include/hornbeamwall/core/context.h
@@ -24,7 +24,7 @@
   gboolean load_in_answers; /* no server is asked for its load */
   gboolean stops_known;     /* whether the stops were ever read; no grants before */
   GQueue *loopback;         /* HbwMessage to this instance itself */
-  HbwLoadShare *loads; /* NULL where one owner sees all of a shard */
+  HbwLoadShare *loads;      /* NULL where one owner sees all of a shard */
   HbwMembership *membership;
   HbwMetrics *metrics;
   HbwQuarantine *quarantine;
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -30,8 +30,8 @@
 {
   guint64 sequence; /* given by the runtime, never used twice */
   HbwRequestSpec spec;
-  char trace[HBW_TRACE_MAX];   /* the caller's own id of the request, or "" */
-  gint64 catalogue_age_us;     /* by which it was admitted */
+  char trace[HBW_TRACE_MAX]; /* the caller's own id of the request, or "" */
+  gint64 catalogue_age_us;   /* by which it was admitted */
   gint64 catalogue_version;
 } HbwArrival;
 
--- a/include/hornbeamwall/core/policy_direct.h
+++ b/include/hornbeamwall/core/policy_direct.h
@@ -20,4 +20,9 @@
 HbwServer *hbw_direct_select_server (HbwShard *shard, HbwContext *context,
                                      const HbwTicket *ticket);
 
+/* Returns how long the first piece of an answer would take at the server that has
+   the least before it. */
+gint64 hbw_direct_expected_first (HbwShard *shard, HbwContext *context,
+                                  const HbwWant *want);
+
 #endif
--- a/include/hornbeamwall/core/reducer.h
+++ b/include/hornbeamwall/core/reducer.h
@@ -22,7 +22,7 @@
   const HbwPolicy *policy;
   HbwRetryLimits retry_limits; /* a window of 0 stands for the default limits */
   gint64 revocation_us; /* see HbwFreshness; 0 where nothing needs confirmation */
-  gint64 linger_us; /* arrivals are still taken so long after a planned stop */
+  gint64 linger_us;     /* arrivals are still taken so long after a planned stop */
   gboolean
       load_in_answers; /* servers tell their load with each answer: none is asked */
   guint32 seed;
--- a/include/hornbeamwall/net/channel.h
+++ b/include/hornbeamwall/net/channel.h
@@ -1,8 +1,8 @@
 /*
  * channel - one TCP connection of an event loop, with a buffer for what is sent
  *
- * A channel belongs to its loop's thread.  After any of the callbacks the channel may
- * have been destroyed by its owner.
+ * A channel belongs to its loop's thread.  After any of the callbacks the channel
+ * may have been destroyed by its owner.
  */
 #ifndef HORNBEAMWALL_NET_CHANNEL_H
 #define HORNBEAMWALL_NET_CHANNEL_H
@@ -30,7 +30,8 @@
    has no room for it. */
 HbwChannel *hbw_channel_adopt (HbwLoop *loop, int fd, HbwChannelUser *user);
 
-/* Begins to connect to ADDRESS (IP number and port); NULL where that fails at once. */
+/* Begins to connect to ADDRESS (IP number and port); NULL where that fails at once.
+ */
 HbwChannel *hbw_channel_connect (HbwLoop *loop, const char *address,
                                  HbwChannelUser *user);
 
--- a/include/hornbeamwall/net/event_stream.h
+++ b/include/hornbeamwall/net/event_stream.h
@@ -1,8 +1,8 @@
 /*
  * event_stream - a stream of events (text/event-stream) cut into whole events
  *
- * Only whole events are passed on, so that a stream which breaks off in the middle of
- * one can be taken up by another server after the last whole one.
+ * Only whole events are passed on, so that a stream which breaks off in the middle
+ * of one can be taken up by another server after the last whole one.
  */
 #ifndef HORNBEAMWALL_NET_EVENT_STREAM_H
 #define HORNBEAMWALL_NET_EVENT_STREAM_H
--- a/include/hornbeamwall/net/parser.h
+++ b/include/hornbeamwall/net/parser.h
@@ -1,9 +1,9 @@
 /*
  * parser - HTTP/1.1 messages as they arrive, in pieces of any size
  *
- * A thin layer over the http_parser library: it collects the head of a message, hands
- * on the body without its framing, and stops after each whole message.  A message
- * whose end could be read in two ways is an error.
+ * A thin layer over the http_parser library: it collects the head of a message,
+ * hands on the body without its framing, and stops after each whole message.  A
+ * message whose end could be read in two ways is an error.
  */
 #ifndef HORNBEAMWALL_NET_PARSER_H
 #define HORNBEAMWALL_NET_PARSER_H
--- a/include/hornbeamwall/net/traffic.h
+++ b/include/hornbeamwall/net/traffic.h
@@ -17,7 +17,8 @@
 /* Ends the thread and closes every connection. */
 void hbw_traffic_destroy (HbwTraffic *traffic);
 
-/* Lets each connection end with its present request; may be called from any thread. */
+/* Lets each connection end with its present request; may be called from any thread.
+ */
 void hbw_traffic_drain (HbwTraffic *traffic);
 
 /* Closes the connections on which no request is in progress; from any thread. */
--- a/include/hornbeamwall/runtime/control.h
+++ b/include/hornbeamwall/runtime/control.h
@@ -42,8 +42,8 @@
    body is taken over by reference. */
 void hbw_control_submit (HbwControl *control, const HbwEvent *event, HbwCall *call);
 
-/* Sets who gets the orders of requests that were submitted without a call; NULL drops
-   them. */
+/* Sets who gets the orders of requests that were submitted without a call; NULL
+   drops them. */
 void hbw_control_set_sink (HbwControl *control, HbwOrderSink *sink);
 
 /* Notes that the store, asked at ASKED_US, gave VERSION as the newest catalogue. */
--- a/include/hornbeamwall/runtime/instance.h
+++ b/include/hornbeamwall/runtime/instance.h
@@ -19,6 +19,9 @@
 
 void hbw_instance_drain (HbwInstance *instance);
 
+/* No request is taken any more: the store need not be followed. */
+void hbw_instance_leave_store (HbwInstance *instance);
+
 /* Returns whether requests are still in progress. */
 gboolean hbw_instance_is_busy (const HbwInstance *instance);
 
--- a/include/hornbeamwall/runtime/watch.h
+++ b/include/hornbeamwall/runtime/watch.h
@@ -16,6 +16,9 @@
 HbwWatch *hbw_watch_create (HbwControl *control, const HbwSettings *settings,
                             HbwError *error);
 
+/* Begins to end the threads, without waiting. */
+void hbw_watch_stop (HbwWatch *watch);
+
 /* Ends the threads; waits for calls in progress. */
 void hbw_watch_destroy (HbwWatch *watch);
 
--- a/net/downstream.c
+++ b/net/downstream.c
@@ -129,9 +129,8 @@
   if (downstream->refused != 0)
     return;
   const char *expect = hbw_head_find (head, "Expect");
-  downstream->exchange = hbw_exchange_create (traffic, downstream,
-                                              hbw_parser_steal_head (
-                                                  downstream->parser));
+  downstream->exchange = hbw_exchange_create (
+      traffic, downstream, hbw_parser_steal_head (downstream->parser));
   downstream->reads_request = TRUE;
   if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") == 0)
     {
@@ -334,7 +333,8 @@
   GString *head = g_string_new (NULL);
   g_string_append_printf (head, "HTTP/1.1 %u \r\n%s", status, fields);
   if (length >= 0)
-    g_string_append_printf (head, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
+    g_string_append_printf (head, "Content-Length: %" G_GINT64_FORMAT "\r\n",
+                            length);
   else
     g_string_append (head, "Transfer-Encoding: chunked\r\n");
   if (downstream->close_after)
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -20,10 +20,6 @@
 /* Bits of an identity below the start time, for a random number. */
 #define IDENTITY_RANDOM_BITS 12
 
-/* Part of the time to stop in which requests are still taken: a load balancer needs a
-   while to send its callers elsewhere. */
-#define LINGER_PERCENT 35
-
 typedef struct
 {
   pthread_mutex_t lock;
@@ -292,8 +288,7 @@
   config.seeds = (const char *const *) settings->seeds->pdata;
   config.retry_limits = settings->retry_limits;
   config.revocation_us = settings->revocation_us;
-  config.linger_us
-      = settings->stop_grace_us / 100 * LINGER_PERCENT;
+  config.linger_us = settings->stop_grace_us / 100 * HBW_STOP_LINGER_PERCENT;
   config.load_in_answers = settings->load_in_answers;
   g_strlcpy (config.self.name, settings->name, sizeof config.self.name);
   g_strlcpy (config.self.data_centre, settings->data_centre,
--- a/runtime/feed.c
+++ b/runtime/feed.c
@@ -20,7 +20,8 @@
                                  .version = answer.version,
                                  .body = answer.body,
                                  .confirmed = answer.result != HBW_STORE_FAILED };
-  feed->read |= answer.result == HBW_STORE_OK || answer.result == HBW_STORE_UNCHANGED;
+  feed->read
+      |= answer.result == HBW_STORE_OK || answer.result == HBW_STORE_UNCHANGED;
   return result;
 }
 
--- a/runtime/instance.c
+++ b/runtime/instance.c
@@ -27,8 +27,7 @@
   instance->control = hbw_control_create (settings, clock, error);
   if (instance->control == NULL || !hbw_control_start (instance->control, error))
     return FALSE;
-  instance->watch
-      = hbw_watch_create (instance->control, settings, error);
+  instance->watch = hbw_watch_create (instance->control, settings, error);
   if (instance->watch == NULL)
     return FALSE;
   gboolean native = strcmp (settings->interface, HBW_INTERFACE_NATIVE) == 0;
@@ -88,6 +87,12 @@
     hbw_traffic_drain (instance->traffic);
 }
 
+void
+hbw_instance_leave_store (HbwInstance *instance)
+{
+  hbw_watch_stop (instance->watch);
+}
+
 gboolean
 hbw_instance_is_busy (const HbwInstance *instance)
 {
--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -201,12 +201,18 @@
 }
 
 void
-hbw_watch_destroy (HbwWatch *watch)
+hbw_watch_stop (HbwWatch *watch)
 {
   pthread_mutex_lock (&watch->lock);
   atomic_store (&watch->stopping, TRUE);
   pthread_cond_broadcast (&watch->wake);
   pthread_mutex_unlock (&watch->lock);
+}
+
+void
+hbw_watch_destroy (HbwWatch *watch)
+{
+  hbw_watch_stop (watch);
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     if (watch->followers[i].started)
       pthread_join (watch->followers[i].thread, NULL);
--- /dev/null
+++ b/scripts/platform-soak.sh
@@ -0,0 +1,45 @@
+#!/bin/sh
+# Runs the randomized soak of real processes on the users' platform:
+#   scripts/platform-soak.sh BUILD SEED SECONDS [INSTANCES]
+# Its folder is kept, with every log, where something was breached.
+set -eu
+build=${1:-build}
+seed=${2:-1}
+seconds=${3:-20}
+instances=${4:-5}
+dir=$(mktemp -d)
+runners=
+
+run_instance() { # number: starts it again whenever it ends
+  while [ ! -e "$dir/stop" ]; do
+    "$build/hornbeamwall" serve --config "$dir/i$1.json" >>"$dir/i$1.log" 2>&1 &
+    echo $! >"$dir/i$1.pid"
+    wait $! || true
+  done
+}
+
+stop_all() {
+  touch "$dir/stop"
+  for pid in $(cat "$dir"/*.pid 2>/dev/null); do
+    kill -CONT "$pid" 2>/dev/null || true
+    kill -9 "$pid" 2>/dev/null || true
+  done
+  for runner in $runners; do wait "$runner" 2>/dev/null || true; done
+}
+
+"$build/tests/platform_soak" "$dir" "$instances" "$seed" "$seconds" >"$dir/soak.txt" 2>&1 &
+soak=$!
+trap 'stop_all; kill -9 "$soak" 2>/dev/null || true' INT TERM
+while ! grep -q '^ready' "$dir/soak.txt"; do sleep 0.05; done
+i=0
+while [ "$i" -lt "$instances" ]; do
+  run_instance "$i" &
+  runners="$runners $!"
+  i=$((i + 1))
+done
+status=0
+wait "$soak" || status=$?
+stop_all
+grep -E '^(breach|seed)' "$dir/soak.txt" || tail -n 20 "$dir/soak.txt"
+if [ "$status" -eq 0 ]; then rm -rf "$dir"; else echo "kept in $dir"; fi
+exit "$status"
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -549,6 +549,31 @@
 }
 END_TEST
 
+/* The load of an auction at its worst: more to read than can be in time.  What
+   cannot be in time is told so at once, with when to come back; short prompts go on.
+ */
+START_TEST (hopeless_requests_are_refused_at_once)
+{
+  Bench bench = bench_create (1, 9, 64);
+  const HbwEffect *refusal = NULL;
+  for (guint64 i = 1; i <= 400 && refusal == NULL; i++)
+    {
+      HbwRequestSpec spec = make_prompt (1000 + i, 6300, 10000 + i, 2900);
+      arrive (&bench, i, &spec);
+      refusal = find (&bench, HBW_EFFECT_REFUSE);
+    }
+  ck_assert (refusal != NULL);
+  ck_assert_int_eq (refusal->refuse.executed, HBW_EXECUTED_NO);
+  ck_assert_int_gt (refusal->refuse.retry_after_us, 0);
+  ck_assert_int_lt (refusal->refuse.retry_after_us, 10 * HBW_US_PER_S);
+  HbwRequestSpec narration = make_prompt (5, 170, 6, 540);
+  narration.deadline_us = 15 * HBW_US_PER_S;
+  arrive (&bench, 1000, &narration);
+  ck_assert_str_ne (started_at (&bench), "");
+  bench_destroy (&bench);
+}
+END_TEST
+
 /* Takes the messages that BENCH posted to its peer and gives them to OTHER. */
 static guint
 deliver (const Bench *bench, Bench *other, guint64 from)
@@ -631,6 +656,7 @@
   tcase_add_test (tests, restart_under_the_same_name_starts_anew);
   tcase_add_test (tests, long_prompts_stand_apart_from_short_ones);
   tcase_add_test (tests, shared_beginnings_meet_until_they_crowd);
+  tcase_add_test (tests, hopeless_requests_are_refused_at_once);
   tcase_add_test (tests, instances_do_not_crowd_one_server);
   suite_add_tcase (suite, tests);
   return suite_run (suite);
--- /dev/null
+++ b/tests/platform_soak.c
@@ -0,0 +1,531 @@
+/*
+ * platform_soak - a randomized soak of real processes on the users' platform
+ *
+ * It holds the stand-ins (store, backend servers) and a proxy before each, writes
+ * the settings of the instances into a folder, and harms everything in a seeded
+ * order that overlaps, while callers send requests and keep using their connections.
+ * The processes are started, and started again, by scripts/platform-soak.sh, which
+ * leaves their ids in the folder; only those are signalled.
+ *
+ * What callers and servers see is checked: nothing that may run once runs twice,
+ * "not run" is true, every whole answer is the caller's own, events come once and in
+ * order.
+ */
+#include "standin/objects.h"
+#include "standin/proxy.h"
+#include "standin/replica.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define INSTANCES_MAX 16
+#define SERVERS 4
+#define CALLERS 16
+#define PATH_MAX_BYTES 96
+
+/* How long a caller waits for the next piece, and how long it stops after an answer.
+ */
+#define PATIENCE_S 3
+#define THINK_US 4000
+
+typedef struct
+{
+  const char *folder;
+  guint instances;
+  guint ports[INSTANCES_MAX];
+  Objects *objects;
+  Proxy *store_proxy;
+  Replica *replicas[SERVERS];
+  Proxy *proxies[SERVERS];
+  GRand *random; /* of the harm alone */
+  guint config_version;
+  atomic_bool stopping;
+  atomic_uint sent;
+  atomic_uint whole;
+  atomic_uint refused;
+  atomic_uint failed;
+  atomic_uint breaches;
+} Soak;
+
+typedef struct
+{
+  Soak *soak;
+  pthread_t thread;
+  guint number;
+  GRand *random;
+  int fd; /* -1: none */
+} Caller;
+
+static void
+breach (Soak *soak, const char *what, const char *path, const char *text)
+{
+  atomic_fetch_add (&soak->breaches, 1);
+  printf ("breach: %s: %s: %.400s\n", what, path, text);
+  fflush (stdout);
+}
+
+static guint
+runs_of (Soak *soak, const char *path)
+{
+  guint runs = 0;
+  for (guint i = 0; i < SERVERS; i++)
+    runs += replica_runs (soak->replicas[i], path);
+  return runs;
+}
+
+/* --- callers
+ * --------------------------------------------------------------------------- */
+
+static gboolean
+dial (Caller *caller)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  const struct timeval patience = { PATIENCE_S, 0 };
+  Soak *soak = caller->soak;
+  guint index
+      = (guint) g_rand_int_range (caller->random, 0, (gint32) soak->instances);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons ((guint16) soak->ports[index]);
+  caller->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt (caller->fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+  if (connect (caller->fd, (struct sockaddr *) &address, sizeof address) == 0)
+    return TRUE;
+  close (caller->fd);
+  caller->fd = -1;
+  return FALSE;
+}
+
+static void
+hang_up (Caller *caller)
+{
+  if (caller->fd >= 0)
+    close (caller->fd);
+  caller->fd = -1;
+}
+
+/* Returns the length of a whole answer at the beginning of TEXT, or 0. */
+static gsize
+whole_length (const GString *text)
+{
+  const char *end = strstr (text->str, "\r\n\r\n");
+  if (end == NULL)
+    return 0;
+  gsize head = (gsize) (end - text->str) + 4;
+  const char *length = strstr (text->str, "Content-Length: ");
+  if (length != NULL && length < end)
+    {
+      gsize body = strtoul (length + strlen ("Content-Length: "), NULL, 10);
+      return text->len >= head + body ? head + body : 0;
+    }
+  const char *last = strstr (end + 2, "\r\n0\r\n\r\n");
+  return last != NULL ? (gsize) (last - text->str) + 7 : 0;
+}
+
+/* Returns the answer, or NULL where it did not come whole. */
+static GString *
+hear (Caller *caller)
+{
+  char bytes[4096];
+  GString *text = g_string_new (NULL);
+  while (whole_length (text) == 0)
+    {
+      ssize_t count = recv (caller->fd, bytes, sizeof bytes, 0);
+      if (count <= 0)
+        {
+          hang_up (caller);
+          g_string_free (text, TRUE);
+          return NULL;
+        }
+      g_string_append_len (text, bytes, count);
+    }
+  if (strstr (text->str, "Connection: close") != NULL)
+    hang_up (caller);
+  return text;
+}
+
+static void
+check_events (Soak *soak, const char *path, const char *trace, const GString *text)
+{
+  const char *at = text->str;
+  for (guint i = 1; i <= 6; i++)
+    {
+      char event[128];
+      g_snprintf (event, sizeof event, "id: %u\ndata: %s %u\n", i, trace, i);
+      at = strstr (at, event);
+      if (at == NULL || strstr (at + 1, event) != NULL)
+        {
+          breach (soak, "events not once and in order", path, text->str);
+          return;
+        }
+    }
+}
+
+static void
+check_answer (Soak *soak, const char *path, const char *trace, const GString *text)
+{
+  guint status = 0;
+  sscanf (text->str, "HTTP/1.1 %u", &status);
+  if (status == 200 && strstr (text->str, trace) == NULL)
+    breach (soak, "another request's answer", path, text->str);
+  else if (status == 200 && strstr (text->str, "text/event-stream") != NULL)
+    check_events (soak, path, trace, text);
+  else if (status == 200 && strstr (path, "/early") == NULL
+           && strstr (text->str, path) == NULL)
+    breach (soak, "not the answer to this path", path, text->str);
+  if (status == 200)
+    atomic_fetch_add (&soak->whole, 1);
+  else if (status == 429 || status == 503)
+    atomic_fetch_add (&soak->refused, 1);
+  else
+    atomic_fetch_add (&soak->failed, 1);
+  gboolean promise = status == 429 || status == 503 || status == 408;
+  if (promise && g_str_has_prefix (path, "/unsafe/") && runs_of (soak, path) > 0)
+    breach (soak, "said not to have run", path, text->str);
+}
+
+static void
+make_path (Caller *caller, guint number, char *path)
+{
+  static const char *const plain[]
+      = { "ok",     "ok",    "ok",   "ok",    "reset1", "close1",
+          "short1", "extra", "shed", "fail1", "early" };
+  static const char *const streams[] = { "events", "events", "cut1" };
+  static const char *const kinds[] = { "safe", "unsafe", "stream", "once" };
+  const char *kind = kinds[g_rand_int_range (caller->random, 0, 4)];
+  gboolean streaming = strcmp (kind, "stream") == 0 || strcmp (kind, "once") == 0;
+  const char *word
+      = streaming
+            ? streams[g_rand_int_range (caller->random, 0, G_N_ELEMENTS (streams))]
+            : plain[g_rand_int_range (caller->random, 0, G_N_ELEMENTS (plain))];
+  g_snprintf (path, PATH_MAX_BYTES, "/%s/c%u-%u/%s", kind, caller->number, number,
+              word);
+}
+
+static void
+call (Caller *caller, guint number)
+{
+  Soak *soak = caller->soak;
+  char path[PATH_MAX_BYTES];
+  char trace[32];
+  make_path (caller, number, path);
+  g_snprintf (trace, sizeof trace, "t%u-%u-", caller->number, number);
+  if (caller->fd < 0 && !dial (caller))
+    return;
+  char *request = g_strdup_printf (
+      "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamwall-Key: k1\r\n"
+      "X-Hornbeamwall-Attempt-Id: %s\r\nX-Hornbeamwall-Deadline-Ms: 2500\r\n"
+      "Content-Length: %zu\r\n\r\n%s",
+      path, trace, strlen (trace), trace);
+  atomic_fetch_add (&soak->sent, 1);
+  gboolean written = send (caller->fd, request, strlen (request), MSG_NOSIGNAL)
+                     == (ssize_t) strlen (request);
+  GString *answer = written ? hear (caller) : NULL;
+  if (!written)
+    hang_up (caller);
+  if (answer != NULL)
+    {
+      check_answer (soak, path, trace, answer);
+      g_string_free (answer, TRUE);
+    }
+  else
+    atomic_fetch_add (&soak->failed, 1);
+  gboolean once
+      = g_str_has_prefix (path, "/unsafe/") || g_str_has_prefix (path, "/once/");
+  if (once && runs_of (soak, path) > 1)
+    breach (soak, "ran more than once", path, trace);
+  g_free (request);
+}
+
+static void *
+run_caller (void *data)
+{
+  Caller *caller = data;
+  for (guint number = 0; !atomic_load (&caller->soak->stopping); number++)
+    {
+      call (caller, number);
+      g_usleep (THINK_US);
+    }
+  hang_up (caller);
+  return NULL;
+}
+
+/* --- what stands around
+ * ------------------------------------------------------------------ */
+
+static void
+put_config (Soak *soak)
+{
+  char *text = g_strdup_printf (
+      "{\"version\":%u,\"routes\":["
+      "{\"name\":\"safe\",\"hostname\":\"h.example\",\"path_prefix\":\"/safe/\","
+      "\"route_type\":\"safe\",\"timeout_ms\":2000,\"latency_goal_ms\":100,"
+      "\"priority\":1,\"backend\":\"b\",\"max_attempts\":2},"
+      "{\"name\":\"unsafe\",\"hostname\":\"h.example\",\"path_prefix\":\"/unsafe/\","
+      "\"route_type\":\"unsafe\",\"timeout_ms\":2000,\"latency_goal_ms\":100,"
+      "\"priority\":0,\"backend\":\"b\",\"max_attempts\":1},"
+      "{\"name\":\"stream\",\"hostname\":\"h.example\",\"path_prefix\":\"/stream/\","
+      "\"route_type\":\"streaming\",\"resumable\":true,\"timeout_ms\":2000,"
+      "\"latency_goal_ms\":100,\"gap_target_ms\":250,\"priority\":0,"
+      "\"backend\":\"b\",\"max_attempts\":2},"
+      "{\"name\":\"once\",\"hostname\":\"h.example\",\"path_prefix\":\"/once/\","
+      "\"route_type\":\"streaming\",\"resumable\":false,\"timeout_ms\":2000,"
+      "\"latency_goal_ms\":100,\"gap_target_ms\":250,\"priority\":2,"
+      "\"backend\":\"b\",\"max_attempts\":2}],"
+      "\"backends\":[{\"name\":\"b\"}],"
+      "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"
+      "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+      "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"]}]}",
+      ++soak->config_version);
+  objects_set (soak->objects, "config", "main", text);
+  g_free (text);
+}
+
+static void
+put_server (Soak *soak, guint index, const char *state)
+{
+  char name[16];
+  g_snprintf (name, sizeof name, "i-%u", index);
+  char *text = g_strdup_printf (
+      "{\"backend\":\"b\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\",\"slots\":16,"
+      "\"state\":\"%s\",\"sequence\":1,\"born\":1}",
+      proxy_port (soak->proxies[index]), state);
+  objects_set (soak->objects, "servers", name, text);
+  g_free (text);
+}
+
+static guint
+free_port (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t size = sizeof address;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (bind (fd, (struct sockaddr *) &address, sizeof address) != 0)
+    g_error ("no free port");
+  getsockname (fd, (struct sockaddr *) &address, &size);
+  close (fd);
+  return ntohs (address.sin_port);
+}
+
+static void
+write_settings (Soak *soak)
+{
+  guint peers[INSTANCES_MAX];
+  for (guint i = 0; i < soak->instances; i++)
+    {
+      soak->ports[i] = free_port ();
+      peers[i] = free_port ();
+    }
+  for (guint i = 0; i < soak->instances; i++)
+    {
+      char *path = g_strdup_printf ("%s/i%u.json", soak->folder, i);
+      char *text = g_strdup_printf (
+          "{\"name\":\"i%u\",\"data_centre\":\"z\",\"interface\":\"platform\","
+          "\"policy\":\"direct\",\"caller_address\":\"127.0.0.1:%u\","
+          "\"admin_address\":\"127.0.0.1:%u\",\"peer_address\":\"127.0.0.1:%u\","
+          "\"platform_address\":\"127.0.0.1:%u\",\"load_in_answers\":true,"
+          "\"revocation_ms\":5000,\"retry_ratio\":0.2,\"retry_extra\":54,"
+          "\"stop_grace_s\":4,\"connect_timeout_ms\":150,"
+          "\"seeds\":[\"127.0.0.1:%u\"]}",
+          i, soak->ports[i], free_port (), peers[i], proxy_port (soak->store_proxy),
+          peers[0]);
+      if (!g_file_set_contents (path, text, -1, NULL))
+        g_error ("cannot write %s", path);
+      g_free (text);
+      g_free (path);
+    }
+}
+
+/* --- harm
+ * --------------------------------------------------------------------------------
+ */
+
+static pid_t
+pid_of (const Soak *soak, guint index)
+{
+  char *text = NULL;
+  char *path = g_strdup_printf ("%s/i%u.pid", soak->folder, index);
+  pid_t pid = 0;
+  if (g_file_get_contents (path, &text, NULL, NULL))
+    pid = (pid_t) strtol (text, NULL, 10);
+  g_free (text);
+  g_free (path);
+  return pid;
+}
+
+static void
+signal_one (const Soak *soak, guint index, int number)
+{
+  pid_t pid = pid_of (soak, index);
+  if (pid > 1)
+    kill (pid, number);
+}
+
+static guint
+pick (Soak *soak, guint count)
+{
+  return (guint) g_rand_int_range (soak->random, 0, (gint32) count);
+}
+
+static void
+harm_process (Soak *soak)
+{
+  static const int numbers[]
+      = { SIGKILL, SIGTERM, SIGHUP, SIGSTOP, SIGCONT, SIGCONT };
+  guint index = pick (soak, soak->instances);
+  int number = numbers[pick (soak, G_N_ELEMENTS (numbers))];
+  printf ("harm: signal %d to instance %u\n", number, index);
+  signal_one (soak, index, number);
+}
+
+static void
+harm_store (Soak *soak)
+{
+  static const ObjectsMood moods[]
+      = { OBJECTS_WELL, OBJECTS_WELL, OBJECTS_BUSY, OBJECTS_MANY, OBJECTS_SILENT };
+  guint choice = pick (soak, 8);
+  printf ("harm: store %u\n", choice);
+  if (choice < G_N_ELEMENTS (moods))
+    objects_set_mood (soak->objects, moods[choice]);
+  else if (choice == 5)
+    objects_forget (soak->objects);
+  else if (choice == 6)
+    proxy_set_mode (soak->store_proxy, (ProxyMode) pick (soak, PROXY_MODES));
+  else
+    put_config (soak);
+}
+
+static void
+harm_server (Soak *soak)
+{
+  static const char *const states[] = { "ready", "ready", "draining" };
+  guint index = pick (soak, SERVERS);
+  if (pick (soak, 3) == 0)
+    {
+      const char *state = states[pick (soak, G_N_ELEMENTS (states))];
+      printf ("harm: server %u is %s\n", index, state);
+      put_server (soak, index, state);
+      return;
+    }
+  ProxyMode mode = (ProxyMode) pick (soak, PROXY_MODES);
+  printf ("harm: way to server %u in mode %d\n", index, mode);
+  proxy_set_mode (soak->proxies[index], mode);
+}
+
+/* Everything works again, so that each round of harm starts from a whole system. */
+static void
+heal (Soak *soak)
+{
+  printf ("heal\n");
+  objects_set_mood (soak->objects, OBJECTS_WELL);
+  proxy_set_mode (soak->store_proxy, PROXY_PASS);
+  for (guint i = 0; i < SERVERS; i++)
+    {
+      proxy_set_mode (soak->proxies[i], PROXY_PASS);
+      put_server (soak, i, "ready");
+    }
+  for (guint i = 0; i < soak->instances; i++)
+    signal_one (soak, i, SIGCONT);
+}
+
+static void
+harm (Soak *soak, guint seconds)
+{
+  gint64 end = g_get_monotonic_time () + (gint64) seconds * G_USEC_PER_SEC;
+  for (guint turn = 1; g_get_monotonic_time () < end; turn++)
+    {
+      guint kind = pick (soak, 3);
+      if (turn % 12 == 0)
+        heal (soak);
+      else if (kind == 0)
+        harm_process (soak);
+      else if (kind == 1)
+        harm_store (soak);
+      else
+        harm_server (soak);
+      fflush (stdout);
+      g_usleep ((gulong) g_rand_int_range (soak->random, 100000, 700000));
+    }
+  heal (soak);
+}
+
+static void
+set_up (Soak *soak)
+{
+  soak->objects = objects_create ("127.0.0.1:0", 2);
+  soak->store_proxy = proxy_create (objects_port (soak->objects));
+  for (guint i = 0; i < SERVERS; i++)
+    {
+      char id[16];
+      g_snprintf (id, sizeof id, "i-%u", i);
+      soak->replicas[i] = replica_create ("127.0.0.1:0", id);
+      soak->proxies[i] = proxy_create (replica_port (soak->replicas[i]));
+      put_server (soak, i, "ready");
+    }
+  put_config (soak);
+  write_settings (soak);
+}
+
+static void
+tear_down (Soak *soak)
+{
+  for (guint i = 0; i < SERVERS; i++)
+    {
+      proxy_destroy (soak->proxies[i]);
+      replica_destroy (soak->replicas[i]);
+    }
+  proxy_destroy (soak->store_proxy);
+  objects_destroy (soak->objects);
+}
+
+int
+main (int argc, char **argv)
+{
+  if (argc != 5)
+    {
+      fprintf (stderr, "Usage: platform_soak FOLDER INSTANCES SEED SECONDS\n");
+      return 2;
+    }
+  Soak soak = { .folder = argv[1] };
+  Caller callers[CALLERS];
+  guint32 seed = (guint32) strtoul (argv[3], NULL, 10);
+  soak.instances = MIN ((guint) strtoul (argv[2], NULL, 10), INSTANCES_MAX);
+  soak.random = g_rand_new_with_seed (seed);
+  signal (SIGPIPE, SIG_IGN);
+  set_up (&soak);
+  printf ("ready\n");
+  fflush (stdout);
+  for (guint i = 0; i < CALLERS; i++)
+    {
+      callers[i] = (Caller){ .soak = &soak, .number = i, .fd = -1 };
+      callers[i].random = g_rand_new_with_seed (seed * CALLERS + i);
+      pthread_create (&callers[i].thread, NULL, run_caller, &callers[i]);
+    }
+  harm (&soak, (guint) strtoul (argv[4], NULL, 10));
+  g_usleep (4 * G_USEC_PER_SEC);
+  guint before = atomic_load (&soak.whole);
+  g_usleep (2 * G_USEC_PER_SEC);
+  if (atomic_load (&soak.whole) == before)
+    breach (&soak, "nothing is served after all has healed", "", "");
+  atomic_store (&soak.stopping, TRUE);
+  for (guint i = 0; i < CALLERS; i++)
+    {
+      pthread_join (callers[i].thread, NULL);
+      g_rand_free (callers[i].random);
+    }
+  printf ("seed %u: %u sent, %u whole, %u refused, %u failed, %u breaches\n", seed,
+          atomic_load (&soak.sent), atomic_load (&soak.whole),
+          atomic_load (&soak.refused), atomic_load (&soak.failed),
+          atomic_load (&soak.breaches));
+  tear_down (&soak);
+  g_rand_free (soak.random);
+  return atomic_load (&soak.breaches) == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/standin/proxy.c
@@ -0,0 +1,170 @@
+#include "proxy.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Connections at once; more are refused. */
+#define LINKS_MAX 256
+
+#define DELAY_US 20000
+
+typedef struct
+{
+  int ends[2]; /* of the client, of the server */
+} Link;
+
+struct Proxy
+{
+  int fd;
+  guint port;
+  atomic_uint target;
+  atomic_int mode;
+  atomic_bool stopping;
+  pthread_t thread;
+  Link links[LINKS_MAX];
+  guint count;
+};
+
+static struct sockaddr_in
+loopback (guint port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons ((guint16) port);
+  return address;
+}
+
+static void
+drop (Proxy *proxy, guint index, gboolean hard)
+{
+  const struct linger now = { 1, 0 };
+  for (guint i = 0; i < 2; i++)
+    {
+      if (hard)
+        setsockopt (proxy->links[index].ends[i], SOL_SOCKET, SO_LINGER, &now,
+                    sizeof now);
+      close (proxy->links[index].ends[i]);
+    }
+  proxy->links[index] = proxy->links[--proxy->count];
+}
+
+static void
+take (Proxy *proxy)
+{
+  int client = accept (proxy->fd, NULL, NULL);
+  if (client < 0)
+    return;
+  struct sockaddr_in target = loopback (atomic_load (&proxy->target));
+  int server = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (proxy->count >= LINKS_MAX
+      || connect (server, (struct sockaddr *) &target, sizeof target) != 0)
+    {
+      close (client);
+      close (server);
+      return;
+    }
+  proxy->links[proxy->count++] = (Link){ { client, server } };
+}
+
+/* Moves what has come from one end to the other; returns whether the link lives. */
+static gboolean
+move (Proxy *proxy, const Link *link, guint from)
+{
+  char bytes[8192];
+  int mode = atomic_load (&proxy->mode);
+  ssize_t count = recv (link->ends[from], bytes, sizeof bytes, MSG_DONTWAIT);
+  if (count <= 0)
+    return FALSE;
+  gboolean lost = mode == PROXY_SILENT || (mode == PROXY_CUT_UP && from == 0)
+                  || (mode == PROXY_CUT_DOWN && from == 1);
+  if (mode == PROXY_DELAY)
+    g_usleep (DELAY_US);
+  if (lost)
+    return TRUE;
+  return send (link->ends[1 - from], bytes, (size_t) count, MSG_NOSIGNAL) == count;
+}
+
+static void
+serve_links (Proxy *proxy, const struct pollfd *fds, guint count)
+{
+  for (guint i = count; i > 0; i--)
+    {
+      gboolean lives = atomic_load (&proxy->mode) != PROXY_RESET;
+      for (guint end = 0; end < 2 && lives; end++)
+        if (fds[2 * (i - 1) + end].revents != 0)
+          lives = move (proxy, &proxy->links[i - 1], end);
+      if (!lives)
+        drop (proxy, i - 1, atomic_load (&proxy->mode) == PROXY_RESET);
+    }
+}
+
+static void *
+run (void *data)
+{
+  Proxy *proxy = data;
+  struct pollfd fds[2 * LINKS_MAX + 1];
+  while (!atomic_load (&proxy->stopping))
+    {
+      guint count = proxy->count;
+      for (guint i = 0; i < 2 * count; i++)
+        fds[i] = (struct pollfd){ proxy->links[i / 2].ends[i % 2], POLLIN, 0 };
+      fds[2 * count] = (struct pollfd){ proxy->fd, POLLIN, 0 };
+      if (poll (fds, 2 * count + 1, 20) < 0)
+        continue;
+      serve_links (proxy, fds, count);
+      if (fds[2 * count].revents != 0)
+        take (proxy);
+    }
+  while (proxy->count > 0)
+    drop (proxy, 0, FALSE);
+  return NULL;
+}
+
+Proxy *
+proxy_create (guint port)
+{
+  Proxy *proxy = g_new0 (Proxy, 1);
+  struct sockaddr_in address = loopback (0);
+  socklen_t size = sizeof address;
+  atomic_store (&proxy->target, port);
+  proxy->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (bind (proxy->fd, (struct sockaddr *) &address, sizeof address) != 0
+      || listen (proxy->fd, 128) != 0)
+    g_error ("proxy cannot listen");
+  getsockname (proxy->fd, (struct sockaddr *) &address, &size);
+  proxy->port = ntohs (address.sin_port);
+  pthread_create (&proxy->thread, NULL, run, proxy);
+  return proxy;
+}
+
+void
+proxy_destroy (Proxy *proxy)
+{
+  atomic_store (&proxy->stopping, TRUE);
+  pthread_join (proxy->thread, NULL);
+  close (proxy->fd);
+  g_free (proxy);
+}
+
+guint
+proxy_port (const Proxy *proxy)
+{
+  return proxy->port;
+}
+
+void
+proxy_set_mode (Proxy *proxy, ProxyMode mode)
+{
+  atomic_store (&proxy->mode, mode);
+}
+
+void
+proxy_set_target (Proxy *proxy, guint port)
+{
+  atomic_store (&proxy->target, port);
+}
