Requests are refused for what waits before them, not for their own length

Change: what counts is what the server has to read before, and the shared parts that it would have to read again; over 20 % of the deadline the request is refused. Test: long_prompts_are_not_refused_for_their_length.

--- a/core/policy.c
+++ b/core/policy.c
@@ -214,7 +214,7 @@
     NULL },
   { "round_robin", FALSE, FALSE, fifo_select_ticket, rotate_select_server, NULL },
   { "direct", FALSE, TRUE, tiers_select_ticket, hbw_direct_select_server,
-    hbw_direct_expected_first },
+    hbw_direct_expected_wait },
 };
 
 const HbwPolicy *
--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -143,6 +143,14 @@
   return home;
 }
 
+/* Tokens of the prompt that no other request shares. */
+static guint
+own_tokens (const HbwRequestSpec *spec)
+{
+  return spec->part_count > 0 ? spec->parts[spec->part_count - 1].tokens
+                              : spec->prompt_tokens;
+}
+
 /* The part of the prompt that is no other request's is read wherever it goes; the
    shared parts are read once more for nothing where they are not at hand. */
 static double
@@ -150,9 +158,7 @@
 {
   const HbwRequestSpec *spec = &choice->want->spec;
   guint unread = hbw_server_uncached (server, spec);
-  guint own
-      = spec->part_count > 0 ? spec->parts[spec->part_count - 1].tokens : unread;
-  guint again = unread - MIN (unread, own);
+  guint again = unread - MIN (unread, own_tokens (spec));
   double tokens = (double) load->unread_tokens + unread + again * READ_AGAIN_FACTOR;
   double time = tokens * HBW_US_PER_S / choice->shard->prompt_rate;
   return server == choice->home ? time : time + NOT_HOME_US;
@@ -261,7 +267,7 @@
 }
 
 gint64
-hbw_direct_expected_first (HbwShard *shard, HbwContext *context, const HbwWant *want)
+hbw_direct_expected_wait (HbwShard *shard, HbwContext *context, const HbwWant *want)
 {
   const Choice choice = { .shard = shard, .context = context, .want = want };
   double least = -1;
@@ -271,10 +277,10 @@
       if (server->stopping || server->state != HBW_SERVER_UP)
         continue;
       const HbwLoadSum load = load_of (&choice, server);
-      double tokens
-          = (double) load.unread_tokens + hbw_server_uncached (server, &want->spec);
-      double expected = queue_us (&choice, server, load.in_progress)
-                        + tokens * HBW_US_PER_S / shard->prompt_rate;
+      guint unread = hbw_server_uncached (server, &want->spec);
+      guint shared = unread - MIN (unread, own_tokens (&want->spec));
+      double tokens = (double) load.unread_tokens + shared;
+      double expected = tokens * HBW_US_PER_S / shard->prompt_rate;
       if (least < 0 || expected < least)
         least = expected;
     }
--- a/core/shard.c
+++ b/core/shard.c
@@ -11,8 +11,9 @@
 /* Service time assumed before anything is measured. */
 #define SERVICE_DEFAULT_US (1 * HBW_US_PER_S)
 
-/* Part of its deadline after which a first piece comes too late for the rest. */
-#define HOPELESS_PERCENT 30
+/* Part of its deadline that a request may wait at a server before its prompt is
+ * read. */
+#define HOPELESS_PERCENT 20
 
 /* Bounds of the retry hint in a refusal. */
 #define RETRY_AFTER_MIN_US (100 * HBW_US_PER_MS)
@@ -400,14 +401,13 @@
                  const HbwWant *want)
 {
   const HbwRequestSpec *spec = &want->spec;
-  if (shard->policy->expected_first_us == NULL || spec->deadline_us == 0
+  if (shard->policy->expected_wait_us == NULL || spec->deadline_us == 0
       || spec->prompt_tokens == 0)
     return FALSE;
-  gint64 expected = shard->policy->expected_first_us (shard, context, want);
+  gint64 expected = shard->policy->expected_wait_us (shard, context, want);
   if (expected <= spec->deadline_us / 100 * HOPELESS_PERCENT)
     return FALSE;
-  post_refusal (context, to, want, HBW_REASON_OVERLOADED,
-                expected - MIN (expected, spec->target_us));
+  post_refusal (context, to, want, HBW_REASON_OVERLOADED, expected);
   return TRUE;
 }
 
--- a/include/hornbeamwall/core/policy_direct.h
+++ b/include/hornbeamwall/core/policy_direct.h
@@ -20,9 +20,11 @@
 HbwServer *hbw_direct_select_server (HbwShard *shard, HbwContext *context,
                                      const HbwTicket *ticket);
 
-/* Returns how long the first piece of an answer would take at the server that has
-   the least before it. */
-gint64 hbw_direct_expected_first (HbwShard *shard, HbwContext *context,
-                                  const HbwWant *want);
+/* Returns how long the prompts that a server has to read before, and the shared
+   parts that it would have to read again, would take at the server with the least of
+   both. The request's own part does not count, so that none is refused for its
+   length. */
+gint64 hbw_direct_expected_wait (HbwShard *shard, HbwContext *context,
+                                 const HbwWant *want);
 
 #endif
--- a/include/hornbeamwall/core/shard.h
+++ b/include/hornbeamwall/core/shard.h
@@ -57,10 +57,10 @@
   HbwTicket *(*select_ticket) (HbwShard *shard, HbwContext *context);
   HbwServer *(*select_server) (HbwShard *shard, HbwContext *context,
                                const HbwTicket *ticket);
-  /* Returns how long the first piece of an answer to WANT would probably take, or is
-     NULL where that is not estimated. */
-  gint64 (*expected_first_us) (HbwShard *shard, HbwContext *context,
-                               const HbwWant *want);
+  /* Returns how long WANT would probably wait at a server, or is NULL where that is
+     not estimated. */
+  gint64 (*expected_wait_us) (HbwShard *shard, HbwContext *context,
+                              const HbwWant *want);
 } HbwPolicy;
 
 struct HbwShard
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -552,6 +552,16 @@
 /* The load of an auction at its worst: more to read than can be in time.  What
    cannot be in time is told so at once, with when to come back; short prompts go on.
  */
+START_TEST (long_prompts_are_not_refused_for_their_length)
+{
+  Bench bench = bench_create (1, 9, 64);
+  HbwRequestSpec spec = make_prompt (1, 6300, 2, 39600);
+  arrive (&bench, 1, &spec);
+  ck_assert_str_ne (started_at (&bench), "");
+  bench_destroy (&bench);
+}
+END_TEST
+
 START_TEST (hopeless_requests_are_refused_at_once)
 {
   Bench bench = bench_create (1, 9, 64);
@@ -656,6 +666,7 @@
   tcase_add_test (tests, restart_under_the_same_name_starts_anew);
   tcase_add_test (tests, long_prompts_stand_apart_from_short_ones);
   tcase_add_test (tests, shared_beginnings_meet_until_they_crowd);
+  tcase_add_test (tests, long_prompts_are_not_refused_for_their_length);
   tcase_add_test (tests, hopeless_requests_are_refused_at_once);
   tcase_add_test (tests, instances_do_not_crowd_one_server);
   suite_add_tcase (suite, tests);
