Fewer store calls: changes gather, two watchers a data centre

Change: 150 ms after a change of the servers before the next watch; catalogue watches of .9 s, questions every .3 s, own watch from an age of 2.2 s on; two watchers, not three.

--- a/include/hornbeamwall/core/confirm.h
+++ b/include/hornbeamwall/core/confirm.h
@@ -14,11 +14,11 @@
 #include "hornbeamwall/core/context.h"
 
 /* How often a watcher is asked, and how long its answer may take. */
-#define HBW_CONFIRM_ASK_US (400 * HBW_US_PER_MS)
+#define HBW_CONFIRM_ASK_US (300 * HBW_US_PER_MS)
 #define HBW_CONFIRM_WAIT_US (300 * HBW_US_PER_MS)
 
 /* Knowledge older than this makes an instance watch the store itself. */
-#define HBW_CONFIRM_AGE_US (1900 * HBW_US_PER_MS)
+#define HBW_CONFIRM_AGE_US (2200 * HBW_US_PER_MS)
 
 typedef struct HbwConfirm HbwConfirm;
 
--- a/include/hornbeamwall/core/membership.h
+++ b/include/hornbeamwall/core/membership.h
@@ -26,7 +26,7 @@
 
 /* Instances that watch the platform's store, in each data centre, and the key by
    which it falls to them. */
-#define HBW_WATCHERS 3
+#define HBW_WATCHERS 2
 #define HBW_WATCH_KEY "watch"
 
 /* Creates the membership of the instance SELF, which is alive. */
--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -11,12 +11,15 @@
 /* How long one watch stays open, in milliseconds.  Only the end of a watch on the
    catalogue confirms that nothing has changed. */
 static const guint watch_ms[HBW_DOCUMENT_COUNT] = {
-  [HBW_DOCUMENT_CATALOGUE] = 700,
+  [HBW_DOCUMENT_CATALOGUE] = 900,
   [HBW_DOCUMENT_SERVERS] = 2000,
   [HBW_DOCUMENT_INSTANCES] = 1000,
   [HBW_DOCUMENT_STOPS] = 1000,
 };
 
+/* Pause after a change, in which others gather: many servers come at once. */
+#define GATHER_US (150 * HBW_US_PER_MS)
+
 /* Pause of an instance that does not watch, in microseconds. */
 #define IDLE_US (100 * HBW_US_PER_MS)
 
@@ -117,7 +120,11 @@
   if (!failed)
     {
       *failed_us = RETRY_MIN_US;
-      return answer.result == HBW_STORE_ABSENT ? ABSENT_US : 0;
+      if (answer.result == HBW_STORE_ABSENT)
+        return ABSENT_US;
+      return answer.result == HBW_STORE_OK && follower->kind == HBW_DOCUMENT_SERVERS
+                 ? GATHER_US
+                 : 0;
     }
   gint64 pause = *failed_us;
   *failed_us = MIN (RETRY_MAX_US, 2 * *failed_us);
