--- a/core/shard.c
+++ b/core/shard.c
@@ -150,6 +150,12 @@
   facts->in_progress = server->in_progress;
   facts->others = server->others;
   facts->unread_tokens = server->unread_tokens;
+  if (context->loads != NULL)
+    {
+      HbwLoadSum sum = hbw_load_share_sum (context->loads, server, context->now_us);
+      facts->others = MAX (facts->others, sum.in_progress);
+      facts->unread_tokens += sum.unread_tokens;
+    }
   facts->waiting = hbw_queue_length (shard->queue);
   facts->report_age_us
       = server->reported_at_us > 0 ? context->now_us - server->reported_at_us : -1;
