--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -252,6 +252,12 @@
     return put_events (session, FALSE);
   if (strcmp (word, "cut") == 0)
     return put_events (session, TRUE);
+  if (strcmp (word, "mute") == 0)
+    {
+      put_events (session, TRUE);
+      hang (session);
+      return FALSE;
+    }
   if (strcmp (word, "fail") == 0)
     put_answer (session, "500 Failed", SEAL, "own", 3);
   else if (strcmp (word, "noseal") == 0)
@@ -299,7 +305,8 @@
   *digits = '\0';
   if (runs < most)
     return word;
-  const char *then = strcmp (word, "cut") == 0 ? "events" : "ok";
+  gboolean streams = strcmp (word, "cut") == 0 || strcmp (word, "mute") == 0;
+  const char *then = streams ? "events" : "ok";
   g_free (word);
   return g_strdup (then);
 }
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -15,12 +15,13 @@
  *   open       an answer without a length, ended by its connection
  *   torn       an answer without a length, ended by a reset
  *   cut        events that break off in the middle of the third one
+ *   mute       the same, but the connection stays open and silent
  *   extra      answers twice
  *   early      answers before it has read the body
  *   noseal     200 that does not bear the server's mark
  *
  * A name with a number, as "reset1", misbehaves so often, at all stand-ins of the
- * process together, and then does "ok", or "events" for "cut".
+ * process together, and then does "ok", or "events" for "cut" and "mute".
  */
 #ifndef HORNBEAMWALL_TESTS_STANDIN_REPLICA_H
 #define HORNBEAMWALL_TESTS_STANDIN_REPLICA_H
--- a/tests/traffic_test.c
+++ b/tests/traffic_test.c
@@ -421,6 +421,28 @@
 }
 END_TEST
 
+/* Seen in inc-a006 of kerlann-ring: a zone was cut off in mid-stream, without a
+ * reset. */
+START_TEST (silent_server_is_left_for_another)
+{
+  Bed *bed = bed_create ();
+  Answer answer = ask (bed, "/stream/a/mute1", KEY, "b");
+  ck_assert_uint_eq (answer.status, 200);
+  ck_assert_msg (is_whole (answer.text), "%s", answer.text);
+  for (guint i = 1; i <= 6; i++)
+    {
+      char event[16];
+      g_snprintf (event, sizeof event, "id: %u\n", i);
+      const char *at = strstr (answer.text, event);
+      ck_assert_msg (at != NULL && strstr (at + 1, event) == NULL, "%s: %s", event,
+                     answer.text);
+    }
+  ck_assert (wait_until_idle (bed));
+  g_free (answer.text);
+  bed_destroy (bed);
+}
+END_TEST
+
 START_TEST (second_answers_belong_to_no_request)
 {
   Bed *bed = bed_create ();
@@ -597,6 +619,7 @@
   tcase_add_test (tests, broken_answers_are_repeated_only_where_allowed);
   tcase_add_test (tests, torn_answer_never_looks_whole);
   tcase_add_test (tests, stream_goes_on_at_another_server);
+  tcase_add_test (tests, silent_server_is_left_for_another);
   tcase_add_test (tests, second_answers_belong_to_no_request);
   tcase_add_test (tests, server_hears_that_the_caller_has_gone);
   tcase_add_test (tests, callers_are_denied_only_for_what_is_known);
