Removals that are reported go at once; what was kept goes on time

Logs: at 14.82 s four instances log SERVER_LEAVING, the four that had lost the store until 13.7 s do not, though all adopt version 36. Those four kept the removed entry for the two seconds after an outage; when it was dropped, the document had the same version, 36, and was not adopted until the next change, at 18.79 s.

Change: the pages let entries lapse while the store is away; a removal that a watch reports after its return is final and goes at once. A document's version rises when what was kept goes. A wait does not outlast the moment at which it must go. An instance that has just started overrules nobody.

Ruled out: two watchers a data centre (all eight instances had version 36 within 10 ms, or 100).

--- a/include/hornbeamwall/runtime/listing.h
+++ b/include/hornbeamwall/runtime/listing.h
@@ -3,7 +3,8 @@
  *
  * A listing is read whole, then follows changes.  An object is never replaced by an
  * older version of itself.  Objects that are missing after the store was away are
- * kept a moment longer: their owners may have had no way to renew them.
+ * kept a moment longer: their owners may have had no way to renew them.  Objects
+ * whose removal is reported go at once.
  */
 #ifndef HORNBEAMWALL_RUNTIME_LISTING_H
 #define HORNBEAMWALL_RUNTIME_LISTING_H
@@ -47,6 +48,14 @@
 /* Drops what was kept for long enough. */
 void hbw_listing_expire (HbwListing *listing, gint64 now_us);
 
+/* Returns when hbw_listing_expire() will next find something, or G_MAXINT64. */
+gint64 hbw_listing_next_expiry (const HbwListing *listing);
+
+/* Returns the version of a document of the objects at the store's REVISION.  It is
+   higher once nothing is kept that the store has not, and by who has listened for
+   long enough to know. */
+gint64 hbw_listing_version (const HbwListing *listing, gint64 revision);
+
 /* Returns whether anything changed since the last call. */
 gboolean hbw_listing_take_changed (HbwListing *listing);
 
--- a/runtime/listing.c
+++ b/runtime/listing.c
@@ -14,7 +14,9 @@
   GHashTable *entries; /* name -> Entry */
   gboolean away;       /* the store did not answer last */
   gint64 back_us;      /* when it answered again; 0 is never away */
+  gint64 first_us;     /* when it answered first; 0 is not yet */
   gint64 now_us;       /* of the last answer */
+  guint kept;          /* entries that are missing */
   gboolean changed;
 };
 
@@ -60,6 +62,8 @@
 hbw_listing_note_answer (HbwListing *listing, gint64 now_us)
 {
   listing->now_us = now_us;
+  if (listing->first_us == 0)
+    listing->first_us = now_us;
   if (!listing->away)
     return;
   listing->away = FALSE;
@@ -84,25 +88,31 @@
   g_hash_table_foreach (listing->entries, mark_unseen, NULL);
 }
 
-/* Removes ENTRY from the store's point of view; returns whether it goes now. */
-static gboolean
-lose (HbwListing *listing, Entry *entry)
+static void
+set_missing (HbwListing *listing, Entry *entry, gboolean missing)
 {
-  if (in_grace (listing, listing->now_us))
-    {
-      listing->changed |= !entry->missing;
-      entry->missing = TRUE;
-      return FALSE;
-    }
+  if (entry->missing == missing)
+    return;
+  entry->missing = missing;
+  listing->kept = missing ? listing->kept + 1 : listing->kept - 1;
   listing->changed = TRUE;
-  return TRUE;
 }
 
 static gboolean
 is_lost (gpointer key G_GNUC_UNUSED, gpointer value, gpointer data)
 {
+  HbwListing *listing = data;
   Entry *entry = value;
-  return !entry->seen && lose (data, entry);
+  if (entry->seen)
+    return FALSE;
+  if (in_grace (listing, listing->now_us))
+    {
+      set_missing (listing, entry, TRUE);
+      return FALSE;
+    }
+  set_missing (listing, entry, FALSE);
+  listing->changed = TRUE;
+  return TRUE;
 }
 
 void
@@ -122,8 +132,7 @@
       g_hash_table_insert (listing->entries, entry->name, entry);
     }
   entry->seen = TRUE;
-  listing->changed |= entry->missing;
-  entry->missing = FALSE;
+  set_missing (listing, entry, FALSE);
   if (entry->value != NULL && change->revision <= entry->revision)
     return;
   listing->changed
@@ -139,8 +148,9 @@
   Entry *entry = g_hash_table_lookup (listing->entries, change->name);
   if (entry == NULL || change->revision < entry->revision)
     return;
-  if (lose (listing, entry))
-    g_hash_table_remove (listing->entries, change->name);
+  set_missing (listing, entry, FALSE);
+  listing->changed = TRUE;
+  g_hash_table_remove (listing->entries, change->name);
 }
 
 void
@@ -157,9 +167,10 @@
 is_missing (gpointer key G_GNUC_UNUSED, gpointer value, gpointer data)
 {
   HbwListing *listing = data;
-  if (!((Entry *) value)->missing)
+  Entry *entry = value;
+  if (!entry->missing)
     return FALSE;
-  listing->changed = TRUE;
+  set_missing (listing, entry, FALSE);
   return TRUE;
 }
 
@@ -170,6 +181,19 @@
     g_hash_table_foreach_remove (listing->entries, is_missing, listing);
 }
 
+gint64
+hbw_listing_next_expiry (const HbwListing *listing)
+{
+  return listing->kept > 0 ? listing->back_us + HBW_LISTING_GRACE_US : G_MAXINT64;
+}
+
+gint64
+hbw_listing_version (const HbwListing *listing, gint64 revision)
+{
+  gboolean young = listing->now_us - listing->first_us < HBW_LISTING_GRACE_US;
+  return 2 * revision + (listing->kept == 0 && !young ? 1 : 0);
+}
+
 gboolean
 hbw_listing_take_changed (HbwListing *listing)
 {
--- a/runtime/listing_feed.c
+++ b/runtime/listing_feed.c
@@ -108,7 +108,7 @@
 static void
 fill_document (ListingFeed *feed, HbwFeedAnswer *answer)
 {
-  gint64 version = feed->revision;
+  gint64 version = hbw_listing_version (feed->listing, feed->revision);
   char *text = feed->form->class->make_document (feed->listing, &version);
   feed->valid = text != NULL;
   if (text == NULL)
@@ -119,15 +119,25 @@
   g_free (text);
 }
 
+/* What is kept for a while must also go on time, whatever the store reports. */
+static guint
+wait_until_expiry (const ListingFeed *feed, guint wait_ms)
+{
+  gint64 left_us
+      = hbw_listing_next_expiry (feed->listing) - hbw_clock_now (feed->clock);
+  return (guint) CLAMP (left_us / HBW_US_PER_MS + 1, 1, wait_ms);
+}
+
 static HbwFeedAnswer
 next (HbwFeed *base, gint64 known G_GNUC_UNUSED, guint wait_ms, HbwError *error)
 {
   ListingFeed *feed = (ListingFeed *) base;
   HbwFeedAnswer answer = { .result = HBW_STORE_UNCHANGED };
   HbwStorePage page = { .changes = g_array_new (FALSE, FALSE, sizeof (HbwChange)) };
-  HbwStoreResult result = feed->revision > 0
-                              ? read_changes (feed, wait_ms, &page, error)
-                              : HBW_STORE_GONE;
+  HbwStoreResult result
+      = feed->revision > 0
+            ? read_changes (feed, wait_until_expiry (feed, wait_ms), &page, error)
+            : HBW_STORE_GONE;
   if (result == HBW_STORE_GONE)
     result = read_list (feed, &page, error);
   page_clear (&page);
--- a/tests/adapter_test.c
+++ b/tests/adapter_test.c
@@ -305,6 +305,53 @@
 }
 END_TEST
 
+START_TEST (removal_that_is_reported_needs_no_grace)
+{
+  HbwListing *listing = hbw_listing_create ();
+  gint64 start = HBW_US_PER_S;
+  list_at (listing, start, "a", "b");
+  hbw_listing_note_outage (listing, 2 * HBW_US_PER_S);
+  gint64 back = 9 * HBW_US_PER_S;
+  list_at (listing, back, "a", NULL);
+  ck_assert_uint_eq (size_of (listing), 2);
+  apply (listing, "a", 2, NULL);
+  ck_assert_uint_eq (size_of (listing), 1);
+  hbw_listing_destroy (listing);
+}
+END_TEST
+
+START_TEST (version_rises_when_what_was_kept_goes)
+{
+  HbwListing *listing = hbw_listing_create ();
+  list_at (listing, HBW_US_PER_S, "a", "b");
+  hbw_listing_note_outage (listing, 4 * HBW_US_PER_S);
+  gint64 back = 9 * HBW_US_PER_S;
+  list_at (listing, back, "a", NULL);
+  gint64 kept = hbw_listing_version (listing, 7);
+  ck_assert_int_eq (hbw_listing_next_expiry (listing), back + HBW_LISTING_GRACE_US);
+  hbw_listing_expire (listing, back + HBW_LISTING_GRACE_US);
+  gint64 clean = hbw_listing_version (listing, 7);
+  ck_assert_int_gt (clean, kept);
+  ck_assert_int_gt (hbw_listing_version (listing, 8), clean);
+  ck_assert_int_eq (hbw_listing_next_expiry (listing), G_MAXINT64);
+  hbw_listing_destroy (listing);
+}
+END_TEST
+
+START_TEST (new_listing_overrules_nobody)
+{
+  HbwListing *young = hbw_listing_create ();
+  HbwListing *old = hbw_listing_create ();
+  list_at (old, HBW_US_PER_S, "a", "b");
+  hbw_listing_note_outage (old, 4 * HBW_US_PER_S);
+  list_at (old, 9 * HBW_US_PER_S, "a", NULL);
+  list_at (young, 9 * HBW_US_PER_S, "a", NULL);
+  ck_assert_int_le (hbw_listing_version (young, 7), hbw_listing_version (old, 7));
+  hbw_listing_destroy (old);
+  hbw_listing_destroy (young);
+}
+END_TEST
+
 START_TEST (pages_of_objects_are_read)
 {
   static const char text[]
@@ -347,6 +394,9 @@
   tcase_add_test (tests, refusals_keep_their_promise);
   tcase_add_test (tests, older_versions_change_nothing);
   tcase_add_test (tests, missing_after_an_outage_is_kept_for_its_grace_only);
+  tcase_add_test (tests, removal_that_is_reported_needs_no_grace);
+  tcase_add_test (tests, version_rises_when_what_was_kept_goes);
+  tcase_add_test (tests, new_listing_overrules_nobody);
   tcase_add_test (tests, pages_of_objects_are_read);
   suite_add_tcase (suite, tests);
   return suite_run (suite);
--- a/tests/traffic_test.c
+++ b/tests/traffic_test.c
@@ -268,6 +268,18 @@
 /* --- tests
  * ------------------------------------------------------------------------------ */
 
+static gboolean
+wait_until_idle (Bed *bed)
+{
+  for (guint i = 0; i < WAIT_STEPS; i++)
+    {
+      if (replica_busy (bed->replicas[0]) + replica_busy (bed->replicas[1]) == 0)
+        return TRUE;
+      g_usleep (10000);
+    }
+  return FALSE;
+}
+
 START_TEST (request_reaches_the_server_as_it_came)
 {
   Bed *bed = bed_create ();
@@ -467,18 +479,6 @@
 }
 END_TEST
 
-static gboolean
-wait_until_idle (Bed *bed)
-{
-  for (guint i = 0; i < WAIT_STEPS; i++)
-    {
-      if (replica_busy (bed->replicas[0]) + replica_busy (bed->replicas[1]) == 0)
-        return TRUE;
-      g_usleep (10000);
-    }
-  return FALSE;
-}
-
 static gboolean
 wait_for_run (Bed *bed, const char *path)
 {
