--- a/include/hornbeamwall/runtime/listing.h
+++ b/include/hornbeamwall/runtime/listing.h
@@ -51,9 +51,9 @@
 /* Returns when hbw_listing_expire() will next find something, or G_MAXINT64. */
 gint64 hbw_listing_next_expiry (const HbwListing *listing);
 
-/* Returns the version of a document of the objects at the store's REVISION.  It is
-   higher once nothing is kept that the store has not, and by who has listened for
-   long enough to know. */
+/* Returns the version of a document of the objects at the store's REVISION: twice
+   that, and one more where the document holds nothing that is missing from the store
+   and the listing was first read longer ago than the grace. */
 gint64 hbw_listing_version (const HbwListing *listing, gint64 revision);
 
 /* Returns whether anything changed since the last call. */
--- a/runtime/listing.c
+++ b/runtime/listing.c
@@ -16,7 +16,7 @@
   gint64 back_us;      /* when it answered again; 0 is never away */
   gint64 first_us;     /* when it answered first; 0 is not yet */
   gint64 now_us;       /* of the last answer */
-  guint kept;          /* entries that are missing */
+  guint missing_count;
   gboolean changed;
 };
 
@@ -94,7 +94,15 @@
   if (entry->missing == missing)
     return;
   entry->missing = missing;
-  listing->kept = missing ? listing->kept + 1 : listing->kept - 1;
+  listing->missing_count += missing ? 1 : -1;
+  listing->changed = TRUE;
+}
+
+/* ENTRY is about to be freed. */
+static void
+note_removal (HbwListing *listing, Entry *entry)
+{
+  set_missing (listing, entry, FALSE);
   listing->changed = TRUE;
 }
 
@@ -110,8 +118,7 @@
       set_missing (listing, entry, TRUE);
       return FALSE;
     }
-  set_missing (listing, entry, FALSE);
-  listing->changed = TRUE;
+  note_removal (listing, entry);
   return TRUE;
 }
 
@@ -148,8 +155,7 @@
   Entry *entry = g_hash_table_lookup (listing->entries, change->name);
   if (entry == NULL || change->revision < entry->revision)
     return;
-  set_missing (listing, entry, FALSE);
-  listing->changed = TRUE;
+  note_removal (listing, entry);
   g_hash_table_remove (listing->entries, change->name);
 }
 
@@ -170,7 +176,7 @@
   Entry *entry = value;
   if (!entry->missing)
     return FALSE;
-  set_missing (listing, entry, FALSE);
+  note_removal (listing, entry);
   return TRUE;
 }
 
@@ -184,14 +190,16 @@
 gint64
 hbw_listing_next_expiry (const HbwListing *listing)
 {
-  return listing->kept > 0 ? listing->back_us + HBW_LISTING_GRACE_US : G_MAXINT64;
+  return listing->missing_count > 0 ? listing->back_us + HBW_LISTING_GRACE_US
+                                    : G_MAXINT64;
 }
 
 gint64
 hbw_listing_version (const HbwListing *listing, gint64 revision)
 {
   gboolean young = listing->now_us - listing->first_us < HBW_LISTING_GRACE_US;
-  return 2 * revision + (listing->kept == 0 && !young ? 1 : 0);
+  gboolean complete = listing->missing_count == 0 && !young;
+  return 2 * revision + (complete ? 1 : 0);
 }
 
 gboolean
