A sink that is taken away is not in use any more: the race at shutdown

Cause: the control thread read the pointer of the sink and posted to it, while the instance took the sink away and freed the loop behind it. The pointer was atomic, its use was not covered.

Change: a lock is held while the sink is in use and while it is set; nobody else waits for it. The flag was ruled out: a second read would still leave a gap.

--- a/include/hornbeamwall/runtime/control.h
+++ b/include/hornbeamwall/runtime/control.h
@@ -43,7 +43,7 @@
 void hbw_control_submit (HbwControl *control, const HbwEvent *event, HbwCall *call);
 
 /* Sets who gets the orders of requests that were submitted without a call; NULL
-   drops them. */
+   drops them.  Once it returns, the one before is not in use any more. */
 void hbw_control_set_sink (HbwControl *control, HbwOrderSink *sink);
 
 /* Notes that the store, asked at ASKED_US, gave VERSION as the newest catalogue. */
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -62,18 +62,28 @@
   _Atomic guint64 last_sequence;
   _Atomic gint64 confirmed_us;
   gint64 revocation_us;
-  HbwOrderSink *_Atomic sink;
+  pthread_mutex_t sink_lock; /* held while the sink is in use */
+  HbwOrderSink *sink;
 };
 
+static void
+post_to_sink (HbwControl *control, guint64 sequence, const HbwOrder *order)
+{
+  pthread_mutex_lock (&control->sink_lock);
+  if (control->sink != NULL)
+    control->sink->class->post (control->sink, sequence, order);
+  pthread_mutex_unlock (&control->sink_lock);
+}
+
 static void
 post_order (HbwControl *control, guint64 sequence, const HbwOrder *order)
 {
   HbwCall *call = g_hash_table_lookup (control->calls, &sequence);
-  HbwOrderSink *sink = atomic_load (&control->sink);
-  if (call == NULL && sink != NULL)
-    sink->class->post (sink, sequence, order);
   if (call == NULL)
-    return;
+    {
+      post_to_sink (control, sequence, order);
+      return;
+    }
   hbw_call_post (call, order);
   if (order->kind == HBW_ORDER_REFUSE || order->kind == HBW_ORDER_FINISH)
     g_hash_table_remove (control->calls, &sequence);
@@ -310,6 +320,7 @@
   control->identity = identity;
   control->peer = peer;
   control->revocation_us = settings->revocation_us;
+  pthread_mutex_init (&control->sink_lock, NULL);
   control->wake_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
   control->effects = hbw_effects_create ();
   control->snapshot = hbw_snapshot_create ();
@@ -370,6 +381,7 @@
   hbw_snapshot_destroy (control->snapshot);
   hbw_peer_destroy (control->peer);
   close (control->wake_fd);
+  pthread_mutex_destroy (&control->sink_lock);
   g_free (control);
 }
 
@@ -411,7 +423,9 @@
 void
 hbw_control_set_sink (HbwControl *control, HbwOrderSink *sink)
 {
-  atomic_store (&control->sink, sink);
+  pthread_mutex_lock (&control->sink_lock);
+  control->sink = sink;
+  pthread_mutex_unlock (&control->sink_lock);
 }
 
 void
--- a/tests/traffic_test.c
+++ b/tests/traffic_test.c
@@ -5,17 +5,20 @@
 #include "suite.h"
 
 #include "hornbeamwall/runtime/instance.h"
+#include "hornbeamwall/runtime/order.h"
 #include "standin/objects.h"
 #include "standin/replica.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <urcu/compiler.h>
 
 /* How long a test waits for something to happen, in steps of 10 ms. */
 #define WAIT_STEPS 1000
@@ -607,6 +610,46 @@
 }
 END_TEST
 
+/* A sink that is slow to take an order. */
+typedef struct
+{
+  HbwOrderSink sink;
+  atomic_bool entered;
+  atomic_bool left;
+} SlowSink;
+
+static void
+post_slowly (HbwOrderSink *sink, guint64 sequence G_GNUC_UNUSED,
+             const HbwOrder *order G_GNUC_UNUSED)
+{
+  SlowSink *slow = caa_container_of (sink, SlowSink, sink);
+  atomic_store (&slow->entered, TRUE);
+  g_usleep (50000);
+  atomic_store (&slow->left, TRUE);
+}
+
+/* Seen in the checks beside a busy bench: the loop was freed while the control
+ * thread posted to it. */
+START_TEST (sink_is_not_in_use_once_it_is_taken_away)
+{
+  static const HbwOrderSinkClass class = { post_slowly };
+  SlowSink slow = { .sink = { &class } };
+  Bed *bed = bed_create ();
+  HbwControl *control = hbw_instance_control (bed->instance);
+  hbw_control_set_sink (control, &slow.sink);
+  HbwEvent event = { .kind = HBW_EVENT_REQUEST_ARRIVED };
+  event.arrival.sequence = hbw_control_next_sequence (control);
+  g_strlcpy (event.arrival.spec.pool, "nowhere", sizeof event.arrival.spec.pool);
+  hbw_control_submit (control, &event, NULL);
+  for (guint i = 0; i < WAIT_STEPS && !atomic_load (&slow.entered); i++)
+    g_usleep (1000);
+  ck_assert (atomic_load (&slow.entered));
+  hbw_control_set_sink (control, NULL);
+  ck_assert (atomic_load (&slow.left));
+  bed_destroy (bed);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -626,6 +669,7 @@
   tcase_add_test (tests, changes_of_the_config_are_followed);
   tcase_add_test (tests, leaving_server_gets_nothing_new);
   tcase_add_test (tests, planned_stop_answers_what_it_has);
+  tcase_add_test (tests, sink_is_not_in_use_once_it_is_taken_away);
   suite_add_tcase (suite, tests);
   return suite_run (suite);
 }
