Remove what nothing calls

hbw_exchange_sequence, hbw_traffic_retire_idle with what stood behind it, and hbw_upstreams_opened with its counter had no caller; hbw_listing_note_outage did not use its time. begin_closing sets its timer as the others do. No behaviour changes.

--- a/include/hornbeamwall/net/downstream.h
+++ b/include/hornbeamwall/net/downstream.h
@@ -19,9 +19,7 @@
 /* Closes the connection at once, with no end to an answer in progress. */
 void hbw_downstream_abort (HbwDownstream *downstream);
 
-/* Close the connections on which no request is in progress, and mark the others to
-   close after theirs; or close all at once. */
-void hbw_downstream_retire_all (HbwTraffic *traffic);
+/* Closes all connections at once. */
 void hbw_downstream_abort_all (HbwTraffic *traffic);
 
 /* Begins an answer: its status and fields (each line ended by CRLF).  LENGTH of -1
--- a/include/hornbeamwall/net/exchange.h
+++ b/include/hornbeamwall/net/exchange.h
@@ -36,6 +36,4 @@
 /* Tells the caller why its request is not served, without asking the reducer. */
 void hbw_exchange_refuse (HbwExchange *exchange, const HbwRefuse *refuse);
 
-guint64 hbw_exchange_sequence (const HbwExchange *exchange);
-
 #endif
--- a/include/hornbeamwall/net/traffic.h
+++ b/include/hornbeamwall/net/traffic.h
@@ -21,9 +21,6 @@
  */
 void hbw_traffic_drain (HbwTraffic *traffic);
 
-/* Closes the connections on which no request is in progress; from any thread. */
-void hbw_traffic_retire_idle (HbwTraffic *traffic);
-
 /* Returns the port that was bound for callers. */
 guint hbw_traffic_port (const HbwTraffic *traffic);
 
--- a/include/hornbeamwall/net/upstream.h
+++ b/include/hornbeamwall/net/upstream.h
@@ -76,7 +76,4 @@
 /* Returns when SERVER last sent anything on any connection; 0 is never. */
 gint64 hbw_upstreams_heard_us (const HbwUpstreams *upstreams, const char *server);
 
-/* Returns connections that were opened so far. */
-guint64 hbw_upstreams_opened (const HbwUpstreams *upstreams);
-
 #endif
--- a/include/hornbeamwall/runtime/listing.h
+++ b/include/hornbeamwall/runtime/listing.h
@@ -31,8 +31,8 @@
 HbwListing *hbw_listing_create (void);
 void hbw_listing_destroy (HbwListing *listing);
 
-/* The store did not answer at NOW_US. */
-void hbw_listing_note_outage (HbwListing *listing, gint64 now_us);
+/* The store did not answer. */
+void hbw_listing_note_outage (HbwListing *listing);
 
 /* The store answered at NOW_US. */
 void hbw_listing_note_answer (HbwListing *listing, gint64 now_us);
--- a/net/downstream.c
+++ b/net/downstream.c
@@ -63,17 +63,17 @@
 }
 
 static void
-begin_closing (HbwDownstream *downstream)
+set_timer (HbwDownstream *downstream, gint64 delay_us)
 {
-  downstream->closing = TRUE;
-  hbw_channel_finish (downstream->channel);
-  hbw_loop_set_timer (downstream->traffic->loop, &downstream->timer, LINGER_US);
+  hbw_loop_set_timer (downstream->traffic->loop, &downstream->timer, delay_us);
 }
 
 static void
-set_timer (HbwDownstream *downstream, gint64 delay_us)
+begin_closing (HbwDownstream *downstream)
 {
-  hbw_loop_set_timer (downstream->traffic->loop, &downstream->timer, delay_us);
+  downstream->closing = TRUE;
+  hbw_channel_finish (downstream->channel);
+  set_timer (downstream, LINGER_US);
 }
 
 static void
@@ -301,19 +301,6 @@
   downstream_destroy (downstream);
 }
 
-void
-hbw_downstream_retire_all (HbwTraffic *traffic)
-{
-  HbwDownstream *downstream;
-  cds_list_for_each_entry (downstream, &traffic->downstreams, link)
-    {
-      downstream->close_after = TRUE;
-      if (downstream->exchange == NULL && !downstream->answering
-          && !hbw_parser_has_begun (downstream->parser) && !downstream->closing)
-        begin_closing (downstream);
-    }
-}
-
 void
 hbw_downstream_abort_all (HbwTraffic *traffic)
 {
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -271,9 +271,3 @@
   if (exchange->upstream != NULL)
     hbw_upstream_set_reading (exchange->upstream, TRUE);
 }
-
-guint64
-hbw_exchange_sequence (const HbwExchange *exchange)
-{
-  return exchange->sequence;
-}
--- a/net/traffic.c
+++ b/net/traffic.c
@@ -80,14 +80,6 @@
   g_free (task);
 }
 
-static void
-handle_retire (HbwTask *task, void *data)
-{
-  HbwTraffic *traffic = data;
-  hbw_downstream_retire_all (traffic);
-  g_free (task);
-}
-
 static void
 handle_stop (HbwTask *task, void *data)
 {
@@ -246,12 +238,6 @@
   post (traffic, handle_drain);
 }
 
-void
-hbw_traffic_retire_idle (HbwTraffic *traffic)
-{
-  post (traffic, handle_retire);
-}
-
 guint
 hbw_traffic_port (const HbwTraffic *traffic)
 {
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -29,7 +29,6 @@
   HbwLoop *loop;
   GHashTable *servers;      /* server name -> Server */
   struct cds_list_head all; /* HbwUpstream */
-  guint64 opened;
 };
 
 typedef struct
@@ -313,7 +312,6 @@
   cds_list_add_tail (&upstream->link, &upstreams->all);
   upstream->channel = hbw_channel_connect (upstreams->loop, config->address,
                                            &upstream->channel_user);
-  upstreams->opened++;
   return upstream;
 }
 
@@ -420,9 +418,3 @@
   const Server *known = g_hash_table_lookup (upstreams->servers, server);
   return known != NULL ? known->heard_us : 0;
 }
-
-guint64
-hbw_upstreams_opened (const HbwUpstreams *upstreams)
-{
-  return upstreams->opened;
-}
--- a/runtime/listing.c
+++ b/runtime/listing.c
@@ -53,7 +53,7 @@
 }
 
 void
-hbw_listing_note_outage (HbwListing *listing, gint64 now_us G_GNUC_UNUSED)
+hbw_listing_note_outage (HbwListing *listing)
 {
   listing->away = TRUE;
 }
--- a/runtime/listing_feed.c
+++ b/runtime/listing_feed.c
@@ -145,7 +145,7 @@
   gint64 now_us = hbw_clock_now (feed->clock);
   if (result != HBW_STORE_OK)
     {
-      hbw_listing_note_outage (feed->listing, now_us);
+      hbw_listing_note_outage (feed->listing);
       feed->revision = 0; /* what was missed is found by a new list */
       answer.result = HBW_STORE_FAILED;
       return answer;
--- a/tests/adapter_test.c
+++ b/tests/adapter_test.c
@@ -293,7 +293,7 @@
   ck_assert_uint_eq (size_of (listing), 2);
   list_at (listing, 2 * HBW_US_PER_S, "a", NULL);
   ck_assert_uint_eq (size_of (listing), 1);
-  hbw_listing_note_outage (listing, 3 * HBW_US_PER_S);
+  hbw_listing_note_outage (listing);
   gint64 back = 9 * HBW_US_PER_S;
   list_at (listing, back, NULL, NULL);
   ck_assert_uint_eq (size_of (listing), 1);
@@ -310,7 +310,7 @@
   HbwListing *listing = hbw_listing_create ();
   gint64 start = HBW_US_PER_S;
   list_at (listing, start, "a", "b");
-  hbw_listing_note_outage (listing, 2 * HBW_US_PER_S);
+  hbw_listing_note_outage (listing);
   gint64 back = 9 * HBW_US_PER_S;
   list_at (listing, back, "a", NULL);
   ck_assert_uint_eq (size_of (listing), 2);
@@ -324,7 +324,7 @@
 {
   HbwListing *listing = hbw_listing_create ();
   list_at (listing, HBW_US_PER_S, "a", "b");
-  hbw_listing_note_outage (listing, 4 * HBW_US_PER_S);
+  hbw_listing_note_outage (listing);
   gint64 back = 9 * HBW_US_PER_S;
   list_at (listing, back, "a", NULL);
   gint64 kept = hbw_listing_version (listing, 7);
@@ -343,7 +343,7 @@
   HbwListing *young = hbw_listing_create ();
   HbwListing *old = hbw_listing_create ();
   list_at (old, HBW_US_PER_S, "a", "b");
-  hbw_listing_note_outage (old, 4 * HBW_US_PER_S);
+  hbw_listing_note_outage (old);
   list_at (old, 9 * HBW_US_PER_S, "a", NULL);
   list_at (young, 9 * HBW_US_PER_S, "a", NULL);
   ck_assert_int_le (hbw_listing_version (young, 7), hbw_listing_version (old, 7));
