One broadcast, one ping to all, one check of a usable server; a load is summed once

- The loop that posts a message to members stood in entry.c and again in load_share.c: hbw_membership_broadcast.
The loops of ping_all and ping_local are one, with a data centre or NULL.
- hbw_topology_find returns the entry that it finds, so the reducer need not look for it again.
- The direct policy summed what all instances have at a server twice for each choice, once for its room and once for its cost; the tokens that other requests share were computed in two places.

--- a/core/entry.c
+++ b/core/entry.c
@@ -212,30 +212,17 @@
   organisation_metrics (context, request)->wasted_tokens += end->tokens;
 }
 
-typedef struct
-{
-  HbwContext *context;
-  HbwMessage message;
-} Broadcast;
-
-static void
-post_to_member (const HbwMemberUpdate *member, void *data)
-{
-  Broadcast *broadcast = data;
-  if (strcmp (member->data_centre, broadcast->context->data_centre) == 0)
-    hbw_context_post (broadcast->context, member->identity, &broadcast->message);
-}
-
 static void
 tell_suspect (HbwContext *context, const HbwFingerprint *fingerprint, guint failures,
               guint64 server)
 {
-  Broadcast broadcast = { context, { .kind = HBW_MESSAGE_SUSPECT } };
-  broadcast.message.suspect.fingerprint = *fingerprint;
-  broadcast.message.suspect.failures = failures;
-  broadcast.message.suspect.server = server;
-  broadcast.message.suspect.remaining_us = HBW_QUARANTINE_US;
-  hbw_membership_foreach (context->membership, post_to_member, &broadcast);
+  HbwMessage message = { .kind = HBW_MESSAGE_SUSPECT };
+  message.suspect.fingerprint = *fingerprint;
+  message.suspect.failures = failures;
+  message.suspect.server = server;
+  message.suspect.remaining_us = HBW_QUARANTINE_US;
+  hbw_membership_broadcast (context->membership, context, context->data_centre,
+                            &message);
 }
 
 /* Counts a failure of the server against the request that was in progress there, or
--- a/core/load_share.c
+++ b/core/load_share.c
@@ -125,19 +125,6 @@
   return FALSE;
 }
 
-typedef struct
-{
-  HbwContext *context;
-  HbwMessage message;
-} Broadcast;
-
-static void
-post_to_member (const HbwMemberUpdate *member, void *data)
-{
-  Broadcast *broadcast = data;
-  hbw_context_post (broadcast->context, member->identity, &broadcast->message);
-}
-
 void
 hbw_load_share_send (HbwLoadShare *share, HbwContext *context)
 {
@@ -145,15 +132,15 @@
   gint64 least_us = HBW_LOAD_SHARE_US * (1 + members / MEMBERS_UNIT);
   if (context->now_us - share->sent_us < least_us)
     return;
-  Broadcast broadcast = { context, { .kind = HBW_MESSAGE_LOADS } };
-  HbwLoads *loads = &broadcast.message.loads;
+  HbwMessage message = { .kind = HBW_MESSAGE_LOADS };
+  HbwLoads *loads = &message.loads;
   *loads = share->pending;
   collect (share, loads, context->now_us);
   if (loads->load_count == 0 && loads->part_count == 0)
     return;
   share->pending.part_count = 0;
   share->sent_us = context->now_us;
-  hbw_membership_foreach (context->membership, post_to_member, &broadcast);
+  hbw_membership_broadcast (context->membership, context, NULL, &message);
 }
 
 static void
--- a/core/membership.c
+++ b/core/membership.c
@@ -59,6 +59,15 @@
          || member->info.state == HBW_MEMBER_SUSPECT;
 }
 
+/* DATA_CENTRE of NULL is any. */
+static gboolean
+is_present_in (const Member *member, const char *data_centre)
+{
+  return is_present (member)
+         && (data_centre == NULL
+             || strcmp (member->info.data_centre, data_centre) == 0);
+}
+
 static guint
 spread_count (const HbwMembership *membership)
 {
@@ -521,13 +530,14 @@
 }
 
 void
-hbw_membership_ping_all (HbwMembership *membership, HbwContext *context)
+hbw_membership_ping_all (HbwMembership *membership, HbwContext *context,
+                         const char *data_centre)
 {
   const HbwPing base = { .number = 0 };
   for (guint i = 0; i < membership->order->len; i++)
     {
       const Member *member = g_ptr_array_index (membership->order, i);
-      if (is_present (member))
+      if (is_present_in (member, data_centre))
         send_ping (membership, context, HBW_MESSAGE_PING, member->info.identity,
                    member->info.address, &base);
     }
@@ -688,19 +698,6 @@
   return base.number;
 }
 
-void
-hbw_membership_ping_local (HbwMembership *membership, HbwContext *context)
-{
-  const HbwPing base = { .number = 0 };
-  for (guint i = 0; i < membership->order->len; i++)
-    {
-      const Member *member = g_ptr_array_index (membership->order, i);
-      if (is_local (membership, member) && is_present (member))
-        send_ping (membership, context, HBW_MESSAGE_PING, member->info.identity,
-                   member->info.address, &base);
-    }
-}
-
 guint
 hbw_membership_count (HbwMembership *membership, const char *data_centre)
 {
@@ -733,6 +730,18 @@
     }
 }
 
+void
+hbw_membership_broadcast (HbwMembership *membership, HbwContext *context,
+                          const char *data_centre, const HbwMessage *message)
+{
+  for (guint i = 0; i < membership->order->len; i++)
+    {
+      const Member *member = g_ptr_array_index (membership->order, i);
+      if (is_present_in (member, data_centre))
+        hbw_context_post (context, member->info.identity, message);
+    }
+}
+
 void
 hbw_membership_set_decorator (HbwMembership *membership, HbwPingDecorator decorator,
                               void *data)
--- a/core/policy.c
+++ b/core/policy.c
@@ -83,7 +83,7 @@
     {
       HbwServer *server = g_ptr_array_index (shard->servers, i);
       gboolean avoid = strcmp (server->entry.id, want->avoid) == 0;
-      if (!avoid && !server->stopping && server->state == HBW_SERVER_UP)
+      if (!avoid && hbw_server_is_usable (server))
         others = TRUE;
       if (!fits (shard, context, server, want, suspect))
         continue;
--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -97,7 +97,7 @@
   for (guint i = 0; i < shard->servers->len; i++)
     {
       const HbwServer *other = g_ptr_array_index (shard->servers, i);
-      if (other == server || other->stopping || other->state != HBW_SERVER_UP)
+      if (other == server || !hbw_server_is_usable (other))
         continue;
       others++;
       before += other->hash < server->hash ? 1 : 0;
@@ -134,7 +134,7 @@
     {
       const HbwServer *server = g_ptr_array_index (shard->servers, i);
       guint64 weight = hbw_rendezvous_weight (hash, server->entry.id);
-      if (server->stopping || server->state != HBW_SERVER_UP || weight < highest
+      if (!hbw_server_is_usable (server) || weight < highest
           || part_of (choice, server) != choice->length)
         continue;
       home = server;
@@ -143,12 +143,13 @@
   return home;
 }
 
-/* Tokens of the prompt that no other request shares. */
+/* Returns how many of the UNREAD tokens of a prompt other requests share. */
 static guint
-own_tokens (const HbwRequestSpec *spec)
+shared_tokens (const HbwRequestSpec *spec, guint unread)
 {
-  return spec->part_count > 0 ? spec->parts[spec->part_count - 1].tokens
-                              : spec->prompt_tokens;
+  guint own = spec->part_count > 0 ? spec->parts[spec->part_count - 1].tokens
+                                   : spec->prompt_tokens;
+  return unread - MIN (unread, own);
 }
 
 /* The part of the prompt that is no other request's is read wherever it goes; the
@@ -158,7 +159,7 @@
 {
   const HbwRequestSpec *spec = &choice->want->spec;
   guint unread = hbw_server_uncached (server, spec);
-  guint again = unread - MIN (unread, own_tokens (spec));
+  guint again = shared_tokens (spec, unread);
   double tokens = (double) load->unread_tokens + unread + again * READ_AGAIN_FACTOR;
   double time = tokens * HBW_US_PER_S / choice->shard->prompt_rate;
   return server == choice->home ? time : time + NOT_HOME_US;
@@ -184,20 +185,19 @@
 }
 
 static double
-cost_us (const Choice *choice, const HbwServer *server)
+cost_us (const Choice *choice, const HbwServer *server, const HbwLoadSum *load)
 {
-  const HbwLoadSum load = load_of (choice, server);
   double cost
-      = queue_us (choice, server, load.in_progress) + server->failing * FAILURE_US;
+      = queue_us (choice, server, load->in_progress) + server->failing * FAILURE_US;
   if (is_model (&choice->want->spec))
-    cost += prompt_us (choice, server, &load) + position_us (choice, server);
+    cost += prompt_us (choice, server, load) + position_us (choice, server);
   if (strcmp (server->entry.data_centre, choice->context->data_centre) != 0)
     cost += REMOTE_US;
   return cost;
 }
 
 static gboolean
-has_room (const Choice *choice, const HbwServer *server)
+has_room (const Choice *choice, const HbwServer *server, const HbwLoadSum *load)
 {
   const HbwRequestSpec *spec = &choice->want->spec;
   if (server->stopping)
@@ -209,8 +209,7 @@
   if (choice->suspect && server->suspects > 0)
     return FALSE;
   guint percent = is_model (spec) ? 100 : PLAIN_ROOM_PERCENT;
-  return load_of (choice, server).in_progress
-         < MAX (1, server->entry.slots) * percent / 100;
+  return load->in_progress < MAX (1, server->entry.slots) * percent / 100;
 }
 
 static HbwServer *
@@ -223,14 +222,15 @@
   for (guint i = 0; i < shard->servers->len; i++)
     {
       HbwServer *server = g_ptr_array_index (shard->servers, i);
-      if (!has_room (choice, server))
+      const HbwLoadSum load = load_of (choice, server);
+      if (!has_room (choice, server, &load))
         continue;
       if (strcmp (server->entry.id, choice->want->avoid) == 0)
         {
           avoided = server;
           continue;
         }
-      double cost = cost_us (choice, server);
+      double cost = cost_us (choice, server, &load);
       if (best != NULL && cost >= least)
         continue;
       best = server;
@@ -246,7 +246,7 @@
   for (guint i = 0; i < shard->servers->len; i++)
     {
       const HbwServer *server = g_ptr_array_index (shard->servers, i);
-      if (!server->stopping && server->state == HBW_SERVER_UP)
+      if (hbw_server_is_usable (server))
         return FALSE;
     }
   return TRUE;
@@ -274,12 +274,12 @@
   for (guint i = 0; i < shard->servers->len; i++)
     {
       const HbwServer *server = g_ptr_array_index (shard->servers, i);
-      if (server->stopping || server->state != HBW_SERVER_UP)
+      if (!hbw_server_is_usable (server))
         continue;
       const HbwLoadSum load = load_of (&choice, server);
       guint unread = hbw_server_uncached (server, &want->spec);
-      guint shared = unread - MIN (unread, own_tokens (&want->spec));
-      double tokens = (double) load.unread_tokens + shared;
+      double tokens
+          = (double) load.unread_tokens + shared_tokens (&want->spec, unread);
       double expected = tokens * HBW_US_PER_S / shard->prompt_rate;
       if (least < 0 || expected < least)
         least = expected;
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -140,17 +140,11 @@
 is_in_force (const HbwReducer *reducer, const HbwServerEntry *entry)
 {
   HbwShardKey key;
-  if (reducer->topology == NULL
-      || !hbw_topology_find (reducer->topology, entry->id, &key))
-    return FALSE;
-  const GPtrArray *known = hbw_topology_servers (reducer->topology, &key);
-  for (guint i = 0; i < known->len; i++)
-    {
-      const HbwServerEntry *other = g_ptr_array_index (known, i);
-      if (strcmp (other->id, entry->id) == 0)
-        return !other->leaving && other->start == entry->start;
-    }
-  return FALSE;
+  const HbwServerEntry *known
+      = reducer->topology != NULL
+            ? hbw_topology_find (reducer->topology, entry->id, &key)
+            : NULL;
+  return known != NULL && !known->leaving && known->start == entry->start;
 }
 
 /* An entry that lapsed while the store was away from one instance may have been seen
@@ -553,7 +547,7 @@
   handle_document (reducer, document);
   if (reducer->revocation_us > 0
       && hbw_documents_version (reducer->documents, document->kind) > before)
-    hbw_membership_ping_local (context->membership, context);
+    hbw_membership_ping_all (context->membership, context, context->data_centre);
 }
 
 static void
@@ -605,7 +599,7 @@
       hbw_membership_add_seed (context->membership, event->seed);
       break;
     case HBW_EVENT_SURVEY:
-      hbw_membership_ping_all (context->membership, context);
+      hbw_membership_ping_all (context->membership, context, NULL);
       break;
     default:
       break;
--- a/core/server.c
+++ b/core/server.c
@@ -137,6 +137,12 @@
   return limit;
 }
 
+gboolean
+hbw_server_is_usable (const HbwServer *server)
+{
+  return !server->stopping && server->state == HBW_SERVER_UP;
+}
+
 HbwServer *
 hbw_server_create (const HbwServerEntry *entry)
 {
@@ -289,8 +295,7 @@
 hbw_server_free (const HbwServer *server)
 {
   guint limit = MAX (1, (guint) server->limit);
-  if (server->stopping || server->state != HBW_SERVER_UP
-      || server->in_progress >= limit)
+  if (!hbw_server_is_usable (server) || server->in_progress >= limit)
     return 0;
   return limit - server->in_progress;
 }
--- a/core/shard_estimate.c
+++ b/core/shard_estimate.c
@@ -131,7 +131,7 @@
     {
       const HbwServer *server = g_ptr_array_index (shard->servers, i);
       free_slots += hbw_server_free (server);
-      if (!server->stopping && server->state == HBW_SERVER_UP)
+      if (hbw_server_is_usable (server))
         limit += server->limit;
     }
   if (free_slots > 0 && waiting == 0)
--- a/core/status.c
+++ b/core/status.c
@@ -111,8 +111,8 @@
   HbwShardKey key;
   HbwShardSummary summary;
   json_t *item = json_pack ("{s:s}", "name", name);
-  gboolean listed
-      = source->topology != NULL && hbw_topology_find (source->topology, name, &key);
+  gboolean listed = source->topology != NULL
+                    && hbw_topology_find (source->topology, name, &key) != NULL;
   json_object_set_new (item, "backend_server", json_boolean (listed));
   if (!listed)
     return item;
--- a/core/topology.c
+++ b/core/topology.c
@@ -140,7 +140,7 @@
   return shard != NULL ? shard->servers : NULL;
 }
 
-gboolean
+const HbwServerEntry *
 hbw_topology_find (const HbwTopology *topology, const char *id, HbwShardKey *key)
 {
   for (guint i = 0; i < topology->shards->len; i++)
@@ -152,10 +152,10 @@
           if (strcmp (server->id, id) != 0)
             continue;
           *key = shard->key;
-          return TRUE;
+          return server;
         }
     }
-  return FALSE;
+  return NULL;
 }
 
 const GPtrArray *
--- a/include/hornbeamwall/core/membership.h
+++ b/include/hornbeamwall/core/membership.h
@@ -47,8 +47,9 @@
 void hbw_membership_handle (HbwMembership *membership, HbwContext *context,
                             const HbwMessage *message);
 
-/* Pings every other member. */
-void hbw_membership_ping_all (HbwMembership *membership, HbwContext *context);
+/* Pings every other member of DATA_CENTRE, or of all where it is NULL. */
+void hbw_membership_ping_all (HbwMembership *membership, HbwContext *context,
+                              const char *data_centre);
 
 /* Tells some members that this instance leaves. */
 void hbw_membership_leave (HbwMembership *membership, HbwContext *context);
@@ -84,9 +85,6 @@
 guint64 hbw_membership_ask (HbwMembership *membership, HbwContext *context,
                             guint64 identity);
 
-/* Pings every other member of this data centre. */
-void hbw_membership_ping_local (HbwMembership *membership, HbwContext *context);
-
 /* Returns how many instances of DATA_CENTRE (NULL: of all) are alive, with this
    one. */
 guint hbw_membership_count (HbwMembership *membership, const char *data_centre);
@@ -94,6 +92,10 @@
 /* Rises with every change that may move ownership. */
 guint64 hbw_membership_epoch (const HbwMembership *membership);
 
+/* Posts MESSAGE to every other member of DATA_CENTRE, or of all where it is NULL. */
+void hbw_membership_broadcast (HbwMembership *membership, HbwContext *context,
+                               const char *data_centre, const HbwMessage *message);
+
 /* Calls VISIT on each other member that is not dead. */
 void hbw_membership_foreach (HbwMembership *membership,
                              void (*visit) (const HbwMemberUpdate *member,
--- a/include/hornbeamwall/core/server.h
+++ b/include/hornbeamwall/core/server.h
@@ -58,6 +58,9 @@
    server, of which nothing is known. */
 void hbw_server_update (HbwServer *server, const HbwServerEntry *entry);
 
+/* Returns whether it stays, and is not taken for failed. */
+gboolean hbw_server_is_usable (const HbwServer *server);
+
 /* Returns whether a request of SPEC fits now; with OVERCOMMIT the limit may be
    exceeded by HBW_SERVER_OVERCOMMIT_PERCENT, or by less where the measured
    inter-token time leaves less room below the request's target. */
--- a/include/hornbeamwall/core/topology.h
+++ b/include/hornbeamwall/core/topology.h
@@ -28,9 +28,10 @@
 const GPtrArray *hbw_topology_servers (const HbwTopology *topology,
                                        const HbwShardKey *key);
 
-/* Finds the shard of the server ID; returns FALSE where it is not listed. */
-gboolean hbw_topology_find (const HbwTopology *topology, const char *id,
-                            HbwShardKey *key);
+/* Returns the entry of the server ID and sets KEY to its shard's; NULL where it is
+   not listed. */
+const HbwServerEntry *hbw_topology_find (const HbwTopology *topology, const char *id,
+                                         HbwShardKey *key);
 
 /* Returns the names of the data centres that have servers (borrowed). */
 const GPtrArray *hbw_topology_data_centres (const HbwTopology *topology);
