One way from an address to a socket's, one look in a list of names, one path for both kinds

- The store forms of config and servers differed in the kind alone, which two pairs of wrappers carried: it is a field of the form now.

--- a/common/address.c
+++ b/common/address.c
@@ -17,3 +17,15 @@
   address->port = (guint) port;
   return inet_pton (AF_INET, address->host, &binary) == 1;
 }
+
+gboolean
+hbw_address_to_socket (const char *text, struct sockaddr_in *address)
+{
+  HbwHostPort parts;
+  if (!hbw_address_parse (text, &parts))
+    return FALSE;
+  memset (address, 0, sizeof *address);
+  address->sin_family = AF_INET;
+  address->sin_port = htons ((guint16) parts.port);
+  return inet_pton (AF_INET, parts.host, &address->sin_addr) == 1;
+}
--- a/include/hornbeamwall/net/parser.h
+++ b/include/hornbeamwall/net/parser.h
@@ -91,6 +91,10 @@
 /* Returns how many fields have NAME. */
 guint hbw_head_count (const HbwHead *head, const char *name);
 
+/* Returns whether NAME is one of the COUNT NAMES, in any case. */
+gboolean hbw_field_is_among (const char *name, const char *const *names,
+                             gsize count);
+
 /* Returns whether a field of NAME concerns one connection only, or the framing of a
    body, and is never passed on. */
 gboolean hbw_field_is_hop (const char *name);
--- a/include/hornbeamwall/runtime/listing_feed.h
+++ b/include/hornbeamwall/runtime/listing_feed.h
@@ -24,11 +24,12 @@
 typedef struct HbwStoreForm HbwStoreForm;
 typedef struct
 {
-  /* Returns the path of a list, or of what follows the object AFTER in it. */
-  char *(*list_path) (const char *after);
+  /* Returns the path of the list of KIND, or of what follows the object AFTER in it.
+   */
+  char *(*list_path) (const char *kind, const char *after);
 
-  /* Returns the path that waits for changes after REVISION. */
-  char *(*watch_path) (gint64 revision, guint wait_ms);
+  /* Returns the path that waits for changes of KIND after REVISION. */
+  char *(*watch_path) (const char *kind, gint64 revision, guint wait_ms);
 
   /* Reads the answer to a list, or to a wait where CHANGES is set. */
   gboolean (*read_page) (const char *text, gsize length, gboolean changes,
@@ -41,6 +42,7 @@
 struct HbwStoreForm
 {
   const HbwStoreFormClass *class;
+  const char *kind; /* of its objects, as the store names it */
 };
 
 /* WAIT_MS is the longest wait that will be asked for. */
--- a/net/channel.c
+++ b/net/channel.c
@@ -34,18 +34,6 @@
   gboolean finished;
 };
 
-static gboolean
-parse (const char *text, struct sockaddr_in *address)
-{
-  HbwHostPort parts;
-  memset (address, 0, sizeof *address);
-  if (!hbw_address_parse (text, &parts))
-    return FALSE;
-  address->sin_family = AF_INET;
-  address->sin_port = htons ((guint16) parts.port);
-  return inet_pton (AF_INET, parts.host, &address->sin_addr) == 1;
-}
-
 static void
 set_options (int fd)
 {
@@ -189,7 +177,7 @@
 hbw_channel_connect (HbwLoop *loop, const char *address, HbwChannelUser *user)
 {
   struct sockaddr_in target;
-  if (!parse (address, &target))
+  if (!hbw_address_to_socket (address, &target))
     return NULL;
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0)
@@ -264,7 +252,7 @@
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd >= 0)
     setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (fd >= 0 && parse (address, &target)
+  if (fd >= 0 && hbw_address_to_socket (address, &target)
       && bind (fd, (struct sockaddr *) &target, sizeof target) == 0
       && listen (fd, BACKLOG) == 0)
     return fd;
--- a/net/http.c
+++ b/net/http.c
@@ -3,7 +3,6 @@
 #include "hornbeamwall/common/address.h"
 #include "hornbeamwall/common/clock.h"
 
-#include <arpa/inet.h>
 #include <jansson.h>
 #include <netinet/in.h>
 #include <string.h>
@@ -86,18 +85,6 @@
   return http->handler (request, http->data);
 }
 
-static gboolean
-parse_address (const char *text, struct sockaddr_in *address)
-{
-  HbwHostPort parts;
-  if (!hbw_address_parse (text, &parts))
-    return FALSE;
-  memset (address, 0, sizeof *address);
-  address->sin_family = AF_INET;
-  address->sin_port = htons ((guint16) parts.port);
-  return inet_pton (AF_INET, parts.host, &address->sin_addr) == 1;
-}
-
 HbwHttp *
 hbw_http_create (const HbwHttpConfig *config, HbwError *error)
 {
@@ -107,7 +94,7 @@
   http->data = config->data;
   http->body_max = config->body_max;
   http->quiesced = MHD_INVALID_SOCKET;
-  if (parse_address (config->address, &address))
+  if (hbw_address_to_socket (config->address, &address))
     http->daemon = MHD_start_daemon (
         MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD
             | MHD_USE_POLL | MHD_USE_ITC,
--- a/net/parser.c
+++ b/net/parser.c
@@ -280,10 +280,16 @@
 }
 
 gboolean
-hbw_field_is_hop (const char *name)
+hbw_field_is_among (const char *name, const char *const *names, gsize count)
 {
-  for (gsize i = 0; i < G_N_ELEMENTS (hop_fields); i++)
-    if (g_ascii_strcasecmp (hop_fields[i], name) == 0)
+  for (gsize i = 0; i < count; i++)
+    if (g_ascii_strcasecmp (names[i], name) == 0)
       return TRUE;
   return FALSE;
 }
+
+gboolean
+hbw_field_is_hop (const char *name)
+{
+  return hbw_field_is_among (name, hop_fields, G_N_ELEMENTS (hop_fields));
+}
--- a/runtime/listing_feed.c
+++ b/runtime/listing_feed.c
@@ -67,8 +67,9 @@
   HbwStoreResult result = HBW_STORE_OK;
   for (guint pages = 0; pages < PAGES_MAX; pages++)
     {
-      result = read_page (feed, feed->form->class->list_path (after), FALSE, page,
-                          error);
+      result
+          = read_page (feed, feed->form->class->list_path (feed->form->kind, after),
+                       FALSE, page, error);
       if (result != HBW_STORE_OK)
         break;
       if (pages == 0)
@@ -95,7 +96,8 @@
 static HbwStoreResult
 read_changes (ListingFeed *feed, guint wait_ms, HbwStorePage *page, HbwError *error)
 {
-  char *path = feed->form->class->watch_path (feed->revision, wait_ms);
+  char *path
+      = feed->form->class->watch_path (feed->form->kind, feed->revision, wait_ms);
   HbwStoreResult result = read_page (feed, path, TRUE, page, error);
   if (result != HBW_STORE_OK)
     return result;
