Tests: one loopback address, one sum of runs, one check of a stream's events

Both tests of streams that go on elsewhere now require of each of the six events that it is there, in its order, and once in the whole answer; each required a part of that before. The stand-ins and the soak share the address of a port on this machine.

--- a/tests/platform_soak.c
+++ b/tests/platform_soak.c
@@ -11,6 +11,7 @@
  * "not run" is true, every whole answer is the caller's own, events come once and in
  * order.
  */
+#include "standin/listen.h"
 #include "standin/objects.h"
 #include "standin/proxy.h"
 #include "standin/replica.h"
@@ -75,10 +76,7 @@
 static guint
 runs_of (Soak *soak, const char *path)
 {
-  guint runs = 0;
-  for (guint i = 0; i < SERVERS; i++)
-    runs += replica_runs (soak->replicas[i], path);
-  return runs;
+  return replica_runs_at_all (soak->replicas, SERVERS, path);
 }
 
 /* --- callers
@@ -87,13 +85,11 @@
 static gboolean
 dial (Caller *caller)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
   const struct timeval patience = { PATIENCE_S, 0 };
   Soak *soak = caller->soak;
   guint index
       = (guint) g_rand_int_range (caller->random, 0, (gint32) soak->instances);
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  address.sin_port = htons ((guint16) soak->ports[index]);
+  const struct sockaddr_in address = standin_loopback (soak->ports[index]);
   caller->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   setsockopt (caller->fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
   if (connect (caller->fd, (struct sockaddr *) &address, sizeof address) == 0)
@@ -304,9 +300,8 @@
 static guint
 free_port (void)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
+  struct sockaddr_in address = standin_loopback (0);
   socklen_t size = sizeof address;
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (bind (fd, (struct sockaddr *) &address, sizeof address) != 0)
     g_error ("no free port");
--- a/tests/standin/listen.c
+++ b/tests/standin/listen.c
@@ -8,12 +8,9 @@
 standin_listen (const char *text, MHD_AccessHandlerCallback handler,
                 MHD_RequestCompletedCallback completed, void *data)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  HbwHostPort parts;
-  if (!hbw_address_parse (text, &parts))
+  struct sockaddr_in address;
+  if (!hbw_address_to_socket (text, &address))
     return NULL;
-  address.sin_port = htons ((guint16) parts.port);
-  inet_pton (AF_INET, parts.host, &address.sin_addr);
   return MHD_start_daemon (MHD_USE_THREAD_PER_CONNECTION
                                | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
                            0, NULL, NULL, handler, data, MHD_OPTION_SOCK_ADDR,
@@ -21,6 +18,15 @@
                            MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
 }
 
+struct sockaddr_in
+standin_loopback (unsigned port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons ((guint16) port);
+  return address;
+}
+
 unsigned
 standin_port (struct MHD_Daemon *daemon)
 {
--- a/tests/standin/listen.h
+++ b/tests/standin/listen.h
@@ -5,6 +5,7 @@
 #define HORNBEAMWALL_TESTS_STANDIN_LISTEN_H
 
 #include <microhttpd.h>
+#include <netinet/in.h>
 
 /* Listens at ADDRESS, an IP number and port (0 takes any), with a thread for each
    connection; DATA goes to HANDLER.  Returns NULL where it cannot. */
@@ -13,6 +14,9 @@
                                    MHD_RequestCompletedCallback completed,
                                    void *data);
 
+/* Returns the address of PORT on this machine. */
+struct sockaddr_in standin_loopback (unsigned port);
+
 /* Returns the port that was bound. */
 unsigned standin_port (struct MHD_Daemon *daemon);
 
--- a/tests/standin/proxy.c
+++ b/tests/standin/proxy.c
@@ -1,5 +1,7 @@
 #include "proxy.h"
 
+#include "listen.h"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -30,15 +32,6 @@
   guint count;
 };
 
-static struct sockaddr_in
-loopback (guint port)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  address.sin_port = htons ((guint16) port);
-  return address;
-}
-
 static void
 drop (Proxy *proxy, guint index, gboolean hard)
 {
@@ -59,7 +52,7 @@
   int client = accept (proxy->fd, NULL, NULL);
   if (client < 0)
     return;
-  struct sockaddr_in target = loopback (atomic_load (&proxy->target));
+  struct sockaddr_in target = standin_loopback (atomic_load (&proxy->target));
   int server = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (proxy->count >= LINKS_MAX
       || connect (server, (struct sockaddr *) &target, sizeof target) != 0)
@@ -129,7 +122,7 @@
 proxy_create (guint port)
 {
   Proxy *proxy = g_new0 (Proxy, 1);
-  struct sockaddr_in address = loopback (0);
+  struct sockaddr_in address = standin_loopback (0);
   socklen_t size = sizeof address;
   atomic_store (&proxy->target, port);
   proxy->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -1,5 +1,7 @@
 #include "replica.h"
 
+#include "hornbeamwall/common/address.h"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -415,13 +417,11 @@
 replica_create (const char *address, const char *id)
 {
   Replica *replica = g_new0 (Replica, 1);
-  struct sockaddr_in target = { .sin_family = AF_INET };
+  struct sockaddr_in target;
   socklen_t size = sizeof target;
   const int on = 1;
-  char **parts = g_strsplit (address, ":", 2);
-  inet_pton (AF_INET, parts[0], &target.sin_addr);
-  target.sin_port = htons ((guint16) strtoul (parts[1], NULL, 10));
-  g_strfreev (parts);
+  if (!hbw_address_to_socket (address, &target))
+    g_error ("replica: %s is no address", address);
   replica->id = g_strdup (id);
   replica->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   pthread_mutex_init (&replica->lock, NULL);
@@ -470,6 +470,15 @@
   return runs;
 }
 
+guint
+replica_runs_at_all (Replica *const *replicas, guint count, const char *path)
+{
+  guint runs = 0;
+  for (guint i = 0; i < count; i++)
+    runs += replica_runs (replicas[i], path);
+  return runs;
+}
+
 guint
 replica_connections (Replica *replica)
 {
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -38,6 +38,9 @@
 /* Returns how often a request of PATH (with its query) began to run here. */
 guint replica_runs (Replica *replica, const char *path);
 
+/* Returns the sum of it over COUNT stand-ins. */
+guint replica_runs_at_all (Replica *const *replicas, guint count, const char *path);
+
 /* Returns how many connections were accepted. */
 guint replica_connections (Replica *replica);
 
--- a/tests/traffic_test.c
+++ b/tests/traffic_test.c
@@ -6,6 +6,7 @@
 
 #include "hornbeamwall/runtime/instance.h"
 #include "hornbeamwall/runtime/order.h"
+#include "standin/listen.h"
 #include "standin/objects.h"
 #include "standin/replica.h"
 
@@ -148,10 +149,7 @@
 static guint
 runs (Bed *bed, const char *path)
 {
-  guint count = 0;
-  for (guint i = 0; i < SERVERS; i++)
-    count += replica_runs (bed->replicas[i], path);
-  return count;
+  return replica_runs_at_all (bed->replicas, SERVERS, path);
 }
 
 static guint
@@ -169,10 +167,9 @@
 static int
 dial (Bed *bed)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
+  const struct sockaddr_in address
+      = standin_loopback (hbw_instance_caller_port (bed->instance));
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
-  address.sin_port = htons ((guint16) hbw_instance_caller_port (bed->instance));
   ck_assert_int_eq (connect (fd, (struct sockaddr *) &address, sizeof address), 0);
   return fd;
 }
@@ -415,21 +412,29 @@
 }
 END_TEST
 
-START_TEST (stream_goes_on_at_another_server)
+/* Events are all there, in their order, and none twice. */
+static void
+expect_each_event_once (const char *text)
 {
-  Bed *bed = bed_create ();
-  Answer answer = ask (bed, "/stream/a/cut1", KEY, "b");
-  ck_assert_uint_eq (answer.status, 200);
-  ck_assert_msg (is_whole (answer.text), "%s", answer.text);
-  const char *at = answer.text;
+  const char *before = text;
   for (guint i = 1; i <= 6; i++)
     {
       char event[16];
       g_snprintf (event, sizeof event, "id: %u\n", i);
-      at = strstr (at, event);
-      ck_assert_msg (at != NULL, "%s: %s", event, answer.text);
-      ck_assert (strstr (at + 1, event) == NULL);
+      const char *at = strstr (text, event);
+      ck_assert_msg (at != NULL && at > before, "%s: %s", event, text);
+      ck_assert_msg (strstr (at + 1, event) == NULL, "%s twice: %s", event, text);
+      before = at;
     }
+}
+
+START_TEST (stream_goes_on_at_another_server)
+{
+  Bed *bed = bed_create ();
+  Answer answer = ask (bed, "/stream/a/cut1", KEY, "b");
+  ck_assert_uint_eq (answer.status, 200);
+  ck_assert_msg (is_whole (answer.text), "%s", answer.text);
+  expect_each_event_once (answer.text);
   ck_assert (strstr (strstr (answer.text, "HTTP/1.1") + 1, "HTTP/1.1") == NULL);
   g_free (answer.text);
   bed_destroy (bed);
@@ -444,14 +449,7 @@
   Answer answer = ask (bed, "/stream/a/mute1", KEY, "b");
   ck_assert_uint_eq (answer.status, 200);
   ck_assert_msg (is_whole (answer.text), "%s", answer.text);
-  for (guint i = 1; i <= 6; i++)
-    {
-      char event[16];
-      g_snprintf (event, sizeof event, "id: %u\n", i);
-      const char *at = strstr (answer.text, event);
-      ck_assert_msg (at != NULL && strstr (at + 1, event) == NULL, "%s: %s", event,
-                     answer.text);
-    }
+  expect_each_event_once (answer.text);
   ck_assert (wait_until_idle (bed));
   g_free (answer.text);
   bed_destroy (bed);
