An owner is looked up once; no threads for load reports that are never asked for

- tick_told asked for the owner of a request's shard up to three times in one call.
- What an attempt starts with is a function of its own, out of a grant's handling.
- Four threads for load reports were started with the process, also where servers tell their load with each answer and nothing is ever asked; they start with the first question.

--- a/core/entry.c
+++ b/core/entry.c
@@ -467,6 +467,26 @@
     give_up (entry, context, request, end);
 }
 
+static void
+add_start (HbwEntry *entry, HbwContext *context, const HbwRequest *request,
+           const HbwGrant *grant)
+{
+  HbwEffect *effect = hbw_effects_add (context->effects, HBW_EFFECT_START_ATTEMPT);
+  HbwStart *start = &effect->start;
+  start->sequence = request->sequence;
+  start->attempt = request->attempt;
+  start->valid_us = MIN (grant->valid_us, G_GINT64_CONSTANT (1000000));
+  start->tier = request->spec.tier;
+  start->first_us
+      = longest_silence (entry, context, request, request->spec.target_us);
+  start->stall_us
+      = request->spec.resumable
+            ? longest_silence (entry, context, request, request->spec.inter_token_us)
+            : 0;
+  g_strlcpy (start->server, grant->server, sizeof start->server);
+  g_strlcpy (start->address, grant->address, sizeof start->address);
+}
+
 void
 hbw_entry_handle_grant (HbwEntry *entry, HbwContext *context, guint64 from,
                         const HbwGrant *grant)
@@ -497,20 +517,7 @@
   hbw_histogram_record (&class_metrics (context, request)->queue_wait, waited);
   hbw_histogram_record (&organisation_metrics (context, request)->queue_wait,
                         waited);
-  HbwEffect *effect = hbw_effects_add (context->effects, HBW_EFFECT_START_ATTEMPT);
-  HbwStart *start = &effect->start;
-  start->sequence = request->sequence;
-  start->attempt = request->attempt;
-  start->valid_us = MIN (grant->valid_us, G_GINT64_CONSTANT (1000000));
-  start->tier = request->spec.tier;
-  start->first_us
-      = longest_silence (entry, context, request, request->spec.target_us);
-  start->stall_us
-      = request->spec.resumable
-            ? longest_silence (entry, context, request, request->spec.inter_token_us)
-            : 0;
-  g_strlcpy (start->server, grant->server, sizeof start->server);
-  g_strlcpy (start->address, grant->address, sizeof start->address);
+  add_start (entry, context, request, grant);
 }
 
 void
@@ -567,12 +574,12 @@
     request->restate_us = HBW_RESTATE_US;
   if (request->state == HBW_REQUEST_RUNNING)
     {
-      hbw_request_post_active (request, context, lookup_owner (entry, request));
+      hbw_request_post_active (request, context, owner);
       return;
     }
   if (owner != request->owner)
     hbw_request_post_withdraw (request, context);
-  hbw_request_post_want (request, context, lookup_owner (entry, request));
+  hbw_request_post_want (request, context, owner);
 }
 
 /* Ends a request whose time is over while a server works on it. */
--- a/include/hornbeamwall/runtime/load.h
+++ b/include/hornbeamwall/runtime/load.h
@@ -16,7 +16,8 @@
 /* Waits for the calls in progress. */
 void hbw_load_destroy (HbwLoad *load);
 
-/* Asks one server; its answer is submitted as an event. */
+/* Asks one server; its answer is submitted as an event.  For the control thread
+ * alone. */
 void hbw_load_poll (HbwLoad *load, const HbwPoll *poll);
 
 #endif
--- a/runtime/load.c
+++ b/runtime/load.c
@@ -95,9 +95,6 @@
   pthread_mutex_init (&load->lock, NULL);
   pthread_cond_init (&load->wake, NULL);
   g_queue_init (&load->waiting);
-  for (guint i = 0; i < POLL_THREADS; i++)
-    if (pthread_create (&load->threads[load->thread_count], NULL, run, load) == 0)
-      load->thread_count++;
   return load;
 }
 
@@ -116,9 +113,21 @@
   g_free (load);
 }
 
+/* Where servers tell their load with each answer, nothing is ever asked. */
+static void
+ensure_threads (HbwLoad *load)
+{
+  if (load->thread_count > 0)
+    return;
+  for (guint i = 0; i < POLL_THREADS; i++)
+    if (pthread_create (&load->threads[load->thread_count], NULL, run, load) == 0)
+      load->thread_count++;
+}
+
 void
 hbw_load_poll (HbwLoad *load, const HbwPoll *poll)
 {
+  ensure_threads (load);
   pthread_mutex_lock (&load->lock);
   if (g_queue_get_length (&load->waiting) < POLL_BACKLOG)
     {
