A request with two failures is held until the others cleared themselves

The second failure convicted at once: a bystander of two such requests looks like either of them, and what a conviction took off others it took off a second culprit too. Two copies of one request on a server that crashed counted as two failures, which would have refused a popular request for 300 s.

Ruled out: lost or late messages as the cause (the traces show all of them come before the wrong conviction).

Change: the quarantine keeps the failures with their candidates; held, convicted and suspect are verdicts drawn from them alike in all instances. SUSPECT tells what happened (failed, cleared, left).

The log line REQUEST_SUSPECT names the request and its fingerprint.

--- a/core/entry.c
+++ b/core/entry.c
@@ -73,8 +73,30 @@
 }
 
 static void
-remove_request (HbwEntry *entry, HbwRequest *request, guint tokens)
+tell_suspect (HbwContext *context, const HbwSuspect *suspect)
 {
+  HbwMessage message = { .kind = HBW_MESSAGE_SUSPECT, .suspect = *suspect };
+  message.suspect.remaining_us = HBW_QUARANTINE_US;
+  hbw_membership_broadcast (context->membership, context, context->data_centre,
+                            &message);
+}
+
+static void
+tell_change (HbwContext *context, const HbwFingerprint *fingerprint,
+             HbwSuspicion change)
+{
+  const HbwSuspect suspect = { .fingerprint = *fingerprint, .change = change };
+  tell_suspect (context, &suspect);
+  hbw_quarantine_report (context->quarantine, context->effects);
+}
+
+static void
+remove_request (HbwEntry *entry, HbwContext *context, HbwRequest *request,
+                guint tokens)
+{
+  const HbwFingerprint *fingerprint = &request->spec.fingerprint;
+  if (hbw_quarantine_leave (context->quarantine, fingerprint, context->now_us))
+    tell_change (context, fingerprint, HBW_SUSPICION_LEFT);
   if (request->limit_held)
     hbw_limiter_end (entry->limiter, &request->spec, tokens);
   if (request->state == HBW_REQUEST_LIMITED)
@@ -106,7 +128,7 @@
   class_metrics (context, request)->refused[reason]++;
   organisation_metrics (context, request)->refused[reason]++;
   hbw_request_post_withdraw (request, context);
-  remove_request (entry, request, 0);
+  remove_request (entry, context, request, 0);
 }
 
 /* Chooses a shard and asks its owner for a grant. */
@@ -199,7 +221,7 @@
       else
         both[i]->failed++;
     }
-  remove_request (entry, request, end->tokens);
+  remove_request (entry, context, request, end->tokens);
 }
 
 static void
@@ -212,19 +234,6 @@
   organisation_metrics (context, request)->wasted_tokens += end->tokens;
 }
 
-static void
-tell_suspect (HbwContext *context, const HbwFingerprint *fingerprint, guint failures,
-              guint64 server)
-{
-  HbwMessage message = { .kind = HBW_MESSAGE_SUSPECT };
-  message.suspect.fingerprint = *fingerprint;
-  message.suspect.failures = failures;
-  message.suspect.server = server;
-  message.suspect.remaining_us = HBW_QUARANTINE_US;
-  hbw_membership_broadcast (context->membership, context, context->data_centre,
-                            &message);
-}
-
 /* Counts a failure of the server against the request that was in progress there, or
    clears the request by its success. */
 static void
@@ -233,8 +242,8 @@
   const HbwFingerprint *fingerprint = &request->spec.fingerprint;
   if (outcome == HBW_OUTCOME_COMPLETE)
     {
-      if (hbw_quarantine_clear (context->quarantine, fingerprint))
-        tell_suspect (context, fingerprint, 0, 0);
+      if (hbw_quarantine_clear (context->quarantine, fingerprint, context->now_us))
+        tell_change (context, fingerprint, HBW_SUSPICION_CLEARED);
       return;
     }
   if (outcome != HBW_OUTCOME_BROKEN)
@@ -242,13 +251,17 @@
   guint64 server = hbw_rendezvous_weight (0, request->server);
   guint failures = hbw_quarantine_add (context->quarantine, fingerprint, server,
                                        context->now_us);
-  tell_suspect (context, fingerprint, failures, server);
-  gboolean quarantined = failures >= HBW_QUARANTINE_FAILURES;
-  hbw_effects_log (
-      context->effects,
-      quarantined ? HBW_LOG_REQUEST_QUARANTINED : HBW_LOG_REQUEST_SUSPECT,
-      "organisation=%s class=%s server=%s failures=%u", request->spec.organisation,
-      request->spec.class_name, request->server, failures);
+  const HbwSuspect suspect = { .fingerprint = *fingerprint,
+                               .change = HBW_SUSPICION_FAILED,
+                               .failures = failures,
+                               .server = server };
+  tell_suspect (context, &suspect);
+  hbw_effects_log (context->effects, HBW_LOG_REQUEST_SUSPECT,
+                   "request=%s fingerprint=%016" G_GINT64_MODIFIER
+                   "x organisation=%s class=%s server=%s failures=%u",
+                   request->trace, fingerprint->low, request->spec.organisation,
+                   request->spec.class_name, request->server, failures);
+  hbw_quarantine_report (context->quarantine, context->effects);
 }
 
 static guint
@@ -387,8 +400,8 @@
     }
   HbwRequest *request = add_request (entry, context, arrival);
   const HbwFingerprint *fingerprint = &request->spec.fingerprint;
-  if (hbw_quarantine_is_convicted (context->quarantine, fingerprint,
-                                   context->now_us))
+  if (hbw_quarantine_judge (context->quarantine, fingerprint, context->now_us)
+      == HBW_VERDICT_CONVICTED)
     {
       refuse (entry, context, request, HBW_REASON_QUARANTINED,
               hbw_quarantine_remaining (context->quarantine, fingerprint,
@@ -422,7 +435,7 @@
   organisation_metrics (context, request)->gone++;
   hbw_effects_add (context->effects, HBW_EFFECT_FINISH)->sequence = sequence;
   hbw_request_post_withdraw (request, context);
-  remove_request (entry, request, 0);
+  remove_request (entry, context, request, 0);
 }
 
 void
--- a/core/policy.c
+++ b/core/policy.c
@@ -73,8 +73,9 @@
               Score score)
 {
   const HbwWant *want = &ticket->want;
-  gboolean suspect = hbw_quarantine_is_suspect (
-      context->quarantine, &want->spec.fingerprint, context->now_us);
+  gboolean suspect = hbw_quarantine_judge (context->quarantine,
+                                           &want->spec.fingerprint, context->now_us)
+                     != HBW_VERDICT_NONE;
   HbwServer *best = NULL;
   HbwServer *avoided = NULL;
   gboolean others = FALSE; /* whether another server is worth waiting for */
@@ -122,8 +123,7 @@
 ticket_fits (const HbwTicket *ticket, void *data)
 {
   Selection *selection = data;
-  const HbwPolicy *policy = selection->shard->policy;
-  return policy->select_server (selection->shard, selection->context, ticket)
+  return hbw_shard_select_server (selection->shard, selection->context, ticket)
          != NULL;
 }
 
--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -260,8 +260,9 @@
   Choice choice = { .shard = shard, .context = context, .want = want };
   choice.length = hbw_shard_length_of (shard, &want->spec);
   choice.home = find_home (&choice);
-  choice.suspect = hbw_quarantine_is_suspect (
-      context->quarantine, &want->spec.fingerprint, context->now_us);
+  choice.suspect = hbw_quarantine_judge (context->quarantine,
+                                         &want->spec.fingerprint, context->now_us)
+                   != HBW_VERDICT_NONE;
   choice.any_state = all_failed (shard);
   return cheapest (&choice);
 }
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -423,6 +423,7 @@
       break;
     case HBW_MESSAGE_SUSPECT:
       hbw_quarantine_merge (context->quarantine, &message->suspect, context->now_us);
+      hbw_quarantine_report (context->quarantine, context->effects);
       break;
     default:
       hbw_limiter_handle (limiter, context, message);
--- a/core/shard.c
+++ b/core/shard.c
@@ -84,8 +84,9 @@
   reservation->key.id = *id;
   reservation->key.attempt = attempt;
   reservation->spec = *spec;
-  reservation->suspect = hbw_quarantine_is_suspect (
-      context->quarantine, &spec->fingerprint, context->now_us);
+  reservation->suspect = hbw_quarantine_judge (context->quarantine,
+                                               &spec->fingerprint, context->now_us)
+                         != HBW_VERDICT_NONE;
   reservation->granted_us = context->now_us;
   reservation->heard_us = context->now_us;
   reservation->server_start = server->entry.start;
@@ -196,13 +197,24 @@
   hbw_queue_remove (shard->queue, ticket);
 }
 
+HbwServer *
+hbw_shard_select_server (HbwShard *shard, HbwContext *context,
+                         const HbwTicket *ticket)
+{
+  HbwVerdict verdict = hbw_quarantine_judge (
+      context->quarantine, &ticket->want.spec.fingerprint, context->now_us);
+  if (verdict == HBW_VERDICT_HELD || verdict == HBW_VERDICT_CONVICTED)
+    return NULL;
+  return shard->policy->select_server (shard, context, ticket);
+}
+
 static gboolean
 grant_one (HbwShard *shard, HbwContext *context)
 {
   HbwTicket *ticket = shard->policy->select_ticket (shard, context);
   if (ticket == NULL)
     return FALSE;
-  HbwServer *server = shard->policy->select_server (shard, context, ticket);
+  HbwServer *server = hbw_shard_select_server (shard, context, ticket);
   if (server == NULL)
     return FALSE;
   const HbwWant *want = &ticket->want;
@@ -276,8 +288,9 @@
     hbw_queue_remove (shard->queue, ticket);
   else if (ticket->deadline_at_us > 0 && context->now_us >= ticket->deadline_at_us)
     refuse_ticket (shard, context, ticket, HBW_REASON_DEADLINE);
-  else if (hbw_quarantine_is_convicted (
-               context->quarantine, &ticket->want.spec.fingerprint, context->now_us))
+  else if (hbw_quarantine_judge (context->quarantine, &ticket->want.spec.fingerprint,
+                                 context->now_us)
+           == HBW_VERDICT_CONVICTED)
     refuse_ticket (shard, context, ticket, HBW_REASON_QUARANTINED);
 }
 
@@ -429,8 +442,9 @@
     hbw_quarantine_merge (context->quarantine, &known, context->now_us);
   if (restate_known (shard, context, from, want))
     return;
-  if (hbw_quarantine_is_convicted (context->quarantine, &want->spec.fingerprint,
-                                   context->now_us))
+  if (hbw_quarantine_judge (context->quarantine, &want->spec.fingerprint,
+                            context->now_us)
+      == HBW_VERDICT_CONVICTED)
     {
       send_refusal (context, shard, from, want, HBW_REASON_QUARANTINED);
       return;
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -210,10 +210,20 @@
   GBytes *body; /* owned; NULL in a DOCUMENT_ASK */
 } HbwDocument;
 
+/* What became of a request that was in progress on a server which failed. */
+typedef enum
+{
+  HBW_SUSPICION_FAILED,  /* one more server failed */
+  HBW_SUSPICION_CLEARED, /* it succeeded */
+  HBW_SUSPICION_LEFT,    /* it ended without another attempt */
+  HBW_SUSPICION_COUNT,
+} HbwSuspicion;
+
 typedef struct
 {
   HbwFingerprint fingerprint;
-  guint failures; /* 0 clears the suspicion */
+  HbwSuspicion change;
+  guint failures;
   guint64 server; /* hash of the server that failed last; 0 is not known */
   gint64 remaining_us;
 } HbwSuspect;
--- a/include/hornbeamwall/core/shard.h
+++ b/include/hornbeamwall/core/shard.h
@@ -123,6 +123,10 @@
 
 HbwServer *hbw_shard_find_server (const HbwShard *shard, const char *id);
 
+/* Returns the server on which TICKET may run now; NULL without one. */
+HbwServer *hbw_shard_select_server (HbwShard *shard, HbwContext *context,
+                                    const HbwTicket *ticket);
+
 /* Returns all slots of the servers that take work. */
 guint hbw_shard_slots (const HbwShard *shard);
 
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -235,6 +235,7 @@
       break;
     case HBW_MESSAGE_SUSPECT:
       pack_fingerprint (packer, &message->suspect.fingerprint);
+      msgpack_pack_uint32 (packer, message->suspect.change);
       msgpack_pack_uint32 (packer, message->suspect.failures);
       msgpack_pack_int64 (packer, message->suspect.remaining_us);
       msgpack_pack_uint64 (packer, message->suspect.server);
@@ -256,7 +257,7 @@
   [HBW_MESSAGE_WITHDRAW] = 5,  [HBW_MESSAGE_GRANT] = 14,
   [HBW_MESSAGE_REFUSAL] = 5,   [HBW_MESSAGE_ACTIVE] = 10,
   [HBW_MESSAGE_DONE] = 11,     [HBW_MESSAGE_DOCUMENT_ASK] = 4,
-  [HBW_MESSAGE_DOCUMENT] = 4,  [HBW_MESSAGE_SUSPECT] = 5,
+  [HBW_MESSAGE_DOCUMENT] = 4,  [HBW_MESSAGE_SUSPECT] = 6,
   [HBW_MESSAGE_DEMAND] = 5,    [HBW_MESSAGE_SHARE] = 5,
   [HBW_MESSAGE_BEGUN] = 7,     [HBW_MESSAGE_LOADS] = 2,
 };
--- a/net/codec_take.c
+++ b/net/codec_take.c
@@ -335,6 +335,8 @@
       break;
     case HBW_MESSAGE_SUSPECT:
       take_fingerprint (fields, &message->suspect.fingerprint);
+      message->suspect.change
+          = (HbwSuspicion) hbw_fields_take_uint (fields, HBW_SUSPICION_COUNT - 1);
       message->suspect.failures = (guint) hbw_fields_take_uint (fields, G_MAXUINT16);
       message->suspect.remaining_us = take_int (fields);
       message->suspect.server = hbw_fields_take_uint (fields, G_MAXUINT64);
