--- a/core/metrics.c
+++ b/core/metrics.c
@@ -143,6 +143,14 @@
       render_counter (text, "messages_received", "kind", kind,
                       metrics->control.messages_received[i]);
     }
+  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+    {
+      const char *kind = hbw_document_kind_name ((HbwDocumentKind) i);
+      render_counter (text, "store_calls", "document", kind,
+                      metrics->control.store_calls[i]);
+      render_counter (text, "store_failures", "document", kind,
+                      metrics->control.store_failures[i]);
+    }
   g_string_append_printf (
       text, "hornbeamwall_grants_handed_back_total %" G_GUINT64_FORMAT "\n",
       metrics->control.grants_handed_back);
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -518,13 +518,16 @@
 }
 
 static void
-handle_store_state (HbwReducer *reducer, gboolean up)
+handle_store_state (HbwReducer *reducer, const HbwStoreState *state)
 {
-  if (reducer->store_up == up)
+  HbwControlMetrics *metrics = hbw_metrics_control (reducer->context.metrics);
+  metrics->store_calls[state->document] += state->calls;
+  metrics->store_failures[state->document] += state->up ? 0 : 1;
+  if (reducer->store_up == state->up)
     return;
-  reducer->store_up = up;
+  reducer->store_up = state->up;
   hbw_effects_log (reducer->context.effects,
-                   up ? HBW_LOG_STORE_UP : HBW_LOG_STORE_DOWN,
+                   state->up ? HBW_LOG_STORE_UP : HBW_LOG_STORE_DOWN,
                    "instance=%" G_GUINT64_FORMAT, reducer->context.self);
 }
 
@@ -588,7 +591,7 @@
       handle_read_document (reducer, &event->document);
       break;
     case HBW_EVENT_STORE_STATE:
-      handle_store_state (reducer, event->store_up);
+      handle_store_state (reducer, &event->store);
       break;
     case HBW_EVENT_MESSAGE:
       handle_message (reducer, &event->message);
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -70,6 +70,14 @@
   gint64 version;
 } HbwConfirmation;
 
+/* What became of the calls that one look at a document of the store took. */
+typedef struct
+{
+  HbwDocumentKind document;
+  guint calls;
+  gboolean up; /* the last one was answered */
+} HbwStoreState;
+
 typedef struct
 {
   HbwEventKind kind;
@@ -82,7 +90,7 @@
     HbwAttemptEnd end;
     HbwLoadReport load;
     HbwDocument document; /* body borrowed for the step; NULL: does not exist */
-    gboolean store_up;
+    HbwStoreState store;
     HbwConfirmation confirmation;
     char seed[HBW_ADDRESS_MAX];
     HbwMessage message; /* borrowed for the step */
--- a/include/hornbeamwall/core/metrics.h
+++ b/include/hornbeamwall/core/metrics.h
@@ -38,6 +38,8 @@
 {
   guint64 messages_sent[HBW_MESSAGE_COUNT];
   guint64 messages_received[HBW_MESSAGE_COUNT];
+  guint64 store_calls[HBW_DOCUMENT_COUNT];
+  guint64 store_failures[HBW_DOCUMENT_COUNT]; /* calls without a usable answer */
   guint64 grants_handed_back;
   guint64 spilled;
 } HbwControlMetrics;
--- a/include/hornbeamwall/runtime/feed.h
+++ b/include/hornbeamwall/runtime/feed.h
@@ -11,6 +11,7 @@
 typedef struct
 {
   HbwStoreResult result; /* OK: there is a newer version */
+  guint calls;           /* made to the store */
   gint64 version;
   GBytes *body;       /* with OK, owned */
   gboolean confirmed; /* the store says that what was read is the newest */
--- a/runtime/feed.c
+++ b/runtime/feed.c
@@ -17,6 +17,7 @@
             ? hbw_platform_watch (feed->platform, feed->name, known, wait_ms, error)
             : hbw_platform_get (feed->platform, feed->name, error);
   const HbwFeedAnswer result = { .result = answer.result,
+                                 .calls = 1,
                                  .version = answer.version,
                                  .body = answer.body,
                                  .confirmed = answer.result != HBW_STORE_FAILED };
--- a/runtime/listing_feed.c
+++ b/runtime/listing_feed.c
@@ -14,6 +14,7 @@
   HbwListing *listing;
   gint64 revision; /* up to which changes are known; 0 is nothing */
   gboolean valid;  /* the objects make a document */
+  guint calls;     /* made for the answer that is under way */
 } ListingFeed;
 
 static void
@@ -30,6 +31,7 @@
            HbwError *error)
 {
   HbwStoreAnswer answer = hbw_platform_get_path (feed->platform, path, error);
+  feed->calls++;
   g_free (path);
   if (answer.result != HBW_STORE_OK)
     return answer.result;
@@ -135,6 +137,7 @@
 {
   ListingFeed *feed = (ListingFeed *) base;
   HbwFeedAnswer answer = { .result = HBW_STORE_UNCHANGED };
+  feed->calls = 0;
   HbwStorePage page = { .changes = g_array_new (FALSE, FALSE, sizeof (HbwChange)) };
   HbwStoreResult result
       = feed->revision > 0
@@ -144,6 +147,7 @@
     result = read_list (feed, &page, error);
   page_clear (&page);
   g_array_free (page.changes, TRUE);
+  answer.calls = feed->calls;
   gint64 now_us = hbw_clock_now (feed->clock);
   if (result != HBW_STORE_OK)
     {
--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -75,9 +75,12 @@
 }
 
 static void
-submit_state (HbwWatch *watch, gboolean up)
+submit_state (HbwWatch *watch, HbwDocumentKind kind, const HbwFeedAnswer *answer)
 {
-  HbwEvent event = { .kind = HBW_EVENT_STORE_STATE, .store_up = up };
+  HbwEvent event = { .kind = HBW_EVENT_STORE_STATE };
+  event.store.document = kind;
+  event.store.calls = answer->calls;
+  event.store.up = answer->result != HBW_STORE_FAILED;
   hbw_control_submit (watch->control, &event, NULL);
 }
 
@@ -103,7 +106,7 @@
   HbwFeedAnswer answer = follower->feed->class->next (
       follower->feed, version, watch_ms[follower->kind], &error);
   gboolean failed = answer.result == HBW_STORE_FAILED;
-  submit_state (watch, !failed);
+  submit_state (watch, follower->kind, &answer);
   if (answer.result == HBW_STORE_OK)
     {
       submit_document (watch, follower->kind, &answer);
