One instance in forty watches the platform's store, the others ask it

Change: where instances ask a watcher for the age of what it knows, one watcher is chosen for every forty; an asker whose question stays open 0.3 s watches itself, as before. The choice is made once a change of the members, not at every step. Native deployments keep two, as nobody asks there.

Test one_instance_watches_while_it_answers: red with two watchers.

--- a/core/membership.c
+++ b/core/membership.c
@@ -648,44 +648,6 @@
   return before < count;
 }
 
-typedef struct
-{
-  guint64 identity;
-  guint64 weight;
-} Ranked;
-
-static int
-compare_ranked (gconstpointer a, gconstpointer b)
-{
-  const Ranked *left = a;
-  const Ranked *right = b;
-  return left->weight > right->weight ? -1 : left->weight < right->weight;
-}
-
-guint64
-hbw_membership_ranked (HbwMembership *membership, const char *key, guint before)
-{
-  GArray *all = g_array_new (FALSE, FALSE, sizeof (Ranked));
-  const char *data_centre = membership->self.data_centre;
-  Ranked self = { membership->self.identity, 0 };
-  self.weight = hbw_rendezvous_weight (self.identity, key);
-  if (is_candidate (&membership->self, data_centre))
-    g_array_append_val (all, self);
-  for (guint i = 0; i < membership->order->len; i++)
-    {
-      const Member *member = g_ptr_array_index (membership->order, i);
-      Ranked ranked = { member->info.identity, 0 };
-      ranked.weight = hbw_rendezvous_weight (ranked.identity, key);
-      if (is_candidate (&member->info, data_centre))
-        g_array_append_val (all, ranked);
-    }
-  g_array_sort (all, compare_ranked);
-  guint64 found
-      = before < all->len ? g_array_index (all, Ranked, before).identity : 0;
-  g_array_free (all, TRUE);
-  return found;
-}
-
 guint64
 hbw_membership_ask (HbwMembership *membership, HbwContext *context, guint64 identity)
 {
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -494,13 +494,6 @@
   g_hash_table_foreach_remove (reducer->shards, drop_idle_shard, reducer);
 }
 
-static gboolean
-is_ranked_watcher (const HbwReducer *reducer)
-{
-  return hbw_membership_is_ranked (reducer->context.membership, HBW_WATCH_KEY,
-                                   HBW_WATCHERS);
-}
-
 static void
 handle_tick (HbwReducer *reducer)
 {
@@ -514,7 +507,7 @@
   tick_shards (reducer);
   hbw_entry_tick (reducer->entry, context);
   if (reducer->revocation_us > 0)
-    hbw_confirm_tick (reducer->confirm, context, is_ranked_watcher (reducer));
+    hbw_confirm_tick (reducer->confirm, context);
 }
 
 static void
@@ -755,10 +748,10 @@
 gboolean
 hbw_reducer_is_watcher (const HbwReducer *reducer)
 {
-  if (is_ranked_watcher (reducer))
-    return TRUE;
-  return reducer->revocation_us > 0
-         && hbw_confirm_needs_store (reducer->confirm, &reducer->context);
+  if (reducer->revocation_us > 0)
+    return hbw_confirm_is_watcher (reducer->confirm, &reducer->context);
+  return hbw_membership_is_ranked (reducer->context.membership, "watch",
+                                   HBW_WATCHERS);
 }
 
 guint
--- a/include/hornbeamwall/core/confirm.h
+++ b/include/hornbeamwall/core/confirm.h
@@ -2,7 +2,7 @@
  * confirm - the age of the catalogue, learned from an instance that watches the
  * store
  *
- * In a large data centre only some instances watch the store.  The others ask one of
+ * Each data centre has a few instances that watch the store.  The others ask one of
  * them how old its own confirmation is: what was confirmed before the question was
  * sent holds for the asker from then on, however long the answer took.  An asker
  * without a good answer watches the store itself.
@@ -13,6 +13,9 @@
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/context.h"
 
+/* Instances for which one watcher is enough. */
+#define HBW_CONFIRM_ASKERS_MAX 40
+
 /* How often a watcher is asked, and how long its answer may take. */
 #define HBW_CONFIRM_ASK_US (300 * HBW_US_PER_MS)
 #define HBW_CONFIRM_WAIT_US (300 * HBW_US_PER_MS)
@@ -25,15 +28,15 @@
 HbwConfirm *hbw_confirm_create (void);
 void hbw_confirm_destroy (HbwConfirm *confirm);
 
-/* Asks a watcher where that is due.  WATCHES says whether this instance is one. */
-void hbw_confirm_tick (HbwConfirm *confirm, HbwContext *context, gboolean watches);
+/* Asks a watcher where that is due. */
+void hbw_confirm_tick (HbwConfirm *confirm, HbwContext *context);
 
 /* Takes an answer to a ping in; VERSION is the catalogue in force here. */
 void hbw_confirm_handle_ack (HbwConfirm *confirm, HbwContext *context,
                              const HbwMessage *message, gint64 version);
 
-/* Returns whether this instance must watch the store though others do. */
-gboolean hbw_confirm_needs_store (const HbwConfirm *confirm,
-                                  const HbwContext *context);
+/* Returns whether this instance watches the store, as one of those that are chosen
+   or because it knows too little. */
+gboolean hbw_confirm_is_watcher (HbwConfirm *confirm, const HbwContext *context);
 
 #endif
--- a/include/hornbeamwall/core/membership.h
+++ b/include/hornbeamwall/core/membership.h
@@ -24,10 +24,9 @@
 /* A gap between two ticks after which this process counts as paused. */
 #define HBW_PAUSE_US (1 * HBW_US_PER_S)
 
-/* Instances that watch the platform's store, in each data centre, and the key by
-   which it falls to them. */
+/* Instances that watch the platform's store, in each data centre, where nobody asks
+   for the age of what they know. */
 #define HBW_WATCHERS 2
-#define HBW_WATCH_KEY "watch"
 
 /* Creates the membership of the instance SELF, which is alive. */
 HbwMembership *hbw_membership_create (const HbwMemberUpdate *self);
@@ -76,11 +75,6 @@
 gboolean hbw_membership_is_ranked (HbwMembership *membership, const char *key,
                                    guint count);
 
-/* Returns the live instance of this data centre with so many before it for KEY, or
- * 0. */
-guint64 hbw_membership_ranked (HbwMembership *membership, const char *key,
-                               guint before);
-
 /* Pings the member IDENTITY; returns the number that its answer will bear, or 0. */
 guint64 hbw_membership_ask (HbwMembership *membership, HbwContext *context,
                             guint64 identity);
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -606,7 +606,7 @@
 }
 
 static void
-introduce (Bench *bench, guint64 identity)
+introduce (Bench *bench, guint64 identity, const char *data_centre)
 {
   HbwEvent event = { .kind = HBW_EVENT_MESSAGE };
   event.message.kind = HBW_MESSAGE_PING;
@@ -616,7 +616,7 @@
   HbwMemberUpdate *member = &event.message.ping.members[0];
   member->identity = identity;
   member->state = HBW_MEMBER_ALIVE;
-  g_strlcpy (member->data_centre, "b", sizeof member->data_centre);
+  g_strlcpy (member->data_centre, data_centre, sizeof member->data_centre);
   g_snprintf (member->address, sizeof member->address,
               "10.1.0.%" G_GUINT64_FORMAT ":1", identity);
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
@@ -630,8 +630,8 @@
 {
   Bench one = bench_create (1, 3, 8);
   Bench two = bench_create (2, 3, 8);
-  introduce (&one, 2);
-  introduce (&two, 1);
+  introduce (&one, 2, "b");
+  introduce (&two, 1, "b");
   HbwRequestSpec spec = make_prompt (0, 0, 5, 6000);
   one.now_us += 20 * HBW_US_PER_MS;
   two.now_us = one.now_us;
@@ -647,6 +647,40 @@
 }
 END_TEST
 
+static void
+confirm (Bench *bench)
+{
+  HbwEvent event = { .kind = HBW_EVENT_CONFIRMED };
+  event.confirmation.asked_us = bench->now_us;
+  event.confirmation.version = -1;
+  step (bench, &event);
+}
+
+/* Each call to the platform's store is paid for; an instance that does not watch
+   must notice within a second that the one which does is silent. */
+START_TEST (one_instance_watches_while_it_answers)
+{
+  Bench one = bench_create (1, 2, 8);
+  Bench two = bench_create (2, 2, 8);
+  introduce (&one, 2, "a");
+  introduce (&two, 1, "a");
+  confirm (&one);
+  confirm (&two);
+  gboolean first = hbw_reducer_is_watcher (one.reducer);
+  ck_assert (first != hbw_reducer_is_watcher (two.reducer));
+  Bench *asker = first ? &two : &one;
+  Bench *watcher = first ? &one : &two;
+  tick (asker, 300 * HBW_US_PER_MS);
+  tick (asker, 100 * HBW_US_PER_MS);
+  ck_assert (!hbw_reducer_is_watcher (asker->reducer));
+  tick (asker, 300 * HBW_US_PER_MS);
+  ck_assert (hbw_reducer_is_watcher (asker->reducer));
+  ck_assert (hbw_reducer_is_watcher (watcher->reducer));
+  bench_destroy (&one);
+  bench_destroy (&two);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -669,6 +703,7 @@
   tcase_add_test (tests, long_prompts_are_not_refused_for_their_length);
   tcase_add_test (tests, hopeless_requests_are_refused_at_once);
   tcase_add_test (tests, instances_do_not_crowd_one_server);
+  tcase_add_test (tests, one_instance_watches_while_it_answers);
   suite_add_tcase (suite, tests);
   return suite_run (suite);
 }
