What the adapter cannot use is logged: servers, routes, services, tenants, objects without a name

Cause: entries of other writers were dropped without a word; an operator could not tell from the log why a route or a server had no effect.

--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -35,6 +35,9 @@
   X (2004, STORE_DOWN, WARN, "The platform's object API does not answer.",          \
      "Traffic goes on; edits are refused until it answers.")                        \
   X (2005, STORE_UP, INFO, "The platform's object API answers again.", "Nothing.")  \
+  X (2006, ENTRY_IGNORED, WARN,                                                     \
+     "An object of the platform's store, or a part of one, cannot be used.",        \
+     "Correct the named entry; the others hold.")                                   \
   X (3001, PEER_JOINED, INFO, "An instance has joined.", "Nothing.")                \
   X (3002, PEER_SUSPECT, INFO, "An instance does not answer probes.",               \
      "Nothing; it is confirmed or cleared within a second.")                        \
--- a/tests/adapter_test.c
+++ b/tests/adapter_test.c
@@ -382,6 +382,47 @@
 }
 END_TEST
 
+static void
+keep_line (const HbwLogEntry *entry, const char *text, void *data)
+{
+  g_string_append_printf (data, "%s %s\n", entry->name, text);
+}
+
+/* An operator must find out from the log why a server or a route has no effect. */
+START_TEST (what_is_ignored_is_logged)
+{
+  static const char servers[]
+      = "{\"items\":[{\"metadata\":{\"name\":\"odd one\",\"revision\":9},"
+        "\"spec\":{\"slots\":null}},{\"spec\":{}}],\"current_rev\":12}";
+  static const char config[]
+      = "{\"routes\":[{\"name\":\"r\"}],\"backends\":[{}],\"tenants\":[{}]}";
+  GString *lines = g_string_new (NULL);
+  hbw_log_set_hook (keep_line, lines);
+  const HbwStoreFormClass *form
+      = hbw_platform_store_form (HBW_DOCUMENT_SERVERS)->class;
+  HbwError error;
+  HbwStorePage page = { .changes = g_array_new (FALSE, FALSE, sizeof (HbwChange)) };
+  ck_assert (form->read_page (servers, strlen (servers), FALSE, &page, &error));
+  ck_assert_uint_eq (page.changes->len, 1);
+  HbwListing *listing = hbw_listing_create ();
+  hbw_listing_apply (listing, &g_array_index (page.changes, HbwChange, 0));
+  gint64 version = 12;
+  g_free (form->make_document (listing, &version));
+  json_t *spec = json_loads (config, 0, NULL);
+  json_decref (platform_config_translate (spec));
+  hbw_log_set_hook (NULL, NULL);
+  ck_assert_str_eq (lines->str, "ENTRY_IGNORED kind=object name=\"\"\n"
+                                "ENTRY_IGNORED kind=server name=\"odd one\"\n"
+                                "ENTRY_IGNORED kind=route name=\"r\"\n"
+                                "ENTRY_IGNORED kind=tenant name=\"\"\n"
+                                "ENTRY_IGNORED kind=service name=\"\"\n");
+  json_decref (spec);
+  hbw_listing_destroy (listing);
+  g_array_free (page.changes, TRUE);
+  g_string_free (lines, TRUE);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -398,6 +439,7 @@
   tcase_add_test (tests, version_rises_when_what_was_kept_goes);
   tcase_add_test (tests, new_listing_overrules_nobody);
   tcase_add_test (tests, pages_of_objects_are_read);
+  tcase_add_test (tests, what_is_ignored_is_logged);
   suite_add_tcase (suite, tests);
   return suite_run (suite);
 }
