Lower tiers leave engines a tenth of their slots; the data paths are measured side by side

Instances choose by what they know of each other, a few milliseconds late, and fill all slots in a burst. Test lower_tiers_leave_slots_to_the_highest: red with all slots.

The stand-in server sends without delay (its answers took 43 ms before).

--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -28,6 +28,12 @@
    what is over. */
 #define PLAIN_ROOM_PERCENT 150
 
+/* Percent of its slots up to which an engine is given work.  What the highest tier
+   finds no slot for makes the engine break off others and read their prompts anew,
+   so the rest leaves it some: other instances' work is known a moment late. */
+#define MODEL_ROOM_PERCENT 90
+#define MODEL_ROOM_FIRST_PERCENT 100
+
 /* Each length of prompt is drawn to its own part of the servers: this much, and the
    rest in proportion to the prompt tokens that came in prompts of that length. */
 #define PART_MIN 0.1
@@ -196,6 +202,14 @@
   return cost;
 }
 
+static guint
+room_percent (const HbwRequestSpec *spec)
+{
+  if (!is_model (spec))
+    return PLAIN_ROOM_PERCENT;
+  return spec->tier == 0 ? MODEL_ROOM_FIRST_PERCENT : MODEL_ROOM_PERCENT;
+}
+
 static gboolean
 has_room (const Choice *choice, const HbwServer *server, const HbwLoadSum *load)
 {
@@ -208,7 +222,7 @@
     return FALSE;
   if (choice->suspect && server->suspects > 0)
     return FALSE;
-  guint percent = is_model (spec) ? 100 : PLAIN_ROOM_PERCENT;
+  guint percent = room_percent (spec);
   return load->in_progress < MAX (1, server->entry.slots) * percent / 100;
 }
 
--- a/include/hornbeamwall/core/policy_direct.h
+++ b/include/hornbeamwall/core/policy_direct.h
@@ -8,6 +8,9 @@
  * alike are drawn to one server, the same for all instances, by rendezvous hashing;
  * a busy one loses the draw, so that a sudden favourite is spread.
  *
+ * In a burst of the lower tiers these leave each engine a tenth of its slots, so
+ * that it need not break off requests for more urgent ones.
+ *
  * Where all servers of a pool fail at once, the cause is probably elsewhere, and
  * they are used all the same.
  */
--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -39,3 +39,29 @@
   echo "callers $callers: $(rss) KB ($idle KB before)"
   wait "$load"
 done
+# The event loop of the users' platform, beside the path above: one instance, stand-ins
+# in one other process, kept connections.
+platform_run() { # path
+  "$build/tests/path_load" "$dir/platform.json" "$1" 16 8 >"$dir/path_load.txt" &
+  load=$!
+  while [ ! -s "$dir/platform.json" ]; do sleep 0.05; done
+  "$build/hornbeamwall" serve --config "$dir/platform.json" >"$dir/platform.log" 2>&1 &
+  instance_p=$!
+  until grep -q serving "$dir/path_load.txt"; do
+    kill -0 "$load" || return 1
+    sleep 0.05
+  done
+  begun=$(awk '{print $14 + $15}' "/proc/$instance_p/stat")
+  sleep 7
+  ended=$(awk '{print $14 + $15}' "/proc/$instance_p/stat")
+  wait "$load"
+  kill "$instance_p"
+  wait "$instance_p" || true
+  requests=$(awk '/^requests/ {print $2 * 7 / 8}' "$dir/path_load.txt")
+  echo "platform, 16 callers, $1: $(tail -n 1 "$dir/path_load.txt")," \
+    "$(awk "BEGIN {print ($ended - $begun) * 10 / $requests}") ms a request," \
+    "$(awk "BEGIN {print $requests / (($ended - $begun) / 100)}") requests a second of a core"
+  rm -f "$dir/platform.json"
+}
+platform_run /safe/ok
+platform_run /stream/events
--- a/tests/bed.c
+++ b/tests/bed.c
@@ -59,22 +59,17 @@
   g_free (text);
 }
 
-static HbwSettings *
-make_settings (const Bed *bed)
+char *
+bed_settings (const Bed *bed, guint caller_port)
 {
-  HbwError error;
-  char *text = g_strdup_printf (
+  return g_strdup_printf (
       "{\"name\":\"i1\",\"data_centre\":\"z\",\"interface\":\"platform\","
-      "\"policy\":\"direct\",\"caller_address\":\"127.0.0.1:0\","
+      "\"policy\":\"direct\",\"caller_address\":\"127.0.0.1:%u\","
       "\"admin_address\":\"127.0.0.1:0\",\"peer_address\":\"127.0.0.1:0\","
       "\"platform_address\":\"127.0.0.1:%u\",\"load_in_answers\":true,"
       "\"revocation_ms\":60000,\"retry_ratio\":1.0,\"retry_extra\":1000,"
       "\"connect_timeout_ms\":500,\"stop_grace_s\":8}",
-      objects_port (bed->objects));
-  HbwSettings *settings = hbw_settings_parse (text, strlen (text), &error);
-  ck_assert_msg (settings != NULL, "%s", error.message);
-  g_free (text);
-  return settings;
+      caller_port, objects_port (bed->objects));
 }
 
 static gboolean
@@ -84,9 +79,8 @@
 }
 
 Bed *
-bed_create (void)
+bed_create_around (void)
 {
-  HbwError error = { HBW_ERROR_NONE, "" };
   Bed *bed = g_new0 (Bed, 1);
   bed->objects = objects_create ("127.0.0.1:0", 1);
   for (guint i = 0; i < BED_SERVERS; i++)
@@ -101,7 +95,18 @@
   for (guint i = 0; i < BED_SERVERS; i++)
     bed_put_server (bed, i, "ready");
   bed_put_config (bed, 3, "\"k1\",\"k2\"");
-  bed->settings = make_settings (bed);
+  return bed;
+}
+
+Bed *
+bed_create (void)
+{
+  HbwError error = { HBW_ERROR_NONE, "" };
+  Bed *bed = bed_create_around ();
+  char *text = bed_settings (bed, 0);
+  bed->settings = hbw_settings_parse (text, strlen (text), &error);
+  ck_assert_msg (bed->settings != NULL, "%s", error.message);
+  g_free (text);
   bed->clock = hbw_clock_create_system ();
   bed->instance = hbw_instance_create (bed->settings, bed->clock, &error);
   ck_assert_msg (bed->instance != NULL, "%s", error.message);
@@ -114,9 +119,9 @@
 void
 bed_destroy (Bed *bed)
 {
-  hbw_instance_destroy (bed->instance);
-  hbw_settings_destroy (bed->settings);
-  hbw_clock_destroy (bed->clock);
+  g_clear_pointer (&bed->instance, hbw_instance_destroy);
+  g_clear_pointer (&bed->settings, hbw_settings_destroy);
+  g_clear_pointer (&bed->clock, hbw_clock_destroy);
   for (guint i = 0; i < BED_SERVERS; i++)
     replica_destroy (bed->replicas[i]);
   objects_destroy (bed->objects);
@@ -139,19 +144,29 @@
 }
 
 int
-bed_dial (Bed *bed)
+caller_dial (guint port)
 {
-  const struct sockaddr_in address
-      = standin_loopback (hbw_instance_caller_port (bed->instance));
+  const struct sockaddr_in address = standin_loopback (port);
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  ck_assert_int_eq (connect (fd, (struct sockaddr *) &address, sizeof address), 0);
+  if (connect (fd, (struct sockaddr *) &address, sizeof address) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+int
+bed_dial (Bed *bed)
+{
+  int fd = caller_dial (hbw_instance_caller_port (bed->instance));
+  ck_assert_int_ge (fd, 0);
   return fd;
 }
 
 void
 caller_say (int fd, const char *text)
 {
-  ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL), strlen (text));
+  ssize_t length = (ssize_t) strlen (text);
+  g_assert_cmpint (send (fd, text, (gsize) length, MSG_NOSIGNAL), ==, length);
 }
 
 gboolean
@@ -176,7 +191,7 @@
   while (!answer_is_whole (text->str))
     {
       char bytes[4096];
-      ck_assert_msg (poll (&input, 1, 20000) > 0, "no answer: %s", text->str);
+      g_assert_cmpint (poll (&input, 1, 20000), >, 0);
       ssize_t count = recv (fd, bytes, sizeof bytes, 0);
       answer.reset = count < 0;
       answer.closed = count <= 0;
--- a/tests/bed.h
+++ b/tests/bed.h
@@ -31,6 +31,12 @@
 Bed *bed_create (void);
 void bed_destroy (Bed *bed);
 
+/* Creates a bed without its instance, which another process is. */
+Bed *bed_create_around (void);
+
+/* Returns the settings of the bed's instance; port 0 is any. */
+char *bed_settings (const Bed *bed, guint caller_port);
+
 /* Writes the config with KEYS, a list of JSON texts. */
 void bed_put_config (Bed *bed, guint version, const char *keys);
 void bed_put_server (Bed *bed, guint index, const char *state);
@@ -50,8 +56,9 @@
   gboolean reset;
 } Answer;
 
-/* Returns a connection to the instance. */
+/* Returns a connection to the instance; to a PORT, or -1. */
 int bed_dial (Bed *bed);
+int caller_dial (guint port);
 void caller_say (int fd, const char *text);
 
 /* Reads one answer, or up to the end of the connection. */
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -624,6 +624,28 @@
   step (bench, &event);
 }
 
+/* A burst of the lower tiers fills every engine; what is urgent must find a slot
+   without another request being broken off for it. */
+START_TEST (lower_tiers_leave_slots_to_the_highest)
+{
+  Bench bench = bench_create (1, 1, 10);
+  HbwRequestSpec low = make_prompt (0, 0, 6, 540);
+  low.tier = 2;
+  bench.now_us += 20 * HBW_US_PER_MS;
+  for (guint i = 1; i <= 9; i++)
+    {
+      arrive (&bench, i, &low);
+      ck_assert_str_ne (started_at (&bench), "");
+    }
+  arrive (&bench, 10, &low);
+  ck_assert_str_eq (started_at (&bench), "");
+  HbwRequestSpec urgent = make_prompt (0, 0, 7, 540);
+  arrive (&bench, 11, &urgent);
+  ck_assert_str_ne (started_at (&bench), "");
+  bench_destroy (&bench);
+}
+END_TEST
+
 /* Several instances meet the same burst at once; without word of each other they
    would all send it to the server that looks idle. */
 START_TEST (instances_do_not_crowd_one_server)
@@ -702,6 +724,7 @@
   tcase_add_test (tests, shared_beginnings_meet_until_they_crowd);
   tcase_add_test (tests, long_prompts_are_not_refused_for_their_length);
   tcase_add_test (tests, hopeless_requests_are_refused_at_once);
+  tcase_add_test (tests, lower_tiers_leave_slots_to_the_highest);
   tcase_add_test (tests, instances_do_not_crowd_one_server);
   tcase_add_test (tests, one_instance_watches_while_it_answers);
   suite_add_tcase (suite, tests);
--- a/tests/platform_soak.c
+++ b/tests/platform_soak.c
@@ -297,27 +297,14 @@
   g_free (text);
 }
 
-static guint
-free_port (void)
-{
-  struct sockaddr_in address = standin_loopback (0);
-  socklen_t size = sizeof address;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (bind (fd, (struct sockaddr *) &address, sizeof address) != 0)
-    g_error ("no free port");
-  getsockname (fd, (struct sockaddr *) &address, &size);
-  close (fd);
-  return ntohs (address.sin_port);
-}
-
 static void
 write_settings (Soak *soak)
 {
   guint peers[INSTANCES_MAX];
   for (guint i = 0; i < soak->instances; i++)
     {
-      soak->ports[i] = free_port ();
-      peers[i] = free_port ();
+      soak->ports[i] = standin_free_port ();
+      peers[i] = standin_free_port ();
     }
   for (guint i = 0; i < soak->instances; i++)
     {
@@ -330,8 +317,8 @@
           "\"revocation_ms\":5000,\"retry_ratio\":0.2,\"retry_extra\":54,"
           "\"stop_grace_s\":4,\"connect_timeout_ms\":150,"
           "\"seeds\":[\"127.0.0.1:%u\"]}",
-          i, soak->ports[i], free_port (), peers[i], proxy_port (soak->store_proxy),
-          peers[0]);
+          i, soak->ports[i], standin_free_port (), peers[i],
+          proxy_port (soak->store_proxy), peers[0]);
       if (!g_file_set_contents (path, text, -1, NULL))
         g_error ("cannot write %s", path);
       g_free (text);
--- a/tests/standin/listen.c
+++ b/tests/standin/listen.c
@@ -3,6 +3,8 @@
 #include "hornbeamwall/common/address.h"
 
 #include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 struct MHD_Daemon *
 standin_listen (const char *text, MHD_AccessHandlerCallback handler,
@@ -32,3 +34,16 @@
 {
   return MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
 }
+
+unsigned
+standin_free_port (void)
+{
+  struct sockaddr_in address = standin_loopback (0);
+  socklen_t size = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (bind (fd, (struct sockaddr *) &address, sizeof address) != 0)
+    g_error ("no free port");
+  getsockname (fd, (struct sockaddr *) &address, &size);
+  close (fd);
+  return ntohs (address.sin_port);
+}
--- a/tests/standin/listen.h
+++ b/tests/standin/listen.h
@@ -20,4 +20,7 @@
 /* Returns the port that was bound. */
 unsigned standin_port (struct MHD_Daemon *daemon);
 
+/* Returns a port that nobody listened at a moment ago. */
+unsigned standin_free_port (void);
+
 #endif
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdatomic.h>
@@ -407,8 +408,11 @@
       if (poll (&input, 1, 20) <= 0)
         continue;
       int fd = accept (replica->fd, NULL, NULL);
-      if (fd >= 0)
-        start_session (replica, fd);
+      if (fd < 0)
+        continue;
+      const int on = 1;
+      setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+      start_session (replica, fd);
     }
   return NULL;
 }
