--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -119,8 +119,13 @@
     return;
   suspect->left = left;
   for (guint i = 0; i < FAILURES_KEPT; i++)
-    if (suspect->failures[i] != NULL)
-      suspect->failures[i]->candidates += left ? -1U : 1;
+    {
+      Failure *failure = suspect->failures[i];
+      if (failure != NULL && left)
+        failure->candidates--;
+      else if (failure != NULL)
+        failure->candidates++;
+    }
 }
 
 static gboolean
--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -80,7 +80,7 @@
      "A request was in progress when its backend server failed.", "Nothing.")       \
   X (6002, REQUEST_QUARANTINED, ERROR,                                              \
      "A request failed two backend servers and is refused for some minutes.",       \
-     "Look at the request of the named organisation.")                              \
+     "Find the request by its fingerprint in REQUEST_SUSPECT.")                     \
   X (7001, LEASE_TAKEN, INFO, "This instance holds the lease for orders.",          \
      "Nothing.")                                                                    \
   X (7002, LEASE_LOST, WARN, "The lease for orders has lapsed; no order is sent.",  \
