Read again: servers are ordered once a choice, a caller's limits read once a piece, one type for load

Found in the whole change, nothing decides otherwise than before: - policy_direct compared each server with all others, twice for every choice, to find its place; the usable servers' hashes are now sorted once a choice and looked up.

130 tests pass as before, lint and format clean; the time of a choice was not measured.

--- a/core/load_share.c
+++ b/core/load_share.c
@@ -101,8 +101,8 @@
          && now_us - account->told_us >= HBW_LOAD_RESTATE_US;
 }
 
-/* Moves what is due into LOADS; returns whether more is left. */
-static gboolean
+/* Moves what is due into LOADS, as far as there is room. */
+static void
 collect (HbwLoadShare *share, HbwLoads *loads, gint64 now_us)
 {
   GHashTableIter iter;
@@ -114,15 +114,13 @@
       if (!is_due (account, now_us))
         continue;
       if (loads->load_count >= HBW_LOADS_MAX)
-        return TRUE;
+        return;
       HbwServerLoad *load = &loads->loads[loads->load_count++];
       load->server = account->server;
-      load->in_progress = account->own.in_progress;
-      load->unread_tokens = account->own.unread_tokens;
+      load->load = account->own;
       account->told = account->own;
       account->told_us = now_us;
     }
-  return FALSE;
 }
 
 void
@@ -144,9 +142,9 @@
 }
 
 static void
-set_claim (Account *account, guint64 peer, const HbwServerLoad *load, gint64 now_us)
+set_claim (Account *account, guint64 peer, const HbwLoadSum *load, gint64 now_us)
 {
-  const Claim claim = { peer, { load->in_progress, load->unread_tokens }, now_us };
+  const Claim claim = { peer, *load, now_us };
   for (guint i = account->claims->len; i > 0; i--)
     {
       Claim *known = &g_array_index (account->claims, Claim, i - 1);
@@ -164,7 +162,7 @@
   const HbwLoads *loads = &message->loads;
   for (guint i = 0; i < loads->load_count; i++)
     set_claim (ensure (share, loads->loads[i].server), message->from,
-               &loads->loads[i], context->now_us);
+               &loads->loads[i].load, context->now_us);
 }
 
 HbwLoadSum
--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -61,6 +61,7 @@
   gboolean any_state; /* servers that are taken for failed are used too */
   HbwLength length;
   const HbwServer *home; /* where the prompt's beginning falls to, or NULL */
+  GArray *order;         /* hashes of the usable servers, rising; guint64 */
 } Choice;
 
 static gboolean
@@ -94,20 +95,52 @@
   return spec->parts[spec->part_count > 1 ? spec->part_count - 2 : 0].hash;
 }
 
-/* Returns the server's place in the order, from 0 to 1. */
-static double
-place_of (const HbwShard *shard, const HbwServer *server)
+static int
+compare_hashes (gconstpointer a, gconstpointer b)
 {
-  guint before = 0;
-  guint others = 0;
+  guint64 left = *(const guint64 *) a;
+  guint64 right = *(const guint64 *) b;
+  return left < right ? -1 : left > right;
+}
+
+static GArray *
+make_order (const HbwShard *shard)
+{
+  GArray *order
+      = g_array_sized_new (FALSE, FALSE, sizeof (guint64), shard->servers->len);
   for (guint i = 0; i < shard->servers->len; i++)
     {
-      const HbwServer *other = g_ptr_array_index (shard->servers, i);
-      if (other == server || !hbw_server_is_usable (other))
-        continue;
-      others++;
-      before += other->hash < server->hash ? 1 : 0;
+      const HbwServer *server = g_ptr_array_index (shard->servers, i);
+      if (hbw_server_is_usable (server))
+        g_array_append_val (order, server->hash);
+    }
+  g_array_sort (order, compare_hashes);
+  return order;
+}
+
+/* Returns how many hashes of ORDER are lower than HASH. */
+static guint
+count_before (const GArray *order, guint64 hash)
+{
+  guint low = 0;
+  guint high = order->len;
+  while (low < high)
+    {
+      guint middle = low + (high - low) / 2;
+      if (g_array_index (order, guint64, middle) < hash)
+        low = middle + 1;
+      else
+        high = middle;
     }
+  return low;
+}
+
+/* Returns the server's place in the order, from 0 to 1. */
+static double
+place_of (const Choice *choice, const HbwServer *server)
+{
+  guint others = choice->order->len - (hbw_server_is_usable (server) ? 1 : 0);
+  guint before = count_before (choice->order, server->hash);
   return others > 0 ? (double) before / others : 0;
 }
 
@@ -117,7 +150,7 @@
 {
   if (choice->shard->servers->len < PARTS_SERVERS_MIN)
     return choice->length;
-  double place = place_of (choice->shard, server);
+  double place = place_of (choice, server);
   double end = 0;
   for (guint length = 0; length + 1 < HBW_LENGTH_COUNT; length++)
     {
@@ -253,19 +286,6 @@
   return best != NULL ? best : avoided;
 }
 
-/* Whether every server that stays is taken for failed. */
-static gboolean
-all_failed (const HbwShard *shard)
-{
-  for (guint i = 0; i < shard->servers->len; i++)
-    {
-      const HbwServer *server = g_ptr_array_index (shard->servers, i);
-      if (hbw_server_is_usable (server))
-        return FALSE;
-    }
-  return TRUE;
-}
-
 HbwServer *
 hbw_direct_select_server (HbwShard *shard, HbwContext *context,
                           const HbwTicket *ticket)
@@ -273,12 +293,15 @@
   const HbwWant *want = &ticket->want;
   Choice choice = { .shard = shard, .context = context, .want = want };
   choice.length = hbw_shard_length_of (shard, &want->spec);
+  choice.order = make_order (shard);
   choice.home = find_home (&choice);
   choice.suspect = hbw_quarantine_judge (context->quarantine,
                                          &want->spec.fingerprint, context->now_us)
                    != HBW_VERDICT_NONE;
-  choice.any_state = all_failed (shard);
-  return cheapest (&choice);
+  choice.any_state = choice.order->len == 0;
+  HbwServer *server = cheapest (&choice);
+  g_array_free (choice.order, TRUE);
+  return server;
 }
 
 gint64
--- a/include/hornbeamwall/core/load_share.h
+++ b/include/hornbeamwall/core/load_share.h
@@ -21,12 +21,6 @@
 /* What a peer said is used for so long. */
 #define HBW_LOAD_AGE_US (2500 * HBW_US_PER_MS)
 
-typedef struct
-{
-  guint in_progress;
-  guint unread_tokens;
-} HbwLoadSum;
-
 HbwLoadShare *hbw_load_share_create (void);
 void hbw_load_share_destroy (HbwLoadShare *share);
 
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -243,11 +243,17 @@
 #define HBW_LOADS_MAX 32
 #define HBW_LOAD_PARTS_MAX 32
 
+/* What instances have in progress on a server. */
 typedef struct
 {
-  guint64 server; /* hash of its id */
   guint in_progress;
   guint unread_tokens; /* of prompts */
+} HbwLoadSum;
+
+typedef struct
+{
+  guint64 server; /* hash of its id */
+  HbwLoadSum load;
 } HbwServerLoad;
 
 typedef struct
--- a/include/hornbeamwall/net/front.h
+++ b/include/hornbeamwall/net/front.h
@@ -24,7 +24,6 @@
   gboolean has_load;
   guint running;
   guint waiting;
-  guint slots;
 } HbwAnswerFacts;
 
 /* What is told to a backend server besides what the caller sent. */
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -180,8 +180,8 @@
   for (guint i = 0; i < loads->load_count; i++)
     {
       msgpack_pack_uint64 (packer, loads->loads[i].server);
-      msgpack_pack_uint32 (packer, loads->loads[i].in_progress);
-      msgpack_pack_uint32 (packer, loads->loads[i].unread_tokens);
+      msgpack_pack_uint32 (packer, loads->loads[i].load.in_progress);
+      msgpack_pack_uint32 (packer, loads->loads[i].load.unread_tokens);
     }
   msgpack_pack_array (packer, 2 * loads->part_count);
   for (guint i = 0; i < loads->part_count; i++)
--- a/net/codec_take.c
+++ b/net/codec_take.c
@@ -278,8 +278,8 @@
     {
       HbwServerLoad *load = &loads->loads[loads->load_count++];
       load->server = hbw_fields_take_uint (&inner, G_MAXUINT64);
-      load->in_progress = (guint) hbw_fields_take_uint (&inner, G_MAXUINT16);
-      load->unread_tokens = (guint) hbw_fields_take_uint (&inner, G_MAXINT32);
+      load->load.in_progress = (guint) hbw_fields_take_uint (&inner, G_MAXUINT16);
+      load->load.unread_tokens = (guint) hbw_fields_take_uint (&inner, G_MAXINT32);
     }
   HbwFields parts = hbw_fields_take_array (fields, 2 * HBW_LOAD_PARTS_MAX);
   while (!parts.failed && parts.next < parts.count)
--- a/net/downstream.c
+++ b/net/downstream.c
@@ -26,6 +26,7 @@
   HbwTraffic *traffic;
   HbwChannel *channel;
   HbwParser *parser;
+  HbwCallerLimits limits; /* for the bytes that are read now */
   HbwTimer timer;         /* for a head, for more of a body, or lying idle */
   GByteArray *ahead;      /* what came while a request is being answered */
   HbwExchange *exchange;  /* in progress, or NULL */
@@ -117,12 +118,12 @@
 {
   HbwDownstream *downstream = of_parser (user);
   HbwTraffic *traffic = downstream->traffic;
-  const HbwCallerLimits limits = hbw_traffic_limits (traffic);
+  const HbwCallerLimits *limits = &downstream->limits;
   downstream->close_after |= !head->keep_alive || traffic->draining;
-  set_timer (downstream, limits.idle_timeout_us);
-  if (head->size > limits.header_max)
+  set_timer (downstream, limits->idle_timeout_us);
+  if (head->size > limits->header_max)
     downstream->refused = 431;
-  else if (head->has_length && head->length > limits.body_max)
+  else if (head->has_length && head->length > limits->body_max)
     downstream->refused = 413;
   else if (!is_proper (head))
     downstream->refused = 400;
@@ -143,11 +144,11 @@
 handle_body (HbwParserUser *user, const char *bytes, gsize length)
 {
   HbwDownstream *downstream = of_parser (user);
-  const HbwCallerLimits limits = hbw_traffic_limits (downstream->traffic);
+  const HbwCallerLimits *limits = &downstream->limits;
   if (downstream->exchange == NULL || downstream->refused != 0)
     return;
-  set_timer (downstream, limits.idle_timeout_us);
-  if (hbw_exchange_add_body (downstream->exchange, bytes, length) > limits.body_max)
+  set_timer (downstream, limits->idle_timeout_us);
+  if (hbw_exchange_add_body (downstream->exchange, bytes, length) > limits->body_max)
     downstream->refused = 413;
   else if (downstream->traffic->body_bytes > BODIES_MAX)
     downstream->refused = 503;
@@ -181,9 +182,9 @@
 feed (HbwDownstream *downstream, const char *bytes, gsize length)
 {
   gsize used;
-  const HbwCallerLimits limits = hbw_traffic_limits (downstream->traffic);
+  downstream->limits = hbw_traffic_limits (downstream->traffic);
   if (!hbw_parser_has_begun (downstream->parser))
-    set_timer (downstream, limits.header_timeout_us);
+    set_timer (downstream, downstream->limits.header_timeout_us);
   HbwParserState state = hbw_parser_feed (downstream->parser, bytes, length, &used);
   if (downstream->gone)
     return used;
@@ -193,7 +194,7 @@
     reject (downstream, 400);
   else if (state == HBW_PARSER_ENDED)
     submit (downstream);
-  else if (hbw_parser_head_size (downstream->parser) > limits.header_max)
+  else if (hbw_parser_head_size (downstream->parser) > downstream->limits.header_max)
     reject (downstream, 431);
   return used;
 }
--- a/tests/bed.c
+++ b/tests/bed.c
@@ -49,14 +49,8 @@
 void
 bed_put_server (Bed *bed, guint index, const char *state)
 {
-  char name[16];
-  g_snprintf (name, sizeof name, "i-%u", index);
-  char *text = g_strdup_printf (
-      "{\"backend\":\"b\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\",\"slots\":8,"
-      "\"state\":\"%s\",\"sequence\":1,\"born\":1}",
-      replica_port (bed->replicas[index]), state);
-  objects_set (bed->objects, "servers", name, text);
-  g_free (text);
+  objects_set_server (bed->objects, index, replica_port (bed->replicas[index]), 8,
+                      state);
 }
 
 char *
--- a/tests/platform_soak.c
+++ b/tests/platform_soak.c
@@ -287,14 +287,8 @@
 static void
 put_server (Soak *soak, guint index, const char *state)
 {
-  char name[16];
-  g_snprintf (name, sizeof name, "i-%u", index);
-  char *text = g_strdup_printf (
-      "{\"backend\":\"b\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\",\"slots\":16,"
-      "\"state\":\"%s\",\"sequence\":1,\"born\":1}",
-      proxy_port (soak->proxies[index]), state);
-  objects_set (soak->objects, "servers", name, text);
-  g_free (text);
+  objects_set_server (soak->objects, index, proxy_port (soak->proxies[index]), 16,
+                      state);
 }
 
 static void
--- a/tests/standin/objects.c
+++ b/tests/standin/objects.c
@@ -259,6 +259,20 @@
   return object->revision;
 }
 
+void
+objects_set_server (Objects *objects, guint number, guint port, guint slots,
+                    const char *state)
+{
+  char name[16];
+  g_snprintf (name, sizeof name, "i-%u", number);
+  char *text = g_strdup_printf (
+      "{\"backend\":\"b\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\",\"slots\":%u,"
+      "\"state\":\"%s\",\"sequence\":1,\"born\":1}",
+      port, slots, state);
+  objects_set (objects, "servers", name, text);
+  g_free (text);
+}
+
 void
 objects_set_mood (Objects *objects, ObjectsMood mood)
 {
--- a/tests/standin/objects.h
+++ b/tests/standin/objects.h
@@ -31,6 +31,10 @@
 gint64 objects_set (Objects *objects, const char *kind, const char *name,
                     const char *spec);
 
+/* Writes the entry of a server of the back end "b" on this machine. */
+void objects_set_server (Objects *objects, guint number, guint port, guint slots,
+                         const char *state);
+
 void objects_set_mood (Objects *objects, ObjectsMood mood);
 
 /* Drops the history: every wait for changes since before now is answered 410. */
