Logs tell which request is which, and what an instance knew of it

Cause: a request's fingerprint stood only in the lines of its own failures; nothing told what an instance knew when it sent the request, when a peer's report came in, or that entries were replaced.

--- a/core/membership.c
+++ b/core/membership.c
@@ -595,6 +595,13 @@
   return member->info.address;
 }
 
+const char *
+hbw_membership_find_name (HbwMembership *membership, guint64 identity)
+{
+  const Member *member = find_member (membership, identity);
+  return member != NULL ? member->info.name : "";
+}
+
 gboolean
 hbw_membership_is_alive (HbwMembership *membership, guint64 identity)
 {
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -36,6 +36,7 @@
   GHashTable *latest_failures; /* server -> its latest Failure */
   struct cds_list_head by_age;
   GQueue unlogged; /* HbwFingerprint, not logged yet */
+  guint64 evicted_count;
 };
 
 static guint
@@ -93,8 +94,11 @@
   if (suspect != NULL)
     return suspect;
   if (g_hash_table_size (quarantine->suspects) >= HBW_QUARANTINE_ENTRIES_MAX)
-    remove_suspect (quarantine,
-                    cds_list_first_entry (&quarantine->by_age, Suspect, link));
+    {
+      remove_suspect (quarantine,
+                      cds_list_first_entry (&quarantine->by_age, Suspect, link));
+      quarantine->evicted_count++;
+    }
   suspect = g_new0 (Suspect, 1);
   suspect->fingerprint = *fingerprint;
   cds_list_add_tail (&suspect->link, &quarantine->by_age);
@@ -381,3 +385,9 @@
 {
   return g_hash_table_size (quarantine->suspects);
 }
+
+guint64
+hbw_quarantine_evicted_count (const HbwQuarantine *quarantine)
+{
+  return quarantine->evicted_count;
+}
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -364,6 +364,21 @@
     hbw_shard_record_remote_prompts (shard, &message->loads);
 }
 
+static void
+handle_suspect (HbwContext *context, const HbwMessage *message)
+{
+  const HbwSuspicionReport *suspect = &message->suspect;
+  hbw_quarantine_merge_suspect (context->quarantine, suspect, context->now_us);
+  if (suspect->change == HBW_SUSPICION_FAILED)
+    hbw_effects_log (context->effects, HBW_LOG_SUSPECT_HEARD,
+                     "fingerprint=%016" G_GINT64_MODIFIER
+                     "x instance=%s failures=%u",
+                     suspect->fingerprint.low,
+                     hbw_membership_find_name (context->membership, message->from),
+                     suspect->failures);
+  hbw_quarantine_log_new (context->quarantine, context->effects);
+}
+
 static void
 handle_message (HbwReducer *reducer, const HbwMessage *message)
 {
@@ -433,9 +448,7 @@
       handle_document (reducer, &message->document);
       break;
     case HBW_MESSAGE_SUSPECT:
-      hbw_quarantine_merge_suspect (context->quarantine, &message->suspect,
-                                    context->now_us);
-      hbw_quarantine_log_new (context->quarantine, context->effects);
+      handle_suspect (context, message);
       break;
     default:
       hbw_limiter_handle_message (limiter, context, message);
@@ -802,7 +815,13 @@
 void
 hbw_reducer_render_metrics (const HbwReducer *reducer, GString *text)
 {
+  const HbwQuarantine *quarantine = reducer->context.quarantine;
   hbw_metrics_render (reducer->context.metrics, text);
+  g_string_append_printf (
+      text,
+      "hornbeamwall_suspects %u\n"
+      "hornbeamwall_suspects_evicted_total %" G_GUINT64_FORMAT "\n",
+      hbw_quarantine_size (quarantine), hbw_quarantine_evicted_count (quarantine));
 }
 
 static HbwStatusSource
--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -84,6 +84,9 @@
   X (6002, REQUEST_QUARANTINED, ERROR,                                              \
      "A request that failed two backend servers is refused for some minutes.",      \
      "Find the request by its fingerprint in REQUEST_SUSPECT lines.")               \
+  X (6003, SUSPECT_HEARD, INFO,                                                     \
+     "A peer reported a server failure that a request may have caused.",            \
+     "Nothing; find the failure by its fingerprint in REQUEST_SUSPECT lines.")      \
   X (7001, LEASE_TAKEN, INFO, "This instance holds the lease for orders.",          \
      "Nothing.")                                                                    \
   X (7002, LEASE_LOST, WARN,                                                        \
--- a/include/hornbeamwall/core/membership.h
+++ b/include/hornbeamwall/core/membership.h
@@ -66,6 +66,9 @@
 const char *hbw_membership_find_address (HbwMembership *membership,
                                          guint64 identity);
 
+/* Returns the name of a member, or "" if it is unknown. */
+const char *hbw_membership_find_name (HbwMembership *membership, guint64 identity);
+
 gboolean hbw_membership_is_alive (HbwMembership *membership, guint64 identity);
 
 /* Returns whether IDENTITY is a known member that is marked dead. */
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -94,4 +94,7 @@
 
 guint hbw_quarantine_size (const HbwQuarantine *quarantine);
 
+/* Returns how many entries were replaced because the table was full. */
+guint64 hbw_quarantine_evicted_count (const HbwQuarantine *quarantine);
+
 #endif
