--- a/core/ingress.c
+++ b/core/ingress.c
@@ -6,6 +6,7 @@
 #include "hornbeamwall/core/request.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* A request is refused after this many attempts that certainly did not run. */
 #define UNEXECUTED_ATTEMPTS_MAX 8
@@ -72,33 +73,30 @@
   hbw_metrics_control (context->metrics)->grants_handed_back++;
 }
 
+/* Tells the quarantine whether a request with FINGERPRINT is waiting or running
+   here. */
 static void
-broadcast_suspect (HbwContext *context, const HbwSuspicionReport *suspect)
+update_suspect_activity (HbwIngress *ingress, HbwContext *context,
+                         const HbwFingerprint *fingerprint)
 {
-  HbwMessage message = { .kind = HBW_MESSAGE_SUSPECT, .suspect = *suspect };
-  message.suspect.remaining_us = HBW_QUARANTINE_DURATION_US;
-  hbw_membership_broadcast (context->membership, context, context->data_centre,
-                            &message);
-}
-
-static void
-broadcast_suspicion_change (HbwContext *context, const HbwFingerprint *fingerprint,
-                            HbwSuspicion change)
-{
-  const HbwSuspicionReport suspect
-      = { .fingerprint = *fingerprint, .change = change };
-  broadcast_suspect (context, &suspect);
-  hbw_quarantine_log_new (context->quarantine, context->effects);
+  if (!hbw_quarantine_is_suspect (context->quarantine, fingerprint, context->now_us))
+    return;
+  HbwSuspectActivity activity = HBW_SUSPECT_IDLE;
+  const HbwRequest *request;
+  cds_list_for_each_entry (request, &ingress->order, link)
+    if (hbw_fingerprint_equal (&request->spec.fingerprint, fingerprint))
+      activity = MAX (activity, request->state == HBW_REQUEST_RUNNING
+                                    ? HBW_SUSPECT_RUNNING
+                                    : HBW_SUSPECT_WAITING);
+  hbw_quarantine_set_activity (context->quarantine, fingerprint, activity,
+                               context->now_us);
 }
 
 static void
 remove_request (HbwIngress *ingress, HbwContext *context, HbwRequest *request,
                 guint tokens)
 {
-  const HbwFingerprint *fingerprint = &request->spec.fingerprint;
-  if (hbw_quarantine_handle_request_end (context->quarantine, fingerprint,
-                                         context->now_us))
-    broadcast_suspicion_change (context, fingerprint, HBW_SUSPICION_ENDED);
+  const HbwFingerprint fingerprint = request->spec.fingerprint;
   if (request->limit_held)
     hbw_limiter_release (ingress->limiter, &request->spec, tokens);
   if (request->state == HBW_REQUEST_LIMITED)
@@ -107,6 +105,7 @@
   cds_list_del (&request->link);
   guint64 sequence = request->sequence;
   g_hash_table_remove (ingress->requests, &sequence);
+  update_suspect_activity (ingress, context, &fingerprint);
 }
 
 static void
@@ -241,6 +240,15 @@
   organisation_metrics (context, request)->wasted_tokens += end->tokens;
 }
 
+/* Returns a number that identifies the current attempt of REQUEST in all
+   instances. */
+static guint64
+compute_attempt_id (const HbwContext *context, const HbwRequest *request)
+{
+  const guint64 parts[] = { context->self, request->sequence, request->attempt };
+  return XXH64 (parts, sizeof parts, 0);
+}
+
 /* Counts a server failure against the request that was in progress on it; a
    completed request clears itself of earlier failures. */
 static void
@@ -249,28 +257,22 @@
 {
   const HbwFingerprint *fingerprint = &request->spec.fingerprint;
   if (outcome == HBW_OUTCOME_COMPLETE)
-    {
-      if (hbw_quarantine_clear (context->quarantine, fingerprint, context->now_us))
-        broadcast_suspicion_change (context, fingerprint, HBW_SUSPICION_CLEARED);
-      return;
-    }
+    hbw_quarantine_clear (context->quarantine, fingerprint, context->now_us);
   if (outcome != HBW_OUTCOME_BROKEN)
     return;
-  guint64 server = hbw_rendezvous_weight (0, request->server);
+  const HbwServerFailure failure
+      = { .id = compute_attempt_id (context, request),
+          .server = hbw_rendezvous_weight (0, request->server),
+          .started_us = request->started_us,
+          .failed_us = context->now_us };
   guint failures = hbw_quarantine_add_failure (context->quarantine, fingerprint,
-                                               server, context->now_us);
-  const HbwSuspicionReport suspect = { .fingerprint = *fingerprint,
-                                       .change = HBW_SUSPICION_FAILED,
-                                       .failures = failures,
-                                       .server_hash = server };
-  broadcast_suspect (context, &suspect);
+                                               &failure, context->now_us);
   hbw_effects_log (context->effects, HBW_LOG_REQUEST_SUSPECT,
                    "request=%s fingerprint=%016" G_GINT64_MODIFIER
                    "x organisation=%s class=%s server=%s failures=%u",
                    request->caller_request_id, fingerprint->low,
                    request->spec.organisation, request->spec.class_name,
                    request->server, failures);
-  hbw_quarantine_log_new (context->quarantine, context->effects);
 }
 
 static guint
@@ -423,6 +425,7 @@
                                                    context->now_us));
       return;
     }
+  update_suspect_activity (ingress, context, fingerprint);
   if (hbw_limiter_try_acquire (ingress->limiter, context, &request->spec))
     {
       request->limit_held = TRUE;
@@ -433,6 +436,13 @@
   hbw_limiter_add_waiter (ingress->limiter, context, &request->spec);
 }
 
+void
+hbw_ingress_handle_suspect (HbwIngress *ingress, HbwContext *context,
+                            const HbwFingerprint *fingerprint)
+{
+  update_suspect_activity (ingress, context, fingerprint);
+}
+
 void
 hbw_ingress_handle_caller_gone (HbwIngress *ingress, HbwContext *context,
                                 guint64 sequence)
@@ -517,6 +527,17 @@
   g_strlcpy (start->address, grant->address, sizeof start->address);
 }
 
+/* Returns whether REQUEST is held or quarantined.  The owner that granted it may not
+   have received the reports about it yet. */
+static gboolean
+may_not_run (const HbwContext *context, const HbwRequest *request)
+{
+  HbwQuarantineStatus status = hbw_quarantine_check (
+      context->quarantine, &request->spec.fingerprint, context->now_us);
+  return status == HBW_QUARANTINE_STATUS_HELD
+         || status == HBW_QUARANTINE_STATUS_QUARANTINED;
+}
+
 void
 hbw_ingress_handle_grant (HbwIngress *ingress, HbwContext *context, guint64 from,
                           const HbwGrant *grant)
@@ -532,6 +553,13 @@
       return_unused_grant (context, from, grant);
       return;
     }
+  if (may_not_run (context, request))
+    {
+      return_unused_grant (context, from, grant);
+      if (from == context->self)
+        request_next_grant (ingress, context, request);
+      return;
+    }
   set_spilled (ingress, request, FALSE);
   request->state = HBW_REQUEST_RUNNING;
   request->first_token_seen = FALSE;
@@ -542,6 +570,7 @@
   request->owner_notified_us = context->now_us;
   g_strlcpy (request->server, grant->server, sizeof request->server);
   request->facts = grant->facts;
+  update_suspect_activity (ingress, context, &request->spec.fingerprint);
   hbw_request_log_attempt_started (request, context);
   gint64 waited = context->now_us - request->arrived_us;
   hbw_histogram_record (&class_metrics (context, request)->queue_wait, waited);
--- a/core/policy.c
+++ b/core/policy.c
@@ -1,7 +1,6 @@
 #include "hornbeamwall/core/policy.h"
 
 #include "hornbeamwall/core/policy_direct.h"
-#include "hornbeamwall/core/quarantine.h"
 
 #include <string.h>
 
@@ -77,9 +76,7 @@
                      ScoreFunction score)
 {
   const HbwGrantRequest *want = &ticket->want;
-  gboolean suspect = hbw_quarantine_check (context->quarantine,
-                                           &want->spec.fingerprint, context->now_us)
-                     != HBW_QUARANTINE_STATUS_NONE;
+  gboolean suspect = hbw_shard_is_suspect (context, &want->spec);
   HbwServer *best = NULL;
   HbwServer *avoided = NULL;
   gboolean other_usable = FALSE; /* another server is worth waiting for */
--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -1,7 +1,6 @@
 #include "hornbeamwall/core/policy_direct.h"
 
 #include "hornbeamwall/core/load_share.h"
-#include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/shard_estimate.h"
 
 #include <string.h>
@@ -309,9 +308,7 @@
   selection.prompt_length = hbw_shard_classify_prompt (shard, &want->spec);
   selection.usable_hashes = sort_usable_hashes (shard);
   selection.preferred_server = find_affinity_server (&selection);
-  selection.suspect = hbw_quarantine_check (context->quarantine,
-                                            &want->spec.fingerprint, context->now_us)
-                      != HBW_QUARANTINE_STATUS_NONE;
+  selection.suspect = hbw_shard_is_suspect (context, &want->spec);
   selection.ignore_state = selection.usable_hashes->len == 0;
   HbwServer *server = select_cheapest_server (&selection);
   g_array_free (selection.usable_hashes, TRUE);
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -4,38 +4,68 @@
 
 #include <urcu/list.h>
 
-/* Most failures that are recorded for one suspect; a new one replaces the oldest. */
-#define RECORDED_FAILURES_MAX 4
+/* Attempts that ended this close to each other belong to the same failure of a
+   server: instances notice a failure at slightly different times. */
+#define SAME_FAILURE_SLACK_US (100 * HBW_US_PER_MS)
+
+/* How many times each change is sent. */
+#define TRANSMITS 2
+
+/* Instances whose activity is tracked for one suspect. */
+#define ACTIVE_PEERS_MAX 4
+
+typedef struct Suspect Suspect;
 
 /* One failure of one server, shared by the suspects that may have caused it. */
 typedef struct
 {
+  struct cds_list_head link; /* in quarantine->failures, newest first */
   guint64 server;
-  gint64 failed_at_us;
-  guint suspect_count; /* suspects that were in progress there and are not cleared */
-  guint candidates;    /* those of them that may still succeed elsewhere */
-  gboolean explained;  /* one of them is quarantined */
+  gint64 latest_start_us; /* of the attempts that it ended */
+  gint64 earliest_end_us;
+  struct cds_list_head records; /* Record */
 } Failure;
 
+/* A failure as it was recorded for one suspect. */
+typedef struct
+{
+  struct cds_list_head link; /* in failure->records */
+  Failure *failure;          /* NULL if cleared or unused */
+  Suspect *suspect;
+  HbwServerFailure details; /* id 0 is unused */
+} Record;
+
+/* What another instance does with a suspect, as it reported. */
 typedef struct
 {
-  struct cds_list_head link; /* oldest first */
+  guint64 instance;
+  HbwSuspectActivity activity;
+  gint64 heard_us;
+} PeerActivity;
+
+struct Suspect
+{
+  struct cds_list_head link; /* in quarantine->by_age, oldest first */
   HbwFingerprint fingerprint;
-  guint recorded_failures; /* failures recorded here */
-  guint reported_failures; /* highest number of failures that a peer reported */
-  Failure *failures[RECORDED_FAILURES_MAX]; /* ring buffer */
+  Record records[HBW_SUSPECT_FAILURES_MAX];
+  gint64 completed_us; /* last complete response, which clears earlier failures; 0 is
+                          none */
   gboolean is_quarantined;
-  gboolean requests_ended; /* if set, it is not a candidate in its failures */
-  gint64 last_failure_us;
+  HbwSuspectActivity own_activity; /* of this instance */
+  PeerActivity peers[ACTIVE_PEERS_MAX];
   gint64 expire_at_us;
-} Suspect;
+  struct cds_list_head unsent_link; /* in quarantine->unsent, if transmits_left */
+  guint transmits_left;
+  gint64 next_transmit_us;
+};
 
 struct HbwQuarantine
 {
-  GHashTable *suspects;        /* HbwFingerprint -> Suspect */
-  GHashTable *latest_failures; /* server -> its latest Failure */
+  GHashTable *suspects; /* HbwFingerprint -> Suspect */
   struct cds_list_head by_age;
-  GQueue unlogged; /* HbwFingerprint, not logged yet */
+  struct cds_list_head failures;
+  struct cds_list_head unsent; /* by next_transmit_us */
+  GQueue unlogged;             /* HbwFingerprint, not logged yet */
   guint64 evicted_count;
 };
 
@@ -51,26 +81,167 @@
   return hbw_fingerprint_equal (a, b);
 }
 
+/* --- records and failures ------------------------------------------------------ */
+
+static gboolean
+is_open (const Record *record)
+{
+  return record->failure != NULL;
+}
+
+/* Detaches RECORD from its failure, and frees that once it has no record. */
 static void
-remove_from_failure (HbwQuarantine *quarantine, const Suspect *suspect,
-                     Failure *failure)
+close_record (Record *record)
 {
+  Failure *failure = record->failure;
   if (failure == NULL)
     return;
-  if (!suspect->requests_ended)
-    failure->candidates--;
-  if (--failure->suspect_count > 0)
+  cds_list_del (&record->link);
+  record->failure = NULL;
+  if (!cds_list_empty (&failure->records))
     return;
-  if (g_hash_table_lookup (quarantine->latest_failures, &failure->server) == failure)
-    g_hash_table_remove (quarantine->latest_failures, &failure->server);
+  cds_list_del (&failure->link);
   g_free (failure);
 }
 
+/* Returns whether DETAILS, of an attempt that was in progress while the server
+   failed, can be of FAILURE: neither attempt started after the other one had ended.
+ */
+static gboolean
+is_same_failure (const Failure *failure, const HbwServerFailure *details)
+{
+  return failure->server == details->server
+         && details->started_us <= failure->earliest_end_us + SAME_FAILURE_SLACK_US
+         && details->failed_us >= failure->latest_start_us - SAME_FAILURE_SLACK_US;
+}
+
+static Failure *
+ensure_failure (HbwQuarantine *quarantine, const HbwServerFailure *details)
+{
+  Failure *failure;
+  cds_list_for_each_entry (failure, &quarantine->failures, link)
+    if (is_same_failure (failure, details))
+      {
+        failure->latest_start_us
+            = MAX (failure->latest_start_us, details->started_us);
+        failure->earliest_end_us
+            = MIN (failure->earliest_end_us, details->failed_us);
+        return failure;
+      }
+  failure = g_new0 (Failure, 1);
+  failure->server = details->server;
+  failure->latest_start_us = details->started_us;
+  failure->earliest_end_us = details->failed_us;
+  CDS_INIT_LIST_HEAD (&failure->records);
+  cds_list_add (&failure->link, &quarantine->failures);
+  return failure;
+}
+
+static gboolean
+has_record (const Suspect *suspect, guint64 id)
+{
+  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+    if (suspect->records[i].details.id == id)
+      return TRUE;
+  return FALSE;
+}
+
+static gboolean
+has_open_record_of (const Suspect *suspect, const Failure *failure)
+{
+  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+    if (suspect->records[i].failure == failure)
+      return TRUE;
+  return FALSE;
+}
+
+/* Returns a record that may be overwritten: an unused one, or the oldest of those
+   that are cleared.  If all are open, another failure would change no decision. */
+static Record *
+find_replaceable_record (Suspect *suspect)
+{
+  Record *oldest = NULL;
+  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+    {
+      Record *record = &suspect->records[i];
+      if (!is_open (record)
+          && (oldest == NULL
+              || record->details.failed_us < oldest->details.failed_us))
+        oldest = record;
+    }
+  return oldest;
+}
+
+/* Returns whether the failure is new for the suspect, and not cleared already. */
+static gboolean
+record_failure (HbwQuarantine *quarantine, Suspect *suspect,
+                const HbwServerFailure *details)
+{
+  Record *record = find_replaceable_record (suspect);
+  if (record == NULL || has_record (suspect, details->id)
+      || (suspect->completed_us > 0 && details->failed_us <= suspect->completed_us))
+    return FALSE;
+  Failure *failure = ensure_failure (quarantine, details);
+  if (has_open_record_of (suspect, failure))
+    return FALSE;
+  record->details = *details;
+  record->suspect = suspect;
+  record->failure = failure;
+  cds_list_add (&record->link, &failure->records);
+  return TRUE;
+}
+
+static guint
+count_failures (const Suspect *suspect)
+{
+  guint count = 0;
+  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+    count += is_open (&suspect->records[i]);
+  return count;
+}
+
+/* Clears the failures before COMPLETED_US, at which the request completed. */
+static void
+clear_failures (Suspect *suspect, gint64 completed_us, gint64 now_us)
+{
+  suspect->completed_us = MAX (suspect->completed_us, completed_us);
+  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+    if (suspect->records[i].details.failed_us <= suspect->completed_us)
+      close_record (&suspect->records[i]);
+  if (count_failures (suspect) == 0)
+    suspect->expire_at_us = now_us + HBW_QUARANTINE_CLEARED_DURATION_US;
+}
+
+static gboolean
+is_explained (const Failure *failure)
+{
+  const Record *record;
+  cds_list_for_each_entry (record, &failure->records, link)
+    if (record->suspect->is_quarantined)
+      return TRUE;
+  return FALSE;
+}
+
+static guint
+count_unexplained (const Suspect *suspect)
+{
+  guint count = 0;
+  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+    if (is_open (&suspect->records[i])
+        && !is_explained (suspect->records[i].failure))
+      count++;
+  return count;
+}
+
+/* --- the table ----------------------------------------------------------------- */
+
 static void
 remove_suspect (HbwQuarantine *quarantine, Suspect *suspect)
 {
-  for (guint i = 0; i < RECORDED_FAILURES_MAX; i++)
-    remove_from_failure (quarantine, suspect, suspect->failures[i]);
+  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+    close_record (&suspect->records[i]);
+  if (suspect->transmits_left > 0)
+    cds_list_del (&suspect->unsent_link);
   cds_list_del (&suspect->link);
   g_hash_table_remove (quarantine->suspects, &suspect->fingerprint);
 }
@@ -106,85 +277,64 @@
   return suspect;
 }
 
-/* Returns the recent failure of SERVER, or a new one. */
-static Failure *
-ensure_failure (HbwQuarantine *quarantine, guint64 server, gint64 now_us)
-{
-  Failure *failure = g_hash_table_lookup (quarantine->latest_failures, &server);
-  if (failure != NULL
-      && now_us - failure->failed_at_us <= HBW_QUARANTINE_SAME_FAILURE_US)
-    return failure;
-  failure = g_new0 (Failure, 1);
-  failure->server = server;
-  failure->failed_at_us = now_us;
-  g_hash_table_replace (quarantine->latest_failures, &failure->server, failure);
-  return failure;
+static void
+schedule_report (HbwQuarantine *quarantine, Suspect *suspect, guint transmits,
+                 gint64 now_us)
+{
+  if (suspect->transmits_left > 0)
+    cds_list_del (&suspect->unsent_link);
+  suspect->transmits_left = MAX (suspect->transmits_left, transmits);
+  suspect->next_transmit_us = now_us;
+  cds_list_add (&suspect->unsent_link, &quarantine->unsent);
 }
 
-static void
-set_request_ended (Suspect *suspect, gboolean ended)
+/* --- decisions ----------------------------------------------------------------- */
+
+static gboolean
+is_current (const PeerActivity *peer, gint64 now_us)
 {
-  if (suspect->requests_ended == ended)
-    return;
-  suspect->requests_ended = ended;
-  for (guint i = 0; i < RECORDED_FAILURES_MAX; i++)
-    {
-      Failure *failure = suspect->failures[i];
-      if (failure != NULL && ended)
-        failure->candidates--;
-      else if (failure != NULL)
-        failure->candidates++;
-    }
+  return peer->activity != HBW_SUSPECT_IDLE
+         && now_us - peer->heard_us < HBW_SUSPECT_ACTIVE_TIMEOUT_US;
 }
 
+/* Returns whether some instance has a request with this fingerprint, which may still
+   complete. */
 static gboolean
-is_suspect_of (const Suspect *suspect, const Failure *failure)
+is_active (const Suspect *suspect, gint64 now_us)
 {
-  for (guint i = 0; i < RECORDED_FAILURES_MAX; i++)
-    if (suspect->failures[i] == failure)
+  if (suspect->own_activity != HBW_SUSPECT_IDLE)
+    return TRUE;
+  for (guint i = 0; i < ACTIVE_PEERS_MAX; i++)
+    if (is_current (&suspect->peers[i], now_us))
       return TRUE;
   return FALSE;
 }
 
-static guint
-count_failures (const Suspect *suspect)
-{
-  return MAX (suspect->recorded_failures, suspect->reported_failures);
-}
-
-/* Returns the number of failures that no quarantined request explains. */
-static guint
-count_unexplained (const Suspect *suspect)
-{
-  guint explained = 0;
-  for (guint i = 0; i < RECORDED_FAILURES_MAX; i++)
-    if (suspect->failures[i] != NULL && suspect->failures[i]->explained)
-      explained++;
-  return count_failures (suspect) - explained;
-}
-
-/* Returns whether SUSPECT is the only remaining candidate for FAILURE, or the other
-   candidates have not been cleared in time. */
+/* Returns whether SUSPECT is the only remaining suspect of FAILURE, or the other
+   ones have not been cleared in time. */
 static gboolean
 is_caused_by (const Failure *failure, const Suspect *suspect, gint64 now_us)
 {
-  gint64 age = now_us - failure->failed_at_us;
-  guint other_candidates = failure->candidates - (suspect->requests_ended ? 0 : 1);
-  if (failure->explained)
+  gint64 age = now_us - failure->earliest_end_us;
+  if (is_explained (failure) || age < HBW_QUARANTINE_GATHER_WINDOW_US)
     return FALSE;
-  return age >= HBW_QUARANTINE_CLEAR_TIMEOUT_US
-         || (other_candidates == 0 && age >= HBW_QUARANTINE_GATHER_WINDOW_US);
+  if (age >= HBW_QUARANTINE_CLEAR_TIMEOUT_US)
+    return TRUE;
+  const Record *record;
+  cds_list_for_each_entry (record, &failure->records, link)
+    if (record->suspect != suspect && is_active (record->suspect, now_us))
+      return FALSE;
+  return TRUE;
 }
 
 static gboolean
 causes_any_failure (const Suspect *suspect, gint64 now_us)
 {
-  for (guint i = 0; i < RECORDED_FAILURES_MAX; i++)
-    if (suspect->failures[i] != NULL
-        && is_caused_by (suspect->failures[i], suspect, now_us))
+  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+    if (is_open (&suspect->records[i])
+        && is_caused_by (suspect->records[i].failure, suspect, now_us))
       return TRUE;
-  return suspect->reported_failures > suspect->recorded_failures
-         && now_us - suspect->last_failure_us >= HBW_QUARANTINE_CLEAR_TIMEOUT_US;
+  return FALSE;
 }
 
 static void
@@ -192,9 +342,6 @@
 {
   suspect->is_quarantined = TRUE;
   suspect->expire_at_us = now_us + HBW_QUARANTINE_DURATION_US;
-  for (guint i = 0; i < RECORDED_FAILURES_MAX; i++)
-    if (suspect->failures[i] != NULL)
-      suspect->failures[i]->explained = TRUE;
   g_queue_push_tail (&quarantine->unlogged,
                      g_memdup2 (&suspect->fingerprint, sizeof suspect->fingerprint));
 }
@@ -209,8 +356,10 @@
       || count_failures (suspect) < HBW_QUARANTINE_FAILURES_MIN
       || count_unexplained (suspect) < unexplained_min)
     return;
-  if (causes_any_failure (suspect, now_us))
-    quarantine_suspect (quarantine, suspect, now_us);
+  if (!causes_any_failure (suspect, now_us))
+    return;
+  quarantine_suspect (quarantine, suspect, now_us);
+  schedule_report (quarantine, suspect, TRANSMITS, now_us);
 }
 
 /* Starts with the suspects that have the most unexplained failures, because these
@@ -231,8 +380,9 @@
   HbwQuarantine *quarantine = g_new0 (HbwQuarantine, 1);
   quarantine->suspects
       = g_hash_table_new_full (fingerprint_hash, fingerprint_equal, NULL, g_free);
-  quarantine->latest_failures = g_hash_table_new (g_int64_hash, g_int64_equal);
   CDS_INIT_LIST_HEAD (&quarantine->by_age);
+  CDS_INIT_LIST_HEAD (&quarantine->failures);
+  CDS_INIT_LIST_HEAD (&quarantine->unsent);
   g_queue_init (&quarantine->unlogged);
   return quarantine;
 }
@@ -244,7 +394,6 @@
     remove_suspect (quarantine,
                     cds_list_first_entry (&quarantine->by_age, Suspect, link));
   g_queue_clear_full (&quarantine->unlogged, g_free);
-  g_hash_table_destroy (quarantine->latest_failures);
   g_hash_table_destroy (quarantine->suspects);
   g_free (quarantine);
 }
@@ -257,6 +406,15 @@
   return suspect != NULL ? count_unexplained (suspect) : 0;
 }
 
+gboolean
+hbw_quarantine_is_suspect (HbwQuarantine *quarantine,
+                           const HbwFingerprint *fingerprint, gint64 now_us)
+{
+  const Suspect *suspect = find_suspect (quarantine, fingerprint, now_us);
+  return suspect != NULL
+         && (suspect->is_quarantined || count_failures (suspect) > 0);
+}
+
 HbwQuarantineStatus
 hbw_quarantine_check (HbwQuarantine *quarantine, const HbwFingerprint *fingerprint,
                       gint64 now_us)
@@ -264,15 +422,17 @@
   const Suspect *suspect = find_suspect (quarantine, fingerprint, now_us);
   if (suspect == NULL)
     return HBW_QUARANTINE_STATUS_NONE;
+  guint failures = count_failures (suspect);
+  if (failures >= HBW_QUARANTINE_FAILURES_MIN)
+    evaluate_all (quarantine, now_us);
   if (suspect->is_quarantined)
     return HBW_QUARANTINE_STATUS_QUARANTINED;
-  if (count_failures (suspect) < HBW_QUARANTINE_FAILURES_MIN)
+  if (failures == 0)
+    return HBW_QUARANTINE_STATUS_NONE;
+  if (count_unexplained (suspect) == 0)
     return HBW_QUARANTINE_STATUS_SUSPECT;
-  evaluate_all (quarantine, now_us);
-  if (suspect->is_quarantined)
-    return HBW_QUARANTINE_STATUS_QUARANTINED;
-  return count_unexplained (suspect) > 0 ? HBW_QUARANTINE_STATUS_HELD
-                                         : HBW_QUARANTINE_STATUS_SUSPECT;
+  return failures >= HBW_QUARANTINE_FAILURES_MIN ? HBW_QUARANTINE_STATUS_HELD
+                                                 : HBW_QUARANTINE_STATUS_SUSPECT;
 }
 
 gint64
@@ -283,34 +443,16 @@
   return suspect != NULL ? suspect->expire_at_us - now_us : 0;
 }
 
-/* Records a failure of SERVER once, even if several copies of the request ran
-   there. */
-static void
-record_failure (HbwQuarantine *quarantine, Suspect *suspect, guint64 server,
-                gint64 now_us)
-{
-  set_request_ended (suspect, FALSE);
-  Failure *failure = ensure_failure (quarantine, server, now_us);
-  if (is_suspect_of (suspect, failure))
-    return;
-  Failure **slot
-      = &suspect->failures[suspect->recorded_failures % RECORDED_FAILURES_MAX];
-  remove_from_failure (quarantine, suspect, *slot);
-  *slot = failure;
-  failure->suspect_count++;
-  failure->candidates++;
-  suspect->recorded_failures++;
-  suspect->last_failure_us = now_us;
-}
-
 guint
 hbw_quarantine_add_failure (HbwQuarantine *quarantine,
-                            const HbwFingerprint *fingerprint, guint64 server,
-                            gint64 now_us)
+                            const HbwFingerprint *fingerprint,
+                            const HbwServerFailure *failure, gint64 now_us)
 {
   Suspect *suspect = ensure_suspect (quarantine, fingerprint, now_us);
   suspect->expire_at_us = now_us + HBW_QUARANTINE_DURATION_US;
-  record_failure (quarantine, suspect, server, now_us);
+  suspect->own_activity = HBW_SUSPECT_WAITING;
+  if (record_failure (quarantine, suspect, failure))
+    schedule_report (quarantine, suspect, TRANSMITS, now_us);
   evaluate_all (quarantine, now_us);
   return count_failures (suspect);
 }
@@ -320,50 +462,160 @@
                       gint64 now_us)
 {
   Suspect *suspect = g_hash_table_lookup (quarantine->suspects, fingerprint);
-  if (suspect == NULL || suspect->is_quarantined)
+  if (suspect == NULL || suspect->is_quarantined || count_failures (suspect) == 0)
     return FALSE;
-  remove_suspect (quarantine, suspect);
+  clear_failures (suspect, now_us, now_us);
+  schedule_report (quarantine, suspect, TRANSMITS, now_us);
   evaluate_all (quarantine, now_us);
   return TRUE;
 }
 
 gboolean
-hbw_quarantine_handle_request_end (HbwQuarantine *quarantine,
-                                   const HbwFingerprint *fingerprint, gint64 now_us)
+hbw_quarantine_set_activity (HbwQuarantine *quarantine,
+                             const HbwFingerprint *fingerprint,
+                             HbwSuspectActivity activity, gint64 now_us)
 {
   Suspect *suspect = find_suspect (quarantine, fingerprint, now_us);
-  if (suspect == NULL || suspect->is_quarantined || suspect->requests_ended)
+  if (suspect == NULL || suspect->own_activity == activity)
     return FALSE;
-  set_request_ended (suspect, TRUE);
-  evaluate_all (quarantine, now_us);
+  suspect->own_activity = activity;
+  if (suspect->is_quarantined || count_failures (suspect) == 0)
+    return TRUE;
+  schedule_report (quarantine, suspect, TRANSMITS, now_us);
+  if (activity == HBW_SUSPECT_IDLE)
+    evaluate_all (quarantine, now_us);
   return TRUE;
 }
 
-void
-hbw_quarantine_merge_suspect (HbwQuarantine *quarantine,
-                              const HbwSuspicionReport *update, gint64 now_us)
+/* --- reports ------------------------------------------------------------------- */
+
+static PeerActivity *
+find_peer_slot (Suspect *suspect, guint64 instance, gint64 now_us)
 {
-  if (update->change == HBW_SUSPICION_CLEARED)
+  PeerActivity *free_slot = NULL;
+  for (guint i = 0; i < ACTIVE_PEERS_MAX; i++)
     {
-      hbw_quarantine_clear (quarantine, &update->fingerprint, now_us);
-      return;
+      PeerActivity *peer = &suspect->peers[i];
+      if (peer->instance == instance)
+        return peer;
+      if (!is_current (peer, now_us))
+        free_slot = peer;
     }
-  if (update->change == HBW_SUSPICION_ENDED)
-    {
-      hbw_quarantine_handle_request_end (quarantine, &update->fingerprint, now_us);
-      return;
-    }
-  Suspect *suspect = ensure_suspect (quarantine, &update->fingerprint, now_us);
-  gint64 remaining = MIN (update->remaining_us, HBW_QUARANTINE_DURATION_US);
-  suspect->expire_at_us = MAX (suspect->expire_at_us, now_us + remaining);
-  if (update->server_hash != 0)
-    record_failure (quarantine, suspect, update->server_hash, now_us);
-  if (update->failures > count_failures (suspect))
+  return free_slot;
+}
+
+static void
+merge_activity (Suspect *suspect, guint64 from, HbwSuspectActivity activity,
+                gint64 now_us)
+{
+  PeerActivity *peer = find_peer_slot (suspect, from, now_us);
+  if (peer == NULL)
+    return;
+  peer->instance = from;
+  peer->activity = activity;
+  peer->heard_us = now_us;
+}
+
+/* Returns whether the reported failure was not known here. */
+static gboolean
+merge_failure (HbwQuarantine *quarantine, Suspect *suspect,
+               const HbwFailureReport *report, gint64 now_us)
+{
+  const HbwServerFailure failure = { .id = report->id,
+                                     .server = report->server_hash,
+                                     .started_us = now_us - report->started_ago_us,
+                                     .failed_us = now_us - report->failed_ago_us };
+  return record_failure (quarantine, suspect, &failure);
+}
+
+/* Returns the entry for REPORT, or NULL if it tells nothing about an unknown
+   fingerprint. */
+static Suspect *
+find_or_create_reported (HbwQuarantine *quarantine, const HbwSuspicionReport *report,
+                         gint64 now_us)
+{
+  if (report->failure_count == 0 && !report->is_quarantined)
+    return find_suspect (quarantine, &report->fingerprint, now_us);
+  return ensure_suspect (quarantine, &report->fingerprint, now_us);
+}
+
+guint
+hbw_quarantine_merge (HbwQuarantine *quarantine, guint64 from,
+                      const HbwSuspicionReport *report, gint64 now_us)
+{
+  guint added = 0;
+  gint64 remaining_us = CLAMP (report->remaining_us, 0, HBW_QUARANTINE_DURATION_US);
+  Suspect *suspect = find_or_create_reported (quarantine, report, now_us);
+  if (suspect == NULL)
+    return 0;
+  suspect->expire_at_us = MAX (suspect->expire_at_us, now_us + remaining_us);
+  if (report->completed_ago_us >= 0 && !suspect->is_quarantined)
+    clear_failures (suspect, now_us - report->completed_ago_us, now_us);
+  for (guint i = 0; i < report->failure_count; i++)
+    added += merge_failure (quarantine, suspect, &report->failures[i], now_us);
+  merge_activity (suspect, from, report->activity, now_us);
+  if (report->is_quarantined && !suspect->is_quarantined)
+    quarantine_suspect (quarantine, suspect, now_us);
+  evaluate_all (quarantine, now_us);
+  return added;
+}
+
+static void
+fill_failure_report (HbwFailureReport *report, const Record *record, gint64 now_us)
+{
+  report->id = record->details.id;
+  report->server_hash = record->details.server;
+  report->started_ago_us = now_us - record->details.started_us;
+  report->failed_ago_us = now_us - record->details.failed_us;
+}
+
+static void
+fill_report (HbwSuspicionReport *report, const Suspect *suspect, gint64 now_us)
+{
+  *report = (HbwSuspicionReport){ .fingerprint = suspect->fingerprint,
+                                  .remaining_us = suspect->expire_at_us - now_us,
+                                  .is_quarantined = suspect->is_quarantined,
+                                  .activity = suspect->own_activity };
+  report->completed_ago_us
+      = suspect->completed_us > 0 ? now_us - suspect->completed_us : -1;
+  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+    if (is_open (&suspect->records[i]))
+      fill_failure_report (&report->failures[report->failure_count++],
+                           &suspect->records[i], now_us);
+}
+
+gboolean
+hbw_quarantine_take_report (HbwQuarantine *quarantine, gint64 interval_us,
+                            HbwSuspicionReport *report, gint64 now_us)
+{
+  if (cds_list_empty (&quarantine->unsent))
+    return FALSE;
+  Suspect *suspect
+      = cds_list_first_entry (&quarantine->unsent, Suspect, unsent_link);
+  if (suspect->next_transmit_us > now_us)
+    return FALSE;
+  cds_list_del (&suspect->unsent_link);
+  suspect->transmits_left--;
+  suspect->next_transmit_us = now_us + interval_us;
+  if (suspect->transmits_left > 0)
+    cds_list_add_tail (&suspect->unsent_link, &quarantine->unsent);
+  fill_report (report, suspect, now_us);
+  return TRUE;
+}
+
+void
+hbw_quarantine_refresh (HbwQuarantine *quarantine, gint64 now_us)
+{
+  Suspect *suspect;
+  Suspect *next;
+  cds_list_for_each_entry_safe (suspect, next, &quarantine->by_age, link)
     {
-      suspect->reported_failures = update->failures;
-      suspect->last_failure_us = now_us;
+      if (suspect->expire_at_us <= now_us)
+        remove_suspect (quarantine, suspect);
+      else if (suspect->own_activity != HBW_SUSPECT_IDLE && !suspect->is_quarantined
+               && count_failures (suspect) > 0)
+        schedule_report (quarantine, suspect, 1, now_us);
     }
-  evaluate_all (quarantine, now_us);
 }
 
 void
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -9,6 +9,7 @@
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/status.h"
+#include "hornbeamwall/core/suspect_share.h"
 
 #include <string.h>
 
@@ -364,21 +365,6 @@
     hbw_shard_record_remote_prompts (shard, &message->loads);
 }
 
-static void
-handle_suspect (HbwContext *context, const HbwMessage *message)
-{
-  const HbwSuspicionReport *suspect = &message->suspect;
-  hbw_quarantine_merge_suspect (context->quarantine, suspect, context->now_us);
-  if (suspect->change == HBW_SUSPICION_FAILED)
-    hbw_effects_log (context->effects, HBW_LOG_SUSPECT_HEARD,
-                     "fingerprint=%016" G_GINT64_MODIFIER
-                     "x instance=%s failures=%u",
-                     suspect->fingerprint.low,
-                     hbw_membership_find_name (context->membership, message->from),
-                     suspect->failures);
-  hbw_quarantine_log_new (context->quarantine, context->effects);
-}
-
 static void
 handle_message (HbwReducer *reducer, const HbwMessage *message)
 {
@@ -448,7 +434,9 @@
       handle_document (reducer, &message->document);
       break;
     case HBW_MESSAGE_SUSPECT:
-      handle_suspect (context, message);
+      hbw_suspect_share_handle_report (context->suspect_share, context, message);
+      hbw_ingress_handle_suspect (reducer->ingress, context,
+                                  &message->suspect.fingerprint);
       break;
     default:
       hbw_limiter_handle_message (limiter, context, message);
@@ -532,6 +520,7 @@
   handle_membership_change (reducer);
   tick_shards (reducer);
   hbw_ingress_tick (reducer->ingress, context);
+  hbw_suspect_share_tick (context->suspect_share, context);
   if (reducer->max_revocation_delay_us > 0)
     hbw_freshness_monitor_tick (reducer->freshness_monitor, context);
 }
@@ -682,6 +671,7 @@
   context->membership = hbw_membership_create (&config->self);
   context->metrics = hbw_metrics_create ();
   context->quarantine = hbw_quarantine_create ();
+  context->suspect_share = hbw_suspect_share_create ();
   context->load_share
       = config->policy->spans_data_centres ? hbw_load_share_create () : NULL;
   hbw_membership_set_ping_decorator (context->membership, fill_ping, reducer);
@@ -730,6 +720,7 @@
   hbw_membership_destroy (context->membership);
   hbw_metrics_destroy (context->metrics);
   hbw_quarantine_destroy (context->quarantine);
+  hbw_suspect_share_destroy (context->suspect_share);
   if (context->load_share != NULL)
     hbw_load_share_destroy (context->load_share);
   g_hash_table_unref (context->planned_stops);
@@ -748,6 +739,7 @@
   deliver_loopback (reducer);
   if (context->load_share != NULL)
     hbw_load_share_send (context->load_share, context);
+  hbw_suspect_share_send (context->suspect_share, context);
   context->effects = NULL;
   count_sent_messages (reducer, effects, before);
 }
--- a/core/shard.c
+++ b/core/shard.c
@@ -61,6 +61,14 @@
   return g_hash_table_lookup (shard->reservations, &key);
 }
 
+gboolean
+hbw_shard_is_suspect (const HbwContext *context, const HbwRequestSpec *spec)
+{
+  return spec->server_failures > 0
+         || hbw_quarantine_is_suspect (context->quarantine, &spec->fingerprint,
+                                       context->now_us);
+}
+
 static void
 share_server_load (HbwContext *context, const HbwServer *server)
 {
@@ -84,9 +92,7 @@
   reservation->key.id = *id;
   reservation->key.attempt = attempt;
   reservation->spec = *spec;
-  reservation->suspect = hbw_quarantine_check (context->quarantine,
-                                               &spec->fingerprint, context->now_us)
-                         != HBW_QUARANTINE_STATUS_NONE;
+  reservation->suspect = hbw_shard_is_suspect (context, spec);
   reservation->granted_us = context->now_us;
   reservation->last_heard_us = context->now_us;
   reservation->server_start = server->entry.start_number;
@@ -443,11 +449,6 @@
                        const HbwGrantRequest *want)
 {
   shard->last_entry_message_us = context->now_us;
-  const HbwSuspicionReport suspect = { .fingerprint = want->spec.fingerprint,
-                                       .failures = want->spec.server_failures,
-                                       .remaining_us = HBW_QUARANTINE_DURATION_US };
-  if (suspect.failures > 0)
-    hbw_quarantine_merge_suspect (context->quarantine, &suspect, context->now_us);
   if (handle_known_want (shard, context, from, want))
     return;
   if (hbw_quarantine_check (context->quarantine, &want->spec.fingerprint,
--- a/include/hornbeamwall/core/context.h
+++ b/include/hornbeamwall/core/context.h
@@ -10,6 +10,7 @@
 typedef struct HbwMembership HbwMembership;
 typedef struct HbwMetrics HbwMetrics;
 typedef struct HbwQuarantine HbwQuarantine;
+typedef struct HbwSuspectShare HbwSuspectShare;
 
 typedef struct
 {
@@ -29,6 +30,7 @@
   HbwMembership *membership;
   HbwMetrics *metrics;
   HbwQuarantine *quarantine;
+  HbwSuspectShare *suspect_share;
 } HbwContext;
 
 /* Sends a copy of MESSAGE to the instance TO; drops it if that is unknown. */
--- a/include/hornbeamwall/core/ingress.h
+++ b/include/hornbeamwall/core/ingress.h
@@ -41,6 +41,10 @@
 
 void hbw_ingress_handle_arrival (HbwIngress *ingress, HbwContext *context,
                                  const HbwArrival *arrival);
+/* Handles that FINGERPRINT is a suspect, as a peer reported. */
+void hbw_ingress_handle_suspect (HbwIngress *ingress, HbwContext *context,
+                                 const HbwFingerprint *fingerprint);
+
 void hbw_ingress_handle_caller_gone (HbwIngress *ingress, HbwContext *context,
                                      guint64 sequence);
 void hbw_ingress_handle_first_token (HbwIngress *ingress, HbwContext *context,
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -92,7 +92,8 @@
   gint64 deadline_us;  /* until the response is no longer useful; 0 is none */
   guint64 prefix_hash; /* hash of the start of the prompt; 0 is none */
   HbwFingerprint fingerprint;
-  guint server_failures; /* servers that failed while running it */
+  guint server_failures; /* servers that failed while running it, as the sender knows
+                          */
   gint64 timeout_us;     /* until the response must be complete; 0 is none */
   guint attempts_max;    /* servers it may be sent to; 0 selects HBW_ATTEMPTS_MAX */
   gboolean resumable;    /* another server may continue its stream */
@@ -212,22 +213,38 @@
   GBytes *body;        /* owned; NULL in a DOCUMENT_ASK */
 } HbwDocument;
 
-/* Change in the state of a request that was in progress on a server that failed. */
+/* What an instance is doing with a request that may make servers fail. */
 typedef enum
 {
-  HBW_SUSPICION_FAILED,  /* another server failed */
-  HBW_SUSPICION_CLEARED, /* the request completed */
-  HBW_SUSPICION_ENDED,   /* it ended without another attempt */
-  HBW_SUSPICION_COUNT,
-} HbwSuspicion;
+  HBW_SUSPECT_IDLE,    /* it has no request with this fingerprint */
+  HBW_SUSPECT_WAITING, /* it has one that is not in progress on a server */
+  HBW_SUSPECT_RUNNING, /* it has one that is in progress on a server */
+  HBW_SUSPECT_ACTIVITY_COUNT,
+} HbwSuspectActivity;
 
+/* Maximum number of failures that are kept for one fingerprint. */
+#define HBW_SUSPECT_FAILURES_MAX 4
+
+/* Failure of a server during an attempt. */
+typedef struct
+{
+  guint64 id;            /* of the attempt, unique in all instances */
+  guint64 server_hash;   /* hash of the server's id */
+  gint64 started_ago_us; /* since the attempt started */
+  gint64 failed_ago_us;  /* since it ended */
+} HbwFailureReport;
+
+/* All that the sender knows about a request that was in progress on a server that
+   failed. */
 typedef struct
 {
   HbwFingerprint fingerprint;
-  HbwSuspicion change;
-  guint failures;
-  guint64 server_hash; /* hash of the server that failed last; 0 if unknown */
   gint64 remaining_us; /* until the suspicion expires */
+  gboolean is_quarantined;
+  HbwSuspectActivity activity; /* of the sender */
+  gint64 completed_ago_us;     /* since its last complete response; -1 is none */
+  guint failure_count;
+  HbwFailureReport failures[HBW_SUSPECT_FAILURES_MAX]; /* that are not cleared */
 } HbwSuspicionReport;
 
 /* Demand for an organisation's limits, or share of them.  Exchanged by an instance
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -2,17 +2,21 @@
  * quarantine - finds and refuses requests that make backend servers fail
  *
  * The fingerprint of each request that is in progress on a server when it fails
- * becomes a suspect of that failure.  The candidates of a failure are those of its
- * suspects that have neither succeeded nor ended since.  A suspect runs only on a
- * server without another suspect, so that a second failure has only one suspect of
- * the first among its candidates.  A success clears it.  A suspect with two failures
- * is held and does not run.  If it becomes the only possible cause of one of them,
- * it is quarantined in all instances for HBW_QUARANTINE_DURATION_US.  It may run
- * again once the quarantine of others explains all of its failures.
+ * becomes a suspect of that failure.  A suspect is active while an instance has a
+ * request with its fingerprint, waiting or running, that may still complete.  A
+ * suspect runs only on a server without another suspect, so that a second failure
+ * has only one suspect of the first.  A complete response clears it.  A suspect with
+ * two failures is held and does not run. If all other suspects of one of its
+ * failures are cleared or no longer active, it is quarantined in all instances for
+ * HBW_QUARANTINE_DURATION_US.  It may run again once the quarantine of others
+ * explains all of its failures.
  *
  * This handles several harmful requests at the same time that fail every server they
  * run on, next to harmless requests on the same servers, and whose callers resend
  * them.
+ *
+ * Every failure has an id, so that a report that is lost, repeated or late changes
+ * nothing once it has been merged.  core/suspect_share.h sends the reports.
  */
 #ifndef HORNBEAMWALL_CORE_QUARANTINE_H
 #define HORNBEAMWALL_CORE_QUARANTINE_H
@@ -23,20 +27,26 @@
 /* Number of failures after which a suspect is held. */
 #define HBW_QUARANTINE_FAILURES_MIN 2
 
-/* Failures of one server within this time count as one. */
-#define HBW_QUARANTINE_SAME_FAILURE_US (2 * HBW_US_PER_S)
-
-/* Time in which all candidates of a failure are reported by their instances. */
+/* Time in which all suspects of a failure are reported by their instances. */
 #define HBW_QUARANTINE_GATHER_WINDOW_US (HBW_US_PER_S / 4)
 
-/* Time in which the other candidates of a failure have to succeed or end.  It is
-   limited because the message of an instance that fails may be lost. */
+/* Time in which the other suspects of a failure have to complete or become
+   inactive. */
 #define HBW_QUARANTINE_CLEAR_TIMEOUT_US (30 * HBW_US_PER_S)
 
 /* Lifetime of a suspicion or a quarantine. */
 #define HBW_QUARANTINE_DURATION_US (300 * HBW_US_PER_S)
 
-/* Most fingerprints that are stored; a new one replaces the oldest. */
+/* How long a cleared suspect is kept, so that a late report of its failure is
+   recognised. */
+#define HBW_QUARANTINE_CLEARED_DURATION_US (30 * HBW_US_PER_S)
+
+/* An instance reports the suspects that are active there at this interval; without
+   another report, they count as inactive after the timeout. */
+#define HBW_SUSPECT_REFRESH_INTERVAL_US (HBW_US_PER_S / 2)
+#define HBW_SUSPECT_ACTIVE_TIMEOUT_US (3 * HBW_SUSPECT_REFRESH_INTERVAL_US)
+
+/* Most fingerprints that are stored. */
 #define HBW_QUARANTINE_ENTRIES_MAX 4096
 
 HbwQuarantine *hbw_quarantine_create (void);
@@ -50,12 +60,26 @@
   HBW_QUARANTINE_STATUS_QUARANTINED, /* is refused */
 } HbwQuarantineStatus;
 
+/* Failure of a server during an attempt.  Times are those of this instance. */
+typedef struct
+{
+  guint64 id;     /* of the attempt, unique in all instances */
+  guint64 server; /* hash of its id */
+  gint64 started_us;
+  gint64 failed_us;
+} HbwServerFailure;
+
 /* Returns the number of failures of FINGERPRINT that no quarantined request
    explains. */
 guint hbw_quarantine_count_unexplained (HbwQuarantine *quarantine,
                                         const HbwFingerprint *fingerprint,
                                         gint64 now_us);
 
+/* Returns whether FINGERPRINT has a failure that was not cleared. */
+gboolean hbw_quarantine_is_suspect (HbwQuarantine *quarantine,
+                                    const HbwFingerprint *fingerprint,
+                                    gint64 now_us);
+
 /* Returns the status of FINGERPRINT, after evaluating all suspects if needed. */
 HbwQuarantineStatus hbw_quarantine_check (HbwQuarantine *quarantine,
                                           const HbwFingerprint *fingerprint,
@@ -67,27 +91,37 @@
                                     const HbwFingerprint *fingerprint,
                                     gint64 now_us);
 
-/* Records a failure of SERVER (a hash) and returns the number of failures of
-   FINGERPRINT.  Copies of a request on the same failed server count once. */
+/* Records FAILURE and returns the number of failures of FINGERPRINT that were not
+   cleared.  Copies of a request on the same failed server count once. */
 guint hbw_quarantine_add_failure (HbwQuarantine *quarantine,
-                                  const HbwFingerprint *fingerprint, guint64 server,
-                                  gint64 now_us);
+                                  const HbwFingerprint *fingerprint,
+                                  const HbwServerFailure *failure, gint64 now_us);
 
-/* Removes FINGERPRINT after a success, unless it is quarantined; returns whether it
-   was removed. */
+/* Clears all failures of FINGERPRINT after a complete response, unless it is
+   quarantined; returns whether it was a suspect. */
 gboolean hbw_quarantine_clear (HbwQuarantine *quarantine,
                                const HbwFingerprint *fingerprint, gint64 now_us);
 
-/* Marks FINGERPRINT as ended without another attempt, so that the evaluation of
-   others does not wait for its success.  Returns whether it was a suspect that had
-   not ended yet. */
-gboolean hbw_quarantine_handle_request_end (HbwQuarantine *quarantine,
-                                            const HbwFingerprint *fingerprint,
-                                            gint64 now_us);
-
-/* Merges SUSPECT, reported by a peer. */
-void hbw_quarantine_merge_suspect (HbwQuarantine *quarantine,
-                                   const HbwSuspicionReport *suspect, gint64 now_us);
+/* Sets what this instance is doing with FINGERPRINT, if that is known as a suspect;
+   returns whether that is a change. */
+gboolean hbw_quarantine_set_activity (HbwQuarantine *quarantine,
+                                      const HbwFingerprint *fingerprint,
+                                      HbwSuspectActivity activity, gint64 now_us);
+
+/* Merges REPORT of the instance FROM; returns the number of failures in it that were
+   not known here. */
+guint hbw_quarantine_merge (HbwQuarantine *quarantine, guint64 from,
+                            const HbwSuspicionReport *report, gint64 now_us);
+
+/* Fills REPORT with the next change that is due to be sent to all instances; returns
+   FALSE if there is none.  Each change is sent several times, INTERVAL_US apart, as
+   a message may be lost. */
+gboolean hbw_quarantine_take_report (HbwQuarantine *quarantine, gint64 interval_us,
+                                     HbwSuspicionReport *report, gint64 now_us);
+
+/* Drops expired entries, and schedules reports of the suspects that are active here.
+   Call every HBW_SUSPECT_REFRESH_INTERVAL_US. */
+void hbw_quarantine_refresh (HbwQuarantine *quarantine, gint64 now_us);
 
 /* Logs the quarantined fingerprints that have not been logged yet. */
 void hbw_quarantine_log_new (HbwQuarantine *quarantine, HbwEffects *effects);
--- a/include/hornbeamwall/core/shard.h
+++ b/include/hornbeamwall/core/shard.h
@@ -142,6 +142,11 @@
 
 HbwServer *hbw_shard_find_server (const HbwShard *shard, const char *id);
 
+/* Returns whether servers have failed while they ran the request.  Its entry
+   instance may know of a failure whose report has not arrived here. */
+gboolean hbw_shard_is_suspect (const HbwContext *context,
+                               const HbwRequestSpec *spec);
+
 /* Returns the server on which TICKET may run now, or NULL. */
 HbwServer *hbw_shard_select_server (HbwShard *shard, HbwContext *context,
                                     const HbwTicket *ticket);
--- a/include/hornbeamwall/net/codec_fields.h
+++ b/include/hornbeamwall/net/codec_fields.h
@@ -19,6 +19,16 @@
   gboolean failed;
 } HbwFieldReader;
 
+/* What a report of a suspect says to earlier versions, which read a change instead
+   of the list of failures. */
+typedef enum
+{
+  HBW_LEGACY_SUSPICION_FAILED,  /* another server failed */
+  HBW_LEGACY_SUSPICION_CLEARED, /* the request completed */
+  HBW_LEGACY_SUSPICION_ENDED,   /* it ended without another attempt */
+  HBW_LEGACY_SUSPICION_COUNT,
+} HbwLegacySuspicion;
+
 /* Packs MESSAGE as an array of its kind and its fields. */
 void hbw_message_pack (msgpack_packer *packer, const HbwMessage *message);
 
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -2,6 +2,10 @@
 
 #include <string.h>
 
+/* Earlier versions count a server that is named again after two seconds as another
+   failure. */
+#define LEGACY_FAILURE_AGE_MAX_US ((gint64) 1000000)
+
 static void
 pack_text (msgpack_packer *packer, const char *text)
 {
@@ -191,6 +195,46 @@
     }
 }
 
+/* Packs what earlier versions read instead of the list of failures: a change, the
+   number of failures, and the server of a failure that just happened. */
+static void
+pack_suspicion_summary (msgpack_packer *packer, const HbwSuspicionReport *report)
+{
+  guint64 server = 0;
+  for (guint i = 0; i < report->failure_count; i++)
+    if (report->failures[i].failed_ago_us < LEGACY_FAILURE_AGE_MAX_US)
+      server = report->failures[i].server_hash;
+  HbwLegacySuspicion change = HBW_LEGACY_SUSPICION_FAILED;
+  if (report->failure_count == 0)
+    change = HBW_LEGACY_SUSPICION_CLEARED;
+  else if (report->activity == HBW_SUSPECT_IDLE && server == 0)
+    change = HBW_LEGACY_SUSPICION_ENDED;
+  msgpack_pack_uint32 (packer, change);
+  msgpack_pack_uint32 (packer, report->failure_count);
+  msgpack_pack_int64 (packer, report->remaining_us);
+  msgpack_pack_uint64 (packer, server);
+}
+
+static void
+pack_suspicion (msgpack_packer *packer, const HbwSuspicionReport *report)
+{
+  pack_fingerprint (packer, &report->fingerprint);
+  pack_suspicion_summary (packer, report);
+  msgpack_pack_uint32 (packer, report->is_quarantined);
+  msgpack_pack_uint32 (packer, report->activity);
+  msgpack_pack_int64 (packer, report->completed_ago_us);
+  msgpack_pack_array (packer, report->failure_count);
+  for (guint i = 0; i < report->failure_count; i++)
+    {
+      const HbwFailureReport *failure = &report->failures[i];
+      msgpack_pack_array (packer, 4);
+      msgpack_pack_uint64 (packer, failure->id);
+      msgpack_pack_uint64 (packer, failure->server_hash);
+      msgpack_pack_int64 (packer, failure->started_ago_us);
+      msgpack_pack_int64 (packer, failure->failed_ago_us);
+    }
+}
+
 static void
 pack_fields (msgpack_packer *packer, const HbwMessage *message)
 {
@@ -234,11 +278,7 @@
       pack_document (packer, &message->document);
       break;
     case HBW_MESSAGE_SUSPECT:
-      pack_fingerprint (packer, &message->suspect.fingerprint);
-      msgpack_pack_uint32 (packer, message->suspect.change);
-      msgpack_pack_uint32 (packer, message->suspect.failures);
-      msgpack_pack_int64 (packer, message->suspect.remaining_us);
-      msgpack_pack_uint64 (packer, message->suspect.server_hash);
+      pack_suspicion (packer, &message->suspect);
       break;
     default: /* HBW_MESSAGE_DEMAND or HBW_MESSAGE_SHARE */
       msgpack_pack_uint32 (packer, message->rates.level);
@@ -257,7 +297,7 @@
   [HBW_MESSAGE_WITHDRAW] = 5,  [HBW_MESSAGE_GRANT] = 14,
   [HBW_MESSAGE_REFUSAL] = 5,   [HBW_MESSAGE_ACTIVE] = 10,
   [HBW_MESSAGE_DONE] = 11,     [HBW_MESSAGE_DOCUMENT_ASK] = 4,
-  [HBW_MESSAGE_DOCUMENT] = 4,  [HBW_MESSAGE_SUSPECT] = 6,
+  [HBW_MESSAGE_DOCUMENT] = 4,  [HBW_MESSAGE_SUSPECT] = 10,
   [HBW_MESSAGE_DEMAND] = 5,    [HBW_MESSAGE_SHARE] = 5,
   [HBW_MESSAGE_BEGUN] = 7,     [HBW_MESSAGE_LOADS] = 2,
 };
--- a/net/codec_unpack.c
+++ b/net/codec_unpack.c
@@ -303,6 +303,52 @@
   reader->failed |= inner.failed || parts.failed;
 }
 
+/* Unpacks the fields that earlier versions send.  They send one failure at a time;
+   its id is derived from the request and the server. */
+static void
+unpack_suspicion_summary (HbwFieldReader *reader, HbwSuspicionReport *report)
+{
+  unpack_fingerprint (reader, &report->fingerprint);
+  guint64 change
+      = hbw_field_reader_unpack_uint (reader, HBW_LEGACY_SUSPICION_COUNT - 1);
+  hbw_field_reader_unpack_uint (reader, G_MAXUINT16);
+  report->remaining_us = unpack_int (reader);
+  guint64 server = hbw_field_reader_unpack_uint (reader, G_MAXUINT64);
+  report->completed_ago_us = change == HBW_LEGACY_SUSPICION_CLEARED ? 0 : -1;
+  if (change != HBW_LEGACY_SUSPICION_FAILED || server == 0)
+    return;
+  report->activity = HBW_SUSPECT_WAITING;
+  report->failure_count = 1;
+  report->failures[0].id = report->fingerprint.low ^ server;
+  report->failures[0].server_hash = server;
+}
+
+static void
+unpack_suspicion (HbwFieldReader *reader, HbwSuspicionReport *report)
+{
+  unpack_suspicion_summary (reader, report);
+  if (reader->failed || reader->next >= reader->count)
+    return;
+  report->is_quarantined = hbw_field_reader_unpack_uint (reader, 1) != 0;
+  report->activity = (HbwSuspectActivity) hbw_field_reader_unpack_uint (
+      reader, HBW_SUSPECT_ACTIVITY_COUNT - 1);
+  report->completed_ago_us = unpack_int (reader);
+  HbwFieldReader failures
+      = hbw_field_reader_unpack_array (reader, HBW_SUSPECT_FAILURES_MAX);
+  report->failure_count = 0;
+  while (!failures.failed && failures.next < failures.count)
+    {
+      HbwFailureReport *failure = &report->failures[report->failure_count++];
+      HbwFieldReader inner = hbw_field_reader_unpack_array (&failures, G_MAXUINT16);
+      failure->id = hbw_field_reader_unpack_uint (&inner, G_MAXUINT64);
+      failure->server_hash = hbw_field_reader_unpack_uint (&inner, G_MAXUINT64);
+      failure->started_ago_us = unpack_int (&inner);
+      failure->failed_ago_us = unpack_int (&inner);
+      failures.failed |= inner.failed || failure->id == 0;
+    }
+  reader->failed |= failures.failed;
+}
+
 void
 hbw_message_unpack (HbwFieldReader *reader, HbwMessage *message)
 {
@@ -347,14 +393,7 @@
       unpack_document (reader, &message->document);
       break;
     case HBW_MESSAGE_SUSPECT:
-      unpack_fingerprint (reader, &message->suspect.fingerprint);
-      message->suspect.change = (HbwSuspicion) hbw_field_reader_unpack_uint (
-          reader, HBW_SUSPICION_COUNT - 1);
-      message->suspect.failures
-          = (guint) hbw_field_reader_unpack_uint (reader, G_MAXUINT16);
-      message->suspect.remaining_us = unpack_int (reader);
-      message->suspect.server_hash
-          = hbw_field_reader_unpack_uint (reader, G_MAXUINT64);
+      unpack_suspicion (reader, &message->suspect);
       break;
     default: /* HBW_MESSAGE_DEMAND or HBW_MESSAGE_SHARE */
       unpack_rates (reader, &message->rates);
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -258,13 +258,26 @@
 static const HbwFingerprint other_suspect = { 2, 2 };
 static const HbwFingerprint innocent = { 3, 3 };
 
+/* Records a failure of SERVER during an attempt that ended at once. */
+static guint
+add_failure (HbwQuarantine *quarantine, const HbwFingerprint *fingerprint,
+             guint64 server, gint64 now_us)
+{
+  static guint64 last_attempt_id;
+  const HbwServerFailure failure = { .id = ++last_attempt_id,
+                                     .server = server,
+                                     .started_us = now_us,
+                                     .failed_us = now_us };
+  return hbw_quarantine_add_failure (quarantine, fingerprint, &failure, now_us);
+}
+
 START_TEST (quarantine_of_poison_request_clears_innocent_one)
 {
   HbwQuarantine *quarantine = hbw_quarantine_create ();
-  hbw_quarantine_add_failure (quarantine, &poison, 7, 0);
-  hbw_quarantine_add_failure (quarantine, &innocent, 7, 0);
+  add_failure (quarantine, &poison, 7, 0);
+  add_failure (quarantine, &innocent, 7, 0);
   ck_assert_uint_eq (hbw_quarantine_count_unexplained (quarantine, &innocent, 1), 1);
-  ck_assert_uint_eq (hbw_quarantine_add_failure (quarantine, &poison, 8, 1000), 2);
+  ck_assert_uint_eq (add_failure (quarantine, &poison, 8, 1000), 2);
   ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, 1001),
                      HBW_QUARANTINE_STATUS_HELD);
   gint64 gathered_us = 1000 + HBW_QUARANTINE_GATHER_WINDOW_US;
@@ -288,15 +301,15 @@
 START_TEST (innocent_request_beside_two_poison_ones_is_held_not_refused)
 {
   HbwQuarantine *quarantine = hbw_quarantine_create ();
-  hbw_quarantine_add_failure (quarantine, &poison, 7, 0);
-  hbw_quarantine_add_failure (quarantine, &innocent, 7, 0);
-  hbw_quarantine_add_failure (quarantine, &other_suspect, 8, 1000);
-  hbw_quarantine_add_failure (quarantine, &innocent, 8, 1000);
+  add_failure (quarantine, &poison, 7, 0);
+  add_failure (quarantine, &innocent, 7, 0);
+  add_failure (quarantine, &other_suspect, 8, 1000);
+  add_failure (quarantine, &innocent, 8, 1000);
   gint64 later_us = 2000 + HBW_QUARANTINE_GATHER_WINDOW_US;
   ck_assert_uint_eq (hbw_quarantine_check (quarantine, &innocent, later_us),
                      HBW_QUARANTINE_STATUS_HELD);
-  hbw_quarantine_add_failure (quarantine, &poison, 9, later_us);
-  hbw_quarantine_add_failure (quarantine, &other_suspect, 10, later_us);
+  add_failure (quarantine, &poison, 9, later_us);
+  add_failure (quarantine, &other_suspect, 10, later_us);
   later_us += HBW_QUARANTINE_GATHER_WINDOW_US;
   ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, later_us),
                      HBW_QUARANTINE_STATUS_QUARANTINED);
@@ -311,17 +324,19 @@
 START_TEST (verdict_waits_for_other_suspects_of_the_failure)
 {
   HbwQuarantine *quarantine = hbw_quarantine_create ();
-  hbw_quarantine_add_failure (quarantine, &poison, 7, 0);
-  hbw_quarantine_add_failure (quarantine, &poison, 8, 1000);
-  hbw_quarantine_add_failure (quarantine, &other_suspect, 8, 1000);
-  hbw_quarantine_add_failure (quarantine, &innocent, 8, 1000);
-  hbw_quarantine_add_failure (quarantine, &innocent, 7, 0);
+  add_failure (quarantine, &poison, 7, 0);
+  add_failure (quarantine, &poison, 8, 1000);
+  add_failure (quarantine, &other_suspect, 8, 1000);
+  add_failure (quarantine, &innocent, 8, 1000);
+  add_failure (quarantine, &innocent, 7, 0);
   gint64 later_us = 1000 + HBW_QUARANTINE_GATHER_WINDOW_US;
   ck_assert (hbw_quarantine_clear (quarantine, &other_suspect, later_us));
   ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, later_us),
                      HBW_QUARANTINE_STATUS_HELD);
-  ck_assert (hbw_quarantine_handle_request_end (quarantine, &innocent, later_us));
-  ck_assert (!hbw_quarantine_handle_request_end (quarantine, &innocent, later_us));
+  ck_assert (hbw_quarantine_set_activity (quarantine, &innocent, HBW_SUSPECT_IDLE,
+                                          later_us));
+  ck_assert (!hbw_quarantine_set_activity (quarantine, &innocent, HBW_SUSPECT_IDLE,
+                                           later_us));
   ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, later_us),
                      HBW_QUARANTINE_STATUS_QUARANTINED);
   hbw_quarantine_destroy (quarantine);
@@ -332,11 +347,15 @@
 START_TEST (copies_on_one_server_count_as_one_failure)
 {
   HbwQuarantine *quarantine = hbw_quarantine_create ();
-  ck_assert_uint_eq (hbw_quarantine_add_failure (quarantine, &poison, 7, 0), 1);
-  ck_assert_uint_eq (hbw_quarantine_add_failure (quarantine, &poison, 7, 1000), 1);
+  ck_assert_uint_eq (add_failure (quarantine, &poison, 7, 0), 1);
+  ck_assert_uint_eq (add_failure (quarantine, &poison, 7, 1000), 1);
   const HbwSuspicionReport reported
-      = { .fingerprint = poison, .failures = 1, .remaining_us = HBW_US_PER_S };
-  hbw_quarantine_merge_suspect (quarantine, &reported, 2000);
+      = { .fingerprint = poison,
+          .remaining_us = HBW_US_PER_S,
+          .completed_ago_us = -1,
+          .failure_count = 1,
+          .failures = { { .id = 77, .server_hash = 7, .started_ago_us = 2000 } } };
+  ck_assert_uint_eq (hbw_quarantine_merge (quarantine, 9, &reported, 2000), 0);
   ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, HBW_US_PER_S),
                      HBW_QUARANTINE_STATUS_SUSPECT);
   hbw_quarantine_destroy (quarantine);
@@ -411,6 +430,15 @@
     }
   else if (kind == HBW_MESSAGE_WANT)
     message.want = make_grant_request (7, "o", 2, -5);
+  else if (kind == HBW_MESSAGE_SUSPECT)
+    message.suspect
+        = (HbwSuspicionReport){ .fingerprint = poison,
+                                .remaining_us = 5,
+                                .is_quarantined = TRUE,
+                                .activity = HBW_SUSPECT_RUNNING,
+                                .completed_ago_us = -1,
+                                .failure_count = 2,
+                                .failures = { { 1, 2, 4, 3 }, { 5, 6, 8, 7 } } };
   else if (kind == HBW_MESSAGE_DOCUMENT || kind == HBW_MESSAGE_DOCUMENT_ASK)
     message.document.body = g_bytes_new ("{}", 2);
   return message;
@@ -436,6 +464,9 @@
         ck_assert_int_eq (memcmp (&received.want, &sent.want, sizeof sent.want), 0);
       if (kind == HBW_MESSAGE_PING)
         ck_assert_int_eq (memcmp (&received.ping, &sent.ping, sizeof sent.ping), 0);
+      if (kind == HBW_MESSAGE_SUSPECT)
+        ck_assert_int_eq (
+            memcmp (&received.suspect, &sent.suspect, sizeof sent.suspect), 0);
       hbw_message_clear (&received);
       if (kind == HBW_MESSAGE_DOCUMENT_ASK)
         g_bytes_unref (sent.document.body);
@@ -446,6 +477,29 @@
 }
 END_TEST
 
+/* Earlier versions report one failure of a suspect at a time, without an id. */
+START_TEST (codec_reads_suspect_of_earlier_version)
+{
+  const guint8 frame[] = { 0x93, HBW_CODEC_VERSION,
+                           77,   0x91, /* one message */
+                           0x97, HBW_MESSAGE_SUSPECT,
+                           1,    1, /* fingerprint */
+                           0,    1,
+                           5,    9 }; /* failure of 9 */
+  HbwMessage received = { .kind = HBW_MESSAGE_COUNT };
+  HbwError error;
+  ck_assert_msg (
+      hbw_frame_parse (frame, sizeof frame, copy_message, &received, &error), "%s",
+      error.message);
+  ck_assert (hbw_fingerprint_equal (&received.suspect.fingerprint, &poison));
+  ck_assert_int_eq (received.suspect.remaining_us, 5);
+  ck_assert_int_eq (received.suspect.completed_ago_us, -1);
+  ck_assert_uint_eq (received.suspect.failure_count, 1);
+  ck_assert_uint_eq (received.suspect.failures[0].server_hash, 9);
+  ck_assert_uint_ne (received.suspect.failures[0].id, 0);
+}
+END_TEST
+
 static void
 ignore_message (const HbwMessage *message G_GNUC_UNUSED, void *data G_GNUC_UNUSED)
 {
@@ -612,6 +666,7 @@
   tcase_add_test (cases, failed_server_gets_one_half_open_probe);
   tcase_add_test (cases, shards_are_bounded_and_cover_all_servers);
   tcase_add_test (cases, codec_round_trips_every_message_kind);
+  tcase_add_test (cases, codec_reads_suspect_of_earlier_version);
   tcase_add_test (cases, codec_survives_damaged_frames);
   tcase_add_test (cases, lease_never_has_two_holders);
   tcase_add_test (cases, settings_accept_fractions);
