A verdict on requests that nothing tells apart frees none of them

Callers saw: a request that had failed two servers ran on a third one after another request, harmless, had been quarantined in its place. Cause: of two requests with the same two failures the one whose request was still open, or the older one, was quarantined; that explained the failures and freed the other. On the users' platform both have ended by then, as two attempts are all they get. Change: a verdict has two grades. One that stands out, because nobody else has as many unexplained failures of that server and the others cannot complete any more, is the cause and explains its failures. The rest is quarantined as undecided once its rivals are inactive, and explains nothing. Causes are looked for first.

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -50,7 +50,7 @@
   Record records[HBW_SUSPECT_FAILURES_MAX];
   gint64 completed_us; /* last complete response, which clears earlier failures; 0 is
                           none */
-  gboolean is_quarantined;
+  HbwVerdict verdict;
   HbwSuspectActivity own_activity; /* of this instance */
   PeerActivity peers[ACTIVE_PEERS_MAX];
   gint64 expire_at_us;
@@ -212,12 +212,18 @@
     suspect->expire_at_us = now_us + HBW_QUARANTINE_CLEARED_DURATION_US;
 }
 
+static gboolean
+is_quarantined (const Suspect *suspect)
+{
+  return suspect->verdict != HBW_VERDICT_NONE;
+}
+
 static gboolean
 is_explained (const Failure *failure)
 {
   const Record *record;
   cds_list_for_each_entry (record, &failure->records, link)
-    if (record->suspect->is_quarantined)
+    if (record->suspect->verdict == HBW_VERDICT_CAUSE)
       return TRUE;
   return FALSE;
 }
@@ -302,6 +308,8 @@
 static gboolean
 is_active (const Suspect *suspect, gint64 now_us)
 {
+  if (is_quarantined (suspect))
+    return FALSE;
   if (suspect->own_activity != HBW_SUSPECT_IDLE)
     return TRUE;
   for (guint i = 0; i < ACTIVE_PEERS_MAX; i++)
@@ -310,68 +318,148 @@
   return FALSE;
 }
 
-/* Returns whether SUSPECT is the only remaining suspect of FAILURE, or the other
-   ones have not been cleared in time. */
 static gboolean
-is_caused_by (const Failure *failure, const Suspect *suspect, gint64 now_us)
+is_due (const Failure *failure, gint64 now_us)
 {
-  gint64 age = now_us - failure->earliest_end_us;
-  if (is_explained (failure) || age < HBW_QUARANTINE_GATHER_WINDOW_US)
-    return FALSE;
-  if (age >= HBW_QUARANTINE_CLEAR_TIMEOUT_US)
+  return now_us - failure->earliest_end_us >= HBW_QUARANTINE_GATHER_WINDOW_US
+         && !is_explained (failure);
+}
+
+static gboolean
+is_held (const Suspect *suspect)
+{
+  return count_failures (suspect) >= HBW_QUARANTINE_FAILURES_MIN
+         && count_unexplained (suspect) > 0;
+}
+
+/* Returns whether SUSPECT can be told from the other suspects of FAILURE: those that
+   have as many unexplained failures were cleared, and none may still be. */
+static gboolean
+stands_out (const Failure *failure, const Suspect *suspect, gint64 now_us)
+{
+  gboolean waits_for_others
+      = now_us - failure->earliest_end_us < HBW_QUARANTINE_CLEAR_TIMEOUT_US;
+  const Record *record;
+  cds_list_for_each_entry (record, &failure->records, link)
+    {
+      const Suspect *other = record->suspect;
+      if (other == suspect)
+        continue;
+      if (count_unexplained (other) >= count_unexplained (suspect)
+          || (waits_for_others && is_active (other, now_us)))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static gboolean
+causes_failure (const Failure *failure, const Suspect *suspect, gint64 now_us)
+{
+  return is_due (failure, now_us) && stands_out (failure, suspect, now_us);
+}
+
+/* Returns whether it is too early to decide about FAILURE: another suspect of it is
+   active. */
+static gboolean
+has_active_other (const Failure *failure, const Suspect *suspect, gint64 now_us)
+{
+  if (!is_due (failure, now_us))
     return TRUE;
+  if (now_us - failure->earliest_end_us >= HBW_QUARANTINE_CLEAR_TIMEOUT_US)
+    return FALSE;
   const Record *record;
   cds_list_for_each_entry (record, &failure->records, link)
     if (record->suspect != suspect && is_active (record->suspect, now_us))
+      return TRUE;
+  return FALSE;
+}
+
+/* Returns whether no other suspect of FAILURE is likelier to be its cause. */
+static gboolean
+may_cause (const Failure *failure, const Suspect *suspect, gint64 now_us)
+{
+  if (!is_due (failure, now_us))
+    return FALSE;
+  const Record *record;
+  cds_list_for_each_entry (record, &failure->records, link)
+    if (count_unexplained (record->suspect) > count_unexplained (suspect))
       return FALSE;
   return TRUE;
 }
 
+typedef gboolean (*FailureTest) (const Failure *failure, const Suspect *suspect,
+                                 gint64 now_us);
+
+/* Returns whether TEST holds for any unexplained failure of SUSPECT. */
 static gboolean
-causes_any_failure (const Suspect *suspect, gint64 now_us)
+any_failure (const Suspect *suspect, FailureTest test, gint64 now_us)
 {
   for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
-    if (is_open (&suspect->records[i])
-        && is_caused_by (suspect->records[i].failure, suspect, now_us))
-      return TRUE;
+    {
+      const Failure *failure = suspect->records[i].failure;
+      if (failure != NULL && !is_explained (failure)
+          && test (failure, suspect, now_us))
+        return TRUE;
+    }
   return FALSE;
 }
 
 static void
-quarantine_suspect (HbwQuarantine *quarantine, Suspect *suspect, gint64 now_us)
-{
-  suspect->is_quarantined = TRUE;
+set_verdict (HbwQuarantine *quarantine, Suspect *suspect, HbwVerdict verdict,
+             gint64 now_us)
+{
+  if (!is_quarantined (suspect))
+    g_queue_push_tail (
+        &quarantine->unlogged,
+        g_memdup2 (&suspect->fingerprint, sizeof suspect->fingerprint));
+  suspect->verdict = verdict;
   suspect->expire_at_us = now_us + HBW_QUARANTINE_DURATION_US;
-  g_queue_push_tail (&quarantine->unlogged,
-                     g_memdup2 (&suspect->fingerprint, sizeof suspect->fingerprint));
 }
 
-/* Quarantines a suspect that has at least UNEXPLAINED_MIN unexplained failures and
-   is the cause of one. */
-static void
-evaluate_suspect (HbwQuarantine *quarantine, Suspect *suspect, gint64 now_us,
-                  guint unexplained_min)
+static gboolean
+is_undecided (const Suspect *suspect)
 {
-  if (suspect->is_quarantined
-      || count_failures (suspect) < HBW_QUARANTINE_FAILURES_MIN
-      || count_unexplained (suspect) < unexplained_min)
-    return;
-  if (!causes_any_failure (suspect, now_us))
-    return;
-  quarantine_suspect (quarantine, suspect, now_us);
+  return !is_quarantined (suspect) && is_held (suspect);
+}
+
+/* Quarantines SUSPECT if it causes a failure, or if it cannot be told apart any more
+   from suspects of the same failures, whose requests have ended.  Returns whether
+   the verdict may change that of others. */
+static gboolean
+decide (HbwQuarantine *quarantine, Suspect *suspect, gint64 now_us)
+{
+  gboolean is_cause = any_failure (suspect, causes_failure, now_us);
+  gboolean waits = any_failure (suspect, has_active_other, now_us)
+                   || !any_failure (suspect, may_cause, now_us);
+  if (!is_cause && waits)
+    return FALSE;
+  set_verdict (quarantine, suspect,
+               is_cause ? HBW_VERDICT_CAUSE : HBW_VERDICT_UNDECIDED, now_us);
   schedule_report (quarantine, suspect, TRANSMITS, now_us);
+  return TRUE;
 }
 
-/* Starts with the suspects that have the most unexplained failures, because these
-   are the likeliest causes. */
+/* Returns whether a verdict was found. */
+static gboolean
+evaluate_once (HbwQuarantine *quarantine, gboolean only_causes, gint64 now_us)
+{
+  Suspect *suspect;
+  cds_list_for_each_entry (suspect, &quarantine->by_age, link)
+    if (is_undecided (suspect)
+        && (!only_causes || any_failure (suspect, causes_failure, now_us))
+        && decide (quarantine, suspect, now_us))
+      return TRUE;
+  return FALSE;
+}
+
+/* A verdict explains failures of other suspects, after which another cause may stand
+   out.  Causes come first. */
 static void
 evaluate_all (HbwQuarantine *quarantine, gint64 now_us)
 {
-  Suspect *suspect;
-  for (guint unexplained_min = HBW_QUARANTINE_FAILURES_MIN; unexplained_min > 0;
-       unexplained_min--)
-    cds_list_for_each_entry (suspect, &quarantine->by_age, link)
-      evaluate_suspect (quarantine, suspect, now_us, unexplained_min);
+  while (evaluate_once (quarantine, TRUE, now_us)
+         || evaluate_once (quarantine, FALSE, now_us))
+    continue;
 }
 
 HbwQuarantine *
@@ -412,7 +500,7 @@
 {
   const Suspect *suspect = find_suspect (quarantine, fingerprint, now_us);
   return suspect != NULL
-         && (suspect->is_quarantined || count_failures (suspect) > 0);
+         && (is_quarantined (suspect) || count_failures (suspect) > 0);
 }
 
 HbwQuarantineStatus
@@ -425,7 +513,7 @@
   guint failures = count_failures (suspect);
   if (failures >= HBW_QUARANTINE_FAILURES_MIN)
     evaluate_all (quarantine, now_us);
-  if (suspect->is_quarantined)
+  if (is_quarantined (suspect))
     return HBW_QUARANTINE_STATUS_QUARANTINED;
   if (failures == 0)
     return HBW_QUARANTINE_STATUS_NONE;
@@ -462,7 +550,7 @@
                       gint64 now_us)
 {
   Suspect *suspect = g_hash_table_lookup (quarantine->suspects, fingerprint);
-  if (suspect == NULL || suspect->is_quarantined || count_failures (suspect) == 0)
+  if (suspect == NULL || is_quarantined (suspect) || count_failures (suspect) == 0)
     return FALSE;
   clear_failures (suspect, now_us, now_us);
   schedule_report (quarantine, suspect, TRANSMITS, now_us);
@@ -479,7 +567,7 @@
   if (suspect == NULL || suspect->own_activity == activity)
     return FALSE;
   suspect->own_activity = activity;
-  if (suspect->is_quarantined || count_failures (suspect) == 0)
+  if (is_quarantined (suspect) || count_failures (suspect) == 0)
     return TRUE;
   schedule_report (quarantine, suspect, TRANSMITS, now_us);
   if (activity == HBW_SUSPECT_IDLE)
@@ -534,7 +622,7 @@
 find_or_create_reported (HbwQuarantine *quarantine, const HbwSuspicionReport *report,
                          gint64 now_us)
 {
-  if (report->failure_count == 0 && !report->is_quarantined)
+  if (report->failure_count == 0 && report->verdict == HBW_VERDICT_NONE)
     return find_suspect (quarantine, &report->fingerprint, now_us);
   return ensure_suspect (quarantine, &report->fingerprint, now_us);
 }
@@ -549,13 +637,13 @@
   if (suspect == NULL)
     return 0;
   suspect->expire_at_us = MAX (suspect->expire_at_us, now_us + remaining_us);
-  if (report->completed_ago_us >= 0 && !suspect->is_quarantined)
+  if (report->completed_ago_us >= 0 && !is_quarantined (suspect))
     clear_failures (suspect, now_us - report->completed_ago_us, now_us);
   for (guint i = 0; i < report->failure_count; i++)
     added += merge_failure (quarantine, suspect, &report->failures[i], now_us);
   merge_activity (suspect, from, report->activity, now_us);
-  if (report->is_quarantined && !suspect->is_quarantined)
-    quarantine_suspect (quarantine, suspect, now_us);
+  if (report->verdict > suspect->verdict)
+    set_verdict (quarantine, suspect, report->verdict, now_us);
   evaluate_all (quarantine, now_us);
   return added;
 }
@@ -574,7 +662,7 @@
 {
   *report = (HbwSuspicionReport){ .fingerprint = suspect->fingerprint,
                                   .remaining_us = suspect->expire_at_us - now_us,
-                                  .is_quarantined = suspect->is_quarantined,
+                                  .verdict = suspect->verdict,
                                   .activity = suspect->own_activity };
   report->completed_ago_us
       = suspect->completed_us > 0 ? now_us - suspect->completed_us : -1;
@@ -612,7 +700,7 @@
     {
       if (suspect->expire_at_us <= now_us)
         remove_suspect (quarantine, suspect);
-      else if (suspect->own_activity != HBW_SUSPECT_IDLE && !suspect->is_quarantined
+      else if (suspect->own_activity != HBW_SUSPECT_IDLE && !is_quarantined (suspect)
                && count_failures (suspect) > 0)
         schedule_report (quarantine, suspect, 1, now_us);
     }
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -222,6 +222,16 @@
   HBW_SUSPECT_ACTIVITY_COUNT,
 } HbwSuspectActivity;
 
+/* Whether a request with two failures is refused. */
+typedef enum
+{
+  HBW_VERDICT_NONE,      /* it is not quarantined */
+  HBW_VERDICT_UNDECIDED, /* it is: it cannot be told from others that may be the
+                            cause */
+  HBW_VERDICT_CAUSE,     /* it is: it made a server fail */
+  HBW_VERDICT_COUNT,
+} HbwVerdict;
+
 /* Maximum number of failures that are kept for one fingerprint. */
 #define HBW_SUSPECT_FAILURES_MAX 4
 
@@ -240,7 +250,7 @@
 {
   HbwFingerprint fingerprint;
   gint64 remaining_us; /* until the suspicion expires */
-  gboolean is_quarantined;
+  HbwVerdict verdict;
   HbwSuspectActivity activity; /* of the sender */
   gint64 completed_ago_us;     /* since its last complete response; -1 is none */
   guint failure_count;
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -220,7 +220,7 @@
 {
   pack_fingerprint (packer, &report->fingerprint);
   pack_suspicion_summary (packer, report);
-  msgpack_pack_uint32 (packer, report->is_quarantined);
+  msgpack_pack_uint32 (packer, report->verdict);
   msgpack_pack_uint32 (packer, report->activity);
   msgpack_pack_int64 (packer, report->completed_ago_us);
   msgpack_pack_array (packer, report->failure_count);
--- a/net/codec_unpack.c
+++ b/net/codec_unpack.c
@@ -329,7 +329,8 @@
   unpack_suspicion_summary (reader, report);
   if (reader->failed || reader->next >= reader->count)
     return;
-  report->is_quarantined = hbw_field_reader_unpack_uint (reader, 1) != 0;
+  report->verdict
+      = (HbwVerdict) hbw_field_reader_unpack_uint (reader, HBW_VERDICT_COUNT - 1);
   report->activity = (HbwSuspectActivity) hbw_field_reader_unpack_uint (
       reader, HBW_SUSPECT_ACTIVITY_COUNT - 1);
   report->completed_ago_us = unpack_int (reader);
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -343,6 +343,29 @@
 }
 END_TEST
 
+/* Two requests were in progress on both servers that failed, and nothing tells them
+   apart. To let either run could make a third server fail. */
+START_TEST (neither_of_two_requests_with_same_evidence_runs)
+{
+  HbwQuarantine *quarantine = hbw_quarantine_create ();
+  for (guint64 server = 7; server <= 8; server++)
+    {
+      add_failure (quarantine, &innocent, server, (gint64) server);
+      add_failure (quarantine, &poison, server, (gint64) server);
+    }
+  gint64 later_us = 8 + HBW_QUARANTINE_GATHER_WINDOW_US;
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, later_us),
+                     HBW_QUARANTINE_STATUS_HELD);
+  hbw_quarantine_set_activity (quarantine, &poison, HBW_SUSPECT_IDLE, later_us);
+  hbw_quarantine_set_activity (quarantine, &innocent, HBW_SUSPECT_IDLE, later_us);
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, later_us),
+                     HBW_QUARANTINE_STATUS_QUARANTINED);
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &innocent, later_us),
+                     HBW_QUARANTINE_STATUS_QUARANTINED);
+  hbw_quarantine_destroy (quarantine);
+}
+END_TEST
+
 /* Two copies of a popular request are in progress on a server that crashes. */
 START_TEST (copies_on_one_server_count_as_one_failure)
 {
@@ -434,7 +457,7 @@
     message.suspect
         = (HbwSuspicionReport){ .fingerprint = poison,
                                 .remaining_us = 5,
-                                .is_quarantined = TRUE,
+                                .verdict = HBW_VERDICT_CAUSE,
                                 .activity = HBW_SUSPECT_RUNNING,
                                 .completed_ago_us = -1,
                                 .failure_count = 2,
@@ -662,6 +685,7 @@
   tcase_add_test (cases,
                   innocent_request_beside_two_poison_ones_is_held_not_refused);
   tcase_add_test (cases, verdict_waits_for_other_suspects_of_the_failure);
+  tcase_add_test (cases, neither_of_two_requests_with_same_evidence_runs);
   tcase_add_test (cases, copies_on_one_server_count_as_one_failure);
   tcase_add_test (cases, failed_server_gets_one_half_open_probe);
   tcase_add_test (cases, shards_are_bounded_and_cover_all_servers);
