An instance that starts, was cut off or paused learns what the others know before it runs requests

Callers saw: a request that had failed two servers ran again through an instance that had been restarted, had joined, had been cut off or had stood still. Cause: what an instance knows of such requests is in its memory, and nobody told it what it had missed. Change: pings and acks carry a digest of the quarantine. Where two differ, each sends the other its entries, the weightiest 32 first, at most four times a second. A fresh instance, and one that was paused for over a second, is not ready and grants nothing until an ack to a ping of its own has its digest, or for a second where it reaches nobody; for 1.5 s more it gives no verdict, as it has not heard who is active. A pause is noticed at the first event after it, not at the next tick: requests come before that.

--- a/core/ingress.c
+++ b/core/ingress.c
@@ -4,6 +4,7 @@
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/request.h"
+#include "hornbeamwall/core/suspect_share.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -534,7 +535,8 @@
 {
   HbwQuarantineStatus status = hbw_quarantine_check (
       context->quarantine, &request->spec.fingerprint, context->now_us);
-  return status == HBW_QUARANTINE_STATUS_HELD
+  return !hbw_suspect_share_is_complete (context->suspect_share)
+         || status == HBW_QUARANTINE_STATUS_HELD
          || status == HBW_QUARANTINE_STATUS_QUARANTINED;
 }
 
--- a/core/membership.c
+++ b/core/membership.c
@@ -680,6 +680,22 @@
   return base.probe_number;
 }
 
+static gboolean
+is_ping_candidate (const HbwMembership *membership G_GNUC_UNUSED,
+                   const Member *member)
+{
+  return is_present (member);
+}
+
+guint64
+hbw_membership_ping_random (HbwMembership *membership, HbwContext *context)
+{
+  const Member *member = random_member (membership, context, is_ping_candidate);
+  return member != NULL ? hbw_membership_ping_member (membership, context,
+                                                      member->info.identity)
+                        : 0;
+}
+
 guint
 hbw_membership_count_alive (HbwMembership *membership, const char *data_centre)
 {
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -3,6 +3,7 @@
 #include "hornbeamwall/core/effect.h"
 
 #include <urcu/list.h>
+#include <xxhash.h>
 
 /* Attempts that ended this close to each other belong to the same failure of a
    server: instances notice a failure at slightly different times. */
@@ -67,6 +68,7 @@
   struct cds_list_head unsent; /* by next_transmit_us */
   GQueue unlogged;             /* HbwFingerprint, not logged yet */
   guint64 evicted_count;
+  gint64 suspended_until_us; /* no verdicts before; 0 is none */
 };
 
 static guint
@@ -457,6 +459,8 @@
 static void
 evaluate_all (HbwQuarantine *quarantine, gint64 now_us)
 {
+  if (now_us < quarantine->suspended_until_us)
+    return;
   while (evaluate_once (quarantine, TRUE, now_us)
          || evaluate_once (quarantine, FALSE, now_us))
     continue;
@@ -706,6 +710,71 @@
     }
 }
 
+static guint64
+suspect_digest (const Suspect *suspect)
+{
+  guint failures = MIN (count_failures (suspect), HBW_QUARANTINE_FAILURES_MIN);
+  if (failures == 0 && !is_quarantined (suspect))
+    return 0;
+  guint64 parts[] = { suspect->fingerprint.high, suspect->fingerprint.low,
+                      suspect->verdict, failures, 0 };
+  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX && failures == 1; i++)
+    if (is_open (&suspect->records[i]))
+      parts[G_N_ELEMENTS (parts) - 1] = suspect->records[i].details.server;
+  return XXH64 (parts, sizeof parts, 0);
+}
+
+guint64
+hbw_quarantine_digest (const HbwQuarantine *quarantine, gint64 now_us)
+{
+  guint64 digest = 0;
+  const Suspect *suspect;
+  cds_list_for_each_entry (suspect, &quarantine->by_age, link)
+    if (suspect->expire_at_us > now_us)
+      digest ^= suspect_digest (suspect);
+  return digest;
+}
+
+/* Returns how much a decision depends on the entry. */
+static guint
+importance (const Suspect *suspect)
+{
+  if (is_quarantined (suspect))
+    return HBW_SUSPECT_FAILURES_MAX + 1;
+  return count_failures (suspect);
+}
+
+static int
+compare_importance (gconstpointer a, gconstpointer b)
+{
+  guint left = importance (*(const Suspect *const *) a);
+  guint right = importance (*(const Suspect *const *) b);
+  return (left < right) - (left > right);
+}
+
+guint
+hbw_quarantine_list_reports (const HbwQuarantine *quarantine,
+                             HbwSuspicionReport *reports, guint max, gint64 now_us)
+{
+  GPtrArray *suspects = g_ptr_array_new ();
+  Suspect *suspect;
+  cds_list_for_each_entry_reverse (suspect, &quarantine->by_age, link)
+    if (suspect->expire_at_us > now_us)
+      g_ptr_array_add (suspects, suspect);
+  g_ptr_array_sort (suspects, compare_importance);
+  guint count = MIN (suspects->len, max);
+  for (guint i = 0; i < count; i++)
+    fill_report (&reports[i], suspects->pdata[i], now_us);
+  g_ptr_array_free (suspects, TRUE);
+  return count;
+}
+
+void
+hbw_quarantine_suspend_verdicts (HbwQuarantine *quarantine, gint64 until_us)
+{
+  quarantine->suspended_until_us = until_us;
+}
+
 void
 hbw_quarantine_log_new (HbwQuarantine *quarantine, HbwEffects *effects)
 {
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -302,6 +302,7 @@
     ping->versions[i]
         = hbw_documents_version (reducer->documents, (HbwDocumentKind) i);
   ping->catalogue_age_us = context->now_us - context->catalogue_confirmed_us;
+  ping->suspects_digest = hbw_suspect_share_digest (context->suspect_share, context);
   hbw_shard_router_add_summaries (hbw_ingress_shard_router (reducer->ingress),
                                   context, ping);
 }
@@ -349,6 +350,7 @@
         handle_document (reducer, &absent);
       }
   hbw_documents_request_newer (reducer->documents, context, message->from, ping);
+  hbw_suspect_share_handle_ping (context->suspect_share, context, message);
 }
 
 static void
@@ -463,6 +465,7 @@
   hbw_effects_log (context->effects, HBW_LOG_CLOCK_JUMP,
                    "paused_ms=%" G_GINT64_FORMAT, pause_us / HBW_US_PER_MS);
   hbw_membership_resume (context->membership, context->now_us);
+  hbw_suspect_share_resume (context->suspect_share, context);
   GHashTableIter iter;
   gpointer shard;
   g_hash_table_iter_init (&iter, reducer->shards);
@@ -470,6 +473,19 @@
     hbw_shard_resume (shard, context->now_us);
 }
 
+/* Any event may be the first one after a pause: the runtime handles requests before
+   the tick that is due. */
+static void
+detect_pause (HbwReducer *reducer)
+{
+  HbwContext *context = &reducer->context;
+  gint64 elapsed_us = context->now_us - reducer->last_tick_us;
+  if (reducer->last_tick_us == 0 || elapsed_us <= HBW_PAUSE_THRESHOLD_US)
+    return;
+  reducer->last_tick_us = context->now_us;
+  handle_pause (reducer, elapsed_us);
+}
+
 static void
 handle_membership_change (HbwReducer *reducer)
 {
@@ -512,9 +528,6 @@
 handle_tick (HbwReducer *reducer)
 {
   HbwContext *context = &reducer->context;
-  gint64 elapsed_us = context->now_us - reducer->last_tick_us;
-  if (reducer->last_tick_us > 0 && elapsed_us > HBW_PAUSE_THRESHOLD_US)
-    handle_pause (reducer, elapsed_us);
   reducer->last_tick_us = context->now_us;
   hbw_membership_tick (context->membership, context);
   handle_membership_change (reducer);
@@ -671,7 +684,8 @@
   context->membership = hbw_membership_create (&config->self);
   context->metrics = hbw_metrics_create ();
   context->quarantine = hbw_quarantine_create ();
-  context->suspect_share = hbw_suspect_share_create ();
+  gboolean is_alone = config->seeds == NULL || config->seeds[0] == NULL;
+  context->suspect_share = hbw_suspect_share_create (is_alone, config->now_us);
   context->load_share
       = config->policy->spans_data_centres ? hbw_load_share_create () : NULL;
   hbw_membership_set_ping_decorator (context->membership, fill_ping, reducer);
@@ -735,6 +749,7 @@
   guint before = hbw_effects_count (effects);
   context->now_us = event->now_us;
   context->effects = effects;
+  detect_pause (reducer);
   handle_event (reducer, event);
   deliver_loopback (reducer);
   if (context->load_share != NULL)
@@ -760,6 +775,7 @@
 {
   return is_catalogue_fresh (reducer) && reducer->context.catalogue != NULL
          && reducer->topology != NULL && reducer->context.planned_stops_known
+         && hbw_suspect_share_is_complete (reducer->context.suspect_share)
          && !reducer->draining;
 }
 
--- a/core/shard.c
+++ b/core/shard.c
@@ -5,6 +5,7 @@
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/shard_estimate.h"
 #include "hornbeamwall/core/shard_health.h"
+#include "hornbeamwall/core/suspect_share.h"
 
 #include <string.h>
 
@@ -240,7 +241,8 @@
 static void
 grant_waiting_requests (HbwShard *shard, HbwContext *context)
 {
-  if (!context->planned_stops_known)
+  if (!context->planned_stops_known
+      || !hbw_suspect_share_is_complete (context->suspect_share))
     return;
   while (hbw_queue_length (shard->queue) > 0 && grant_next_request (shard, context))
     continue;
--- a/core/suspect_share.c
+++ b/core/suspect_share.c
@@ -15,16 +15,54 @@
 /* Delay before a change is sent again. */
 #define RETRANSMIT_INTERVAL_US (50 * HBW_US_PER_MS)
 
+/* Minimum interval between two comparisons after which entries are sent. */
+#define SYNC_INTERVAL_US (HBW_US_PER_S / 4)
+
+/* Most entries that are sent after one comparison. */
+#define SYNC_REPORTS_MAX 32
+
+/* Interval at which an instance that is not complete pings another one. */
+#define JOIN_PING_INTERVAL_US (100 * HBW_US_PER_MS)
+
+/* Digest of an empty quarantine; 0 stands for one that is not complete. */
+#define EMPTY_DIGEST 1
+
 struct HbwSuspectShare
 {
   gint64 reports_paid_until_us; /* of the rate limit: each report adds an interval */
   gint64 next_refresh_us;
+  gint64 next_sync_us;
+  gboolean is_complete;
+  gint64 incomplete_since_us;
+  gint64 next_join_ping_us;
+  guint64 first_join_ping; /* number of the first ping since then; 0 is none */
 };
 
+static void
+set_incomplete (HbwSuspectShare *share, gint64 now_us)
+{
+  share->is_complete = FALSE;
+  share->incomplete_since_us = now_us;
+  share->next_join_ping_us = now_us;
+  share->first_join_ping = 0;
+}
+
+/* The activity of other instances is known once each has reported it again. */
+static void
+set_complete (HbwSuspectShare *share, HbwContext *context)
+{
+  share->is_complete = TRUE;
+  hbw_quarantine_suspend_verdicts (context->quarantine,
+                                   context->now_us + HBW_SUSPECT_ACTIVE_TIMEOUT_US);
+}
+
 HbwSuspectShare *
-hbw_suspect_share_create (void)
+hbw_suspect_share_create (gboolean is_alone, gint64 now_us)
 {
-  return g_new0 (HbwSuspectShare, 1);
+  HbwSuspectShare *share = g_new0 (HbwSuspectShare, 1);
+  set_incomplete (share, now_us);
+  share->is_complete = is_alone;
+  return share;
 }
 
 void
@@ -33,6 +71,12 @@
   g_free (share);
 }
 
+gboolean
+hbw_suspect_share_is_complete (const HbwSuspectShare *share)
+{
+  return share->is_complete;
+}
+
 void
 hbw_suspect_share_send (HbwSuspectShare *share, HbwContext *context)
 {
@@ -67,9 +111,88 @@
                      report->failure_count);
 }
 
+static guint64
+own_digest (const HbwContext *context)
+{
+  guint64 digest = hbw_quarantine_digest (context->quarantine, context->now_us);
+  return digest != 0 ? digest : EMPTY_DIGEST;
+}
+
+guint64
+hbw_suspect_share_digest (const HbwSuspectShare *share, const HbwContext *context)
+{
+  return share->is_complete ? own_digest (context) : 0;
+}
+
+static void
+send_entries (HbwContext *context, guint64 to)
+{
+  HbwSuspicionReport reports[SYNC_REPORTS_MAX];
+  guint count = hbw_quarantine_list_reports (context->quarantine, reports,
+                                             SYNC_REPORTS_MAX, context->now_us);
+  for (guint i = 0; i < count; i++)
+    {
+      const HbwMessage message
+          = { .kind = HBW_MESSAGE_SUSPECT, .suspect = reports[i] };
+      hbw_context_send (context, to, &message);
+    }
+}
+
+/* Returns whether MESSAGE answers a ping that was sent since this instance became
+   incomplete.  Others may have waited here while the process was paused. */
+static gboolean
+is_recent_ack (const HbwSuspectShare *share, const HbwMessage *message)
+{
+  return message->kind == HBW_MESSAGE_ACK && share->first_join_ping != 0
+         && message->ping.probe_number >= share->first_join_ping;
+}
+
+void
+hbw_suspect_share_handle_ping (HbwSuspectShare *share, HbwContext *context,
+                               const HbwMessage *message)
+{
+  guint64 digest = message->ping.suspects_digest;
+  gboolean equal = digest == own_digest (context);
+  if (!share->is_complete && equal && is_recent_ack (share, message))
+    set_complete (share, context);
+  if (equal || context->now_us < share->next_sync_us)
+    return;
+  share->next_sync_us = context->now_us + SYNC_INTERVAL_US;
+  send_entries (context, message->from);
+}
+
+void
+hbw_suspect_share_resume (HbwSuspectShare *share, HbwContext *context)
+{
+  if (hbw_membership_count_alive (context->membership, NULL) > 1)
+    set_incomplete (share, context->now_us);
+}
+
+static void
+ping_to_join (HbwSuspectShare *share, HbwContext *context)
+{
+  if (context->now_us < share->next_join_ping_us)
+    return;
+  share->next_join_ping_us = context->now_us + JOIN_PING_INTERVAL_US;
+  guint64 number = hbw_membership_ping_random (context->membership, context);
+  if (share->first_join_ping == 0)
+    share->first_join_ping = number;
+}
+
+static void
+tick_incomplete (HbwSuspectShare *share, HbwContext *context)
+{
+  if (context->now_us - share->incomplete_since_us >= HBW_SUSPECT_JOIN_TIMEOUT_US)
+    set_complete (share, context);
+  else
+    ping_to_join (share, context);
+}
+
 void
 hbw_suspect_share_tick (HbwSuspectShare *share, HbwContext *context)
 {
+  if (!share->is_complete)
+    tick_incomplete (share, context);
   if (context->now_us < share->next_refresh_us)
     return;
   share->next_refresh_us = context->now_us + HBW_SUSPECT_REFRESH_INTERVAL_US;
--- a/include/hornbeamwall/core/membership.h
+++ b/include/hornbeamwall/core/membership.h
@@ -89,6 +89,10 @@
 guint64 hbw_membership_ping_member (HbwMembership *membership, HbwContext *context,
                                     guint64 identity);
 
+/* Pings a random member of any data centre.  Returns the number that the ack will
+   carry, or 0 if there is none. */
+guint64 hbw_membership_ping_random (HbwMembership *membership, HbwContext *context);
+
 /* Returns the number of live instances of DATA_CENTRE (NULL: of all), including this
    one. */
 guint hbw_membership_count_alive (HbwMembership *membership,
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -135,6 +135,7 @@
   HbwShardSummary summaries[HBW_PING_SUMMARIES_MAX];
   gint64 catalogue_age_us; /* since the catalogue was last confirmed to be the
                               newest; -1 if unknown */
+  guint64 suspects_digest; /* of the sender's quarantine; 0 if it is incomplete */
 } HbwPing;
 
 typedef struct
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -123,6 +123,20 @@
    Call every HBW_SUSPECT_REFRESH_INTERVAL_US. */
 void hbw_quarantine_refresh (HbwQuarantine *quarantine, gint64 now_us);
 
+/* Returns a number that is the same in instances that know of the same failures and
+   quarantined requests. */
+guint64 hbw_quarantine_digest (const HbwQuarantine *quarantine, gint64 now_us);
+
+/* Fills REPORTS with up to MAX entries, those with the most failures first and newer
+   ones before older ones; returns their number. */
+guint hbw_quarantine_list_reports (const HbwQuarantine *quarantine,
+                                   HbwSuspicionReport *reports, guint max,
+                                   gint64 now_us);
+
+/* Quarantines nothing before UNTIL_US, because it is not known yet which suspects
+   are active elsewhere. */
+void hbw_quarantine_suspend_verdicts (HbwQuarantine *quarantine, gint64 until_us);
+
 /* Logs the quarantined fingerprints that have not been logged yet. */
 void hbw_quarantine_log_new (HbwQuarantine *quarantine, HbwEffects *effects);
 
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -77,6 +77,7 @@
   for (guint i = 0; i < ping->summary_count; i++)
     pack_summary (packer, &ping->summaries[i]);
   msgpack_pack_int64 (packer, ping->catalogue_age_us);
+  msgpack_pack_uint64 (packer, ping->suspects_digest);
 }
 
 static void
@@ -292,8 +293,8 @@
 
 /* Number of fields that pack_fields() packs, by kind. */
 static const guint field_counts[HBW_MESSAGE_COUNT] = {
-  [HBW_MESSAGE_PING] = 7,      [HBW_MESSAGE_ACK] = 7,
-  [HBW_MESSAGE_PROBE_FOR] = 7, [HBW_MESSAGE_WANT] = 27,
+  [HBW_MESSAGE_PING] = 8,      [HBW_MESSAGE_ACK] = 8,
+  [HBW_MESSAGE_PROBE_FOR] = 8, [HBW_MESSAGE_WANT] = 27,
   [HBW_MESSAGE_WITHDRAW] = 5,  [HBW_MESSAGE_GRANT] = 14,
   [HBW_MESSAGE_REFUSAL] = 5,   [HBW_MESSAGE_ACTIVE] = 10,
   [HBW_MESSAGE_DONE] = 11,     [HBW_MESSAGE_DOCUMENT_ASK] = 4,
--- a/net/codec_unpack.c
+++ b/net/codec_unpack.c
@@ -157,6 +157,8 @@
   ping->catalogue_age_us = -1; /* older versions do not send it */
   if (!reader->failed && reader->next < reader->count)
     ping->catalogue_age_us = unpack_int (reader);
+  if (!reader->failed && reader->next < reader->count)
+    ping->suspects_digest = hbw_field_reader_unpack_uint (reader, G_MAXUINT64);
   reader->failed |= versions.failed || members.failed || summaries.failed;
 }
 
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -450,6 +450,7 @@
       message.ping.summary_count = 1;
       message.ping.summaries[0].free_slots = 4;
       message.ping.versions[0] = -1;
+      message.ping.suspects_digest = 6;
     }
   else if (kind == HBW_MESSAGE_WANT)
     message.want = make_grant_request (7, "o", 2, -5);
--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -130,6 +130,7 @@
   load.poison = strcmp (find_option (line, "poison", "no"), "yes") == 0;
   load.max_resends = count_option (line, "resend", "0");
   load.max_requests = count_option (line, "count", "0");
+  load.body = count_option (line, "body", "0");
   world_add_load (world, &load);
   return TRUE;
 }
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -21,6 +21,9 @@
 /* Delay before a caller retries a failed request. */
 #define CALLER_RETRY_DELAY_US (200 * HBW_US_PER_MS)
 
+/* Fingerprints from here on belong to the bodies of loads. */
+#define SHARED_FINGERPRINT_MIN ((guint64) 1 << 30)
+
 /* Time until a server that failed because of a poison request restarts. */
 #define POISON_RESTART_US (15 * HBW_US_PER_S)
 
@@ -969,7 +972,9 @@
   request->arrived_us = world->now_us;
   request->class->arrived++;
   request->class->in_progress++;
-  if (request->spec.fingerprint.low == 0)
+  if (request->load->body > 0)
+    request->spec.fingerprint.low = SHARED_FINGERPRINT_MIN + request->load->body;
+  else if (request->spec.fingerprint.low == 0)
     request->spec.fingerprint.low = request->sequence;
   g_hash_table_insert (world->requests, &request->sequence, request);
   HbwEvent event = { .kind = HBW_EVENT_REQUEST_ARRIVED };
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -37,6 +37,8 @@
   gboolean poison;    /* each server that executes a request fails */
   GRand *random;      /* separate, so that every policy receives the same requests */
   guint max_resends;  /* retries by the caller after a failure */
+  guint body;         /* requests with the same number have the same content; 0: each
+                         request has its own */
 } WorldLoad;
 
 typedef struct
