Suspects of all instances run apart, and after reports had time to arrive

Callers saw: two callers that send the same request at the same time made three or four servers fail; with policy direct, as on the users' platform, harmless requests were refused beside one that fails servers, and once in a while that one ran on a third. Cause: a suspect ran only where no other suspect ran, but instances that choose servers alone knew of their own suspects only; copies of a request ran at the same time in several instances; an attempt that broke was made again before a report from elsewhere could arrive. And a verdict counted those whose request had ended as if they had been cleared. Change: a report says where its sender runs the request. A suspect waits while another instance runs it, 2 s at most; those that wait go in the order of their instances. It runs on no server where a suspect of any instance runs, for up to 1 s. It waits 25 ms after a failure or its arrival if there are other instances. Only the last remaining suspect of a failure, all others cleared, explains it.

--- a/core/ingress.c
+++ b/core/ingress.c
@@ -83,13 +83,18 @@
   if (!hbw_quarantine_is_suspect (context->quarantine, fingerprint, context->now_us))
     return;
   HbwSuspectActivity activity = HBW_SUSPECT_IDLE;
+  guint64 server = 0;
   const HbwRequest *request;
   cds_list_for_each_entry (request, &ingress->order, link)
-    if (hbw_fingerprint_equal (&request->spec.fingerprint, fingerprint))
-      activity = MAX (activity, request->state == HBW_REQUEST_RUNNING
-                                    ? HBW_SUSPECT_RUNNING
-                                    : HBW_SUSPECT_WAITING);
-  hbw_quarantine_set_activity (context->quarantine, fingerprint, activity,
+    {
+      if (!hbw_fingerprint_equal (&request->spec.fingerprint, fingerprint))
+        continue;
+      gboolean runs = request->state == HBW_REQUEST_RUNNING;
+      activity = MAX (activity, runs ? HBW_SUSPECT_RUNNING : HBW_SUSPECT_WAITING);
+      if (runs)
+        server = hbw_rendezvous_weight (0, request->server);
+    }
+  hbw_quarantine_set_activity (context->quarantine, fingerprint, activity, server,
                                context->now_us);
 }
 
@@ -418,7 +423,8 @@
     }
   HbwRequest *request = add_request (ingress, context, arrival);
   const HbwFingerprint *fingerprint = &request->spec.fingerprint;
-  if (hbw_quarantine_check (context->quarantine, fingerprint, context->now_us)
+  if (hbw_quarantine_check (context->quarantine, fingerprint, context->self,
+                            context->now_us)
       == HBW_QUARANTINE_STATUS_QUARANTINED)
     {
       refuse_request (ingress, context, request, HBW_REASON_QUARANTINED,
@@ -533,8 +539,9 @@
 static gboolean
 may_not_run (const HbwContext *context, const HbwRequest *request)
 {
-  HbwQuarantineStatus status = hbw_quarantine_check (
-      context->quarantine, &request->spec.fingerprint, context->now_us);
+  HbwQuarantineStatus status
+      = hbw_quarantine_check (context->quarantine, &request->spec.fingerprint,
+                              context->self, context->now_us);
   return !hbw_suspect_share_is_complete (context->suspect_share)
          || status == HBW_QUARANTINE_STATUS_HELD
          || status == HBW_QUARANTINE_STATUS_QUARANTINED;
--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -1,6 +1,7 @@
 #include "hornbeamwall/core/policy_direct.h"
 
 #include "hornbeamwall/core/load_share.h"
+#include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/shard_estimate.h"
 
 #include <string.h>
@@ -58,7 +59,8 @@
   HbwContext *context;
   const HbwGrantRequest *want;
   gboolean suspect;
-  gboolean ignore_state; /* servers that are down are candidates too */
+  GHashTable *used_servers; /* hashes of servers on which other suspects run */
+  gboolean ignore_state;    /* servers that are down are candidates too */
   HbwPromptLength prompt_length;
   const HbwServer *preferred_server; /* preferred for the shared prefix, or NULL */
   GArray *usable_hashes; /* hashes of the usable servers, ascending; guint64 */
@@ -266,7 +268,9 @@
       && !hbw_server_has_room (server, spec, spec->tier == 0,
                                selection->context->now_us))
     return FALSE;
-  if (selection->suspect && server->suspect_requests > 0)
+  if (selection->suspect
+      && (server->suspect_requests > 0
+          || g_hash_table_contains (selection->used_servers, &server->id_hash)))
     return FALSE;
   guint percent = usable_slots_percent (spec);
   return load->in_progress < MAX (1, server->entry.slots) * percent / 100;
@@ -309,8 +313,13 @@
   selection.usable_hashes = sort_usable_hashes (shard);
   selection.preferred_server = find_affinity_server (&selection);
   selection.suspect = hbw_shard_is_suspect (context, &want->spec);
+  selection.used_servers = g_hash_table_new (g_int64_hash, g_int64_equal);
+  if (selection.suspect)
+    hbw_quarantine_add_used_servers (context->quarantine, &want->spec.fingerprint,
+                                     selection.used_servers, context->now_us);
   selection.ignore_state = selection.usable_hashes->len == 0;
   HbwServer *server = select_cheapest_server (&selection);
+  g_hash_table_destroy (selection.used_servers);
   g_array_free (selection.usable_hashes, TRUE);
   return server;
 }
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -41,6 +41,8 @@
 {
   guint64 instance;
   HbwSuspectActivity activity;
+  guint64 server; /* on which it runs; 0 if it does not */
+  gint64 since_us;
   gint64 heard_us;
 } PeerActivity;
 
@@ -53,6 +55,8 @@
                           none */
   HbwVerdict verdict;
   HbwSuspectActivity own_activity; /* of this instance */
+  guint64 own_server;              /* on which it runs here; 0 if it does not */
+  gint64 own_since_us;             /* when own_activity last changed */
   PeerActivity peers[ACTIVE_PEERS_MAX];
   gint64 expire_at_us;
   struct cds_list_head unsent_link; /* in quarantine->unsent, if transmits_left */
@@ -62,6 +66,8 @@
 
 struct HbwQuarantine
 {
+  guint64 self;
+  gboolean has_peers;
   GHashTable *suspects; /* HbwFingerprint -> Suspect */
   struct cds_list_head by_age;
   struct cds_list_head failures;
@@ -334,30 +340,21 @@
          && count_unexplained (suspect) > 0;
 }
 
-/* Returns whether SUSPECT can be told from the other suspects of FAILURE: those that
-   have as many unexplained failures were cleared, and none may still be. */
+/* Returns whether all other suspects of FAILURE were cleared. */
 static gboolean
-stands_out (const Failure *failure, const Suspect *suspect, gint64 now_us)
+is_only_suspect (const Failure *failure, const Suspect *suspect)
 {
-  gboolean waits_for_others
-      = now_us - failure->earliest_end_us < HBW_QUARANTINE_CLEAR_TIMEOUT_US;
   const Record *record;
   cds_list_for_each_entry (record, &failure->records, link)
-    {
-      const Suspect *other = record->suspect;
-      if (other == suspect)
-        continue;
-      if (count_unexplained (other) >= count_unexplained (suspect)
-          || (waits_for_others && is_active (other, now_us)))
-        return FALSE;
-    }
+    if (record->suspect != suspect)
+      return FALSE;
   return TRUE;
 }
 
 static gboolean
 causes_failure (const Failure *failure, const Suspect *suspect, gint64 now_us)
 {
-  return is_due (failure, now_us) && stands_out (failure, suspect, now_us);
+  return is_due (failure, now_us) && is_only_suspect (failure, suspect);
 }
 
 /* Returns whether it is too early to decide about FAILURE: another suspect of it is
@@ -466,10 +463,64 @@
     continue;
 }
 
+/* Returns whether activity of INSTANCE keeps other requests with the same
+   fingerprint from running: one runs, or the lowest identity goes first among those
+   that wait. */
+static gboolean
+has_precedence (HbwSuspectActivity activity, gint64 since_us, guint64 instance,
+                guint64 other, gint64 now_us)
+{
+  if (activity == HBW_SUSPECT_RUNNING)
+    return now_us - since_us < HBW_SUSPECT_EXCLUSIVE_MAX_US;
+  return activity == HBW_SUSPECT_WAITING && instance < other;
+}
+
+static gboolean
+is_run_elsewhere (const HbwQuarantine *quarantine, const Suspect *suspect,
+                  guint64 instance, gint64 now_us)
+{
+  if (has_precedence (suspect->own_activity, suspect->own_since_us, quarantine->self,
+                      instance, now_us))
+    return TRUE;
+  for (guint i = 0; i < ACTIVE_PEERS_MAX; i++)
+    {
+      const PeerActivity *peer = &suspect->peers[i];
+      if (is_current (peer, now_us)
+          && has_precedence (peer->activity, peer->since_us, peer->instance,
+                             instance, now_us))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static gint64
+find_last_failure_us (const Suspect *suspect)
+{
+  gint64 last_us = 0;
+  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+    if (is_open (&suspect->records[i]))
+      last_us = MAX (last_us, suspect->records[i].details.failed_us);
+  return last_us;
+}
+
+/* Returns whether reports of other instances that concern SUSPECT may still be on
+   their way. */
+static gboolean
+is_settling (const HbwQuarantine *quarantine, const Suspect *suspect, gint64 now_us)
+{
+  if (!quarantine->has_peers)
+    return FALSE;
+  gint64 since_us = find_last_failure_us (suspect);
+  if (suspect->own_activity != HBW_SUSPECT_IDLE)
+    since_us = MAX (since_us, suspect->own_since_us);
+  return now_us - since_us < HBW_QUARANTINE_SETTLE_US;
+}
+
 HbwQuarantine *
-hbw_quarantine_create (void)
+hbw_quarantine_create (guint64 self)
 {
   HbwQuarantine *quarantine = g_new0 (HbwQuarantine, 1);
+  quarantine->self = self;
   quarantine->suspects
       = g_hash_table_new_full (fingerprint_hash, fingerprint_equal, NULL, g_free);
   CDS_INIT_LIST_HEAD (&quarantine->by_age);
@@ -490,6 +541,12 @@
   g_free (quarantine);
 }
 
+void
+hbw_quarantine_set_has_peers (HbwQuarantine *quarantine, gboolean has_peers)
+{
+  quarantine->has_peers = has_peers;
+}
+
 guint
 hbw_quarantine_count_unexplained (HbwQuarantine *quarantine,
                                   const HbwFingerprint *fingerprint, gint64 now_us)
@@ -509,7 +566,7 @@
 
 HbwQuarantineStatus
 hbw_quarantine_check (HbwQuarantine *quarantine, const HbwFingerprint *fingerprint,
-                      gint64 now_us)
+                      guint64 instance, gint64 now_us)
 {
   const Suspect *suspect = find_suspect (quarantine, fingerprint, now_us);
   if (suspect == NULL)
@@ -523,8 +580,11 @@
     return HBW_QUARANTINE_STATUS_NONE;
   if (count_unexplained (suspect) == 0)
     return HBW_QUARANTINE_STATUS_SUSPECT;
-  return failures >= HBW_QUARANTINE_FAILURES_MIN ? HBW_QUARANTINE_STATUS_HELD
-                                                 : HBW_QUARANTINE_STATUS_SUSPECT;
+  if (failures >= HBW_QUARANTINE_FAILURES_MIN
+      || is_run_elsewhere (quarantine, suspect, instance, now_us)
+      || is_settling (quarantine, suspect, now_us))
+    return HBW_QUARANTINE_STATUS_HELD;
+  return HBW_QUARANTINE_STATUS_SUSPECT;
 }
 
 gint64
@@ -543,6 +603,8 @@
   Suspect *suspect = ensure_suspect (quarantine, fingerprint, now_us);
   suspect->expire_at_us = now_us + HBW_QUARANTINE_DURATION_US;
   suspect->own_activity = HBW_SUSPECT_WAITING;
+  suspect->own_server = 0;
+  suspect->own_since_us = now_us;
   if (record_failure (quarantine, suspect, failure))
     schedule_report (quarantine, suspect, TRANSMITS, now_us);
   evaluate_all (quarantine, now_us);
@@ -565,12 +627,15 @@
 gboolean
 hbw_quarantine_set_activity (HbwQuarantine *quarantine,
                              const HbwFingerprint *fingerprint,
-                             HbwSuspectActivity activity, gint64 now_us)
+                             HbwSuspectActivity activity, guint64 server,
+                             gint64 now_us)
 {
   Suspect *suspect = find_suspect (quarantine, fingerprint, now_us);
   if (suspect == NULL || suspect->own_activity == activity)
     return FALSE;
   suspect->own_activity = activity;
+  suspect->own_server = server;
+  suspect->own_since_us = now_us;
   if (is_quarantined (suspect) || count_failures (suspect) == 0)
     return TRUE;
   schedule_report (quarantine, suspect, TRANSMITS, now_us);
@@ -579,6 +644,35 @@
   return TRUE;
 }
 
+/* --- placement ----------------------------------------------------------------- */
+
+static void
+add_running_servers (const Suspect *suspect, GHashTable *used, gint64 now_us)
+{
+  if (suspect->own_activity == HBW_SUSPECT_RUNNING)
+    g_hash_table_add (used, (gpointer) &suspect->own_server);
+  for (guint i = 0; i < ACTIVE_PEERS_MAX; i++)
+    {
+      const PeerActivity *peer = &suspect->peers[i];
+      if (is_current (peer, now_us) && peer->activity == HBW_SUSPECT_RUNNING)
+        g_hash_table_add (used, (gpointer) &peer->server);
+    }
+}
+
+void
+hbw_quarantine_add_used_servers (HbwQuarantine *quarantine,
+                                 const HbwFingerprint *fingerprint, GHashTable *used,
+                                 gint64 now_us)
+{
+  const Suspect *self = find_suspect (quarantine, fingerprint, now_us);
+  if (self == NULL || now_us - self->own_since_us >= HBW_SUSPECT_ALONE_MAX_US)
+    return;
+  const Suspect *suspect;
+  cds_list_for_each_entry (suspect, &quarantine->by_age, link)
+    if (suspect != self && count_failures (suspect) > 0)
+      add_running_servers (suspect, used, now_us);
+}
+
 /* --- reports ------------------------------------------------------------------- */
 
 static PeerActivity *
@@ -597,14 +691,17 @@
 }
 
 static void
-merge_activity (Suspect *suspect, guint64 from, HbwSuspectActivity activity,
+merge_activity (Suspect *suspect, guint64 from, const HbwSuspicionReport *report,
                 gint64 now_us)
 {
   PeerActivity *peer = find_peer_slot (suspect, from, now_us);
   if (peer == NULL)
     return;
+  if (peer->instance != from || peer->activity != report->activity)
+    peer->since_us = now_us;
   peer->instance = from;
-  peer->activity = activity;
+  peer->activity = report->activity;
+  peer->server = report->running_server_hash;
   peer->heard_us = now_us;
 }
 
@@ -645,7 +742,7 @@
     clear_failures (suspect, now_us - report->completed_ago_us, now_us);
   for (guint i = 0; i < report->failure_count; i++)
     added += merge_failure (quarantine, suspect, &report->failures[i], now_us);
-  merge_activity (suspect, from, report->activity, now_us);
+  merge_activity (suspect, from, report, now_us);
   if (report->verdict > suspect->verdict)
     set_verdict (quarantine, suspect, report->verdict, now_us);
   evaluate_all (quarantine, now_us);
@@ -667,7 +764,8 @@
   *report = (HbwSuspicionReport){ .fingerprint = suspect->fingerprint,
                                   .remaining_us = suspect->expire_at_us - now_us,
                                   .verdict = suspect->verdict,
-                                  .activity = suspect->own_activity };
+                                  .activity = suspect->own_activity,
+                                  .running_server_hash = suspect->own_server };
   report->completed_ago_us
       = suspect->completed_us > 0 ? now_us - suspect->completed_us : -1;
   for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -683,7 +683,7 @@
   context->loopback = g_queue_new ();
   context->membership = hbw_membership_create (&config->self);
   context->metrics = hbw_metrics_create ();
-  context->quarantine = hbw_quarantine_create ();
+  context->quarantine = hbw_quarantine_create (context->self);
   gboolean is_alone = config->seeds == NULL || config->seeds[0] == NULL;
   context->suspect_share = hbw_suspect_share_create (is_alone, config->now_us);
   context->load_share
--- a/core/shard.c
+++ b/core/shard.c
@@ -211,8 +211,9 @@
 hbw_shard_select_server (HbwShard *shard, HbwContext *context,
                          const HbwTicket *ticket)
 {
-  HbwQuarantineStatus status = hbw_quarantine_check (
-      context->quarantine, &ticket->want.spec.fingerprint, context->now_us);
+  HbwQuarantineStatus status
+      = hbw_quarantine_check (context->quarantine, &ticket->want.spec.fingerprint,
+                              ticket->want.id.instance, context->now_us);
   if (status == HBW_QUARANTINE_STATUS_HELD
       || status == HBW_QUARANTINE_STATUS_QUARANTINED)
     return NULL;
@@ -302,7 +303,7 @@
   else if (ticket->deadline_at_us > 0 && context->now_us >= ticket->deadline_at_us)
     refuse_ticket (shard, context, ticket, HBW_REASON_DEADLINE);
   else if (hbw_quarantine_check (context->quarantine, &ticket->want.spec.fingerprint,
-                                 context->now_us)
+                                 ticket->want.id.instance, context->now_us)
            == HBW_QUARANTINE_STATUS_QUARANTINED)
     refuse_ticket (shard, context, ticket, HBW_REASON_QUARANTINED);
 }
@@ -454,7 +455,7 @@
   if (handle_known_want (shard, context, from, want))
     return;
   if (hbw_quarantine_check (context->quarantine, &want->spec.fingerprint,
-                            context->now_us)
+                            want->id.instance, context->now_us)
       == HBW_QUARANTINE_STATUS_QUARANTINED)
     {
       send_refusal (context, shard, from, want, HBW_REASON_QUARANTINED);
--- a/core/suspect_share.c
+++ b/core/suspect_share.c
@@ -191,6 +191,9 @@
 void
 hbw_suspect_share_tick (HbwSuspectShare *share, HbwContext *context)
 {
+  hbw_quarantine_set_has_peers (
+      context->quarantine,
+      hbw_membership_count_alive (context->membership, NULL) > 1);
   if (!share->is_complete)
     tick_incomplete (share, context);
   if (context->now_us < share->next_refresh_us)
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -253,6 +253,7 @@
   gint64 remaining_us; /* until the suspicion expires */
   HbwVerdict verdict;
   HbwSuspectActivity activity; /* of the sender */
+  guint64 running_server_hash; /* server on which the sender runs it, or 0 */
   gint64 completed_ago_us;     /* since its last complete response; -1 is none */
   guint failure_count;
   HbwFailureReport failures[HBW_SUSPECT_FAILURES_MAX]; /* that are not cleared */
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -4,12 +4,14 @@
  * The fingerprint of each request that is in progress on a server when it fails
  * becomes a suspect of that failure.  A suspect is active while an instance has a
  * request with its fingerprint, waiting or running, that may still complete.  A
- * suspect runs only on a server without another suspect, so that a second failure
- * has only one suspect of the first.  A complete response clears it.  A suspect with
- * two failures is held and does not run. If all other suspects of one of its
- * failures are cleared or no longer active, it is quarantined in all instances for
- * HBW_QUARANTINE_DURATION_US.  It may run again once the quarantine of others
- * explains all of its failures.
+ * complete response clears it.
+ *
+ * A suspect runs only while no other instance runs it, and only on a server without
+ * another suspect, so that a second failure has only one suspect of the first.  A
+ * suspect with two failures is held and does not run.  It is quarantined in all
+ * instances for HBW_QUARANTINE_DURATION_US if it is the only remaining suspect of
+ * one of its failures, or if no other one is active.  In the first case it explains
+ * its failures, and other suspects whose failures are all explained may run again.
  *
  * This handles several harmful requests at the same time that fail every server they
  * run on, next to harmless requests on the same servers, and whose callers resend
@@ -46,10 +48,20 @@
 #define HBW_SUSPECT_REFRESH_INTERVAL_US (HBW_US_PER_S / 2)
 #define HBW_SUSPECT_ACTIVE_TIMEOUT_US (3 * HBW_SUSPECT_REFRESH_INTERVAL_US)
 
+/* How long a suspect does not run after a failure or an arrival, if there are other
+   instances: a report from one of them may be on its way. */
+#define HBW_QUARANTINE_SETTLE_US (25 * HBW_US_PER_MS)
+
+/* How long a running suspect keeps other requests with its fingerprint waiting. */
+#define HBW_SUSPECT_EXCLUSIVE_MAX_US (2 * HBW_US_PER_S)
+
+/* How long a suspect waits for a server without another suspect of any instance. */
+#define HBW_SUSPECT_ALONE_MAX_US (1 * HBW_US_PER_S)
+
 /* Most fingerprints that are stored. */
 #define HBW_QUARANTINE_ENTRIES_MAX 4096
 
-HbwQuarantine *hbw_quarantine_create (void);
+HbwQuarantine *hbw_quarantine_create (guint64 self);
 void hbw_quarantine_destroy (HbwQuarantine *quarantine);
 
 typedef enum
@@ -69,6 +81,9 @@
   gint64 failed_us;
 } HbwServerFailure;
 
+/* Sets whether there are other instances that may send reports. */
+void hbw_quarantine_set_has_peers (HbwQuarantine *quarantine, gboolean has_peers);
+
 /* Returns the number of failures of FINGERPRINT that no quarantined request
    explains. */
 guint hbw_quarantine_count_unexplained (HbwQuarantine *quarantine,
@@ -80,10 +95,11 @@
                                     const HbwFingerprint *fingerprint,
                                     gint64 now_us);
 
-/* Returns the status of FINGERPRINT, after evaluating all suspects if needed. */
+/* Returns the status of FINGERPRINT for a request of INSTANCE that is not in
+   progress on a server, after evaluating all suspects if needed. */
 HbwQuarantineStatus hbw_quarantine_check (HbwQuarantine *quarantine,
                                           const HbwFingerprint *fingerprint,
-                                          gint64 now_us);
+                                          guint64 instance, gint64 now_us);
 
 /* Returns the time until the entry of FINGERPRINT expires, in microseconds; 0 if
    there is none. */
@@ -103,10 +119,19 @@
                                const HbwFingerprint *fingerprint, gint64 now_us);
 
 /* Sets what this instance is doing with FINGERPRINT, if that is known as a suspect;
-   returns whether that is a change. */
+   returns whether that is a change.  SERVER is the hash of the server on which it
+   runs, or 0. */
 gboolean hbw_quarantine_set_activity (HbwQuarantine *quarantine,
                                       const HbwFingerprint *fingerprint,
-                                      HbwSuspectActivity activity, gint64 now_us);
+                                      HbwSuspectActivity activity, guint64 server,
+                                      gint64 now_us);
+
+/* Adds to USED the hashes (guint64) of the servers on which other suspects run, in
+   any instance, unless FINGERPRINT has waited for HBW_SUSPECT_ALONE_MAX_US.  USED
+   refers to data of the quarantine. */
+void hbw_quarantine_add_used_servers (HbwQuarantine *quarantine,
+                                      const HbwFingerprint *fingerprint,
+                                      GHashTable *used, gint64 now_us);
 
 /* Merges REPORT of the instance FROM; returns the number of failures in it that were
    not known here. */
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -273,19 +273,19 @@
 
 START_TEST (quarantine_of_poison_request_clears_innocent_one)
 {
-  HbwQuarantine *quarantine = hbw_quarantine_create ();
+  HbwQuarantine *quarantine = hbw_quarantine_create (1);
   add_failure (quarantine, &poison, 7, 0);
   add_failure (quarantine, &innocent, 7, 0);
   ck_assert_uint_eq (hbw_quarantine_count_unexplained (quarantine, &innocent, 1), 1);
   ck_assert_uint_eq (add_failure (quarantine, &poison, 8, 1000), 2);
-  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, 1001),
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, 1, 1001),
                      HBW_QUARANTINE_STATUS_HELD);
   gint64 gathered_us = 1000 + HBW_QUARANTINE_GATHER_WINDOW_US;
-  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, gathered_us),
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, 1, gathered_us),
                      HBW_QUARANTINE_STATUS_QUARANTINED);
   ck_assert_uint_eq (
       hbw_quarantine_count_unexplained (quarantine, &innocent, gathered_us), 0);
-  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &innocent, gathered_us),
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &innocent, 1, gathered_us),
                      HBW_QUARANTINE_STATUS_SUSPECT);
   ck_assert (!hbw_quarantine_clear (quarantine, &poison, gathered_us));
   ck_assert_uint_eq (
@@ -300,22 +300,22 @@
    poison request, must not be refused because of them. */
 START_TEST (innocent_request_beside_two_poison_ones_is_held_not_refused)
 {
-  HbwQuarantine *quarantine = hbw_quarantine_create ();
+  HbwQuarantine *quarantine = hbw_quarantine_create (1);
   add_failure (quarantine, &poison, 7, 0);
   add_failure (quarantine, &innocent, 7, 0);
   add_failure (quarantine, &other_suspect, 8, 1000);
   add_failure (quarantine, &innocent, 8, 1000);
   gint64 later_us = 2000 + HBW_QUARANTINE_GATHER_WINDOW_US;
-  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &innocent, later_us),
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &innocent, 1, later_us),
                      HBW_QUARANTINE_STATUS_HELD);
   add_failure (quarantine, &poison, 9, later_us);
   add_failure (quarantine, &other_suspect, 10, later_us);
   later_us += HBW_QUARANTINE_GATHER_WINDOW_US;
-  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, later_us),
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, 1, later_us),
                      HBW_QUARANTINE_STATUS_QUARANTINED);
-  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &other_suspect, later_us),
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &other_suspect, 1, later_us),
                      HBW_QUARANTINE_STATUS_QUARANTINED);
-  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &innocent, later_us),
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &innocent, 1, later_us),
                      HBW_QUARANTINE_STATUS_SUSPECT);
   hbw_quarantine_destroy (quarantine);
 }
@@ -323,7 +323,7 @@
 
 START_TEST (verdict_waits_for_other_suspects_of_the_failure)
 {
-  HbwQuarantine *quarantine = hbw_quarantine_create ();
+  HbwQuarantine *quarantine = hbw_quarantine_create (1);
   add_failure (quarantine, &poison, 7, 0);
   add_failure (quarantine, &poison, 8, 1000);
   add_failure (quarantine, &other_suspect, 8, 1000);
@@ -331,13 +331,13 @@
   add_failure (quarantine, &innocent, 7, 0);
   gint64 later_us = 1000 + HBW_QUARANTINE_GATHER_WINDOW_US;
   ck_assert (hbw_quarantine_clear (quarantine, &other_suspect, later_us));
-  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, later_us),
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, 1, later_us),
                      HBW_QUARANTINE_STATUS_HELD);
-  ck_assert (hbw_quarantine_set_activity (quarantine, &innocent, HBW_SUSPECT_IDLE,
+  ck_assert (hbw_quarantine_set_activity (quarantine, &innocent, HBW_SUSPECT_IDLE, 0,
                                           later_us));
   ck_assert (!hbw_quarantine_set_activity (quarantine, &innocent, HBW_SUSPECT_IDLE,
-                                           later_us));
-  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, later_us),
+                                           0, later_us));
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, 1, later_us),
                      HBW_QUARANTINE_STATUS_QUARANTINED);
   hbw_quarantine_destroy (quarantine);
 }
@@ -347,20 +347,20 @@
    apart. To let either run could make a third server fail. */
 START_TEST (neither_of_two_requests_with_same_evidence_runs)
 {
-  HbwQuarantine *quarantine = hbw_quarantine_create ();
+  HbwQuarantine *quarantine = hbw_quarantine_create (1);
   for (guint64 server = 7; server <= 8; server++)
     {
       add_failure (quarantine, &innocent, server, (gint64) server);
       add_failure (quarantine, &poison, server, (gint64) server);
     }
   gint64 later_us = 8 + HBW_QUARANTINE_GATHER_WINDOW_US;
-  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, later_us),
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, 1, later_us),
                      HBW_QUARANTINE_STATUS_HELD);
-  hbw_quarantine_set_activity (quarantine, &poison, HBW_SUSPECT_IDLE, later_us);
-  hbw_quarantine_set_activity (quarantine, &innocent, HBW_SUSPECT_IDLE, later_us);
-  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, later_us),
+  hbw_quarantine_set_activity (quarantine, &poison, HBW_SUSPECT_IDLE, 0, later_us);
+  hbw_quarantine_set_activity (quarantine, &innocent, HBW_SUSPECT_IDLE, 0, later_us);
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, 1, later_us),
                      HBW_QUARANTINE_STATUS_QUARANTINED);
-  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &innocent, later_us),
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &innocent, 1, later_us),
                      HBW_QUARANTINE_STATUS_QUARANTINED);
   hbw_quarantine_destroy (quarantine);
 }
@@ -369,7 +369,7 @@
 /* Two copies of a popular request are in progress on a server that crashes. */
 START_TEST (copies_on_one_server_count_as_one_failure)
 {
-  HbwQuarantine *quarantine = hbw_quarantine_create ();
+  HbwQuarantine *quarantine = hbw_quarantine_create (1);
   ck_assert_uint_eq (add_failure (quarantine, &poison, 7, 0), 1);
   ck_assert_uint_eq (add_failure (quarantine, &poison, 7, 1000), 1);
   const HbwSuspicionReport reported
@@ -379,7 +379,7 @@
           .failure_count = 1,
           .failures = { { .id = 77, .server_hash = 7, .started_ago_us = 2000 } } };
   ck_assert_uint_eq (hbw_quarantine_merge (quarantine, 9, &reported, 2000), 0);
-  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, HBW_US_PER_S),
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, 1, HBW_US_PER_S),
                      HBW_QUARANTINE_STATUS_SUSPECT);
   hbw_quarantine_destroy (quarantine);
 }
@@ -460,6 +460,7 @@
                                 .remaining_us = 5,
                                 .verdict = HBW_VERDICT_CAUSE,
                                 .activity = HBW_SUSPECT_RUNNING,
+                                .running_server_hash = 9,
                                 .completed_ago_us = -1,
                                 .failure_count = 2,
                                 .failures = { { 1, 2, 4, 3 }, { 5, 6, 8, 7 } } };
