What is known of requests that fail servers outlives the restart of all instances

Callers saw: once all instances had been restarted at the same moment, a request that had failed two servers failed two more. Cause: only the memory of the instances knew of it. Change: one object of the platform's store, of a kind of the router's own, has all failures that are not cleared and all verdicts, 256 at most, those with one failure left out beyond that. The first instance by rendezvous hashing writes it 30 ms after a change, at most four times a second; the others come next in turn, 0.25 s apart, if the change is not reported as stored. Every instance reads it once, when it starts, and runs nothing before, but for a second at most. Writes are conditional; a conflict or a lost answer is settled by reading. Entries that are cleared or expired are removed after 10 s. Nothing needs a watch. Left: a failure within these 30 to 110 ms before all instances are killed, and all instances restarted while the store is away.

--- a/core/effect.c
+++ b/core/effect.c
@@ -15,6 +15,8 @@
     hbw_message_clear (&effect->send.message);
   else if (effect->kind == HBW_EFFECT_PUBLISH_CATALOGUE)
     hbw_catalogue_unref (effect->catalogue);
+  else if (effect->kind == HBW_EFFECT_STORE_SUSPECTS)
+    g_bytes_unref (effect->suspects.body);
   else if (effect->kind == HBW_EFFECT_LOG)
     g_free (effect->log.text);
   g_free (effect);
--- a/core/membership.c
+++ b/core/membership.c
@@ -666,6 +666,21 @@
   return before < count;
 }
 
+guint
+hbw_membership_rank (HbwMembership *membership, const char *key)
+{
+  guint64 own = hbw_rendezvous_weight (membership->self.identity, key);
+  guint rank = 0;
+  for (guint i = 0; i < membership->probe_order->len; i++)
+    {
+      const Member *member = g_ptr_array_index (membership->probe_order, i);
+      if (is_owner_candidate (&member->info, NULL)
+          && hbw_rendezvous_weight (member->info.identity, key) > own)
+        rank++;
+    }
+  return rank;
+}
+
 guint64
 hbw_membership_ping_member (HbwMembership *membership, HbwContext *context,
                             guint64 identity)
--- a/core/metrics.c
+++ b/core/metrics.c
@@ -152,6 +152,8 @@
       render_counter (text, "store_failures", "document", kind,
                       metrics->control.store_failures[i]);
     }
+  render_counter (text, "store_calls", "document", "suspects",
+                  metrics->control.suspect_store_calls);
   g_string_append_printf (
       text, "hornbeamwall_grants_handed_back_total %" G_GUINT64_FORMAT "\n",
       metrics->control.grants_handed_back);
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -63,6 +63,7 @@
   gint64 own_since_us;             /* when own_activity last changed */
   PeerActivity peers[ACTIVE_PEERS_MAX];
   gint64 expire_at_us;
+  gboolean is_stored; /* the platform's store has these failures and this verdict */
   struct cds_list_head unsent_link; /* in quarantine->unsent, if transmits_left */
   guint transmits_left;
   gint64 next_transmit_us;
@@ -230,6 +231,7 @@
   record->suspect = suspect;
   record->failure = failure;
   cds_list_add (&record->link, &failure->records);
+  suspect->is_stored = FALSE;
   return TRUE;
 }
 
@@ -446,6 +448,7 @@
         &quarantine->unlogged,
         g_memdup2 (&suspect->fingerprint, sizeof suspect->fingerprint));
   suspect->verdict = verdict;
+  suspect->is_stored = FALSE;
   suspect->expire_at_us = now_us + HBW_QUARANTINE_DURATION_US;
 }
 
@@ -751,6 +754,13 @@
   return record_failure (quarantine, suspect, &failure);
 }
 
+static void
+merge_stored (Suspect *suspect, const HbwSuspicionReport *report)
+{
+  suspect->is_stored |= report->is_stored && report->verdict == suspect->verdict
+                        && report->failure_count == count_failures (suspect);
+}
+
 /* Returns the entry for REPORT, or NULL if it tells nothing about an unknown
    fingerprint. */
 static Suspect *
@@ -779,6 +789,7 @@
   merge_activity (suspect, from, report, now_us);
   if (report->verdict > suspect->verdict)
     set_verdict (quarantine, suspect, report->verdict, now_us);
+  merge_stored (suspect, report);
   evaluate_all (quarantine, now_us);
   return added;
 }
@@ -798,6 +809,7 @@
   *report = (HbwSuspicionReport){ .fingerprint = suspect->fingerprint,
                                   .remaining_us = suspect->expire_at_us - now_us,
                                   .verdict = suspect->verdict,
+                                  .is_stored = suspect->is_stored,
                                   .activity = suspect->own_activity,
                                   .running_server_hash = suspect->own_server };
   report->completed_ago_us
@@ -901,6 +913,53 @@
   return count;
 }
 
+static guint
+count_importance (const HbwQuarantine *quarantine, guint importance_min,
+                  gboolean only_unstored, gint64 now_us)
+{
+  guint count = 0;
+  const Suspect *suspect;
+  cds_list_for_each_entry (suspect, &quarantine->by_age, link)
+    if (suspect->expire_at_us > now_us && importance (suspect) >= importance_min
+        && !(only_unstored && suspect->is_stored))
+      count++;
+  return count;
+}
+
+guint
+hbw_quarantine_count_open (const HbwQuarantine *quarantine, gint64 now_us)
+{
+  return count_importance (quarantine, 1, FALSE, now_us);
+}
+
+gboolean
+hbw_quarantine_has_unstored (const HbwQuarantine *quarantine, guint max,
+                             gint64 now_us)
+{
+  guint importance_min = hbw_quarantine_count_open (quarantine, now_us) <= max
+                             ? 1
+                             : HBW_QUARANTINE_FAILURES_MIN;
+  return count_importance (quarantine, importance_min, TRUE, now_us) > 0;
+}
+
+void
+hbw_quarantine_mark_stored (HbwQuarantine *quarantine,
+                            const HbwSuspicionReport *reports, guint count,
+                            gint64 now_us)
+{
+  for (guint i = 0; i < count; i++)
+    {
+      Suspect *suspect = find_suspect (quarantine, &reports[i].fingerprint, now_us);
+      if (suspect == NULL || suspect->is_stored)
+        continue;
+      HbwSuspicionReport stored = reports[i];
+      stored.is_stored = TRUE;
+      merge_stored (suspect, &stored);
+      if (suspect->is_stored)
+        schedule_report (quarantine, suspect, 1, now_us);
+    }
+}
+
 void
 hbw_quarantine_suspend_verdicts (HbwQuarantine *quarantine, gint64 until_us)
 {
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -9,6 +9,7 @@
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/status.h"
+#include "hornbeamwall/core/suspect_archive.h"
 #include "hornbeamwall/core/suspect_share.h"
 
 #include <string.h>
@@ -31,6 +32,7 @@
   HbwTopology *topology;
   HbwIngress *ingress;
   HbwFreshnessMonitor *freshness_monitor;
+  HbwSuspectArchive *suspect_archive;
   GHashTable *shards;            /* key text -> HbwShard */
   GHashTable *reported_versions; /* identity -> HbwReportedVersion */
   guint64 membership_epoch;      /* last one that was handled */
@@ -534,6 +536,7 @@
   tick_shards (reducer);
   hbw_ingress_tick (reducer->ingress, context);
   hbw_suspect_share_tick (context->suspect_share, context);
+  hbw_suspect_archive_tick (reducer->suspect_archive, context);
   if (reducer->max_revocation_delay_us > 0)
     hbw_freshness_monitor_tick (reducer->freshness_monitor, context);
 }
@@ -578,6 +581,15 @@
     hbw_membership_ping_all (context->membership, context, context->data_centre);
 }
 
+static void
+handle_suspects_read (HbwReducer *reducer, const HbwStoredSuspects *stored)
+{
+  HbwContext *context = &reducer->context;
+  hbw_metrics_control (context->metrics)->suspect_store_calls += stored->calls;
+  hbw_suspect_archive_handle_read (reducer->suspect_archive, context, stored);
+  hbw_suspect_share_handle_stored (context->suspect_share, context);
+}
+
 static void
 handle_event (HbwReducer *reducer, const HbwEvent *event)
 {
@@ -615,6 +627,15 @@
     case HBW_EVENT_DOCUMENT_READ:
       handle_document_read (reducer, &event->document);
       break;
+    case HBW_EVENT_SUSPECTS_READ:
+      handle_suspects_read (reducer, &event->suspects);
+      break;
+    case HBW_EVENT_SUSPECTS_WRITTEN:
+      hbw_metrics_control (context->metrics)->suspect_store_calls
+          += event->suspects.calls;
+      hbw_suspect_archive_handle_written (reducer->suspect_archive, context,
+                                          &event->suspects);
+      break;
     case HBW_EVENT_STORE_STATE:
       handle_store_state (reducer, &event->store);
       break;
@@ -685,7 +706,8 @@
   context->metrics = hbw_metrics_create ();
   context->quarantine = hbw_quarantine_create (context->self);
   gboolean is_alone = config->seeds == NULL || config->seeds[0] == NULL;
-  context->suspect_share = hbw_suspect_share_create (is_alone, config->now_us);
+  context->suspect_share
+      = hbw_suspect_share_create (is_alone, config->stores_suspects, config->now_us);
   context->load_share
       = config->policy->spans_data_centres ? hbw_load_share_create () : NULL;
   hbw_membership_set_ping_decorator (context->membership, fill_ping, reducer);
@@ -699,6 +721,7 @@
   g_strlcpy (reducer->name, config->self.name, sizeof reducer->name);
   reducer->documents = hbw_documents_create ();
   reducer->freshness_monitor = hbw_freshness_monitor_create ();
+  reducer->suspect_archive = hbw_suspect_archive_create ();
   reducer->ingress = hbw_ingress_create (find_owner, reducer,
                                          config->retry_limits.window_us > 0
                                              ? &config->retry_limits
@@ -727,6 +750,7 @@
   hbw_ingress_destroy (reducer->ingress);
   hbw_documents_destroy (reducer->documents);
   hbw_freshness_monitor_destroy (reducer->freshness_monitor);
+  hbw_suspect_archive_destroy (reducer->suspect_archive);
   if (reducer->topology != NULL)
     hbw_topology_destroy (reducer->topology);
   if (context->catalogue != NULL)
--- a/core/suspect_share.c
+++ b/core/suspect_share.c
@@ -32,10 +32,12 @@
   gint64 reports_paid_until_us; /* of the rate limit: each report adds an interval */
   gint64 next_refresh_us;
   gint64 next_sync_us;
+  gboolean is_alone; /* no address of another instance is configured */
   gboolean is_complete;
   gint64 incomplete_since_us;
   gint64 next_join_ping_us;
   guint64 first_join_ping; /* number of the first ping since then; 0 is none */
+  gboolean has_stored;     /* what the platform's store had at the start is merged */
 };
 
 static void
@@ -57,11 +59,12 @@
 }
 
 HbwSuspectShare *
-hbw_suspect_share_create (gboolean is_alone, gint64 now_us)
+hbw_suspect_share_create (gboolean is_alone, gboolean has_store, gint64 now_us)
 {
   HbwSuspectShare *share = g_new0 (HbwSuspectShare, 1);
   set_incomplete (share, now_us);
-  share->is_complete = is_alone;
+  share->is_alone = is_alone;
+  share->is_complete = is_alone && !has_store;
   return share;
 }
 
@@ -161,6 +164,14 @@
   send_entries (context, message->from);
 }
 
+void
+hbw_suspect_share_handle_stored (HbwSuspectShare *share, HbwContext *context)
+{
+  share->has_stored = TRUE;
+  if (share->is_alone && !share->is_complete)
+    set_complete (share, context);
+}
+
 void
 hbw_suspect_share_resume (HbwSuspectShare *share, HbwContext *context)
 {
@@ -182,7 +193,9 @@
 static void
 tick_incomplete (HbwSuspectShare *share, HbwContext *context)
 {
-  if (context->now_us - share->incomplete_since_us >= HBW_SUSPECT_JOIN_TIMEOUT_US)
+  gint64 timeout_us = share->has_stored ? HBW_SUSPECT_JOIN_STORED_TIMEOUT_US
+                                        : HBW_SUSPECT_JOIN_TIMEOUT_US;
+  if (context->now_us - share->incomplete_since_us >= timeout_us)
     set_complete (share, context);
   else
     ping_to_join (share, context);
--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -87,6 +87,10 @@
   X (6003, SUSPECT_HEARD, INFO,                                                     \
      "A peer reported a server failure that a request may have caused.",            \
      "Nothing; find the failure by its fingerprint in REQUEST_SUSPECT lines.")      \
+  X (6004, SUSPECTS_STORED, INFO,                                                   \
+     "This instance has written the suspects to the platform's store, or tried "    \
+     "to.",                                                                         \
+     "If written is 0 again and again, check the platform's store.")                \
   X (7001, LEASE_TAKEN, INFO, "This instance holds the lease for orders.",          \
      "Nothing.")                                                                    \
   X (7002, LEASE_LOST, WARN,                                                        \
--- a/include/hornbeamwall/core/effect.h
+++ b/include/hornbeamwall/core/effect.h
@@ -17,6 +17,7 @@
   HBW_EFFECT_SEND_MESSAGE,
   HBW_EFFECT_POLL_LOAD,         /* request a load report from a backend server */
   HBW_EFFECT_PUBLISH_CATALOGUE, /* a new catalogue is active */
+  HBW_EFFECT_STORE_SUSPECTS,    /* write the suspects to the platform's store */
   HBW_EFFECT_LOG,
 } HbwEffectKind;
 
@@ -59,6 +60,13 @@
   char address[HBW_ADDRESS_MAX];
 } HbwPollLoad;
 
+/* Conditional write. */
+typedef struct
+{
+  gint64 base_version; /* that is replaced; HBW_VERSION_ABSENT creates the object */
+  GBytes *body;        /* owned */
+} HbwStoreSuspects;
+
 typedef struct
 {
   HbwLogEvent number;
@@ -76,6 +84,7 @@
     HbwSendMessage send;
     HbwPollLoad poll;
     HbwCatalogue *catalogue; /* owned reference */
+    HbwStoreSuspects suspects;
     HbwLogLine log;
   };
 } HbwEffect;
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -18,7 +18,9 @@
   HBW_EVENT_FIRST_TOKEN,
   HBW_EVENT_ATTEMPT_ENDED,
   HBW_EVENT_LOAD_REPORT,
-  HBW_EVENT_DOCUMENT_READ, /* read from the platform's store */
+  HBW_EVENT_DOCUMENT_READ,    /* read from the platform's store */
+  HBW_EVENT_SUSPECTS_READ,    /* read from the platform's store */
+  HBW_EVENT_SUSPECTS_WRITTEN, /* result of HBW_EFFECT_STORE_SUSPECTS */
   HBW_EVENT_STORE_STATE,
   HBW_EVENT_CATALOGUE_CONFIRMED, /* the store reported its newest version */
   HBW_EVENT_MESSAGE,
@@ -80,6 +82,15 @@
   gboolean up; /* the last call succeeded */
 } HbwStoreState;
 
+/* Suspects in the platform's store after a read or a write. */
+typedef struct
+{
+  guint calls;      /* made to the store */
+  gboolean written; /* WRITTEN: the write took effect */
+  gint64 version;   /* HBW_VERSION_ABSENT if the object does not exist */
+  GBytes *body;     /* READ: borrowed for the step; NULL if it does not exist */
+} HbwStoredSuspects;
+
 typedef struct
 {
   HbwEventKind kind;
@@ -93,6 +104,7 @@
     HbwLoadReport load;
     HbwDocument document; /* body borrowed for the step; NULL if it does not exist */
     HbwStoreState store;
+    HbwStoredSuspects suspects;
     HbwCatalogueConfirmation confirmation;
     char seed[HBW_ADDRESS_MAX];
     HbwMessage message; /* borrowed for the step */
--- a/include/hornbeamwall/core/membership.h
+++ b/include/hornbeamwall/core/membership.h
@@ -84,6 +84,10 @@
 gboolean hbw_membership_is_self_in_top (HbwMembership *membership, const char *key,
                                         guint count);
 
+/* Returns how many live instances of all data centres precede this one for KEY by
+   rendezvous hashing. */
+guint hbw_membership_rank (HbwMembership *membership, const char *key);
+
 /* Pings the member IDENTITY.  Returns the number that the ack will carry, or 0 if it
    is neither alive nor suspect. */
 guint64 hbw_membership_ping_member (HbwMembership *membership, HbwContext *context,
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -252,6 +252,7 @@
   HbwFingerprint fingerprint;
   gint64 remaining_us; /* until the suspicion expires */
   HbwVerdict verdict;
+  gboolean is_stored; /* the platform's store has these failures and this verdict */
   HbwSuspectActivity activity; /* of the sender */
   guint64 running_server_hash; /* server on which the sender runs it, or 0 */
   gint64 completed_ago_us;     /* since its last complete response; -1 is none */
--- a/include/hornbeamwall/core/metrics.h
+++ b/include/hornbeamwall/core/metrics.h
@@ -42,6 +42,7 @@
   guint64 messages_received[HBW_MESSAGE_COUNT];
   guint64 store_call_count[HBW_DOCUMENT_COUNT];
   guint64 store_failures[HBW_DOCUMENT_COUNT]; /* calls without a usable response */
+  guint64 suspect_store_calls;                /* to read and write the suspects */
   guint64 grants_handed_back;                 /* returned unused */
   guint64 spilled;                            /* sent to another data centre */
 } HbwControlMetrics;
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -158,6 +158,20 @@
                                    HbwSuspicionReport *reports, guint max,
                                    gint64 now_us);
 
+/* Returns the number of entries with a failure that is not cleared, or a verdict. */
+guint hbw_quarantine_count_open (const HbwQuarantine *quarantine, gint64 now_us);
+
+/* Returns whether there is a failure or a verdict that is not known to be in the
+   platform's store.  If it cannot hold all entries, but MAX, those with one failure
+   do not count. */
+gboolean hbw_quarantine_has_unstored (const HbwQuarantine *quarantine, guint max,
+                                      gint64 now_us);
+
+/* Records that the platform's store has REPORTS, and tells the other instances. */
+void hbw_quarantine_mark_stored (HbwQuarantine *quarantine,
+                                 const HbwSuspicionReport *reports, guint count,
+                                 gint64 now_us);
+
 /* Quarantines nothing before UNTIL_US, because it is not known yet which suspects
    are active elsewhere. */
 void hbw_quarantine_suspend_verdicts (HbwQuarantine *quarantine, gint64 until_us);
--- a/include/hornbeamwall/core/reducer.h
+++ b/include/hornbeamwall/core/reducer.h
@@ -25,6 +25,8 @@
   gint64 max_revocation_delay_us; /* see HbwFreshness; 0 if nothing needs
                                      confirmation */
   gint64 drain_grace_us; /* after a planned stop, requests are accepted this long */
+  gboolean stores_suspects; /* the runtime reads and writes the suspects in the
+                               platform's store */
   gboolean load_in_answers; /* servers report load in responses: none is polled */
   guint32 seed;
   gint64 now_us;
--- a/include/hornbeamwall/core/suspect_share.h
+++ b/include/hornbeamwall/core/suspect_share.h
@@ -17,12 +17,16 @@
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/context.h"
 
-/* An instance that reaches no other one runs requests after this time. */
+/* An instance that reaches no other one runs requests after this time, or after the
+   second one if it has read what the platform's store has. */
 #define HBW_SUSPECT_JOIN_TIMEOUT_US (1 * HBW_US_PER_S)
+#define HBW_SUSPECT_JOIN_STORED_TIMEOUT_US (300 * HBW_US_PER_MS)
 
 /* Creates the state of an instance that starts now.  IS_ALONE is set if it has no
-   address of another instance. */
-HbwSuspectShare *hbw_suspect_share_create (gboolean is_alone, gint64 now_us);
+   address of another instance, HAS_STORE if it will read what the platform's store
+   has. */
+HbwSuspectShare *hbw_suspect_share_create (gboolean is_alone, gboolean has_store,
+                                           gint64 now_us);
 void hbw_suspect_share_destroy (HbwSuspectShare *share);
 
 /* Returns whether this instance knows what the others know. */
@@ -44,6 +48,9 @@
 void hbw_suspect_share_handle_ping (HbwSuspectShare *share, HbwContext *context,
                                     const HbwMessage *message);
 
+/* Handles that what the platform's store has is merged into the quarantine. */
+void hbw_suspect_share_handle_stored (HbwSuspectShare *share, HbwContext *context);
+
 /* Handles that this process was paused and may have missed reports. */
 void hbw_suspect_share_resume (HbwSuspectShare *share, HbwContext *context);
 
--- a/include/hornbeamwall/net/store_client.h
+++ b/include/hornbeamwall/net/store_client.h
@@ -32,7 +32,7 @@
 {
   HbwStoreResult result;
   gint64 version;
-  GBytes *body; /* owned by the caller; NULL unless a read returned OK */
+  GBytes *body; /* owned by the caller; NULL unless the result is OK */
 } HbwStoreResponse;
 
 /* Creates a client of the store at ADDRESS ("IP address:port").  Returns NULL and
@@ -45,6 +45,9 @@
    server to delay its response. */
 void hbw_store_client_keep_connection (HbwStoreClient *client, guint wait_ms);
 
+/* Closes the kept connection, if there is one; the next call opens another one. */
+void hbw_store_client_close_connection (HbwStoreClient *client);
+
 /* Reads the object NAME. */
 HbwStoreResponse hbw_store_client_get (HbwStoreClient *client, const char *name,
                                        HbwError *error);
@@ -58,6 +61,12 @@
                                          gint64 version, guint timeout_ms,
                                          HbwError *error);
 
+/* Sends BODY, a JSON text, to any PATH of the server.  Like other writes, it is
+   never retried.  The caller owns the body of the response. */
+HbwStoreResponse hbw_store_client_send (HbwStoreClient *client, const char *method,
+                                        const char *path, const char *body,
+                                        gsize length, HbwError *error);
+
 /* Replaces VERSION of NAME with BODY; VERSION 0 creates the object. */
 HbwStoreResponse hbw_store_client_put (HbwStoreClient *client, const char *name,
                                        gint64 version, const char *body,
--- a/include/hornbeamwall/runtime/control.h
+++ b/include/hornbeamwall/runtime/control.h
@@ -40,7 +40,7 @@
 
 /* Queues a copy of EVENT; its now_us is set when it is handled.  MAILBOX, given only
    with HBW_EVENT_REQUEST_ARRIVED, receives the commands of that request.  Takes a
-   reference to the body of a document. */
+   reference to the body of a document or of the suspects. */
 void hbw_control_submit (HbwControl *control, const HbwEvent *event,
                          HbwMailbox *mailbox);
 
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -224,6 +224,7 @@
   msgpack_pack_uint32 (packer, report->verdict);
   msgpack_pack_uint32 (packer, report->activity);
   msgpack_pack_uint64 (packer, report->running_server_hash);
+  msgpack_pack_uint32 (packer, report->is_stored);
   msgpack_pack_int64 (packer, report->completed_ago_us);
   msgpack_pack_array (packer, report->failure_count);
   for (guint i = 0; i < report->failure_count; i++)
@@ -299,7 +300,7 @@
   [HBW_MESSAGE_WITHDRAW] = 5,  [HBW_MESSAGE_GRANT] = 14,
   [HBW_MESSAGE_REFUSAL] = 5,   [HBW_MESSAGE_ACTIVE] = 10,
   [HBW_MESSAGE_DONE] = 11,     [HBW_MESSAGE_DOCUMENT_ASK] = 4,
-  [HBW_MESSAGE_DOCUMENT] = 4,  [HBW_MESSAGE_SUSPECT] = 11,
+  [HBW_MESSAGE_DOCUMENT] = 4,  [HBW_MESSAGE_SUSPECT] = 12,
   [HBW_MESSAGE_DEMAND] = 5,    [HBW_MESSAGE_SHARE] = 5,
   [HBW_MESSAGE_BEGUN] = 7,     [HBW_MESSAGE_LOADS] = 2,
 };
--- a/net/codec_unpack.c
+++ b/net/codec_unpack.c
@@ -336,6 +336,7 @@
   report->activity = (HbwSuspectActivity) hbw_field_reader_unpack_uint (
       reader, HBW_SUSPECT_ACTIVITY_COUNT - 1);
   report->running_server_hash = hbw_field_reader_unpack_uint (reader, G_MAXUINT64);
+  report->is_stored = hbw_field_reader_unpack_uint (reader, 1) != 0;
   report->completed_ago_us = unpack_int (reader);
   HbwFieldReader failures
       = hbw_field_reader_unpack_array (reader, HBW_SUSPECT_FAILURES_MAX);
--- a/net/store_client.c
+++ b/net/store_client.c
@@ -128,7 +128,7 @@
   else if (response.result == HBW_STORE_FAILED)
     hbw_error_set (error, HBW_ERROR_STORE,
                    "platform store: answer %d; try again later", status);
-  if (response.result == HBW_STORE_OK && !is_write)
+  if (response.result == HBW_STORE_OK)
     response.body = g_byte_array_free_to_bytes (response_body.body);
   else
     g_byte_array_free (response_body.body, TRUE);
@@ -170,6 +170,13 @@
   client->persistent_session = session;
 }
 
+void
+hbw_store_client_close_connection (HbwStoreClient *client)
+{
+  if (client->persistent_session != NULL)
+    ne_close_connection (client->persistent_session);
+}
+
 static HbwStoreResponse
 read_object (HbwStoreClient *client, const char *path, int extra_wait_s,
              HbwError *error)
@@ -212,24 +219,47 @@
   return response;
 }
 
-HbwStoreResponse
-hbw_store_client_put (HbwStoreClient *client, const char *name, gint64 version,
-                      const char *body, gsize length, HbwError *error)
+/* Sends a write with the header field FIELD, if it is not NULL. */
+static HbwStoreResponse
+write_object (HbwStoreClient *client, const char *method, const char *path,
+              const char *field, const char *value, const char *body, gsize length,
+              HbwError *error)
 {
-  char *path = g_strdup_printf ("/objects/%s", name);
   ne_session *session = open_session (client, 0);
-  ne_request *request = ne_request_create (session, "PUT", path);
+  ne_request *request = ne_request_create (session, method, path);
   ne_set_request_flag (request, NE_REQFLAG_IDEMPOTENT, 0);
   ne_set_request_body_buffer (request, body, length);
   ne_add_request_header (request, "Content-Type", "application/json");
-  if (version > 0)
-    ne_print_request_header (request, "If-Match", "\"%" G_GINT64_FORMAT "\"",
-                             version);
-  else
-    ne_add_request_header (request, "If-None-Match", "*");
+  if (field != NULL)
+    ne_add_request_header (request, field, value);
   HbwStoreResponse response = dispatch (session, request, TRUE, error);
   ne_request_destroy (request);
+  if (response.result == HBW_STORE_UNKNOWN && client->persistent_session != NULL)
+    ne_close_connection (session); /* may still receive a late response */
   close_session (client, session);
+  return response;
+}
+
+HbwStoreResponse
+hbw_store_client_send (HbwStoreClient *client, const char *method, const char *path,
+                       const char *body, gsize length, HbwError *error)
+{
+  return write_object (client, method, path, NULL, NULL, body, length, error);
+}
+
+HbwStoreResponse
+hbw_store_client_put (HbwStoreClient *client, const char *name, gint64 version,
+                      const char *body, gsize length, HbwError *error)
+{
+  char *path = g_strdup_printf ("/objects/%s", name);
+  char *tag = g_strdup_printf ("\"%" G_GINT64_FORMAT "\"", version);
+  HbwStoreResponse response
+      = version > 0 ? write_object (client, "PUT", path, "If-Match", tag, body,
+                                    length, error)
+                    : write_object (client, "PUT", path, "If-None-Match", "*", body,
+                                    length, error);
+  g_clear_pointer (&response.body, g_bytes_unref);
+  g_free (tag);
   g_free (path);
   return response;
 }
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -6,6 +6,7 @@
 #include "hornbeamwall/core/reducer.h"
 #include "hornbeamwall/net/peer_transport.h"
 #include "hornbeamwall/runtime/load_poller.h"
+#include "hornbeamwall/runtime/suspect_store.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
@@ -44,6 +45,7 @@
   HbwPeerTransport *peer;
   HbwSnapshot *snapshot;
   HbwLoadPoller *load_poller;
+  HbwSuspectStore *suspect_store;
   GHashTable *mailboxes; /* sequence -> HbwMailbox */
   struct cds_wfcq_head queue_head;
   struct cds_wfcq_tail queue_tail;
@@ -127,6 +129,9 @@
     case HBW_EFFECT_PUBLISH_CATALOGUE:
       hbw_snapshot_publish (control->snapshot, effect->catalogue);
       break;
+    case HBW_EFFECT_STORE_SUSPECTS:
+      hbw_suspect_store_enqueue (control->suspect_store, &effect->suspects);
+      break;
     case HBW_EFFECT_LOG:
       hbw_log_write (effect->log.number, effect->log.text);
       break;
@@ -183,6 +188,26 @@
   pthread_mutex_unlock (&query->lock);
 }
 
+/* Returns the member of EVENT that holds a reference to a body, or NULL. */
+static GBytes **
+find_body (HbwEvent *event)
+{
+  GBytes **body = NULL;
+  if (event->kind == HBW_EVENT_DOCUMENT_READ)
+    body = &event->document.body;
+  else if (event->kind == HBW_EVENT_SUSPECTS_READ)
+    body = &event->suspects.body;
+  return body != NULL && *body != NULL ? body : NULL;
+}
+
+static void
+release_body (HbwEvent *event)
+{
+  GBytes **body = find_body (event);
+  if (body != NULL)
+    g_clear_pointer (body, g_bytes_unref);
+}
+
 static void
 handle_submission (HbwControl *control, Submission *submission)
 {
@@ -199,8 +224,7 @@
       g_hash_table_insert (control->mailboxes, key, submission->mailbox);
     }
   run_reducer (control, &submission->event);
-  if (submission->event.kind == HBW_EVENT_DOCUMENT_READ)
-    g_clear_pointer (&submission->event.document.body, g_bytes_unref);
+  release_body (&submission->event);
   g_free (submission);
 }
 
@@ -309,6 +333,7 @@
   config.max_revocation_delay_us = settings->max_revocation_delay_us;
   config.drain_grace_us = settings->stop_grace_us / 100 * HBW_STOP_ACCEPTING_PERCENT;
   config.load_in_answers = settings->load_in_responses;
+  config.stores_suspects = TRUE;
   g_strlcpy (config.self.name, settings->name, sizeof config.self.name);
   g_strlcpy (config.self.data_centre, settings->data_centre,
              sizeof config.self.data_centre);
@@ -340,6 +365,9 @@
   control->reducer = create_reducer (control, settings);
   publish_state (control);
   control->load_poller = hbw_load_poller_create (control);
+  control->suspect_store = hbw_suspect_store_create (control, settings, error);
+  if (control->suspect_store == NULL)
+    g_clear_pointer (&control, hbw_control_destroy);
   return control;
 }
 
@@ -372,9 +400,8 @@
       HBW_TSAN_ACQUIRE (submission);
       if (submission->mailbox != NULL)
         hbw_mailbox_unref (submission->mailbox);
-      if (submission->query == NULL
-          && submission->event.kind == HBW_EVENT_DOCUMENT_READ)
-        g_clear_pointer (&submission->event.document.body, g_bytes_unref);
+      if (submission->query == NULL)
+        release_body (&submission->event);
       g_free (submission);
     }
 }
@@ -387,6 +414,8 @@
   if (control->started)
     pthread_join (control->thread, NULL);
   hbw_load_poller_destroy (control->load_poller);
+  if (control->suspect_store != NULL)
+    hbw_suspect_store_destroy (control->suspect_store);
   discard_submissions (control);
   g_hash_table_destroy (control->mailboxes);
   hbw_reducer_destroy (control->reducer);
@@ -404,8 +433,8 @@
   Submission *submission = g_new0 (Submission, 1);
   submission->event = *event;
   submission->mailbox = mailbox != NULL ? hbw_mailbox_ref (mailbox) : NULL;
-  if (event->kind == HBW_EVENT_DOCUMENT_READ && event->document.body != NULL)
-    g_bytes_ref (event->document.body);
+  if (find_body (&submission->event) != NULL)
+    g_bytes_ref (*find_body (&submission->event));
   enqueue (control, submission);
 }
 
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -459,6 +459,7 @@
         = (HbwSuspicionReport){ .fingerprint = poison,
                                 .remaining_us = 5,
                                 .verdict = HBW_VERDICT_CAUSE,
+                                .is_stored = TRUE,
                                 .activity = HBW_SUSPECT_RUNNING,
                                 .running_server_hash = 9,
                                 .completed_ago_us = -1,
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -441,6 +441,56 @@
 }
 END_TEST
 
+/* --- stored suspects ------------------------------------------------------- */
+
+static void
+deliver_suspects (ReducerFixture *fixture, gint64 version, const char *text)
+{
+  HbwEvent event = { .kind = HBW_EVENT_SUSPECTS_READ };
+  event.suspects.version = version;
+  event.suspects.body = g_bytes_new (text, strlen (text));
+  step_reducer (fixture, &event);
+  g_bytes_unref (event.suspects.body);
+}
+
+/* Another writer's entries must not hide the valid ones, and what is written keeps
+   what was read. */
+START_TEST (malformed_stored_suspects_are_ignored)
+{
+  static const char text[]
+      = "{\"suspects\":[7,{\"high\":\"0\"},"
+        "{\"high\":\"0\",\"low\":\"1\",\"verdict\":\"cause\",\"remaining_ms\":9000,"
+        "\"failures\":[{\"id\":\"b\",\"server\":\"c\",\"started_ago_ms\":9,"
+        "\"failed_ago_ms\":8}]}]}";
+  static const char *const bad[] = { "", "[]", "{\"suspects\":{}}", "\xff" };
+  ReducerFixture fixture = fixture_create (1, 3, 8);
+  HbwRequestSpec spec = make_spec ();
+  for (gsize i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      deliver_suspects (&fixture, 5, bad[i]);
+      const HbwEffect *line = find_effect (&fixture, HBW_EFFECT_LOG);
+      ck_assert_int_eq (line->log.number, HBW_LOG_ENTRY_IGNORED);
+    }
+  deliver_suspects (&fixture, 6, text);
+  submit_request (&fixture, 1, &spec);
+  const HbwEffect *refusal = find_effect (&fixture, HBW_EFFECT_REFUSE_REQUEST);
+  ck_assert (refusal != NULL && refusal->refuse.reason == HBW_REASON_QUARANTINED);
+  submit_request (&fixture, 2, &spec);
+  ck_assert_str_ne (started_server (&fixture), "");
+  end_attempt (&fixture, 2, 1, HBW_OUTCOME_BROKEN, FALSE);
+  tick (&fixture, HBW_US_PER_MS);
+  tick (&fixture, 100 * HBW_US_PER_MS);
+  const HbwEffect *write = find_effect (&fixture, HBW_EFFECT_STORE_SUSPECTS);
+  ck_assert (write != NULL);
+  ck_assert_int_eq (write->suspects.base_version, 6);
+  gsize length;
+  const char *body = g_bytes_get_data (write->suspects.body, &length);
+  ck_assert (g_strstr_len (body, (gssize) length, "000000000000000b") != NULL);
+  ck_assert (g_strstr_len (body, (gssize) length, "0000000000000002") != NULL);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* --- server lists -------------------------------------------------------- */
 
 /* Guards against a failure of the deployment gazetteer-eu of the users' test bench,
@@ -736,6 +786,7 @@
   tcase_add_test (tests, misdirected_request_is_retried_on_another_server);
   tcase_add_test (tests, only_resumable_stream_is_retried_after_first_bytes);
   tcase_add_test (tests, requests_are_refused_at_configured_timeout);
+  tcase_add_test (tests, malformed_stored_suspects_are_ignored);
   tcase_add_test (tests, draining_instance_accepts_requests_for_grace_period);
   tcase_add_test (tests, lapsed_entry_does_not_revive_leaving_server);
   tcase_add_test (tests, restarted_server_does_not_keep_old_load);
--- a/tests/path_test.c
+++ b/tests/path_test.c
@@ -147,6 +147,33 @@
 }
 END_TEST
 
+START_TEST (instance_that_starts_later_refuses_quarantined_request)
+{
+  NativeFixture *fixture = native_fixture_create (4, 4);
+  NativeFixtureResponse response = chat (fixture, "poison", 5, FALSE, "crash", NULL);
+  ck_assert_int_eq (response.status, 422);
+  native_fixture_response_clear (&response);
+  char *stored = NULL;
+  for (guint i = 0; i < 500 && stored == NULL; i++)
+    {
+      g_usleep (10000);
+      stored = store_get (fixture->store, "hornbeamwall-suspects");
+    }
+  ck_assert (stored != NULL);
+  g_free (stored);
+  HbwInstance *first = fixture->instance;
+  fixture->instance = native_fixture_start_instance (fixture);
+  response = chat (fixture, "poison", 5, FALSE, "crash", NULL);
+  ck_assert_int_eq (response.status, 422);
+  ck_assert (strstr (response.body, "\"executed\":\"no\"") != NULL);
+  ck_assert_uint_eq (native_fixture_count_runs (fixture, "poison"), 2);
+  native_fixture_response_clear (&response);
+  hbw_instance_destroy (fixture->instance);
+  fixture->instance = first;
+  native_fixture_destroy (fixture);
+}
+END_TEST
+
 /* A request without a body must be forwarded with an explicit length of zero. */
 START_TEST (service_request_without_body_is_forwarded)
 {
@@ -387,6 +414,7 @@
   tcase_add_test (cases, non_idempotent_request_runs_at_most_once);
   tcase_add_test (cases, idempotent_request_is_retried_on_another_engine);
   tcase_add_test (cases, request_is_quarantined_after_two_crashes);
+  tcase_add_test (cases, instance_that_starts_later_refuses_quarantined_request);
   tcase_add_test (cases, service_request_without_body_is_forwarded);
   tcase_add_test (cases, invalid_request_is_refused_with_a_remedy);
   tcase_add_test (cases, disconnected_caller_frees_its_slot);
--- a/tests/platform_fixture.c
+++ b/tests/platform_fixture.c
@@ -95,6 +95,25 @@
   return fixture;
 }
 
+static void
+start_instance (PlatformFixture *fixture)
+{
+  HbwError error = { HBW_ERROR_NONE, "" };
+  fixture->instance
+      = hbw_instance_create (fixture->settings, fixture->clock, &error);
+  ck_assert_msg (fixture->instance != NULL, "%s", error.message);
+  for (guint i = 0; i < PLATFORM_FIXTURE_POLLS_MAX && !is_ready (fixture); i++)
+    g_usleep (10000);
+  ck_assert (is_ready (fixture));
+}
+
+void
+platform_fixture_restart_instance (PlatformFixture *fixture)
+{
+  hbw_instance_destroy (fixture->instance);
+  start_instance (fixture);
+}
+
 PlatformFixture *
 platform_fixture_create (void)
 {
@@ -105,12 +124,7 @@
   ck_assert_msg (fixture->settings != NULL, "%s", error.message);
   g_free (text);
   fixture->clock = hbw_clock_create_system ();
-  fixture->instance
-      = hbw_instance_create (fixture->settings, fixture->clock, &error);
-  ck_assert_msg (fixture->instance != NULL, "%s", error.message);
-  for (guint i = 0; i < PLATFORM_FIXTURE_POLLS_MAX && !is_ready (fixture); i++)
-    g_usleep (10000);
-  ck_assert (is_ready (fixture));
+  start_instance (fixture);
   return fixture;
 }
 
--- a/tests/platform_fixture.h
+++ b/tests/platform_fixture.h
@@ -45,6 +45,10 @@
 char *platform_fixture_make_settings (const PlatformFixture *fixture,
                                       guint caller_port);
 
+/* Ends the instance and starts another one with the same settings; waits until it is
+   ready. */
+void platform_fixture_restart_instance (PlatformFixture *fixture);
+
 /* Writes the config. KEYS are its API keys: JSON strings, separated by commas. */
 void platform_fixture_put_config (PlatformFixture *fixture, guint version,
                                   const char *keys);
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -18,6 +18,9 @@
 /* Percentage by which the batch of an engine may exceed its slots. */
 #define BATCH_EXTRA_PERCENT 25
 
+/* Time that the store takes for a call. */
+#define STORE_CALL_US (4 * HBW_US_PER_MS)
+
 /* Delay before a caller retries a failed request. */
 #define CALLER_RETRY_DELAY_US (200 * HBW_US_PER_MS)
 
@@ -125,7 +128,9 @@
   GHashTable *requests; /* sequence -> Request */
   GPtrArray *attempts;  /* every Attempt; owned */
   guint64 last_sequence;
-  GPtrArray *partitions; /* "a|b": names that cannot reach each other */
+  GPtrArray *partitions;   /* "a|b": names that cannot reach each other */
+  GBytes *stored_suspects; /* object of the store, or NULL */
+  gint64 stored_suspects_version;
   gboolean store_down;
   gboolean store_stale;
   char *documents[HBW_DOCUMENT_COUNT];
@@ -728,6 +733,79 @@
             poll);
 }
 
+typedef struct
+{
+  Instance *instance;
+  guint64 identity;
+  gint64 base_version;
+  GBytes *body; /* NULL for a read */
+} SuspectCall;
+
+static void
+suspect_call_free (SuspectCall *call)
+{
+  if (call->body != NULL)
+    g_bytes_unref (call->body);
+  g_free (call);
+}
+
+static void
+submit_suspects (World *world, const SuspectCall *call, HbwEventKind kind,
+                 gboolean written)
+{
+  if (!is_running (call->instance, call->identity))
+    return;
+  HbwEvent event = { .kind = kind };
+  event.suspects.calls = 1;
+  event.suspects.written = written;
+  event.suspects.version = world->stored_suspects_version;
+  event.suspects.body = world->stored_suspects;
+  run_reducer (world, call->instance, &event);
+}
+
+/* Executes a call at the store.  A write whose version is not the current one is
+   answered with the object, as by the runtime. */
+static void
+run_suspect_call (World *world, void *data)
+{
+  SuspectCall *call = data;
+  gboolean reaches_store = can_reach_store (world, call->instance)
+                           && world->now_us >= call->instance->paused_until_us;
+  gboolean is_current = call->base_version == world->stored_suspects_version;
+  if (!reaches_store && call->body == NULL
+      && is_running (call->instance, call->identity))
+    {
+      schedule (world, world->now_us + STORE_POLL_US, run_suspect_call, call);
+      return;
+    }
+  if (reaches_store && call->body != NULL && is_current)
+    {
+      g_clear_pointer (&world->stored_suspects, g_bytes_unref);
+      world->stored_suspects = g_bytes_ref (call->body);
+      world->stored_suspects_version++;
+    }
+  else if (reaches_store)
+    submit_suspects (world, call, HBW_EVENT_SUSPECTS_READ, FALSE);
+  if (call->body != NULL)
+    submit_suspects (world, call, HBW_EVENT_SUSPECTS_WRITTEN,
+                     reaches_store && is_current);
+  suspect_call_free (call);
+}
+
+static void
+call_suspect_store (World *world, Instance *instance, const HbwStoreSuspects *store)
+{
+  SuspectCall *call = g_new0 (SuspectCall, 1);
+  call->instance = instance;
+  call->identity = instance->identity;
+  if (store != NULL)
+    {
+      call->base_version = store->base_version;
+      call->body = g_bytes_ref (store->body);
+    }
+  schedule (world, world->now_us + STORE_CALL_US, run_suspect_call, call);
+}
+
 static void
 execute_effect (World *world, Instance *instance, const HbwEffect *effect)
 {
@@ -754,6 +832,11 @@
     case HBW_EFFECT_POLL_LOAD:
       poll_load (world, instance, &effect->poll);
       break;
+    case HBW_EFFECT_STORE_SUSPECTS:
+      trace (world, "%s writes %" G_GSIZE_FORMAT " bytes of suspects",
+             instance->name, g_bytes_get_size (effect->suspects.body));
+      call_suspect_store (world, instance, &effect->suspects);
+      break;
     case HBW_EFFECT_LOG:
       trace (world, "%s logs %s %s", instance->name,
              hbw_log_find_event (effect->log.number)->name, effect->log.text);
@@ -873,6 +956,7 @@
     instance->versions[i] = -1;
   HbwReducerConfig config = { .policy = world->policy, .now_us = world->now_us };
   config.seeds = seeds;
+  config.stores_suspects = TRUE;
   config.seed = g_rand_int (world->random);
   config.self.identity = instance->identity;
   g_strlcpy (config.self.name, instance->name, sizeof config.self.name);
@@ -880,6 +964,7 @@
              sizeof config.self.data_centre);
   g_strlcpy (config.self.address, instance->address, sizeof config.self.address);
   instance->reducer = hbw_reducer_create (&config);
+  call_suspect_store (world, instance, NULL);
 }
 
 static void
@@ -1264,6 +1349,8 @@
       hbw_message_clear (&delivery->message);
       g_free (delivery);
     }
+  else if (action->run == run_suspect_call)
+    suspect_call_free (action->data);
   else if (action->run == report_to_instance || action->run == apply_fault
            || action->run == deliver_load_report || action->run == submit_request)
     g_free (action->data);
@@ -1305,6 +1392,7 @@
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     g_free (world->documents[i]);
   g_rand_free (world->random);
+  g_clear_pointer (&world->stored_suspects, g_bytes_unref);
   g_free (world->violation);
   g_free (world);
 }
--- a/tests/standin/objects.c
+++ b/tests/standin/objects.c
@@ -2,6 +2,7 @@
 
 #include "listen.h"
 
+#include <jansson.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdlib.h>
@@ -33,6 +34,8 @@
   atomic_int behaviour;
   atomic_bool stopping;
   _Atomic guint64 call_count;
+  _Atomic guint64 write_count;
+  atomic_uint responses_to_drop; /* of writes */
 };
 
 static void
@@ -179,16 +182,130 @@
   return result;
 }
 
+/* Returns the newest state of an object, or NULL if there is none. */
+static const Object *
+find_object (const Objects *objects, const char *kind, const char *name)
+{
+  for (guint i = objects->history->len; i > 0; i--)
+    {
+      const Object *object = g_ptr_array_index (objects->history, i - 1);
+      if (strcmp (object->kind, kind) == 0 && strcmp (object->name, name) == 0)
+        return object->spec != NULL ? object : NULL;
+    }
+  return NULL;
+}
+
+static enum MHD_Result
+respond_with_object (struct MHD_Connection *connection, unsigned status,
+                     const Object *object)
+{
+  if (object == NULL)
+    return respond (connection, status, "{}");
+  GString *text = g_string_new (NULL);
+  append_object (text, object);
+  enum MHD_Result result = respond (connection, status, text->str);
+  g_string_free (text, TRUE);
+  return result;
+}
+
+static enum MHD_Result
+handle_read_one (Objects *objects, struct MHD_Connection *connection,
+                 const char *kind, const char *name)
+{
+  pthread_mutex_lock (&objects->lock);
+  const Object *object = find_object (objects, kind, name);
+  enum MHD_Result result
+      = respond_with_object (connection, object != NULL ? 200 : 404, object);
+  pthread_mutex_unlock (&objects->lock);
+  return result;
+}
+
+static const Object *
+add_state (Objects *objects, const char *kind, const char *name, const char *spec)
+{
+  Object *object = g_new0 (Object, 1);
+  object->kind = g_strdup (kind);
+  object->name = g_strdup (name);
+  object->spec = g_strdup (spec);
+  object->revision = ++objects->revision;
+  g_ptr_array_add (objects->history, object);
+  pthread_cond_broadcast (&objects->changed);
+  return object;
+}
+
+/* Creates the object if NAME is NULL, otherwise replaces it.  A revision in the body
+   must be the current one. */
+static enum MHD_Result
+handle_write (Objects *objects, struct MHD_Connection *connection, const char *kind,
+              const char *name, const char *body)
+{
+  json_t *root = json_loads (body, 0, NULL);
+  json_t *metadata = json_object_get (root, "metadata");
+  json_t *revision = json_object_get (metadata, "revision");
+  char *spec = json_dumps (json_object_get (root, "spec"), JSON_COMPACT);
+  gboolean is_new = name == NULL;
+  if (is_new)
+    name = json_string_value (json_object_get (metadata, "name"));
+  unsigned status = 400;
+  const Object *object = NULL;
+  pthread_mutex_lock (&objects->lock);
+  if (name != NULL && spec != NULL)
+    {
+      object = find_object (objects, kind, name);
+      gboolean conflicts
+          = is_new ? object != NULL
+                   : json_is_integer (revision) && object != NULL
+                         && json_integer_value (revision) != object->revision;
+      status = conflicts ? 409 : !is_new && object == NULL ? 404 : 200;
+    }
+  if (status == 200)
+    {
+      object = add_state (objects, kind, name, spec);
+      atomic_fetch_add (&objects->write_count, 1);
+    }
+  enum MHD_Result result = MHD_NO;
+  if (status == 200 && atomic_load (&objects->responses_to_drop) > 0)
+    atomic_fetch_sub (&objects->responses_to_drop, 1);
+  else
+    result = respond_with_object (connection, status, object);
+  pthread_mutex_unlock (&objects->lock);
+  free (spec);
+  json_decref (root);
+  return result;
+}
+
+static enum MHD_Result
+handle_call (Objects *objects, struct MHD_Connection *connection, const char *method,
+             const char *path, const char *body)
+{
+  char **parts = g_strsplit (path, "/", 2);
+  enum MHD_Result result;
+  if (strcmp (method, "GET") != 0)
+    result = handle_write (objects, connection, parts[0], parts[1], body);
+  else if (parts[1] != NULL)
+    result = handle_read_one (objects, connection, parts[0], parts[1]);
+  else
+    result = handle_read (objects, connection, parts[0]);
+  g_strfreev (parts);
+  return result;
+}
+
 static enum MHD_Result
 handle (void *data, struct MHD_Connection *connection, const char *url,
-        const char *method G_GNUC_UNUSED, const char *version G_GNUC_UNUSED,
-        const char *upload G_GNUC_UNUSED, size_t *upload_size G_GNUC_UNUSED,
-        void **state)
+        const char *method, const char *version G_GNUC_UNUSED, const char *upload,
+        size_t *upload_size, void **state)
 {
   Objects *objects = data;
-  if (*state == NULL)
+  GString *body = *state;
+  if (body == NULL)
     {
-      *state = objects; /* the handler is called again with the complete request */
+      *state = g_string_new (NULL); /* called again with the body and at its end */
+      return MHD_YES;
+    }
+  if (*upload_size > 0)
+    {
+      g_string_append_len (body, upload, (gssize) *upload_size);
+      *upload_size = 0;
       return MHD_YES;
     }
   atomic_fetch_add (&objects->call_count, 1);
@@ -203,13 +320,15 @@
     return respond (connection, 429, "{}");
   if (!g_str_has_prefix (url, PREFIX))
     return respond (connection, 404, "{}");
-  return handle_read (objects, connection, url + strlen (PREFIX));
+  return handle_call (objects, connection, method, url + strlen (PREFIX), body->str);
 }
 
 static void
 completed (void *data G_GNUC_UNUSED, struct MHD_Connection *connection G_GNUC_UNUSED,
            void **state, enum MHD_RequestTerminationCode code G_GNUC_UNUSED)
 {
+  if (*state != NULL)
+    g_string_free (*state, TRUE);
   *state = NULL;
 }
 
@@ -249,16 +368,20 @@
 gint64
 objects_set (Objects *objects, const char *kind, const char *name, const char *spec)
 {
-  Object *object = g_new0 (Object, 1);
-  object->kind = g_strdup (kind);
-  object->name = g_strdup (name);
-  object->spec = g_strdup (spec);
   pthread_mutex_lock (&objects->lock);
-  object->revision = ++objects->revision;
-  g_ptr_array_add (objects->history, object);
-  pthread_cond_broadcast (&objects->changed);
+  gint64 revision = add_state (objects, kind, name, spec)->revision;
+  pthread_mutex_unlock (&objects->lock);
+  return revision;
+}
+
+char *
+objects_get (Objects *objects, const char *kind, const char *name)
+{
+  pthread_mutex_lock (&objects->lock);
+  const Object *object = find_object (objects, kind, name);
+  char *spec = object != NULL ? g_strdup (object->spec) : NULL;
   pthread_mutex_unlock (&objects->lock);
-  return object->revision;
+  return spec;
 }
 
 void
@@ -295,3 +418,15 @@
 {
   return atomic_load (&objects->call_count);
 }
+
+guint64
+objects_write_count (Objects *objects)
+{
+  return atomic_load (&objects->write_count);
+}
+
+void
+objects_drop_write_responses (Objects *objects, guint count)
+{
+  atomic_store (&objects->responses_to_drop, count);
+}
--- a/tests/standin/objects.h
+++ b/tests/standin/objects.h
@@ -3,7 +3,8 @@
  * the settings); store.h simulates that of the native interface
  *
  * It keeps objects by kind and name under one revision counter, lists them in pages,
- * answers watches with changes, and can simulate faults.
+ * answers watches with changes, accepts conditional writes, and can simulate
+ * faults.
  */
 #ifndef HORNBEAMWALL_TESTS_STANDIN_OBJECTS_H
 #define HORNBEAMWALL_TESTS_STANDIN_OBJECTS_H
@@ -32,6 +33,9 @@
 gint64 objects_set (Objects *objects, const char *kind, const char *name,
                     const char *spec);
 
+/* Returns the spec of an object, or NULL.  The caller frees it. */
+char *objects_get (Objects *objects, const char *kind, const char *name);
+
 /* Writes the entry of a server on loopback that belongs to the backend "b". */
 void objects_set_server (Objects *objects, guint number, guint port, guint slots,
                          const char *state);
@@ -41,6 +45,12 @@
 /* Discards the history: watches from an earlier revision are answered with 410. */
 void objects_compact_history (Objects *objects);
 
+/* Closes the connection instead of answering the next COUNT accepted writes. */
+void objects_drop_write_responses (Objects *objects, guint count);
+
+/* Returns the number of writes accepted from callers. */
+guint64 objects_write_count (Objects *objects);
+
 /* Returns the number of calls received. */
 guint64 objects_call_count (Objects *objects);
 
--- a/tests/traffic_test.c
+++ b/tests/traffic_test.c
@@ -399,6 +399,42 @@
 
 /* Guards against a use after free seen on a loaded machine: the event loop was freed
    while the control thread posted to it. */
+static void
+wait_for_stored_suspects (PlatformFixture *fixture, guint64 writes)
+{
+  for (guint i = 0; i < PLATFORM_FIXTURE_POLLS_MAX
+                    && objects_write_count (fixture->object_store) < writes;
+       i++)
+    g_usleep (10000);
+  ck_assert_uint_ge (objects_write_count (fixture->object_store), writes);
+}
+
+/* The only instance is restarted after the request has failed two servers. What it
+   knew is in the store, also if the response to the first write was lost. */
+START_TEST (quarantined_request_is_refused_after_restart)
+{
+  for (guint lost_responses = 0; lost_responses <= 1; lost_responses++)
+    {
+      PlatformFixture *fixture = platform_fixture_create ();
+      objects_drop_write_responses (fixture->object_store, lost_responses);
+      RawResponse response
+          = platform_fixture_post (fixture, "/safe/a/reset", API_KEY_FIELD, "b");
+      ck_assert_uint_ne (response.status, 200);
+      g_free (response.text);
+      ck_assert_uint_eq (platform_fixture_count_runs (fixture, "/safe/a/reset"), 2);
+      wait_for_stored_suspects (fixture, 1);
+      platform_fixture_restart_instance (fixture);
+      response
+          = platform_fixture_post (fixture, "/safe/a/reset", API_KEY_FIELD, "b");
+      raw_response_check (response, 503, "quarantined");
+      ck_assert_uint_eq (platform_fixture_count_runs (fixture, "/safe/a/reset"), 2);
+      response = platform_fixture_post (fixture, "/safe/a/ok", API_KEY_FIELD, "b");
+      raw_response_check (response, 200, NULL);
+      platform_fixture_destroy (fixture);
+    }
+}
+END_TEST
+
 START_TEST (removed_sink_is_no_longer_called)
 {
   static const HbwRequestCommandSinkClass class = { post_command_slowly };
@@ -439,6 +475,7 @@
   tcase_add_test (tests, config_changes_take_effect);
   tcase_add_test (tests, draining_server_gets_no_new_requests);
   tcase_add_test (tests, draining_instance_completes_open_requests);
+  tcase_add_test (tests, quarantined_request_is_refused_after_restart);
   tcase_add_test (tests, removed_sink_is_no_longer_called);
   suite_add_tcase (suite, tests);
   return suite_run (suite);
