A request has one fingerprint, whatever the age of the catalogue, and another one on another path

Callers saw: nothing yet; found by asking which requests count as the same. Cause: on an endpoint that needs no key, the caller's organisation was part of the fingerprint only while the catalogue was young enough to look the key up, so that the same request got another fingerprint once an instance could not confirm its catalogue. On the native interface the path was left out: all requests of an organisation without a body were one, and one of them that fails servers would have had all refused. Change: on an endpoint without a required key the key itself, as sent, identifies the caller; the path with its query is part of the native fingerprint. Other headers, another instance and a resumed stream were looked at: none is part of the fingerprint.

--- a/core/admission.c
+++ b/core/admission.c
@@ -84,13 +84,18 @@
   spec->resumable = endpoint->repeat == HBW_REPEAT_RESUME;
 }
 
+/* Without a required key, the caller is identified by the key as it was sent: whose
+   it is may not be known while the catalogue is old. */
 static void
-set_fingerprint (HbwRequestSpec *spec, const HbwAdmissionInput *input)
+set_fingerprint (HbwRequestSpec *spec, const HbwAdmissionInput *input,
+                 gboolean needs_key)
 {
   guint64 digest = input->digest;
+  const char *key = input->key != NULL ? input->key : "";
+  const char *caller = needs_key ? spec->organisation : key;
   spec->fingerprint.high = XXH3_64bits_withSeed (&digest, sizeof digest, HIGH_SEED);
-  spec->fingerprint.low = XXH3_64bits_withSeed (
-      spec->organisation, strlen (spec->organisation), digest ^ LOW_SEED);
+  spec->fingerprint.low
+      = XXH3_64bits_withSeed (caller, strlen (caller), digest ^ LOW_SEED);
 }
 
 gboolean
@@ -101,6 +106,12 @@
                 < freshness->max_revocation_delay_us / 100 * HBW_REVOCATION_PERCENT;
 }
 
+static gboolean
+requires_key (const HbwCatalogue *catalogue, const HbwEndpoint *endpoint)
+{
+  return !endpoint->anonymous && hbw_catalogue_has_keys (catalogue);
+}
+
 static HbwReason
 check_key (const HbwCatalogue *catalogue, const HbwFreshness *freshness,
            const HbwAdmissionInput *input, const HbwEndpoint *endpoint,
@@ -109,7 +120,7 @@
   *organisation = input->key != NULL
                       ? hbw_catalogue_authenticate (catalogue, input->key)
                       : NULL;
-  gboolean needs_key = !endpoint->anonymous && hbw_catalogue_has_keys (catalogue);
+  gboolean needs_key = requires_key (catalogue, endpoint);
   if (!hbw_freshness_accepts_keys (freshness))
     {
       *organisation = NULL;
@@ -148,7 +159,7 @@
   set_organisation (spec, organisation);
   set_prompt (spec, class, input);
   set_limits (spec, endpoint, input);
-  set_fingerprint (spec, input);
+  set_fingerprint (spec, input, requires_key (catalogue, endpoint));
   g_strlcpy (spec->pool, target->pool, sizeof spec->pool);
   return HBW_REASON_COUNT;
 }
--- a/core/request_spec.c
+++ b/core/request_spec.c
@@ -47,6 +47,7 @@
 compute_fingerprint (const char *organisation, const HbwRequestSpecInput *input)
 {
   XXH64_hash_t seed = XXH64 (organisation, strlen (organisation), 0);
+  seed = XXH64 (input->path, strlen (input->path), seed);
   XXH128_hash_t hash = XXH3_128bits_withSeed (input->body, input->body_length, seed);
   const HbwFingerprint fingerprint = { hash.high64, hash.low64 };
   return fingerprint;
--- a/include/hornbeamwall/core/request_spec.h
+++ b/include/hornbeamwall/core/request_spec.h
@@ -20,6 +20,7 @@
   const char *class_name;
   const char *idempotent; /* "true" or "false" */
   const char *deadline_ms;
+  const char *path; /* with the query */
   const char *body;
   gsize body_length;
   gint64 max_tokens; /* 0 if not given */
--- a/include/hornbeamwall/core/types.h
+++ b/include/hornbeamwall/core/types.h
@@ -24,7 +24,7 @@
   guint64 sequence;
 } HbwRequestId;
 
-/* Hash of an organisation and a request body. */
+/* Hash of a request's caller, path and body. */
 typedef struct
 {
   guint64 high;
--- a/net/caller_listener.c
+++ b/net/caller_listener.c
@@ -76,6 +76,7 @@
   input->class_name = hbw_http_request_header (request, "Hornbeamwall-Class");
   input->idempotent = hbw_http_request_header (request, "Hornbeamwall-Idempotent");
   input->deadline_ms = hbw_http_request_header (request, "Hornbeamwall-Deadline-Ms");
+  input->path = config->path;
   input->body = (const char *) request->body->data;
   input->body_length = request->body->len;
   HbwRequestSpecResult filled = hbw_request_spec_fill (&config->spec, catalogue,
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -9,6 +9,7 @@
 #include "hornbeamwall/core/admission.h"
 #include "hornbeamwall/core/policy.h"
 #include "hornbeamwall/core/reducer.h"
+#include "hornbeamwall/core/request_spec.h"
 #include "hornbeamwall/core/retry_budget.h"
 
 #include <stdio.h>
@@ -238,6 +239,61 @@
 }
 END_TEST
 
+static HbwFingerprint
+admit (const HbwCatalogue *catalogue, gint64 age_ms, const char *path,
+       const char *key, guint64 digest)
+{
+  const HbwFreshness freshness = { age_ms * HBW_US_PER_MS, 5 * HBW_US_PER_S };
+  const HbwAdmissionInput input
+      = { .host = "h", .path = path, .key = key, .digest = digest };
+  HbwRequestSpec spec;
+  ck_assert_int_eq (hbw_admission_check (catalogue, &freshness, &input, &spec),
+                    HBW_REASON_COUNT);
+  return spec.fingerprint;
+}
+
+/* An instance that cannot confirm its catalogue does not know whose key it is, but
+   the request is the same one. */
+START_TEST (age_of_catalogue_does_not_change_fingerprint)
+{
+  HbwCatalogue *catalogue = make_catalogue ();
+  const HbwFingerprint keyed = admit (catalogue, 10, "/a/x", "k", 7);
+  const HbwFingerprint keyed_later = admit (catalogue, 3000, "/a/x", "k", 7);
+  const HbwFingerprint open = admit (catalogue, 10, "/o/x", "k", 7);
+  const HbwFingerprint open_later = admit (catalogue, 60000, "/o/x", "k", 7);
+  const HbwFingerprint unknown_key = admit (catalogue, 10, "/o/x", "other", 7);
+  const HbwFingerprint no_key = admit (catalogue, 10, "/o/x", NULL, 7);
+  const HbwFingerprint other_body = admit (catalogue, 10, "/o/x", "k", 8);
+  ck_assert (hbw_fingerprint_equal (&keyed, &keyed_later));
+  ck_assert (hbw_fingerprint_equal (&open, &open_later));
+  ck_assert (!hbw_fingerprint_equal (&open, &unknown_key));
+  ck_assert (!hbw_fingerprint_equal (&open, &no_key));
+  ck_assert (!hbw_fingerprint_equal (&open, &other_body));
+  hbw_catalogue_unref (catalogue);
+}
+END_TEST
+
+/* On the native interface, requests without a body are told apart by their paths. */
+START_TEST (path_belongs_to_fingerprint)
+{
+  HbwCatalogue *catalogue = make_catalogue ();
+  const HbwOrganisation *organisation = hbw_catalogue_authenticate (catalogue, "k");
+  HbwRequestSpecInput input
+      = { .pool = "m", .class_name = "c", .path = "/one", .body = "" };
+  HbwRequestSpec one;
+  HbwRequestSpec again;
+  HbwRequestSpec other;
+  HbwError error;
+  hbw_request_spec_fill (&one, catalogue, organisation, &input, &error);
+  hbw_request_spec_fill (&again, catalogue, organisation, &input, &error);
+  input.path = "/other";
+  hbw_request_spec_fill (&other, catalogue, organisation, &input, &error);
+  ck_assert (hbw_fingerprint_equal (&one.fingerprint, &again.fingerprint));
+  ck_assert (!hbw_fingerprint_equal (&one.fingerprint, &other.fingerprint));
+  hbw_catalogue_unref (catalogue);
+}
+END_TEST
+
 /* If the store confirms a newer version that this instance has not adopted, the
    older catalogue stays unconfirmed. */
 START_TEST (readiness_needs_a_confirmed_catalogue)
@@ -779,6 +835,8 @@
   TCase *tests = tcase_create ("decision");
   tcase_set_timeout (tests, 0);
   tcase_add_test (tests, stale_catalogue_neither_accepts_nor_denies_keys);
+  tcase_add_test (tests, age_of_catalogue_does_not_change_fingerprint);
+  tcase_add_test (tests, path_belongs_to_fingerprint);
   tcase_add_test (tests, readiness_needs_a_confirmed_catalogue);
   tcase_add_test (tests, retries_stay_within_budget_in_every_window);
   tcase_add_test (tests, non_idempotent_request_is_not_retried);
