A storm of failures evicts no verdict, and the quarantine is four modules

It dropped its oldest entry, so 4,096 requests that broke once each, as a server that resets responses makes them, removed a quarantined request; callers could run it on two more servers. The test failed before: core_test, storm_of_failures_evicts_no_verdict (poison is not refused).

The entry that matters least goes now: one that was cleared, then one with one failure, then one that is held, then a verdict; the oldest of several. A verdict was looked for over the whole table at each failure; suspects with two failures have their own list now. quarantine.c had grown to 993 lines; the suspects, the verdicts and the reports are modules of their own.

--- /dev/null
+++ b/core/quarantine_verdict.c
@@ -0,0 +1,186 @@
+#include "hornbeamwall/core/quarantine_state.h"
+
+/* --- verdicts ------------------------------------------------------------------ */
+
+typedef gboolean (*FailureTest) (const HbwFailure *failure,
+                                 const HbwSuspect *suspect, gint64 now_us);
+
+/* Returns whether all suspects of FAILURE have been reported. */
+static gboolean
+is_due (const HbwFailure *failure, gint64 now_us)
+{
+  return now_us - failure->earliest_end_us >= HBW_QUARANTINE_GATHER_WINDOW_US;
+}
+
+/* Returns whether SUSPECT is the cause: all other suspects of FAILURE were cleared.
+ */
+static gboolean
+is_only_suspect (const HbwFailure *failure, const HbwSuspect *suspect, gint64 now_us)
+{
+  const HbwFailureRecord *record;
+  if (!is_due (failure, now_us))
+    return FALSE;
+  cds_list_for_each_entry (record, &failure->records, link)
+    if (record->suspect != suspect)
+      return FALSE;
+  return TRUE;
+}
+
+/* Returns whether it is too early to decide about FAILURE: another suspect of it is
+   active. */
+static gboolean
+has_active_other (const HbwFailure *failure, const HbwSuspect *suspect,
+                  gint64 now_us)
+{
+  if (!is_due (failure, now_us))
+    return TRUE;
+  if (now_us - failure->earliest_end_us >= HBW_QUARANTINE_CLEAR_TIMEOUT_US)
+    return FALSE;
+  const HbwFailureRecord *record;
+  cds_list_for_each_entry (record, &failure->records, link)
+    if (record->suspect != suspect
+        && hbw_suspect_is_active (record->suspect, now_us))
+      return TRUE;
+  return FALSE;
+}
+
+/* Returns whether no other suspect of FAILURE is likelier to be its cause. */
+static gboolean
+may_cause (const HbwFailure *failure, const HbwSuspect *suspect, gint64 now_us)
+{
+  const HbwFailureRecord *record;
+  if (!is_due (failure, now_us))
+    return FALSE;
+  cds_list_for_each_entry (record, &failure->records, link)
+    if (hbw_suspect_count_unexplained (record->suspect)
+        > hbw_suspect_count_unexplained (suspect))
+      return FALSE;
+  return TRUE;
+}
+
+/* Returns whether TEST holds for any unexplained failure of SUSPECT. */
+static gboolean
+any_failure (const HbwSuspect *suspect, FailureTest test, gint64 now_us)
+{
+  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+    {
+      const HbwFailure *failure = suspect->records[i].failure;
+      if (failure != NULL && !hbw_failure_is_explained (failure)
+          && test (failure, suspect, now_us))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+void
+hbw_quarantine_set_verdict (HbwQuarantine *quarantine, HbwSuspect *suspect,
+                            HbwVerdict verdict, gint64 now_us)
+{
+  if (!hbw_suspect_is_quarantined (suspect))
+    g_queue_push_tail (
+        &quarantine->unlogged,
+        g_memdup2 (&suspect->fingerprint, sizeof suspect->fingerprint));
+  suspect->verdict = verdict;
+  suspect->is_stored = FALSE;
+  suspect->expire_at_us = now_us + HBW_QUARANTINE_DURATION_US;
+}
+
+/* Returns the verdict on a held suspect: it is the cause of a failure, or it cannot
+   be told apart any more from others whose requests have ended, or it is too early.
+ */
+static HbwVerdict
+find_verdict (const HbwSuspect *suspect, gint64 now_us)
+{
+  if (any_failure (suspect, is_only_suspect, now_us))
+    return HBW_VERDICT_CAUSE;
+  gboolean waits = any_failure (suspect, has_active_other, now_us)
+                   || !any_failure (suspect, may_cause, now_us);
+  return waits ? HBW_VERDICT_NONE : HBW_VERDICT_UNDECIDED;
+}
+
+/* Gives one verdict of at least the grade MINIMUM, if there is one to give. */
+static gboolean
+give_verdict (HbwQuarantine *quarantine, HbwVerdict minimum, gint64 now_us)
+{
+  HbwSuspect *suspect;
+  cds_list_for_each_entry (suspect, &quarantine->held, held_link)
+    {
+      if (hbw_suspect_is_quarantined (suspect) || !hbw_suspect_is_held (suspect))
+        continue;
+      HbwVerdict verdict = find_verdict (suspect, now_us);
+      if (verdict < minimum)
+        continue;
+      hbw_quarantine_set_verdict (quarantine, suspect, verdict, now_us);
+      hbw_quarantine_schedule_report (quarantine, suspect, HBW_SUSPECT_TRANSMITS,
+                                      now_us);
+      return TRUE;
+    }
+  return FALSE;
+}
+
+/* A cause explains failures of other suspects, so that another cause may stand out.
+   Causes come first. */
+void
+hbw_quarantine_evaluate (HbwQuarantine *quarantine, gint64 now_us)
+{
+  if (now_us < quarantine->suspended_until_us)
+    return;
+  while (give_verdict (quarantine, HBW_VERDICT_CAUSE, now_us)
+         || give_verdict (quarantine, HBW_VERDICT_UNDECIDED, now_us))
+    continue;
+}
+
+/* --- when a suspect may run ---------------------------------------------------- */
+
+/* Returns whether activity of INSTANCE keeps other requests with the same
+   fingerprint from running: one runs, or the lowest identity goes first among those
+   that wait. */
+static gboolean
+has_precedence (HbwSuspectActivity activity, gint64 since_us, guint64 instance,
+                guint64 other, gint64 now_us)
+{
+  if (activity == HBW_SUSPECT_RUNNING)
+    return now_us - since_us < HBW_SUSPECT_EXCLUSIVE_MAX_US;
+  return activity == HBW_SUSPECT_WAITING && instance < other;
+}
+
+gboolean
+hbw_quarantine_is_run_elsewhere (const HbwQuarantine *quarantine,
+                                 const HbwSuspect *suspect, guint64 instance,
+                                 gint64 now_us)
+{
+  if (has_precedence (suspect->own_activity, suspect->own_since_us, quarantine->self,
+                      instance, now_us))
+    return TRUE;
+  for (guint i = 0; i < HBW_SUSPECT_PEERS_MAX; i++)
+    {
+      const HbwPeerActivity *peer = &suspect->peers[i];
+      if (hbw_peer_activity_is_current (peer, now_us)
+          && has_precedence (peer->activity, peer->since_us, peer->instance,
+                             instance, now_us))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static gint64
+find_last_failure_us (const HbwSuspect *suspect)
+{
+  gint64 last_us = 0;
+  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+    if (hbw_failure_record_is_open (&suspect->records[i]))
+      last_us = MAX (last_us, suspect->records[i].details.failed_us);
+  return last_us;
+}
+
+gboolean
+hbw_quarantine_is_settling (const HbwQuarantine *quarantine,
+                            const HbwSuspect *suspect, gint64 now_us)
+{
+  if (!quarantine->has_peers)
+    return FALSE;
+  gint64 since_us = find_last_failure_us (suspect);
+  if (suspect->own_activity != HBW_SUSPECT_IDLE)
+    since_us = MAX (since_us, suspect->own_since_us);
+  return now_us - since_us < HBW_QUARANTINE_SETTLE_US;
+}
--- /dev/null
+++ b/include/hornbeamwall/core/quarantine_state.h
@@ -0,0 +1,155 @@
+/*
+ * quarantine_state - the suspects and their failures, private to the quarantine
+ *
+ * For core/quarantine*.c and core/suspect.c only.
+ */
+#ifndef HORNBEAMWALL_CORE_QUARANTINE_STATE_H
+#define HORNBEAMWALL_CORE_QUARANTINE_STATE_H
+
+#include "hornbeamwall/core/quarantine.h"
+
+#include <urcu/list.h>
+
+/* How many times each change is sent. */
+#define HBW_SUSPECT_TRANSMITS 2
+
+/* Instances whose activity is tracked for one suspect. */
+#define HBW_SUSPECT_PEERS_MAX 4
+
+typedef struct HbwSuspect HbwSuspect;
+
+/* One failure of one server, shared by the suspects that may have caused it. */
+typedef struct
+{
+  struct cds_list_head link; /* in quarantine->failures, newest first */
+  guint64 server;
+  gint64 latest_start_us; /* of the attempts that it ended */
+  gint64 earliest_end_us;
+  gint64 latest_end_us;         /* of an attempt that broke in the same outage */
+  struct cds_list_head records; /* HbwFailureRecord */
+} HbwFailure;
+
+/* A failure as it was recorded for one suspect. */
+typedef struct
+{
+  struct cds_list_head link; /* in failure->records */
+  HbwFailure *failure;       /* NULL if it does not count any more, or unused */
+  HbwSuspect *suspect;
+  HbwServerFailure details; /* id 0 is unused */
+} HbwFailureRecord;
+
+/* What another instance does with a suspect, as it reported. */
+typedef struct
+{
+  guint64 instance;
+  HbwSuspectActivity activity;
+  guint64 server; /* on which it runs; 0 if it does not */
+  gint64 since_us;
+  gint64 heard_us;
+} HbwPeerActivity;
+
+struct HbwSuspect
+{
+  struct cds_list_head link; /* in quarantine->by_age, oldest first */
+  HbwFingerprint fingerprint;
+  HbwFailureRecord records[HBW_SUSPECT_FAILURES_MAX];
+  gint64 completed_us; /* last complete response, which clears earlier failures; 0 is
+                          none */
+  HbwVerdict verdict;
+  HbwSuspectActivity own_activity; /* of this instance */
+  guint64 own_server;              /* on which it runs here; 0 if it does not */
+  gint64 own_since_us;             /* when own_activity last changed */
+  HbwPeerActivity peers[HBW_SUSPECT_PEERS_MAX];
+  gint64 expire_at_us;
+  gboolean is_stored; /* the platform's store has these failures and this verdict */
+  struct cds_list_head held_link;   /* in quarantine->held, if is_in_held */
+  gboolean is_in_held;              /* it has HBW_QUARANTINE_FAILURES_MIN failures */
+  struct cds_list_head unsent_link; /* in quarantine->unsent, if transmits_left */
+  guint transmits_left;
+  gint64 next_transmit_us;
+};
+
+struct HbwQuarantine
+{
+  guint64 self;
+  gboolean has_peers;
+  GHashTable *suspects; /* HbwFingerprint -> HbwSuspect */
+  struct cds_list_head by_age;
+  struct cds_list_head held;
+  struct cds_list_head failures;
+  struct cds_list_head unsent; /* by next_transmit_us */
+  GQueue unlogged;             /* HbwFingerprint, not logged yet */
+  guint64 evicted_count;
+  gint64 suspended_until_us; /* no verdicts before; 0 is none */
+};
+
+/* --- suspect.c ----------------------------------------------------------------- */
+
+/* Records a failure; returns whether it is new for the suspect and counts. */
+gboolean hbw_suspect_record_failure (HbwQuarantine *quarantine, HbwSuspect *suspect,
+                                     const HbwServerFailure *details);
+
+/* Clears the failures before COMPLETED_US, at which the request completed. */
+void hbw_suspect_clear_failures (HbwSuspect *suspect, gint64 completed_us,
+                                 gint64 now_us);
+
+/* Returns the record with the id of an attempt, or NULL. */
+HbwFailureRecord *hbw_suspect_find_record (HbwSuspect *suspect, guint64 id);
+
+/* Returns whether the record counts: it was not cleared. */
+gboolean hbw_failure_record_is_open (const HbwFailureRecord *record);
+
+/* Returns whether a quarantined request is the cause of the failure. */
+gboolean hbw_failure_is_explained (const HbwFailure *failure);
+
+guint hbw_suspect_count_failures (const HbwSuspect *suspect);
+guint hbw_suspect_count_unexplained (const HbwSuspect *suspect);
+gboolean hbw_suspect_is_quarantined (const HbwSuspect *suspect);
+
+/* Returns whether it may not run because of its failures. */
+gboolean hbw_suspect_is_held (const HbwSuspect *suspect);
+
+/* Returns how much a decision depends on the entry. */
+guint hbw_suspect_importance (const HbwSuspect *suspect);
+
+/* Returns whether PEER has reported its activity recently. */
+gboolean hbw_peer_activity_is_current (const HbwPeerActivity *peer, gint64 now_us);
+
+/* Returns whether some instance has a request with this fingerprint, which may still
+   complete. */
+gboolean hbw_suspect_is_active (const HbwSuspect *suspect, gint64 now_us);
+
+/* Detaches the suspect from its failures. */
+void hbw_suspect_close (HbwSuspect *suspect);
+
+/* --- quarantine.c -------------------------------------------------------------- */
+
+/* Returns the entry, or NULL if there is none or it has expired. */
+HbwSuspect *hbw_quarantine_find (HbwQuarantine *quarantine,
+                                 const HbwFingerprint *fingerprint, gint64 now_us);
+HbwSuspect *hbw_quarantine_ensure (HbwQuarantine *quarantine,
+                                   const HbwFingerprint *fingerprint, gint64 now_us);
+
+/* Schedules reports of the suspect to all instances. */
+void hbw_quarantine_schedule_report (HbwQuarantine *quarantine, HbwSuspect *suspect,
+                                     guint transmits, gint64 now_us);
+
+/* --- quarantine_verdict.c ------------------------------------------------------ */
+
+void hbw_quarantine_set_verdict (HbwQuarantine *quarantine, HbwSuspect *suspect,
+                                 HbwVerdict verdict, gint64 now_us);
+
+/* Quarantines the suspects that can be decided about. */
+void hbw_quarantine_evaluate (HbwQuarantine *quarantine, gint64 now_us);
+
+/* Returns whether another instance runs the suspect, or goes first. */
+gboolean hbw_quarantine_is_run_elsewhere (const HbwQuarantine *quarantine,
+                                          const HbwSuspect *suspect,
+                                          guint64 instance, gint64 now_us);
+
+/* Returns whether reports of other instances that concern the suspect may still be
+   on their way. */
+gboolean hbw_quarantine_is_settling (const HbwQuarantine *quarantine,
+                                     const HbwSuspect *suspect, gint64 now_us);
+
+#endif
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -385,6 +385,36 @@
 }
 END_TEST
 
+/* Servers break one response after another, so that more requests become suspects
+   than the table holds. */
+START_TEST (storm_of_failures_evicts_no_verdict)
+{
+  HbwQuarantine *quarantine = hbw_quarantine_create (1);
+  add_failure (quarantine, &poison, 7, 0);
+  add_failure (quarantine, &poison, 8, 1);
+  gint64 now_us = HBW_QUARANTINE_GATHER_WINDOW_US + 1;
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, 1, now_us),
+                     HBW_QUARANTINE_STATUS_QUARANTINED);
+  add_failure (quarantine, &other_suspect, 9, now_us);
+  add_failure (quarantine, &innocent, 9, now_us);
+  add_failure (quarantine, &other_suspect, 10, now_us + 1);
+  add_failure (quarantine, &innocent, 10, now_us + 1);
+  for (guint i = 0; i < 2 * HBW_QUARANTINE_ENTRIES_MAX; i++)
+    {
+      const HbwFingerprint other = { 100, i };
+      add_failure (quarantine, &other, 100 + i % 90, ++now_us);
+    }
+  ck_assert_uint_eq (hbw_quarantine_size (quarantine), HBW_QUARANTINE_ENTRIES_MAX);
+  ck_assert_uint_eq (hbw_quarantine_evicted_count (quarantine),
+                     HBW_QUARANTINE_ENTRIES_MAX + 3);
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, 1, now_us),
+                     HBW_QUARANTINE_STATUS_QUARANTINED);
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &other_suspect, 1, now_us),
+                     HBW_QUARANTINE_STATUS_HELD);
+  hbw_quarantine_destroy (quarantine);
+}
+END_TEST
+
 START_TEST (failed_server_gets_one_half_open_probe)
 {
   const HbwServerEntry entry = { .id = "s", .slots = 4, .start_number = 1 };
@@ -690,6 +720,7 @@
   tcase_add_test (cases, verdict_waits_for_other_suspects_of_the_failure);
   tcase_add_test (cases, neither_of_two_requests_with_same_evidence_runs);
   tcase_add_test (cases, copies_on_one_server_count_as_one_failure);
+  tcase_add_test (cases, storm_of_failures_evicts_no_verdict);
   tcase_add_test (cases, failed_server_gets_one_half_open_probe);
   tcase_add_test (cases, shards_are_bounded_and_cover_all_servers);
   tcase_add_test (cases, codec_round_trips_every_message_kind);
