--- a/tests/platform_fixture.c
+++ b/tests/platform_fixture.c
@@ -52,7 +52,7 @@
                              const char *state)
 {
   objects_set_server (fixture->object_store, index,
-                      replica_port (fixture->replicas[index]), 8, state);
+                      replica_port (fixture->replicas[index]), 8, state, 1);
 }
 
 char *
--- a/tests/platform_soak.c
+++ b/tests/platform_soak.c
@@ -10,7 +10,9 @@
  *
  * Checks what callers and servers see: a request that is not idempotent is executed
  * at most once, a request reported as not executed was not executed, every complete
- * response belongs to its request, and events arrive once and in order.
+ * response belongs to its request, and events arrive once and in order.  Some
+ * callers send requests again and again that crash every server that executes them:
+ * none may crash a third one.
  */
 #include "standin/listen.h"
 #include "standin/objects.h"
@@ -31,6 +33,12 @@
 #define INSTANCES_MAX 16
 #define SERVERS 4
 #define CALLERS 16
+
+/* Requests that crash servers, each sent by one caller. */
+#define CRASHING 3
+
+/* Servers that a request may crash. */
+#define CRASHES_MAX 2
 #define PATH_MAX_BYTES 96
 
 /* Longest wait of a caller for the next bytes of a response. */
@@ -39,6 +47,9 @@
 /* Pause of a caller after each request. */
 #define CALL_INTERVAL_US 4000
 
+/* Longest pause of a caller whose request crashed a server. */
+#define RESEND_INTERVAL_MAX_US 600000
+
 typedef struct
 {
   const char *directory; /* of settings and process ids */
@@ -48,6 +59,8 @@
   Proxy *store_proxy;
   Replica *replicas[SERVERS];
   Proxy *proxies[SERVERS];
+  guint crash_counts[SERVERS]; /* that the directory has noticed */
+  const char *states[SERVERS];
   GRand *fault_random; /* used for faults only */
   guint config_version;
   atomic_bool stopping;
@@ -55,6 +68,7 @@
   atomic_uint completed;
   atomic_uint refused;
   atomic_uint failed;
+  atomic_uint harmful; /* requests refused as harmful, apart from those that are */
   atomic_uint violations;
 } Soak;
 
@@ -184,6 +198,8 @@
     atomic_fetch_add (&soak->completed, 1);
   else if (status == 429 || status == 503)
     atomic_fetch_add (&soak->refused, 1);
+  else if (status == 422)
+    atomic_fetch_add (&soak->harmful, 1);
   else
     atomic_fetch_add (&soak->failed, 1);
   gboolean claims_not_executed = status == 429 || status == 503 || status == 408;
@@ -213,8 +229,27 @@
               behaviour);
 }
 
+/* Returns the response to a request with BODY, or NULL if there is none. */
+static GString *
+send_request (Caller *caller, const char *path, const char *trace, const char *body)
+{
+  char *request = g_strdup_printf (
+      "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamwall-Key: k1\r\n"
+      "X-Hornbeamwall-Attempt-Id: %s\r\nX-Hornbeamwall-Deadline-Ms: 2500\r\n"
+      "Content-Length: %zu\r\n\r\n%s",
+      path, trace, strlen (body), body);
+  gsize length = strlen (request);
+  gboolean written
+      = send (caller->fd, request, length, MSG_NOSIGNAL) == (ssize_t) length;
+  g_free (request);
+  if (written)
+    return receive_response (caller);
+  close_connection (caller);
+  return NULL;
+}
+
 static void
-send_request (Caller *caller, guint number)
+call_once (Caller *caller, guint number)
 {
   Soak *soak = caller->soak;
   char path[PATH_MAX_BYTES];
@@ -223,17 +258,8 @@
   g_snprintf (trace, sizeof trace, "t%u-%u-", caller->number, number);
   if (caller->fd < 0 && !open_connection (caller))
     return;
-  char *request = g_strdup_printf (
-      "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamwall-Key: k1\r\n"
-      "X-Hornbeamwall-Attempt-Id: %s\r\nX-Hornbeamwall-Deadline-Ms: 2500\r\n"
-      "Content-Length: %zu\r\n\r\n%s",
-      path, trace, strlen (trace), trace);
   atomic_fetch_add (&soak->sent, 1);
-  gboolean written = send (caller->fd, request, strlen (request), MSG_NOSIGNAL)
-                     == (ssize_t) strlen (request);
-  GString *response = written ? receive_response (caller) : NULL;
-  if (!written)
-    close_connection (caller);
+  GString *response = send_request (caller, path, trace, trace);
   if (response != NULL)
     {
       check_answer (soak, path, trace, response);
@@ -245,7 +271,6 @@
       = g_str_has_prefix (path, "/unsafe/") || g_str_has_prefix (path, "/once/");
   if (non_idempotent && count_runs (soak, path) > 1)
     report_violation (soak, "executed more than once", path, trace);
-  g_free (request);
 }
 
 static void *
@@ -254,13 +279,43 @@
   Caller *caller = data;
   for (guint number = 0; !atomic_load (&caller->soak->stopping); number++)
     {
-      send_request (caller, number);
+      call_once (caller, number);
       g_usleep (CALL_INTERVAL_US);
     }
   close_connection (caller);
   return NULL;
 }
 
+/* Sends one request that crashes servers again and again, through any instance. */
+static void *
+run_crashing_caller (void *data)
+{
+  static const char *const kinds[CRASHING] = { "safe", "unsafe", "safe" };
+  Caller *caller = data;
+  Soak *soak = caller->soak;
+  char path[PATH_MAX_BYTES];
+  guint runs = 0;
+  g_snprintf (path, sizeof path, "/%s/x%u/crash", kinds[caller->number],
+              caller->number);
+  for (guint number = 0; !atomic_load (&soak->stopping); number++)
+    {
+      char trace[32];
+      g_snprintf (trace, sizeof trace, "x%u-%u-", caller->number, number);
+      g_usleep (
+          (gulong) g_rand_int_range (caller->random, 0, RESEND_INTERVAL_MAX_US));
+      if (!open_connection (caller))
+        continue;
+      GString *response = send_request (caller, path, trace, path);
+      close_connection (caller);
+      if (response != NULL)
+        g_string_free (response, TRUE);
+      if (runs <= CRASHES_MAX && count_runs (soak, path) > CRASHES_MAX)
+        report_violation (soak, "crashes a third server", path, trace);
+      runs = count_runs (soak, path);
+    }
+  return NULL;
+}
+
 /* --- store contents and settings ----------------------------------------- */
 
 static void
@@ -294,8 +349,30 @@
 static void
 put_server (Soak *soak, guint index, const char *state)
 {
-  objects_set_server (soak->objects, index, proxy_port (soak->proxies[index]), 16,
-                      state);
+  soak->states[index] = state;
+  if (replica_is_up (soak->replicas[index]))
+    objects_set_server (soak->objects, index, proxy_port (soak->proxies[index]), 16,
+                        state, 1 + replica_crash_count (soak->replicas[index]));
+}
+
+/* Removes the entries of servers that crashed, and writes those of servers that have
+   started again. */
+static void
+update_directory (Soak *soak)
+{
+  for (guint i = 0; i < SERVERS; i++)
+    {
+      guint crash_count = replica_crash_count (soak->replicas[i]);
+      char name[16];
+      g_snprintf (name, sizeof name, "i-%u", i);
+      if (!replica_is_up (soak->replicas[i]))
+        objects_set (soak->objects, "servers", name, NULL);
+      else if (crash_count != soak->crash_counts[i])
+        {
+          soak->crash_counts[i] = crash_count;
+          put_server (soak, i, soak->states[i]);
+        }
+    }
 }
 
 static void
@@ -311,14 +388,14 @@
     {
       char *path = g_strdup_printf ("%s/i%u.json", soak->directory, i);
       char *text = g_strdup_printf (
-          "{\"name\":\"i%u\",\"data_centre\":\"z\",\"interface\":\"platform\","
+          "{\"name\":\"i%u\",\"data_centre\":\"%c\",\"interface\":\"platform\","
           "\"policy\":\"direct\",\"caller_address\":\"127.0.0.1:%u\","
           "\"admin_address\":\"127.0.0.1:%u\",\"peer_address\":\"127.0.0.1:%u\","
           "\"platform_address\":\"127.0.0.1:%u\",\"load_in_answers\":true,"
           "\"revocation_ms\":5000,\"retry_ratio\":0.2,\"retry_extra\":54,"
           "\"stop_grace_s\":4,\"connect_timeout_ms\":150,"
           "\"seeds\":[\"127.0.0.1:%u\"]}",
-          i, soak->ports[i], standin_free_port (), peers[i],
+          i, "zyx"[i % 3], soak -> ports[i], standin_free_port (), peers[i],
           proxy_port (soak->store_proxy), peers[0]);
       if (!g_file_set_contents (path, text, -1, NULL))
         g_error ("cannot write %s", path);
@@ -434,6 +511,7 @@
         inject_store_fault (soak);
       else
         inject_server_fault (soak);
+      update_directory (soak);
       fflush (stdout);
       g_usleep ((gulong) g_rand_int_range (soak->fault_random, 100000, 700000));
     }
@@ -479,6 +557,7 @@
     }
   Soak soak = { .directory = argv[1] };
   Caller callers[CALLERS];
+  Caller crashing[CRASHING];
   guint32 seed = (guint32) strtoul (argv[3], NULL, 10);
   soak.instances = MIN ((guint) strtoul (argv[2], NULL, 10), INSTANCES_MAX);
   soak.fault_random = g_rand_new_with_seed (seed);
@@ -492,6 +571,12 @@
       callers[i].random = g_rand_new_with_seed (seed * CALLERS + i);
       pthread_create (&callers[i].thread, NULL, run_caller, &callers[i]);
     }
+  for (guint i = 0; i < CRASHING; i++)
+    {
+      crashing[i] = (Caller){ .soak = &soak, .number = i, .fd = -1 };
+      crashing[i].random = g_rand_new_with_seed (seed * CRASHING + i);
+      pthread_create (&crashing[i].thread, NULL, run_crashing_caller, &crashing[i]);
+    }
   inject_faults (&soak, (guint) strtoul (argv[4], NULL, 10));
   g_usleep (4 * G_USEC_PER_SEC);
   guint completed_before = atomic_load (&soak.completed);
@@ -505,10 +590,20 @@
       pthread_join (callers[i].thread, NULL);
       g_rand_free (callers[i].random);
     }
-  printf ("seed %u: %u sent, %u whole, %u refused, %u failed, %u breaches\n", seed,
-          atomic_load (&soak.sent), atomic_load (&soak.completed),
-          atomic_load (&soak.refused), atomic_load (&soak.failed),
-          atomic_load (&soak.violations));
+  for (guint i = 0; i < CRASHING; i++)
+    {
+      pthread_join (crashing[i].thread, NULL);
+      g_rand_free (crashing[i].random);
+    }
+  guint crashes = 0;
+  for (guint i = 0; i < SERVERS; i++)
+    crashes += replica_crash_count (soak.replicas[i]);
+  printf (
+      "seed %u: %u sent, %u whole, %u refused, %u refused as harmful, %u failed, "
+      "%u crashes, %u breaches\n",
+      seed, atomic_load (&soak.sent), atomic_load (&soak.completed),
+      atomic_load (&soak.refused), atomic_load (&soak.harmful),
+      atomic_load (&soak.failed), crashes, atomic_load (&soak.violations));
   soak_tear_down (&soak);
   g_rand_free (soak.fault_random);
   return atomic_load (&soak.violations) == 0 ? 0 : 1;
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -61,6 +61,7 @@
   gint64 prefill_us;
   gint64 token_us;
   double slowdown;
+  double broken_share; /* of the responses of a server that works */
   gboolean failed;
   gint64 leaving_since_us; /* 0: not draining */
   GPtrArray *running;      /* Attempt */
@@ -437,6 +438,18 @@
   fill_batch (world, attempt->server);
 }
 
+/* The server breaks the response to one request, and keeps working. */
+static void
+break_attempt (World *world, void *data)
+{
+  Attempt *attempt = data;
+  if (attempt->ended)
+    return;
+  g_ptr_array_remove (attempt->server->running, attempt);
+  report_end (world, attempt, HBW_OUTCOME_BROKEN, tokens_so_far (world, attempt));
+  fill_batch (world, attempt->server);
+}
+
 static void
 fail_server (World *world, Server *server, gboolean by_poison)
 {
@@ -509,6 +522,10 @@
   if (request->load->poison)
     schedule (world, world->now_us + attempt->first_token_us, fail_server_by_poison,
               attempt);
+  else if (server->broken_share > 0
+           && g_rand_double (world->random) < server->broken_share)
+    schedule (world, world->now_us + attempt->first_token_us, break_attempt,
+              attempt);
   else
     schedule (world,
               world->now_us + attempt->first_token_us
@@ -1188,6 +1205,8 @@
     restart_server (world, server);
   else if (strcmp (verb, "slow") == 0)
     server->slowdown = g_ascii_strtod (fault->argument, NULL);
+  else if (strcmp (verb, "break") == 0)
+    server->broken_share = g_ascii_strtod (fault->argument, NULL);
   else if (strcmp (verb, "leave") == 0)
     {
       server->entry.leaving = TRUE;
@@ -1469,9 +1488,9 @@
                  const char *argument)
 {
   static const char *const verbs[]
-      = { "crash",      "restart",  "slow",  "leave",     "stop", "unstop",
-          "kill",       "revive",   "pause", "drain",     "cut",  "heal",
-          "store-down", "store-up", "edit",  "store-old", "show", NULL };
+      = { "crash",  "restart",   "slow",  "leave", "stop", "unstop",     "kill",
+          "revive", "pause",     "drain", "cut",   "heal", "store-down", "store-up",
+          "edit",   "store-old", "show",  "break", NULL };
   gboolean needs_subject = !g_str_has_prefix (verb, "store-")
                            && strcmp (verb, "edit") != 0 && strcmp (verb, "cut") != 0
                            && strcmp (verb, "heal") != 0;
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -90,7 +90,8 @@
 /* Schedules a fault at AT_US after the start.  Returns FALSE if VERB or SUBJECT is
    unknown.
 
-   The verbs crash, restart, slow (ARGUMENT is the factor), leave (the list of
+   The verbs crash, restart, slow (ARGUMENT is the factor), break (ARGUMENT is the
+   share of its responses that break off while it works), leave (the list of
    servers shows it as leaving), stop and unstop (it is added to or removed from the
    planned stops) apply to a server.  The verbs kill, revive, pause (ARGUMENT is the
    time in seconds), drain and show (traces the status) apply to an instance.  The
--- a/tests/standin/objects.c
+++ b/tests/standin/objects.c
@@ -386,14 +386,14 @@
 
 void
 objects_set_server (Objects *objects, guint number, guint port, guint slots,
-                    const char *state)
+                    const char *state, guint start)
 {
   char name[16];
   g_snprintf (name, sizeof name, "i-%u", number);
   char *text = g_strdup_printf (
       "{\"backend\":\"b\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\",\"slots\":%u,"
-      "\"state\":\"%s\",\"sequence\":1,\"born\":1}",
-      port, slots, state);
+      "\"state\":\"%s\",\"sequence\":1,\"born\":%u}",
+      port, slots, state, start);
   objects_set (objects, "servers", name, text);
   g_free (text);
 }
--- a/tests/standin/objects.h
+++ b/tests/standin/objects.h
@@ -36,9 +36,10 @@
 /* Returns the spec of an object, or NULL.  The caller frees it. */
 char *objects_get (Objects *objects, const char *kind, const char *name);
 
-/* Writes the entry of a server on loopback that belongs to the backend "b". */
+/* Writes the entry of a server on loopback that belongs to the backend "b".  START
+   is a number that is higher after each start of the server. */
 void objects_set_server (Objects *objects, guint number, guint port, guint slots,
-                         const char *state);
+                         const char *state, guint start);
 
 void objects_set_behaviour (Objects *objects, ObjectsBehaviour behaviour);
 
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -1,5 +1,7 @@
 #include "replica.h"
 
+#include "listen.h"
+
 #include "hornbeamwall/common/address.h"
 
 #include <arpa/inet.h>
@@ -33,12 +35,15 @@
   guint open_connections;
   atomic_uint connection_count;
   atomic_uint active_requests;
+  atomic_uint crash_count;
+  atomic_bool is_up;
   atomic_bool stopping;
 };
 
 typedef struct
 {
   Replica *replica;
+  guint crash_count; /* of the replica when the connection was accepted */
   int fd;
   GString *input;
   char method[16];
@@ -49,12 +54,19 @@
   char *body;
 } Session;
 
+/* Returns whether the replica crashed since the connection was accepted. */
+static gboolean
+has_crashed (const Session *session)
+{
+  return session->crash_count != atomic_load (&session->replica->crash_count);
+}
+
 static gboolean
 read_more (Session *session)
 {
   char bytes[4096];
   struct pollfd input = { session->fd, POLLIN, 0 };
-  while (!atomic_load (&session->replica->stopping))
+  while (!atomic_load (&session->replica->stopping) && !has_crashed (session))
     if (poll (&input, 1, 20) > 0)
       {
         ssize_t count = recv (session->fd, bytes, sizeof bytes, 0);
@@ -219,7 +231,8 @@
   send_head (session, "200 OK",
              SEAL
              "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
-  for (guint i = first; i <= EVENTS && !is_closed (session); i++)
+  for (guint i = first;
+       i <= EVENTS && !is_closed (session) && !has_crashed (session); i++)
     {
       char *event
           = g_strdup_printf ("id: %u\ndata: %s %u\n\n", i, session->attempt_id, i);
@@ -234,6 +247,8 @@
       send_text (session, "\r\n");
       g_usleep (EVENT_PAUSE_US);
     }
+  if (has_crashed (session))
+    return FALSE;
   send_text (session, "0\r\n\r\n");
   return TRUE;
 }
@@ -277,6 +292,8 @@
     }
   else if (strcmp (behaviour, "hang") == 0)
     wait_for_close (session);
+  else if (strcmp (behaviour, "crash") == 0)
+    atomic_fetch_add (&session->replica->crash_count, 1);
   else if (strcmp (behaviour, "reset") == 0)
     reset_on_close (session);
   else if (strcmp (behaviour, "short") == 0)
@@ -290,7 +307,7 @@
         reset_on_close (session);
     }
   static const char *const closing[]
-      = { "hang", "reset", "close", "short", "open", "torn" };
+      = { "hang", "reset", "close", "short", "open", "torn", "crash" };
   for (gsize i = 0; i < G_N_ELEMENTS (closing); i++)
     if (strcmp (behaviour, closing[i]) == 0)
       return FALSE;
@@ -359,6 +376,8 @@
                  "X-Hornbeamwall-Not-Executed: 1\r\nContent-Length: 0\r\n");
       return TRUE;
     }
+  if (has_crashed (session))
+    return FALSE;
   guint run_count = count_run (session);
   char *behaviour = select_behaviour (session, run_count);
   atomic_fetch_add (&replica->active_requests, 1);
@@ -376,6 +395,8 @@
   session->input = g_string_new (NULL);
   while (serve_request (session))
     continue;
+  if (has_crashed (session))
+    reset_on_close (session);
   close (session->fd);
   g_string_free (session->input, TRUE);
   g_free (session->head);
@@ -389,12 +410,13 @@
 }
 
 static void
-start_session (Replica *replica, int fd)
+start_session (Replica *replica, int fd, guint crash_count)
 {
   pthread_t thread;
   Session *session = g_new0 (Session, 1);
   session->replica = replica;
   session->fd = fd;
+  session->crash_count = crash_count;
   atomic_fetch_add (&replica->connection_count, 1);
   pthread_mutex_lock (&replica->lock);
   replica->open_connections++;
@@ -403,21 +425,52 @@
     pthread_detach (thread);
 }
 
+static void
+open_listener (Replica *replica, struct sockaddr_in *address)
+{
+  const int on = 1;
+  replica->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt (replica->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (replica->fd, (struct sockaddr *) address, sizeof *address) != 0
+      || listen (replica->fd, 128) != 0)
+    g_error ("replica cannot listen on port %u", ntohs (address->sin_port));
+}
+
+/* Refuses connections until the outage has passed. */
+static void
+wait_for_outage_end (Replica *replica)
+{
+  struct sockaddr_in address = standin_loopback (replica->port);
+  atomic_store (&replica->is_up, FALSE);
+  close (replica->fd);
+  g_usleep (REPLICA_OUTAGE_US);
+  open_listener (replica, &address);
+  atomic_store (&replica->is_up, TRUE);
+}
+
 static void *
 run_listener (void *data)
 {
   Replica *replica = data;
-  struct pollfd input = { replica->fd, POLLIN, 0 };
+  guint crash_count = 0;
   while (!atomic_load (&replica->stopping))
     {
-      if (poll (&input, 1, 20) <= 0)
+      struct pollfd input = { replica->fd, POLLIN, 0 };
+      gboolean is_ready = poll (&input, 1, 20) > 0;
+      if (crash_count != atomic_load (&replica->crash_count))
+        {
+          crash_count = atomic_load (&replica->crash_count);
+          wait_for_outage_end (replica);
+          continue;
+        }
+      if (!is_ready)
         continue;
       int fd = accept (replica->fd, NULL, NULL);
       if (fd < 0)
         continue;
       const int on = 1;
       setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-      start_session (replica, fd);
+      start_session (replica, fd, crash_count);
     }
   return NULL;
 }
@@ -428,7 +481,6 @@
   Replica *replica = g_new0 (Replica, 1);
   struct sockaddr_in target;
   socklen_t size = sizeof target;
-  const int on = 1;
   if (!hbw_address_to_socket (address, &target))
     g_error ("replica: %s is not an address", address);
   replica->id = g_strdup (id);
@@ -436,11 +488,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   pthread_mutex_init (&replica->lock, NULL);
   pthread_cond_init (&replica->connection_ended, NULL);
-  replica->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt (replica->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (bind (replica->fd, (struct sockaddr *) &target, sizeof target) != 0
-      || listen (replica->fd, 128) != 0)
-    g_error ("replica cannot listen on %s", address);
+  atomic_store (&replica->is_up, TRUE);
+  open_listener (replica, &target);
   getsockname (replica->fd, (struct sockaddr *) &target, &size);
   replica->port = ntohs (target.sin_port);
   pthread_create (&replica->thread, NULL, run_listener, replica);
@@ -496,6 +545,18 @@
   return atomic_load (&replica->connection_count);
 }
 
+guint
+replica_crash_count (Replica *replica)
+{
+  return atomic_load (&replica->crash_count);
+}
+
+gboolean
+replica_is_up (Replica *replica)
+{
+  return atomic_load (&replica->is_up);
+}
+
 guint
 replica_active_requests (Replica *replica)
 {
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -19,7 +19,9 @@
  *   mute       as "cut", but the connection stays open without data
  *   extra      responds twice
  *   early      responds before it has read the body
- *   noseal     200 without the header field that marks a server's own response
+ *   crash      executes the request, then the server fails: it resets all
+ * connections, and accepts new ones after REPLICA_OUTAGE_US noseal     200 without
+ * the header field that marks a server's own response
  *
  * A number after the name, as in "reset1", limits how many requests fail in this
  * way, counted over all replicas of the process.  Later requests are handled as
@@ -30,6 +32,9 @@
 
 #include <glib.h>
 
+/* How long a replica that crashed refuses connections, in microseconds. */
+#define REPLICA_OUTAGE_US (1500 * 1000)
+
 typedef struct Replica Replica;
 
 /* Listens on ADDRESS as the server ID; port 0 selects a free port. */
@@ -47,6 +52,12 @@
 /* Returns the number of connections accepted so far. */
 guint replica_connection_count (Replica *replica);
 
+/* Returns how many times the replica crashed. */
+guint replica_crash_count (Replica *replica);
+
+/* Returns whether the replica accepts connections. */
+gboolean replica_is_up (Replica *replica);
+
 /* Returns the number of requests in progress. */
 guint replica_active_requests (Replica *replica);
 
