--- a/core/freshness_monitor.c
+++ b/core/freshness_monitor.c
@@ -14,6 +14,9 @@
   guint64 membership_epoch; /* for which the watchers were selected */
   gboolean is_watcher;      /* this instance is one */
   guint64 assigned_watcher; /* the one that this instance polls otherwise */
+  gboolean is_confirmed;    /* as in the last line of the log */
+  guint64 logged_source;
+  gint64 logged_era;
 };
 
 HbwFreshnessMonitor *
@@ -73,6 +76,71 @@
                                                      monitor->poll_peer);
 }
 
+const char *
+hbw_freshness_source_name (const HbwContext *context)
+{
+  switch (context->catalogue_confirmed_by)
+    {
+    case HBW_CONFIRMED_BY_NOBODY:
+      return "nobody";
+    case HBW_CONFIRMED_BY_STORE:
+      return "store";
+    default:
+      return hbw_membership_find_name (context->membership,
+                                       context->catalogue_confirmed_by);
+    }
+}
+
+/* Handles that the catalogue VERSION was the newest at AT_US according to SOURCE, an
+   instance or the store. */
+static void
+confirm (HbwFreshnessMonitor *monitor, HbwContext *context, gint64 at_us,
+         guint64 source, gint64 version)
+{
+  if (at_us <= context->catalogue_confirmed_us)
+    return;
+  context->catalogue_confirmed_us = at_us;
+  context->catalogue_confirmed_by = source;
+  if (monitor->is_confirmed && monitor->logged_source == source
+      && monitor->logged_era == context->store_era.number)
+    return;
+  monitor->is_confirmed = TRUE;
+  monitor->logged_source = source;
+  monitor->logged_era = context->store_era.number;
+  hbw_effects_log (context->effects, HBW_LOG_CATALOGUE_CONFIRMED,
+                   "catalogue=%" G_GINT64_FORMAT " source=%s era=%" G_GINT64_FORMAT,
+                   version, hbw_freshness_source_name (context),
+                   monitor->logged_era);
+}
+
+static void
+log_unconfirmed (HbwFreshnessMonitor *monitor, HbwContext *context,
+                 const HbwCatalogueConfirmation *reported, gint64 version)
+{
+  if (!monitor->is_confirmed)
+    return;
+  monitor->is_confirmed = FALSE;
+  hbw_effects_log (context->effects, HBW_LOG_CATALOGUE_UNCONFIRMED,
+                   "catalogue=%" G_GINT64_FORMAT " store=%" G_GINT64_FORMAT
+                   " era=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT,
+                   version, reported->version, reported->era,
+                   (context->now_us - context->catalogue_confirmed_us)
+                       / HBW_US_PER_MS);
+}
+
+void
+hbw_freshness_monitor_handle_store (HbwFreshnessMonitor *monitor,
+                                    HbwContext *context,
+                                    const HbwCatalogueConfirmation *reported,
+                                    gint64 version)
+{
+  if (reported->version != version)
+    log_unconfirmed (monitor, context, reported, version);
+  if (version >= reported->version)
+    confirm (monitor, context, reported->requested_us, HBW_CONFIRMED_BY_STORE,
+             version);
+}
+
 void
 hbw_freshness_monitor_handle_ack (HbwFreshnessMonitor *monitor, HbwContext *context,
                                   const HbwMessage *message, gint64 version)
@@ -85,8 +153,8 @@
   monitor->poll_timed_out = FALSE;
   if (ping->catalogue_age_us < 0 || ping->versions[HBW_DOCUMENT_CATALOGUE] > version)
     return; /* the watcher has a newer catalogue, which this instance requests */
-  context->catalogue_confirmed_us = MAX (
-      context->catalogue_confirmed_us, monitor->polled_us - ping->catalogue_age_us);
+  confirm (monitor, context, monitor->polled_us - ping->catalogue_age_us,
+           message->from, version);
 }
 
 gboolean
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -295,6 +295,19 @@
   g_bytes_unref (body);
 }
 
+static void
+observe_store_era (HbwReducer *reducer, gint64 number, gint64 age_us)
+{
+  HbwContext *context = &reducer->context;
+  gint64 before = context->store_era.number;
+  if (!hbw_store_era_observe (&context->store_era, number, age_us, context->now_us))
+    return;
+  hbw_effects_log (context->effects, HBW_LOG_STORE_ERA,
+                   "era=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
+                   " age_ms=%" G_GINT64_FORMAT,
+                   number, before, age_us / HBW_US_PER_MS);
+}
+
 static void
 fill_ping (HbwPing *ping, void *data)
 {
@@ -305,6 +318,8 @@
         = hbw_documents_version (reducer->documents, (HbwDocumentKind) i);
   ping->catalogue_age_us = context->now_us - context->catalogue_confirmed_us;
   ping->suspects_digest = hbw_suspect_share_digest (context->suspect_share, context);
+  ping->store_era = context->store_era.number;
+  ping->store_era_age_us = hbw_store_era_age (&context->store_era, context->now_us);
   hbw_shard_router_add_summaries (hbw_ingress_shard_router (reducer->ingress),
                                   context, ping);
 }
@@ -340,6 +355,7 @@
   HbwContext *context = &reducer->context;
   const HbwPing *ping = &message->ping;
   HbwShardRouter *router = hbw_ingress_shard_router (reducer->ingress);
+  observe_store_era (reducer, ping->store_era, ping->store_era_age_us);
   record_reported_version (reducer, message->from,
                            ping->versions[HBW_DOCUMENT_CATALOGUE]);
   for (guint i = 0; i < ping->summary_count; i++)
@@ -544,6 +560,8 @@
 static void
 handle_store_state (HbwReducer *reducer, const HbwStoreState *state)
 {
+  observe_store_era (reducer, state->era, 0);
+
   HbwControlMetrics *metrics = hbw_metrics_control (reducer->context.metrics);
   metrics->store_call_count[state->document] += state->calls;
   metrics->store_failures[state->document] += state->up ? 0 : 1;
@@ -555,19 +573,6 @@
                    "instance=%" G_GUINT64_FORMAT, reducer->context.self);
 }
 
-/* Does not confirm the catalogue if the store has a newer version, which this
-   instance may have rejected as invalid. */
-static void
-handle_confirmation (HbwReducer *reducer,
-                     const HbwCatalogueConfirmation *confirmation)
-{
-  HbwContext *context = &reducer->context;
-  if (hbw_documents_version (reducer->documents, HBW_DOCUMENT_CATALOGUE)
-      >= confirmation->version)
-    context->catalogue_confirmed_us
-        = MAX (context->catalogue_confirmed_us, confirmation->requested_us);
-}
-
 /* Pings the data centre after a new version was read from the store, because
    instances that do not watch the store learn of new versions from pings. */
 static void
@@ -610,7 +615,9 @@
                                       &event->first_token);
       break;
     case HBW_EVENT_CATALOGUE_CONFIRMED:
-      handle_confirmation (reducer, &event->confirmation);
+      hbw_freshness_monitor_handle_store (
+          reducer->freshness_monitor, context, &event->confirmation,
+          hbw_documents_version (reducer->documents, HBW_DOCUMENT_CATALOGUE));
       break;
     case HBW_EVENT_ATTEMPT_ENDED:
       hbw_ingress_handle_attempt_end (reducer->ingress, context, &event->end);
--- a/core/request.c
+++ b/core/request.c
@@ -1,5 +1,6 @@
 #include "hornbeamwall/core/request.h"
 
+#include "hornbeamwall/core/freshness_monitor.h"
 #include "hornbeamwall/core/quarantine.h"
 
 gint64
@@ -43,12 +44,14 @@
       context->effects, HBW_LOG_REQUEST_ADMITTED,
       LOG_PREFIX "class=%s organisation=%s pool=%s tier=%u "
                  "catalogue=%" G_GINT64_FORMAT " catalogue_age_ms=%" G_GINT64_FORMAT
+                 " confirmed_by=%s era=%" G_GINT64_FORMAT
                  " deadline_ms=%" G_GINT64_FORMAT
                  " prompt_tokens=%u fingerprint=%016" G_GINT64_MODIFIER "x",
       request->caller_request_id, request->sequence, spec->class_name,
       spec->organisation, spec->pool, spec->tier, arrival->catalogue_version,
-      to_ms (arrival->catalogue_age_us), to_ms (spec->deadline_us),
-      spec->prompt_tokens, spec->fingerprint.low);
+      to_ms (arrival->catalogue_age_us), hbw_freshness_source_name (context),
+      context->store_era.number, to_ms (spec->deadline_us), spec->prompt_tokens,
+      spec->fingerprint.low);
 }
 
 void
--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -40,6 +40,17 @@
   X (2006, ENTRY_IGNORED, WARN,                                                     \
      "An object of the platform's store was ignored, in whole or in part.",         \
      "Correct the named entry; the others remain active.")                          \
+  X (2007, STORE_ERA, INFO,                                                         \
+     "The platform's store has another era: it was restored from an older copy, "   \
+     "or this instance has just started.",                                          \
+     "Check that all writers have written again what the store lost.")              \
+  X (2008, CATALOGUE_CONFIRMED, INFO,                                               \
+     "The active catalogue is confirmed to be the newest again, or by another "     \
+     "source.",                                                                     \
+     "Nothing.")                                                                    \
+  X (2009, CATALOGUE_UNCONFIRMED, WARN,                                             \
+     "The platform's store has another catalogue than the active one.",             \
+     "Write the newest catalogue again if this persists; keys are refused then.")   \
   X (3001, PEER_JOINED, INFO, "An instance has joined.", "Nothing.")                \
   X (3002, PEER_SUSPECT, INFO, "An instance does not respond to probes.",           \
      "Nothing; it is marked failed or alive again within a second.")                \
--- a/include/hornbeamwall/core/context.h
+++ b/include/hornbeamwall/core/context.h
@@ -5,6 +5,7 @@
 #define HORNBEAMWALL_CORE_CONTEXT_H
 
 #include "hornbeamwall/core/effect.h"
+#include "hornbeamwall/core/store_era.h"
 
 typedef struct HbwLoadShare HbwLoadShare;
 typedef struct HbwMembership HbwMembership;
@@ -12,6 +13,10 @@
 typedef struct HbwQuarantine HbwQuarantine;
 typedef struct HbwSuspectShare HbwSuspectShare;
 
+/* Values of catalogue_confirmed_by that are not instances. */
+#define HBW_CONFIRMED_BY_NOBODY 0
+#define HBW_CONFIRMED_BY_STORE G_MAXUINT64
+
 typedef struct
 {
   gint64 now_us;
@@ -21,8 +26,10 @@
   HbwEffects *effects;       /* of the current step */
   HbwCatalogue *catalogue;   /* active version, or NULL */
   GHashTable *planned_stops; /* names of servers and instances with a planned stop */
-  gint64 catalogue_confirmed_us; /* when the catalogue was last confirmed to be the
-                                    newest */
+  gint64 catalogue_confirmed_us;  /* when the catalogue was last confirmed to be the
+                                     newest */
+  guint64 catalogue_confirmed_by; /* the instance that did, or one of the below */
+  HbwStoreEra store_era;
   gboolean load_in_answers; /* servers report load in responses: none is polled */
   gboolean planned_stops_known; /* nothing is granted before they were read */
   GQueue *loopback;             /* HbwMessage, to this instance itself */
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -67,11 +67,12 @@
   gint64 age_us;
 } HbwLoadReport;
 
-/* The store reported that VERSION is the newest catalogue. */
+/* The store reported that VERSION is the catalogue that it has. */
 typedef struct
 {
   gint64 requested_us; /* when the request to the store was sent */
   gint64 version;
+  gint64 era; /* of the store */
 } HbwCatalogueConfirmation;
 
 /* Result of reading one document from the store, which may take several calls. */
@@ -80,6 +81,7 @@
   HbwDocumentKind document;
   guint calls;
   gboolean up; /* the last call succeeded */
+  gint64 era;  /* of the store, as in its last response; 0 if it sent none */
 } HbwStoreState;
 
 /* Suspects in the platform's store after a read or a write. */
@@ -88,6 +90,7 @@
   guint calls;      /* made to the store */
   gboolean written; /* WRITTEN: the write took effect */
   gint64 version;   /* HBW_VERSION_ABSENT if the object does not exist */
+  gint64 era;       /* of the store; 0 if it sent none */
   GBytes *body;     /* READ: borrowed for the step; NULL if it does not exist */
 } HbwStoredSuspects;
 
--- a/include/hornbeamwall/core/freshness_monitor.h
+++ b/include/hornbeamwall/core/freshness_monitor.h
@@ -13,6 +13,7 @@
 
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/context.h"
+#include "hornbeamwall/core/event.h"
 
 /* A data centre has one watcher for this many instances, and at least one. */
 #define HBW_INSTANCES_PER_WATCHER 37
@@ -26,6 +27,10 @@
 
 typedef struct HbwFreshnessMonitor HbwFreshnessMonitor;
 
+/* Returns the name of the source that last confirmed the catalogue: an instance,
+   "store" or "nobody". */
+const char *hbw_freshness_source_name (const HbwContext *context);
+
 HbwFreshnessMonitor *hbw_freshness_monitor_create (void);
 void hbw_freshness_monitor_destroy (HbwFreshnessMonitor *monitor);
 
@@ -38,6 +43,13 @@
                                        HbwContext *context,
                                        const HbwMessage *message, gint64 version);
 
+/* Handles what the store reported of its catalogue; VERSION is that of the active
+   catalogue here. */
+void hbw_freshness_monitor_handle_store (HbwFreshnessMonitor *monitor,
+                                         HbwContext *context,
+                                         const HbwCatalogueConfirmation *reported,
+                                         gint64 version);
+
 /* Returns whether this instance must watch the store, because it is a watcher, its
    last poll failed, or its catalogue is too old. */
 gboolean hbw_freshness_monitor_is_watcher (HbwFreshnessMonitor *monitor,
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -136,6 +136,8 @@
   gint64 catalogue_age_us; /* since the catalogue was last confirmed to be the
                               newest; -1 if unknown */
   guint64 suspects_digest; /* of the sender's quarantine; 0 if it is incomplete */
+  gint64 store_era;        /* as in the last response of the store; 0 if unknown */
+  gint64 store_era_age_us; /* how long it has lasted at least */
 } HbwPing;
 
 typedef struct
--- a/include/hornbeamwall/net/store_client.h
+++ b/include/hornbeamwall/net/store_client.h
@@ -32,6 +32,7 @@
 {
   HbwStoreResult result;
   gint64 version;
+  gint64 era;   /* of the store, see core/store_era.h; 0 if it sent none */
   GBytes *body; /* owned by the caller; NULL unless the result is OK */
 } HbwStoreResponse;
 
@@ -45,6 +46,9 @@
    server to delay its response. */
 void hbw_store_client_keep_connection (HbwStoreClient *client, guint wait_ms);
 
+/* Sets the header field in which the store sends its era; FIELD is borrowed. */
+void hbw_store_client_set_era_field (HbwStoreClient *client, const char *field);
+
 /* Closes the kept connection, if there is one; the next call opens another one. */
 void hbw_store_client_close_connection (HbwStoreClient *client);
 
--- a/include/hornbeamwall/runtime/control.h
+++ b/include/hornbeamwall/runtime/control.h
@@ -49,11 +49,6 @@
    returns. */
 void hbw_control_set_command_sink (HbwControl *control, HbwRequestCommandSink *sink);
 
-/* Submits a confirmation that VERSION was the newest catalogue in the store at
-   ASKED_US, the time at which the store was asked. */
-void hbw_control_confirm_catalogue (HbwControl *control, gint64 asked_us,
-                                    gint64 version);
-
 /* Blocks until the control thread has rendered the text, which the caller frees. */
 char *hbw_control_query (HbwControl *control, HbwQueryKind kind);
 
--- a/include/hornbeamwall/runtime/feed.h
+++ b/include/hornbeamwall/runtime/feed.h
@@ -12,9 +12,10 @@
 {
   HbwStoreResult status; /* HBW_STORE_OK: there is a newer version */
   guint call_count;      /* calls made to the store */
-  gint64 version;
-  GBytes *body;       /* with HBW_STORE_OK; owned by the caller */
-  gboolean confirmed; /* the store confirmed that the version read is the newest */
+  gint64 version;        /* with HBW_STORE_OK, or if confirmed: that of the store */
+  GBytes *body;          /* with HBW_STORE_OK; owned by the caller */
+  gboolean confirmed;    /* the store has no other version now */
+  gint64 era;            /* of the store, see core/store_era.h; 0 if unknown */
 } HbwFeedResult;
 
 typedef struct HbwFeed HbwFeed;
--- a/include/hornbeamwall/runtime/list_watch_feed.h
+++ b/include/hornbeamwall/runtime/list_watch_feed.h
@@ -46,6 +46,7 @@
 {
   const HbwStoreAdapterClass *class;
   const char *object_kind; /* name of the kind in the store */
+  const char *era_field;   /* header field with the store's era */
 };
 
 /* Creates a feed whose calls to wait_next never wait longer than WAIT_MS. */
--- a/include/hornbeamwall/runtime/shared_object.h
+++ b/include/hornbeamwall/runtime/shared_object.h
@@ -31,6 +31,7 @@
 {
   const char *create_path; /* POST creates the object */
   const char *path;        /* GET reads it, PUT replaces it */
+  const char *era_field;   /* header field with the store's era */
 
   /* Returns the store's form of BODY, which replaces VERSION; 0 is a new object. */
   char *(*format) (gint64 version, GBytes *body);
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -78,6 +78,8 @@
     pack_summary (packer, &ping->summaries[i]);
   msgpack_pack_int64 (packer, ping->catalogue_age_us);
   msgpack_pack_uint64 (packer, ping->suspects_digest);
+  msgpack_pack_int64 (packer, ping->store_era);
+  msgpack_pack_int64 (packer, ping->store_era_age_us);
 }
 
 static void
@@ -295,14 +297,14 @@
 
 /* Number of fields that pack_fields() packs, by kind. */
 static const guint field_counts[HBW_MESSAGE_COUNT] = {
-  [HBW_MESSAGE_PING] = 8,      [HBW_MESSAGE_ACK] = 8,
-  [HBW_MESSAGE_PROBE_FOR] = 8, [HBW_MESSAGE_WANT] = 27,
-  [HBW_MESSAGE_WITHDRAW] = 5,  [HBW_MESSAGE_GRANT] = 14,
-  [HBW_MESSAGE_REFUSAL] = 5,   [HBW_MESSAGE_ACTIVE] = 10,
-  [HBW_MESSAGE_DONE] = 11,     [HBW_MESSAGE_DOCUMENT_ASK] = 4,
-  [HBW_MESSAGE_DOCUMENT] = 4,  [HBW_MESSAGE_SUSPECT] = 12,
-  [HBW_MESSAGE_DEMAND] = 5,    [HBW_MESSAGE_SHARE] = 5,
-  [HBW_MESSAGE_BEGUN] = 7,     [HBW_MESSAGE_LOADS] = 2,
+  [HBW_MESSAGE_PING] = 10,      [HBW_MESSAGE_ACK] = 10,
+  [HBW_MESSAGE_PROBE_FOR] = 10, [HBW_MESSAGE_WANT] = 27,
+  [HBW_MESSAGE_WITHDRAW] = 5,   [HBW_MESSAGE_GRANT] = 14,
+  [HBW_MESSAGE_REFUSAL] = 5,    [HBW_MESSAGE_ACTIVE] = 10,
+  [HBW_MESSAGE_DONE] = 11,      [HBW_MESSAGE_DOCUMENT_ASK] = 4,
+  [HBW_MESSAGE_DOCUMENT] = 4,   [HBW_MESSAGE_SUSPECT] = 12,
+  [HBW_MESSAGE_DEMAND] = 5,     [HBW_MESSAGE_SHARE] = 5,
+  [HBW_MESSAGE_BEGUN] = 7,      [HBW_MESSAGE_LOADS] = 2,
 };
 
 void
--- a/net/codec_unpack.c
+++ b/net/codec_unpack.c
@@ -159,6 +159,12 @@
     ping->catalogue_age_us = unpack_int (reader);
   if (!reader->failed && reader->next < reader->count)
     ping->suspects_digest = hbw_field_reader_unpack_uint (reader, G_MAXUINT64);
+  if (!reader->failed && reader->next < reader->count)
+    {
+      ping->store_era = unpack_int (reader);
+      gint64 age_us = unpack_int (reader);
+      ping->store_era_age_us = MAX (0, age_us);
+    }
   reader->failed |= versions.failed || members.failed || summaries.failed;
 }
 
--- a/net/store_client.c
+++ b/net/store_client.c
@@ -24,6 +24,7 @@
 {
   HbwHostPort address;
   ne_session *persistent_session; /* reused for all calls, or NULL */
+  const char *era_field;          /* borrowed; NULL if the store sends no era */
 };
 
 typedef struct
@@ -62,6 +63,15 @@
   return g_ascii_strtoll (*tag == '"' ? tag + 1 : tag, NULL, 10);
 }
 
+static gint64
+get_era (const HbwStoreClient *client, ne_request *request)
+{
+  const char *text = client->era_field != NULL
+                         ? ne_get_response_header (request, client->era_field)
+                         : NULL;
+  return text != NULL ? MAX (0, g_ascii_strtoll (text, NULL, 10)) : 0;
+}
+
 static HbwStoreResult
 result_of_status (int status)
 {
@@ -105,10 +115,10 @@
 }
 
 static HbwStoreResponse
-dispatch (ne_session *session, ne_request *request, gboolean is_write,
-          HbwError *error)
+dispatch (const HbwStoreClient *client, ne_session *session, ne_request *request,
+          gboolean is_write, HbwError *error)
 {
-  HbwStoreResponse response = { HBW_STORE_FAILED, 0, NULL };
+  HbwStoreResponse response = { .result = HBW_STORE_FAILED };
   ResponseBody response_body = { g_byte_array_new (), FALSE };
   ne_add_response_body_reader (request, ne_accept_2xx, handle_body_block,
                                &response_body);
@@ -118,6 +128,7 @@
     {
       response.result = result_of_status (status);
       response.version = get_version (request);
+      response.era = get_era (client, request);
     }
   else if (is_write && code != NE_LOOKUP && code != NE_CONNECT)
     response.result = HBW_STORE_UNKNOWN;
@@ -170,6 +181,12 @@
   client->persistent_session = session;
 }
 
+void
+hbw_store_client_set_era_field (HbwStoreClient *client, const char *field)
+{
+  client->era_field = field;
+}
+
 void
 hbw_store_client_close_connection (HbwStoreClient *client)
 {
@@ -183,7 +200,7 @@
 {
   ne_session *session = open_session (client, extra_wait_s);
   ne_request *request = ne_request_create (session, "GET", path);
-  HbwStoreResponse response = dispatch (session, request, FALSE, error);
+  HbwStoreResponse response = dispatch (client, session, request, FALSE, error);
   ne_request_destroy (request);
   if (response.result == HBW_STORE_FAILED && client->persistent_session != NULL)
     ne_close_connection (session); /* may still receive a late response */
@@ -232,7 +249,7 @@
   ne_add_request_header (request, "Content-Type", "application/json");
   if (field != NULL)
     ne_add_request_header (request, field, value);
-  HbwStoreResponse response = dispatch (session, request, TRUE, error);
+  HbwStoreResponse response = dispatch (client, session, request, TRUE, error);
   ne_request_destroy (request);
   if (response.result == HBW_STORE_UNKNOWN && client->persistent_session != NULL)
     ne_close_connection (session); /* may still receive a late response */
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -470,15 +470,6 @@
   pthread_mutex_unlock (&control->command_sink_lock);
 }
 
-void
-hbw_control_confirm_catalogue (HbwControl *control, gint64 asked_us, gint64 version)
-{
-  HbwEvent event = { .kind = HBW_EVENT_CATALOGUE_CONFIRMED };
-  event.confirmation.requested_us = asked_us;
-  event.confirmation.version = version;
-  hbw_control_submit (control, &event, NULL);
-}
-
 HbwFreshness
 hbw_control_catalogue_freshness (const HbwControl *control)
 {
--- a/runtime/feed.c
+++ b/runtime/feed.c
@@ -16,11 +16,14 @@
       = feed->was_read ? hbw_store_client_watch (feed->client, feed->name,
                                                  known_version, wait_ms, error)
                        : hbw_store_client_get (feed->client, feed->name, error);
-  const HbwFeedResult result = { .status = response.result,
-                                 .call_count = 1,
-                                 .version = response.version,
-                                 .body = response.body,
-                                 .confirmed = response.result != HBW_STORE_FAILED };
+  const HbwFeedResult result
+      = { .status = response.result,
+          .call_count = 1,
+          .version = response.result == HBW_STORE_NOT_MODIFIED ? known_version
+                                                               : response.version,
+          .body = response.body,
+          .era = response.era,
+          .confirmed = response.result != HBW_STORE_FAILED };
   feed->was_read |= response.result == HBW_STORE_OK
                     || response.result == HBW_STORE_NOT_MODIFIED;
   return result;
--- a/runtime/list_watch_feed.c
+++ b/runtime/list_watch_feed.c
@@ -1,5 +1,7 @@
 #include "hornbeamwall/runtime/list_watch_feed.h"
 
+#include "hornbeamwall/core/documents.h"
+
 #include <string.h>
 
 /* Limit on the pages read of one list, so that reading ends even if each page refers
@@ -14,8 +16,9 @@
   HbwClock *clock;
   HbwObjectCache *cache;
   gint64 revision; /* all changes up to it are applied; 0 requests a new list */
-  gboolean has_document; /* the cached objects form a document */
-  guint call_count;      /* calls to the store made for the current result */
+  gint64 document_version; /* of the cached objects; -1 if they form no document */
+  gint64 era;              /* of the store, as in its last response */
+  guint call_count;        /* calls to the store made for the current result */
 } ListWatchFeed;
 
 static void
@@ -34,6 +37,8 @@
   HbwStoreResponse response = hbw_store_client_get_path (feed->client, path, error);
   feed->call_count++;
   g_free (path);
+  if (response.era > 0)
+    feed->era = response.era;
   if (response.result != HBW_STORE_OK)
     return response.result;
   gsize length;
@@ -119,11 +124,10 @@
 {
   gint64 version = hbw_object_cache_document_version (feed->cache, feed->revision);
   char *text = feed->adapter->class->build_document (feed->cache, &version);
-  feed->has_document = text != NULL;
+  feed->document_version = text != NULL ? version : HBW_VERSION_UNKNOWN;
   if (text == NULL)
     return;
   result->status = HBW_STORE_OK;
-  result->version = version;
   result->body = g_bytes_new (text, strlen (text));
   g_free (text);
 }
@@ -156,6 +160,7 @@
   page_clear (&page);
   g_array_free (page.changes, TRUE);
   result.call_count = feed->call_count;
+  result.era = feed->era;
   gint64 now_us = hbw_clock_now (feed->clock);
   if (status != HBW_STORE_OK)
     {
@@ -167,7 +172,8 @@
   hbw_object_cache_expire (feed->cache, now_us);
   if (hbw_object_cache_test_and_clear_changed (feed->cache))
     fill_document (feed, &result);
-  result.confirmed = feed->has_document;
+  result.version = feed->document_version;
+  result.confirmed = feed->document_version != HBW_VERSION_UNKNOWN;
   return result;
 }
 
@@ -196,5 +202,7 @@
   feed->adapter = adapter;
   feed->clock = clock;
   feed->cache = hbw_object_cache_create ();
+  feed->document_version = HBW_VERSION_UNKNOWN;
+  hbw_store_client_set_era_field (client, adapter->era_field);
   return &feed->base;
 }
--- a/runtime/shared_object.c
+++ b/runtime/shared_object.c
@@ -133,6 +133,7 @@
   if (client == NULL)
     return NULL;
   hbw_store_client_keep_connection (client, 0);
+  hbw_store_client_set_era_field (client, adapter->era_field);
   AdaptedObject *object = g_new0 (AdaptedObject, 1);
   object->base.class = &adapted_class;
   object->client = client;
--- a/runtime/suspect_store.c
+++ b/runtime/suspect_store.c
@@ -38,7 +38,7 @@
 {
   HbwError error = { HBW_ERROR_NONE, "" };
   HbwStoreResponse response = store->object->class->read (store->object, &error);
-  HbwStoredSuspects suspects = { .calls = 1 };
+  HbwStoredSuspects suspects = { .calls = 1, .era = response.era };
   suspects.version
       = response.result == HBW_STORE_OK ? response.version : HBW_VERSION_ABSENT;
   suspects.body = response.body;
@@ -56,7 +56,8 @@
   HbwError error = { HBW_ERROR_NONE, "" };
   HbwStoreResponse response = store->object->class->write (
       store->object, write->base_version, write->body, &error);
-  HbwStoredSuspects suspects = { .calls = 1, .version = response.version };
+  HbwStoredSuspects suspects
+      = { .calls = 1, .version = response.version, .era = response.era };
   suspects.written = response.result == HBW_STORE_OK;
   if (!suspects.written)
     read_object (store);
--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -83,6 +83,7 @@
   event.store.document = kind;
   event.store.calls = result->call_count;
   event.store.up = result->status != HBW_STORE_FAILED;
+  event.store.era = result->era;
   hbw_control_submit (watch->control, &event, NULL);
 }
 
@@ -96,6 +97,16 @@
   hbw_control_submit (watch->control, &event, NULL);
 }
 
+static void
+submit_confirmation (HbwWatch *watch, gint64 asked_us, const HbwFeedResult *result)
+{
+  HbwEvent event = { .kind = HBW_EVENT_CATALOGUE_CONFIRMED };
+  event.confirmation.requested_us = asked_us;
+  event.confirmation.version = result->version;
+  event.confirmation.era = result->era;
+  hbw_control_submit (watch->control, &event, NULL);
+}
+
 /* Waits once for a newer version and submits the result.  Returns the pause before
    the next call, in microseconds.  BACKOFF_US holds the pause after a failure. */
 static gint64
@@ -124,8 +135,7 @@
       submit_document (watch, document_watch->kind, &result);
     }
   if (result.confirmed && document_watch->kind == HBW_DOCUMENT_CATALOGUE)
-    hbw_control_confirm_catalogue (watch->control, asked_us,
-                                   document_watch->highest_version);
+    submit_confirmation (watch, asked_us, &result);
   if (!failed)
     {
       *backoff_us = BACKOFF_MIN_US;
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -481,6 +481,8 @@
       message.ping.summaries[0].free_slots = 4;
       message.ping.versions[0] = -1;
       message.ping.suspects_digest = 6;
+      message.ping.store_era = 8;
+      message.ping.store_era_age_us = 12;
     }
   else if (kind == HBW_MESSAGE_WANT)
     message.want = make_grant_request (7, "o", 2, -5);
