--- a/core/documents.c
+++ b/core/documents.c
@@ -136,6 +136,12 @@
   return documents->states[kind].version;
 }
 
+GBytes *
+hbw_documents_body (const HbwDocuments *documents, HbwDocumentKind kind)
+{
+  return documents->states[kind].body;
+}
+
 void
 hbw_documents_request_newer (HbwDocuments *documents, HbwContext *context,
                              guint64 from, const HbwPing *ping)
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -8,6 +8,7 @@
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/quarantine.h"
+#include "hornbeamwall/core/server_history.h"
 #include "hornbeamwall/core/status.h"
 #include "hornbeamwall/core/suspect_archive.h"
 #include "hornbeamwall/core/suspect_share.h"
@@ -30,6 +31,8 @@
   const HbwPolicy *policy;
   HbwDocuments *documents;
   HbwTopology *topology;
+  HbwServerHistory *server_history;
+  gboolean servers_unsettled; /* adopted in an era that was not settled */
   HbwIngress *ingress;
   HbwFreshnessMonitor *freshness_monitor;
   HbwSuspectArchive *suspect_archive;
@@ -167,6 +170,17 @@
     }
 }
 
+static void
+apply_server_history (HbwReducer *reducer, GPtrArray *servers)
+{
+  const HbwContext *context = &reducer->context;
+  reducer->servers_unsettled
+      = !hbw_store_era_is_settled (&context->store_era, context->now_us);
+  if (reducer->servers_unsettled)
+    hbw_server_history_apply (reducer->server_history, servers);
+  hbw_server_history_record (reducer->server_history, servers, context->now_us);
+}
+
 static gboolean
 adopt_servers (HbwReducer *reducer, const char *text, gsize length, HbwError *error)
 {
@@ -174,6 +188,7 @@
   if (servers == NULL)
     return FALSE;
   drop_expired_servers (reducer, servers);
+  apply_server_history (reducer, servers);
   if (reducer->topology != NULL)
     hbw_topology_destroy (reducer->topology);
   reducer->topology = hbw_topology_create (
@@ -184,6 +199,21 @@
   return TRUE;
 }
 
+/* Once the era is settled, the list is in force as the store has it. */
+static void
+settle_servers (HbwReducer *reducer)
+{
+  const HbwContext *context = &reducer->context;
+  HbwError error = { HBW_ERROR_NONE, "" };
+  GBytes *body = hbw_documents_body (reducer->documents, HBW_DOCUMENT_SERVERS);
+  if (!reducer->servers_unsettled || body == NULL
+      || !hbw_store_era_is_settled (&context->store_era, context->now_us))
+    return;
+  gsize length;
+  const char *text = g_bytes_get_data (body, &length);
+  adopt_servers (reducer, text, length, &error);
+}
+
 static gboolean
 adopt_instances (HbwReducer *reducer, const char *text, gsize length,
                  HbwError *error)
@@ -549,6 +579,7 @@
   reducer->last_tick_us = context->now_us;
   hbw_membership_tick (context->membership, context);
   handle_membership_change (reducer);
+  settle_servers (reducer);
   tick_shards (reducer);
   hbw_ingress_tick (reducer->ingress, context);
   hbw_suspect_share_tick (context->suspect_share, context);
@@ -727,6 +758,7 @@
   context->load_in_answers = config->load_in_answers;
   g_strlcpy (reducer->name, config->self.name, sizeof reducer->name);
   reducer->documents = hbw_documents_create ();
+  reducer->server_history = hbw_server_history_create ();
   reducer->freshness_monitor = hbw_freshness_monitor_create ();
   reducer->suspect_archive = hbw_suspect_archive_create ();
   reducer->ingress = hbw_ingress_create (find_owner, reducer,
@@ -756,6 +788,7 @@
   g_hash_table_destroy (reducer->reported_versions);
   hbw_ingress_destroy (reducer->ingress);
   hbw_documents_destroy (reducer->documents);
+  hbw_server_history_destroy (reducer->server_history);
   hbw_freshness_monitor_destroy (reducer->freshness_monitor);
   hbw_suspect_archive_destroy (reducer->suspect_archive);
   if (reducer->topology != NULL)
--- a/include/hornbeamwall/core/documents.h
+++ b/include/hornbeamwall/core/documents.h
@@ -56,6 +56,9 @@
 /* Returns the version of the adopted document. */
 gint64 hbw_documents_version (const HbwDocuments *documents, HbwDocumentKind kind);
 
+/* Returns the body of the adopted document (borrowed), or NULL if there is none. */
+GBytes *hbw_documents_body (const HbwDocuments *documents, HbwDocumentKind kind);
+
 /* Requests each document of which the sender of PING has a newer version. */
 void hbw_documents_request_newer (HbwDocuments *documents, HbwContext *context,
                                   guint64 from, const HbwPing *ping);
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -571,6 +571,37 @@
 }
 END_TEST
 
+static void
+report_store_era (ReducerFixture *fixture, gint64 era)
+{
+  HbwEvent event = { .kind = HBW_EVENT_STORE_STATE };
+  event.store.up = TRUE;
+  event.store.era = era;
+  step_reducer (fixture, &event);
+}
+
+START_TEST (list_of_restored_store_does_not_revive_leaving_server)
+{
+  static const char *const leaving[] = { ",\"state\":\"leaving\"", NULL };
+  static const char *const in_service[] = { "", NULL };
+  ReducerFixture fixture = fixture_create (1, 1, 8);
+  HbwRequestSpec spec = make_spec ();
+  report_store_era (&fixture, 1);
+  fixture.now_us += HBW_STORE_ERA_SETTLE_US;
+  deliver_servers (&fixture, 2, 1, 8, leaving);
+  report_store_era (&fixture, 2);
+  deliver_servers (&fixture, 3, 1, 8, in_service);
+  submit_request (&fixture, 1, &spec);
+  ck_assert_str_eq (started_server (&fixture), "");
+  fixture.now_us += HBW_STORE_ERA_SETTLE_US;
+  HbwEvent tick = { .kind = HBW_EVENT_TICK };
+  step_reducer (&fixture, &tick);
+  submit_request (&fixture, 2, &spec);
+  ck_assert_str_eq (started_server (&fixture), "e0");
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 START_TEST (restarted_server_does_not_keep_old_load)
 {
   static const char *const restarted[] = { ",\"start\":2", NULL };
@@ -847,6 +878,7 @@
   tcase_add_test (tests, malformed_stored_suspects_are_ignored);
   tcase_add_test (tests, draining_instance_accepts_requests_for_grace_period);
   tcase_add_test (tests, lapsed_entry_does_not_revive_leaving_server);
+  tcase_add_test (tests, list_of_restored_store_does_not_revive_leaving_server);
   tcase_add_test (tests, restarted_server_does_not_keep_old_load);
   tcase_add_test (tests, long_and_short_prompts_use_separate_servers);
   tcase_add_test (tests, shared_prefix_prompts_share_server_until_it_is_loaded);
