--- a/core/freshness_monitor.c
+++ b/core/freshness_monitor.c
@@ -14,7 +14,10 @@
   guint64 membership_epoch; /* for which the watchers were selected */
   gboolean is_watcher;      /* this instance is one */
   guint64 assigned_watcher; /* the one that this instance polls otherwise */
-  gboolean is_confirmed;    /* as in the last line of the log */
+  gint64 era;               /* of the store's last report */
+  gint64 first_version;     /* the store's first one in that era */
+  HbwCatalogueConfirmation unsettled; /* last one before the era was settled */
+  gboolean is_confirmed;              /* as in the last line of the log */
   guint64 logged_source;
   gint64 logged_era;
 };
@@ -58,24 +61,6 @@
       = get_watcher (context, (guint) (context->self % watchers));
 }
 
-void
-hbw_freshness_monitor_tick (HbwFreshnessMonitor *monitor, HbwContext *context)
-{
-  select_watchers (monitor, context);
-  gint64 elapsed_us = context->now_us - monitor->polled_us;
-  if (monitor->poll_number != 0 && elapsed_us >= HBW_FRESHNESS_POLL_TIMEOUT_US)
-    {
-      monitor->poll_number = 0;
-      monitor->poll_timed_out = TRUE;
-    }
-  if (monitor->is_watcher || elapsed_us < HBW_FRESHNESS_POLL_INTERVAL_US)
-    return;
-  monitor->poll_peer = monitor->assigned_watcher;
-  monitor->polled_us = context->now_us;
-  monitor->poll_number = hbw_membership_ping_member (context->membership, context,
-                                                     monitor->poll_peer);
-}
-
 const char *
 hbw_freshness_source_name (const HbwContext *context)
 {
@@ -117,28 +102,81 @@
 log_unconfirmed (HbwFreshnessMonitor *monitor, HbwContext *context,
                  const HbwCatalogueConfirmation *reported, gint64 version)
 {
+  gboolean is_settled
+      = hbw_store_era_is_settled (&context->store_era, reported->requested_us);
   if (!monitor->is_confirmed)
     return;
   monitor->is_confirmed = FALSE;
   hbw_effects_log (context->effects, HBW_LOG_CATALOGUE_UNCONFIRMED,
                    "catalogue=%" G_GINT64_FORMAT " store=%" G_GINT64_FORMAT
-                   " era=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT,
-                   version, reported->version, reported->era,
+                   " era=%" G_GINT64_FORMAT " settled=%d age_ms=%" G_GINT64_FORMAT,
+                   version, reported->version, reported->era, is_settled,
                    (context->now_us - context->catalogue_confirmed_us)
                        / HBW_US_PER_MS);
 }
 
+/* In an era that is not settled, the store may have lost a newer version, unless one
+   was written since. */
+static gboolean
+confirm_by_store (HbwFreshnessMonitor *monitor, HbwContext *context,
+                  const HbwCatalogueConfirmation *reported, gint64 version)
+{
+  gboolean was_written_in_era = reported->version > monitor->first_version;
+  if (reported->version != version
+      || (!was_written_in_era
+          && !hbw_store_era_is_settled (&context->store_era,
+                                        reported->requested_us)))
+    return FALSE;
+  monitor->unsettled.era = 0;
+  confirm (monitor, context, reported->requested_us, HBW_CONFIRMED_BY_STORE,
+           version);
+  return TRUE;
+}
+
+/* Uses the last report again: since then, the era may have become known to be
+   settled for longer. */
+static void
+confirm_unsettled (HbwFreshnessMonitor *monitor, HbwContext *context, gint64 version)
+{
+  const HbwCatalogueConfirmation reported = monitor->unsettled;
+  if (reported.era > 0 && reported.era == context->store_era.number)
+    confirm_by_store (monitor, context, &reported, version);
+}
+
 void
 hbw_freshness_monitor_handle_store (HbwFreshnessMonitor *monitor,
                                     HbwContext *context,
                                     const HbwCatalogueConfirmation *reported,
                                     gint64 version)
 {
-  if (reported->version != version)
+  if (reported->era < context->store_era.number)
+    return;
+  if (reported->era != monitor->era)
+    monitor->first_version = reported->version;
+  monitor->era = reported->era;
+  monitor->unsettled = *reported;
+  if (!confirm_by_store (monitor, context, reported, version))
     log_unconfirmed (monitor, context, reported, version);
-  if (version >= reported->version)
-    confirm (monitor, context, reported->requested_us, HBW_CONFIRMED_BY_STORE,
-             version);
+}
+
+void
+hbw_freshness_monitor_tick (HbwFreshnessMonitor *monitor, HbwContext *context,
+                            gint64 version)
+{
+  confirm_unsettled (monitor, context, version);
+  select_watchers (monitor, context);
+  gint64 elapsed_us = context->now_us - monitor->polled_us;
+  if (monitor->poll_number != 0 && elapsed_us >= HBW_FRESHNESS_POLL_TIMEOUT_US)
+    {
+      monitor->poll_number = 0;
+      monitor->poll_timed_out = TRUE;
+    }
+  if (monitor->is_watcher || elapsed_us < HBW_FRESHNESS_POLL_INTERVAL_US)
+    return;
+  monitor->poll_peer = monitor->assigned_watcher;
+  monitor->polled_us = context->now_us;
+  monitor->poll_number = hbw_membership_ping_member (context->membership, context,
+                                                     monitor->poll_peer);
 }
 
 void
@@ -151,8 +189,9 @@
     return;
   monitor->poll_number = 0;
   monitor->poll_timed_out = FALSE;
-  if (ping->catalogue_age_us < 0 || ping->versions[HBW_DOCUMENT_CATALOGUE] > version)
-    return; /* the watcher has a newer catalogue, which this instance requests */
+  if (ping->catalogue_age_us < 0
+      || ping->versions[HBW_DOCUMENT_CATALOGUE] != version)
+    return; /* the watcher's confirmation is of another catalogue */
   confirm (monitor, context, monitor->polled_us - ping->catalogue_age_us,
            message->from, version);
 }
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -585,7 +585,9 @@
   hbw_suspect_share_tick (context->suspect_share, context);
   hbw_suspect_archive_tick (reducer->suspect_archive, context);
   if (reducer->max_revocation_delay_us > 0)
-    hbw_freshness_monitor_tick (reducer->freshness_monitor, context);
+    hbw_freshness_monitor_tick (
+        reducer->freshness_monitor, context,
+        hbw_documents_version (reducer->documents, HBW_DOCUMENT_CATALOGUE));
 }
 
 static void
@@ -622,6 +624,7 @@
 {
   HbwContext *context = &reducer->context;
   hbw_metrics_control (context->metrics)->suspect_store_calls += stored->calls;
+  observe_store_era (reducer, stored->era, 0);
   hbw_suspect_archive_handle_read (reducer->suspect_archive, context, stored);
   hbw_suspect_share_handle_stored (context->suspect_share, context);
 }
--- a/core/suspect_archive.c
+++ b/core/suspect_archive.c
@@ -37,7 +37,9 @@
   gint64 unstored_since_us; /* 0 if all is stored */
   gint64 next_write_us;
   gint64 next_cleanup_us;
-  guint stored_count; /* entries of the stored object, as last seen */
+  guint stored_count;  /* entries of the stored object, as last seen */
+  gint64 recorded_era; /* era that the stored object says is settled */
+  gint64 written_era;  /* the same, by the write in progress */
   HbwSuspicionReport written[ENTRIES_MAX]; /* by the write in progress */
   guint written_count;
 };
@@ -82,12 +84,13 @@
 }
 
 static GBytes *
-format_object (const HbwSuspicionReport *reports, guint count)
+format_object (const HbwSuspicionReport *reports, guint count, gint64 settled_era)
 {
   json_t *suspects = json_array ();
   for (guint i = 0; i < count; i++)
     json_array_append_new (suspects, format_report (&reports[i]));
-  json_t *root = json_pack ("{s:o}", "suspects", suspects);
+  json_t *root = json_pack ("{s:o, s:I}", "suspects", suspects, "settled_era",
+                            (json_int_t) settled_era);
   char *text = json_dumps (root, JSON_COMPACT);
   GBytes *body = g_bytes_new (text, strlen (text));
   free (text);
@@ -163,6 +166,8 @@
 {
   HbwJsonReader *reader = hbw_json_reader_create (errors, root, "");
   json_t *suspects = hbw_json_reader_member (reader, "suspects", JSON_ARRAY, TRUE);
+  archive->recorded_era
+      = hbw_json_reader_int (reader, "settled_era", 0, G_MAXINT64, 0);
   size_t index;
   json_t *value;
   archive->stored_count = (guint) json_array_size (suspects);
@@ -222,8 +227,12 @@
                                  const HbwStoredSuspects *stored)
 {
   archive->version = stored->version;
+  archive->recorded_era = 0;
   if (stored->body != NULL)
     merge_object (archive, context, stored->body);
+  if (archive->recorded_era == stored->era)
+    hbw_store_era_observe (&context->store_era, stored->era, HBW_STORE_ERA_SETTLED,
+                           context->now_us);
 }
 
 void
@@ -240,6 +249,7 @@
     return;
   archive->version = stored->version;
   archive->stored_count = archive->written_count;
+  archive->recorded_era = archive->written_era;
   archive->unstored_since_us = 0;
   hbw_quarantine_mark_stored (context->quarantine, archive->written,
                               archive->written_count, context->now_us);
@@ -252,6 +262,16 @@
   return COLLECT_US + MIN (delay, TURN_DELAY_MAX_US);
 }
 
+/* Returns whether the store's era is settled, and the stored object does not say so
+   yet. */
+static gboolean
+is_era_unrecorded (const HbwSuspectArchive *archive, const HbwContext *context)
+{
+  const HbwStoreEra *era = &context->store_era;
+  return era->number != archive->recorded_era
+         && hbw_store_era_is_settled (era, context->now_us);
+}
+
 static void
 write_suspects (HbwSuspectArchive *archive, HbwContext *context)
 {
@@ -262,7 +282,11 @@
                                      MIN (open, ENTRIES_MAX), context->now_us);
   HbwEffect *effect = hbw_effects_add (context->effects, HBW_EFFECT_STORE_SUSPECTS);
   effect->suspects.base_version = archive->version;
-  effect->suspects.body = format_object (archive->written, archive->written_count);
+  archive->written_era = is_era_unrecorded (archive, context)
+                             ? context->store_era.number
+                             : archive->recorded_era;
+  effect->suspects.body = format_object (archive->written, archive->written_count,
+                                         archive->written_era);
 }
 
 /* Returns whether the stored object has entries that are not needed any more. */
@@ -282,7 +306,9 @@
   if (!hbw_quarantine_has_unstored (context->quarantine, ENTRIES_MAX, now_us))
     {
       archive->unstored_since_us = 0;
-      return needs_cleanup (archive, context);
+      return needs_cleanup (archive, context)
+             || (is_era_unrecorded (archive, context)
+                 && hbw_membership_rank (context->membership, "suspects") == 0);
     }
   if (archive->unstored_since_us == 0)
     archive->unstored_since_us = now_us;
--- a/include/hornbeamwall/core/freshness_monitor.h
+++ b/include/hornbeamwall/core/freshness_monitor.h
@@ -2,11 +2,11 @@
  * freshness_monitor - keeps track of the age of the catalogue
  *
  * In each data centre, a few instances (watchers) watch the store, which confirms to
- * them that their catalogue is the newest.  The others poll one of them, with a
- * ping, for the age of its last confirmation.  That age is subtracted from the time
- * at which the poll was sent, so a slow response never makes the catalogue look more
- * recent than it is.  An instance without a usable response watches the store
- * itself.
+ * them that their catalogue is the newest: that it has the same one, and that its
+ * era is settled (see store_era.h).  The others poll one of them, with a ping, for
+ * the age of its last confirmation.  That age is subtracted from the time at which
+ * the poll was sent, so a slow response never makes the catalogue look more recent
+ * than it is.  An instance without a usable response watches the store itself.
  */
 #ifndef HORNBEAMWALL_CORE_FRESHNESS_MONITOR_H
 #define HORNBEAMWALL_CORE_FRESHNESS_MONITOR_H
@@ -34,17 +34,16 @@
 HbwFreshnessMonitor *hbw_freshness_monitor_create (void);
 void hbw_freshness_monitor_destroy (HbwFreshnessMonitor *monitor);
 
-/* Polls a watcher if that is due. */
-void hbw_freshness_monitor_tick (HbwFreshnessMonitor *monitor, HbwContext *context);
+/* Polls a watcher if that is due; VERSION is that of the active catalogue here. */
+void hbw_freshness_monitor_tick (HbwFreshnessMonitor *monitor, HbwContext *context,
+                                 gint64 version);
 
-/* Handles an ACK, which may be the response to a poll; VERSION is that of the active
-   catalogue here. */
+/* Handles an ACK, which may be the response to a poll. */
 void hbw_freshness_monitor_handle_ack (HbwFreshnessMonitor *monitor,
                                        HbwContext *context,
                                        const HbwMessage *message, gint64 version);
 
-/* Handles what the store reported of its catalogue; VERSION is that of the active
-   catalogue here. */
+/* Handles what the store reported of its catalogue. */
 void hbw_freshness_monitor_handle_store (HbwFreshnessMonitor *monitor,
                                          HbwContext *context,
                                          const HbwCatalogueConfirmation *reported,
--- a/include/hornbeamwall/core/suspect_archive.h
+++ b/include/hornbeamwall/core/suspect_archive.h
@@ -7,6 +7,9 @@
  * reads it when it starts.  The first instance by rendezvous hashing writes what is
  * not stored yet; if it does not, because it does not reach the store, the next ones
  * do so in turn.
+ *
+ * The object also says which era of the store is settled (see store_era.h), so that
+ * instances which start need not wait for it.
  */
 #ifndef HORNBEAMWALL_CORE_SUSPECT_ARCHIVE_H
 #define HORNBEAMWALL_CORE_SUSPECT_ARCHIVE_H
--- a/tests/platform_fixture.c
+++ b/tests/platform_fixture.c
@@ -96,6 +96,9 @@
   for (guint i = 0; i < PLATFORM_FIXTURE_SERVERS; i++)
     platform_fixture_put_server (fixture, i, "ready");
   platform_fixture_put_config (fixture, 3, "\"k1\",\"k2\"");
+  /* As instances before left it. */
+  objects_set (fixture->object_store, "hornbeamwall-suspects", "main",
+               "{\"suspects\":[],\"settled_era\":1}");
   return fixture;
 }
 
