--- a/core/admission.c
+++ b/core/admission.c
@@ -109,7 +109,7 @@
 static gboolean
 requires_key (const HbwCatalogue *catalogue, const HbwEndpoint *endpoint)
 {
-  return !endpoint->anonymous && hbw_catalogue_has_keys (catalogue);
+  return !endpoint->anonymous && hbw_catalogue_requires_keys (catalogue);
 }
 
 static HbwReason
--- a/core/catalogue.c
+++ b/core/catalogue.c
@@ -28,6 +28,7 @@
   GHashTable *organisations; /* name -> HbwOrganisation */
   GHashTable *keys;          /* key hash -> HbwOrganisation (borrowed) */
   HbwEndpoints *endpoints;
+  gboolean keys_required; /* also without organisations */
   HbwCallerLimits caller_limits;
 };
 
@@ -276,6 +277,7 @@
   parse_section (catalogue, reader, report, "organisations", TRUE,
                  parse_organisation);
   parse_section (catalogue, reader, report, "endpoints", FALSE, parse_endpoint);
+  catalogue->keys_required = hbw_json_reader_bool (reader, "keys_required", FALSE);
   parse_caller_limits (catalogue, reader, report);
   hbw_json_reader_destroy (reader);
 }
@@ -368,9 +370,10 @@
 }
 
 gboolean
-hbw_catalogue_has_keys (const HbwCatalogue *catalogue)
+hbw_catalogue_requires_keys (const HbwCatalogue *catalogue)
 {
-  return g_hash_table_size (catalogue->keys) > 0;
+  return catalogue->keys_required
+         || g_hash_table_size (catalogue->organisations) > 0;
 }
 
 const HbwCallerLimits *
--- a/include/hornbeamwall/core/catalogue.h
+++ b/include/hornbeamwall/core/catalogue.h
@@ -127,8 +127,9 @@
 const HbwEndpoint *hbw_catalogue_find_endpoint (const HbwCatalogue *catalogue,
                                                 const char *host, const char *path);
 
-/* Returns whether any organisation has a key. */
-gboolean hbw_catalogue_has_keys (const HbwCatalogue *catalogue);
+/* Returns whether endpoints that are not anonymous require a key, also if no
+   organisation has one. */
+gboolean hbw_catalogue_requires_keys (const HbwCatalogue *catalogue);
 
 const HbwCallerLimits *hbw_catalogue_caller_limits (const HbwCatalogue *catalogue);
 
--- a/tests/adapter_test.c
+++ b/tests/adapter_test.c
@@ -88,6 +88,27 @@
 }
 END_TEST
 
+START_TEST (keys_are_required_even_if_no_tenant_has_one)
+{
+  static const struct
+  {
+    const char *tenants;
+    gboolean required;
+  } cases[] = { { "", FALSE },
+                { ",\"tenants\":[]", TRUE },
+                { ",\"tenants\":[{\"name\":\"t\",\"api_keys\":[]}]", TRUE } };
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *text = g_strdup_printf (
+          "{\"version\":8,\"routes\":[],\"backends\":[]%s}", cases[i].tenants);
+      HbwCatalogue *catalogue = translate (text);
+      ck_assert_int_eq (hbw_catalogue_requires_keys (catalogue), cases[i].required);
+      hbw_catalogue_unref (catalogue);
+      g_free (text);
+    }
+}
+END_TEST
+
 START_TEST (malformed_server_entries_are_ignored)
 {
   static const char *const bad[] = {
@@ -447,6 +468,7 @@
   Suite *suite = suite_create ("adapter");
   TCase *tests = tcase_create ("adapter");
   tcase_add_test (tests, config_is_translated_to_a_catalogue);
+  tcase_add_test (tests, keys_are_required_even_if_no_tenant_has_one);
   tcase_add_test (tests, malformed_server_entries_are_ignored);
   tcase_add_test (tests, request_fields_are_parsed);
   tcase_add_test (tests, malformed_fields_are_parsed_up_to_the_error);
