--- a/core/quarantine_report.c
+++ b/core/quarantine_report.c
@@ -212,6 +212,14 @@
   return count_importance (quarantine, importance_min, TRUE, now_us) > 0;
 }
 
+void
+hbw_quarantine_mark_unstored (HbwQuarantine *quarantine)
+{
+  HbwSuspect *suspect;
+  cds_list_for_each_entry (suspect, &quarantine->by_age, link)
+    suspect->is_stored = FALSE;
+}
+
 void
 hbw_quarantine_mark_stored (HbwQuarantine *quarantine,
                             const HbwSuspicionReport *reports, guint count,
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -336,6 +336,7 @@
                    "era=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
                    " age_ms=%" G_GINT64_FORMAT,
                    number, before, age_us / HBW_US_PER_MS);
+  hbw_suspect_archive_handle_restore (reducer->suspect_archive, context);
 }
 
 static void
@@ -674,6 +675,7 @@
     case HBW_EVENT_SUSPECTS_WRITTEN:
       hbw_metrics_control (context->metrics)->suspect_store_calls
           += event->suspects.calls;
+      observe_store_era (reducer, event->suspects.era, 0);
       hbw_suspect_archive_handle_written (reducer->suspect_archive, context,
                                           &event->suspects);
       break;
--- a/core/suspect_archive.c
+++ b/core/suspect_archive.c
@@ -235,6 +235,16 @@
                            context->now_us);
 }
 
+void
+hbw_suspect_archive_handle_restore (HbwSuspectArchive *archive, HbwContext *context)
+{
+  if (!hbw_suspect_archive_was_read (archive))
+    return;
+  archive->version = HBW_VERSION_UNKNOWN;
+  hbw_quarantine_mark_unstored (context->quarantine);
+  hbw_effects_add (context->effects, HBW_EFFECT_READ_SUSPECTS);
+}
+
 void
 hbw_suspect_archive_handle_written (HbwSuspectArchive *archive, HbwContext *context,
                                     const HbwStoredSuspects *stored)
@@ -245,7 +255,7 @@
                    stored->written, archive->written_count, stored->version);
   archive->next_write_us = context->now_us + WRITE_INTERVAL_US;
   archive->next_cleanup_us = context->now_us + CLEANUP_INTERVAL_US;
-  if (!stored->written)
+  if (!stored->written || !hbw_suspect_archive_was_read (archive))
     return;
   archive->version = stored->version;
   archive->stored_count = archive->written_count;
--- a/include/hornbeamwall/core/effect.h
+++ b/include/hornbeamwall/core/effect.h
@@ -18,6 +18,7 @@
   HBW_EFFECT_POLL_LOAD,         /* request a load report from a backend server */
   HBW_EFFECT_PUBLISH_CATALOGUE, /* a new catalogue is active */
   HBW_EFFECT_STORE_SUSPECTS,    /* write the suspects to the platform's store */
+  HBW_EFFECT_READ_SUSPECTS,     /* read them from there */
   HBW_EFFECT_LOG,
 } HbwEffectKind;
 
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -167,6 +167,9 @@
 gboolean hbw_quarantine_has_unstored (const HbwQuarantine *quarantine, guint max,
                                       gint64 now_us);
 
+/* Records that the platform's store may have lost all that it had. */
+void hbw_quarantine_mark_unstored (HbwQuarantine *quarantine);
+
 /* Records that the platform's store has REPORTS, and tells the other instances. */
 void hbw_quarantine_mark_stored (HbwQuarantine *quarantine,
                                  const HbwSuspicionReport *reports, guint count,
--- a/include/hornbeamwall/core/suspect_archive.h
+++ b/include/hornbeamwall/core/suspect_archive.h
@@ -28,6 +28,11 @@
                                       HbwContext *context,
                                       const HbwStoredSuspects *stored);
 
+/* Handles that the store was restored and may have lost the object, or part of it:
+   it is read again, and what it lacks is written. */
+void hbw_suspect_archive_handle_restore (HbwSuspectArchive *archive,
+                                         HbwContext *context);
+
 void hbw_suspect_archive_handle_written (HbwSuspectArchive *archive,
                                          HbwContext *context,
                                          const HbwStoredSuspects *stored);
--- a/include/hornbeamwall/runtime/suspect_store.h
+++ b/include/hornbeamwall/runtime/suspect_store.h
@@ -26,4 +26,8 @@
 void hbw_suspect_store_enqueue (HbwSuspectStore *store,
                                 const HbwStoreSuspects *write);
 
+/* The same for a read, which is tried until it succeeds; its result is submitted as
+   HBW_EVENT_SUSPECTS_READ. */
+void hbw_suspect_store_enqueue_read (HbwSuspectStore *store);
+
 #endif
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -132,6 +132,9 @@
     case HBW_EFFECT_STORE_SUSPECTS:
       hbw_suspect_store_enqueue (control->suspect_store, &effect->suspects);
       break;
+    case HBW_EFFECT_READ_SUSPECTS:
+      hbw_suspect_store_enqueue_read (control->suspect_store);
+      break;
     case HBW_EFFECT_LOG:
       hbw_log_write (effect->log.number, effect->log.text);
       break;
--- a/runtime/suspect_store.c
+++ b/runtime/suspect_store.c
@@ -19,7 +19,7 @@
   HbwSharedObject *object;
   pthread_mutex_t lock;
   pthread_cond_t wake;
-  GQueue writes; /* HbwStoreSuspects */
+  GQueue calls; /* HbwStoreSuspects; a read has no body */
   gboolean stopping;
   pthread_t thread;
   gboolean started;
@@ -88,37 +88,47 @@
 }
 
 static HbwStoreSuspects *
-next_write (HbwSuspectStore *store)
+next_call (HbwSuspectStore *store)
 {
   pthread_mutex_lock (&store->lock);
-  while (g_queue_is_empty (&store->writes) && !store->stopping)
+  while (g_queue_is_empty (&store->calls) && !store->stopping)
     pthread_cond_wait (&store->wake, &store->lock);
-  HbwStoreSuspects *write
-      = store->stopping ? NULL : g_queue_pop_head (&store->writes);
+  HbwStoreSuspects *call = store->stopping ? NULL : g_queue_pop_head (&store->calls);
   pthread_mutex_unlock (&store->lock);
-  return write;
+  return call;
 }
 
 static void
-write_free (gpointer data)
+call_free (gpointer data)
 {
-  HbwStoreSuspects *write = data;
-  g_bytes_unref (write->body);
-  g_free (write);
+  HbwStoreSuspects *call = data;
+  g_clear_pointer (&call->body, g_bytes_unref);
+  g_free (call);
+}
+
+/* Returns FALSE if the thread has to end. */
+static gboolean
+read_until_known (HbwSuspectStore *store)
+{
+  while (!read_object (store))
+    if (!pause_reading (store))
+      return FALSE;
+  return TRUE;
 }
 
 static void *
 run_store_thread (void *data)
 {
   HbwSuspectStore *store = data;
-  while (!read_object (store))
-    if (!pause_reading (store))
-      return NULL;
-  HbwStoreSuspects *write;
-  while ((write = next_write (store)) != NULL)
+  gboolean is_running = read_until_known (store);
+  HbwStoreSuspects *call;
+  while (is_running && (call = next_call (store)) != NULL)
     {
-      write_object (store, write);
-      write_free (write);
+      if (call->body != NULL)
+        write_object (store, call);
+      else
+        is_running = read_until_known (store);
+      call_free (call);
     }
   return NULL;
 }
@@ -143,7 +153,7 @@
   HbwSuspectStore *store = g_new0 (HbwSuspectStore, 1);
   store->control = control;
   store->object = object;
-  g_queue_init (&store->writes);
+  g_queue_init (&store->calls);
   pthread_mutex_init (&store->lock, NULL);
   pthread_condattr_t attributes;
   pthread_condattr_init (&attributes);
@@ -172,20 +182,33 @@
   if (store->started)
     pthread_join (store->thread, NULL);
   store->object->class->destroy (store->object);
-  g_queue_clear_full (&store->writes, write_free);
+  g_queue_clear_full (&store->calls, call_free);
   pthread_cond_destroy (&store->wake);
   pthread_mutex_destroy (&store->lock);
   g_free (store);
 }
 
+/* Takes ownership of CALL. */
+static void
+enqueue (HbwSuspectStore *store, HbwStoreSuspects *call)
+{
+  pthread_mutex_lock (&store->lock);
+  g_queue_push_tail (&store->calls, call);
+  pthread_cond_signal (&store->wake);
+  pthread_mutex_unlock (&store->lock);
+}
+
 void
 hbw_suspect_store_enqueue (HbwSuspectStore *store, const HbwStoreSuspects *write)
 {
   HbwStoreSuspects *copy = g_new (HbwStoreSuspects, 1);
   copy->base_version = write->base_version;
   copy->body = g_bytes_ref (write->body);
-  pthread_mutex_lock (&store->lock);
-  g_queue_push_tail (&store->writes, copy);
-  pthread_cond_signal (&store->wake);
-  pthread_mutex_unlock (&store->lock);
+  enqueue (store, copy);
+}
+
+void
+hbw_suspect_store_enqueue_read (HbwSuspectStore *store)
+{
+  enqueue (store, g_new0 (HbwStoreSuspects, 1));
 }
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -509,6 +509,15 @@
   g_bytes_unref (event.suspects.body);
 }
 
+static void
+report_store_era (ReducerFixture *fixture, gint64 era)
+{
+  HbwEvent event = { .kind = HBW_EVENT_STORE_STATE };
+  event.store.up = TRUE;
+  event.store.era = era;
+  step_reducer (fixture, &event);
+}
+
 /* Another writer's entries must not hide the valid ones, and what is written keeps
    what was read. */
 START_TEST (malformed_stored_suspects_are_ignored)
@@ -547,6 +556,30 @@
 }
 END_TEST
 
+/* The store gives out again the revision that this instance has seen. */
+START_TEST (restored_suspects_are_read_before_they_are_replaced)
+{
+  static const char text[]
+      = "{\"suspects\":[{\"high\":\"0\",\"low\":\"1\",\"verdict\":\"cause\","
+        "\"remaining_ms\":9000,\"failures\":[]}]}";
+  ReducerFixture fixture = fixture_create (1, 3, 8);
+  report_store_era (&fixture, 1);
+  deliver_suspects (&fixture, 6, text);
+  report_store_era (&fixture, 2);
+  ck_assert (find_effect (&fixture, HBW_EFFECT_READ_SUSPECTS) != NULL);
+  tick (&fixture, HBW_US_PER_S);
+  tick (&fixture, HBW_US_PER_S);
+  ck_assert (find_effect (&fixture, HBW_EFFECT_STORE_SUSPECTS) == NULL);
+  deliver_suspects (&fixture, 4, "{\"suspects\":[]}");
+  tick (&fixture, HBW_US_PER_S);
+  tick (&fixture, HBW_US_PER_S);
+  const HbwEffect *write = find_effect (&fixture, HBW_EFFECT_STORE_SUSPECTS);
+  ck_assert (write != NULL);
+  ck_assert_int_eq (write->suspects.base_version, 4);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* --- server lists -------------------------------------------------------- */
 
 /* Guards against a failure of the deployment gazetteer-eu of the users' test bench,
@@ -571,15 +604,6 @@
 }
 END_TEST
 
-static void
-report_store_era (ReducerFixture *fixture, gint64 era)
-{
-  HbwEvent event = { .kind = HBW_EVENT_STORE_STATE };
-  event.store.up = TRUE;
-  event.store.era = era;
-  step_reducer (fixture, &event);
-}
-
 START_TEST (list_of_restored_store_does_not_revive_leaving_server)
 {
   static const char *const leaving[] = { ",\"state\":\"leaving\"", NULL };
@@ -594,8 +618,7 @@
   submit_request (&fixture, 1, &spec);
   ck_assert_str_eq (started_server (&fixture), "");
   fixture.now_us += HBW_STORE_ERA_SETTLE_US;
-  HbwEvent tick = { .kind = HBW_EVENT_TICK };
-  step_reducer (&fixture, &tick);
+  tick (&fixture, 0);
   submit_request (&fixture, 2, &spec);
   ck_assert_str_eq (started_server (&fixture), "e0");
   fixture_destroy (&fixture);
@@ -876,6 +899,7 @@
   tcase_add_test (tests, only_resumable_stream_is_retried_after_first_bytes);
   tcase_add_test (tests, requests_are_refused_at_configured_timeout);
   tcase_add_test (tests, malformed_stored_suspects_are_ignored);
+  tcase_add_test (tests, restored_suspects_are_read_before_they_are_replaced);
   tcase_add_test (tests, draining_instance_accepts_requests_for_grace_period);
   tcase_add_test (tests, lapsed_entry_does_not_revive_leaving_server);
   tcase_add_test (tests, list_of_restored_store_does_not_revive_leaving_server);
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -849,6 +849,9 @@
     case HBW_EFFECT_POLL_LOAD:
       poll_load (world, instance, &effect->poll);
       break;
+    case HBW_EFFECT_READ_SUSPECTS:
+      call_suspect_store (world, instance, NULL);
+      break;
     case HBW_EFFECT_STORE_SUSPECTS:
       trace (world, "%s writes %" G_GSIZE_FORMAT " bytes of suspects",
              instance->name, g_bytes_get_size (effect->suspects.body));
