--- a/tests/platform_soak.c
+++ b/tests/platform_soak.c
@@ -12,7 +12,9 @@
  * at most once, a request reported as not executed was not executed, every complete
  * response belongs to its request, and events arrive once and in order.  Some
  * callers send requests again and again that crash every server that executes them:
- * none may crash a third one.
+ * none may crash a third one.  Configs take keys away and give them back: no request
+ * with a key that was removed longer ago than the bound is executed.  The store is
+ * restored from older copies, and its writers write again what it has lost.
  */
 #include "standin/listen.h"
 #include "standin/objects.h"
@@ -37,6 +39,26 @@
 /* Requests that crash servers, each sent by one caller. */
 #define CRASHING 3
 
+/* Keys that configs take away and give back. */
+#define CHANGING_KEYS 4
+
+/* Bound for refusing a removed key. */
+#define REVOCATION_MS 5000
+
+/* One caller in this many requests uses one of these keys. */
+#define CHANGING_KEY_SHARE 3
+
+/* Most changes that the store loses when it is restored. */
+#define LOST_CHANGES_MAX 12
+
+/* Longest times for which the store is away before it is restored, and until its
+   writers write again what it has lost. */
+#define RESTORE_OUTAGE_MAX_US 1500000
+#define REWRITE_DELAY_MAX_US 1800000
+
+/* Time after which changes of the servers are followed everywhere. */
+#define FOLLOW_US 6000000
+
 /* Servers that a request may crash. */
 #define CRASHES_MAX 2
 #define PATH_MAX_BYTES 96
@@ -50,6 +72,12 @@
 /* Longest pause of a caller whose request crashed a server. */
 #define RESEND_INTERVAL_MAX_US 600000
 
+typedef struct
+{
+  gboolean held;
+  gint64 removed_us; /* when the config without it was acknowledged */
+} ChangingKey;
+
 typedef struct
 {
   const char *directory; /* of settings and process ids */
@@ -61,14 +89,22 @@
   Proxy *proxies[SERVERS];
   guint crash_counts[SERVERS]; /* that the directory has noticed */
   const char *states[SERVERS];
-  GRand *fault_random; /* used for faults only */
+  GRand *fault_random;  /* used for faults only */
+  GRand *change_random; /* used for changes of keys and for restores only */
   guint config_version;
+  pthread_mutex_t key_lock;
+  ChangingKey keys[CHANGING_KEYS]; /* under key_lock */
+  gint64 restore_at_us;            /* 0 if no restore is due */
+  gint64 rewrite_at_us;            /* 0 if nothing has to be written again */
   atomic_bool stopping;
   atomic_uint sent;
   atomic_uint completed;
   atomic_uint refused;
   atomic_uint failed;
   atomic_uint harmful; /* requests refused as harmful, apart from those that are */
+  atomic_uint
+      removed_key_requests; /* with a key that was removed before the bound */
+  guint restores;
   atomic_uint violations;
 } Soak;
 
@@ -231,13 +267,14 @@
 
 /* Returns the response to a request with BODY, or NULL if there is none. */
 static GString *
-send_request (Caller *caller, const char *path, const char *trace, const char *body)
+send_request (Caller *caller, const char *path, const char *trace, const char *key,
+              const char *body)
 {
   char *request = g_strdup_printf (
-      "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamwall-Key: k1\r\n"
+      "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamwall-Key: %s\r\n"
       "X-Hornbeamwall-Attempt-Id: %s\r\nX-Hornbeamwall-Deadline-Ms: 2500\r\n"
       "Content-Length: %zu\r\n\r\n%s",
-      path, trace, strlen (body), body);
+      path, key, trace, strlen (body), body);
   gsize length = strlen (request);
   gboolean written
       = send (caller->fd, request, length, MSG_NOSIGNAL) == (ssize_t) length;
@@ -248,18 +285,52 @@
   return NULL;
 }
 
+/* Returns the index of the changing key that the next request uses, or CHANGING_KEYS
+   if it uses another one. */
+static guint
+select_key (Caller *caller)
+{
+  if (g_rand_int_range (caller->random, 0, CHANGING_KEY_SHARE) != 0)
+    return CHANGING_KEYS;
+  return (guint) g_rand_int_range (caller->random, 0, CHANGING_KEYS);
+}
+
+/* Returns whether the key was removed before SENT_US minus the bound, and is not
+   held again. */
+static gboolean
+is_removed (Soak *soak, guint index, gint64 sent_us)
+{
+  if (index == CHANGING_KEYS)
+    return FALSE;
+  pthread_mutex_lock (&soak->key_lock);
+  const ChangingKey key = soak->keys[index];
+  pthread_mutex_unlock (&soak->key_lock);
+  return !key.held && key.removed_us < sent_us - REVOCATION_MS * 1000;
+}
+
 static void
 call_once (Caller *caller, guint number)
 {
   Soak *soak = caller->soak;
   char path[PATH_MAX_BYTES];
   char trace[32];
+  char key[8] = "k1";
   make_path (caller, number, path);
   g_snprintf (trace, sizeof trace, "t%u-%u-", caller->number, number);
   if (caller->fd < 0 && !open_connection (caller))
     return;
   atomic_fetch_add (&soak->sent, 1);
-  GString *response = send_request (caller, path, trace, trace);
+  guint key_index = select_key (caller);
+  if (key_index < CHANGING_KEYS)
+    g_snprintf (key, sizeof key, "r%u", key_index);
+  gint64 sent_us = g_get_monotonic_time ();
+  GString *response = send_request (caller, path, trace, key, trace);
+  if (is_removed (soak, key_index, sent_us))
+    {
+      atomic_fetch_add (&soak->removed_key_requests, 1);
+      if (count_runs (soak, path) > 0)
+        report_violation (soak, "runs with a removed key", path, key);
+    }
   if (response != NULL)
     {
       check_answer (soak, path, trace, response);
@@ -305,7 +376,7 @@
           (gulong) g_rand_int_range (caller->random, 0, RESEND_INTERVAL_MAX_US));
       if (!open_connection (caller))
         continue;
-      GString *response = send_request (caller, path, trace, path);
+      GString *response = send_request (caller, path, trace, "k1", path);
       close_connection (caller);
       if (response != NULL)
         g_string_free (response, TRUE);
@@ -318,9 +389,23 @@
 
 /* --- store contents and settings ----------------------------------------- */
 
+/* Returns the changing keys that are held, as JSON strings, each after a comma. */
+static char *
+format_changing_keys (Soak *soak)
+{
+  GString *text = g_string_new (NULL);
+  for (guint i = 0; i < CHANGING_KEYS; i++)
+    if (soak->keys[i].held)
+      g_string_append_printf (text, ",\"r%u\"", i);
+  return g_string_free (text, FALSE);
+}
+
+/* Writes the newest config, again if VERSION was written before. */
 static void
-put_config (Soak *soak)
+put_config (Soak *soak, guint version)
 {
+  char *keys = format_changing_keys (soak);
+  soak->config_version = version;
   char *text = g_strdup_printf (
       "{\"version\":%u,\"routes\":["
       "{\"name\":\"safe\",\"hostname\":\"h.example\",\"path_prefix\":\"/safe/\","
@@ -340,10 +425,30 @@
       "\"backends\":[{\"name\":\"b\"}],"
       "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"
       "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
-      "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"]}]}",
-      ++soak->config_version);
+      "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"%s]}]}",
+      version, keys);
   objects_set (soak->objects, "config", "main", text);
   g_free (text);
+  g_free (keys);
+}
+
+/* Takes a key away, or gives it back.  The key counts as removed from the
+   acknowledgement of the config on. */
+static void
+change_key (Soak *soak)
+{
+  guint index = (guint) g_rand_int_range (soak->change_random, 0, CHANGING_KEYS);
+  ChangingKey *key = &soak->keys[index];
+  pthread_mutex_lock (&soak->key_lock);
+  key->held = !key->held;
+  key->removed_us = G_MAXINT64;
+  pthread_mutex_unlock (&soak->key_lock);
+  put_config (soak, soak->config_version + 1);
+  pthread_mutex_lock (&soak->key_lock);
+  key->removed_us = g_get_monotonic_time ();
+  pthread_mutex_unlock (&soak->key_lock);
+  printf ("change: key r%u is %s, config %u\n", index,
+          key->held ? "held" : "removed", soak->config_version);
 }
 
 static void
@@ -392,11 +497,11 @@
           "\"policy\":\"direct\",\"caller_address\":\"127.0.0.1:%u\","
           "\"admin_address\":\"127.0.0.1:%u\",\"peer_address\":\"127.0.0.1:%u\","
           "\"platform_address\":\"127.0.0.1:%u\",\"load_in_answers\":true,"
-          "\"revocation_ms\":5000,\"retry_ratio\":0.2,\"retry_extra\":54,"
+          "\"revocation_ms\":%u,\"retry_ratio\":0.2,\"retry_extra\":54,"
           "\"stop_grace_s\":4,\"connect_timeout_ms\":150,"
           "\"seeds\":[\"127.0.0.1:%u\"]}",
           i, "zyx"[i % 3], soak -> ports[i], standin_free_port (), peers[i],
-          proxy_port (soak->store_proxy), peers[0]);
+          proxy_port (soak->store_proxy), REVOCATION_MS, peers[0]);
       if (!g_file_set_contents (path, text, -1, NULL))
         g_error ("cannot write %s", path);
       g_free (text);
@@ -460,7 +565,7 @@
     proxy_set_mode (soak->store_proxy,
                     (ProxyMode) random_below (soak, PROXY_MODE_COUNT));
   else
-    put_config (soak);
+    put_config (soak, soak->config_version + 1);
 }
 
 static void
@@ -480,6 +585,56 @@
   proxy_set_mode (soak->proxies[index], mode);
 }
 
+/* Returns a random time up to MAX_US from now on. */
+static gint64
+random_time (Soak *soak, gint32 max_us)
+{
+  return g_get_monotonic_time () + g_rand_int_range (soak->change_random, 0, max_us);
+}
+
+static void
+restore_store (Soak *soak)
+{
+  gint64 revision = objects_revision (soak->objects);
+  gint64 lost = g_rand_int_range (soak->change_random, 1, LOST_CHANGES_MAX + 1);
+  printf ("fault: store restored from revision %d of %d\n",
+          (int) MAX (1, revision - lost), (int) revision);
+  objects_restore (soak->objects, MAX (1, revision - lost));
+  objects_set_behaviour (soak->objects, OBJECTS_NORMAL);
+  soak->restores++;
+  soak->restore_at_us = 0;
+  soak->rewrite_at_us = random_time (soak, REWRITE_DELAY_MAX_US);
+}
+
+/* The operator and the servers write again what the store has lost. */
+static void
+rewrite_store (Soak *soak)
+{
+  printf ("config and servers are written again\n");
+  soak->rewrite_at_us = 0;
+  put_config (soak, soak->config_version);
+  for (guint i = 0; i < SERVERS; i++)
+    put_server (soak, i, soak->states[i]);
+}
+
+static void
+inject_changes (Soak *soak)
+{
+  gint64 now_us = g_get_monotonic_time ();
+  guint choice = (guint) g_rand_int_range (soak->change_random, 0, 20);
+  if (choice < 4)
+    change_key (soak);
+  else if (choice == 4 && soak->restore_at_us == 0 && soak->rewrite_at_us == 0)
+    {
+      objects_set_behaviour (soak->objects, OBJECTS_UNAVAILABLE);
+      soak->restore_at_us = random_time (soak, RESTORE_OUTAGE_MAX_US);
+    }
+  if (soak->restore_at_us > 0 && now_us >= soak->restore_at_us)
+    restore_store (soak);
+  if (soak->rewrite_at_us > 0 && now_us >= soak->rewrite_at_us)
+    rewrite_store (soak);
+}
+
 /* Ends all faults, so that each series of faults starts from a working system. */
 static void
 heal_all (Soak *soak)
@@ -512,15 +667,41 @@
       else
         inject_server_fault (soak);
       update_directory (soak);
+      inject_changes (soak);
       fflush (stdout);
       g_usleep ((gulong) g_rand_int_range (soak->fault_random, 100000, 700000));
     }
+  if (soak->restore_at_us > 0)
+    restore_store (soak);
   heal_all (soak);
+  put_config (soak, soak->config_version);
+}
+
+/* Changes of the servers at revisions that the store has given out before take
+   effect at every instance. */
+static void
+check_restored_directory (Soak *soak)
+{
+  restore_store (soak);
+  rewrite_store (soak);
+  put_server (soak, 0, "draining");
+  g_usleep (FOLLOW_US);
+  guint completed = atomic_load (&soak->completed);
+  guint runs = replica_request_count (soak->replicas[0]);
+  g_usleep (G_USEC_PER_SEC);
+  if (replica_request_count (soak->replicas[0]) != runs)
+    report_violation (soak, "draining server gets requests", "", "");
+  if (atomic_load (&soak->completed) == completed)
+    report_violation (soak, "no request completes while a server drains", "", "");
 }
 
 static void
 soak_set_up (Soak *soak)
 {
+  pthread_mutex_init (&soak->key_lock, NULL);
+  for (guint i = 0; i < CHANGING_KEYS; i++)
+    soak->keys[i].held = TRUE;
+
   soak->objects = objects_create ("127.0.0.1:0", 2);
   soak->store_proxy = proxy_create (objects_port (soak->objects));
   for (guint i = 0; i < SERVERS; i++)
@@ -531,7 +712,7 @@
       soak->proxies[i] = proxy_create (replica_port (soak->replicas[i]));
       put_server (soak, i, "ready");
     }
-  put_config (soak);
+  put_config (soak, 1);
   write_settings (soak);
 }
 
@@ -561,6 +742,7 @@
   guint32 seed = (guint32) strtoul (argv[3], NULL, 10);
   soak.instances = MIN ((guint) strtoul (argv[2], NULL, 10), INSTANCES_MAX);
   soak.fault_random = g_rand_new_with_seed (seed);
+  soak.change_random = g_rand_new_with_seed (seed + 1);
   signal (SIGPIPE, SIG_IGN);
   soak_set_up (&soak);
   printf ("ready\n");
@@ -584,6 +766,7 @@
   if (atomic_load (&soak.completed) == completed_before)
     report_violation (&soak, "no request completes after all faults have ended", "",
                       "");
+  check_restored_directory (&soak);
   atomic_store (&soak.stopping, TRUE);
   for (guint i = 0; i < CALLERS; i++)
     {
@@ -600,11 +783,13 @@
     crashes += replica_crash_count (soak.replicas[i]);
   printf (
       "seed %u: %u sent, %u whole, %u refused, %u refused as harmful, %u failed, "
-      "%u crashes, %u breaches\n",
+      "%u with removed keys, %u restores, %u crashes, %u breaches\n",
       seed, atomic_load (&soak.sent), atomic_load (&soak.completed),
       atomic_load (&soak.refused), atomic_load (&soak.harmful),
-      atomic_load (&soak.failed), crashes, atomic_load (&soak.violations));
+      atomic_load (&soak.failed), atomic_load (&soak.removed_key_requests),
+      soak.restores, crashes, atomic_load (&soak.violations));
   soak_tear_down (&soak);
   g_rand_free (soak.fault_random);
+  g_rand_free (soak.change_random);
   return atomic_load (&soak.violations) == 0 ? 0 : 1;
 }
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -36,6 +36,7 @@
   atomic_uint connection_count;
   atomic_uint active_requests;
   atomic_uint crash_count;
+  atomic_uint request_count; /* executed */
   atomic_bool is_up;
   atomic_bool stopping;
 };
@@ -202,6 +203,7 @@
   g_hash_table_replace (replica->run_counts, g_strdup (session->target),
                         GUINT_TO_POINTER (run_count + 1));
   pthread_mutex_unlock (&replica->lock);
+  atomic_fetch_add (&replica->request_count, 1);
   return count_run_anywhere (session->target);
 }
 
@@ -539,6 +541,12 @@
   return run_count;
 }
 
+guint
+replica_request_count (Replica *replica)
+{
+  return atomic_load (&replica->request_count);
+}
+
 guint
 replica_connection_count (Replica *replica)
 {
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -45,6 +45,9 @@
 /* Returns how many times a request for PATH, including its query, was executed. */
 guint replica_run_count (Replica *replica, const char *path);
 
+/* Returns how many requests were executed. */
+guint replica_request_count (Replica *replica);
+
 /* Returns the sum of replica_run_count() over COUNT replicas. */
 guint replica_total_run_count (Replica *const *replicas, guint count,
                                const char *path);
