--- a/core/lease.c
+++ b/core/lease.c
@@ -8,8 +8,12 @@
   gboolean observed;
   gint64 written_us; /* when the write that acquired or renewed it was sent */
   gboolean held;
+  gint64 free_at_us; /* nobody holds the lease of an earlier era from then on */
 };
 
+/* Position of the store's era in a fencing number. */
+#define ERA_SHIFT 32
+
 HbwLease *
 hbw_lease_create (guint64 self)
 {
@@ -29,10 +33,12 @@
 {
   if (!lease->observed || record->version != lease->record.version)
     lease->observed_us = now_us;
+  if (record->era != lease->record.era)
+    lease->free_at_us = now_us + HBW_LEASE_DURATION_US + HBW_LEASE_MARGIN_US;
+  if (record->holder != lease->self || record->era != lease->record.era)
+    lease->held = FALSE;
   lease->observed = TRUE;
   lease->record = *record;
-  if (record->holder != lease->self)
-    lease->held = FALSE;
 }
 
 static gboolean
@@ -46,13 +52,15 @@
 gboolean
 hbw_lease_wants_write (const HbwLease *lease, gint64 now_us, HbwLeaseRecord *next)
 {
-  if (!lease->observed)
+  if (!lease->observed || now_us < lease->free_at_us)
     return FALSE;
   *next = lease->record;
   next->holder = lease->self;
-  if (lease->record.holder == lease->self)
+  guint64 era_number = (guint64) lease->record.era << ERA_SHIFT;
+  gboolean is_of_era = lease->record.fencing_number >= era_number;
+  if (lease->record.holder == lease->self && is_of_era)
     return !lease->held || now_us - lease->written_us >= HBW_LEASE_RENEW_INTERVAL_US;
-  next->fencing_number = lease->record.fencing_number + 1;
+  next->fencing_number = MAX (lease->record.fencing_number, era_number) + 1;
   return is_expired (lease, now_us);
 }
 
@@ -60,6 +68,8 @@
 hbw_lease_handle_written (HbwLease *lease, const HbwLeaseRecord *written,
                           gint64 sent_us)
 {
+  if (written->era != lease->record.era)
+    return; /* the next read observes the new era */
   lease->record = *written;
   lease->observed_us = sent_us;
   lease->written_us = sent_us;
--- a/include/hornbeamwall/core/lease.h
+++ b/include/hornbeamwall/core/lease.h
@@ -9,6 +9,10 @@
  * a margin early.  Another instance takes the lease over only after it has seen the
  * same version for the duration and the margin on its own clock.  Each change of
  * holder increments the fencing number.
+ *
+ * A restored store may have lost who holds the lease.  So nobody takes or renews it
+ * in a new era until the last holder's has expired, and fencing numbers rise with
+ * the era.
  */
 #ifndef HORNBEAMWALL_CORE_LEASE_H
 #define HORNBEAMWALL_CORE_LEASE_H
@@ -25,6 +29,7 @@
   gint64 version; /* of the object; 0 if it does not exist */
   guint64 holder; /* identity; 0 if it was released */
   guint64 fencing_number;
+  gint64 era; /* of the store, see store_era.h */
 } HbwLeaseRecord;
 
 typedef struct HbwLease HbwLease;
--- a/net/server_orders.c
+++ b/net/server_orders.c
@@ -61,6 +61,7 @@
   memset (record, 0, sizeof *record);
   HbwStoreResponse response
       = hbw_store_client_get (orders->client, orders->lease_object, &error);
+  record->era = response.era;
   if (response.result == HBW_STORE_NOT_FOUND)
     return TRUE;
   if (response.result != HBW_STORE_OK)
@@ -96,6 +97,7 @@
   if (response.result != HBW_STORE_OK)
     return;
   next->version = response.version;
+  next->era = response.era;
   hbw_lease_handle_written (orders->lease, next, sent_us);
 }
 
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -601,7 +601,7 @@
 {
   HbwLease *lease_a = hbw_lease_create (1);
   HbwLease *lease_b = hbw_lease_create (2);
-  HbwLeaseRecord record = { 0, 0, 0 };
+  HbwLeaseRecord record = { 0, 0, 0, 0 };
   HbwLeaseRecord next;
   hbw_lease_observe (lease_a, &record, 0);
   ck_assert (hbw_lease_wants_write (lease_a, 0, &next));
@@ -624,6 +624,39 @@
 }
 END_TEST
 
+/* The store loses the lease while it is held; the holder reads it again only when it
+   has to renew it. */
+START_TEST (lease_lost_by_restore_has_no_second_holder)
+{
+  HbwLease *holder = hbw_lease_create (1);
+  HbwLease *other = hbw_lease_create (2);
+  HbwLeaseRecord record = { 0, 0, 0, 0 };
+  HbwLeaseRecord held;
+  HbwLeaseRecord acquired;
+  hbw_lease_observe (holder, &record, 0);
+  ck_assert (hbw_lease_wants_write (holder, 0, &held));
+  held.version = 1;
+  hbw_lease_handle_written (holder, &held, 0);
+  record.era = 1;
+  hbw_lease_observe (other, &record, 100);
+  gint64 now = 100;
+  while (!hbw_lease_wants_write (other, now, &acquired))
+    {
+      now += HBW_US_PER_MS;
+      ck_assert_int_lt (now, 3 * HBW_LEASE_DURATION_US);
+    }
+  ck_assert_uint_eq (hbw_lease_fencing_number (holder, now), 0);
+  ck_assert_uint_gt (acquired.fencing_number, held.fencing_number);
+  /* A copy that names the holder does not give it the lease back. */
+  held.era = 1;
+  hbw_lease_observe (holder, &held, 200);
+  ck_assert_uint_eq (hbw_lease_fencing_number (holder, 200), 0);
+  ck_assert (!hbw_lease_wants_write (holder, 200, &acquired));
+  hbw_lease_destroy (holder);
+  hbw_lease_destroy (other);
+}
+END_TEST
+
 /* The limits of the deployment kerlann-ring-grown of the users' test bench are not
    whole numbers. */
 START_TEST (settings_accept_fractions)
@@ -729,6 +762,7 @@
   tcase_add_test (cases, codec_reads_suspect_of_earlier_version);
   tcase_add_test (cases, codec_survives_damaged_frames);
   tcase_add_test (cases, lease_never_has_two_holders);
+  tcase_add_test (cases, lease_lost_by_restore_has_no_second_holder);
   tcase_add_test (cases, settings_accept_fractions);
   tcase_add_test (cases, settings_report_every_error);
   tcase_add_test (cases, catalogue_reports_every_error);
