--- a/include/hornbeamwall/net/store_client.h
+++ b/include/hornbeamwall/net/store_client.h
@@ -1,10 +1,12 @@
 /*
  * store_client - client of the platform's object store
  *
- * GET /objects/NAME returns 200 with the version as ETag, or 404.  With
+ * GET /objects/NAME returns 200 with the revision as ETag, or 404.  With
  * ?watch=VERSION it is a long poll: the response is delayed until there is a higher
- * version, or is 304 after the timeout.  PUT /objects/NAME with If-Match: "VERSION"
- * (If-None-Match: * for a new object) returns 200 with the new version, or 412.
+ * revision, or is 304 after the timeout.  PUT /objects/NAME with If-Match:
+ * "REVISION" (If-None-Match: * for a new object) returns 200 with the new revision,
+ * or 412. X-Store-Era is in all responses of a store that was restored from an older
+ * copy: how often it was.  A version consists of this number and the revision.
  *
  * Calls block.  A client may be shared by threads unless it keeps its connection.  A
  * write is never retried here: if its response is lost, the result is
@@ -15,6 +17,13 @@
 
 #include "hornbeamwall/common/error.h"
 
+/* Position of the store's era in a version, and limits of what fits beside it. */
+#define HBW_STORE_VERSION_ERA_SHIFT 43
+#define HBW_STORE_VERSION_ERA_MAX                                                   \
+  ((G_GINT64_CONSTANT (1) << (63 - HBW_STORE_VERSION_ERA_SHIFT)) - 1)
+#define HBW_STORE_VERSION_REVISION_MAX                                              \
+  ((G_GINT64_CONSTANT (1) << HBW_STORE_VERSION_ERA_SHIFT) - 1)
+
 typedef struct HbwStoreClient HbwStoreClient;
 
 typedef enum
@@ -46,12 +55,16 @@
    server to delay its response. */
 void hbw_store_client_keep_connection (HbwStoreClient *client, guint wait_ms);
 
-/* Sets the header field in which the store sends its era; FIELD is borrowed. */
+/* Sets the header field in which another store sends its era; FIELD is borrowed. */
 void hbw_store_client_set_era_field (HbwStoreClient *client, const char *field);
 
 /* Closes the kept connection, if there is one; the next call opens another one. */
 void hbw_store_client_close_connection (HbwStoreClient *client);
 
+/* Returns the version of REVISION, a number that rises within one era of the store.
+ */
+gint64 hbw_store_version (gint64 era, gint64 revision);
+
 /* Reads the object NAME. */
 HbwStoreResponse hbw_store_client_get (HbwStoreClient *client, const char *name,
                                        HbwError *error);
--- a/include/hornbeamwall/runtime/feed.h
+++ b/include/hornbeamwall/runtime/feed.h
@@ -21,10 +21,9 @@
 typedef struct HbwFeed HbwFeed;
 typedef struct
 {
-  /* Waits up to WAIT_MS for a version newer than KNOWN_VERSION.  The caller owns the
-     body of the result. */
-  HbwFeedResult (*wait_next) (HbwFeed *feed, gint64 known_version, guint wait_ms,
-                              HbwError *error);
+  /* Reads the document when it is called first, and then waits up to WAIT_MS for a
+     newer version.  The caller owns the body of the result. */
+  HbwFeedResult (*wait_next) (HbwFeed *feed, guint wait_ms, HbwError *error);
   void (*destroy) (HbwFeed *feed);
 } HbwFeedClass;
 struct HbwFeed
--- a/net/store_client.c
+++ b/net/store_client.c
@@ -20,11 +20,14 @@
 #define PERSISTENT_CONNECT_TIMEOUT_S 1
 #define PERSISTENT_READ_TIMEOUT_S 1
 
+/* Header field with the era of the native interface's store. */
+#define ERA_FIELD "X-Store-Era"
+
 struct HbwStoreClient
 {
   HbwHostPort address;
   ne_session *persistent_session; /* reused for all calls, or NULL */
-  const char *era_field;          /* borrowed; NULL if the store sends no era */
+  const char *era_field;          /* borrowed */
 };
 
 typedef struct
@@ -54,21 +57,33 @@
   return 0;
 }
 
+gint64
+hbw_store_version (gint64 era, gint64 revision)
+{
+  return (CLAMP (era, 0, HBW_STORE_VERSION_ERA_MAX) << HBW_STORE_VERSION_ERA_SHIFT)
+         + CLAMP (revision, 0, HBW_STORE_VERSION_REVISION_MAX);
+}
+
+static gint64
+revision_of (gint64 version)
+{
+  return version < 0 ? version : version & HBW_STORE_VERSION_REVISION_MAX;
+}
+
 static gint64
-get_version (ne_request *request)
+get_version (ne_request *request, gint64 era)
 {
   const char *tag = ne_get_response_header (request, "ETag");
   if (tag == NULL)
     return 0;
-  return g_ascii_strtoll (*tag == '"' ? tag + 1 : tag, NULL, 10);
+  return hbw_store_version (era,
+                            g_ascii_strtoll (*tag == '"' ? tag + 1 : tag, NULL, 10));
 }
 
 static gint64
 get_era (const HbwStoreClient *client, ne_request *request)
 {
-  const char *text = client->era_field != NULL
-                         ? ne_get_response_header (request, client->era_field)
-                         : NULL;
+  const char *text = ne_get_response_header (request, client->era_field);
   return text != NULL ? MAX (0, g_ascii_strtoll (text, NULL, 10)) : 0;
 }
 
@@ -127,8 +142,8 @@
   if (code == NE_OK)
     {
       response.result = result_of_status (status);
-      response.version = get_version (request);
       response.era = get_era (client, request);
+      response.version = get_version (request, response.era);
     }
   else if (is_write && code != NE_LOOKUP && code != NE_CONNECT)
     response.result = HBW_STORE_UNKNOWN;
@@ -159,6 +174,7 @@
     }
   HbwStoreClient *client = g_new0 (HbwStoreClient, 1);
   client->address = parts;
+  client->era_field = ERA_FIELD;
   return client;
 }
 
@@ -229,7 +245,7 @@
 {
   char *path
       = g_strdup_printf ("/objects/%s?watch=%" G_GINT64_FORMAT "&timeout_ms=%u",
-                         name, version, timeout_ms);
+                         name, revision_of (version), timeout_ms);
   HbwStoreResponse response
       = read_object (client, path, (int) (timeout_ms / 1000) + 1, error);
   g_free (path);
@@ -269,7 +285,7 @@
                       const char *body, gsize length, HbwError *error)
 {
   char *path = g_strdup_printf ("/objects/%s", name);
-  char *tag = g_strdup_printf ("\"%" G_GINT64_FORMAT "\"", version);
+  char *tag = g_strdup_printf ("\"%" G_GINT64_FORMAT "\"", revision_of (version));
   HbwStoreResponse response
       = version > 0 ? write_object (client, "PUT", path, "If-Match", tag, body,
                                     length, error)
--- a/runtime/list_watch_feed.c
+++ b/runtime/list_watch_feed.c
@@ -168,8 +168,7 @@
 }
 
 static HbwFeedResult
-wait_next (HbwFeed *base, gint64 known_version G_GNUC_UNUSED, guint wait_ms,
-           HbwError *error)
+wait_next (HbwFeed *base, guint wait_ms, HbwError *error)
 {
   ListWatchFeed *feed = (ListWatchFeed *) base;
   HbwFeedResult result = { .status = HBW_STORE_NOT_MODIFIED };
--- a/runtime/object_cache.c
+++ b/runtime/object_cache.c
@@ -1,10 +1,6 @@
 #include "hornbeamwall/runtime/object_cache.h"
 
-/* Position of the store's era in the version of a document, and limits of what fits
-   beside it. */
-#define ERA_SHIFT 43
-#define ERA_MAX ((G_GINT64_CONSTANT (1) << (63 - ERA_SHIFT)) - 1)
-#define REVISION_MAX ((G_GINT64_CONSTANT (1) << (ERA_SHIFT - 1)) - 1)
+#include "hornbeamwall/net/store_client.h"
 
 typedef struct
 {
@@ -213,8 +209,7 @@
   gboolean within_first_grace = cache->last_response_us - cache->first_response_us
                                 < HBW_OBJECT_CACHE_GRACE_US;
   gboolean complete = cache->missing_count == 0 && !within_first_grace;
-  return (MIN (era, ERA_MAX) << ERA_SHIFT) + 2 * MIN (revision, REVISION_MAX)
-         + (complete ? 1 : 0);
+  return hbw_store_version (era, 2 * revision + (complete ? 1 : 0));
 }
 
 gboolean
--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -45,7 +45,6 @@
   HbwFeed *feed; /* NULL if the store does not provide the document */
   pthread_t thread;
   gboolean started;
-  gint64 highest_version; /* highest version read, adopted or not; -1 is none */
 } DocumentWatch;
 
 struct HbwWatch
@@ -114,22 +113,19 @@
 {
   HbwWatch *watch = document_watch->watch;
   HbwError error = { HBW_ERROR_NONE, "" };
-  gint64 version
-      = MAX (hbw_control_document_version (watch->control, document_watch->kind),
-             document_watch->highest_version);
   gint64 asked_us = hbw_clock_now (hbw_control_clock (watch->control));
   HbwFeedResult result = document_watch->feed->class->wait_next (
-      document_watch->feed, version, watch_timeout_ms[document_watch->kind], &error);
+      document_watch->feed, watch_timeout_ms[document_watch->kind], &error);
   gboolean failed = result.status == HBW_STORE_FAILED;
   submit_store_state (watch, document_watch->kind, &result);
   if (result.status == HBW_STORE_OK)
     {
       submit_document (watch, document_watch->kind, &result);
-      document_watch->highest_version
-          = MAX (document_watch->highest_version, result.version);
       g_bytes_unref (result.body);
     }
-  else if (result.status == HBW_STORE_NOT_FOUND && version < 0)
+  else if (result.status == HBW_STORE_NOT_FOUND
+           && hbw_control_document_version (watch->control, document_watch->kind)
+                  < 0)
     {
       result.version = 0; /* known not to exist */
       submit_document (watch, document_watch->kind, &result);
@@ -201,7 +197,6 @@
   DocumentWatch *document_watch = &watch->document_watches[kind];
   document_watch->watch = watch;
   document_watch->kind = kind;
-  document_watch->highest_version = -1;
   document_watch->feed = create_feed (watch, settings, kind, error);
   if (document_watch->feed != NULL)
     document_watch->started = pthread_create (&document_watch->thread, NULL,
--- a/tests/admin_test.c
+++ b/tests/admin_test.c
@@ -5,11 +5,16 @@
 #include "native_fixture.h"
 #include "suite.h"
 
+#include "hornbeamwall/net/store_client.h"
+
 #include <string.h>
 
 #define CATALOGUE "/admin/v1/catalogue"
 #define NEW_CLASS "{\"tier\":1,\"first_token_ms\":500,\"inter_token_ms\":50}"
 
+/* Longer than a watch, after which the instance has read the restored store. */
+#define COPY_READ_US 1500000
+
 static void
 wait_for_version (NativeFixture *fixture, HbwDocumentKind kind, gint64 version)
 {
@@ -133,6 +138,35 @@
 }
 END_TEST
 
+static void
+set_catalogue_times (NativeFixture *fixture, guint count)
+{
+  char *body = store_get (fixture->store, "hornbeamwall-catalogue");
+  for (guint i = 0; i < count; i++)
+    store_set (fixture->store, "hornbeamwall-catalogue", body);
+  g_free (body);
+}
+
+/* The revisions that follow the copy were given out before. */
+START_TEST (document_written_after_restore_is_adopted)
+{
+  NativeFixture *fixture = native_fixture_create (1, 4);
+  HbwControl *control = hbw_instance_control (fixture->instance);
+  gint64 copied = hbw_control_document_version (control, HBW_DOCUMENT_CATALOGUE);
+  store_copy (fixture->store);
+  set_catalogue_times (fixture, 3);
+  wait_for_version (fixture, HBW_DOCUMENT_CATALOGUE, copied + 3);
+  store_restore (fixture->store);
+  g_usleep (COPY_READ_US);
+  ck_assert_int_eq (hbw_control_document_version (control, HBW_DOCUMENT_CATALOGUE),
+                    copied + 3);
+  set_catalogue_times (fixture, 1);
+  wait_for_version (fixture, HBW_DOCUMENT_CATALOGUE,
+                    hbw_store_version (1, copied + 1));
+  native_fixture_destroy (fixture);
+}
+END_TEST
+
 START_TEST (stopped_server_gets_no_requests)
 {
   NativeFixture *fixture = native_fixture_create (2, 4);
@@ -174,6 +208,7 @@
   tcase_add_test (cases, lost_store_response_is_resolved_by_reading_back);
   tcase_add_test (cases, rejected_edit_changes_nothing);
   tcase_add_test (cases, older_document_from_lagging_store_is_not_adopted);
+  tcase_add_test (cases, document_written_after_restore_is_adopted);
   tcase_add_test (cases, stopped_server_gets_no_requests);
   suite_add_tcase (suite, cases);
   return suite_run (suite);
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -24,6 +24,8 @@
   pthread_mutex_t lock;
   pthread_cond_t changed;
   GHashTable *objects;
+  GHashTable *copy; /* objects to restore, or NULL */
+  gint64 era;       /* how often the store was restored */
   atomic_bool down;
   atomic_bool stale;
   atomic_bool stopping;
@@ -40,16 +42,26 @@
   g_free (object);
 }
 
+static GHashTable *
+create_table (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_free);
+}
+
 static enum MHD_Result
-respond (struct MHD_Connection *connection, unsigned status, gint64 version,
-         const char *body)
+respond (const Store *store, struct MHD_Connection *connection, unsigned status,
+         gint64 version, const char *body)
 {
   char etag[32];
+  char era[32];
   struct MHD_Response *response = MHD_create_response_from_buffer (
       strlen (body), (void *) body, MHD_RESPMEM_MUST_COPY);
   g_snprintf (etag, sizeof etag, "\"%" G_GINT64_FORMAT "\"", version);
+  g_snprintf (era, sizeof era, "%" G_GINT64_FORMAT, store->era);
   if (version > 0)
     MHD_add_response_header (response, "ETag", etag);
+  if (store->era > 0)
+    MHD_add_response_header (response, "X-Store-Era", era);
   enum MHD_Result result = MHD_queue_response (connection, status, response);
   MHD_destroy_response (response);
   return result;
@@ -99,13 +111,13 @@
   gboolean stale = atomic_load (&store->stale) && object != NULL
                    && object->previous_body != NULL;
   if (atomic_load (&store->down))
-    result = respond (connection, 503, 0, "down");
+    result = respond (store, connection, 503, 0, "down");
   else if (object == NULL)
-    result = respond (connection, 404, 0, "absent");
+    result = respond (store, connection, 404, 0, "absent");
   else if (timeout_ms > 0 && object->version <= version)
-    result = respond (connection, 304, object->version, "");
+    result = respond (store, connection, 304, object->version, "");
   else
-    result = respond (connection, 200, object->version - (stale ? 1 : 0),
+    result = respond (store, connection, 200, object->version - (stale ? 1 : 0),
                       stale ? object->previous_body : object->body);
   pthread_mutex_unlock (&store->lock);
   return result;
@@ -141,13 +153,13 @@
   gint64 version = expected == current ? write_locked (store, name, body) : 0;
   pthread_mutex_unlock (&store->lock);
   if (version == 0)
-    return respond (connection, 412, current, "conflict");
+    return respond (store, connection, 412, current, "conflict");
   if (atomic_load (&store->responses_to_drop) > 0)
     {
       atomic_fetch_sub (&store->responses_to_drop, 1);
       return MHD_NO;
     }
-  return respond (connection, 200, version, "");
+  return respond (store, connection, 200, version, "");
 }
 
 static enum MHD_Result
@@ -170,9 +182,9 @@
     }
   atomic_fetch_add (&store->call_count, 1);
   if (atomic_load (&store->down))
-    return respond (connection, 503, 0, "down");
+    return respond (store, connection, 503, 0, "down");
   if (!g_str_has_prefix (url, PREFIX))
-    return respond (connection, 404, 0, "absent");
+    return respond (store, connection, 404, 0, "absent");
   const char *name = url + strlen (PREFIX);
   if (strcmp (method, "PUT") == 0)
     return write_object (store, connection, name, body->str);
@@ -194,8 +206,7 @@
   Store *store = g_new0 (Store, 1);
   pthread_mutex_init (&store->lock, NULL);
   pthread_cond_init (&store->changed, NULL);
-  store->objects
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_free);
+  store->objects = create_table ();
   store->daemon = standin_listen (text, handle, completed, store);
   return store;
 }
@@ -210,6 +221,7 @@
   if (store->daemon != NULL)
     MHD_stop_daemon (store->daemon);
   g_hash_table_destroy (store->objects);
+  g_clear_pointer (&store->copy, g_hash_table_destroy);
   pthread_cond_destroy (&store->changed);
   pthread_mutex_destroy (&store->lock);
   g_free (store);
@@ -230,6 +242,38 @@
   return version;
 }
 
+void
+store_copy (Store *store)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  pthread_mutex_lock (&store->lock);
+  g_clear_pointer (&store->copy, g_hash_table_destroy);
+  store->copy = create_table ();
+  g_hash_table_iter_init (&iter, store->objects);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      const Object *object = value;
+      Object *saved = g_new0 (Object, 1);
+      saved->version = object->version;
+      saved->body = g_strdup (object->body);
+      g_hash_table_insert (store->copy, g_strdup (name), saved);
+    }
+  pthread_mutex_unlock (&store->lock);
+}
+
+void
+store_restore (Store *store)
+{
+  pthread_mutex_lock (&store->lock);
+  g_hash_table_destroy (store->objects);
+  store->objects = g_steal_pointer (&store->copy);
+  store->era++;
+  pthread_cond_broadcast (&store->changed);
+  pthread_mutex_unlock (&store->lock);
+}
+
 char *
 store_get (Store *store, const char *name)
 {
--- a/tests/standin/store.h
+++ b/tests/standin/store.h
@@ -23,6 +23,13 @@
 /* Returns a copy of an object's body, or NULL.  The caller frees it. */
 char *store_get (Store *store, const char *name);
 
+/* Keeps a copy of all objects for store_restore(). */
+void store_copy (Store *store);
+
+/* Continues from the copy: later changes are lost, and their versions are given out
+   again.  The era that responses carry rises by one. */
+void store_restore (Store *store);
+
 /* Answers every call with 503 while DOWN is set. */
 void store_set_down (Store *store, gboolean down);
 
