--- a/common/clock.c
+++ b/common/clock.c
@@ -1,6 +1,7 @@
 #include "hornbeamwall/common/clock.h"
 
 #include <stdatomic.h>
+#include <time.h>
 
 typedef struct
 {
@@ -17,7 +18,9 @@
 static gint64
 system_now (HbwClock *clock G_GNUC_UNUSED)
 {
-  return g_get_monotonic_time ();
+  struct timespec now;
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  return (gint64) now.tv_sec * HBW_US_PER_S + now.tv_nsec / 1000;
 }
 
 static void
--- a/include/hornbeamwall/common/clock.h
+++ b/include/hornbeamwall/common/clock.h
@@ -2,8 +2,9 @@
  * clock - monotonic clock, replaceable by a manual one in tests
  *
  * All times in the program are microseconds on one monotonic clock.  The system
- * clock is CLOCK_MONOTONIC; a manual clock changes only when a test advances it.
- * Both may be read from any thread.
+ * clock is CLOCK_BOOTTIME, which also counts the time in which the machine is
+ * suspended; a manual clock changes only when a test advances it.  Both may be read
+ * from any thread.
  */
 #ifndef HORNBEAMWALL_COMMON_CLOCK_H
 #define HORNBEAMWALL_COMMON_CLOCK_H
