--- a/core/server.c
+++ b/core/server.c
@@ -20,9 +20,10 @@
 #define PROBE_BACKOFF_MIN_US (500 * HBW_US_PER_MS)
 #define PROBE_BACKOFF_MAX_US (8 * HBW_US_PER_S)
 
-/* Added delay before a failed server is probed with a request that is not
-   idempotent, so that a load report or an idempotent one can probe it first. */
-#define NON_IDEMPOTENT_PROBE_DELAY_US (1 * HBW_US_PER_S)
+/* Added delay before a failed server is probed with a request that is not idempotent
+   or that has failed a server, so that a load report or another one can probe it
+   first. */
+#define RISKY_PROBE_DELAY_US (1 * HBW_US_PER_S)
 
 /* Consecutive broken responses that mark a server down while it has other requests
    in progress. */
@@ -208,9 +209,9 @@
 {
   if (server->stopping || server->state == HBW_SERVER_PROBING)
     return FALSE;
+  gboolean is_risky = !spec->idempotent || spec->server_failures > 0;
   if (server->state == HBW_SERVER_DOWN)
-    return now_us >= server->probe_at_us
-                         + (spec->idempotent ? 0 : NON_IDEMPOTENT_PROBE_DELAY_US);
+    return now_us >= server->probe_at_us + (is_risky ? RISKY_PROBE_DELAY_US : 0);
   return server->in_progress < effective_limit (server, spec, overcommit);
 }
 
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -435,6 +435,25 @@
 }
 END_TEST
 
+/* A request that was in progress when a server failed would fail a second one that
+   has not recovered, and look like the cause. */
+START_TEST (suspect_probes_failed_server_later_than_others)
+{
+  const HbwServerEntry entry = { .id = "s", .slots = 4, .start_number = 1 };
+  const HbwRequestSpec spec = { .idempotent = TRUE };
+  const HbwRequestSpec suspect = { .idempotent = TRUE, .server_failures = 1 };
+  HbwServer *server = hbw_server_create (&entry);
+  hbw_server_begin_request (server, &spec);
+  const HbwAttemptResult broken = { .outcome = HBW_OUTCOME_BROKEN };
+  hbw_server_end_request (server, &broken, 0, 0);
+  gint64 probe_us = server->probe_at_us;
+  ck_assert (hbw_server_has_room (server, &spec, FALSE, probe_us));
+  ck_assert (!hbw_server_has_room (server, &suspect, FALSE, probe_us));
+  ck_assert (hbw_server_has_room (server, &suspect, FALSE, probe_us + HBW_US_PER_S));
+  hbw_server_destroy (server);
+}
+END_TEST
+
 START_TEST (shards_are_bounded_and_cover_all_servers)
 {
   GPtrArray *servers = g_ptr_array_new_with_free_func (g_free);
@@ -757,6 +776,7 @@
   tcase_add_test (cases, copies_on_one_server_count_as_one_failure);
   tcase_add_test (cases, storm_of_failures_evicts_no_verdict);
   tcase_add_test (cases, failed_server_gets_one_half_open_probe);
+  tcase_add_test (cases, suspect_probes_failed_server_later_than_others);
   tcase_add_test (cases, shards_are_bounded_and_cover_all_servers);
   tcase_add_test (cases, codec_round_trips_every_message_kind);
   tcase_add_test (cases, codec_reads_suspect_of_earlier_version);
