--- a/core/ingress.c
+++ b/core/ingress.c
@@ -262,15 +262,22 @@
                    HbwOutcome outcome)
 {
   const HbwFingerprint *fingerprint = &request->spec.fingerprint;
+  guint64 server = hbw_rendezvous_weight (0, request->server);
   if (outcome == HBW_OUTCOME_COMPLETE)
-    hbw_quarantine_clear (context->quarantine, fingerprint, context->now_us);
+    {
+      hbw_quarantine_clear (context->quarantine, fingerprint, context->now_us);
+      hbw_quarantine_handle_response (context->quarantine, server,
+                                      request->started_us, context->now_us);
+    }
+  if (outcome == HBW_OUTCOME_NOT_CONNECTED)
+    hbw_quarantine_handle_refused_connection (context->quarantine, server,
+                                              context->now_us);
   if (outcome != HBW_OUTCOME_BROKEN)
     return;
-  const HbwServerFailure failure
-      = { .id = compute_attempt_id (context, request),
-          .server = hbw_rendezvous_weight (0, request->server),
-          .started_us = request->started_us,
-          .failed_us = context->now_us };
+  const HbwServerFailure failure = { .id = compute_attempt_id (context, request),
+                                     .server = server,
+                                     .started_us = request->started_us,
+                                     .failed_us = context->now_us };
   guint failures = hbw_quarantine_add_failure (context->quarantine, fingerprint,
                                                &failure, context->now_us);
   hbw_effects_log (context->effects, HBW_LOG_REQUEST_SUSPECT,
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -1,6 +1,10 @@
 #include "hornbeamwall/core/effect.h"
 #include "hornbeamwall/core/quarantine_state.h"
 
+/* A server has not failed if it was not seen to fail this long before and after:
+   what other instances report is known with a delay. */
+#define EVIDENCE_SLACK_US (100 * HBW_US_PER_MS)
+
 static guint
 fingerprint_hash (gconstpointer key)
 {
@@ -18,7 +22,7 @@
 static void
 remove_suspect (HbwQuarantine *quarantine, HbwSuspect *suspect)
 {
-  hbw_suspect_close (suspect);
+  hbw_suspect_close (quarantine, suspect);
   if (suspect->transmits_left > 0)
     cds_list_del (&suspect->unsent_link);
   cds_list_del (&suspect->link);
@@ -89,7 +93,8 @@
       = g_hash_table_new_full (fingerprint_hash, fingerprint_equal, NULL, g_free);
   CDS_INIT_LIST_HEAD (&quarantine->by_age);
   CDS_INIT_LIST_HEAD (&quarantine->held);
-  CDS_INIT_LIST_HEAD (&quarantine->failures);
+  quarantine->failed_servers
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   CDS_INIT_LIST_HEAD (&quarantine->unsent);
   g_queue_init (&quarantine->unlogged);
   return quarantine;
@@ -103,6 +108,7 @@
                     cds_list_first_entry (&quarantine->by_age, HbwSuspect, link));
   g_queue_clear_full (&quarantine->unlogged, g_free);
   g_hash_table_destroy (quarantine->suspects);
+  g_hash_table_destroy (quarantine->failed_servers);
   g_free (quarantine);
 }
 
@@ -186,7 +192,7 @@
   if (suspect == NULL || hbw_suspect_is_quarantined (suspect)
       || hbw_suspect_count_failures (suspect) == 0)
     return FALSE;
-  hbw_suspect_clear_failures (suspect, now_us, now_us);
+  hbw_suspect_clear_failures (quarantine, suspect, now_us, now_us);
   hbw_quarantine_schedule_report (quarantine, suspect, HBW_SUSPECT_TRANSMITS,
                                   now_us);
   hbw_quarantine_evaluate (quarantine, now_us);
@@ -246,11 +252,76 @@
 }
 
 void
-hbw_quarantine_suspend_verdicts (HbwQuarantine *quarantine, gint64 until_us)
+hbw_quarantine_suspend_verdicts (HbwQuarantine *quarantine, gint64 now_us,
+                                 gint64 until_us)
 {
+  quarantine->watched_since_us = now_us;
   quarantine->suspended_until_us = until_us;
 }
 
+/* Returns a failure of the server between SINCE_US and UNTIL_US, or NULL. */
+static HbwFailure *
+find_failure_between (const HbwQuarantine *quarantine, guint64 hash, gint64 since_us,
+                      gint64 until_us)
+{
+  HbwFailure *failure;
+  HbwFailedServer *server = g_hash_table_lookup (quarantine->failed_servers, &hash);
+  if (server == NULL)
+    return NULL;
+  cds_list_for_each_entry (failure, &server->failures, link)
+    if (failure->earliest_end_us >= since_us && failure->latest_end_us <= until_us)
+      return failure;
+  return NULL;
+}
+
+static void
+dismiss_failure (HbwQuarantine *quarantine, HbwFailure *failure, gint64 now_us)
+{
+  gboolean is_last;
+  do
+    {
+      HbwFailureRecord *record
+          = cds_list_first_entry (&failure->records, HbwFailureRecord, link);
+      is_last = failure->records.next == failure->records.prev;
+      hbw_suspect_dismiss_record (quarantine, record, now_us);
+      hbw_quarantine_schedule_report (quarantine, record->suspect,
+                                      HBW_SUSPECT_TRANSMITS, now_us);
+    }
+  while (!is_last);
+}
+
+void
+hbw_quarantine_handle_response (HbwQuarantine *quarantine, guint64 server,
+                                gint64 opened_us, gint64 now_us)
+{
+  gint64 since_us
+      = MAX (opened_us, quarantine->watched_since_us) + EVIDENCE_SLACK_US;
+  gint64 until_us = now_us - EVIDENCE_SLACK_US;
+  HbwFailure *failure;
+  HbwFailedServer *failed
+      = g_hash_table_lookup (quarantine->failed_servers, &server);
+  if (failed != NULL)
+    failed->responded_us = now_us;
+  while ((failure = find_failure_between (quarantine, server, since_us, until_us))
+         != NULL)
+    dismiss_failure (quarantine, failure, now_us);
+}
+
+void
+hbw_quarantine_handle_refused_connection (HbwQuarantine *quarantine, guint64 server,
+                                          gint64 now_us)
+{
+  HbwFailure *failure;
+  HbwFailedServer *failed
+      = g_hash_table_lookup (quarantine->failed_servers, &server);
+  if (failed == NULL)
+    return;
+  cds_list_for_each_entry (failure, &failed->failures, link)
+    if (now_us - failure->latest_end_us < HBW_QUARANTINE_OUTAGE_US)
+      failure->is_confirmed = TRUE;
+  hbw_quarantine_evaluate (quarantine, now_us);
+}
+
 void
 hbw_quarantine_refresh (HbwQuarantine *quarantine, gint64 now_us)
 {
@@ -267,16 +338,38 @@
     }
 }
 
+void
+hbw_quarantine_schedule_log (HbwQuarantine *quarantine, const HbwSuspect *suspect)
+{
+  g_queue_push_tail (&quarantine->unlogged,
+                     g_memdup2 (&suspect->fingerprint, sizeof suspect->fingerprint));
+}
+
+static void
+log_verdict (HbwQuarantine *quarantine, const HbwFingerprint *fingerprint,
+             HbwEffects *effects)
+{
+  const HbwSuspect *suspect
+      = g_hash_table_lookup (quarantine->suspects, fingerprint);
+  if (suspect == NULL)
+    return;
+  if (hbw_suspect_is_quarantined (suspect))
+    hbw_effects_log (effects, HBW_LOG_REQUEST_QUARANTINED,
+                     "fingerprint=%016" G_GINT64_MODIFIER
+                     "x refused_s=%" G_GINT64_FORMAT,
+                     fingerprint->low, HBW_QUARANTINE_DURATION_US / HBW_US_PER_S);
+  else
+    hbw_effects_log (effects, HBW_LOG_REQUEST_RELEASED,
+                     "fingerprint=%016" G_GINT64_MODIFIER "x", fingerprint->low);
+}
+
 void
 hbw_quarantine_log_new (HbwQuarantine *quarantine, HbwEffects *effects)
 {
   HbwFingerprint *fingerprint;
   while ((fingerprint = g_queue_pop_head (&quarantine->unlogged)) != NULL)
     {
-      hbw_effects_log (effects, HBW_LOG_REQUEST_QUARANTINED,
-                       "fingerprint=%016" G_GINT64_MODIFIER
-                       "x refused_s=%" G_GINT64_FORMAT,
-                       fingerprint->low, HBW_QUARANTINE_DURATION_US / HBW_US_PER_S);
+      log_verdict (quarantine, fingerprint, effects);
       g_free (fingerprint);
     }
 }
--- a/core/quarantine_report.c
+++ b/core/quarantine_report.c
@@ -41,7 +41,23 @@
                                      .server = report->server_hash,
                                      .started_us = now_us - report->started_ago_us,
                                      .failed_us = now_us - report->failed_ago_us };
-  return hbw_suspect_record_failure (quarantine, suspect, &failure);
+  HbwFailureRecord *known = hbw_suspect_find_record (suspect, report->id);
+  if (!report->is_dismissed)
+    return hbw_suspect_record_failure (quarantine, suspect, &failure);
+  if (known == NULL)
+    hbw_suspect_record_dismissed (suspect, &failure);
+  else if (!known->is_dismissed)
+    hbw_suspect_dismiss_record (quarantine, known, now_us);
+  return FALSE;
+}
+
+static guint
+count_open (const HbwSuspicionReport *report)
+{
+  guint count = 0;
+  for (guint i = 0; i < report->failure_count; i++)
+    count += !report->failures[i].is_dismissed;
+  return count;
 }
 
 static void
@@ -49,7 +65,7 @@
 {
   suspect->is_stored
       |= report->is_stored && report->verdict == suspect->verdict
-         && report->failure_count == hbw_suspect_count_failures (suspect);
+         && count_open (report) == hbw_suspect_count_failures (suspect);
 }
 
 /* Returns the entry for REPORT, or NULL if it tells nothing about an unknown
@@ -74,11 +90,12 @@
     return 0;
   suspect->expire_at_us = MAX (suspect->expire_at_us, now_us + remaining_us);
   if (report->completed_ago_us >= 0 && !hbw_suspect_is_quarantined (suspect))
-    hbw_suspect_clear_failures (suspect, now_us - report->completed_ago_us, now_us);
+    hbw_suspect_clear_failures (quarantine, suspect,
+                                now_us - report->completed_ago_us, now_us);
   for (guint i = 0; i < report->failure_count; i++)
     added += merge_failure (quarantine, suspect, &report->failures[i], now_us);
   merge_activity (suspect, from, report, now_us);
-  if (report->verdict > suspect->verdict)
+  if (report->verdict > suspect->verdict && !hbw_suspect_is_refuted (suspect))
     hbw_quarantine_set_verdict (quarantine, suspect, report->verdict, now_us);
   merge_stored (suspect, report);
   hbw_quarantine_evaluate (quarantine, now_us);
@@ -93,6 +110,7 @@
   report->server_hash = record->details.server;
   report->started_ago_us = now_us - record->details.started_us;
   report->failed_ago_us = now_us - record->details.failed_us;
+  report->is_dismissed = record->is_dismissed;
 }
 
 static void
@@ -107,7 +125,8 @@
   report->completed_ago_us
       = suspect->completed_us > 0 ? now_us - suspect->completed_us : -1;
   for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
-    if (hbw_failure_record_is_open (&suspect->records[i]))
+    if (hbw_failure_record_is_open (&suspect->records[i])
+        || suspect->records[i].is_dismissed)
       fill_failure_report (&report->failures[report->failure_count++],
                            &suspect->records[i], now_us);
 }
--- a/core/quarantine_verdict.c
+++ b/core/quarantine_verdict.c
@@ -1,29 +1,52 @@
 #include "hornbeamwall/core/quarantine_state.h"
 
+/* With more held suspects than this, they are evaluated at most once per interval.
+ */
+#define EAGER_HELD_MAX 32
+#define EVALUATION_INTERVAL_US (10 * HBW_US_PER_MS)
+
 /* --- verdicts ------------------------------------------------------------------ */
 
 typedef gboolean (*FailureTest) (const HbwFailure *failure,
                                  const HbwSuspect *suspect, gint64 now_us);
 
-/* Returns whether all suspects of FAILURE have been reported. */
+/* Returns whether all suspects of FAILURE have been reported, and responses of its
+   server would have shown that it did not fail. */
 static gboolean
 is_due (const HbwFailure *failure, gint64 now_us)
 {
-  return now_us - failure->earliest_end_us >= HBW_QUARANTINE_GATHER_WINDOW_US;
+  gint64 window_us = failure->is_confirmed ? HBW_QUARANTINE_GATHER_WINDOW_US
+                                           : HBW_QUARANTINE_CONFIRM_WINDOW_US;
+  return now_us - failure->earliest_end_us >= window_us;
 }
 
-/* Returns whether SUSPECT is the cause: all other suspects of FAILURE were cleared.
- */
-static gboolean
-is_only_suspect (const HbwFailure *failure, const HbwSuspect *suspect, gint64 now_us)
+/* Counts over the suspects of FAILURE, once in each evaluation. */
+static void
+update_counts (const HbwQuarantine *quarantine, HbwFailure *failure, gint64 now_us)
 {
   const HbwFailureRecord *record;
-  if (!is_due (failure, now_us))
-    return FALSE;
+  if (failure->evaluation == quarantine->evaluation)
+    return;
+  failure->evaluation = quarantine->evaluation;
+  failure->active_count = 0;
+  failure->most_unexplained = 0;
   cds_list_for_each_entry (record, &failure->records, link)
-    if (record->suspect != suspect)
-      return FALSE;
-  return TRUE;
+    {
+      failure->active_count += hbw_suspect_is_active (record->suspect, now_us);
+      failure->most_unexplained
+          = MAX (failure->most_unexplained,
+                 hbw_suspect_count_unexplained (record->suspect));
+    }
+}
+
+/* Returns whether the suspect is the cause: all others of FAILURE were cleared, and
+   the server did fail. */
+static gboolean
+is_only_suspect (const HbwFailure *failure, const HbwSuspect *suspect G_GNUC_UNUSED,
+                 gint64 now_us)
+{
+  return is_due (failure, now_us) && failure->is_confirmed
+         && failure->record_count == 1;
 }
 
 /* Returns whether it is too early to decide about FAILURE: another suspect of it is
@@ -34,39 +57,31 @@
 {
   if (!is_due (failure, now_us))
     return TRUE;
-  if (now_us - failure->earliest_end_us >= HBW_QUARANTINE_CLEAR_TIMEOUT_US)
-    return FALSE;
-  const HbwFailureRecord *record;
-  cds_list_for_each_entry (record, &failure->records, link)
-    if (record->suspect != suspect
-        && hbw_suspect_is_active (record->suspect, now_us))
-      return TRUE;
-  return FALSE;
+  guint own = hbw_suspect_is_active (suspect, now_us);
+  return now_us - failure->earliest_end_us < HBW_QUARANTINE_CLEAR_TIMEOUT_US
+         && failure->active_count > own;
 }
 
 /* Returns whether no other suspect of FAILURE is likelier to be its cause. */
 static gboolean
 may_cause (const HbwFailure *failure, const HbwSuspect *suspect, gint64 now_us)
 {
-  const HbwFailureRecord *record;
-  if (!is_due (failure, now_us))
-    return FALSE;
-  cds_list_for_each_entry (record, &failure->records, link)
-    if (hbw_suspect_count_unexplained (record->suspect)
-        > hbw_suspect_count_unexplained (suspect))
-      return FALSE;
-  return TRUE;
+  return is_due (failure, now_us)
+         && hbw_suspect_count_unexplained (suspect) >= failure->most_unexplained;
 }
 
 /* Returns whether TEST holds for any unexplained failure of SUSPECT. */
 static gboolean
-any_failure (const HbwSuspect *suspect, FailureTest test, gint64 now_us)
+any_failure (const HbwQuarantine *quarantine, const HbwSuspect *suspect,
+             FailureTest test, gint64 now_us)
 {
   for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
     {
-      const HbwFailure *failure = suspect->records[i].failure;
-      if (failure != NULL && !hbw_failure_is_explained (failure)
-          && test (failure, suspect, now_us))
+      HbwFailure *failure = suspect->records[i].failure;
+      if (failure == NULL || hbw_failure_is_explained (failure))
+        continue;
+      update_counts (quarantine, failure, now_us);
+      if (test (failure, suspect, now_us))
         return TRUE;
     }
   return FALSE;
@@ -77,11 +92,8 @@
                             HbwVerdict verdict, gint64 now_us)
 {
   if (!hbw_suspect_is_quarantined (suspect))
-    g_queue_push_tail (
-        &quarantine->unlogged,
-        g_memdup2 (&suspect->fingerprint, sizeof suspect->fingerprint));
-  suspect->verdict = verdict;
-  suspect->is_stored = FALSE;
+    hbw_quarantine_schedule_log (quarantine, suspect);
+  hbw_suspect_change_verdict (suspect, verdict);
   suspect->expire_at_us = now_us + HBW_QUARANTINE_DURATION_US;
 }
 
@@ -89,33 +101,39 @@
    be told apart any more from others whose requests have ended, or it is too early.
  */
 static HbwVerdict
-find_verdict (const HbwSuspect *suspect, gint64 now_us)
+find_verdict (const HbwQuarantine *quarantine, const HbwSuspect *suspect,
+              gint64 now_us)
 {
-  if (any_failure (suspect, is_only_suspect, now_us))
+  if (any_failure (quarantine, suspect, is_only_suspect, now_us))
     return HBW_VERDICT_CAUSE;
-  gboolean waits = any_failure (suspect, has_active_other, now_us)
-                   || !any_failure (suspect, may_cause, now_us);
+  gboolean waits = any_failure (quarantine, suspect, has_active_other, now_us)
+                   || !any_failure (quarantine, suspect, may_cause, now_us);
   return waits ? HBW_VERDICT_NONE : HBW_VERDICT_UNDECIDED;
 }
 
-/* Gives one verdict of at least the grade MINIMUM, if there is one to give. */
+/* Gives verdicts of at least the grade MINIMUM, up to the first cause, which may
+   change the verdict on others.  Returns whether there was one. */
 static gboolean
-give_verdict (HbwQuarantine *quarantine, HbwVerdict minimum, gint64 now_us)
+give_verdicts (HbwQuarantine *quarantine, HbwVerdict minimum, gint64 now_us)
 {
+  gboolean is_given = FALSE;
   HbwSuspect *suspect;
+  quarantine->evaluation++;
   cds_list_for_each_entry (suspect, &quarantine->held, held_link)
     {
-      if (hbw_suspect_is_quarantined (suspect) || !hbw_suspect_is_held (suspect))
+      if (!hbw_suspect_is_held (suspect))
         continue;
-      HbwVerdict verdict = find_verdict (suspect, now_us);
-      if (verdict < minimum)
+      HbwVerdict verdict = find_verdict (quarantine, suspect, now_us);
+      if (verdict < minimum || verdict <= suspect->verdict)
         continue;
       hbw_quarantine_set_verdict (quarantine, suspect, verdict, now_us);
       hbw_quarantine_schedule_report (quarantine, suspect, HBW_SUSPECT_TRANSMITS,
                                       now_us);
-      return TRUE;
+      if (verdict == HBW_VERDICT_CAUSE)
+        return TRUE;
+      is_given = TRUE;
     }
-  return FALSE;
+  return is_given;
 }
 
 /* A cause explains failures of other suspects, so that another cause may stand out.
@@ -123,10 +141,13 @@
 void
 hbw_quarantine_evaluate (HbwQuarantine *quarantine, gint64 now_us)
 {
-  if (now_us < quarantine->suspended_until_us)
+  gboolean is_early = quarantine->held_count > EAGER_HELD_MAX
+                      && now_us - quarantine->evaluated_us < EVALUATION_INTERVAL_US;
+  if (now_us < quarantine->suspended_until_us || is_early)
     return;
-  while (give_verdict (quarantine, HBW_VERDICT_CAUSE, now_us)
-         || give_verdict (quarantine, HBW_VERDICT_UNDECIDED, now_us))
+  quarantine->evaluated_us = now_us;
+  while (give_verdicts (quarantine, HBW_VERDICT_CAUSE, now_us)
+         || give_verdicts (quarantine, HBW_VERDICT_UNDECIDED, now_us))
     continue;
 }
 
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -666,6 +666,11 @@
           hbw_shard_handle_load_report (shard, context, &event->load);
         break;
       }
+    case HBW_EVENT_SERVER_RESPONDED:
+      hbw_quarantine_handle_response (
+          context->quarantine, hbw_rendezvous_weight (0, event->response.server),
+          event->response.connection_opened_us, context->now_us);
+      break;
     case HBW_EVENT_DOCUMENT_READ:
       handle_document_read (reducer, &event->document);
       break;
--- a/core/suspect.c
+++ b/core/suspect.c
@@ -4,9 +4,6 @@
    server: instances notice a failure at slightly different times. */
 #define SAME_FAILURE_SLACK_US (100 * HBW_US_PER_MS)
 
-/* A server that breaks another request within this time has not recovered yet. */
-#define OUTAGE_US (2 * HBW_US_PER_S)
-
 /* --- failures ------------------------------------------------------------------ */
 
 /* Returns whether the attempt of DETAILS was in progress when FAILURE happened:
@@ -14,8 +11,7 @@
 static gboolean
 was_in_progress (const HbwFailure *failure, const HbwServerFailure *details)
 {
-  return failure->server == details->server
-         && details->started_us <= failure->earliest_end_us + SAME_FAILURE_SLACK_US
+  return details->started_us <= failure->earliest_end_us + SAME_FAILURE_SLACK_US
          && details->failed_us >= failure->latest_start_us - SAME_FAILURE_SLACK_US;
 }
 
@@ -35,18 +31,30 @@
 is_same_outage (const HbwFailure *failure, const HbwSuspect *suspect,
                 const HbwServerFailure *details)
 {
-  return failure->server == details->server
-         && details->started_us >= failure->earliest_end_us
-         && details->failed_us - failure->latest_end_us < OUTAGE_US
+  return details->started_us >= failure->earliest_end_us
+         && details->failed_us - failure->latest_end_us < HBW_QUARANTINE_OUTAGE_US
          && !has_open_record_of (suspect, failure);
 }
 
+static HbwFailedServer *
+ensure_server (HbwQuarantine *quarantine, guint64 hash)
+{
+  HbwFailedServer *server = g_hash_table_lookup (quarantine->failed_servers, &hash);
+  if (server != NULL)
+    return server;
+  server = g_new0 (HbwFailedServer, 1);
+  server->hash = hash;
+  CDS_INIT_LIST_HEAD (&server->failures);
+  g_hash_table_insert (quarantine->failed_servers, &server->hash, server);
+  return server;
+}
+
 static HbwFailure *
-find_failure (const HbwQuarantine *quarantine, const HbwSuspect *suspect,
+find_failure (const HbwFailedServer *server, const HbwSuspect *suspect,
               const HbwServerFailure *details)
 {
   HbwFailure *failure;
-  cds_list_for_each_entry (failure, &quarantine->failures, link)
+  cds_list_for_each_entry (failure, &server->failures, link)
     if (was_in_progress (failure, details))
       {
         failure->latest_start_us
@@ -55,9 +63,10 @@
             = MIN (failure->earliest_end_us, details->failed_us);
         return failure;
       }
-  cds_list_for_each_entry (failure, &quarantine->failures, link)
+  cds_list_for_each_entry (failure, &server->failures, link)
     if (is_same_outage (failure, suspect, details))
       {
+        failure->is_confirmed |= server->responded_us < failure->earliest_end_us;
         failure->latest_end_us = MAX (failure->latest_end_us, details->failed_us);
         return failure;
       }
@@ -68,27 +77,24 @@
 ensure_failure (HbwQuarantine *quarantine, const HbwSuspect *suspect,
                 const HbwServerFailure *details)
 {
-  HbwFailure *failure = find_failure (quarantine, suspect, details);
+  HbwFailedServer *server = ensure_server (quarantine, details->server);
+  HbwFailure *failure = find_failure (server, suspect, details);
   if (failure != NULL)
     return failure;
   failure = g_new0 (HbwFailure, 1);
-  failure->server = details->server;
+  failure->server = server;
   failure->latest_start_us = details->started_us;
   failure->earliest_end_us = details->failed_us;
   failure->latest_end_us = details->failed_us;
   CDS_INIT_LIST_HEAD (&failure->records);
-  cds_list_add (&failure->link, &quarantine->failures);
+  cds_list_add (&failure->link, &server->failures);
   return failure;
 }
 
 gboolean
 hbw_failure_is_explained (const HbwFailure *failure)
 {
-  const HbwFailureRecord *record;
-  cds_list_for_each_entry (record, &failure->records, link)
-    if (record->suspect->verdict == HBW_VERDICT_CAUSE)
-      return TRUE;
-  return FALSE;
+  return failure->cause_count > 0;
 }
 
 /* --- records ------------------------------------------------------------------- */
@@ -99,19 +105,29 @@
   return record->failure != NULL;
 }
 
+static void
+destroy_failure (HbwQuarantine *quarantine, HbwFailure *failure)
+{
+  HbwFailedServer *server = failure->server;
+  cds_list_del (&failure->link);
+  g_free (failure);
+  if (cds_list_empty (&server->failures))
+    g_hash_table_remove (quarantine->failed_servers, &server->hash);
+}
+
 /* Detaches RECORD from its failure, and frees that once it has no record. */
 static void
-close_record (HbwFailureRecord *record)
+close_record (HbwQuarantine *quarantine, HbwFailureRecord *record)
 {
   HbwFailure *failure = record->failure;
   if (failure == NULL)
     return;
   cds_list_del (&record->link);
   record->failure = NULL;
-  if (!cds_list_empty (&failure->records))
-    return;
-  cds_list_del (&failure->link);
-  g_free (failure);
+  failure->record_count--;
+  failure->cause_count -= record->suspect->verdict == HBW_VERDICT_CAUSE;
+  if (cds_list_empty (&failure->records))
+    destroy_failure (quarantine, failure);
 }
 
 HbwFailureRecord *
@@ -141,20 +157,21 @@
 }
 
 static void
-leave_held (HbwSuspect *suspect)
+leave_held (HbwQuarantine *quarantine, HbwSuspect *suspect)
 {
   if (!suspect->is_in_held
       || hbw_suspect_count_failures (suspect) >= HBW_QUARANTINE_FAILURES_MIN)
     return;
   cds_list_del (&suspect->held_link);
+  quarantine->held_count--;
   suspect->is_in_held = FALSE;
 }
 
 /* Updates the suspect after some of its records were closed. */
 static void
-handle_records_closed (HbwSuspect *suspect, gint64 now_us)
+handle_records_closed (HbwQuarantine *quarantine, HbwSuspect *suspect, gint64 now_us)
 {
-  leave_held (suspect);
+  leave_held (quarantine, suspect);
   if (hbw_suspect_count_failures (suspect) == 0)
     suspect->expire_at_us = now_us + HBW_QUARANTINE_CLEARED_DURATION_US;
 }
@@ -173,33 +190,88 @@
   record->details = *details;
   record->suspect = suspect;
   record->failure = failure;
+  record->is_dismissed = FALSE;
   cds_list_add (&record->link, &failure->records);
+  failure->record_count++;
+  failure->cause_count += suspect->verdict == HBW_VERDICT_CAUSE;
   suspect->is_stored = FALSE;
   if (!suspect->is_in_held
       && hbw_suspect_count_failures (suspect) >= HBW_QUARANTINE_FAILURES_MIN)
     {
       cds_list_add_tail (&suspect->held_link, &quarantine->held);
+      quarantine->held_count++;
       suspect->is_in_held = TRUE;
     }
   return TRUE;
 }
 
 void
-hbw_suspect_clear_failures (HbwSuspect *suspect, gint64 completed_us, gint64 now_us)
+hbw_suspect_clear_failures (HbwQuarantine *quarantine, HbwSuspect *suspect,
+                            gint64 completed_us, gint64 now_us)
 {
   suspect->completed_us = MAX (suspect->completed_us, completed_us);
   for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
     if (suspect->records[i].details.failed_us <= suspect->completed_us)
-      close_record (&suspect->records[i]);
-  handle_records_closed (suspect, now_us);
+      close_record (quarantine, &suspect->records[i]);
+  handle_records_closed (quarantine, suspect, now_us);
+}
+
+void
+hbw_suspect_change_verdict (HbwSuspect *suspect, HbwVerdict verdict)
+{
+  gint change
+      = (verdict == HBW_VERDICT_CAUSE) - (suspect->verdict == HBW_VERDICT_CAUSE);
+  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+    if (hbw_failure_record_is_open (&suspect->records[i]))
+      suspect->records[i].failure->cause_count += (guint) change;
+  suspect->verdict = verdict;
+  suspect->is_stored = FALSE;
+}
+
+gboolean
+hbw_suspect_is_refuted (const HbwSuspect *suspect)
+{
+  if (hbw_suspect_count_failures (suspect) >= HBW_QUARANTINE_FAILURES_MIN)
+    return FALSE;
+  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+    if (suspect->records[i].is_dismissed)
+      return TRUE;
+  return FALSE;
+}
+
+void
+hbw_suspect_dismiss_record (HbwQuarantine *quarantine, HbwFailureRecord *record,
+                            gint64 now_us)
+{
+  HbwSuspect *suspect = record->suspect;
+  close_record (quarantine, record);
+  record->is_dismissed = TRUE;
+  suspect->is_stored = FALSE;
+  if (hbw_suspect_is_quarantined (suspect) && hbw_suspect_is_refuted (suspect))
+    {
+      hbw_suspect_change_verdict (suspect, HBW_VERDICT_NONE);
+      hbw_quarantine_schedule_log (quarantine, suspect);
+    }
+  handle_records_closed (quarantine, suspect, now_us);
+}
+
+void
+hbw_suspect_record_dismissed (HbwSuspect *suspect, const HbwServerFailure *details)
+{
+  HbwFailureRecord *record = find_replaceable_record (suspect);
+  if (record == NULL)
+    return;
+  record->details = *details;
+  record->suspect = suspect;
+  record->is_dismissed = TRUE;
 }
 
 void
-hbw_suspect_close (HbwSuspect *suspect)
+hbw_suspect_close (HbwQuarantine *quarantine, HbwSuspect *suspect)
 {
   for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
-    close_record (&suspect->records[i]);
-  leave_held (suspect);
+    close_record (quarantine, &suspect->records[i]);
+  leave_held (quarantine, suspect);
 }
 
 /* --- questions ----------------------------------------------------------------- */
--- a/core/suspect_archive.c
+++ b/core/suspect_archive.c
@@ -67,6 +67,8 @@
   for (guint i = 0; i < report->failure_count; i++)
     {
       const HbwFailureReport *failure = &report->failures[i];
+      if (failure->is_dismissed)
+        continue;
       json_array_append_new (
           failures,
           json_pack ("{s:o, s:o, s:I, s:I}", "id", format_number (failure->id),
--- a/core/suspect_share.c
+++ b/core/suspect_share.c
@@ -54,7 +54,7 @@
 set_complete (HbwSuspectShare *share, HbwContext *context)
 {
   share->is_complete = TRUE;
-  hbw_quarantine_suspend_verdicts (context->quarantine,
+  hbw_quarantine_suspend_verdicts (context->quarantine, context->now_us,
                                    context->now_us + HBW_SUSPECT_ACTIVE_TIMEOUT_US);
 }
 
--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -102,6 +102,10 @@
      "This instance has written the suspects to the platform's store, or tried "    \
      "to.",                                                                         \
      "If written is 0 again and again, check the platform's store.")                \
+  X (6005, REQUEST_RELEASED, WARN,                                                  \
+     "A request is not refused any more: its backend servers only broke off "       \
+     "responses and did not fail.",                                                 \
+     "Check why these backend servers break off responses.")                        \
   X (7001, LEASE_TAKEN, INFO, "This instance holds the lease for orders.",          \
      "Nothing.")                                                                    \
   X (7002, LEASE_LOST, WARN,                                                        \
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -18,6 +18,7 @@
   HBW_EVENT_FIRST_TOKEN,
   HBW_EVENT_ATTEMPT_ENDED,
   HBW_EVENT_LOAD_REPORT,
+  HBW_EVENT_SERVER_RESPONDED,
   HBW_EVENT_DOCUMENT_READ,    /* read from the platform's store */
   HBW_EVENT_SUSPECTS_READ,    /* read from the platform's store */
   HBW_EVENT_SUSPECTS_WRITTEN, /* result of HBW_EFFECT_STORE_SUSPECTS */
@@ -67,6 +68,13 @@
   gint64 age_us;
 } HbwLoadReport;
 
+/* A backend server has just sent bytes on a connection. */
+typedef struct
+{
+  char server[HBW_NAME_MAX];
+  gint64 connection_opened_us;
+} HbwServerResponse;
+
 /* The store reported that VERSION is the catalogue that it has. */
 typedef struct
 {
@@ -105,6 +113,7 @@
     HbwAttemptFirstToken first_token;
     HbwAttemptEnd end;
     HbwLoadReport load;
+    HbwServerResponse response;
     HbwDocument document; /* body borrowed for the step; NULL if it does not exist */
     HbwStoreState store;
     HbwStoredSuspects suspects;
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -245,6 +245,7 @@
   guint64 server_hash;   /* hash of the server's id */
   gint64 started_ago_us; /* since the attempt started */
   gint64 failed_ago_us;  /* since it ended */
+  gboolean is_dismissed; /* the server had not failed */
 } HbwFailureReport;
 
 /* All that the sender knows about a request that was in progress on a server that
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -4,14 +4,16 @@
  * The fingerprint of each request that is in progress on a server when it fails
  * becomes a suspect of that failure.  A suspect is active while an instance has a
  * request with its fingerprint, waiting or running, that may still complete.  A
- * complete response clears it.
+ * complete response clears it.  A failure is dismissed if its server then responds
+ * on an older connection: it only broke off a response.
  *
- * A suspect runs only while no other instance runs it, and only on a server without
- * another suspect, so that a second failure has only one suspect of the first.  A
- * suspect with two failures is held and does not run.  It is quarantined in all
- * instances for HBW_QUARANTINE_DURATION_US if it is the only remaining suspect of
- * one of its failures, or if no other one is active.  In the first case it explains
- * its failures, and other suspects whose failures are all explained may run again.
+ * A suspect runs only while no other instance runs it, and only on
+ * a server without another suspect, so that a second failure has only one suspect of
+ * the first.  A suspect with two failures is held and does not run.  It is
+ * quarantined in all instances for HBW_QUARANTINE_DURATION_US if it is the only
+ * remaining suspect of one of its failures, or if no other one is active.  In the
+ * first case it explains its failures, and other suspects whose failures are all
+ * explained may run again.
  *
  * This handles several harmful requests at the same time that fail every server they
  * run on, next to harmless requests on the same servers, and whose callers resend
@@ -32,10 +34,17 @@
 /* Time in which all suspects of a failure are reported by their instances. */
 #define HBW_QUARANTINE_GATHER_WINDOW_US (HBW_US_PER_S / 4)
 
+/* Time in which a server that failed refuses a connection, or one that did not fail
+   responds on an older one. */
+#define HBW_QUARANTINE_CONFIRM_WINDOW_US (1 * HBW_US_PER_S)
+
 /* Time in which the other suspects of a failure have to complete or become
    inactive. */
 #define HBW_QUARANTINE_CLEAR_TIMEOUT_US (30 * HBW_US_PER_S)
 
+/* A server that breaks another request within this time has not recovered yet. */
+#define HBW_QUARANTINE_OUTAGE_US (2 * HBW_US_PER_S)
+
 /* Lifetime of a suspicion or a quarantine. */
 #define HBW_QUARANTINE_DURATION_US (300 * HBW_US_PER_S)
 
@@ -175,11 +184,23 @@
                                  const HbwSuspicionReport *reports, guint count,
                                  gint64 now_us);
 
+/* Records that the server with the hash SERVER has just responded on a connection
+   that was opened at OPENED_US: it has not failed since, and broken responses in
+   between are no failures.  Requests that were quarantined for them are released. */
+void hbw_quarantine_handle_response (HbwQuarantine *quarantine, guint64 server,
+                                     gint64 opened_us, gint64 now_us);
+
+/* Records that the server with the hash SERVER has just refused a connection: its
+   recent failures are confirmed. */
+void hbw_quarantine_handle_refused_connection (HbwQuarantine *quarantine,
+                                               guint64 server, gint64 now_us);
+
 /* Quarantines nothing before UNTIL_US, because it is not known yet which suspects
-   are active elsewhere. */
-void hbw_quarantine_suspend_verdicts (HbwQuarantine *quarantine, gint64 until_us);
+   are active elsewhere, and takes no connection of before NOW_US as evidence. */
+void hbw_quarantine_suspend_verdicts (HbwQuarantine *quarantine, gint64 now_us,
+                                      gint64 until_us);
 
-/* Logs the quarantined fingerprints that have not been logged yet. */
+/* Logs the changes of verdicts that have not been logged yet. */
 void hbw_quarantine_log_new (HbwQuarantine *quarantine, HbwEffects *effects);
 
 guint hbw_quarantine_size (const HbwQuarantine *quarantine);
--- a/include/hornbeamwall/core/quarantine_state.h
+++ b/include/hornbeamwall/core/quarantine_state.h
@@ -18,15 +18,29 @@
 
 typedef struct HbwSuspect HbwSuspect;
 
+typedef struct
+{
+  guint64 hash;                  /* of its id */
+  struct cds_list_head failures; /* HbwFailure, newest first */
+  gint64 responded_us;           /* last response since its first failure; 0: none */
+} HbwFailedServer;
+
 /* One failure of one server, shared by the suspects that may have caused it. */
 typedef struct
 {
-  struct cds_list_head link; /* in quarantine->failures, newest first */
-  guint64 server;
+  struct cds_list_head link; /* in server->failures, newest first */
+  HbwFailedServer *server;
   gint64 latest_start_us; /* of the attempts that it ended */
   gint64 earliest_end_us;
   gint64 latest_end_us;         /* of an attempt that broke in the same outage */
+  gboolean is_confirmed;        /* the server served no request afterwards */
   struct cds_list_head records; /* HbwFailureRecord */
+  guint record_count;
+  guint cause_count; /* records of suspects with HBW_VERDICT_CAUSE */
+  /* Valid for one evaluation of all suspects, the one with this number. */
+  guint64 evaluation;
+  guint active_count;     /* suspects that are active */
+  guint most_unexplained; /* failures of one suspect */
 } HbwFailure;
 
 /* A failure as it was recorded for one suspect. */
@@ -36,6 +50,7 @@
   HbwFailure *failure;       /* NULL if it does not count any more, or unused */
   HbwSuspect *suspect;
   HbwServerFailure details; /* id 0 is unused */
+  gboolean is_dismissed;    /* the server had not failed */
 } HbwFailureRecord;
 
 /* What another instance does with a suspect, as it reported. */
@@ -75,12 +90,16 @@
   gboolean has_peers;
   GHashTable *suspects; /* HbwFingerprint -> HbwSuspect */
   struct cds_list_head by_age;
-  struct cds_list_head held;
-  struct cds_list_head failures;
+  struct cds_list_head held; /* suspects with HBW_QUARANTINE_FAILURES_MIN failures */
+  guint held_count;
+  GHashTable *failed_servers;  /* hash -> HbwFailedServer */
   struct cds_list_head unsent; /* by next_transmit_us */
-  GQueue unlogged;             /* HbwFingerprint, not logged yet */
+  GQueue unlogged;             /* HbwFingerprint, whose new verdict is not logged */
   guint64 evicted_count;
   gint64 suspended_until_us; /* no verdicts before; 0 is none */
+  guint64 evaluation;        /* number of the last evaluation of all suspects */
+  gint64 evaluated_us;       /* when that was */
+  gint64 watched_since_us;   /* what was known before is out of date */
 };
 
 /* --- suspect.c ----------------------------------------------------------------- */
@@ -90,13 +109,28 @@
                                      const HbwServerFailure *details);
 
 /* Clears the failures before COMPLETED_US, at which the request completed. */
-void hbw_suspect_clear_failures (HbwSuspect *suspect, gint64 completed_us,
+void hbw_suspect_clear_failures (HbwQuarantine *quarantine, HbwSuspect *suspect,
+                                 gint64 completed_us, gint64 now_us);
+
+/* Dismisses a failure, as its server had not failed. */
+void hbw_suspect_dismiss_record (HbwQuarantine *quarantine, HbwFailureRecord *record,
                                  gint64 now_us);
 
+/* Records a failure that was dismissed elsewhere, so that a late report of it does
+   not count. */
+void hbw_suspect_record_dismissed (HbwSuspect *suspect,
+                                   const HbwServerFailure *details);
+
+/* Changes the verdict, and what it explains. */
+void hbw_suspect_change_verdict (HbwSuspect *suspect, HbwVerdict verdict);
+
+/* Returns whether a verdict would rest on failures that were dismissed. */
+gboolean hbw_suspect_is_refuted (const HbwSuspect *suspect);
+
 /* Returns the record with the id of an attempt, or NULL. */
 HbwFailureRecord *hbw_suspect_find_record (HbwSuspect *suspect, guint64 id);
 
-/* Returns whether the record counts: it was not cleared. */
+/* Returns whether the record counts: it was neither cleared nor dismissed. */
 gboolean hbw_failure_record_is_open (const HbwFailureRecord *record);
 
 /* Returns whether a quarantined request is the cause of the failure. */
@@ -120,7 +154,7 @@
 gboolean hbw_suspect_is_active (const HbwSuspect *suspect, gint64 now_us);
 
 /* Detaches the suspect from its failures. */
-void hbw_suspect_close (HbwSuspect *suspect);
+void hbw_suspect_close (HbwQuarantine *quarantine, HbwSuspect *suspect);
 
 /* --- quarantine.c -------------------------------------------------------------- */
 
@@ -134,6 +168,10 @@
 void hbw_quarantine_schedule_report (HbwQuarantine *quarantine, HbwSuspect *suspect,
                                      guint transmits, gint64 now_us);
 
+/* Schedules a log line about a change of the verdict. */
+void hbw_quarantine_schedule_log (HbwQuarantine *quarantine,
+                                  const HbwSuspect *suspect);
+
 /* --- quarantine_verdict.c ------------------------------------------------------ */
 
 void hbw_quarantine_set_verdict (HbwQuarantine *quarantine, HbwSuspect *suspect,
--- a/include/hornbeamwall/net/exchange_state.h
+++ b/include/hornbeamwall/net/exchange_state.h
@@ -35,6 +35,7 @@
   guint silence_count;     /* consecutive timeouts that were extended */
   gint64 stall_timeout_us; /* longest pause within the response; 0 is no limit */
   gint64 started_us;
+  gint64 response_reported_us; /* when bytes of the server were last reported */
   /* Times of the first and the last piece of the response; 0 is none.  A piece is a
      complete event of a stream; the body of any other response is one piece, and
      last_piece_us is then the time of its last bytes. */
--- a/include/hornbeamwall/net/upstream.h
+++ b/include/hornbeamwall/net/upstream.h
@@ -75,6 +75,9 @@
    can be reused. */
 void hbw_upstream_detach (HbwUpstream *upstream);
 
+/* Returns the time at which the connection was opened. */
+gint64 hbw_upstream_opened_us (const HbwUpstream *upstream);
+
 /* Returns the time at which SERVER last sent bytes on any connection; 0 is never. */
 gint64 hbw_upstream_pool_last_received_us (const HbwUpstreamPool *pool,
                                            const char *server);
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -204,16 +204,23 @@
 pack_suspicion_summary (msgpack_packer *packer, const HbwSuspicionReport *report)
 {
   guint64 server = 0;
+  guint count = 0;
   for (guint i = 0; i < report->failure_count; i++)
-    if (report->failures[i].failed_ago_us < LEGACY_FAILURE_AGE_MAX_US)
-      server = report->failures[i].server_hash;
+    {
+      const HbwFailureReport *failure = &report->failures[i];
+      if (failure->is_dismissed)
+        continue;
+      count++;
+      if (failure->failed_ago_us < LEGACY_FAILURE_AGE_MAX_US)
+        server = failure->server_hash;
+    }
   HbwLegacySuspicion change = HBW_LEGACY_SUSPICION_FAILED;
-  if (report->failure_count == 0)
+  if (count == 0)
     change = HBW_LEGACY_SUSPICION_CLEARED;
   else if (report->activity == HBW_SUSPECT_IDLE && server == 0)
     change = HBW_LEGACY_SUSPICION_ENDED;
   msgpack_pack_uint32 (packer, change);
-  msgpack_pack_uint32 (packer, report->failure_count);
+  msgpack_pack_uint32 (packer, count);
   msgpack_pack_int64 (packer, report->remaining_us);
   msgpack_pack_uint64 (packer, server);
 }
@@ -232,11 +239,12 @@
   for (guint i = 0; i < report->failure_count; i++)
     {
       const HbwFailureReport *failure = &report->failures[i];
-      msgpack_pack_array (packer, 4);
+      msgpack_pack_array (packer, 5);
       msgpack_pack_uint64 (packer, failure->id);
       msgpack_pack_uint64 (packer, failure->server_hash);
       msgpack_pack_int64 (packer, failure->started_ago_us);
       msgpack_pack_int64 (packer, failure->failed_ago_us);
+      msgpack_pack_uint32 (packer, failure->is_dismissed);
     }
 }
 
--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -12,6 +12,9 @@
    its silence timeout is extended up to this multiple. */
 #define SILENCE_TIMEOUTS_MAX 4
 
+/* The reducer learns at this interval that a server responds. */
+#define RESPONSE_REPORT_INTERVAL_US (100 * HBW_US_PER_MS)
+
 #define EVENT_STREAM_TYPE "text/event-stream"
 
 /* --- reports to the reducer ------------------------------------------------ */
@@ -53,6 +56,23 @@
   hbw_control_submit (exchange->traffic->control, &event, NULL);
 }
 
+/* Reports that bytes came on a connection, unless that was reported recently or it
+   was opened recently. */
+static void
+report_response (HbwExchange *exchange)
+{
+  gint64 opened_us = hbw_upstream_opened_us (exchange->upstream);
+  gint64 now_us = hbw_exchange_now (exchange);
+  if (now_us - MAX (opened_us, exchange->response_reported_us)
+      < RESPONSE_REPORT_INTERVAL_US)
+    return;
+  exchange->response_reported_us = now_us;
+  HbwEvent event = { .kind = HBW_EVENT_SERVER_RESPONDED };
+  event.response.connection_opened_us = opened_us;
+  g_strlcpy (event.response.server, exchange->server, sizeof event.response.server);
+  hbw_control_submit (exchange->traffic->control, &event, NULL);
+}
+
 static void
 report_load (HbwExchange *exchange, const HbwResponseInfo *info)
 {
@@ -254,6 +274,7 @@
   if (*info.request_id != '\0'
       && strcmp (info.request_id, exchange->caller_request_id) != 0)
     return HBW_RESPONSE_SKIP;
+  report_response (exchange);
   report_load (exchange, &info);
   if (info.not_executed && !exchange->response_started)
     {
@@ -293,6 +314,7 @@
 {
   HbwExchange *exchange = exchange_of_upstream (handler);
   hbw_exchange_set_silence_timeout (exchange, exchange->stall_timeout_us);
+  report_response (exchange);
   if (exchange->is_event_stream)
     {
       forward_events (exchange, bytes, length);
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -61,6 +61,7 @@
   gboolean cancelled;
   guint skipped_count;
   gint64 idle_timeout_us; /* how long it may be idle */
+  gint64 opened_us;
 };
 
 static void handle_timeout (HbwTimer *timer);
@@ -254,6 +255,7 @@
   const char *bytes = g_bytes_get_data (upstream->request, &length);
   hbw_loop_clear_timer (upstream->pool->loop, &upstream->timer);
   upstream->connected = TRUE;
+  upstream->opened_us = hbw_loop_now (upstream->pool->loop);
   hbw_channel_write (upstream->channel, bytes, length);
 }
 
@@ -421,6 +423,12 @@
   hbw_loop_set_timer (upstream->pool->loop, &upstream->timer, DETACHED_TIMEOUT_US);
 }
 
+gint64
+hbw_upstream_opened_us (const HbwUpstream *upstream)
+{
+  return upstream->opened_us;
+}
+
 gint64
 hbw_upstream_pool_last_received_us (const HbwUpstreamPool *pool, const char *server)
 {
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -13,6 +13,7 @@
 #include "hornbeamwall/core/documents.h"
 #include "hornbeamwall/core/lease.h"
 #include "hornbeamwall/core/limiter.h"
+#include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/policy.h"
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/queue.h"
@@ -23,6 +24,17 @@
 #include "hornbeamwall/runtime/settings.h"
 
 #include <string.h>
+#include <time.h>
+
+#define STORM_FAILURES 2000
+
+static gint64
+thread_time_us (void)
+{
+  struct timespec used;
+  clock_gettime (CLOCK_THREAD_CPUTIME_ID, &used);
+  return (gint64) used.tv_sec * HBW_US_PER_S + used.tv_nsec / 1000;
+}
 
 START_TEST (manual_clock_changes_only_when_advanced)
 {
@@ -260,8 +272,8 @@
 
 /* Records a failure of SERVER during an attempt that ended at once. */
 static guint
-add_failure (HbwQuarantine *quarantine, const HbwFingerprint *fingerprint,
-             guint64 server, gint64 now_us)
+add_broken_response (HbwQuarantine *quarantine, const HbwFingerprint *fingerprint,
+                     guint64 server, gint64 now_us)
 {
   static guint64 last_attempt_id;
   const HbwServerFailure failure = { .id = ++last_attempt_id,
@@ -271,6 +283,16 @@
   return hbw_quarantine_add_failure (quarantine, fingerprint, &failure, now_us);
 }
 
+/* The server breaks the response and then refuses connections. */
+static guint
+add_failure (HbwQuarantine *quarantine, const HbwFingerprint *fingerprint,
+             guint64 server, gint64 now_us)
+{
+  guint failures = add_broken_response (quarantine, fingerprint, server, now_us);
+  hbw_quarantine_handle_refused_connection (quarantine, server, now_us);
+  return failures;
+}
+
 START_TEST (quarantine_of_poison_request_clears_innocent_one)
 {
   HbwQuarantine *quarantine = hbw_quarantine_create (1);
@@ -415,6 +437,80 @@
 }
 END_TEST
 
+/* A server that works breaks the responses to one request, and that one is in
+   progress on another server that crashes. */
+START_TEST (broken_response_of_working_server_explains_no_crash)
+{
+  HbwQuarantine *quarantine = hbw_quarantine_create (1);
+  gint64 now_us = HBW_US_PER_S;
+  add_broken_response (quarantine, &innocent, 6, now_us);
+  now_us += HBW_US_PER_S;
+  add_failure (quarantine, &innocent, 7, now_us);
+  add_failure (quarantine, &poison, 7, now_us);
+  add_failure (quarantine, &other_suspect, 8, now_us + 1);
+  add_failure (quarantine, &poison, 8, now_us + 1);
+  now_us += HBW_QUARANTINE_GATHER_WINDOW_US + 1;
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, 1, now_us),
+                     HBW_QUARANTINE_STATUS_HELD);
+  hbw_quarantine_handle_response (quarantine, 6, 1, now_us);
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &innocent, 1, now_us),
+                     HBW_QUARANTINE_STATUS_SUSPECT);
+  ck_assert_uint_eq (
+      hbw_quarantine_count_unexplained (quarantine, &innocent, now_us), 1);
+  hbw_quarantine_clear (quarantine, &innocent, now_us);
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &poison, 1, now_us),
+                     HBW_QUARANTINE_STATUS_QUARANTINED);
+  hbw_quarantine_destroy (quarantine);
+}
+END_TEST
+
+START_TEST (response_on_older_connection_withdraws_verdict)
+{
+  HbwQuarantine *quarantine = hbw_quarantine_create (1);
+  HbwQuarantine *other = hbw_quarantine_create (2);
+  HbwSuspicionReport report;
+  const gint64 broken_us = HBW_US_PER_S;
+  add_broken_response (quarantine, &innocent, 6, broken_us);
+  add_broken_response (quarantine, &innocent, 7, broken_us);
+  gint64 now_us = broken_us + HBW_QUARANTINE_CONFIRM_WINDOW_US;
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &innocent, 1, now_us),
+                     HBW_QUARANTINE_STATUS_QUARANTINED);
+  ck_assert (hbw_quarantine_take_report (quarantine, 1, &report, now_us));
+  ck_assert_uint_eq (report.verdict, HBW_VERDICT_UNDECIDED);
+  hbw_quarantine_merge (other, 1, &report, now_us);
+  ck_assert_uint_eq (hbw_quarantine_check (other, &innocent, 2, now_us),
+                     HBW_QUARANTINE_STATUS_QUARANTINED);
+  /* A connection that was opened afterwards proves nothing. */
+  hbw_quarantine_handle_response (quarantine, 7, broken_us + 1, now_us);
+  ck_assert_uint_eq (hbw_quarantine_check (quarantine, &innocent, 1, now_us),
+                     HBW_QUARANTINE_STATUS_QUARANTINED);
+  hbw_quarantine_handle_response (quarantine, 7, 1, now_us);
+  ck_assert_uint_ne (hbw_quarantine_check (quarantine, &innocent, 1, now_us),
+                     HBW_QUARANTINE_STATUS_QUARANTINED);
+  ck_assert (hbw_quarantine_take_report (quarantine, 1, &report, now_us));
+  hbw_quarantine_merge (other, 1, &report, now_us);
+  ck_assert_uint_ne (hbw_quarantine_check (other, &innocent, 2, now_us),
+                     HBW_QUARANTINE_STATUS_QUARANTINED);
+  hbw_quarantine_destroy (quarantine);
+  hbw_quarantine_destroy (other);
+}
+END_TEST
+
+/* Each response that breaks makes the control thread compare suspects. */
+START_TEST (storm_of_failures_keeps_control_thread_free)
+{
+  HbwQuarantine *quarantine = hbw_quarantine_create (1);
+  gint64 started_us = thread_time_us ();
+  for (guint i = 0; i < STORM_FAILURES; i++)
+    {
+      const HbwFingerprint request = { 100, i / 2 };
+      add_failure (quarantine, &request, i % 2, i);
+    }
+  ck_assert_int_lt (thread_time_us () - started_us, HBW_PAUSE_THRESHOLD_US);
+  hbw_quarantine_destroy (quarantine);
+}
+END_TEST
+
 START_TEST (failed_server_gets_one_half_open_probe)
 {
   const HbwServerEntry entry = { .id = "s", .slots = 4, .start_number = 1 };
@@ -775,6 +871,9 @@
   tcase_add_test (cases, neither_of_two_requests_with_same_evidence_runs);
   tcase_add_test (cases, copies_on_one_server_count_as_one_failure);
   tcase_add_test (cases, storm_of_failures_evicts_no_verdict);
+  tcase_add_test (cases, broken_response_of_working_server_explains_no_crash);
+  tcase_add_test (cases, response_on_older_connection_withdraws_verdict);
+  tcase_add_test (cases, storm_of_failures_keeps_control_thread_free);
   tcase_add_test (cases, failed_server_gets_one_half_open_probe);
   tcase_add_test (cases, suspect_probes_failed_server_later_than_others);
   tcase_add_test (cases, shards_are_bounded_and_cover_all_servers);
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -27,6 +27,12 @@
 /* Fingerprints from here on belong to the bodies of loads. */
 #define SHARED_FINGERPRINT_MIN ((guint64) 1 << 30)
 
+/* How long an instance keeps a connection without requests. */
+#define IDLE_TIMEOUT_US (4 * HBW_US_PER_S)
+
+/* Interval at which the traffic thread reports that a response goes on. */
+#define RESPONSE_INTERVAL_US (100 * HBW_US_PER_MS)
+
 /* Default time until a server that failed because of a poison request restarts. */
 #define POISON_RESTART_US (15 * HBW_US_PER_S)
 
@@ -66,8 +72,16 @@
   gint64 leaving_since_us; /* 0: not draining */
   GPtrArray *running;      /* Attempt */
   GPtrArray *queue;        /* Attempt */
+  GHashTable *connections; /* identity of the instance -> Connection */
 } Server;
 
+/* The oldest connection of an instance to a server. */
+typedef struct
+{
+  gint64 opened_us;
+  gint64 used_us;
+} Connection;
+
 typedef struct
 {
   guint64 sequence;
@@ -438,6 +452,46 @@
   fill_batch (world, attempt->server);
 }
 
+/* Returns the connection, which is used now. */
+static Connection *
+find_connection (World *world, Attempt *attempt)
+{
+  GHashTable *connections = attempt->server->connections;
+  Connection *connection = g_hash_table_lookup (connections, &attempt->identity);
+  if (connection == NULL)
+    {
+      connection = g_new0 (Connection, 1);
+      connection->used_us = world->now_us;
+      g_hash_table_insert (connections,
+                           g_memdup2 (&attempt->identity, sizeof attempt->identity),
+                           connection);
+    }
+  if (connection->opened_us == 0
+      || world->now_us - connection->used_us > IDLE_TIMEOUT_US)
+    connection->opened_us = world->now_us;
+  connection->used_us = world->now_us;
+  return connection;
+}
+
+/* The traffic thread reports that bytes of the response came in. */
+static void
+report_response (World *world, void *data)
+{
+  Attempt *attempt = data;
+  if (attempt->ended || !is_running (attempt->instance, attempt->identity))
+    return;
+  if (world->now_us >= attempt->instance->paused_until_us)
+    {
+      HbwEvent event = { .kind = HBW_EVENT_SERVER_RESPONDED };
+      g_strlcpy (event.response.server, attempt->server->entry.id,
+                 sizeof event.response.server);
+      event.response.connection_opened_us
+          = find_connection (world, attempt)->opened_us;
+      run_reducer (world, attempt->instance, &event);
+    }
+  schedule (world, world->now_us + RESPONSE_INTERVAL_US, report_response, attempt);
+}
+
 /* The server breaks the response to one request, and keeps working. */
 static void
 break_attempt (World *world, void *data)
@@ -446,6 +500,7 @@
   if (attempt->ended)
     return;
   g_ptr_array_remove (attempt->server->running, attempt);
+  g_hash_table_remove (attempt->server->connections, &attempt->identity);
   report_end (world, attempt, HBW_OUTCOME_BROKEN, tokens_so_far (world, attempt));
   fill_batch (world, attempt->server);
 }
@@ -454,6 +509,7 @@
 fail_server (World *world, Server *server, gboolean by_poison)
 {
   server->failed = TRUE;
+  g_hash_table_remove_all (server->connections);
   if (by_poison)
     world->poisoned_server_count++;
   for (guint i = 0; i < server->running->len; i++)
@@ -515,10 +571,14 @@
   attempt->token_us
       = (gint64) ((double) server->token_us * server->slowdown * overload);
   request->run_count++;
+  find_connection (world, attempt);
   if (!request->spec.idempotent && request->run_count > 1)
     report_violation (world,
                       "non-idempotent request %" G_GUINT64_FORMAT " ran %u times",
                       request->sequence, request->run_count);
+  schedule (world,
+            world->now_us + MAX (attempt->first_token_us, RESPONSE_INTERVAL_US),
+            report_response, attempt);
   if (request->load->poison)
     schedule (world, world->now_us + attempt->first_token_us, fail_server_by_poison,
               attempt);
@@ -1398,6 +1458,7 @@
       Server *server = world->servers->pdata[i];
       g_ptr_array_free (server->running, TRUE);
       g_ptr_array_free (server->queue, TRUE);
+      g_hash_table_destroy (server->connections);
       g_free (server);
     }
   g_ptr_array_free (world->heap, TRUE);
@@ -1467,6 +1528,8 @@
       server->slowdown = 1.0;
       server->running = g_ptr_array_new ();
       server->queue = g_ptr_array_new ();
+      server->connections
+          = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
       g_ptr_array_add (world->servers, server);
     }
 }
