--- a/core/ingress.c
+++ b/core/ingress.c
@@ -516,7 +516,13 @@
   if (complete)
     finish_request (ingress, context, request, end);
   else if (again)
-    retry_request (ingress, context, request, end->outcome);
+    {
+      const HbwFingerprint fingerprint = request->spec.fingerprint;
+      retry_request (ingress, context, request, end->outcome);
+      /* Another request with it may be running here. */
+      if (end->outcome == HBW_OUTCOME_BROKEN)
+        update_suspect_activity (ingress, context, &fingerprint);
+    }
   else
     end_without_retry (ingress, context, request, end);
 }
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -153,6 +153,8 @@
   if (hbw_suspect_count_unexplained (suspect) == 0)
     return HBW_QUARANTINE_STATUS_SUSPECT;
   if (failures >= HBW_QUARANTINE_FAILURES_MIN
+      || (instance == quarantine->self
+          && suspect->own_activity == HBW_SUSPECT_RUNNING)
       || hbw_quarantine_is_run_elsewhere (quarantine, suspect, instance, now_us)
       || hbw_quarantine_is_settling (quarantine, suspect, now_us))
     return HBW_QUARANTINE_STATUS_HELD;
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -7,7 +7,7 @@
  * complete response clears it.  A failure is dismissed if its server then responds
  * on an older connection: it only broke off a response.
  *
- * A suspect runs only while no other instance runs it, and only on
+ * A suspect runs only while no other request with its fingerprint does, and only on
  * a server without another suspect, so that a second failure has only one suspect of
  * the first.  A suspect with two failures is held and does not run.  It is
  * quarantined in all instances for HBW_QUARANTINE_DURATION_US if it is the only
