--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -882,6 +882,77 @@
 }
 END_TEST
 
+static void
+adopt_catalogue (ReducerFixture *fixture, gint64 version)
+{
+  HbwEvent event = { .kind = HBW_EVENT_CATALOGUE_CONFIRMED };
+  deliver_document (fixture, HBW_DOCUMENT_CATALOGUE, version,
+                    "{\"classes\":{},\"pools\":{},\"organisations\":{}}");
+  event.confirmation.requested_us = fixture->now_us;
+  event.confirmation.version = version;
+  step_reducer (fixture, &event);
+}
+
+/* Answers the pings of the most recent step of FIXTURE as an instance that has
+   VERSION of the catalogue, confirmed just now. */
+static void
+answer_pings (ReducerFixture *fixture, guint64 from, gint64 version)
+{
+  HbwEvent answers[4];
+  guint count = 0;
+  for (guint i = 0; i < hbw_effects_count (fixture->effects); i++)
+    {
+      const HbwEffect *effect = hbw_effects_get (fixture->effects, i);
+      if (effect->kind != HBW_EFFECT_SEND_MESSAGE
+          || effect->send.message.kind != HBW_MESSAGE_PING
+          || count == G_N_ELEMENTS (answers))
+        continue;
+      HbwEvent *answer = &answers[count++];
+      answer->kind = HBW_EVENT_MESSAGE;
+      answer->message = effect->send.message;
+      answer->message.kind = HBW_MESSAGE_ACK;
+      answer->message.from = from;
+      answer->message.ping.versions[HBW_DOCUMENT_CATALOGUE] = version;
+      answer->message.ping.catalogue_age_us = 0;
+    }
+  ck_assert_uint_gt (count, 0);
+  for (guint i = 0; i < count; i++)
+    step_reducer (fixture, &answers[i]);
+}
+
+/* Returns one of two instances of a data centre, the one that is no watcher. */
+static ReducerFixture
+create_standby (guint64 *peer)
+{
+  for (guint64 self = 1; self <= 2; self++)
+    {
+      ReducerFixture fixture = fixture_create (self, 2, 8);
+      *peer = 3 - self;
+      introduce_peer (&fixture, *peer, "a");
+      adopt_catalogue (&fixture, 2);
+      if (!hbw_reducer_is_store_watcher (fixture.reducer))
+        return fixture;
+      fixture_destroy (&fixture);
+    }
+  ck_abort_msg ("both instances are watchers");
+}
+
+START_TEST (watcher_with_another_catalogue_confirms_nothing)
+{
+  for (gint64 version = 1; version <= 3; version++)
+    {
+      guint64 peer;
+      ReducerFixture standby = create_standby (&peer);
+      gint64 before_us = hbw_reducer_catalogue_confirmed_us (standby.reducer);
+      tick (&standby, HBW_US_PER_S);
+      answer_pings (&standby, peer, version);
+      gint64 after_us = hbw_reducer_catalogue_confirmed_us (standby.reducer);
+      ck_assert_int_eq (after_us > before_us, version == 2);
+      fixture_destroy (&standby);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -911,6 +982,7 @@
   tcase_add_test (tests, lower_tiers_leave_slots_for_highest_tier);
   tcase_add_test (tests, instances_do_not_pick_the_same_idle_server);
   tcase_add_test (tests, silent_watcher_is_replaced_within_a_second);
+  tcase_add_test (tests, watcher_with_another_catalogue_confirms_nothing);
   suite_add_tcase (suite, tests);
   return suite_run (suite);
 }
--- a/tests/store_restore_test.c
+++ b/tests/store_restore_test.c
@@ -73,6 +73,40 @@
 }
 END_TEST
 
+/* When the instance reaches the store again, the revisions have passed those that it
+   has seen. */
+START_TEST (key_removed_below_passed_revision_is_refused)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  gint64 copy = objects_revision (fixture->object_store);
+  put_later_configs (fixture);
+  gint64 seen = objects_revision (fixture->object_store);
+  objects_set_behaviour (fixture->object_store, OBJECTS_UNAVAILABLE);
+  g_usleep (WATCH_TIMEOUT_US);
+  objects_restore (fixture->object_store, copy);
+  platform_fixture_put_config (fixture, 9, "\"k2\"");
+  while (objects_revision (fixture->object_store) <= seen)
+    platform_fixture_put_server (fixture, 0, "ready");
+  objects_set_behaviour (fixture->object_store, OBJECTS_NORMAL);
+  ck_assert (wait_for_status (fixture, API_KEY_FIELD, 401));
+  ck_assert_uint_eq (post_status (fixture, "/safe/ok", OTHER_KEY_FIELD), 200);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
+/* The store has a newer config, which this instance cannot use. */
+START_TEST (unusable_config_does_not_confirm_the_one_before)
+{
+  PlatformFixture *fixture = platform_fixture_create_with_bound (BOUND_MS);
+  objects_set (fixture->object_store, "config", "main",
+               "{\"version\":4,\"routes\":3}");
+  ck_assert (wait_for_status (fixture, API_KEY_FIELD, 503));
+  platform_fixture_put_config (fixture, 5, "\"k2\"");
+  ck_assert (wait_for_status (fixture, API_KEY_FIELD, 401));
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 /* The removal is acknowledged while the instance does not reach the store, is lost,
    and is written again only after the bound. */
 START_TEST (key_removed_while_store_was_away_is_refused)
@@ -277,6 +311,8 @@
 {
   Suite *suite = suite_create ("store_restore");
   ADD_TEST (suite, key_removed_after_restore_is_refused);
+  ADD_TEST (suite, key_removed_below_passed_revision_is_refused);
+  ADD_TEST (suite, unusable_config_does_not_confirm_the_one_before);
   ADD_TEST (suite, key_removed_while_store_was_away_is_refused);
   ADD_TEST (suite, removed_key_is_refused_by_instance_started_on_restored_store);
   ADD_TEST (suite, older_config_of_restored_store_is_not_taken_as_newest);
