--- a/runtime/suspect_store.c
+++ b/runtime/suspect_store.c
@@ -2,16 +2,16 @@
 
 #include "hornbeamwall/core/documents.h"
 #include "hornbeamwall/platform/store_adapter.h"
+#include "hornbeamwall/runtime/condition.h"
 #include "hornbeamwall/runtime/shared_object.h"
 
-#include <pthread.h>
 #include <string.h>
 
 /* Name of the object in the store of the native interface. */
 #define OBJECT_NAME "hornbeamwall-suspects"
 
 /* Pause before a read is tried again. */
-#define READ_PAUSE_MS 300
+#define READ_PAUSE_US (300 * HBW_US_PER_MS)
 
 struct HbwSuspectStore
 {
@@ -64,24 +64,13 @@
   submit (store, HBW_EVENT_SUSPECTS_WRITTEN, &suspects);
 }
 
-static void
-set_deadline (struct timespec *deadline, gint64 duration_ms)
-{
-  clock_gettime (CLOCK_MONOTONIC, deadline);
-  gint64 nanoseconds = deadline->tv_nsec + duration_ms * 1000000;
-  deadline->tv_sec += nanoseconds / 1000000000;
-  deadline->tv_nsec = nanoseconds % 1000000000;
-}
-
 /* Waits before the next read; returns FALSE if the thread has to end. */
 static gboolean
 pause_reading (HbwSuspectStore *store)
 {
-  struct timespec deadline;
-  set_deadline (&deadline, READ_PAUSE_MS);
   pthread_mutex_lock (&store->lock);
   if (!store->stopping)
-    pthread_cond_timedwait (&store->wake, &store->lock, &deadline);
+    hbw_condition_wait_for (&store->wake, &store->lock, READ_PAUSE_US);
   gboolean stopping = store->stopping;
   pthread_mutex_unlock (&store->lock);
   return !stopping;
@@ -155,11 +144,7 @@
   store->object = object;
   g_queue_init (&store->calls);
   pthread_mutex_init (&store->lock, NULL);
-  pthread_condattr_t attributes;
-  pthread_condattr_init (&attributes);
-  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
-  pthread_cond_init (&store->wake, &attributes);
-  pthread_condattr_destroy (&attributes);
+  hbw_condition_init (&store->wake);
   int code = pthread_create (&store->thread, NULL, run_store_thread, store);
   store->started = code == 0;
   if (store->started)
--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -2,9 +2,9 @@
 
 #include "hornbeamwall/core/documents.h"
 #include "hornbeamwall/platform/store_adapter.h"
+#include "hornbeamwall/runtime/condition.h"
 #include "hornbeamwall/runtime/feed.h"
 
-#include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
 
@@ -59,18 +59,9 @@
 static void
 wait_or_stop (HbwWatch *watch, gint64 duration_us)
 {
-  struct timespec deadline;
-  clock_gettime (CLOCK_MONOTONIC, &deadline);
-  deadline.tv_sec += duration_us / HBW_US_PER_S;
-  deadline.tv_nsec += (duration_us % HBW_US_PER_S) * 1000;
-  if (deadline.tv_nsec >= 1000000000)
-    {
-      deadline.tv_sec++;
-      deadline.tv_nsec -= 1000000000;
-    }
   pthread_mutex_lock (&watch->lock);
   if (!atomic_load (&watch->stopping))
-    pthread_cond_timedwait (&watch->wake, &watch->lock, &deadline);
+    hbw_condition_wait_for (&watch->wake, &watch->lock, duration_us);
   pthread_mutex_unlock (&watch->lock);
 }
 
@@ -211,11 +202,7 @@
 {
   HbwWatch *watch = g_new0 (HbwWatch, 1);
   watch->control = control;
-  pthread_condattr_t attributes;
-  pthread_condattr_init (&attributes);
-  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
-  pthread_cond_init (&watch->wake, &attributes);
-  pthread_condattr_destroy (&attributes);
+  hbw_condition_init (&watch->wake);
   pthread_mutex_init (&watch->lock, NULL);
   error->kind = HBW_ERROR_NONE;
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
