--- a/core/reducer.c
+++ b/core/reducer.c
@@ -8,7 +8,7 @@
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/quarantine.h"
-#include "hornbeamwall/core/server_history.h"
+#include "hornbeamwall/core/server_list.h"
 #include "hornbeamwall/core/status.h"
 #include "hornbeamwall/core/suspect_archive.h"
 #include "hornbeamwall/core/suspect_share.h"
@@ -30,9 +30,7 @@
   HbwContext context;
   const HbwPolicy *policy;
   HbwDocuments *documents;
-  HbwTopology *topology;
-  HbwServerHistory *server_history;
-  gboolean servers_unsettled; /* adopted in an era that was not settled */
+  HbwServerList *server_list;
   HbwIngress *ingress;
   HbwFreshnessMonitor *freshness_monitor;
   HbwSuspectArchive *suspect_archive;
@@ -71,10 +69,9 @@
 static void
 update_shard_servers (HbwReducer *reducer, HbwShard *shard)
 {
+  const HbwTopology *topology = hbw_server_list_topology (reducer->server_list);
   const GPtrArray *servers
-      = reducer->topology != NULL
-            ? hbw_topology_shard_servers (reducer->topology, &shard->key)
-            : NULL;
+      = topology != NULL ? hbw_topology_shard_servers (topology, &shard->key) : NULL;
   GPtrArray *none = g_ptr_array_new ();
   hbw_shard_set_servers (shard, &reducer->context, servers != NULL ? servers : none);
   g_ptr_array_free (none, TRUE);
@@ -142,59 +139,15 @@
   return TRUE;
 }
 
-/* Returns whether the current server list has the server of ENTRY, with the same
-   start number, and gives it new work. */
-static gboolean
-is_server_in_service (const HbwReducer *reducer, const HbwServerEntry *entry)
-{
-  HbwShardKey key;
-  const HbwServerEntry *known
-      = reducer->topology != NULL
-            ? hbw_topology_find_server (reducer->topology, entry->id, &key)
-            : NULL;
-  return known != NULL && !known->leaving
-         && known->start_number == entry->start_number;
-}
-
-/* Drops expired entries of servers that the current list does not show in service.
-   The instance that read this list may have lost contact with the store while
-   another instance saw the server leave and published the current list. */
-static void
-drop_expired_servers (const HbwReducer *reducer, GPtrArray *servers)
-{
-  for (guint i = servers->len; i > 0; i--)
-    {
-      const HbwServerEntry *entry = g_ptr_array_index (servers, i - 1);
-      if (entry->expired && !is_server_in_service (reducer, entry))
-        g_ptr_array_remove_index (servers, i - 1);
-    }
-}
-
-static void
-apply_server_history (HbwReducer *reducer, GPtrArray *servers)
-{
-  const HbwContext *context = &reducer->context;
-  reducer->servers_unsettled
-      = !hbw_store_era_is_settled (&context->store_era, context->now_us);
-  if (reducer->servers_unsettled)
-    hbw_server_history_apply (reducer->server_history, servers);
-  hbw_server_history_record (reducer->server_history, servers, context->now_us);
-}
-
 static gboolean
 adopt_servers (HbwReducer *reducer, const char *text, gsize length, HbwError *error)
 {
-  GPtrArray *servers = hbw_directory_parse_servers (text, length, error);
-  if (servers == NULL)
+  const HbwContext *context = &reducer->context;
+  if (!hbw_server_list_adopt (reducer->server_list, text, length,
+                              &context->store_era, context->now_us, error))
     return FALSE;
-  drop_expired_servers (reducer, servers);
-  apply_server_history (reducer, servers);
-  if (reducer->topology != NULL)
-    hbw_topology_destroy (reducer->topology);
-  reducer->topology = hbw_topology_create (
-      servers,
-      reducer->policy->spans_data_centres ? reducer->context.data_centre : NULL);
-  hbw_ingress_set_topology (reducer->ingress, reducer->topology);
+  hbw_ingress_set_topology (reducer->ingress,
+                            hbw_server_list_topology (reducer->server_list));
   update_all_shard_servers (reducer);
   return TRUE;
 }
@@ -206,8 +159,9 @@
   const HbwContext *context = &reducer->context;
   HbwError error = { HBW_ERROR_NONE, "" };
   GBytes *body = hbw_documents_body (reducer->documents, HBW_DOCUMENT_SERVERS);
-  if (!reducer->servers_unsettled || body == NULL
-      || !hbw_store_era_is_settled (&context->store_era, context->now_us))
+  if (body == NULL
+      || !hbw_server_list_is_due (reducer->server_list, &context->store_era,
+                                  context->now_us))
     return;
   gsize length;
   const char *text = g_bytes_get_data (body, &length);
@@ -768,7 +722,8 @@
   context->load_in_answers = config->load_in_answers;
   g_strlcpy (reducer->name, config->self.name, sizeof reducer->name);
   reducer->documents = hbw_documents_create ();
-  reducer->server_history = hbw_server_history_create ();
+  reducer->server_list = hbw_server_list_create (
+      reducer->policy->spans_data_centres ? context->data_centre : NULL);
   reducer->freshness_monitor = hbw_freshness_monitor_create ();
   reducer->suspect_archive = hbw_suspect_archive_create ();
   reducer->ingress = hbw_ingress_create (find_owner, reducer,
@@ -798,11 +753,9 @@
   g_hash_table_destroy (reducer->reported_versions);
   hbw_ingress_destroy (reducer->ingress);
   hbw_documents_destroy (reducer->documents);
-  hbw_server_history_destroy (reducer->server_history);
+  hbw_server_list_destroy (reducer->server_list);
   hbw_freshness_monitor_destroy (reducer->freshness_monitor);
   hbw_suspect_archive_destroy (reducer->suspect_archive);
-  if (reducer->topology != NULL)
-    hbw_topology_destroy (reducer->topology);
   if (context->catalogue != NULL)
     hbw_catalogue_unref (context->catalogue);
   hbw_membership_destroy (context->membership);
@@ -848,7 +801,8 @@
 hbw_reducer_is_ready (const HbwReducer *reducer)
 {
   return is_catalogue_fresh (reducer) && reducer->context.catalogue != NULL
-         && reducer->topology != NULL && reducer->context.planned_stops_known
+         && hbw_server_list_topology (reducer->server_list) != NULL
+         && reducer->context.planned_stops_known
          && hbw_suspect_share_is_complete (reducer->context.suspect_share)
          && !reducer->draining;
 }
@@ -914,7 +868,7 @@
     .documents = reducer->documents,
     .shards = reducer->shards,
     .reported_versions = reducer->reported_versions,
-    .topology = reducer->topology,
+    .topology = hbw_server_list_topology (reducer->server_list),
     .shard_router = hbw_ingress_shard_router (reducer->ingress),
     .requests = hbw_ingress_request_count (reducer->ingress),
     .store_up = reducer->store_up,
