--- a/core/freshness_monitor.c
+++ b/core/freshness_monitor.c
@@ -102,11 +102,11 @@
 log_unconfirmed (HbwFreshnessMonitor *monitor, HbwContext *context,
                  const HbwCatalogueConfirmation *reported, gint64 version)
 {
-  gboolean is_settled
-      = hbw_store_era_is_settled (&context->store_era, reported->requested_us);
   if (!monitor->is_confirmed)
     return;
   monitor->is_confirmed = FALSE;
+  gboolean is_settled
+      = hbw_store_era_is_settled (&context->store_era, reported->requested_us);
   hbw_effects_log (context->effects, HBW_LOG_CATALOGUE_UNCONFIRMED,
                    "catalogue=%" G_GINT64_FORMAT " store=%" G_GINT64_FORMAT
                    " era=%" G_GINT64_FORMAT " settled=%d age_ms=%" G_GINT64_FORMAT,
@@ -121,11 +121,10 @@
 confirm_by_store (HbwFreshnessMonitor *monitor, HbwContext *context,
                   const HbwCatalogueConfirmation *reported, gint64 version)
 {
+  gboolean is_settled
+      = hbw_store_era_is_settled (&context->store_era, reported->requested_us);
   gboolean was_written_in_era = reported->version > monitor->first_version;
-  if (reported->version != version
-      || (!was_written_in_era
-          && !hbw_store_era_is_settled (&context->store_era,
-                                        reported->requested_us)))
+  if (reported->version != version || !(is_settled || was_written_in_era))
     return FALSE;
   monitor->unsettled.era = 0;
   confirm (monitor, context, reported->requested_us, HBW_CONFIRMED_BY_STORE,
@@ -150,7 +149,10 @@
                                     gint64 version)
 {
   if (reported->era < context->store_era.number)
-    return;
+    {
+      log_unconfirmed (monitor, context, reported, version);
+      return;
+    }
   if (reported->era != monitor->era)
     monitor->first_version = reported->version;
   monitor->era = reported->era;
