--- a/core/policy.c
+++ b/core/policy.c
@@ -45,6 +45,8 @@
   if (!hbw_server_has_room (server, &want->spec, may_overcommit (shard, &want->spec),
                             context->now_us))
     return FALSE;
+  if (!hbw_shard_may_probe (shard, server, suspect))
+    return FALSE;
   if (suspect && server->suspect_requests > 0)
     return FALSE;
   return rebuild_window_allows (shard, server, context->now_us);
--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -268,6 +268,8 @@
       && !hbw_server_has_room (server, spec, spec->tier == 0,
                                selection->context->now_us))
     return FALSE;
+  if (!hbw_shard_may_probe (selection->shard, server, selection->suspect))
+    return FALSE;
   if (selection->suspect
       && (server->suspect_requests > 0
           || g_hash_table_contains (selection->used_servers, &server->id_hash)))
--- a/core/shard.c
+++ b/core/shard.c
@@ -70,6 +70,18 @@
                                        context->now_us);
 }
 
+gboolean
+hbw_shard_may_probe (const HbwShard *shard, const HbwServer *server,
+                     gboolean suspect)
+{
+  if (!suspect || server->state != HBW_SERVER_DOWN)
+    return TRUE;
+  for (guint i = 0; i < shard->servers->len; i++)
+    if (hbw_server_is_usable (g_ptr_array_index (shard->servers, i)))
+      return FALSE;
+  return TRUE;
+}
+
 static void
 share_server_load (HbwContext *context, const HbwServer *server)
 {
--- a/include/hornbeamwall/core/shard.h
+++ b/include/hornbeamwall/core/shard.h
@@ -147,6 +147,11 @@
 gboolean hbw_shard_is_suspect (const HbwContext *context,
                                const HbwRequestSpec *spec);
 
+/* Returns whether a request may be the half-open probe of SERVER, if that is down. A
+   suspect may only if no server of the shard is usable. */
+gboolean hbw_shard_may_probe (const HbwShard *shard, const HbwServer *server,
+                              gboolean suspect);
+
 /* Returns the server on which TICKET may run now, or NULL. */
 HbwServer *hbw_shard_select_server (HbwShard *shard, HbwContext *context,
                                     const HbwTicket *ticket);
--- a/tests/path_test.c
+++ b/tests/path_test.c
@@ -11,6 +11,9 @@
 
 #define CHAT "/v1/chat/completions"
 
+/* Time after which a server that failed once is probed, by any request. */
+#define PROBES_DUE_US 2000000
+
 static char *
 make_body (const char *tag, guint tokens, gboolean stream, const char *fault)
 {
@@ -147,6 +150,21 @@
 }
 END_TEST
 
+/* Two servers have failed and are due for a probe, the others work. */
+START_TEST (request_probes_at_most_one_failed_server)
+{
+  NativeFixture *fixture = native_fixture_create (4, 4);
+  NativeFixtureResponse response = chat (fixture, "poison", 5, FALSE, "crash", NULL);
+  ck_assert_int_eq (response.status, 422);
+  native_fixture_response_clear (&response);
+  g_usleep (PROBES_DUE_US);
+  response = chat (fixture, "innocent", 5, FALSE, "", NULL);
+  ck_assert_int_eq (response.status, 200);
+  native_fixture_response_clear (&response);
+  native_fixture_destroy (fixture);
+}
+END_TEST
+
 START_TEST (instance_that_starts_later_refuses_quarantined_request)
 {
   NativeFixture *fixture = native_fixture_create (4, 4);
@@ -414,6 +432,7 @@
   tcase_add_test (cases, non_idempotent_request_runs_at_most_once);
   tcase_add_test (cases, idempotent_request_is_retried_on_another_engine);
   tcase_add_test (cases, request_is_quarantined_after_two_crashes);
+  tcase_add_test (cases, request_probes_at_most_one_failed_server);
   tcase_add_test (cases, instance_that_starts_later_refuses_quarantined_request);
   tcase_add_test (cases, service_request_without_body_is_forwarded);
   tcase_add_test (cases, invalid_request_is_refused_with_a_remedy);
