Failing tests: servers that a request makes fall silent

A request whose servers fall silent (kept connections stay open without an answer, new ones are refused) is never recorded: its attempts end as timed_out, or with its own timeout. Callers that send it again take down one server after another.

--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -135,6 +135,9 @@
   load.to_us = duration_option (line, "to", "3600s");
   load.not_idempotent = strcmp (find_option (line, "repeatable", "yes"), "no") == 0;
   load.poison = strcmp (find_option (line, "poison", "no"), "yes") == 0;
+  load.silent = strcmp (find_option (line, "silent", "no"), "yes") == 0;
+  load.attempts_max = count_option (line, "attempts", "0");
+  load.timeout_us = duration_option (line, "timeout", "0");
   load.max_resends = count_option (line, "resend", "0");
   load.max_requests = count_option (line, "count", "0");
   load.body = count_option (line, "body", "0");
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -69,6 +69,7 @@
   double slowdown;
   double broken_share; /* of the responses of a server that works */
   gboolean failed;
+  gboolean silent;         /* failed, and the connections to it are still open */
   gint64 leaving_since_us; /* 0: not draining */
   GPtrArray *running;      /* Attempt */
   GPtrArray *queue;        /* Attempt */
@@ -447,6 +448,8 @@
   Attempt *attempt = data;
   if (attempt->ended)
     return;
+  if (attempt->server->silent)
+    return;
   g_ptr_array_remove (attempt->server->running, attempt);
   report_end (world, attempt, HBW_OUTCOME_COMPLETE, attempt->request->tokens);
   fill_batch (world, attempt->server);
@@ -478,7 +481,8 @@
 report_response (World *world, void *data)
 {
   Attempt *attempt = data;
-  if (attempt->ended || !is_running (attempt->instance, attempt->identity))
+  if (attempt->ended || attempt->server->silent
+      || !is_running (attempt->instance, attempt->identity))
     return;
   if (world->now_us >= attempt->instance->paused_until_us)
     {
@@ -497,7 +501,7 @@
 break_attempt (World *world, void *data)
 {
   Attempt *attempt = data;
-  if (attempt->ended)
+  if (attempt->ended || attempt->server->silent)
     return;
   g_ptr_array_remove (attempt->server->running, attempt);
   g_hash_table_remove (attempt->server->connections, &attempt->identity);
@@ -509,9 +513,11 @@
 fail_server (World *world, Server *server, gboolean by_poison)
 {
   server->failed = TRUE;
-  g_hash_table_remove_all (server->connections);
   if (by_poison)
     world->poisoned_server_count++;
+  if (server->silent)
+    return;
+  g_hash_table_remove_all (server->connections);
   for (guint i = 0; i < server->running->len; i++)
     {
       Attempt *attempt = server->running->pdata[i];
@@ -529,11 +535,29 @@
 
 static void publish_servers (World *world);
 
+/* The connections to the process of before are reset. */
+static void
+end_silent_attempts (World *world, Server *server)
+{
+  server->silent = FALSE;
+  g_hash_table_remove_all (server->connections);
+  for (guint i = 0; i < server->running->len; i++)
+    {
+      Attempt *attempt = server->running->pdata[i];
+      if (!attempt->ended)
+        report_end (world, attempt, HBW_OUTCOME_BROKEN, 0);
+    }
+  g_ptr_array_set_size (server->running, 0);
+  g_ptr_array_set_size (server->queue, 0);
+}
+
 static void
 restart_server (World *world, void *data)
 {
   Server *server = data;
   server->failed = FALSE;
+  if (server->silent)
+    end_silent_attempts (world, server);
   server->entry.start_number++;
   publish_servers (world);
 }
@@ -543,9 +567,10 @@
 {
   Attempt *attempt = data;
   Server *server = attempt->server;
-  if (attempt->ended)
+  if (attempt->ended || server->silent)
     return;
   trace (world, "server %s fails because of a poison request", server->entry.id);
+  server->silent = attempt->request->load->silent;
   fail_server (world, server, TRUE);
   gpointer key = GUINT_TO_POINTER ((guint) attempt->request->spec.fingerprint.low);
   guint failed
@@ -615,6 +640,13 @@
   Server *server = attempt->server;
   if (attempt->ended)
     return;
+  /* A silent server does not read what comes on the kept connection. */
+  if (server->silent
+      && g_hash_table_remove (server->connections, &attempt->identity))
+    {
+      g_ptr_array_add (server->running, attempt);
+      return;
+    }
   if (server->failed)
     {
       report_end (world, attempt, HBW_OUTCOME_NOT_CONNECTED, 0);
@@ -680,6 +712,17 @@
             enqueue_at_engine, attempt);
 }
 
+/* The server has sent nothing for as long as the instance waits. */
+static void
+end_silence (World *world, void *data)
+{
+  Attempt *attempt = data;
+  if (attempt->ended || !attempt->server->silent)
+    return;
+  g_ptr_array_remove (attempt->server->running, attempt);
+  report_end (world, attempt, HBW_OUTCOME_TIMED_OUT, 0);
+}
+
 static void
 start_attempt (World *world, Instance *instance, const HbwStartAttempt *start)
 {
@@ -696,6 +739,9 @@
   g_ptr_array_add (world->attempts, attempt);
   schedule (world, world->now_us + g_rand_int_range (world->random, 50, 1000),
             connect_attempt, attempt);
+  if (start->first_byte_timeout_us > 0)
+    schedule (world, world->now_us + start->first_byte_timeout_us, end_silence,
+              attempt);
 }
 
 static void
@@ -1114,6 +1160,8 @@
       spec->inter_token_target_us = class->inter_token_target_us;
       spec->deadline_us = class->deadline_us;
       spec->idempotent = !load->not_idempotent;
+      spec->attempts_max = load->attempts_max;
+      spec->timeout_us = load->timeout_us;
       g_strlcpy (spec->organisation, load->organisation, sizeof spec->organisation);
       g_strlcpy (spec->class_name, load->class_name, sizeof spec->class_name);
       g_strlcpy (spec->pool, load->pool, sizeof spec->pool);
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -35,6 +35,9 @@
   guint sent_count;
   guint max_requests; /* maximum number of requests; 0 is unlimited */
   gboolean poison;    /* each server that executes a request fails */
+  gboolean silent;    /* it falls silent: connections to it stay open */
+  guint attempts_max; /* of a request, on different servers; 0: the default */
+  gint64 timeout_us;  /* of a request; 0 is none */
   GRand *random;      /* separate, so that every policy receives the same requests */
   guint max_resends;  /* retries by the caller after a failure */
   guint body;         /* requests with the same number have the same content; 0: each
