A server that fails silently is checked by a new connection

Callers saw: a request whose servers fall silent (connections stay open without an answer, new ones are refused) took down one server after another; most other requests of the service got 503 meanwhile.

Cause: only a broken response made a suspect. An attempt on a silent server ends as timed_out, by the request's own timeout, or by its caller's leaving, and none of these was recorded.

Change: an attempt that ends before its server has sent a byte, on any connection, has the server checked by a new connection. A refused one is a confirmed failure, and the idle connections to the server are closed. An accepted or unanswered one is no evidence: a server that is slow, a link that is cut and a machine that is frozen refuse nothing. SERVER_CHECKED in the log, server_checks in the metrics.

The stand-in server and the soak have servers that fall silent.

--- a/core/ingress.c
+++ b/core/ingress.c
@@ -4,6 +4,7 @@
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/request.h"
+#include "hornbeamwall/core/server_check.h"
 #include "hornbeamwall/core/suspect_share.h"
 
 #include <string.h>
@@ -30,6 +31,7 @@
   HbwOwnerLookup lookup;
   void *lookup_data;
   HbwRetryBudget *budget;
+  HbwServerChecks *server_checks;
   guint spilled_waiting;
   gint64 closed_at_us; /* requests that arrive from then on are refused */
 };
@@ -255,6 +257,34 @@
   return XXH64 (parts, sizeof parts, 0);
 }
 
+static HbwServerFailure
+describe_failure (const HbwContext *context, const HbwRequest *request)
+{
+  const HbwServerFailure failure = { .id = compute_attempt_id (context, request),
+                                     .server
+                                     = hbw_rendezvous_weight (0, request->server),
+                                     .started_us = request->started_us,
+                                     .failed_us = context->now_us };
+  return failure;
+}
+
+/* Has the server checked after an attempt that ended before a byte of its response
+   came. */
+static void
+check_silent_server (HbwIngress *ingress, HbwContext *context,
+                     const HbwRequest *request)
+{
+  HbwSilentAttempt attempt = { .fingerprint = request->spec.fingerprint,
+                               .failure = describe_failure (context, request) };
+  if (context->now_us - request->started_us < HBW_SILENT_ATTEMPT_MIN_US)
+    return;
+  g_strlcpy (attempt.server, request->server, sizeof attempt.server);
+  g_strlcpy (attempt.address, request->address, sizeof attempt.address);
+  g_strlcpy (attempt.caller_request_id, request->caller_request_id,
+             sizeof attempt.caller_request_id);
+  hbw_server_checks_add (ingress->server_checks, context, &attempt);
+}
+
 /* Counts a server failure against the request that was in progress on it; a
    completed request clears itself of earlier failures. */
 static void
@@ -274,10 +304,7 @@
                                               context->now_us);
   if (outcome != HBW_OUTCOME_BROKEN)
     return;
-  const HbwServerFailure failure = { .id = compute_attempt_id (context, request),
-                                     .server = server,
-                                     .started_us = request->started_us,
-                                     .failed_us = context->now_us };
+  const HbwServerFailure failure = describe_failure (context, request);
   guint failures = hbw_quarantine_add_failure (context->quarantine, fingerprint,
                                                &failure, context->now_us);
   hbw_effects_log (context->effects, HBW_LOG_REQUEST_SUSPECT,
@@ -396,6 +423,7 @@
   ingress->lookup = lookup;
   ingress->lookup_data = data;
   ingress->budget = hbw_retry_budget_create (retry_limits);
+  ingress->server_checks = hbw_server_checks_create ();
   ingress->closed_at_us = G_MAXINT64;
   return ingress;
 }
@@ -407,6 +435,7 @@
   hbw_limiter_destroy (ingress->limiter);
   hbw_shard_router_destroy (ingress->shard_router);
   hbw_retry_budget_destroy (ingress->budget);
+  hbw_server_checks_destroy (ingress->server_checks);
   g_free (ingress);
 }
 
@@ -457,6 +486,28 @@
   update_suspect_activity (ingress, context, fingerprint);
 }
 
+typedef struct
+{
+  HbwIngress *ingress;
+  HbwContext *context;
+} SuspectVisit;
+
+static void
+handle_checked_suspect (const HbwSilentAttempt *attempt, void *data)
+{
+  const SuspectVisit *visit = data;
+  update_suspect_activity (visit->ingress, visit->context, &attempt->fingerprint);
+}
+
+void
+hbw_ingress_handle_server_check (HbwIngress *ingress, HbwContext *context,
+                                 const HbwServerCheckResult *result)
+{
+  SuspectVisit visit = { ingress, context };
+  hbw_server_checks_handle_result (ingress->server_checks, context, result,
+                                   handle_checked_suspect, &visit);
+}
+
 void
 hbw_ingress_handle_caller_gone (HbwIngress *ingress, HbwContext *context,
                                 guint64 sequence)
@@ -501,6 +552,8 @@
   hbw_request_send_done (request, context, end);
   record_wasted_tokens (context, request, end);
   update_quarantine (context, request, end->outcome);
+  if (end->server_silent)
+    check_silent_server (ingress, context, request);
   gboolean not_executed = hbw_outcome_proves_not_executed (end->outcome);
   if (not_executed)
     request->unexecuted_attempts++;
@@ -591,6 +644,7 @@
   request->started_us = context->now_us;
   request->owner_notified_us = context->now_us;
   g_strlcpy (request->server, grant->server, sizeof request->server);
+  g_strlcpy (request->address, grant->address, sizeof request->address);
   request->facts = grant->facts;
   update_suspect_activity (ingress, context, &request->spec.fingerprint);
   hbw_request_log_attempt_started (request, context);
@@ -676,6 +730,8 @@
   end.outcome
       = request->first_token_seen ? HBW_OUTCOME_CANCELLED : HBW_OUTCOME_TIMED_OUT;
   request->may_have_run = TRUE;
+  if (!request->first_token_seen)
+    check_silent_server (ingress, context, request);
   hbw_request_send_done (request, context, &end);
   refuse_request (ingress, context, request, HBW_REASON_TIMEOUT,
                   RETRY_AFTER_DEFAULT_US);
@@ -715,6 +771,7 @@
   cds_list_for_each_entry_safe (request, next, &ingress->order, link)
     tick_request (ingress, context, request);
   hbw_limiter_tick (ingress->limiter, context);
+  hbw_server_checks_tick (ingress->server_checks, context->now_us);
 }
 
 void
--- a/core/metrics.c
+++ b/core/metrics.c
@@ -152,6 +152,10 @@
       render_counter (text, "store_failures", "document", kind,
                       metrics->control.store_failures[i]);
     }
+  for (guint i = 0; i < HBW_SERVER_CHECK_COUNT; i++)
+    render_counter (text, "server_checks", "result",
+                    hbw_server_check_result_name ((HbwServerCheckKind) i),
+                    metrics->control.server_checks[i]);
   render_counter (text, "store_calls", "document", "suspects",
                   metrics->control.suspect_store_calls);
   g_string_append_printf (
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -625,6 +625,9 @@
           context->quarantine, hbw_rendezvous_weight (0, event->response.server),
           event->response.connection_opened_us, context->now_us);
       break;
+    case HBW_EVENT_SERVER_CHECKED:
+      hbw_ingress_handle_server_check (reducer->ingress, context, &event->check);
+      break;
     case HBW_EVENT_DOCUMENT_READ:
       handle_document_read (reducer, &event->document);
       break;
--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -76,6 +76,9 @@
   X (5005, SERVER_DRAINED, INFO,                                                    \
      "A leaving backend server has no work in progress from this instance.",        \
      "Stop it once every data centre reports this.")                                \
+  X (5006, SERVER_CHECKED, INFO,                                                    \
+     "A backend server that sent nothing was checked by a new connection.",         \
+     "Check the backend server if result is refused or no_answer.")                 \
   X (6010, REQUEST_ADMITTED, INFO, "A caller's request was admitted.", "Nothing.")  \
   X (6011, REQUEST_DENIED, INFO,                                                    \
      "A caller's request was denied by the catalogue that is active here.",         \
--- a/include/hornbeamwall/core/effect.h
+++ b/include/hornbeamwall/core/effect.h
@@ -16,6 +16,7 @@
   HBW_EFFECT_FINISH_REQUEST, /* the last attempt's outcome is final */
   HBW_EFFECT_SEND_MESSAGE,
   HBW_EFFECT_POLL_LOAD,         /* request a load report from a backend server */
+  HBW_EFFECT_CHECK_SERVER,      /* see whether a backend server listens */
   HBW_EFFECT_PUBLISH_CATALOGUE, /* a new catalogue is active */
   HBW_EFFECT_STORE_SUSPECTS,    /* write the suspects to the platform's store */
   HBW_EFFECT_READ_SUSPECTS,     /* read them from there */
@@ -61,6 +62,12 @@
   char address[HBW_ADDRESS_MAX];
 } HbwPollLoad;
 
+typedef struct
+{
+  char server[HBW_NAME_MAX];
+  char address[HBW_ADDRESS_MAX];
+} HbwCheckServer;
+
 /* Conditional write. */
 typedef struct
 {
@@ -84,6 +91,7 @@
     HbwRefuseRequest refuse;
     HbwSendMessage send;
     HbwPollLoad poll;
+    HbwCheckServer check;
     HbwCatalogue *catalogue; /* owned reference */
     HbwStoreSuspects suspects;
     HbwLogLine log;
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -19,6 +19,7 @@
   HBW_EVENT_ATTEMPT_ENDED,
   HBW_EVENT_LOAD_REPORT,
   HBW_EVENT_SERVER_RESPONDED,
+  HBW_EVENT_SERVER_CHECKED,   /* result of HBW_EFFECT_CHECK_SERVER */
   HBW_EVENT_DOCUMENT_READ,    /* read from the platform's store */
   HBW_EVENT_SUSPECTS_READ,    /* read from the platform's store */
   HBW_EVENT_SUSPECTS_WRITTEN, /* result of HBW_EFFECT_STORE_SUSPECTS */
@@ -58,6 +59,8 @@
   gint64 inter_token_us;
   gint64 longest_gap_us; /* between two pieces of the response */
   guint tokens;
+  gboolean server_silent; /* no byte came from the server, on any connection, since
+                             the attempt started */
 } HbwAttemptEnd;
 
 typedef struct
@@ -75,6 +78,22 @@
   gint64 connection_opened_us;
 } HbwServerResponse;
 
+typedef enum
+{
+  HBW_SERVER_CHECK_REFUSED,   /* no process listens at the address */
+  HBW_SERVER_CHECK_ACCEPTED,  /* a process listens */
+  HBW_SERVER_CHECK_NO_ANSWER, /* the server or the link to it is silent */
+  HBW_SERVER_CHECK_COUNT,
+} HbwServerCheckKind;
+
+typedef struct
+{
+  char server[HBW_NAME_MAX];
+  HbwServerCheckKind kind;
+} HbwServerCheckResult;
+
+const char *hbw_server_check_result_name (HbwServerCheckKind kind);
+
 /* The store reported that VERSION is the catalogue that it has. */
 typedef struct
 {
@@ -114,6 +133,7 @@
     HbwAttemptEnd end;
     HbwLoadReport load;
     HbwServerResponse response;
+    HbwServerCheckResult check;
     HbwDocument document; /* body borrowed for the step; NULL if it does not exist */
     HbwStoreState store;
     HbwStoredSuspects suspects;
--- a/include/hornbeamwall/core/ingress.h
+++ b/include/hornbeamwall/core/ingress.h
@@ -51,6 +51,9 @@
                                      const HbwAttemptFirstToken *first_token);
 void hbw_ingress_handle_attempt_end (HbwIngress *ingress, HbwContext *context,
                                      const HbwAttemptEnd *end);
+/* Handles the result of HBW_EFFECT_CHECK_SERVER. */
+void hbw_ingress_handle_server_check (HbwIngress *ingress, HbwContext *context,
+                                      const HbwServerCheckResult *result);
 void hbw_ingress_handle_grant (HbwIngress *ingress, HbwContext *context,
                                guint64 from, const HbwGrant *grant);
 void hbw_ingress_handle_refusal (HbwIngress *ingress, HbwContext *context,
--- a/include/hornbeamwall/core/metrics.h
+++ b/include/hornbeamwall/core/metrics.h
@@ -8,6 +8,7 @@
 
 #include "hornbeamwall/common/histogram.h"
 #include "hornbeamwall/core/context.h"
+#include "hornbeamwall/core/event.h"
 
 typedef struct
 {
@@ -42,6 +43,7 @@
   guint64 messages_received[HBW_MESSAGE_COUNT];
   guint64 store_call_count[HBW_DOCUMENT_COUNT];
   guint64 store_failures[HBW_DOCUMENT_COUNT]; /* calls without a usable response */
+  guint64 server_checks[HBW_SERVER_CHECK_COUNT]; /* by result */
   guint64 suspect_store_calls;                /* to read and write the suspects */
   guint64 grants_handed_back;                 /* returned unused */
   guint64 spilled;                            /* sent to another data centre */
--- /dev/null
+++ b/include/hornbeamwall/core/server_check.h
@@ -0,0 +1,52 @@
+/*
+ * server_check - finds out whether a server that sent nothing has failed
+ *
+ * An attempt that ends without a byte from its server tells nothing: the server may
+ * be slow, the link to it may be cut, or it may have failed and left its connections
+ * open.  A check opens a new connection.  If that is refused, no process listens any
+ * more: the server has failed, and each request that was in progress on it becomes a
+ * suspect (core/quarantine.h).  Any other result is no evidence.
+ */
+#ifndef HORNBEAMWALL_CORE_SERVER_CHECK_H
+#define HORNBEAMWALL_CORE_SERVER_CHECK_H
+
+#include "hornbeamwall/core/context.h"
+#include "hornbeamwall/core/event.h"
+#include "hornbeamwall/core/quarantine.h"
+
+/* A shorter attempt that its caller gave up is not checked. */
+#define HBW_SILENT_ATTEMPT_MIN_US (50 * HBW_US_PER_MS)
+
+/* Attempts at one server that wait for the result of a check. */
+#define HBW_SILENT_ATTEMPTS_MAX 64
+
+typedef struct HbwServerChecks HbwServerChecks;
+
+/* An attempt that ended before its server sent a byte. */
+typedef struct
+{
+  char server[HBW_NAME_MAX];
+  char address[HBW_ADDRESS_MAX];
+  char caller_request_id[HBW_CALLER_REQUEST_ID_MAX];
+  HbwFingerprint fingerprint;
+  HbwServerFailure failure; /* that of the server, if it has failed */
+} HbwSilentAttempt;
+
+HbwServerChecks *hbw_server_checks_create (void);
+void hbw_server_checks_destroy (HbwServerChecks *checks);
+
+/* Has the server of ATTEMPT checked, now or after the check in progress. */
+void hbw_server_checks_add (HbwServerChecks *checks, HbwContext *context,
+                            const HbwSilentAttempt *attempt);
+
+/* Handles the result of a check, and calls HANDLE_SUSPECT for each request that
+   becomes a suspect by it. */
+void hbw_server_checks_handle_result (
+    HbwServerChecks *checks, HbwContext *context, const HbwServerCheckResult *result,
+    void (*handle_suspect) (const HbwSilentAttempt *attempt, void *data),
+    void *data);
+
+/* Drops checks without a result. */
+void hbw_server_checks_tick (HbwServerChecks *checks, gint64 now_us);
+
+#endif
--- a/include/hornbeamwall/net/channel.h
+++ b/include/hornbeamwall/net/channel.h
@@ -37,6 +37,15 @@
 HbwChannel *hbw_channel_connect (HbwLoop *loop, const char *address,
                                  HbwChannelHandler *handler);
 
+/* As hbw_channel_connect(), and sets IS_REFUSED to whether an immediate failure is
+   that no process listens at ADDRESS. */
+HbwChannel *hbw_channel_connect_checked (HbwLoop *loop, const char *address,
+                                         HbwChannelHandler *handler,
+                                         gboolean *is_refused);
+
+/* Returns, in handle_end(), whether no process listens at the address. */
+gboolean hbw_channel_is_refused (const HbwChannel *channel);
+
 /* Closes the connection and frees the channel; bytes that are still buffered are
    lost. */
 void hbw_channel_destroy (HbwChannel *channel);
--- a/include/hornbeamwall/net/traffic_state.h
+++ b/include/hornbeamwall/net/traffic_state.h
@@ -1,7 +1,7 @@
 /*
  * traffic_state - the state of the traffic thread, private to its source files
  *
- * For net/traffic.c, net/downstream.c and net/exchange*.c only.
+ * For net/traffic.c, net/server_check.c, net/downstream.c and net/exchange*.c only.
  */
 #ifndef HORNBEAMWALL_NET_TRAFFIC_STATE_H
 #define HORNBEAMWALL_NET_TRAFFIC_STATE_H
@@ -30,6 +30,7 @@
   struct cds_list_head downstreams; /* HbwDownstream */
   guint downstream_count;
   gsize request_body_bytes; /* of all requests in memory */
+  struct cds_list_head server_checks; /* in progress; see net/server_check.h */
   gboolean draining;
 };
 
--- a/include/hornbeamwall/net/upstream.h
+++ b/include/hornbeamwall/net/upstream.h
@@ -75,6 +75,9 @@
    can be reused. */
 void hbw_upstream_detach (HbwUpstream *upstream);
 
+/* Closes the idle connections to SERVER. */
+void hbw_upstream_pool_close_idle (HbwUpstreamPool *pool, const char *server);
+
 /* Returns the time at which the connection was opened. */
 gint64 hbw_upstream_opened_us (const HbwUpstream *upstream);
 
--- a/include/hornbeamwall/runtime/request_command.h
+++ b/include/hornbeamwall/runtime/request_command.h
@@ -33,6 +33,8 @@
   /* Called by the control thread; must not block. */
   void (*post) (HbwRequestCommandSink *sink, guint64 sequence,
                 const HbwRequestCommand *command);
+  /* The same, to check whether a server listens. */
+  void (*post_check) (HbwRequestCommandSink *sink, const HbwCheckServer *check);
 } HbwRequestCommandSinkClass;
 struct HbwRequestCommandSink
 {
--- a/net/channel.c
+++ b/net/channel.c
@@ -29,6 +29,7 @@
   GByteArray *send_buffer;
   gsize sent_bytes; /* bytes of send_buffer that were sent */
   gboolean connecting;
+  gboolean refused; /* the connection */
   gboolean reading;
   gboolean shutdown_requested;
   gboolean shutdown_done;
@@ -114,6 +115,7 @@
   getsockopt (channel->watcher.fd, SOL_SOCKET, SO_ERROR, &code, &size);
   if (code != 0)
     {
+      channel->refused = code == ECONNREFUSED;
       handle_end_of_connection (channel, FALSE);
       return;
     }
@@ -177,8 +179,17 @@
 
 HbwChannel *
 hbw_channel_connect (HbwLoop *loop, const char *address, HbwChannelHandler *handler)
+{
+  gboolean is_refused;
+  return hbw_channel_connect_checked (loop, address, handler, &is_refused);
+}
+
+HbwChannel *
+hbw_channel_connect_checked (HbwLoop *loop, const char *address,
+                             HbwChannelHandler *handler, gboolean *is_refused)
 {
   struct sockaddr_in target;
+  *is_refused = FALSE;
   if (!hbw_address_to_socket (address, &target))
     return NULL;
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -187,10 +198,17 @@
   if (connect (fd, (struct sockaddr *) &target, sizeof target) == 0
       || errno == EINPROGRESS)
     return channel_create (loop, fd, handler, TRUE);
+  *is_refused = errno == ECONNREFUSED;
   close (fd);
   return NULL;
 }
 
+gboolean
+hbw_channel_is_refused (const HbwChannel *channel)
+{
+  return channel->refused;
+}
+
 void
 hbw_channel_destroy (HbwChannel *channel)
 {
--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -25,6 +25,17 @@
   return hbw_clock_now (hbw_loop_clock (exchange->traffic->loop));
 }
 
+/* Returns whether the attempt ended before its server sent a byte, on any connection
+   since it started. */
+static gboolean
+is_server_silent (const HbwExchange *exchange, HbwOutcome outcome)
+{
+  return (outcome == HBW_OUTCOME_TIMED_OUT || outcome == HBW_OUTCOME_CANCELLED)
+         && hbw_upstream_pool_last_received_us (exchange->traffic->upstream_pool,
+                                                exchange->server)
+                < exchange->started_us;
+}
+
 void
 hbw_exchange_report_attempt_end (HbwExchange *exchange, HbwOutcome outcome)
 {
@@ -35,6 +46,7 @@
   end->outcome = outcome;
   end->response_started = exchange->response_started;
   end->tokens = exchange->piece_count;
+  end->server_silent = is_server_silent (exchange, outcome);
   end->longest_gap_us = exchange->longest_gap_us;
   if (exchange->first_piece_us > 0)
     end->first_token_us = MAX (1, exchange->first_piece_us - exchange->started_us);
--- a/net/traffic.c
+++ b/net/traffic.c
@@ -3,6 +3,7 @@
 #include "hornbeamwall/net/channel.h"
 #include "hornbeamwall/net/downstream.h"
 #include "hornbeamwall/net/exchange.h"
+#include "hornbeamwall/net/server_check.h"
 
 #include <pthread.h>
 #include <string.h>
@@ -43,6 +44,12 @@
   HbwRequestCommand command;
 } CommandTask;
 
+typedef struct
+{
+  HbwTask task;
+  HbwCheckServer check;
+} CheckTask;
+
 static TrafficThread *
 thread_of (HbwTraffic *traffic)
 {
@@ -73,7 +80,26 @@
   hbw_loop_post (traffic->loop, &command_task->task);
 }
 
-static const HbwRequestCommandSinkClass command_sink_class = { post_command };
+static void
+handle_check (HbwTask *task, void *data)
+{
+  CheckTask *check_task = caa_container_of (task, CheckTask, task);
+  hbw_server_check_start (data, &check_task->check);
+  g_free (check_task);
+}
+
+static void
+post_check (HbwRequestCommandSink *command_sink, const HbwCheckServer *check)
+{
+  HbwTraffic *traffic = caa_container_of (command_sink, HbwTraffic, command_sink);
+  CheckTask *check_task = g_new0 (CheckTask, 1);
+  check_task->task.handle = handle_check;
+  check_task->check = *check;
+  hbw_loop_post (traffic->loop, &check_task->task);
+}
+
+static const HbwRequestCommandSinkClass command_sink_class
+    = { post_command, post_check };
 
 static void
 handle_drain (HbwTask *task, void *data)
@@ -209,6 +235,7 @@
   thread->caller_listener.watcher.fd = thread->readiness_listener.watcher.fd = -1;
   traffic->exchanges = g_hash_table_new (g_int64_hash, g_int64_equal);
   CDS_INIT_LIST_HEAD (&traffic->downstreams);
+  CDS_INIT_LIST_HEAD (&traffic->server_checks);
   if (set_up_thread (thread, error))
     return traffic;
   hbw_traffic_destroy (traffic);
@@ -227,6 +254,7 @@
   hbw_control_set_command_sink (traffic->control, NULL);
   hbw_downstream_abort_all (traffic);
   destroy_exchanges (traffic);
+  hbw_server_check_abort_all (traffic);
   g_hash_table_destroy (traffic->exchanges);
   if (traffic->upstream_pool != NULL)
     hbw_upstream_pool_destroy (traffic->upstream_pool);
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -370,6 +370,18 @@
   g_free (pool);
 }
 
+void
+hbw_upstream_pool_close_idle (HbwUpstreamPool *pool, const char *server)
+{
+  HbwUpstream *upstream;
+  HbwUpstream *next;
+  const Server *entry = g_hash_table_lookup (pool->servers, server);
+  if (entry == NULL)
+    return;
+  cds_list_for_each_entry_safe (upstream, next, &entry->idle, idle_link)
+    upstream_destroy (upstream);
+}
+
 HbwUpstream *
 hbw_upstream_send (HbwUpstreamPool *pool, const HbwUpstreamConfig *config,
                    HbwUpstreamHandler *handler)
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -94,6 +94,16 @@
     g_hash_table_remove (control->mailboxes, &sequence);
 }
 
+/* Without a sink there is no result, which is no evidence. */
+static void
+post_check_to_sink (HbwControl *control, const HbwCheckServer *check)
+{
+  pthread_mutex_lock (&control->command_sink_lock);
+  if (control->command_sink != NULL)
+    control->command_sink->class->post_check (control->command_sink, check);
+  pthread_mutex_unlock (&control->command_sink_lock);
+}
+
 static void
 execute_effect (HbwControl *control, const HbwEffect *effect, gint64 now_us)
 {
@@ -126,6 +136,9 @@
     case HBW_EFFECT_POLL_LOAD:
       hbw_load_poller_enqueue (control->load_poller, &effect->poll);
       break;
+    case HBW_EFFECT_CHECK_SERVER:
+      post_check_to_sink (control, &effect->check);
+      break;
     case HBW_EFFECT_PUBLISH_CATALOGUE:
       hbw_snapshot_publish (control->snapshot, effect->catalogue);
       break;
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -403,6 +403,7 @@
       event.end.attempt = attempt->number;
       event.end.outcome = report->outcome;
       event.end.tokens = report->tokens;
+      event.end.server_silent = report->outcome == HBW_OUTCOME_TIMED_OUT;
       if (report->outcome == HBW_OUTCOME_COMPLETE)
         {
           event.end.first_token_us
@@ -856,6 +857,49 @@
             poll);
 }
 
+typedef struct
+{
+  Instance *instance;
+  guint64 identity;
+  HbwServerCheckResult result;
+} ServerCheck;
+
+static void
+deliver_check_result (World *world, void *data)
+{
+  ServerCheck *check = data;
+  if (is_running (check->instance, check->identity)
+      && world->now_us >= check->instance->paused_until_us)
+    {
+      HbwEvent event
+          = { .kind = HBW_EVENT_SERVER_CHECKED, .check = check->result };
+      run_reducer (world, check->instance, &event);
+    }
+  g_free (check);
+}
+
+static void
+check_server (World *world, Instance *instance, const HbwCheckServer *wanted)
+{
+  const Server *server = find_server (world, wanted->server);
+  if (server == NULL)
+    return;
+  gboolean remote
+      = strcmp (instance->data_centre, server->entry.data_centre) != 0;
+  ServerCheck *check = g_new0 (ServerCheck, 1);
+  check->instance = instance;
+  check->identity = instance->identity;
+  check->result.kind
+      = server->failed ? HBW_SERVER_CHECK_REFUSED : HBW_SERVER_CHECK_ACCEPTED;
+  if (is_partitioned (world, instance->data_centre, server->entry.data_centre))
+    check->result.kind = HBW_SERVER_CHECK_NO_ANSWER;
+  g_strlcpy (check->result.server, wanted->server, sizeof check->result.server);
+  schedule (world,
+            world->now_us
+                + 2 * (remote ? world->link.remote_us : world->link.local_us),
+            deliver_check_result, check);
+}
+
 typedef struct
 {
   Instance *instance;
@@ -955,6 +999,9 @@
     case HBW_EFFECT_POLL_LOAD:
       poll_load (world, instance, &effect->poll);
       break;
+    case HBW_EFFECT_CHECK_SERVER:
+      check_server (world, instance, &effect->check);
+      break;
     case HBW_EFFECT_READ_SUSPECTS:
       call_suspect_store (world, instance, NULL);
       break;
@@ -1162,6 +1209,8 @@
       spec->idempotent = !load->not_idempotent;
       spec->attempts_max = load->attempts_max;
       spec->timeout_us = load->timeout_us;
+      if (load->timeout_us > 0)
+        spec->deadline_us = MIN (spec->deadline_us, load->timeout_us);
       g_strlcpy (spec->organisation, load->organisation, sizeof spec->organisation);
       g_strlcpy (spec->class_name, load->class_name, sizeof spec->class_name);
       g_strlcpy (spec->pool, load->pool, sizeof spec->pool);
--- a/tests/soak_caller.c
+++ b/tests/soak_caller.c
@@ -285,12 +285,14 @@
 {
   static const char *const kinds[SOAK_CRASHING_CALLERS]
       = { "safe", "unsafe", "safe" };
+  static const char *const faults[SOAK_CRASHING_CALLERS]
+      = { "crash", "crash", "silent" };
   Caller *caller = data;
   Soak *soak = caller->soak;
   char path[PATH_MAX_BYTES];
   guint runs = 0;
-  g_snprintf (path, sizeof path, "/%s/x%u/crash", kinds[caller->number],
-              caller->number);
+  g_snprintf (path, sizeof path, "/%s/x%u/%s", kinds[caller->number],
+              caller->number, faults[caller->number]);
   for (guint number = 0; !atomic_load (&soak->stopping); number++)
     {
       char trace[32];
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -38,6 +38,7 @@
   atomic_uint crash_count;
   atomic_uint request_count; /* executed */
   atomic_bool is_up;
+  atomic_bool is_silent; /* the last crash leaves the connections open */
   atomic_bool stopping;
 };
 
@@ -265,6 +266,14 @@
   return TRUE;
 }
 
+static void
+crash (Replica *replica, gboolean is_silent)
+{
+  atomic_store (&replica->is_silent, is_silent);
+  atomic_store (&replica->is_up, FALSE);
+  atomic_fetch_add (&replica->crash_count, 1);
+}
+
 /* Sends the response selected by BEHAVIOUR.  Returns whether the connection is kept
    open. */
 static gboolean
@@ -294,8 +303,8 @@
     }
   else if (strcmp (behaviour, "hang") == 0)
     wait_for_close (session);
-  else if (strcmp (behaviour, "crash") == 0)
-    atomic_fetch_add (&session->replica->crash_count, 1);
+  else if (strcmp (behaviour, "crash") == 0 || strcmp (behaviour, "silent") == 0)
+    crash (session->replica, strcmp (behaviour, "silent") == 0);
   else if (strcmp (behaviour, "reset") == 0)
     reset_on_close (session);
   else if (strcmp (behaviour, "short") == 0)
@@ -309,7 +318,7 @@
         reset_on_close (session);
     }
   static const char *const closing[]
-      = { "hang", "reset", "close", "short", "open", "torn", "crash" };
+      = { "hang", "reset", "close", "short", "open", "torn", "crash", "silent" };
   for (gsize i = 0; i < G_N_ELEMENTS (closing); i++)
     if (strcmp (behaviour, closing[i]) == 0)
       return FALSE;
@@ -397,6 +406,9 @@
   session->input = g_string_new (NULL);
   while (serve_request (session))
     continue;
+  while (has_crashed (session) && atomic_load (&replica->is_silent)
+         && !atomic_load (&replica->is_up) && !atomic_load (&replica->stopping))
+    g_usleep (10000);
   if (has_crashed (session))
     reset_on_close (session);
   close (session->fd);
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -20,8 +20,9 @@
  *   extra      responds twice
  *   early      responds before it has read the body
  *   crash      executes the request, then the server fails: it resets all
- * connections, and accepts new ones after REPLICA_OUTAGE_US noseal     200 without
- * the header field that marks a server's own response
+ *              connections, and accepts new ones after REPLICA_OUTAGE_US
+ *   silent     the same, but the connections stay open until then
+ *   noseal     200 without the header field that marks a server's own response
  *
  * A number after the name, as in "reset1", limits how many requests fail in this
  * way, counted over all replicas of the process.  Later requests are handled as
--- a/tests/traffic_test.c
+++ b/tests/traffic_test.c
@@ -435,6 +435,63 @@
 }
 END_TEST
 
+static gboolean
+all_are_up (PlatformFixture *fixture)
+{
+  return replica_is_up (fixture->replicas[0]) && replica_is_up (fixture->replicas[1]);
+}
+
+static guint
+count_crashes (PlatformFixture *fixture)
+{
+  return replica_crash_count (fixture->replicas[0])
+         + replica_crash_count (fixture->replicas[1]);
+}
+
+/* A request makes its servers fall silent, which looks like a slow server. */
+START_TEST (request_that_silences_servers_is_quarantined)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  for (guint i = 0; i < 3; i++)
+    {
+      RawResponse response
+          = platform_fixture_post (fixture, "/safe/a/silent", API_KEY_FIELD, "");
+      ck_assert_uint_ge (response.status, 400);
+      g_free (response.text);
+      for (guint k = 0; k < PLATFORM_FIXTURE_POLLS_MAX && !all_are_up (fixture); k++)
+        g_usleep (10000);
+      /* The servers are probed by other requests. */
+      for (guint k = 0; k < 12; k++)
+        {
+          response
+              = platform_fixture_post (fixture, "/safe/b/ok", API_KEY_FIELD, "");
+          g_free (response.text);
+          g_usleep (100000);
+        }
+    }
+  ck_assert_uint_eq (count_crashes (fixture), 2);
+  raw_response_check (
+      platform_fixture_post (fixture, "/safe/b/ok", API_KEY_FIELD, ""), 200, NULL);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
+/* A slow server answers nothing for a while, but still accepts connections. */
+START_TEST (request_that_times_out_on_slow_servers_is_not_quarantined)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  for (guint i = 0; i < 3; i++)
+    {
+      RawResponse response
+          = platform_fixture_post (fixture, "/safe/a/hang4", API_KEY_FIELD, "");
+      g_free (response.text);
+    }
+  raw_response_check (
+      platform_fixture_post (fixture, "/safe/a/hang4", API_KEY_FIELD, ""), 200, NULL);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 START_TEST (removed_sink_is_no_longer_called)
 {
   static const HbwRequestCommandSinkClass class = { post_command_slowly };
@@ -476,6 +533,8 @@
   tcase_add_test (tests, draining_server_gets_no_new_requests);
   tcase_add_test (tests, draining_instance_completes_open_requests);
   tcase_add_test (tests, quarantined_request_is_refused_after_restart);
+  tcase_add_test (tests, request_that_silences_servers_is_quarantined);
+  tcase_add_test (tests, request_that_times_out_on_slow_servers_is_not_quarantined);
   tcase_add_test (tests, removed_sink_is_no_longer_called);
   suite_add_tcase (suite, tests);
   return suite_run (suite);
