--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -336,6 +336,10 @@
 {
   if (strcmp (subject, "servers") == 0 && strcmp (quantity, "poisoned") == 0)
     return world_poisoned_server_count (world);
+  if (strcmp (subject, "servers") == 0 && strcmp (quantity, "limited") == 0)
+    return world_limited_request_count (world);
+  if (strcmp (quantity, "received") == 0)
+    return world_request_count (world, subject);
   if (strcmp (subject, "rollout") == 0 && strcmp (quantity, "median") == 0)
     return world_rollout_quantile_s (world, 0.5);
   if (strcmp (subject, "rollout") == 0 && strcmp (quantity, "p99") == 0)
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -1,5 +1,7 @@
 #include "world.h"
 
+#include "notice_check.h"
+
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/policy.h"
@@ -71,9 +73,11 @@
   gboolean failed;
   gboolean silent;         /* failed, and the connections to it are still open */
   gint64 leaving_since_us; /* 0: not draining */
+  guint request_count;
   GPtrArray *running;      /* Attempt */
   GPtrArray *queue;        /* Attempt */
   GHashTable *connections; /* identity of the instance -> Connection */
+  NoticeCheck *notices;    /* what it says of itself since its start */
 } Server;
 
 /* The oldest connection of an instance to a server. */
@@ -382,8 +386,18 @@
   Attempt *attempt;
   HbwOutcome outcome;
   guint tokens;
+  gboolean has_response;
+  NoticeCheckSays says; /* of the response */
 } Report;
 
+/* The instance reads what the server says of itself. */
+static void
+tell_instance (World *world, Attempt *attempt, const NoticeCheckSays *says)
+{
+  notice_check_told (attempt->server->notices, attempt->identity, says,
+                     world->now_us);
+}
+
 static void
 report_to_instance (World *world, void *data)
 {
@@ -398,6 +412,8 @@
     }
   if (is_running (instance, attempt->identity))
     {
+      if (report->has_response)
+        tell_instance (world, attempt, &report->says);
       HbwEvent event = { .kind = HBW_EVENT_ATTEMPT_ENDED };
       event.end.sequence = attempt->request->sequence;
       event.end.attempt = attempt->number;
@@ -427,6 +443,9 @@
   report->attempt = attempt;
   report->outcome = outcome;
   report->tokens = tokens;
+  report->has_response
+      = outcome == HBW_OUTCOME_COMPLETE || outcome == HBW_OUTCOME_REFUSED;
+  report->says = *notice_check_says (attempt->server->notices);
   attempt->ended = TRUE;
   schedule (world, world->now_us + world->link.local_us, report_to_instance, report);
 }
@@ -560,6 +579,8 @@
   if (server->silent)
     end_silent_attempts (world, server);
   server->entry.start_number++;
+  notice_check_destroy (server->notices);
+  server->notices = notice_check_create ();
   publish_servers (world);
 }
 
@@ -654,12 +675,24 @@
       return;
     }
   attempt->server_start = server->entry.start_number;
+  server->request_count++;
   if (server->leaving_since_us > 0
       && world->now_us - server->leaving_since_us > WORLD_LEAVE_GRACE_US)
     report_violation (
         world, "server %s received a request %.1f s after it began to drain",
         server->entry.id,
         (double) (world->now_us - server->leaving_since_us) / HBW_US_PER_S);
+  char *violation
+      = notice_check_request (server->notices, attempt->identity,
+                              attempt->request->arrived_us, world->now_us);
+  if (violation != NULL)
+    report_violation (world, "server %s %s", server->entry.id, violation);
+  g_free (violation);
+  if (notice_check_says (server->notices)->pause_us > 0)
+    {
+      report_end (world, attempt, HBW_OUTCOME_REFUSED, 0);
+      return;
+    }
   g_ptr_array_add (server->queue, attempt);
   fill_batch (world, server);
 }
@@ -871,8 +904,7 @@
   if (is_running (check->instance, check->identity)
       && world->now_us >= check->instance->paused_until_us)
     {
-      HbwEvent event
-          = { .kind = HBW_EVENT_SERVER_CHECKED, .check = check->result };
+      HbwEvent event = { .kind = HBW_EVENT_SERVER_CHECKED, .check = check->result };
       run_reducer (world, check->instance, &event);
     }
   g_free (check);
@@ -884,8 +916,7 @@
   const Server *server = find_server (world, wanted->server);
   if (server == NULL)
     return;
-  gboolean remote
-      = strcmp (instance->data_centre, server->entry.data_centre) != 0;
+  gboolean remote = strcmp (instance->data_centre, server->entry.data_centre) != 0;
   ServerCheck *check = g_new0 (ServerCheck, 1);
   check->instance = instance;
   check->identity = instance->identity;
@@ -1355,6 +1386,20 @@
   g_string_free (text, TRUE);
 }
 
+static void
+apply_notice (World *world, Server *server, const Fault *fault)
+{
+  NoticeCheckSays *says = notice_check_says (server->notices);
+  gboolean ends = strcmp (fault->argument, "none") == 0;
+  double number = g_ascii_strtod (fault->argument, NULL);
+  if (strcmp (fault->verb, "limit") == 0)
+    notice_check_set_limit (server->notices, ends ? -1 : number, world->now_us);
+  else if (strcmp (fault->verb, "announce") == 0)
+    says->leaving = TRUE;
+  else if (strcmp (fault->verb, "refuse") == 0)
+    says->pause_us = ends ? 0 : (gint64) (number * HBW_US_PER_S);
+}
+
 static void
 apply_server_fault (World *world, Server *server, const Fault *fault)
 {
@@ -1385,6 +1430,8 @@
       server->leaving_since_us = 0;
       publish_stops (world);
     }
+  else
+    apply_notice (world, server, fault);
 }
 
 static void
@@ -1556,6 +1603,7 @@
       g_ptr_array_free (server->running, TRUE);
       g_ptr_array_free (server->queue, TRUE);
       g_hash_table_destroy (server->connections);
+      notice_check_destroy (server->notices);
       g_free (server);
     }
   g_ptr_array_free (world->heap, TRUE);
@@ -1623,6 +1671,7 @@
       server->prefill_us = prefill_us;
       server->token_us = token_us;
       server->slowdown = 1.0;
+      server->notices = notice_check_create ();
       server->running = g_ptr_array_new ();
       server->queue = g_ptr_array_new ();
       server->connections
@@ -1631,6 +1680,25 @@
     }
 }
 
+guint
+world_limited_request_count (const World *world)
+{
+  guint count = 0;
+  for (guint i = 0; i < world->servers->len; i++)
+    {
+      const Server *server = world->servers->pdata[i];
+      count += notice_check_limited_count (server->notices);
+    }
+  return count;
+}
+
+guint
+world_request_count (const World *world, const char *name)
+{
+  const Server *server = find_server (world, name);
+  return server != NULL ? server->request_count : 0;
+}
+
 void
 world_set_poison_restart (World *world, gint64 restart_us)
 {
@@ -1651,9 +1719,10 @@
                  const char *argument)
 {
   static const char *const verbs[]
-      = { "crash",  "restart",   "slow",  "leave", "stop", "unstop",     "kill",
-          "revive", "pause",     "drain", "cut",   "heal", "store-down", "store-up",
-          "edit",   "store-old", "show",  "break", NULL };
+      = { "crash",      "restart",  "slow",   "leave",     "stop", "unstop",
+          "kill",       "revive",   "pause",  "drain",     "cut",  "heal",
+          "store-down", "store-up", "edit",   "store-old", "show", "break",
+          "limit",      "announce", "refuse", NULL };
   gboolean needs_subject = !g_str_has_prefix (verb, "store-")
                            && strcmp (verb, "edit") != 0 && strcmp (verb, "cut") != 0
                            && strcmp (verb, "heal") != 0;
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -94,7 +94,10 @@
    unknown.
 
    The verbs crash, restart, slow (ARGUMENT is the factor), break (ARGUMENT is the
-   share of its responses that break off while it works), leave (the list of
+   share of its responses that break off while it works), limit (it names ARGUMENT
+   requests per second as its limit), announce (its responses say that it is
+   leaving), refuse (it turns requests away, and wants none for ARGUMENT seconds;
+   for both, "none" ends it), leave (the list of
    servers shows it as leaving), stop and unstop (it is added to or removed from the
    planned stops) apply to a server.  The verbs kill, revive, pause (ARGUMENT is the
    time in seconds), drain and show (traces the status) apply to an instance.  The
@@ -115,6 +118,13 @@
 /* Returns the classes, an array of WorldClass sorted by name. */
 const GPtrArray *world_classes (const World *world);
 
+/* Returns how many requests the servers received that had named a limit, from the
+   time on at which the instances follow it. */
+guint world_limited_request_count (const World *world);
+
+/* Returns how many requests the server NAME received. */
+guint world_request_count (const World *world, const char *name);
+
 /* Returns how many servers failed because of a poison request. */
 guint world_poisoned_server_count (const World *world);
 
