A server that says that it is leaving gets no new requests

New on the users' pages: Server-Leaving in the responses of a server that leaves. Nothing read it, so that an instance that had lost the store went on sending requests to it.

Change: read at the boundary; kept by server and start number, whatever later responses say; told to the other instances, whose owner of the server repeats it.

--- a/core/server_notice.c
+++ b/core/server_notice.c
@@ -123,6 +123,18 @@
   return TRUE;
 }
 
+static gboolean
+set_leaving (Record *record, HbwContext *context, const char *source)
+{
+  if (record->is_leaving)
+    return FALSE;
+  record->is_leaving = TRUE;
+  record->leaving_at_us = context->now_us;
+  hbw_effects_log (context->effects, HBW_LOG_SERVER_LEAVING, "server=%s source=%s",
+                   record->server, source);
+  return TRUE;
+}
+
 void
 hbw_server_notices_handle_response (HbwServerNotices *notices, HbwContext *context,
                                     const HbwServerNotice *notice,
@@ -138,6 +150,8 @@
     record->is_unsent
         |= set_limit (record, context, notice->limit_kind == HBW_SERVER_LIMIT_NAMED,
                       notice->limit, context->now_us, "response");
+  if (notice->is_leaving)
+    record->is_unsent |= set_leaving (record, context, "response");
 }
 
 /* --- permits ------------------------------------------------------------------- */
@@ -179,6 +193,8 @@
   Record *record = find_current (notices, entry);
   if (record == NULL)
     return TRUE;
+  if (record->is_leaving || now_us < record->pause_end_us)
+    return FALSE;
   if (!record->has_limit || has_permit (record, now_us))
     return TRUE;
   /* One request may be considered several times in a step. */
@@ -306,6 +322,8 @@
   if (report->limit_age_us >= 0)
     set_limit (record, context, report->has_limit, report->limit,
                context->now_us - report->limit_age_us, "peer");
+  if (report->is_leaving)
+    set_leaving (record, context, "peer");
   if (report->permits_wanted > 0)
     handle_asked_permits (record, context, message);
   if (report->permits_given > 0)
--- a/tests/traffic_test.c
+++ b/tests/traffic_test.c
@@ -525,6 +525,16 @@
 }
 END_TEST
 
+START_TEST (server_that_says_that_it_is_leaving_gets_no_requests)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  replica_set_fields (fixture->replicas[0], "Server-Leaving: 1\r\n");
+  ck_assert_uint_ge (count_received_in (fixture, 0.5), 1);
+  ck_assert_uint_eq (count_received_in (fixture, 1), 0);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 START_TEST (removed_sink_is_no_longer_called)
 {
   static const HbwRequestCommandSinkClass class = { post_command_slowly };
@@ -569,6 +579,7 @@
   tcase_add_test (tests, request_that_silences_servers_is_quarantined);
   tcase_add_test (tests, request_that_times_out_on_slow_servers_is_not_quarantined);
   tcase_add_test (tests, limit_of_server_is_kept_until_it_is_lifted);
+  tcase_add_test (tests, server_that_says_that_it_is_leaving_gets_no_requests);
   tcase_add_test (tests, removed_sink_is_no_longer_called);
   suite_add_tcase (suite, tests);
   return suite_run (suite);
