A server gets no requests in the pause that it asks for

Change: read at the boundary, in seconds with a fraction (a date or anything else is ignored, an hour is the most), and followed by the instance that received it, until the server starts again. SERVER_PAUSED in the log, server_pauses in the metrics.

--- a/core/server_notice.c
+++ b/core/server_notice.c
@@ -135,6 +135,17 @@
   return TRUE;
 }
 
+static void
+set_pause (Record *record, HbwContext *context, gint64 pause_us)
+{
+  pause_us = MIN (pause_us, HBW_SERVER_PAUSE_MAX_US);
+  record->pause_end_us = MAX (record->pause_end_us, context->now_us + pause_us);
+  hbw_metrics_control (context->metrics)->server_pauses++;
+  hbw_effects_log (context->effects, HBW_LOG_SERVER_PAUSED,
+                   "server=%s pause_ms=%" G_GINT64_FORMAT, record->server,
+                   pause_us / HBW_US_PER_MS);
+}
+
 void
 hbw_server_notices_handle_response (HbwServerNotices *notices, HbwContext *context,
                                     const HbwServerNotice *notice,
@@ -152,6 +163,8 @@
                       notice->limit, context->now_us, "response");
   if (notice->is_leaving)
     record->is_unsent |= set_leaving (record, context, "response");
+  if (notice->pause_us > 0)
+    set_pause (record, context, notice->pause_us);
 }
 
 /* --- permits ------------------------------------------------------------------- */
--- a/tests/traffic_test.c
+++ b/tests/traffic_test.c
@@ -535,6 +535,29 @@
 }
 END_TEST
 
+START_TEST (server_gets_no_requests_in_the_pause_that_it_asks_for)
+{
+  static const char *const ignored[]
+      = { "-1", "abc", "", "1.5.2", "Fri, 04 Dec 2026 09:00:00 GMT" };
+  PlatformFixture *fixture = platform_fixture_create ();
+  replica_set_refusing (fixture->replicas[0], TRUE);
+  for (guint i = 0; i < G_N_ELEMENTS (ignored); i++)
+    {
+      char *fields = g_strdup_printf ("Retry-After: %s\r\n", ignored[i]);
+      replica_set_fields (fixture->replicas[0], fields);
+      ck_assert_uint_ge (count_received_in (fixture, 0.3), 3);
+      g_free (fields);
+    }
+  replica_set_fields (fixture->replicas[0], "Retry-After: 1.5\r\n");
+  count_received_in (fixture, 0.2);
+  replica_set_refusing (fixture->replicas[0], FALSE);
+  ck_assert_uint_eq (count_received_in (fixture, 1), 0);
+  count_received_in (fixture, 0.5);
+  ck_assert_uint_ge (count_received_in (fixture, 1), 20);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 START_TEST (removed_sink_is_no_longer_called)
 {
   static const HbwRequestCommandSinkClass class = { post_command_slowly };
@@ -580,6 +603,7 @@
   tcase_add_test (tests, request_that_times_out_on_slow_servers_is_not_quarantined);
   tcase_add_test (tests, limit_of_server_is_kept_until_it_is_lifted);
   tcase_add_test (tests, server_that_says_that_it_is_leaving_gets_no_requests);
+  tcase_add_test (tests, server_gets_no_requests_in_the_pause_that_it_asks_for);
   tcase_add_test (tests, removed_sink_is_no_longer_called);
   suite_add_tcase (suite, tests);
   return suite_run (suite);
