--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -8,6 +8,7 @@
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/common/histogram.h"
 #include "hornbeamwall/common/log.h"
+#include "hornbeamwall/core/permit_bucket.h"
 #include "hornbeamwall/core/catalogue.h"
 #include "hornbeamwall/core/delta.h"
 #include "hornbeamwall/core/documents.h"
@@ -612,6 +613,15 @@
                                 .completed_ago_us = -1,
                                 .failure_count = 2,
                                 .failures = { { 1, 2, 4, 3 }, { 5, 6, 8, 7 } } };
+  else if (kind == HBW_MESSAGE_SERVER_NOTICE)
+    message.notice = (HbwServerNoticeReport){ .server = "s1",
+                                              .start_number = 5,
+                                              .has_limit = TRUE,
+                                              .limit = 1.3,
+                                              .limit_age_us = 7,
+                                              .is_leaving = TRUE,
+                                              .permits_wanted = 2,
+                                              .permits_given = 3 };
   else if (kind == HBW_MESSAGE_DOCUMENT || kind == HBW_MESSAGE_DOCUMENT_ASK)
     message.document.body = g_bytes_new ("{}", 2);
   return message;
@@ -640,6 +650,9 @@
       if (kind == HBW_MESSAGE_SUSPECT)
         ck_assert_int_eq (
             memcmp (&received.suspect, &sent.suspect, sizeof sent.suspect), 0);
+      if (kind == HBW_MESSAGE_SERVER_NOTICE)
+        ck_assert_int_eq (
+            memcmp (&received.notice, &sent.notice, sizeof sent.notice), 0);
       hbw_message_clear (&received);
       if (kind == HBW_MESSAGE_DOCUMENT_ASK)
         g_bytes_unref (sent.document.body);
@@ -650,6 +663,33 @@
 }
 END_TEST
 
+static void
+count_permits (guint64 instance, guint count, void *data)
+{
+  guint *given = data;
+  given[instance] += count;
+}
+
+START_TEST (permits_are_given_in_turn_at_the_rate)
+{
+  guint given[3] = { 0 };
+  gint64 now_us = HBW_US_PER_S;
+  HbwPermitBucket *bucket = hbw_permit_bucket_create (now_us);
+  for (guint i = 0; i < 100; i++)
+    {
+      hbw_permit_bucket_ask (bucket, 0, 50, now_us);
+      hbw_permit_bucket_ask (bucket, 1, i % 10 == 0, now_us);
+      hbw_permit_bucket_run (bucket, 4.0, now_us, count_permits, given);
+      now_us += HBW_US_PER_S / 10;
+    }
+  ck_assert_uint_ge (given[0] + given[1], 40);
+  ck_assert_uint_le (given[0] + given[1], 41);
+  ck_assert_uint_ge (given[1], 4);
+  ck_assert_uint_eq (given[2], 0);
+  hbw_permit_bucket_destroy (bucket);
+}
+END_TEST
+
 /* Earlier versions report one failure of a suspect at a time, without an id. */
 START_TEST (codec_reads_suspect_of_earlier_version)
 {
@@ -877,6 +917,7 @@
   tcase_add_test (cases, failed_server_gets_one_half_open_probe);
   tcase_add_test (cases, suspect_probes_failed_server_later_than_others);
   tcase_add_test (cases, shards_are_bounded_and_cover_all_servers);
+  tcase_add_test (cases, permits_are_given_in_turn_at_the_rate);
   tcase_add_test (cases, codec_round_trips_every_message_kind);
   tcase_add_test (cases, codec_reads_suspect_of_earlier_version);
   tcase_add_test (cases, codec_survives_damaged_frames);
