--- a/core/permit_bucket.c
+++ b/core/permit_bucket.c
@@ -2,7 +2,8 @@
 
 #include "hornbeamwall/common/clock.h"
 
-/* Permits that are saved up while nobody asks, in seconds of the rate. */
+/* Permits that are saved up while nobody asks, besides one, in seconds of the rate.
+ */
 #define SAVED_SECONDS 0.25
 
 /* An instance that still wants permits asks again before this time has passed. */
@@ -101,8 +102,7 @@
 {
   double elapsed_s = (double) (now_us - bucket->filled_us) / HBW_US_PER_S;
   bucket->filled_us = now_us;
-  bucket->level
-      = MIN (MAX (1.0, rate * SAVED_SECONDS), bucket->level + rate * elapsed_s);
+  bucket->level = MIN (1.0 + rate * SAVED_SECONDS, bucket->level + rate * elapsed_s);
 }
 
 void
