An entry that was just renewed cannot have lapsed

A server of the zone that had been cut off registered again, and drained 0.6 s later. b and c saw that (list 119); the instances of a had list 117, which showed it ready, and then got 122 from one of them that had just come back to the store, whose cache of before the cut had the entry: missing from the store, so kept for two seconds as lapsed. Each instance looked whether the list in force showed the server in service, and it did.

Cause: an entry that is missing after an outage was taken for one that may have lapsed, although a list of a moment ago showed it. An entry lapses only after some heartbeats without renewal, so that one has left.

Change: a lapsed entry is kept only if the last list that showed it renewed is older than a second.

server_that_left_during_a_cut_is_not_kept_as_lapsed failed before (e0 gets a request), now passes. lapsed_entry_does_not_revive_leaving_server delivered the lapsed entry in the same instant as the renewed one, which cannot happen; it lets three seconds pass now and expects the same.

--- a/core/server_history.c
+++ b/core/server_history.c
@@ -5,7 +5,8 @@
   guint64 start_number;
   gboolean leaving;
   gboolean listed;
-  gint64 listed_us; /* last time at which it was */
+  gint64 listed_us;  /* last time at which it was */
+  gint64 renewed_us; /* last time at which it was, and its entry had not lapsed */
 } Record;
 
 struct HbwServerHistory
@@ -57,9 +58,20 @@
       record->start_number = entry->start_number;
       record->leaving = entry->leaving;
       record->listed = TRUE;
+      if (!entry->expired)
+        record->renewed_us = now_us;
     }
 }
 
+gboolean
+hbw_server_history_was_just_renewed (const HbwServerHistory *history, const char *id,
+                                     gint64 now_us)
+{
+  const Record *record = g_hash_table_lookup (history->records, id);
+  return record != NULL && record->renewed_us > 0
+         && now_us - record->renewed_us < HBW_SERVER_LAPSE_MIN_US;
+}
+
 void
 hbw_server_history_apply (const HbwServerHistory *history, GPtrArray *servers)
 {
--- a/core/server_list.c
+++ b/core/server_list.c
@@ -42,16 +42,19 @@
          && known->start_number == entry->start_number;
 }
 
-/* Drops expired entries of servers that the list in force does not show in service.
-   The instance that read this list may have lost contact with the store while
-   another instance saw the server leave and published the list in force. */
+/* Drops expired entries of servers that the list in force does not show in service,
+   or showed a moment ago.  The instance that read this list may have lost contact
+   with the store while others saw the server leave. */
 static void
-drop_expired (const HbwServerList *list, GPtrArray *servers)
+drop_expired (const HbwServerList *list, GPtrArray *servers, gint64 now_us)
 {
   for (guint i = servers->len; i > 0; i--)
     {
       const HbwServerEntry *entry = g_ptr_array_index (servers, i - 1);
-      if (entry->expired && !is_in_service (list, entry))
+      gboolean may_have_lapsed = is_in_service (list, entry)
+                                 && !hbw_server_history_was_just_renewed (
+                                     list->history, entry->id, now_us);
+      if (entry->expired && !may_have_lapsed)
         g_ptr_array_remove_index (servers, i - 1);
     }
 }
@@ -63,7 +66,7 @@
   GPtrArray *servers = hbw_directory_parse_servers (text, length, error);
   if (servers == NULL)
     return FALSE;
-  drop_expired (list, servers);
+  drop_expired (list, servers, now_us);
   list->is_unsettled = !hbw_store_era_is_settled (era, now_us);
   if (list->is_unsettled)
     hbw_server_history_apply (list->history, servers);
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -580,6 +580,9 @@
 }
 END_TEST
 
+/* Time without renewal after which an entry of a server lapses. */
+#define LAPSE_US (3 * HBW_US_PER_S)
+
 /* --- server lists -------------------------------------------------------- */
 
 /* Guards against a failure of the deployment gazetteer-eu of the users' test bench,
@@ -593,6 +596,7 @@
   static const char *const lapsed[] = { ",\"lapsed\":true", NULL };
   ReducerFixture fixture = fixture_create (1, 1, 8);
   HbwRequestSpec spec = make_spec ();
+  fixture.now_us += LAPSE_US;
   deliver_servers (&fixture, 2, 1, 8, lapsed);
   submit_request (&fixture, 1, &spec);
   ck_assert_str_eq (started_server (&fixture), "e0");
@@ -604,6 +608,25 @@
 }
 END_TEST
 
+/* An instance that was cut off from the store reads a list without a server that it
+   knew.  Its peers had shown the entry a moment ago: it has not lapsed, the server
+   has left in between. */
+START_TEST (server_that_left_during_a_cut_is_not_kept_as_lapsed)
+{
+  static const char *const in_service[] = { "", NULL };
+  static const char *const lapsed[] = { ",\"lapsed\":true", NULL };
+  ReducerFixture fixture = fixture_create (1, 1, 8);
+  HbwRequestSpec spec = make_spec ();
+  fixture.now_us += LAPSE_US;
+  deliver_servers (&fixture, 3, 1, 8, in_service);
+  fixture.now_us += 400 * HBW_US_PER_MS;
+  deliver_servers (&fixture, 4, 1, 8, lapsed);
+  submit_request (&fixture, 1, &spec);
+  ck_assert_str_eq (started_server (&fixture), "");
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 START_TEST (list_of_restored_store_does_not_revive_leaving_server)
 {
   static const char *const leaving[] = { ",\"state\":\"leaving\"", NULL };
@@ -972,6 +995,7 @@
   tcase_add_test (tests, malformed_stored_suspects_are_ignored);
   tcase_add_test (tests, restored_suspects_are_read_before_they_are_replaced);
   tcase_add_test (tests, draining_instance_accepts_requests_for_grace_period);
+  tcase_add_test (tests, server_that_left_during_a_cut_is_not_kept_as_lapsed);
   tcase_add_test (tests, lapsed_entry_does_not_revive_leaving_server);
   tcase_add_test (tests, list_of_restored_store_does_not_revive_leaving_server);
   tcase_add_test (tests, restarted_server_does_not_keep_old_load);
