The soak's proxies refuse connections while their server does

A proxy accepted connections while its server was down, and closed them at once. A machine whose process has ended refuses them, which is the evidence that a check of a silent server looks for.

--- a/tests/platform_soak.c
+++ b/tests/platform_soak.c
@@ -344,6 +344,12 @@
                            "");
 }
 
+static gboolean
+is_replica_up (void *data)
+{
+  return replica_is_up (data);
+}
+
 static void
 soak_set_up (Soak *soak)
 {
@@ -358,7 +364,8 @@
       char id[16];
       g_snprintf (id, sizeof id, "i-%u", i);
       soak->replicas[i] = replica_create ("127.0.0.1:0", id);
-      soak->proxies[i] = proxy_create (replica_port (soak->replicas[i]));
+      soak->proxies[i] = proxy_create_following (replica_port (soak->replicas[i]),
+                                                 is_replica_up, soak->replicas[i]);
       put_server (soak, i, "ready");
     }
   put_config (soak, 1);
--- a/tests/standin/proxy.c
+++ b/tests/standin/proxy.c
@@ -27,6 +27,8 @@
   atomic_uint target_port;
   atomic_int mode;
   atomic_bool stopping;
+  gboolean (*is_up) (void *data); /* of the server; NULL: always */
+  void *is_up_data;
   pthread_t thread;
   Connection connections[CONNECTIONS_MAX];
   guint connection_count;
@@ -99,6 +101,32 @@
     }
 }
 
+static void
+open_listener (Proxy *proxy, guint port)
+{
+  const int on = 1;
+  struct sockaddr_in address = standin_loopback (port);
+  proxy->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt (proxy->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (proxy->fd, (struct sockaddr *) &address, sizeof address) != 0
+      || listen (proxy->fd, 128) != 0)
+    g_error ("proxy cannot listen");
+}
+
+/* Refuses connections while the server does. */
+static void
+follow_server (Proxy *proxy)
+{
+  gboolean is_up = proxy->is_up == NULL || proxy->is_up (proxy->is_up_data);
+  if (is_up && proxy->fd < 0)
+    open_listener (proxy, proxy->port);
+  else if (!is_up && proxy->fd >= 0)
+    {
+      close (proxy->fd);
+      proxy->fd = -1;
+    }
+}
+
 static void *
 run_proxy (void *data)
 {
@@ -107,6 +135,7 @@
   while (!atomic_load (&proxy->stopping))
     {
       guint count = proxy->connection_count;
+      follow_server (proxy);
       for (guint i = 0; i < 2 * count; i++)
         fds[i] = (struct pollfd){ proxy->connections[i / 2].ends[i % 2], POLLIN, 0 };
       fds[2 * count] = (struct pollfd){ proxy->fd, POLLIN, 0 };
@@ -123,15 +152,20 @@
 
 Proxy *
 proxy_create (guint port)
+{
+  return proxy_create_following (port, NULL, NULL);
+}
+
+Proxy *
+proxy_create_following (guint port, gboolean (*is_up) (void *data), void *is_up_data)
 {
   Proxy *proxy = g_new0 (Proxy, 1);
-  struct sockaddr_in address = standin_loopback (0);
+  struct sockaddr_in address;
   socklen_t size = sizeof address;
   atomic_store (&proxy->target_port, port);
-  proxy->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (bind (proxy->fd, (struct sockaddr *) &address, sizeof address) != 0
-      || listen (proxy->fd, 128) != 0)
-    g_error ("proxy cannot listen");
+  proxy->is_up = is_up;
+  proxy->is_up_data = is_up_data;
+  open_listener (proxy, 0);
   getsockname (proxy->fd, (struct sockaddr *) &address, &size);
   proxy->port = ntohs (address.sin_port);
   pthread_create (&proxy->thread, NULL, run_proxy, proxy);
@@ -143,7 +177,8 @@
 {
   atomic_store (&proxy->stopping, TRUE);
   pthread_join (proxy->thread, NULL);
-  close (proxy->fd);
+  if (proxy->fd >= 0)
+    close (proxy->fd);
   g_free (proxy);
 }
 
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -37,7 +37,7 @@
   atomic_uint connection_count;
   atomic_uint active_requests;
   atomic_uint crash_count;
-  atomic_uint request_count; /* executed */
+  atomic_uint request_count;  /* executed */
   atomic_uint received_count; /* executed or not */
   atomic_bool is_refusing;
   atomic_bool is_up;
@@ -156,11 +156,11 @@
 {
   Replica *replica = session->replica;
   pthread_mutex_lock (&replica->lock);
-  char *text = g_strdup_printf ("HTTP/1.1 %s\r\n" ID_FIELD ": %s\r\n"
-                                "X-Hornbeamwall-Replica-Load: 1,0,8\r\n%s%s\r\n",
-                                status, session->attempt_id,
-                                replica->fields != NULL ? replica->fields : "",
-                                fields);
+  char *text
+      = g_strdup_printf ("HTTP/1.1 %s\r\n" ID_FIELD ": %s\r\n"
+                         "X-Hornbeamwall-Replica-Load: 1,0,8\r\n%s%s\r\n",
+                         status, session->attempt_id,
+                         replica->fields != NULL ? replica->fields : "", fields);
   pthread_mutex_unlock (&replica->lock);
   send_text (session, text);
   g_free (text);
