An instance that starts hears of all suspects before it runs requests

Cause: an instance whose digest differs got the same 32 entries, those with the most failures, at each comparison, so that it never heard of the others; and it began after one second whatever still came.

Change: the entries are sent in turn. An instance that starts or was paused waits for a second without news, five at the most.

Failed before: all_suspects_are_sent_in_turn (32 of 100), and starting_instance_waits_while_suspects_are_reported (e0 gets a request after two seconds of reports).

--- a/core/quarantine_report.c
+++ b/core/quarantine_report.c
@@ -185,7 +185,7 @@
 }
 
 guint
-hbw_quarantine_list_reports (const HbwQuarantine *quarantine,
+hbw_quarantine_list_reports (const HbwQuarantine *quarantine, guint skipped,
                              HbwSuspicionReport *reports, guint max, gint64 now_us)
 {
   GPtrArray *suspects = g_ptr_array_new ();
@@ -194,9 +194,9 @@
     if (suspect->expire_at_us > now_us)
       g_ptr_array_add (suspects, suspect);
   g_ptr_array_sort (suspects, compare_importance);
-  guint count = MIN (suspects->len, max);
+  guint count = MIN (suspects->len - MIN (skipped, suspects->len), max);
   for (guint i = 0; i < count; i++)
-    fill_report (&reports[i], suspects->pdata[i], now_us);
+    fill_report (&reports[i], suspects->pdata[skipped + i], now_us);
   g_ptr_array_free (suspects, TRUE);
   return count;
 }
--- a/core/suspect_archive.c
+++ b/core/suspect_archive.c
@@ -290,7 +290,7 @@
   archive->is_writing = TRUE;
   guint open = hbw_quarantine_count_open (context->quarantine, context->now_us);
   archive->written_count
-      = hbw_quarantine_list_reports (context->quarantine, archive->written,
+      = hbw_quarantine_list_reports (context->quarantine, 0, archive->written,
                                      MIN (open, ENTRIES_MAX), context->now_us);
   HbwEffect *effect = hbw_effects_add (context->effects, HBW_EFFECT_STORE_SUSPECTS);
   effect->suspects.base_version = archive->version;
--- a/core/suspect_share.c
+++ b/core/suspect_share.c
@@ -32,9 +32,11 @@
   gint64 reports_paid_until_us; /* of the rate limit: each report adds an interval */
   gint64 next_refresh_us;
   gint64 next_sync_us;
-  gboolean is_alone; /* no address of another instance is configured */
+  guint synced_count; /* entries that the last comparisons have sent in turn */
+  gboolean is_alone;  /* no address of another instance is configured */
   gboolean is_complete;
   gint64 incomplete_since_us;
+  gint64 news_us; /* last time at which a peer reported what was not known */
   gint64 next_join_ping_us;
   guint64 first_join_ping; /* number of the first ping since then; 0 is none */
   gboolean has_stored;     /* what the platform's store had at the start is merged */
@@ -99,19 +101,20 @@
 }
 
 void
-hbw_suspect_share_handle_report (HbwSuspectShare *share G_GNUC_UNUSED,
-                                 HbwContext *context, const HbwMessage *message)
+hbw_suspect_share_handle_report (HbwSuspectShare *share, HbwContext *context,
+                                 const HbwMessage *message)
 {
   const HbwSuspicionReport *report = &message->suspect;
   guint added = hbw_quarantine_merge (context->quarantine, message->from, report,
                                       context->now_us);
-  if (added > 0)
-    hbw_effects_log (context->effects, HBW_LOG_SUSPECT_HEARD,
-                     "fingerprint=%016" G_GINT64_MODIFIER
-                     "x instance=%s failures=%u",
-                     report->fingerprint.low,
-                     hbw_membership_find_name (context->membership, message->from),
-                     report->failure_count);
+  if (added == 0)
+    return;
+  share->news_us = context->now_us;
+  hbw_effects_log (context->effects, HBW_LOG_SUSPECT_HEARD,
+                   "fingerprint=%016" G_GINT64_MODIFIER "x instance=%s failures=%u",
+                   report->fingerprint.low,
+                   hbw_membership_find_name (context->membership, message->from),
+                   report->failure_count);
 }
 
 static guint64
@@ -127,12 +130,16 @@
   return share->is_complete ? own_digest (context) : 0;
 }
 
+/* Sends the next entries of all, in turn: the sender of a digest that differs may
+   lack any of them. */
 static void
-send_entries (HbwContext *context, guint64 to)
+send_entries (HbwSuspectShare *share, HbwContext *context, guint64 to)
 {
   HbwSuspicionReport reports[SYNC_REPORTS_MAX];
-  guint count = hbw_quarantine_list_reports (context->quarantine, reports,
-                                             SYNC_REPORTS_MAX, context->now_us);
+  guint count
+      = hbw_quarantine_list_reports (context->quarantine, share->synced_count,
+                                     reports, SYNC_REPORTS_MAX, context->now_us);
+  share->synced_count = count == SYNC_REPORTS_MAX ? share->synced_count + count : 0;
   for (guint i = 0; i < count; i++)
     {
       const HbwMessage message
@@ -161,7 +168,7 @@
   if (equal || context->now_us < share->next_sync_us)
     return;
   share->next_sync_us = context->now_us + SYNC_INTERVAL_US;
-  send_entries (context, message->from);
+  send_entries (share, context, message->from);
 }
 
 void
@@ -195,7 +202,9 @@
 {
   gint64 timeout_us = share->has_stored ? HBW_SUSPECT_JOIN_STORED_TIMEOUT_US
                                         : HBW_SUSPECT_JOIN_TIMEOUT_US;
-  if (context->now_us - share->incomplete_since_us >= timeout_us)
+  gint64 since_us = MAX (share->incomplete_since_us, share->news_us);
+  if (context->now_us - since_us >= timeout_us
+      || context->now_us - share->incomplete_since_us >= HBW_SUSPECT_JOIN_MAX_US)
     set_complete (share, context);
   else
     ping_to_join (share, context);
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -81,7 +81,7 @@
 
 typedef enum
 {
-  HBW_SERVER_LIMIT_NONE,       /* the response names no limit */
+  HBW_SERVER_LIMIT_NONE, /* the response names no limit */
   HBW_SERVER_LIMIT_NAMED,
   HBW_SERVER_LIMIT_UNREADABLE, /* it names one that is no number: nothing changes */
 } HbwServerLimitKind;
@@ -93,7 +93,8 @@
   HbwServerLimitKind limit_kind;
   double limit; /* requests per second that it takes from all instances together */
   gboolean is_leaving;
-  gint64 pause_us; /* it wants no request from this instance for so long; 0 is none */
+  gint64
+      pause_us; /* it wants no request from this instance for so long; 0 is none */
 } HbwServerNotice;
 
 /* Returns whether the response named nothing. */
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -115,11 +115,11 @@
   HBW_MESSAGE_DONE,         /* an attempt has ended */
   HBW_MESSAGE_DOCUMENT_ASK, /* requests a version newer than the given one */
   HBW_MESSAGE_DOCUMENT,
-  HBW_MESSAGE_SUSPECT, /* server failures attributed to a fingerprint */
-  HBW_MESSAGE_DEMAND,  /* demand for an organisation's limits */
-  HBW_MESSAGE_SHARE,   /* the limit coordinator's response to a demand */
-  HBW_MESSAGE_BEGUN,   /* first token of an attempt received */
-  HBW_MESSAGE_LOADS,   /* work that an instance has in progress on servers */
+  HBW_MESSAGE_SUSPECT,       /* server failures attributed to a fingerprint */
+  HBW_MESSAGE_DEMAND,        /* demand for an organisation's limits */
+  HBW_MESSAGE_SHARE,         /* the limit coordinator's response to a demand */
+  HBW_MESSAGE_BEGUN,         /* first token of an attempt received */
+  HBW_MESSAGE_LOADS,         /* work that an instance has in progress on servers */
   HBW_MESSAGE_SERVER_NOTICE, /* what a server says of itself, and permits */
   HBW_MESSAGE_COUNT,
 } HbwMessageKind;
@@ -315,8 +315,9 @@
   char server[HBW_NAME_MAX];
   guint64 start_number; /* as in its entry in the list of servers */
   gboolean has_limit;
-  double limit;        /* requests per second, from all instances together */
-  gint64 limit_age_us; /* since the response that named it, or none; -1: no response */
+  double limit; /* requests per second, from all instances together */
+  gint64
+      limit_age_us; /* since the response that named it, or none; -1: no response */
   gboolean is_leaving;
   guint permits_wanted; /* the sender asks its owner for them */
   guint permits_given;  /* the owner gives them to the receiver */
--- a/include/hornbeamwall/core/metrics.h
+++ b/include/hornbeamwall/core/metrics.h
@@ -44,12 +44,12 @@
   guint64 store_call_count[HBW_DOCUMENT_COUNT];
   guint64 store_failures[HBW_DOCUMENT_COUNT]; /* calls without a usable response */
   guint64 server_checks[HBW_SERVER_CHECK_COUNT]; /* by result */
-  guint64 server_pauses; /* that servers asked for */
-  guint64 permits_asked; /* for requests to limited servers */
-  guint64 permits_given; /* to any instance, by this one */
-  guint64 suspect_store_calls;                /* to read and write the suspects */
-  guint64 grants_handed_back;                 /* returned unused */
-  guint64 spilled;                            /* sent to another data centre */
+  guint64 server_pauses;                         /* that servers asked for */
+  guint64 permits_asked;       /* for requests to limited servers */
+  guint64 permits_given;       /* to any instance, by this one */
+  guint64 suspect_store_calls; /* to read and write the suspects */
+  guint64 grants_handed_back;  /* returned unused */
+  guint64 spilled;             /* sent to another data centre */
 } HbwControlMetrics;
 
 HbwControlMetrics *hbw_metrics_control (HbwMetrics *metrics);
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -161,9 +161,9 @@
    quarantined requests. */
 guint64 hbw_quarantine_digest (const HbwQuarantine *quarantine, gint64 now_us);
 
-/* Fills REPORTS with up to MAX entries, those with the most failures first and newer
-   ones before older ones; returns their number. */
-guint hbw_quarantine_list_reports (const HbwQuarantine *quarantine,
+/* Fills REPORTS with up to MAX entries after the first SKIPPED, those with the most
+   failures first and newer ones before older ones; returns their number. */
+guint hbw_quarantine_list_reports (const HbwQuarantine *quarantine, guint skipped,
                                    HbwSuspicionReport *reports, guint max,
                                    gint64 now_us);
 
--- a/include/hornbeamwall/core/request.h
+++ b/include/hornbeamwall/core/request.h
@@ -43,7 +43,7 @@
   gint64 started_us;
   HbwGrantFacts facts;
   char server[HBW_NAME_MAX];
-  char address[HBW_ADDRESS_MAX]; /* of server */
+  char address[HBW_ADDRESS_MAX];   /* of server */
   char avoid_server[HBW_NAME_MAX]; /* server of the last attempt, if that failed */
 } HbwRequest;
 
--- a/include/hornbeamwall/core/suspect_share.h
+++ b/include/hornbeamwall/core/suspect_share.h
@@ -17,11 +17,14 @@
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/context.h"
 
-/* An instance that reaches no other one runs requests after this time, or after the
-   second one if it has read what the platform's store has. */
+/* An instance that hears nothing new from others runs requests after this time, or
+   after the second one if it has read what the platform's store has. */
 #define HBW_SUSPECT_JOIN_TIMEOUT_US (1 * HBW_US_PER_S)
 #define HBW_SUSPECT_JOIN_STORED_TIMEOUT_US (300 * HBW_US_PER_MS)
 
+/* It does so after this time also if others still report what is new to it. */
+#define HBW_SUSPECT_JOIN_MAX_US (5 * HBW_US_PER_S)
+
 /* Creates the state of an instance that starts now.  IS_ALONE is set if it has no
    address of another instance, HAS_STORE if it will read what the platform's store
    has. */
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -7,6 +7,7 @@
 
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/admission.h"
+#include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/policy.h"
 #include "hornbeamwall/core/reducer.h"
 #include "hornbeamwall/core/request_spec.h"
@@ -82,12 +83,14 @@
 }
 
 static ReducerFixture
-fixture_create (guint64 identity, guint servers, guint slots)
+create_fixture (guint64 identity, guint servers, guint slots,
+                const char *const *seeds)
 {
   ReducerFixture fixture = { .now_us = HBW_US_PER_S };
   HbwReducerConfig config = { .policy = hbw_policy_find ("direct"), .seed = 1 };
   config.now_us = fixture.now_us;
   config.self.identity = identity;
+  config.seeds = seeds;
   config.load_in_answers = TRUE;
   config.max_revocation_delay_us = 5 * HBW_US_PER_S;
   config.drain_grace_us = 2 * HBW_US_PER_S;
@@ -101,6 +104,20 @@
   return fixture;
 }
 
+static ReducerFixture
+fixture_create (guint64 identity, guint servers, guint slots)
+{
+  return create_fixture (identity, servers, slots, NULL);
+}
+
+/* Creates an instance that is to know what others know before it runs requests. */
+static ReducerFixture
+fixture_create_with_seed (guint64 identity, guint servers, guint slots)
+{
+  static const char *const seeds[] = { "10.1.0.2:1", NULL };
+  return create_fixture (identity, servers, slots, seeds);
+}
+
 static void
 fixture_destroy (ReducerFixture *fixture)
 {
@@ -583,6 +600,105 @@
 /* Time without renewal after which an entry of a server lapses. */
 #define LAPSE_US (3 * HBW_US_PER_S)
 
+static void
+introduce_peer (ReducerFixture *fixture, guint64 identity, const char *data_centre)
+{
+  HbwEvent event = { .kind = HBW_EVENT_MESSAGE };
+  event.message.kind = HBW_MESSAGE_PING;
+  event.message.from = identity;
+  event.message.ping.probe_number = 1;
+  event.message.ping.member_count = 1;
+  HbwMemberUpdate *member = &event.message.ping.members[0];
+  member->identity = identity;
+  member->state = HBW_MEMBER_ALIVE;
+  g_strlcpy (member->data_centre, data_centre, sizeof member->data_centre);
+  g_snprintf (member->address, sizeof member->address,
+              "10.1.0.%" G_GUINT64_FORMAT ":1", identity);
+  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+    event.message.ping.versions[i] = -1;
+  step_reducer (fixture, &event);
+}
+
+static guint
+count_sent_suspects (const ReducerFixture *fixture, GHashTable *sent)
+{
+  for (guint i = 0; i < hbw_effects_count (fixture->effects); i++)
+    {
+      const HbwEffect *effect = hbw_effects_get (fixture->effects, i);
+      if (effect->kind == HBW_EFFECT_SEND_MESSAGE
+          && effect->send.message.kind == HBW_MESSAGE_SUSPECT)
+        g_hash_table_add (
+            sent,
+            GUINT_TO_POINTER ((guint) effect->send.message.suspect.fingerprint.low));
+    }
+  return g_hash_table_size (sent);
+}
+
+static void
+deliver_many_suspects (ReducerFixture *fixture, guint count)
+{
+  GString *text = g_string_new ("{\"suspects\":[");
+  for (guint i = 1; i <= count; i++)
+    g_string_append_printf (text,
+                            "%s{\"high\":\"0\",\"low\":\"%x\",\"verdict\":"
+                            "\"cause\",\"remaining_ms\":90000,\"failures\":[]}",
+                            i > 1 ? "," : "", i);
+  g_string_append (text, "]}");
+  deliver_suspects (fixture, 6, text->str);
+  g_string_free (text, TRUE);
+}
+
+/* An instance that lacks many entries gets all of them, not the same ones again and
+   again. */
+START_TEST (all_suspects_are_sent_in_turn)
+{
+  GHashTable *sent = g_hash_table_new (NULL, NULL);
+  ReducerFixture fixture = fixture_create (1, 3, 8);
+  deliver_many_suspects (&fixture, 100);
+  for (guint i = 0; i < 4; i++)
+    {
+      introduce_peer (&fixture, 2, "a");
+      count_sent_suspects (&fixture, sent);
+      fixture.now_us += 300 * HBW_US_PER_MS;
+    }
+  ck_assert_uint_eq (g_hash_table_size (sent), 100);
+  g_hash_table_destroy (sent);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+/* Reports of suspects still come in when an instance that has just started may
+   otherwise run requests. */
+START_TEST (starting_instance_waits_while_suspects_are_reported)
+{
+  ReducerFixture fixture = fixture_create_with_seed (1, 3, 8);
+  HbwRequestSpec spec = make_spec ();
+  HbwEvent event = { .kind = HBW_EVENT_MESSAGE };
+  event.message.kind = HBW_MESSAGE_SUSPECT;
+  event.message.from = 2;
+  introduce_peer (&fixture, 2, "a");
+  for (guint i = 0; i < 20; i++)
+    {
+      event.message.suspect = (HbwSuspicionReport){
+        .fingerprint = { 0, 1000 + i },
+        .remaining_us = HBW_QUARANTINE_DURATION_US,
+        .completed_ago_us = -1,
+        .failure_count = 1,
+        .failures = { { .id = 1 + i, .server_hash = 7, .failed_ago_us = 1000 } }
+      };
+      step_reducer (&fixture, &event);
+      tick (&fixture, 100 * HBW_US_PER_MS);
+    }
+  submit_request (&fixture, 1, &spec);
+  ck_assert_str_eq (started_server (&fixture), "");
+  for (guint i = 0; i < 15; i++)
+    tick (&fixture, 100 * HBW_US_PER_MS);
+  submit_request (&fixture, 2, &spec);
+  ck_assert_str_ne (started_server (&fixture), "");
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* --- server lists -------------------------------------------------------- */
 
 /* Guards against a failure of the deployment gazetteer-eu of the users' test bench,
@@ -807,25 +923,6 @@
   return count;
 }
 
-static void
-introduce_peer (ReducerFixture *fixture, guint64 identity, const char *data_centre)
-{
-  HbwEvent event = { .kind = HBW_EVENT_MESSAGE };
-  event.message.kind = HBW_MESSAGE_PING;
-  event.message.from = identity;
-  event.message.ping.probe_number = 1;
-  event.message.ping.member_count = 1;
-  HbwMemberUpdate *member = &event.message.ping.members[0];
-  member->identity = identity;
-  member->state = HBW_MEMBER_ALIVE;
-  g_strlcpy (member->data_centre, data_centre, sizeof member->data_centre);
-  g_snprintf (member->address, sizeof member->address,
-              "10.1.0.%" G_GUINT64_FORMAT ":1", identity);
-  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
-    event.message.ping.versions[i] = -1;
-  step_reducer (fixture, &event);
-}
-
 /* A burst of the lower tiers must leave a slot for an urgent request, so that no
    running request has to be cancelled for it. */
 START_TEST (lower_tiers_leave_slots_for_highest_tier)
@@ -995,6 +1092,8 @@
   tcase_add_test (tests, malformed_stored_suspects_are_ignored);
   tcase_add_test (tests, restored_suspects_are_read_before_they_are_replaced);
   tcase_add_test (tests, draining_instance_accepts_requests_for_grace_period);
+  tcase_add_test (tests, all_suspects_are_sent_in_turn);
+  tcase_add_test (tests, starting_instance_waits_while_suspects_are_reported);
   tcase_add_test (tests, server_that_left_during_a_cut_is_not_kept_as_lapsed);
   tcase_add_test (tests, lapsed_entry_does_not_revive_leaving_server);
   tcase_add_test (tests, list_of_restored_store_does_not_revive_leaving_server);
--- a/tests/soak_caller.c
+++ b/tests/soak_caller.c
@@ -291,8 +291,8 @@
   Soak *soak = caller->soak;
   char path[PATH_MAX_BYTES];
   guint runs = 0;
-  g_snprintf (path, sizeof path, "/%s/x%u/%s", kinds[caller->number],
-              caller->number, faults[caller->number]);
+  g_snprintf (path, sizeof path, "/%s/x%u/%s", kinds[caller->number], caller->number,
+              faults[caller->number]);
   for (guint number = 0; !atomic_load (&soak->stopping); number++)
     {
       char trace[32];
--- a/tests/traffic_test.c
+++ b/tests/traffic_test.c
@@ -438,7 +438,8 @@
 static gboolean
 all_are_up (PlatformFixture *fixture)
 {
-  return replica_is_up (fixture->replicas[0]) && replica_is_up (fixture->replicas[1]);
+  return replica_is_up (fixture->replicas[0])
+         && replica_is_up (fixture->replicas[1]);
 }
 
 static guint
@@ -487,7 +488,8 @@
       g_free (response.text);
     }
   raw_response_check (
-      platform_fixture_post (fixture, "/safe/a/hang4", API_KEY_FIELD, ""), 200, NULL);
+      platform_fixture_post (fixture, "/safe/a/hang4", API_KEY_FIELD, ""), 200,
+      NULL);
   platform_fixture_destroy (fixture);
 }
 END_TEST
