A server that accepts a connection has not failed

Cause: a broken response counts as a failure of its server unless that answers on an older connection within a second, which a server with few requests does not do.

Change: after a broken response, and 100 ms, the server is checked by a new connection, as a silent one is. A refused connection confirms the failure; one that stays open for 50 ms dismisses what broke off before, unless the server was silent before the break: it may have failed and started again meanwhile.

--- a/core/ingress.c
+++ b/core/ingress.c
@@ -260,11 +260,11 @@
 static HbwServerFailure
 describe_failure (const HbwContext *context, const HbwRequest *request)
 {
-  const HbwServerFailure failure = { .id = compute_attempt_id (context, request),
-                                     .server
-                                     = hbw_rendezvous_weight (0, request->server),
-                                     .started_us = request->started_us,
-                                     .failed_us = context->now_us };
+  const HbwServerFailure failure
+      = { .id = compute_attempt_id (context, request),
+          .server = hbw_rendezvous_weight (0, request->server),
+          .started_us = request->started_us,
+          .failed_us = context->now_us };
   return failure;
 }
 
@@ -552,7 +552,10 @@
   hbw_request_send_done (request, context, end);
   record_wasted_tokens (context, request, end);
   update_quarantine (context, request, end->outcome);
-  if (end->server_silent)
+  if (end->outcome == HBW_OUTCOME_BROKEN)
+    hbw_server_checks_add_broken (ingress->server_checks, context, request->server,
+                                  request->address, end->server_silent);
+  else if (end->server_silent)
     check_silent_server (ingress, context, request);
   gboolean not_executed = hbw_outcome_proves_not_executed (end->outcome);
   if (not_executed)
@@ -771,7 +774,7 @@
   cds_list_for_each_entry_safe (request, next, &ingress->order, link)
     tick_request (ingress, context, request);
   hbw_limiter_tick (ingress->limiter, context);
-  hbw_server_checks_tick (ingress->server_checks, context->now_us);
+  hbw_server_checks_tick (ingress->server_checks, context);
 }
 
 void
--- a/core/message.c
+++ b/core/message.c
@@ -1,14 +1,22 @@
 #include "hornbeamwall/core/message.h"
 
 static const char *const message_names[HBW_MESSAGE_COUNT] = {
-  [HBW_MESSAGE_PING] = "ping",           [HBW_MESSAGE_ACK] = "ack",
-  [HBW_MESSAGE_PROBE_FOR] = "probe_for", [HBW_MESSAGE_WANT] = "want",
-  [HBW_MESSAGE_WITHDRAW] = "withdraw",   [HBW_MESSAGE_GRANT] = "grant",
-  [HBW_MESSAGE_REFUSAL] = "refusal",     [HBW_MESSAGE_ACTIVE] = "active",
-  [HBW_MESSAGE_DONE] = "done",           [HBW_MESSAGE_DOCUMENT_ASK] = "document_ask",
-  [HBW_MESSAGE_DOCUMENT] = "document",   [HBW_MESSAGE_SUSPECT] = "suspect",
-  [HBW_MESSAGE_DEMAND] = "demand",       [HBW_MESSAGE_SHARE] = "share",
-  [HBW_MESSAGE_BEGUN] = "begun",         [HBW_MESSAGE_LOADS] = "loads",
+  [HBW_MESSAGE_PING] = "ping",
+  [HBW_MESSAGE_ACK] = "ack",
+  [HBW_MESSAGE_PROBE_FOR] = "probe_for",
+  [HBW_MESSAGE_WANT] = "want",
+  [HBW_MESSAGE_WITHDRAW] = "withdraw",
+  [HBW_MESSAGE_GRANT] = "grant",
+  [HBW_MESSAGE_REFUSAL] = "refusal",
+  [HBW_MESSAGE_ACTIVE] = "active",
+  [HBW_MESSAGE_DONE] = "done",
+  [HBW_MESSAGE_DOCUMENT_ASK] = "document_ask",
+  [HBW_MESSAGE_DOCUMENT] = "document",
+  [HBW_MESSAGE_SUSPECT] = "suspect",
+  [HBW_MESSAGE_DEMAND] = "demand",
+  [HBW_MESSAGE_SHARE] = "share",
+  [HBW_MESSAGE_BEGUN] = "begun",
+  [HBW_MESSAGE_LOADS] = "loads",
   [HBW_MESSAGE_SERVER_NOTICE] = "server_notice",
 };
 
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -292,13 +292,11 @@
   while (!is_last);
 }
 
-void
-hbw_quarantine_handle_response (HbwQuarantine *quarantine, guint64 server,
-                                gint64 opened_us, gint64 now_us)
+/* Dismisses the failures of the server between SINCE_US and UNTIL_US. */
+static void
+dismiss_failures (HbwQuarantine *quarantine, guint64 server, gint64 since_us,
+                  gint64 until_us, gint64 now_us)
 {
-  gint64 since_us
-      = MAX (opened_us, quarantine->watched_since_us) + EVIDENCE_SLACK_US;
-  gint64 until_us = now_us - EVIDENCE_SLACK_US;
   HbwFailure *failure;
   HbwFailedServer *failed
       = g_hash_table_lookup (quarantine->failed_servers, &server);
@@ -309,6 +307,23 @@
     dismiss_failure (quarantine, failure, now_us);
 }
 
+void
+hbw_quarantine_handle_response (HbwQuarantine *quarantine, guint64 server,
+                                gint64 opened_us, gint64 now_us)
+{
+  gint64 since_us = MAX (opened_us, quarantine->watched_since_us);
+  dismiss_failures (quarantine, server, since_us + EVIDENCE_SLACK_US,
+                    now_us - EVIDENCE_SLACK_US, now_us);
+}
+
+void
+hbw_quarantine_handle_accepted_connection (HbwQuarantine *quarantine, guint64 server,
+                                           gint64 before_us, gint64 now_us)
+{
+  dismiss_failures (quarantine, server, now_us - HBW_QUARANTINE_CONFIRM_WINDOW_US,
+                    before_us, now_us);
+}
+
 void
 hbw_quarantine_handle_refused_connection (HbwQuarantine *quarantine, guint64 server,
                                           gint64 now_us)
--- a/core/server_check.c
+++ b/core/server_check.c
@@ -4,14 +4,20 @@
 
 #include <string.h>
 
+/* A process that is ending may close its connections before it stops to listen. */
+#define BROKEN_DELAY_US (100 * HBW_US_PER_MS)
+
 /* A check without a result by then has none. */
 #define RESULT_TIMEOUT_US (3 * HBW_US_PER_S)
 
 typedef struct
 {
   char server[HBW_NAME_MAX];
-  gint64 requested_us;
-  GArray *attempts; /* HbwSilentAttempt */
+  char address[HBW_ADDRESS_MAX];
+  gint64 due_us;
+  gint64 requested_us; /* 0 before */
+  gboolean was_silent; /* before a response broke off */
+  GArray *attempts;    /* HbwSilentAttempt */
 } Check;
 
 struct HbwServerChecks
@@ -44,27 +50,51 @@
 }
 
 static void
-request_check (Check *check, HbwContext *context, const char *address)
+request_if_due (Check *check, HbwContext *context)
 {
+  if (check->requested_us > 0 || context->now_us < check->due_us)
+    return;
   HbwEffect *effect = hbw_effects_add (context->effects, HBW_EFFECT_CHECK_SERVER);
   check->requested_us = context->now_us;
   g_strlcpy (effect->check.server, check->server, sizeof effect->check.server);
-  g_strlcpy (effect->check.address, address, sizeof effect->check.address);
+  g_strlcpy (effect->check.address, check->address, sizeof effect->check.address);
 }
 
-void
-hbw_server_checks_add (HbwServerChecks *checks, HbwContext *context,
-                       const HbwSilentAttempt *attempt)
+static Check *
+ensure_check (HbwServerChecks *checks, const char *server, const char *address,
+              gint64 due_us)
 {
-  Check *check = g_hash_table_lookup (checks->by_server, attempt->server);
+  Check *check = g_hash_table_lookup (checks->by_server, server);
   if (check == NULL)
     {
       check = g_new0 (Check, 1);
-      g_strlcpy (check->server, attempt->server, sizeof check->server);
+      g_strlcpy (check->server, server, sizeof check->server);
       check->attempts = g_array_new (FALSE, FALSE, sizeof (HbwSilentAttempt));
+      check->due_us = due_us;
       g_hash_table_insert (checks->by_server, check->server, check);
-      request_check (check, context, attempt->address);
     }
+  check->due_us = MIN (check->due_us, due_us);
+  g_strlcpy (check->address, address, sizeof check->address);
+  return check;
+}
+
+void
+hbw_server_checks_add_broken (HbwServerChecks *checks, HbwContext *context,
+                              const char *server, const char *address,
+                              gboolean was_silent)
+{
+  ensure_check (checks, server, address, context->now_us + BROKEN_DELAY_US)
+      ->was_silent
+      |= was_silent;
+}
+
+void
+hbw_server_checks_add (HbwServerChecks *checks, HbwContext *context,
+                       const HbwSilentAttempt *attempt)
+{
+  Check *check
+      = ensure_check (checks, attempt->server, attempt->address, context->now_us);
+  request_if_due (check, context);
   if (check->attempts->len < HBW_SILENT_ATTEMPTS_MAX)
     g_array_append_vals (check->attempts, attempt, 1);
 }
@@ -108,23 +138,28 @@
       else if (attempt->failure.failed_us > check->requested_us)
         hbw_server_checks_add (checks, context, attempt);
     }
+  guint64 server = hbw_rendezvous_weight (0, result->server);
   if (result->kind == HBW_SERVER_CHECK_REFUSED)
-    hbw_quarantine_handle_refused_connection (
-        context->quarantine, hbw_rendezvous_weight (0, result->server),
-        context->now_us);
+    hbw_quarantine_handle_refused_connection (context->quarantine, server,
+                                              context->now_us);
+  else if (result->kind == HBW_SERVER_CHECK_ACCEPTED && !check->was_silent)
+    hbw_quarantine_handle_accepted_connection (context->quarantine, server,
+                                               check->requested_us - BROKEN_DELAY_US,
+                                               context->now_us);
   check_free (check);
 }
 
 static gboolean
-is_overdue (gpointer key G_GNUC_UNUSED, gpointer value, gpointer data)
+tick_check (gpointer key G_GNUC_UNUSED, gpointer value, gpointer data)
 {
-  const Check *check = value;
-  const gint64 *now_us = data;
-  return *now_us - check->requested_us > RESULT_TIMEOUT_US;
+  Check *check = value;
+  HbwContext *context = data;
+  request_if_due (check, context);
+  return context->now_us - check->due_us > RESULT_TIMEOUT_US;
 }
 
 void
-hbw_server_checks_tick (HbwServerChecks *checks, gint64 now_us)
+hbw_server_checks_tick (HbwServerChecks *checks, HbwContext *context)
 {
-  g_hash_table_foreach_remove (checks->by_server, is_overdue, &now_us);
+  g_hash_table_foreach_remove (checks->by_server, tick_check, context);
 }
--- a/core/suspect.c
+++ b/core/suspect.c
@@ -61,6 +61,7 @@
             = MAX (failure->latest_start_us, details->started_us);
         failure->earliest_end_us
             = MIN (failure->earliest_end_us, details->failed_us);
+        failure->latest_end_us = MAX (failure->latest_end_us, details->failed_us);
         return failure;
       }
   cds_list_for_each_entry (failure, &server->failures, link)
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -195,6 +195,13 @@
 void hbw_quarantine_handle_refused_connection (HbwQuarantine *quarantine,
                                                guint64 server, gint64 now_us);
 
+/* Records that the server with the hash SERVER has just accepted a connection: it
+   had not failed before BEFORE_US, and broken responses until then are no failures.
+ */
+void hbw_quarantine_handle_accepted_connection (HbwQuarantine *quarantine,
+                                                guint64 server, gint64 before_us,
+                                                gint64 now_us);
+
 /* Quarantines nothing before UNTIL_US, because it is not known yet which suspects
    are active elsewhere, and takes no connection of before NOW_US as evidence. */
 void hbw_quarantine_suspend_verdicts (HbwQuarantine *quarantine, gint64 now_us,
--- a/include/hornbeamwall/core/server_check.h
+++ b/include/hornbeamwall/core/server_check.h
@@ -1,11 +1,15 @@
 /*
- * server_check - finds out whether a server that sent nothing has failed
+ * server_check - finds out by a new connection whether a server has failed
  *
  * An attempt that ends without a byte from its server tells nothing: the server may
  * be slow, the link to it may be cut, or it may have failed and left its connections
- * open.  A check opens a new connection.  If that is refused, no process listens any
- * more: the server has failed, and each request that was in progress on it becomes a
- * suspect (core/quarantine.h).  Any other result is no evidence.
+ * open.  If a new connection is refused, no process listens any more: the server has
+ * failed, and each request that was in progress on it becomes a suspect
+ * (core/quarantine.h).  Any other result is no evidence.
+ *
+ * A response that breaks off makes a suspect at once.  A connection that is refused
+ * then confirms the failure; one that is accepted and stays open shows that the
+ * server works.
  */
 #ifndef HORNBEAMWALL_CORE_SERVER_CHECK_H
 #define HORNBEAMWALL_CORE_SERVER_CHECK_H
@@ -39,6 +43,13 @@
 void hbw_server_checks_add (HbwServerChecks *checks, HbwContext *context,
                             const HbwSilentAttempt *attempt);
 
+/* Has the server checked after a response of it broke off.  If it WAS_SILENT before,
+   it may have failed and started again meanwhile: an accepted connection then shows
+   nothing. */
+void hbw_server_checks_add_broken (HbwServerChecks *checks, HbwContext *context,
+                                   const char *server, const char *address,
+                                   gboolean was_silent);
+
 /* Handles the result of a check, and calls HANDLE_SUSPECT for each request that
    becomes a suspect by it. */
 void hbw_server_checks_handle_result (
@@ -46,7 +57,7 @@
     void (*handle_suspect) (const HbwSilentAttempt *attempt, void *data),
     void *data);
 
-/* Drops checks without a result. */
-void hbw_server_checks_tick (HbwServerChecks *checks, gint64 now_us);
+/* Requests the checks that are due, and drops those without a result. */
+void hbw_server_checks_tick (HbwServerChecks *checks, HbwContext *context);
 
 #endif
--- a/include/hornbeamwall/net/server_check.h
+++ b/include/hornbeamwall/net/server_check.h
@@ -1,7 +1,7 @@
 /*
  * server_check - opens a connection to a backend server to see whether it listens
  *
- * Nothing is sent, and the connection is closed at once.  The result goes to the
+ * Nothing is sent, and the connection is closed after a moment.  The result goes to the
  * control thread.
  */
 #ifndef HORNBEAMWALL_NET_SERVER_CHECK_H
--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -30,7 +30,8 @@
 static gboolean
 is_server_silent (const HbwExchange *exchange, HbwOutcome outcome)
 {
-  return (outcome == HBW_OUTCOME_TIMED_OUT || outcome == HBW_OUTCOME_CANCELLED)
+  return (outcome == HBW_OUTCOME_TIMED_OUT || outcome == HBW_OUTCOME_CANCELLED
+          || outcome == HBW_OUTCOME_BROKEN)
          && hbw_upstream_pool_last_received_us (exchange->traffic->upstream_pool,
                                                 exchange->server)
                 < exchange->started_us;
--- a/net/server_check.c
+++ b/net/server_check.c
@@ -4,6 +4,9 @@
 
 #include <string.h>
 
+/* A connection that is closed sooner was not accepted by a server that works. */
+#define OPEN_TIME_US (50 * HBW_US_PER_MS)
+
 /* A server that has not answered by then is not reachable. */
 #define CHECK_TIMEOUT_US (1 * HBW_US_PER_S)
 
@@ -14,6 +17,7 @@
   struct cds_list_head link; /* in traffic->server_checks */
   HbwTraffic *traffic;
   HbwChannel *channel; /* NULL if the connection failed at once */
+  gboolean is_connected;
   char server[HBW_NAME_MAX];
 } ServerCheck;
 
@@ -43,8 +47,9 @@
 static void
 handle_connected (HbwChannelHandler *handler)
 {
-  finish (caa_container_of (handler, ServerCheck, channel_handler),
-          HBW_SERVER_CHECK_ACCEPTED);
+  ServerCheck *check = caa_container_of (handler, ServerCheck, channel_handler);
+  check->is_connected = TRUE;
+  hbw_loop_set_timer (check->traffic->loop, &check->timer, OPEN_TIME_US);
 }
 
 static void
@@ -71,7 +76,9 @@
 static void
 handle_timeout (HbwTimer *timer)
 {
-  finish (caa_container_of (timer, ServerCheck, timer), HBW_SERVER_CHECK_NO_ANSWER);
+  ServerCheck *check = caa_container_of (timer, ServerCheck, timer);
+  finish (check, check->is_connected ? HBW_SERVER_CHECK_ACCEPTED
+                                     : HBW_SERVER_CHECK_NO_ANSWER);
 }
 
 void
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -35,6 +35,10 @@
 /* Interval at which the traffic thread reports that a response goes on. */
 #define RESPONSE_INTERVAL_US (100 * HBW_US_PER_MS)
 
+/* How long a checked server keeps the connection open before it counts as
+   accepted. */
+#define CHECK_OPEN_US (50 * HBW_US_PER_MS)
+
 /* Default time until a server that failed because of a poison request restarts. */
 #define POISON_RESTART_US (15 * HBW_US_PER_S)
 
@@ -386,6 +390,7 @@
   Attempt *attempt;
   HbwOutcome outcome;
   guint tokens;
+  gboolean server_silent;
   gboolean has_response;
   NoticeCheckSays says; /* of the response */
 } Report;
@@ -428,7 +433,7 @@
       event.end.attempt = attempt->number;
       event.end.outcome = report->outcome;
       event.end.tokens = report->tokens;
-      event.end.server_silent = report->outcome == HBW_OUTCOME_TIMED_OUT;
+      event.end.server_silent = report->server_silent;
       if (report->outcome == HBW_OUTCOME_COMPLETE)
         {
           event.end.first_token_us
@@ -454,6 +459,7 @@
   report->tokens = tokens;
   report->has_response
       = outcome == HBW_OUTCOME_COMPLETE || outcome == HBW_OUTCOME_REFUSED;
+  report->server_silent = attempt->server->silent;
   report->says = *notice_check_says (attempt->server->notices);
   attempt->ended = TRUE;
   schedule (world, world->now_us + world->link.local_us, report_to_instance, report);
@@ -568,7 +574,6 @@
 static void
 end_silent_attempts (World *world, Server *server)
 {
-  server->silent = FALSE;
   g_hash_table_remove_all (server->connections);
   for (guint i = 0; i < server->running->len; i++)
     {
@@ -578,6 +583,7 @@
     }
   g_ptr_array_set_size (server->running, 0);
   g_ptr_array_set_size (server->queue, 0);
+  server->silent = FALSE;
 }
 
 static void
@@ -935,7 +941,7 @@
     check->result.kind = HBW_SERVER_CHECK_NO_ANSWER;
   g_strlcpy (check->result.server, wanted->server, sizeof check->result.server);
   schedule (world,
-            world->now_us
+            world->now_us + CHECK_OPEN_US
                 + 2 * (remote ? world->link.remote_us : world->link.local_us),
             deliver_check_result, check);
 }
