Sending a message needs no membership

hbw_context_send stood in the reducer, looked up the receiver's address in the membership, and so tied twelve files of core in a circle.

--- a/core/effect.c
+++ b/core/effect.c
@@ -49,6 +49,18 @@
   return effects->items->len;
 }
 
+HbwEffect *
+hbw_effects_edit (HbwEffects *effects, guint index)
+{
+  return g_ptr_array_index (effects->items, index);
+}
+
+void
+hbw_effects_remove (HbwEffects *effects, guint index)
+{
+  g_ptr_array_remove_index (effects->items, index);
+}
+
 const HbwEffect *
 hbw_effects_get (const HbwEffects *effects, guint index)
 {
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -683,25 +683,22 @@
     }
 }
 
-void
-hbw_context_send (HbwContext *context, guint64 to, const HbwMessage *message)
+/* Adds the addresses of the messages' receivers; drops messages to unknown ones. */
+static void
+address_messages (HbwReducer *reducer, HbwEffects *effects, guint from)
 {
-  if (to == context->self)
+  for (guint i = hbw_effects_count (effects); i > from; i--)
     {
-      HbwMessage *copy = g_new (HbwMessage, 1);
-      hbw_message_copy (copy, message);
-      copy->from = context->self;
-      g_queue_push_tail (context->loopback, copy);
-      return;
+      HbwEffect *effect = hbw_effects_edit (effects, i - 1);
+      if (effect->kind != HBW_EFFECT_SEND_MESSAGE || *effect->send.address != '\0')
+        continue;
+      const char *address = hbw_membership_find_address (reducer->context.membership,
+                                                         effect->send.to);
+      if (address != NULL)
+        g_strlcpy (effect->send.address, address, sizeof effect->send.address);
+      else
+        hbw_effects_remove (effects, i - 1);
     }
-  const char *address = hbw_membership_find_address (context->membership, to);
-  if (address == NULL)
-    return;
-  HbwEffect *effect = hbw_effects_add (context->effects, HBW_EFFECT_SEND_MESSAGE);
-  effect->send.to = to;
-  g_strlcpy (effect->send.address, address, sizeof effect->send.address);
-  hbw_message_copy (&effect->send.message, message);
-  effect->send.message.from = context->self;
 }
 
 static void
@@ -810,6 +807,7 @@
     hbw_load_share_send (context->load_share, context);
   hbw_suspect_share_send (context->suspect_share, context);
   context->effects = NULL;
+  address_messages (reducer, effects, before);
   count_sent_messages (reducer, effects, before);
 }
 
--- a/include/hornbeamwall/core/effect.h
+++ b/include/hornbeamwall/core/effect.h
@@ -51,8 +51,8 @@
 
 typedef struct
 {
-  guint64 to; /* identity of the peer */
-  char address[HBW_ADDRESS_MAX];
+  guint64 to; /* identity of the peer; 0 if only its address is known */
+  char address[HBW_ADDRESS_MAX]; /* set at the end of the step if it is empty */
   HbwMessage message; /* owned */
 } HbwSendMessage;
 
@@ -110,6 +110,12 @@
 guint hbw_effects_count (const HbwEffects *effects);
 const HbwEffect *hbw_effects_get (const HbwEffects *effects, guint index);
 
+/* Returns an effect for changes (borrowed). */
+HbwEffect *hbw_effects_edit (HbwEffects *effects, guint index);
+
+/* Removes and frees one effect. */
+void hbw_effects_remove (HbwEffects *effects, guint index);
+
 /* Adds an empty effect of KIND and returns it (borrowed, valid until another effect
    is added). */
 HbwEffect *hbw_effects_add (HbwEffects *effects, HbwEffectKind kind);
