A server that fell silent during an attempt is checked, too

Change: silent is a server that has sent nothing for the last 50 ms of the attempt. The check decides.

--- a/core/ingress.c
+++ b/core/ingress.c
@@ -268,15 +268,14 @@
   return failure;
 }
 
-/* Has the server checked after an attempt that ended before a byte of its response
-   came. */
+/* Has the server checked after an attempt that ended while it was silent. */
 static void
 check_silent_server (HbwIngress *ingress, HbwContext *context,
                      const HbwRequest *request)
 {
   HbwSilentAttempt attempt = { .fingerprint = request->spec.fingerprint,
                                .failure = describe_failure (context, request) };
-  if (context->now_us - request->started_us < HBW_SILENT_ATTEMPT_MIN_US)
+  if (context->now_us - request->started_us < HBW_SERVER_SILENT_MIN_US)
     return;
   g_strlcpy (attempt.server, request->server, sizeof attempt.server);
   g_strlcpy (attempt.address, request->address, sizeof attempt.address);
--- a/include/hornbeamwall/core/effect.h
+++ b/include/hornbeamwall/core/effect.h
@@ -53,7 +53,7 @@
 {
   guint64 to; /* identity of the peer; 0 if only its address is known */
   char address[HBW_ADDRESS_MAX]; /* set at the end of the step if it is empty */
-  HbwMessage message; /* owned */
+  HbwMessage message;            /* owned */
 } HbwSendMessage;
 
 typedef struct
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -60,8 +60,8 @@
   gint64 inter_token_us;
   gint64 longest_gap_us; /* between two pieces of the response */
   guint tokens;
-  gboolean server_silent; /* no byte came from the server, on any connection, since
-                             the attempt started */
+  gboolean server_silent; /* no byte came from the server, on any connection, for a
+                             while before the attempt ended */
 } HbwAttemptEnd;
 
 typedef struct
--- a/include/hornbeamwall/core/server_check.h
+++ b/include/hornbeamwall/core/server_check.h
@@ -1,7 +1,7 @@
 /*
  * server_check - finds out by a new connection whether a server has failed
  *
- * An attempt that ends without a byte from its server tells nothing: the server may
+ * An attempt that ends while its server is silent tells nothing: the server may
  * be slow, the link to it may be cut, or it may have failed and left its connections
  * open.  If a new connection is refused, no process listens any more: the server has
  * failed, and each request that was in progress on it becomes a suspect
@@ -18,15 +18,15 @@
 #include "hornbeamwall/core/event.h"
 #include "hornbeamwall/core/quarantine.h"
 
-/* A shorter attempt that its caller gave up is not checked. */
-#define HBW_SILENT_ATTEMPT_MIN_US (50 * HBW_US_PER_MS)
+/* A server that sent nothing for a shorter time is not called silent. */
+#define HBW_SERVER_SILENT_MIN_US (50 * HBW_US_PER_MS)
 
 /* Attempts at one server that wait for the result of a check. */
 #define HBW_SILENT_ATTEMPTS_MAX 64
 
 typedef struct HbwServerChecks HbwServerChecks;
 
-/* An attempt that ended before its server sent a byte. */
+/* An attempt that ended while its server was silent. */
 typedef struct
 {
   char server[HBW_NAME_MAX];
--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -1,3 +1,4 @@
+#include "hornbeamwall/core/server_check.h"
 #include "hornbeamwall/net/downstream.h"
 #include "hornbeamwall/net/exchange_state.h"
 #include "hornbeamwall/net/problem.h"
@@ -25,16 +26,17 @@
   return hbw_clock_now (hbw_loop_clock (exchange->traffic->loop));
 }
 
-/* Returns whether the attempt ended before its server sent a byte, on any connection
-   since it started. */
+/* Returns whether the attempt ended while its server was silent on all connections.
+ */
 static gboolean
 is_server_silent (const HbwExchange *exchange, HbwOutcome outcome)
 {
+  gint64 heard_us = hbw_upstream_pool_last_received_us (
+      exchange->traffic->upstream_pool, exchange->server);
   return (outcome == HBW_OUTCOME_TIMED_OUT || outcome == HBW_OUTCOME_CANCELLED
           || outcome == HBW_OUTCOME_BROKEN)
-         && hbw_upstream_pool_last_received_us (exchange->traffic->upstream_pool,
-                                                exchange->server)
-                < exchange->started_us;
+         && hbw_exchange_now (exchange) - MAX (heard_us, exchange->started_us)
+                >= HBW_SERVER_SILENT_MIN_US;
 }
 
 void
