The soak's servers name limits, ask for pauses and announce that they leave

During the faults, limits and pauses (also unreadable ones) come and go; once all faults have ended, one server names a limit, one announces its leaving, and one asks for a pause, and what they get is checked.

--- a/tests/platform_soak.c
+++ b/tests/platform_soak.c
@@ -14,7 +14,9 @@
  * callers send requests again and again that crash every server that executes them:
  * none may crash a third one.  Configs take keys away and give them back: no request
  * with a key that was removed longer ago than the bound is executed.  The store is
- * restored from older copies, and its writers write again what it has lost.
+ * restored from older copies, and its writers write again what it has lost.  Servers
+ * name limits and turn requests away for a while; once all faults have ended, one
+ * keeps its limit, one its pause, and one that announces its leaving gets nothing.
  */
 #include "soak_state.h"
 #include "standin/listen.h"
@@ -31,6 +33,18 @@
 #define RESTORE_OUTAGE_MAX_US 1500000
 #define REWRITE_DELAY_MAX_US 1800000
 
+/* Limit of a server in requests per second, and what it may get in the window. */
+#define NAMED_LIMIT "2"
+#define LIMIT_SETTLE_US 3000000
+#define LIMIT_WINDOW_US 4000000
+#define LIMITED_REQUESTS_MAX 17
+
+/* Pause that a server asks for, and the part of it that is looked at. */
+#define PAUSE_S "3"
+#define PAUSE_SETTLE_US 1000000
+#define PAUSE_WINDOW_US 1900000
+#define PAUSE_REQUESTS_MAX 2 /* of one instance */
+
 /* Time after which changes of the servers are followed everywhere. */
 #define FOLLOW_US 6000000
 
@@ -216,12 +230,30 @@
     put_config (soak, soak->config_version + 1);
 }
 
+static void
+inject_notice (Soak *soak, guint index)
+{
+  static const char *const fields[]
+      = { "", "Server-Limit: 5\r\n", "Server-Limit: 0.3\r\n", "Retry-After: 0.7\r\n",
+          "Server-Limit: x\r\nRetry-After: soon\r\n" };
+  guint choice = random_below (soak, G_N_ELEMENTS (fields));
+  printf ("fault: server %u says %u\n", index, choice);
+  replica_set_fields (soak->replicas[index], fields[choice]);
+  replica_set_refusing (soak->replicas[index], choice >= 3);
+}
+
 static void
 inject_server_fault (Soak *soak)
 {
   static const char *const states[] = { "ready", "ready", "draining" };
   guint index = random_below (soak, SOAK_SERVERS);
-  if (random_below (soak, 3) == 0)
+  guint kind = random_below (soak, 4);
+  if (kind == 0)
+    {
+      inject_notice (soak, index);
+      return;
+    }
+  if (kind == 1)
     {
       const char *state = states[random_below (soak, G_N_ELEMENTS (states))];
       printf ("fault: server %u is %s\n", index, state);
@@ -293,6 +325,8 @@
   for (guint i = 0; i < SOAK_SERVERS; i++)
     {
       proxy_set_mode (soak->proxies[i], PROXY_PASS);
+      replica_set_fields (soak->replicas[i], "");
+      replica_set_refusing (soak->replicas[i], FALSE);
       put_server (soak, i, "ready");
     }
   for (guint i = 0; i < soak->instances; i++)
@@ -344,6 +378,40 @@
                            "");
 }
 
+static guint
+count_received_in (Soak *soak, guint index, gulong duration_us)
+{
+  guint before = replica_received_count (soak->replicas[index]);
+  g_usleep (duration_us);
+  return replica_received_count (soak->replicas[index]) - before;
+}
+
+/* What servers say of themselves is followed by all instances. */
+static void
+check_notices (Soak *soak)
+{
+  put_server (soak, 0, "ready");
+  replica_set_fields (soak->replicas[0], "Server-Limit: " NAMED_LIMIT "\r\n");
+  replica_set_fields (soak->replicas[1], "Server-Leaving: 1\r\n");
+  replica_set_fields (soak->replicas[2], "Retry-After: " PAUSE_S "\r\n");
+  replica_set_refusing (soak->replicas[2], TRUE);
+  g_usleep (PAUSE_SETTLE_US);
+  if (count_received_in (soak, 2, PAUSE_WINDOW_US)
+      > PAUSE_REQUESTS_MAX * soak->instances)
+    soak_report_violation (soak, "server gets requests in its pause", "", "");
+  replica_set_refusing (soak->replicas[2], FALSE);
+  replica_set_fields (soak->replicas[2], "");
+  if (count_received_in (soak, 1, PAUSE_SETTLE_US) > 0)
+    soak_report_violation (soak, "server that leaves gets requests", "", "");
+  if (count_received_in (soak, 0, LIMIT_WINDOW_US) > LIMITED_REQUESTS_MAX)
+    soak_report_violation (soak, "server gets more than its limit", "", "");
+  replica_set_fields (soak->replicas[0], "");
+  g_usleep (LIMIT_SETTLE_US);
+  if (count_received_in (soak, 0, LIMIT_WINDOW_US) <= LIMITED_REQUESTS_MAX)
+    soak_report_violation (soak, "server gets too few requests after its limit", "",
+                           "");
+}
+
 static gboolean
 is_replica_up (void *data)
 {
@@ -410,6 +478,7 @@
     soak_report_violation (&soak, "no request completes after all faults have ended",
                            "", "");
   check_restored_directory (&soak);
+  check_notices (&soak);
   atomic_store (&soak.stopping, TRUE);
   soak_callers_destroy (callers);
   guint crashes = 0;
