Test: bytes without end of a server are cut off

Five requests to a stand-in that sends them end with a failure, others are served beside them, and the process grows by less than 16 MB.

--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -282,11 +282,38 @@
   atomic_fetch_add (&replica->crash_count, 1);
 }
 
+/* Sends BEGIN, and then REPEATED until the connection is closed. */
+static void
+send_without_end (Session *session, const char *begin, const char *repeated)
+{
+  gsize length = strlen (repeated);
+  send_text (session, begin);
+  while (!atomic_load (&session->replica->stopping)
+         && send (session->fd, repeated, length, MSG_NOSIGNAL) > 0)
+    continue;
+}
+
+static gboolean
+send_flood (Session *session, const char *behaviour)
+{
+  if (strcmp (behaviour, "flood") == 0)
+    send_without_end (session, "", "no response at all ");
+  else if (strcmp (behaviour, "headflood") == 0)
+    send_without_end (session, "HTTP/1.1 200 OK\r\n", "X-More: and more\r\n");
+  else if (strcmp (behaviour, "bodyflood") == 0)
+    send_without_end (session, "HTTP/1.1 200 OK\r\n\r\n", "no body of a response ");
+  else
+    return FALSE;
+  return TRUE;
+}
+
 /* Sends the response selected by BEHAVIOUR.  Returns whether the connection is kept
    open. */
 static gboolean
 respond (Session *session, const char *behaviour)
 {
+  if (send_flood (session, behaviour))
+    return FALSE;
   if (strcmp (behaviour, "ok") == 0)
     return send_ok (session);
   if (strcmp (behaviour, "events") == 0)
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -22,6 +22,9 @@
  *   crash      executes the request, then the server fails: it resets all
  *              connections, and accepts new ones after REPLICA_OUTAGE_US
  *   silent     the same, but the connections stay open until then
+ *   flood      bytes that are no response, until the connection is closed
+ *   headflood  the same, as header fields without end
+ *   bodyflood  the same, as a body without end and without the server's mark
  *   noseal     200 without the header field that marks a server's own response
  *
  * A number after the name, as in "reset1", limits how many requests fail in this
--- a/tests/traffic_test.c
+++ b/tests/traffic_test.c
@@ -18,6 +18,9 @@
 #include <unistd.h>
 #include <urcu/compiler.h>
 
+/* Memory that responses without end may take. */
+#define FLOOD_BYTES_MAX ((gsize) 16 * 1024 * 1024)
+
 START_TEST (request_is_forwarded_without_forged_fields)
 {
   PlatformFixture *fixture = platform_fixture_create ();
@@ -560,6 +563,41 @@
 }
 END_TEST
 
+/* Returns the resident memory of the process, which runs instance and servers. */
+static gsize
+resident_bytes (void)
+{
+  char *text = NULL;
+  unsigned long pages = 0;
+  g_file_get_contents ("/proc/self/statm", &text, NULL, NULL);
+  sscanf (text != NULL ? text : "", "%*u %lu", &pages);
+  g_free (text);
+  return pages * (gsize) sysconf (_SC_PAGESIZE);
+}
+
+START_TEST (bytes_without_end_are_cut_off)
+{
+  static const char *const paths[]
+      = { "/safe/a/flood", "/safe/a/headflood", "/safe/a/bodyflood",
+          "/stream/a/headflood", "/stream/a/bodyflood" };
+  PlatformFixture *fixture = platform_fixture_create ();
+  gsize before = resident_bytes ();
+  for (guint i = 0; i < G_N_ELEMENTS (paths); i++)
+    {
+      RawResponse response
+          = platform_fixture_post (fixture, paths[i], API_KEY_FIELD, "");
+      ck_assert_msg (response.status != 200, "%s", paths[i]);
+      g_free (response.text);
+      raw_response_check (
+          platform_fixture_post (fixture, "/safe/b/ok", API_KEY_FIELD, ""), 200,
+          NULL);
+      ck_assert (platform_fixture_wait_until_idle (fixture));
+    }
+  ck_assert_uint_le (resident_bytes (), before + FLOOD_BYTES_MAX);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 START_TEST (removed_sink_is_no_longer_called)
 {
   static const HbwRequestCommandSinkClass class = { post_command_slowly };
@@ -606,6 +644,7 @@
   tcase_add_test (tests, limit_of_server_is_kept_until_it_is_lifted);
   tcase_add_test (tests, server_that_says_that_it_is_leaving_gets_no_requests);
   tcase_add_test (tests, server_gets_no_requests_in_the_pause_that_it_asks_for);
+  tcase_add_test (tests, bytes_without_end_are_cut_off);
   tcase_add_test (tests, removed_sink_is_no_longer_called);
   suite_add_tcase (suite, tests);
   return suite_run (suite);
