A failure that a refused connection proves is not dismissed elsewhere

Change: whether a connection was refused after a failure goes with its reports, and such a failure is not dismissed.

Failed before: check_dismisses_no_failure_before_the_broken_response.

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -261,7 +261,8 @@
   quarantine->suspended_until_us = until_us;
 }
 
-/* Returns a failure of the server between SINCE_US and UNTIL_US, or NULL. */
+/* Returns a failure of the server between SINCE_US and UNTIL_US that is not proved
+   by a refused connection, or NULL. */
 static HbwFailure *
 find_failure_between (const HbwQuarantine *quarantine, guint64 hash, gint64 since_us,
                       gint64 until_us)
@@ -271,7 +272,8 @@
   if (server == NULL)
     return NULL;
   cds_list_for_each_entry (failure, &server->failures, link)
-    if (failure->earliest_end_us >= since_us && failure->latest_end_us <= until_us)
+    if (failure->earliest_end_us >= since_us && failure->latest_end_us <= until_us
+        && !failure->is_refused)
       return failure;
   return NULL;
 }
@@ -318,10 +320,10 @@
 
 void
 hbw_quarantine_handle_accepted_connection (HbwQuarantine *quarantine, guint64 server,
-                                           gint64 before_us, gint64 now_us)
+                                           gint64 until_us, gint64 now_us)
 {
   dismiss_failures (quarantine, server, now_us - HBW_QUARANTINE_CONFIRM_WINDOW_US,
-                    before_us, now_us);
+                    until_us, now_us);
 }
 
 void
@@ -335,7 +337,7 @@
     return;
   cds_list_for_each_entry (failure, &failed->failures, link)
     if (now_us - failure->latest_end_us < HBW_QUARANTINE_OUTAGE_US)
-      failure->is_confirmed = TRUE;
+      failure->is_confirmed = failure->is_refused = TRUE;
   hbw_quarantine_evaluate (quarantine, now_us);
 }
 
--- a/core/quarantine_report.c
+++ b/core/quarantine_report.c
@@ -43,7 +43,13 @@
                                      .failed_us = now_us - report->failed_ago_us };
   HbwFailureRecord *known = hbw_suspect_find_record (suspect, report->id);
   if (!report->is_dismissed)
-    return hbw_suspect_record_failure (quarantine, suspect, &failure);
+    {
+      gboolean is_new = hbw_suspect_record_failure (quarantine, suspect, &failure);
+      HbwFailureRecord *record = hbw_suspect_find_record (suspect, report->id);
+      if (report->is_refused && record != NULL && record->failure != NULL)
+        record->failure->is_confirmed = record->failure->is_refused = TRUE;
+      return is_new;
+    }
   if (known == NULL)
     hbw_suspect_record_dismissed (suspect, &failure);
   else if (!known->is_dismissed)
@@ -111,6 +117,7 @@
   report->started_ago_us = now_us - record->details.started_us;
   report->failed_ago_us = now_us - record->details.failed_us;
   report->is_dismissed = record->is_dismissed;
+  report->is_refused = record->failure != NULL && record->failure->is_refused;
 }
 
 static void
--- a/core/server_check.c
+++ b/core/server_check.c
@@ -83,9 +83,9 @@
                               const char *server, const char *address,
                               gboolean was_silent)
 {
-  ensure_check (checks, server, address, context->now_us + BROKEN_DELAY_US)
-      ->was_silent
-      |= was_silent;
+  Check *check
+      = ensure_check (checks, server, address, context->now_us + BROKEN_DELAY_US);
+  check->was_silent |= was_silent;
 }
 
 void
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -247,6 +247,7 @@
   gint64 started_ago_us; /* since the attempt started */
   gint64 failed_ago_us;  /* since it ended */
   gboolean is_dismissed; /* the server had not failed */
+  gboolean is_refused;   /* it refused a connection afterwards */
 } HbwFailureReport;
 
 /* All that the sender knows about a request that was in progress on a server that
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -195,11 +195,11 @@
 void hbw_quarantine_handle_refused_connection (HbwQuarantine *quarantine,
                                                guint64 server, gint64 now_us);
 
-/* Records that the server with the hash SERVER has just accepted a connection: it
-   had not failed before BEFORE_US, and broken responses until then are no failures.
- */
+/* Records that the server with the hash SERVER has just accepted a connection:
+   responses that broke off recently, up to UNTIL_US, are no failures, unless another
+   connection was refused. */
 void hbw_quarantine_handle_accepted_connection (HbwQuarantine *quarantine,
-                                                guint64 server, gint64 before_us,
+                                                guint64 server, gint64 until_us,
                                                 gint64 now_us);
 
 /* Quarantines nothing before UNTIL_US, because it is not known yet which suspects
--- a/include/hornbeamwall/core/quarantine_state.h
+++ b/include/hornbeamwall/core/quarantine_state.h
@@ -34,6 +34,7 @@
   gint64 earliest_end_us;
   gint64 latest_end_us;         /* of an attempt that broke in the same outage */
   gboolean is_confirmed;        /* the server served no request afterwards */
+  gboolean is_refused;          /* it refused a connection afterwards */
   struct cds_list_head records; /* HbwFailureRecord */
   guint record_count;
   guint cause_count; /* records of suspects with HBW_VERDICT_CAUSE */
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -239,12 +239,13 @@
   for (guint i = 0; i < report->failure_count; i++)
     {
       const HbwFailureReport *failure = &report->failures[i];
-      msgpack_pack_array (packer, 5);
+      msgpack_pack_array (packer, 6);
       msgpack_pack_uint64 (packer, failure->id);
       msgpack_pack_uint64 (packer, failure->server_hash);
       msgpack_pack_int64 (packer, failure->started_ago_us);
       msgpack_pack_int64 (packer, failure->failed_ago_us);
       msgpack_pack_uint32 (packer, failure->is_dismissed);
+      msgpack_pack_uint32 (packer, failure->is_refused);
     }
 }
 
@@ -321,14 +322,14 @@
 
 /* Number of fields that pack_fields() packs, by kind. */
 static const guint field_counts[HBW_MESSAGE_COUNT] = {
-  [HBW_MESSAGE_PING] = 10,      [HBW_MESSAGE_ACK] = 10,
-  [HBW_MESSAGE_PROBE_FOR] = 10, [HBW_MESSAGE_WANT] = 27,
-  [HBW_MESSAGE_WITHDRAW] = 5,   [HBW_MESSAGE_GRANT] = 14,
-  [HBW_MESSAGE_REFUSAL] = 5,    [HBW_MESSAGE_ACTIVE] = 10,
-  [HBW_MESSAGE_DONE] = 11,      [HBW_MESSAGE_DOCUMENT_ASK] = 4,
-  [HBW_MESSAGE_DOCUMENT] = 4,   [HBW_MESSAGE_SUSPECT] = 12,
-  [HBW_MESSAGE_DEMAND] = 5,     [HBW_MESSAGE_SHARE] = 5,
-  [HBW_MESSAGE_BEGUN] = 7,      [HBW_MESSAGE_LOADS] = 2,
+  [HBW_MESSAGE_PING] = 10,         [HBW_MESSAGE_ACK] = 10,
+  [HBW_MESSAGE_PROBE_FOR] = 10,    [HBW_MESSAGE_WANT] = 27,
+  [HBW_MESSAGE_WITHDRAW] = 5,      [HBW_MESSAGE_GRANT] = 14,
+  [HBW_MESSAGE_REFUSAL] = 5,       [HBW_MESSAGE_ACTIVE] = 10,
+  [HBW_MESSAGE_DONE] = 11,         [HBW_MESSAGE_DOCUMENT_ASK] = 4,
+  [HBW_MESSAGE_DOCUMENT] = 4,      [HBW_MESSAGE_SUSPECT] = 12,
+  [HBW_MESSAGE_DEMAND] = 5,        [HBW_MESSAGE_SHARE] = 5,
+  [HBW_MESSAGE_BEGUN] = 7,         [HBW_MESSAGE_LOADS] = 2,
   [HBW_MESSAGE_SERVER_NOTICE] = 8,
 };
 
--- a/net/codec_unpack.c
+++ b/net/codec_unpack.c
@@ -357,6 +357,8 @@
       failure->failed_ago_us = unpack_int (&inner);
       if (inner.next < inner.count) /* older versions do not send it */
         failure->is_dismissed = hbw_field_reader_unpack_uint (&inner, 1) != 0;
+      if (inner.next < inner.count)
+        failure->is_refused = hbw_field_reader_unpack_uint (&inner, 1) != 0;
       failures.failed |= inner.failed || failure->id == 0;
     }
   reader->failed |= failures.failed;
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -603,16 +603,16 @@
   else if (kind == HBW_MESSAGE_WANT)
     message.want = make_grant_request (7, "o", 2, -5);
   else if (kind == HBW_MESSAGE_SUSPECT)
-    message.suspect
-        = (HbwSuspicionReport){ .fingerprint = poison,
-                                .remaining_us = 5,
-                                .verdict = HBW_VERDICT_CAUSE,
-                                .is_stored = TRUE,
-                                .activity = HBW_SUSPECT_RUNNING,
-                                .running_server_hash = 9,
-                                .completed_ago_us = -1,
-                                .failure_count = 2,
-                                .failures = { { 1, 2, 4, 3 }, { 5, 6, 8, 7 } } };
+    message.suspect = (HbwSuspicionReport){ .fingerprint = poison,
+                                            .remaining_us = 5,
+                                            .verdict = HBW_VERDICT_CAUSE,
+                                            .is_stored = TRUE,
+                                            .activity = HBW_SUSPECT_RUNNING,
+                                            .running_server_hash = 9,
+                                            .completed_ago_us = -1,
+                                            .failure_count = 2,
+                                            .failures = { { 1, 2, 4, 3, 0, 1 },
+                                                          { 5, 6, 8, 7 } } };
   else if (kind == HBW_MESSAGE_SERVER_NOTICE)
     message.notice = (HbwServerNoticeReport){ .server = "s1",
                                               .start_number = 5,
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -648,6 +648,49 @@
   g_string_free (text, TRUE);
 }
 
+/* A working server breaks off a response half a second after it has failed under
+   another request, and started again. */
+START_TEST (check_dismisses_no_failure_before_the_broken_response)
+{
+  ReducerFixture fixture = fixture_create (1, 1, 8);
+  HbwRequestSpec spec = make_spec ();
+  HbwEvent report = { .kind = HBW_EVENT_MESSAGE };
+  report.message.kind = HBW_MESSAGE_SUSPECT;
+  report.message.from = 2;
+  report.message.suspect = (HbwSuspicionReport){
+    .fingerprint = { 0, 7 },
+    .remaining_us = HBW_QUARANTINE_DURATION_US,
+    .verdict = HBW_VERDICT_CAUSE,
+    .completed_ago_us = -1,
+    .failure_count = 2,
+    .failures = { { .id = 1,
+                    .server_hash = hbw_rendezvous_weight (0, "e0"),
+                    .started_ago_us = 550 * HBW_US_PER_MS,
+                    .failed_ago_us = 500 * HBW_US_PER_MS,
+                    .is_refused = TRUE },
+                  { .id = 2, .server_hash = 9, .failed_ago_us = HBW_US_PER_S } }
+  };
+  fixture.now_us += 10 * HBW_US_PER_S;
+  introduce_peer (&fixture, 2, "a");
+  step_reducer (&fixture, &report);
+  submit_request (&fixture, 1, &spec);
+  ck_assert_str_eq (started_server (&fixture), "e0");
+  end_attempt (&fixture, 1, 1, HBW_OUTCOME_BROKEN, FALSE);
+  tick (&fixture, 100 * HBW_US_PER_MS);
+  ck_assert (find_effect (&fixture, HBW_EFFECT_CHECK_SERVER) != NULL);
+  fixture.now_us += 50 * HBW_US_PER_MS;
+  HbwEvent checked = { .kind = HBW_EVENT_SERVER_CHECKED };
+  checked.check.kind = HBW_SERVER_CHECK_ACCEPTED;
+  g_strlcpy (checked.check.server, "e0", sizeof checked.check.server);
+  step_reducer (&fixture, &checked);
+  submit_request (&fixture, 7, &spec);
+  const HbwEffect *effect = find_effect (&fixture, HBW_EFFECT_REFUSE_REQUEST);
+  ck_assert (effect != NULL);
+  ck_assert_int_eq (effect->refuse.reason, HBW_REASON_QUARANTINED);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* An instance that lacks many entries gets all of them, not the same ones again and
    again. */
 START_TEST (all_suspects_are_sent_in_turn)
@@ -1092,6 +1135,7 @@
   tcase_add_test (tests, malformed_stored_suspects_are_ignored);
   tcase_add_test (tests, restored_suspects_are_read_before_they_are_replaced);
   tcase_add_test (tests, draining_instance_accepts_requests_for_grace_period);
+  tcase_add_test (tests, check_dismisses_no_failure_before_the_broken_response);
   tcase_add_test (tests, all_suspects_are_sent_in_turn);
   tcase_add_test (tests, starting_instance_waits_while_suspects_are_reported);
   tcase_add_test (tests, server_that_left_during_a_cut_is_not_kept_as_lapsed);
