--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -82,8 +82,8 @@
   X (5007, SERVER_LIMITED, WARN,                                                    \
      "A backend server has named the requests per second that it takes.",           \
      "Check the backend server's load; its limit is kept by all instances.")        \
-  X (5008, SERVER_LIMIT_LIFTED, INFO,                                               \
-     "A backend server names no limit any more.", "Nothing.")                       \
+  X (5008, SERVER_LIMIT_LIFTED, INFO, "A backend server names no limit any more.",  \
+     "Nothing.")                                                                    \
   X (5009, SERVER_PAUSED, INFO,                                                     \
      "A backend server turned a request away and wants none for a while.",          \
      "Check the backend server's load if this repeats.")                            \
