--- a/core/server_notice.c
+++ b/core/server_notice.c
@@ -14,7 +14,7 @@
 #define REPEAT_INTERVAL_US (1 * HBW_US_PER_S)
 
 /* Minimum interval between two broadcasts about one server after responses. */
-#define BROADCAST_INTERVAL_US (50 * HBW_US_PER_MS)
+#define BROADCAST_INTERVAL_US (HBW_US_PER_S / 4)
 
 /* A server that is leaving is forgotten after this time. */
 #define LEAVING_KEEP_US (600 * HBW_US_PER_S)
