--- a/include/hornbeamwall/net/server_check.h
+++ b/include/hornbeamwall/net/server_check.h
@@ -1,8 +1,8 @@
 /*
  * server_check - opens a connection to a backend server to see whether it listens
  *
- * Nothing is sent, and the connection is closed after a moment.  The result goes to the
- * control thread.
+ * Nothing is sent, and the connection is closed after a moment.  The result goes to
+ * the control thread.
  */
 #ifndef HORNBEAMWALL_NET_SERVER_CHECK_H
 #define HORNBEAMWALL_NET_SERVER_CHECK_H
--- a/include/hornbeamwall/net/traffic_state.h
+++ b/include/hornbeamwall/net/traffic_state.h
@@ -31,7 +31,7 @@
   GHashTable *exchanges; /* sequence number -> HbwExchange, submitted only */
   struct cds_list_head downstreams; /* HbwDownstream */
   guint downstream_count;
-  gsize request_body_bytes; /* of all requests in memory */
+  gsize request_body_bytes;           /* of all requests in memory */
   struct cds_list_head server_checks; /* in progress; see net/server_check.h */
   gboolean draining;
 };
