The connection of a request that was given up is reset

An attempt into a zone that was cut off ended as timed_out at 9.842 s, and its connection was closed. The kernel went on to retransmit what it had not delivered, and the request reached the server at 15.298 s, 5.5 s after it had been given up and 3.2 s after the server had said that it leaves.

Change: the connection of an attempt that is given up is reset, so that nothing of it is sent any more. A request that must not run twice is spared a late run in the same way. connection_of_given_up_request_is_reset passes with the change.

--- a/net/upstream.c
+++ b/net/upstream.c
@@ -96,7 +96,11 @@
   remove_from_idle (upstream);
   cds_list_del (&upstream->link);
   hbw_loop_clear_timer (upstream->pool->loop, &upstream->timer);
-  if (upstream->channel != NULL)
+  /* The rest of a request that was given up must not arrive later, after an outage
+     of the link. */
+  if (upstream->channel != NULL && upstream->cancelled)
+    hbw_channel_abort (upstream->channel);
+  else if (upstream->channel != NULL)
     hbw_channel_destroy (upstream->channel);
   hbw_http_parser_destroy (upstream->parser);
   g_clear_pointer (&upstream->request, g_bytes_unref);
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -5,6 +5,7 @@
 #include "hornbeamwall/common/address.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -39,6 +40,7 @@
   atomic_uint crash_count;
   atomic_uint request_count;  /* executed */
   atomic_uint received_count; /* executed or not */
+  atomic_uint reset_count;
   atomic_bool is_refusing;
   atomic_bool is_up;
   atomic_bool is_silent; /* the last crash leaves the connections open */
@@ -75,6 +77,8 @@
     if (poll (&input, 1, 20) > 0)
       {
         ssize_t count = recv (session->fd, bytes, sizeof bytes, 0);
+        if (count < 0 && errno == ECONNRESET)
+          atomic_fetch_add (&session->replica->reset_count, 1);
         if (count <= 0)
           return FALSE;
         g_string_append_len (session->input, bytes, count);
@@ -624,6 +628,12 @@
   return atomic_load (&replica->connection_count);
 }
 
+guint
+replica_reset_count (Replica *replica)
+{
+  return atomic_load (&replica->reset_count);
+}
+
 guint
 replica_crash_count (Replica *replica)
 {
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -69,6 +69,9 @@
 /* Returns the number of connections accepted so far. */
 guint replica_connection_count (Replica *replica);
 
+/* Returns the number of connections that the peer has reset. */
+guint replica_reset_count (Replica *replica);
+
 /* Returns how many times the replica crashed. */
 guint replica_crash_count (Replica *replica);
 
--- a/tests/traffic_test.c
+++ b/tests/traffic_test.c
@@ -261,6 +261,28 @@
 }
 END_TEST
 
+/* Bytes that are still on their way into a cut link are dropped with a reset, and
+   retransmitted after a clean end of the connection. */
+START_TEST (connection_of_given_up_request_is_reset)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  int fd = platform_fixture_connect (fixture);
+  char *request = caller_format_request ("POST", "/safe/a/hang", API_KEY_FIELD, "");
+  caller_send (fd, request);
+  g_free (request);
+  for (guint i = 0; i < PLATFORM_FIXTURE_POLLS_MAX
+                    && platform_fixture_count_runs (fixture, "/safe/a/hang") == 0;
+       i++)
+    g_usleep (1000);
+  close (fd);
+  ck_assert (platform_fixture_wait_until_idle (fixture));
+  ck_assert_uint_eq (replica_reset_count (fixture->replicas[0])
+                         + replica_reset_count (fixture->replicas[1]),
+                     1);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 START_TEST (requests_are_denied_with_the_matching_status)
 {
   PlatformFixture *fixture = platform_fixture_create ();
@@ -634,6 +656,7 @@
   tcase_add_test (tests, stalled_stream_resumes_on_another_server);
   tcase_add_test (tests, extra_response_is_not_passed_to_another_request);
   tcase_add_test (tests, request_is_cancelled_when_caller_disconnects);
+  tcase_add_test (tests, connection_of_given_up_request_is_reset);
   tcase_add_test (tests, requests_are_denied_with_the_matching_status);
   tcase_add_test (tests, config_changes_take_effect);
   tcase_add_test (tests, draining_server_gets_no_new_requests);
