--- a/core/permit_bucket.c
+++ b/core/permit_bucket.c
@@ -83,8 +83,10 @@
   g_array_append_val (bucket->askers, asker);
 }
 
+/* Makes the next instance that wants a permit the first one; returns whether there
+   is one. */
 static gboolean
-first_wants (HbwPermitBucket *bucket)
+advance_to_wanting (HbwPermitBucket *bucket)
 {
   for (guint i = 0; i < bucket->askers->len; i++)
     {
@@ -112,7 +114,7 @@
 {
   fill (bucket, rate, now_us);
   drop_expired (bucket, now_us);
-  while (bucket->level >= 1.0 && first_wants (bucket))
+  while (bucket->level >= 1.0 && advance_to_wanting (bucket))
     serve_first (bucket);
   for (guint i = 0; i < bucket->askers->len; i++)
     {
--- a/core/server_notice.c
+++ b/core/server_notice.c
@@ -138,7 +138,6 @@
 static void
 set_pause (Record *record, HbwContext *context, gint64 pause_us)
 {
-  pause_us = MIN (pause_us, HBW_SERVER_PAUSE_MAX_US);
   record->pause_end_us = MAX (record->pause_end_us, context->now_us + pause_us);
   hbw_metrics_control (context->metrics)->server_pauses++;
   hbw_effects_log (context->effects, HBW_LOG_SERVER_PAUSED,
--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -77,7 +77,7 @@
      "A leaving backend server has no work in progress from this instance.",        \
      "Stop it once every data centre reports this.")                                \
   X (5006, SERVER_CHECKED, INFO,                                                    \
-     "A backend server that sent nothing was checked by a new connection.",         \
+     "A silent backend server, or one whose response broke off, was checked.",      \
      "Check the backend server if result is refused or no_answer.")                 \
   X (5007, SERVER_LIMITED, WARN,                                                    \
      "A backend server has named the requests per second that it takes.",           \
--- a/include/hornbeamwall/core/server_notice.h
+++ b/include/hornbeamwall/core/server_notice.h
@@ -11,7 +11,7 @@
  * rendezvous hashing repeats it, and divides the limit: it gives out permits, each
  * for one request, at the rate of the limit, to the instances that ask for them in
  * turn.  Nobody else sends requests to a limited server.  The permits of an owner
- * that is lost expire, and the next owner begins with none saved up.
+ * that is lost expire, and the next owner begins with one.
  */
 #ifndef HORNBEAMWALL_CORE_SERVER_NOTICE_H
 #define HORNBEAMWALL_CORE_SERVER_NOTICE_H
