A connection that is closed is logged, with what had been read from it

Nothing told why a caller's connection was closed: the idle timeout, a request that came in part, a refusal, a stop, a response that cannot be completed, or the caller. So a record of a request that got neither an answer nor a refusal could not be told from one whose connection had been drained.

CONNECTION_CLOSED has the cause, what had been read since the last response, and the bytes that came after the instance began to close.

--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -101,6 +101,11 @@
      "See reason; executed tells whether the request may have run.")                \
   X (6015, REQUEST_ENDED, INFO,                                                     \
      "The caller has received its response or has disconnected.", "Nothing.")       \
+  X (6016, CONNECTION_CLOSED, INFO,                                                 \
+     "A caller's connection was closed by this instance, or by the caller within "  \
+     "a "                                                                           \
+     "request.",                                                                    \
+     "See cause; state tells what had been read from it since the last response.")  \
   X (6001, REQUEST_SUSPECT, INFO,                                                   \
      "A request was in progress when its backend server failed.", "Nothing.")       \
   X (6002, REQUEST_QUARANTINED, ERROR,                                              \
--- a/net/downstream.c
+++ b/net/downstream.c
@@ -1,5 +1,6 @@
 #include "hornbeamwall/net/downstream.h"
 
+#include "hornbeamwall/common/log.h"
 #include "hornbeamwall/net/channel.h"
 #include "hornbeamwall/net/exchange.h"
 
@@ -18,6 +19,26 @@
 /* Bytes of all request bodies in memory, above which requests are refused. */
 #define REQUEST_BODIES_MAX ((gsize) 32 * 1024 * 1024)
 
+/* Why a connection is closed. */
+typedef enum
+{
+  CLOSE_NONE,
+  CLOSE_IDLE,         /* no request for the idle timeout */
+  CLOSE_TIMEOUT,      /* the rest of a request did not come in time */
+  CLOSE_REFUSAL,      /* a request was refused before it was read */
+  CLOSE_DRAIN,        /* this instance is stopping */
+  CLOSE_ASKED,        /* by the caller's request */
+  CLOSE_ABORT,        /* the response cannot be completed */
+  CLOSE_STOP,         /* this instance has stopped */
+  CLOSE_CALLER_END,   /* the caller has closed it */
+  CLOSE_CALLER_RESET, /* the caller has reset it, or is not reachable */
+} CloseCause;
+
+static const char *const close_cause_names[] = {
+  "none",  "idle",  "timeout", "refusal",    "drain",
+  "asked", "abort", "stop",    "caller_end", "caller_reset",
+};
+
 struct HbwDownstream
 {
   HbwChannelHandler channel_handler;
@@ -26,10 +47,18 @@
   HbwTraffic *traffic;
   HbwChannel *channel;
   HbwHttpParser *parser;
-  HbwCallerLimits limits;   /* for the bytes that are being parsed */
-  HbwTimer timer;           /* head, body, idle or linger timeout */
-  GByteArray *input;        /* bytes received and not parsed yet */
-  HbwExchange *exchange;    /* for the request in progress, or NULL */
+  HbwCallerLimits limits; /* for the bytes that are being parsed */
+  HbwTimer timer;         /* head, body, idle or linger timeout */
+  GByteArray *input;      /* bytes received and not parsed yet */
+  HbwExchange *exchange;  /* for the request in progress, or NULL */
+  CloseCause close_cause;
+  const char *close_state; /* what had been read when the cause arose */
+  gint64 quiet_since_us;   /* time of the last bytes, or of the last response */
+  gint64 quiet_us;         /* how long it was quiet when the cause arose */
+  guint request_count;
+  gsize request_bytes;      /* of the request in progress that were parsed */
+  gsize close_bytes;        /* request_bytes when the cause arose */
+  gsize late_bytes;         /* received after this side began to close */
   guint refusal_status;     /* status with which the request is refused, or 0 */
   gboolean reading_request; /* the request in progress is incomplete */
   gboolean responding;
@@ -42,11 +71,66 @@
 
 static void process_input (HbwDownstream *downstream);
 
+static gint64
+get_now (const HbwDownstream *downstream)
+{
+  return hbw_loop_now (downstream->traffic->loop);
+}
+
+static const char *
+get_state_name (const HbwDownstream *downstream)
+{
+  if (downstream->exchange != NULL)
+    return downstream->reading_request ? "body" : "response";
+  return downstream->request_bytes > 0 ? "head" : "idle";
+}
+
+/* The first cause is kept. */
+static void
+set_close_cause (HbwDownstream *downstream, CloseCause cause)
+{
+  if (downstream->close_cause != CLOSE_NONE)
+    return;
+  downstream->close_cause = cause;
+  downstream->close_state = get_state_name (downstream);
+  downstream->close_bytes = downstream->request_bytes;
+  downstream->quiet_us = get_now (downstream) - downstream->quiet_since_us;
+}
+
+/* A connection that was closed by the caller, or as it asked, between two requests
+   is not worth a line. */
+static gboolean
+is_routine_close (const HbwDownstream *downstream)
+{
+  gboolean by_caller = downstream->close_cause == CLOSE_ASKED
+                       || downstream->close_cause == CLOSE_CALLER_END
+                       || downstream->close_cause == CLOSE_CALLER_RESET;
+  return by_caller && downstream->exchange == NULL && downstream->request_bytes == 0
+         && downstream->late_bytes == 0;
+}
+
+static void
+log_close (const HbwDownstream *downstream)
+{
+  char text[256];
+  if (downstream->close_cause == CLOSE_NONE || is_routine_close (downstream))
+    return;
+  g_snprintf (text, sizeof text,
+              "cause=%s state=%s requests=%u request_bytes=%zu late_bytes=%zu "
+              "quiet_ms=%" G_GINT64_FORMAT,
+              close_cause_names[downstream->close_cause], downstream->close_state,
+              downstream->request_count, downstream->close_bytes,
+              downstream->late_bytes, downstream->quiet_us / HBW_US_PER_MS);
+  hbw_log_write (HBW_LOG_CONNECTION_CLOSED, text);
+}
+
 static void
 downstream_destroy (HbwDownstream *downstream)
 {
   HbwTraffic *traffic = downstream->traffic;
   HbwExchange *exchange = downstream->exchange;
+  if (!downstream->destroyed)
+    log_close (downstream);
   downstream->exchange = NULL;
   if (exchange != NULL)
     hbw_exchange_handle_caller_gone (exchange);
@@ -72,6 +156,8 @@
 static void
 begin_lingering_close (HbwDownstream *downstream)
 {
+  set_close_cause (downstream,
+                   downstream->traffic->draining ? CLOSE_DRAIN : CLOSE_ASKED);
   downstream->closing = TRUE;
   hbw_channel_shutdown_write (downstream->channel);
   set_timer (downstream, LINGER_TIMEOUT_US);
@@ -80,6 +166,7 @@
 static void
 start_idle_timer (HbwDownstream *downstream)
 {
+  downstream->quiet_since_us = get_now (downstream);
   const HbwCallerLimits limits = hbw_traffic_caller_limits (downstream->traffic);
   set_timer (downstream, limits.idle_timeout_us);
 }
@@ -164,6 +251,7 @@
 reject_request (HbwDownstream *downstream, guint status)
 {
   HbwExchange *exchange = downstream->exchange;
+  set_close_cause (downstream, CLOSE_REFUSAL);
   downstream->exchange = NULL;
   downstream->reading_request = FALSE;
   if (exchange != NULL)
@@ -175,6 +263,7 @@
 submit_request (HbwDownstream *downstream)
 {
   downstream->reading_request = FALSE;
+  downstream->request_count++;
   downstream->responding = TRUE;
   hbw_loop_clear_timer (downstream->traffic->loop, &downstream->timer);
   hbw_exchange_submit (downstream->exchange);
@@ -192,6 +281,7 @@
       = hbw_http_parser_feed (downstream->parser, bytes, length, &used);
   if (downstream->destroyed)
     return used;
+  downstream->request_bytes += used;
   if (downstream->refusal_status != 0)
     reject_request (downstream, downstream->refusal_status);
   else if (state == HBW_HTTP_PARSER_ERROR)
@@ -215,7 +305,11 @@
 {
   HbwDownstream *downstream = downstream_of_channel (handler);
   if (downstream->closing)
-    return;
+    {
+      downstream->late_bytes += length;
+      return;
+    }
+  downstream->quiet_since_us = get_now (downstream);
   g_byte_array_append (downstream->input, (const guint8 *) bytes, (guint) length);
   if (!downstream->responding)
     process_input (downstream);
@@ -244,9 +338,11 @@
 }
 
 static void
-handle_end (HbwChannelHandler *handler, gboolean clean G_GNUC_UNUSED)
+handle_end (HbwChannelHandler *handler, gboolean clean)
 {
-  downstream_destroy (downstream_of_channel (handler));
+  HbwDownstream *downstream = downstream_of_channel (handler);
+  set_close_cause (downstream, clean ? CLOSE_CALLER_END : CLOSE_CALLER_RESET);
+  downstream_destroy (downstream);
 }
 
 static void
@@ -270,9 +366,15 @@
   if (downstream->closing)
     downstream_destroy (downstream);
   else if (hbw_http_parser_has_begun (downstream->parser))
-    reject_request (downstream, 408);
+    {
+      set_close_cause (downstream, CLOSE_TIMEOUT);
+      reject_request (downstream, 408);
+    }
   else
-    begin_lingering_close (downstream);
+    {
+      set_close_cause (downstream, CLOSE_IDLE);
+      begin_lingering_close (downstream);
+    }
 }
 
 void
@@ -299,6 +401,7 @@
 void
 hbw_downstream_abort (HbwDownstream *downstream)
 {
+  set_close_cause (downstream, CLOSE_ABORT);
   downstream->exchange = NULL;
   if (downstream->channel != NULL)
     {
@@ -314,7 +417,10 @@
   HbwDownstream *downstream;
   HbwDownstream *next;
   cds_list_for_each_entry_safe (downstream, next, &traffic->downstreams, link)
-    downstream_destroy (downstream);
+    {
+      set_close_cause (downstream, CLOSE_STOP);
+      downstream_destroy (downstream);
+    }
 }
 
 void
@@ -367,6 +473,7 @@
   downstream->exchange = NULL;
   downstream->responding = FALSE;
   downstream->refusal_status = 0;
+  downstream->request_bytes = 0;
   if (downstream->close_after_response)
     {
       begin_lingering_close (downstream);
--- a/tests/log_test.c
+++ b/tests/log_test.c
@@ -115,6 +115,56 @@
     }
 }
 
+/* Reads OUTPUT until it has a CONNECTION_CLOSED line with TEXT. */
+static void
+wait_for_close (const CapturedOutput *output, const char *text)
+{
+  GString *lines = g_string_new (NULL);
+  char *expected = g_strdup_printf ("\"event\":\"CONNECTION_CLOSED\",%s", text);
+  fcntl (output->read_fd, F_SETFL, O_NONBLOCK);
+  for (guint i = 0; i < PLATFORM_FIXTURE_POLLS_MAX; i++)
+    {
+      char bytes[4096];
+      ssize_t length = read (output->read_fd, bytes, sizeof bytes);
+      if (length > 0)
+        g_string_append_len (lines, bytes, length);
+      if (strstr (lines->str, expected) != NULL)
+        break;
+      if (length <= 0)
+        g_usleep (10000);
+    }
+  ck_assert_msg (strstr (lines->str, expected) != NULL, "no %s in %s", expected,
+                 lines->str);
+  g_free (expected);
+  g_string_free (lines, TRUE);
+}
+
+START_TEST (closed_connection_is_logged_with_what_was_read)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  CapturedOutput output = output_capture ();
+  int left = platform_fixture_connect (fixture);
+  raw_response_check (caller_post (left, "/safe/ok", API_KEY_FIELD, ""), 200, NULL);
+  caller_send (left, "POST ");
+  close (left);
+  wait_for_close (&output,
+                  "\"cause\":\"caller_end\",\"state\":\"head\",\"requests\":1,"
+                  "\"request_bytes\":5,");
+  platform_fixture_set_timeouts (fixture, 4, 300, 1000);
+  int idle = platform_fixture_connect (fixture);
+  raw_response_check (caller_post (idle, "/safe/ok", API_KEY_FIELD, ""), 200, NULL);
+  wait_for_close (&output, "\"cause\":\"idle\",\"state\":\"idle\",\"requests\":1,");
+  close (idle);
+  int slow = platform_fixture_connect (fixture);
+  caller_send (slow, "POST ");
+  wait_for_close (&output, "\"cause\":\"timeout\",\"state\":\"head\",\"requests\":0,"
+                           "\"request_bytes\":5,");
+  close (slow);
+  platform_fixture_destroy (fixture);
+  output_restore (&output);
+}
+END_TEST
+
 START_TEST (repeated_event_is_rate_limited_and_counted)
 {
   CapturedOutput output = output_capture ();
@@ -150,6 +200,7 @@
   TCase *tests = tcase_create ("log");
   tcase_set_timeout (tests, 0);
   tcase_add_test (tests, unread_output_does_not_block_requests);
+  tcase_add_test (tests, closed_connection_is_logged_with_what_was_read);
   tcase_add_test (tests, repeated_event_is_rate_limited_and_counted);
   suite_add_tcase (suite, tests);
   hbw_log_open ();
--- a/tests/platform_fixture.c
+++ b/tests/platform_fixture.c
@@ -15,6 +15,10 @@
 /* Bound on the age of the catalogue in tests that do not depend on it. */
 #define REVOCATION_MS 60000
 
+/* Limits in tests that do not depend on them. */
+#define HEADER_TIMEOUT_MS 3000
+#define IDLE_TIMEOUT_MS 15000
+
 void
 platform_fixture_put_config (PlatformFixture *fixture, guint version,
                              const char *keys)
@@ -43,13 +47,40 @@
       "\"priority\":0,\"backend\":\"b\",\"max_attempts\":2,\"anonymous\":true}],"
       "\"backends\":[{\"name\":\"b\",\"health_path\":\"/healthz\"}],"
       "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"
-      "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+      "\"header_timeout_ms\":%u,\"idle_timeout_ms\":%u},"
       "\"tenants\":[{\"name\":\"t\",\"api_keys\":[%s]}]}",
-      version, keys);
+      version, fixture->header_timeout_ms, fixture->idle_timeout_ms, keys);
   objects_set (fixture->object_store, "config", "main", text);
   g_free (text);
 }
 
+static gint64
+get_idle_timeout_us (PlatformFixture *fixture)
+{
+  HbwCatalogue *catalogue = hbw_snapshot_acquire (
+      hbw_control_snapshot (hbw_instance_control (fixture->instance)));
+  gint64 timeout_us = hbw_catalogue_caller_limits (catalogue)->idle_timeout_us;
+  hbw_catalogue_unref (catalogue);
+  return timeout_us;
+}
+
+void
+platform_fixture_set_timeouts (PlatformFixture *fixture, guint version,
+                               guint header_timeout_ms, guint idle_timeout_ms)
+{
+  gint64 wanted_us = (gint64) idle_timeout_ms * HBW_US_PER_MS;
+  fixture->header_timeout_ms = header_timeout_ms;
+  fixture->idle_timeout_ms = idle_timeout_ms;
+  platform_fixture_put_config (fixture, version, "\"k1\",\"k2\"");
+  for (guint i = 0; i < PLATFORM_FIXTURE_POLLS_MAX; i++)
+    {
+      if (get_idle_timeout_us (fixture) == wanted_us)
+        return;
+      g_usleep (10000);
+    }
+  ck_abort_msg ("version %u is not in force", version);
+}
+
 void
 platform_fixture_put_server (PlatformFixture *fixture, guint index,
                              const char *state)
@@ -82,6 +113,8 @@
 {
   PlatformFixture *fixture = g_new0 (PlatformFixture, 1);
   fixture->revocation_ms = REVOCATION_MS;
+  fixture->header_timeout_ms = HEADER_TIMEOUT_MS;
+  fixture->idle_timeout_ms = IDLE_TIMEOUT_MS;
   fixture->object_store = objects_create ("127.0.0.1:0", 1);
   for (guint i = 0; i < PLATFORM_FIXTURE_SERVERS; i++)
     {
--- a/tests/platform_fixture.h
+++ b/tests/platform_fixture.h
@@ -30,7 +30,9 @@
   HbwClock *clock;
   HbwSettings *settings;
   HbwInstance *instance;
-  guint revocation_ms; /* bound for refusing a removed key */
+  guint revocation_ms;     /* bound for refusing a removed key */
+  guint header_timeout_ms; /* limits of the config */
+  guint idle_timeout_ms;
 } PlatformFixture;
 
 /* Creates a fixture with config version 3, which has the API keys k1 and k2, and
@@ -61,6 +63,10 @@
 void platform_fixture_put_config (PlatformFixture *fixture, guint version,
                                   const char *keys);
 
+/* Writes a config of VERSION with these limits, and waits until it is in force. */
+void platform_fixture_set_timeouts (PlatformFixture *fixture, guint version,
+                                    guint header_timeout_ms, guint idle_timeout_ms);
+
 /* Writes the entry of a server to the store; STATE is "ready" or "draining". */
 void platform_fixture_put_server (PlatformFixture *fixture, guint index,
                                   const char *state);
