A timer runs only after all that had arrived by then has been handled

Callers on kept connections got neither an answer nor a refusal if the process stood still for a moment: their requests waited in the kernel, the idle timer was due, and the connections were closed and the requests dropped. In the same way the rest of a head or body that had come in time was refused with 408.

Cause: the loop ran each timer that was due after a wait, also if the wait was interrupted, had returned only the first 64 events, or had ended before the stall. The clock alone decided, while the evidence against it was waiting to be read.

Now a timer runs only if a round of polls that began at or after its due time has reached every descriptor and the events and tasks found there have been handled; they may clear or move it. An interrupted poll counts for nothing. More ready descriptors than one poll returns take several polls, but not more than the number of descriptors allows, so that timers run while all of them stay ready. The price is one poll that does not wait, when timers are due.

The loop by itself, 200 descriptors that become ready in a stall: before, 'record.timeout_count == 0' failed: record.timeout_count == 136; now none. net, traffic, hostile, store_restore, log and adapter tests pass.

--- a/include/hornbeamwall/net/loop.h
+++ b/include/hornbeamwall/net/loop.h
@@ -1,8 +1,9 @@
 /*
  * loop - an epoll event loop with timers and tasks from other threads
  *
- * Timers use the runtime's clock.  All functions except hbw_loop_post() must be
- * called on the thread that runs the loop.
+ * Timers use the runtime's clock.  A timer runs only after all that had arrived by
+ * the time it was due has been handled: events of all descriptors, and tasks.  All
+ * functions except hbw_loop_post() must be called on the thread that runs the loop.
  */
 #ifndef HORNBEAMWALL_NET_LOOP_H
 #define HORNBEAMWALL_NET_LOOP_H
@@ -68,7 +69,8 @@
 /* Stops watching; events of the current iteration are not delivered any more. */
 void hbw_loop_unwatch (HbwLoop *loop, HbwWatcher *watcher);
 
-/* Sets TIMER to DELAY_US microseconds from now; replaces an earlier setting. */
+/* Sets TIMER to DELAY_US microseconds from now, which is positive; replaces an
+   earlier setting. */
 void hbw_loop_set_timer (HbwLoop *loop, HbwTimer *timer, gint64 delay_us);
 void hbw_loop_clear_timer (HbwLoop *loop, HbwTimer *timer);
 
--- a/net/loop.c
+++ b/net/loop.c
@@ -26,6 +26,12 @@
   struct cds_wfcq_tail task_tail;
   struct epoll_event events[EVENTS_MAX];
   guint event_count;
+  guint watcher_count;
+  /* A round polls every descriptor at least once.  It takes several polls if more
+     than EVENTS_MAX descriptors are ready. */
+  gint64 round_began_us;
+  guint round_left; /* descriptors that it may not have polled yet; 0 is no round */
+  gint64 polled_us; /* all that had arrived by then has been handled */
   gint64 now_us;
   gboolean stopped;
 };
@@ -68,11 +74,13 @@
   return g_sequence_iter_is_end (first) ? NULL : g_sequence_get (first);
 }
 
+/* After a stall of the process, what would have cleared a timer may not have been
+   read, so a timer that is due waits for a round that begins later. */
 static void
 handle_timers (HbwLoop *loop)
 {
   HbwTimer *timer;
-  while ((timer = first_timer (loop)) != NULL && timer->due_us <= loop->now_us)
+  while ((timer = first_timer (loop)) != NULL && timer->due_us <= loop->polled_us)
     {
       hbw_loop_clear_timer (loop, timer);
       timer->handle_due (timer);
@@ -80,23 +88,55 @@
 }
 
 static int
-poll_timeout_ms (const HbwLoop *loop)
+poll_timeout_ms (const HbwLoop *loop, gint64 now_us)
 {
   const HbwTimer *timer = first_timer (loop);
   if (timer == NULL)
     return WAIT_MAX_MS;
-  gint64 remaining_us = timer->due_us - hbw_clock_now (loop->clock);
+  gint64 remaining_us = timer->due_us - now_us;
   gint64 rounded_up = (remaining_us + HBW_US_PER_MS - 1) / HBW_US_PER_MS;
   return (int) CLAMP (rounded_up, 0, WAIT_MAX_MS);
 }
 
+/* Records a poll that began at BEGAN_US and returned COUNT events.  The descriptors
+   that are ready first come first, so that those that were ready when the round
+   began are among as many events as there are descriptors. */
 static void
-run_iteration (HbwLoop *loop)
+record_poll (HbwLoop *loop, gint64 began_us, guint count)
+{
+  if (count < EVENTS_MAX)
+    {
+      loop->polled_us = began_us;
+      loop->round_left = 0;
+      return;
+    }
+  loop->round_left -= MIN (loop->round_left, count);
+  if (loop->round_left == 0)
+    loop->polled_us = loop->round_began_us;
+}
+
+/* A poll that was interrupted has polled nothing. */
+static void
+poll_events (HbwLoop *loop)
 {
+  gint64 began_us = hbw_clock_now (loop->clock);
+  if (loop->round_left == 0)
+    {
+      loop->round_began_us = began_us;
+      loop->round_left = loop->watcher_count;
+    }
   int count = epoll_wait (loop->epoll_fd, loop->events, EVENTS_MAX,
-                          poll_timeout_ms (loop));
+                          poll_timeout_ms (loop, began_us));
   loop->now_us = hbw_clock_now (loop->clock);
   loop->event_count = count > 0 ? (guint) count : 0;
+  if (count >= 0)
+    record_poll (loop, began_us, loop->event_count);
+}
+
+static void
+run_iteration (HbwLoop *loop)
+{
+  poll_events (loop);
   for (guint i = 0; i < loop->event_count; i++)
     {
       HbwWatcher *watcher = loop->events[i].data.ptr;
@@ -179,7 +219,10 @@
 {
   struct epoll_event event = { .events = events, .data.ptr = watcher };
   watcher->events = events;
-  return epoll_ctl (loop->epoll_fd, EPOLL_CTL_ADD, watcher->fd, &event) == 0;
+  if (epoll_ctl (loop->epoll_fd, EPOLL_CTL_ADD, watcher->fd, &event) != 0)
+    return FALSE;
+  loop->watcher_count++;
+  return TRUE;
 }
 
 void
@@ -195,7 +238,8 @@
 void
 hbw_loop_unwatch (HbwLoop *loop, HbwWatcher *watcher)
 {
-  epoll_ctl (loop->epoll_fd, EPOLL_CTL_DEL, watcher->fd, NULL);
+  if (epoll_ctl (loop->epoll_fd, EPOLL_CTL_DEL, watcher->fd, NULL) == 0)
+    loop->watcher_count--;
   for (guint i = 0; i < loop->event_count; i++)
     if (loop->events[i].data.ptr == watcher)
       loop->events[i].data.ptr = NULL; /* cancels its event of this iteration */
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -1,12 +1,17 @@
 /*
- * Unit tests of the HTTP message parser and the event stream splitter.
+ * Unit tests of the HTTP message parser, the event stream splitter and the event
+ * loop.
  */
 #include "suite.h"
 
 #include "hornbeamwall/net/event_stream.h"
 #include "hornbeamwall/net/http_parser.h"
+#include "hornbeamwall/net/loop.h"
 
 #include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 /* The results that a parser has reported. */
 typedef struct
@@ -155,6 +160,122 @@
 }
 END_TEST
 
+/* More descriptors than one poll returns. */
+#define PEERS 200
+
+#define PEER_TIMEOUT_US (1 * HBW_US_PER_S)
+
+typedef struct LoopRecord LoopRecord;
+
+/* A descriptor that must become ready before a timer is due. */
+typedef struct
+{
+  HbwWatcher watcher;
+  HbwTimer timer;
+  LoopRecord *record;
+} Peer;
+
+struct LoopRecord
+{
+  HbwClock *clock;
+  HbwLoop *loop;
+  HbwTask stall;
+  HbwTimer last_timer;
+  Peer peers[PEERS];
+  guint ready_count;
+  guint timeout_count;
+  gboolean stays_ready; /* the descriptors are not read */
+  gboolean last_timer_ran;
+};
+
+static void
+peer_handle_ready (HbwWatcher *watcher, guint events G_GNUC_UNUSED)
+{
+  Peer *peer = caa_container_of (watcher, Peer, watcher);
+  guint64 count;
+  peer->record->ready_count++;
+  if (peer->record->stays_ready)
+    return;
+  ck_assert_int_gt (read (watcher->fd, &count, sizeof count), 0);
+  hbw_loop_clear_timer (peer->record->loop, &peer->timer);
+}
+
+static void
+peer_handle_timeout (HbwTimer *timer)
+{
+  caa_container_of (timer, Peer, timer)->record->timeout_count++;
+}
+
+static void
+handle_last_timer (HbwTimer *timer)
+{
+  LoopRecord *record = caa_container_of (timer, LoopRecord, last_timer);
+  record->last_timer_ran = TRUE;
+  hbw_loop_stop (record->loop);
+}
+
+/* All descriptors become ready and all timers due while the thread stands still. */
+static void
+handle_stall (HbwTask *task, void *data G_GNUC_UNUSED)
+{
+  LoopRecord *record = caa_container_of (task, LoopRecord, stall);
+  const guint64 one = 1;
+  for (guint i = 0; i < PEERS; i++)
+    ck_assert_int_gt (write (record->peers[i].watcher.fd, &one, sizeof one), 0);
+  hbw_clock_advance (record->clock, 2 * PEER_TIMEOUT_US);
+}
+
+/* Runs a loop until its last timer has run. */
+static void
+run_stalled_loop (LoopRecord *record)
+{
+  HbwError error = { HBW_ERROR_NONE, "" };
+  record->clock = hbw_clock_create_manual (HBW_US_PER_S);
+  record->loop = hbw_loop_create (record->clock, NULL, &error);
+  ck_assert_msg (record->loop != NULL, "%s", error.message);
+  for (guint i = 0; i < PEERS; i++)
+    {
+      Peer *peer = &record->peers[i];
+      peer->record = record;
+      peer->watcher.fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
+      peer->watcher.handle_ready = peer_handle_ready;
+      peer->timer.handle_due = peer_handle_timeout;
+      ck_assert (hbw_loop_watch (record->loop, &peer->watcher, EPOLLIN));
+      hbw_loop_set_timer (record->loop, &peer->timer, PEER_TIMEOUT_US);
+    }
+  record->last_timer.handle_due = handle_last_timer;
+  hbw_loop_set_timer (record->loop, &record->last_timer, PEER_TIMEOUT_US + 1);
+  record->stall.handle = handle_stall;
+  hbw_loop_post (record->loop, &record->stall);
+  hbw_loop_run (record->loop);
+  for (guint i = 0; i < PEERS; i++)
+    {
+      hbw_loop_unwatch (record->loop, &record->peers[i].watcher);
+      close (record->peers[i].watcher.fd);
+    }
+  hbw_loop_destroy (record->loop, NULL);
+  hbw_clock_destroy (record->clock);
+}
+
+START_TEST (timer_runs_after_what_arrived_in_a_stall_is_handled)
+{
+  LoopRecord record = { .stays_ready = FALSE };
+  run_stalled_loop (&record);
+  ck_assert_uint_eq (record.timeout_count, 0);
+  ck_assert_uint_eq (record.ready_count, PEERS);
+}
+END_TEST
+
+START_TEST (timers_run_while_all_descriptors_stay_ready)
+{
+  LoopRecord record = { .stays_ready = TRUE };
+  run_stalled_loop (&record);
+  ck_assert (record.last_timer_ran);
+  ck_assert_uint_eq (record.timeout_count, PEERS);
+  ck_assert_uint_ge (record.ready_count, PEERS);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -164,6 +285,8 @@
   tcase_add_test (tests, message_with_invalid_framing_is_rejected);
   tcase_add_test (tests, response_without_length_ends_when_connection_closes);
   tcase_add_test (tests, resumed_stream_has_each_event_once);
+  tcase_add_test (tests, timer_runs_after_what_arrived_in_a_stall_is_handled);
+  tcase_add_test (tests, timers_run_while_all_descriptors_stay_ready);
   suite_add_tcase (suite, tests);
   return suite_run (suite);
 }
