A connection is kept somewhat longer than its caller may use it, by the newest limit

Callers lost requests that they sent within the idle timeout: the instance closed a connection as soon as the limit had passed, by the limit as it was when the connection became idle. A request that was sent at the limit, or by a limit that a config had raised since, crossed the close; and it was read and dropped during the lingering close, so that the caller could not tell that nobody had read it.

An idle connection is now closed five seconds after the limit, and by the newest limit if that is longer; one that was promised a longer limit before it was lowered keeps it. The grace covers a request on its way, and callers that know of a raised limit before the instance does. A connection with bytes that nobody has read, or with a response that has only just been sent, is not closed. An idle connection is closed at once instead of lingering: a request that still crosses the close is reset unread, so that even an unsafe one may be sent again. Heads and bodies also go by a limit that was raised meanwhile.

--- a/net/downstream.c
+++ b/net/downstream.c
@@ -10,6 +10,14 @@
 /* Bytes of pipelined requests that are buffered before reading pauses. */
 #define PIPELINED_BYTES_MAX ((guint) 64 * 1024)
 
+/* How much longer than the idle timeout a connection is kept, so that a request that
+   the caller sends in time finds it open.  The caller may know of a longer timeout
+   before this instance does. */
+#define IDLE_GRACE_US (5 * HBW_US_PER_S)
+
+/* After which a connection with unread bytes is looked at again. */
+#define UNREAD_DELAY_US (1 * HBW_US_PER_MS)
+
 /* How long a caller may take to close the connection after this side has. */
 #define LINGER_TIMEOUT_US (1 * HBW_US_PER_S)
 
@@ -19,6 +27,15 @@
 /* Bytes of all request bodies in memory, above which requests are refused. */
 #define REQUEST_BODIES_MAX ((gsize) 32 * 1024 * 1024)
 
+/* What a connection waits for. */
+typedef enum
+{
+  WAIT_REQUEST,
+  WAIT_HEAD, /* the rest of it */
+  WAIT_BODY,
+  WAIT_CALLER_END,
+} Wait;
+
 /* Why a connection is closed. */
 typedef enum
 {
@@ -48,13 +65,15 @@
   HbwChannel *channel;
   HbwHttpParser *parser;
   HbwCallerLimits limits; /* for the bytes that are being parsed */
-  HbwTimer timer;         /* head, body, idle or linger timeout */
-  GByteArray *input;      /* bytes received and not parsed yet */
-  HbwExchange *exchange;  /* for the request in progress, or NULL */
+  HbwTimer timer;         /* for wait */
+  Wait wait;
+  gint64 wait_began_us;
+  gint64 wait_limit_us;  /* when it began */
+  GByteArray *input;     /* bytes received and not parsed yet */
+  HbwExchange *exchange; /* for the request in progress, or NULL */
   CloseCause close_cause;
   const char *close_state; /* what had been read when the cause arose */
-  gint64 quiet_since_us;   /* time of the last bytes, or of the last response */
-  gint64 quiet_us;         /* how long it was quiet when the cause arose */
+  gint64 close_wait_us;    /* how long it had waited when the cause arose */
   guint request_count;
   gsize request_bytes;      /* of the request in progress that were parsed */
   gsize close_bytes;        /* request_bytes when the cause arose */
@@ -94,7 +113,7 @@
   downstream->close_cause = cause;
   downstream->close_state = get_state_name (downstream);
   downstream->close_bytes = downstream->request_bytes;
-  downstream->quiet_us = get_now (downstream) - downstream->quiet_since_us;
+  downstream->close_wait_us = get_now (downstream) - downstream->wait_began_us;
 }
 
 /* A connection that was closed by the caller, or as it asked, between two requests
@@ -117,10 +136,10 @@
     return;
   g_snprintf (text, sizeof text,
               "cause=%s state=%s requests=%u request_bytes=%zu late_bytes=%zu "
-              "quiet_ms=%" G_GINT64_FORMAT,
+              "waited_ms=%" G_GINT64_FORMAT,
               close_cause_names[downstream->close_cause], downstream->close_state,
               downstream->request_count, downstream->close_bytes,
-              downstream->late_bytes, downstream->quiet_us / HBW_US_PER_MS);
+              downstream->late_bytes, downstream->close_wait_us / HBW_US_PER_MS);
   hbw_log_write (HBW_LOG_CONNECTION_CLOSED, text);
 }
 
@@ -147,12 +166,53 @@
   g_free (downstream);
 }
 
+static gint64
+get_limit_us (Wait wait, const HbwCallerLimits *limits)
+{
+  switch (wait)
+    {
+    case WAIT_HEAD:
+      return limits->header_timeout_us;
+    case WAIT_CALLER_END:
+      return LINGER_TIMEOUT_US;
+    default:
+      return limits->idle_timeout_us;
+    }
+}
+
+static gint64
+get_grace_us (Wait wait)
+{
+  return wait == WAIT_REQUEST ? IDLE_GRACE_US : 0;
+}
+
 static void
 set_timer (HbwDownstream *downstream, gint64 delay_us)
 {
   hbw_loop_set_timer (downstream->traffic->loop, &downstream->timer, delay_us);
 }
 
+static void
+begin_wait (HbwDownstream *downstream, Wait wait, const HbwCallerLimits *limits)
+{
+  downstream->wait = wait;
+  downstream->wait_began_us = get_now (downstream);
+  downstream->wait_limit_us = get_limit_us (wait, limits);
+  set_timer (downstream, downstream->wait_limit_us + get_grace_us (wait));
+}
+
+/* Returns how much of the time for what the connection waits for is left.  A limit
+   that was raised meanwhile holds; one that was lowered does not. */
+static gint64
+get_time_left (HbwDownstream *downstream)
+{
+  const HbwCallerLimits limits = hbw_traffic_caller_limits (downstream->traffic);
+  Wait wait = downstream->wait;
+  gint64 limit_us = MAX (downstream->wait_limit_us, get_limit_us (wait, &limits));
+  return downstream->wait_began_us + limit_us + get_grace_us (wait)
+         - get_now (downstream);
+}
+
 static void
 begin_lingering_close (HbwDownstream *downstream)
 {
@@ -160,15 +220,14 @@
                    downstream->traffic->draining ? CLOSE_DRAIN : CLOSE_ASKED);
   downstream->closing = TRUE;
   hbw_channel_shutdown_write (downstream->channel);
-  set_timer (downstream, LINGER_TIMEOUT_US);
+  begin_wait (downstream, WAIT_CALLER_END, &downstream->limits);
 }
 
 static void
-start_idle_timer (HbwDownstream *downstream)
+begin_idle_wait (HbwDownstream *downstream)
 {
-  downstream->quiet_since_us = get_now (downstream);
   const HbwCallerLimits limits = hbw_traffic_caller_limits (downstream->traffic);
-  set_timer (downstream, limits.idle_timeout_us);
+  begin_wait (downstream, WAIT_REQUEST, &limits);
 }
 
 /* Sends a response without a body to a request that was not submitted.  The
@@ -208,7 +267,7 @@
   HbwTraffic *traffic = downstream->traffic;
   const HbwCallerLimits *limits = &downstream->limits;
   downstream->close_after_response |= !head->keep_alive || traffic->draining;
-  set_timer (downstream, limits->idle_timeout_us);
+  begin_wait (downstream, WAIT_BODY, limits);
   if (head->size > limits->header_max)
     downstream->refusal_status = 431;
   else if (head->has_length && head->length > limits->body_max)
@@ -236,7 +295,7 @@
   const HbwCallerLimits *limits = &downstream->limits;
   if (downstream->exchange == NULL || downstream->refusal_status != 0)
     return;
-  set_timer (downstream, limits->idle_timeout_us);
+  begin_wait (downstream, WAIT_BODY, limits);
   if (hbw_exchange_add_body (downstream->exchange, bytes, length) > limits->body_max)
     downstream->refusal_status = 413;
   else if (downstream->traffic->request_body_bytes > REQUEST_BODIES_MAX)
@@ -276,7 +335,7 @@
   gsize used;
   downstream->limits = hbw_traffic_caller_limits (downstream->traffic);
   if (!hbw_http_parser_has_begun (downstream->parser))
-    set_timer (downstream, downstream->limits.header_timeout_us);
+    begin_wait (downstream, WAIT_HEAD, &downstream->limits);
   HbwHttpParserState state
       = hbw_http_parser_feed (downstream->parser, bytes, length, &used);
   if (downstream->destroyed)
@@ -309,7 +368,6 @@
       downstream->late_bytes += length;
       return;
     }
-  downstream->quiet_since_us = get_now (downstream);
   g_byte_array_append (downstream->input, (const guint8 *) bytes, (guint) length);
   if (!downstream->responding)
     process_input (downstream);
@@ -351,6 +409,8 @@
   HbwDownstream *downstream = downstream_of_channel (handler);
   if (downstream->exchange != NULL && downstream->responding)
     hbw_exchange_handle_caller_drained (downstream->exchange);
+  else if (downstream->wait == WAIT_REQUEST)
+    begin_idle_wait (downstream); /* the response has only been sent now */
 }
 
 static const HbwChannelHandlerClass channel_handler_class = {
@@ -360,21 +420,37 @@
 };
 
 static void
-handle_timeout (HbwTimer *timer)
+close_after_timeout (HbwDownstream *downstream)
 {
-  HbwDownstream *downstream = caa_container_of (timer, HbwDownstream, timer);
-  if (downstream->closing)
-    downstream_destroy (downstream);
-  else if (hbw_http_parser_has_begun (downstream->parser))
+  switch (downstream->wait)
     {
+    case WAIT_REQUEST:
+      /* A request that crosses the close is reset, as nobody has read it. */
+      set_close_cause (downstream, CLOSE_IDLE);
+      downstream_destroy (downstream);
+      break;
+    case WAIT_HEAD:
+    case WAIT_BODY:
       set_close_cause (downstream, CLOSE_TIMEOUT);
       reject_request (downstream, 408);
+      break;
+    case WAIT_CALLER_END:
+      downstream_destroy (downstream);
+      break;
     }
+}
+
+static void
+handle_timeout (HbwTimer *timer)
+{
+  HbwDownstream *downstream = caa_container_of (timer, HbwDownstream, timer);
+  gint64 left_us = get_time_left (downstream);
+  if (left_us > 0)
+    set_timer (downstream, left_us);
+  else if (!downstream->closing && !hbw_channel_is_idle (downstream->channel))
+    set_timer (downstream, UNREAD_DELAY_US);
   else
-    {
-      set_close_cause (downstream, CLOSE_IDLE);
-      begin_lingering_close (downstream);
-    }
+    close_after_timeout (downstream);
 }
 
 void
@@ -395,7 +471,7 @@
   if (downstream->channel == NULL)
     downstream_destroy (downstream);
   else
-    start_idle_timer (downstream);
+    begin_idle_wait (downstream);
 }
 
 void
@@ -480,7 +556,7 @@
       return;
     }
   hbw_http_parser_reset (downstream->parser, FALSE);
-  start_idle_timer (downstream);
+  begin_idle_wait (downstream);
   hbw_channel_set_reading (downstream->channel, TRUE);
   process_input (downstream);
 }
--- /dev/null
+++ b/tests/idle_test.c
@@ -0,0 +1,103 @@
+/*
+ * Tests of how long a connection of a caller is kept after a response, while the
+ * config changes the limit.
+ */
+#include "platform_fixture.h"
+#include "suite.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#define CONNECTIONS 20
+
+/* Longer than the instance keeps a connection whose limit is 1 s. */
+#define LONG_WAIT_MS 7500
+#define LONG_LIMIT_MS 8000
+
+/* Longest time after a limit of 1 s until a connection is closed, in milliseconds.
+ */
+#define CLOSE_TIME_MAX_MS 10000
+
+static RawResponse
+post (int fd)
+{
+  return caller_post (fd, "/safe/ok", API_KEY_FIELD, "");
+}
+
+/* Sends a second request on each connection WAIT_MS after the first one, while the
+   config changes the limit after the first request. */
+static void
+check_second_request (guint limit_ms, guint next_limit_ms, guint wait_ms)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  platform_fixture_set_timeouts (fixture, 4, 3000, limit_ms);
+  int fds[CONNECTIONS];
+  guint closed = 0;
+  for (guint i = 0; i < CONNECTIONS; i++)
+    {
+      fds[i] = platform_fixture_connect (fixture);
+      raw_response_check (post (fds[i]), 200, NULL);
+    }
+  gint64 start_us = g_get_monotonic_time ();
+  if (next_limit_ms != limit_ms)
+    platform_fixture_set_timeouts (fixture, 5, 3000, next_limit_ms);
+  g_usleep ((gulong) (start_us + wait_ms * HBW_US_PER_MS - g_get_monotonic_time ()));
+  for (guint i = 0; i < CONNECTIONS; i++)
+    {
+      RawResponse response = post (fds[i]);
+      closed += response.status != 200;
+      g_free (response.text);
+      close (fds[i]);
+    }
+  ck_assert_msg (closed == 0, "%u of %d closed", closed, CONNECTIONS);
+  platform_fixture_destroy (fixture);
+}
+
+START_TEST (request_at_the_limit_is_answered)
+{
+  check_second_request (1000, 1000, 1000);
+}
+END_TEST
+
+START_TEST (raised_limit_holds_for_idle_connections)
+{
+  check_second_request (1000, LONG_LIMIT_MS, LONG_WAIT_MS);
+}
+END_TEST
+
+START_TEST (lowered_limit_does_not_hold_for_idle_connections)
+{
+  check_second_request (LONG_LIMIT_MS, 1000, LONG_WAIT_MS);
+}
+END_TEST
+
+START_TEST (idle_connection_is_closed)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  platform_fixture_set_timeouts (fixture, 4, 3000, 1000);
+  int fd = platform_fixture_connect (fixture);
+  raw_response_check (post (fd), 200, NULL);
+  struct pollfd input = { fd, POLLIN, 0 };
+  ck_assert_int_eq (poll (&input, 1, 1000), 0);
+  ck_assert_int_eq (poll (&input, 1, CLOSE_TIME_MAX_MS), 1);
+  RawResponse response = post (fd);
+  ck_assert_uint_eq (response.status, 0);
+  g_free (response.text);
+  close (fd);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("idle");
+  suite_add_test (suite, "request_at_the_limit_is_answered",
+                  request_at_the_limit_is_answered);
+  suite_add_test (suite, "raised_limit_holds_for_idle_connections",
+                  raised_limit_holds_for_idle_connections);
+  suite_add_test (suite, "lowered_limit_does_not_hold_for_idle_connections",
+                  lowered_limit_does_not_hold_for_idle_connections);
+  suite_add_test (suite, "idle_connection_is_closed", idle_connection_is_closed);
+  return suite_run (suite);
+}
--- a/tests/stall_test.c
+++ b/tests/stall_test.c
@@ -23,6 +23,7 @@
 #define STALL_BEGIN_MS 1450
 #define SECOND_REQUEST_MS 1600 /* four fifths of IDLE_TIMEOUT_MS */
 #define STALL_END_MS 2450
+#define LONG_STALL_END_MS 8500 /* longer than the connection would be kept */
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t resumed = PTHREAD_COND_INITIALIZER;
@@ -103,7 +104,10 @@
                  CONNECTIONS, other);
 }
 
-START_TEST (request_on_kept_connection_is_answered_after_a_stall)
+/* Sends a second request on each connection while the instance is stalled until
+   STALL_END_MS. */
+static void
+check_second_request (guint stall_end_ms)
 {
   PlatformFixture *fixture = create_fixture ();
   int fds[CONNECTIONS];
@@ -121,10 +125,21 @@
       caller_send (fds[i], request);
       g_free (request);
     }
-  end_stall (waking_fd, start_us, STALL_END_MS);
+  end_stall (waking_fd, start_us, stall_end_ms);
   check_all_answered (fds);
   platform_fixture_destroy (fixture);
 }
+
+START_TEST (request_on_kept_connection_is_answered_after_a_stall)
+{
+  check_second_request (STALL_END_MS);
+}
+END_TEST
+
+START_TEST (request_on_kept_connection_is_answered_after_a_long_stall)
+{
+  check_second_request (LONG_STALL_END_MS);
+}
 END_TEST
 
 /* Sends requests in two parts, the second one while the instance is stalled beyond
@@ -173,6 +188,8 @@
   Suite *suite = suite_create ("stall");
   suite_add_test (suite, "request_on_kept_connection_is_answered_after_a_stall",
                   request_on_kept_connection_is_answered_after_a_stall);
+  suite_add_test (suite, "request_on_kept_connection_is_answered_after_a_long_stall",
+                  request_on_kept_connection_is_answered_after_a_long_stall);
   suite_add_test (suite, "rest_of_a_head_is_read_after_a_stall",
                   rest_of_a_head_is_read_after_a_stall);
   suite_add_test (suite, "rest_of_a_body_is_read_after_a_stall",
