Servers of suspects that a killed instance ran are checked

Callers saw a request fail a third server when the instance that ran its second attempt was killed meanwhile: nobody else reported that failure, so the other instances ran it once more.

Its peers know from its reports which suspects it ran, and on which server. Once it is known to have died, or has not reported a running suspect for a second, they have that server checked by a new connection. A refused one, or one that was refused while the suspect ran, is a failure of the suspect. Until then no other request is named as the cause of that failure; before, a harmless one was, which released the suspect.

The first attempt of a request that is no suspect yet is still not known to the others.

--- a/core/ingress.c
+++ b/core/ingress.c
@@ -3,6 +3,7 @@
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/quarantine.h"
+#include "hornbeamwall/core/quarantine_lost.h"
 #include "hornbeamwall/core/request.h"
 #include "hornbeamwall/core/server_check.h"
 #include "hornbeamwall/core/suspect_share.h"
@@ -774,6 +775,9 @@
     tick_request (ingress, context, request);
   hbw_limiter_tick (ingress->limiter, context);
   hbw_server_checks_tick (ingress->server_checks, context);
+  SuspectVisit visit = { ingress, context };
+  hbw_quarantine_handle_lost (context, ingress->server_checks, ingress->topology,
+                              handle_checked_suspect, &visit);
 }
 
 void
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -1,4 +1,5 @@
 #include "hornbeamwall/core/effect.h"
+#include "hornbeamwall/core/quarantine_lost.h"
 #include "hornbeamwall/core/quarantine_state.h"
 
 /* A server has not failed if it was not seen to fail this long before and after:
@@ -333,6 +334,7 @@
   HbwFailure *failure;
   HbwFailedServer *failed
       = g_hash_table_lookup (quarantine->failed_servers, &server);
+  hbw_quarantine_note_server_ended (quarantine, server, now_us, now_us);
   if (failed == NULL)
     return;
   cds_list_for_each_entry (failure, &failed->failures, link)
--- a/core/quarantine_report.c
+++ b/core/quarantine_report.c
@@ -1,3 +1,4 @@
+#include "hornbeamwall/core/quarantine_lost.h"
 #include "hornbeamwall/core/quarantine_state.h"
 
 #include <xxhash.h>
@@ -24,8 +25,9 @@
   HbwPeerActivity *peer = find_peer_slot (suspect, from, now_us);
   if (peer == NULL)
     return;
-  if (peer->instance != from || peer->activity != report->activity)
-    peer->since_us = now_us;
+  if (peer->instance != from || peer->activity != report->activity
+      || peer->server != report->running_server_hash)
+    *peer = (HbwPeerActivity){ .since_us = now_us };
   peer->instance = from;
   peer->activity = report->activity;
   peer->server = report->running_server_hash;
@@ -47,7 +49,11 @@
       gboolean is_new = hbw_suspect_record_failure (quarantine, suspect, &failure);
       HbwFailureRecord *record = hbw_suspect_find_record (suspect, report->id);
       if (report->is_refused && record != NULL && record->failure != NULL)
-        record->failure->is_confirmed = record->failure->is_refused = TRUE;
+        {
+          record->failure->is_confirmed = record->failure->is_refused = TRUE;
+          hbw_quarantine_note_server_ended (quarantine, failure.server,
+                                            failure.failed_us, now_us);
+        }
       return is_new;
     }
   if (known == NULL)
--- a/core/quarantine_verdict.c
+++ b/core/quarantine_verdict.c
@@ -17,7 +17,8 @@
 {
   gint64 window_us = failure->is_confirmed ? HBW_QUARANTINE_GATHER_WINDOW_US
                                            : HBW_QUARANTINE_CONFIRM_WINDOW_US;
-  return now_us - failure->latest_end_us >= window_us;
+  return now_us - failure->latest_end_us >= window_us
+         && now_us >= failure->suspended_until_us;
 }
 
 /* Counts over the suspects of FAILURE, once in each evaluation. */
--- a/core/topology.c
+++ b/core/topology.c
@@ -162,6 +162,18 @@
   return NULL;
 }
 
+const HbwServerEntry *
+hbw_topology_find_server_by_hash (const HbwTopology *topology, guint64 hash)
+{
+  for (guint i = 0; i < topology->servers->len; i++)
+    {
+      const HbwServerEntry *server = g_ptr_array_index (topology->servers, i);
+      if (hbw_rendezvous_weight (0, server->id) == hash)
+        return server;
+    }
+  return NULL;
+}
+
 const GPtrArray *
 hbw_topology_data_centres (const HbwTopology *topology)
 {
--- a/include/hornbeamwall/core/quarantine_state.h
+++ b/include/hornbeamwall/core/quarantine_state.h
@@ -32,9 +32,10 @@
   HbwFailedServer *server;
   gint64 latest_start_us; /* of the attempts that it ended */
   gint64 earliest_end_us;
-  gint64 latest_end_us;         /* of an attempt that broke in the same outage */
-  gboolean is_confirmed;        /* the server served no request afterwards */
-  gboolean is_refused;          /* it refused a connection afterwards */
+  gint64 latest_end_us;      /* of an attempt that broke in the same outage */
+  gboolean is_confirmed;     /* the server served no request afterwards */
+  gboolean is_refused;       /* it refused a connection afterwards */
+  gint64 suspended_until_us; /* another suspect of it may not be reported before */
   struct cds_list_head records; /* HbwFailureRecord */
   guint record_count;
   guint cause_count; /* records of suspects with HBW_VERDICT_CAUSE */
@@ -62,6 +63,8 @@
   guint64 server; /* on which it runs; 0 if it does not */
   gint64 since_us;
   gint64 heard_us;
+  gint64 server_ended_us; /* when the server ended meanwhile; 0: it did not */
+  gboolean is_lost;       /* the instance has stopped to report it */
 } HbwPeerActivity;
 
 struct HbwSuspect
--- a/include/hornbeamwall/core/topology.h
+++ b/include/hornbeamwall/core/topology.h
@@ -35,6 +35,10 @@
 const HbwServerEntry *hbw_topology_find_server (const HbwTopology *topology,
                                                 const char *id, HbwShardKey *key);
 
+/* Returns the entry of the server whose id has the hash HASH (borrowed), or NULL. */
+const HbwServerEntry *hbw_topology_find_server_by_hash (const HbwTopology *topology,
+                                                        guint64 hash);
+
 /* Returns the names of the data centres that have shards (borrowed). */
 const GPtrArray *hbw_topology_data_centres (const HbwTopology *topology);
 
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -691,6 +691,116 @@
 }
 END_TEST
 
+/* Reports that instance 2 runs the suspect 7, which has failed a server before, on
+   e0. */
+static void
+report_running_suspect (ReducerFixture *fixture, guint64 failure_id)
+{
+  HbwEvent report = { .kind = HBW_EVENT_MESSAGE };
+  report.message.kind = HBW_MESSAGE_SUSPECT;
+  report.message.from = 2;
+  report.message.suspect
+      = (HbwSuspicionReport){ .fingerprint = { 0, 7 },
+                              .remaining_us = HBW_QUARANTINE_DURATION_US,
+                              .completed_ago_us = -1,
+                              .activity = HBW_SUSPECT_RUNNING,
+                              .running_server_hash = hbw_rendezvous_weight (0, "e0"),
+                              .failure_count = 1,
+                              .failures = { { .id = failure_id,
+                                              .server_hash = 9,
+                                              .failed_ago_us = HBW_US_PER_S,
+                                              .is_refused = TRUE } } };
+  step_reducer (fixture, &report);
+}
+
+static void
+finish_check (ReducerFixture *fixture, const char *server, HbwServerCheckKind kind)
+{
+  HbwEvent checked = { .kind = HBW_EVENT_SERVER_CHECKED };
+  checked.check.kind = kind;
+  g_strlcpy (checked.check.server, server, sizeof checked.check.server);
+  step_reducer (fixture, &checked);
+}
+
+static gboolean
+is_quarantined (ReducerFixture *fixture, guint64 sequence)
+{
+  HbwRequestSpec spec = make_spec ();
+  submit_request (fixture, sequence, &spec);
+  const HbwEffect *effect = find_effect (fixture, HBW_EFFECT_REFUSE_REQUEST);
+  return effect != NULL && effect->refuse.reason == HBW_REASON_QUARANTINED;
+}
+
+/* An instance is killed while it runs a suspect: nobody reports the second failure.
+ */
+START_TEST (failure_under_killed_instance_is_found_by_check)
+{
+  static const HbwServerCheckKind kinds[]
+      = { HBW_SERVER_CHECK_REFUSED, HBW_SERVER_CHECK_ACCEPTED };
+  for (gsize i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      ReducerFixture fixture = fixture_create (1, 3, 8);
+      fixture.now_us += 10 * HBW_US_PER_S;
+      introduce_peer (&fixture, 2, "a");
+      report_running_suspect (&fixture, 1);
+      tick (&fixture, 990 * HBW_US_PER_MS);
+      ck_assert (find_effect (&fixture, HBW_EFFECT_CHECK_SERVER) == NULL);
+      tick (&fixture, 10 * HBW_US_PER_MS);
+      const HbwEffect *check = find_effect (&fixture, HBW_EFFECT_CHECK_SERVER);
+      ck_assert (check != NULL);
+      ck_assert_str_eq (check->check.server, "e0");
+      finish_check (&fixture, "e0", kinds[i]);
+      tick (&fixture, 2 * HBW_US_PER_S);
+      ck_assert_int_eq (is_quarantined (&fixture, 7),
+                        kinds[i] == HBW_SERVER_CHECK_REFUSED);
+      fixture_destroy (&fixture);
+    }
+}
+END_TEST
+
+/* The new start of an instance is known before its reports are missed. */
+START_TEST (restart_of_killed_instance_has_servers_checked)
+{
+  ReducerFixture fixture = fixture_create (1, 3, 8);
+  fixture.now_us += 10 * HBW_US_PER_S;
+  introduce_peer (&fixture, 2, "a");
+  report_running_suspect (&fixture, 1);
+  HbwEvent event = { .kind = HBW_EVENT_MESSAGE };
+  event.message.kind = HBW_MESSAGE_PING;
+  event.message.from = 3;
+  event.message.ping.member_count = 1;
+  HbwMemberUpdate *member = &event.message.ping.members[0];
+  member->identity = 3;
+  member->state = HBW_MEMBER_ALIVE;
+  g_strlcpy (member->data_centre, "a", sizeof member->data_centre);
+  g_strlcpy (member->address, "10.1.0.2:1", sizeof member->address);
+  step_reducer (&fixture, &event);
+  tick (&fixture, HBW_US_PER_MS);
+  ck_assert (find_effect (&fixture, HBW_EFFECT_CHECK_SERVER) != NULL);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+/* The server is back before the instance is known to be lost. */
+START_TEST (server_that_restarted_under_killed_instance_counts_as_failed)
+{
+  ReducerFixture fixture = fixture_create (1, 1, 8);
+  HbwRequestSpec spec = make_spec ();
+  fixture.now_us += 10 * HBW_US_PER_S;
+  introduce_peer (&fixture, 2, "a");
+  report_running_suspect (&fixture, 1);
+  submit_request (&fixture, 1, &spec);
+  ck_assert_str_eq (started_server (&fixture), "e0");
+  end_attempt (&fixture, 1, 1, HBW_OUTCOME_NOT_CONNECTED, FALSE);
+  tick (&fixture, 500 * HBW_US_PER_MS);
+  tick (&fixture, 500 * HBW_US_PER_MS);
+  ck_assert (find_effect (&fixture, HBW_EFFECT_CHECK_SERVER) == NULL);
+  tick (&fixture, 2 * HBW_US_PER_S);
+  ck_assert (is_quarantined (&fixture, 7));
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* An instance that lacks many entries gets all of them, not the same ones again and
    again. */
 START_TEST (all_suspects_are_sent_in_turn)
@@ -1136,6 +1246,10 @@
   tcase_add_test (tests, restored_suspects_are_read_before_they_are_replaced);
   tcase_add_test (tests, draining_instance_accepts_requests_for_grace_period);
   tcase_add_test (tests, check_dismisses_no_failure_before_the_broken_response);
+  tcase_add_test (tests, failure_under_killed_instance_is_found_by_check);
+  tcase_add_test (tests, restart_of_killed_instance_has_servers_checked);
+  tcase_add_test (tests,
+                  server_that_restarted_under_killed_instance_counts_as_failed);
   tcase_add_test (tests, all_suspects_are_sent_in_turn);
   tcase_add_test (tests, starting_instance_waits_while_suspects_are_reported);
   tcase_add_test (tests, server_that_left_during_a_cut_is_not_kept_as_lapsed);
