Scenario world: a refused check closes the kept connection, as the product does

An instance closes its idle connections to a server that refuses a check (net/server_check.c, handle_end to hbw_upstream_pool_close_idle). The scenario world kept them, so that a retry of the same instance was sent on one to a server that was known to refuse connections, hung, and counted as a second failure in the same outage.

No check changed.

--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -912,6 +912,15 @@
   HbwServerCheckResult result;
 } ServerCheck;
 
+/* The instance uses no connection of before. */
+static void
+close_connection (World *world, const ServerCheck *check)
+{
+  const Server *server = find_server (world, check->result.server);
+  if (server != NULL)
+    g_hash_table_remove (server->connections, &check->identity);
+}
+
 static void
 deliver_check_result (World *world, void *data)
 {
@@ -920,6 +929,8 @@
       && world->now_us >= check->instance->paused_until_us)
     {
       HbwEvent event = { .kind = HBW_EVENT_SERVER_CHECKED, .check = check->result };
+      if (check->result.kind == HBW_SERVER_CHECK_REFUSED)
+        close_connection (world, check);
       run_reducer (world, check->instance, &event);
     }
   g_free (check);
