A refused connection that proves a failure is reported at once

A broken response is reported before its server is checked. That the check was refused went out with the next report only, if there was one, so another instance that found the server working after its restart dismissed the failure, everywhere.

The proof is sent to all instances when it is found. One that has dismissed the failure takes it back, and a dismissal does not outweigh a proof.

Tests that failed before: proof_of_failure_is_reported_at_once: Assertion 'reports_proof (&fixture)' failed proof_of_failure_outweighs_dismissal: order 0

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -327,6 +327,18 @@
                     until_us, now_us);
 }
 
+static void
+confirm_refused (HbwQuarantine *quarantine, HbwFailure *failure, gint64 now_us)
+{
+  const HbwFailureRecord *record;
+  gboolean is_news = !failure->is_refused;
+  failure->is_confirmed = failure->is_refused = TRUE;
+  cds_list_for_each_entry (record, &failure->records, link)
+    if (is_news)
+      hbw_quarantine_schedule_report (quarantine, record->suspect,
+                                      HBW_SUSPECT_TRANSMITS, now_us);
+}
+
 void
 hbw_quarantine_handle_refused_connection (HbwQuarantine *quarantine, guint64 server,
                                           gint64 now_us)
@@ -339,7 +351,7 @@
     return;
   cds_list_for_each_entry (failure, &failed->failures, link)
     if (now_us - failure->latest_end_us < HBW_QUARANTINE_OUTAGE_US)
-      failure->is_confirmed = failure->is_refused = TRUE;
+      confirm_refused (quarantine, failure, now_us);
   hbw_quarantine_evaluate (quarantine, now_us);
 }
 
--- a/core/quarantine_report.c
+++ b/core/quarantine_report.c
@@ -44,6 +44,10 @@
                                      .started_us = now_us - report->started_ago_us,
                                      .failed_us = now_us - report->failed_ago_us };
   HbwFailureRecord *known = hbw_suspect_find_record (suspect, report->id);
+  gboolean is_proved
+      = known != NULL && known->failure != NULL && known->failure->is_refused;
+  if (known != NULL && known->is_dismissed && report->is_refused)
+    *known = (HbwFailureRecord){ .suspect = NULL };
   if (!report->is_dismissed)
     {
       gboolean is_new = hbw_suspect_record_failure (quarantine, suspect, &failure);
@@ -58,6 +62,9 @@
     }
   if (known == NULL)
     hbw_suspect_record_dismissed (suspect, &failure);
+  else if (is_proved)
+    hbw_quarantine_schedule_report (quarantine, suspect, HBW_SUSPECT_TRANSMITS,
+                                    now_us);
   else if (!known->is_dismissed)
     hbw_suspect_dismiss_record (quarantine, known, now_us);
   return FALSE;
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -801,6 +801,87 @@
 }
 END_TEST
 
+/* Returns whether a report in the last effects proves the failure of a suspect. */
+static gboolean
+reports_proof (const ReducerFixture *fixture)
+{
+  for (guint i = 0; i < hbw_effects_count (fixture->effects); i++)
+    {
+      const HbwEffect *effect = hbw_effects_get (fixture->effects, i);
+      if (effect->kind == HBW_EFFECT_SEND_MESSAGE
+          && effect->send.message.kind == HBW_MESSAGE_SUSPECT
+          && effect->send.message.suspect.failure_count > 0
+          && effect->send.message.suspect.failures[0].is_refused)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* The failure was reported before the check; another instance finds the server
+   working again. */
+START_TEST (proof_of_failure_is_reported_at_once)
+{
+  ReducerFixture fixture = fixture_create (1, 1, 8);
+  HbwRequestSpec spec = make_spec ();
+  introduce_peer (&fixture, 2, "a");
+  submit_request (&fixture, 1, &spec);
+  end_attempt (&fixture, 1, 1, HBW_OUTCOME_BROKEN, FALSE);
+  tick (&fixture, 60 * HBW_US_PER_MS);
+  tick (&fixture, 60 * HBW_US_PER_MS);
+  ck_assert (!reports_proof (&fixture));
+  finish_check (&fixture, "e0", HBW_SERVER_CHECK_REFUSED);
+  ck_assert (reports_proof (&fixture));
+  tick (&fixture, 60 * HBW_US_PER_MS);
+  ck_assert (reports_proof (&fixture));
+  finish_check (&fixture, "e0", HBW_SERVER_CHECK_REFUSED);
+  ck_assert (!reports_proof (&fixture));
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+static void
+report_failure (ReducerFixture *fixture, guint64 from, const char *server,
+                gboolean is_dismissed, gboolean is_refused)
+{
+  HbwEvent report = { .kind = HBW_EVENT_MESSAGE };
+  report.message.kind = HBW_MESSAGE_SUSPECT;
+  report.message.from = from;
+  report.message.suspect
+      = (HbwSuspicionReport){ .fingerprint = { 0, 7 },
+                              .remaining_us = HBW_QUARANTINE_DURATION_US,
+                              .completed_ago_us = -1,
+                              .failure_count = 1,
+                              .failures
+                              = { { .id = hbw_rendezvous_weight (1, server),
+                                    .server_hash = hbw_rendezvous_weight (0, server),
+                                    .started_ago_us = 200 * HBW_US_PER_MS,
+                                    .failed_ago_us = 100 * HBW_US_PER_MS,
+                                    .is_dismissed = is_dismissed,
+                                    .is_refused = is_refused } } };
+  step_reducer (fixture, &report);
+}
+
+/* One instance has seen the server refuse a connection, another one has seen it
+   accept one after its restart.  Their reports come in either order. */
+START_TEST (proof_of_failure_outweighs_dismissal)
+{
+  for (guint order = 0; order < 2; order++)
+    {
+      ReducerFixture fixture = fixture_create (1, 3, 8);
+      fixture.now_us += 10 * HBW_US_PER_S;
+      introduce_peer (&fixture, 2, "a");
+      introduce_peer (&fixture, 3, "a");
+      report_failure (&fixture, 2, "e1", FALSE, TRUE);
+      report_failure (&fixture, 2, "e0", FALSE, FALSE);
+      report_failure (&fixture, 2, "e0", order == 0, order == 1);
+      report_failure (&fixture, 3, "e0", order == 1, order == 0);
+      tick (&fixture, 2 * HBW_US_PER_S);
+      ck_assert_msg (is_quarantined (&fixture, 7), "order %u", order);
+      fixture_destroy (&fixture);
+    }
+}
+END_TEST
+
 /* An instance that lacks many entries gets all of them, not the same ones again and
    again. */
 START_TEST (all_suspects_are_sent_in_turn)
@@ -1250,6 +1331,8 @@
   tcase_add_test (tests, restart_of_killed_instance_has_servers_checked);
   tcase_add_test (tests,
                   server_that_restarted_under_killed_instance_counts_as_failed);
+  tcase_add_test (tests, proof_of_failure_is_reported_at_once);
+  tcase_add_test (tests, proof_of_failure_outweighs_dismissal);
   tcase_add_test (tests, all_suspects_are_sent_in_turn);
   tcase_add_test (tests, starting_instance_waits_while_suspects_are_reported);
   tcase_add_test (tests, server_that_left_during_a_cut_is_not_kept_as_lapsed);
