Suspects that wait at the same time choose from different servers

Innocent requests were refused beside harmful ones: two instances that place a suspect each choose servers alone, both the cheapest one, within a millisecond. The server fails under one of them, and both have the same evidence.

After 25 ms, all instances know the suspects that wait. They sort them, and the servers, alike, and the Kth of N suspects chooses among every Nth server only. Other requests are not concerned, nor is a suspect that has waited for a second.

--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -4,6 +4,7 @@
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/server_notice.h"
 #include "hornbeamwall/core/shard_estimate.h"
+#include "hornbeamwall/core/suspect_placement.h"
 
 #include <string.h>
 
@@ -61,7 +62,8 @@
   const HbwGrantRequest *want;
   gboolean suspect;
   GHashTable *used_servers; /* hashes of servers on which other suspects run */
-  gboolean ignore_state;    /* servers that are down are candidates too */
+  HbwSuspectPart suspect_part;
+  gboolean ignore_state; /* servers that are down are candidates too */
   HbwPromptLength prompt_length;
   const HbwServer *preferred_server; /* preferred for the shared prefix, or NULL */
   GArray *usable_hashes; /* hashes of the usable servers, ascending; guint64 */
@@ -281,6 +283,22 @@
                                       &server->entry, selection->context->now_us);
 }
 
+/* Returns whether no other waiting suspect may choose SERVER. */
+static gboolean
+is_in_part (const Selection *selection, const HbwServer *server)
+{
+  const GPtrArray *servers = selection->shard->servers;
+  guint position = 0;
+  if (!selection->suspect || selection->suspect_part.count <= 1)
+    return TRUE;
+  for (guint i = 0; i < servers->len; i++)
+    {
+      const HbwServer *other = g_ptr_array_index (servers, i);
+      position += other->id_hash < server->id_hash;
+    }
+  return hbw_suspect_part_has (&selection->suspect_part, position, servers->len);
+}
+
 static HbwServer *
 select_cheapest_server (const Selection *selection)
 {
@@ -292,7 +310,7 @@
     {
       HbwServer *server = g_ptr_array_index (shard->servers, i);
       const HbwServerWork load = estimate_server_load (selection, server);
-      if (!has_room (selection, server, &load))
+      if (!has_room (selection, server, &load) || !is_in_part (selection, server))
         continue;
       if (strcmp (server->entry.id, selection->want->avoid_server) == 0)
         {
@@ -320,8 +338,12 @@
   selection.suspect = hbw_shard_is_suspect (context, &want->spec);
   selection.used_servers = g_hash_table_new (g_int64_hash, g_int64_equal);
   if (selection.suspect)
-    hbw_quarantine_add_used_servers (context->quarantine, &want->spec.fingerprint,
-                                     selection.used_servers, context->now_us);
+    {
+      hbw_quarantine_add_used_servers (context->quarantine, &want->spec.fingerprint,
+                                       selection.used_servers, context->now_us);
+      selection.suspect_part = hbw_suspect_find_part (
+          context->quarantine, &want->spec.fingerprint, context->now_us);
+    }
   selection.ignore_state = selection.usable_hashes->len == 0;
   HbwServer *server = select_cheapest_server (&selection);
   g_hash_table_destroy (selection.used_servers);
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -882,6 +882,51 @@
 }
 END_TEST
 
+/* Reports that the request FINGERPRINT was in progress on a server that failed, and
+   what the instance FROM does with it. */
+static void
+report_suspect (ReducerFixture *fixture, guint64 from, guint64 fingerprint,
+                HbwSuspectActivity activity)
+{
+  HbwEvent report = { .kind = HBW_EVENT_MESSAGE };
+  report.message.kind = HBW_MESSAGE_SUSPECT;
+  report.message.from = from;
+  report.message.suspect
+      = (HbwSuspicionReport){ .fingerprint = { 0, fingerprint },
+                              .remaining_us = HBW_QUARANTINE_DURATION_US,
+                              .completed_ago_us = -1,
+                              .activity = activity,
+                              .failure_count = 1,
+                              .failures = { { .id = fingerprint,
+                                              .server_hash = 9,
+                                              .failed_ago_us = 0,
+                                              .is_refused = TRUE } } };
+  step_reducer (fixture, &report);
+}
+
+/* Two instances place a suspect each before they hear where the other one runs. */
+START_TEST (instances_place_two_suspects_on_different_servers)
+{
+  char servers[2][HBW_NAME_MAX];
+  for (guint64 i = 0; i < 2; i++)
+    {
+      ReducerFixture fixture = fixture_create (1 + i, 4, 8);
+      fixture.now_us += 10 * HBW_US_PER_S;
+      introduce_peer (&fixture, 2 - i, "a");
+      report_suspect (&fixture, 2 - i, 7 + i, HBW_SUSPECT_IDLE);
+      report_suspect (&fixture, 2 - i, 8 - i, HBW_SUSPECT_WAITING);
+      HbwRequestSpec spec = make_spec ();
+      submit_request (&fixture, 7 + i, &spec);
+      for (guint k = 0; k < 10 && *started_server (&fixture) == '\0'; k++)
+        tick (&fixture, 5 * HBW_US_PER_MS);
+      g_strlcpy (servers[i], started_server (&fixture), sizeof servers[i]);
+      ck_assert_str_ne (servers[i], "");
+      fixture_destroy (&fixture);
+    }
+  ck_assert_str_ne (servers[0], servers[1]);
+}
+END_TEST
+
 /* An instance that lacks many entries gets all of them, not the same ones again and
    again. */
 START_TEST (all_suspects_are_sent_in_turn)
@@ -1333,6 +1378,7 @@
                   server_that_restarted_under_killed_instance_counts_as_failed);
   tcase_add_test (tests, proof_of_failure_is_reported_at_once);
   tcase_add_test (tests, proof_of_failure_outweighs_dismissal);
+  tcase_add_test (tests, instances_place_two_suspects_on_different_servers);
   tcase_add_test (tests, all_suspects_are_sent_in_turn);
   tcase_add_test (tests, starting_instance_waits_while_suspects_are_reported);
   tcase_add_test (tests, server_that_left_during_a_cut_is_not_kept_as_lapsed);
