Responses name the idle timeout

A caller knows the limit from the config, which is on its way to it and to the instance at different times, so that for some seconds the two may go by different limits. The response is the only place where the caller learns what this instance keeps to: Keep-Alive: timeout=N, in whole seconds, rounded down, and left out where that is zero. The connection is kept at least so long after that response, and for the grace, whatever configs come in between.

Before: response_names_the_limit failed, as no response had the field.

--- a/net/downstream.c
+++ b/net/downstream.c
@@ -69,6 +69,7 @@
   Wait wait;
   gint64 wait_began_us;
   gint64 wait_limit_us;  /* when it began */
+  gint64 announced_us;   /* idle timeout in the last response */
   GByteArray *input;     /* bytes received and not parsed yet */
   HbwExchange *exchange; /* for the request in progress, or NULL */
   CloseCause close_cause;
@@ -198,6 +199,9 @@
   downstream->wait = wait;
   downstream->wait_began_us = get_now (downstream);
   downstream->wait_limit_us = get_limit_us (wait, limits);
+  if (wait == WAIT_REQUEST)
+    downstream->wait_limit_us
+        = MAX (downstream->wait_limit_us, downstream->announced_us);
   set_timer (downstream, downstream->wait_limit_us + get_grace_us (wait));
 }
 
@@ -499,6 +503,18 @@
     }
 }
 
+/* In whole seconds, unless there are none. */
+static void
+announce_idle_timeout (HbwDownstream *downstream, GString *head)
+{
+  const HbwCallerLimits limits = hbw_traffic_caller_limits (downstream->traffic);
+  gint64 seconds = limits.idle_timeout_us / HBW_US_PER_S;
+  downstream->announced_us = seconds * HBW_US_PER_S;
+  if (seconds > 0)
+    g_string_append_printf (head, "Keep-Alive: timeout=%" G_GINT64_FORMAT "\r\n",
+                            seconds);
+}
+
 void
 hbw_downstream_begin_response (HbwDownstream *downstream, guint status,
                                const char *fields, gint64 length)
@@ -515,6 +531,8 @@
     g_string_append (head, "Transfer-Encoding: chunked\r\n");
   if (downstream->close_after_response)
     g_string_append (head, "Connection: close\r\n");
+  else
+    announce_idle_timeout (downstream, head);
   g_string_append (head, "\r\n");
   hbw_channel_write (downstream->channel, head->str, head->len);
   g_string_free (head, TRUE);
--- a/tests/idle_test.c
+++ b/tests/idle_test.c
@@ -6,6 +6,7 @@
 #include "suite.h"
 
 #include <poll.h>
+#include <string.h>
 #include <unistd.h>
 
 #define CONNECTIONS 20
@@ -71,6 +72,22 @@
 }
 END_TEST
 
+START_TEST (response_names_the_limit)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  int fd = platform_fixture_connect (fixture);
+  raw_response_check (post (fd), 200, "\r\nKeep-Alive: timeout=15\r\n");
+  platform_fixture_set_timeouts (fixture, 4, 3000, 2999);
+  raw_response_check (post (fd), 200, "\r\nKeep-Alive: timeout=2\r\n");
+  platform_fixture_set_timeouts (fixture, 5, 3000, 999);
+  RawResponse response = post (fd);
+  ck_assert (strstr (response.text, "Keep-Alive") == NULL);
+  g_free (response.text);
+  close (fd);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 START_TEST (idle_connection_is_closed)
 {
   PlatformFixture *fixture = platform_fixture_create ();
@@ -98,6 +115,7 @@
                   raised_limit_holds_for_idle_connections);
   suite_add_test (suite, "lowered_limit_does_not_hold_for_idle_connections",
                   lowered_limit_does_not_hold_for_idle_connections);
+  suite_add_test (suite, "response_names_the_limit", response_names_the_limit);
   suite_add_test (suite, "idle_connection_is_closed", idle_connection_is_closed);
   return suite_run (suite);
 }
