--- a/tests/stall_test.c
+++ b/tests/stall_test.c
@@ -8,8 +8,12 @@
 #include "platform_fixture.h"
 #include "suite.h"
 
+#include "hornbeamwall/net/channel.h"
+
+#include <poll.h>
 #include <pthread.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/syscall.h>
 #include <time.h>
 #include <unistd.h>
@@ -25,6 +29,16 @@
 #define STALL_END_MS 2450
 #define LONG_STALL_END_MS 8500 /* longer than the connection would be kept */
 
+#define REQUESTS 8
+
+/* From the last request, in milliseconds.  A server may be silent for 500 ms. */
+#define RESPONSE_STALL_BEGIN_MS 200
+#define RESPONSE_MS 300
+#define RESPONSE_STALL_END_MS 1200
+
+/* How long a change of the servers may take. */
+#define SERVERS_APPLY_US (2 * HBW_US_PER_S)
+
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t resumed = PTHREAD_COND_INITIALIZER;
 static gboolean stalled;
@@ -164,6 +178,92 @@
   platform_fixture_destroy (fixture);
 }
 
+/* Receives a request on CONNECTION and returns the value of its attempt id, which
+   the caller frees. */
+static char *
+receive_request (int connection)
+{
+  static const char field[] = "X-Hornbeamwall-Attempt-Id: ";
+  GString *text = g_string_new (NULL);
+  while (strstr (text->str, "\r\n\r\n") == NULL)
+    {
+      char bytes[4096];
+      ssize_t count = recv (connection, bytes, sizeof bytes, 0);
+      ck_assert_int_gt (count, 0);
+      g_string_append_len (text, bytes, count);
+    }
+  const char *value = strstr (text->str, field);
+  ck_assert (value != NULL);
+  value += strlen (field);
+  char *id = g_strndup (value, strcspn (value, "\r"));
+  g_string_free (text, TRUE);
+  return id;
+}
+
+static void
+send_response (int connection, const char *attempt_id)
+{
+  char *text = g_strdup_printf ("HTTP/1.1 200 OK\r\n"
+                                "X-Hornbeamwall-Attempt-Id: %s\r\n"
+                                "X-Hornbeamwall-Response-Seal: 1.2.3\r\n"
+                                "Content-Length: 2\r\n\r\nok",
+                                attempt_id);
+  caller_send (connection, text);
+  g_free (text);
+}
+
+/* Replaces the servers of the fixture by one that is the socket returned. */
+static int
+listen_as_server (PlatformFixture *fixture)
+{
+  HbwError error = { HBW_ERROR_NONE, "" };
+  int fd = hbw_listen ("127.0.0.1:0", &error);
+  ck_assert_msg (fd >= 0, "%s", error.message);
+  for (guint i = 0; i < PLATFORM_FIXTURE_SERVERS; i++)
+    platform_fixture_put_server (fixture, i, "draining");
+  objects_set_server (fixture->object_store, PLATFORM_FIXTURE_SERVERS,
+                      hbw_listen_port (fd), REQUESTS, "ready", 1);
+  g_usleep (SERVERS_APPLY_US);
+  return fd;
+}
+
+START_TEST (response_that_came_in_a_stall_is_not_taken_for_silence)
+{
+  PlatformFixture *fixture = create_fixture ();
+  int listener = listen_as_server (fixture);
+  int callers[REQUESTS];
+  int connections[REQUESTS];
+  char *ids[REQUESTS];
+  struct pollfd input = { listener, POLLIN, 0 };
+  for (guint i = 0; i < REQUESTS; i++)
+    {
+      char *request = caller_format_request ("POST", "/safe/ok", API_KEY_FIELD, "");
+      callers[i] = platform_fixture_connect (fixture);
+      caller_send (callers[i], request);
+      g_free (request);
+      ck_assert_int_eq (poll (&input, 1, 5000), 1);
+      connections[i] = accept (listener, NULL, NULL);
+      ids[i] = receive_request (connections[i]);
+    }
+  gint64 start_us = g_get_monotonic_time ();
+  int waking_fd = begin_stall (fixture, start_us, RESPONSE_STALL_BEGIN_MS);
+  sleep_until (start_us + RESPONSE_MS * HBW_US_PER_MS);
+  for (guint i = 0; i < REQUESTS; i++)
+    send_response (connections[i], ids[i]);
+  end_stall (waking_fd, start_us, RESPONSE_STALL_END_MS);
+  ck_assert_msg (poll (&input, 1, 300) == 0, "a request was sent again");
+  for (guint i = 0; i < REQUESTS; i++)
+    {
+      raw_response_check (caller_receive (callers[i]), 200, "ok");
+      close (callers[i]);
+      close (connections[i]);
+      g_free (ids[i]);
+    }
+  close (listener);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 START_TEST (rest_of_a_head_is_read_after_a_stall)
 {
   check_request_in_parts (
@@ -190,6 +290,8 @@
                   request_on_kept_connection_is_answered_after_a_stall);
   suite_add_test (suite, "request_on_kept_connection_is_answered_after_a_long_stall",
                   request_on_kept_connection_is_answered_after_a_long_stall);
+  suite_add_test (suite, "response_that_came_in_a_stall_is_not_taken_for_silence",
+                  response_that_came_in_a_stall_is_not_taken_for_silence);
   suite_add_test (suite, "rest_of_a_head_is_read_after_a_stall",
                   rest_of_a_head_is_read_after_a_stall);
   suite_add_test (suite, "rest_of_a_body_is_read_after_a_stall",
