--- a/tests/soak_caller.c
+++ b/tests/soak_caller.c
@@ -1,13 +1,10 @@
 #include "soak_state.h"
 
-#include "standin/listen.h"
+#include "soak_connection.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 /* One caller in this many requests uses one of these keys. */
@@ -59,19 +56,11 @@
 static gboolean
 open_connection (Caller *caller)
 {
-  const struct timeval receive_timeout = { RECEIVE_TIMEOUT_S, 0 };
   Soak *soak = caller->soak;
   guint index
       = (guint) g_rand_int_range (caller->random, 0, (gint32) soak->instances);
-  const struct sockaddr_in address = standin_loopback (soak->ports[index]);
-  caller->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt (caller->fd, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout,
-              sizeof receive_timeout);
-  if (connect (caller->fd, (struct sockaddr *) &address, sizeof address) == 0)
-    return TRUE;
-  close (caller->fd);
-  caller->fd = -1;
-  return FALSE;
+  caller->fd = soak_connect (soak->ports[index], RECEIVE_TIMEOUT_S);
+  return caller->fd >= 0;
 }
 
 static void
@@ -82,44 +71,18 @@
   caller->fd = -1;
 }
 
-/* Returns the length of the response at the start of TEXT, 0 if it is incomplete. */
-static gsize
-complete_length (const GString *text)
-{
-  const char *head_end = strstr (text->str, "\r\n\r\n");
-  if (head_end == NULL)
-    return 0;
-  gsize head = (gsize) (head_end - text->str) + 4;
-  const char *length = strstr (text->str, "Content-Length: ");
-  if (length != NULL && length < head_end)
-    {
-      gsize body = strtoul (length + strlen ("Content-Length: "), NULL, 10);
-      return text->len >= head + body ? head + body : 0;
-    }
-  const char *final_chunk = strstr (head_end + 2, "\r\n0\r\n\r\n");
-  return final_chunk != NULL ? (gsize) (final_chunk - text->str) + 7 : 0;
-}
-
 /* Returns the next response, or NULL if the connection ended before its end. */
 static GString *
 receive_response (Caller *caller)
 {
-  char bytes[4096];
-  GString *text = g_string_new (NULL);
-  while (complete_length (text) == 0)
-    {
-      ssize_t count = recv (caller->fd, bytes, sizeof bytes, 0);
-      if (count <= 0)
-        {
-          close_connection (caller);
-          g_string_free (text, TRUE);
-          return NULL;
-        }
-      g_string_append_len (text, bytes, count);
-    }
-  if (strstr (text->str, "Connection: close") != NULL)
+  SoakResponse response = soak_receive (caller->fd);
+  if (response.outcome != SOAK_RESPONSE_COMPLETE
+      || strstr (response.text->str, "Connection: close") != NULL)
     close_connection (caller);
-  return text;
+  if (response.outcome == SOAK_RESPONSE_COMPLETE)
+    return response.text;
+  g_string_free (response.text, TRUE);
+  return NULL;
 }
 
 static void
@@ -143,8 +106,7 @@
 static void
 check_answer (Soak *soak, const char *path, const char *trace, const GString *text)
 {
-  guint status = 0;
-  sscanf (text->str, "HTTP/1.1 %u", &status);
+  guint status = soak_status (text);
   if (status == 200 && strstr (text->str, trace) == NULL)
     soak_report_violation (soak, "response to another request", path, text->str);
   else if (status == 200 && strstr (text->str, "text/event-stream") != NULL)
@@ -192,16 +154,7 @@
 send_request (Caller *caller, const char *path, const char *trace, const char *key,
               const char *body)
 {
-  char *request = g_strdup_printf (
-      "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamwall-Key: %s\r\n"
-      "X-Hornbeamwall-Attempt-Id: %s\r\nX-Hornbeamwall-Deadline-Ms: 2500\r\n"
-      "Content-Length: %zu\r\n\r\n%s",
-      path, key, trace, strlen (body), body);
-  gsize length = strlen (request);
-  gboolean written
-      = send (caller->fd, request, length, MSG_NOSIGNAL) == (ssize_t) length;
-  g_free (request);
-  if (written)
+  if (soak_send (caller->fd, path, trace, key, "", body))
     return receive_response (caller);
   close_connection (caller);
   return NULL;
