The soak recognises refusals of harmful requests by their text

On the users' platform these have status 503 or 504, so that the soak, which looked for 422, never counted one. A request that asks for a sound answer and is refused in this way is a breach now.

--- a/tests/soak_caller.c
+++ b/tests/soak_caller.c
@@ -50,7 +50,7 @@
 static guint
 count_runs (Soak *soak, const char *path)
 {
-  return replica_total_run_count (soak->replicas, SOAK_SERVERS, path);
+  return replica_total_run_count (soak->replicas, soak->servers, path);
 }
 
 static gboolean
@@ -103,6 +103,16 @@
     }
 }
 
+/* No server has failed because of a sound request. */
+static void
+check_refused_as_harmful (Soak *soak, const char *path, const GString *text)
+{
+  atomic_fetch_add (&soak->harmful, 1);
+  if (g_str_has_suffix (path, "/ok") || g_str_has_suffix (path, "/events"))
+    soak_report_violation (soak, "sound request refused as harmful", path,
+                           text->str);
+}
+
 static void
 check_answer (Soak *soak, const char *path, const char *trace, const GString *text)
 {
@@ -116,10 +126,10 @@
     soak_report_violation (soak, "response to another path", path, text->str);
   if (status == 200)
     atomic_fetch_add (&soak->completed, 1);
+  else if (soak_is_refused_as_harmful (text))
+    check_refused_as_harmful (soak, path, text);
   else if (status == 429 || status == 503)
     atomic_fetch_add (&soak->refused, 1);
-  else if (status == 422)
-    atomic_fetch_add (&soak->harmful, 1);
   else
     atomic_fetch_add (&soak->failed, 1);
   gboolean claims_not_executed = status == 429 || status == 503 || status == 408;
