--- /dev/null
+++ b/tests/standin/replica_session.c
@@ -0,0 +1,448 @@
+#include "replica_internal.h"
+
+#include <errno.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ID_FIELD "X-Hornbeamwall-Attempt-Id"
+#define SEAL "X-Hornbeamwall-Response-Seal: 1.2.3\r\n"
+#define EVENTS 6
+#define EVENT_PAUSE_US 2000
+#define HEAD_MAX 32768
+
+typedef struct
+{
+  Replica *replica;
+  guint crash_count; /* of the replica when the connection was accepted */
+  int fd;
+  GString *input;
+  char method[16];
+  char target[1024];
+  char attempt_id[64];
+  char *head;
+  gsize body_length;
+  char *body;
+} Session;
+
+/* Returns whether the replica crashed since the connection was accepted. */
+static gboolean
+has_crashed (const Session *session)
+{
+  return session->crash_count != atomic_load (&session->replica->crash_count);
+}
+
+static gboolean
+read_more (Session *session)
+{
+  char bytes[4096];
+  struct pollfd input = { session->fd, POLLIN, 0 };
+  while (!atomic_load (&session->replica->stopping) && !has_crashed (session))
+    if (poll (&input, 1, 20) > 0)
+      {
+        ssize_t count = recv (session->fd, bytes, sizeof bytes, 0);
+        if (count < 0 && errno == ECONNRESET)
+          atomic_fetch_add (&session->replica->reset_count, 1);
+        if (count <= 0)
+          return FALSE;
+        g_string_append_len (session->input, bytes, count);
+        return TRUE;
+      }
+  return FALSE;
+}
+
+static char *
+find_field (const char *head, const char *name)
+{
+  char *pattern = g_strconcat ("\r\n", name, ":", NULL);
+  char *lower_head = g_ascii_strdown (head, -1);
+  char *lower = g_ascii_strdown (pattern, -1);
+  const char *found = strstr (lower_head, lower);
+  char *value = NULL;
+  if (found != NULL)
+    {
+      const char *start = head + (found - lower_head) + strlen (lower);
+      value = g_strstrip (g_strndup (start, strcspn (start, "\r")));
+    }
+  g_free (pattern);
+  g_free (lower_head);
+  g_free (lower);
+  return value;
+}
+
+static gboolean
+read_head (Session *session)
+{
+  const char *end;
+  while ((end = strstr (session->input->str, "\r\n\r\n")) == NULL)
+    if (session->input->len > HEAD_MAX || !read_more (session))
+      return FALSE;
+  gsize length = (gsize) (end - session->input->str) + 4;
+  g_free (session->head);
+  session->head = g_strndup (session->input->str, length);
+  g_string_erase (session->input, 0, (gssize) length);
+  sscanf (session->head, "%15s %1023s", session->method, session->target);
+  char *attempt_id = find_field (session->head, ID_FIELD);
+  char *content_length = find_field (session->head, "Content-Length");
+  g_strlcpy (session->attempt_id, attempt_id != NULL ? attempt_id : "",
+             sizeof session->attempt_id);
+  session->body_length
+      = content_length != NULL ? strtoul (content_length, NULL, 10) : 0;
+  g_free (attempt_id);
+  g_free (content_length);
+  return TRUE;
+}
+
+static gboolean
+read_body (Session *session)
+{
+  while (session->input->len < session->body_length)
+    if (!read_more (session))
+      return FALSE;
+  g_free (session->body);
+  session->body = g_strndup (session->input->str, session->body_length);
+  g_string_erase (session->input, 0, (gssize) session->body_length);
+  return TRUE;
+}
+
+static void
+send_text (Session *session, const char *text)
+{
+  gsize length = strlen (text);
+  while (length > 0)
+    {
+      ssize_t count = send (session->fd, text, length, MSG_NOSIGNAL);
+      if (count <= 0)
+        return;
+      text += count;
+      length -= (gsize) count;
+    }
+}
+
+static void
+send_head (Session *session, const char *status, const char *fields)
+{
+  Replica *replica = session->replica;
+  pthread_mutex_lock (&replica->lock);
+  char *text
+      = g_strdup_printf ("HTTP/1.1 %s\r\n" ID_FIELD ": %s\r\n"
+                         "X-Hornbeamwall-Replica-Load: 1,0,8\r\n%s%s\r\n",
+                         status, session->attempt_id,
+                         replica->fields != NULL ? replica->fields : "", fields);
+  pthread_mutex_unlock (&replica->lock);
+  send_text (session, text);
+  g_free (text);
+}
+
+static void
+send_response (Session *session, const char *status, const char *seal,
+               const char *body, gsize content_length)
+{
+  char *fields = g_strdup_printf (
+      "%sKeep-Alive: timeout=5\r\nContent-Length: %zu\r\n", seal, content_length);
+  send_head (session, status, fields);
+  send_text (session, body);
+  g_free (fields);
+}
+
+static void
+reset_on_close (Session *session)
+{
+  const struct linger linger = { 1, 0 };
+  setsockopt (session->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
+/* Executions by target, over all replicas of the process. */
+static pthread_mutex_t total_lock = PTHREAD_MUTEX_INITIALIZER;
+static GHashTable *total_runs;
+
+static guint
+count_run_anywhere (const char *target)
+{
+  pthread_mutex_lock (&total_lock);
+  if (total_runs == NULL)
+    total_runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  guint count = GPOINTER_TO_UINT (g_hash_table_lookup (total_runs, target));
+  g_hash_table_replace (total_runs, g_strdup (target), GUINT_TO_POINTER (count + 1));
+  pthread_mutex_unlock (&total_lock);
+  return count;
+}
+
+/* Counts an execution of the request's target.  Returns how many times it was
+   executed before at any replica. */
+static guint
+count_run (Session *session)
+{
+  Replica *replica = session->replica;
+  pthread_mutex_lock (&replica->lock);
+  guint run_count = GPOINTER_TO_UINT (
+      g_hash_table_lookup (replica->run_counts, session->target));
+  g_hash_table_replace (replica->run_counts, g_strdup (session->target),
+                        GUINT_TO_POINTER (run_count + 1));
+  pthread_mutex_unlock (&replica->lock);
+  atomic_fetch_add (&replica->request_count, 1);
+  return count_run_anywhere (session->target);
+}
+
+/* Waits until the peer closes the connection. */
+static void
+wait_for_close (Session *session)
+{
+  while (read_more (session))
+    continue;
+}
+
+static gboolean
+is_closed (const Session *session)
+{
+  char byte;
+  return recv (session->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+/* Sends the events after the one in Last-Event-Id.  CUT ends the stream in the
+   middle of the third event.  Returns whether the stream was completed. */
+static gboolean
+send_events (Session *session, gboolean cut)
+{
+  char *last = find_field (session->head, "Last-Event-Id");
+  guint first = last != NULL ? (guint) strtoul (last, NULL, 10) + 1 : 1;
+  g_free (last);
+  send_head (session, "200 OK",
+             SEAL
+             "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+  for (guint i = first;
+       i <= EVENTS && !is_closed (session) && !has_crashed (session); i++)
+    {
+      char *event
+          = g_strdup_printf ("id: %u\ndata: %s %u\n\n", i, session->attempt_id, i);
+      gboolean truncated = cut && i == 3;
+      char *chunk = g_strdup_printf ("%zx\r\n%.*s", strlen (event),
+                                     truncated ? 8 : (int) strlen (event), event);
+      send_text (session, chunk);
+      g_free (chunk);
+      g_free (event);
+      if (truncated)
+        return FALSE;
+      send_text (session, "\r\n");
+      g_usleep (EVENT_PAUSE_US);
+    }
+  if (has_crashed (session))
+    return FALSE;
+  send_text (session, "0\r\n\r\n");
+  return TRUE;
+}
+
+static gboolean
+send_ok (Session *session)
+{
+  char *body = g_strdup_printf ("%s %s %s", session->method, session->target,
+                                session->body != NULL ? session->body : "");
+  send_response (session, "200 OK", SEAL, body, strlen (body));
+  g_free (body);
+  return TRUE;
+}
+
+static void
+crash (Replica *replica, gboolean is_silent)
+{
+  atomic_store (&replica->is_silent, is_silent);
+  atomic_store (&replica->is_up, FALSE);
+  atomic_fetch_add (&replica->crash_count, 1);
+}
+
+/* Sends BEGIN, and then REPEATED until the connection is closed. */
+static void
+send_without_end (Session *session, const char *begin, const char *repeated)
+{
+  gsize length = strlen (repeated);
+  send_text (session, begin);
+  while (!atomic_load (&session->replica->stopping)
+         && send (session->fd, repeated, length, MSG_NOSIGNAL) > 0)
+    continue;
+}
+
+static gboolean
+send_flood (Session *session, const char *behaviour)
+{
+  if (strcmp (behaviour, "flood") == 0)
+    send_without_end (session, "", "no response at all ");
+  else if (strcmp (behaviour, "headflood") == 0)
+    send_without_end (session, "HTTP/1.1 200 OK\r\n", "X-More: and more\r\n");
+  else if (strcmp (behaviour, "bodyflood") == 0)
+    send_without_end (session, "HTTP/1.1 200 OK\r\n\r\n", "no body of a response ");
+  else
+    return FALSE;
+  return TRUE;
+}
+
+/* Sends the response selected by BEHAVIOUR.  Returns whether the connection is kept
+   open. */
+static gboolean
+respond (Session *session, const char *behaviour)
+{
+  if (send_flood (session, behaviour))
+    return FALSE;
+  if (strcmp (behaviour, "ok") == 0)
+    return send_ok (session);
+  if (strcmp (behaviour, "events") == 0)
+    return send_events (session, FALSE);
+  if (strcmp (behaviour, "cut") == 0)
+    return send_events (session, TRUE);
+  if (strcmp (behaviour, "mute") == 0)
+    {
+      send_events (session, TRUE);
+      wait_for_close (session);
+      return FALSE;
+    }
+  if (strcmp (behaviour, "fail") == 0)
+    send_response (session, "500 Failed", SEAL, "own", 3);
+  else if (strcmp (behaviour, "noseal") == 0)
+    send_response (session, "200 OK", "", "unmarked", 8);
+  else if (strcmp (behaviour, "extra") == 0)
+    {
+      send_ok (session);
+      g_usleep (EVENT_PAUSE_US);
+      send_ok (session);
+    }
+  else if (strcmp (behaviour, "hang") == 0)
+    wait_for_close (session);
+  else if (strcmp (behaviour, "crash") == 0 || strcmp (behaviour, "silent") == 0)
+    crash (session->replica, strcmp (behaviour, "silent") == 0);
+  else if (strcmp (behaviour, "reset") == 0)
+    reset_on_close (session);
+  else if (strcmp (behaviour, "short") == 0)
+    send_response (session, "200 OK", SEAL, "half", 8);
+  else if (strcmp (behaviour, "open") == 0 || strcmp (behaviour, "torn") == 0)
+    {
+      send_head (session, "200 OK", SEAL);
+      send_text (session, "unframed");
+      g_usleep (10 * EVENT_PAUSE_US);
+      if (strcmp (behaviour, "torn") == 0)
+        reset_on_close (session);
+    }
+  static const char *const closing[]
+      = { "hang", "reset", "close", "short", "open", "torn", "crash", "silent" };
+  for (gsize i = 0; i < G_N_ELEMENTS (closing); i++)
+    if (strcmp (behaviour, closing[i]) == 0)
+      return FALSE;
+  return TRUE;
+}
+
+/* Returns the behaviour for a request that was executed RUN_COUNT times before. */
+static char *
+select_behaviour (const Session *session, guint run_count)
+{
+  char *path = g_strndup (session->target, strcspn (session->target, "?"));
+  char *behaviour
+      = g_strdup (strrchr (path, '/') != NULL ? strrchr (path, '/') + 1 : path);
+  g_free (path);
+  char *digits = behaviour + strcspn (behaviour, "0123456789");
+  if (*digits == '\0')
+    return behaviour;
+  guint limit = (guint) strtoul (digits, NULL, 10);
+  *digits = '\0';
+  if (run_count < limit)
+    return behaviour;
+  gboolean streams
+      = strcmp (behaviour, "cut") == 0 || strcmp (behaviour, "mute") == 0;
+  const char *fallback = streams ? "events" : "ok";
+  g_free (behaviour);
+  return g_strdup (fallback);
+}
+
+static gboolean
+is_expected_server (const Session *session)
+{
+  char *expected = find_field (session->head, "X-Hornbeamwall-Expect-Instance");
+  gboolean same = expected == NULL || strcmp (expected, session->replica->id) == 0;
+  g_free (expected);
+  return same;
+}
+
+static gboolean
+serve_request (Session *session)
+{
+  Replica *replica = session->replica;
+  if (!read_head (session))
+    return FALSE;
+  gboolean responds_early = g_str_has_suffix (session->target, "/early");
+  if (responds_early)
+    {
+      count_run (session);
+      send_response (session, "200 OK", SEAL, "early", 5);
+    }
+  if (!read_body (session))
+    return FALSE;
+  if (responds_early)
+    return TRUE;
+  pthread_mutex_lock (&replica->lock);
+  g_free (replica->last_request_head);
+  replica->last_request_head = g_strdup (session->head);
+  pthread_mutex_unlock (&replica->lock);
+  if (!is_expected_server (session))
+    {
+      send_head (session, "421 Misdirected Request", "Content-Length: 0\r\n");
+      return TRUE;
+    }
+  atomic_fetch_add (&replica->received_count, 1);
+  if (g_str_has_suffix (session->target, "/shed")
+      || atomic_load (&replica->is_refusing))
+    {
+      send_head (session, "503 Full",
+                 "X-Hornbeamwall-Not-Executed: 1\r\nContent-Length: 0\r\n");
+      return TRUE;
+    }
+  if (has_crashed (session))
+    return FALSE;
+  guint run_count = count_run (session);
+  char *behaviour = select_behaviour (session, run_count);
+  atomic_fetch_add (&replica->active_requests, 1);
+  gboolean keep_open = respond (session, behaviour);
+  atomic_fetch_sub (&replica->active_requests, 1);
+  g_free (behaviour);
+  return keep_open;
+}
+
+static void *
+run_session (void *data)
+{
+  Session *session = data;
+  Replica *replica = session->replica;
+  session->input = g_string_new (NULL);
+  while (serve_request (session))
+    continue;
+  while (has_crashed (session) && atomic_load (&replica->is_silent)
+         && !atomic_load (&replica->is_up) && !atomic_load (&replica->stopping))
+    g_usleep (10000);
+  if (has_crashed (session))
+    reset_on_close (session);
+  close (session->fd);
+  g_string_free (session->input, TRUE);
+  g_free (session->head);
+  g_free (session->body);
+  g_free (session);
+  pthread_mutex_lock (&replica->lock);
+  replica->open_connections--;
+  pthread_cond_signal (&replica->connection_ended);
+  pthread_mutex_unlock (&replica->lock);
+  return NULL;
+}
+
+void
+replica_serve_connection (Replica *replica, int fd, guint crash_count)
+{
+  pthread_t thread;
+  Session *session = g_new0 (Session, 1);
+  session->replica = replica;
+  session->fd = fd;
+  session->crash_count = crash_count;
+  atomic_fetch_add (&replica->connection_count, 1);
+  pthread_mutex_lock (&replica->lock);
+  replica->open_connections++;
+  pthread_mutex_unlock (&replica->lock);
+  if (pthread_create (&thread, NULL, run_session, session) == 0)
+    pthread_detach (thread);
+}
