Simulated servers fall silent, crash in various ways and answer without a length

A simulated backend server falls silent for a while; a crash resets its connections, closes them without a reset, or leaves them open, lasts as long as the test says, and may give the server a new id. New are answers with neither a length nor chunks, also streams, and requests that crash each server as soon as it begins its answer, by a part of their prompts. A proxy passes a reset on as a reset; before, it closed the other connection, as if an answer that ends with its connection were complete. A server whose port an outgoing connection has taken meanwhile waits for it. An early answer, too, is only given to a request that expects this server.

--- a/tests/standin/listen.c
+++ b/tests/standin/listen.c
@@ -6,6 +6,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define LISTEN_BACKLOG 128
+#define LISTEN_TRIES 500
+#define LISTEN_INTERVAL_US 10000
+
 struct MHD_Daemon *
 standin_listen (const char *text, MHD_AccessHandlerCallback handler,
                 MHD_RequestCompletedCallback completed, void *data)
@@ -35,6 +39,22 @@
   return MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
 }
 
+int
+standin_listen_socket (const struct sockaddr_in *address)
+{
+  const int on = 1;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  for (unsigned i = 0; i < LISTEN_TRIES; i++)
+    {
+      if (bind (fd, (const struct sockaddr *) address, sizeof *address) == 0
+          && listen (fd, LISTEN_BACKLOG) == 0)
+        return fd;
+      g_usleep (LISTEN_INTERVAL_US);
+    }
+  g_error ("cannot listen on port %u", ntohs (address->sin_port));
+}
+
 unsigned
 standin_free_port (void)
 {
--- a/tests/standin/listen.h
+++ b/tests/standin/listen.h
@@ -23,4 +23,8 @@
 /* Returns a port that was free at the time of the call. */
 unsigned standin_free_port (void);
 
+/* Returns a socket that listens on ADDRESS; waits for its port if it is in use, for
+   instance by an outgoing connection. */
+int standin_listen_socket (const struct sockaddr_in *address);
+
 #endif
--- a/tests/standin/objects.c
+++ b/tests/standin/objects.c
@@ -414,10 +414,17 @@
 {
   char name[16];
   g_snprintf (name, sizeof name, "i-%u", number);
+  objects_set_server_named (objects, name, 'z', port, slots, state, start);
+}
+
+void
+objects_set_server_named (Objects *objects, const char *name, char zone, guint port,
+                          guint slots, const char *state, guint start)
+{
   char *text = g_strdup_printf (
-      "{\"backend\":\"b\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\",\"slots\":%u,"
+      "{\"backend\":\"b\",\"address\":\"127.0.0.1:%u\",\"zone\":\"%c\",\"slots\":%u,"
       "\"state\":\"%s\",\"sequence\":1,\"born\":%u}",
-      port, slots, state, start);
+      port, zone, slots, state, start);
   objects_set (objects, "servers", name, text);
   g_free (text);
 }
--- a/tests/standin/objects.h
+++ b/tests/standin/objects.h
@@ -41,6 +41,11 @@
 void objects_set_server (Objects *objects, guint number, guint port, guint slots,
                          const char *state, guint start);
 
+/* The same with the id and the zone of the server. */
+void objects_set_server_named (Objects *objects, const char *name, char zone,
+                               guint port, guint slots, const char *state,
+                               guint start);
+
 void objects_set_behaviour (Objects *objects, ObjectsBehaviour behaviour);
 
 /* Discards the history: watches from an earlier revision are answered with 410. */
--- a/tests/standin/proxy.c
+++ b/tests/standin/proxy.c
@@ -66,25 +66,33 @@
   proxy->connections[proxy->connection_count++] = (Connection){ { client, server } };
 }
 
-/* Forwards available data from one end to the other.  Returns FALSE if the
-   connection has ended. */
-static gboolean
+typedef enum
+{
+  PROXY_CONNECTION_OPEN,
+  PROXY_CONNECTION_CLOSED,
+  PROXY_CONNECTION_RESET,
+} ConnectionState;
+
+/* Forwards available data from one end to the other.  Returns how it leaves the
+   connection. */
+static ConnectionState
 forward (Proxy *proxy, const Connection *connection, guint from)
 {
   char bytes[8192];
   int mode = atomic_load (&proxy->mode);
   ssize_t count = recv (connection->ends[from], bytes, sizeof bytes, MSG_DONTWAIT);
   if (count <= 0)
-    return FALSE;
+    return count == 0 ? PROXY_CONNECTION_CLOSED : PROXY_CONNECTION_RESET;
   gboolean dropped = mode == PROXY_DROP_ALL
                      || (mode == PROXY_DROP_FROM_CLIENT && from == 0)
                      || (mode == PROXY_DROP_FROM_SERVER && from == 1);
   if (mode == PROXY_DELAY)
     g_usleep (DELAY_US);
   if (dropped)
-    return TRUE;
-  return send (connection->ends[1 - from], bytes, (size_t) count, MSG_NOSIGNAL)
-         == count;
+    return PROXY_CONNECTION_OPEN;
+  ssize_t sent
+      = send (connection->ends[1 - from], bytes, (size_t) count, MSG_NOSIGNAL);
+  return sent == count ? PROXY_CONNECTION_OPEN : PROXY_CONNECTION_RESET;
 }
 
 static void
@@ -92,25 +100,22 @@
 {
   for (guint i = count; i > 0; i--)
     {
-      gboolean open = atomic_load (&proxy->mode) != PROXY_RESET;
-      for (guint end = 0; end < 2 && open; end++)
+      ConnectionState state = atomic_load (&proxy->mode) == PROXY_RESET
+                                  ? PROXY_CONNECTION_RESET
+                                  : PROXY_CONNECTION_OPEN;
+      for (guint end = 0; end < 2 && state == PROXY_CONNECTION_OPEN; end++)
         if (fds[2 * (i - 1) + end].revents != 0)
-          open = forward (proxy, &proxy->connections[i - 1], end);
-      if (!open)
-        close_connection (proxy, i - 1, atomic_load (&proxy->mode) == PROXY_RESET);
+          state = forward (proxy, &proxy->connections[i - 1], end);
+      if (state != PROXY_CONNECTION_OPEN)
+        close_connection (proxy, i - 1, state == PROXY_CONNECTION_RESET);
     }
 }
 
 static void
 open_listener (Proxy *proxy, guint port)
 {
-  const int on = 1;
-  struct sockaddr_in address = standin_loopback (port);
-  proxy->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt (proxy->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (bind (proxy->fd, (struct sockaddr *) &address, sizeof address) != 0
-      || listen (proxy->fd, 128) != 0)
-    g_error ("proxy cannot listen");
+  const struct sockaddr_in address = standin_loopback (port);
+  proxy->fd = standin_listen_socket (&address);
 }
 
 /* Refuses connections while the server does. */
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -11,15 +11,16 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define SILENCE_POLL_US 5000
+
 static void
-open_listener (Replica *replica, struct sockaddr_in *address)
+rename_replica (Replica *replica)
 {
-  const int on = 1;
-  replica->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt (replica->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (bind (replica->fd, (struct sockaddr *) address, sizeof *address) != 0
-      || listen (replica->fd, 128) != 0)
-    g_error ("replica cannot listen on port %u", ntohs (address->sin_port));
+  pthread_mutex_lock (&replica->lock);
+  g_free (replica->id);
+  replica->id = g_strdup_printf ("%s-%u", replica->first_id,
+                                 atomic_load (&replica->crash_count));
+  pthread_mutex_unlock (&replica->lock);
 }
 
 /* Refuses connections until the outage has passed. */
@@ -29,8 +30,10 @@
   struct sockaddr_in address = standin_loopback (replica->port);
   atomic_store (&replica->is_up, FALSE);
   close (replica->fd);
-  g_usleep (REPLICA_OUTAGE_US);
-  open_listener (replica, &address);
+  g_usleep ((gulong) atomic_load (&replica->outage_us));
+  if (atomic_load (&replica->renames))
+    rename_replica (replica);
+  replica->fd = standin_listen_socket (&address);
   atomic_store (&replica->is_up, TRUE);
 }
 
@@ -49,6 +52,7 @@
           wait_for_outage_end (replica);
           continue;
         }
+      replica_wait_while_silent (replica);
       if (!is_ready)
         continue;
       int fd = accept (replica->fd, NULL, NULL);
@@ -69,13 +73,15 @@
   socklen_t size = sizeof target;
   if (!hbw_address_to_socket (address, &target))
     g_error ("replica: %s is not an address", address);
+  replica->first_id = g_strdup (id);
   replica->id = g_strdup (id);
+  atomic_store (&replica->outage_us, REPLICA_OUTAGE_US);
   replica->run_counts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   pthread_mutex_init (&replica->lock, NULL);
   pthread_cond_init (&replica->connection_ended, NULL);
   atomic_store (&replica->is_up, TRUE);
-  open_listener (replica, &target);
+  replica->fd = standin_listen_socket (&target);
   getsockname (replica->fd, (struct sockaddr *) &target, &size);
   replica->port = ntohs (target.sin_port);
   pthread_create (&replica->thread, NULL, run_listener, replica);
@@ -98,6 +104,7 @@
   g_free (replica->last_request_head);
   g_free (replica->fields);
   g_free (replica->id);
+  g_free (replica->first_id);
   g_free (replica);
 }
 
@@ -135,6 +142,52 @@
   pthread_mutex_unlock (&replica->lock);
 }
 
+void
+replica_set_outage (Replica *replica, gint64 outage_us, gboolean renames)
+{
+  atomic_store (&replica->outage_us, outage_us);
+  atomic_store (&replica->renames, renames);
+}
+
+char *
+replica_copy_id (Replica *replica)
+{
+  pthread_mutex_lock (&replica->lock);
+  char *id = g_strdup (replica->id);
+  pthread_mutex_unlock (&replica->lock);
+  return id;
+}
+
+void
+replica_set_work (Replica *replica, gint64 duration_us)
+{
+  atomic_store (&replica->work_us, duration_us);
+}
+
+void
+replica_fall_silent (Replica *replica, gint64 duration_us)
+{
+  atomic_store (&replica->silent_until_us, g_get_monotonic_time () + duration_us);
+}
+
+void
+replica_crash (Replica *replica, ReplicaCrash kind)
+{
+  atomic_store (&replica->crash_kind, kind);
+  atomic_store (&replica->is_up, FALSE);
+  if (kind == REPLICA_CRASH_CLOSE)
+    atomic_fetch_add (&replica->closing_crash_count, 1);
+  atomic_fetch_add (&replica->crash_count, 1);
+}
+
+void
+replica_wait_while_silent (const Replica *replica)
+{
+  while (g_get_monotonic_time () < atomic_load (&replica->silent_until_us)
+         && !atomic_load (&replica->stopping))
+    g_usleep (SILENCE_POLL_US);
+}
+
 void
 replica_set_refusing (Replica *replica, gboolean refusing)
 {
@@ -171,6 +224,12 @@
   return atomic_load (&replica->crash_count);
 }
 
+guint
+replica_closing_crash_count (Replica *replica)
+{
+  return atomic_load (&replica->closing_crash_count);
+}
+
 gboolean
 replica_is_up (Replica *replica)
 {
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -22,6 +22,11 @@
  *   crash      executes the request, then the server fails: it resets all
  *              connections, and accepts new ones after REPLICA_OUTAGE_US
  *   silent     the same, but the connections stay open until then
+ *   openok     as "ok", without a length, ended by closing the connection
+ *   openevents as "events", without chunks, ended by closing the connection
+ *   opencrash  begins "openok", then the server fails: it closes all connections
+ *              without a reset
+ *   opencut    the same after two events of "openevents"
  *   flood      bytes that are no response, until the connection is closed
  *   headflood  the same, as header fields without end
  *   bodyflood  the same, as a body without end and without the server's mark
@@ -53,6 +58,19 @@
    replica_set_fields(). */
 void replica_set_refusing (Replica *replica, gboolean refusing);
 
+/* Sets how long a crash lasts, REPLICA_OUTAGE_US at first, and whether the replica
+   has a new id afterwards. */
+void replica_set_outage (Replica *replica, gint64 outage_us, gboolean renames);
+
+/* Returns the id of the replica; the caller frees it. */
+char *replica_copy_id (Replica *replica);
+
+/* Executes each request for DURATION_US before it answers. */
+void replica_set_work (Replica *replica, gint64 duration_us);
+
+/* Neither accepts connections, nor receives or sends anything, for DURATION_US. */
+void replica_fall_silent (Replica *replica, gint64 duration_us);
+
 /* Returns how many requests came, executed or not. */
 guint replica_received_count (Replica *replica);
 
@@ -75,6 +93,9 @@
 /* Returns how many times the replica crashed. */
 guint replica_crash_count (Replica *replica);
 
+/* Returns how many of these crashes closed the connections without a reset. */
+guint replica_closing_crash_count (Replica *replica);
+
 /* Returns whether the replica accepts connections. */
 gboolean replica_is_up (Replica *replica);
 
--- a/tests/standin/replica_internal.h
+++ b/tests/standin/replica_internal.h
@@ -9,8 +9,17 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
+/* What a crash does to the connections. */
+typedef enum
+{
+  REPLICA_CRASH_RESET,
+  REPLICA_CRASH_CLOSE,
+  REPLICA_CRASH_SILENT, /* leaves them open until the replica is back */
+} ReplicaCrash;
+
 struct Replica
 {
+  char *first_id;
   char *id;
   int fd;
   guint port;
@@ -24,15 +33,26 @@
   atomic_uint connection_count;
   atomic_uint active_requests;
   atomic_uint crash_count;
+  atomic_uint closing_crash_count;
   atomic_uint request_count;  /* executed */
   atomic_uint received_count; /* executed or not */
   atomic_uint reset_count;
+  _Atomic gint64 outage_us;
+  _Atomic gint64 work_us;
+  atomic_bool renames;            /* after each crash */
+  _Atomic gint64 silent_until_us; /* monotonic time */
   atomic_bool is_refusing;
   atomic_bool is_up;
-  atomic_bool is_silent; /* the last crash leaves the connections open */
+  atomic_int crash_kind; /* a ReplicaCrash, of the last crash */
   atomic_bool stopping;
 };
 
+/* Fails: ends all connections, and refuses new ones for a while. */
+void replica_crash (Replica *replica, ReplicaCrash kind);
+
+/* Waits until the replica is not silent, or is being destroyed. */
+void replica_wait_while_silent (const Replica *replica);
+
 /* Serves the connection FD, which the replica accepted after CRASH_COUNT crashes,
    and closes it. */
 void replica_serve_connection (Replica *replica, int fd, guint crash_count);
--- a/tests/standin/replica_session.c
+++ b/tests/standin/replica_session.c
@@ -1,3 +1,4 @@
+#include "harmful.h"
 #include "replica_internal.h"
 
 #include <errno.h>
@@ -43,6 +44,7 @@
   while (!atomic_load (&session->replica->stopping) && !has_crashed (session))
     if (poll (&input, 1, 20) > 0)
       {
+        replica_wait_while_silent (session->replica);
         ssize_t count = recv (session->fd, bytes, sizeof bytes, 0);
         if (count < 0 && errno == ECONNRESET)
           atomic_fetch_add (&session->replica->reset_count, 1);
@@ -114,6 +116,7 @@
   gsize length = strlen (text);
   while (length > 0)
     {
+      replica_wait_while_silent (session->replica);
       ssize_t count = send (session->fd, text, length, MSG_NOSIGNAL);
       if (count <= 0)
         return;
@@ -245,14 +248,6 @@
   return TRUE;
 }
 
-static void
-crash (Replica *replica, gboolean is_silent)
-{
-  atomic_store (&replica->is_silent, is_silent);
-  atomic_store (&replica->is_up, FALSE);
-  atomic_fetch_add (&replica->crash_count, 1);
-}
-
 /* Sends BEGIN, and then REPEATED until the connection is closed. */
 static void
 send_without_end (Session *session, const char *begin, const char *repeated)
@@ -278,12 +273,70 @@
   return TRUE;
 }
 
+/* Sends the events of a stream without chunks, COUNT at most. */
+static void
+send_open_events (Session *session, guint count)
+{
+  char *last = find_field (session->head, "Last-Event-Id");
+  guint first = last != NULL ? (guint) strtoul (last, NULL, 10) + 1 : 1;
+  g_free (last);
+  send_head (session, "200 OK", SEAL "Content-Type: text/event-stream\r\n");
+  for (guint i = first; i <= EVENTS && i < first + count && !is_closed (session)
+                        && !has_crashed (session);
+       i++)
+    {
+      char *event
+          = g_strdup_printf ("id: %u\ndata: %s %u\n\n", i, session->attempt_id, i);
+      send_text (session, event);
+      g_free (event);
+      g_usleep (EVENT_PAUSE_US);
+    }
+}
+
+/* Sends the answer selected by BEHAVIOUR, if it has neither a length nor chunks. */
+static gboolean
+send_open (Session *session, const char *behaviour)
+{
+  if (strcmp (behaviour, "openok") == 0 || strcmp (behaviour, "opencrash") == 0)
+    {
+      char *body = g_strdup_printf ("%s %s %s", session->method, session->target,
+                                    session->body);
+      send_head (session, "200 OK", SEAL);
+      send_text (session, body);
+      g_free (body);
+    }
+  else if (strcmp (behaviour, "openevents") == 0)
+    send_open_events (session, EVENTS);
+  else if (strcmp (behaviour, "opencut") == 0)
+    send_open_events (session, 2);
+  else
+    return FALSE;
+  if (strcmp (behaviour, "opencrash") == 0 || strcmp (behaviour, "opencut") == 0)
+    replica_crash (session->replica, REPLICA_CRASH_CLOSE);
+  return TRUE;
+}
+
+/* Begins an answer, and crashes as the part of the prompt in the request wants. */
+static void
+crash_in_answer (Session *session, HarmfulEnd end)
+{
+  static const ReplicaCrash kinds[] = { [HARMFUL_RESET] = REPLICA_CRASH_RESET,
+                                        [HARMFUL_CLOSE] = REPLICA_CRASH_CLOSE,
+                                        [HARMFUL_SILENT] = REPLICA_CRASH_SILENT,
+                                        [HARMFUL_OPEN] = REPLICA_CRASH_CLOSE };
+  send_head (session, "200 OK",
+             end == HARMFUL_OPEN ? SEAL : SEAL "Content-Length: 1000\r\n");
+  send_text (session, "begun");
+  harmful_note_crash ();
+  replica_crash (session->replica, kinds[end]);
+}
+
 /* Sends the response selected by BEHAVIOUR.  Returns whether the connection is kept
    open. */
 static gboolean
 respond (Session *session, const char *behaviour)
 {
-  if (send_flood (session, behaviour))
+  if (send_flood (session, behaviour) || send_open (session, behaviour))
     return FALSE;
   if (strcmp (behaviour, "ok") == 0)
     return send_ok (session);
@@ -310,7 +363,9 @@
   else if (strcmp (behaviour, "hang") == 0)
     wait_for_close (session);
   else if (strcmp (behaviour, "crash") == 0 || strcmp (behaviour, "silent") == 0)
-    crash (session->replica, strcmp (behaviour, "silent") == 0);
+    replica_crash (session->replica, strcmp (behaviour, "silent") == 0
+                                         ? REPLICA_CRASH_SILENT
+                                         : REPLICA_CRASH_RESET);
   else if (strcmp (behaviour, "reset") == 0)
     reset_on_close (session);
   else if (strcmp (behaviour, "short") == 0)
@@ -357,18 +412,45 @@
 is_expected_server (const Session *session)
 {
   char *expected = find_field (session->head, "X-Hornbeamwall-Expect-Instance");
-  gboolean same = expected == NULL || strcmp (expected, session->replica->id) == 0;
+  char *id = replica_copy_id (session->replica);
+  gboolean same = expected == NULL || strcmp (expected, id) == 0;
+  g_free (id);
   g_free (expected);
   return same;
 }
 
+/* Executes the request for a while, if it takes time.  Returns FALSE if the replica
+   has crashed meanwhile. */
+static gboolean
+work (Session *session)
+{
+  gint64 work_us = atomic_load (&session->replica->work_us);
+  if (work_us > 0)
+    g_usleep ((gulong) work_us);
+  return !has_crashed (session);
+}
+
+/* Returns what the parts of the request's prompt do to the server, and notes that
+   such a request has reached it. */
+static HarmfulEnd
+find_harmful_end (const Session *session)
+{
+  char *prefix_hash = find_field (session->head, "X-Hornbeamwall-Prefix-Hash");
+  HarmfulEnd end = harmful_find (session->target, prefix_hash);
+  g_free (prefix_hash);
+  if (end != HARMFUL_NONE)
+    harmful_note_run (session->attempt_id);
+  return end;
+}
+
 static gboolean
 serve_request (Session *session)
 {
   Replica *replica = session->replica;
   if (!read_head (session))
     return FALSE;
-  gboolean responds_early = g_str_has_suffix (session->target, "/early");
+  gboolean responds_early
+      = g_str_has_suffix (session->target, "/early") && is_expected_server (session);
   if (responds_early)
     {
       count_run (session);
@@ -388,6 +470,7 @@
       return TRUE;
     }
   atomic_fetch_add (&replica->received_count, 1);
+  HarmfulEnd harmful_end = find_harmful_end (session);
   if (g_str_has_suffix (session->target, "/shed")
       || atomic_load (&replica->is_refusing))
     {
@@ -400,7 +483,14 @@
   guint run_count = count_run (session);
   char *behaviour = select_behaviour (session, run_count);
   atomic_fetch_add (&replica->active_requests, 1);
-  gboolean keep_open = respond (session, behaviour);
+  gboolean keep_open = work (session);
+  if (keep_open && harmful_end != HARMFUL_NONE)
+    {
+      crash_in_answer (session, harmful_end);
+      keep_open = FALSE;
+    }
+  else if (keep_open)
+    keep_open = respond (session, behaviour);
   atomic_fetch_sub (&replica->active_requests, 1);
   g_free (behaviour);
   return keep_open;
@@ -414,10 +504,12 @@
   session->input = g_string_new (NULL);
   while (serve_request (session))
     continue;
-  while (has_crashed (session) && atomic_load (&replica->is_silent)
+  while (has_crashed (session)
+         && atomic_load (&replica->crash_kind) == REPLICA_CRASH_SILENT
          && !atomic_load (&replica->is_up) && !atomic_load (&replica->stopping))
     g_usleep (10000);
-  if (has_crashed (session))
+  if (has_crashed (session)
+      && atomic_load (&replica->crash_kind) != REPLICA_CRASH_CLOSE)
     reset_on_close (session);
   close (session->fd);
   g_string_free (session->input, TRUE);
