The soak plays prompts that crash servers, and answers that end with their connection

Beside the random faults, requests with a harmful part come once a second at any instance, no two alike; sound ones share their key and first part. Later than 3 s after the fifth crash, instances that were not interrupted in those 3 s may send three to servers; no sound request may be refused as harmful. Servers fall silent for about a second, and some have a new id after a crash. Two more callers send a request again and again whose server crashes within an answer without a length, and closes it without a reset. A caller whose request has crashed a third server stops, as its breach has been reported; the checks that follow the faults look at servers that don't crash any more.

Plays of one trouble each (tests/soak_play.h) check idle connections, harmful parts and one such request on otherwise calm processes; there, sound requests must be served half as often as before.

The soak removes the entries of earlier starts that a restored store has again, and gives its instances ports that outgoing connections don't take. The operator's and the servers' side has a file of its own.

--- a/scripts/platform-soak.sh
+++ b/scripts/platform-soak.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Runs a randomized soak test of real processes against the users' platform:
-#   scripts/platform-soak.sh BUILD SEED SECONDS [INSTANCES]
+#   scripts/platform-soak.sh BUILD SEED SECONDS [INSTANCES [PLAY]]
+# or one of its plays (tests/soak_play.h).
 # Keeps the directory with all logs if an invariant was violated.  Violations that
 # KNOWN-RED.txt lists as "soak DESCRIPTION: ..." are printed and passed over.
 set -eu
@@ -28,7 +29,7 @@
   for runner in $runners; do wait "$runner" 2>/dev/null || true; done
 }
 
-"$build/tests/platform_soak" "$dir" "$instances" "$seed" "$seconds" >"$dir/soak.txt" 2>&1 &
+"$build/tests/platform_soak" "$dir" "$instances" "$seed" "$seconds" ${5:+"$5"} >"$dir/soak.txt" 2>&1 &
 soak=$!
 trap 'stop_all; kill -9 "$soak" 2>/dev/null || true' INT TERM
 while ! grep -q '^ready' "$dir/soak.txt"; do sleep 0.05; done
@@ -41,7 +42,7 @@
 status=0
 wait "$soak" || status=$?
 stop_all
-grep -E '^(breach|seed|kept)' "$dir/soak.txt" || tail -n 20 "$dir/soak.txt"
+grep -E '^(breach|seed|kept|harmful|sound)' "$dir/soak.txt" || tail -n 20 "$dir/soak.txt"
 known="$(dirname "$0")/../KNOWN-RED.txt"
 if [ "$status" -eq 1 ] && grep -q '^breach: ' "$dir/soak.txt"; then
   status=0
--- a/tests/soak_process.h
+++ b/tests/soak_process.h
@@ -17,6 +17,7 @@
 typedef struct
 {
   atomic_int pid;                /* 0 if unknown */
+  atomic_int ended_pid;          /* to which a SIGKILL or SIGTERM was sent last */
   _Atomic gint64 killed_us;      /* last SIGKILL */
   _Atomic gint64 terminated_us;  /* last SIGTERM */
   _Atomic gint64 paused_us;      /* last SIGSTOP */
