An instance that starts while its seed is down waits for the store

A request failed a third server at an instance that had just started: its only seed was down and the store away, so it heard of nobody, and ran requests after a second as if there were nothing to know.

An instance that knows no other one runs requests only once it has read the suspects of the platform's store, or after five seconds. Once it knows another instance, it waits as long for its reports as if it had just started.

Tests that failed before: starting_instance_pings_all_seeds: 10.1.0.2:1 starting_instance_that_hears_of_nobody_waits_for_store: Assertion '!starts_request (&fixture, 1)' failed starting_instance_waits_for_reports_of_the_first_peer: Assertion '!starts_request (&fixture, 1)' failed

--- a/core/membership.c
+++ b/core/membership.c
@@ -369,6 +369,18 @@
     }
 }
 
+void
+hbw_membership_ping_seeds (HbwMembership *membership, HbwContext *context)
+{
+  const HbwPing base = { .probe_number = 0 };
+  for (guint i = 0; i < membership->seeds->len; i++)
+    {
+      const char *address = g_ptr_array_index (membership->seeds, i);
+      if (!is_member_address (membership, address))
+        send_ping (membership, context, HBW_MESSAGE_PING, 0, address, &base);
+    }
+}
+
 static void
 ping_outside_rotation (HbwMembership *membership, HbwContext *context)
 {
--- a/core/suspect_share.c
+++ b/core/suspect_share.c
@@ -34,8 +34,10 @@
   gint64 next_sync_us;
   guint synced_count; /* entries that the last comparisons have sent in turn */
   gboolean is_alone;  /* no address of another instance is configured */
+  gboolean has_store; /* the platform's store will be read */
   gboolean is_complete;
   gint64 incomplete_since_us;
+  gint64 met_us; /* when the first other instance was known since then; 0: none is */
   gint64 news_us; /* last time at which a peer reported what was not known */
   gint64 next_join_ping_us;
   guint64 first_join_ping; /* number of the first ping since then; 0 is none */
@@ -47,6 +49,7 @@
 {
   share->is_complete = FALSE;
   share->incomplete_since_us = now_us;
+  share->met_us = 0;
   share->next_join_ping_us = now_us;
   share->first_join_ping = 0;
 }
@@ -66,6 +69,7 @@
   HbwSuspectShare *share = g_new0 (HbwSuspectShare, 1);
   set_incomplete (share, now_us);
   share->is_alone = is_alone;
+  share->has_store = has_store;
   share->is_complete = is_alone && !has_store;
   return share;
 }
@@ -192,18 +196,32 @@
   if (context->now_us < share->next_join_ping_us)
     return;
   share->next_join_ping_us = context->now_us + JOIN_PING_INTERVAL_US;
+  if (share->met_us == 0)
+    hbw_membership_ping_seeds (context->membership, context);
   guint64 number = hbw_membership_ping_random (context->membership, context);
   if (share->first_join_ping == 0)
     share->first_join_ping = number;
 }
 
+/* Returns how long this instance waits for something new. */
+static gint64
+join_timeout_us (const HbwSuspectShare *share)
+{
+  if (share->has_stored)
+    return HBW_SUSPECT_JOIN_STORED_TIMEOUT_US;
+  return share->met_us == 0 && share->has_store ? HBW_SUSPECT_JOIN_MAX_US
+                                                : HBW_SUSPECT_JOIN_TIMEOUT_US;
+}
+
 static void
 tick_incomplete (HbwSuspectShare *share, HbwContext *context)
 {
-  gint64 timeout_us = share->has_stored ? HBW_SUSPECT_JOIN_STORED_TIMEOUT_US
-                                        : HBW_SUSPECT_JOIN_TIMEOUT_US;
-  gint64 since_us = MAX (share->incomplete_since_us, share->news_us);
-  if (context->now_us - since_us >= timeout_us
+  if (share->met_us == 0
+      && hbw_membership_count_alive (context->membership, NULL) > 1)
+    share->met_us = context->now_us;
+  gint64 since_us
+      = MAX (MAX (share->incomplete_since_us, share->met_us), share->news_us);
+  if (context->now_us - since_us >= join_timeout_us (share)
       || context->now_us - share->incomplete_since_us >= HBW_SUSPECT_JOIN_MAX_US)
     set_complete (share, context);
   else
--- a/include/hornbeamwall/core/membership.h
+++ b/include/hornbeamwall/core/membership.h
@@ -93,6 +93,9 @@
 guint64 hbw_membership_ping_member (HbwMembership *membership, HbwContext *context,
                                     guint64 identity);
 
+/* Pings all seeds of the settings that are not known as members. */
+void hbw_membership_ping_seeds (HbwMembership *membership, HbwContext *context);
+
 /* Pings a random member of any data centre.  Returns the number that the ack will
    carry, or 0 if there is none. */
 guint64 hbw_membership_ping_random (HbwMembership *membership, HbwContext *context);
--- a/include/hornbeamwall/core/suspect_share.h
+++ b/include/hornbeamwall/core/suspect_share.h
@@ -18,11 +18,12 @@
 #include "hornbeamwall/core/context.h"
 
 /* An instance that hears nothing new from others runs requests after this time, or
-   after the second one if it has read what the platform's store has. */
+   after the second one if it has read what the platform's store has.  One that does
+   not know any other instance does not do so before it has read that. */
 #define HBW_SUSPECT_JOIN_TIMEOUT_US (1 * HBW_US_PER_S)
 #define HBW_SUSPECT_JOIN_STORED_TIMEOUT_US (300 * HBW_US_PER_MS)
 
-/* It does so after this time also if others still report what is new to it. */
+/* It does so after this time in any case. */
 #define HBW_SUSPECT_JOIN_MAX_US (5 * HBW_US_PER_S)
 
 /* Creates the state of an instance that starts now.  IS_ALONE is set if it has no
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -12,6 +12,7 @@
 #include "hornbeamwall/core/reducer.h"
 #include "hornbeamwall/core/request_spec.h"
 #include "hornbeamwall/core/retry_budget.h"
+#include "hornbeamwall/core/suspect_share.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -84,13 +85,14 @@
 
 static ReducerFixture
 create_fixture (guint64 identity, guint servers, guint slots,
-                const char *const *seeds)
+                const char *const *seeds, gboolean stores_suspects)
 {
   ReducerFixture fixture = { .now_us = HBW_US_PER_S };
   HbwReducerConfig config = { .policy = hbw_policy_find ("direct"), .seed = 1 };
   config.now_us = fixture.now_us;
   config.self.identity = identity;
   config.seeds = seeds;
+  config.stores_suspects = stores_suspects;
   config.load_in_answers = TRUE;
   config.max_revocation_delay_us = 5 * HBW_US_PER_S;
   config.drain_grace_us = 2 * HBW_US_PER_S;
@@ -107,7 +109,7 @@
 static ReducerFixture
 fixture_create (guint64 identity, guint servers, guint slots)
 {
-  return create_fixture (identity, servers, slots, NULL);
+  return create_fixture (identity, servers, slots, NULL, FALSE);
 }
 
 /* Creates an instance that is to know what others know before it runs requests. */
@@ -115,7 +117,7 @@
 fixture_create_with_seed (guint64 identity, guint servers, guint slots)
 {
   static const char *const seeds[] = { "10.1.0.2:1", NULL };
-  return create_fixture (identity, servers, slots, seeds);
+  return create_fixture (identity, servers, slots, seeds, FALSE);
 }
 
 static void
@@ -978,6 +980,85 @@
 }
 END_TEST
 
+static gboolean
+pings_address (const ReducerFixture *fixture, const char *address)
+{
+  for (guint i = 0; i < hbw_effects_count (fixture->effects); i++)
+    {
+      const HbwEffect *effect = hbw_effects_get (fixture->effects, i);
+      if (effect->kind == HBW_EFFECT_SEND_MESSAGE
+          && effect->send.message.kind == HBW_MESSAGE_PING
+          && strcmp (effect->send.address, address) == 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Two of its three seeds are down, and it runs requests before it asks the third. */
+START_TEST (starting_instance_pings_all_seeds)
+{
+  static const char *const seeds[]
+      = { "10.1.0.2:1", "10.1.0.3:1", "10.1.0.4:1", NULL };
+  ReducerFixture fixture = create_fixture (1, 3, 8, seeds, TRUE);
+  tick (&fixture, HBW_US_PER_MS);
+  for (guint i = 0; seeds[i] != NULL; i++)
+    ck_assert_msg (pings_address (&fixture, seeds[i]), "%s", seeds[i]);
+  introduce_peer (&fixture, 2, "a");
+  tick (&fixture, 100 * HBW_US_PER_MS);
+  ck_assert (pings_address (&fixture, seeds[0]));
+  ck_assert (!pings_address (&fixture, seeds[1]));
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+static gboolean
+starts_request (ReducerFixture *fixture, guint64 sequence)
+{
+  HbwRequestSpec spec = make_spec ();
+  submit_request (fixture, sequence, &spec);
+  return *started_server (fixture) != '\0';
+}
+
+static void
+pass_time (ReducerFixture *fixture, gint64 duration_us)
+{
+  for (gint64 passed_us = 0; passed_us < duration_us;
+       passed_us += 100 * HBW_US_PER_MS)
+    tick (fixture, 100 * HBW_US_PER_MS);
+}
+
+/* The only seed is down, and so is the store. */
+START_TEST (starting_instance_that_hears_of_nobody_waits_for_store)
+{
+  static const char *const seeds[] = { "10.1.0.2:1", NULL };
+  ReducerFixture fixture = create_fixture (1, 3, 8, seeds, TRUE);
+  pass_time (&fixture, 2 * HBW_US_PER_S);
+  ck_assert (!starts_request (&fixture, 1));
+  deliver_suspects (&fixture, 6, "{\"suspects\":[]}");
+  pass_time (&fixture, 100 * HBW_US_PER_MS);
+  ck_assert (starts_request (&fixture, 2));
+  fixture_destroy (&fixture);
+  fixture = create_fixture (1, 3, 8, seeds, TRUE);
+  pass_time (&fixture, HBW_SUSPECT_JOIN_MAX_US);
+  ck_assert (starts_request (&fixture, 1));
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+/* It hears of another instance just before it would run requests. */
+START_TEST (starting_instance_waits_for_reports_of_the_first_peer)
+{
+  ReducerFixture fixture = fixture_create_with_seed (1, 3, 8);
+  pass_time (&fixture, HBW_SUSPECT_JOIN_TIMEOUT_US - 100 * HBW_US_PER_MS);
+  introduce_peer (&fixture, 2, "a");
+  pass_time (&fixture, HBW_SUSPECT_JOIN_TIMEOUT_US);
+  ck_assert (!starts_request (&fixture, 1));
+  pass_time (&fixture, 100 * HBW_US_PER_MS);
+  ck_assert (starts_request (&fixture, 2));
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* --- server lists -------------------------------------------------------- */
 
 /* Guards against a failure of the deployment gazetteer-eu of the users' test bench,
@@ -1381,6 +1462,9 @@
   tcase_add_test (tests, instances_place_two_suspects_on_different_servers);
   tcase_add_test (tests, all_suspects_are_sent_in_turn);
   tcase_add_test (tests, starting_instance_waits_while_suspects_are_reported);
+  tcase_add_test (tests, starting_instance_pings_all_seeds);
+  tcase_add_test (tests, starting_instance_that_hears_of_nobody_waits_for_store);
+  tcase_add_test (tests, starting_instance_waits_for_reports_of_the_first_peer);
   tcase_add_test (tests, server_that_left_during_a_cut_is_not_kept_as_lapsed);
   tcase_add_test (tests, lapsed_entry_does_not_revive_leaving_server);
   tcase_add_test (tests, list_of_restored_store_does_not_revive_leaving_server);
