Split the adoption of documents off the reducer

Pure moves: the nine functions that adopt documents are in core/reducer_documents.c now, and the struct in core/reducer_state.h. No behaviour changes.

--- a/core/reducer.c
+++ b/core/reducer.c
@@ -1,17 +1,12 @@
-#include "hornbeamwall/core/reducer.h"
+#include "hornbeamwall/core/reducer_state.h"
 
 #include "hornbeamwall/core/admission.h"
-#include "hornbeamwall/core/freshness_monitor.h"
-#include "hornbeamwall/core/documents.h"
-#include "hornbeamwall/core/ingress.h"
 #include "hornbeamwall/core/load_share.h"
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/quarantine.h"
-#include "hornbeamwall/core/server_list.h"
 #include "hornbeamwall/core/server_notice.h"
 #include "hornbeamwall/core/status.h"
-#include "hornbeamwall/core/suspect_archive.h"
 #include "hornbeamwall/core/suspect_share.h"
 
 #include <string.h>
@@ -26,26 +21,6 @@
 /* Age of the catalogue before its first confirmation. */
 #define UNCONFIRMED_AGE_US (3600 * HBW_US_PER_S)
 
-struct HbwReducer
-{
-  HbwContext context;
-  const HbwPolicy *policy;
-  HbwDocuments *documents;
-  HbwServerList *server_list;
-  HbwIngress *ingress;
-  HbwFreshnessMonitor *freshness_monitor;
-  HbwSuspectArchive *suspect_archive;
-  GHashTable *shards;            /* key text -> HbwShard */
-  GHashTable *reported_versions; /* identity -> HbwReportedVersion */
-  guint64 membership_epoch;      /* last one that was handled */
-  gint64 last_tick_us;
-  gint64 max_revocation_delay_us;
-  gint64 drain_grace_us;
-  gboolean store_up;
-  gboolean draining;
-  char name[HBW_NAME_MAX];
-};
-
 static guint64
 find_owner (const HbwShardKey *key, void *data)
 {
@@ -114,8 +89,8 @@
   return TRUE;
 }
 
-static void
-update_all_shard_servers (HbwReducer *reducer)
+void
+hbw_reducer_update_shard_servers (HbwReducer *reducer)
 {
   GHashTableIter iter;
   gpointer value;
@@ -124,65 +99,8 @@
     update_shard_servers (reducer, value);
 }
 
-static gboolean
-adopt_catalogue (HbwReducer *reducer, const char *text, gsize length, gint64 version,
-                 HbwError *error)
-{
-  HbwContext *context = &reducer->context;
-  HbwCatalogue *catalogue = hbw_catalogue_parse (text, length, version, error);
-  if (catalogue == NULL)
-    return FALSE;
-  if (context->catalogue != NULL)
-    hbw_catalogue_unref (context->catalogue);
-  context->catalogue = catalogue;
-  hbw_effects_add (context->effects, HBW_EFFECT_PUBLISH_CATALOGUE)->catalogue
-      = hbw_catalogue_ref (catalogue);
-  return TRUE;
-}
-
-static gboolean
-adopt_servers (HbwReducer *reducer, const char *text, gsize length, HbwError *error)
-{
-  const HbwContext *context = &reducer->context;
-  if (!hbw_server_list_adopt (reducer->server_list, text, length,
-                              &context->store_era, context->now_us, error))
-    return FALSE;
-  hbw_ingress_set_topology (reducer->ingress,
-                            hbw_server_list_topology (reducer->server_list));
-  update_all_shard_servers (reducer);
-  return TRUE;
-}
-
-/* Once the era is settled, the list is in force as the store has it. */
-static void
-settle_servers (HbwReducer *reducer)
-{
-  const HbwContext *context = &reducer->context;
-  HbwError error = { HBW_ERROR_NONE, "" };
-  GBytes *body = hbw_documents_body (reducer->documents, HBW_DOCUMENT_SERVERS);
-  if (body == NULL
-      || !hbw_server_list_is_due (reducer->server_list, &context->store_era,
-                                  context->now_us))
-    return;
-  gsize length;
-  const char *text = g_bytes_get_data (body, &length);
-  adopt_servers (reducer, text, length, &error);
-}
-
-static gboolean
-adopt_instances (HbwReducer *reducer, const char *text, gsize length,
-                 HbwError *error)
-{
-  GPtrArray *instances = hbw_directory_parse_instances (text, length, error);
-  if (instances == NULL)
-    return FALSE;
-  hbw_membership_set_platform_seeds (reducer->context.membership, instances);
-  g_ptr_array_unref (instances);
-  return TRUE;
-}
-
-static void
-handle_drain (HbwReducer *reducer)
+void
+hbw_reducer_handle_drain (HbwReducer *reducer)
 {
   if (reducer->draining)
     return;
@@ -194,92 +112,6 @@
                    "in_progress=%u", hbw_ingress_request_count (reducer->ingress));
 }
 
-static gboolean
-adopt_stops (HbwReducer *reducer, const char *text, gsize length, HbwError *error)
-{
-  GHashTable *stops = hbw_directory_parse_stops (text, length, error);
-  if (stops == NULL)
-    return FALSE;
-  g_hash_table_unref (reducer->context.planned_stops);
-  reducer->context.planned_stops = stops;
-  reducer->context.planned_stops_known = TRUE;
-  update_all_shard_servers (reducer);
-  if (g_hash_table_contains (stops, reducer->name))
-    handle_drain (reducer);
-  return TRUE;
-}
-
-static gboolean
-apply_document (HbwReducer *reducer, const HbwDocument *document, HbwError *error)
-{
-  gsize length;
-  const char *text = g_bytes_get_data (document->body, &length);
-  switch (document->kind)
-    {
-    case HBW_DOCUMENT_CATALOGUE:
-      return adopt_catalogue (reducer, text, length, document->version, error);
-    case HBW_DOCUMENT_SERVERS:
-      return adopt_servers (reducer, text, length, error);
-    case HBW_DOCUMENT_INSTANCES:
-      return adopt_instances (reducer, text, length, error);
-    case HBW_DOCUMENT_STOPS:
-      return adopt_stops (reducer, text, length, error);
-    default:
-      hbw_error_set (error, HBW_ERROR_DOCUMENT, "unknown document kind");
-      return FALSE;
-    }
-}
-
-static void
-adopt_document (HbwReducer *reducer, const HbwDocument *document)
-{
-  HbwContext *context = &reducer->context;
-  const char *name = hbw_document_kind_name (document->kind);
-  HbwError error = { HBW_ERROR_NONE, "" };
-  if (!apply_document (reducer, document, &error))
-    {
-      hbw_documents_reject (reducer->documents, document->kind, document->version);
-      hbw_effects_log (context->effects, HBW_LOG_DOCUMENT_REJECTED,
-                       "document=%s version=%" G_GINT64_FORMAT " error=\"%s\"", name,
-                       document->version, error.message);
-      return;
-    }
-  hbw_documents_adopt (reducer->documents, document->kind, document->version,
-                       document->body);
-  hbw_effects_log (context->effects, HBW_LOG_DOCUMENT_ADOPTED,
-                   "document=%s version=%" G_GINT64_FORMAT, name, document->version);
-}
-
-static void
-handle_document (HbwReducer *reducer, const HbwDocument *document)
-{
-  HbwContext *context = &reducer->context;
-  HbwVersionOrder order = hbw_documents_compare_version (
-      reducer->documents, document->kind, document->version);
-  const char *name = hbw_document_kind_name (document->kind);
-  if (order == HBW_VERSION_OLDER && document->version > HBW_VERSION_ABSENT)
-    hbw_effects_log (context->effects, HBW_LOG_DOCUMENT_OLDER,
-                     "document=%s offered=%" G_GINT64_FORMAT, name,
-                     document->version);
-  if (order != HBW_VERSION_NEWER)
-    return;
-  if (document->version == HBW_VERSION_ABSENT)
-    {
-      hbw_documents_adopt (reducer->documents, document->kind, HBW_VERSION_ABSENT,
-                           NULL);
-      context->planned_stops_known |= document->kind == HBW_DOCUMENT_STOPS;
-      return;
-    }
-  GBytes *body = document->body != NULL
-                     ? hbw_documents_reconstruct (reducer->documents, document)
-                     : NULL;
-  if (body == NULL)
-    return;
-  const HbwDocument whole = { document->kind, document->version, 0, body };
-  adopt_document (reducer, &whole);
-  g_bytes_unref (body);
-}
-
 static void
 observe_store_era (HbwReducer *reducer, gint64 number, gint64 age_us)
 {
@@ -351,7 +183,7 @@
     if (ping->versions[i] == HBW_VERSION_ABSENT)
       {
         const HbwDocument absent = { .kind = (HbwDocumentKind) i };
-        handle_document (reducer, &absent);
+        hbw_reducer_handle_document (reducer, &absent);
       }
   hbw_documents_request_newer (reducer->documents, context, message->from, ping);
   hbw_suspect_share_handle_ping (context->suspect_share, context, message);
@@ -437,7 +269,7 @@
                                     &message->document);
       break;
     case HBW_MESSAGE_DOCUMENT:
-      handle_document (reducer, &message->document);
+      hbw_reducer_handle_document (reducer, &message->document);
       break;
     case HBW_MESSAGE_SUSPECT:
       hbw_suspect_share_handle_report (context->suspect_share, context, message);
@@ -538,7 +370,7 @@
   reducer->last_tick_us = context->now_us;
   hbw_membership_tick (context->membership, context);
   handle_membership_change (reducer);
-  settle_servers (reducer);
+  hbw_reducer_settle_servers (reducer);
   tick_shards (reducer);
   hbw_ingress_tick (reducer->ingress, context);
   hbw_server_notices_tick (context->server_notices, context);
@@ -566,19 +398,6 @@
                    "instance=%" G_GUINT64_FORMAT, reducer->context.self);
 }
 
-/* Pings the data centre after a new version was read from the store, because
-   instances that do not watch the store learn of new versions from pings. */
-static void
-handle_document_read (HbwReducer *reducer, const HbwDocument *document)
-{
-  HbwContext *context = &reducer->context;
-  gint64 before = hbw_documents_version (reducer->documents, document->kind);
-  handle_document (reducer, document);
-  if (reducer->max_revocation_delay_us > 0
-      && hbw_documents_version (reducer->documents, document->kind) > before)
-    hbw_membership_ping_all (context->membership, context, context->data_centre);
-}
-
 static void
 handle_suspects_read (HbwReducer *reducer, const HbwStoredSuspects *stored)
 {
@@ -651,7 +470,7 @@
       hbw_ingress_handle_server_check (reducer->ingress, context, &event->check);
       break;
     case HBW_EVENT_DOCUMENT_READ:
-      handle_document_read (reducer, &event->document);
+      hbw_reducer_handle_document_read (reducer, &event->document);
       break;
     case HBW_EVENT_SUSPECTS_READ:
       handle_suspects_read (reducer, &event->suspects);
@@ -670,7 +489,7 @@
       handle_message (reducer, &event->message);
       break;
     case HBW_EVENT_DRAIN:
-      handle_drain (reducer);
+      hbw_reducer_handle_drain (reducer);
       break;
     case HBW_EVENT_SEED:
       hbw_membership_add_seed (context->membership, event->seed);
