An instance that is leaving still gets reports

A request failed a third server at an instance that had got SIGTERM 3 s before: it still took requests, but no reports. Its peers send these only to members that are present, so it did not hear of the quarantine.

Reports of suspects, limits and loads go also to members that have announced their leaving within 10 s.

Test that failed before: leaving_instance_gets_reports_of_suspects: Assertion 'reports_to (&fixture, 2) == i == 1' failed: 0

--- a/core/membership.c
+++ b/core/membership.c
@@ -755,6 +755,15 @@
     }
 }
 
+/* Returns whether MEMBER runs requests, or may do so. */
+static gboolean
+is_in_use (const Member *member, gint64 now_us)
+{
+  gboolean is_leaving = member->info.state == HBW_MEMBER_LEFT
+                        && now_us - member->state_changed_us < HBW_MEMBER_LEAVING_US;
+  return is_present (member) || is_leaving;
+}
+
 void
 hbw_membership_broadcast (HbwMembership *membership, HbwContext *context,
                           const char *data_centre, const HbwMessage *message)
@@ -762,7 +771,9 @@
   for (guint i = 0; i < membership->probe_order->len; i++)
     {
       const Member *member = g_ptr_array_index (membership->probe_order, i);
-      if (is_present_in (member, data_centre))
+      gboolean is_addressed = data_centre == NULL
+                              || strcmp (member->info.data_centre, data_centre) == 0;
+      if (is_addressed && is_in_use (member, context->now_us))
         hbw_context_send (context, member->info.identity, message);
     }
 }
--- a/include/hornbeamwall/core/membership.h
+++ b/include/hornbeamwall/core/membership.h
@@ -25,6 +25,9 @@
 /* How long dead members and those that have left are kept as tombstones. */
 #define HBW_MEMBER_TOMBSTONE_US (600 * HBW_US_PER_S)
 
+/* How long an instance that has announced its leaving may still take requests. */
+#define HBW_MEMBER_LEAVING_US (10 * HBW_US_PER_S)
+
 /* A longer gap between two ticks means that this process was paused. */
 #define HBW_PAUSE_THRESHOLD_US (1 * HBW_US_PER_S)
 
@@ -108,7 +111,8 @@
 /* Returns a number that increases with every change that may move ownership. */
 guint64 hbw_membership_epoch (const HbwMembership *membership);
 
-/* Sends MESSAGE to every other member of DATA_CENTRE (NULL: of all). */
+/* Sends MESSAGE to every other member of DATA_CENTRE (NULL: of all), also to those
+   that are leaving. */
 void hbw_membership_broadcast (HbwMembership *membership, HbwContext *context,
                                const char *data_centre, const HbwMessage *message);
 
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -7,6 +7,7 @@
 
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/admission.h"
+#include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/policy.h"
 #include "hornbeamwall/core/reducer.h"
@@ -603,7 +604,8 @@
 #define LAPSE_US (3 * HBW_US_PER_S)
 
 static void
-introduce_peer (ReducerFixture *fixture, guint64 identity, const char *data_centre)
+send_peer_state (ReducerFixture *fixture, guint64 identity, const char *data_centre,
+                 HbwMemberState state)
 {
   HbwEvent event = { .kind = HBW_EVENT_MESSAGE };
   event.message.kind = HBW_MESSAGE_PING;
@@ -612,7 +614,7 @@
   event.message.ping.member_count = 1;
   HbwMemberUpdate *member = &event.message.ping.members[0];
   member->identity = identity;
-  member->state = HBW_MEMBER_ALIVE;
+  member->state = state;
   g_strlcpy (member->data_centre, data_centre, sizeof member->data_centre);
   g_snprintf (member->address, sizeof member->address,
               "10.1.0.%" G_GUINT64_FORMAT ":1", identity);
@@ -621,6 +623,12 @@
   step_reducer (fixture, &event);
 }
 
+static void
+introduce_peer (ReducerFixture *fixture, guint64 identity, const char *data_centre)
+{
+  send_peer_state (fixture, identity, data_centre, HBW_MEMBER_ALIVE);
+}
+
 static guint
 count_sent_suspects (const ReducerFixture *fixture, GHashTable *sent)
 {
@@ -929,6 +937,38 @@
 }
 END_TEST
 
+/* Returns whether a report of a suspect was sent to the instance TO. */
+static gboolean
+reports_to (const ReducerFixture *fixture, guint64 to)
+{
+  for (guint i = 0; i < hbw_effects_count (fixture->effects); i++)
+    {
+      const HbwEffect *effect = hbw_effects_get (fixture->effects, i);
+      if (effect->kind == HBW_EFFECT_SEND_MESSAGE && effect->send.to == to
+          && effect->send.message.kind == HBW_MESSAGE_SUSPECT)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* An instance that leaves still takes requests. */
+START_TEST (leaving_instance_gets_reports_of_suspects)
+{
+  ReducerFixture fixture = fixture_create (1, 3, 8);
+  HbwRequestSpec spec = make_spec ();
+  introduce_peer (&fixture, 2, "a");
+  send_peer_state (&fixture, 2, "a", HBW_MEMBER_LEFT);
+  for (guint i = 1; i <= 2; i++)
+    {
+      submit_request (&fixture, i, &spec);
+      end_attempt (&fixture, i, 1, HBW_OUTCOME_BROKEN, FALSE);
+      ck_assert_int_eq (reports_to (&fixture, 2), i == 1);
+      tick (&fixture, HBW_MEMBER_LEAVING_US);
+    }
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* An instance that lacks many entries gets all of them, not the same ones again and
    again. */
 START_TEST (all_suspects_are_sent_in_turn)
@@ -1460,6 +1500,7 @@
   tcase_add_test (tests, proof_of_failure_is_reported_at_once);
   tcase_add_test (tests, proof_of_failure_outweighs_dismissal);
   tcase_add_test (tests, instances_place_two_suspects_on_different_servers);
+  tcase_add_test (tests, leaving_instance_gets_reports_of_suspects);
   tcase_add_test (tests, all_suspects_are_sent_in_turn);
   tcase_add_test (tests, starting_instance_waits_while_suspects_are_reported);
   tcase_add_test (tests, starting_instance_pings_all_seeds);
