Only a proved failure names the cause of others

A request failed a third server because the failures that it had caused were explained by a harmless request. A link had broken off two responses of that one, and each counted as a confirmed failure, since another request broke there before the server had responded. As the only suspect left of such a failure, it was named the cause, and the harmful request that had been beside it at the crashes was released.

Only a failure that a refused connection proves names its single suspect as the cause now, which explains the failures of others. One that is not proved is decided about after a second, in which the server is checked, as one with several suspects.

Test that failed before: responses_that_break_off_twice_explain_no_crash: Assertion 'status >= HBW_QUARANTINE_STATUS_HELD' failed: status == 1

--- a/core/quarantine_verdict.c
+++ b/core/quarantine_verdict.c
@@ -15,8 +15,8 @@
 static gboolean
 is_due (const HbwFailure *failure, gint64 now_us)
 {
-  gint64 window_us = failure->is_confirmed ? HBW_QUARANTINE_GATHER_WINDOW_US
-                                           : HBW_QUARANTINE_CONFIRM_WINDOW_US;
+  gint64 window_us = failure->is_refused ? HBW_QUARANTINE_GATHER_WINDOW_US
+                                         : HBW_QUARANTINE_CONFIRM_WINDOW_US;
   return now_us - failure->latest_end_us >= window_us
          && now_us >= failure->suspended_until_us;
 }
@@ -46,7 +46,7 @@
 is_only_suspect (const HbwFailure *failure, const HbwSuspect *suspect G_GNUC_UNUSED,
                  gint64 now_us)
 {
-  return is_due (failure, now_us) && failure->is_confirmed
+  return is_due (failure, now_us) && failure->is_refused
          && failure->record_count == 1;
 }
 
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -438,6 +438,25 @@
 }
 END_TEST
 
+/* A harmless request is beside the harmful one at both crashes, and a working server
+   breaks off a response of it and of another request. */
+START_TEST (responses_that_break_off_twice_explain_no_crash)
+{
+  HbwQuarantine *quarantine = hbw_quarantine_create (1);
+  add_failure (quarantine, &innocent, 7, 0);
+  add_failure (quarantine, &poison, 7, 0);
+  add_broken_response (quarantine, &innocent, 8, HBW_US_PER_S);
+  add_broken_response (quarantine, &other_suspect, 8, HBW_US_PER_S * 3 / 2);
+  hbw_quarantine_clear (quarantine, &other_suspect, 2 * HBW_US_PER_S);
+  add_failure (quarantine, &innocent, 9, 3 * HBW_US_PER_S);
+  add_failure (quarantine, &poison, 9, 3 * HBW_US_PER_S);
+  HbwQuarantineStatus status
+      = hbw_quarantine_check (quarantine, &poison, 1, 4 * HBW_US_PER_S);
+  ck_assert_int_ge (status, HBW_QUARANTINE_STATUS_HELD);
+  hbw_quarantine_destroy (quarantine);
+}
+END_TEST
+
 /* A server that works breaks the responses to one request, and that one is in
    progress on another server that crashes. */
 START_TEST (broken_response_of_working_server_explains_no_crash)
@@ -912,6 +931,7 @@
   tcase_add_test (cases, neither_of_two_requests_with_same_evidence_runs);
   tcase_add_test (cases, copies_on_one_server_count_as_one_failure);
   tcase_add_test (cases, storm_of_failures_evicts_no_verdict);
+  tcase_add_test (cases, responses_that_break_off_twice_explain_no_crash);
   tcase_add_test (cases, broken_response_of_working_server_explains_no_crash);
   tcase_add_test (cases, response_on_older_connection_withdraws_verdict);
   tcase_add_test (cases, storm_of_failures_keeps_control_thread_free);
