A server is not silent while bytes of it wait to be read

A caller that read its stream slowly was moved to another server: once 256 KB wait for the caller, nothing more is read from the server, and after the silence timeout (500 ms at least) the attempt ended as timed out and the stream was sent to another server again, while the first one still had bytes in the kernel. The server was checked as one that had fallen silent. In the same way an attempt whose caller left, or that was cancelled, just after the process had stood still counted its server as silent.

The silence timer starts again while bytes of the connection are unread, and an attempt that ends with unread bytes tells nothing of its server.

Before: stream_whose_caller_reads_slowly_is_not_taken_for_silence: it was sent again. Now its 16,000 events arrive from one attempt. The traffic tests pass.

--- a/include/hornbeamwall/net/channel.h
+++ b/include/hornbeamwall/net/channel.h
@@ -62,6 +62,9 @@
 /* Returns whether the connection is open and has no bytes to read. */
 gboolean hbw_channel_is_idle (const HbwChannel *channel);
 
+/* Returns whether the peer has sent bytes that were not read yet. */
+gboolean hbw_channel_has_unread_bytes (const HbwChannel *channel);
+
 /* Returns the number of bytes in the send buffer. */
 gsize hbw_channel_pending_bytes (const HbwChannel *channel);
 
--- a/include/hornbeamwall/net/exchange_state.h
+++ b/include/hornbeamwall/net/exchange_state.h
@@ -34,6 +34,8 @@
   gint64 silence_timeout_us;
   guint silence_count;     /* consecutive timeouts that were extended */
   gint64 stall_timeout_us; /* longest pause within the response; 0 is no limit */
+  gboolean
+      has_unread_bytes; /* the server had sent more when the attempt was ended */
   gint64 started_us;
   gint64 response_reported_us; /* when bytes of the server were last reported */
   /* Times of the first and the last piece of the response; 0 is none.  A piece is a
--- a/include/hornbeamwall/net/upstream.h
+++ b/include/hornbeamwall/net/upstream.h
@@ -71,6 +71,9 @@
 /* Pauses or resumes reading the response. */
 void hbw_upstream_set_reading (HbwUpstream *upstream, gboolean reading);
 
+/* Returns whether the server has sent bytes that were not read yet. */
+gboolean hbw_upstream_has_unread_bytes (const HbwUpstream *upstream);
+
 /* Detaches the handler and discards the rest of the response, so that the connection
    can be reused. */
 void hbw_upstream_detach (HbwUpstream *upstream);
--- a/net/channel.c
+++ b/net/channel.c
@@ -252,6 +252,13 @@
          && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+gboolean
+hbw_channel_has_unread_bytes (const HbwChannel *channel)
+{
+  char byte;
+  return recv (channel->watcher.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 gsize
 hbw_channel_pending_bytes (const HbwChannel *channel)
 {
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -13,6 +13,7 @@
   hbw_exchange_drop_attempt (exchange);
   exchange->attempt = start->attempt;
   exchange->holds_failure = FALSE;
+  exchange->has_unread_bytes = FALSE;
   exchange->started_us = hbw_exchange_now (exchange);
   exchange->first_piece_us = 0;
   exchange->last_piece_us = 0;
--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -33,6 +33,8 @@
 {
   gint64 heard_us = hbw_upstream_pool_last_received_us (
       exchange->traffic->upstream_pool, exchange->server);
+  if (exchange->has_unread_bytes)
+    return FALSE;
   return (outcome == HBW_OUTCOME_TIMED_OUT || outcome == HBW_OUTCOME_CANCELLED
           || outcome == HBW_OUTCOME_BROKEN)
          && hbw_exchange_now (exchange) - MAX (heard_us, exchange->started_us)
@@ -184,6 +186,8 @@
 void
 hbw_exchange_end_attempt (HbwExchange *exchange, HbwOutcome outcome)
 {
+  exchange->has_unread_bytes = exchange->upstream != NULL
+                               && hbw_upstream_has_unread_bytes (exchange->upstream);
   hbw_exchange_drop_attempt (exchange);
   hbw_exchange_report_attempt_end (exchange, outcome);
 }
@@ -429,6 +433,13 @@
 {
   HbwExchange *exchange = caa_container_of (timer, HbwExchange, silence_timer);
   HbwTraffic *traffic = exchange->traffic;
+  /* Nothing is read while the caller has to catch up. */
+  if (exchange->upstream != NULL
+      && hbw_upstream_has_unread_bytes (exchange->upstream))
+    {
+      hbw_loop_set_timer (traffic->loop, timer, exchange->silence_timeout_us);
+      return;
+    }
   gint64 heard_us = hbw_upstream_pool_last_received_us (traffic->upstream_pool,
                                                         exchange->server);
   gboolean responds_to_others
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -431,6 +431,12 @@
   hbw_channel_set_reading (upstream->channel, reading);
 }
 
+gboolean
+hbw_upstream_has_unread_bytes (const HbwUpstream *upstream)
+{
+  return upstream->connected && hbw_channel_has_unread_bytes (upstream->channel);
+}
+
 void
 hbw_upstream_detach (HbwUpstream *upstream)
 {
--- a/tests/stall_test.c
+++ b/tests/stall_test.c
@@ -36,6 +36,12 @@
 #define RESPONSE_MS 300
 #define RESPONSE_STALL_END_MS 1200
 
+/* A stream of 16 MB, and how long its caller reads nothing. */
+#define EVENTS 16000
+#define EVENT_SIZE 1000
+#define EVENT_MARK '#'
+#define CALLER_PAUSE_MS 1500
+
 /* How long a change of the servers may take. */
 #define SERVERS_APPLY_US (2 * HBW_US_PER_S)
 
@@ -264,6 +270,83 @@
 }
 END_TEST
 
+typedef struct
+{
+  int connection;
+  char *attempt_id;
+} StreamServer;
+
+/* Sends a stream that is longer than all buffers on the way to the caller. */
+static void *
+send_long_stream (void *data)
+{
+  StreamServer *server = data;
+  char *head = g_strdup_printf ("HTTP/1.1 200 OK\r\n"
+                                "X-Hornbeamwall-Attempt-Id: %s\r\n"
+                                "X-Hornbeamwall-Response-Seal: 1.2.3\r\n"
+                                "Content-Type: text/event-stream\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n",
+                                server->attempt_id);
+  char *filler = g_strnfill (EVENT_SIZE, 'x');
+  gboolean open = send (server->connection, head, strlen (head), MSG_NOSIGNAL) > 0;
+  for (guint i = 1; i <= EVENTS && open; i++)
+    {
+      char *event
+          = g_strdup_printf ("id: %u\ndata: %c%s\n\n", i, EVENT_MARK, filler);
+      char *chunk = g_strdup_printf ("%zx\r\n%s\r\n", strlen (event), event);
+      open = send (server->connection, chunk, strlen (chunk), MSG_NOSIGNAL) > 0;
+      g_free (chunk);
+      g_free (event);
+    }
+  if (open)
+    send (server->connection, "0\r\n\r\n", 5, MSG_NOSIGNAL);
+  g_free (filler);
+  g_free (head);
+  return NULL;
+}
+
+/* Receives a stream to its end or the connection's; returns its number of events. */
+static guint
+count_events (int fd)
+{
+  char bytes[64 * 1024];
+  guint count = 0;
+  ssize_t length;
+  gboolean ended = FALSE;
+  while (!ended && (length = recv (fd, bytes, sizeof bytes, 0)) > 0)
+    {
+      for (ssize_t i = 0; i < length; i++)
+        count += bytes[i] == EVENT_MARK;
+      ended = length >= 5 && memcmp (bytes + length - 5, "0\r\n\r\n", 5) == 0;
+    }
+  return count;
+}
+
+START_TEST (stream_whose_caller_reads_slowly_is_not_taken_for_silence)
+{
+  PlatformFixture *fixture = create_fixture ();
+  int listener = listen_as_server (fixture);
+  char *request = caller_format_request ("POST", "/stream/ok", API_KEY_FIELD, "");
+  int caller = platform_fixture_connect (fixture);
+  caller_send (caller, request);
+  g_free (request);
+  struct pollfd input = { listener, POLLIN, 0 };
+  ck_assert_int_eq (poll (&input, 1, 5000), 1);
+  StreamServer server = { .connection = accept (listener, NULL, NULL) };
+  server.attempt_id = receive_request (server.connection);
+  pthread_t thread;
+  ck_assert_int_eq (pthread_create (&thread, NULL, send_long_stream, &server), 0);
+  ck_assert_msg (poll (&input, 1, CALLER_PAUSE_MS) == 0, "it was sent again");
+  ck_assert_uint_eq (count_events (caller), EVENTS);
+  pthread_join (thread, NULL);
+  close (server.connection);
+  close (caller);
+  close (listener);
+  g_free (server.attempt_id);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 START_TEST (rest_of_a_head_is_read_after_a_stall)
 {
   check_request_in_parts (
@@ -292,6 +375,8 @@
                   request_on_kept_connection_is_answered_after_a_long_stall);
   suite_add_test (suite, "response_that_came_in_a_stall_is_not_taken_for_silence",
                   response_that_came_in_a_stall_is_not_taken_for_silence);
+  suite_add_test (suite, "stream_whose_caller_reads_slowly_is_not_taken_for_silence",
+                  stream_whose_caller_reads_slowly_is_not_taken_for_silence);
   suite_add_test (suite, "rest_of_a_head_is_read_after_a_stall",
                   rest_of_a_head_is_read_after_a_stall);
   suite_add_test (suite, "rest_of_a_body_is_read_after_a_stall",
