--- a/tests/soak_site.c
+++ b/tests/soak_site.c
@@ -9,11 +9,30 @@
 /* Time after which idle connections are closed at first. */
 #define IDLE_TIMEOUT_MS 2000
 
-/* Ports of instances, below those that the system gives to outgoing connections. */
+/* Ports of instances and servers, below those that the system gives to outgoing
+ * connections. */
 #define PORT_MIN 12000
 #define PORT_MAX 32000
 #define PORTS_OF_A_RUN 64
 
+/* Returns the next port that is free.  Outgoing connections don't get these ports
+   while the process that listens on them is away. */
+static guint
+next_port (Soak *soak)
+{
+  for (;;)
+    {
+      if (++soak->last_port >= PORT_MAX)
+        soak->last_port = PORT_MIN;
+      const struct sockaddr_in address = standin_loopback (soak->last_port);
+      int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      int result = bind (fd, (const struct sockaddr *) &address, sizeof address);
+      close (fd);
+      if (result == 0)
+        return soak->last_port;
+    }
+}
+
 /* Returns the changing keys that are held, as JSON strings, each after a comma. */
 static char *
 format_changing_keys (Soak *soak)
@@ -153,32 +172,14 @@
     }
 }
 
-/* Returns the next port that is free.  Outgoing connections of other processes don't
-   get these ports while the instance is away. */
-static guint
-next_port (guint *last)
-{
-  for (;;)
-    {
-      *last = *last + 1 < PORT_MAX ? *last + 1 : PORT_MIN;
-      const struct sockaddr_in address = standin_loopback (*last);
-      int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-      int result = bind (fd, (const struct sockaddr *) &address, sizeof address);
-      close (fd);
-      if (result == 0)
-        return *last;
-    }
-}
-
 static void
 write_settings (Soak *soak)
 {
   guint peers[SOAK_INSTANCES_MAX];
-  guint port = PORT_MIN + (guint) getpid () * PORTS_OF_A_RUN % (PORT_MAX - PORT_MIN);
   for (guint i = 0; i < soak->instances; i++)
     {
-      soak->ports[i] = next_port (&port);
-      peers[i] = next_port (&port);
+      soak->ports[i] = next_port (soak);
+      peers[i] = next_port (soak);
     }
   for (guint i = 0; i < soak->instances; i++)
     {
@@ -191,7 +192,7 @@
           "\"revocation_ms\":%u,\"retry_ratio\":0.2,\"retry_extra\":54,"
           "\"stop_grace_s\":4,\"connect_timeout_ms\":150,"
           "\"seeds\":[\"127.0.0.1:%u\"]}",
-          i, "zyx"[i % 3], soak -> ports[i], next_port (&port), peers[i],
+          i, "zyx"[i % 3], soak -> ports[i], next_port (soak), peers[i],
           proxy_port (soak->store_proxy), SOAK_REVOCATION_MS, peers[0]);
       if (!g_file_set_contents (path, text, -1, NULL))
         g_error ("cannot write %s", path);
@@ -211,6 +212,8 @@
 {
   pthread_mutex_init (&soak->key_lock, NULL);
   soak->began_us = g_get_monotonic_time ();
+  soak->last_port
+      = PORT_MIN + (guint) getpid () * PORTS_OF_A_RUN % (PORT_MAX - PORT_MIN);
   soak->config_idle_timeout_ms = IDLE_TIMEOUT_MS;
   atomic_store (&soak->idle_timeout_ms, IDLE_TIMEOUT_MS);
   for (guint i = 0; i < SOAK_CHANGING_KEYS; i++)
@@ -222,11 +225,14 @@
     {
       char id[16];
       g_snprintf (id, sizeof id, "i-%u", i);
-      soak->replicas[i] = replica_create ("127.0.0.1:0", id);
+      char *address = g_strdup_printf ("127.0.0.1:%u", next_port (soak));
+      soak->replicas[i] = replica_create (address, id);
+      g_free (address);
       if (soak->outage_us > 0)
         replica_set_outage (soak->replicas[i], soak->outage_us,
                             soak->renames_servers);
-      soak->proxies[i] = proxy_create_following (replica_port (soak->replicas[i]),
+      soak->proxies[i] = proxy_create_following (next_port (soak),
+                                                 replica_port (soak->replicas[i]),
                                                  is_replica_up, soak->replicas[i]);
       soak_put_server (soak, i, "ready");
     }
--- a/tests/soak_state.h
+++ b/tests/soak_state.h
@@ -37,6 +37,7 @@
   guint instances;
   guint ports[SOAK_INSTANCES_MAX];
   guint servers;
+  guint last_port; /* given to an instance or a server */
   gint64 began_us;
   SoakProcesses *processes;
   Objects *objects;
--- a/tests/standin/proxy.c
+++ b/tests/standin/proxy.c
@@ -158,11 +158,12 @@
 Proxy *
 proxy_create (guint port)
 {
-  return proxy_create_following (port, NULL, NULL);
+  return proxy_create_following (0, port, NULL, NULL);
 }
 
 Proxy *
-proxy_create_following (guint port, gboolean (*is_up) (void *data), void *is_up_data)
+proxy_create_following (guint own_port, guint port, gboolean (*is_up) (void *data),
+                        void *is_up_data)
 {
   Proxy *proxy = g_new0 (Proxy, 1);
   struct sockaddr_in address;
@@ -170,7 +171,7 @@
   atomic_store (&proxy->target_port, port);
   proxy->is_up = is_up;
   proxy->is_up_data = is_up_data;
-  open_listener (proxy, 0);
+  open_listener (proxy, own_port);
   getsockname (proxy->fd, (struct sockaddr *) &address, &size);
   proxy->port = ntohs (address.sin_port);
   pthread_create (&proxy->thread, NULL, run_proxy, proxy);
--- a/tests/standin/proxy.h
+++ b/tests/standin/proxy.h
@@ -22,9 +22,9 @@
 /* Listens on a free port of 127.0.0.1 and forwards connections to PORT there. */
 Proxy *proxy_create (guint port);
 
-/* The same, and refuses connections while IS_UP returns FALSE. */
-Proxy *proxy_create_following (guint port, gboolean (*is_up) (void *data),
-                               void *is_up_data);
+/* The same on OWN_PORT, and refuses connections while IS_UP returns FALSE. */
+Proxy *proxy_create_following (guint own_port, guint port,
+                               gboolean (*is_up) (void *data), void *is_up_data);
 void proxy_destroy (Proxy *proxy);
 guint proxy_port (const Proxy *proxy);
 void proxy_set_mode (Proxy *proxy, ProxyMode mode);
