--- a/tests/standin/proxy.c
+++ b/tests/standin/proxy.c
@@ -17,7 +17,8 @@
 
 typedef struct
 {
-  int ends[2]; /* sockets to the client and to the server */
+  int ends[2];      /* sockets to the client and to the server */
+  gboolean is_torn; /* some of its data was dropped */
 } Connection;
 
 struct Proxy
@@ -63,7 +64,8 @@
       close (server);
       return;
     }
-  proxy->connections[proxy->connection_count++] = (Connection){ { client, server } };
+  proxy->connections[proxy->connection_count++]
+      = (Connection){ { client, server }, FALSE };
 }
 
 typedef enum
@@ -73,23 +75,27 @@
   PROXY_CONNECTION_RESET,
 } ConnectionState;
 
-/* Forwards available data from one end to the other.  Returns how it leaves the
-   connection. */
+/* Forwards available data from one end to the other.  A connection whose data was
+   dropped ends with a reset.  Returns how it leaves the connection. */
 static ConnectionState
-forward (Proxy *proxy, const Connection *connection, guint from)
+forward (Proxy *proxy, Connection *connection, guint from)
 {
   char bytes[8192];
   int mode = atomic_load (&proxy->mode);
   ssize_t count = recv (connection->ends[from], bytes, sizeof bytes, MSG_DONTWAIT);
   if (count <= 0)
-    return count == 0 ? PROXY_CONNECTION_CLOSED : PROXY_CONNECTION_RESET;
+    return count == 0 && !connection->is_torn ? PROXY_CONNECTION_CLOSED
+                                              : PROXY_CONNECTION_RESET;
   gboolean dropped = mode == PROXY_DROP_ALL
                      || (mode == PROXY_DROP_FROM_CLIENT && from == 0)
                      || (mode == PROXY_DROP_FROM_SERVER && from == 1);
   if (mode == PROXY_DELAY)
     g_usleep (DELAY_US);
+  connection->is_torn |= dropped;
   if (dropped)
     return PROXY_CONNECTION_OPEN;
+  if (connection->is_torn)
+    return PROXY_CONNECTION_RESET;
   ssize_t sent
       = send (connection->ends[1 - from], bytes, (size_t) count, MSG_NOSIGNAL);
   return sent == count ? PROXY_CONNECTION_OPEN : PROXY_CONNECTION_RESET;
--- a/tests/standin/proxy.h
+++ b/tests/standin/proxy.h
@@ -14,6 +14,7 @@
   PROXY_DROP_FROM_CLIENT, /* drop data from the client */
   PROXY_DROP_FROM_SERVER, /* drop data from the server */
   PROXY_DROP_ALL,         /* drop data in both directions */
+  /* A connection that has lost data ends with a reset: nothing follows it. */
   PROXY_MODE_COUNT,
 } ProxyMode;
 
