--- a/tests/soak_process.h
+++ b/tests/soak_process.h
@@ -11,7 +11,7 @@
 #include <stdatomic.h>
 #include <sys/types.h>
 
-#define SOAK_INSTANCES_MAX 16
+#define SOAK_INSTANCES_MAX 200
 
 /* Times are those of g_get_monotonic_time(), 0 if it never happened. */
 typedef struct
