A response that came before a reset is read before the reset is noticed

What callers saw: a server that refuses a long request early (503 "not executed", or 421) and closes the connection was taken for one that broke: the request was not tried on another server if it was unsafe (502), and its fingerprint became a suspect.

Cause: an event that is readable and writable at once was handled for the writable side alone. After a reset, sending fails, and that ended the connection while the response waited to be read. Without a reset, the timers of that iteration ran before the bytes were read.

Evidence: response_to_half_a_request_is_read_before_the_reset failed before: net_test.c:347: Assertion 'sender.received == strlen (response)' failed: sender.received == 0, strlen (response) == 36

Change: the loop calls a watcher for all other events first, and for the writable side after it, in the same iteration. A channel whose sending fails sends no more, and reads what had arrived until its end; that end is not clean. No system call more: where both sides are ready, one wait fewer.

Result: the test passes.

--- a/include/hornbeamwall/net/loop.h
+++ b/include/hornbeamwall/net/loop.h
@@ -15,7 +15,8 @@
 
 typedef struct HbwLoop HbwLoop;
 
-/* A watched descriptor; embedded in its owner. */
+/* A watched descriptor; embedded in its owner.  If it is writable, handle_ready() is
+   called a second time for that alone, unless the first call stopped watching. */
 typedef struct HbwWatcher HbwWatcher;
 struct HbwWatcher
 {
--- a/net/channel.c
+++ b/net/channel.c
@@ -31,6 +31,7 @@
   gboolean connecting;
   gboolean refused; /* the connection */
   gboolean reading;
+  gboolean send_failed; /* what had arrived before can still be read */
   gboolean shutdown_requested;
   gboolean shutdown_done;
 };
@@ -50,7 +51,8 @@
   guint events = 0;
   if (channel->reading && !channel->connecting)
     events |= EPOLLIN;
-  if (channel->connecting || hbw_channel_pending_bytes (channel) > 0)
+  if (channel->connecting
+      || (!channel->send_failed && hbw_channel_pending_bytes (channel) > 0))
     events |= EPOLLOUT;
   hbw_loop_set_events (channel->loop, &channel->watcher, events);
 }
@@ -101,6 +103,8 @@
   ssize_t count = recv (channel->watcher.fd, bytes, sizeof bytes, MSG_DONTWAIT);
   if (count > 0)
     channel->handler->class->handle_bytes (channel->handler, bytes, (gsize) count);
+  else if (channel->send_failed)
+    handle_end_of_connection (channel, FALSE);
   else if (count == 0)
     handle_end_of_connection (channel, TRUE);
   else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
@@ -124,12 +128,26 @@
   channel->handler->class->handle_connected (channel->handler);
 }
 
+/* The peer may have responded before it closed the connection. */
+static void
+handle_send_failure (HbwChannel *channel)
+{
+  channel->send_failed = TRUE;
+  update_events (channel);
+  if (channel->reading)
+    handle_readable (channel);
+  else
+    handle_end_of_connection (channel, FALSE);
+}
+
 static void
 handle_writable (HbwChannel *channel)
 {
+  if (channel->send_failed)
+    return;
   if (!flush_send_buffer (channel))
     {
-      handle_end_of_connection (channel, FALSE);
+      handle_send_failure (channel);
       return;
     }
   update_events (channel);
@@ -145,7 +163,7 @@
   if (channel->connecting)
     handle_connect_result (channel);
   else if ((events & EPOLLOUT) != 0)
-    handle_writable (channel); /* readable bytes are handled in the next iteration */
+    handle_writable (channel);
   else if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0 && channel->reading)
     handle_readable (channel);
   else if ((events & (EPOLLHUP | EPOLLERR)) != 0)
--- a/net/loop.c
+++ b/net/loop.c
@@ -133,15 +133,24 @@
     record_poll (loop, began_us, loop->event_count);
 }
 
+static void
+handle_event (const struct epoll_event *event, guint events)
+{
+  HbwWatcher *watcher = event->data.ptr;
+  if (watcher != NULL && events != 0)
+    watcher->handle_ready (watcher, events);
+}
+
+/* What arrived comes first: an error of the writable side may hide it. */
 static void
 run_iteration (HbwLoop *loop)
 {
   poll_events (loop);
   for (guint i = 0; i < loop->event_count; i++)
     {
-      HbwWatcher *watcher = loop->events[i].data.ptr;
-      if (watcher != NULL)
-        watcher->handle_ready (watcher, loop->events[i].events);
+      const struct epoll_event *event = &loop->events[i];
+      handle_event (event, event->events & ~(guint) EPOLLOUT);
+      handle_event (event, event->events & EPOLLOUT);
     }
   loop->event_count = 0;
   handle_timers (loop);
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -4,13 +4,16 @@
  */
 #include "suite.h"
 
+#include "hornbeamwall/net/channel.h"
 #include "hornbeamwall/net/event_stream.h"
 #include "hornbeamwall/net/http_parser.h"
 #include "hornbeamwall/net/loop.h"
 
+#include <netinet/in.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 /* The results that a parser has reported. */
@@ -276,6 +279,78 @@
 }
 END_TEST
 
+/* More than the buffers of a socket hold. */
+#define LONG_BODY_SIZE ((gsize) 16 * 1024 * 1024)
+
+typedef struct
+{
+  HbwChannelHandler handler;
+  HbwLoop *loop;
+  gsize received;
+} Sender;
+
+static void
+sender_handle_bytes (HbwChannelHandler *handler, const char *bytes G_GNUC_UNUSED,
+                     gsize length)
+{
+  caa_container_of (handler, Sender, handler)->received += length;
+}
+
+static void
+sender_handle_end (HbwChannelHandler *handler, gboolean clean G_GNUC_UNUSED)
+{
+  hbw_loop_stop (caa_container_of (handler, Sender, handler)->loop);
+}
+
+static const HbwChannelHandlerClass sender_class = {
+  .handle_bytes = sender_handle_bytes,
+  .handle_end = sender_handle_end,
+};
+
+/* Connects two sockets. */
+static void
+connect_pair (int fds[2])
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t size = sizeof address;
+  int listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  ck_assert_int_eq (bind (listener, (struct sockaddr *) &address, size), 0);
+  ck_assert_int_eq (listen (listener, 1), 0);
+  ck_assert_int_eq (getsockname (listener, (struct sockaddr *) &address, &size), 0);
+  fds[0] = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  ck_assert_int_eq (connect (fds[0], (struct sockaddr *) &address, size), 0);
+  fds[1] = accept (listener, NULL, NULL);
+  ck_assert_int_ge (fds[1], 0);
+  close (listener);
+}
+
+/* The peer responds before it has read all, and closes the connection. */
+START_TEST (response_to_half_a_request_is_read_before_the_reset)
+{
+  static const char response[] = "HTTP/1.1 503 \r\nContent-Length: 0\r\n\r\n";
+  HbwError error = { HBW_ERROR_NONE, "" };
+  HbwClock *clock = hbw_clock_create_manual (HBW_US_PER_S);
+  Sender sender = { .handler = { &sender_class } };
+  sender.loop = hbw_loop_create (clock, NULL, &error);
+  int fds[2];
+  connect_pair (fds);
+  HbwChannel *channel = hbw_channel_adopt (sender.loop, fds[0], &sender.handler);
+  char *body = g_malloc0 (LONG_BODY_SIZE);
+  hbw_channel_write (channel, body, LONG_BODY_SIZE);
+  g_free (body);
+  ck_assert_uint_gt (hbw_channel_pending_bytes (channel), 0);
+  ck_assert_int_eq (send (fds[1], response, strlen (response), 0),
+                    (ssize_t) strlen (response));
+  close (fds[1]);
+  hbw_loop_run (sender.loop);
+  ck_assert_uint_eq (sender.received, strlen (response));
+  hbw_channel_destroy (channel);
+  hbw_loop_destroy (sender.loop, NULL);
+  hbw_clock_destroy (clock);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -288,5 +363,7 @@
   tcase_add_test (tests, timer_runs_after_what_arrived_in_a_stall_is_handled);
   tcase_add_test (tests, timers_run_while_all_descriptors_stay_ready);
   suite_add_tcase (suite, tests);
+  suite_add_test (suite, "response_to_half_a_request_is_read_before_the_reset",
+                  response_to_half_a_request_is_read_before_the_reset);
   return suite_run (suite);
 }
