Connections past their idle timeout keep no new caller out

Evidence: new_caller_is_answered_beside_connections_past_the_limit failed before, closed without an answer (status 0): platform_fixture.c:307:F:new_caller_is_answered_beside_connections_past_the_limit: 0:

Change: at the limit, the connection that has waited longest for a request is closed for a new one, if its idle timeout has passed, nothing has arrived on it and nothing waits to be sent. Connections between requests are in a list by when they began to wait, so that the search ends at the first that has not waited for the current timeout.

Result: the test passes. A system call more only for a new connection at the limit.

--- a/include/hornbeamwall/net/downstream.h
+++ b/include/hornbeamwall/net/downstream.h
@@ -17,6 +17,10 @@
 /* Takes ownership of the connected socket FD and serves the caller. */
 void hbw_downstream_adopt (HbwTraffic *traffic, int fd);
 
+/* Closes the connection that has waited longest for a request, if its idle timeout
+   has passed.  Returns FALSE if there is none. */
+gboolean hbw_downstream_close_past_limit (HbwTraffic *traffic);
+
 /* Resets the connection, so that the caller cannot mistake a partial response for a
    complete one. */
 void hbw_downstream_abort (HbwDownstream *downstream);
--- a/include/hornbeamwall/net/traffic_state.h
+++ b/include/hornbeamwall/net/traffic_state.h
@@ -29,7 +29,8 @@
   HbwUpstreamPool *upstream_pool;
   HbwNoticeReporter *notice_reporter;
   GHashTable *exchanges; /* sequence number -> HbwExchange, submitted only */
-  struct cds_list_head downstreams; /* HbwDownstream */
+  struct cds_list_head downstreams;      /* HbwDownstream */
+  struct cds_list_head idle_downstreams; /* those between requests, oldest first */
   guint downstream_count;
   gsize request_body_bytes;           /* of all requests in memory */
   struct cds_list_head server_checks; /* in progress; see net/server_check.h */
--- a/net/downstream.c
+++ b/net/downstream.c
@@ -61,6 +61,7 @@
   HbwChannelHandler channel_handler;
   HbwHttpParserHandler parser_handler;
   struct cds_list_head link;
+  struct cds_list_head idle_link; /* in traffic->idle_downstreams, or in no list */
   HbwTraffic *traffic;
   HbwChannel *channel;
   HbwHttpParser *parser;
@@ -159,6 +160,7 @@
     return;
   hbw_loop_clear_timer (traffic->loop, &downstream->timer);
   cds_list_del (&downstream->link);
+  cds_list_del (&downstream->idle_link);
   traffic->downstream_count--;
   hbw_http_parser_destroy (downstream->parser);
   if (downstream->channel != NULL)
@@ -193,9 +195,20 @@
   hbw_loop_set_timer (downstream->traffic->loop, &downstream->timer, delay_us);
 }
 
+static void
+update_idle_list (HbwDownstream *downstream, Wait wait)
+{
+  cds_list_del (&downstream->idle_link);
+  CDS_INIT_LIST_HEAD (&downstream->idle_link);
+  if (wait == WAIT_REQUEST)
+    cds_list_add_tail (&downstream->idle_link,
+                       &downstream->traffic->idle_downstreams);
+}
+
 static void
 begin_wait (HbwDownstream *downstream, Wait wait, const HbwCallerLimits *limits)
 {
+  update_idle_list (downstream, wait);
   downstream->wait = wait;
   downstream->wait_began_us = get_now (downstream);
   downstream->wait_limit_us = get_limit_us (wait, limits);
@@ -205,16 +218,22 @@
   set_timer (downstream, downstream->wait_limit_us + get_grace_us (wait));
 }
 
-/* Returns how much of the time for what the connection waits for is left.  A limit
-   that was raised meanwhile holds; one that was lowered does not. */
+/* Returns how much of the time for what the connection waits for is left, without
+   the grace.  A limit that was raised meanwhile holds; one that was lowered does
+   not. */
+static gint64
+get_limit_left (const HbwDownstream *downstream, const HbwCallerLimits *limits)
+{
+  gint64 limit_us
+      = MAX (downstream->wait_limit_us, get_limit_us (downstream->wait, limits));
+  return downstream->wait_began_us + limit_us - get_now (downstream);
+}
+
 static gint64
-get_time_left (HbwDownstream *downstream)
+get_time_left (const HbwDownstream *downstream)
 {
   const HbwCallerLimits limits = hbw_traffic_caller_limits (downstream->traffic);
-  Wait wait = downstream->wait;
-  gint64 limit_us = MAX (downstream->wait_limit_us, get_limit_us (wait, &limits));
-  return downstream->wait_began_us + limit_us + get_grace_us (wait)
-         - get_now (downstream);
+  return get_limit_left (downstream, &limits) + get_grace_us (downstream->wait);
 }
 
 static void
@@ -468,6 +487,7 @@
   downstream->input = g_byte_array_new ();
   downstream->parser = hbw_http_parser_create (HBW_HTTP_PARSER_REQUEST,
                                                &downstream->parser_handler);
+  CDS_INIT_LIST_HEAD (&downstream->idle_link);
   cds_list_add_tail (&downstream->link, &traffic->downstreams);
   traffic->downstream_count++;
   downstream->channel
@@ -478,6 +498,28 @@
     begin_idle_wait (downstream);
 }
 
+/* Those that have waited longest come first.  No limit is shorter than the current
+   one. */
+gboolean
+hbw_downstream_close_past_limit (HbwTraffic *traffic)
+{
+  const HbwCallerLimits limits = hbw_traffic_caller_limits (traffic);
+  gint64 newest_us = hbw_loop_now (traffic->loop) - limits.idle_timeout_us;
+  HbwDownstream *downstream;
+  cds_list_for_each_entry (downstream, &traffic->idle_downstreams, idle_link)
+    {
+      if (downstream->wait_began_us > newest_us)
+        return FALSE;
+      if (get_limit_left (downstream, &limits) > 0
+          || hbw_channel_pending_bytes (downstream->channel) > 0
+          || !hbw_channel_is_idle (downstream->channel))
+        continue;
+      close_after_timeout (downstream);
+      return TRUE;
+    }
+  return FALSE;
+}
+
 void
 hbw_downstream_abort (HbwDownstream *downstream)
 {
--- a/net/traffic.c
+++ b/net/traffic.c
@@ -131,6 +131,14 @@
   g_free (task); /* the task is the first member of its allocation */
 }
 
+/* A connection past its idle timeout makes room for a new one. */
+static gboolean
+has_room (HbwTraffic *traffic)
+{
+  return traffic->downstream_count < traffic->settings->connection_limit
+         || hbw_downstream_close_past_limit (traffic);
+}
+
 static void
 handle_accept (HbwWatcher *watcher, guint events G_GNUC_UNUSED)
 {
@@ -141,7 +149,7 @@
       int fd = accept4 (watcher->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (fd < 0)
         return;
-      if (traffic->downstream_count < traffic->settings->connection_limit)
+      if (has_room (traffic))
         hbw_downstream_adopt (traffic, fd);
       else
         close (fd);
@@ -236,6 +244,7 @@
   thread->caller_listener.watcher.fd = thread->readiness_listener.watcher.fd = -1;
   traffic->exchanges = g_hash_table_new (g_int64_hash, g_int64_equal);
   CDS_INIT_LIST_HEAD (&traffic->downstreams);
+  CDS_INIT_LIST_HEAD (&traffic->idle_downstreams);
   CDS_INIT_LIST_HEAD (&traffic->server_checks);
   if (set_up_thread (thread, error))
     return traffic;
--- a/tests/idle_test.c
+++ b/tests/idle_test.c
@@ -105,6 +105,29 @@
 }
 END_TEST
 
+/* Connections that nobody uses any more keep no new caller out. */
+START_TEST (new_caller_is_answered_beside_connections_past_the_limit)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  fixture->settings->connection_limit = CONNECTIONS;
+  platform_fixture_restart_instance (fixture);
+  platform_fixture_set_timeouts (fixture, 4, 3000, 1000);
+  int fds[CONNECTIONS];
+  for (guint i = 0; i < CONNECTIONS; i++)
+    {
+      fds[i] = platform_fixture_connect (fixture);
+      raw_response_check (post (fds[i]), 200, NULL);
+    }
+  g_usleep (2500 * HBW_US_PER_MS);
+  int fd = platform_fixture_connect (fixture);
+  raw_response_check (post (fd), 200, NULL);
+  close (fd);
+  for (guint i = 0; i < CONNECTIONS; i++)
+    close (fds[i]);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -117,5 +140,7 @@
                   lowered_limit_does_not_hold_for_idle_connections);
   suite_add_test (suite, "response_names_the_limit", response_names_the_limit);
   suite_add_test (suite, "idle_connection_is_closed", idle_connection_is_closed);
+  suite_add_test (suite, "new_caller_is_answered_beside_connections_past_the_limit",
+                  new_caller_is_answered_beside_connections_past_the_limit);
   return suite_run (suite);
 }
