A listener without a free descriptor is not watched for a while

What was seen: while no descriptor was left for a caller who waits to be accepted, the traffic thread took a whole core: accepting fails, and the listening socket stays ready.

Evidence: instance_without_descriptors_waits_for_one failed before: hostile_test.c:368:F:instance_without_descriptors_waits_for_one: Assertion 'busy_us < (1000 * (1000L)) / 100 * 10' failed: busy_us == 975507, (1000 * (1000L)) / 100 * 10 == 100000

Change: a connection past its idle timeout is closed to free its descriptor; if there is none, the listening socket is not watched for 50 ms. The caller is accepted once a descriptor is free.

Result: the test passes.

--- a/net/traffic.c
+++ b/net/traffic.c
@@ -5,6 +5,7 @@
 #include "hornbeamwall/net/exchange.h"
 #include "hornbeamwall/net/server_check.h"
 
+#include <errno.h>
 #include <pthread.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -18,6 +19,10 @@
    handled in between. */
 #define ACCEPTS_PER_ITERATION 32
 
+/* How long no connections are accepted after that has failed, as when no descriptor
+   is left. */
+#define ACCEPT_RETRY_US (50 * HBW_US_PER_MS)
+
 /* Limits for callers if the catalogue sets none. */
 #define HEADER_MAX_DEFAULT ((guint) 64 * 1024)
 #define HEADER_TIMEOUT_DEFAULT_US (10 * HBW_US_PER_S)
@@ -25,6 +30,7 @@
 typedef struct
 {
   HbwWatcher watcher;
+  HbwTimer retry_timer; /* accepting connections has failed */
   HbwTraffic *traffic;
 } Listener;
 
@@ -139,6 +145,26 @@
          || hbw_downstream_close_past_limit (traffic);
 }
 
+static void
+handle_retry (HbwTimer *timer)
+{
+  Listener *listener = caa_container_of (timer, Listener, retry_timer);
+  hbw_loop_set_events (listener->traffic->loop, &listener->watcher, EPOLLIN);
+}
+
+/* A connection past its idle timeout frees its descriptor.  Without one, the
+   listening socket stays ready, so it is not watched for a while. */
+static void
+handle_accept_failure (Listener *listener, int code)
+{
+  HbwTraffic *traffic = listener->traffic;
+  if (code == EAGAIN || code == EWOULDBLOCK || code == EINTR || code == ECONNABORTED
+      || hbw_downstream_close_past_limit (traffic))
+    return;
+  hbw_loop_set_events (traffic->loop, &listener->watcher, 0);
+  hbw_loop_set_timer (traffic->loop, &listener->retry_timer, ACCEPT_RETRY_US);
+}
+
 static void
 handle_accept (HbwWatcher *watcher, guint events G_GNUC_UNUSED)
 {
@@ -148,7 +174,10 @@
     {
       int fd = accept4 (watcher->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (fd < 0)
-        return;
+        {
+          handle_accept_failure (listener, errno);
+          return;
+        }
       if (has_room (traffic))
         hbw_downstream_adopt (traffic, fd);
       else
@@ -166,6 +195,7 @@
     return TRUE;
   listener->watcher.fd = hbw_listen (address, error);
   listener->watcher.handle_ready = handle_accept;
+  listener->retry_timer.handle_due = handle_retry;
   return listener->watcher.fd >= 0
          && hbw_loop_watch (traffic->loop, &listener->watcher, EPOLLIN);
 }
--- a/tests/hostile_test.c
+++ b/tests/hostile_test.c
@@ -6,8 +6,13 @@
 #include "platform_fixture.h"
 #include "suite.h"
 
+#include "standin/listen.h"
+
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 /* Valid request heads, to which the cases add fields. */
@@ -322,6 +327,53 @@
 }
 END_TEST
 
+/* Open files that the process may have in the next test. */
+#define FILES_MAX 512
+
+/* Share of the time that the process may be busy without requests. */
+#define BUSY_PERCENT_MAX 10
+
+#define BUSY_WAIT_US (1000 * HBW_US_PER_MS)
+
+static gint64
+get_busy_us (void)
+{
+  struct timespec time;
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &time);
+  return time.tv_sec * HBW_US_PER_S + time.tv_nsec / 1000;
+}
+
+/* A caller waits to be accepted, and no descriptor is left for it. */
+START_TEST (instance_without_descriptors_waits_for_one)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  struct rlimit before;
+  ck_assert_int_eq (getrlimit (RLIMIT_NOFILE, &before), 0);
+  const struct rlimit lowered = { FILES_MAX, before.rlim_max };
+  ck_assert_int_eq (setrlimit (RLIMIT_NOFILE, &lowered), 0);
+  int fds[FILES_MAX];
+  guint count = 0;
+  const struct sockaddr_in address
+      = standin_loopback (hbw_instance_caller_port (fixture->instance));
+  int caller = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  while ((fds[count] = dup (STDOUT_FILENO)) >= 0)
+    count++;
+  ck_assert_int_eq (connect (caller, (struct sockaddr *) &address, sizeof address),
+                    0);
+  gint64 begin_us = get_busy_us ();
+  g_usleep (BUSY_WAIT_US);
+  gint64 busy_us = get_busy_us () - begin_us;
+  while (count > 0)
+    close (fds[--count]);
+  ck_assert_int_lt (busy_us, BUSY_WAIT_US / 100 * BUSY_PERCENT_MAX);
+  raw_response_check (caller_post (caller, "/safe/ok", API_KEY_FIELD, ""), 200,
+                      NULL);
+  close (caller);
+  setrlimit (RLIMIT_NOFILE, &before);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -332,5 +384,7 @@
   tcase_add_test (tests, oversized_request_is_not_forwarded);
   tcase_add_test (tests, unusual_but_valid_requests_are_served);
   suite_add_tcase (suite, tests);
+  suite_add_test (suite, "instance_without_descriptors_waits_for_one",
+                  instance_without_descriptors_waits_for_one);
   return suite_run (suite);
 }
