The time before a request is sent is no silence of its server

What callers saw: after the instance stood still for 0.7 s while it connected to a server, it gave the request up as soon as it had sent it, checked the server, and sent the request to a second one: an unsafe request was refused though it was being executed.

Cause: the timer for a server that sends nothing was started before the connection was opened. The time for calling a server silent began there, too.

Evidence: request_sent_after_a_stall_is_not_given_up_at_once failed before: stall_test.c:400: Assertion 'platform_fixture_count_connections (fixture) == 1' failed: platform_fixture_count_connections (fixture) == 3, 1 == 1

Change: both begin when the connection is open; the connect timer covers the time before. A server to which nothing was sent is not called silent.

Result: the test passes.

--- a/include/hornbeamwall/net/exchange_state.h
+++ b/include/hornbeamwall/net/exchange_state.h
@@ -32,11 +32,13 @@
   char server[HBW_NAME_MAX];
   HbwTimer silence_timer; /* the server has sent nothing for silence_timeout_us */
   gint64 silence_timeout_us;
-  guint silence_count;     /* consecutive timeouts that were extended */
+  guint silence_count;          /* consecutive timeouts that were extended */
+  gint64 first_byte_timeout_us; /* longest wait for the response; 0 is no limit */
   gint64 stall_timeout_us; /* longest pause within the response; 0 is no limit */
   gboolean
       has_unread_bytes; /* the server had sent more when the attempt was ended */
   gint64 started_us;
+  gint64 sent_us;              /* when the connection was open; 0 is not yet */
   gint64 response_reported_us; /* when bytes of the server were last reported */
   /* Times of the first and the last piece of the response; 0 is none.  A piece is a
      complete event of a stream; the body of any other response is one piece, and
--- a/include/hornbeamwall/net/upstream.h
+++ b/include/hornbeamwall/net/upstream.h
@@ -32,10 +32,14 @@
 } HbwUpstreamEnd;
 
 /* Callbacks of an upstream; the structure is embedded in the owner's.  The upstream
-   must not be used after handle_end(); the other callbacks may cancel it. */
+   must not be used after handle_end(); handle_head() and handle_body() may cancel
+   it.  On a connection that is reused, handle_open() is called before
+   hbw_upstream_send() returns. */
 typedef struct HbwUpstreamHandler HbwUpstreamHandler;
 typedef struct
 {
+  /* The connection is open, and the request is being sent. */
+  void (*handle_open) (HbwUpstreamHandler *handler);
   HbwResponseAction (*handle_head) (HbwUpstreamHandler *handler, HbwHttpHead *head);
   void (*handle_body) (HbwUpstreamHandler *handler, const char *bytes, gsize length);
   void (*handle_end) (HbwUpstreamHandler *handler, HbwUpstreamEnd end);
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -15,10 +15,12 @@
   exchange->holds_failure = FALSE;
   exchange->has_unread_bytes = FALSE;
   exchange->started_us = hbw_exchange_now (exchange);
+  exchange->sent_us = 0;
   exchange->first_piece_us = 0;
   exchange->last_piece_us = 0;
   exchange->piece_count = 0;
   exchange->longest_gap_us = 0;
+  exchange->first_byte_timeout_us = start->first_byte_timeout_us;
   exchange->stall_timeout_us = start->stall_timeout_us;
   g_strlcpy (exchange->server, start->server, sizeof exchange->server);
   g_byte_array_set_size (exchange->response_body, 0);
@@ -51,7 +53,6 @@
           .is_head_request = strcmp (exchange->request_head->method, "HEAD") == 0,
           .connect_timeout_us
           = traffic->settings->connect_timeout_ms * HBW_US_PER_MS };
-  hbw_exchange_set_silence_timeout (exchange, start->first_byte_timeout_us);
   exchange->upstream = hbw_upstream_send (traffic->upstream_pool, &config,
                                           &exchange->upstream_handler);
   g_bytes_unref (request);
--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -26,18 +26,18 @@
   return hbw_clock_now (hbw_loop_clock (exchange->traffic->loop));
 }
 
-/* Returns whether the attempt ended while its server was silent on all connections.
- */
+/* Returns whether the attempt ended while its server was silent on all connections
+   since it was sent. */
 static gboolean
 is_server_silent (const HbwExchange *exchange, HbwOutcome outcome)
 {
   gint64 heard_us = hbw_upstream_pool_last_received_us (
       exchange->traffic->upstream_pool, exchange->server);
-  if (exchange->has_unread_bytes)
+  if (exchange->sent_us == 0 || exchange->has_unread_bytes)
     return FALSE;
   return (outcome == HBW_OUTCOME_TIMED_OUT || outcome == HBW_OUTCOME_CANCELLED
           || outcome == HBW_OUTCOME_BROKEN)
-         && hbw_exchange_now (exchange) - MAX (heard_us, exchange->started_us)
+         && hbw_exchange_now (exchange) - MAX (heard_us, exchange->sent_us)
                 >= HBW_SERVER_SILENT_MIN_US;
 }
 
@@ -296,6 +296,15 @@
   return caa_container_of (handler, HbwExchange, upstream_handler);
 }
 
+/* Only from now on can the server be silent. */
+static void
+handle_open (HbwUpstreamHandler *handler)
+{
+  HbwExchange *exchange = exchange_of_upstream (handler);
+  exchange->sent_us = hbw_exchange_now (exchange);
+  hbw_exchange_set_silence_timeout (exchange, exchange->first_byte_timeout_us);
+}
+
 static HbwResponseAction
 handle_head (HbwUpstreamHandler *handler, HbwHttpHead *head)
 {
@@ -423,6 +432,7 @@
 }
 
 const HbwUpstreamHandlerClass hbw_exchange_upstream_handler_class = {
+  .handle_open = handle_open,
   .handle_head = handle_head,
   .handle_body = handle_body,
   .handle_end = handle_upstream_end,
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -261,6 +261,8 @@
   upstream->connected = TRUE;
   upstream->opened_us = hbw_loop_now (upstream->pool->loop);
   hbw_channel_write (upstream->channel, bytes, length);
+  if (upstream->handler != NULL)
+    upstream->handler->class->handle_open (upstream->handler);
 }
 
 static void
--- a/tests/stall_test.c
+++ b/tests/stall_test.c
@@ -12,6 +12,8 @@
 #include "hornbeamwall/net/channel.h"
 #include "hornbeamwall/net/peer_transport.h"
 
+#include <errno.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdatomic.h>
@@ -500,6 +502,40 @@
 }
 END_TEST
 
+/* Longer than a server may send nothing before another one is tried. */
+#define CONNECT_STALL_US (700 * HBW_US_PER_MS)
+
+static atomic_uint stalling_ports[PLATFORM_FIXTURE_SERVERS];
+
+/* A thread that connects to one of these ports stands still once it has begun. */
+int
+connect (int fd, const struct sockaddr *address, socklen_t size)
+{
+  int result = (int) syscall (SYS_connect, fd, address, size);
+  int code = errno;
+  guint port = ntohs (((const struct sockaddr_in *) address)->sin_port);
+  for (guint i = 0; i < PLATFORM_FIXTURE_SERVERS; i++)
+    if (port == atomic_load (&stalling_ports[i]))
+      g_usleep (CONNECT_STALL_US);
+  errno = code;
+  return result;
+}
+
+/* The time before a request is sent is no silence of its server. */
+START_TEST (request_sent_after_a_stall_is_not_given_up_at_once)
+{
+  PlatformFixture *fixture = create_fixture ();
+  for (guint i = 0; i < PLATFORM_FIXTURE_SERVERS; i++)
+    atomic_store (&stalling_ports[i], replica_port (fixture->replicas[i]));
+  raw_response_check (platform_fixture_post (fixture, "/safe/ok", API_KEY_FIELD, ""),
+                      200, NULL);
+  for (guint i = 0; i < PLATFORM_FIXTURE_SERVERS; i++)
+    atomic_store (&stalling_ports[i], 0);
+  ck_assert_uint_eq (platform_fixture_count_connections (fixture), 1);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -518,5 +554,7 @@
                   rest_of_a_body_is_read_after_a_stall);
   suite_add_test (suite, "peer_that_answered_in_a_stall_is_not_suspected",
                   peer_that_answered_in_a_stall_is_not_suspected);
+  suite_add_test (suite, "request_sent_after_a_stall_is_not_given_up_at_once",
+                  request_sent_after_a_stall_is_not_given_up_at_once);
   return suite_run (suite);
 }
