A server is not called silent before a break after a stall of the instance

What was seen, by reading: an instance that waits for processor time under a quota, about 90 ms, notices that a response broke off only then, and called the server silent: 50 ms without a byte of it were enough, by the clock alone. A server that accepts a connection afterwards then did not clear the innocent request.

Change: before a break, a server is called silent after 150 ms, which is longer than such a wait. The limit of 50 ms stays for attempts that end by a timeout or by their caller: there it only begins a check of the server.

No test of its own was run: the stall would have to fall between the last byte and the break. A server that fails with its connections open and is back within 150 ms is now taken for one that broke off.

--- a/include/hornbeamwall/core/server_check.h
+++ b/include/hornbeamwall/core/server_check.h
@@ -21,6 +21,10 @@
 /* A server that sent nothing for a shorter time is not called silent. */
 #define HBW_SERVER_SILENT_MIN_US (50 * HBW_US_PER_MS)
 
+/* The same for a server whose response broke off.  Longer than an instance waits for
+   processor time under a quota, during which it reads nothing. */
+#define HBW_SERVER_SILENT_BEFORE_BREAK_MIN_US (150 * HBW_US_PER_MS)
+
 /* Attempts at one server that wait for the result of a check. */
 #define HBW_SILENT_ATTEMPTS_MAX 64
 
--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -33,12 +33,13 @@
 {
   gint64 heard_us = hbw_upstream_pool_last_received_us (
       exchange->traffic->upstream_pool, exchange->server);
+  gint64 silent_us = hbw_exchange_now (exchange) - MAX (heard_us, exchange->sent_us);
   if (exchange->sent_us == 0 || exchange->has_unread_bytes)
     return FALSE;
-  return (outcome == HBW_OUTCOME_TIMED_OUT || outcome == HBW_OUTCOME_CANCELLED
-          || outcome == HBW_OUTCOME_BROKEN)
-         && hbw_exchange_now (exchange) - MAX (heard_us, exchange->sent_us)
-                >= HBW_SERVER_SILENT_MIN_US;
+  if (outcome == HBW_OUTCOME_BROKEN)
+    return silent_us >= HBW_SERVER_SILENT_BEFORE_BREAK_MIN_US;
+  return (outcome == HBW_OUTCOME_TIMED_OUT || outcome == HBW_OUTCOME_CANCELLED)
+         && silent_us >= HBW_SERVER_SILENT_MIN_US;
 }
 
 void
