A connection to a server that was idle for too long is not reused

What callers may see, by reading: after a stall of the instance, a request is sent before the timer that closes an idle connection has run, on a connection that the server is about to close. If it is unsafe and the close crosses it, it ends with 502.

Cause: only the timer knew how long the connection may be idle, and timers run after events and tasks.

Evidence: server_connection_idle_for_too_long_is_not_reused failed before: net_test.c:415: Assertion 'second >= 0' failed: second == -1, 0 == 0

Change: a connection whose time has passed is skipped. No system call more.

Result: the test passes.

--- a/net/upstream.c
+++ b/net/upstream.c
@@ -332,14 +332,15 @@
   return upstream;
 }
 
-/* Skips connections that the server has closed; the loop frees them when it handles
-   their events. */
+/* Skips connections that the server has closed, or may be closing; the loop frees
+   them when it handles their events and timers. */
 static HbwUpstream *
-find_idle_connection (const Server *server)
+find_idle_connection (const HbwUpstreamPool *pool, const Server *server)
 {
+  gint64 now_us = hbw_clock_now (hbw_loop_clock (pool->loop));
   HbwUpstream *upstream;
   cds_list_for_each_entry (upstream, &server->idle, idle_link)
-    if (hbw_channel_is_idle (upstream->channel))
+    if (upstream->timer.due_us > now_us && hbw_channel_is_idle (upstream->channel))
       return upstream;
   return NULL;
 }
@@ -347,7 +348,8 @@
 static HbwUpstream *
 take_idle_connection (HbwUpstreamPool *pool, const char *name)
 {
-  HbwUpstream *upstream = find_idle_connection (get_or_create_server (pool, name));
+  HbwUpstream *upstream
+      = find_idle_connection (pool, get_or_create_server (pool, name));
   if (upstream == NULL)
     return NULL;
   remove_from_idle (upstream);
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -8,6 +8,7 @@
 #include "hornbeamwall/net/event_stream.h"
 #include "hornbeamwall/net/http_parser.h"
 #include "hornbeamwall/net/loop.h"
+#include "hornbeamwall/net/upstream.h"
 
 #include <netinet/in.h>
 #include <string.h>
@@ -351,6 +352,77 @@
 }
 END_TEST
 
+typedef struct
+{
+  HbwUpstreamHandler handler;
+  HbwLoop *loop;
+} Requester;
+
+static void
+requester_handle_open (HbwUpstreamHandler *handler G_GNUC_UNUSED)
+{
+}
+
+static HbwResponseAction
+requester_handle_head (HbwUpstreamHandler *handler G_GNUC_UNUSED,
+                       HbwHttpHead *head G_GNUC_UNUSED)
+{
+  return HBW_RESPONSE_ACCEPT;
+}
+
+static void
+requester_handle_body (HbwUpstreamHandler *handler G_GNUC_UNUSED,
+                       const char *bytes G_GNUC_UNUSED, gsize length G_GNUC_UNUSED)
+{
+}
+
+static void
+requester_handle_end (HbwUpstreamHandler *handler, HbwUpstreamEnd end)
+{
+  ck_assert_int_eq (end, HBW_UPSTREAM_COMPLETE);
+  hbw_loop_stop (caa_container_of (handler, Requester, handler)->loop);
+}
+
+static const HbwUpstreamHandlerClass requester_class
+    = { requester_handle_open, requester_handle_head, requester_handle_body,
+        requester_handle_end };
+
+/* A request may come before the timer that closes the connection runs. */
+START_TEST (server_connection_idle_for_too_long_is_not_reused)
+{
+  static const char response[]
+      = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n";
+  static const char request[] = "GET / HTTP/1.1\r\n\r\n";
+  HbwError error = { HBW_ERROR_NONE, "" };
+  HbwClock *clock = hbw_clock_create_manual (HBW_US_PER_S);
+  Requester requester = { .handler = { &requester_class } };
+  requester.loop = hbw_loop_create (clock, NULL, &error);
+  HbwUpstreamPool *pool = hbw_upstream_pool_create (requester.loop);
+  int listener = hbw_listen ("127.0.0.1:0", &error);
+  char address[32];
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", hbw_listen_port (listener));
+  HbwUpstreamConfig config = { .server_name = "s", .address = address };
+  config.request = g_bytes_new_static (request, strlen (request));
+  config.connect_timeout_us = HBW_US_PER_S;
+  hbw_upstream_send (pool, &config, &requester.handler);
+  int first = accept (listener, NULL, NULL);
+  ck_assert_int_ge (first, 0);
+  ck_assert_int_gt (send (first, response, strlen (response), 0), 0);
+  hbw_loop_run (requester.loop);
+  hbw_clock_advance (clock, HBW_US_PER_S);
+  hbw_upstream_send (pool, &config, &requester.handler);
+  int second = accept (listener, NULL, NULL);
+  ck_assert_int_ge (second, 0);
+  close (second);
+  close (first);
+  close (listener);
+  g_bytes_unref (config.request);
+  hbw_upstream_pool_destroy (pool);
+  hbw_loop_destroy (requester.loop, NULL);
+  hbw_clock_destroy (clock);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -365,5 +437,7 @@
   suite_add_tcase (suite, tests);
   suite_add_test (suite, "response_to_half_a_request_is_read_before_the_reset",
                   response_to_half_a_request_is_read_before_the_reset);
+  suite_add_test (suite, "server_connection_idle_for_too_long_is_not_reused",
+                  server_connection_idle_for_too_long_is_not_reused);
   return suite_run (suite);
 }
