An empty line after a request begins no head

What callers saw: a caller who ends a request with an empty line too many, as old ones do, was sent an unsolicited 408 and lost its connection after the header timeout, though it may be idle for longer.

Evidence: empty_line_after_a_request_shortens_no_limit failed before: platform_fixture.c:307:F:empty_line_after_a_request_shortens_no_limit:0: 408: HTTP/1.1 408

Change: the time for the rest of a head begins once the parser has begun a message; empty lines begin none.

Result: the test passes.

--- a/net/downstream.c
+++ b/net/downstream.c
@@ -357,12 +357,13 @@
 {
   gsize used;
   downstream->limits = hbw_traffic_caller_limits (downstream->traffic);
-  if (!hbw_http_parser_has_begun (downstream->parser))
-    begin_wait (downstream, WAIT_HEAD, &downstream->limits);
   HbwHttpParserState state
       = hbw_http_parser_feed (downstream->parser, bytes, length, &used);
   if (downstream->destroyed)
     return used;
+  if (downstream->wait == WAIT_REQUEST
+      && hbw_http_parser_has_begun (downstream->parser))
+    begin_wait (downstream, WAIT_HEAD, &downstream->limits);
   downstream->request_bytes += used;
   if (downstream->refusal_status != 0)
     reject_request (downstream, downstream->refusal_status);
--- a/tests/idle_test.c
+++ b/tests/idle_test.c
@@ -128,6 +128,21 @@
 }
 END_TEST
 
+/* An empty line after a request begins no head. */
+START_TEST (empty_line_after_a_request_shortens_no_limit)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  platform_fixture_set_timeouts (fixture, 4, 1000, LONG_LIMIT_MS);
+  int fd = platform_fixture_connect (fixture);
+  raw_response_check (post (fd), 200, NULL);
+  caller_send (fd, "\r\n");
+  g_usleep (2500 * HBW_US_PER_MS);
+  raw_response_check (post (fd), 200, NULL);
+  close (fd);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -142,5 +157,7 @@
   suite_add_test (suite, "idle_connection_is_closed", idle_connection_is_closed);
   suite_add_test (suite, "new_caller_is_answered_beside_connections_past_the_limit",
                   new_caller_is_answered_beside_connections_past_the_limit);
+  suite_add_test (suite, "empty_line_after_a_request_shortens_no_limit",
+                  empty_line_after_a_request_shortens_no_limit);
   return suite_run (suite);
 }
