A server is checked after each broken response

Harmless requests were refused beside a crash: a working server had broken off a response of them while it was being checked after another one. The check that accepted a connection dismissed only what had broken off before it was requested, and none followed, so the later broken response went on counting as a failure.

A server is checked again if a response broke off since 100 ms before its check was requested.

--- a/core/server_check.c
+++ b/core/server_check.c
@@ -16,6 +16,7 @@
   char address[HBW_ADDRESS_MAX];
   gint64 due_us;
   gint64 requested_us; /* 0 before */
+  gint64 broken_us;    /* when the last response broke off; 0: none did */
   gboolean was_silent; /* before a response broke off */
   GArray *attempts;    /* HbwSilentAttempt */
 } Check;
@@ -85,6 +86,7 @@
 {
   Check *check
       = ensure_check (checks, server, address, context->now_us + BROKEN_DELAY_US);
+  check->broken_us = context->now_us;
   check->was_silent |= was_silent;
 }
 
@@ -112,6 +114,16 @@
                    attempt->server, failures);
 }
 
+/* A response broke off when CHECK had been requested, or was due. */
+static void
+check_again (HbwServerChecks *checks, const Check *check)
+{
+  Check *next = ensure_check (checks, check->server, check->address,
+                              check->broken_us + BROKEN_DELAY_US);
+  next->broken_us = check->broken_us;
+  next->was_silent |= check->was_silent;
+}
+
 void
 hbw_server_checks_handle_result (
     HbwServerChecks *checks, HbwContext *context, const HbwServerCheckResult *result,
@@ -146,6 +158,8 @@
     hbw_quarantine_handle_accepted_connection (context->quarantine, server,
                                                check->requested_us - BROKEN_DELAY_US,
                                                context->now_us);
+  if (check->broken_us > check->requested_us - BROKEN_DELAY_US)
+    check_again (checks, check);
   check_free (check);
 }
 
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -969,6 +969,29 @@
 }
 END_TEST
 
+/* A response breaks off while the check after another one is in progress. */
+START_TEST (server_is_checked_after_each_broken_response)
+{
+  ReducerFixture fixture = fixture_create (1, 1, 8);
+  HbwRequestSpec spec = make_spec ();
+  submit_request (&fixture, 1, &spec);
+  submit_request (&fixture, 2, &spec);
+  end_attempt (&fixture, 1, 1, HBW_OUTCOME_BROKEN, TRUE);
+  tick (&fixture, 100 * HBW_US_PER_MS);
+  ck_assert (find_effect (&fixture, HBW_EFFECT_CHECK_SERVER) != NULL);
+  end_attempt (&fixture, 2, 1, HBW_OUTCOME_BROKEN, TRUE);
+  fixture.now_us += 50 * HBW_US_PER_MS;
+  finish_check (&fixture, "e0", HBW_SERVER_CHECK_ACCEPTED);
+  ck_assert (find_effect (&fixture, HBW_EFFECT_CHECK_SERVER) == NULL);
+  tick (&fixture, 50 * HBW_US_PER_MS);
+  ck_assert (find_effect (&fixture, HBW_EFFECT_CHECK_SERVER) != NULL);
+  finish_check (&fixture, "e0", HBW_SERVER_CHECK_ACCEPTED);
+  tick (&fixture, 200 * HBW_US_PER_MS);
+  ck_assert (find_effect (&fixture, HBW_EFFECT_CHECK_SERVER) == NULL);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* An instance that lacks many entries gets all of them, not the same ones again and
    again. */
 START_TEST (all_suspects_are_sent_in_turn)
@@ -1501,6 +1524,7 @@
   tcase_add_test (tests, proof_of_failure_outweighs_dismissal);
   tcase_add_test (tests, instances_place_two_suspects_on_different_servers);
   tcase_add_test (tests, leaving_instance_gets_reports_of_suspects);
+  tcase_add_test (tests, server_is_checked_after_each_broken_response);
   tcase_add_test (tests, all_suspects_are_sent_in_turn);
   tcase_add_test (tests, starting_instance_waits_while_suspects_are_reported);
   tcase_add_test (tests, starting_instance_pings_all_seeds);
