A caller that reads slowly gets all responses

What callers saw: a caller that read steadily, but took longer than the idle timeout and 5 s for responses that were already written, lost the rest of them.

Cause: the timers for the next request, and for the caller's end, closed the connection whatever still waited to be sent.

Evidence: caller_that_reads_slowly_gets_all_responses failed before: idle_test.c:205: Assertion 'count_responses (text) == 130' failed: count_responses (text) == 95, 130 == 130

Change: while bytes wait to be sent, the connection stays open, and both times begin when all are sent.

Result: the test passes.

--- a/net/downstream.c
+++ b/net/downstream.c
@@ -18,6 +18,9 @@
 /* After which a connection with unread bytes is looked at again. */
 #define UNREAD_DELAY_US (1 * HBW_US_PER_MS)
 
+/* After which a connection is looked at again while a response is being sent. */
+#define SENDING_DELAY_US (1 * HBW_US_PER_S)
+
 /* How long a caller may take to close the connection after this side has. */
 #define LINGER_TIMEOUT_US (1 * HBW_US_PER_S)
 
@@ -435,6 +438,8 @@
     hbw_exchange_handle_caller_drained (downstream->exchange);
   else if (downstream->wait == WAIT_REQUEST)
     begin_idle_wait (downstream); /* the response has only been sent now */
+  else if (downstream->wait == WAIT_CALLER_END)
+    begin_wait (downstream, WAIT_CALLER_END, &downstream->limits);
 }
 
 static const HbwChannelHandlerClass channel_handler_class = {
@@ -464,6 +469,15 @@
     }
 }
 
+/* A caller that is not reachable or reads nothing is reset by the system. */
+static gboolean
+is_sending_response (const HbwDownstream *downstream)
+{
+  gboolean has_response
+      = downstream->wait == WAIT_REQUEST || downstream->wait == WAIT_CALLER_END;
+  return has_response && hbw_channel_pending_bytes (downstream->channel) > 0;
+}
+
 static void
 handle_timeout (HbwTimer *timer)
 {
@@ -471,6 +485,8 @@
   gint64 left_us = get_time_left (downstream);
   if (left_us > 0)
     set_timer (downstream, left_us);
+  else if (is_sending_response (downstream))
+    set_timer (downstream, SENDING_DELAY_US);
   else if (!downstream->closing && !hbw_channel_is_idle (downstream->channel))
     set_timer (downstream, UNREAD_DELAY_US);
   else
--- a/tests/idle_test.c
+++ b/tests/idle_test.c
@@ -7,6 +7,7 @@
 
 #include <poll.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define CONNECTIONS 20
@@ -143,6 +144,72 @@
 }
 END_TEST
 
+/* More than the buffers of a connection hold. */
+#define LONG_RESPONSES 130
+#define LONG_BODY_SIZE 60000 /* at most 64 KB, so that no response pauses */
+
+/* How a slow caller reads, for longer than an idle connection is kept. */
+#define SLOW_READ_SIZE 40000
+#define SLOW_READ_INTERVAL_US (100 * HBW_US_PER_MS)
+#define SLOW_READS 80
+
+#define SLOW_BUFFER_SIZE 65536
+
+/* Receives bytes into TEXT; returns FALSE at the end of the connection. */
+static gboolean
+receive_some (int fd, GString *text)
+{
+  char bytes[SLOW_READ_SIZE];
+  ssize_t count = recv (fd, bytes, sizeof bytes, 0);
+  if (count <= 0)
+    return FALSE;
+  g_string_append_len (text, bytes, count);
+  return TRUE;
+}
+
+static guint
+count_responses (const GString *text)
+{
+  guint count = 0;
+  for (const char *next = text->str; (next = strstr (next, "HTTP/1.1 200")) != NULL;
+       next++)
+    count++;
+  return count;
+}
+
+/* The idle time begins when the last response has been sent. */
+START_TEST (caller_that_reads_slowly_gets_all_responses)
+{
+  const int buffer_size = SLOW_BUFFER_SIZE;
+  PlatformFixture *fixture = platform_fixture_create ();
+  platform_fixture_set_timeouts (fixture, 4, 3000, 1000);
+  GString *text = g_string_new (NULL);
+  char *body = g_strnfill (LONG_BODY_SIZE, 'b');
+  int fd = platform_fixture_connect (fixture);
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer_size, sizeof buffer_size);
+  for (guint i = 0; i < LONG_RESPONSES; i++)
+    {
+      char *request
+          = caller_format_request ("POST", "/safe/ok", API_KEY_FIELD, body);
+      caller_send (fd, request);
+      g_free (request);
+    }
+  gboolean is_open = TRUE;
+  for (guint i = 0; i < SLOW_READS && is_open; i++)
+    {
+      g_usleep (SLOW_READ_INTERVAL_US);
+      is_open = receive_some (fd, text);
+    }
+  while (is_open && count_responses (text) < LONG_RESPONSES)
+    is_open = receive_some (fd, text);
+  ck_assert_uint_eq (count_responses (text), LONG_RESPONSES);
+  close (fd);
+  g_free (body);
+  g_string_free (text, TRUE);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -159,5 +226,7 @@
                   new_caller_is_answered_beside_connections_past_the_limit);
   suite_add_test (suite, "empty_line_after_a_request_shortens_no_limit",
                   empty_line_after_a_request_shortens_no_limit);
+  suite_add_test (suite, "caller_that_reads_slowly_gets_all_responses",
+                  caller_that_reads_slowly_gets_all_responses);
   return suite_run (suite);
 }
