A response that the store gave in the grace period removes nothing

What may be seen, by reading: after the store was away, entries that it does not list are kept for 2 s, as their owners may write them again. An instance that stood still reads a response of that time after it, and removed the entries by the time of reading: backend servers were missing until they came again.

Evidence: list_called_for_in_the_grace_period_removes_nothing failed with the list judged by the time of reading, as before: adapter_test.c:352: Assertion 'count_entries (cache) == 2' failed: count_entries (cache) == 1, 2 == 2

Change: entries are removed only by a response whose call was sent after the grace period, as the response may be as old as that.

Result: the test passes.

--- a/include/hornbeamwall/runtime/object_cache.h
+++ b/include/hornbeamwall/runtime/object_cache.h
@@ -35,8 +35,10 @@
 /* Records that a call to the store failed. */
 void hbw_object_cache_record_store_failure (HbwObjectCache *cache);
 
-/* Records that the store responded at NOW_US. */
-void hbw_object_cache_record_store_response (HbwObjectCache *cache, gint64 now_us);
+/* Records that the store responded at NOW_US to a call that was sent at SENT_US: the
+   response may be that old. */
+void hbw_object_cache_record_store_response (HbwObjectCache *cache, gint64 sent_us,
+                                             gint64 now_us);
 
 /* Begins a complete list.  hbw_object_cache_end_list() removes the objects that were
    not applied since, or marks them missing during the grace period. */
@@ -46,8 +48,9 @@
 /* Applies CHANGE and clears it. */
 void hbw_object_cache_apply (HbwObjectCache *cache, HbwObjectChange *change);
 
-/* Removes the missing objects once the grace period has passed. */
-void hbw_object_cache_expire (HbwObjectCache *cache, gint64 now_us);
+/* Removes the missing objects if the grace period had passed when the last call to
+   the store was sent, at SENT_US. */
+void hbw_object_cache_expire (HbwObjectCache *cache, gint64 sent_us);
 
 /* Returns the time at which missing objects expire, or G_MAXINT64 if there are
    none. */
--- a/runtime/list_watch_feed.c
+++ b/runtime/list_watch_feed.c
@@ -19,6 +19,7 @@
   gint64 document_version; /* of the cached objects; -1 if they form no document */
   gint64 era;              /* of the store when the objects were listed */
   guint call_count;        /* calls to the store made for the current result */
+  gint64 sent_us;          /* when the first of them was sent */
 } ListWatchFeed;
 
 static void
@@ -74,7 +75,8 @@
   if (page->era != feed->era)
     hbw_object_cache_record_store_failure (feed->cache);
   feed->era = page->era;
-  hbw_object_cache_record_store_response (feed->cache, hbw_clock_now (feed->clock));
+  hbw_object_cache_record_store_response (feed->cache, feed->sent_us,
+                                          hbw_clock_now (feed->clock));
   hbw_object_cache_begin_list (feed->cache);
 }
 
@@ -137,7 +139,8 @@
       page_clear (page);
       return HBW_STORE_GONE;
     }
-  hbw_object_cache_record_store_response (feed->cache, hbw_clock_now (feed->clock));
+  hbw_object_cache_record_store_response (feed->cache, feed->sent_us,
+                                          hbw_clock_now (feed->clock));
   apply_page (feed, page);
   feed->revision = MAX (feed->revision, page->revision);
   return HBW_STORE_OK;
@@ -173,6 +176,7 @@
   ListWatchFeed *feed = (ListWatchFeed *) base;
   HbwFeedResult result = { .status = HBW_STORE_NOT_MODIFIED };
   feed->call_count = 0;
+  feed->sent_us = hbw_clock_now (feed->clock);
   HbwStorePage page
       = { .changes = g_array_new (FALSE, FALSE, sizeof (HbwObjectChange)) };
   HbwStoreResult status
@@ -185,7 +189,6 @@
   g_array_free (page.changes, TRUE);
   result.call_count = feed->call_count;
   result.era = feed->era;
-  gint64 now_us = hbw_clock_now (feed->clock);
   if (status != HBW_STORE_OK)
     {
       hbw_object_cache_record_store_failure (feed->cache);
@@ -193,7 +196,7 @@
       result.status = HBW_STORE_FAILED;
       return result;
     }
-  hbw_object_cache_expire (feed->cache, now_us);
+  hbw_object_cache_expire (feed->cache, feed->sent_us);
   if (hbw_object_cache_test_and_clear_changed (feed->cache))
     fill_document (feed, &result);
   result.version = feed->document_version;
--- a/runtime/object_cache.c
+++ b/runtime/object_cache.c
@@ -18,6 +18,7 @@
   gint64 store_recovered_us; /* end of the last outage of the store; 0 is none */
   gint64 first_response_us;  /* first response of the store; 0 is none yet */
   gint64 last_response_us;   /* last response of the store */
+  gint64 last_sent_us;       /* when its call was sent */
   guint missing_count;
   gboolean changed;
 };
@@ -60,8 +61,10 @@
 }
 
 void
-hbw_object_cache_record_store_response (HbwObjectCache *cache, gint64 now_us)
+hbw_object_cache_record_store_response (HbwObjectCache *cache, gint64 sent_us,
+                                        gint64 now_us)
 {
+  cache->last_sent_us = sent_us;
   cache->last_response_us = now_us;
   if (cache->first_response_us == 0)
     cache->first_response_us = now_us;
@@ -120,7 +123,7 @@
   Entry *entry = value;
   if (entry->in_current_list)
     return FALSE;
-  if (in_grace_period (cache, cache->last_response_us))
+  if (in_grace_period (cache, cache->last_sent_us))
     {
       set_missing (cache, entry, TRUE);
       return FALSE;
@@ -188,9 +191,9 @@
 }
 
 void
-hbw_object_cache_expire (HbwObjectCache *cache, gint64 now_us)
+hbw_object_cache_expire (HbwObjectCache *cache, gint64 sent_us)
 {
-  if (!in_grace_period (cache, now_us) && !cache->store_failed)
+  if (!in_grace_period (cache, sent_us) && !cache->store_failed)
     g_hash_table_foreach_remove (cache->entries, remove_missing, cache);
 }
 
--- a/tests/adapter_test.c
+++ b/tests/adapter_test.c
@@ -289,7 +289,7 @@
 apply_list (HbwObjectCache *cache, gint64 now_us, const char *first,
             const char *second)
 {
-  hbw_object_cache_record_store_response (cache, now_us);
+  hbw_object_cache_record_store_response (cache, now_us, now_us);
   hbw_object_cache_begin_list (cache);
   if (first != NULL)
     apply_change (cache, first, 1, "1");
@@ -334,6 +334,28 @@
 }
 END_TEST
 
+/* The response may show the store as it was when the call was sent. */
+START_TEST (list_called_for_in_the_grace_period_removes_nothing)
+{
+  HbwObjectCache *cache = hbw_object_cache_create ();
+  apply_list (cache, HBW_US_PER_S, "a", "b");
+  hbw_object_cache_record_store_failure (cache);
+  gint64 store_back_us = 9 * HBW_US_PER_S;
+  gint64 grace_end_us = store_back_us + HBW_OBJECT_CACHE_GRACE_US;
+  apply_list (cache, store_back_us, "a", "b");
+  hbw_object_cache_record_store_response (cache, grace_end_us - 1,
+                                          grace_end_us + HBW_US_PER_S);
+  hbw_object_cache_begin_list (cache);
+  apply_change (cache, "a", 1, "1");
+  hbw_object_cache_end_list (cache);
+  hbw_object_cache_expire (cache, grace_end_us - 1);
+  ck_assert_uint_eq (count_entries (cache), 2);
+  hbw_object_cache_expire (cache, grace_end_us);
+  ck_assert_uint_eq (count_entries (cache), 1);
+  hbw_object_cache_destroy (cache);
+}
+END_TEST
+
 START_TEST (reported_removal_takes_effect_without_grace_period)
 {
   HbwObjectCache *cache = hbw_object_cache_create ();
@@ -476,6 +498,7 @@
   tcase_add_test (tests, older_revisions_are_ignored);
   tcase_add_test (tests,
                   entry_missing_after_an_outage_is_kept_only_for_grace_period);
+  tcase_add_test (tests, list_called_for_in_the_grace_period_removes_nothing);
   tcase_add_test (tests, reported_removal_takes_effect_without_grace_period);
   tcase_add_test (tests, version_increases_when_kept_entry_expires);
   tcase_add_test (tests, new_cache_has_no_higher_version);
