Idle connections to all servers together are bounded

What may be seen, by reading: idle connections were bounded for each server, 16, but not in total, so that with many servers they could take the descriptors that callers need.

Evidence: idle_connections_to_all_servers_are_bounded failed before: net_test.c:480: Assertion 'open_count == 256' failed: open_count == 260, 256 == 256

Change: at most 256 are kept; the one that has been idle for longest is closed for another one.

Result: the test passes.

--- a/net/upstream.c
+++ b/net/upstream.c
@@ -21,6 +21,9 @@
 /* Maximum number of idle connections to one server. */
 #define IDLE_CONNECTIONS_MAX 16
 
+/* Maximum number of idle connections to all servers. */
+#define IDLE_CONNECTIONS_TOTAL_MAX 256
+
 /* Responses to earlier requests that are skipped before the expected one. */
 #define SKIPPED_RESPONSES_MAX 2
 
@@ -29,6 +32,8 @@
   HbwLoop *loop;
   GHashTable *servers;              /* server name -> Server */
   struct cds_list_head connections; /* HbwUpstream */
+  struct cds_list_head idle;        /* HbwUpstream, most recently used first */
+  guint idle_count;
 };
 
 typedef struct
@@ -43,8 +48,9 @@
 {
   HbwChannelHandler channel_handler;
   HbwHttpParserHandler parser_handler;
-  struct cds_list_head link;      /* in pool->connections */
-  struct cds_list_head idle_link; /* in server->idle, while idle */
+  struct cds_list_head link;           /* in pool->connections */
+  struct cds_list_head idle_link;      /* in server->idle, while idle */
+  struct cds_list_head pool_idle_link; /* in pool->idle, while idle */
   HbwUpstreamPool *pool;
   Server *server;
   HbwChannel *channel;
@@ -86,7 +92,9 @@
   if (!upstream->is_idle)
     return;
   cds_list_del (&upstream->idle_link);
+  cds_list_del (&upstream->pool_idle_link);
   upstream->server->idle_count--;
+  upstream->pool->idle_count--;
   upstream->is_idle = FALSE;
 }
 
@@ -176,11 +184,19 @@
 static const HbwHttpParserHandlerClass parser_handler_class
     = { handle_head, handle_body };
 
+/* Closes the connection that has been idle for longest if there are too many. */
+static void
+limit_idle_connections (HbwUpstreamPool *pool)
+{
+  if (pool->idle_count > IDLE_CONNECTIONS_TOTAL_MAX)
+    upstream_destroy (cds_list_entry (pool->idle.prev, HbwUpstream, pool_idle_link));
+}
+
 static void
 keep_idle (HbwUpstream *upstream)
 {
   Server *server = upstream->server;
-  HbwLoop *loop = upstream->pool->loop;
+  HbwUpstreamPool *pool = upstream->pool;
   if (!upstream->keep_alive || server->idle_count >= IDLE_CONNECTIONS_MAX
       || upstream->idle_timeout_us <= 0
       || hbw_channel_pending_bytes (upstream->channel) > 0)
@@ -190,11 +206,14 @@
     }
   upstream->is_idle = TRUE;
   server->idle_count++;
+  pool->idle_count++;
   cds_list_add (&upstream->idle_link, &server->idle);
+  cds_list_add (&upstream->pool_idle_link, &pool->idle);
   g_clear_pointer (&upstream->request, g_bytes_unref);
   hbw_channel_set_reading (upstream->channel, TRUE);
   upstream->timer.handle_due = handle_idle_timeout;
-  hbw_loop_set_timer (loop, &upstream->timer, upstream->idle_timeout_us);
+  hbw_loop_set_timer (pool->loop, &upstream->timer, upstream->idle_timeout_us);
+  limit_idle_connections (pool);
 }
 
 /* Handles a complete response.  A connection with more bytes after it is not reused,
@@ -364,6 +383,7 @@
   pool->loop = loop;
   pool->servers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   CDS_INIT_LIST_HEAD (&pool->connections);
+  CDS_INIT_LIST_HEAD (&pool->idle);
   return pool;
 }
 
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -356,6 +356,7 @@
 {
   HbwUpstreamHandler handler;
   HbwLoop *loop;
+  guint ended;
 } Requester;
 
 static void
@@ -423,6 +424,68 @@
 }
 END_TEST
 
+/* More than the pool keeps in total, one to each server. */
+#define IDLE_SERVERS 260
+#define IDLE_KEPT_MAX 256
+
+static void
+last_requester_handle_end (HbwUpstreamHandler *handler, HbwUpstreamEnd end)
+{
+  Requester *requester = caa_container_of (handler, Requester, handler);
+  ck_assert_int_eq (end, HBW_UPSTREAM_COMPLETE);
+  if (++requester->ended == IDLE_SERVERS)
+    hbw_loop_stop (requester->loop);
+}
+
+static const HbwUpstreamHandlerClass last_requester_class
+    = { requester_handle_open, requester_handle_head, requester_handle_body,
+        last_requester_handle_end };
+
+/* They must leave descriptors for callers. */
+START_TEST (idle_connections_to_all_servers_are_bounded)
+{
+  static const char response[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  static const char request[] = "GET / HTTP/1.1\r\n\r\n";
+  HbwError error = { HBW_ERROR_NONE, "" };
+  HbwClock *clock = hbw_clock_create_manual (HBW_US_PER_S);
+  Requester requester = { .handler = { &last_requester_class } };
+  requester.loop = hbw_loop_create (clock, NULL, &error);
+  HbwUpstreamPool *pool = hbw_upstream_pool_create (requester.loop);
+  int listener = hbw_listen ("127.0.0.1:0", &error);
+  char address[32];
+  int fds[IDLE_SERVERS];
+  guint open_count = 0;
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", hbw_listen_port (listener));
+  HbwUpstreamConfig config = { .address = address };
+  config.request = g_bytes_new_static (request, strlen (request));
+  config.connect_timeout_us = HBW_US_PER_S;
+  for (guint i = 0; i < IDLE_SERVERS; i++)
+    {
+      char name[16];
+      g_snprintf (name, sizeof name, "s%u", i);
+      config.server_name = name;
+      hbw_upstream_send (pool, &config, &requester.handler);
+      fds[i] = accept (listener, NULL, NULL);
+      ck_assert_int_ge (fds[i], 0);
+      ck_assert_int_gt (send (fds[i], response, strlen (response), 0), 0);
+    }
+  hbw_loop_run (requester.loop);
+  for (guint i = 0; i < IDLE_SERVERS; i++)
+    {
+      char bytes[sizeof request];
+      ck_assert_int_gt (recv (fds[i], bytes, sizeof bytes, 0), 0);
+      open_count += recv (fds[i], bytes, sizeof bytes, MSG_DONTWAIT) < 0;
+      close (fds[i]);
+    }
+  ck_assert_uint_eq (open_count, IDLE_KEPT_MAX);
+  close (listener);
+  g_bytes_unref (config.request);
+  hbw_upstream_pool_destroy (pool);
+  hbw_loop_destroy (requester.loop, NULL);
+  hbw_clock_destroy (clock);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -439,5 +502,7 @@
                   response_to_half_a_request_is_read_before_the_reset);
   suite_add_test (suite, "server_connection_idle_for_too_long_is_not_reused",
                   server_connection_idle_for_too_long_is_not_reused);
+  suite_add_test (suite, "idle_connections_to_all_servers_are_bounded",
+                  idle_connections_to_all_servers_are_bounded);
   return suite_run (suite);
 }
