--- a/scripts/platform-soak.sh
+++ b/scripts/platform-soak.sh
@@ -32,7 +32,10 @@
 "$build/tests/platform_soak" "$dir" "$instances" "$seed" "$seconds" ${5:+"$5"} >"$dir/soak.txt" 2>&1 &
 soak=$!
 trap 'stop_all; kill -9 "$soak" 2>/dev/null || true' INT TERM
-while ! grep -q '^ready' "$dir/soak.txt"; do sleep 0.05; done
+while ! grep -qs '^ready' "$dir/soak.txt"; do
+  kill -0 "$soak" 2>/dev/null || { cat "$dir/soak.txt"; exit 1; }
+  sleep 0.05
+done
 i=0
 while [ "$i" -lt "$instances" ]; do
   run_instance "$i" &
