A request's parameters name the shared parts of its prompt

The hash of a part covers the parts before it, as prefix caches need it. What is known of a part itself needs its own id: the same at each position, and for each route. The last part belongs to the request alone. At most 16 are kept; entries without an id are left out.

--- a/core/admission.c
+++ b/core/admission.c
@@ -64,6 +64,7 @@
   spec->prompt_tokens = input->prompt_tokens;
   spec->part_count = input->part_count;
   memcpy (spec->parts, input->parts, sizeof spec->parts);
+  spec->part_ids = input->part_ids;
   if (input->part_count > 0)
     spec->prefix_hash = input->parts[0].hash;
   spec->cost_tokens = class->expected_tokens;
--- a/include/hornbeamwall/core/admission.h
+++ b/include/hornbeamwall/core/admission.h
@@ -27,6 +27,7 @@
   guint max_tokens; /* maximum length of the response; 0 if not given */
   guint part_count;
   HbwPromptPart parts[HBW_PROMPT_PARTS_MAX];
+  HbwPartIds part_ids;
   guint64 digest; /* of the path, with the query, and the body */
   guint32 random; /* random number, to select one of the pools */
 } HbwAdmissionInput;
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -76,6 +76,17 @@
 /* Maximum number of parts of one prompt. */
 #define HBW_PROMPT_PARTS_MAX 4
 
+/* Maximum number of parts of one prompt that are known by their ids. */
+#define HBW_PART_IDS_MAX 16
+
+/* The parts of a prompt that other requests may share: all but the last, in the
+   order of the prompt. */
+typedef struct
+{
+  guint count;
+  guint64 ids[HBW_PART_IDS_MAX]; /* of each part, without those before it */
+} HbwPartIds;
+
 /* Parameters of a request.  Times are remaining durations. */
 typedef struct
 {
@@ -100,6 +111,7 @@
   guint prompt_tokens;   /* 0 if unknown */
   guint part_count;
   HbwPromptPart parts[HBW_PROMPT_PARTS_MAX]; /* in the order of the prompt */
+  HbwPartIds part_ids;                       /* for the entry instance only */
 } HbwRequestSpec;
 
 typedef enum
--- a/tests/adapter_test.c
+++ b/tests/adapter_test.c
@@ -238,6 +238,45 @@
 }
 END_TEST
 
+static void
+read_part_ids (const char *text, HbwPartIds *ids)
+{
+  const char *const fields[]
+      = { "Host", "h", "X-Hornbeamwall-Prefix-Hash", text, NULL };
+  HbwHttpHead *head = make_head (fields);
+  GStringChunk *scratch = g_string_chunk_new (64);
+  HbwAdmissionInput input = { .random = 0 };
+  hbw_platform_protocol_adapter ()->class->read_admission_input (head, scratch,
+                                                                 &input);
+  *ids = input.part_ids;
+  g_string_chunk_free (scratch);
+  destroy_head (head);
+}
+
+/* The last part of a list belongs to its request alone, and an id is the same at all
+   positions. */
+START_TEST (ids_of_shared_parts_are_read)
+{
+  HbwPartIds ids;
+  HbwPartIds others;
+  read_part_ids ("5c:800,91:410,e4:250", &ids);
+  ck_assert_uint_eq (ids.count, 2);
+  ck_assert_uint_eq (ids.ids[0], 0x5c);
+  ck_assert_uint_eq (ids.ids[1], 0x91);
+  read_part_ids ("e4:250", &ids);
+  ck_assert_uint_eq (ids.count, 0);
+  read_part_ids ("91, 5C:800,,zz:3,:4,7", &ids);
+  ck_assert_uint_eq (ids.count, 2);
+  ck_assert_uint_eq (ids.ids[1], 0x5c);
+  read_part_ids ("1,2,3,4,5,6,7,8,9,a,b,c,d,e,f,10,11,12,13", &ids);
+  ck_assert_uint_eq (ids.count, HBW_PART_IDS_MAX);
+  read_part_ids ("0123456789abcdef0:1,x", &ids);
+  read_part_ids ("0123456789abcdef1:1,x", &others);
+  ck_assert_uint_eq (ids.count, 1);
+  ck_assert (ids.ids[0] != others.ids[0]);
+}
+END_TEST
+
 /* A refusal of a request that was not executed has a status with that meaning. No
    refusal has status 422, which callers would take for an error of their own. */
 START_TEST (refusal_status_reports_whether_request_was_executed)
@@ -472,6 +511,7 @@
   tcase_add_test (tests, malformed_server_entries_are_ignored);
   tcase_add_test (tests, request_fields_are_parsed);
   tcase_add_test (tests, malformed_fields_are_parsed_up_to_the_error);
+  tcase_add_test (tests, ids_of_shared_parts_are_read);
   tcase_add_test (tests, refusal_status_reports_whether_request_was_executed);
   tcase_add_test (tests, older_revisions_are_ignored);
   tcase_add_test (tests,
