Failing: requests with one part in their prompts crash one server after another

Nothing connects requests by the parts of their prompts: each of them is a new suspect, and fails two servers.

The simulation knows parts of prompts now, and one that makes servers fail, in its own file.

--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -108,6 +108,14 @@
   return TRUE;
 }
 
+static gboolean
+apply_harmful_part (World *world, const Line *line, guint seed G_GNUC_UNUSED)
+{
+  part_watch_set_harmful (world_part_watch (world),
+                          g_ascii_strtoull (line->argv[1], NULL, 10));
+  return TRUE;
+}
+
 static gboolean
 apply_servers (World *world, const Line *line, guint seed G_GNUC_UNUSED)
 {
@@ -136,6 +144,7 @@
   load.not_idempotent = strcmp (find_option (line, "repeatable", "yes"), "no") == 0;
   load.poison = strcmp (find_option (line, "poison", "no"), "yes") == 0;
   load.silent = strcmp (find_option (line, "silent", "no"), "yes") == 0;
+  g_strlcpy (load.parts, find_option (line, "parts", ""), sizeof load.parts);
   load.attempts_max = count_option (line, "attempts", "0");
   load.timeout_us = duration_option (line, "timeout", "0");
   load.max_resends = count_option (line, "resend", "0");
@@ -214,6 +223,7 @@
   { "instances", 2, apply_instances },
   { "servers", 3, apply_servers },
   { "poison_restart", 2, apply_poison_restart },
+  { "harmful_part", 2, apply_harmful_part },
   { "load", 2, apply_load },
   { "at", 3, apply_at },
   { "chaos", 1, apply_chaos },
@@ -330,6 +340,19 @@
   return 0;
 }
 
+static double
+part_value (const PartWatch *watch, const char *quantity, gboolean *known)
+{
+  if (strcmp (quantity, "failed") == 0)
+    return part_watch_failed_count (watch);
+  if (strcmp (quantity, "late") == 0)
+    return part_watch_late_count (watch);
+  if (strcmp (quantity, "sound") == 0)
+    return part_watch_sound_share (watch);
+  *known = FALSE;
+  return 0;
+}
+
 static double
 subject_value (const World *world, const char *subject, const char *quantity,
                gboolean *known)
@@ -338,6 +361,8 @@
     return world_poisoned_server_count (world);
   if (strcmp (subject, "servers") == 0 && strcmp (quantity, "limited") == 0)
     return world_limited_request_count (world);
+  if (strcmp (subject, "part") == 0)
+    return part_value (world_part_watch (world), quantity, known);
   if (strcmp (quantity, "received") == 0)
     return world_request_count (world, subject);
   if (strcmp (subject, "rollout") == 0 && strcmp (quantity, "median") == 0)
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -1,6 +1,7 @@
 #include "world.h"
 
 #include "notice_check.h"
+#include "part_watch.h"
 
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/metrics.h"
@@ -161,6 +162,7 @@
   gint64 versions[HBW_DOCUMENT_COUNT];
   gint64 changed_us[HBW_DOCUMENT_COUNT];
   GHashTable *planned_stops;
+  PartWatch *parts;
   guint poisoned_server_count;
   gint64 poison_restart_us;    /* until a server restarts after a poison request */
   GHashTable *poison_failures; /* fingerprint -> number of servers made to fail */
@@ -485,6 +487,8 @@
     return;
   if (attempt->server->silent)
     return;
+  if (attempt->number == 1)
+    part_watch_record_served (world->parts, attempt->request->arrived_us);
   g_ptr_array_remove (attempt->server->running, attempt);
   report_end (world, attempt, HBW_OUTCOME_COMPLETE, attempt->request->tokens);
   fill_batch (world, attempt->server);
@@ -609,6 +613,8 @@
   trace (world, "server %s fails because of a poison request", server->entry.id);
   server->silent = attempt->request->load->silent;
   fail_server (world, server, TRUE);
+  if (part_watch_is_harmful (world->parts, &attempt->request->spec))
+    part_watch_record_failure (world->parts, world->now_us);
   gpointer key = GUINT_TO_POINTER ((guint) attempt->request->spec.fingerprint.low);
   guint failed
       = GPOINTER_TO_UINT (g_hash_table_lookup (world->poison_failures, key)) + 1;
@@ -641,7 +647,7 @@
   schedule (world,
             world->now_us + MAX (attempt->first_token_us, RESPONSE_INTERVAL_US),
             report_response, attempt);
-  if (request->load->poison)
+  if (request->load->poison || part_watch_is_harmful (world->parts, &request->spec))
     schedule (world, world->now_us + attempt->first_token_us, fail_server_by_poison,
               attempt);
   else if (server->broken_share > 0
@@ -691,6 +697,8 @@
     }
   attempt->server_start = server->entry.start_number;
   server->request_count++;
+  if (part_watch_is_harmful (world->parts, &attempt->request->spec))
+    part_watch_record_reached (world->parts, attempt->created_us);
   if (server->leaving_since_us > 0
       && world->now_us - server->leaving_since_us > WORLD_LEAVE_GRACE_US)
     report_violation (
@@ -1271,6 +1279,7 @@
       g_strlcpy (spec->organisation, load->organisation, sizeof spec->organisation);
       g_strlcpy (spec->class_name, load->class_name, sizeof spec->class_name);
       g_strlcpy (spec->pool, load->pool, sizeof spec->pool);
+      part_watch_fill (load->parts, load->random, spec);
     }
   hbw_catalogue_unref (catalogue);
   return known;
@@ -1297,6 +1306,8 @@
   else if (request->spec.fingerprint.low == 0)
     request->spec.fingerprint.low = request->sequence;
   g_hash_table_insert (world->requests, &request->sequence, request);
+  if (!part_watch_is_harmful (world->parts, &request->spec))
+    part_watch_record_arrival (world->parts, world->now_us);
   HbwEvent event = { .kind = HBW_EVENT_REQUEST_ARRIVED };
   event.arrival.sequence = request->sequence;
   event.arrival.spec = request->spec;
@@ -1586,6 +1597,7 @@
   world->partitions = g_ptr_array_new_with_free_func (g_free);
   world->rollout_delays = g_array_new (FALSE, FALSE, sizeof (gint64));
   world->poison_failures = g_hash_table_new (NULL, NULL);
+  world->parts = part_watch_create ();
   world->planned_stops
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   schedule (world, HBW_US_PER_S, update_longest_gaps, NULL);
@@ -1643,6 +1655,7 @@
   g_array_free (world->rollout_delays, TRUE);
   g_hash_table_destroy (world->planned_stops);
   g_hash_table_destroy (world->poison_failures);
+  part_watch_destroy (world->parts);
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     g_free (world->documents[i]);
   g_rand_free (world->random);
@@ -1859,6 +1872,12 @@
   return (double) g_array_index (world->rollout_delays, gint64, at) / HBW_US_PER_S;
 }
 
+PartWatch *
+world_part_watch (const World *world)
+{
+  return world->parts;
+}
+
 guint
 world_poisoned_server_count (const World *world)
 {
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -8,6 +8,8 @@
 #ifndef HORNBEAMWALL_TESTS_WORLD_H
 #define HORNBEAMWALL_TESTS_WORLD_H
 
+#include "part_watch.h"
+
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/reducer.h"
 
@@ -36,6 +38,7 @@
   guint max_requests; /* maximum number of requests; 0 is unlimited */
   gboolean poison;    /* each server that executes a request fails */
   gboolean silent;    /* it falls silent: connections to it stay open */
+  char parts[128];    /* ids of the shared parts; see part_watch_fill() */
   guint attempts_max; /* of a request, on different servers; 0: the default */
   gint64 timeout_us;  /* of a request; 0 is none */
   GRand *random;      /* separate, so that every policy receives the same requests */
@@ -125,6 +128,9 @@
 /* Returns how many requests the server NAME received. */
 guint world_request_count (const World *world, const char *name);
 
+/* Returns what is known of a part that makes servers fail. */
+PartWatch *world_part_watch (const World *world);
+
 /* Returns how many servers failed because of a poison request. */
 guint world_poisoned_server_count (const World *world);
 
