Split what requests show of failing servers off core/ingress.c

core/ingress_suspects.c tells the quarantine how attempts ended and which suspects wait or run here, has servers checked, and says which requests may not run.

--- a/core/ingress.c
+++ b/core/ingress.c
@@ -1,15 +1,11 @@
 #include "hornbeamwall/core/ingress.h"
 
+#include "hornbeamwall/core/ingress_suspects.h"
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/metrics.h"
-#include "hornbeamwall/core/quarantine.h"
-#include "hornbeamwall/core/quarantine_lost.h"
 #include "hornbeamwall/core/request.h"
-#include "hornbeamwall/core/server_check.h"
-#include "hornbeamwall/core/suspect_share.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 /* A request is refused after this many attempts that certainly did not run. */
 #define UNEXECUTED_ATTEMPTS_MAX 8
@@ -32,7 +28,7 @@
   HbwOwnerLookup lookup;
   void *lookup_data;
   HbwRetryBudget *budget;
-  HbwServerChecks *server_checks;
+  HbwIngressSuspects *suspects;
   guint spilled_waiting;
   gint64 closed_at_us; /* requests that arrive from then on are refused */
 };
@@ -77,30 +73,6 @@
   hbw_metrics_control (context->metrics)->grants_handed_back++;
 }
 
-/* Tells the quarantine whether a request with FINGERPRINT is waiting or running
-   here. */
-static void
-update_suspect_activity (HbwIngress *ingress, HbwContext *context,
-                         const HbwFingerprint *fingerprint)
-{
-  if (!hbw_quarantine_is_suspect (context->quarantine, fingerprint, context->now_us))
-    return;
-  HbwSuspectActivity activity = HBW_SUSPECT_IDLE;
-  guint64 server = 0;
-  const HbwRequest *request;
-  cds_list_for_each_entry (request, &ingress->order, link)
-    {
-      if (!hbw_fingerprint_equal (&request->spec.fingerprint, fingerprint))
-        continue;
-      gboolean runs = request->state == HBW_REQUEST_RUNNING;
-      activity = MAX (activity, runs ? HBW_SUSPECT_RUNNING : HBW_SUSPECT_WAITING);
-      if (runs)
-        server = hbw_rendezvous_weight (0, request->server);
-    }
-  hbw_quarantine_set_activity (context->quarantine, fingerprint, activity, server,
-                               context->now_us);
-}
-
 static void
 remove_request (HbwIngress *ingress, HbwContext *context, HbwRequest *request,
                 guint tokens)
@@ -114,7 +86,7 @@
   cds_list_del (&request->link);
   guint64 sequence = request->sequence;
   g_hash_table_remove (ingress->requests, &sequence);
-  update_suspect_activity (ingress, context, &fingerprint);
+  hbw_ingress_suspects_update (ingress->suspects, context, &fingerprint);
 }
 
 static void
@@ -249,72 +221,6 @@
   organisation_metrics (context, request)->wasted_tokens += end->tokens;
 }
 
-/* Returns a number that identifies the current attempt of REQUEST in all
-   instances. */
-static guint64
-compute_attempt_id (const HbwContext *context, const HbwRequest *request)
-{
-  const guint64 parts[] = { context->self, request->sequence, request->attempt };
-  return XXH64 (parts, sizeof parts, 0);
-}
-
-static HbwServerFailure
-describe_failure (const HbwContext *context, const HbwRequest *request)
-{
-  const HbwServerFailure failure
-      = { .id = compute_attempt_id (context, request),
-          .server = hbw_rendezvous_weight (0, request->server),
-          .started_us = request->started_us,
-          .failed_us = context->now_us };
-  return failure;
-}
-
-/* Has the server checked after an attempt that ended while it was silent. */
-static void
-check_silent_server (HbwIngress *ingress, HbwContext *context,
-                     const HbwRequest *request)
-{
-  HbwSilentAttempt attempt = { .fingerprint = request->spec.fingerprint,
-                               .failure = describe_failure (context, request) };
-  if (context->now_us - request->started_us < HBW_SERVER_SILENT_MIN_US)
-    return;
-  g_strlcpy (attempt.server, request->server, sizeof attempt.server);
-  g_strlcpy (attempt.address, request->address, sizeof attempt.address);
-  g_strlcpy (attempt.caller_request_id, request->caller_request_id,
-             sizeof attempt.caller_request_id);
-  hbw_server_checks_add (ingress->server_checks, context, &attempt);
-}
-
-/* Counts a server failure against the request that was in progress on it; a
-   completed request clears itself of earlier failures. */
-static void
-update_quarantine (HbwContext *context, const HbwRequest *request,
-                   HbwOutcome outcome)
-{
-  const HbwFingerprint *fingerprint = &request->spec.fingerprint;
-  guint64 server = hbw_rendezvous_weight (0, request->server);
-  if (outcome == HBW_OUTCOME_COMPLETE)
-    {
-      hbw_quarantine_clear (context->quarantine, fingerprint, context->now_us);
-      hbw_quarantine_handle_response (context->quarantine, server,
-                                      request->started_us, context->now_us);
-    }
-  if (outcome == HBW_OUTCOME_NOT_CONNECTED)
-    hbw_quarantine_handle_refused_connection (context->quarantine, server,
-                                              context->now_us);
-  if (outcome != HBW_OUTCOME_BROKEN)
-    return;
-  const HbwServerFailure failure = describe_failure (context, request);
-  guint failures = hbw_quarantine_add_failure (context->quarantine, fingerprint,
-                                               &failure, context->now_us);
-  hbw_effects_log (context->effects, HBW_LOG_REQUEST_SUSPECT,
-                   "request=%s fingerprint=%016" G_GINT64_MODIFIER
-                   "x organisation=%s class=%s server=%s failures=%u",
-                   request->caller_request_id, fingerprint->low,
-                   request->spec.organisation, request->spec.class_name,
-                   request->server, failures);
-}
-
 static guint
 count_known_instances (const HbwContext *context)
 {
@@ -423,7 +329,7 @@
   ingress->lookup = lookup;
   ingress->lookup_data = data;
   ingress->budget = hbw_retry_budget_create (retry_limits);
-  ingress->server_checks = hbw_server_checks_create ();
+  ingress->suspects = hbw_ingress_suspects_create (&ingress->order);
   ingress->closed_at_us = G_MAXINT64;
   return ingress;
 }
@@ -435,7 +341,7 @@
   hbw_limiter_destroy (ingress->limiter);
   hbw_shard_router_destroy (ingress->shard_router);
   hbw_retry_budget_destroy (ingress->budget);
-  hbw_server_checks_destroy (ingress->server_checks);
+  hbw_ingress_suspects_destroy (ingress->suspects);
   g_free (ingress);
 }
 
@@ -458,17 +364,15 @@
       return;
     }
   HbwRequest *request = add_request (ingress, context, arrival);
-  const HbwFingerprint *fingerprint = &request->spec.fingerprint;
-  if (hbw_quarantine_check (context->quarantine, fingerprint, context->self,
-                            context->now_us)
-      == HBW_QUARANTINE_STATUS_QUARANTINED)
+  gint64 retry_after_us;
+  if (hbw_ingress_suspects_is_refused (context, request, &retry_after_us))
     {
       refuse_request (ingress, context, request, HBW_REASON_QUARANTINED,
-                      hbw_quarantine_remaining_us (context->quarantine, fingerprint,
-                                                   context->now_us));
+                      retry_after_us);
       return;
     }
-  update_suspect_activity (ingress, context, fingerprint);
+  hbw_ingress_suspects_update (ingress->suspects, context,
+                               &request->spec.fingerprint);
   if (hbw_limiter_try_acquire (ingress->limiter, context, &request->spec))
     {
       request->limit_held = TRUE;
@@ -483,29 +387,14 @@
 hbw_ingress_handle_suspect (HbwIngress *ingress, HbwContext *context,
                             const HbwFingerprint *fingerprint)
 {
-  update_suspect_activity (ingress, context, fingerprint);
-}
-
-typedef struct
-{
-  HbwIngress *ingress;
-  HbwContext *context;
-} SuspectVisit;
-
-static void
-handle_checked_suspect (const HbwSilentAttempt *attempt, void *data)
-{
-  const SuspectVisit *visit = data;
-  update_suspect_activity (visit->ingress, visit->context, &attempt->fingerprint);
+  hbw_ingress_suspects_update (ingress->suspects, context, fingerprint);
 }
 
 void
 hbw_ingress_handle_server_check (HbwIngress *ingress, HbwContext *context,
                                  const HbwServerCheckResult *result)
 {
-  SuspectVisit visit = { ingress, context };
-  hbw_server_checks_handle_result (ingress->server_checks, context, result,
-                                   handle_checked_suspect, &visit);
+  hbw_ingress_suspects_handle_check (ingress->suspects, context, result);
 }
 
 void
@@ -551,12 +440,7 @@
     return;
   hbw_request_send_done (request, context, end);
   record_wasted_tokens (context, request, end);
-  update_quarantine (context, request, end->outcome);
-  if (end->outcome == HBW_OUTCOME_BROKEN)
-    hbw_server_checks_add_broken (ingress->server_checks, context, request->server,
-                                  request->address, end->server_silent);
-  else if (end->server_silent)
-    check_silent_server (ingress, context, request);
+  hbw_ingress_suspects_handle_end (ingress->suspects, context, request, end);
   gboolean not_executed = hbw_outcome_proves_not_executed (end->outcome);
   if (not_executed)
     request->unexecuted_attempts++;
@@ -577,7 +461,7 @@
       retry_request (ingress, context, request, end->outcome);
       /* Another request with it may be running here. */
       if (end->outcome == HBW_OUTCOME_BROKEN)
-        update_suspect_activity (ingress, context, &fingerprint);
+        hbw_ingress_suspects_update (ingress->suspects, context, &fingerprint);
     }
   else
     end_without_retry (ingress, context, request, end);
@@ -603,19 +487,6 @@
   g_strlcpy (start->address, grant->address, sizeof start->address);
 }
 
-/* Returns whether REQUEST is held or quarantined.  The owner that granted it may not
-   have received the reports about it yet. */
-static gboolean
-may_not_run (const HbwContext *context, const HbwRequest *request)
-{
-  HbwQuarantineStatus status
-      = hbw_quarantine_check (context->quarantine, &request->spec.fingerprint,
-                              context->self, context->now_us);
-  return !hbw_suspect_share_is_complete (context->suspect_share)
-         || status == HBW_QUARANTINE_STATUS_HELD
-         || status == HBW_QUARANTINE_STATUS_QUARANTINED;
-}
-
 void
 hbw_ingress_handle_grant (HbwIngress *ingress, HbwContext *context, guint64 from,
                           const HbwGrant *grant)
@@ -631,7 +502,7 @@
       return_unused_grant (context, from, grant);
       return;
     }
-  if (may_not_run (context, request))
+  if (hbw_ingress_suspects_may_not_run (context, request))
     {
       return_unused_grant (context, from, grant);
       if (from == context->self)
@@ -649,7 +520,8 @@
   g_strlcpy (request->server, grant->server, sizeof request->server);
   g_strlcpy (request->address, grant->address, sizeof request->address);
   request->facts = grant->facts;
-  update_suspect_activity (ingress, context, &request->spec.fingerprint);
+  hbw_ingress_suspects_update (ingress->suspects, context,
+                               &request->spec.fingerprint);
   hbw_request_log_attempt_started (request, context);
   gint64 waited = context->now_us - request->arrived_us;
   hbw_histogram_record (&class_metrics (context, request)->queue_wait, waited);
@@ -734,7 +606,7 @@
       = request->first_token_seen ? HBW_OUTCOME_CANCELLED : HBW_OUTCOME_TIMED_OUT;
   request->may_have_run = TRUE;
   if (!request->first_token_seen)
-    check_silent_server (ingress, context, request);
+    hbw_ingress_suspects_check_silent (ingress->suspects, context, request);
   hbw_request_send_done (request, context, &end);
   refuse_request (ingress, context, request, HBW_REASON_TIMEOUT,
                   RETRY_AFTER_DEFAULT_US);
@@ -774,10 +646,7 @@
   cds_list_for_each_entry_safe (request, next, &ingress->order, link)
     tick_request (ingress, context, request);
   hbw_limiter_tick (ingress->limiter, context);
-  hbw_server_checks_tick (ingress->server_checks, context);
-  SuspectVisit visit = { ingress, context };
-  hbw_quarantine_handle_lost (context, ingress->server_checks, ingress->topology,
-                              handle_checked_suspect, &visit);
+  hbw_ingress_suspects_tick (ingress->suspects, context, ingress->topology);
 }
 
 void
--- /dev/null
+++ b/core/ingress_suspects.c
@@ -0,0 +1,193 @@
+#include "hornbeamwall/core/ingress_suspects.h"
+
+#include "hornbeamwall/core/quarantine.h"
+#include "hornbeamwall/core/quarantine_lost.h"
+#include "hornbeamwall/core/server_check.h"
+#include "hornbeamwall/core/suspect_share.h"
+
+#include <xxhash.h>
+
+struct HbwIngressSuspects
+{
+  const struct cds_list_head *requests;
+  HbwServerChecks *server_checks;
+};
+
+HbwIngressSuspects *
+hbw_ingress_suspects_create (const struct cds_list_head *requests)
+{
+  HbwIngressSuspects *suspects = g_new0 (HbwIngressSuspects, 1);
+  suspects->requests = requests;
+  suspects->server_checks = hbw_server_checks_create ();
+  return suspects;
+}
+
+void
+hbw_ingress_suspects_destroy (HbwIngressSuspects *suspects)
+{
+  hbw_server_checks_destroy (suspects->server_checks);
+  g_free (suspects);
+}
+
+void
+hbw_ingress_suspects_update (const HbwIngressSuspects *suspects, HbwContext *context,
+                             const HbwFingerprint *fingerprint)
+{
+  if (!hbw_quarantine_is_suspect (context->quarantine, fingerprint, context->now_us))
+    return;
+  HbwSuspectActivity activity = HBW_SUSPECT_IDLE;
+  guint64 server = 0;
+  const HbwRequest *request;
+  cds_list_for_each_entry (request, suspects->requests, link)
+    {
+      if (!hbw_fingerprint_equal (&request->spec.fingerprint, fingerprint))
+        continue;
+      gboolean runs = request->state == HBW_REQUEST_RUNNING;
+      activity = MAX (activity, runs ? HBW_SUSPECT_RUNNING : HBW_SUSPECT_WAITING);
+      if (runs)
+        server = hbw_rendezvous_weight (0, request->server);
+    }
+  hbw_quarantine_set_activity (context->quarantine, fingerprint, activity, server,
+                               context->now_us);
+}
+
+/* Returns a number that identifies the current attempt of REQUEST in all
+   instances. */
+static guint64
+compute_attempt_id (const HbwContext *context, const HbwRequest *request)
+{
+  const guint64 parts[] = { context->self, request->sequence, request->attempt };
+  return XXH64 (parts, sizeof parts, 0);
+}
+
+static HbwServerFailure
+describe_failure (const HbwContext *context, const HbwRequest *request)
+{
+  const HbwServerFailure failure
+      = { .id = compute_attempt_id (context, request),
+          .server = hbw_rendezvous_weight (0, request->server),
+          .started_us = request->started_us,
+          .failed_us = context->now_us };
+  return failure;
+}
+
+void
+hbw_ingress_suspects_check_silent (HbwIngressSuspects *suspects, HbwContext *context,
+                                   const HbwRequest *request)
+{
+  HbwSilentAttempt attempt = { .fingerprint = request->spec.fingerprint,
+                               .failure = describe_failure (context, request) };
+  if (context->now_us - request->started_us < HBW_SERVER_SILENT_MIN_US)
+    return;
+  g_strlcpy (attempt.server, request->server, sizeof attempt.server);
+  g_strlcpy (attempt.address, request->address, sizeof attempt.address);
+  g_strlcpy (attempt.caller_request_id, request->caller_request_id,
+             sizeof attempt.caller_request_id);
+  hbw_server_checks_add (suspects->server_checks, context, &attempt);
+}
+
+/* A complete response clears the request. */
+static void
+record_response (HbwContext *context, const HbwRequest *request)
+{
+  HbwQuarantine *quarantine = context->quarantine;
+  gint64 now_us = context->now_us;
+  hbw_quarantine_clear (quarantine, &request->spec.fingerprint, now_us);
+  hbw_quarantine_handle_response (quarantine,
+                                  hbw_rendezvous_weight (0, request->server),
+                                  request->started_us, now_us);
+}
+
+static void
+record_failure (HbwContext *context, const HbwRequest *request)
+{
+  const HbwRequestSpec *spec = &request->spec;
+  const HbwServerFailure failure = describe_failure (context, request);
+  guint failures = hbw_quarantine_add_failure (
+      context->quarantine, &spec->fingerprint, &failure, context->now_us);
+  hbw_effects_log (context->effects, HBW_LOG_REQUEST_SUSPECT,
+                   "request=%s fingerprint=%016" G_GINT64_MODIFIER
+                   "x organisation=%s class=%s server=%s failures=%u",
+                   request->caller_request_id, spec->fingerprint.low,
+                   spec->organisation, spec->class_name, request->server, failures);
+}
+
+void
+hbw_ingress_suspects_handle_end (HbwIngressSuspects *suspects, HbwContext *context,
+                                 const HbwRequest *request, const HbwAttemptEnd *end)
+{
+  if (end->outcome == HBW_OUTCOME_COMPLETE)
+    record_response (context, request);
+  if (end->outcome == HBW_OUTCOME_NOT_CONNECTED)
+    hbw_quarantine_handle_refused_connection (
+        context->quarantine, hbw_rendezvous_weight (0, request->server),
+        context->now_us);
+  if (end->outcome == HBW_OUTCOME_BROKEN)
+    {
+      record_failure (context, request);
+      hbw_server_checks_add_broken (suspects->server_checks, context,
+                                    request->server, request->address,
+                                    end->server_silent);
+    }
+  else if (end->server_silent)
+    hbw_ingress_suspects_check_silent (suspects, context, request);
+}
+
+typedef struct
+{
+  const HbwIngressSuspects *suspects;
+  HbwContext *context;
+} SuspectVisit;
+
+static void
+handle_checked_suspect (const HbwSilentAttempt *attempt, void *data)
+{
+  const SuspectVisit *visit = data;
+  hbw_ingress_suspects_update (visit->suspects, visit->context,
+                               &attempt->fingerprint);
+}
+
+void
+hbw_ingress_suspects_handle_check (HbwIngressSuspects *suspects, HbwContext *context,
+                                   const HbwServerCheckResult *result)
+{
+  SuspectVisit visit = { suspects, context };
+  hbw_server_checks_handle_result (suspects->server_checks, context, result,
+                                   handle_checked_suspect, &visit);
+}
+
+gboolean
+hbw_ingress_suspects_may_not_run (const HbwContext *context,
+                                  const HbwRequest *request)
+{
+  HbwQuarantineStatus status
+      = hbw_quarantine_check (context->quarantine, &request->spec.fingerprint,
+                              context->self, context->now_us);
+  return !hbw_suspect_share_is_complete (context->suspect_share)
+         || status == HBW_QUARANTINE_STATUS_HELD
+         || status == HBW_QUARANTINE_STATUS_QUARANTINED;
+}
+
+gboolean
+hbw_ingress_suspects_is_refused (const HbwContext *context,
+                                 const HbwRequest *request, gint64 *retry_after_us)
+{
+  const HbwFingerprint *fingerprint = &request->spec.fingerprint;
+  if (hbw_quarantine_check (context->quarantine, fingerprint, context->self,
+                            context->now_us)
+      != HBW_QUARANTINE_STATUS_QUARANTINED)
+    return FALSE;
+  *retry_after_us = hbw_quarantine_remaining_us (context->quarantine, fingerprint,
+                                                 context->now_us);
+  return TRUE;
+}
+
+void
+hbw_ingress_suspects_tick (HbwIngressSuspects *suspects, HbwContext *context,
+                           const HbwTopology *topology)
+{
+  SuspectVisit visit = { suspects, context };
+  hbw_server_checks_tick (suspects->server_checks, context);
+  hbw_quarantine_handle_lost (context, suspects->server_checks, topology,
+                              handle_checked_suspect, &visit);
+}
