An instance gives no verdicts before it knows what the others know

The pause in verdicts began only when the instance counted as complete. It begins with its start now, and when it wakes up after a pause of its process.

--- a/core/reducer.c
+++ b/core/reducer.c
@@ -551,6 +551,10 @@
   gboolean is_alone = config->seeds == NULL || config->seeds[0] == NULL;
   context->suspect_share
       = hbw_suspect_share_create (is_alone, config->stores_suspects, config->now_us);
+  /* Until it is complete, it is not known which suspects are active elsewhere. */
+  if (!hbw_suspect_share_is_complete (context->suspect_share))
+    hbw_quarantine_suspend_verdicts (context->quarantine, config->now_us,
+                                     G_MAXINT64);
   context->server_notices = hbw_server_notices_create ();
   context->load_share
       = config->policy->spans_data_centres ? hbw_load_share_create () : NULL;
--- a/core/suspect_share.c
+++ b/core/suspect_share.c
@@ -186,8 +186,10 @@
 void
 hbw_suspect_share_resume (HbwSuspectShare *share, HbwContext *context)
 {
-  if (hbw_membership_count_alive (context->membership, NULL) > 1)
-    set_incomplete (share, context->now_us);
+  if (hbw_membership_count_alive (context->membership, NULL) <= 1)
+    return;
+  set_incomplete (share, context->now_us);
+  hbw_quarantine_suspend_verdicts (context->quarantine, context->now_us, G_MAXINT64);
 }
 
 static void
