--- a/core/ingress.c
+++ b/core/ingress.c
@@ -113,11 +113,24 @@
   remove_request (ingress, context, request, 0);
 }
 
+/* Returns TRUE, and refuses REQUEST, if a part of its prompt is quarantined. */
+static gboolean
+refuse_for_part (HbwIngress *ingress, HbwContext *context, HbwRequest *request)
+{
+  gint64 retry_after_us;
+  if (!hbw_ingress_suspects_is_part_refused (context, request, &retry_after_us))
+    return FALSE;
+  refuse_request (ingress, context, request, HBW_REASON_QUARANTINED, retry_after_us);
+  return TRUE;
+}
+
 /* Chooses a shard and requests a grant from its owner; refuses the request if no
    shard is known. */
 static void
 request_grant (HbwIngress *ingress, HbwContext *context, HbwRequest *request)
 {
+  if (refuse_for_part (ingress, context, request))
+    return;
   set_spilled (ingress, request, FALSE);
   gboolean spill_allowed
       = request->spill_allowed && ingress->spilled_waiting < HBW_SPILL_WAITING_MAX;
@@ -505,6 +518,8 @@
   if (hbw_ingress_suspects_may_not_run (context, request))
     {
       return_unused_grant (context, from, grant);
+      if (refuse_for_part (ingress, context, request))
+        return;
       if (from == context->self)
         request_next_grant (ingress, context, request);
       return;
@@ -638,11 +653,23 @@
     refresh_owner (ingress, context, request);
 }
 
+static void
+refuse_waiting_for_parts (HbwIngress *ingress, HbwContext *context)
+{
+  HbwRequest *request;
+  HbwRequest *next;
+  cds_list_for_each_entry_safe (request, next, &ingress->order, link)
+    if (request->state != HBW_REQUEST_RUNNING)
+      refuse_for_part (ingress, context, request);
+}
+
 void
 hbw_ingress_tick (HbwIngress *ingress, HbwContext *context)
 {
   HbwRequest *request;
   HbwRequest *next;
+  if (hbw_ingress_suspects_take_verdicts (ingress->suspects, context))
+    refuse_waiting_for_parts (ingress, context);
   cds_list_for_each_entry_safe (request, next, &ingress->order, link)
     tick_request (ingress, context, request);
   hbw_limiter_tick (ingress->limiter, context);
--- a/core/ingress_suspects.c
+++ b/core/ingress_suspects.c
@@ -7,10 +7,15 @@
 
 #include <xxhash.h>
 
+/* A part of a prompt that makes a server fail does so before the answer has been
+   written for so long. */
+#define ANSWER_BEGINNING_US (1 * HBW_US_PER_S)
+
 struct HbwIngressSuspects
 {
   const struct cds_list_head *requests;
   HbwServerChecks *server_checks;
+  guint64 part_verdicts; /* that were known at the last look */
 };
 
 HbwIngressSuspects *
@@ -79,6 +84,8 @@
                                .failure = describe_failure (context, request) };
   if (context->now_us - request->started_us < HBW_SERVER_SILENT_MIN_US)
     return;
+  attempt.part_ids = request->spec.part_ids;
+  attempt.pool_hash = hbw_rendezvous_weight (0, request->spec.pool);
   g_strlcpy (attempt.server, request->server, sizeof attempt.server);
   g_strlcpy (attempt.address, request->address, sizeof attempt.address);
   g_strlcpy (attempt.caller_request_id, request->caller_request_id,
@@ -86,30 +93,64 @@
   hbw_server_checks_add (suspects->server_checks, context, &attempt);
 }
 
-/* A complete response clears the request. */
+/* A complete response clears the request, and the parts of its prompt. */
 static void
-record_response (HbwContext *context, const HbwRequest *request)
+record_response (HbwContext *context, const HbwRequest *request,
+                 const HbwAttemptEnd *end)
 {
   HbwQuarantine *quarantine = context->quarantine;
   gint64 now_us = context->now_us;
   hbw_quarantine_clear (quarantine, &request->spec.fingerprint, now_us);
+  if (!end->is_rejected)
+    hbw_quarantine_vouch (quarantine, &request->spec.part_ids,
+                          hbw_rendezvous_weight (0, request->spec.pool),
+                          request->started_us, now_us);
   hbw_quarantine_handle_response (quarantine,
                                   hbw_rendezvous_weight (0, request->server),
                                   request->started_us, now_us);
 }
 
+static char *
+format_parts (const HbwPartIds *parts)
+{
+  GString *text = g_string_new (parts->count > 0 ? " parts=" : NULL);
+  for (guint i = 0; i < parts->count; i++)
+    g_string_append_printf (text, "%s%" G_GINT64_MODIFIER "x", i > 0 ? "," : "",
+                            parts->ids[i]);
+  return g_string_free (text, FALSE);
+}
+
+/* Returns whether the answer had been written for so long that its prompt did not
+   make the server fail. */
+static gboolean
+is_past_prompt (const HbwContext *context, const HbwRequest *request,
+                const HbwAttemptEnd *end)
+{
+  return end->first_token_us > 0 && !end->server_silent
+         && context->now_us - request->started_us - end->first_token_us
+                >= ANSWER_BEGINNING_US;
+}
+
 static void
-record_failure (HbwContext *context, const HbwRequest *request)
+record_failure (HbwContext *context, const HbwRequest *request,
+                const HbwAttemptEnd *end)
 {
   const HbwRequestSpec *spec = &request->spec;
   const HbwServerFailure failure = describe_failure (context, request);
   guint failures = hbw_quarantine_add_failure (
       context->quarantine, &spec->fingerprint, &failure, context->now_us);
+  if (!is_past_prompt (context, request, end))
+    hbw_quarantine_charge_parts (
+        context->quarantine, &spec->fingerprint, failure.id, &spec->part_ids,
+        hbw_rendezvous_weight (0, spec->pool), context->now_us);
+  char *parts = format_parts (&spec->part_ids);
   hbw_effects_log (context->effects, HBW_LOG_REQUEST_SUSPECT,
                    "request=%s fingerprint=%016" G_GINT64_MODIFIER
-                   "x organisation=%s class=%s server=%s failures=%u",
+                   "x organisation=%s class=%s server=%s failures=%u%s",
                    request->caller_request_id, spec->fingerprint.low,
-                   spec->organisation, spec->class_name, request->server, failures);
+                   spec->organisation, spec->class_name, request->server, failures,
+                   parts);
+  g_free (parts);
 }
 
 void
@@ -117,14 +158,14 @@
                                  const HbwRequest *request, const HbwAttemptEnd *end)
 {
   if (end->outcome == HBW_OUTCOME_COMPLETE)
-    record_response (context, request);
+    record_response (context, request, end);
   if (end->outcome == HBW_OUTCOME_NOT_CONNECTED)
     hbw_quarantine_handle_refused_connection (
         context->quarantine, hbw_rendezvous_weight (0, request->server),
         context->now_us);
   if (end->outcome == HBW_OUTCOME_BROKEN)
     {
-      record_failure (context, request);
+      record_failure (context, request, end);
       hbw_server_checks_add_broken (suspects->server_checks, context,
                                     request->server, request->address,
                                     end->server_silent);
@@ -160,14 +201,36 @@
 hbw_ingress_suspects_may_not_run (const HbwContext *context,
                                   const HbwRequest *request)
 {
+  guint64 part;
+  gint64 remaining_us;
   HbwQuarantineStatus status
       = hbw_quarantine_check (context->quarantine, &request->spec.fingerprint,
                               context->self, context->now_us);
   return !hbw_suspect_share_is_complete (context->suspect_share)
+         || hbw_quarantine_find_part (context->quarantine, &request->spec.part_ids,
+                                      &part, &remaining_us, context->now_us)
          || status == HBW_QUARANTINE_STATUS_HELD
          || status == HBW_QUARANTINE_STATUS_QUARANTINED;
 }
 
+gboolean
+hbw_ingress_suspects_is_part_refused (const HbwContext *context,
+                                      const HbwRequest *request,
+                                      gint64 *retry_after_us)
+{
+  guint64 part;
+  if (!hbw_quarantine_find_part (context->quarantine, &request->spec.part_ids, &part,
+                                 retry_after_us, context->now_us))
+    return FALSE;
+  hbw_effects_log (context->effects, HBW_LOG_PART_REFUSED,
+                   "request=%s sequence=%" G_GUINT64_FORMAT
+                   " part=%" G_GINT64_MODIFIER "x fingerprint=%016" G_GINT64_MODIFIER
+                   "x",
+                   request->caller_request_id, request->sequence, part,
+                   request->spec.fingerprint.low);
+  return TRUE;
+}
+
 gboolean
 hbw_ingress_suspects_is_refused (const HbwContext *context,
                                  const HbwRequest *request, gint64 *retry_after_us)
@@ -176,12 +239,21 @@
   if (hbw_quarantine_check (context->quarantine, fingerprint, context->self,
                             context->now_us)
       != HBW_QUARANTINE_STATUS_QUARANTINED)
-    return FALSE;
+    return hbw_ingress_suspects_is_part_refused (context, request, retry_after_us);
   *retry_after_us = hbw_quarantine_remaining_us (context->quarantine, fingerprint,
                                                  context->now_us);
   return TRUE;
 }
 
+gboolean
+hbw_ingress_suspects_take_verdicts (HbwIngressSuspects *suspects,
+                                    const HbwContext *context)
+{
+  guint64 known = suspects->part_verdicts;
+  suspects->part_verdicts = hbw_quarantine_part_verdicts (context->quarantine);
+  return suspects->part_verdicts != known;
+}
+
 void
 hbw_ingress_suspects_tick (HbwIngressSuspects *suspects, HbwContext *context,
                            const HbwTopology *topology)
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -6,6 +6,9 @@
    what other instances report is known with a delay. */
 #define EVIDENCE_SLACK_US (100 * HBW_US_PER_MS)
 
+/* Worth of an entry that is cleared, or of a part with one failure. */
+#define LITTLE_WORTH 1
+
 static guint
 fingerprint_hash (gconstpointer key)
 {
@@ -24,6 +27,8 @@
 remove_suspect (HbwQuarantine *quarantine, HbwSuspect *suspect)
 {
   hbw_suspect_close (quarantine, suspect);
+  quarantine->quarantined_parts
+      -= hbw_suspect_is_part (suspect) && hbw_suspect_is_quarantined (suspect);
   if (suspect->transmits_left > 0)
     cds_list_del (&suspect->unsent_link);
   cds_list_del (&suspect->link);
@@ -41,21 +46,38 @@
   return NULL;
 }
 
-/* Removes the entry that matters least, the oldest of several. */
-static void
-evict_suspect (HbwQuarantine *quarantine)
+/* Removes the entry that matters least, the oldest of several; returns FALSE if all
+   are worth more than WORTH_MAX. */
+static gboolean
+evict_suspect (HbwQuarantine *quarantine, guint worth_max)
 {
   HbwSuspect *least = cds_list_first_entry (&quarantine->by_age, HbwSuspect, link);
   HbwSuspect *suspect;
   cds_list_for_each_entry (suspect, &quarantine->by_age, link)
     {
-      if (hbw_suspect_importance (suspect) < hbw_suspect_importance (least))
+      if (hbw_suspect_worth (suspect) < hbw_suspect_worth (least))
         least = suspect;
-      if (hbw_suspect_importance (least) == 0)
+      if (hbw_suspect_worth (least) <= LITTLE_WORTH)
         break;
     }
+  if (hbw_suspect_worth (least) > worth_max)
+    return FALSE;
   remove_suspect (quarantine, least);
   quarantine->evicted_count++;
+  return TRUE;
+}
+
+static HbwSuspect *
+create_suspect (HbwQuarantine *quarantine, const HbwFingerprint *fingerprint)
+{
+  gboolean is_part = fingerprint->high == HBW_PART_FINGERPRINT_HIGH;
+  guint record_max = is_part ? HBW_PART_FAILURES_MAX : HBW_SUSPECT_FAILURES_MAX;
+  HbwSuspect *suspect
+      = g_malloc0 (sizeof *suspect + record_max * sizeof suspect->records[0]);
+  suspect->fingerprint = *fingerprint;
+  cds_list_add_tail (&suspect->link, &quarantine->by_age);
+  g_hash_table_insert (quarantine->suspects, &suspect->fingerprint, suspect);
+  return suspect;
 }
 
 HbwSuspect *
@@ -66,12 +88,21 @@
   if (suspect != NULL)
     return suspect;
   if (g_hash_table_size (quarantine->suspects) >= HBW_QUARANTINE_ENTRIES_MAX)
-    evict_suspect (quarantine);
-  suspect = g_new0 (HbwSuspect, 1);
-  suspect->fingerprint = *fingerprint;
-  cds_list_add_tail (&suspect->link, &quarantine->by_age);
-  g_hash_table_insert (quarantine->suspects, &suspect->fingerprint, suspect);
-  return suspect;
+    evict_suspect (quarantine, G_MAXUINT);
+  return create_suspect (quarantine, fingerprint);
+}
+
+HbwSuspect *
+hbw_quarantine_ensure_part (HbwQuarantine *quarantine, guint64 id, gint64 now_us)
+{
+  const HbwFingerprint fingerprint = { HBW_PART_FINGERPRINT_HIGH, id };
+  HbwSuspect *part = hbw_quarantine_find (quarantine, &fingerprint, now_us);
+  if (part != NULL)
+    return part;
+  if (g_hash_table_size (quarantine->suspects) >= HBW_QUARANTINE_ENTRIES_MAX
+      && !evict_suspect (quarantine, LITTLE_WORTH))
+    return NULL;
+  return create_suspect (quarantine, &fingerprint);
 }
 
 void
@@ -94,6 +125,8 @@
       = g_hash_table_new_full (fingerprint_hash, fingerprint_equal, NULL, g_free);
   CDS_INIT_LIST_HEAD (&quarantine->by_age);
   CDS_INIT_LIST_HEAD (&quarantine->held);
+  CDS_INIT_LIST_HEAD (&quarantine->held_parts);
+  quarantine->vouches = g_array_new (FALSE, FALSE, sizeof (HbwVouch));
   quarantine->failed_servers
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   CDS_INIT_LIST_HEAD (&quarantine->unsent);
@@ -110,6 +143,7 @@
   g_queue_clear_full (&quarantine->unlogged, g_free);
   g_hash_table_destroy (quarantine->suspects);
   g_hash_table_destroy (quarantine->failed_servers);
+  g_array_free (quarantine->vouches, TRUE);
   g_free (quarantine);
 }
 
@@ -288,9 +322,14 @@
       HbwFailureRecord *record
           = cds_list_first_entry (&failure->records, HbwFailureRecord, link);
       is_last = failure->records.next == failure->records.prev;
+      HbwSuspect *suspect = record->suspect;
+      /* A part's failures are dismissed with those of its requests. */
+      gboolean is_reported
+          = !hbw_suspect_is_part (suspect) || hbw_suspect_is_quarantined (suspect);
       hbw_suspect_dismiss_record (quarantine, record, now_us);
-      hbw_quarantine_schedule_report (quarantine, record->suspect,
-                                      HBW_SUSPECT_TRANSMITS, now_us);
+      if (is_reported)
+        hbw_quarantine_schedule_report (quarantine, suspect, HBW_SUSPECT_TRANSMITS,
+                                        now_us);
     }
   while (!is_last);
 }
@@ -334,7 +373,7 @@
   gboolean is_news = !failure->is_refused;
   failure->is_confirmed = failure->is_refused = TRUE;
   cds_list_for_each_entry (record, &failure->records, link)
-    if (is_news)
+    if (is_news && !hbw_suspect_is_part (record->suspect))
       hbw_quarantine_schedule_report (quarantine, record->suspect,
                                       HBW_SUSPECT_TRANSMITS, now_us);
 }
@@ -378,6 +417,30 @@
                      g_memdup2 (&suspect->fingerprint, sizeof suspect->fingerprint));
 }
 
+/* Logs the requests behind a verdict on a part, one for each failure. */
+static void
+log_part_verdict (const HbwSuspect *part, HbwEffects *effects)
+{
+  GString *requests = g_string_new (NULL);
+  if (!hbw_suspect_is_quarantined (part))
+    {
+      hbw_effects_log (effects, HBW_LOG_PART_RELEASED,
+                       "part=%" G_GINT64_MODIFIER "x", part->fingerprint.low);
+      g_string_free (requests, TRUE);
+      return;
+    }
+  for (guint i = 0; i < HBW_PART_FAILURES_MAX; i++)
+    if (hbw_failure_record_is_open (&part->records[i]))
+      g_string_append_printf (requests, "%s%016" G_GINT64_MODIFIER "x",
+                              requests->len > 0 ? "," : "", part->records[i].source);
+  hbw_effects_log (effects, HBW_LOG_PART_QUARANTINED,
+                   "part=%" G_GINT64_MODIFIER
+                   "x failures=%u refused_s=%" G_GINT64_FORMAT " fingerprints=%s",
+                   part->fingerprint.low, hbw_suspect_count_failures (part),
+                   HBW_QUARANTINE_DURATION_US / HBW_US_PER_S, requests->str);
+  g_string_free (requests, TRUE);
+}
+
 static void
 log_verdict (HbwQuarantine *quarantine, const HbwFingerprint *fingerprint,
              HbwEffects *effects)
@@ -386,7 +449,9 @@
       = g_hash_table_lookup (quarantine->suspects, fingerprint);
   if (suspect == NULL)
     return;
-  if (hbw_suspect_is_quarantined (suspect))
+  if (hbw_suspect_is_part (suspect))
+    log_part_verdict (suspect, effects);
+  else if (hbw_suspect_is_quarantined (suspect))
     hbw_effects_log (effects, HBW_LOG_REQUEST_QUARANTINED,
                      "fingerprint=%016" G_GINT64_MODIFIER
                      "x refused_s=%" G_GINT64_FORMAT,
--- a/core/quarantine_lost.c
+++ b/core/quarantine_lost.c
@@ -29,7 +29,7 @@
 static gboolean
 may_become_held (const HbwSuspect *suspect)
 {
-  return hbw_suspect_count_failures (suspect) > 0
+  return !hbw_suspect_is_part (suspect) && hbw_suspect_count_failures (suspect) > 0
          && !hbw_suspect_is_quarantined (suspect);
 }
 
@@ -89,6 +89,9 @@
   guint failures
       = hbw_quarantine_add_failure (context->quarantine, &attempt->fingerprint,
                                     &attempt->failure, context->now_us);
+  hbw_quarantine_charge_parts (context->quarantine, &attempt->fingerprint,
+                               attempt->failure.id, &attempt->part_ids,
+                               attempt->pool_hash, context->now_us);
   hbw_quarantine_handle_refused_connection (
       context->quarantine, attempt->failure.server, context->now_us);
   hbw_effects_log (context->effects, HBW_LOG_REQUEST_SUSPECT,
@@ -109,6 +112,8 @@
 handle_lost (const Visit *visit, const HbwSuspect *suspect, HbwPeerActivity *peer)
 {
   HbwSilentAttempt attempt = { .fingerprint = suspect->fingerprint,
+                               .part_ids = suspect->part_ids,
+                               .pool_hash = suspect->pool_hash,
                                .failure = describe_failure (suspect, peer) };
   const HbwServerEntry *entry
       = visit->topology != NULL
--- a/core/quarantine_report.c
+++ b/core/quarantine_report.c
@@ -34,6 +34,19 @@
   peer->heard_us = now_us;
 }
 
+/* Dismisses FAILURE for the parts that were charged with it. */
+static void
+dismiss_parts (HbwQuarantine *quarantine, HbwFailure *failure, gint64 now_us)
+{
+  HbwFailureRecord *record;
+  HbwFailureRecord *next;
+  if (failure == NULL)
+    return;
+  cds_list_for_each_entry_safe (record, next, &failure->records, link)
+    if (hbw_suspect_is_part (record->suspect))
+      hbw_suspect_dismiss_record (quarantine, record, now_us);
+}
+
 /* Returns whether the reported failure was not known here. */
 static gboolean
 merge_failure (HbwQuarantine *quarantine, HbwSuspect *suspect,
@@ -52,6 +65,8 @@
     {
       gboolean is_new = hbw_suspect_record_failure (quarantine, suspect, &failure);
       HbwFailureRecord *record = hbw_suspect_find_record (suspect, report->id);
+      if (is_new)
+        record->source = report->source;
       if (report->is_refused && record != NULL && record->failure != NULL)
         {
           record->failure->is_confirmed = record->failure->is_refused = TRUE;
@@ -66,7 +81,10 @@
     hbw_quarantine_schedule_report (quarantine, suspect, HBW_SUSPECT_TRANSMITS,
                                     now_us);
   else if (!known->is_dismissed)
-    hbw_suspect_dismiss_record (quarantine, known, now_us);
+    {
+      dismiss_parts (quarantine, known->failure, now_us);
+      hbw_suspect_dismiss_record (quarantine, known, now_us);
+    }
   return FALSE;
 }
 
@@ -82,9 +100,10 @@
 static void
 merge_stored (HbwSuspect *suspect, const HbwSuspicionReport *report)
 {
-  suspect->is_stored
-      |= report->is_stored && report->verdict == suspect->verdict
-         && count_open (report) == hbw_suspect_count_failures (suspect);
+  suspect->is_stored |= report->is_stored && report->verdict == suspect->verdict
+                        && count_open (report)
+                               == MIN (hbw_suspect_count_failures (suspect),
+                                       HBW_SUSPECT_FAILURES_MAX);
 }
 
 /* Returns the entry for REPORT, or NULL if it tells nothing about an unknown
@@ -98,6 +117,17 @@
   return hbw_quarantine_ensure (quarantine, &report->fingerprint, now_us);
 }
 
+static void
+merge_parts (HbwQuarantine *quarantine, HbwSuspect *suspect,
+             const HbwSuspicionReport *report, gint64 now_us)
+{
+  if (report->part_ids.count == 0)
+    return;
+  suspect->part_ids = report->part_ids;
+  suspect->pool_hash = report->pool_hash;
+  hbw_quarantine_charge_parts_of (quarantine, suspect, now_us);
+}
+
 guint
 hbw_quarantine_merge (HbwQuarantine *quarantine, guint64 from,
                       const HbwSuspicionReport *report, gint64 now_us)
@@ -114,7 +144,10 @@
   for (guint i = 0; i < report->failure_count; i++)
     added += merge_failure (quarantine, suspect, &report->failures[i], now_us);
   merge_activity (suspect, from, report, now_us);
-  if (report->verdict > suspect->verdict && !hbw_suspect_is_refuted (suspect))
+  merge_parts (quarantine, suspect, report, now_us);
+  if (hbw_suspect_is_part (suspect))
+    hbw_quarantine_merge_part (quarantine, suspect, report, now_us);
+  else if (report->verdict > suspect->verdict && !hbw_suspect_is_refuted (suspect))
     hbw_quarantine_set_verdict (quarantine, suspect, report->verdict, now_us);
   merge_stored (suspect, report);
   hbw_quarantine_evaluate (quarantine, now_us);
@@ -131,6 +164,26 @@
   report->failed_ago_us = now_us - record->details.failed_us;
   report->is_dismissed = record->is_dismissed;
   report->is_refused = record->failure != NULL && record->failure->is_refused;
+  report->source = record->source;
+}
+
+/* Adds the failures of a part, those that follow one another first. */
+static void
+fill_part_failures (HbwSuspicionReport *report, const HbwSuspect *part,
+                    gint64 now_us)
+{
+  gboolean used[HBW_PART_FAILURES_MAX];
+  hbw_suspect_find_sequence (part, used);
+  for (guint i = 0; i < 2 * HBW_PART_FAILURES_MAX; i++)
+    {
+      const HbwFailureRecord *record = &part->records[i % HBW_PART_FAILURES_MAX];
+      gboolean is_turn
+          = used[i % HBW_PART_FAILURES_MAX] == (i < HBW_PART_FAILURES_MAX);
+      if (is_turn && hbw_failure_record_is_open (record)
+          && report->failure_count < HBW_SUSPECT_FAILURES_MAX)
+        fill_failure_report (&report->failures[report->failure_count++], record,
+                             now_us);
+    }
 }
 
 static void
@@ -144,6 +197,13 @@
                                   .running_server_hash = suspect->own_server };
   report->completed_ago_us
       = suspect->completed_us > 0 ? now_us - suspect->completed_us : -1;
+  report->pool_hash = suspect->pool_hash;
+  report->part_ids = suspect->part_ids;
+  if (hbw_suspect_is_part (suspect))
+    {
+      fill_part_failures (report, suspect, now_us);
+      return;
+    }
   for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
     if (hbw_failure_record_is_open (&suspect->records[i])
         || suspect->records[i].is_dismissed)
@@ -175,6 +235,9 @@
 {
   guint failures
       = MIN (hbw_suspect_count_failures (suspect), HBW_QUARANTINE_FAILURES_MIN);
+  /* The failures of a part are those of its requests. */
+  if (hbw_suspect_is_part (suspect))
+    failures = 0;
   if (failures == 0 && !hbw_suspect_is_quarantined (suspect))
     return 0;
   guint64 parts[] = { suspect->fingerprint.high, suspect->fingerprint.low,
@@ -211,7 +274,8 @@
   GPtrArray *suspects = g_ptr_array_new ();
   HbwSuspect *suspect;
   cds_list_for_each_entry_reverse (suspect, &quarantine->by_age, link)
-    if (suspect->expire_at_us > now_us)
+    if (suspect->expire_at_us > now_us
+        && (!hbw_suspect_is_part (suspect) || hbw_suspect_importance (suspect) > 0))
       g_ptr_array_add (suspects, suspect);
   g_ptr_array_sort (suspects, compare_importance);
   guint count = MIN (suspects->len - MIN (skipped, suspects->len), max);
--- a/core/quarantine_verdict.c
+++ b/core/quarantine_verdict.c
@@ -33,6 +33,8 @@
   failure->most_unexplained = 0;
   cds_list_for_each_entry (record, &failure->records, link)
     {
+      if (hbw_suspect_is_part (record->suspect))
+        continue;
       failure->active_count += hbw_suspect_is_active (record->suspect, now_us);
       failure->most_unexplained
           = MAX (failure->most_unexplained,
@@ -94,8 +96,12 @@
 {
   if (!hbw_suspect_is_quarantined (suspect))
     hbw_quarantine_schedule_log (quarantine, suspect);
-  hbw_suspect_change_verdict (suspect, verdict);
+  hbw_suspect_change_verdict (quarantine, suspect, verdict);
   suspect->expire_at_us = now_us + HBW_QUARANTINE_DURATION_US;
+  if (!hbw_suspect_is_part (suspect))
+    return;
+  quarantine->part_verdicts++;
+  hbw_quarantine_mark_part (quarantine, suspect);
 }
 
 /* Returns the verdict on a held suspect: it is the cause of a failure, or it cannot
@@ -107,8 +113,10 @@
 {
   if (any_failure (quarantine, suspect, is_only_suspect, now_us))
     return HBW_VERDICT_CAUSE;
-  gboolean waits = any_failure (quarantine, suspect, has_active_other, now_us)
-                   || !any_failure (quarantine, suspect, may_cause, now_us);
+  gboolean waits
+      = any_failure (quarantine, suspect, has_active_other, now_us)
+        || any_failure (quarantine, suspect, hbw_quarantine_may_blame_part, now_us)
+        || !any_failure (quarantine, suspect, may_cause, now_us);
   return waits ? HBW_VERDICT_NONE : HBW_VERDICT_UNDECIDED;
 }
 
@@ -147,6 +155,7 @@
   if (now_us < quarantine->suspended_until_us || is_early)
     return;
   quarantine->evaluated_us = now_us;
+  hbw_quarantine_evaluate_parts (quarantine, now_us);
   while (give_verdicts (quarantine, HBW_VERDICT_CAUSE, now_us)
          || give_verdicts (quarantine, HBW_VERDICT_UNDECIDED, now_us))
     continue;
@@ -185,11 +194,11 @@
   return FALSE;
 }
 
-static gint64
-find_last_failure_us (const HbwSuspect *suspect)
+gint64
+hbw_suspect_last_failure_us (const HbwSuspect *suspect)
 {
   gint64 last_us = 0;
-  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+  for (guint i = 0; i < hbw_suspect_record_max (suspect); i++)
     if (hbw_failure_record_is_open (&suspect->records[i]))
       last_us = MAX (last_us, suspect->records[i].details.failed_us);
   return last_us;
@@ -201,7 +210,7 @@
 {
   if (!quarantine->has_peers)
     return FALSE;
-  gint64 since_us = find_last_failure_us (suspect);
+  gint64 since_us = hbw_suspect_last_failure_us (suspect);
   if (suspect->own_activity != HBW_SUSPECT_IDLE)
     since_us = MAX (since_us, suspect->own_since_us);
   return now_us - since_us < HBW_QUARANTINE_SETTLE_US;
--- a/core/server_check.c
+++ b/core/server_check.c
@@ -105,6 +105,9 @@
   guint failures
       = hbw_quarantine_add_failure (context->quarantine, &attempt->fingerprint,
                                     &attempt->failure, context->now_us);
+  hbw_quarantine_charge_parts (context->quarantine, &attempt->fingerprint,
+                               attempt->failure.id, &attempt->part_ids,
+                               attempt->pool_hash, context->now_us);
   hbw_effects_log (context->effects, HBW_LOG_REQUEST_SUSPECT,
                    "request=%s fingerprint=%016" G_GINT64_MODIFIER
                    "x server=%s failures=%u evidence=refused_connection",
--- a/core/suspect.c
+++ b/core/suspect.c
@@ -15,10 +15,23 @@
          && details->failed_us >= failure->latest_start_us - SAME_FAILURE_SLACK_US;
 }
 
-static gboolean
-has_open_record_of (const HbwSuspect *suspect, const HbwFailure *failure)
+gboolean
+hbw_suspect_is_part (const HbwSuspect *suspect)
+{
+  return suspect->fingerprint.high == HBW_PART_FINGERPRINT_HIGH;
+}
+
+guint
+hbw_suspect_record_max (const HbwSuspect *suspect)
+{
+  return hbw_suspect_is_part (suspect) ? HBW_PART_FAILURES_MAX
+                                       : HBW_SUSPECT_FAILURES_MAX;
+}
+
+gboolean
+hbw_suspect_has_failure (const HbwSuspect *suspect, const HbwFailure *failure)
 {
-  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+  for (guint i = 0; i < hbw_suspect_record_max (suspect); i++)
     if (suspect->records[i].failure == failure)
       return TRUE;
   return FALSE;
@@ -33,7 +46,7 @@
 {
   return details->started_us >= failure->earliest_end_us
          && details->failed_us - failure->latest_end_us < HBW_QUARANTINE_OUTAGE_US
-         && !has_open_record_of (suspect, failure);
+         && !hbw_suspect_has_failure (suspect, failure);
 }
 
 static HbwFailedServer *
@@ -89,13 +102,15 @@
   failure->latest_end_us = details->failed_us;
   CDS_INIT_LIST_HEAD (&failure->records);
   cds_list_add (&failure->link, &server->failures);
+  quarantine->failure_times_us[quarantine->failure_count++ % HBW_FAILURE_TIMES_MAX]
+      = details->failed_us;
   return failure;
 }
 
 gboolean
 hbw_failure_is_explained (const HbwFailure *failure)
 {
-  return failure->cause_count > 0;
+  return failure->cause_count > 0 || failure->has_part;
 }
 
 /* --- records ------------------------------------------------------------------- */
@@ -125,7 +140,7 @@
     return;
   cds_list_del (&record->link);
   record->failure = NULL;
-  failure->record_count--;
+  failure->record_count -= !hbw_suspect_is_part (record->suspect);
   failure->cause_count -= record->suspect->verdict == HBW_VERDICT_CAUSE;
   if (cds_list_empty (&failure->records))
     destroy_failure (quarantine, failure);
@@ -134,19 +149,37 @@
 HbwFailureRecord *
 hbw_suspect_find_record (HbwSuspect *suspect, guint64 id)
 {
-  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+  for (guint i = 0; i < hbw_suspect_record_max (suspect); i++)
     if (suspect->records[i].details.id == id)
       return &suspect->records[i];
   return NULL;
 }
 
+/* Returns the oldest record of a part that does not belong to its sequence of
+   failures, after closing it; NULL if all do. */
+static HbwFailureRecord *
+close_least_record (HbwQuarantine *quarantine, HbwSuspect *part)
+{
+  HbwFailureRecord *oldest = NULL;
+  gboolean used[HBW_PART_FAILURES_MAX];
+  hbw_suspect_find_sequence (part, used);
+  for (guint i = 0; i < HBW_PART_FAILURES_MAX; i++)
+    if (!used[i]
+        && (oldest == NULL
+            || part->records[i].details.failed_us < oldest->details.failed_us))
+      oldest = &part->records[i];
+  if (oldest != NULL)
+    close_record (quarantine, oldest);
+  return oldest;
+}
+
 /* Returns a record that may be overwritten: an unused one, or the oldest of those
    that do not count.  If all count, another failure would change no decision. */
 static HbwFailureRecord *
 find_replaceable_record (HbwSuspect *suspect)
 {
   HbwFailureRecord *oldest = NULL;
-  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+  for (guint i = 0; i < hbw_suspect_record_max (suspect); i++)
     {
       HbwFailureRecord *record = &suspect->records[i];
       if (!hbw_failure_record_is_open (record)
@@ -157,14 +190,36 @@
   return oldest;
 }
 
+static gboolean
+needs_verdict (const HbwSuspect *suspect)
+{
+  guint min = hbw_suspect_is_part (suspect) ? HBW_PART_FAILURES_MIN
+                                            : HBW_QUARANTINE_FAILURES_MIN;
+  return hbw_suspect_count_failures (suspect) >= min;
+}
+
+static void
+enter_held (HbwQuarantine *quarantine, HbwSuspect *suspect)
+{
+  if (suspect->is_in_held || !needs_verdict (suspect))
+    return;
+  suspect->is_in_held = TRUE;
+  if (hbw_suspect_is_part (suspect))
+    {
+      cds_list_add_tail (&suspect->held_link, &quarantine->held_parts);
+      return;
+    }
+  cds_list_add_tail (&suspect->held_link, &quarantine->held);
+  quarantine->held_count++;
+}
+
 static void
 leave_held (HbwQuarantine *quarantine, HbwSuspect *suspect)
 {
-  if (!suspect->is_in_held
-      || hbw_suspect_count_failures (suspect) >= HBW_QUARANTINE_FAILURES_MIN)
+  if (!suspect->is_in_held || needs_verdict (suspect))
     return;
   cds_list_del (&suspect->held_link);
-  quarantine->held_count--;
+  quarantine->held_count -= !hbw_suspect_is_part (suspect);
   suspect->is_in_held = FALSE;
 }
 
@@ -177,6 +232,22 @@
     suspect->expire_at_us = now_us + HBW_QUARANTINE_CLEARED_DURATION_US;
 }
 
+/* Attaches FAILURE to the suspect in RECORD, which is not used. */
+static void
+open_record (HbwQuarantine *quarantine, HbwSuspect *suspect,
+             HbwFailureRecord *record, HbwFailure *failure,
+             const HbwServerFailure *details)
+{
+  *record = (HbwFailureRecord){ .suspect = suspect,
+                                .failure = failure,
+                                .details = *details };
+  cds_list_add (&record->link, &failure->records);
+  failure->record_count += !hbw_suspect_is_part (suspect);
+  failure->cause_count += suspect->verdict == HBW_VERDICT_CAUSE;
+  suspect->is_stored = FALSE;
+  enter_held (quarantine, suspect);
+}
+
 gboolean
 hbw_suspect_record_failure (HbwQuarantine *quarantine, HbwSuspect *suspect,
                             const HbwServerFailure *details)
@@ -186,23 +257,28 @@
       || (suspect->completed_us > 0 && details->failed_us <= suspect->completed_us))
     return FALSE;
   HbwFailure *failure = ensure_failure (quarantine, suspect, details);
-  if (has_open_record_of (suspect, failure))
+  if (hbw_suspect_has_failure (suspect, failure))
     return FALSE;
-  record->details = *details;
-  record->suspect = suspect;
-  record->failure = failure;
-  record->is_dismissed = FALSE;
-  cds_list_add (&record->link, &failure->records);
-  failure->record_count++;
-  failure->cause_count += suspect->verdict == HBW_VERDICT_CAUSE;
-  suspect->is_stored = FALSE;
-  if (!suspect->is_in_held
-      && hbw_suspect_count_failures (suspect) >= HBW_QUARANTINE_FAILURES_MIN)
-    {
-      cds_list_add_tail (&suspect->held_link, &quarantine->held);
-      quarantine->held_count++;
-      suspect->is_in_held = TRUE;
-    }
+  open_record (quarantine, suspect, record, failure, details);
+  return TRUE;
+}
+
+gboolean
+hbw_suspect_charge_part (HbwQuarantine *quarantine, HbwSuspect *part, guint position,
+                         const HbwFailureRecord *record)
+{
+  if (hbw_suspect_has_failure (part, record->failure)
+      || hbw_suspect_find_record (part, record->details.id) != NULL
+      || (part->completed_us > 0 && record->details.failed_us <= part->completed_us))
+    return FALSE;
+  HbwFailureRecord *free_record = find_replaceable_record (part);
+  if (free_record == NULL)
+    free_record = close_least_record (quarantine, part);
+  if (free_record == NULL)
+    return FALSE;
+  open_record (quarantine, part, free_record, record->failure, &record->details);
+  free_record->source = record->suspect->fingerprint.low;
+  free_record->position = position;
   return TRUE;
 }
 
@@ -211,18 +287,23 @@
                             gint64 completed_us, gint64 now_us)
 {
   suspect->completed_us = MAX (suspect->completed_us, completed_us);
-  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+  for (guint i = 0; i < hbw_suspect_record_max (suspect); i++)
     if (suspect->records[i].details.failed_us <= suspect->completed_us)
       close_record (quarantine, &suspect->records[i]);
   handle_records_closed (quarantine, suspect, now_us);
 }
 
 void
-hbw_suspect_change_verdict (HbwSuspect *suspect, HbwVerdict verdict)
+hbw_suspect_change_verdict (HbwQuarantine *quarantine, HbwSuspect *suspect,
+                            HbwVerdict verdict)
 {
+  if (hbw_suspect_is_part (suspect))
+    quarantine->quarantined_parts
+        += (guint) ((verdict != HBW_VERDICT_NONE)
+                    - (suspect->verdict != HBW_VERDICT_NONE));
   gint change
       = (verdict == HBW_VERDICT_CAUSE) - (suspect->verdict == HBW_VERDICT_CAUSE);
-  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+  for (guint i = 0; i < hbw_suspect_record_max (suspect); i++)
     if (hbw_failure_record_is_open (&suspect->records[i]))
       suspect->records[i].failure->cause_count += (guint) change;
   suspect->verdict = verdict;
@@ -232,9 +313,9 @@
 gboolean
 hbw_suspect_is_refuted (const HbwSuspect *suspect)
 {
-  if (hbw_suspect_count_failures (suspect) >= HBW_QUARANTINE_FAILURES_MIN)
+  if (needs_verdict (suspect))
     return FALSE;
-  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+  for (guint i = 0; i < hbw_suspect_record_max (suspect); i++)
     if (suspect->records[i].is_dismissed)
       return TRUE;
   return FALSE;
@@ -250,7 +331,7 @@
   suspect->is_stored = FALSE;
   if (hbw_suspect_is_quarantined (suspect) && hbw_suspect_is_refuted (suspect))
     {
-      hbw_suspect_change_verdict (suspect, HBW_VERDICT_NONE);
+      hbw_suspect_change_verdict (quarantine, suspect, HBW_VERDICT_NONE);
       hbw_quarantine_schedule_log (quarantine, suspect);
     }
   handle_records_closed (quarantine, suspect, now_us);
@@ -270,7 +351,7 @@
 void
 hbw_suspect_close (HbwQuarantine *quarantine, HbwSuspect *suspect)
 {
-  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+  for (guint i = 0; i < hbw_suspect_record_max (suspect); i++)
     close_record (quarantine, &suspect->records[i]);
   leave_held (quarantine, suspect);
 }
@@ -281,7 +362,7 @@
 hbw_suspect_count_failures (const HbwSuspect *suspect)
 {
   guint count = 0;
-  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+  for (guint i = 0; i < hbw_suspect_record_max (suspect); i++)
     count += hbw_failure_record_is_open (&suspect->records[i]);
   return count;
 }
@@ -290,7 +371,7 @@
 hbw_suspect_count_unexplained (const HbwSuspect *suspect)
 {
   guint count = 0;
-  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+  for (guint i = 0; i < hbw_suspect_record_max (suspect); i++)
     if (hbw_failure_record_is_open (&suspect->records[i])
         && !hbw_failure_is_explained (suspect->records[i].failure))
       count++;
@@ -313,8 +394,23 @@
 guint
 hbw_suspect_importance (const HbwSuspect *suspect)
 {
-  return hbw_suspect_is_quarantined (suspect) ? HBW_SUSPECT_FAILURES_MAX + 1
-                                              : hbw_suspect_count_failures (suspect);
+  if (hbw_suspect_is_quarantined (suspect))
+    return HBW_SUSPECT_FAILURES_MAX + 1;
+  guint failures
+      = MIN (hbw_suspect_count_failures (suspect), HBW_SUSPECT_FAILURES_MAX);
+  /* The failures of a part are those of its requests. */
+  gboolean is_known
+      = hbw_suspect_is_part (suspect) && failures < HBW_PART_FAILURES_MIN;
+  return is_known ? 0 : failures;
+}
+
+guint
+hbw_suspect_worth (const HbwSuspect *suspect)
+{
+  guint failures = hbw_suspect_count_failures (suspect);
+  if (hbw_suspect_is_quarantined (suspect))
+    return G_MAXUINT;
+  return hbw_suspect_is_part (suspect) ? failures : 2 * failures;
 }
 
 gboolean
--- a/core/suspect_archive.c
+++ b/core/suspect_archive.c
@@ -71,18 +71,23 @@
         continue;
       json_array_append_new (
           failures,
-          json_pack ("{s:o, s:o, s:I, s:I}", "id", format_number (failure->id),
-                     "server", format_number (failure->server_hash),
-                     "started_ago_ms",
+          json_pack ("{s:o, s:o, s:o, s:I, s:I}", "id", format_number (failure->id),
+                     "server", format_number (failure->server_hash), "source",
+                     format_number (failure->source), "started_ago_ms",
                      (json_int_t) (failure->started_ago_us / HBW_US_PER_MS),
                      "failed_ago_ms",
                      (json_int_t) (failure->failed_ago_us / HBW_US_PER_MS)));
     }
-  return json_pack (
-      "{s:o, s:o, s:s, s:I, s:o}", "high", format_number (report->fingerprint.high),
-      "low", format_number (report->fingerprint.low), "verdict",
-      verdict_names[report->verdict], "remaining_ms",
-      (json_int_t) (report->remaining_us / HBW_US_PER_MS), "failures", failures);
+  json_t *parts = json_array ();
+  for (guint i = 0; i < report->part_ids.count; i++)
+    json_array_append_new (parts, format_number (report->part_ids.ids[i]));
+  return json_pack ("{s:o, s:o, s:s, s:I, s:o, s:o, s:o}", "high",
+                    format_number (report->fingerprint.high), "low",
+                    format_number (report->fingerprint.low), "verdict",
+                    verdict_names[report->verdict], "remaining_ms",
+                    (json_int_t) (report->remaining_us / HBW_US_PER_MS), "failures",
+                    failures, "pool", format_number (report->pool_hash), "parts",
+                    parts);
 }
 
 static GBytes *
@@ -108,6 +113,27 @@
   return g_ascii_strtoull (text, NULL, 16);
 }
 
+/* Returns 0 for a number that earlier versions do not store. */
+static guint64
+parse_later_number (HbwJsonReader *reader, const char *key)
+{
+  char text[HEX_MAX];
+  hbw_json_reader_string (reader, key, text, sizeof text, "");
+  return g_ascii_strtoull (text, NULL, 16);
+}
+
+static void
+parse_part_ids (HbwJsonReader *reader, HbwPartIds *parts)
+{
+  size_t index;
+  json_t *value;
+  json_array_foreach (hbw_json_reader_member (reader, "parts", JSON_ARRAY, FALSE),
+                      index, value)
+    if (json_is_string (value) && parts->count < HBW_PART_IDS_MAX)
+      parts->ids[parts->count++]
+          = g_ascii_strtoull (json_string_value (value), NULL, 16);
+}
+
 static gint64
 parse_duration_us (HbwJsonReader *reader, const char *key)
 {
@@ -130,6 +156,7 @@
       HbwFailureReport *failure = &report->failures[report->failure_count++];
       failure->id = parse_number (inner, "id");
       failure->server_hash = parse_number (inner, "server");
+      failure->source = parse_later_number (inner, "source");
       failure->started_ago_us = parse_duration_us (inner, "started_ago_ms");
       failure->failed_ago_us = parse_duration_us (inner, "failed_ago_ms");
       hbw_json_reader_destroy (inner);
@@ -158,6 +185,8 @@
   report.verdict = parse_verdict (reader);
   report.remaining_us = parse_duration_us (reader, "remaining_ms");
   parse_failures (errors, reader, &report);
+  report.pool_hash = parse_later_number (reader, "pool");
+  parse_part_ids (reader, &report.part_ids);
   hbw_json_reader_destroy (reader);
   return report;
 }
--- a/core/suspect_share.c
+++ b/core/suspect_share.c
@@ -101,6 +101,10 @@
       hbw_membership_broadcast (context->membership, context, NULL, &message);
       share->reports_paid_until_us += interval_us;
     }
+  message.kind = HBW_MESSAGE_VOUCHES;
+  if (hbw_quarantine_take_vouches (context->quarantine, &message.vouches,
+                                   context->now_us))
+    hbw_membership_broadcast (context->membership, context, NULL, &message);
   hbw_quarantine_log_new (context->quarantine, context->effects);
 }
 
@@ -114,6 +118,8 @@
   if (added == 0)
     return;
   share->news_us = context->now_us;
+  if (report->fingerprint.high == HBW_PART_FINGERPRINT_HIGH)
+    return;
   hbw_effects_log (context->effects, HBW_LOG_SUSPECT_HEARD,
                    "fingerprint=%016" G_GINT64_MODIFIER "x instance=%s failures=%u",
                    report->fingerprint.low,
@@ -236,6 +242,7 @@
   hbw_quarantine_set_has_peers (
       context->quarantine,
       hbw_membership_count_alive (context->membership, NULL) > 1);
+  hbw_quarantine_evaluate_parts (context->quarantine, context->now_us);
   if (!share->is_complete)
     tick_incomplete (share, context);
   if (context->now_us < share->next_refresh_us)
--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -122,6 +122,18 @@
      "A request is not refused any more: its backend servers only broke off "       \
      "responses and did not fail.",                                                 \
      "Check why these backend servers break off responses.")                        \
+  X (6006, PART_QUARANTINED, ERROR,                                                 \
+     "Requests with a part in their prompts failed three backend servers or more, " \
+     "one after the other, and are refused for some minutes.",                      \
+     "Find the requests by their fingerprints, or the part, in REQUEST_SUSPECT "    \
+     "lines.")                                                                      \
+  X (6007, PART_RELEASED, WARN,                                                     \
+     "Requests with a part in their prompts are not refused any more: one was "     \
+     "answered, its backend servers did not fail, or another part is the cause.",   \
+     "Nothing.")                                                                    \
+  X (6008, PART_REFUSED, INFO,                                                      \
+     "A request was refused because of a part of its prompt.",                      \
+     "Find the part in PART_QUARANTINED lines.")                                    \
   X (7001, LEASE_TAKEN, INFO, "This instance holds the lease for orders.",          \
      "Nothing.")                                                                    \
   X (7002, LEASE_LOST, WARN,                                                        \
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -54,7 +54,9 @@
   guint64 sequence;
   guint attempt;
   HbwOutcome outcome;
-  HbwReason reason;          /* with DENIED */
+  HbwReason reason;     /* with DENIED */
+  gboolean is_rejected; /* COMPLETE: the status says that the request is at fault,
+                           so that its prompt was not read */
   gboolean response_started; /* bytes of the response were sent to the caller */
   gint64 first_token_us;     /* from the start of the attempt; 0 if none came */
   gint64 inter_token_us;
--- a/include/hornbeamwall/core/ingress_suspects.h
+++ b/include/hornbeamwall/core/ingress_suspects.h
@@ -24,8 +24,8 @@
                                   HbwContext *context,
                                   const HbwFingerprint *fingerprint);
 
-/* Records what the end of the attempt in progress shows of its server and the
-   request. */
+/* Records what the end of the attempt in progress shows of its server, the request
+   and the parts of its prompt. */
 void hbw_ingress_suspects_handle_end (HbwIngressSuspects *suspects,
                                       HbwContext *context, const HbwRequest *request,
                                       const HbwAttemptEnd *end);
@@ -45,12 +45,22 @@
 gboolean hbw_ingress_suspects_may_not_run (const HbwContext *context,
                                            const HbwRequest *request);
 
-/* Returns whether REQUEST is to be refused because it is quarantined;
-   sets the time until that ends, in microseconds. */
+/* Returns whether REQUEST is to be refused because it, or a part of its prompt, is
+   quarantined; sets the time until that ends, in microseconds. */
 gboolean hbw_ingress_suspects_is_refused (const HbwContext *context,
                                           const HbwRequest *request,
                                           gint64 *retry_after_us);
 
+/* The same, because of a part only. */
+gboolean hbw_ingress_suspects_is_part_refused (const HbwContext *context,
+                                               const HbwRequest *request,
+                                               gint64 *retry_after_us);
+
+/* Returns whether a part was quarantined since the last call, so that requests which
+   wait may have to be refused. */
+gboolean hbw_ingress_suspects_take_verdicts (HbwIngressSuspects *suspects,
+                                             const HbwContext *context);
+
 /* Has servers checked as it is due.  TOPOLOGY is NULL while it is not known. */
 void hbw_ingress_suspects_tick (HbwIngressSuspects *suspects, HbwContext *context,
                                 const HbwTopology *topology);
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -133,6 +133,7 @@
   HBW_MESSAGE_BEGUN,         /* first token of an attempt received */
   HBW_MESSAGE_LOADS,         /* work that an instance has in progress on servers */
   HBW_MESSAGE_SERVER_NOTICE, /* what a server says of itself, and permits */
+  HBW_MESSAGE_VOUCHES,       /* parts of prompts that did not make servers fail */
   HBW_MESSAGE_COUNT,
 } HbwMessageKind;
 
@@ -260,10 +261,15 @@
   gint64 failed_ago_us;  /* since it ended */
   gboolean is_dismissed; /* the server had not failed */
   gboolean is_refused;   /* it refused a connection afterwards */
+  guint64 source; /* lower half of the fingerprint of the request whose parts may
+                     have caused it; 0: none may, or unknown */
 } HbwFailureReport;
 
-/* All that the sender knows about a request that was in progress on a server that
-   failed. */
+/* Upper half of the fingerprint of a part of prompts; the lower half is its id. */
+#define HBW_PART_FINGERPRINT_HIGH G_GUINT64_CONSTANT (0x7061727470617274)
+
+/* All that the sender knows about a request, or a part of prompts, that was in
+   progress on a server that failed. */
 typedef struct
 {
   HbwFingerprint fingerprint;
@@ -275,8 +281,26 @@
   gint64 completed_ago_us;     /* since its last complete response; -1 is none */
   guint failure_count;
   HbwFailureReport failures[HBW_SUSPECT_FAILURES_MAX]; /* that are not cleared */
+  guint64 pool_hash;   /* of the request's pool; 0 of a part, or unknown */
+  HbwPartIds part_ids; /* of a request */
 } HbwSuspicionReport;
 
+/* Maximum number of parts in one message. */
+#define HBW_VOUCHED_PARTS_MAX 32
+
+/* A part of prompts with which a request was completely answered. */
+typedef struct
+{
+  guint64 id;
+  gint64 completed_ago_us;
+} HbwVouchedPart;
+
+typedef struct
+{
+  guint count;
+  HbwVouchedPart parts[HBW_VOUCHED_PARTS_MAX];
+} HbwVouches;
+
 /* Demand for an organisation's limits, or share of them.  Exchanged by an instance
    and the limit coordinator of its data centre (level 0), or by that coordinator and
    the global one (level 1). */
@@ -354,6 +378,7 @@
     HbwSuspicionReport suspect;
     HbwRates rates; /* DEMAND, SHARE */
     HbwServerNoticeReport notice;
+    HbwVouches vouches;
   };
 } HbwMessage;
 
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -19,6 +19,14 @@
  * run on, next to harmless requests on the same servers, and whose callers resend
  * them.
  *
+ * A part of prompts may make servers fail whatever else the requests hold, no two of
+ * which need be alike.  The failures of a request are charged to its shared parts,
+ * too.  A complete response clears them.  A part is quarantined after
+ * HBW_PART_FAILURES_MIN failures of different requests that follow one another, if
+ * it explains more of them than others, and requests without it were answered
+ * meanwhile. It then explains its failures, and requests with it are refused.  It is
+ * never held.
+ *
  * Every failure has an id, so that a report that is lost, repeated or late changes
  * nothing once it has been merged.  core/suspect_share.h sends the reports.
  */
@@ -31,6 +39,10 @@
 /* Number of failures after which a suspect is held. */
 #define HBW_QUARANTINE_FAILURES_MIN 2
 
+/* Number of failures, one after the other, after which a part of prompts is
+   quarantined. */
+#define HBW_PART_FAILURES_MIN 3
+
 /* Time in which all suspects of a failure are reported by their instances. */
 #define HBW_QUARANTINE_GATHER_WINDOW_US (HBW_US_PER_S / 4)
 
@@ -127,6 +139,40 @@
 gboolean hbw_quarantine_clear (HbwQuarantine *quarantine,
                                const HbwFingerprint *fingerprint, gint64 now_us);
 
+/* Charges a failure of FINGERPRINT, with the id FAILURE, to the shared PARTS of its
+   prompt, too.  POOL_HASH identifies the pool of the request. */
+void hbw_quarantine_charge_parts (HbwQuarantine *quarantine,
+                                  const HbwFingerprint *fingerprint, guint64 failure,
+                                  const HbwPartIds *parts, guint64 pool_hash,
+                                  gint64 now_us);
+
+/* Clears PARTS of their failures after a complete response to a request that had
+   them, and was sent to a server at STARTED_US.  A quarantined part is released if
+   that is later than its last failure. */
+void hbw_quarantine_vouch (HbwQuarantine *quarantine, const HbwPartIds *parts,
+                           guint64 pool_hash, gint64 started_us, gint64 now_us);
+
+/* Returns whether one of PARTS is quarantined; sets its ID, and the time until the
+   quarantine ends in microseconds. */
+gboolean hbw_quarantine_find_part (HbwQuarantine *quarantine,
+                                   const HbwPartIds *parts, guint64 *id,
+                                   gint64 *remaining_us, gint64 now_us);
+
+/* Returns a number that changes when another part is quarantined. */
+guint64 hbw_quarantine_part_verdicts (const HbwQuarantine *quarantine);
+
+/* Quarantines the parts about which it was too early to decide.  Call regularly. */
+void hbw_quarantine_evaluate_parts (HbwQuarantine *quarantine, gint64 now_us);
+
+/* Fills VOUCHES with the cleared parts that are due to be sent to all instances;
+   returns FALSE if there are none. */
+gboolean hbw_quarantine_take_vouches (HbwQuarantine *quarantine, HbwVouches *vouches,
+                                      gint64 now_us);
+
+/* Merges VOUCHES of another instance. */
+void hbw_quarantine_merge_vouches (HbwQuarantine *quarantine,
+                                   const HbwVouches *vouches, gint64 now_us);
+
 /* Sets what this instance is doing with FINGERPRINT, if that is known as a suspect;
    returns whether that is a change.  SERVER is the hash of the server on which it
    runs, or 0. */
--- a/include/hornbeamwall/core/quarantine_state.h
+++ b/include/hornbeamwall/core/quarantine_state.h
@@ -13,6 +13,13 @@
 /* How many times each change is sent. */
 #define HBW_SUSPECT_TRANSMITS 2
 
+/* Failures that are kept for a part of prompts.  Many attempts with it may end at
+   once, and only some of them tell something. */
+#define HBW_PART_FAILURES_MAX 16
+
+/* Failures of servers whose times are kept. */
+#define HBW_FAILURE_TIMES_MAX 64
+
 /* Instances whose activity is tracked for one suspect. */
 #define HBW_SUSPECT_PEERS_MAX 4
 
@@ -37,8 +44,9 @@
   gboolean is_refused;       /* it refused a connection afterwards */
   gint64 suspended_until_us; /* another suspect of it may not be reported before */
   struct cds_list_head records; /* HbwFailureRecord */
-  guint record_count;
-  guint cause_count; /* records of suspects with HBW_VERDICT_CAUSE */
+  guint record_count;           /* of requests */
+  guint cause_count;            /* records of suspects with HBW_VERDICT_CAUSE */
+  gboolean has_part;            /* a request of it has a quarantined part */
   /* Valid for one evaluation of all suspects, the one with this number. */
   guint64 evaluation;
   guint active_count;     /* suspects that are active */
@@ -53,6 +61,8 @@
   HbwSuspect *suspect;
   HbwServerFailure details; /* id 0 is unused */
   gboolean is_dismissed;    /* the server had not failed */
+  guint64 source;           /* as in HbwFailureReport */
+  guint position;           /* of a part: in the prompt of that request */
 } HbwFailureRecord;
 
 /* What another instance does with a suspect, as it reported. */
@@ -71,7 +81,11 @@
 {
   struct cds_list_head link; /* in quarantine->by_age, oldest first */
   HbwFingerprint fingerprint;
-  HbwFailureRecord records[HBW_SUSPECT_FAILURES_MAX];
+  guint64 pool_hash;         /* of a request; 0 if unknown */
+  HbwPartIds part_ids;       /* of a request */
+  guint64 failed_pool;       /* of a part: in which servers failed; 0 if unknown */
+  gint64 others_answered_us; /* of a part: when a request without it was last
+                                answered by that pool; 0 is none */
   gint64 completed_us; /* last complete response, which clears earlier failures; 0 is
                           none */
   HbwVerdict verdict;
@@ -81,13 +95,21 @@
   HbwPeerActivity peers[HBW_SUSPECT_PEERS_MAX];
   gint64 expire_at_us;
   gboolean is_stored; /* the platform's store has these failures and this verdict */
-  struct cds_list_head held_link;   /* in quarantine->held, if is_in_held */
-  gboolean is_in_held;              /* it has HBW_QUARANTINE_FAILURES_MIN failures */
+  struct cds_list_head held_link;   /* in quarantine->held or ->held_parts */
+  gboolean is_in_held;              /* it has as many failures as a verdict needs */
   struct cds_list_head unsent_link; /* in quarantine->unsent, if transmits_left */
   guint transmits_left;
   gint64 next_transmit_us;
+  HbwFailureRecord records[]; /* hbw_suspect_record_max() */
 };
 
+/* A part to report as vouched for. */
+typedef struct
+{
+  guint64 id;
+  guint transmits_left;
+} HbwVouch;
+
 struct HbwQuarantine
 {
   guint64 self;
@@ -96,9 +118,16 @@
   struct cds_list_head by_age;
   struct cds_list_head held; /* suspects with HBW_QUARANTINE_FAILURES_MIN failures */
   guint held_count;
-  GHashTable *failed_servers;  /* hash -> HbwFailedServer */
-  struct cds_list_head unsent; /* by next_transmit_us */
-  GQueue unlogged;             /* HbwFingerprint, whose new verdict is not logged */
+  struct cds_list_head held_parts; /* with HBW_PART_FAILURES_MIN failures */
+  guint quarantined_parts;
+  guint64 part_verdicts; /* given so far */
+  GArray *vouches;       /* HbwVouch, to be sent */
+  gint64 next_vouches_us;
+  GHashTable *failed_servers;                     /* hash -> HbwFailedServer */
+  gint64 failure_times_us[HBW_FAILURE_TIMES_MAX]; /* of the last failures, in turn */
+  guint failure_count;                            /* of all servers so far */
+  struct cds_list_head unsent;                    /* by next_transmit_us */
+  GQueue unlogged; /* HbwFingerprint, whose new verdict is not logged */
   guint64 evicted_count;
   gint64 suspended_until_us; /* no verdicts before; 0 is none */
   guint64 evaluation;        /* number of the last evaluation of all suspects */
@@ -126,11 +155,33 @@
                                    const HbwServerFailure *details);
 
 /* Changes the verdict, and what it explains. */
-void hbw_suspect_change_verdict (HbwSuspect *suspect, HbwVerdict verdict);
+void hbw_suspect_change_verdict (HbwQuarantine *quarantine, HbwSuspect *suspect,
+                                 HbwVerdict verdict);
 
 /* Returns whether a verdict would rest on failures that were dismissed. */
 gboolean hbw_suspect_is_refuted (const HbwSuspect *suspect);
 
+/* Returns when the last failure of the suspect that counts happened; 0 is none. */
+gint64 hbw_suspect_last_failure_us (const HbwSuspect *suspect);
+
+/* Returns whether the suspect is a part of prompts. */
+gboolean hbw_suspect_is_part (const HbwSuspect *suspect);
+
+/* Returns how many of its records are used. */
+guint hbw_suspect_record_max (const HbwSuspect *suspect);
+
+/* Returns whether the suspect has a record of FAILURE that counts. */
+gboolean hbw_suspect_has_failure (const HbwSuspect *suspect,
+                                  const HbwFailure *failure);
+
+/* Records the failure of RECORD, of a request, for a part in its prompt; returns
+   whether it is new for the part and counts. */
+gboolean hbw_suspect_charge_part (HbwQuarantine *quarantine, HbwSuspect *part,
+                                  guint position, const HbwFailureRecord *record);
+
+/* Returns how much the table loses without the entry. */
+guint hbw_suspect_worth (const HbwSuspect *suspect);
+
 /* Returns the record with the id of an attempt, or NULL. */
 HbwFailureRecord *hbw_suspect_find_record (HbwSuspect *suspect, guint64 id);
 
@@ -176,6 +227,39 @@
 void hbw_quarantine_schedule_log (HbwQuarantine *quarantine,
                                   const HbwSuspect *suspect);
 
+/* Returns the entry of the part with ID, which is created if needed; NULL if the
+   table has room only for what matters more. */
+HbwSuspect *hbw_quarantine_ensure_part (HbwQuarantine *quarantine, guint64 id,
+                                        gint64 now_us);
+
+/* --- quarantine_parts.c -------------------------------------------------------- */
+
+/* Marks in USED the records of a part that follow one another: each attempt began
+   after the failure before had ended.  Returns their number. */
+guint hbw_suspect_find_sequence (const HbwSuspect *part,
+                                 gboolean used[HBW_PART_FAILURES_MAX]);
+
+/* Charges the parts of a request with its failures. */
+void hbw_quarantine_charge_parts_of (HbwQuarantine *quarantine, HbwSuspect *suspect,
+                                     gint64 now_us);
+
+/* Clears a part of its failures up to COMPLETED_US, as another instance reports. */
+void hbw_quarantine_merge_vouch (HbwQuarantine *quarantine, HbwSuspect *part,
+                                 gint64 completed_us, gint64 now_us);
+
+/* Marks the failures of the requests that have the part as explained, or not, after
+   its verdict has changed. */
+void hbw_quarantine_mark_part (HbwQuarantine *quarantine, const HbwSuspect *part);
+
+/* Returns whether a part that the request does not have may turn out to be the cause
+   of FAILURE. */
+gboolean hbw_quarantine_may_blame_part (const HbwFailure *failure,
+                                        const HbwSuspect *suspect, gint64 now_us);
+
+/* Adopts the verdict on a part that REPORT has, unless it is contradicted here. */
+void hbw_quarantine_merge_part (HbwQuarantine *quarantine, HbwSuspect *part,
+                                const HbwSuspicionReport *report, gint64 now_us);
+
 /* --- quarantine_verdict.c ------------------------------------------------------ */
 
 void hbw_quarantine_set_verdict (HbwQuarantine *quarantine, HbwSuspect *suspect,
--- a/include/hornbeamwall/core/server_check.h
+++ b/include/hornbeamwall/core/server_check.h
@@ -37,6 +37,8 @@
   char address[HBW_ADDRESS_MAX];
   char caller_request_id[HBW_CALLER_REQUEST_ID_MAX];
   HbwFingerprint fingerprint;
+  HbwPartIds part_ids;
+  guint64 pool_hash;
   HbwServerFailure failure; /* that of the server, if it has failed */
 } HbwSilentAttempt;
 
--- a/net/attempt.c
+++ b/net/attempt.c
@@ -425,6 +425,7 @@
 hbw_attempt_result (const HbwAttempt *attempt, HbwAttemptEnd *end)
 {
   end->outcome = get_outcome (attempt);
+  end->is_rejected = hbw_attempt_status (attempt) / 100 == 4;
   end->tokens = count_tokens (attempt);
   if (attempt->first_byte_us > 0)
     end->first_token_us = MAX (1, attempt->first_byte_us - attempt->started_us);
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -239,13 +239,29 @@
   for (guint i = 0; i < report->failure_count; i++)
     {
       const HbwFailureReport *failure = &report->failures[i];
-      msgpack_pack_array (packer, 6);
+      msgpack_pack_array (packer, 7);
       msgpack_pack_uint64 (packer, failure->id);
       msgpack_pack_uint64 (packer, failure->server_hash);
       msgpack_pack_int64 (packer, failure->started_ago_us);
       msgpack_pack_int64 (packer, failure->failed_ago_us);
       msgpack_pack_uint32 (packer, failure->is_dismissed);
       msgpack_pack_uint32 (packer, failure->is_refused);
+      msgpack_pack_uint64 (packer, failure->source);
+    }
+  msgpack_pack_uint64 (packer, report->pool_hash);
+  msgpack_pack_array (packer, report->part_ids.count);
+  for (guint i = 0; i < report->part_ids.count; i++)
+    msgpack_pack_uint64 (packer, report->part_ids.ids[i]);
+}
+
+static void
+pack_vouches (msgpack_packer *packer, const HbwVouches *vouches)
+{
+  msgpack_pack_array (packer, 2 * vouches->count);
+  for (guint i = 0; i < vouches->count; i++)
+    {
+      msgpack_pack_uint64 (packer, vouches->parts[i].id);
+      msgpack_pack_int64 (packer, vouches->parts[i].completed_ago_us);
     }
 }
 
@@ -310,6 +326,9 @@
     case HBW_MESSAGE_SERVER_NOTICE:
       pack_notice (packer, &message->notice);
       break;
+    case HBW_MESSAGE_VOUCHES:
+      pack_vouches (packer, &message->vouches);
+      break;
     default: /* HBW_MESSAGE_DEMAND or HBW_MESSAGE_SHARE */
       msgpack_pack_uint32 (packer, message->rates.level);
       pack_text (packer, message->rates.organisation);
@@ -327,10 +346,10 @@
   [HBW_MESSAGE_WITHDRAW] = 5,      [HBW_MESSAGE_GRANT] = 14,
   [HBW_MESSAGE_REFUSAL] = 5,       [HBW_MESSAGE_ACTIVE] = 10,
   [HBW_MESSAGE_DONE] = 11,         [HBW_MESSAGE_DOCUMENT_ASK] = 4,
-  [HBW_MESSAGE_DOCUMENT] = 4,      [HBW_MESSAGE_SUSPECT] = 12,
+  [HBW_MESSAGE_DOCUMENT] = 4,      [HBW_MESSAGE_SUSPECT] = 14,
   [HBW_MESSAGE_DEMAND] = 5,        [HBW_MESSAGE_SHARE] = 5,
   [HBW_MESSAGE_BEGUN] = 7,         [HBW_MESSAGE_LOADS] = 2,
-  [HBW_MESSAGE_SERVER_NOTICE] = 8,
+  [HBW_MESSAGE_SERVER_NOTICE] = 8, [HBW_MESSAGE_VOUCHES] = 1,
 };
 
 void
--- a/net/codec_unpack.c
+++ b/net/codec_unpack.c
@@ -331,6 +331,20 @@
   report->failures[0].server_hash = server;
 }
 
+/* Unpacks what earlier versions do not send. */
+static void
+unpack_suspicion_parts (HbwFieldReader *reader, HbwSuspicionReport *report)
+{
+  if (reader->failed || reader->next >= reader->count)
+    return;
+  report->pool_hash = hbw_field_reader_unpack_uint (reader, G_MAXUINT64);
+  HbwFieldReader parts = hbw_field_reader_unpack_array (reader, HBW_PART_IDS_MAX);
+  while (!parts.failed && parts.next < parts.count)
+    report->part_ids.ids[report->part_ids.count++]
+        = hbw_field_reader_unpack_uint (&parts, G_MAXUINT64);
+  reader->failed |= parts.failed;
+}
+
 static void
 unpack_suspicion (HbwFieldReader *reader, HbwSuspicionReport *report)
 {
@@ -359,9 +373,27 @@
         failure->is_dismissed = hbw_field_reader_unpack_uint (&inner, 1) != 0;
       if (inner.next < inner.count)
         failure->is_refused = hbw_field_reader_unpack_uint (&inner, 1) != 0;
+      if (inner.next < inner.count)
+        failure->source = hbw_field_reader_unpack_uint (&inner, G_MAXUINT64);
       failures.failed |= inner.failed || failure->id == 0;
     }
   reader->failed |= failures.failed;
+  unpack_suspicion_parts (reader, report);
+}
+
+static void
+unpack_vouches (HbwFieldReader *reader, HbwVouches *vouches)
+{
+  HbwFieldReader parts
+      = hbw_field_reader_unpack_array (reader, 2 * HBW_VOUCHED_PARTS_MAX);
+  while (!parts.failed && parts.next < parts.count)
+    {
+      HbwVouchedPart *part = &vouches->parts[vouches->count++];
+      part->id = hbw_field_reader_unpack_uint (&parts, G_MAXUINT64);
+      part->completed_ago_us = unpack_int (&parts);
+      parts.failed |= part->completed_ago_us < 0;
+    }
+  reader->failed |= parts.failed;
 }
 
 static void
@@ -428,6 +460,9 @@
     case HBW_MESSAGE_SERVER_NOTICE:
       unpack_notice (reader, &message->notice);
       break;
+    case HBW_MESSAGE_VOUCHES:
+      unpack_vouches (reader, &message->vouches);
+      break;
     default: /* HBW_MESSAGE_DEMAND or HBW_MESSAGE_SHARE */
       unpack_rates (reader, &message->rates);
       break;
--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -51,6 +51,7 @@
   end->attempt = exchange->attempt;
   end->outcome = outcome;
   end->response_started = exchange->response_started;
+  end->is_rejected = exchange->response_status / 100 == 4;
   end->tokens = exchange->piece_count;
   end->server_silent = is_server_silent (exchange, outcome);
   end->longest_gap_us = exchange->longest_gap_us;
--- a/tests/scenario/part_watch.c
+++ b/tests/scenario/part_watch.c
@@ -27,6 +27,7 @@
   guint64 harmful; /* 0 is none */
   guint failed_count;
   guint late_count;
+  guint refused_count;
   gint64 first_failure_us; /* 0 before */
   gint64 last_allowed_us;  /* failure number FAILURES_ALLOWED; 0 before */
   Sample before;
@@ -134,6 +135,18 @@
     sample->served++;
 }
 
+void
+part_watch_record_refused (PartWatch *watch)
+{
+  watch->refused_count++;
+}
+
+guint
+part_watch_refused_count (const PartWatch *watch)
+{
+  return watch->refused_count;
+}
+
 guint
 part_watch_failed_count (const PartWatch *watch)
 {
--- a/tests/scenario/part_watch.h
+++ b/tests/scenario/part_watch.h
@@ -45,6 +45,12 @@
    an installation has after the fifth failure. */
 guint part_watch_late_count (const PartWatch *watch);
 
+/* Records that a request was refused because of a part that is not harmful. */
+void part_watch_record_refused (PartWatch *watch);
+
+/* Returns how many such requests there were. */
+guint part_watch_refused_count (const PartWatch *watch);
+
 /* Returns how often requests without the part were served by their first attempt
    after that, compared with before the first failure; 1 if too few came. */
 double part_watch_sound_share (const PartWatch *watch);
--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -347,6 +347,8 @@
     return part_watch_failed_count (watch);
   if (strcmp (quantity, "late") == 0)
     return part_watch_late_count (watch);
+  if (strcmp (quantity, "refused") == 0)
+    return part_watch_refused_count (watch);
   if (strcmp (quantity, "sound") == 0)
     return part_watch_sound_share (watch);
   *known = FALSE;
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -163,6 +163,7 @@
   gint64 changed_us[HBW_DOCUMENT_COUNT];
   GHashTable *planned_stops;
   PartWatch *parts;
+  gboolean part_refused; /* the next refusal is because of a part */
   guint poisoned_server_count;
   gint64 poison_restart_us;    /* until a server restarts after a poison request */
   GHashTable *poison_failures; /* fingerprint -> number of servers made to fail */
@@ -392,6 +393,7 @@
   Attempt *attempt;
   HbwOutcome outcome;
   guint tokens;
+  gint64 first_token_us; /* of an answer to a prompt with parts that broke off */
   gboolean server_silent;
   gboolean has_response;
   NoticeCheckSays says; /* of the response */
@@ -444,7 +446,10 @@
           complete_request (world, attempt->request, attempt);
         }
       else
-        attempt->request->class->wasted_tokens += report->tokens;
+        {
+          event.end.first_token_us = report->first_token_us;
+          attempt->request->class->wasted_tokens += report->tokens;
+        }
       run_reducer (world, instance, &event);
     }
   else
@@ -461,6 +466,10 @@
   report->tokens = tokens;
   report->has_response
       = outcome == HBW_OUTCOME_COMPLETE || outcome == HBW_OUTCOME_REFUSED;
+  if (outcome == HBW_OUTCOME_BROKEN && tokens > 0
+      && attempt->request->spec.part_ids.count > 0)
+    report->first_token_us
+        = attempt->started_us + attempt->first_token_us - attempt->created_us;
   report->server_silent = attempt->server->silent;
   report->says = *notice_check_says (attempt->server->notices);
   attempt->ended = TRUE;
@@ -812,6 +821,10 @@
   if (refuse->executed == HBW_EXECUTED_UNKNOWN)
     request->class->broken++;
   request->class->refused[refuse->reason]++;
+  if (refuse->reason == HBW_REASON_QUARANTINED && world->part_refused
+      && !part_watch_is_harmful (world->parts, &request->spec))
+    part_watch_record_refused (world->parts);
+  world->part_refused = FALSE;
   if (refuse->reason == HBW_REASON_DEADLINE
       && world->now_us < request->arrived_us + request->spec.deadline_us)
     report_violation (
@@ -1076,6 +1089,7 @@
       call_suspect_store (world, instance, &effect->suspects);
       break;
     case HBW_EFFECT_LOG:
+      world->part_refused |= effect->log.number == HBW_LOG_PART_REFUSED;
       trace (world, "%s logs %s %s", instance->name,
              hbw_log_find_event (effect->log.number)->name, effect->log.text);
       break;
