Failing: a server that crashes inside an answer that ends with its connection

Its answer had neither a length nor chunks, so that it was complete by its form when the connection of the server that crashed was closed: each attempt cleared the request.

The end of an attempt has a field for it, which nothing reads yet.

--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -57,6 +57,8 @@
   HbwReason reason;     /* with DENIED */
   gboolean is_rejected; /* COMPLETE: the status says that the request is at fault,
                            so that its prompt was not read */
+  gboolean is_unproved; /* COMPLETE: the response had neither a length nor chunks,
+                           and ended with its connection */
   gboolean response_started; /* bytes of the response were sent to the caller */
   gint64 first_token_us;     /* from the start of the attempt; 0 if none came */
   gint64 inter_token_us;
--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -145,6 +145,7 @@
   load.poison = strcmp (find_option (line, "poison", "no"), "yes") == 0;
   load.silent = strcmp (find_option (line, "silent", "no"), "yes") == 0;
   g_strlcpy (load.parts, find_option (line, "parts", ""), sizeof load.parts);
+  load.whole = strcmp (find_option (line, "whole", "no"), "yes") == 0;
   load.attempts_max = count_option (line, "attempts", "0");
   load.timeout_us = duration_option (line, "timeout", "0");
   load.max_resends = count_option (line, "resend", "0");
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -395,6 +395,7 @@
   guint tokens;
   gint64 first_token_us; /* of an answer to a prompt with parts that broke off */
   gboolean server_silent;
+  gboolean is_unproved; /* the answer ended with its connection */
   gboolean has_response;
   NoticeCheckSays says; /* of the response */
 } Report;
@@ -438,6 +439,7 @@
       event.end.outcome = report->outcome;
       event.end.tokens = report->tokens;
       event.end.server_silent = report->server_silent;
+      event.end.is_unproved = report->is_unproved;
       if (report->outcome == HBW_OUTCOME_COMPLETE)
         {
           event.end.first_token_us
@@ -471,6 +473,8 @@
     report->first_token_us
         = attempt->started_us + attempt->first_token_us - attempt->created_us;
   report->server_silent = attempt->server->silent;
+  report->is_unproved
+      = outcome == HBW_OUTCOME_COMPLETE && attempt->request->load->whole;
   report->says = *notice_check_says (attempt->server->notices);
   attempt->ended = TRUE;
   schedule (world, world->now_us + world->link.local_us, report_to_instance, report);
@@ -621,6 +625,11 @@
     return;
   trace (world, "server %s fails because of a poison request", server->entry.id);
   server->silent = attempt->request->load->silent;
+  if (attempt->request->load->whole)
+    {
+      g_ptr_array_remove (server->running, attempt);
+      report_end (world, attempt, HBW_OUTCOME_COMPLETE, attempt->request->tokens);
+    }
   fail_server (world, server, TRUE);
   if (part_watch_is_harmful (world->parts, &attempt->request->spec))
     part_watch_record_failure (world->parts, world->now_us);
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -38,6 +38,8 @@
   guint max_requests; /* maximum number of requests; 0 is unlimited */
   gboolean poison;    /* each server that executes a request fails */
   gboolean silent;    /* it falls silent: connections to it stay open */
+  gboolean whole;     /* its answer ends with its connection, without a length, and
+                         whole by its form even if the server fails */
   char parts[128];    /* ids of the shared parts; see part_watch_fill() */
   guint attempts_max; /* of a request, on different servers; 0: the default */
   gint64 timeout_us;  /* of a request; 0 is none */
