A response that ends with its connection proves nothing of its server

Such a response reaches the caller as before. It clears neither the request nor the parts of its prompt, and dismisses no failure.

--- a/core/ingress_suspects.c
+++ b/core/ingress_suspects.c
@@ -76,21 +76,36 @@
   return failure;
 }
 
-void
-hbw_ingress_suspects_check_silent (HbwIngressSuspects *suspects, HbwContext *context,
-                                   const HbwRequest *request)
+static HbwSilentAttempt
+describe_attempt (const HbwContext *context, const HbwRequest *request)
 {
   HbwSilentAttempt attempt = { .fingerprint = request->spec.fingerprint,
                                .failure = describe_failure (context, request) };
-  if (context->now_us - request->started_us < HBW_SERVER_SILENT_MIN_US)
-    return;
   attempt.part_ids = request->spec.part_ids;
   attempt.pool_hash = hbw_rendezvous_weight (0, request->spec.pool);
   g_strlcpy (attempt.server, request->server, sizeof attempt.server);
   g_strlcpy (attempt.address, request->address, sizeof attempt.address);
   g_strlcpy (attempt.caller_request_id, request->caller_request_id,
              sizeof attempt.caller_request_id);
-  hbw_server_checks_add (suspects->server_checks, context, &attempt);
+  return attempt;
+}
+
+void
+hbw_ingress_suspects_check_silent (HbwIngressSuspects *suspects, HbwContext *context,
+                                   const HbwRequest *request)
+{
+  const HbwSilentAttempt attempt = describe_attempt (context, request);
+  if (context->now_us - request->started_us >= HBW_SERVER_SILENT_MIN_US)
+    hbw_server_checks_add (suspects->server_checks, context, &attempt);
+}
+
+/* The server may have failed instead of ending its response. */
+static void
+check_unproved_end (HbwIngressSuspects *suspects, HbwContext *context,
+                    const HbwRequest *request)
+{
+  const HbwSilentAttempt attempt = describe_attempt (context, request);
+  hbw_server_checks_add_unproved (suspects->server_checks, context, &attempt);
 }
 
 /* A complete response clears the request, and the parts of its prompt. */
@@ -157,7 +172,9 @@
 hbw_ingress_suspects_handle_end (HbwIngressSuspects *suspects, HbwContext *context,
                                  const HbwRequest *request, const HbwAttemptEnd *end)
 {
-  if (end->outcome == HBW_OUTCOME_COMPLETE)
+  if (end->outcome == HBW_OUTCOME_COMPLETE && end->is_unproved)
+    check_unproved_end (suspects, context, request);
+  else if (end->outcome == HBW_OUTCOME_COMPLETE)
     record_response (context, request, end);
   if (end->outcome == HBW_OUTCOME_NOT_CONNECTED)
     hbw_quarantine_handle_refused_connection (
--- a/core/server_check.c
+++ b/core/server_check.c
@@ -88,17 +88,30 @@
   check->was_silent |= was_silent;
 }
 
-void
-hbw_server_checks_add (HbwServerChecks *checks, HbwContext *context,
-                       const HbwSilentAttempt *attempt)
+static void
+add_attempt (HbwServerChecks *checks, HbwContext *context,
+             const HbwSilentAttempt *attempt, gint64 due_us)
 {
-  Check *check
-      = ensure_check (checks, attempt->server, attempt->address, context->now_us);
+  Check *check = ensure_check (checks, attempt->server, attempt->address, due_us);
   request_if_due (check, context);
   if (check->attempts->len < HBW_SILENT_ATTEMPTS_MAX)
     g_array_append_vals (check->attempts, attempt, 1);
 }
 
+void
+hbw_server_checks_add (HbwServerChecks *checks, HbwContext *context,
+                       const HbwSilentAttempt *attempt)
+{
+  add_attempt (checks, context, attempt, context->now_us);
+}
+
+void
+hbw_server_checks_add_unproved (HbwServerChecks *checks, HbwContext *context,
+                                const HbwSilentAttempt *attempt)
+{
+  add_attempt (checks, context, attempt, context->now_us + BROKEN_DELAY_US);
+}
+
 static void
 record_failure (HbwContext *context, const HbwSilentAttempt *attempt)
 {
--- a/include/hornbeamwall/core/server_check.h
+++ b/include/hornbeamwall/core/server_check.h
@@ -49,6 +49,11 @@
 void hbw_server_checks_add (HbwServerChecks *checks, HbwContext *context,
                             const HbwSilentAttempt *attempt);
 
+/* The same after a response that ended with its connection and need not be whole: a
+   process that is ending has some time to stop to listen. */
+void hbw_server_checks_add_unproved (HbwServerChecks *checks, HbwContext *context,
+                                     const HbwSilentAttempt *attempt);
+
 /* Has the server checked after a response of it broke off.  If it WAS_SILENT before,
    it may have failed and started again meanwhile: an accepted connection then shows
    nothing. */
--- a/include/hornbeamwall/net/exchange_state.h
+++ b/include/hornbeamwall/net/exchange_state.h
@@ -53,6 +53,7 @@
   gint64 response_length;     /* of its body; -1 is not known */
   gboolean buffers_response;  /* it is read completely before it is forwarded */
   gboolean is_event_stream;   /* text/event-stream with a 2xx status */
+  gboolean end_is_unproved;   /* the response ended with its connection */
   gboolean has_explicit_end;  /* a length or chunks, not the connection's end */
   gboolean response_started;  /* its head has been forwarded */
   gboolean holds_failure;     /* until the reducer decides on a retry */
--- a/include/hornbeamwall/net/upstream.h
+++ b/include/hornbeamwall/net/upstream.h
@@ -27,8 +27,9 @@
 typedef enum
 {
   HBW_UPSTREAM_COMPLETE,
-  HBW_UPSTREAM_NOT_CONNECTED, /* no byte of the request was sent */
-  HBW_UPSTREAM_BROKEN,        /* the response is incomplete or not valid */
+  HBW_UPSTREAM_COMPLETE_BY_CLOSE, /* it has neither a length nor chunks */
+  HBW_UPSTREAM_NOT_CONNECTED,     /* no byte of the request was sent */
+  HBW_UPSTREAM_BROKEN,            /* the response is incomplete or not valid */
 } HbwUpstreamEnd;
 
 /* Callbacks of an upstream; the structure is embedded in the owner's.  The upstream
--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -52,6 +52,7 @@
   end->outcome = outcome;
   end->response_started = exchange->response_started;
   end->is_rejected = exchange->response_status / 100 == 4;
+  end->is_unproved = exchange->end_is_unproved;
   end->tokens = exchange->piece_count;
   end->server_silent = is_server_silent (exchange, outcome);
   end->longest_gap_us = exchange->longest_gap_us;
@@ -421,6 +422,10 @@
   exchange->upstream = NULL;
   switch (end)
     {
+    case HBW_UPSTREAM_COMPLETE_BY_CLOSE:
+      exchange->end_is_unproved = TRUE;
+      handle_response_complete (exchange);
+      break;
     case HBW_UPSTREAM_COMPLETE:
       handle_response_complete (exchange);
       break;
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -294,7 +294,8 @@
   gboolean whole = clean && hbw_http_parser_has_begun (upstream->parser)
                    && !upstream->skipping_response
                    && hbw_http_parser_handle_eof (upstream->parser);
-  fail_request (upstream, whole ? HBW_UPSTREAM_COMPLETE : HBW_UPSTREAM_BROKEN);
+  fail_request (upstream,
+                whole ? HBW_UPSTREAM_COMPLETE_BY_CLOSE : HBW_UPSTREAM_BROKEN);
 }
 
 static const HbwChannelHandlerClass channel_handler_class = {
