--- a/core/ingress.c
+++ b/core/ingress.c
@@ -3,7 +3,7 @@
 #include "hornbeamwall/core/ingress_suspects.h"
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/metrics.h"
-#include "hornbeamwall/core/request.h"
+#include "hornbeamwall/core/request_metrics.h"
 
 #include <string.h>
 
@@ -39,18 +39,6 @@
   return ingress->lookup (&request->shard, ingress->lookup_data);
 }
 
-static HbwRequestMetrics *
-class_metrics (HbwContext *context, const HbwRequest *request)
-{
-  return hbw_metrics_for_class (context->metrics, request->spec.class_name);
-}
-
-static HbwRequestMetrics *
-organisation_metrics (HbwContext *context, const HbwRequest *request)
-{
-  return hbw_metrics_for_organisation (context->metrics, request->spec.organisation);
-}
-
 static void
 set_spilled (HbwIngress *ingress, HbwRequest *request, gboolean spilled)
 {
@@ -107,8 +95,7 @@
   refuse_sequence (context, request->sequence, reason, request->may_have_run,
                    retry_after_us);
   hbw_request_log_refused (request, context, reason, retry_after_us);
-  class_metrics (context, request)->refused[reason]++;
-  organisation_metrics (context, request)->refused[reason]++;
+  hbw_request_count_refused (request, context, reason);
   hbw_request_send_withdraw (request, context);
   remove_request (ingress, context, request, 0);
 }
@@ -182,27 +169,10 @@
   cds_list_add_tail (&request->link, &ingress->order);
   g_hash_table_insert (ingress->requests, &request->sequence, request);
   hbw_request_log_admitted (request, context, arrival);
-  class_metrics (context, request)->arrived++;
-  organisation_metrics (context, request)->arrived++;
+  hbw_request_count_arrived (request, context);
   return request;
 }
 
-static void
-record_completion (HbwContext *context, const HbwRequest *request,
-                   HbwRequestMetrics *metrics, const HbwAttemptEnd *end)
-{
-  gint64 waited = request->started_us - request->arrived_us;
-  gint64 first_token = waited + end->first_token_us;
-  hbw_histogram_record (&metrics->first_token, first_token);
-  hbw_histogram_record (&metrics->inter_token, end->inter_token_us);
-  hbw_histogram_record (&metrics->total, context->now_us - request->arrived_us);
-  metrics->completed++;
-  metrics->good_tokens += end->tokens;
-  if (first_token <= request->spec.first_token_target_us
-      && end->inter_token_us <= request->spec.inter_token_target_us)
-    metrics->in_target++;
-}
-
 static void
 finish_request (HbwIngress *ingress, HbwContext *context, HbwRequest *request,
                 const HbwAttemptEnd *end)
@@ -210,30 +180,10 @@
   hbw_request_log_ended (request, context, end->outcome);
   hbw_effects_add (context->effects, HBW_EFFECT_FINISH_REQUEST)->sequence
       = request->sequence;
-  HbwRequestMetrics *both[] = { class_metrics (context, request),
-                                organisation_metrics (context, request) };
-  for (gsize i = 0; i < G_N_ELEMENTS (both); i++)
-    {
-      if (end->outcome == HBW_OUTCOME_COMPLETE)
-        record_completion (context, request, both[i], end);
-      else if (end->outcome == HBW_OUTCOME_CANCELLED)
-        both[i]->caller_gone++;
-      else
-        both[i]->failed++;
-    }
+  hbw_request_count_ended (request, context, end);
   remove_request (ingress, context, request, end->tokens);
 }
 
-static void
-record_wasted_tokens (HbwContext *context, const HbwRequest *request,
-                      const HbwAttemptEnd *end)
-{
-  if (end->outcome == HBW_OUTCOME_COMPLETE)
-    return;
-  class_metrics (context, request)->wasted_tokens += end->tokens;
-  organisation_metrics (context, request)->wasted_tokens += end->tokens;
-}
-
 static guint
 count_known_instances (const HbwContext *context)
 {
@@ -299,7 +249,7 @@
                HbwOutcome outcome)
 {
   if (!hbw_outcome_proves_not_executed (outcome))
-    class_metrics (context, request)->retries++;
+    hbw_request_count_retry (request, context);
   if (outcome != HBW_OUTCOME_UNUSED)
     g_strlcpy (request->avoid_server, request->server, sizeof request->avoid_server);
   request_next_grant (ingress, context, request);
@@ -424,8 +374,7 @@
       return;
     }
   hbw_request_log_ended (request, context, HBW_OUTCOME_CANCELLED);
-  class_metrics (context, request)->caller_gone++;
-  organisation_metrics (context, request)->caller_gone++;
+  hbw_request_count_caller_gone (request, context);
   hbw_effects_add (context->effects, HBW_EFFECT_FINISH_REQUEST)->sequence = sequence;
   hbw_request_send_withdraw (request, context);
   remove_request (ingress, context, request, 0);
@@ -452,7 +401,7 @@
       || request->attempt != end->attempt)
     return;
   hbw_request_send_done (request, context, end);
-  record_wasted_tokens (context, request, end);
+  hbw_request_count_wasted (request, context, end);
   hbw_ingress_suspects_handle_end (ingress->suspects, context, request, end);
   gboolean not_executed = hbw_outcome_proves_not_executed (end->outcome);
   if (not_executed)
@@ -538,10 +487,7 @@
   hbw_ingress_suspects_update (ingress->suspects, context,
                                &request->spec.fingerprint);
   hbw_request_log_attempt_started (request, context);
-  gint64 waited = context->now_us - request->arrived_us;
-  hbw_histogram_record (&class_metrics (context, request)->queue_wait, waited);
-  hbw_histogram_record (&organisation_metrics (context, request)->queue_wait,
-                        waited);
+  hbw_request_count_started (request, context);
   add_start_effect (ingress, context, request, grant);
 }
 
--- a/include/hornbeamwall/core/quarantine_state.h
+++ b/include/hornbeamwall/core/quarantine_state.h
@@ -234,6 +234,12 @@
 
 /* --- quarantine_parts.c -------------------------------------------------------- */
 
+gboolean hbw_part_ids_contain (const HbwPartIds *parts, guint64 id);
+
+/* Takes back the verdict on a part. */
+void hbw_quarantine_release_part (HbwQuarantine *quarantine, HbwSuspect *part,
+                                  gint64 now_us);
+
 /* Marks in USED the records of a part that follow one another: each attempt began
    after the failure before had ended.  Returns their number. */
 guint hbw_suspect_find_sequence (const HbwSuspect *part,
