A failure that becomes known late waits for its other suspects, too

Once a cut had healed, an instance heard of two failures that were two seconds old, from the innocent request first, and gave its verdict at once: the time in which the others are reported ran from the failure.

It runs from when the failure became known here, too.

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -214,7 +214,7 @@
   suspect->own_activity = HBW_SUSPECT_WAITING;
   suspect->own_server = 0;
   suspect->own_since_us = now_us;
-  if (hbw_suspect_record_failure (quarantine, suspect, failure))
+  if (hbw_suspect_record_failure (quarantine, suspect, failure, now_us))
     hbw_quarantine_schedule_report (quarantine, suspect, HBW_SUSPECT_TRANSMITS,
                                     now_us);
   hbw_quarantine_evaluate (quarantine, now_us);
--- a/core/quarantine_report.c
+++ b/core/quarantine_report.c
@@ -63,7 +63,8 @@
     *known = (HbwFailureRecord){ .suspect = NULL };
   if (!report->is_dismissed)
     {
-      gboolean is_new = hbw_suspect_record_failure (quarantine, suspect, &failure);
+      gboolean is_new
+          = hbw_suspect_record_failure (quarantine, suspect, &failure, now_us);
       HbwFailureRecord *record = hbw_suspect_find_record (suspect, report->id);
       if (is_new)
         record->source = report->source;
--- a/core/quarantine_verdict.c
+++ b/core/quarantine_verdict.c
@@ -18,6 +18,7 @@
   gint64 window_us = failure->is_refused ? HBW_QUARANTINE_GATHER_WINDOW_US
                                          : HBW_QUARANTINE_CONFIRM_WINDOW_US;
   return now_us - failure->latest_end_us >= window_us
+         && now_us - failure->heard_us >= HBW_QUARANTINE_GATHER_WINDOW_US
          && now_us >= failure->suspended_until_us;
 }
 
--- a/core/suspect.c
+++ b/core/suspect.c
@@ -89,7 +89,7 @@
 
 static HbwFailure *
 ensure_failure (HbwQuarantine *quarantine, const HbwSuspect *suspect,
-                const HbwServerFailure *details)
+                const HbwServerFailure *details, gint64 now_us)
 {
   HbwFailedServer *server = ensure_server (quarantine, details->server);
   HbwFailure *failure = find_failure (server, suspect, details);
@@ -100,6 +100,7 @@
   failure->latest_start_us = details->started_us;
   failure->earliest_end_us = details->failed_us;
   failure->latest_end_us = details->failed_us;
+  failure->heard_us = now_us;
   CDS_INIT_LIST_HEAD (&failure->records);
   cds_list_add (&failure->link, &server->failures);
   quarantine->failure_times_us[quarantine->failure_count++ % HBW_FAILURE_TIMES_MAX]
@@ -250,13 +251,13 @@
 
 gboolean
 hbw_suspect_record_failure (HbwQuarantine *quarantine, HbwSuspect *suspect,
-                            const HbwServerFailure *details)
+                            const HbwServerFailure *details, gint64 now_us)
 {
   HbwFailureRecord *record = find_replaceable_record (suspect);
   if (record == NULL || hbw_suspect_find_record (suspect, details->id) != NULL
       || (suspect->completed_us > 0 && details->failed_us <= suspect->completed_us))
     return FALSE;
-  HbwFailure *failure = ensure_failure (quarantine, suspect, details);
+  HbwFailure *failure = ensure_failure (quarantine, suspect, details, now_us);
   if (hbw_suspect_has_failure (suspect, failure))
     return FALSE;
   open_record (quarantine, suspect, record, failure, details);
--- a/include/hornbeamwall/core/quarantine_state.h
+++ b/include/hornbeamwall/core/quarantine_state.h
@@ -40,6 +40,7 @@
   gint64 latest_start_us; /* of the attempts that it ended */
   gint64 earliest_end_us;
   gint64 latest_end_us;      /* of an attempt that broke in the same outage */
+  gint64 heard_us;           /* when it became known here */
   gboolean is_confirmed;     /* the server served no request afterwards */
   gboolean is_refused;       /* it refused a connection afterwards */
   gint64 suspended_until_us; /* another suspect of it may not be reported before */
@@ -139,7 +140,7 @@
 
 /* Records a failure; returns whether it is new for the suspect and counts. */
 gboolean hbw_suspect_record_failure (HbwQuarantine *quarantine, HbwSuspect *suspect,
-                                     const HbwServerFailure *details);
+                                     const HbwServerFailure *details, gint64 now_us);
 
 /* Clears the failures before COMPLETED_US, at which the request completed. */
 void hbw_suspect_clear_failures (HbwQuarantine *quarantine, HbwSuspect *suspect,
