A storm of failures of many parts keeps the control thread free

part_test took 1.8 s of processor time, most of it for counting the failures of entries that might make room for another part.

--- a/core/part_verdict.c
+++ b/core/part_verdict.c
@@ -1,5 +1,9 @@
 #include "hornbeamwall/core/quarantine_state.h"
 
+/* With more parts that may be quarantined, they are evaluated once per interval. */
+#define EAGER_PARTS_MAX 32
+#define EVALUATION_INTERVAL_US (10 * HBW_US_PER_MS)
+
 /* Failures of a sequence that must be confirmed. */
 #define CONFIRMED_MIN 2
 
@@ -258,9 +262,13 @@
 void
 hbw_quarantine_evaluate_parts (HbwQuarantine *quarantine, gint64 now_us)
 {
-  if (now_us < quarantine->suspended_until_us
+  gboolean is_early
+      = quarantine->held_part_count > EAGER_PARTS_MAX
+        && now_us - quarantine->parts_evaluated_us < EVALUATION_INTERVAL_US;
+  if (now_us < quarantine->suspended_until_us || is_early
       || cds_list_empty (&quarantine->held_parts))
     return;
+  quarantine->parts_evaluated_us = now_us;
   while (quarantine_next_part (quarantine, now_us))
     continue;
 }
--- a/core/suspect.c
+++ b/core/suspect.c
@@ -141,6 +141,7 @@
     return;
   cds_list_del (&record->link);
   record->failure = NULL;
+  record->suspect->failure_count--;
   failure->record_count -= !hbw_suspect_is_part (record->suspect);
   failure->cause_count -= record->suspect->verdict == HBW_VERDICT_CAUSE;
   if (cds_list_empty (&failure->records))
@@ -208,6 +209,7 @@
   if (hbw_suspect_is_part (suspect))
     {
       cds_list_add_tail (&suspect->held_link, &quarantine->held_parts);
+      quarantine->held_part_count++;
       return;
     }
   cds_list_add_tail (&suspect->held_link, &quarantine->held);
@@ -220,7 +222,10 @@
   if (!suspect->is_in_held || needs_verdict (suspect))
     return;
   cds_list_del (&suspect->held_link);
-  quarantine->held_count -= !hbw_suspect_is_part (suspect);
+  if (hbw_suspect_is_part (suspect))
+    quarantine->held_part_count--;
+  else
+    quarantine->held_count--;
   suspect->is_in_held = FALSE;
 }
 
@@ -243,6 +248,7 @@
                                 .failure = failure,
                                 .details = *details };
   cds_list_add (&record->link, &failure->records);
+  suspect->failure_count++;
   failure->record_count += !hbw_suspect_is_part (suspect);
   failure->cause_count += suspect->verdict == HBW_VERDICT_CAUSE;
   suspect->is_stored = FALSE;
@@ -362,10 +368,7 @@
 guint
 hbw_suspect_count_failures (const HbwSuspect *suspect)
 {
-  guint count = 0;
-  for (guint i = 0; i < hbw_suspect_record_max (suspect); i++)
-    count += hbw_failure_record_is_open (&suspect->records[i]);
-  return count;
+  return suspect->failure_count;
 }
 
 guint
--- a/include/hornbeamwall/core/quarantine_state.h
+++ b/include/hornbeamwall/core/quarantine_state.h
@@ -82,6 +82,7 @@
 {
   struct cds_list_head link; /* in quarantine->by_age, oldest first */
   HbwFingerprint fingerprint;
+  guint failure_count;       /* records that count */
   guint64 pool_hash;         /* of a request; 0 if unknown */
   HbwPartIds part_ids;       /* of a request */
   guint64 failed_pool;       /* of a part: in which servers failed; 0 if unknown */
@@ -120,6 +121,8 @@
   struct cds_list_head held; /* suspects with HBW_QUARANTINE_FAILURES_MIN failures */
   guint held_count;
   struct cds_list_head held_parts; /* with HBW_PART_FAILURES_MIN failures */
+  guint held_part_count;
+  gint64 parts_evaluated_us;
   guint quarantined_parts;
   guint64 part_verdicts; /* given so far */
   GArray *vouches;       /* HbwVouch, to be sent */
--- a/tests/part_test.c
+++ b/tests/part_test.c
@@ -4,14 +4,19 @@
 #include "suite.h"
 
 #include "hornbeamwall/core/quarantine.h"
+#include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/net/codec.h"
 
 #include <check.h>
+#include <time.h>
 
 /* Pools of the requests. */
 #define POOL 1
 #define OTHER_POOL 2
 
+/* Failures in a storm. */
+#define STORM_FAILURES 1000
+
 #define HARMFUL 7
 #define FIRST 1
 
@@ -271,6 +276,33 @@
 }
 END_TEST
 
+static gint64
+thread_time_us (void)
+{
+  struct timespec time;
+  clock_gettime (CLOCK_THREAD_CPUTIME_ID, &time);
+  return (gint64) time.tv_sec * HBW_US_PER_S + time.tv_nsec / 1000;
+}
+
+/* Many servers fail, one after the other, and many parts are in many of the
+ * failures. */
+START_TEST (storm_of_parts_keeps_control_thread_free)
+{
+  HbwQuarantine *quarantine = hbw_quarantine_create (1);
+  gint64 now_us = HBW_US_PER_S;
+  gint64 started_us = thread_time_us ();
+  for (guint i = 0; i < STORM_FAILURES; i++, now_us += 100)
+    {
+      HbwPartIds parts = { .count = HBW_PART_IDS_MAX };
+      for (guint k = 0; k < HBW_PART_IDS_MAX; k++)
+        parts.ids[k] = 1000 + (i * HBW_PART_IDS_MAX + k) % 400;
+      crash (quarantine, 1000 + i, &parts, 1000 + i % 50, now_us);
+    }
+  ck_assert_int_lt (thread_time_us () - started_us, HBW_PAUSE_THRESHOLD_US);
+  hbw_quarantine_destroy (quarantine);
+}
+END_TEST
+
 static void
 copy_message (const HbwMessage *message, void *data)
 {
@@ -362,6 +394,7 @@
   tcase_add_test (tests, cause_without_the_part_explains_its_failures);
   tcase_add_test (tests, later_of_two_parts_is_refused);
   tcase_add_test (tests, thousands_of_parts_are_bounded);
+  tcase_add_test (tests, storm_of_parts_keeps_control_thread_free);
   tcase_add_test (tests, codec_carries_parts_and_vouches);
   tcase_add_test (tests, codec_reads_report_without_parts);
   suite_add_tcase (suite, tests);
