--- a/core/reducer.c
+++ b/core/reducer.c
@@ -276,6 +276,10 @@
       hbw_ingress_handle_suspect (reducer->ingress, context,
                                   &message->suspect.fingerprint);
       break;
+    case HBW_MESSAGE_VOUCHES:
+      hbw_quarantine_merge_vouches (context->quarantine, &message->vouches,
+                                    context->now_us);
+      break;
     case HBW_MESSAGE_SERVER_NOTICE:
       hbw_server_notices_handle_message (context->server_notices, context, message);
       break;
@@ -551,6 +555,10 @@
   gboolean is_alone = config->seeds == NULL || config->seeds[0] == NULL;
   context->suspect_share
       = hbw_suspect_share_create (is_alone, config->stores_suspects, config->now_us);
+  /* Until it is complete, it is not known which suspects are active elsewhere. */
+  if (!hbw_suspect_share_is_complete (context->suspect_share))
+    hbw_quarantine_suspend_verdicts (context->quarantine, config->now_us,
+                                     G_MAXINT64);
   context->server_notices = hbw_server_notices_create ();
   context->load_share
       = config->policy->spans_data_centres ? hbw_load_share_create () : NULL;
--- a/include/hornbeamwall/core/server_check.h
+++ b/include/hornbeamwall/core/server_check.h
@@ -37,6 +37,8 @@
   char address[HBW_ADDRESS_MAX];
   char caller_request_id[HBW_CALLER_REQUEST_ID_MAX];
   HbwFingerprint fingerprint;
+  HbwPartIds part_ids;
+  guint64 pool_hash;
   HbwServerFailure failure; /* that of the server, if it has failed */
 } HbwSilentAttempt;
 
@@ -47,6 +49,11 @@
 void hbw_server_checks_add (HbwServerChecks *checks, HbwContext *context,
                             const HbwSilentAttempt *attempt);
 
+/* The same after a response that ended with its connection and need not be whole: a
+   process that is ending has some time to stop to listen. */
+void hbw_server_checks_add_unproved (HbwServerChecks *checks, HbwContext *context,
+                                     const HbwSilentAttempt *attempt);
+
 /* Has the server checked after a response of it broke off.  If it WAS_SILENT before,
    it may have failed and started again meanwhile: an accepted connection then shows
    nothing. */
