A suspect that was not connected has not failed again

Callers of a sound request were refused for 300 s as harmful. An instance reported that its suspect had failed a server and ran there once more, but the server refused that connection; the instance was then stopped for about a second, and another one, which missed it, counted the same outage as a second failure (evidence=lost_instance).

An attempt of a lost instance does not count if the suspect itself had failed that server within the time of an outage before.

Tried and reverted: reporting at once, or with the next refresh, that such a suspect waits.

Not covered: the attempt that was not connected was on another server than the suspect's own failure.

--- a/core/quarantine_lost.c
+++ b/core/quarantine_lost.c
@@ -15,6 +15,22 @@
 /* What was reported longer ago tells nothing about the server. */
 #define REPORT_AGE_MAX_US (2 * HBW_SUSPECT_ACTIVE_TIMEOUT_US)
 
+/* Returns whether PEER sent the suspect to a server that had not recovered from a
+   failure of the suspect itself, so that it was probably not connected. */
+static gboolean
+is_in_same_outage (const HbwSuspect *suspect, const HbwPeerActivity *peer)
+{
+  for (guint i = 0; i < HBW_SUSPECT_FAILURES_MAX; i++)
+    {
+      const HbwFailure *failure = suspect->records[i].failure;
+      if (failure != NULL && failure->server->hash == peer->server
+          && peer->since_us >= failure->earliest_end_us
+          && peer->since_us - failure->latest_end_us < HBW_QUARANTINE_OUTAGE_US)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* Returns whether PEER runs the suspect, as far as is known here. */
 static gboolean
 is_running (const HbwQuarantine *quarantine, const HbwSuspect *suspect,
@@ -23,7 +39,8 @@
   return peer->activity == HBW_SUSPECT_RUNNING
          && now_us - peer->heard_us < REPORT_AGE_MAX_US
          && peer->heard_us >= quarantine->watched_since_us
-         && peer->since_us > suspect->completed_us;
+         && peer->since_us > suspect->completed_us
+         && !is_in_same_outage (suspect, peer);
 }
 
 static gboolean
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -871,6 +871,41 @@
   step_reducer (fixture, &report);
 }
 
+/* An instance reports that its suspect has failed e0 and runs there once more, while
+   e0 refuses connections; then it is stopped for a while. */
+START_TEST (suspect_that_was_not_connected_has_not_failed_again)
+{
+  ReducerFixture fixture = fixture_create (1, 3, 8);
+  HbwEvent report = { .kind = HBW_EVENT_MESSAGE };
+  guint64 server = hbw_rendezvous_weight (0, "e0");
+  fixture.now_us += 10 * HBW_US_PER_S;
+  introduce_peer (&fixture, 2, "a");
+  report.message.kind = HBW_MESSAGE_SUSPECT;
+  report.message.from = 2;
+  report.message.suspect
+      = (HbwSuspicionReport){ .fingerprint = { 0, 7 },
+                              .remaining_us = HBW_QUARANTINE_DURATION_US,
+                              .completed_ago_us = -1,
+                              .activity = HBW_SUSPECT_RUNNING,
+                              .running_server_hash = server,
+                              .failure_count = 1,
+                              .failures = { { .id = 1,
+                                              .server_hash = server,
+                                              .started_ago_us = 200 * HBW_US_PER_MS,
+                                              .failed_ago_us = 150 * HBW_US_PER_MS,
+                                              .is_refused = TRUE } } };
+  step_reducer (&fixture, &report);
+  for (guint i = 0; i < 200; i++)
+    {
+      tick (&fixture, 10 * HBW_US_PER_MS);
+      if (find_effect (&fixture, HBW_EFFECT_CHECK_SERVER) != NULL)
+        finish_check (&fixture, "e0", HBW_SERVER_CHECK_REFUSED);
+    }
+  ck_assert (!is_quarantined (&fixture, 7));
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* One instance has seen the server refuse a connection, another one has seen it
    accept one after its restart.  Their reports come in either order. */
 START_TEST (proof_of_failure_outweighs_dismissal)
@@ -1522,6 +1557,7 @@
                   server_that_restarted_under_killed_instance_counts_as_failed);
   tcase_add_test (tests, proof_of_failure_is_reported_at_once);
   tcase_add_test (tests, proof_of_failure_outweighs_dismissal);
+  tcase_add_test (tests, suspect_that_was_not_connected_has_not_failed_again);
   tcase_add_test (tests, instances_place_two_suspects_on_different_servers);
   tcase_add_test (tests, leaving_instance_gets_reports_of_suspects);
   tcase_add_test (tests, server_is_checked_after_each_broken_response);
