Names: parts are cleared, not vouched for; suspects choose from slices of the servers

No behaviour is changed but the name of the message in logs (cleared_parts). 'Part' stands for a part of a prompt only. part, core, decision, golden and fuzz tests: none failed.

--- a/core/ingress_suspects.c
+++ b/core/ingress_suspects.c
@@ -117,9 +117,9 @@
   gint64 now_us = context->now_us;
   hbw_quarantine_clear (quarantine, &request->spec.fingerprint, now_us);
   if (!end->is_rejected)
-    hbw_quarantine_vouch (quarantine, &request->spec.part_ids,
-                          hbw_rendezvous_weight (0, request->spec.pool),
-                          request->started_us, now_us);
+    hbw_quarantine_clear_parts (quarantine, &request->spec.part_ids,
+                                hbw_rendezvous_weight (0, request->spec.pool),
+                                request->started_us, now_us);
   hbw_quarantine_handle_response (quarantine,
                                   hbw_rendezvous_weight (0, request->server),
                                   request->started_us, now_us);
--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -62,7 +62,7 @@
   const HbwGrantRequest *want;
   gboolean suspect;
   GHashTable *used_servers; /* hashes of servers on which other suspects run */
-  HbwSuspectPart suspect_part;
+  HbwServerSlice slice;
   gboolean ignore_state; /* servers that are down are candidates too */
   HbwPromptLength prompt_length;
   const HbwServer *preferred_server; /* preferred for the shared prefix, or NULL */
@@ -285,18 +285,18 @@
 
 /* Returns whether no other waiting suspect may choose SERVER. */
 static gboolean
-is_in_part (const Selection *selection, const HbwServer *server)
+is_in_slice (const Selection *selection, const HbwServer *server)
 {
   const GPtrArray *servers = selection->shard->servers;
   guint position = 0;
-  if (!selection->suspect || selection->suspect_part.count <= 1)
+  if (!selection->suspect || selection->slice.count <= 1)
     return TRUE;
   for (guint i = 0; i < servers->len; i++)
     {
       const HbwServer *other = g_ptr_array_index (servers, i);
       position += other->id_hash < server->id_hash;
     }
-  return hbw_suspect_part_has (&selection->suspect_part, position, servers->len);
+  return hbw_server_slice_has (&selection->slice, position, servers->len);
 }
 
 static HbwServer *
@@ -310,7 +310,7 @@
     {
       HbwServer *server = g_ptr_array_index (shard->servers, i);
       const HbwServerWork load = estimate_server_load (selection, server);
-      if (!has_room (selection, server, &load) || !is_in_part (selection, server))
+      if (!has_room (selection, server, &load) || !is_in_slice (selection, server))
         continue;
       if (strcmp (server->entry.id, selection->want->avoid_server) == 0)
         {
@@ -341,7 +341,7 @@
     {
       hbw_quarantine_add_used_servers (context->quarantine, &want->spec.fingerprint,
                                        selection.used_servers, context->now_us);
-      selection.suspect_part = hbw_suspect_find_part (
+      selection.slice = hbw_suspect_find_slice (
           context->quarantine, &want->spec.fingerprint, context->now_us);
     }
   selection.ignore_state = selection.usable_hashes->len == 0;
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -126,7 +126,8 @@
   CDS_INIT_LIST_HEAD (&quarantine->by_age);
   CDS_INIT_LIST_HEAD (&quarantine->held);
   CDS_INIT_LIST_HEAD (&quarantine->held_parts);
-  quarantine->vouches = g_array_new (FALSE, FALSE, sizeof (HbwVouch));
+  quarantine->unsent_clearings
+      = g_array_new (FALSE, FALSE, sizeof (HbwUnsentClearing));
   quarantine->failed_servers
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   CDS_INIT_LIST_HEAD (&quarantine->unsent);
@@ -143,7 +144,7 @@
   g_queue_clear_full (&quarantine->unlogged, g_free);
   g_hash_table_destroy (quarantine->suspects);
   g_hash_table_destroy (quarantine->failed_servers);
-  g_array_free (quarantine->vouches, TRUE);
+  g_array_free (quarantine->unsent_clearings, TRUE);
   g_free (quarantine);
 }
 
--- a/core/quarantine_parts.c
+++ b/core/quarantine_parts.c
@@ -7,12 +7,12 @@
 /* How long a request that is held waits for a verdict on a part of others. */
 #define PART_TIMEOUT_US (5 * HBW_US_PER_S)
 
-/* Parts that wait to be reported as vouched for. */
-#define VOUCHES_MAX 256
+/* Parts whose clearing waits to be sent. */
+#define UNSENT_CLEARINGS_MAX 256
 
 /* Interval between two reports, and how often each part is in one. */
-#define VOUCHES_INTERVAL_US (50 * HBW_US_PER_MS)
-#define VOUCH_TRANSMITS 2
+#define CLEARINGS_INTERVAL_US (50 * HBW_US_PER_MS)
+#define CLEARING_TRANSMITS 2
 
 /* --- charges ------------------------------------------------------------------- */
 
@@ -34,20 +34,21 @@
 
 /* Has all instances told that requests with the part were answered. */
 static void
-schedule_vouch (HbwQuarantine *quarantine, const HbwSuspect *part)
+schedule_clearing (HbwQuarantine *quarantine, const HbwSuspect *part)
 {
-  for (guint i = 0; i < quarantine->vouches->len; i++)
+  for (guint i = 0; i < quarantine->unsent_clearings->len; i++)
     {
-      HbwVouch *vouch = &g_array_index (quarantine->vouches, HbwVouch, i);
-      if (vouch->id == part->fingerprint.low)
+      HbwUnsentClearing *clearing
+          = &g_array_index (quarantine->unsent_clearings, HbwUnsentClearing, i);
+      if (clearing->id == part->fingerprint.low)
         {
-          vouch->transmits_left = VOUCH_TRANSMITS;
+          clearing->transmits_left = CLEARING_TRANSMITS;
           return;
         }
     }
-  const HbwVouch vouch = { part->fingerprint.low, VOUCH_TRANSMITS };
-  if (quarantine->vouches->len < VOUCHES_MAX)
-    g_array_append_val (quarantine->vouches, vouch);
+  const HbwUnsentClearing clearing = { part->fingerprint.low, CLEARING_TRANSMITS };
+  if (quarantine->unsent_clearings->len < UNSENT_CLEARINGS_MAX)
+    g_array_append_val (quarantine->unsent_clearings, clearing);
 }
 
 static void
@@ -96,7 +97,7 @@
     return;
   /* Whoever reported the failure may not know of the answer. */
   if (part->completed_us > 0 && record->details.failed_us <= part->completed_us)
-    schedule_vouch (quarantine, part);
+    schedule_clearing (quarantine, part);
   else if (hbw_suspect_charge_part (quarantine, part, position, record))
     {
       record->failure->has_part |= hbw_suspect_is_quarantined (part);
@@ -138,7 +139,7 @@
   hbw_quarantine_evaluate_parts (quarantine, now_us);
 }
 
-/* --- vouches ------------------------------------------------------------------- */
+/* --- clearing ------------------------------------------------------------------ */
 
 void
 hbw_quarantine_release_part (HbwQuarantine *quarantine, HbwSuspect *part,
@@ -162,8 +163,8 @@
 }
 
 void
-hbw_quarantine_vouch (HbwQuarantine *quarantine, const HbwPartIds *parts,
-                      guint64 pool_hash, gint64 started_us, gint64 now_us)
+hbw_quarantine_clear_parts (HbwQuarantine *quarantine, const HbwPartIds *parts,
+                            guint64 pool_hash, gint64 started_us, gint64 now_us)
 {
   HbwSuspect *part;
   cds_list_for_each_entry (part, &quarantine->held_parts, held_link)
@@ -179,14 +180,14 @@
       if (hbw_suspect_is_quarantined (part) && started_us <= last_failure_us)
         continue;
       if (last_failure_us > 0)
-        schedule_vouch (quarantine, part);
+        schedule_clearing (quarantine, part);
       clear_part (quarantine, part, now_us, now_us);
     }
 }
 
 void
-hbw_quarantine_merge_vouch (HbwQuarantine *quarantine, HbwSuspect *part,
-                            gint64 completed_us, gint64 now_us)
+hbw_quarantine_merge_clearing (HbwQuarantine *quarantine, HbwSuspect *part,
+                               gint64 completed_us, gint64 now_us)
 {
   if (!hbw_suspect_is_quarantined (part)
       || completed_us > hbw_suspect_last_failure_us (part))
@@ -194,41 +195,42 @@
 }
 
 void
-hbw_quarantine_merge_vouches (HbwQuarantine *quarantine, const HbwVouches *vouches,
-                              gint64 now_us)
+hbw_quarantine_merge_cleared_parts (HbwQuarantine *quarantine,
+                                    const HbwClearedParts *cleared, gint64 now_us)
 {
-  for (guint i = 0; i < vouches->count; i++)
+  for (guint i = 0; i < cleared->count; i++)
     {
-      HbwSuspect *part = find_part (quarantine, vouches->parts[i].id, now_us);
+      HbwSuspect *part = find_part (quarantine, cleared->parts[i].id, now_us);
       if (part != NULL)
-        hbw_quarantine_merge_vouch (
-            quarantine, part, now_us - vouches->parts[i].completed_ago_us, now_us);
+        hbw_quarantine_merge_clearing (
+            quarantine, part, now_us - cleared->parts[i].completed_ago_us, now_us);
     }
 }
 
 gboolean
-hbw_quarantine_take_vouches (HbwQuarantine *quarantine, HbwVouches *vouches,
-                             gint64 now_us)
+hbw_quarantine_take_cleared_parts (HbwQuarantine *quarantine,
+                                   HbwClearedParts *cleared, gint64 now_us)
 {
-  vouches->count = 0;
-  if (now_us < quarantine->next_vouches_us)
+  cleared->count = 0;
+  if (now_us < quarantine->next_clearings_us)
     return FALSE;
-  for (guint i = 0;
-       i < quarantine->vouches->len && vouches->count < HBW_VOUCHED_PARTS_MAX;)
+  for (guint i = 0; i < quarantine->unsent_clearings->len
+                    && cleared->count < HBW_CLEARED_PARTS_MAX;)
     {
-      HbwVouch *vouch = &g_array_index (quarantine->vouches, HbwVouch, i);
-      const HbwSuspect *part = find_part (quarantine, vouch->id, now_us);
+      HbwUnsentClearing *clearing
+          = &g_array_index (quarantine->unsent_clearings, HbwUnsentClearing, i);
+      const HbwSuspect *part = find_part (quarantine, clearing->id, now_us);
       if (part != NULL)
-        vouches->parts[vouches->count++]
-            = (HbwVouchedPart){ vouch->id, now_us - part->completed_us };
-      if (part == NULL || --vouch->transmits_left == 0)
-        g_array_remove_index (quarantine->vouches, i);
+        cleared->parts[cleared->count++]
+            = (HbwClearedPart){ clearing->id, now_us - part->completed_us };
+      if (part == NULL || --clearing->transmits_left == 0)
+        g_array_remove_index (quarantine->unsent_clearings, i);
       else
         i++;
     }
-  if (vouches->count > 0)
-    quarantine->next_vouches_us = now_us + VOUCHES_INTERVAL_US;
-  return vouches->count > 0;
+  if (cleared->count > 0)
+    quarantine->next_clearings_us = now_us + CLEARINGS_INTERVAL_US;
+  return cleared->count > 0;
 }
 
 /* --- verdicts of other instances ------------------------------------------------
@@ -250,14 +252,14 @@
 {
   guint count = count_after (report, part->completed_us, now_us);
   if (count < report->failure_count)
-    schedule_vouch (quarantine, part);
+    schedule_clearing (quarantine, part);
   if (report->verdict == HBW_VERDICT_CAUSE && !hbw_suspect_is_quarantined (part)
       && count >= HBW_PART_FAILURES_MIN)
     hbw_quarantine_set_verdict (quarantine, part, HBW_VERDICT_CAUSE, now_us);
   else if (report->verdict == HBW_VERDICT_NONE && report->completed_ago_us >= 0
            && hbw_suspect_is_quarantined (part))
-    hbw_quarantine_merge_vouch (quarantine, part, now_us - report->completed_ago_us,
-                                now_us);
+    hbw_quarantine_merge_clearing (quarantine, part,
+                                   now_us - report->completed_ago_us, now_us);
 }
 
 /* --- questions ----------------------------------------------------------------- */
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -276,9 +276,9 @@
       hbw_ingress_handle_suspect (reducer->ingress, context,
                                   &message->suspect.fingerprint);
       break;
-    case HBW_MESSAGE_VOUCHES:
-      hbw_quarantine_merge_vouches (context->quarantine, &message->vouches,
-                                    context->now_us);
+    case HBW_MESSAGE_CLEARED_PARTS:
+      hbw_quarantine_merge_cleared_parts (context->quarantine,
+                                          &message->cleared_parts, context->now_us);
       break;
     case HBW_MESSAGE_SERVER_NOTICE:
       hbw_server_notices_handle_message (context->server_notices, context, message);
--- a/core/suspect_share.c
+++ b/core/suspect_share.c
@@ -101,9 +101,9 @@
       hbw_membership_broadcast (context->membership, context, NULL, &message);
       share->reports_paid_until_us += interval_us;
     }
-  message.kind = HBW_MESSAGE_VOUCHES;
-  if (hbw_quarantine_take_vouches (context->quarantine, &message.vouches,
-                                   context->now_us))
+  message.kind = HBW_MESSAGE_CLEARED_PARTS;
+  if (hbw_quarantine_take_cleared_parts (context->quarantine, &message.cleared_parts,
+                                         context->now_us))
     hbw_membership_broadcast (context->membership, context, NULL, &message);
   hbw_quarantine_log_new (context->quarantine, context->effects);
 }
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -133,7 +133,7 @@
   HBW_MESSAGE_BEGUN,         /* first token of an attempt received */
   HBW_MESSAGE_LOADS,         /* work that an instance has in progress on servers */
   HBW_MESSAGE_SERVER_NOTICE, /* what a server says of itself, and permits */
-  HBW_MESSAGE_VOUCHES,       /* parts of prompts that did not make servers fail */
+  HBW_MESSAGE_CLEARED_PARTS, /* parts of prompts that did not make servers fail */
   HBW_MESSAGE_COUNT,
 } HbwMessageKind;
 
@@ -286,20 +286,20 @@
 } HbwSuspicionReport;
 
 /* Maximum number of parts in one message. */
-#define HBW_VOUCHED_PARTS_MAX 32
+#define HBW_CLEARED_PARTS_MAX 32
 
 /* A part of prompts with which a request was completely answered. */
 typedef struct
 {
   guint64 id;
   gint64 completed_ago_us;
-} HbwVouchedPart;
+} HbwClearedPart;
 
 typedef struct
 {
   guint count;
-  HbwVouchedPart parts[HBW_VOUCHED_PARTS_MAX];
-} HbwVouches;
+  HbwClearedPart parts[HBW_CLEARED_PARTS_MAX];
+} HbwClearedParts;
 
 /* Demand for an organisation's limits, or share of them.  Exchanged by an instance
    and the limit coordinator of its data centre (level 0), or by that coordinator and
@@ -378,7 +378,7 @@
     HbwSuspicionReport suspect;
     HbwRates rates; /* DEMAND, SHARE */
     HbwServerNoticeReport notice;
-    HbwVouches vouches;
+    HbwClearedParts cleared_parts;
   };
 } HbwMessage;
 
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -149,8 +149,9 @@
 /* Clears PARTS of their failures after a complete response to a request that had
    them, and was sent to a server at STARTED_US.  A quarantined part is released if
    that is later than its last failure. */
-void hbw_quarantine_vouch (HbwQuarantine *quarantine, const HbwPartIds *parts,
-                           guint64 pool_hash, gint64 started_us, gint64 now_us);
+void hbw_quarantine_clear_parts (HbwQuarantine *quarantine, const HbwPartIds *parts,
+                                 guint64 pool_hash, gint64 started_us,
+                                 gint64 now_us);
 
 /* Returns whether one of PARTS is quarantined; sets its ID, and the time until the
    quarantine ends in microseconds. */
@@ -164,14 +165,15 @@
 /* Quarantines the parts about which it was too early to decide.  Call regularly. */
 void hbw_quarantine_evaluate_parts (HbwQuarantine *quarantine, gint64 now_us);
 
-/* Fills VOUCHES with the cleared parts that are due to be sent to all instances;
+/* Fills CLEARED with the cleared parts that are due to be sent to all instances;
    returns FALSE if there are none. */
-gboolean hbw_quarantine_take_vouches (HbwQuarantine *quarantine, HbwVouches *vouches,
-                                      gint64 now_us);
+gboolean hbw_quarantine_take_cleared_parts (HbwQuarantine *quarantine,
+                                            HbwClearedParts *cleared, gint64 now_us);
 
-/* Merges VOUCHES of another instance. */
-void hbw_quarantine_merge_vouches (HbwQuarantine *quarantine,
-                                   const HbwVouches *vouches, gint64 now_us);
+/* Merges CLEARED of another instance. */
+void hbw_quarantine_merge_cleared_parts (HbwQuarantine *quarantine,
+                                         const HbwClearedParts *cleared,
+                                         gint64 now_us);
 
 /* Sets what this instance is doing with FINGERPRINT, if that is known as a suspect;
    returns whether that is a change.  SERVER is the hash of the server on which it
--- a/include/hornbeamwall/core/quarantine_state.h
+++ b/include/hornbeamwall/core/quarantine_state.h
@@ -105,12 +105,12 @@
   HbwFailureRecord records[]; /* hbw_suspect_record_max() */
 };
 
-/* A part to report as vouched for. */
+/* A part whose clearing is to be sent to all instances. */
 typedef struct
 {
   guint64 id;
   guint transmits_left;
-} HbwVouch;
+} HbwUnsentClearing;
 
 struct HbwQuarantine
 {
@@ -124,9 +124,9 @@
   guint held_part_count;
   gint64 parts_evaluated_us;
   guint quarantined_parts;
-  guint64 part_verdicts; /* given so far */
-  GArray *vouches;       /* HbwVouch, to be sent */
-  gint64 next_vouches_us;
+  guint64 part_verdicts;    /* given so far */
+  GArray *unsent_clearings; /* HbwUnsentClearing, to be sent */
+  gint64 next_clearings_us;
   GHashTable *failed_servers;                     /* hash -> HbwFailedServer */
   gint64 failure_times_us[HBW_FAILURE_TIMES_MAX]; /* of the last failures, in turn */
   guint failure_count;                            /* of all servers so far */
@@ -254,8 +254,8 @@
                                      gint64 now_us);
 
 /* Clears a part of its failures up to COMPLETED_US, as another instance reports. */
-void hbw_quarantine_merge_vouch (HbwQuarantine *quarantine, HbwSuspect *part,
-                                 gint64 completed_us, gint64 now_us);
+void hbw_quarantine_merge_clearing (HbwQuarantine *quarantine, HbwSuspect *part,
+                                    gint64 completed_us, gint64 now_us);
 
 /* Marks the failures of the requests that have the part as explained, or not, after
    its verdict has changed. */
--- a/include/hornbeamwall/core/suspect_placement.h
+++ b/include/hornbeamwall/core/suspect_placement.h
@@ -3,7 +3,7 @@
  *
  * Instances that choose servers alone would choose the same one for two suspects
  * before either hears of the other.  Each suspect that waits anywhere therefore has
- * its own part of the servers: all instances know the waiting suspects once these
+ * its own slice of the servers: all instances know the waiting suspects once these
  * have settled, and sort servers and suspects alike.
  */
 #ifndef HORNBEAMWALL_CORE_SUSPECT_PLACEMENT_H
@@ -11,21 +11,21 @@
 
 #include "hornbeamwall/core/quarantine.h"
 
-/* Part INDEX of COUNT parts. */
+/* Slice INDEX of COUNT. */
 typedef struct
 {
   guint index;
   guint count;
-} HbwSuspectPart;
+} HbwServerSlice;
 
-/* Returns the part of FINGERPRINT; the only one if it is no suspect, or has waited
+/* Returns the slice of FINGERPRINT; the only one if it is no suspect, or has waited
    for HBW_SUSPECT_ALONE_MAX_US. */
-HbwSuspectPart hbw_suspect_find_part (HbwQuarantine *quarantine,
-                                      const HbwFingerprint *fingerprint,
-                                      gint64 now_us);
+HbwServerSlice hbw_suspect_find_slice (HbwQuarantine *quarantine,
+                                       const HbwFingerprint *fingerprint,
+                                       gint64 now_us);
 
-/* Returns whether PART has the server at POSITION of SERVER_COUNT. */
-gboolean hbw_suspect_part_has (const HbwSuspectPart *part, guint position,
+/* Returns whether SLICE has the server at POSITION of SERVER_COUNT. */
+gboolean hbw_server_slice_has (const HbwServerSlice *slice, guint position,
                                guint server_count);
 
 #endif
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -255,13 +255,13 @@
 }
 
 static void
-pack_vouches (msgpack_packer *packer, const HbwVouches *vouches)
+pack_cleared_parts (msgpack_packer *packer, const HbwClearedParts *cleared)
 {
-  msgpack_pack_array (packer, 2 * vouches->count);
-  for (guint i = 0; i < vouches->count; i++)
+  msgpack_pack_array (packer, 2 * cleared->count);
+  for (guint i = 0; i < cleared->count; i++)
     {
-      msgpack_pack_uint64 (packer, vouches->parts[i].id);
-      msgpack_pack_int64 (packer, vouches->parts[i].completed_ago_us);
+      msgpack_pack_uint64 (packer, cleared->parts[i].id);
+      msgpack_pack_int64 (packer, cleared->parts[i].completed_ago_us);
     }
 }
 
@@ -326,8 +326,8 @@
     case HBW_MESSAGE_SERVER_NOTICE:
       pack_notice (packer, &message->notice);
       break;
-    case HBW_MESSAGE_VOUCHES:
-      pack_vouches (packer, &message->vouches);
+    case HBW_MESSAGE_CLEARED_PARTS:
+      pack_cleared_parts (packer, &message->cleared_parts);
       break;
     default: /* HBW_MESSAGE_DEMAND or HBW_MESSAGE_SHARE */
       msgpack_pack_uint32 (packer, message->rates.level);
@@ -349,7 +349,7 @@
   [HBW_MESSAGE_DOCUMENT] = 4,      [HBW_MESSAGE_SUSPECT] = 14,
   [HBW_MESSAGE_DEMAND] = 5,        [HBW_MESSAGE_SHARE] = 5,
   [HBW_MESSAGE_BEGUN] = 7,         [HBW_MESSAGE_LOADS] = 2,
-  [HBW_MESSAGE_SERVER_NOTICE] = 8, [HBW_MESSAGE_VOUCHES] = 1,
+  [HBW_MESSAGE_SERVER_NOTICE] = 8, [HBW_MESSAGE_CLEARED_PARTS] = 1,
 };
 
 void
--- a/net/codec_unpack.c
+++ b/net/codec_unpack.c
@@ -382,13 +382,13 @@
 }
 
 static void
-unpack_vouches (HbwFieldReader *reader, HbwVouches *vouches)
+unpack_cleared_parts (HbwFieldReader *reader, HbwClearedParts *cleared)
 {
   HbwFieldReader parts
-      = hbw_field_reader_unpack_array (reader, 2 * HBW_VOUCHED_PARTS_MAX);
+      = hbw_field_reader_unpack_array (reader, 2 * HBW_CLEARED_PARTS_MAX);
   while (!parts.failed && parts.next < parts.count)
     {
-      HbwVouchedPart *part = &vouches->parts[vouches->count++];
+      HbwClearedPart *part = &cleared->parts[cleared->count++];
       part->id = hbw_field_reader_unpack_uint (&parts, G_MAXUINT64);
       part->completed_ago_us = unpack_int (&parts);
       parts.failed |= part->completed_ago_us < 0;
@@ -460,8 +460,8 @@
     case HBW_MESSAGE_SERVER_NOTICE:
       unpack_notice (reader, &message->notice);
       break;
-    case HBW_MESSAGE_VOUCHES:
-      unpack_vouches (reader, &message->vouches);
+    case HBW_MESSAGE_CLEARED_PARTS:
+      unpack_cleared_parts (reader, &message->cleared_parts);
       break;
     default: /* HBW_MESSAGE_DEMAND or HBW_MESSAGE_SHARE */
       unpack_rates (reader, &message->rates);
--- a/tests/part_test.c
+++ b/tests/part_test.c
@@ -45,8 +45,8 @@
 static void
 answer (HbwQuarantine *quarantine, const HbwPartIds *parts, gint64 now_us)
 {
-  hbw_quarantine_vouch (quarantine, parts, POOL, now_us - 40 * HBW_US_PER_MS,
-                        now_us);
+  hbw_quarantine_clear_parts (quarantine, parts, POOL, now_us - 40 * HBW_US_PER_MS,
+                              now_us);
 }
 
 static gboolean
@@ -139,11 +139,11 @@
   HbwQuarantine *quarantine = hbw_quarantine_create (1);
   gint64 now_us = crash_three (quarantine, &harmful_parts, HBW_US_PER_S);
   ck_assert (is_refused (quarantine, HARMFUL, now_us + DUE_US));
-  hbw_quarantine_vouch (quarantine, &harmful_parts, POOL, now_us - 1,
-                        now_us + DUE_US);
+  hbw_quarantine_clear_parts (quarantine, &harmful_parts, POOL, now_us - 1,
+                              now_us + DUE_US);
   ck_assert (is_refused (quarantine, HARMFUL, now_us + DUE_US));
-  hbw_quarantine_vouch (quarantine, &harmful_parts, POOL, now_us + 1,
-                        now_us + DUE_US);
+  hbw_quarantine_clear_parts (quarantine, &harmful_parts, POOL, now_us + 1,
+                              now_us + DUE_US);
   ck_assert (!is_refused (quarantine, HARMFUL, now_us + DUE_US));
   hbw_quarantine_destroy (quarantine);
 }
@@ -156,7 +156,7 @@
   gint64 now_us = HBW_US_PER_S;
   for (guint i = 0; i < 6; i++, now_us += HBW_US_PER_S)
     crash (quarantine, 100 + i, &harmful_parts, 200 + i, now_us);
-  hbw_quarantine_vouch (quarantine, &others, OTHER_POOL, now_us - 1, now_us);
+  hbw_quarantine_clear_parts (quarantine, &others, OTHER_POOL, now_us - 1, now_us);
   ck_assert (!is_refused (quarantine, HARMFUL, now_us));
   answer (quarantine, &others, now_us);
   ck_assert (is_refused (quarantine, HARMFUL, now_us));
@@ -164,16 +164,16 @@
 }
 END_TEST
 
-/* Moves the reports and vouches of FROM to TO. */
+/* Moves the reports and cleared parts of FROM to TO. */
 static void
 exchange (HbwQuarantine *from, HbwQuarantine *to, gint64 now_us)
 {
   HbwSuspicionReport report;
-  HbwVouches vouches;
+  HbwClearedParts cleared;
   while (hbw_quarantine_take_report (from, HBW_US_PER_S, &report, now_us))
     hbw_quarantine_merge (to, 9, &report, now_us);
-  if (hbw_quarantine_take_vouches (from, &vouches, now_us))
-    hbw_quarantine_merge_vouches (to, &vouches, now_us);
+  if (hbw_quarantine_take_cleared_parts (from, &cleared, now_us))
+    hbw_quarantine_merge_cleared_parts (to, &cleared, now_us);
 }
 
 START_TEST (reports_of_requests_charge_their_parts_elsewhere)
@@ -326,7 +326,7 @@
   return received;
 }
 
-START_TEST (codec_carries_parts_and_vouches)
+START_TEST (codec_carries_parts_and_cleared_parts)
 {
   HbwMessage sent = { .kind = HBW_MESSAGE_SUSPECT };
   sent.suspect.failure_count = 1;
@@ -338,15 +338,15 @@
   ck_assert_uint_eq (received.suspect.pool_hash, POOL);
   ck_assert_uint_eq (received.suspect.part_ids.count, 2);
   ck_assert_uint_eq (received.suspect.part_ids.ids[1], HARMFUL);
-  HbwMessage vouches = { .kind = HBW_MESSAGE_VOUCHES };
-  vouches.vouches.count = 2;
-  vouches.vouches.parts[0] = (HbwVouchedPart){ HARMFUL, 12 };
-  vouches.vouches.parts[1] = (HbwVouchedPart){ G_MAXUINT64, 0 };
-  received = send_through_codec (&vouches);
-  ck_assert_uint_eq (received.vouches.count, 2);
-  ck_assert_uint_eq (received.vouches.parts[0].id, HARMFUL);
-  ck_assert_int_eq (received.vouches.parts[0].completed_ago_us, 12);
-  ck_assert_uint_eq (received.vouches.parts[1].id, G_MAXUINT64);
+  HbwMessage message = { .kind = HBW_MESSAGE_CLEARED_PARTS };
+  message.cleared_parts.count = 2;
+  message.cleared_parts.parts[0] = (HbwClearedPart){ HARMFUL, 12 };
+  message.cleared_parts.parts[1] = (HbwClearedPart){ G_MAXUINT64, 0 };
+  received = send_through_codec (&message);
+  ck_assert_uint_eq (received.cleared_parts.count, 2);
+  ck_assert_uint_eq (received.cleared_parts.parts[0].id, HARMFUL);
+  ck_assert_int_eq (received.cleared_parts.parts[0].completed_ago_us, 12);
+  ck_assert_uint_eq (received.cleared_parts.parts[1].id, G_MAXUINT64);
 }
 END_TEST
 
@@ -395,7 +395,7 @@
   tcase_add_test (tests, later_of_two_parts_is_refused);
   tcase_add_test (tests, thousands_of_parts_are_bounded);
   tcase_add_test (tests, storm_of_parts_keeps_control_thread_free);
-  tcase_add_test (tests, codec_carries_parts_and_vouches);
+  tcase_add_test (tests, codec_carries_parts_and_cleared_parts);
   tcase_add_test (tests, codec_reads_report_without_parts);
   suite_add_tcase (suite, tests);
   return suite_run (suite);
