A server is checked if its response is incomplete at the request's timeout

Such a server begins its answer, and the request reaches its own timeout; only a request without any answer had its server checked, so nothing was recorded.

The server is checked in both cases; a stream that is still running has a server that accepts the connection, which is no evidence. Before: server_is_checked_if_response_is_incomplete_at_timeout failed (find_effect (CHECK_SERVER) != NULL); now it passes.

--- a/core/ingress.c
+++ b/core/ingress.c
@@ -566,8 +566,7 @@
   end.outcome
       = request->first_token_seen ? HBW_OUTCOME_CANCELLED : HBW_OUTCOME_TIMED_OUT;
   request->may_have_run = TRUE;
-  if (!request->first_token_seen)
-    hbw_ingress_suspects_check_silent (ingress->suspects, context, request);
+  hbw_ingress_suspects_check_silent (ingress->suspects, context, request);
   hbw_request_send_done (request, context, &end);
   refuse_request (ingress, context, request, HBW_REASON_TIMEOUT,
                   RETRY_AFTER_DEFAULT_US);
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -500,6 +500,26 @@
 }
 END_TEST
 
+/* The server has begun its response and fallen silent. */
+START_TEST (server_is_checked_if_response_is_incomplete_at_timeout)
+{
+  ReducerFixture fixture = fixture_create (1, 1, 8);
+  HbwRequestSpec spec = make_spec ();
+  HbwEvent begun = { .kind = HBW_EVENT_FIRST_TOKEN };
+  spec.timeout_us = spec.deadline_us = 800 * HBW_US_PER_MS;
+  submit_request (&fixture, 1, &spec);
+  begun.first_token.sequence = 1;
+  begun.first_token.attempt = 1;
+  tick (&fixture, 20 * HBW_US_PER_MS);
+  step_reducer (&fixture, &begun);
+  tick (&fixture, 780 * HBW_US_PER_MS);
+  const HbwEffect *refusal = find_effect (&fixture, HBW_EFFECT_REFUSE_REQUEST);
+  ck_assert (refusal != NULL && refusal->refuse.reason == HBW_REASON_TIMEOUT);
+  ck_assert (find_effect (&fixture, HBW_EFFECT_CHECK_SERVER) != NULL);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 START_TEST (draining_instance_accepts_requests_for_grace_period)
 {
   ReducerFixture fixture = fixture_create (1, 1, 8);
@@ -1549,6 +1569,7 @@
   tcase_add_test (tests, requests_are_refused_at_configured_timeout);
   tcase_add_test (tests, malformed_stored_suspects_are_ignored);
   tcase_add_test (tests, restored_suspects_are_read_before_they_are_replaced);
+  tcase_add_test (tests, server_is_checked_if_response_is_incomplete_at_timeout);
   tcase_add_test (tests, draining_instance_accepts_requests_for_grace_period);
   tcase_add_test (tests, check_dismisses_no_failure_before_the_broken_response);
   tcase_add_test (tests, failure_under_killed_instance_is_found_by_check);
