Servers that fail anyway blame no part of a prompt by chance

The share of the failures that a part must be in is taken over the 5 s before its first failure, too. With other failures just before, three in a row are not enough any more; a sequence of five still is, whatever else fails. Before: part_among_failing_servers_needs_more_failures failed.

--- a/core/part_verdict.c
+++ b/core/part_verdict.c
@@ -14,6 +14,10 @@
 /* A sequence of so many failures needs no share. */
 #define LONG_SEQUENCE 5
 
+/* Servers that have failed without the part for this time before are likely to fail
+   without it again. */
+#define EARLIER_FAILURES_US (5 * HBW_US_PER_S)
+
 /* Failures count as simultaneous if instances tell of them within this time. */
 #define SIMULTANEOUS_US (100 * HBW_US_PER_MS)
 
@@ -123,14 +127,16 @@
   return sequence;
 }
 
+/* Returns whether a failure at TIME_US tells whether SEQUENCE has another cause. */
 static gboolean
-is_within (const Sequence *sequence, gint64 time_us)
+is_comparable (const Sequence *sequence, gint64 time_us)
 {
-  return time_us >= sequence->first_us - SIMULTANEOUS_US
+  return time_us >= sequence->first_us - EARLIER_FAILURES_US
          && time_us <= sequence->last_us + SIMULTANEOUS_US;
 }
 
-/* Returns whether the part was in enough of the failures of servers meanwhile. */
+/* Returns whether the part was in enough of the failures of servers meanwhile, and
+   just before. */
 static gboolean
 is_in_enough (const HbwQuarantine *quarantine, const HbwSuspect *part,
               const Sequence *sequence)
@@ -139,9 +145,9 @@
   guint all = 0;
   for (guint i = 0; i < HBW_PART_FAILURES_MAX; i++)
     own += hbw_failure_record_is_open (&part->records[i])
-           && is_within (sequence, part->records[i].details.failed_us);
+           && is_comparable (sequence, part->records[i].details.failed_us);
   for (guint i = 0; i < MIN (quarantine->failure_count, HBW_FAILURE_TIMES_MAX); i++)
-    all += is_within (sequence, quarantine->failure_times_us[i]);
+    all += is_comparable (sequence, quarantine->failure_times_us[i]);
   guint more = MIN (own - HBW_PART_FAILURES_MIN, G_N_ELEMENTS (shares_min) - 1);
   return sequence->count >= LONG_SEQUENCE || own >= shares_min[more] * all;
 }
