A suspect whose attempt was not connected is not reported as running

A suspect that had failed one server was sent to another one that had just crashed, and was not connected; its instance went on reporting that it ran there. The instance was then stopped for a second, and the others counted the crash as its second failure (evidence=lost_instance, or the check of that server).

The report says at once that it runs nowhere. The instance lets it run again once it keeps no other instance from running it (2 s); before, only when another one happened to report it, so that a request without a deadline could wait for ever.

--- a/core/ingress_suspects.c
+++ b/core/ingress_suspects.c
@@ -176,10 +176,13 @@
     check_unproved_end (suspects, context, request);
   else if (end->outcome == HBW_OUTCOME_COMPLETE)
     record_response (context, request, end);
+  guint64 server = hbw_rendezvous_weight (0, request->server);
+  if (hbw_outcome_proves_not_executed (end->outcome))
+    hbw_quarantine_forget_attempt (context->quarantine, &request->spec.fingerprint,
+                                   server, context->now_us);
   if (end->outcome == HBW_OUTCOME_NOT_CONNECTED)
-    hbw_quarantine_handle_refused_connection (
-        context->quarantine, hbw_rendezvous_weight (0, request->server),
-        context->now_us);
+    hbw_quarantine_handle_refused_connection (context->quarantine, server,
+                                              context->now_us);
   if (end->outcome == HBW_OUTCOME_BROKEN)
     {
       record_failure (context, request, end);
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -259,6 +259,22 @@
   return TRUE;
 }
 
+void
+hbw_quarantine_forget_attempt (HbwQuarantine *quarantine,
+                               const HbwFingerprint *fingerprint, guint64 server,
+                               gint64 now_us)
+{
+  HbwSuspect *suspect = hbw_quarantine_find (quarantine, fingerprint, now_us);
+  if (suspect == NULL || suspect->own_activity != HBW_SUSPECT_RUNNING
+      || suspect->own_server != server)
+    return;
+  suspect->own_server = 0;
+  if (!hbw_suspect_is_quarantined (suspect)
+      && hbw_suspect_count_failures (suspect) > 0)
+    hbw_quarantine_schedule_report (quarantine, suspect, HBW_SUSPECT_TRANSMITS,
+                                    now_us);
+}
+
 /* --- placement ----------------------------------------------------------------- */
 
 static void
@@ -395,6 +411,18 @@
   hbw_quarantine_evaluate (quarantine, now_us);
 }
 
+/* A suspect whose attempt did not run may run again once it keeps no other instance
+   from running it. */
+static void
+release_forgotten (HbwSuspect *suspect, gint64 now_us)
+{
+  if (suspect->own_activity != HBW_SUSPECT_RUNNING || suspect->own_server != 0
+      || now_us - suspect->own_since_us < HBW_SUSPECT_EXCLUSIVE_MAX_US)
+    return;
+  suspect->own_activity = HBW_SUSPECT_WAITING;
+  suspect->own_since_us = now_us;
+}
+
 void
 hbw_quarantine_refresh (HbwQuarantine *quarantine, gint64 now_us)
 {
@@ -407,7 +435,10 @@
       else if (suspect->own_activity != HBW_SUSPECT_IDLE
                && !hbw_suspect_is_quarantined (suspect)
                && hbw_suspect_count_failures (suspect) > 0)
-        hbw_quarantine_schedule_report (quarantine, suspect, 1, now_us);
+        {
+          release_forgotten (suspect, now_us);
+          hbw_quarantine_schedule_report (quarantine, suspect, 1, now_us);
+        }
     }
 }
 
--- a/core/quarantine_report.c
+++ b/core/quarantine_report.c
@@ -26,7 +26,8 @@
   if (peer == NULL)
     return;
   if (peer->instance != from || peer->activity != report->activity
-      || peer->server != report->running_server_hash)
+      || (report->running_server_hash != 0
+          && peer->server != report->running_server_hash))
     *peer = (HbwPeerActivity){ .since_us = now_us };
   peer->instance = from;
   peer->activity = report->activity;
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -183,6 +183,13 @@
                                       HbwSuspectActivity activity, guint64 server,
                                       gint64 now_us);
 
+/* Records that FINGERPRINT did not run on the server with the hash SERVER, on which
+   this instance had reported it as running, and tells the other instances.  It may
+   run again HBW_SUSPECT_EXCLUSIVE_MAX_US after that attempt began. */
+void hbw_quarantine_forget_attempt (HbwQuarantine *quarantine,
+                                    const HbwFingerprint *fingerprint,
+                                    guint64 server, gint64 now_us);
+
 /* Adds to USED the hashes (guint64) of the servers on which other suspects run, in
    any instance, unless FINGERPRINT has waited for HBW_SUSPECT_ALONE_MAX_US.  USED
    refers to data of the quarantine. */
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -891,6 +891,50 @@
   step_reducer (fixture, &report);
 }
 
+/* Returns the server on which the last report of a suspect says that it runs; 0 is
+   none. */
+static guint64
+reported_server (const ReducerFixture *fixture)
+{
+  guint64 server = 0;
+  for (guint i = 0; i < hbw_effects_count (fixture->effects); i++)
+    {
+      const HbwEffect *effect = hbw_effects_get (fixture->effects, i);
+      if (effect->kind == HBW_EFFECT_SEND_MESSAGE
+          && effect->send.message.kind == HBW_MESSAGE_SUSPECT)
+        server = effect->send.message.suspect.running_server_hash;
+    }
+  return server;
+}
+
+/* If the others believed that it runs there, they would count another failure of the
+   server as its own once they miss this instance. */
+START_TEST (suspect_that_was_not_connected_is_not_reported_as_running)
+{
+  ReducerFixture fixture = fixture_create (1, 1, 8);
+  HbwRequestSpec spec = make_spec ();
+  guint waited_ms = 0;
+  introduce_peer (&fixture, 2, "a");
+  submit_request (&fixture, 1, &spec);
+  end_attempt (&fixture, 1, 1, HBW_OUTCOME_BROKEN, FALSE);
+  for (guint i = 0; i < 10 && *started_server (&fixture) == '\0'; i++)
+    tick (&fixture, 10 * HBW_US_PER_MS);
+  ck_assert_str_eq (started_server (&fixture), "e0");
+  ck_assert (reported_server (&fixture) == hbw_rendezvous_weight (0, "e0"));
+  end_attempt (&fixture, 1, 2, HBW_OUTCOME_NOT_CONNECTED, FALSE);
+  ck_assert (reported_server (&fixture) == 0);
+  while (*started_server (&fixture) == '\0' && waited_ms < 4000)
+    {
+      tick (&fixture, 10 * HBW_US_PER_MS);
+      waited_ms += 10;
+      ck_assert (*started_server (&fixture) != '\0'
+                 || reported_server (&fixture) == 0);
+    }
+  ck_assert_uint_lt (waited_ms, 4000);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* An instance reports that its suspect has failed e0 and runs there once more, while
    e0 refuses connections; then it is stopped for a while. */
 START_TEST (suspect_that_was_not_connected_has_not_failed_again)
@@ -1579,6 +1623,7 @@
   tcase_add_test (tests, proof_of_failure_is_reported_at_once);
   tcase_add_test (tests, proof_of_failure_outweighs_dismissal);
   tcase_add_test (tests, suspect_that_was_not_connected_has_not_failed_again);
+  tcase_add_test (tests, suspect_that_was_not_connected_is_not_reported_as_running);
   tcase_add_test (tests, instances_place_two_suspects_on_different_servers);
   tcase_add_test (tests, leaving_instance_gets_reports_of_suspects);
   tcase_add_test (tests, server_is_checked_after_each_broken_response);
