A drain does not end while requests may wait to be read

Callers lost requests that they sent on kept connections to an instance that was stopping: it had stood still for a second over the end of its shortest wait, and ended as soon as it went on, although their requests had arrived and waited to be read. They were not passed on.

After a late check the instance waits for another one, in which what has arrived is read and counts as a request in progress.

--- a/hornbeamwall/commands/serve.c
+++ b/hornbeamwall/commands/serve.c
@@ -9,6 +9,9 @@
 /* Interval between checks whether to stop, or whether draining is done. */
 #define CHECK_INTERVAL_NS 50000000
 
+/* A check that is later than this comes after a stall of the process. */
+#define LATE_CHECK_US (200 * HBW_US_PER_MS)
+
 /* Percentages of the stop grace period.  A draining instance waits at least the
    first even if no requests are in progress, and exits at the second even if some
    are. */
@@ -45,7 +48,8 @@
 
 /* Drains the instance.  Returns when all requests have ended and a load balancer has
    had time to redirect callers, when the grace period is nearly over, or on a second
-   signal. */
+   signal.  After a stall it waits for another check, as requests that arrived
+   meanwhile may not have been read. */
 static void
 wait_for_drain (HbwInstance *instance, const HbwSettings *settings, HbwClock *clock,
                 const sigset_t *set)
@@ -56,20 +60,26 @@
   gint64 min_wait_us = grace_us / 100 * STOP_WAIT_MIN_PERCENT;
   gint64 max_wait_us = grace_us / 100 * STOP_WAIT_MAX_PERCENT;
   gint64 accepting_us = grace_us / 100 * HBW_STOP_ACCEPTING_PERCENT;
+  gint64 checked_us = start_us;
   gint64 elapsed_us;
+  gboolean is_late;
   hbw_instance_drain (instance);
   do
     {
       int signal_number = sigtimedwait (set, NULL, &interval);
       if (signal_number == SIGTERM || signal_number == SIGINT)
         return;
-      elapsed_us = hbw_clock_now (clock) - start_us;
+      gint64 now_us = hbw_clock_now (clock);
+      is_late = now_us - checked_us > LATE_CHECK_US;
+      checked_us = now_us;
+      elapsed_us = now_us - start_us;
       if (elapsed_us > accepting_us)
         hbw_instance_stop_store_watch (instance);
       if (max_wait_us > 0 && elapsed_us >= max_wait_us)
         return;
     }
-  while (hbw_instance_has_requests (instance) || elapsed_us < min_wait_us);
+  while (hbw_instance_has_requests (instance) || is_late
+         || elapsed_us < min_wait_us);
 }
 
 /* Waits for a stop signal or until a planned stop of this instance is declared. */
