Logs say which version a request resumes and which one serves an attempt

A server's entry keeps its version now, the adapter reads Resumes, and both lines say so. Nothing decides by it yet.

--- a/core/directory.c
+++ b/core/directory.c
@@ -3,12 +3,23 @@
 #include "hornbeamwall/common/json_reader.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Maximum number of slots that a backend server may report. */
 #define SLOTS_MAX 4096
 
 typedef void (*ParseItem) (GPtrArray *items, HbwJsonReader *reader);
 
+/* Versions of different pools are not comparable. */
+static guint64
+hash_version (const HbwServerEntry *server)
+{
+  if (*server->version == '\0')
+    return 0;
+  return XXH3_64bits_withSeed (server->version, strlen (server->version),
+                               XXH3_64bits (server->pool, strlen (server->pool)));
+}
+
 static void
 parse_server (GPtrArray *items, HbwJsonReader *reader)
 {
@@ -26,6 +37,9 @@
   server->start_number
       = (guint64) hbw_json_reader_int (reader, "start", 0, G_MAXINT64, 0);
   server->expired = hbw_json_reader_bool (reader, "lapsed", FALSE);
+  hbw_json_reader_string (reader, "version", server->version, sizeof server->version,
+                          "");
+  server->version_hash = hash_version (server);
   server->leaving = strcmp (state, "live") != 0;
   g_ptr_array_add (items, server);
 }
--- a/core/ingress.c
+++ b/core/ingress.c
@@ -449,6 +449,18 @@
   g_strlcpy (start->address, grant->address, sizeof start->address);
 }
 
+static void
+set_attempt_version (const HbwIngress *ingress, HbwRequest *request)
+{
+  HbwShardKey key;
+  const HbwServerEntry *entry
+      = ingress->topology != NULL
+            ? hbw_topology_find_server (ingress->topology, request->server, &key)
+            : NULL;
+  g_strlcpy (request->version, entry != NULL ? entry->version : "",
+             sizeof request->version);
+}
+
 void
 hbw_ingress_handle_grant (HbwIngress *ingress, HbwContext *context, guint64 from,
                           const HbwGrant *grant)
@@ -484,6 +496,7 @@
   g_strlcpy (request->server, grant->server, sizeof request->server);
   g_strlcpy (request->address, grant->address, sizeof request->address);
   request->facts = grant->facts;
+  set_attempt_version (ingress, request);
   hbw_ingress_suspects_update (ingress->suspects, context,
                                &request->spec.fingerprint);
   hbw_request_log_attempt_started (request, context);
--- a/core/request.c
+++ b/core/request.c
@@ -46,29 +46,32 @@
                  "catalogue=%" G_GINT64_FORMAT " catalogue_age_ms=%" G_GINT64_FORMAT
                  " confirmed_by=%s era=%" G_GINT64_FORMAT
                  " deadline_ms=%" G_GINT64_FORMAT
-                 " prompt_tokens=%u fingerprint=%016" G_GINT64_MODIFIER "x",
+                 " prompt_tokens=%u fingerprint=%016" G_GINT64_MODIFIER
+                 "x resumption=%d resumes=\"%s\"",
       request->caller_request_id, request->sequence, spec->class_name,
       spec->organisation, spec->pool, spec->tier, arrival->catalogue_version,
       to_ms (arrival->catalogue_age_us), hbw_freshness_source_name (context),
       context->store_era.number, to_ms (spec->deadline_us), spec->prompt_tokens,
-      spec->fingerprint.low);
+      spec->fingerprint.low, arrival->is_resumption, arrival->resumed_id);
 }
 
 void
 hbw_request_log_attempt_started (const HbwRequest *request, HbwContext *context)
 {
   const HbwGrantFacts *facts = &request->facts;
-  hbw_effects_log (
-      context->effects, HBW_LOG_ATTEMPT_STARTED,
-      LOG_PREFIX "attempt=%u server=%s waited_ms=%" G_GINT64_FORMAT
-                 " in_progress=%u others=%u unread_tokens=%u "
-                 "report_age_ms=%" G_GINT64_FORMAT " waiting=%u server_failures=%u",
-      request->caller_request_id, request->sequence, request->attempt,
-      request->server, to_ms (context->now_us - request->arrived_us),
-      facts->in_progress, facts->others, facts->unread_tokens,
-      to_ms (facts->report_age_us), facts->waiting,
-      hbw_quarantine_count_unexplained (
-          context->quarantine, &request->spec.fingerprint, context->now_us));
+  hbw_effects_log (context->effects, HBW_LOG_ATTEMPT_STARTED,
+                   LOG_PREFIX "attempt=%u server=%s waited_ms=%" G_GINT64_FORMAT
+                              " in_progress=%u others=%u unread_tokens=%u "
+                              "report_age_ms=%" G_GINT64_FORMAT
+                              " waiting=%u server_failures=%u version=%s",
+                   request->caller_request_id, request->sequence, request->attempt,
+                   request->server, to_ms (context->now_us - request->arrived_us),
+                   facts->in_progress, facts->others, facts->unread_tokens,
+                   to_ms (facts->report_age_us), facts->waiting,
+                   hbw_quarantine_count_unexplained (context->quarantine,
+                                                     &request->spec.fingerprint,
+                                                     context->now_us),
+                   request->version);
 }
 
 void
--- a/include/hornbeamwall/core/directory.h
+++ b/include/hornbeamwall/core/directory.h
@@ -13,6 +13,10 @@
 /* Size of an address with its port, in bytes, including the terminating NUL. */
 #define HBW_ADDRESS_MAX 64
 
+/* Size of the version of a server's software, in bytes, including the terminating
+   NUL. */
+#define HBW_VERSION_MAX 32
+
 typedef struct
 {
   char id[HBW_NAME_MAX];
@@ -20,6 +24,8 @@
   char data_centre[HBW_NAME_MAX];
   char address[HBW_ADDRESS_MAX]; /* IP address and port of its HTTP interface */
   guint slots;                   /* reported number of concurrent requests */
+  char version[HBW_VERSION_MAX]; /* of its software; "" if unknown */
+  guint64 version_hash; /* of the pool and the version; 0 if that is unknown */
   gboolean leaving;
   gboolean expired;     /* its entry was not renewed; it may still be running */
   guint64 start_number; /* changes with each restart */
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -40,6 +40,9 @@
                                                         request, or "" */
   gint64 catalogue_age_us; /* of the catalogue by which it was admitted */
   gint64 catalogue_version;
+  gboolean is_resumption; /* its caller has a part of the stream already */
+  char resumed_id[HBW_CALLER_REQUEST_ID_MAX]; /* the caller's id of the request that
+                                                 began the stream, or "" */
 } HbwArrival;
 
 typedef struct
--- a/include/hornbeamwall/core/request.h
+++ b/include/hornbeamwall/core/request.h
@@ -44,6 +44,8 @@
   HbwGrantFacts facts;
   char server[HBW_NAME_MAX];
   char address[HBW_ADDRESS_MAX];   /* of server */
+  char version[HBW_VERSION_MAX];   /* of its software, by its entry at the start of
+                                      the attempt; "" if unknown */
   char avoid_server[HBW_NAME_MAX]; /* server of the last attempt, if that failed */
 } HbwRequest;
 
--- a/include/hornbeamwall/net/protocol_adapter.h
+++ b/include/hornbeamwall/net/protocol_adapter.h
@@ -49,6 +49,10 @@
   /* Copies the id that the caller gave to its request, or "". */
   void (*read_request_id) (const HbwHttpHead *head, char *request_id, gsize size);
 
+  /* Copies the id of the caller's request that began the stream that this one
+     resumes, or "" if it names none or one of SIZE bytes or more. */
+  void (*read_resumed_id) (const HbwHttpHead *head, char *request_id, gsize size);
+
   /* Fills in INPUT from HEAD; its strings belong to HEAD or to SCRATCH. */
   void (*read_admission_input) (const HbwHttpHead *head, GStringChunk *scratch,
                                 HbwAdmissionInput *input);
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -230,6 +230,19 @@
   hbw_exchange_destroy (exchange);
 }
 
+/* The caller has no event yet if it names none. */
+static void
+read_resumption (const HbwExchange *exchange, HbwArrival *arrival)
+{
+  const HbwHttpHead *head = exchange->request_head;
+  const char *last_id = hbw_http_head_find (head, HBW_LAST_EVENT_ID_FIELD);
+  arrival->is_resumption
+      = exchange->spec.resumable && last_id != NULL && *last_id != '\0';
+  if (arrival->is_resumption)
+    exchange->traffic->adapter->class->read_resumed_id (head, arrival->resumed_id,
+                                                        sizeof arrival->resumed_id);
+}
+
 void
 hbw_exchange_submit (HbwExchange *exchange)
 {
@@ -256,6 +269,7 @@
              sizeof event.arrival.caller_request_id);
   event.arrival.catalogue_age_us = exchange->catalogue_age_us;
   event.arrival.catalogue_version = exchange->catalogue_version;
+  read_resumption (exchange, &event.arrival);
   exchange->submitted = TRUE;
   g_hash_table_insert (traffic->exchanges, &exchange->sequence, exchange);
   hbw_control_submit (traffic->control, &event, NULL);
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -1,12 +1,18 @@
 #!/bin/sh
 # Runs all tests of a build directory and prints the sum of their results.  SEEDS limits
 # the seeds of each scenario.  0 skips the scenarios, for thread sanitizer builds:
-# scenarios are single-threaded.
+# scenarios are single-threaded.  They run in virtual time, so that their parts run
+# beside each other and beside the other tests without a change of their results.
 set -u
 build=${1:-build}
-passed=0
-failed=0
+parts=3
+results=$(mktemp -d)
+trap 'rm -rf "$results"' EXIT
+
+# run NAME COMMAND...: prints what failed and a line "NAME: N passed, N failed".
 run() {
+  name=$1
+  shift
   out=$("$@" 2>&1)
   status=$?
   line=$(printf '%s\n' "$out" | grep -E '^[0-9]+ passed, [0-9]+ failed$' | tail -n 1)
@@ -18,18 +24,37 @@
     [ "${line##*, }" = "0 failed" ] && line="${line%%,*}, 1 failed"
   fi
   printf '%s\n' "$out" | grep '^known red: ' || true
-  echo "$(basename "$1"): $line"
-  passed=$((passed + ${line%% passed*}))
-  rest=${line##*, }
-  failed=$((failed + ${rest%% failed}))
+  echo "$name: $line"
 }
+
+# run_part N: every scenario whose position in the list, modulo the parts, is N.
+run_part() {
+  part=$1
+  set -- "$build/tests/scenario_test"
+  [ -z "${SEEDS:-}" ] || set -- "$@" --most "$SEEDS"
+  position=0
+  for file in tests/scenarios/*.scn; do
+    [ $((position % parts)) -ne "$part" ] || set -- "$@" "$file"
+    position=$((position + 1))
+  done
+  run "scenario_test $((part + 1))/$parts" "$@"
+}
+
+cd "$(dirname "$0")/.."
+part=0
+while [ "${SEEDS:-}" != 0 ] && [ "$part" -lt "$parts" ]; do
+  run_part "$part" >"$results/scenarios-$part" &
+  part=$((part + 1))
+done
 for test in "$build"/tests/*_test; do
-  case "$test,${SEEDS:-}" in
-  *scenario_test,) run "$test" ;;
-  *scenario_test,0) ;;
-  *scenario_test,*) run "$test" --most "$SEEDS" ;;
-  *) run "$test" ;;
+  case "$test" in
+  *scenario_test) ;;
+  *) run "$(basename "$test")" "$test" | tee "$results/$(basename "$test")" ;;
   esac
 done
-echo "$passed passed, $failed failed"
-[ "$failed" -eq 0 ]
+wait
+cat "$results"/scenarios-* 2>/dev/null || true
+sums=$(cat "$results"/* | sed -n 's/^.*: \([0-9]*\) passed, \([0-9]*\) failed$/\1 \2/p' |
+  awk '{ passed += $1; failed += $2 } END { print passed + 0, failed + 0 }')
+echo "${sums% *} passed, ${sums#* } failed"
+[ "${sums#* }" -eq 0 ]
