Failing: streams go on at another version than the one that began them

Simulated servers have versions, and callers take up streams that broke, at any instance, naming the request that brought the first event. A file may name several policies, so that one scenario serves for both.

--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -50,6 +50,7 @@
   guint64 sequence;
   guint attempt;
   gint64 first_token_us; /* from the start of the attempt */
+  gboolean is_event;     /* of a stream of events: the caller gets it at once */
 } HbwAttemptFirstToken;
 
 typedef struct
--- a/tests/capacity.c
+++ b/tests/capacity.c
@@ -53,7 +53,7 @@
       g_snprintf (name, sizeof name, "dublin-%u-", i);
       world_add_instances (world, name, instances_per_data_centre);
       world_add_servers (world, "assistant-pool", name, servers_per_data_centre,
-                         slots, 80 * HBW_US_PER_MS, 40 * HBW_US_PER_MS);
+                         slots, 80 * HBW_US_PER_MS, 40 * HBW_US_PER_MS, "");
     }
   return world;
 }
--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -122,7 +122,7 @@
   world_add_servers (
       world, line->argv[1], line->argv[2], count_option (line, "count", "1"),
       count_option (line, "slots", "16"), duration_option (line, "prefill", "100ms"),
-      duration_option (line, "token", "20ms"));
+      duration_option (line, "token", "20ms"), find_option (line, "version", ""));
   return TRUE;
 }
 
@@ -146,6 +146,7 @@
   load.silent = strcmp (find_option (line, "silent", "no"), "yes") == 0;
   g_strlcpy (load.parts, find_option (line, "parts", ""), sizeof load.parts);
   load.whole = strcmp (find_option (line, "whole", "no"), "yes") == 0;
+  load.resumable = strcmp (find_option (line, "resumable", "no"), "yes") == 0;
   load.attempts_max = count_option (line, "attempts", "0");
   load.timeout_us = duration_option (line, "timeout", "0");
   load.max_resends = count_option (line, "resend", "0");
@@ -356,6 +357,21 @@
   return 0;
 }
 
+static double
+stream_value (const StreamWatch *watch, const char *quantity, gboolean *known)
+{
+  if (strcmp (quantity, "mixed") == 0)
+    return stream_watch_mixed_count (watch);
+  if (strcmp (quantity, "resumptions") == 0)
+    return stream_watch_resumption_count (watch);
+  if (strcmp (quantity, "begun") == 0)
+    return stream_watch_begun_share (watch);
+  if (strcmp (quantity, "resumed") == 0)
+    return stream_watch_resumed_share (watch);
+  *known = FALSE;
+  return 0;
+}
+
 static double
 subject_value (const World *world, const char *subject, const char *quantity,
                gboolean *known)
@@ -366,6 +382,8 @@
     return world_limited_request_count (world);
   if (strcmp (subject, "part") == 0)
     return part_value (world_part_watch (world), quantity, known);
+  if (strcmp (subject, "streams") == 0)
+    return stream_value (world_stream_watch (world), quantity, known);
   if (strcmp (quantity, "received") == 0)
     return world_request_count (world, subject);
   if (strcmp (subject, "rollout") == 0 && strcmp (quantity, "median") == 0)
@@ -528,15 +546,18 @@
     range_option (line, "seeds", "1", first, last);
 }
 
+char **
+script_policies (const Script *script)
+{
+  const Line *line = find_line (script, "policy");
+  return g_strsplit (line != NULL ? line->argv[1] : "owner", ",", -1);
+}
+
 World *
 script_run (const Script *script, const ScriptOptions *options)
 {
-  const char *policy = options->policy;
-  const Line *policy_line = find_line (script, "policy");
   const Line *run = find_line (script, "run");
-  if (policy == NULL)
-    policy = policy_line != NULL ? policy_line->argv[1] : "owner";
-  World *world = world_create (options->seed, policy);
+  World *world = world_create (options->seed, options->policy);
   char *catalogue = make_catalogue (script);
   world_set_trace (world, options->trace);
   world_set_document (world, HBW_DOCUMENT_CATALOGUE, catalogue);
--- a/tests/scenario/script.h
+++ b/tests/scenario/script.h
@@ -14,7 +14,7 @@
 typedef struct
 {
   guint seed;
-  const char *policy; /* NULL: the policy that the file names */
+  const char *policy;
   gboolean trace;
   const char *omitted_load; /* name of a load that is not run, or NULL */
 } ScriptOptions;
@@ -27,6 +27,10 @@
 /* Returns the range of seeds that the file names, FIRST to LAST inclusive. */
 void script_seed_range (const Script *script, guint *first, guint *last);
 
+/* Returns the policies that the file names, or the default; free with
+   g_strfreev(). */
+char **script_policies (const Script *script);
+
 /* Runs the scenario once.  Returns the world after the run, owned by the caller, or
    NULL after printing an error if a line refers to an unknown name. */
 World *script_run (const Script *script, const ScriptOptions *run);
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -106,6 +106,9 @@
   guint resend_count;
   gboolean ended;
   gboolean attempted;
+  Stream *stream;            /* that its caller may resume, or NULL */
+  gboolean response_started; /* the caller has an event of it */
+  gboolean completed;
 } Request;
 
 typedef struct
@@ -163,6 +166,7 @@
   gint64 changed_us[HBW_DOCUMENT_COUNT];
   GHashTable *planned_stops;
   PartWatch *parts;
+  StreamWatch *streams;
   gboolean part_refused; /* the next refusal is because of a part */
   guint poisoned_server_count;
   gint64 poison_restart_us;    /* until a server restarts after a poison request */
@@ -356,6 +360,7 @@
   *retry = *request;
   retry->resend_count++;
   retry->ended = retry->attempted = FALSE;
+  retry->response_started = FALSE;
   retry->run_count = 0;
   schedule (world, world->now_us + CALLER_RETRY_DELAY_US, submit_request, retry);
 }
@@ -367,6 +372,7 @@
   gint64 first_token
       = attempt->started_us + attempt->first_token_us - request->arrived_us;
   class->completed++;
+  request->completed = TRUE;
   /* A response after the deadline is useless to the caller. */
   gint64 deadline_us = request->spec.deadline_us;
   if (deadline_us > 0 && world->now_us > request->arrived_us + deadline_us)
@@ -440,6 +446,7 @@
       event.end.tokens = report->tokens;
       event.end.server_silent = report->server_silent;
       event.end.is_unproved = report->is_unproved;
+      event.end.response_started = attempt->request->response_started;
       if (report->outcome == HBW_OUTCOME_COMPLETE)
         {
           event.end.first_token_us
@@ -644,6 +651,26 @@
   schedule (world, world->now_us + world->poison_restart_us, restart_server, server);
 }
 
+/* The caller gets the first event that this attempt adds to its stream. */
+static void
+deliver_first_event (World *world, void *data)
+{
+  Attempt *attempt = data;
+  Request *request = attempt->request;
+  if (attempt->ended || attempt->server->silent
+      || !is_running (attempt->instance, attempt->identity))
+    return;
+  request->response_started = TRUE;
+  stream_watch_record_event (world->streams, request->stream, request->sequence,
+                             attempt->server->entry.version);
+  HbwEvent event = { .kind = HBW_EVENT_FIRST_TOKEN };
+  event.first_token.sequence = request->sequence;
+  event.first_token.attempt = attempt->number;
+  event.first_token.first_token_us = world->now_us - attempt->created_us;
+  event.first_token.is_event = TRUE;
+  run_reducer (world, attempt->instance, &event);
+}
+
 static void
 run_attempt (World *world, Attempt *attempt)
 {
@@ -665,6 +692,9 @@
   schedule (world,
             world->now_us + MAX (attempt->first_token_us, RESPONSE_INTERVAL_US),
             report_response, attempt);
+  if (request->stream != NULL)
+    schedule (world, world->now_us + attempt->first_token_us, deliver_first_event,
+              attempt);
   if (request->load->poison || part_watch_is_harmful (world->parts, &request->spec))
     schedule (world, world->now_us + attempt->first_token_us, fail_server_by_poison,
               attempt);
@@ -1079,6 +1109,8 @@
     case HBW_EFFECT_FINISH_REQUEST:
       request = g_hash_table_lookup (world->requests, &effect->sequence);
       end_request (world, request);
+      if (request->stream != NULL && !request->completed)
+        schedule_caller_retry (world, request);
       break;
     case HBW_EFFECT_SEND_MESSAGE:
       send_message (world, instance, &effect->send);
@@ -1251,6 +1283,8 @@
         continue;
       request->class->lost++;
       end_request (world, request);
+      if (request->stream != NULL)
+        schedule_caller_retry (world, request);
     }
   g_clear_pointer (&instance->reducer, hbw_reducer_destroy);
 }
@@ -1296,6 +1330,7 @@
       spec->deadline_us = class->deadline_us;
       spec->idempotent = !load->not_idempotent;
       spec->attempts_max = load->attempts_max;
+      spec->resumable = load->resumable;
       spec->timeout_us = load->timeout_us;
       if (load->timeout_us > 0)
         spec->deadline_us = MIN (spec->deadline_us, load->timeout_us);
@@ -1334,6 +1369,8 @@
   HbwEvent event = { .kind = HBW_EVENT_REQUEST_ARRIVED };
   event.arrival.sequence = request->sequence;
   event.arrival.spec = request->spec;
+  if (request->stream != NULL)
+    stream_watch_fill (world->streams, request->stream, &event.arrival);
   run_reducer (world, instance, &event);
 }
 
@@ -1351,6 +1388,8 @@
   if (load->tokens_max > load->tokens_min)
     request->tokens = (guint) g_rand_int_range (
         load->random, (gint32) load->tokens_min, (gint32) load->tokens_max + 1);
+  if (load->resumable)
+    request->stream = stream_watch_add (world->streams);
   if (fill_spec (world, load, request))
     {
       request->class = find_or_create_class (world, load->class_name,
@@ -1421,10 +1460,12 @@
           text,
           "%s{\"id\":\"%s\",\"pool\":\"%s\",\"data_centre\":\"%s\","
           "\"address\":\"%s\",\"slots\":%u,\"start\":%" G_GUINT64_FORMAT
-          ",\"state\":\"%s\"}",
+          ",\"state\":\"%s\"%s%s%s}",
           i > 0 ? "," : "", entry->id, entry->pool, entry->data_centre,
           entry->address, entry->slots, entry->start_number,
-          entry->leaving ? "leaving" : "live");
+          entry->leaving ? "leaving" : "live",
+          *entry->version != '\0' ? ",\"version\":\"" : "", entry->version,
+          *entry->version != '\0' ? "\"" : "");
     }
   g_string_append (text, "]}");
   world_set_document (world, HBW_DOCUMENT_SERVERS, text->str);
@@ -1468,6 +1509,13 @@
     fail_server (world, server, FALSE);
   else if (strcmp (verb, "restart") == 0)
     restart_server (world, server);
+  else if (strcmp (verb, "upgrade") == 0)
+    {
+      fail_server (world, server, FALSE);
+      g_strlcpy (server->entry.version, fault->argument,
+                 sizeof server->entry.version);
+      restart_server (world, server);
+    }
   else if (strcmp (verb, "slow") == 0)
     server->slowdown = g_ascii_strtod (fault->argument, NULL);
   else if (strcmp (verb, "break") == 0)
@@ -1621,6 +1669,7 @@
   world->rollout_delays = g_array_new (FALSE, FALSE, sizeof (gint64));
   world->poison_failures = g_hash_table_new (NULL, NULL);
   world->parts = part_watch_create ();
+  world->streams = stream_watch_create ();
   world->planned_stops
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   schedule (world, HBW_US_PER_S, update_longest_gaps, NULL);
@@ -1679,6 +1728,7 @@
   g_hash_table_destroy (world->planned_stops);
   g_hash_table_destroy (world->poison_failures);
   part_watch_destroy (world->parts);
+  stream_watch_destroy (world->streams);
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     g_free (world->documents[i]);
   g_rand_free (world->random);
@@ -1716,7 +1766,8 @@
 
 void
 world_add_servers (World *world, const char *pool, const char *data_centre,
-                   guint count, guint slots, gint64 prefill_us, gint64 token_us)
+                   guint count, guint slots, gint64 prefill_us, gint64 token_us,
+                   const char *version)
 {
   for (guint i = 0; i < count; i++)
     {
@@ -1730,6 +1781,7 @@
                   i + 1);
       server->entry.slots = slots;
       server->entry.start_number = 1;
+      g_strlcpy (server->entry.version, version, sizeof server->entry.version);
       server->prefill_us = prefill_us;
       server->token_us = token_us;
       server->slowdown = 1.0;
@@ -1784,7 +1836,7 @@
       = { "crash",      "restart",  "slow",   "leave",     "stop", "unstop",
           "kill",       "revive",   "pause",  "drain",     "cut",  "heal",
           "store-down", "store-up", "edit",   "store-old", "show", "break",
-          "limit",      "announce", "refuse", NULL };
+          "limit",      "announce", "refuse", "upgrade",   NULL };
   gboolean needs_subject = !g_str_has_prefix (verb, "store-")
                            && strcmp (verb, "edit") != 0 && strcmp (verb, "cut") != 0
                            && strcmp (verb, "heal") != 0;
@@ -1901,6 +1953,12 @@
   return world->parts;
 }
 
+const StreamWatch *
+world_stream_watch (const World *world)
+{
+  return world->streams;
+}
+
 guint
 world_poisoned_server_count (const World *world)
 {
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -9,6 +9,7 @@
 #define HORNBEAMWALL_TESTS_WORLD_H
 
 #include "part_watch.h"
+#include "stream_watch.h"
 
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/reducer.h"
@@ -41,6 +42,7 @@
   gboolean whole;     /* its answer ends with its connection, without a length, and
                          whole by its form even if the server fails */
   char parts[128];    /* ids of the shared parts; see part_watch_fill() */
+  gboolean resumable; /* streams, which their callers resume if they break */
   guint attempts_max; /* of a request, on different servers; 0: the default */
   gint64 timeout_us;  /* of a request; 0 is none */
   GRand *random;      /* separate, so that every policy receives the same requests */
@@ -87,8 +89,8 @@
 /* Add instances, servers and loads, which start with world_run(). */
 void world_add_instances (World *world, const char *data_centre, guint count);
 void world_add_servers (World *world, const char *pool, const char *data_centre,
-                        guint count, guint slots, gint64 prefill_us,
-                        gint64 token_us);
+                        guint count, guint slots, gint64 prefill_us, gint64 token_us,
+                        const char *version);
 
 /* Sets how long a server takes to restart after a poison request. */
 void world_set_poison_restart (World *world, gint64 restart_us);
@@ -104,7 +106,8 @@
    leaving), refuse (it turns requests away, and wants none for ARGUMENT seconds;
    for both, "none" ends it), leave (the list of
    servers shows it as leaving), stop and unstop (it is added to or removed from the
-   planned stops) apply to a server.  The verbs kill, revive, pause (ARGUMENT is the
+   planned stops) and upgrade (it is killed, and starts again with ARGUMENT as its
+   version) apply to a server.  The verbs kill, revive, pause (ARGUMENT is the
    time in seconds), drain and show (traces the status) apply to an instance.  The
    verbs cut and heal begin and end a partition between SUBJECT and ARGUMENT:
    instances, data centres, "store" or "all"; these names are not checked.  The verbs
@@ -133,6 +136,9 @@
 /* Returns what is known of a part that makes servers fail. */
 PartWatch *world_part_watch (const World *world);
 
+/* Returns what callers got of streams that may be resumed. */
+const StreamWatch *world_stream_watch (const World *world);
+
 /* Returns how many servers failed because of a poison request. */
 guint world_poisoned_server_count (const World *world);
 
--- a/tests/scenario_test.c
+++ b/tests/scenario_test.c
@@ -1,7 +1,8 @@
 /*
  * scenario_test - runs scenario files
  *
- * Without arguments, runs every file of SCENARIO_DIR with the seeds that it names.
+ * Without arguments, runs every file of SCENARIO_DIR with the seeds that it names,
+ * or with --part N/COUNT those at position N, N + COUNT, ... of the list.
  * --table prints the results of each class; --policy replaces the placement policy
  * of the files by a baseline.
  */
@@ -15,6 +16,7 @@
 static int only_seed;
 static int seed_count_max;
 static char *policy;
+static char *part;
 static char *known_failures; /* contents of KNOWN-RED.txt, or NULL */
 static int passed;
 static int failed;
@@ -47,9 +49,9 @@
 }
 
 static gboolean
-run_seed (const Script *script, guint seed)
+run_seed (const Script *script, const char *name, guint seed)
 {
-  const ScriptOptions run = { .seed = seed, .policy = policy, .trace = show_trace };
+  const ScriptOptions run = { .seed = seed, .policy = name, .trace = show_trace };
   World *world = script_run (script, &run);
   if (world == NULL)
     return FALSE;
@@ -57,7 +59,7 @@
   if (show_table)
     print_table (world, seed);
   if (unmet != NULL)
-    printf ("seed %u: %s\n", seed, unmet);
+    printf ("seed %u, policy %s: %s\n", seed, name, unmet);
   gboolean passes = unmet == NULL;
   g_free (unmet);
   world_destroy (world);
@@ -79,6 +81,27 @@
   return is_listed;
 }
 
+static gboolean
+run_policy (const Script *script, const char *path, const char *name)
+{
+  gboolean passes = TRUE;
+  guint first;
+  guint last;
+  script_seed_range (script, &first, &last);
+  if (only_seed > 0)
+    first = last = (guint) only_seed;
+  if (seed_count_max > 0)
+    last = MIN (last, first + (guint) seed_count_max - 1);
+  if (show_table)
+    printf ("\n%s, policy %s\n\n| seed | class | tier | arrived | in target | good "
+            "tokens | wasted part | refused | open | longest gap s |\n"
+            "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+            path, name);
+  for (guint seed = first; seed <= last; seed++)
+    passes &= run_seed (script, name, seed);
+  return passes;
+}
+
 static void
 run_file (const char *path)
 {
@@ -86,21 +109,11 @@
   gboolean passes = script != NULL;
   if (passes)
     {
-      guint first;
-      guint last;
-      script_seed_range (script, &first, &last);
-      if (only_seed > 0)
-        first = last = (guint) only_seed;
-      if (seed_count_max > 0)
-        last = MIN (last, first + (guint) seed_count_max - 1);
-      if (show_table)
-        printf (
-            "\n%s, policy %s\n\n| seed | class | tier | arrived | in target | good "
-            "tokens | wasted part | refused | open | longest gap s |\n"
-            "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
-            path, policy != NULL ? policy : "as in the file");
-      for (guint seed = first; seed <= last; seed++)
-        passes &= run_seed (script, seed);
+      char **names
+          = policy != NULL ? g_strsplit (policy, ",", -1) : script_policies (script);
+      for (guint i = 0; names[i] != NULL; i++)
+        passes &= run_policy (script, path, names[i]);
+      g_strfreev (names);
       script_destroy (script);
     }
   if (passes)
@@ -114,6 +127,17 @@
     }
 }
 
+static gboolean
+is_in_part (guint position)
+{
+  char *end;
+  if (part == NULL)
+    return TRUE;
+  guint64 number = g_ascii_strtoull (part, &end, 10);
+  guint64 count = *end == '/' ? g_ascii_strtoull (end + 1, NULL, 10) : 1;
+  return position % MAX (count, 1) == number % MAX (count, 1);
+}
+
 static void
 run_directory (const char *directory)
 {
@@ -124,8 +148,10 @@
     if (g_str_has_suffix (name, ".scn"))
       names = g_list_insert_sorted (names, g_build_filename (directory, name, NULL),
                                     (GCompareFunc) strcmp);
+  guint position = 0;
   for (GList *node = names; node != NULL; node = node->next)
-    run_file (node->data);
+    if (is_in_part (position++))
+      run_file (node->data);
   g_list_free_full (names, g_free);
   if (dir != NULL)
     g_dir_close (dir);
@@ -141,6 +167,8 @@
     { "seed", 0, 0, G_OPTION_ARG_INT, &only_seed, "Run one seed", "N" },
     { "most", 0, 0, G_OPTION_ARG_INT, &seed_count_max, "Run at most N seeds", "N" },
     { "policy", 0, 0, G_OPTION_ARG_STRING, &policy, "Baseline policy", "NAME" },
+    { "part", 0, 0, G_OPTION_ARG_STRING, &part, "Run a part of all files",
+      "N/COUNT" },
     { NULL }
   };
   GOptionContext *context = g_option_context_new ("[FILE...]");
