--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -27,23 +27,10 @@
   echo "$name: $line"
 }
 
-# run_part N: every scenario whose position in the list, modulo the parts, is N.
-run_part() {
-  part=$1
-  set -- "$build/tests/scenario_test"
-  [ -z "${SEEDS:-}" ] || set -- "$@" --most "$SEEDS"
-  position=0
-  for file in tests/scenarios/*.scn; do
-    [ $((position % parts)) -ne "$part" ] || set -- "$@" "$file"
-    position=$((position + 1))
-  done
-  run "scenario_test $((part + 1))/$parts" "$@"
-}
-
-cd "$(dirname "$0")/.."
 part=0
 while [ "${SEEDS:-}" != 0 ] && [ "$part" -lt "$parts" ]; do
-  run_part "$part" >"$results/scenarios-$part" &
+  run "scenario_test $part/$parts" "$build/tests/scenario_test" --part "$part/$parts" \
+    ${SEEDS:+--most "$SEEDS"} >"$results/scenarios-$part" &
   part=$((part + 1))
 done
 for test in "$build"/tests/*_test; do
