Streams go on only at servers of the version that began them

What callers saw: streams with events of two versions of a backend server, when the instance retried in mid-stream and when they resumed a stream themselves. Cause: nothing read the version of a server, nothing kept which one had sent the first event, and Resumes was forwarded unread; a retry chose any server.

Now the first event that a caller gets binds its request to the version of the server that sent it, as its entry said when the attempt started. An unknown version equals none. The binding goes with the request to the owner of the shard, and the entry instance compares the entry that it knows before it sends. The instance tells three others, which rendezvous hashing of the request's fingerprint selects, one in each data centre first; where a caller resumes the stream, the instance asks them (6, after 60 ms 16, for 250 ms at most). Whoever names no request is known by its request; if two versions began such streams, or nobody knows, the request is refused with 503 and has not run. No try is taken from the retry budget where no server of the version is in service.

Servers that are upgraded come back under another id, as on the platform, where a request names the id it is for.

--- a/core/ingress.c
+++ b/core/ingress.c
@@ -1,5 +1,6 @@
 #include "hornbeamwall/core/ingress.h"
 
+#include "hornbeamwall/core/ingress_streams.h"
 #include "hornbeamwall/core/ingress_suspects.h"
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/metrics.h"
@@ -111,6 +112,22 @@
   return TRUE;
 }
 
+static gboolean
+select_shard (HbwIngress *ingress, HbwContext *context, HbwRequest *request)
+{
+  if (ingress->topology == NULL)
+    return FALSE;
+  if (request->spec.version_hash != 0)
+    return hbw_topology_find_version (ingress->topology, &request->spec,
+                                      context->data_centre, request->avoid_server,
+                                      &request->shard);
+  gboolean spill_allowed
+      = request->spill_allowed && ingress->spilled_waiting < HBW_SPILL_WAITING_MAX;
+  return hbw_shard_router_select_shard (ingress->shard_router, context,
+                                        ingress->topology, &request->spec,
+                                        spill_allowed, &request->shard);
+}
+
 /* Chooses a shard and requests a grant from its owner; refuses the request if no
    shard is known. */
 static void
@@ -119,14 +136,11 @@
   if (refuse_for_part (ingress, context, request))
     return;
   set_spilled (ingress, request, FALSE);
-  gboolean spill_allowed
-      = request->spill_allowed && ingress->spilled_waiting < HBW_SPILL_WAITING_MAX;
-  if (ingress->topology == NULL
-      || !hbw_shard_router_select_shard (ingress->shard_router, context,
-                                         ingress->topology, &request->spec,
-                                         spill_allowed, &request->shard))
+  if (!select_shard (ingress, context, request))
     {
-      refuse_request (ingress, context, request, HBW_REASON_NO_SERVER,
+      refuse_request (ingress, context, request,
+                      request->spec.version_hash != 0 ? HBW_REASON_VERSION_GONE
+                                                      : HBW_REASON_NO_SERVER,
                       RETRY_AFTER_DEFAULT_US);
       return;
     }
@@ -238,7 +252,8 @@
   if (not_executed && end->outcome != HBW_OUTCOME_REFUSED && !misdirected)
     return TRUE;
   if ((!misdirected && !has_attempts_left (request))
-      || (!not_executed && !may_rerun (request, end)))
+      || (!not_executed && !may_rerun (request, end))
+      || !hbw_ingress_streams_has_server (context, ingress->topology, request))
     return FALSE;
   return hbw_retry_budget_consume (ingress->budget, request->spec.pool,
                                    count_known_instances (context), context->now_us);
@@ -314,6 +329,43 @@
   ingress->topology = topology;
 }
 
+/* Requests a grant, or waits for the limits of the organisation. */
+static void
+begin_request (HbwIngress *ingress, HbwContext *context, HbwRequest *request)
+{
+  if (hbw_limiter_try_acquire (ingress->limiter, context, &request->spec))
+    {
+      request->limit_held = TRUE;
+      request_grant (ingress, context, request);
+      return;
+    }
+  request->state = HBW_REQUEST_LIMITED;
+  hbw_limiter_add_waiter (ingress->limiter, context, &request->spec);
+}
+
+static void
+handle_resumption (HbwIngress *ingress, HbwContext *context, HbwRequest *request,
+                   HbwResumption resumption)
+{
+  if (resumption == HBW_RESUMPTION_READY)
+    begin_request (ingress, context, request);
+  else if (resumption == HBW_RESUMPTION_UNKNOWN)
+    refuse_request (ingress, context, request, HBW_REASON_STREAM_UNKNOWN,
+                    RETRY_AFTER_DEFAULT_US);
+}
+
+void
+hbw_ingress_handle_stream_version (HbwIngress *ingress, HbwContext *context,
+                                   guint64 key)
+{
+  HbwRequest *request;
+  HbwRequest *next;
+  cds_list_for_each_entry_safe (request, next, &ingress->order, link)
+    if (request->state == HBW_REQUEST_ASKING && request->resumed_key == key)
+      handle_resumption (ingress, context, request,
+                         hbw_ingress_streams_update (context, request));
+}
+
 void
 hbw_ingress_handle_arrival (HbwIngress *ingress, HbwContext *context,
                             const HbwArrival *arrival)
@@ -336,14 +388,9 @@
     }
   hbw_ingress_suspects_update (ingress->suspects, context,
                                &request->spec.fingerprint);
-  if (hbw_limiter_try_acquire (ingress->limiter, context, &request->spec))
-    {
-      request->limit_held = TRUE;
-      request_grant (ingress, context, request);
-      return;
-    }
-  request->state = HBW_REQUEST_LIMITED;
-  hbw_limiter_add_waiter (ingress->limiter, context, &request->spec);
+  request->state = HBW_REQUEST_ASKING;
+  handle_resumption (ingress, context, request,
+                     hbw_ingress_streams_prepare (context, request, arrival));
 }
 
 void
@@ -389,6 +436,8 @@
       || request->attempt != first_token->attempt)
     return;
   request->first_token_seen = TRUE;
+  if (first_token->is_event)
+    hbw_ingress_streams_handle_event (context, ingress->topology, request);
   hbw_request_send_begun (request, context, first_token);
 }
 
@@ -449,18 +498,6 @@
   g_strlcpy (start->address, grant->address, sizeof start->address);
 }
 
-static void
-set_attempt_version (const HbwIngress *ingress, HbwRequest *request)
-{
-  HbwShardKey key;
-  const HbwServerEntry *entry
-      = ingress->topology != NULL
-            ? hbw_topology_find_server (ingress->topology, request->server, &key)
-            : NULL;
-  g_strlcpy (request->version, entry != NULL ? entry->version : "",
-             sizeof request->version);
-}
-
 void
 hbw_ingress_handle_grant (HbwIngress *ingress, HbwContext *context, guint64 from,
                           const HbwGrant *grant)
@@ -476,6 +513,11 @@
       return_unused_grant (context, from, grant);
       return;
     }
+  if (!hbw_ingress_streams_accepts (ingress->topology, request, grant))
+    {
+      return_unused_grant (context, from, grant);
+      return;
+    }
   if (hbw_ingress_suspects_may_not_run (context, request))
     {
       return_unused_grant (context, from, grant);
@@ -496,7 +538,7 @@
   g_strlcpy (request->server, grant->server, sizeof request->server);
   g_strlcpy (request->address, grant->address, sizeof request->address);
   request->facts = grant->facts;
-  set_attempt_version (ingress, request);
+  hbw_ingress_streams_start_attempt (ingress->topology, request);
   hbw_ingress_suspects_update (ingress->suspects, context,
                                &request->spec.fingerprint);
   hbw_request_log_attempt_started (request, context);
@@ -595,6 +637,8 @@
 static void
 tick_request (HbwIngress *ingress, HbwContext *context, HbwRequest *request)
 {
+  if (request->state == HBW_REQUEST_RUNNING)
+    hbw_ingress_streams_refresh (context, request);
   if (request->state == HBW_REQUEST_RUNNING
       && is_past_timeout (request, context->now_us))
     {
@@ -605,8 +649,15 @@
       && hbw_request_is_past_deadline (request, context->now_us))
     refuse_request (ingress, context, request, HBW_REASON_DEADLINE,
                     RETRY_AFTER_DEFAULT_US);
+  else if (request->state == HBW_REQUEST_ASKING)
+    handle_resumption (ingress, context, request,
+                       hbw_ingress_streams_update (context, request));
   else if (request->state == HBW_REQUEST_LIMITED)
     retry_limiter (ingress, context, request);
+  else if (request->state == HBW_REQUEST_WAITING
+           && !hbw_ingress_streams_has_server (context, ingress->topology, request))
+    refuse_request (ingress, context, request, HBW_REASON_VERSION_GONE,
+                    RETRY_AFTER_DEFAULT_US);
   else
     refresh_owner (ingress, context, request);
 }
--- a/core/metrics.c
+++ b/core/metrics.c
@@ -158,13 +158,14 @@
                     metrics->control.server_checks[i]);
   render_counter (text, "store_calls", "document", "suspects",
                   metrics->control.suspect_store_calls);
-  g_string_append_printf (text,
-                          "hornbeamwall_server_pauses_total %" G_GUINT64_FORMAT "\n"
-                          "hornbeamwall_permits_asked_total %" G_GUINT64_FORMAT "\n"
-                          "hornbeamwall_permits_given_total %" G_GUINT64_FORMAT "\n",
-                          metrics->control.server_pauses,
-                          metrics->control.permits_asked,
-                          metrics->control.permits_given);
+  g_string_append_printf (
+      text,
+      "hornbeamwall_server_pauses_total %" G_GUINT64_FORMAT "\n"
+      "hornbeamwall_stream_questions_total %" G_GUINT64_FORMAT "\n"
+      "hornbeamwall_permits_asked_total %" G_GUINT64_FORMAT "\n"
+      "hornbeamwall_permits_given_total %" G_GUINT64_FORMAT "\n",
+      metrics->control.server_pauses, metrics->control.stream_questions,
+      metrics->control.permits_asked, metrics->control.permits_given);
   g_string_append_printf (
       text, "hornbeamwall_grants_handed_back_total %" G_GUINT64_FORMAT "\n",
       metrics->control.grants_handed_back);
--- a/core/policy.c
+++ b/core/policy.c
@@ -43,6 +43,8 @@
 server_fits (const HbwShard *shard, HbwContext *context, const HbwServer *server,
              const HbwGrantRequest *want, gboolean suspect)
 {
+  if (!hbw_server_has_version (server, &want->spec))
+    return FALSE;
   if (!hbw_server_has_room (server, &want->spec, may_overcommit (shard, &want->spec),
                             context->now_us))
     return FALSE;
@@ -90,7 +92,8 @@
     {
       HbwServer *server = g_ptr_array_index (shard->servers, i);
       gboolean avoid = strcmp (server->entry.id, want->avoid_server) == 0;
-      if (!avoid && hbw_server_is_usable (server))
+      if (!avoid && hbw_server_is_usable (server)
+          && hbw_server_has_version (server, &want->spec))
         other_usable = TRUE;
       if (!server_fits (shard, context, server, want, suspect))
         continue;
@@ -204,13 +207,13 @@
 
 static HbwServer *
 round_robin_select_server (HbwShard *shard, HbwContext *context G_GNUC_UNUSED,
-                           const HbwTicket *ticket G_GNUC_UNUSED)
+                           const HbwTicket *ticket)
 {
   for (guint i = 0; i < shard->servers->len; i++)
     {
       guint index = shard->rotation_index++ % shard->servers->len;
       HbwServer *server = g_ptr_array_index (shard->servers, index);
-      if (!server->stopping)
+      if (!server->stopping && hbw_server_has_version (server, &ticket->want.spec))
         return server;
     }
   return NULL;
--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -257,7 +257,9 @@
 {
   if (!is_model_request (spec))
     return PLAIN_SLOTS_PERCENT;
-  return spec->tier == 0 ? MODEL_SLOTS_TOP_TIER_PERCENT : MODEL_SLOTS_PERCENT;
+  /* A request that is bound to a version may have few servers to choose from. */
+  gboolean uses_all = spec->tier == 0 || spec->version_hash != 0;
+  return uses_all ? MODEL_SLOTS_TOP_TIER_PERCENT : MODEL_SLOTS_PERCENT;
 }
 
 static gboolean
@@ -265,7 +267,7 @@
           const HbwServerWork *load)
 {
   const HbwRequestSpec *spec = &selection->want->spec;
-  if (server->stopping)
+  if (server->stopping || !hbw_server_has_version (server, spec))
     return FALSE;
   if (!selection->ignore_state
       && !hbw_server_has_room (server, spec, spec->tier == 0,
@@ -289,14 +291,18 @@
 {
   const GPtrArray *servers = selection->shard->servers;
   guint position = 0;
+  guint count = 0;
   if (!selection->suspect || selection->slice.count <= 1)
     return TRUE;
   for (guint i = 0; i < servers->len; i++)
     {
       const HbwServer *other = g_ptr_array_index (servers, i);
+      if (!hbw_server_has_version (other, &selection->want->spec))
+        continue;
+      count++;
       position += other->id_hash < server->id_hash;
     }
-  return hbw_server_slice_has (&selection->slice, position, servers->len);
+  return hbw_server_slice_has (&selection->slice, position, count);
 }
 
 static HbwServer *
@@ -360,7 +366,8 @@
   for (guint i = 0; i < shard->servers->len; i++)
     {
       const HbwServer *server = g_ptr_array_index (shard->servers, i);
-      if (!hbw_server_is_usable (server))
+      if (!hbw_server_is_usable (server)
+          || !hbw_server_has_version (server, &want->spec))
         continue;
       const HbwServerWork load = estimate_server_load (&selection, server);
       guint unread = hbw_server_uncached_tokens (server, &want->spec);
--- a/core/queue.c
+++ b/core/queue.c
@@ -1,8 +1,10 @@
 #include "hornbeamwall/core/queue.h"
 
 /* Most requests of one organisation that the filter rejects before the search goes
-   on with the next organisation. */
+   on with the next organisation.  Those that are bound to a version count less, as
+   one that finds no room says little about the others. */
 #define FILTER_CANDIDATES_MAX 8
+#define FILTER_BOUND_CANDIDATES 8 /* that count as one */
 
 /* Multiple of the expected service time that must fit before the deadline, because
    output lengths vary and a response after the deadline is wasted. */
@@ -132,7 +134,8 @@
     {
       if (filter == NULL || filter (ticket, data))
         return ticket;
-      if (++rejected >= FILTER_CANDIDATES_MAX)
+      rejected += ticket->want.spec.version_hash != 0 ? 1 : FILTER_BOUND_CANDIDATES;
+      if (rejected >= FILTER_CANDIDATES_MAX * FILTER_BOUND_CANDIDATES)
         return NULL;
     }
   return NULL;
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -7,6 +7,7 @@
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/server_notice.h"
 #include "hornbeamwall/core/status.h"
+#include "hornbeamwall/core/stream_versions.h"
 #include "hornbeamwall/core/suspect_share.h"
 
 #include <string.h>
@@ -276,6 +277,12 @@
       hbw_ingress_handle_suspect (reducer->ingress, context,
                                   &message->suspect.fingerprint);
       break;
+    case HBW_MESSAGE_STREAM_VERSION:
+      hbw_stream_versions_handle_message (context->stream_versions, context,
+                                          message);
+      hbw_ingress_handle_stream_version (reducer->ingress, context,
+                                         message->stream_version.key);
+      break;
     case HBW_MESSAGE_CLEARED_PARTS:
       hbw_quarantine_merge_cleared_parts (context->quarantine,
                                           &message->cleared_parts, context->now_us);
@@ -560,6 +567,7 @@
     hbw_quarantine_suspend_verdicts (context->quarantine, config->now_us,
                                      G_MAXINT64);
   context->server_notices = hbw_server_notices_create ();
+  context->stream_versions = hbw_stream_versions_create ();
   context->load_share
       = config->policy->spans_data_centres ? hbw_load_share_create () : NULL;
   hbw_membership_set_ping_decorator (context->membership, fill_ping, reducer);
@@ -613,6 +621,7 @@
   hbw_quarantine_destroy (context->quarantine);
   hbw_suspect_share_destroy (context->suspect_share);
   hbw_server_notices_destroy (context->server_notices);
+  hbw_stream_versions_destroy (context->stream_versions);
   if (context->load_share != NULL)
     hbw_load_share_destroy (context->load_share);
   g_hash_table_unref (context->planned_stops);
@@ -709,9 +718,11 @@
       text,
       "hornbeamwall_suspects %u\n"
       "hornbeamwall_suspects_evicted_total %" G_GUINT64_FORMAT "\n"
-      "hornbeamwall_servers_limited %u\n",
+      "hornbeamwall_servers_limited %u\n"
+      "hornbeamwall_stream_versions %u\n",
       hbw_quarantine_size (quarantine), hbw_quarantine_evicted_count (quarantine),
-      hbw_server_notices_count_limited (reducer->context.server_notices));
+      hbw_server_notices_count_limited (reducer->context.server_notices),
+      hbw_stream_versions_count (reducer->context.stream_versions));
 }
 
 static HbwStatusSource
--- a/core/request.c
+++ b/core/request.c
@@ -126,6 +126,9 @@
   want->spec = request->spec;
   want->spec.first_token_target_us = hbw_request_remaining_us (
       request, request->spec.first_token_target_us, context->now_us);
+  /* The caller of a stream that has begun waits for its next event. */
+  if (request->spec.version_hash != 0)
+    want->spec.first_token_target_us = request->spec.inter_token_target_us;
   if (request->spec.deadline_us > 0)
     want->spec.deadline_us
         = MAX (1, hbw_request_remaining_us (request, request->spec.deadline_us,
--- a/core/server.c
+++ b/core/server.c
@@ -203,6 +203,12 @@
   return spec->prompt_tokens - MIN (cached, spec->prompt_tokens);
 }
 
+gboolean
+hbw_server_has_version (const HbwServer *server, const HbwRequestSpec *spec)
+{
+  return spec->version_hash == 0 || spec->version_hash == server->entry.version_hash;
+}
+
 gboolean
 hbw_server_has_room (const HbwServer *server, const HbwRequestSpec *spec,
                      gboolean overcommit, gint64 now_us)
--- /dev/null
+++ b/core/stream_versions.c
@@ -0,0 +1,236 @@
+#include "hornbeamwall/core/stream_versions.h"
+
+#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/metrics.h"
+
+#include <string.h>
+#include <urcu/list.h>
+#include <xxhash.h>
+
+typedef struct
+{
+  struct cds_list_head link; /* in the order in which they were last heard of */
+  guint64 key;
+  guint64 version_hash; /* 0: different versions were recorded */
+  gint64 heard_us;
+} Record;
+
+struct HbwStreamVersions
+{
+  GHashTable *records; /* key -> Record */
+  struct cds_list_head order;
+};
+
+HbwStreamVersions *
+hbw_stream_versions_create (void)
+{
+  HbwStreamVersions *versions = g_new0 (HbwStreamVersions, 1);
+  versions->records
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  CDS_INIT_LIST_HEAD (&versions->order);
+  return versions;
+}
+
+void
+hbw_stream_versions_destroy (HbwStreamVersions *versions)
+{
+  g_hash_table_destroy (versions->records);
+  g_free (versions);
+}
+
+guint64
+hbw_stream_key (const char *organisation, const char *request_id)
+{
+  if (*request_id == '\0')
+    return 0;
+  guint64 seed = XXH3_64bits (organisation, strlen (organisation));
+  return MAX (1, XXH3_64bits_withSeed (request_id, strlen (request_id), seed));
+}
+
+guint64
+hbw_stream_fingerprint_key (const HbwFingerprint *fingerprint)
+{
+  return MAX (1, fingerprint->high ^ fingerprint->low);
+}
+
+static void
+remove_record (HbwStreamVersions *versions, Record *record)
+{
+  cds_list_del (&record->link);
+  g_hash_table_remove (versions->records, &record->key);
+}
+
+static void
+remove_old (HbwStreamVersions *versions, gint64 now_us)
+{
+  while (!cds_list_empty (&versions->order))
+    {
+      Record *oldest = cds_list_first_entry (&versions->order, Record, link);
+      if (g_hash_table_size (versions->records) <= HBW_STREAM_VERSIONS_MAX
+          && now_us - oldest->heard_us <= HBW_STREAM_VERSION_KEEP_US)
+        return;
+      remove_record (versions, oldest);
+    }
+}
+
+static void
+record_version (HbwStreamVersions *versions, guint64 key, guint64 version_hash,
+                gint64 now_us)
+{
+  Record *record = g_hash_table_lookup (versions->records, &key);
+  if (record != NULL)
+    cds_list_del (&record->link);
+  else
+    {
+      record = g_new0 (Record, 1);
+      record->key = key;
+      record->version_hash = version_hash;
+      g_hash_table_insert (versions->records, &record->key, record);
+    }
+  if (record->version_hash != version_hash)
+    record->version_hash = 0;
+  record->heard_us = now_us;
+  cds_list_add_tail (&record->link, &versions->order);
+  remove_old (versions, now_us);
+}
+
+/* --- holders --------------------------------------------------------------- */
+
+typedef struct
+{
+  guint64 identity;
+  const char *data_centre; /* borrowed */
+  guint64 weight;
+  guint rank; /* in its data centre */
+} Holder;
+
+typedef struct
+{
+  GArray *holders; /* Holder */
+  char key[17];
+} HolderSearch;
+
+static void
+add_holder (const HbwMemberUpdate *member, void *data)
+{
+  HolderSearch *search = data;
+  const Holder holder = { member->identity, member->data_centre,
+                          hbw_rendezvous_weight (member->identity, search->key), 0 };
+  g_array_append_val (search->holders, holder);
+}
+
+static int
+compare_weights (gconstpointer a, gconstpointer b)
+{
+  const Holder *left = a;
+  const Holder *right = b;
+  return left->weight < right->weight ? 1 : -(left->weight > right->weight);
+}
+
+static int
+compare_ranks (gconstpointer a, gconstpointer b)
+{
+  const Holder *left = a;
+  const Holder *right = b;
+  return left->rank != right->rank ? (left->rank < right->rank ? -1 : 1)
+                                   : compare_weights (a, b);
+}
+
+/* Returns the other instances: the first of each data centre, then the second of
+   each, and so on. */
+static GArray *
+sort_holders (HbwContext *context, guint64 key)
+{
+  HolderSearch search = { g_array_new (FALSE, FALSE, sizeof (Holder)), "" };
+  g_snprintf (search.key, sizeof search.key, "%016" G_GINT64_MODIFIER "x", key);
+  hbw_membership_foreach (context->membership, add_holder, &search);
+  g_array_sort (search.holders, compare_weights);
+  for (guint i = 0; i < search.holders->len; i++)
+    {
+      Holder *holder = &g_array_index (search.holders, Holder, i);
+      for (guint k = 0; k < i; k++)
+        holder->rank
+            += strcmp (g_array_index (search.holders, Holder, k).data_centre,
+                       holder->data_centre)
+               == 0;
+    }
+  g_array_sort (search.holders, compare_ranks);
+  return search.holders;
+}
+
+static void
+send_to_holders (HbwContext *context, const HbwStreamVersion *report,
+                 guint64 fingerprint_key, guint count)
+{
+  HbwMessage message
+      = { .kind = HBW_MESSAGE_STREAM_VERSION, .stream_version = *report };
+  GArray *holders = sort_holders (context, fingerprint_key);
+  for (guint i = 0; i < MIN (count, holders->len); i++)
+    hbw_context_send (context, g_array_index (holders, Holder, i).identity,
+                      &message);
+  g_array_free (holders, TRUE);
+}
+
+static void
+record_report (HbwStreamVersions *versions, const HbwStreamVersion *report,
+               gint64 now_us)
+{
+  if (report->key != 0)
+    record_version (versions, report->key, report->version_hash, now_us);
+  if (report->fingerprint_key != 0)
+    record_version (versions, report->fingerprint_key, report->version_hash, now_us);
+}
+
+void
+hbw_stream_versions_tell (HbwStreamVersions *versions, HbwContext *context,
+                          guint64 key, guint64 fingerprint_key, guint64 version_hash)
+{
+  const HbwStreamVersion report = { key, fingerprint_key, version_hash };
+  record_report (versions, &report, context->now_us);
+  send_to_holders (context, &report, fingerprint_key, HBW_STREAM_HOLDERS);
+}
+
+void
+hbw_stream_versions_ask (HbwStreamVersions *versions G_GNUC_UNUSED,
+                         HbwContext *context, guint64 key, guint64 fingerprint_key,
+                         guint count)
+{
+  const HbwStreamVersion question = { .key = key };
+  hbw_metrics_control (context->metrics)->stream_questions++;
+  send_to_holders (context, &question, fingerprint_key, count);
+}
+
+void
+hbw_stream_versions_handle_message (HbwStreamVersions *versions, HbwContext *context,
+                                    const HbwMessage *message)
+{
+  const HbwStreamVersion *report = &message->stream_version;
+  HbwMessage answer = { .kind = HBW_MESSAGE_STREAM_VERSION };
+  HbwStreamVersion *known = &answer.stream_version;
+  if (report->version_hash != 0)
+    {
+      record_report (versions, report, context->now_us);
+      return;
+    }
+  known->key = report->key;
+  if (hbw_stream_versions_find (versions, report->key, context->now_us,
+                                &known->version_hash)
+      && known->version_hash != 0)
+    hbw_context_send (context, message->from, &answer);
+}
+
+gboolean
+hbw_stream_versions_find (HbwStreamVersions *versions, guint64 key, gint64 now_us,
+                          guint64 *version_hash)
+{
+  remove_old (versions, now_us);
+  const Record *record = g_hash_table_lookup (versions->records, &key);
+  *version_hash = record != NULL ? record->version_hash : 0;
+  return record != NULL;
+}
+
+guint
+hbw_stream_versions_count (const HbwStreamVersions *versions)
+{
+  return g_hash_table_size (versions->records);
+}
--- a/core/topology.c
+++ b/core/topology.c
@@ -162,6 +162,31 @@
   return NULL;
 }
 
+gboolean
+hbw_topology_find_version (const HbwTopology *topology, const HbwRequestSpec *spec,
+                           const char *data_centre, const char *avoid_server,
+                           HbwShardKey *key)
+{
+  int best = -1;
+  for (guint i = 0; i < topology->shards->len; i++)
+    {
+      const Shard *shard = g_ptr_array_index (topology->shards, i);
+      for (guint k = 0; k < shard->servers->len; k++)
+        {
+          const HbwServerEntry *server = g_ptr_array_index (shard->servers, k);
+          if (server->leaving || server->version_hash != spec->version_hash)
+            continue;
+          int value = 2 * (strcmp (server->id, avoid_server) != 0)
+                      + (strcmp (server->data_centre, data_centre) == 0);
+          if (value <= best)
+            continue;
+          best = value;
+          *key = shard->key;
+        }
+    }
+  return best >= 0;
+}
+
 const HbwServerEntry *
 hbw_topology_find_server_by_hash (const HbwTopology *topology, guint64 hash)
 {
--- a/core/types.c
+++ b/core/types.c
@@ -31,6 +31,8 @@
   [HBW_REASON_NO_CATALOGUE] = "no_catalogue",
   [HBW_REASON_NO_ENDPOINT] = "no_endpoint",
   [HBW_REASON_NO_KEY] = "no_key",
+  [HBW_REASON_STREAM_UNKNOWN] = "stream_unknown",
+  [HBW_REASON_VERSION_GONE] = "version_gone",
 };
 
 const char *
--- a/include/hornbeamwall/core/context.h
+++ b/include/hornbeamwall/core/context.h
@@ -12,6 +12,7 @@
 typedef struct HbwMetrics HbwMetrics;
 typedef struct HbwQuarantine HbwQuarantine;
 typedef struct HbwServerNotices HbwServerNotices;
+typedef struct HbwStreamVersions HbwStreamVersions;
 typedef struct HbwSuspectShare HbwSuspectShare;
 
 /* Values of catalogue_confirmed_by that are not instances. */
@@ -40,6 +41,7 @@
   HbwQuarantine *quarantine;
   HbwSuspectShare *suspect_share;
   HbwServerNotices *server_notices;
+  HbwStreamVersions *stream_versions;
 } HbwContext;
 
 /* Sends a copy of MESSAGE to the instance TO; drops it if that is unknown. */
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -108,6 +108,7 @@
   gint64 timeout_us;     /* until the response must be complete; 0 is none */
   guint attempts_max;    /* servers it may be sent to; 0 selects HBW_ATTEMPTS_MAX */
   gboolean resumable;    /* another server may continue its stream */
+  guint64 version_hash;  /* of the servers that may run it; 0: of any version */
   guint prompt_tokens;   /* 0 if unknown */
   guint part_count;
   HbwPromptPart parts[HBW_PROMPT_PARTS_MAX]; /* in the order of the prompt */
@@ -127,13 +128,14 @@
   HBW_MESSAGE_DONE,         /* an attempt has ended */
   HBW_MESSAGE_DOCUMENT_ASK, /* requests a version newer than the given one */
   HBW_MESSAGE_DOCUMENT,
-  HBW_MESSAGE_SUSPECT,       /* server failures attributed to a fingerprint */
-  HBW_MESSAGE_DEMAND,        /* demand for an organisation's limits */
-  HBW_MESSAGE_SHARE,         /* the limit coordinator's response to a demand */
-  HBW_MESSAGE_BEGUN,         /* first token of an attempt received */
-  HBW_MESSAGE_LOADS,         /* work that an instance has in progress on servers */
-  HBW_MESSAGE_SERVER_NOTICE, /* what a server says of itself, and permits */
-  HBW_MESSAGE_CLEARED_PARTS, /* parts of prompts that did not make servers fail */
+  HBW_MESSAGE_SUSPECT,        /* server failures attributed to a fingerprint */
+  HBW_MESSAGE_DEMAND,         /* demand for an organisation's limits */
+  HBW_MESSAGE_SHARE,          /* the limit coordinator's response to a demand */
+  HBW_MESSAGE_BEGUN,          /* first token of an attempt received */
+  HBW_MESSAGE_LOADS,          /* work that an instance has in progress on servers */
+  HBW_MESSAGE_SERVER_NOTICE,  /* what a server says of itself, and permits */
+  HBW_MESSAGE_CLEARED_PARTS,  /* parts of prompts that did not make servers fail */
+  HBW_MESSAGE_STREAM_VERSION, /* which version began a stream, or who knows it */
   HBW_MESSAGE_COUNT,
 } HbwMessageKind;
 
@@ -360,6 +362,14 @@
   guint permits_given;  /* the owner gives them to the receiver */
 } HbwServerNoticeReport;
 
+/* The version of the server that sent the first event of a stream. */
+typedef struct
+{
+  guint64 key;             /* as by hbw_stream_key(), or 0 */
+  guint64 fingerprint_key; /* as by hbw_stream_fingerprint_key(), or 0 */
+  guint64 version_hash;    /* 0: the sender asks for that of KEY */
+} HbwStreamVersion;
+
 typedef struct
 {
   HbwMessageKind kind;
@@ -379,6 +389,7 @@
     HbwRates rates; /* DEMAND, SHARE */
     HbwServerNoticeReport notice;
     HbwClearedParts cleared_parts;
+    HbwStreamVersion stream_version;
   };
 } HbwMessage;
 
--- a/include/hornbeamwall/core/request.h
+++ b/include/hornbeamwall/core/request.h
@@ -13,6 +13,7 @@
 
 typedef enum
 {
+  HBW_REQUEST_ASKING,  /* waits for the version of the stream that it resumes */
   HBW_REQUEST_LIMITED, /* waits for its organisation's limits */
   HBW_REQUEST_WAITING, /* waits for a grant */
   HBW_REQUEST_RUNNING, /* an attempt is in progress */
@@ -47,6 +48,15 @@
   char version[HBW_VERSION_MAX];   /* of its software, by its entry at the start of
                                       the attempt; "" if unknown */
   char avoid_server[HBW_NAME_MAX]; /* server of the last attempt, if that failed */
+
+  /* Of a stream; see ingress_streams.h. */
+  guint64 stream_key;           /* under which its version is told; 0 is none */
+  guint64 resumed_key;          /* of the stream that it resumes; 0 is none */
+  guint64 attempt_version_hash; /* of the server of the attempt; 0 if unknown */
+  gboolean is_version_lost;     /* events came from a server of unknown version */
+  gboolean has_asked_more;      /* while ASKING */
+  gint64 told_us;               /* when the others were told; 0 is never */
+  guint64 told_epoch;           /* of the membership, at that time */
 } HbwRequest;
 
 /* Returns the remainder, in microseconds, of a duration that began when the request
--- a/include/hornbeamwall/core/server.h
+++ b/include/hornbeamwall/core/server.h
@@ -61,6 +61,10 @@
 /* Returns whether the server is up and not stopping. */
 gboolean hbw_server_is_usable (const HbwServer *server);
 
+/* Returns whether the server has the version to which SPEC is bound, if it is. */
+gboolean hbw_server_has_version (const HbwServer *server,
+                                 const HbwRequestSpec *spec);
+
 /* Returns whether a request of SPEC fits now; with OVERCOMMIT the limit may be
    exceeded by HBW_SERVER_OVERCOMMIT_PERCENT, or by less if the measured
    inter-token time leaves less headroom below the request's target. */
--- a/include/hornbeamwall/core/topology.h
+++ b/include/hornbeamwall/core/topology.h
@@ -35,6 +35,14 @@
 const HbwServerEntry *hbw_topology_find_server (const HbwTopology *topology,
                                                 const char *id, HbwShardKey *key);
 
+/* Returns whether a server in service may run requests of SPEC, which is bound to a
+   version, and sets KEY to the shard of one: if possible, not AVOID_SERVER, and in
+   DATA_CENTRE. */
+gboolean hbw_topology_find_version (const HbwTopology *topology,
+                                    const HbwRequestSpec *spec,
+                                    const char *data_centre,
+                                    const char *avoid_server, HbwShardKey *key);
+
 /* Returns the entry of the server whose id has the hash HASH (borrowed), or NULL. */
 const HbwServerEntry *hbw_topology_find_server_by_hash (const HbwTopology *topology,
                                                         guint64 hash);
--- a/include/hornbeamwall/core/types.h
+++ b/include/hornbeamwall/core/types.h
@@ -62,7 +62,9 @@
   HBW_REASON_TIMEOUT,      /* the endpoint's timeout has passed */
   HBW_REASON_NO_CATALOGUE, /* none is known yet, or it is too old to decide */
   HBW_REASON_NO_ENDPOINT,
-  HBW_REASON_NO_KEY, /* API key missing or unknown */
+  HBW_REASON_NO_KEY,         /* API key missing or unknown */
+  HBW_REASON_STREAM_UNKNOWN, /* nobody says which version began the stream */
+  HBW_REASON_VERSION_GONE,   /* no server of that version is in service */
   HBW_REASON_COUNT,
 } HbwReason;
 
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -120,6 +120,7 @@
   msgpack_pack_array (packer, spec->part_count);
   for (guint i = 0; i < spec->part_count; i++)
     pack_part (packer, &spec->parts[i]);
+  msgpack_pack_uint64 (packer, spec->version_hash);
 }
 
 static void
@@ -329,6 +330,11 @@
     case HBW_MESSAGE_CLEARED_PARTS:
       pack_cleared_parts (packer, &message->cleared_parts);
       break;
+    case HBW_MESSAGE_STREAM_VERSION:
+      msgpack_pack_uint64 (packer, message->stream_version.key);
+      msgpack_pack_uint64 (packer, message->stream_version.fingerprint_key);
+      msgpack_pack_uint64 (packer, message->stream_version.version_hash);
+      break;
     default: /* HBW_MESSAGE_DEMAND or HBW_MESSAGE_SHARE */
       msgpack_pack_uint32 (packer, message->rates.level);
       pack_text (packer, message->rates.organisation);
@@ -341,15 +347,16 @@
 
 /* Number of fields that pack_fields() packs, by kind. */
 static const guint field_counts[HBW_MESSAGE_COUNT] = {
-  [HBW_MESSAGE_PING] = 10,         [HBW_MESSAGE_ACK] = 10,
-  [HBW_MESSAGE_PROBE_FOR] = 10,    [HBW_MESSAGE_WANT] = 27,
-  [HBW_MESSAGE_WITHDRAW] = 5,      [HBW_MESSAGE_GRANT] = 14,
-  [HBW_MESSAGE_REFUSAL] = 5,       [HBW_MESSAGE_ACTIVE] = 10,
-  [HBW_MESSAGE_DONE] = 11,         [HBW_MESSAGE_DOCUMENT_ASK] = 4,
-  [HBW_MESSAGE_DOCUMENT] = 4,      [HBW_MESSAGE_SUSPECT] = 14,
-  [HBW_MESSAGE_DEMAND] = 5,        [HBW_MESSAGE_SHARE] = 5,
-  [HBW_MESSAGE_BEGUN] = 7,         [HBW_MESSAGE_LOADS] = 2,
-  [HBW_MESSAGE_SERVER_NOTICE] = 8, [HBW_MESSAGE_CLEARED_PARTS] = 1,
+  [HBW_MESSAGE_PING] = 10,          [HBW_MESSAGE_ACK] = 10,
+  [HBW_MESSAGE_PROBE_FOR] = 10,     [HBW_MESSAGE_WANT] = 28,
+  [HBW_MESSAGE_WITHDRAW] = 5,       [HBW_MESSAGE_GRANT] = 14,
+  [HBW_MESSAGE_REFUSAL] = 5,        [HBW_MESSAGE_ACTIVE] = 10,
+  [HBW_MESSAGE_DONE] = 11,          [HBW_MESSAGE_DOCUMENT_ASK] = 4,
+  [HBW_MESSAGE_DOCUMENT] = 4,       [HBW_MESSAGE_SUSPECT] = 14,
+  [HBW_MESSAGE_DEMAND] = 5,         [HBW_MESSAGE_SHARE] = 5,
+  [HBW_MESSAGE_BEGUN] = 7,          [HBW_MESSAGE_LOADS] = 2,
+  [HBW_MESSAGE_SERVER_NOTICE] = 8,  [HBW_MESSAGE_CLEARED_PARTS] = 1,
+  [HBW_MESSAGE_STREAM_VERSION] = 3,
 };
 
 void
--- a/net/codec_unpack.c
+++ b/net/codec_unpack.c
@@ -208,6 +208,8 @@
       parts.failed |= inner.failed;
     }
   reader->failed |= parts.failed;
+  if (!reader->failed && reader->next < reader->count)
+    spec->version_hash = hbw_field_reader_unpack_uint (reader, G_MAXUINT64);
 }
 
 static void
@@ -463,6 +465,14 @@
     case HBW_MESSAGE_CLEARED_PARTS:
       unpack_cleared_parts (reader, &message->cleared_parts);
       break;
+    case HBW_MESSAGE_STREAM_VERSION:
+      message->stream_version.key
+          = hbw_field_reader_unpack_uint (reader, G_MAXUINT64);
+      message->stream_version.fingerprint_key
+          = hbw_field_reader_unpack_uint (reader, G_MAXUINT64);
+      message->stream_version.version_hash
+          = hbw_field_reader_unpack_uint (reader, G_MAXUINT64);
+      break;
     default: /* HBW_MESSAGE_DEMAND or HBW_MESSAGE_SHARE */
       unpack_rates (reader, &message->rates);
       break;
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -190,6 +190,19 @@
   hbw_log_write (HBW_LOG_REQUEST_DENIED, text);
 }
 
+/* Returns the number by which a pool of the endpoint is selected.  A request that
+   resumes a stream gets that of the request that began it. */
+static guint32
+target_number (const HbwExchange *exchange)
+{
+  char id[HBW_CALLER_REQUEST_ID_MAX];
+  exchange->traffic->adapter->class->read_resumed_id (exchange->request_head, id,
+                                                      sizeof id);
+  if (*id == '\0')
+    g_strlcpy (id, exchange->caller_request_id, sizeof id);
+  return *id != '\0' ? (guint32) XXH3_64bits (id, strlen (id)) : g_random_int ();
+}
+
 /* Returns HBW_REASON_COUNT if the request is admitted, otherwise the reason for the
    refusal. */
 static HbwReason
@@ -198,7 +211,7 @@
   HbwTraffic *traffic = exchange->traffic;
   GStringChunk *scratch = g_string_chunk_new (512);
   HbwAdmissionInput input
-      = { .random = g_random_int (), .digest = request_digest (exchange) };
+      = { .random = target_number (exchange), .digest = request_digest (exchange) };
   /* The freshness is read first, so that the catalogue is at least as new as the
      version that it confirms. */
   const HbwFreshness freshness = hbw_control_catalogue_freshness (traffic->control);
--- a/net/problem.c
+++ b/net/problem.c
@@ -62,6 +62,12 @@
       "send it again after retry_after_ms" },
   [HBW_REASON_NO_ENDPOINT] = { 404, "no such endpoint", "check host and path" },
   [HBW_REASON_NO_KEY] = { 401, "key not known", "send a key of the catalogue" },
+  [HBW_REASON_STREAM_UNKNOWN]
+  = { 503, "no instance knows which version of the backend server began the stream",
+      "name the request that brought its first event, or begin the stream again" },
+  [HBW_REASON_VERSION_GONE]
+  = { 503, "no backend server of the version that began the stream is in service",
+      "begin the stream again" },
   [HBW_REASON_OVERLOADED] = { 503, "this instance holds too many requests",
                               "send it again after retry_after_ms" },
 };
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -43,6 +43,9 @@
 /* Default time until a server that failed because of a poison request restarts. */
 #define POISON_RESTART_US (15 * HBW_US_PER_S)
 
+/* Stands before the number of upgrades in a server's id. */
+#define UPGRADE_SEPARATOR "."
+
 typedef struct
 {
   gint64 at_us;
@@ -124,6 +127,7 @@
   gint64 first_token_us; /* time to first token */
   gint64 token_us;
   gboolean ended;
+  gboolean is_misdirected; /* its server has another id by now */
 } Attempt;
 
 typedef struct
@@ -277,13 +281,17 @@
   return NULL;
 }
 
+/* Returns the server by its name or an id that it has or had: the name, and after
+   each upgrade the name with another suffix. */
 static Server *
 find_server (const World *world, const char *id)
 {
+  gsize length = strcspn (id, UPGRADE_SEPARATOR);
   for (guint i = 0; i < world->servers->len; i++)
     {
       Server *server = world->servers->pdata[i];
-      if (strcmp (server->entry.id, id) == 0)
+      if (strcspn (server->entry.id, UPGRADE_SEPARATOR) == length
+          && strncmp (server->entry.id, id, length) == 0)
         return server;
     }
   return NULL;
@@ -743,6 +751,11 @@
       report_end (world, attempt, HBW_OUTCOME_NOT_CONNECTED, 0);
       return;
     }
+  if (attempt->is_misdirected)
+    {
+      report_end (world, attempt, HBW_OUTCOME_MISDIRECTED, 0);
+      return;
+    }
   attempt->server_start = server->entry.start_number;
   server->request_count++;
   if (part_watch_is_harmful (world->parts, &attempt->request->spec))
@@ -835,6 +848,7 @@
   Attempt *attempt = g_new0 (Attempt, 1);
   attempt->request = request;
   attempt->server = find_server (world, start->server);
+  attempt->is_misdirected = strcmp (attempt->server->entry.id, start->server) != 0;
   attempt->instance = instance;
   attempt->identity = instance->identity;
   attempt->number = start->attempt;
@@ -1514,6 +1528,9 @@
       fail_server (world, server, FALSE);
       g_strlcpy (server->entry.version, fault->argument,
                  sizeof server->entry.version);
+      g_snprintf (server->entry.id, sizeof server->entry.id,
+                  "%s" UPGRADE_SEPARATOR "%" G_GUINT64_FORMAT, fault->subject,
+                  server->entry.start_number + 1);
       restart_server (world, server);
     }
   else if (strcmp (verb, "slow") == 0)
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -107,12 +107,12 @@
    for both, "none" ends it), leave (the list of
    servers shows it as leaving), stop and unstop (it is added to or removed from the
    planned stops) and upgrade (it is killed, and starts again with ARGUMENT as its
-   version) apply to a server.  The verbs kill, revive, pause (ARGUMENT is the
-   time in seconds), drain and show (traces the status) apply to an instance.  The
-   verbs cut and heal begin and end a partition between SUBJECT and ARGUMENT:
-   instances, data centres, "store" or "all"; these names are not checked.  The verbs
-   store-down, store-up, store-old (the store returns the previous version of a
-   document) and edit (writes the catalogue again as a new version) have no
+   version, and under another id) apply to a server.  The verbs kill, revive, pause
+   (ARGUMENT is the time in seconds), drain and show (traces the status) apply to an
+   instance.  The verbs cut and heal begin and end a partition between SUBJECT and
+   ARGUMENT: instances, data centres, "store" or "all"; these names are not checked.
+   The verbs store-down, store-up, store-old (the store returns the previous version
+   of a document) and edit (writes the catalogue again as a new version) have no
    subject. */
 gboolean world_add_fault (World *world, gint64 at_us, const char *verb,
                           const char *subject, const char *argument);
