Failing: instances that lost all servers serve nobody

A scenario cuts the ways of three of six instances, both of data centre b among them, to all servers: connections are reset from 5 to 17 s, and silent from 25 to 37 s.

--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -21,6 +21,9 @@
 /* Percentage by which the batch of an engine may exceed its slots. */
 #define BATCH_EXTRA_PERCENT 25
 
+/* How long an instance waits for a connection. */
+#define CONNECT_TIMEOUT_US (150 * HBW_US_PER_MS)
+
 /* Time that the store takes for a call. */
 #define STORE_CALL_US (4 * HBW_US_PER_MS)
 
@@ -337,6 +340,15 @@
          && !is_partitioned (world, to->name, "all");
 }
 
+/* Returns whether INSTANCE has no way to any server, but to everything else; HOW is
+   "servers" if connections are reset, and "servers-silent" if nothing answers. */
+static gboolean
+is_cut_off (const World *world, const Instance *instance, const char *how)
+{
+  return is_partitioned (world, instance->name, how)
+         || is_partitioned (world, instance->data_centre, how);
+}
+
 static gboolean
 can_reach_store (const World *world, const Instance *instance)
 {
@@ -402,6 +414,14 @@
   return instance->identity == identity && identity != 0;
 }
 
+/* Returns whether connections that INSTANCE opened before are silent. */
+static gboolean
+is_silenced (const World *world, const Attempt *attempt)
+{
+  return attempt->server->silent
+         || is_cut_off (world, attempt->instance, "servers-silent");
+}
+
 typedef struct
 {
   Attempt *attempt;
@@ -487,7 +507,7 @@
       && attempt->request->spec.part_ids.count > 0)
     report->first_token_us
         = attempt->started_us + attempt->first_token_us - attempt->created_us;
-  report->server_silent = attempt->server->silent;
+  report->server_silent = is_silenced (world, attempt);
   report->is_unproved
       = outcome == HBW_OUTCOME_COMPLETE && attempt->request->load->whole;
   report->says = *notice_check_says (attempt->server->notices);
@@ -513,7 +533,7 @@
   Attempt *attempt = data;
   if (attempt->ended)
     return;
-  if (attempt->server->silent)
+  if (is_silenced (world, attempt))
     return;
   if (attempt->number == 1)
     part_watch_record_served (world->parts, attempt->request->arrived_us);
@@ -548,7 +568,7 @@
 report_response (World *world, void *data)
 {
   Attempt *attempt = data;
-  if (attempt->ended || attempt->server->silent
+  if (attempt->ended || is_silenced (world, attempt)
       || !is_running (attempt->instance, attempt->identity))
     return;
   if (world->now_us >= attempt->instance->paused_until_us)
@@ -665,7 +685,7 @@
 {
   Attempt *attempt = data;
   Request *request = attempt->request;
-  if (attempt->ended || attempt->server->silent
+  if (attempt->ended || is_silenced (world, attempt)
       || !is_running (attempt->instance, attempt->identity))
     return;
   request->response_started = TRUE;
@@ -797,6 +817,14 @@
 
 /* --- effects ------------------------------------------------------------- */
 
+static void
+end_unconnected (World *world, void *data)
+{
+  Attempt *attempt = data;
+  if (!attempt->ended)
+    report_end (world, attempt, HBW_OUTCOME_NOT_CONNECTED, 0);
+}
+
 /* Simulates the traffic thread, which checks the age of the grant directly before it
    connects. */
 static void
@@ -818,8 +846,14 @@
     }
   gboolean remote
       = strcmp (instance->data_centre, attempt->server->entry.data_centre) != 0;
+  if (is_cut_off (world, instance, "servers-silent"))
+    {
+      schedule (world, world->now_us + CONNECT_TIMEOUT_US, end_unconnected, attempt);
+      return;
+    }
   gboolean reachable = !is_partitioned (world, instance->data_centre,
-                                        attempt->server->entry.data_centre);
+                                        attempt->server->entry.data_centre)
+                       && !is_cut_off (world, instance, "servers");
   if (!reachable)
     {
       report_end (world, attempt, HBW_OUTCOME_NOT_CONNECTED, 0);
@@ -835,7 +869,7 @@
 end_silence (World *world, void *data)
 {
   Attempt *attempt = data;
-  if (attempt->ended || !attempt->server->silent)
+  if (attempt->ended || !is_silenced (world, attempt))
     return;
   g_ptr_array_remove (attempt->server->running, attempt);
   report_end (world, attempt, HBW_OUTCOME_TIMED_OUT, 0);
@@ -1022,7 +1056,10 @@
   check->identity = instance->identity;
   check->result.kind
       = server->failed ? HBW_SERVER_CHECK_REFUSED : HBW_SERVER_CHECK_ACCEPTED;
-  if (is_partitioned (world, instance->data_centre, server->entry.data_centre))
+  if (is_cut_off (world, instance, "servers"))
+    check->result.kind = HBW_SERVER_CHECK_REFUSED;
+  if (is_partitioned (world, instance->data_centre, server->entry.data_centre)
+      || is_cut_off (world, instance, "servers-silent"))
     check->result.kind = HBW_SERVER_CHECK_NO_ANSWER;
   g_strlcpy (check->result.server, wanted->server, sizeof check->result.server);
   schedule (world,
@@ -1589,6 +1626,23 @@
     }
 }
 
+/* Ends the attempts of instances that have just lost all servers by a reset. */
+static void
+reset_connections (World *world)
+{
+  for (guint i = 0; i < world->attempts->len; i++)
+    {
+      Attempt *attempt = world->attempts->pdata[i];
+      if (attempt->ended || !g_ptr_array_remove (attempt->server->running, attempt))
+        continue;
+      if (is_cut_off (world, attempt->instance, "servers"))
+        report_end (world, attempt, HBW_OUTCOME_BROKEN,
+                    tokens_so_far (world, attempt));
+      else
+        g_ptr_array_add (attempt->server->running, attempt);
+    }
+}
+
 static void
 apply_fault (World *world, void *data)
 {
@@ -1599,7 +1653,10 @@
   Instance *instance = find_instance (world, fault->subject);
   char *pair = g_strconcat (fault->subject, "|", fault->argument, NULL);
   if (strcmp (verb, "cut") == 0)
-    g_ptr_array_add (world->partitions, g_strdup (pair));
+    {
+      g_ptr_array_add (world->partitions, g_strdup (pair));
+      reset_connections (world);
+    }
   else if (strcmp (verb, "heal") == 0)
     {
       for (guint i = world->partitions->len; i > 0; i--)
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -110,7 +110,8 @@
    version, and under another id) apply to a server.  The verbs kill, revive, pause
    (ARGUMENT is the time in seconds), drain and show (traces the status) apply to an
    instance.  The verbs cut and heal begin and end a partition between SUBJECT and
-   ARGUMENT: instances, data centres, "store" or "all"; these names are not checked.
+   ARGUMENT: instances, data centres, "store", "servers" (all of them; connections are
+   reset), "servers-silent" (nothing answers) or "all"; these names are not checked.
    The verbs store-down, store-up, store-old (the store returns the previous version
    of a document) and edit (writes the catalogue again as a new version) have no
    subject. */
