--- a/core/ingress.c
+++ b/core/ingress.c
@@ -1,5 +1,6 @@
 #include "hornbeamwall/core/ingress.h"
 
+#include "hornbeamwall/core/ingress_path.h"
 #include "hornbeamwall/core/ingress_streams.h"
 #include "hornbeamwall/core/ingress_suspects.h"
 #include "hornbeamwall/core/membership.h"
@@ -261,11 +262,11 @@
 
 static void
 retry_request (HbwIngress *ingress, HbwContext *context, HbwRequest *request,
-               HbwOutcome outcome)
+               HbwOutcome outcome, gboolean is_path_failure)
 {
   if (!hbw_outcome_proves_not_executed (outcome))
     hbw_request_count_retry (request, context);
-  if (outcome != HBW_OUTCOME_UNUSED)
+  if (outcome != HBW_OUTCOME_UNUSED && !is_path_failure)
     g_strlcpy (request->avoid_server, request->server, sizeof request->avoid_server);
   request_next_grant (ingress, context, request);
 }
@@ -436,6 +437,7 @@
       || request->attempt != first_token->attempt)
     return;
   request->first_token_seen = TRUE;
+  hbw_ingress_path_handle_heard (context, request);
   if (first_token->is_event)
     hbw_ingress_streams_handle_event (context, ingress->topology, request);
   hbw_request_send_begun (request, context, first_token);
@@ -449,9 +451,14 @@
   if (request == NULL || request->state != HBW_REQUEST_RUNNING
       || request->attempt != end->attempt)
     return;
-  hbw_request_send_done (request, context, end);
+  HbwAttemptEnd reported = *end;
+  gboolean is_path_failure = hbw_ingress_path_handle_end (context, request, end);
+  if (is_path_failure)
+    reported.outcome = HBW_OUTCOME_UNUSED;
+  hbw_request_send_done (request, context, &reported);
   hbw_request_count_wasted (request, context, end);
-  hbw_ingress_suspects_handle_end (ingress->suspects, context, request, end);
+  if (!is_path_failure)
+    hbw_ingress_suspects_handle_end (ingress->suspects, context, request, end);
   gboolean not_executed = hbw_outcome_proves_not_executed (end->outcome);
   if (not_executed)
     request->unexecuted_attempts++;
@@ -469,7 +476,7 @@
   else if (again)
     {
       const HbwFingerprint fingerprint = request->spec.fingerprint;
-      retry_request (ingress, context, request, end->outcome);
+      retry_request (ingress, context, request, end->outcome, is_path_failure);
       /* Another request with it may be running here. */
       if (end->outcome == HBW_OUTCOME_BROKEN)
         hbw_ingress_suspects_update (ingress->suspects, context, &fingerprint);
@@ -479,11 +486,10 @@
 }
 
 static void
-add_start_effect (HbwIngress *ingress, HbwContext *context,
-                  const HbwRequest *request, const HbwGrant *grant)
+fill_start (HbwIngress *ingress, HbwContext *context, HbwRequest *request,
+            const HbwGrant *grant, HbwStartAttempt *start)
 {
-  HbwEffect *effect = hbw_effects_add (context->effects, HBW_EFFECT_START_ATTEMPT);
-  HbwStartAttempt *start = &effect->start;
+  hbw_ingress_path_choose (context, request, start);
   start->sequence = request->sequence;
   start->attempt = request->attempt;
   start->valid_for_us = MIN (grant->valid_for_us, G_GINT64_CONSTANT (1000000));
@@ -541,9 +547,11 @@
   hbw_ingress_streams_start_attempt (ingress->topology, request);
   hbw_ingress_suspects_update (ingress->suspects, context,
                                &request->spec.fingerprint);
+  HbwStartAttempt start = { 0 };
+  fill_start (ingress, context, request, grant, &start);
   hbw_request_log_attempt_started (request, context);
   hbw_request_count_started (request, context);
-  add_start_effect (ingress, context, request, grant);
+  hbw_effects_add (context->effects, HBW_EFFECT_START_ATTEMPT)->start = start;
 }
 
 void
@@ -682,6 +690,7 @@
   cds_list_for_each_entry_safe (request, next, &ingress->order, link)
     tick_request (ingress, context, request);
   hbw_limiter_tick (ingress->limiter, context);
+  hbw_ingress_path_tick (context, ingress->topology, &ingress->order);
   hbw_ingress_suspects_tick (ingress->suspects, context, ingress->topology);
 }
 
--- a/core/ingress_suspects.c
+++ b/core/ingress_suspects.c
@@ -3,6 +3,7 @@
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/quarantine_lost.h"
 #include "hornbeamwall/core/server_check.h"
+#include "hornbeamwall/core/server_path.h"
 #include "hornbeamwall/core/suspect_share.h"
 
 #include <xxhash.h>
@@ -11,11 +12,27 @@
    written for so long. */
 #define ANSWER_BEGINNING_US (1 * HBW_US_PER_S)
 
+/* Failures that are kept until it is known whether the path was lost. */
+#define OWN_FAILURES_MAX 256
+#define OWN_FAILURE_KEEP_US (3 * HBW_US_PER_S)
+
+/* Connections may have been reset this long before the path became doubtful. */
+#define PATH_DOUBT_US (1 * HBW_US_PER_S)
+
+/* A failure that this instance has recorded. */
+typedef struct
+{
+  HbwFingerprint fingerprint;
+  guint64 id;
+  gint64 failed_us;
+} OwnFailure;
+
 struct HbwIngressSuspects
 {
   const struct cds_list_head *requests;
   HbwServerChecks *server_checks;
-  guint64 part_verdicts; /* that were known at the last look */
+  guint64 part_verdicts;   /* that were known at the last look */
+  GArray *recent_failures; /* OwnFailure, oldest first */
 };
 
 HbwIngressSuspects *
@@ -24,6 +41,7 @@
   HbwIngressSuspects *suspects = g_new0 (HbwIngressSuspects, 1);
   suspects->requests = requests;
   suspects->server_checks = hbw_server_checks_create ();
+  suspects->recent_failures = g_array_new (FALSE, FALSE, sizeof (OwnFailure));
   return suspects;
 }
 
@@ -31,6 +49,7 @@
 hbw_ingress_suspects_destroy (HbwIngressSuspects *suspects)
 {
   hbw_server_checks_destroy (suspects->server_checks);
+  g_array_free (suspects->recent_failures, TRUE);
   g_free (suspects);
 }
 
@@ -147,11 +166,28 @@
 }
 
 static void
-record_failure (HbwContext *context, const HbwRequest *request,
-                const HbwAttemptEnd *end)
+note_failure (HbwIngressSuspects *suspects, const HbwFingerprint *fingerprint,
+              const HbwServerFailure *details)
+{
+  const OwnFailure failure = { *fingerprint, details->id, details->failed_us };
+  GArray *failures = suspects->recent_failures;
+  while (
+      failures->len > 0
+      && (failures->len >= OWN_FAILURES_MAX
+          || details->failed_us - g_array_index (failures, OwnFailure, 0).failed_us
+                 > OWN_FAILURE_KEEP_US))
+    g_array_remove_index (failures, 0);
+  g_array_append_val (failures, failure);
+}
+
+static void
+record_failure (HbwIngressSuspects *suspects, HbwContext *context,
+                const HbwRequest *request, const HbwAttemptEnd *end)
 {
   const HbwRequestSpec *spec = &request->spec;
   const HbwServerFailure failure = describe_failure (context, request);
+  if (request->tunnel_peer == 0)
+    note_failure (suspects, &spec->fingerprint, &failure);
   guint failures = hbw_quarantine_add_failure (
       context->quarantine, &spec->fingerprint, &failure, context->now_us);
   if (!is_past_prompt (context, request, end))
@@ -180,12 +216,12 @@
   if (hbw_outcome_proves_not_executed (end->outcome))
     hbw_quarantine_forget_attempt (context->quarantine, &request->spec.fingerprint,
                                    server, context->now_us);
-  if (end->outcome == HBW_OUTCOME_NOT_CONNECTED)
+  if (end->outcome == HBW_OUTCOME_NOT_CONNECTED && request->tunnel_peer == 0)
     hbw_quarantine_handle_refused_connection (context->quarantine, server,
                                               context->now_us);
   if (end->outcome == HBW_OUTCOME_BROKEN)
     {
-      record_failure (context, request, end);
+      record_failure (suspects, context, request, end);
       hbw_server_checks_add_broken (suspects->server_checks, context,
                                     request->server, request->address,
                                     end->server_silent);
@@ -213,7 +249,12 @@
                                    const HbwServerCheckResult *result)
 {
   SuspectVisit visit = { suspects, context };
-  hbw_server_checks_handle_result (suspects->server_checks, context, result,
+  HbwServerCheckResult evidence = *result;
+  /* Without a path, connections are refused on the way. */
+  if (hbw_server_path_state (context->server_path) == HBW_PATH_LOST
+      && result->kind == HBW_SERVER_CHECK_REFUSED)
+    evidence.kind = HBW_SERVER_CHECK_NO_ANSWER;
+  hbw_server_checks_handle_result (suspects->server_checks, context, &evidence,
                                    handle_checked_suspect, &visit);
 }
 
@@ -274,11 +315,31 @@
   return suspects->part_verdicts != known;
 }
 
+/* Withdraws the failures that this instance has recorded since its path to the
+   servers became doubtful. */
+static void
+withdraw_failures (HbwIngressSuspects *suspects, HbwContext *context)
+{
+  gint64 since_us
+      = hbw_server_path_doubted_us (context->server_path) - PATH_DOUBT_US;
+  for (guint i = 0; i < suspects->recent_failures->len; i++)
+    {
+      const OwnFailure *failure
+          = &g_array_index (suspects->recent_failures, OwnFailure, i);
+      if (failure->failed_us >= since_us)
+        hbw_quarantine_withdraw_failure (context->quarantine, &failure->fingerprint,
+                                         failure->id, context->now_us);
+    }
+  g_array_set_size (suspects->recent_failures, 0);
+}
+
 void
 hbw_ingress_suspects_tick (HbwIngressSuspects *suspects, HbwContext *context,
                            const HbwTopology *topology)
 {
   SuspectVisit visit = { suspects, context };
+  if (hbw_server_path_state (context->server_path) == HBW_PATH_LOST)
+    withdraw_failures (suspects, context);
   hbw_server_checks_tick (suspects->server_checks, context);
   hbw_quarantine_handle_lost (context, suspects->server_checks, topology,
                               handle_checked_suspect, &visit);
--- a/core/membership.c
+++ b/core/membership.c
@@ -1,5 +1,7 @@
 #include "hornbeamwall/core/membership.h"
 
+#include "hornbeamwall/common/address.h"
+
 #include <string.h>
 
 /* Multiplied by the binary logarithm of the number of members, this is the number of
@@ -614,6 +616,20 @@
   return member != NULL ? member->info.name : "";
 }
 
+gboolean
+hbw_membership_has_host (const HbwMembership *membership, const char *host)
+{
+  HbwHostPort parts;
+  for (guint i = 0; i < membership->probe_order->len; i++)
+    {
+      const Member *member = g_ptr_array_index (membership->probe_order, i);
+      if (is_present (member) && hbw_address_parse (member->info.address, &parts)
+          && strcmp (parts.host, host) == 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 gboolean
 hbw_membership_is_alive (HbwMembership *membership, guint64 identity)
 {
--- a/core/metrics.c
+++ b/core/metrics.c
@@ -161,10 +161,13 @@
   g_string_append_printf (
       text,
       "hornbeamwall_server_pauses_total %" G_GUINT64_FORMAT "\n"
+      "hornbeamwall_tunnelled_attempts_total %" G_GUINT64_FORMAT "\n"
+      "hornbeamwall_tunnels_opened_total %" G_GUINT64_FORMAT "\n"
       "hornbeamwall_stream_questions_total %" G_GUINT64_FORMAT "\n"
       "hornbeamwall_permits_asked_total %" G_GUINT64_FORMAT "\n"
       "hornbeamwall_permits_given_total %" G_GUINT64_FORMAT "\n",
-      metrics->control.server_pauses, metrics->control.stream_questions,
+      metrics->control.server_pauses, metrics->control.tunnelled_attempts,
+      metrics->control.tunnels_opened, metrics->control.stream_questions,
       metrics->control.permits_asked, metrics->control.permits_given);
   g_string_append_printf (
       text, "hornbeamwall_grants_handed_back_total %" G_GUINT64_FORMAT "\n",
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -411,6 +411,28 @@
   hbw_quarantine_evaluate (quarantine, now_us);
 }
 
+void
+hbw_quarantine_withdraw_failure (HbwQuarantine *quarantine,
+                                 const HbwFingerprint *fingerprint, guint64 id,
+                                 gint64 now_us)
+{
+  HbwSuspect *suspect = g_hash_table_lookup (quarantine->suspects, fingerprint);
+  const HbwFailureRecord *own
+      = suspect != NULL ? hbw_suspect_find_record (suspect, id) : NULL;
+  if (own == NULL || own->failure == NULL)
+    return;
+  HbwFailureRecord *record;
+  GPtrArray *records = g_ptr_array_new (); /* of the request, and of its parts */
+  cds_list_for_each_entry (record, &own->failure->records, link)
+    if (record->details.id == id)
+      g_ptr_array_add (records, record);
+  for (guint i = 0; i < records->len; i++)
+    hbw_suspect_dismiss_record (quarantine, g_ptr_array_index (records, i), now_us);
+  g_ptr_array_free (records, TRUE);
+  hbw_quarantine_schedule_report (quarantine, suspect, HBW_SUSPECT_TRANSMITS,
+                                  now_us);
+}
+
 /* A suspect whose attempt did not run may run again once it keeps no other instance
    from running it. */
 static void
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -6,6 +6,8 @@
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/server_notice.h"
+#include "hornbeamwall/core/server_path.h"
+#include "hornbeamwall/core/shard_health.h"
 #include "hornbeamwall/core/status.h"
 #include "hornbeamwall/core/stream_versions.h"
 #include "hornbeamwall/core/suspect_share.h"
@@ -374,6 +376,24 @@
   g_hash_table_foreach_remove (reducer->shards, drop_idle_shard, reducer);
 }
 
+/* When the path to the servers is lost, or was found again, what attempts have shown
+   of them until then does not count. */
+static void
+handle_path_change (HbwReducer *reducer)
+{
+  GHashTableIter iter;
+  gpointer shard;
+  gboolean is_lost
+      = hbw_server_path_state (reducer->context.server_path) == HBW_PATH_LOST;
+  if (is_lost == reducer->path_lost)
+    return;
+  reducer->path_lost = is_lost;
+  g_hash_table_iter_init (&iter, reducer->shards);
+  while (!reducer->policy->single_owner
+         && g_hash_table_iter_next (&iter, NULL, &shard))
+    hbw_shard_forget_failures (shard);
+}
+
 static void
 handle_tick (HbwReducer *reducer)
 {
@@ -384,6 +404,7 @@
   hbw_reducer_settle_servers (reducer);
   tick_shards (reducer);
   hbw_ingress_tick (reducer->ingress, context);
+  handle_path_change (reducer);
   hbw_server_notices_tick (context->server_notices, context);
   hbw_suspect_share_tick (context->suspect_share, context);
   hbw_suspect_archive_tick (reducer->suspect_archive, context);
@@ -433,6 +454,29 @@
                                         entry->start_number);
 }
 
+/* Opens the way to a listed server for another instance, unless this one has none
+   itself or is stopping. */
+static void
+answer_tunnel (HbwReducer *reducer, const HbwTunnelRequest *request)
+{
+  HbwContext *context = &reducer->context;
+  HbwShardKey key;
+  const HbwTopology *topology = hbw_server_list_topology (reducer->server_list);
+  const HbwServerEntry *entry
+      = topology != NULL ? hbw_topology_find_server (topology, request->server, &key)
+                         : NULL;
+  gboolean accepted
+      = entry != NULL && !reducer->draining
+        && hbw_server_path_state (context->server_path) != HBW_PATH_LOST
+        && hbw_membership_has_host (context->membership, request->peer_host);
+  HbwEffect *effect = hbw_effects_add (context->effects, HBW_EFFECT_ANSWER_TUNNEL);
+  effect->tunnel.sequence = request->sequence;
+  if (!accepted)
+    return;
+  hbw_metrics_control (context->metrics)->tunnels_opened++;
+  g_strlcpy (effect->tunnel.address, entry->address, sizeof effect->tunnel.address);
+}
+
 static void
 handle_event (HbwReducer *reducer, const HbwEvent *event)
 {
@@ -473,11 +517,17 @@
       hbw_quarantine_handle_response (
           context->quarantine, hbw_rendezvous_weight (0, event->response.server),
           event->response.connection_opened_us, context->now_us);
+      if (!event->response.is_tunnelled)
+        hbw_server_path_handle_heard (context->server_path, context->now_us);
       break;
     case HBW_EVENT_SERVER_NOTICE:
       handle_server_notice (reducer, &event->notice);
       break;
+    case HBW_EVENT_TUNNEL_ASKED:
+      answer_tunnel (reducer, &event->tunnel);
+      break;
     case HBW_EVENT_SERVER_CHECKED:
+      hbw_server_path_handle_check (context->server_path, context, &event->check);
       hbw_ingress_handle_server_check (reducer->ingress, context, &event->check);
       break;
     case HBW_EVENT_DOCUMENT_READ:
@@ -568,6 +618,7 @@
                                      G_MAXINT64);
   context->server_notices = hbw_server_notices_create ();
   context->stream_versions = hbw_stream_versions_create ();
+  context->server_path = hbw_server_path_create ();
   context->load_share
       = config->policy->spans_data_centres ? hbw_load_share_create () : NULL;
   hbw_membership_set_ping_decorator (context->membership, fill_ping, reducer);
@@ -622,6 +673,7 @@
   hbw_suspect_share_destroy (context->suspect_share);
   hbw_server_notices_destroy (context->server_notices);
   hbw_stream_versions_destroy (context->stream_versions);
+  hbw_server_path_destroy (context->server_path);
   if (context->load_share != NULL)
     hbw_load_share_destroy (context->load_share);
   g_hash_table_unref (context->planned_stops);
@@ -665,6 +717,8 @@
          && hbw_server_list_topology (reducer->server_list) != NULL
          && reducer->context.planned_stops_known
          && hbw_suspect_share_is_complete (reducer->context.suspect_share)
+         && hbw_server_path_is_usable (reducer->context.server_path,
+                                       reducer->context.now_us)
          && !reducer->draining;
 }
 
--- a/core/request.c
+++ b/core/request.c
@@ -1,6 +1,7 @@
 #include "hornbeamwall/core/request.h"
 
 #include "hornbeamwall/core/freshness_monitor.h"
+#include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/quarantine.h"
 
 gint64
@@ -59,19 +60,20 @@
 hbw_request_log_attempt_started (const HbwRequest *request, HbwContext *context)
 {
   const HbwGrantFacts *facts = &request->facts;
-  hbw_effects_log (context->effects, HBW_LOG_ATTEMPT_STARTED,
-                   LOG_PREFIX "attempt=%u server=%s waited_ms=%" G_GINT64_FORMAT
-                              " in_progress=%u others=%u unread_tokens=%u "
-                              "report_age_ms=%" G_GINT64_FORMAT
-                              " waiting=%u server_failures=%u version=%s",
-                   request->caller_request_id, request->sequence, request->attempt,
-                   request->server, to_ms (context->now_us - request->arrived_us),
-                   facts->in_progress, facts->others, facts->unread_tokens,
-                   to_ms (facts->report_age_us), facts->waiting,
-                   hbw_quarantine_count_unexplained (context->quarantine,
-                                                     &request->spec.fingerprint,
-                                                     context->now_us),
-                   request->version);
+  hbw_effects_log (
+      context->effects, HBW_LOG_ATTEMPT_STARTED,
+      LOG_PREFIX "attempt=%u server=%s waited_ms=%" G_GINT64_FORMAT
+                 " in_progress=%u others=%u unread_tokens=%u "
+                 "report_age_ms=%" G_GINT64_FORMAT
+                 " waiting=%u server_failures=%u version=%s through=%s",
+      request->caller_request_id, request->sequence, request->attempt,
+      request->server, to_ms (context->now_us - request->arrived_us),
+      facts->in_progress, facts->others, facts->unread_tokens,
+      to_ms (facts->report_age_us), facts->waiting,
+      hbw_quarantine_count_unexplained (context->quarantine,
+                                        &request->spec.fingerprint, context->now_us),
+      request->version,
+      hbw_membership_find_name (context->membership, request->tunnel_peer));
 }
 
 void
--- a/core/shard_health.c
+++ b/core/shard_health.c
@@ -44,6 +44,17 @@
     }
 }
 
+void
+hbw_shard_forget_failures (HbwShard *shard)
+{
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      HbwServer *server = g_ptr_array_index (shard->servers, i);
+      server->state = HBW_SERVER_UP;
+      server->consecutive_failures = 0;
+    }
+}
+
 void
 hbw_shard_poll_load_reports (HbwShard *shard, HbwContext *context)
 {
--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -87,6 +87,11 @@
   X (5009, SERVER_PAUSED, INFO,                                                     \
      "A backend server turned a request away and wants none for a while.",          \
      "Check the backend server's load if this repeats.")                            \
+  X (5010, PATH_LOST, WARN,                                                         \
+     "This instance reaches no backend server; requests go through others.",        \
+     "Check the network between this instance and the backend servers.")            \
+  X (5011, PATH_FOUND, INFO, "This instance reaches backend servers again.",        \
+     "Nothing.")                                                                    \
   X (6010, REQUEST_ADMITTED, INFO, "A caller's request was admitted.", "Nothing.")  \
   X (6011, REQUEST_DENIED, INFO,                                                    \
      "A caller's request was denied by the catalogue that is active here.",         \
--- a/include/hornbeamwall/core/context.h
+++ b/include/hornbeamwall/core/context.h
@@ -12,6 +12,7 @@
 typedef struct HbwMetrics HbwMetrics;
 typedef struct HbwQuarantine HbwQuarantine;
 typedef struct HbwServerNotices HbwServerNotices;
+typedef struct HbwServerPath HbwServerPath;
 typedef struct HbwStreamVersions HbwStreamVersions;
 typedef struct HbwSuspectShare HbwSuspectShare;
 
@@ -42,6 +43,7 @@
   HbwSuspectShare *suspect_share;
   HbwServerNotices *server_notices;
   HbwStreamVersions *stream_versions;
+  HbwServerPath *server_path;
 } HbwContext;
 
 /* Sends a copy of MESSAGE to the instance TO; drops it if that is unknown. */
--- a/include/hornbeamwall/core/effect.h
+++ b/include/hornbeamwall/core/effect.h
@@ -17,6 +17,7 @@
   HBW_EFFECT_SEND_MESSAGE,
   HBW_EFFECT_POLL_LOAD,         /* request a load report from a backend server */
   HBW_EFFECT_CHECK_SERVER,      /* see whether a backend server listens */
+  HBW_EFFECT_ANSWER_TUNNEL,     /* in answer to HBW_EVENT_TUNNEL_ASKED */
   HBW_EFFECT_PUBLISH_CATALOGUE, /* a new catalogue is active */
   HBW_EFFECT_STORE_SUSPECTS,    /* write the suspects to the platform's store */
   HBW_EFFECT_READ_SUSPECTS,     /* read them from there */
@@ -39,6 +40,9 @@
   HbwTier tier;
   gint64 first_byte_timeout_us; /* timeout until the response starts; 0 is none */
   gint64 stall_timeout_us; /* longest pause within the response; 0 is no limit */
+  char tunnel_address[HBW_ADDRESS_MAX]; /* where another instance accepts a tunnel to
+                                           the server; "": connect directly */
+  gint64 opened_since_us; /* idle connections to it that are older are not used */
 } HbwStartAttempt;
 
 typedef struct
@@ -68,6 +72,13 @@
   char address[HBW_ADDRESS_MAX];
 } HbwCheckServer;
 
+typedef struct
+{
+  guint64 sequence;
+  char address[HBW_ADDRESS_MAX]; /* of the backend server; "": the tunnel is refused
+                                  */
+} HbwAnswerTunnel;
+
 /* Conditional write. */
 typedef struct
 {
@@ -92,6 +103,7 @@
     HbwSendMessage send;
     HbwPollLoad poll;
     HbwCheckServer check;
+    HbwAnswerTunnel tunnel;
     HbwCatalogue *catalogue; /* owned reference */
     HbwStoreSuspects suspects;
     HbwLogLine log;
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -21,6 +21,7 @@
   HBW_EVENT_SERVER_RESPONDED,
   HBW_EVENT_SERVER_NOTICE,    /* what a server said of itself in a response */
   HBW_EVENT_SERVER_CHECKED,   /* result of HBW_EFFECT_CHECK_SERVER */
+  HBW_EVENT_TUNNEL_ASKED,     /* another instance asks for a way to a server */
   HBW_EVENT_DOCUMENT_READ,    /* read from the platform's store */
   HBW_EVENT_SUSPECTS_READ,    /* read from the platform's store */
   HBW_EVENT_SUSPECTS_WRITTEN, /* result of HBW_EFFECT_STORE_SUSPECTS */
@@ -68,6 +69,7 @@
   gint64 inter_token_us;
   gint64 longest_gap_us; /* between two pieces of the response */
   guint tokens;
+  gboolean tunnel_failed; /* NOT_CONNECTED: the other instance did not open it */
   gboolean server_silent; /* no byte came from the server, on any connection, for a
                              while before the attempt ended */
 } HbwAttemptEnd;
@@ -85,8 +87,16 @@
 {
   char server[HBW_NAME_MAX];
   gint64 connection_opened_us;
+  gboolean is_tunnelled;
 } HbwServerResponse;
 
+typedef struct
+{
+  guint64 sequence; /* assigned by the runtime, never reused */
+  char server[HBW_NAME_MAX];
+  char peer_host[HBW_ADDRESS_MAX]; /* IP address of the instance that asks */
+} HbwTunnelRequest;
+
 typedef enum
 {
   HBW_SERVER_LIMIT_NONE, /* the response names no limit */
@@ -164,6 +174,7 @@
     HbwLoadReport load;
     HbwServerResponse response;
     HbwServerCheckResult check;
+    HbwTunnelRequest tunnel;
     HbwServerNotice notice;
     HbwDocument document; /* body borrowed for the step; NULL if it does not exist */
     HbwStoreState store;
--- a/include/hornbeamwall/core/membership.h
+++ b/include/hornbeamwall/core/membership.h
@@ -72,6 +72,9 @@
 /* Returns the name of a member, or "" if it is unknown. */
 const char *hbw_membership_find_name (HbwMembership *membership, guint64 identity);
 
+/* Returns whether a member that may be running has the IP address HOST. */
+gboolean hbw_membership_has_host (const HbwMembership *membership, const char *host);
+
 gboolean hbw_membership_is_alive (HbwMembership *membership, guint64 identity);
 
 /* Returns whether IDENTITY is a known member that is marked dead. */
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -44,6 +44,7 @@
   char name[HBW_NAME_MAX];
   char data_centre[HBW_NAME_MAX];
   char address[HBW_ADDRESS_MAX];
+  guint16 tunnel_port; /* where it accepts tunnels; 0: it does not */
   HbwMemberState state;
   guint32 incarnation; /* incremented by the instance to refute a suspicion */
 } HbwMemberUpdate;
--- a/include/hornbeamwall/core/metrics.h
+++ b/include/hornbeamwall/core/metrics.h
@@ -45,6 +45,8 @@
   guint64 store_failures[HBW_DOCUMENT_COUNT]; /* calls without a usable response */
   guint64 server_checks[HBW_SERVER_CHECK_COUNT]; /* by result */
   guint64 server_pauses;                         /* that servers asked for */
+  guint64 tunnelled_attempts;                    /* sent through other instances */
+  guint64 tunnels_opened;                        /* for other instances */
   guint64 stream_questions;                      /* for the versions of streams */
   guint64 permits_asked;       /* for requests to limited servers */
   guint64 permits_given;       /* to any instance, by this one */
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -245,6 +245,12 @@
 void hbw_quarantine_handle_response (HbwQuarantine *quarantine, guint64 server,
                                      gint64 opened_us, gint64 now_us);
 
+/* Withdraws a failure of the request with FINGERPRINT that this instance has
+   recorded for its attempt ID: the server had not failed. */
+void hbw_quarantine_withdraw_failure (HbwQuarantine *quarantine,
+                                      const HbwFingerprint *fingerprint, guint64 id,
+                                      gint64 now_us);
+
 /* Records that the server with the hash SERVER has just refused a connection: its
    recent failures are confirmed. */
 void hbw_quarantine_handle_refused_connection (HbwQuarantine *quarantine,
--- a/include/hornbeamwall/core/reducer_state.h
+++ b/include/hornbeamwall/core/reducer_state.h
@@ -30,6 +30,7 @@
   gint64 drain_grace_us;
   gboolean store_up;
   gboolean draining;
+  gboolean path_lost; /* to the servers, at the last tick */
   char name[HBW_NAME_MAX];
 };
 
--- a/include/hornbeamwall/core/request.h
+++ b/include/hornbeamwall/core/request.h
@@ -36,9 +36,10 @@
   gboolean limit_held; /* counted against the organisation's limits */
   gboolean spilled;    /* waits for a shard of another data centre */
   HbwShardKey shard;
-  guint64 owner;              /* shard owner that was notified last, or 0 */
-  guint64 granter;            /* instance that granted the current attempt */
-  gint64 owner_notified_us;   /* when the owner was last notified */
+  guint64 owner;            /* shard owner that was notified last, or 0 */
+  guint64 granter;          /* instance that granted the current attempt */
+  guint64 tunnel_peer;      /* instance through which the attempt goes; 0: direct */
+  gint64 owner_notified_us; /* when the owner was last notified */
   gint64 refresh_interval_us; /* interval until the owner is notified again */
   guint64 owner_epoch;        /* membership epoch at the last lookup of the owner */
   gint64 started_us;
--- a/include/hornbeamwall/core/shard_health.h
+++ b/include/hornbeamwall/core/shard_health.h
@@ -16,4 +16,8 @@
 /* Requests the load reports that are due, unless responses already carry them. */
 void hbw_shard_poll_load_reports (HbwShard *shard, HbwContext *context);
 
+/* Puts all servers in service again: the failures of this instance's attempts were
+   due to its own path. */
+void hbw_shard_forget_failures (HbwShard *shard);
+
 #endif
--- a/include/hornbeamwall/net/channel.h
+++ b/include/hornbeamwall/net/channel.h
@@ -32,14 +32,15 @@
    cannot be added to the loop. */
 HbwChannel *hbw_channel_adopt (HbwLoop *loop, int fd, HbwChannelHandler *handler);
 
-/* Starts to connect to ADDRESS (IP address and port).  Returns NULL if that fails
-   immediately. */
+/* Starts to connect to ADDRESS (IP address and port), from the IP address SOURCE
+   unless that is "".  Returns NULL if that fails immediately. */
 HbwChannel *hbw_channel_connect (HbwLoop *loop, const char *address,
-                                 HbwChannelHandler *handler);
+                                 const char *source, HbwChannelHandler *handler);
 
 /* As hbw_channel_connect(), and sets IS_REFUSED to whether an immediate failure is
    that no process listens at ADDRESS. */
 HbwChannel *hbw_channel_connect_checked (HbwLoop *loop, const char *address,
+                                         const char *source,
                                          HbwChannelHandler *handler,
                                          gboolean *is_refused);
 
@@ -68,6 +69,9 @@
 /* Returns the number of bytes in the send buffer. */
 gsize hbw_channel_pending_bytes (const HbwChannel *channel);
 
+/* Writes the peer's IP address to HOST, of SIZE bytes; "" if it is unknown. */
+void hbw_channel_get_peer_host (const HbwChannel *channel, char *host, gsize size);
+
 /* Pauses or resumes reading. */
 void hbw_channel_set_reading (HbwChannel *channel, gboolean reading);
 
--- a/include/hornbeamwall/net/exchange_state.h
+++ b/include/hornbeamwall/net/exchange_state.h
@@ -30,6 +30,8 @@
   HbwUpstream *upstream; /* of the attempt in progress, or NULL */
   guint attempt;
   char server[HBW_NAME_MAX];
+  char tunnel_address[HBW_ADDRESS_MAX]; /* of the attempt; "": it is direct */
+  gboolean tunnel_failed;
   HbwTimer silence_timer; /* the server has sent nothing for silence_timeout_us */
   gint64 silence_timeout_us;
   guint silence_count;          /* consecutive timeouts that were extended */
--- a/include/hornbeamwall/net/traffic_state.h
+++ b/include/hornbeamwall/net/traffic_state.h
@@ -1,7 +1,8 @@
 /*
  * traffic_state - the state of the traffic thread, private to its source files
  *
- * For net/traffic.c, net/server_check.c, net/downstream.c and net/exchange*.c only.
+ * For net/traffic.c, net/server_check.c, net/tunnel.c, net/downstream.c and
+ * net/exchange*.c only.
  */
 #ifndef HORNBEAMWALL_NET_TRAFFIC_STATE_H
 #define HORNBEAMWALL_NET_TRAFFIC_STATE_H
@@ -34,6 +35,8 @@
   guint downstream_count;
   gsize request_body_bytes;           /* of all requests in memory */
   struct cds_list_head server_checks; /* in progress; see net/server_check.h */
+  struct cds_list_head tunnels;       /* see net/tunnel.h */
+  guint tunnel_count;
   gboolean draining;
 };
 
--- a/include/hornbeamwall/net/upstream.h
+++ b/include/hornbeamwall/net/upstream.h
@@ -29,7 +29,8 @@
   HBW_UPSTREAM_COMPLETE,
   HBW_UPSTREAM_COMPLETE_BY_CLOSE, /* it has neither a length nor chunks */
   HBW_UPSTREAM_NOT_CONNECTED,     /* no byte of the request was sent */
-  HBW_UPSTREAM_BROKEN,            /* the response is incomplete or not valid */
+  HBW_UPSTREAM_NO_TUNNEL, /* the same, as another instance did not open the way */
+  HBW_UPSTREAM_BROKEN,    /* the response is incomplete or not valid */
 } HbwUpstreamEnd;
 
 /* Callbacks of an upstream; the structure is embedded in the owner's.  The upstream
@@ -52,14 +53,19 @@
 
 typedef struct
 {
-  const char *server_name; /* whose idle connections may be reused */
-  const char *address;     /* IP address and port */
-  GBytes *request;         /* head and body */
+  const char *server_name;    /* whose idle connections may be reused */
+  const char *address;        /* IP address and port */
+  const char *tunnel_address; /* where another instance opens the way; NULL or "":
+                                 direct */
+  gint64 opened_since_us;     /* idle connections that are older are closed */
+  GBytes *request;            /* head and body */
   gboolean is_head_request;
   gint64 connect_timeout_us;
 } HbwUpstreamConfig;
 
-HbwUpstreamPool *hbw_upstream_pool_create (HbwLoop *loop);
+/* Creates a pool whose direct connections have the IP address SOURCE, "" for any;
+   borrowed. */
+HbwUpstreamPool *hbw_upstream_pool_create (HbwLoop *loop, const char *source);
 
 /* Closes all connections without calling their handlers. */
 void hbw_upstream_pool_destroy (HbwUpstreamPool *pool);
@@ -89,8 +95,13 @@
 /* Returns the time at which the connection was opened. */
 gint64 hbw_upstream_opened_us (const HbwUpstream *upstream);
 
-/* Returns the time at which SERVER last sent bytes on any connection; 0 is never. */
+/* Returns the time at which SERVER last sent bytes on any connection, direct ones or
+   those through TUNNEL_ADDRESS; 0 is never. */
 gint64 hbw_upstream_pool_last_received_us (const HbwUpstreamPool *pool,
-                                           const char *server);
+                                           const char *server,
+                                           const char *tunnel_address);
+
+/* Returns the time at which any server last sent bytes on a direct connection. */
+gint64 hbw_upstream_pool_last_heard_us (const HbwUpstreamPool *pool);
 
 #endif
--- a/include/hornbeamwall/runtime/request_command.h
+++ b/include/hornbeamwall/runtime/request_command.h
@@ -35,6 +35,9 @@
                 const HbwRequestCommand *command);
   /* The same, to check whether a server listens. */
   void (*post_check) (HbwRequestCommandSink *sink, const HbwCheckServer *check);
+  /* The same, to answer another instance that asks for a tunnel. */
+  void (*post_tunnel_answer) (HbwRequestCommandSink *sink,
+                              const HbwAnswerTunnel *answer);
 } HbwRequestCommandSinkClass;
 struct HbwRequestCommandSink
 {
--- a/include/hornbeamwall/runtime/settings.h
+++ b/include/hornbeamwall/runtime/settings.h
@@ -29,17 +29,21 @@
   char peer_address[HBW_ADDRESS_MAX];
   char platform_address[HBW_ADDRESS_MAX];
   char admin_token_hash[HBW_ADMIN_TOKEN_HASH_MAX]; /* SHA-256 in hexadecimal */
-  GPtrArray *seeds;                    /* peer addresses; NULL-terminated */
-  guint connection_limit;              /* connections of callers */
-  guint request_body_max;              /* request body of a caller, in bytes */
-  guint buffered_response_max;         /* buffered response, in bytes */
-  guint connect_timeout_ms;            /* connecting to a backend server */
-  guint first_byte_timeout_ms;         /* until the first byte of a response */
-  guint stall_timeout_ms;              /* between two reads of a response */
-  guint caller_timeout_s;              /* caller that neither sends nor receives */
-  char interface[HBW_NAME_MAX];        /* protocol of callers and servers */
-  char ready_address[HBW_ADDRESS_MAX]; /* readiness checks; "" is none */
-  char policy[HBW_NAME_MAX];           /* see policy.h */
+  GPtrArray *seeds;                     /* peer addresses; NULL-terminated */
+  guint connection_limit;               /* connections of callers */
+  guint request_body_max;               /* request body of a caller, in bytes */
+  guint buffered_response_max;          /* buffered response, in bytes */
+  guint connect_timeout_ms;             /* connecting to a backend server */
+  guint first_byte_timeout_ms;          /* until the first byte of a response */
+  guint stall_timeout_ms;               /* between two reads of a response */
+  guint caller_timeout_s;               /* caller that neither sends nor receives */
+  char interface[HBW_NAME_MAX];         /* protocol of callers and servers */
+  char ready_address[HBW_ADDRESS_MAX];  /* readiness checks; "" is none */
+  char tunnel_address[HBW_ADDRESS_MAX]; /* where other instances ask for a way to
+                                           servers; "" is none */
+  char source_address[HBW_ADDRESS_MAX]; /* IP address of connections to servers; ""
+                                           is any */
+  char policy[HBW_NAME_MAX];            /* see policy.h */
   HbwRetryLimits retry_limits;
   gint64 max_revocation_delay_us; /* until a revoked key is refused; 0 is no bound */
   gboolean load_in_responses;     /* servers report their load in each response */
--- a/net/channel.c
+++ b/net/channel.c
@@ -196,14 +196,28 @@
 }
 
 HbwChannel *
-hbw_channel_connect (HbwLoop *loop, const char *address, HbwChannelHandler *handler)
+hbw_channel_connect (HbwLoop *loop, const char *address, const char *source,
+                     HbwChannelHandler *handler)
 {
   gboolean is_refused;
-  return hbw_channel_connect_checked (loop, address, handler, &is_refused);
+  return hbw_channel_connect_checked (loop, address, source, handler, &is_refused);
+}
+
+/* The port is chosen when the socket is connected. */
+static gboolean
+bind_source (int fd, const char *source)
+{
+  const int on = 1;
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  if (*source == '\0')
+    return TRUE;
+  setsockopt (fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
+  return inet_pton (AF_INET, source, &address.sin_addr) == 1
+         && bind (fd, (struct sockaddr *) &address, sizeof address) == 0;
 }
 
 HbwChannel *
-hbw_channel_connect_checked (HbwLoop *loop, const char *address,
+hbw_channel_connect_checked (HbwLoop *loop, const char *address, const char *source,
                              HbwChannelHandler *handler, gboolean *is_refused)
 {
   struct sockaddr_in target;
@@ -213,8 +227,9 @@
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0)
     return NULL;
-  if (connect (fd, (struct sockaddr *) &target, sizeof target) == 0
-      || errno == EINPROGRESS)
+  if (bind_source (fd, source)
+      && (connect (fd, (struct sockaddr *) &target, sizeof target) == 0
+          || errno == EINPROGRESS))
     return channel_create (loop, fd, handler, TRUE);
   *is_refused = errno == ECONNREFUSED;
   close (fd);
@@ -283,6 +298,16 @@
   return channel->send_buffer->len - channel->sent_bytes;
 }
 
+void
+hbw_channel_get_peer_host (const HbwChannel *channel, char *host, gsize size)
+{
+  struct sockaddr_in address;
+  socklen_t length = sizeof address;
+  *host = '\0';
+  if (getpeername (channel->watcher.fd, (struct sockaddr *) &address, &length) == 0)
+    inet_ntop (AF_INET, &address.sin_addr, host, (socklen_t) size);
+}
+
 void
 hbw_channel_set_reading (HbwChannel *channel, gboolean reading)
 {
--- a/net/codec_unpack.c
+++ b/net/codec_unpack.c
@@ -120,6 +120,9 @@
   member->state
       = (HbwMemberState) hbw_field_reader_unpack_uint (&inner, HBW_MEMBER_LEFT);
   member->incarnation = (guint32) hbw_field_reader_unpack_uint (&inner, G_MAXUINT32);
+  if (!inner.failed && inner.next < inner.count) /* older versions do not send it */
+    member->tunnel_port
+        = (guint16) hbw_field_reader_unpack_uint (&inner, G_MAXUINT16);
   reader->failed |= inner.failed || member->identity == 0;
 }
 
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -23,10 +23,22 @@
   exchange->first_byte_timeout_us = start->first_byte_timeout_us;
   exchange->stall_timeout_us = start->stall_timeout_us;
   g_strlcpy (exchange->server, start->server, sizeof exchange->server);
+  exchange->tunnel_failed = FALSE;
+  g_strlcpy (exchange->tunnel_address, start->tunnel_address,
+             sizeof exchange->tunnel_address);
   g_byte_array_set_size (exchange->response_body, 0);
   hbw_event_stream_discard_partial (exchange->events);
 }
 
+/* The other instance needs as long to connect to the server. */
+static gint64
+connect_timeout_us (const HbwExchange *exchange)
+{
+  gint64 timeout_us
+      = exchange->traffic->settings->connect_timeout_ms * HBW_US_PER_MS;
+  return *exchange->tunnel_address != '\0' ? 2 * timeout_us : timeout_us;
+}
+
 static void
 handle_start_command (HbwExchange *exchange, const HbwRequestCommand *command)
 {
@@ -49,10 +61,11 @@
   const HbwUpstreamConfig config
       = { .server_name = start->server,
           .address = start->address,
+          .tunnel_address = start->tunnel_address,
+          .opened_since_us = start->opened_since_us,
           .request = request,
           .is_head_request = strcmp (exchange->request_head->method, "HEAD") == 0,
-          .connect_timeout_us
-          = traffic->settings->connect_timeout_ms * HBW_US_PER_MS };
+          .connect_timeout_us = connect_timeout_us (exchange) };
   exchange->upstream = hbw_upstream_send (traffic->upstream_pool, &config,
                                           &exchange->upstream_handler);
   g_bytes_unref (request);
--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -32,7 +32,7 @@
 is_server_silent (const HbwExchange *exchange, HbwOutcome outcome)
 {
   gint64 heard_us = hbw_upstream_pool_last_received_us (
-      exchange->traffic->upstream_pool, exchange->server);
+      exchange->traffic->upstream_pool, exchange->server, exchange->tunnel_address);
   gint64 silent_us = hbw_exchange_now (exchange) - MAX (heard_us, exchange->sent_us);
   if (exchange->sent_us == 0 || exchange->has_unread_bytes)
     return FALSE;
@@ -55,6 +55,7 @@
   end->is_unproved = exchange->end_is_unproved;
   end->tokens = exchange->piece_count;
   end->server_silent = is_server_silent (exchange, outcome);
+  end->tunnel_failed = exchange->tunnel_failed;
   end->longest_gap_us = exchange->longest_gap_us;
   if (exchange->first_piece_us > 0)
     end->first_token_us = MAX (1, exchange->first_piece_us - exchange->started_us);
@@ -90,6 +91,7 @@
   exchange->response_reported_us = now_us;
   HbwEvent event = { .kind = HBW_EVENT_SERVER_RESPONDED };
   event.response.connection_opened_us = opened_us;
+  event.response.is_tunnelled = *exchange->tunnel_address != '\0';
   g_strlcpy (event.response.server, exchange->server, sizeof event.response.server);
   hbw_control_submit (exchange->traffic->control, &event, NULL);
 }
@@ -430,6 +432,10 @@
     case HBW_UPSTREAM_COMPLETE:
       handle_response_complete (exchange);
       break;
+    case HBW_UPSTREAM_NO_TUNNEL:
+      exchange->tunnel_failed = TRUE;
+      hbw_exchange_report_attempt_end (exchange, HBW_OUTCOME_NOT_CONNECTED);
+      break;
     case HBW_UPSTREAM_NOT_CONNECTED:
       hbw_exchange_report_attempt_end (exchange, HBW_OUTCOME_NOT_CONNECTED);
       break;
@@ -458,8 +464,8 @@
       hbw_loop_set_timer (traffic->loop, timer, exchange->silence_timeout_us);
       return;
     }
-  gint64 heard_us = hbw_upstream_pool_last_received_us (traffic->upstream_pool,
-                                                        exchange->server);
+  gint64 heard_us = hbw_upstream_pool_last_received_us (
+      traffic->upstream_pool, exchange->server, exchange->tunnel_address);
   gboolean responds_to_others
       = hbw_exchange_now (exchange) - heard_us < exchange->silence_timeout_us;
   if (responds_to_others && ++exchange->silence_count < SILENCE_TIMEOUTS_MAX)
--- a/net/server_check.c
+++ b/net/server_check.c
@@ -92,7 +92,8 @@
   g_strlcpy (check->server, wanted->server, sizeof check->server);
   cds_list_add (&check->link, &traffic->server_checks);
   check->channel = hbw_channel_connect_checked (
-      traffic->loop, wanted->address, &check->channel_handler, &is_refused);
+      traffic->loop, wanted->address, traffic->settings->source_address,
+      &check->channel_handler, &is_refused);
   if (check->channel == NULL)
     finish (check,
             is_refused ? HBW_SERVER_CHECK_REFUSED : HBW_SERVER_CHECK_NO_ANSWER);
--- a/net/traffic.c
+++ b/net/traffic.c
@@ -4,6 +4,7 @@
 #include "hornbeamwall/net/downstream.h"
 #include "hornbeamwall/net/exchange.h"
 #include "hornbeamwall/net/server_check.h"
+#include "hornbeamwall/net/tunnel.h"
 
 #include <errno.h>
 #include <pthread.h>
@@ -32,6 +33,7 @@
   HbwWatcher watcher;
   HbwTimer retry_timer; /* accepting connections has failed */
   HbwTraffic *traffic;
+  void (*adopt) (HbwTraffic *traffic, int fd);
 } Listener;
 
 typedef struct
@@ -39,6 +41,7 @@
   HbwTraffic traffic;
   Listener caller_listener;
   Listener readiness_listener;
+  Listener tunnel_listener;
   pthread_t thread;
   gboolean started;
 } TrafficThread;
@@ -56,6 +59,12 @@
   HbwCheckServer check;
 } CheckTask;
 
+typedef struct
+{
+  HbwTask task;
+  HbwAnswerTunnel answer;
+} TunnelTask;
+
 static TrafficThread *
 thread_of (HbwTraffic *traffic)
 {
@@ -104,8 +113,27 @@
   hbw_loop_post (traffic->loop, &check_task->task);
 }
 
+static void
+handle_tunnel_answer (HbwTask *task, void *data)
+{
+  TunnelTask *tunnel_task = caa_container_of (task, TunnelTask, task);
+  hbw_tunnel_handle_answer (data, &tunnel_task->answer);
+  g_free (tunnel_task);
+}
+
+static void
+post_tunnel_answer (HbwRequestCommandSink *command_sink,
+                    const HbwAnswerTunnel *answer)
+{
+  HbwTraffic *traffic = caa_container_of (command_sink, HbwTraffic, command_sink);
+  TunnelTask *tunnel_task = g_new0 (TunnelTask, 1);
+  tunnel_task->task.handle = handle_tunnel_answer;
+  tunnel_task->answer = *answer;
+  hbw_loop_post (traffic->loop, &tunnel_task->task);
+}
+
 static const HbwRequestCommandSinkClass command_sink_class
-    = { post_command, post_check };
+    = { post_command, post_check, post_tunnel_answer };
 
 static void
 handle_drain (HbwTask *task, void *data)
@@ -138,11 +166,14 @@
 }
 
 /* A connection past its idle timeout makes room for a new one. */
-static gboolean
-has_room (HbwTraffic *traffic)
+static void
+adopt_caller (HbwTraffic *traffic, int fd)
 {
-  return traffic->downstream_count < traffic->settings->connection_limit
-         || hbw_downstream_close_past_limit (traffic);
+  if (traffic->downstream_count < traffic->settings->connection_limit
+      || hbw_downstream_close_past_limit (traffic))
+    hbw_downstream_adopt (traffic, fd);
+  else
+    close (fd);
 }
 
 static void
@@ -178,18 +209,16 @@
           handle_accept_failure (listener, errno);
           return;
         }
-      if (has_room (traffic))
-        hbw_downstream_adopt (traffic, fd);
-      else
-        close (fd);
+      listener->adopt (traffic, fd);
     }
 }
 
 static gboolean
 open_listener (HbwTraffic *traffic, Listener *listener, const char *address,
-               HbwError *error)
+               void (*adopt) (HbwTraffic *traffic, int fd), HbwError *error)
 {
   listener->traffic = traffic;
+  listener->adopt = adopt;
   listener->watcher.fd = -1;
   if (*address == '\0')
     return TRUE;
@@ -250,11 +279,14 @@
       = hbw_loop_create (hbw_control_clock (traffic->control), traffic, error);
   if (traffic->loop == NULL)
     return FALSE;
-  traffic->upstream_pool = hbw_upstream_pool_create (traffic->loop);
+  traffic->upstream_pool
+      = hbw_upstream_pool_create (traffic->loop, settings->source_address);
   if (!open_listener (traffic, &thread->caller_listener, settings->caller_address,
-                      error)
+                      adopt_caller, error)
       || !open_listener (traffic, &thread->readiness_listener,
-                         settings->ready_address, error))
+                         settings->ready_address, adopt_caller, error)
+      || !open_listener (traffic, &thread->tunnel_listener, settings->tunnel_address,
+                         hbw_tunnel_adopt, error))
     return FALSE;
   hbw_control_set_command_sink (traffic->control, &traffic->command_sink);
   return start_thread (thread, error);
@@ -272,10 +304,12 @@
   traffic->adapter = adapter;
   traffic->notice_reporter = hbw_notice_reporter_create (control);
   thread->caller_listener.watcher.fd = thread->readiness_listener.watcher.fd = -1;
+  thread->tunnel_listener.watcher.fd = -1;
   traffic->exchanges = g_hash_table_new (g_int64_hash, g_int64_equal);
   CDS_INIT_LIST_HEAD (&traffic->downstreams);
   CDS_INIT_LIST_HEAD (&traffic->idle_downstreams);
   CDS_INIT_LIST_HEAD (&traffic->server_checks);
+  CDS_INIT_LIST_HEAD (&traffic->tunnels);
   if (set_up_thread (thread, error))
     return traffic;
   hbw_traffic_destroy (traffic);
@@ -295,12 +329,14 @@
   hbw_downstream_abort_all (traffic);
   destroy_exchanges (traffic);
   hbw_server_check_abort_all (traffic);
+  hbw_tunnel_abort_all (traffic);
   g_hash_table_destroy (traffic->exchanges);
   hbw_notice_reporter_destroy (traffic->notice_reporter);
   if (traffic->upstream_pool != NULL)
     hbw_upstream_pool_destroy (traffic->upstream_pool);
   close_listener (&thread->caller_listener);
   close_listener (&thread->readiness_listener);
+  close_listener (&thread->tunnel_listener);
   if (traffic->loop != NULL)
     hbw_loop_destroy (traffic->loop, discard_task);
   g_free (thread);
--- /dev/null
+++ b/net/tunnel.c
@@ -0,0 +1,285 @@
+#include "hornbeamwall/net/tunnel.h"
+
+#include "hornbeamwall/net/channel.h"
+
+#include <string.h>
+
+/* How long the other instance may take to name the server. */
+#define NAME_TIMEOUT_US (1 * HBW_US_PER_S)
+
+/* A tunnel without bytes for this long is closed: the other instance may be gone. */
+#define IDLE_TIMEOUT_US (120 * HBW_US_PER_S)
+
+/* A server that sent bytes this long ago, or later, shows that this instance has a
+   path. */
+#define HEARD_MAX_US (500 * HBW_US_PER_MS)
+
+typedef struct
+{
+  HbwChannelHandler near_handler;
+  HbwChannelHandler far_handler;
+  struct cds_list_head link; /* in traffic->tunnels */
+  HbwTraffic *traffic;
+  guint64 sequence; /* 0 before the server is named */
+  HbwChannel *near; /* to the other instance */
+  HbwChannel *far;  /* to the server; NULL before, and after its end */
+  HbwTimer timer;
+  gint64 last_bytes_us;
+  char server[HBW_NAME_MAX];
+  gsize server_length;
+  gboolean is_open;
+} Tunnel;
+
+static void
+tunnel_destroy (Tunnel *tunnel)
+{
+  cds_list_del (&tunnel->link);
+  tunnel->traffic->tunnel_count--;
+  hbw_loop_clear_timer (tunnel->traffic->loop, &tunnel->timer);
+  if (tunnel->far != NULL)
+    hbw_channel_abort (tunnel->far);
+  if (tunnel->near != NULL)
+    hbw_channel_destroy (tunnel->near);
+  g_free (tunnel);
+}
+
+static void
+refuse (Tunnel *tunnel, char reason)
+{
+  hbw_channel_write (tunnel->near, &reason, 1);
+  tunnel_destroy (tunnel);
+}
+
+/* Passes BYTES on, and pauses SOURCE while the receiver has to catch up. */
+static void
+pass_on (Tunnel *tunnel, HbwChannel *target, HbwChannel *source, const char *bytes,
+         gsize length)
+{
+  tunnel->last_bytes_us = hbw_loop_now (tunnel->traffic->loop);
+  hbw_channel_write (target, bytes, length);
+  if (hbw_channel_pending_bytes (target) > HBW_TUNNEL_PENDING_BYTES_MAX)
+    hbw_channel_set_reading (source, FALSE);
+}
+
+/* --- the other instance ---------------------------------------------------- */
+
+static void
+ask (Tunnel *tunnel)
+{
+  HbwEvent event = { .kind = HBW_EVENT_TUNNEL_ASKED };
+  tunnel->sequence = hbw_control_next_request_sequence (tunnel->traffic->control);
+  event.tunnel.sequence = tunnel->sequence;
+  g_strlcpy (event.tunnel.server, tunnel->server, sizeof event.tunnel.server);
+  hbw_channel_get_peer_host (tunnel->near, event.tunnel.peer_host,
+                             sizeof event.tunnel.peer_host);
+  hbw_channel_set_reading (tunnel->near, FALSE);
+  hbw_control_submit (tunnel->traffic->control, &event, NULL);
+}
+
+static void
+read_server (Tunnel *tunnel, const char *bytes, gsize length)
+{
+  const char *end = memchr (bytes, '\n', length);
+  gsize count = end != NULL ? (gsize) (end - bytes) : length;
+  if (tunnel->server_length + count >= sizeof tunnel->server
+      || (end != NULL && end + 1 != bytes + length))
+    {
+      tunnel_destroy (tunnel);
+      return;
+    }
+  memcpy (tunnel->server + tunnel->server_length, bytes, count);
+  tunnel->server_length += count;
+  if (end != NULL)
+    ask (tunnel);
+}
+
+static void
+handle_near_bytes (HbwChannelHandler *handler, const char *bytes, gsize length)
+{
+  Tunnel *tunnel = caa_container_of (handler, Tunnel, near_handler);
+  if (tunnel->sequence == 0)
+    read_server (tunnel, bytes, length);
+  else if (tunnel->is_open && tunnel->far != NULL)
+    pass_on (tunnel, tunnel->far, tunnel->near, bytes, length);
+  else
+    tunnel_destroy (tunnel); /* bytes for a server that is not connected */
+}
+
+/* The other instance has given the request up, or is gone. */
+static void
+handle_near_end (HbwChannelHandler *handler, gboolean clean G_GNUC_UNUSED)
+{
+  tunnel_destroy (caa_container_of (handler, Tunnel, near_handler));
+}
+
+static void
+handle_near_drained (HbwChannelHandler *handler)
+{
+  const Tunnel *tunnel = caa_container_of (handler, Tunnel, near_handler);
+  if (tunnel->far != NULL && tunnel->is_open)
+    hbw_channel_set_reading (tunnel->far, TRUE);
+}
+
+static const HbwChannelHandlerClass near_handler_class = {
+  .handle_bytes = handle_near_bytes,
+  .handle_end = handle_near_end,
+  .handle_drained = handle_near_drained,
+};
+
+/* --- the server ------------------------------------------------------------ */
+
+static void
+handle_idle (HbwTimer *timer)
+{
+  Tunnel *tunnel = caa_container_of (timer, Tunnel, timer);
+  HbwLoop *loop = tunnel->traffic->loop;
+  gint64 idle_us = hbw_loop_now (loop) - tunnel->last_bytes_us;
+  if (idle_us >= IDLE_TIMEOUT_US)
+    tunnel_destroy (tunnel);
+  else
+    hbw_loop_set_timer (loop, timer, IDLE_TIMEOUT_US - idle_us);
+}
+
+static void
+handle_far_connected (HbwChannelHandler *handler)
+{
+  Tunnel *tunnel = caa_container_of (handler, Tunnel, far_handler);
+  const char reply = HBW_TUNNEL_OPEN;
+  tunnel->is_open = TRUE;
+  tunnel->last_bytes_us = hbw_loop_now (tunnel->traffic->loop);
+  tunnel->timer.handle_due = handle_idle;
+  hbw_loop_set_timer (tunnel->traffic->loop, &tunnel->timer, IDLE_TIMEOUT_US);
+  hbw_channel_write (tunnel->near, &reply, 1);
+  hbw_channel_set_reading (tunnel->near, TRUE);
+}
+
+static void
+handle_far_bytes (HbwChannelHandler *handler, const char *bytes, gsize length)
+{
+  Tunnel *tunnel = caa_container_of (handler, Tunnel, far_handler);
+  pass_on (tunnel, tunnel->near, tunnel->far, bytes, length);
+}
+
+/* Without a path of its own, this instance knows nothing of the server. */
+static void
+refuse_unconnected (Tunnel *tunnel)
+{
+  HbwTraffic *traffic = tunnel->traffic;
+  gint64 heard_us = hbw_upstream_pool_last_heard_us (traffic->upstream_pool);
+  gboolean has_path = hbw_loop_now (traffic->loop) - heard_us <= HEARD_MAX_US;
+  refuse (tunnel, has_path ? HBW_TUNNEL_NO_SERVER : HBW_TUNNEL_UNAVAILABLE);
+}
+
+/* What the server has sent still reaches the other instance, and then the end. */
+static void
+handle_far_end (HbwChannelHandler *handler, gboolean clean)
+{
+  Tunnel *tunnel = caa_container_of (handler, Tunnel, far_handler);
+  if (!tunnel->is_open)
+    {
+      refuse_unconnected (tunnel);
+      return;
+    }
+  if (clean)
+    {
+      hbw_channel_destroy (tunnel->far);
+      tunnel->far = NULL;
+      hbw_channel_shutdown_write (tunnel->near);
+      return;
+    }
+  hbw_channel_abort (tunnel->near);
+  tunnel->near = NULL;
+  tunnel_destroy (tunnel);
+}
+
+static void
+handle_far_drained (HbwChannelHandler *handler)
+{
+  const Tunnel *tunnel = caa_container_of (handler, Tunnel, far_handler);
+  if (tunnel->is_open)
+    hbw_channel_set_reading (tunnel->near, TRUE);
+}
+
+static const HbwChannelHandlerClass far_handler_class = {
+  .handle_connected = handle_far_connected,
+  .handle_bytes = handle_far_bytes,
+  .handle_end = handle_far_end,
+  .handle_drained = handle_far_drained,
+};
+
+static void
+handle_connect_timeout (HbwTimer *timer)
+{
+  refuse_unconnected (caa_container_of (timer, Tunnel, timer));
+}
+
+static void
+connect_server (Tunnel *tunnel, const char *address)
+{
+  HbwTraffic *traffic = tunnel->traffic;
+  tunnel->far_handler.class = &far_handler_class;
+  tunnel->far = hbw_channel_connect (traffic->loop, address,
+                                     traffic->settings->source_address,
+                                     &tunnel->far_handler);
+  if (tunnel->far == NULL)
+    {
+      refuse_unconnected (tunnel);
+      return;
+    }
+  tunnel->timer.handle_due = handle_connect_timeout;
+  hbw_loop_set_timer (traffic->loop, &tunnel->timer,
+                      traffic->settings->connect_timeout_ms * HBW_US_PER_MS);
+}
+
+/* --- all tunnels ----------------------------------------------------------- */
+
+static void
+handle_name_timeout (HbwTimer *timer)
+{
+  tunnel_destroy (caa_container_of (timer, Tunnel, timer));
+}
+
+void
+hbw_tunnel_adopt (HbwTraffic *traffic, int fd)
+{
+  Tunnel *tunnel = g_new0 (Tunnel, 1);
+  tunnel->near_handler.class = &near_handler_class;
+  tunnel->traffic = traffic;
+  tunnel->timer.handle_due = handle_name_timeout;
+  tunnel->near = hbw_channel_adopt (traffic->loop, fd, &tunnel->near_handler);
+  if (tunnel->near == NULL)
+    {
+      g_free (tunnel);
+      return;
+    }
+  cds_list_add (&tunnel->link, &traffic->tunnels);
+  hbw_loop_set_timer (traffic->loop, &tunnel->timer, NAME_TIMEOUT_US);
+  if (++traffic->tunnel_count > HBW_TUNNELS_MAX)
+    refuse (tunnel, HBW_TUNNEL_UNAVAILABLE);
+}
+
+void
+hbw_tunnel_handle_answer (HbwTraffic *traffic, const HbwAnswerTunnel *answer)
+{
+  Tunnel *tunnel;
+  Tunnel *next;
+  cds_list_for_each_entry_safe (tunnel, next, &traffic->tunnels, link)
+    {
+      if (tunnel->sequence != answer->sequence)
+        continue;
+      if (*answer->address != '\0')
+        connect_server (tunnel, answer->address);
+      else
+        refuse (tunnel, HBW_TUNNEL_UNAVAILABLE);
+      return;
+    }
+}
+
+void
+hbw_tunnel_abort_all (HbwTraffic *traffic)
+{
+  Tunnel *tunnel;
+  Tunnel *next;
+  cds_list_for_each_entry_safe (tunnel, next, &traffic->tunnels, link)
+    tunnel_destroy (tunnel);
+}
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -2,6 +2,7 @@
 
 #include "hornbeamwall/core/types.h"
 #include "hornbeamwall/net/channel.h"
+#include "hornbeamwall/net/tunnel.h"
 
 #include <string.h>
 #include <urcu/list.h>
@@ -34,11 +35,17 @@
   struct cds_list_head connections; /* HbwUpstream */
   struct cds_list_head idle;        /* HbwUpstream, most recently used first */
   guint idle_count;
+  gint64 last_heard_us; /* time of the last bytes on a direct connection */
+  const char *source;   /* IP address of direct connections, "" for any; borrowed */
 };
 
+/* Size of the name of a server and the way to it. */
+#define WAY_MAX (HBW_NAME_MAX + HBW_ADDRESS_MAX + 2)
+
+/* A server, by one way. */
 typedef struct
 {
-  char name[HBW_NAME_MAX];
+  char name[WAY_MAX];
   struct cds_list_head idle; /* HbwUpstream, most recently used first */
   guint idle_count;
   gint64 last_received_us; /* time of the last bytes from the server */
@@ -60,6 +67,8 @@
   GBytes *request;
   gboolean is_idle;
   gboolean connected;
+  char tunnel_server[HBW_NAME_MAX]; /* to be named to another instance; "": direct */
+  gboolean tunnel_open;
   gboolean skipping_response; /* the response being read is not for the handler */
   gboolean response_rejected; /* the handler rejected the response */
   gboolean keep_alive;        /* the response allows the connection to be reused */
@@ -67,12 +76,22 @@
   gboolean cancelled;
   guint skipped_count;
   gint64 idle_timeout_us; /* how long it may be idle */
-  gint64 opened_us;
+  gint64 opened_us;       /* or last reused */
+  gint64 created_us;      /* when it was opened first */
 };
 
 static void handle_timeout (HbwTimer *timer);
 static void handle_idle_timeout (HbwTimer *timer);
 
+static void
+format_way (char *way, const char *server, const char *tunnel_address)
+{
+  if (*tunnel_address == '\0')
+    g_strlcpy (way, server, WAY_MAX);
+  else
+    g_snprintf (way, WAY_MAX, "%s %s", server, tunnel_address);
+}
+
 static Server *
 get_or_create_server (HbwUpstreamPool *pool, const char *name)
 {
@@ -271,9 +290,8 @@
 }
 
 static void
-handle_connected (HbwChannelHandler *handler)
+send_request (HbwUpstream *upstream)
 {
-  HbwUpstream *upstream = upstream_of_channel (handler);
   gsize length;
   const char *bytes = g_bytes_get_data (upstream->request, &length);
   hbw_loop_clear_timer (upstream->pool->loop, &upstream->timer);
@@ -284,11 +302,55 @@
     upstream->handler->class->handle_open (upstream->handler);
 }
 
+static void
+handle_connected (HbwChannelHandler *handler)
+{
+  HbwUpstream *upstream = upstream_of_channel (handler);
+  upstream->created_us = hbw_loop_now (upstream->pool->loop);
+  if (*upstream->tunnel_server == '\0')
+    {
+      send_request (upstream);
+      return;
+    }
+  hbw_channel_write (upstream->channel, upstream->tunnel_server,
+                     strlen (upstream->tunnel_server));
+  hbw_channel_write (upstream->channel, "\n", 1);
+}
+
+/* Nothing was sent, as the way to the server could not be opened. */
+static HbwUpstreamEnd
+unopened_end (const HbwUpstream *upstream)
+{
+  return *upstream->tunnel_server != '\0' ? HBW_UPSTREAM_NO_TUNNEL
+                                          : HBW_UPSTREAM_NOT_CONNECTED;
+}
+
+/* Handles the answer of the other instance. */
+static void
+handle_tunnel_answer (HbwUpstream *upstream, char answer)
+{
+  upstream->tunnel_open = answer == HBW_TUNNEL_OPEN;
+  if (upstream->tunnel_open)
+    send_request (upstream);
+  else
+    fail_request (upstream, answer == HBW_TUNNEL_NO_SERVER
+                                ? HBW_UPSTREAM_NOT_CONNECTED
+                                : HBW_UPSTREAM_NO_TUNNEL);
+}
+
 static void
 handle_bytes (HbwChannelHandler *handler, const char *bytes, gsize length)
 {
   HbwUpstream *upstream = upstream_of_channel (handler);
-  upstream->server->last_received_us = hbw_loop_now (upstream->pool->loop);
+  HbwUpstreamPool *pool = upstream->pool;
+  if (*upstream->tunnel_server != '\0' && !upstream->tunnel_open)
+    {
+      handle_tunnel_answer (upstream, *bytes);
+      return;
+    }
+  upstream->server->last_received_us = hbw_loop_now (pool->loop);
+  if (*upstream->tunnel_server == '\0')
+    pool->last_heard_us = upstream->server->last_received_us;
   if (upstream->is_idle)
     upstream_destroy (upstream); /* unsolicited bytes */
   else
@@ -306,7 +368,7 @@
     }
   if (!upstream->connected)
     {
-      fail_request (upstream, HBW_UPSTREAM_NOT_CONNECTED);
+      fail_request (upstream, unopened_end (upstream));
       return;
     }
   /* A response without a length ends with its connection, but not with a reset. */
@@ -327,7 +389,7 @@
 handle_timeout (HbwTimer *timer)
 {
   HbwUpstream *upstream = caa_container_of (timer, HbwUpstream, timer);
-  fail_request (upstream, HBW_UPSTREAM_NOT_CONNECTED);
+  fail_request (upstream, unopened_end (upstream));
 }
 
 static void
@@ -336,19 +398,31 @@
   upstream_destroy (caa_container_of (timer, HbwUpstream, timer));
 }
 
+static gboolean
+has_tunnel (const HbwUpstreamConfig *config)
+{
+  return config->tunnel_address != NULL && *config->tunnel_address != '\0';
+}
+
 static HbwUpstream *
-open_connection (HbwUpstreamPool *pool, const HbwUpstreamConfig *config)
+open_connection (HbwUpstreamPool *pool, const HbwUpstreamConfig *config,
+                 const char *way)
 {
   HbwUpstream *upstream = g_new0 (HbwUpstream, 1);
+  gboolean is_direct = !has_tunnel (config);
   upstream->channel_handler.class = &channel_handler_class;
   upstream->parser_handler.class = &parser_handler_class;
   upstream->pool = pool;
-  upstream->server = get_or_create_server (pool, config->server_name);
+  upstream->server = get_or_create_server (pool, way);
+  if (!is_direct)
+    g_strlcpy (upstream->tunnel_server, config->server_name,
+               sizeof upstream->tunnel_server);
   upstream->parser
       = hbw_http_parser_create (HBW_HTTP_PARSER_RESPONSE, &upstream->parser_handler);
   cds_list_add_tail (&upstream->link, &pool->connections);
-  upstream->channel = hbw_channel_connect (pool->loop, config->address,
-                                           &upstream->channel_handler);
+  upstream->channel = hbw_channel_connect (
+      pool->loop, is_direct ? config->address : config->tunnel_address,
+      is_direct ? pool->source : "", &upstream->channel_handler);
   return upstream;
 }
 
@@ -365,11 +439,23 @@
   return NULL;
 }
 
+/* Connections of before an outage of the path may be silent. */
+static void
+close_older (Server *server, gint64 since_us)
+{
+  HbwUpstream *upstream;
+  HbwUpstream *next;
+  cds_list_for_each_entry_safe (upstream, next, &server->idle, idle_link)
+    if (upstream->created_us < since_us)
+      upstream_destroy (upstream);
+}
+
 static HbwUpstream *
-take_idle_connection (HbwUpstreamPool *pool, const char *name)
+take_idle_connection (HbwUpstreamPool *pool, const char *way, gint64 since_us)
 {
-  HbwUpstream *upstream
-      = find_idle_connection (pool, get_or_create_server (pool, name));
+  Server *server = get_or_create_server (pool, way);
+  close_older (server, since_us);
+  HbwUpstream *upstream = find_idle_connection (pool, server);
   if (upstream == NULL)
     return NULL;
   remove_from_idle (upstream);
@@ -378,10 +464,11 @@
 }
 
 HbwUpstreamPool *
-hbw_upstream_pool_create (HbwLoop *loop)
+hbw_upstream_pool_create (HbwLoop *loop, const char *source)
 {
   HbwUpstreamPool *pool = g_new0 (HbwUpstreamPool, 1);
   pool->loop = loop;
+  pool->source = source;
   pool->servers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   CDS_INIT_LIST_HEAD (&pool->connections);
   CDS_INIT_LIST_HEAD (&pool->idle);
@@ -415,10 +502,13 @@
 hbw_upstream_send (HbwUpstreamPool *pool, const HbwUpstreamConfig *config,
                    HbwUpstreamHandler *handler)
 {
-  HbwUpstream *upstream = take_idle_connection (pool, config->server_name);
+  char way[WAY_MAX];
+  format_way (way, config->server_name,
+              has_tunnel (config) ? config->tunnel_address : "");
+  HbwUpstream *upstream = take_idle_connection (pool, way, config->opened_since_us);
   gboolean reused = upstream != NULL;
   if (!reused)
-    upstream = open_connection (pool, config);
+    upstream = open_connection (pool, config, way);
   upstream->handler = handler;
   upstream->request = g_bytes_ref (config->request);
   upstream->skipped_count = 0;
@@ -428,11 +518,11 @@
   hbw_http_parser_reset (upstream->parser, config->is_head_request);
   if (upstream->channel == NULL)
     {
-      fail_request (upstream, HBW_UPSTREAM_NOT_CONNECTED);
+      fail_request (upstream, unopened_end (upstream));
       return NULL;
     }
   if (reused)
-    handle_connected (&upstream->channel_handler);
+    send_request (upstream);
   else
     {
       upstream->timer.handle_due = handle_timeout;
@@ -477,8 +567,17 @@
 }
 
 gint64
-hbw_upstream_pool_last_received_us (const HbwUpstreamPool *pool, const char *server)
+hbw_upstream_pool_last_received_us (const HbwUpstreamPool *pool, const char *server,
+                                    const char *tunnel_address)
 {
-  const Server *entry = g_hash_table_lookup (pool->servers, server);
+  char way[WAY_MAX];
+  format_way (way, server, tunnel_address);
+  const Server *entry = g_hash_table_lookup (pool->servers, way);
   return entry != NULL ? entry->last_received_us : 0;
 }
+
+gint64
+hbw_upstream_pool_last_heard_us (const HbwUpstreamPool *pool)
+{
+  return pool->last_heard_us;
+}
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -1,5 +1,6 @@
 #include "hornbeamwall/runtime/control.h"
 
+#include "hornbeamwall/common/address.h"
 #include "hornbeamwall/common/log.h"
 #include "hornbeamwall/common/tsan.h"
 #include "hornbeamwall/core/policy.h"
@@ -108,6 +109,15 @@
   pthread_mutex_unlock (&control->command_sink_lock);
 }
 
+static void
+post_tunnel_answer_to_sink (HbwControl *control, const HbwAnswerTunnel *answer)
+{
+  pthread_mutex_lock (&control->command_sink_lock);
+  if (control->command_sink != NULL)
+    control->command_sink->class->post_tunnel_answer (control->command_sink, answer);
+  pthread_mutex_unlock (&control->command_sink_lock);
+}
+
 static void
 execute_effect (HbwControl *control, const HbwEffect *effect, gint64 now_us)
 {
@@ -143,6 +153,9 @@
     case HBW_EFFECT_CHECK_SERVER:
       post_check_to_sink (control, &effect->check);
       break;
+    case HBW_EFFECT_ANSWER_TUNNEL:
+      post_tunnel_answer_to_sink (control, &effect->tunnel);
+      break;
     case HBW_EFFECT_PUBLISH_CATALOGUE:
       hbw_snapshot_publish (control->snapshot, effect->catalogue);
       break;
@@ -363,6 +376,9 @@
   config.max_revocation_delay_us = settings->max_revocation_delay_us;
   config.drain_grace_us = settings->stop_grace_us / 100 * HBW_STOP_ACCEPTING_PERCENT;
   config.load_in_answers = settings->load_in_responses;
+  HbwHostPort tunnel;
+  if (hbw_address_parse (settings->tunnel_address, &tunnel))
+    config.self.tunnel_port = (guint16) tunnel.port;
   config.stores_suspects = TRUE;
   g_strlcpy (config.self.name, settings->name, sizeof config.self.name);
   g_strlcpy (config.self.data_centre, settings->data_centre,
--- a/runtime/settings.c
+++ b/runtime/settings.c
@@ -5,6 +5,7 @@
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/policy.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 
 #define CONNECTION_LIMIT_DEFAULT 1024
@@ -141,6 +142,16 @@
   hbw_json_reader_string (reader, "ready_address", settings->ready_address,
                           HBW_ADDRESS_MAX, "");
   check_address (report, "/ready_address", settings->ready_address);
+  hbw_json_reader_string (reader, "tunnel_address", settings->tunnel_address,
+                          HBW_ADDRESS_MAX, "");
+  check_address (report, "/tunnel_address", settings->tunnel_address);
+  hbw_json_reader_string (reader, "source_address", settings->source_address,
+                          HBW_ADDRESS_MAX, "");
+  struct in_addr source;
+  check_value (report, "/source_address", settings->source_address,
+               *settings->source_address == '\0'
+                   || inet_pton (AF_INET, settings->source_address, &source) == 1,
+               "expected an IP address, such as 127.0.0.1");
   settings->load_in_responses
       = hbw_json_reader_bool (reader, "load_in_answers", FALSE);
   settings->max_revocation_delay_us
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -398,7 +398,7 @@
   HbwClock *clock = hbw_clock_create_manual (HBW_US_PER_S);
   Requester requester = { .handler = { &requester_class } };
   requester.loop = hbw_loop_create (clock, NULL, &error);
-  HbwUpstreamPool *pool = hbw_upstream_pool_create (requester.loop);
+  HbwUpstreamPool *pool = hbw_upstream_pool_create (requester.loop, "");
   int listener = hbw_listen ("127.0.0.1:0", &error);
   char address[32];
   g_snprintf (address, sizeof address, "127.0.0.1:%u", hbw_listen_port (listener));
@@ -450,7 +450,7 @@
   HbwClock *clock = hbw_clock_create_manual (HBW_US_PER_S);
   Requester requester = { .handler = { &last_requester_class } };
   requester.loop = hbw_loop_create (clock, NULL, &error);
-  HbwUpstreamPool *pool = hbw_upstream_pool_create (requester.loop);
+  HbwUpstreamPool *pool = hbw_upstream_pool_create (requester.loop, "");
   int listener = hbw_listen ("127.0.0.1:0", &error);
   char address[32];
   int fds[IDLE_SERVERS];
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -3,6 +3,7 @@
 #include "notice_check.h"
 #include "part_watch.h"
 
+#include "hornbeamwall/common/address.h"
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/policy.h"
@@ -130,7 +131,9 @@
   gint64 first_token_us; /* time to first token */
   gint64 token_us;
   gboolean ended;
-  gboolean is_misdirected; /* its server has another id by now */
+  gboolean is_misdirected;              /* its server has another id by now */
+  char tunnel_address[HBW_ADDRESS_MAX]; /* "": direct */
+  gboolean tunnel_failed;
 } Attempt;
 
 typedef struct
@@ -174,7 +177,8 @@
   GHashTable *planned_stops;
   PartWatch *parts;
   StreamWatch *streams;
-  gboolean part_refused; /* the next refusal is because of a part */
+  gboolean tunnel_accepted; /* the last that was asked for */
+  gboolean part_refused;    /* the next refusal is because of a part */
   guint poisoned_server_count;
   gint64 poison_restart_us;    /* until a server restarts after a poison request */
   GHashTable *poison_failures; /* fingerprint -> number of servers made to fail */
@@ -419,7 +423,8 @@
 is_silenced (const World *world, const Attempt *attempt)
 {
   return attempt->server->silent
-         || is_cut_off (world, attempt->instance, "servers-silent");
+         || (*attempt->tunnel_address == '\0'
+             && is_cut_off (world, attempt->instance, "servers-silent"));
 }
 
 typedef struct
@@ -475,6 +480,7 @@
       event.end.server_silent = report->server_silent;
       event.end.is_unproved = report->is_unproved;
       event.end.response_started = attempt->request->response_started;
+      event.end.tunnel_failed = attempt->tunnel_failed;
       if (report->outcome == HBW_OUTCOME_COMPLETE)
         {
           event.end.first_token_us
@@ -825,6 +831,44 @@
     report_end (world, attempt, HBW_OUTCOME_NOT_CONNECTED, 0);
 }
 
+/* Connects the attempt through another instance, if that agrees. */
+static void
+open_tunnel (World *world, Attempt *attempt)
+{
+  HbwHostPort parts;
+  Instance *peer = NULL;
+  Instance *instance = attempt->instance;
+  for (guint i = 0; i < world->instances->len; i++)
+    {
+      Instance *other = world->instances->pdata[i];
+      if (strcspn (other->address, ":") == strcspn (attempt->tunnel_address, ":")
+          && strncmp (other->address, attempt->tunnel_address,
+                      strcspn (other->address, ":"))
+                 == 0)
+        peer = other;
+    }
+  attempt->tunnel_failed = peer == NULL || peer->identity == 0
+                           || !can_reach (world, instance, peer)
+                           || is_cut_off (world, peer, "servers")
+                           || is_cut_off (world, peer, "servers-silent");
+  HbwEvent event = { .kind = HBW_EVENT_TUNNEL_ASKED };
+  hbw_address_parse (instance->address, &parts);
+  g_strlcpy (event.tunnel.peer_host, parts.host, sizeof event.tunnel.peer_host);
+  g_strlcpy (event.tunnel.server, attempt->server->entry.id,
+             sizeof event.tunnel.server);
+  world->tunnel_accepted = FALSE;
+  if (!attempt->tunnel_failed)
+    run_reducer (world, peer, &event);
+  attempt->tunnel_failed |= !world->tunnel_accepted;
+  if (attempt->tunnel_failed
+      || is_partitioned (world, peer->data_centre,
+                         attempt->server->entry.data_centre))
+    end_unconnected (world, attempt);
+  else
+    schedule (world, world->now_us + 2 * world->link.remote_us, enqueue_at_engine,
+              attempt);
+}
+
 /* Simulates the traffic thread, which checks the age of the grant directly before it
    connects. */
 static void
@@ -846,6 +890,11 @@
     }
   gboolean remote
       = strcmp (instance->data_centre, attempt->server->entry.data_centre) != 0;
+  if (*attempt->tunnel_address != '\0')
+    {
+      open_tunnel (world, attempt);
+      return;
+    }
   if (is_cut_off (world, instance, "servers-silent"))
     {
       schedule (world, world->now_us + CONNECT_TIMEOUT_US, end_unconnected, attempt);
@@ -886,6 +935,8 @@
   attempt->instance = instance;
   attempt->identity = instance->identity;
   attempt->number = start->attempt;
+  g_strlcpy (attempt->tunnel_address, start->tunnel_address,
+             sizeof attempt->tunnel_address);
   attempt->created_us = world->now_us;
   request->attempted = TRUE;
   request->class->last_attempt_us = world->now_us;
@@ -1172,6 +1223,9 @@
     case HBW_EFFECT_CHECK_SERVER:
       check_server (world, instance, &effect->check);
       break;
+    case HBW_EFFECT_ANSWER_TUNNEL:
+      world->tunnel_accepted = *effect->tunnel.address != '\0';
+      break;
     case HBW_EFFECT_READ_SUSPECTS:
       call_suspect_store (world, instance, NULL);
       break;
@@ -1303,6 +1357,7 @@
   config.stores_suspects = TRUE;
   config.seed = g_rand_int (world->random);
   config.self.identity = instance->identity;
+  config.self.tunnel_port = 2;
   g_strlcpy (config.self.name, instance->name, sizeof config.self.name);
   g_strlcpy (config.self.data_centre, instance->data_centre,
              sizeof config.self.data_centre);
@@ -1635,7 +1690,8 @@
       Attempt *attempt = world->attempts->pdata[i];
       if (attempt->ended || !g_ptr_array_remove (attempt->server->running, attempt))
         continue;
-      if (is_cut_off (world, attempt->instance, "servers"))
+      if (*attempt->tunnel_address == '\0'
+          && is_cut_off (world, attempt->instance, "servers"))
         report_end (world, attempt, HBW_OUTCOME_BROKEN,
                     tokens_so_far (world, attempt));
       else
--- a/tests/soak_site.c
+++ b/tests/soak_site.c
@@ -115,10 +115,10 @@
     return;
   g_free (soak->entries[index]);
   soak->entries[index] = replica_copy_id (replica);
-  objects_set_server_named (soak->objects, soak->entries[index],
-                            soak->has_zones ? "zyx"[index % 3] : 'z',
-                            proxy_port (soak->proxies[index]), 16, state,
-                            1 + replica_crash_count (replica));
+  objects_set_server_named (
+      soak->objects, soak->entries[index], soak->has_zones ? "zyx"[index % 3] : 'z',
+      proxy_port (soak->proxies[index]), 16, state,
+      1 + replica_crash_count (replica), 1 + index % soak->versions);
 }
 
 static void
@@ -214,6 +214,7 @@
   soak->began_us = g_get_monotonic_time ();
   soak->last_port
       = PORT_MIN + (guint) getpid () * PORTS_OF_A_RUN % (PORT_MAX - PORT_MIN);
+  soak->versions = MAX (1, soak->versions);
   soak->config_idle_timeout_ms = IDLE_TIMEOUT_MS;
   atomic_store (&soak->idle_timeout_ms, IDLE_TIMEOUT_MS);
   for (guint i = 0; i < SOAK_CHANGING_KEYS; i++)
--- a/tests/soak_state.h
+++ b/tests/soak_state.h
@@ -48,6 +48,7 @@
   const char *states[SOAK_SERVERS_MAX];
   char *entries[SOAK_SERVERS_MAX]; /* names in the store; NULL if there is none */
   gboolean has_zones;              /* the servers are in three zones */
+  guint versions;                  /* of the servers */
   gboolean renames_servers;        /* each start of a server has a new id */
   gint64 outage_us;                /* of servers that crash */
   GRand *fault_random;             /* used for faults only */
--- a/tests/standin/objects.c
+++ b/tests/standin/objects.c
@@ -414,17 +414,17 @@
 {
   char name[16];
   g_snprintf (name, sizeof name, "i-%u", number);
-  objects_set_server_named (objects, name, 'z', port, slots, state, start);
+  objects_set_server_named (objects, name, 'z', port, slots, state, start, 1);
 }
 
 void
 objects_set_server_named (Objects *objects, const char *name, char zone, guint port,
-                          guint slots, const char *state, guint start)
+                          guint slots, const char *state, guint start, guint version)
 {
   char *text = g_strdup_printf (
       "{\"backend\":\"b\",\"address\":\"127.0.0.1:%u\",\"zone\":\"%c\",\"slots\":%u,"
-      "\"state\":\"%s\",\"sequence\":1,\"born\":%u}",
-      port, zone, slots, state, start);
+      "\"state\":\"%s\",\"sequence\":1,\"born\":%u,\"version\":\"v%u\"}",
+      port, zone, slots, state, start, version);
   objects_set (objects, "servers", name, text);
   g_free (text);
 }
--- a/tests/standin/objects.h
+++ b/tests/standin/objects.h
@@ -44,7 +44,7 @@
 /* The same with the id and the zone of the server. */
 void objects_set_server_named (Objects *objects, const char *name, char zone,
                                guint port, guint slots, const char *state,
-                               guint start);
+                               guint start, guint version);
 
 void objects_set_behaviour (Objects *objects, ObjectsBehaviour behaviour);
 
--- a/tests/standin/proxy.c
+++ b/tests/standin/proxy.c
@@ -15,10 +15,14 @@
 
 #define DELAY_US 20000
 
+/* Values of the last byte of an address. */
+#define SOURCES_MAX 256
+
 typedef struct
 {
   int ends[2];      /* sockets to the client and to the server */
   gboolean is_torn; /* some of its data was dropped */
+  guint source;     /* last byte of the client's address */
 } Connection;
 
 struct Proxy
@@ -27,6 +31,7 @@
   guint port;
   atomic_uint target_port;
   atomic_int mode;
+  atomic_int cuts[SOURCES_MAX]; /* ProxyMode, by the last byte of the address */
   atomic_bool stopping;
   gboolean (*is_up) (void *data); /* of the server; NULL: always */
   void *is_up_data;
@@ -52,9 +57,19 @@
 static void
 accept_connection (Proxy *proxy)
 {
-  int client = accept (proxy->fd, NULL, NULL);
+  struct sockaddr_in address;
+  socklen_t size = sizeof address;
+  int client = accept (proxy->fd, (struct sockaddr *) &address, &size);
   if (client < 0)
     return;
+  guint source = ntohl (address.sin_addr.s_addr) % SOURCES_MAX;
+  if (atomic_load (&proxy->cuts[source]) != PROXY_PASS)
+    {
+      const struct linger linger = { 1, 0 };
+      setsockopt (client, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+      close (client);
+      return;
+    }
   struct sockaddr_in target = standin_loopback (atomic_load (&proxy->target_port));
   int server = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (proxy->connection_count >= CONNECTIONS_MAX
@@ -65,7 +80,7 @@
       return;
     }
   proxy->connections[proxy->connection_count++]
-      = (Connection){ { client, server }, FALSE };
+      = (Connection){ { client, server }, FALSE, source };
 }
 
 typedef enum
@@ -81,7 +96,8 @@
 forward (Proxy *proxy, Connection *connection, guint from)
 {
   char bytes[8192];
-  int mode = atomic_load (&proxy->mode);
+  int cut = atomic_load (&proxy->cuts[connection->source]);
+  int mode = cut != PROXY_PASS ? cut : atomic_load (&proxy->mode);
   ssize_t count = recv (connection->ends[from], bytes, sizeof bytes, MSG_DONTWAIT);
   if (count <= 0)
     return count == 0 && !connection->is_torn ? PROXY_CONNECTION_CLOSED
@@ -106,9 +122,11 @@
 {
   for (guint i = count; i > 0; i--)
     {
-      ConnectionState state = atomic_load (&proxy->mode) == PROXY_RESET
-                                  ? PROXY_CONNECTION_RESET
-                                  : PROXY_CONNECTION_OPEN;
+      guint source = proxy->connections[i - 1].source;
+      gboolean is_reset = atomic_load (&proxy->mode) == PROXY_RESET
+                          || atomic_load (&proxy->cuts[source]) == PROXY_RESET;
+      ConnectionState state
+          = is_reset ? PROXY_CONNECTION_RESET : PROXY_CONNECTION_OPEN;
       for (guint end = 0; end < 2 && state == PROXY_CONNECTION_OPEN; end++)
         if (fds[2 * (i - 1) + end].revents != 0)
           state = forward (proxy, &proxy->connections[i - 1], end);
@@ -206,6 +224,12 @@
   atomic_store (&proxy->mode, mode);
 }
 
+void
+proxy_set_cut (Proxy *proxy, guint source, ProxyMode mode)
+{
+  atomic_store (&proxy->cuts[source % SOURCES_MAX], mode);
+}
+
 void
 proxy_set_target (Proxy *proxy, guint port)
 {
--- a/tests/standin/proxy.h
+++ b/tests/standin/proxy.h
@@ -30,6 +30,10 @@
 guint proxy_port (const Proxy *proxy);
 void proxy_set_mode (Proxy *proxy, ProxyMode mode);
 
+/* Sets the mode for the connections of clients whose IP address ends with SOURCE;
+   unless it is PROXY_PASS, their new connections are reset. */
+void proxy_set_cut (Proxy *proxy, guint source, ProxyMode mode);
+
 /* Changes the port to which new connections are forwarded. */
 void proxy_set_target (Proxy *proxy, guint port);
 
--- /dev/null
+++ b/tests/tunnel_test.c
@@ -0,0 +1,187 @@
+/*
+ * tunnel_test - an instance without a path to the servers, and another one with
+ */
+#include "platform_fixture.h"
+#include "standin/proxy.h"
+#include "suite.h"
+
+#include "hornbeamwall/net/channel.h"
+#include "hornbeamwall/net/tunnel.h"
+
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define REQUESTS 12
+
+/* Last byte of the IP address from which the instance without a path connects. */
+#define CUT_SOURCE 2
+
+typedef struct
+{
+  PlatformFixture *peer; /* its instance reaches the servers */
+  PlatformFixture
+      *cut; /* with the same store and servers; see tunnel_fixture_cut() */
+  Proxy *proxies[PLATFORM_FIXTURE_SERVERS];
+  guint tunnel_port; /* of the peer */
+} TunnelFixture;
+
+/* Returns a port of 127.0.0.1 at which nothing listens. */
+static guint
+find_closed_port (void)
+{
+  HbwError error;
+  int fd = hbw_listen ("127.0.0.1:0", &error);
+  guint port = hbw_listen_port (fd);
+  close (fd);
+  return port;
+}
+
+static void
+start_instance (PlatformFixture *fixture, guint source, guint peer_port,
+                guint tunnel_port, guint seed_port)
+{
+  HbwError error = { HBW_ERROR_NONE, "" };
+  char *text = g_strdup_printf (
+      "{\"name\":\"i%u\",\"data_centre\":\"z\",\"interface\":\"platform\","
+      "\"policy\":\"direct\",\"caller_address\":\"127.0.0.1:0\","
+      "\"admin_address\":\"127.0.0.1:0\",\"peer_address\":\"127.0.0.1:%u\","
+      "\"tunnel_address\":\"127.0.0.1:%u\",\"platform_address\":\"127.0.0.1:%u\","
+      "\"source_address\":\"127.0.0.%u\",\"load_in_answers\":true,"
+      "\"connect_timeout_ms\":500,\"stop_grace_s\":8,\"retry_ratio\":1.0,"
+      "\"retry_extra\":1000,\"seeds\":[\"127.0.0.1:%u\"]}",
+      source, peer_port, tunnel_port, objects_port (fixture->object_store), source,
+      seed_port);
+  fixture->settings = hbw_settings_parse (text, strlen (text), &error);
+  ck_assert_msg (fixture->settings != NULL, "%s", error.message);
+  g_free (text);
+  fixture->clock = hbw_clock_create_system ();
+  platform_fixture_start_instance (fixture);
+}
+
+/* Ends the path of one instance to all servers. */
+static void
+tunnel_fixture_cut (TunnelFixture *fixture, ProxyMode mode)
+{
+  for (guint i = 0; i < PLATFORM_FIXTURE_SERVERS; i++)
+    proxy_set_cut (fixture->proxies[i], CUT_SOURCE, mode);
+}
+
+static TunnelFixture
+tunnel_fixture_create (void)
+{
+  TunnelFixture fixture = { .tunnel_port = find_closed_port () };
+  guint ports[] = { find_closed_port (), find_closed_port () };
+  fixture.peer = platform_fixture_create_without_instance ();
+  fixture.cut = g_new0 (PlatformFixture, 1);
+  fixture.cut->object_store = fixture.peer->object_store;
+  for (guint i = 0; i < PLATFORM_FIXTURE_SERVERS; i++)
+    {
+      fixture.proxies[i] = proxy_create (replica_port (fixture.peer->replicas[i]));
+      objects_set_server (fixture.peer->object_store, i,
+                          proxy_port (fixture.proxies[i]), 8, "ready", 1);
+    }
+  start_instance (fixture.peer, CUT_SOURCE + 1, ports[0], fixture.tunnel_port,
+                  ports[1]);
+  start_instance (fixture.cut, CUT_SOURCE, ports[1], find_closed_port (), ports[0]);
+  g_usleep (2000000); /* they are ready, and know each other */
+  return fixture;
+}
+
+static void
+tunnel_fixture_destroy (TunnelFixture *fixture)
+{
+  hbw_instance_destroy (fixture->cut->instance);
+  hbw_settings_destroy (fixture->cut->settings);
+  hbw_clock_destroy (fixture->cut->clock);
+  g_free (fixture->cut);
+  platform_fixture_destroy (fixture->peer);
+  for (guint i = 0; i < PLATFORM_FIXTURE_SERVERS; i++)
+    proxy_destroy (fixture->proxies[i]);
+}
+
+START_TEST (requests_without_a_path_go_through_another_instance)
+{
+  TunnelFixture fixture = tunnel_fixture_create ();
+  guint served = 0;
+  tunnel_fixture_cut (&fixture, PROXY_RESET);
+  for (guint i = 0; i < REQUESTS; i++)
+    {
+      char *path = g_strdup_printf ("/%s/x%u/ok", i % 2 == 0 ? "safe" : "unsafe", i);
+      RawResponse response
+          = platform_fixture_post (fixture.cut, path, API_KEY_FIELD, "body");
+      served += response.status == 200;
+      ck_assert_uint_le (platform_fixture_count_runs (fixture.peer, path), 1);
+      g_free (response.text);
+      g_free (path);
+    }
+  raw_response_check (
+      platform_fixture_post (fixture.cut, "/stream/a/events", API_KEY_FIELD, "b"),
+      200, "id: 6");
+  tunnel_fixture_destroy (&fixture);
+}
+END_TEST
+
+START_TEST (response_that_breaks_in_a_tunnel_is_not_whole)
+{
+  TunnelFixture fixture = tunnel_fixture_create ();
+  tunnel_fixture_cut (&fixture, PROXY_RESET);
+  for (guint i = 0; i < 4; i++) /* until the path is lost */
+    g_free (
+        platform_fixture_post (fixture.cut, "/safe/a/ok", API_KEY_FIELD, "b").text);
+  RawResponse response
+      = platform_fixture_post (fixture.cut, "/unsafe/a/torn", API_KEY_FIELD, "b");
+  ck_assert (!raw_response_is_complete (response.text) || response.status >= 500);
+  ck_assert_uint_eq (platform_fixture_count_runs (fixture.peer, "/unsafe/a/torn"),
+                     1);
+  g_free (response.text);
+  response = platform_fixture_post (fixture.cut, "/once/a/cut", API_KEY_FIELD, "b");
+  ck_assert (!raw_response_is_complete (response.text));
+  g_free (response.text);
+  tunnel_fixture_destroy (&fixture);
+}
+END_TEST
+
+/* Returns what the peer answers to TEXT at its tunnel address; '\0' if it closes. */
+static char
+ask_for_tunnel (const TunnelFixture *fixture, const char *text)
+{
+  char answer = '\0';
+  int fd = caller_connect (fixture->tunnel_port);
+  ck_assert_int_ge (fd, 0);
+  caller_send (fd, text);
+  if (recv (fd, &answer, 1, 0) != 1)
+    answer = '\0';
+  close (fd);
+  return answer;
+}
+
+START_TEST (tunnels_lead_to_listed_servers_only)
+{
+  TunnelFixture fixture = tunnel_fixture_create ();
+  char long_name[2 * HBW_NAME_MAX];
+  memset (long_name, 'i', sizeof long_name);
+  long_name[sizeof long_name - 1] = '\0';
+  ck_assert_int_eq (ask_for_tunnel (&fixture, "i-0\n"), HBW_TUNNEL_OPEN);
+  ck_assert_int_eq (ask_for_tunnel (&fixture, "i-9\n"), HBW_TUNNEL_UNAVAILABLE);
+  ck_assert_int_eq (ask_for_tunnel (&fixture, "127.0.0.1:80\n"),
+                    HBW_TUNNEL_UNAVAILABLE);
+  ck_assert_int_eq (ask_for_tunnel (&fixture, "\n"), HBW_TUNNEL_UNAVAILABLE);
+  ck_assert_int_eq (ask_for_tunnel (&fixture, "i-0\nmore"), '\0');
+  ck_assert_int_eq (ask_for_tunnel (&fixture, long_name), '\0');
+  tunnel_fixture_destroy (&fixture);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("tunnel");
+  suite_add_test (suite, "requests_without_a_path_go_through_another_instance",
+                  requests_without_a_path_go_through_another_instance);
+  suite_add_test (suite, "response_that_breaks_in_a_tunnel_is_not_whole",
+                  response_that_breaks_in_a_tunnel_is_not_whole);
+  suite_add_test (suite, "tunnels_lead_to_listed_servers_only",
+                  tunnels_lead_to_listed_servers_only);
+  return suite_run (suite);
+}
