Failing: brittle servers fall over one after the other

Simulated servers may say that they are brittle: those that turn more than a few requests away in a second for want of room fail for 3 s, and only two may wait.

--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -112,7 +112,9 @@
   double limit; /* requests per second that it takes from all instances together */
   gboolean is_leaving;
   gint64
-      pause_us; /* it wants no request from this instance for so long; 0 is none */
+      pause_us;  /* it wants no request from this instance for so long; 0 is none */
+  guint brittle; /* it fails if it has to turn away more requests in a second for
+                    want of room; 0: it does not say so */
 } HbwServerNotice;
 
 /* Returns whether the response named nothing. */
--- a/tests/scenario/notice_check.h
+++ b/tests/scenario/notice_check.h
@@ -31,7 +31,8 @@
   double limit; /* requests per second; negative is none */
   gboolean leaving;
   gint64
-      pause_us; /* it turns requests away, and wants none for so long; 0 is none */
+      pause_us;  /* it turns requests away, and wants none for so long; 0 is none */
+  guint brittle; /* more requests turned away in a second make it fail; 0 is none */
 } NoticeCheckSays;
 
 typedef struct NoticeCheck NoticeCheck;
--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -378,6 +378,8 @@
 {
   if (strcmp (subject, "servers") == 0 && strcmp (quantity, "poisoned") == 0)
     return world_poisoned_server_count (world);
+  if (strcmp (subject, "servers") == 0 && strcmp (quantity, "toppled") == 0)
+    return world_toppled_count (world);
   if (strcmp (subject, "servers") == 0 && strcmp (quantity, "limited") == 0)
     return world_limited_request_count (world);
   if (strcmp (subject, "part") == 0)
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -25,6 +25,10 @@
 /* How long an instance waits for a connection. */
 #define CONNECT_TIMEOUT_US (150 * HBW_US_PER_MS)
 
+/* Requests that wait in a brittle server, and how long it takes to come back. */
+#define BRITTLE_WAITING_MAX 2
+#define TOPPLE_US (3 * HBW_US_PER_S)
+
 /* Time that the store takes for a call. */
 #define STORE_CALL_US (4 * HBW_US_PER_MS)
 
@@ -88,6 +92,7 @@
   guint request_count;
   GPtrArray *running;      /* Attempt */
   GPtrArray *queue;        /* Attempt */
+  GArray *turned_away_us;  /* gint64: when it turned a request away, while brittle */
   GHashTable *connections; /* identity of the instance -> Connection */
   NoticeCheck *notices;    /* what it says of itself since its start */
 } Server;
@@ -180,6 +185,7 @@
   gboolean tunnel_accepted; /* the last that was asked for */
   gboolean part_refused;    /* the next refusal is because of a part */
   guint poisoned_server_count;
+  guint toppled_count;         /* servers that failed as they turned too much away */
   gint64 poison_restart_us;    /* until a server restarts after a poison request */
   GHashTable *poison_failures; /* fingerprint -> number of servers made to fail */
   guint64 messages;
@@ -451,6 +457,7 @@
   event.notice.limit = MAX (says->limit, 0);
   event.notice.is_leaving = says->leaving;
   event.notice.pause_us = says->pause_us;
+  event.notice.brittle = says->brittle;
   notice_check_told (attempt->server->notices, attempt->identity, says,
                      world->now_us);
   run_reducer (world, attempt->instance, &event);
@@ -651,9 +658,11 @@
   server->failed = FALSE;
   if (server->silent)
     end_silent_attempts (world, server);
+  guint brittle = notice_check_says (server->notices)->brittle;
   server->entry.start_number++;
   notice_check_destroy (server->notices);
   server->notices = notice_check_create ();
+  notice_check_says (server->notices)->brittle = brittle;
   publish_servers (world);
 }
 
@@ -758,6 +767,34 @@
     }
 }
 
+static gboolean
+is_full_and_brittle (const Server *server)
+{
+  return notice_check_says (server->notices)->brittle > 0
+         && server->running->len >= server->entry.slots
+         && server->queue->len >= BRITTLE_WAITING_MAX;
+}
+
+/* Fails if it has turned away more in the last second than it bears. */
+static void
+turn_away (World *world, Attempt *attempt)
+{
+  Server *server = attempt->server;
+  GArray *times = server->turned_away_us;
+  guint brittle = notice_check_says (server->notices)->brittle;
+  report_end (world, attempt, HBW_OUTCOME_REFUSED, 0);
+  g_array_append_val (times, world->now_us);
+  if (times->len <= brittle
+      || world->now_us - g_array_index (times, gint64, times->len - 1 - brittle)
+             >= HBW_US_PER_S)
+    return;
+  trace (world, "server %s topples", server->entry.id);
+  world->toppled_count++;
+  g_array_set_size (times, 0);
+  fail_server (world, server, FALSE);
+  schedule (world, world->now_us + TOPPLE_US, restart_server, server);
+}
+
 static void
 enqueue_at_engine (World *world, void *data)
 {
@@ -803,6 +840,11 @@
       report_end (world, attempt, HBW_OUTCOME_REFUSED, 0);
       return;
     }
+  if (is_full_and_brittle (server))
+    {
+      turn_away (world, attempt);
+      return;
+    }
   g_ptr_array_add (server->queue, attempt);
   fill_batch (world, server);
 }
@@ -1601,6 +1643,8 @@
   double number = g_ascii_strtod (fault->argument, NULL);
   if (strcmp (fault->verb, "limit") == 0)
     notice_check_set_limit (server->notices, ends ? -1 : number, world->now_us);
+  else if (strcmp (fault->verb, "brittle") == 0)
+    says->brittle = ends ? 0 : (guint) number;
   else if (strcmp (fault->verb, "announce") == 0)
     says->leaving = TRUE;
   else if (strcmp (fault->verb, "refuse") == 0)
@@ -1843,6 +1887,7 @@
       g_ptr_array_free (server->running, TRUE);
       g_ptr_array_free (server->queue, TRUE);
       g_hash_table_destroy (server->connections);
+      g_array_free (server->turned_away_us, TRUE);
       notice_check_destroy (server->notices);
       g_free (server);
     }
@@ -1916,6 +1961,7 @@
       server->token_us = token_us;
       server->slowdown = 1.0;
       server->notices = notice_check_create ();
+      server->turned_away_us = g_array_new (FALSE, FALSE, sizeof (gint64));
       server->running = g_ptr_array_new ();
       server->queue = g_ptr_array_new ();
       server->connections
@@ -1963,10 +2009,10 @@
                  const char *argument)
 {
   static const char *const verbs[]
-      = { "crash",      "restart",  "slow",   "leave",     "stop", "unstop",
-          "kill",       "revive",   "pause",  "drain",     "cut",  "heal",
-          "store-down", "store-up", "edit",   "store-old", "show", "break",
-          "limit",      "announce", "refuse", "upgrade",   NULL };
+      = { "crash",      "restart",  "slow",   "leave",     "stop",    "unstop",
+          "kill",       "revive",   "pause",  "drain",     "cut",     "heal",
+          "store-down", "store-up", "edit",   "store-old", "show",    "break",
+          "limit",      "announce", "refuse", "upgrade",   "brittle", NULL };
   gboolean needs_subject = !g_str_has_prefix (verb, "store-")
                            && strcmp (verb, "edit") != 0 && strcmp (verb, "cut") != 0
                            && strcmp (verb, "heal") != 0;
@@ -2089,6 +2135,12 @@
   return world->streams;
 }
 
+guint
+world_toppled_count (const World *world)
+{
+  return world->toppled_count;
+}
+
 guint
 world_poisoned_server_count (const World *world)
 {
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -103,18 +103,19 @@
    The verbs crash, restart, slow (ARGUMENT is the factor), break (ARGUMENT is the
    share of its responses that break off while it works), limit (it names ARGUMENT
    requests per second as its limit), announce (its responses say that it is
-   leaving), refuse (it turns requests away, and wants none for ARGUMENT seconds;
-   for both, "none" ends it), leave (the list of
-   servers shows it as leaving), stop and unstop (it is added to or removed from the
-   planned stops) and upgrade (it is killed, and starts again with ARGUMENT as its
-   version, and under another id) apply to a server.  The verbs kill, revive, pause
-   (ARGUMENT is the time in seconds), drain and show (traces the status) apply to an
-   instance.  The verbs cut and heal begin and end a partition between SUBJECT and
-   ARGUMENT: instances, data centres, "store", "servers" (all of them; connections are
-   reset), "servers-silent" (nothing answers) or "all"; these names are not checked.
-   The verbs store-down, store-up, store-old (the store returns the previous version
-   of a document) and edit (writes the catalogue again as a new version) have no
-   subject. */
+   leaving), brittle (it fails if it turns more than ARGUMENT requests away in a
+   second; "none" ends it), refuse (it turns requests away, and wants none for
+   ARGUMENT seconds; for both, "none" ends it), leave (the list of servers shows it
+   as leaving), stop and unstop (it is added to or removed from the planned stops)
+   and upgrade (it is killed, and starts again with ARGUMENT as its version, and
+   under another id) apply to a server.  The verbs kill, revive, pause (ARGUMENT is
+   the time in seconds), drain and show (traces the status) apply to an instance. The
+   verbs cut and heal begin and end a partition between SUBJECT and ARGUMENT:
+   instances, data centres, "store", "servers" (all of them; connections are reset),
+   "servers-silent" (nothing answers) or "all"; these names are not checked. The
+   verbs store-down, store-up, store-old (the store returns the previous version of a
+   document) and edit (writes the catalogue again as a new version) have no subject.
+ */
 gboolean world_add_fault (World *world, gint64 at_us, const char *verb,
                           const char *subject, const char *argument);
 
@@ -140,6 +141,9 @@
 /* Returns what callers got of streams that may be resumed. */
 const StreamWatch *world_stream_watch (const World *world);
 
+/* Returns how often brittle servers failed as they turned too much away. */
+guint world_toppled_count (const World *world);
+
 /* Returns how many servers failed because of a poison request. */
 guint world_poisoned_server_count (const World *world);
 
