A brittle server that turns a request away gets none from any instance for a second

What callers see: servers that say Server-Brittle fall over when too much is turned away for want of room, and are away for seconds; each that falls sends its load to the next. Cause: a request that one server had turned away was sent to the next at once, each instance by itself, and up to 1.5 times the slots.

The field is read from each response, and told to all instances. A brittle server gets requests up to 85 of 100 slots, from all instances together, and three quarters of that from lower tiers, as the others' load is known late. Who is turned away tells all others at once; the server is left alone for a second, and gets up to 70 of 100 slots for four.

--- a/core/event.c
+++ b/core/event.c
@@ -10,7 +10,7 @@
 hbw_server_notice_is_empty (const HbwServerNotice *notice)
 {
   return notice->limit_kind == HBW_SERVER_LIMIT_NONE && !notice->is_leaving
-         && notice->pause_us == 0;
+         && notice->pause_us == 0 && notice->brittle == 0;
 }
 
 const char *
--- a/core/ingress.c
+++ b/core/ingress.c
@@ -6,6 +6,7 @@
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/request_metrics.h"
+#include "hornbeamwall/core/server_notice.h"
 
 #include <string.h>
 
@@ -451,6 +452,9 @@
   if (request == NULL || request->state != HBW_REQUEST_RUNNING
       || request->attempt != end->attempt)
     return;
+  if (end->outcome == HBW_OUTCOME_REFUSED)
+    hbw_server_notices_handle_refusal (context->server_notices, context,
+                                       request->server);
   HbwAttemptEnd reported = *end;
   gboolean is_path_failure = hbw_ingress_path_handle_end (context, request, end);
   if (is_path_failure)
--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -279,7 +279,10 @@
       && (server->suspect_requests > 0
           || g_hash_table_contains (selection->used_servers, &server->id_hash)))
     return FALSE;
-  guint percent = usable_slots_percent (spec);
+  guint brittle_percent = hbw_server_notices_slots_percent (
+      selection->context->server_notices, &server->entry, spec->tier,
+      selection->context->now_us);
+  guint percent = MIN (usable_slots_percent (spec), brittle_percent);
   return load->in_progress < MAX (1, server->entry.slots) * percent / 100
          && hbw_server_notices_allow (selection->context->server_notices,
                                       &server->entry, selection->context->now_us);
--- a/core/server_notice.c
+++ b/core/server_notice.c
@@ -19,6 +19,15 @@
 /* A server that is leaving is forgotten after this time. */
 #define LEAVING_KEEP_US (600 * HBW_US_PER_S)
 
+/* Percentages of its slots up to which a brittle server gets requests: in general,
+   for the time below after it has turned one away, and the part of both that
+   requests below the highest tier may use.  The load of the other instances is known
+   only after a delay. */
+#define BRITTLE_SLOTS_PERCENT 85
+#define BRITTLE_FULL_SLOTS_PERCENT 70
+#define BRITTLE_LOWER_TIERS_PERCENT 75
+#define BRITTLE_FULL_US (4 * HBW_US_PER_S)
+
 /* What one server has said since its start. */
 typedef struct
 {
@@ -30,6 +39,8 @@
   gboolean is_leaving;
   gint64 leaving_at_us;
   gint64 pause_end_us; /* of this instance; 0 is none */
+  guint brittle; /* requests that it can turn away in a second; 0: any number */
+  gint64 turned_away_us; /* when it last did, while brittle; 0 is never */
 
   gboolean is_unsent; /* a change that the others were not told of */
   gint64 sent_us;
@@ -145,6 +156,17 @@
                    pause_us / HBW_US_PER_MS);
 }
 
+static gboolean
+set_brittle (Record *record, HbwContext *context, guint brittle)
+{
+  gboolean is_change = (record->brittle > 0) != (brittle > 0);
+  record->brittle = brittle;
+  if (is_change && brittle > 0)
+    hbw_effects_log (context->effects, HBW_LOG_SERVER_BRITTLE,
+                     "server=%s turned_away_per_s=%u", record->server, brittle);
+  return is_change;
+}
+
 void
 hbw_server_notices_handle_response (HbwServerNotices *notices, HbwContext *context,
                                     const HbwServerNotice *notice,
@@ -160,12 +182,31 @@
     record->is_unsent
         |= set_limit (record, context, notice->limit_kind == HBW_SERVER_LIMIT_NAMED,
                       notice->limit, context->now_us, "response");
+  record->is_unsent |= set_brittle (record, context, notice->brittle);
   if (notice->is_leaving)
     record->is_unsent |= set_leaving (record, context, "response");
   if (notice->pause_us > 0)
     set_pause (record, context, notice->pause_us);
 }
 
+static void send_to_all (Record *record, HbwContext *context);
+
+/* The others hear of it at once, as their requests may be on the way. */
+void
+hbw_server_notices_handle_refusal (HbwServerNotices *notices, HbwContext *context,
+                                   const char *server)
+{
+  Record *record = g_hash_table_lookup (notices->records, server);
+  if (record == NULL || record->brittle == 0)
+    return;
+  gboolean is_news
+      = context->now_us - record->turned_away_us >= HBW_BRITTLE_HOLD_US / 2
+        || record->turned_away_us == 0;
+  record->turned_away_us = context->now_us;
+  if (is_news)
+    send_to_all (record, context);
+}
+
 /* --- permits ------------------------------------------------------------------- */
 
 static double
@@ -198,6 +239,33 @@
                                                                        : NULL;
 }
 
+static gboolean
+was_turned_away (const Record *record, gint64 within_us, gint64 now_us)
+{
+  return record->brittle > 0 && record->turned_away_us > 0
+         && now_us - record->turned_away_us < within_us;
+}
+
+static gboolean
+is_held (const Record *record, gint64 now_us)
+{
+  return was_turned_away (record, HBW_BRITTLE_HOLD_US, now_us);
+}
+
+guint
+hbw_server_notices_slots_percent (HbwServerNotices *notices,
+                                  const HbwServerEntry *entry, HbwTier tier,
+                                  gint64 now_us)
+{
+  const Record *record = find_current (notices, entry);
+  if (record == NULL || record->brittle == 0)
+    return G_MAXUINT16;
+  guint percent = was_turned_away (record, BRITTLE_FULL_US, now_us)
+                      ? BRITTLE_FULL_SLOTS_PERCENT
+                      : BRITTLE_SLOTS_PERCENT;
+  return tier == 0 ? percent : percent * BRITTLE_LOWER_TIERS_PERCENT / 100;
+}
+
 gboolean
 hbw_server_notices_allow (HbwServerNotices *notices, const HbwServerEntry *entry,
                           gint64 now_us)
@@ -205,7 +273,8 @@
   Record *record = find_current (notices, entry);
   if (record == NULL)
     return TRUE;
-  if (record->is_leaving || now_us < record->pause_end_us)
+  if (record->is_leaving || now_us < record->pause_end_us
+      || is_held (record, now_us))
     return FALSE;
   if (!record->has_limit || has_permit (record, now_us))
     return TRUE;
@@ -239,6 +308,9 @@
   report->limit = record->limit;
   report->limit_age_us = record->limit_at_us > 0 ? now_us - record->limit_at_us : -1;
   report->is_leaving = record->is_leaving;
+  report->brittle = record->brittle;
+  report->turned_away_ago_us
+      = record->turned_away_us > 0 ? now_us - record->turned_away_us : -1;
 }
 
 static guint64
@@ -336,12 +408,27 @@
                context->now_us - report->limit_age_us, "peer");
   if (report->is_leaving)
     set_leaving (record, context, "peer");
+  if (report->brittle > 0)
+    set_brittle (record, context, report->brittle);
+  if (report->turned_away_ago_us >= 0)
+    record->turned_away_us
+        = MAX (record->turned_away_us, context->now_us - report->turned_away_ago_us);
   if (report->permits_wanted > 0)
     handle_asked_permits (record, context, message);
   if (report->permits_given > 0)
     handle_given_permits (record, context, report->permits_given);
 }
 
+static void
+send_to_all (Record *record, HbwContext *context)
+{
+  HbwMessage message = { 0 };
+  fill_message (&message, record, context->now_us);
+  record->is_unsent = FALSE;
+  record->sent_us = context->now_us;
+  hbw_membership_broadcast (context->membership, context, NULL, &message);
+}
+
 static void
 broadcast_if_due (Record *record, HbwContext *context)
 {
@@ -351,11 +438,7 @@
                      && find_owner (context, record) == context->self;
   if (!repeats && (!record->is_unsent || since_us < BROADCAST_INTERVAL_US))
     return;
-  HbwMessage message = { 0 };
-  fill_message (&message, record, context->now_us);
-  record->is_unsent = FALSE;
-  record->sent_us = context->now_us;
-  hbw_membership_broadcast (context->membership, context, NULL, &message);
+  send_to_all (record, context);
 }
 
 /* A record of a limit that was lifted is kept for a while, as others may not have
@@ -365,7 +448,8 @@
 {
   gboolean is_leaving
       = record->is_leaving && now_us - record->leaving_at_us < LEAVING_KEEP_US;
-  return !record->has_limit && !is_leaving && now_us >= record->pause_end_us
+  return !record->has_limit && record->brittle == 0 && !is_leaving
+         && now_us >= record->pause_end_us
          && now_us - record->limit_at_us > LEAVING_KEEP_US;
 }
 
--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -92,6 +92,9 @@
      "Check the network between this instance and the backend servers.")            \
   X (5011, PATH_FOUND, INFO, "This instance reaches backend servers again.",        \
      "Nothing.")                                                                    \
+  X (5012, SERVER_BRITTLE, INFO,                                                    \
+     "A backend server says that it fails if it turns many requests away.",         \
+     "Nothing; it gets fewer requests than usual.")                                 \
   X (6010, REQUEST_ADMITTED, INFO, "A caller's request was admitted.", "Nothing.")  \
   X (6011, REQUEST_DENIED, INFO,                                                    \
      "A caller's request was denied by the catalogue that is active here.",         \
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -359,8 +359,10 @@
   gint64
       limit_age_us; /* since the response that named it, or none; -1: no response */
   gboolean is_leaving;
-  guint permits_wanted; /* the sender asks its owner for them */
-  guint permits_given;  /* the owner gives them to the receiver */
+  guint brittle;             /* requests that it can turn away in a second; 0: any */
+  gint64 turned_away_ago_us; /* since it last did while brittle; -1: never */
+  guint permits_wanted;      /* the sender asks its owner for them */
+  guint permits_given;       /* the owner gives them to the receiver */
 } HbwServerNoticeReport;
 
 /* The version of the server that sent the first event of a stream. */
--- a/include/hornbeamwall/core/server_notice.h
+++ b/include/hornbeamwall/core/server_notice.h
@@ -7,6 +7,11 @@
  * leaving gets no new requests, whatever later responses say.  A pause holds for the
  * instance that received it.  All of it ends when the server starts again.
  *
+ * A server that says that it is brittle fails if it has to turn away more requests
+ * in a second than it names, for want of room.  As soon as it turns one away, no
+ * instance sends it another for HBW_BRITTLE_HOLD_US, and for some time after that it
+ * gets less than its slots.
+ *
  * Each instance tells the others what is new.  The instance that owns a server by
  * rendezvous hashing repeats it, and divides the limit: it gives out permits, each
  * for one request, at the rate of the limit, to the instances that ask for them in
@@ -30,6 +35,9 @@
 /* Longest pause that is followed. */
 #define HBW_SERVER_PAUSE_MAX_US (3600 * HBW_US_PER_S)
 
+/* How long a brittle server gets no requests after it has turned one away. */
+#define HBW_BRITTLE_HOLD_US (1 * HBW_US_PER_S)
+
 HbwServerNotices *hbw_server_notices_create (void);
 void hbw_server_notices_destroy (HbwServerNotices *notices);
 
@@ -58,6 +66,17 @@
    to repeat. */
 void hbw_server_notices_tick (HbwServerNotices *notices, HbwContext *context);
 
+/* Handles that a server has turned a request of this instance away. */
+void hbw_server_notices_handle_refusal (HbwServerNotices *notices,
+                                        HbwContext *context, const char *server);
+
+/* Returns up to which percentage of its slots the server of ENTRY should get
+   requests of TIER from all instances together; a large number unless it is brittle.
+ */
+guint hbw_server_notices_slots_percent (HbwServerNotices *notices,
+                                        const HbwServerEntry *entry, HbwTier tier,
+                                        gint64 now_us);
+
 /* Returns the number of servers that have a limit. */
 guint hbw_server_notices_count_limited (const HbwServerNotices *notices);
 
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -278,6 +278,8 @@
   msgpack_pack_uint32 (packer, report->is_leaving);
   msgpack_pack_uint32 (packer, report->permits_wanted);
   msgpack_pack_uint32 (packer, report->permits_given);
+  msgpack_pack_uint32 (packer, report->brittle);
+  msgpack_pack_int64 (packer, report->turned_away_ago_us);
 }
 
 static void
@@ -356,7 +358,7 @@
   [HBW_MESSAGE_DOCUMENT] = 4,       [HBW_MESSAGE_SUSPECT] = 14,
   [HBW_MESSAGE_DEMAND] = 5,         [HBW_MESSAGE_SHARE] = 5,
   [HBW_MESSAGE_BEGUN] = 7,          [HBW_MESSAGE_LOADS] = 2,
-  [HBW_MESSAGE_SERVER_NOTICE] = 8,  [HBW_MESSAGE_CLEARED_PARTS] = 1,
+  [HBW_MESSAGE_SERVER_NOTICE] = 10, [HBW_MESSAGE_CLEARED_PARTS] = 1,
   [HBW_MESSAGE_STREAM_VERSION] = 3,
 };
 
--- a/net/codec_unpack.c
+++ b/net/codec_unpack.c
@@ -414,6 +414,11 @@
       = (guint) hbw_field_reader_unpack_uint (reader, G_MAXUINT16);
   report->permits_given = (guint) hbw_field_reader_unpack_uint (reader, G_MAXUINT16);
   reader->failed |= *report->server == '\0';
+  report->turned_away_ago_us = -1; /* older versions do not send it */
+  if (reader->failed || reader->next >= reader->count)
+    return;
+  report->brittle = (guint) hbw_field_reader_unpack_uint (reader, G_MAXUINT16);
+  report->turned_away_ago_us = unpack_int (reader);
 }
 
 void
--- a/tests/adapter_test.c
+++ b/tests/adapter_test.c
@@ -174,6 +174,27 @@
   hbw_http_head_destroy (head);
 }
 
+START_TEST (fields_of_brittle_servers_are_read)
+{
+  static const struct
+  {
+    const char *text;
+    guint brittle;
+  } cases[] = { { "6", 6 }, { "0", 1 }, { "many", 1 }, { "99999999", G_MAXUINT16 } };
+  const HbwProtocolAdapterClass *adapter = hbw_platform_protocol_adapter ()->class;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const char *fields[] = { "server-brittle", cases[i].text, NULL };
+      HbwHttpHead *head = make_head (fields);
+      HbwResponseInfo info = { .request_id = "" };
+      adapter->read_response (head, &info);
+      ck_assert_uint_eq (info.notice.brittle, cases[i].brittle);
+      ck_assert (!hbw_server_notice_is_empty (&info.notice));
+      destroy_head (head);
+    }
+}
+END_TEST
+
 START_TEST (request_fields_are_parsed)
 {
   static const char *const fields[] = { "Host",
@@ -546,5 +567,7 @@
   tcase_add_test (tests, object_pages_are_parsed);
   tcase_add_test (tests, ignored_entries_are_logged);
   suite_add_tcase (suite, tests);
+  suite_add_test (suite, "fields_of_brittle_servers_are_read",
+                  fields_of_brittle_servers_are_read);
   return suite_run (suite);
 }
