Soak: a play of servers of two versions

Six real processes, six servers of two versions, half of the streams break, an instance is killed every 2.5 s, and callers take streams up at any instance. At most two streams may hold two versions, and resumptions go on at least half as often as new streams begin. Events of the stand-in name their server in a comment.

--- a/tests/soak_play.c
+++ b/tests/soak_play.c
@@ -2,6 +2,7 @@
 
 #include "soak_connection.h"
 #include "soak_part.h"
+#include "soak_path.h"
 #include "soak_site.h"
 
 #include <poll.h>
@@ -136,7 +137,7 @@
   soak->has_zones = TRUE;
   soak->servers = REQUEST_SERVERS;
   if (play == NULL)
-    return find_idle_play (name) != NULL;
+    return find_idle_play (name) != NULL || soak_path_prepare (soak, name);
   soak->renames_servers = !play->keeps_ids;
   if (play->config.parts != NULL)
     soak->servers = PART_SERVERS;
@@ -321,8 +322,10 @@
   const PartPlay *part_play = find_part_play (name);
   if (part_play != NULL)
     run_part_play (soak, part_play, seed);
-  else
+  else if (find_idle_play (name) != NULL)
     run_idle_play (soak, find_idle_play (name));
+  else
+    soak_path_run (soak, name, seed);
   printf ("seed %u: play %s, %u breaches\n", seed, name,
           atomic_load (&soak->violations));
 }
--- a/tests/soak_play.h
+++ b/tests/soak_play.h
@@ -11,6 +11,7 @@
  * with neither a length nor chunks), "same" (servers keep their ids), "killed" (an
  * instance every 3 s), "config" (a change every 4 s) open-request one request that
  * crashes each server within such an answer
+ *   versions, cut   see soak_path.h
  */
 #ifndef HORNBEAMWALL_TESTS_SOAK_PLAY_H
 #define HORNBEAMWALL_TESTS_SOAK_PLAY_H
--- a/tests/soak_site.c
+++ b/tests/soak_site.c
@@ -1,5 +1,7 @@
 #include "soak_site.h"
 
+#include "soak_path.h"
+
 #include "standin/listen.h"
 
 #include <stdio.h>
@@ -191,9 +193,11 @@
           "\"platform_address\":\"127.0.0.1:%u\",\"load_in_answers\":true,"
           "\"revocation_ms\":%u,\"retry_ratio\":0.2,\"retry_extra\":54,"
           "\"stop_grace_s\":4,\"connect_timeout_ms\":150,"
+          "\"tunnel_address\":\"127.0.0.1:%u\",\"source_address\":\"127.0.0.%u\","
           "\"seeds\":[\"127.0.0.1:%u\"]}",
           i, "zyx"[i % 3], soak -> ports[i], next_port (soak), peers[i],
-          proxy_port (soak->store_proxy), SOAK_REVOCATION_MS, peers[0]);
+          proxy_port (soak->store_proxy), SOAK_REVOCATION_MS, next_port (soak),
+          SOAK_SOURCE_MIN + i, peers[0]);
       if (!g_file_set_contents (path, text, -1, NULL))
         g_error ("cannot write %s", path);
       g_free (text);
--- a/tests/standin/replica_session.c
+++ b/tests/standin/replica_session.c
@@ -220,7 +220,8 @@
        i <= EVENTS && !is_closed (session) && !has_crashed (session); i++)
     {
       char *event
-          = g_strdup_printf ("id: %u\ndata: %s %u\n\n", i, session->attempt_id, i);
+          = g_strdup_printf (":%s\nid: %u\ndata: %s %u\n\n", session->replica->id, i,
+                             session->attempt_id, i);
       gboolean truncated = cut && i == 3;
       char *chunk = g_strdup_printf ("%zx\r\n%.*s", strlen (event),
                                      truncated ? 8 : (int) strlen (event), event);
