Soak: a play of instances that lose all servers

Half of six real processes lose the path to all servers twice, by resets and with old connections that fall silent; a proxy tells them apart by their source addresses. From 3 s after the beginning of each cut, first tries there are to be served two thirds as often as at the others, or 10 + 1 in 50 may fail.

--- a/tests/soak_path.c
+++ b/tests/soak_path.c
@@ -20,11 +20,22 @@
 #define KILL_INTERVAL_US 2500000
 #define TRIES_MAX 3
 
+/* Length of a cut, the time from its beginning on that counts, and the pause. */
+#define CUT_US 9000000
+#define CUT_SETTLE_US 3000000
+#define CUT_PAUSE_US 3000000
+
 /* Streams that may hold two versions, and the share of resumptions that go on
    compared with that of new streams. */
 #define MIXED_MAX 2
 #define RESUMED_SHARE_MIN 0.5
 
+/* Part of the others' share that callers of a cut instance are served, and the
+   failures that are borne anyway: a number, and one in so many. */
+#define CUT_SHARE_MIN (2.0 / 3)
+#define CUT_FAILURES_MAX 10
+#define CUT_FAILURES_ONE_IN 50
+
 typedef struct
 {
   atomic_uint sent;
@@ -34,10 +45,14 @@
 typedef struct
 {
   Soak *soak;
+  gboolean is_cut_play;
   atomic_bool stopping;
+  atomic_int phase; /* of cuts: 0 does not count */
   atomic_uint mixed;
   Sample begun;
   Sample resumed;
+  Sample cut;    /* first tries at instances that are cut off */
+  Sample others; /* at the same time */
 } Play;
 
 typedef struct
@@ -48,6 +63,12 @@
   GRand *random;
 } Caller;
 
+static gboolean
+is_cut_instance (const Soak *soak, guint index)
+{
+  return index < soak->instances / 2;
+}
+
 static double
 share_of (Sample *sample)
 {
@@ -165,6 +186,78 @@
   g_free (text);
 }
 
+/* --- cuts ------------------------------------------------------------------ */
+
+static void
+run_first_try (Caller *caller, guint number)
+{
+  Play *play = caller->play;
+  Soak *soak = play->soak;
+  char path[48];
+  char trace[32];
+  int phase = atomic_load (&play->phase);
+  guint instance
+      = (guint) g_rand_int_range (caller->random, 0, (gint32) soak->instances);
+  g_snprintf (path, sizeof path, "/%s/c%u-%u/ok",
+              number % 2 == 0 ? "safe" : "unsafe", caller->number, number);
+  g_snprintf (trace, sizeof trace, "c%u-%u", caller->number, number);
+  SoakResponse response = try_once (soak, instance, path, trace, "");
+  if (phase > 0 && phase == atomic_load (&play->phase))
+    {
+      Sample *sample = is_cut_instance (soak, instance) ? &play->cut : &play->others;
+      gboolean served = response.text != NULL && soak_status (response.text) == 200;
+      atomic_fetch_add (&sample->sent, 1);
+      atomic_fetch_add (&sample->served, served ? 1 : 0);
+    }
+  if (response.text != NULL)
+    g_string_free (response.text, TRUE);
+  if (strstr (path, "unsafe") != NULL
+      && replica_total_run_count (soak->replicas, soak->servers, path) > 1)
+    soak_report_violation (soak, "request that may run once ran twice", path, "");
+  g_usleep (20000);
+}
+
+static void
+set_cut (Soak *soak, ProxyMode mode)
+{
+  for (guint i = 0; i < soak->instances; i++)
+    for (guint k = 0; is_cut_instance (soak, i) && k < soak->servers; k++)
+      proxy_set_cut (soak->proxies[k], SOAK_SOURCE_MIN + i, mode);
+}
+
+static void
+drive_cuts (Play *play)
+{
+  static const ProxyMode modes[] = { PROXY_RESET, PROXY_DROP_ALL };
+  for (guint i = 0; i < G_N_ELEMENTS (modes); i++)
+    {
+      set_cut (play->soak, modes[i]);
+      g_usleep (CUT_SETTLE_US);
+      atomic_store (&play->phase, (int) i + 1);
+      g_usleep (CUT_US - CUT_SETTLE_US);
+      atomic_store (&play->phase, 0);
+      set_cut (play->soak, PROXY_PASS);
+      g_usleep (CUT_PAUSE_US);
+    }
+}
+
+static void
+check_cuts (Play *play)
+{
+  guint sent = atomic_load (&play->cut.sent);
+  guint failed = sent - atomic_load (&play->cut.served);
+  char *text = g_strdup_printf (
+      "instances that were cut off served %u of %u, the others %u of %u",
+      atomic_load (&play->cut.served), sent, atomic_load (&play->others.served),
+      atomic_load (&play->others.sent));
+  printf ("kept callers: %s\n", text);
+  if (share_of (&play->cut) < CUT_SHARE_MIN * share_of (&play->others)
+      && failed > CUT_FAILURES_MAX + sent / CUT_FAILURES_ONE_IN)
+    soak_report_violation (play->soak, "callers of cut instances are not served",
+                           "/", text);
+  g_free (text);
+}
+
 /* --- both ------------------------------------------------------------------ */
 
 static void *
@@ -172,14 +265,17 @@
 {
   Caller *caller = data;
   for (guint i = 0; !atomic_load (&caller->play->stopping); i++)
-    run_stream (caller, i);
+    if (caller->play->is_cut_play)
+      run_first_try (caller, i);
+    else
+      run_stream (caller, i);
   return NULL;
 }
 
 gboolean
 soak_path_prepare (Soak *soak, const char *name)
 {
-  if (strcmp (name, "versions") != 0)
+  if (strcmp (name, "versions") != 0 && strcmp (name, "cut") != 0)
     return FALSE;
   soak->has_zones = TRUE;
   soak->servers = SERVERS;
@@ -188,9 +284,9 @@
 }
 
 void
-soak_path_run (Soak *soak, const char *name G_GNUC_UNUSED, guint32 seed)
+soak_path_run (Soak *soak, const char *name, guint32 seed)
 {
-  Play play = { .soak = soak };
+  Play play = { .soak = soak, .is_cut_play = strcmp (name, "cut") == 0 };
   Caller callers[CALLERS];
   g_usleep (START_US);
   for (guint i = 0; i < CALLERS; i++)
@@ -199,12 +295,18 @@
       callers[i].random = g_rand_new_with_seed (seed + i);
       pthread_create (&callers[i].thread, NULL, run_caller, &callers[i]);
     }
-  drive_versions (&play);
+  if (play.is_cut_play)
+    drive_cuts (&play);
+  else
+    drive_versions (&play);
   atomic_store (&play.stopping, TRUE);
   for (guint i = 0; i < CALLERS; i++)
     {
       pthread_join (callers[i].thread, NULL);
       g_rand_free (callers[i].random);
     }
-  check_versions (&play);
+  if (play.is_cut_play)
+    check_cuts (&play);
+  else
+    check_versions (&play);
 }
