--- a/hornbeamwall/commands/serve.c
+++ b/hornbeamwall/commands/serve.c
@@ -99,18 +99,16 @@
 }
 
 static int
-serve (const HbwSettings *settings, const char *path)
+serve (const HbwSettings *settings, const char *path, const sigset_t *set)
 {
-  sigset_t set;
   HbwError error;
-  block_signals (&set);
   hbw_log_open ();
   HbwClock *clock = hbw_clock_create_system ();
   HbwInstance *instance = hbw_instance_create (settings, clock, &error);
   if (instance != NULL)
     {
-      wait_for_stop (instance, path, &set);
-      wait_for_drain (instance, settings, clock, &set);
+      wait_for_stop (instance, path, set);
+      wait_for_drain (instance, settings, clock, set);
       hbw_instance_destroy (instance);
       hbw_log_write (HBW_LOG_INSTANCE_STOPPED, settings->name);
     }
@@ -124,7 +122,10 @@
 int
 hbw_command_serve (int argc, char **argv)
 {
+  sigset_t set;
   char *path = NULL;
+  /* A signal while the settings are read takes effect afterwards. */
+  block_signals (&set);
   const GOptionEntry entries[] = { { "config", 'c', 0, G_OPTION_ARG_FILENAME, &path,
                                      "Settings file", "FILE" },
                                    { NULL } };
@@ -144,7 +145,7 @@
       g_free (path);
       return HBW_EXIT_FAILED;
     }
-  int status = serve (settings, path);
+  int status = serve (settings, path, &set);
   g_free (path);
   hbw_settings_destroy (settings);
   return status;
