Messages to the reducer, and owners by rendezvous hashing, have files of their own

What handles peer messages is core/reducer_messages.c, and what selects owners among the members is core/membership_owners.c; a server's entry is found in one place.

--- a/core/membership.c
+++ b/core/membership.c
@@ -1,4 +1,4 @@
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership_state.h"
 
 #include "hornbeamwall/common/address.h"
 
@@ -14,49 +14,14 @@
 /* Members that are notified directly when this instance leaves. */
 #define LEAVE_MESSAGES_MAX 8
 
-typedef struct
-{
-  HbwMemberUpdate info;
-  guint transmits_left;    /* pings that still carry this update */
-  gint64 state_changed_us; /* last change of state */
-  gint64 last_heard_us;    /* last direct message */
-} Member;
-
-/* The probe that is waiting for its ack. */
-typedef struct
-{
-  guint64 ping_number; /* 0 is none */
-  guint64 subject;
-  gint64 sent_us;
-  gboolean indirect_sent;
-} Probe;
-
-struct HbwMembership
-{
-  HbwMemberUpdate self;
-  GHashTable *members;    /* identity -> Member */
-  GPtrArray *probe_order; /* Member, borrowed; in order of probes */
-  guint next_index;
-  GPtrArray *seeds;          /* addresses from the settings */
-  GPtrArray *platform_seeds; /* addresses from the platform's list */
-  Probe probe;
-  guint64 last_ping_number;
-  gint64 next_probe_us;
-  gint64 next_remote_ping_us;
-  guint64 epoch;
-  guint self_transmits_left;
-  HbwPingDecorator decorator;
-  void *decorator_data;
-};
-
 static gboolean
-is_same_data_centre (const HbwMembership *membership, const Member *member)
+is_same_data_centre (const HbwMembership *membership, const HbwMember *member)
 {
   return strcmp (member->info.data_centre, membership->self.data_centre) == 0;
 }
 
 static gboolean
-is_present (const Member *member)
+is_present (const HbwMember *member)
 {
   return member->info.state == HBW_MEMBER_ALIVE
          || member->info.state == HBW_MEMBER_SUSPECT;
@@ -64,7 +29,7 @@
 
 /* DATA_CENTRE may be NULL for any. */
 static gboolean
-is_present_in (const Member *member, const char *data_centre)
+is_present_in (const HbwMember *member, const char *data_centre)
 {
   return is_present (member)
          && (data_centre == NULL
@@ -77,14 +42,14 @@
   return DISSEMINATION_FACTOR * g_bit_storage (membership->probe_order->len + 2);
 }
 
-static Member *
+static HbwMember *
 find_member (HbwMembership *membership, guint64 identity)
 {
   return g_hash_table_lookup (membership->members, &identity);
 }
 
 static void
-log_member_state (HbwContext *context, const Member *member)
+log_member_state (HbwContext *context, const HbwMember *member)
 {
   static const HbwLogEvent events[] = {
     [HBW_MEMBER_ALIVE] = HBW_LOG_PEER_JOINED,
@@ -98,7 +63,7 @@
 }
 
 static void
-set_state (HbwMembership *membership, HbwContext *context, Member *member,
+set_state (HbwMembership *membership, HbwContext *context, HbwMember *member,
            HbwMemberState state, guint32 incarnation)
 {
   gboolean changed = member->info.state != state;
@@ -121,7 +86,7 @@
 {
   for (guint i = 0; i < membership->probe_order->len; i++)
     {
-      Member *member = g_ptr_array_index (membership->probe_order, i);
+      HbwMember *member = g_ptr_array_index (membership->probe_order, i);
       if (strcmp (member->info.address, update->address) != 0)
         continue;
       if (member->info.identity > update->identity)
@@ -133,11 +98,11 @@
   return TRUE;
 }
 
-static Member *
+static HbwMember *
 add_member (HbwMembership *membership, HbwContext *context,
             const HbwMemberUpdate *update)
 {
-  Member *member = g_new0 (Member, 1);
+  HbwMember *member = g_new0 (HbwMember, 1);
   member->info = *update;
   member->state_changed_us = context->now_us;
   member->transmits_left = dissemination_count (membership);
@@ -173,7 +138,7 @@
     }
   if (strcmp (update->address, membership->self.address) == 0)
     return;
-  Member *member = find_member (membership, update->identity);
+  HbwMember *member = find_member (membership, update->identity);
   if (member == NULL)
     {
       if (update->state != HBW_MEMBER_ALIVE && update->state != HBW_MEMBER_SUSPECT)
@@ -200,7 +165,7 @@
 
 static void
 fill_members (HbwMembership *membership, HbwContext *context, HbwPing *ping,
-              const Member *target)
+              const HbwMember *target)
 {
   add_update_to_ping (ping, &membership->self);
   if (target != NULL && target->info.state != HBW_MEMBER_ALIVE)
@@ -211,14 +176,14 @@
   guint start = (guint) g_rand_int_range (context->random, 0, (gint32) count);
   for (guint i = 0; i < count && ping->member_count < HBW_PING_MEMBERS_MAX; i++)
     {
-      Member *member
+      HbwMember *member
           = g_ptr_array_index (membership->probe_order, (start + i) % count);
       if (member->transmits_left == 0)
         continue;
       member->transmits_left--;
       add_update_to_ping (ping, &member->info);
     }
-  const Member *other = g_ptr_array_index (membership->probe_order, start);
+  const HbwMember *other = g_ptr_array_index (membership->probe_order, start);
   if (is_present (other))
     add_update_to_ping (ping, &other->info);
 }
@@ -241,10 +206,10 @@
     membership->decorator (ping, membership->decorator_data);
 }
 
-static Member *
+static HbwMember *
 random_member (HbwMembership *membership, HbwContext *context,
                gboolean (*is_accepted) (const HbwMembership *membership,
-                                        const Member *member))
+                                        const HbwMember *member))
 {
   guint count = membership->probe_order->len;
   if (count == 0)
@@ -252,7 +217,7 @@
   guint start = (guint) g_rand_int_range (context->random, 0, (gint32) count);
   for (guint i = 0; i < count; i++)
     {
-      Member *member
+      HbwMember *member
           = g_ptr_array_index (membership->probe_order, (start + i) % count);
       if (is_accepted (membership, member))
         return member;
@@ -261,20 +226,20 @@
 }
 
 static gboolean
-is_remote_candidate (const HbwMembership *membership, const Member *member)
+is_remote_candidate (const HbwMembership *membership, const HbwMember *member)
 {
   return !is_same_data_centre (membership, member) && is_present (member);
 }
 
 static gboolean
 is_dead_candidate (const HbwMembership *membership G_GNUC_UNUSED,
-                   const Member *member)
+                   const HbwMember *member)
 {
   return member->info.state == HBW_MEMBER_DEAD;
 }
 
 static gboolean
-is_indirect_prober (const HbwMembership *membership, const Member *member)
+is_indirect_prober (const HbwMembership *membership, const HbwMember *member)
 {
   return is_same_data_centre (membership, member)
          && member->info.state == HBW_MEMBER_ALIVE
@@ -289,7 +254,8 @@
   base.subject = membership->probe.subject;
   for (guint i = 0; i < INDIRECT_PROBE_MEMBERS; i++)
     {
-      const Member *prober = random_member (membership, context, is_indirect_prober);
+      const HbwMember *prober
+          = random_member (membership, context, is_indirect_prober);
       if (prober != NULL)
         send_ping (membership, context, HBW_MESSAGE_PROBE_FOR, prober->info.identity,
                    prober->info.address, &base);
@@ -299,7 +265,7 @@
 static void
 check_probe (HbwMembership *membership, HbwContext *context)
 {
-  Probe *probe = &membership->probe;
+  HbwMemberProbe *probe = &membership->probe;
   if (probe->ping_number == 0)
     return;
   gint64 age = context->now_us - probe->sent_us;
@@ -307,7 +273,7 @@
     send_indirect_probes (membership, context);
   if (age < HBW_PROBE_TIMEOUT_US)
     return;
-  Member *member = find_member (membership, probe->subject);
+  HbwMember *member = find_member (membership, probe->subject);
   probe->ping_number = 0;
   if (member != NULL && member->info.state == HBW_MEMBER_ALIVE
       && member->last_heard_us < probe->sent_us)
@@ -325,7 +291,7 @@
   for (guint i = 0; i < membership->probe_order->len; i++)
     {
       guint index = membership->next_index++ % membership->probe_order->len;
-      const Member *member = g_ptr_array_index (membership->probe_order, index);
+      const HbwMember *member = g_ptr_array_index (membership->probe_order, index);
       if (!is_same_data_centre (membership, member) || !is_present (member))
         continue;
       membership->probe.ping_number = ++membership->last_ping_number;
@@ -347,7 +313,7 @@
     return TRUE;
   for (guint i = 0; i < membership->probe_order->len; i++)
     {
-      const Member *member = g_ptr_array_index (membership->probe_order, i);
+      const HbwMember *member = g_ptr_array_index (membership->probe_order, i);
       if (is_present (member) && strcmp (member->info.address, address) == 0)
         return TRUE;
     }
@@ -390,11 +356,11 @@
     return;
   membership->next_remote_ping_us = context->now_us + HBW_REMOTE_PING_INTERVAL_US;
   const HbwPing base = { .probe_number = 0 };
-  const Member *remote = random_member (membership, context, is_remote_candidate);
+  const HbwMember *remote = random_member (membership, context, is_remote_candidate);
   if (remote != NULL)
     send_ping (membership, context, HBW_MESSAGE_PING, remote->info.identity,
                remote->info.address, &base);
-  const Member *dead = random_member (membership, context, is_dead_candidate);
+  const HbwMember *dead = random_member (membership, context, is_dead_candidate);
   if (dead != NULL)
     send_ping (membership, context, HBW_MESSAGE_PING, dead->info.identity,
                dead->info.address, &base);
@@ -405,7 +371,7 @@
 static void
 remove_member_at (HbwMembership *membership, guint index)
 {
-  const Member *member = g_ptr_array_index (membership->probe_order, index);
+  const HbwMember *member = g_ptr_array_index (membership->probe_order, index);
   guint64 identity = member->info.identity;
   g_ptr_array_remove_index (membership->probe_order, index);
   g_hash_table_remove (membership->members, &identity);
@@ -416,7 +382,7 @@
 {
   for (guint i = membership->probe_order->len; i > 0; i--)
     {
-      Member *member = g_ptr_array_index (membership->probe_order, i - 1);
+      HbwMember *member = g_ptr_array_index (membership->probe_order, i - 1);
       gint64 age = context->now_us - member->state_changed_us;
       if (member->info.state == HBW_MEMBER_SUSPECT && age > HBW_SUSPICION_TIMEOUT_US)
         set_state (membership, context, member, HBW_MEMBER_DEAD,
@@ -443,7 +409,7 @@
 handle_probe_for (HbwMembership *membership, HbwContext *context,
                   const HbwMessage *message)
 {
-  const Member *subject = find_member (membership, message->ping.subject);
+  const HbwMember *subject = find_member (membership, message->ping.subject);
   if (subject == NULL)
     return;
   const HbwPing base = { .probe_number = message->ping.probe_number,
@@ -460,7 +426,7 @@
   const HbwPing *ping = &message->ping;
   if (ping->on_behalf_of != 0 && ping->on_behalf_of != membership->self.identity)
     {
-      const Member *requester = find_member (membership, ping->on_behalf_of);
+      const HbwMember *requester = find_member (membership, ping->on_behalf_of);
       const HbwPing base = { .probe_number = ping->probe_number,
                              .on_behalf_of = ping->on_behalf_of,
                              .subject = ping->subject };
@@ -533,7 +499,7 @@
 hbw_membership_handle_message (HbwMembership *membership, HbwContext *context,
                                const HbwMessage *message)
 {
-  Member *sender = find_member (membership, message->from);
+  HbwMember *sender = find_member (membership, message->from);
   if (sender != NULL)
     sender->last_heard_us = context->now_us;
   if (message->kind > HBW_MESSAGE_PROBE_FOR)
@@ -559,7 +525,7 @@
   const HbwPing base = { .probe_number = 0 };
   for (guint i = 0; i < membership->probe_order->len; i++)
     {
-      const Member *member = g_ptr_array_index (membership->probe_order, i);
+      const HbwMember *member = g_ptr_array_index (membership->probe_order, i);
       if (is_present_in (member, data_centre))
         send_ping (membership, context, HBW_MESSAGE_PING, member->info.identity,
                    member->info.address, &base);
@@ -577,7 +543,7 @@
   for (guint i = 0; i < membership->probe_order->len && sent < LEAVE_MESSAGES_MAX;
        i++)
     {
-      const Member *member = g_ptr_array_index (membership->probe_order, i);
+      const HbwMember *member = g_ptr_array_index (membership->probe_order, i);
       if (!is_present (member))
         continue;
       send_ping (membership, context, HBW_MESSAGE_PING, member->info.identity,
@@ -593,7 +559,7 @@
   membership->next_probe_us = now_us;
   for (guint i = 0; i < membership->probe_order->len; i++)
     {
-      Member *member = g_ptr_array_index (membership->probe_order, i);
+      HbwMember *member = g_ptr_array_index (membership->probe_order, i);
       member->last_heard_us = now_us;
       if (member->info.state == HBW_MEMBER_SUSPECT)
         member->state_changed_us = now_us;
@@ -603,7 +569,7 @@
 const char *
 hbw_membership_find_address (HbwMembership *membership, guint64 identity)
 {
-  const Member *member = find_member (membership, identity);
+  const HbwMember *member = find_member (membership, identity);
   if (member == NULL || member->info.state == HBW_MEMBER_DEAD)
     return NULL;
   return member->info.address;
@@ -612,7 +578,7 @@
 const char *
 hbw_membership_find_name (HbwMembership *membership, guint64 identity)
 {
-  const Member *member = find_member (membership, identity);
+  const HbwMember *member = find_member (membership, identity);
   return member != NULL ? member->info.name : "";
 }
 
@@ -622,7 +588,7 @@
   HbwHostPort parts;
   for (guint i = 0; i < membership->probe_order->len; i++)
     {
-      const Member *member = g_ptr_array_index (membership->probe_order, i);
+      const HbwMember *member = g_ptr_array_index (membership->probe_order, i);
       if (is_present (member) && hbw_address_parse (member->info.address, &parts)
           && strcmp (parts.host, host) == 0)
         return TRUE;
@@ -635,85 +601,22 @@
 {
   if (identity == membership->self.identity)
     return membership->self.state == HBW_MEMBER_ALIVE;
-  const Member *member = find_member (membership, identity);
+  const HbwMember *member = find_member (membership, identity);
   return member != NULL && member->info.state == HBW_MEMBER_ALIVE;
 }
 
 gboolean
 hbw_membership_is_dead (HbwMembership *membership, guint64 identity)
 {
-  const Member *member = find_member (membership, identity);
+  const HbwMember *member = find_member (membership, identity);
   return member != NULL && member->info.state == HBW_MEMBER_DEAD;
 }
 
-static gboolean
-is_owner_candidate (const HbwMemberUpdate *info, const char *data_centre)
-{
-  return info->state == HBW_MEMBER_ALIVE
-         && (data_centre == NULL || strcmp (info->data_centre, data_centre) == 0);
-}
-
-guint64
-hbw_membership_find_owner (HbwMembership *membership, const char *data_centre,
-                           const char *key)
-{
-  guint64 best = 0;
-  guint64 highest = 0;
-  if (is_owner_candidate (&membership->self, data_centre))
-    {
-      best = membership->self.identity;
-      highest = hbw_rendezvous_weight (best, key);
-    }
-  for (guint i = 0; i < membership->probe_order->len; i++)
-    {
-      const Member *member = g_ptr_array_index (membership->probe_order, i);
-      if (!is_owner_candidate (&member->info, data_centre))
-        continue;
-      guint64 weight = hbw_rendezvous_weight (member->info.identity, key);
-      if (best != 0 && weight <= highest)
-        continue;
-      best = member->info.identity;
-      highest = weight;
-    }
-  return best;
-}
-
-gboolean
-hbw_membership_is_self_in_top (HbwMembership *membership, const char *key,
-                               guint count)
-{
-  guint64 own = hbw_rendezvous_weight (membership->self.identity, key);
-  guint before = 0;
-  for (guint i = 0; i < membership->probe_order->len; i++)
-    {
-      const Member *member = g_ptr_array_index (membership->probe_order, i);
-      if (is_owner_candidate (&member->info, membership->self.data_centre)
-          && hbw_rendezvous_weight (member->info.identity, key) > own)
-        before++;
-    }
-  return before < count;
-}
-
-guint
-hbw_membership_rank (HbwMembership *membership, const char *key)
-{
-  guint64 own = hbw_rendezvous_weight (membership->self.identity, key);
-  guint rank = 0;
-  for (guint i = 0; i < membership->probe_order->len; i++)
-    {
-      const Member *member = g_ptr_array_index (membership->probe_order, i);
-      if (is_owner_candidate (&member->info, NULL)
-          && hbw_rendezvous_weight (member->info.identity, key) > own)
-        rank++;
-    }
-  return rank;
-}
-
 guint64
 hbw_membership_ping_member (HbwMembership *membership, HbwContext *context,
                             guint64 identity)
 {
-  const Member *member = find_member (membership, identity);
+  const HbwMember *member = find_member (membership, identity);
   if (member == NULL || !is_present (member))
     return 0;
   const HbwPing base
@@ -725,7 +628,7 @@
 
 static gboolean
 is_ping_candidate (const HbwMembership *membership G_GNUC_UNUSED,
-                   const Member *member)
+                   const HbwMember *member)
 {
   return is_present (member);
 }
@@ -733,25 +636,12 @@
 guint64
 hbw_membership_ping_random (HbwMembership *membership, HbwContext *context)
 {
-  const Member *member = random_member (membership, context, is_ping_candidate);
+  const HbwMember *member = random_member (membership, context, is_ping_candidate);
   return member != NULL ? hbw_membership_ping_member (membership, context,
                                                       member->info.identity)
                         : 0;
 }
 
-guint
-hbw_membership_count_alive (HbwMembership *membership, const char *data_centre)
-{
-  guint count = is_owner_candidate (&membership->self, data_centre) ? 1 : 0;
-  for (guint i = 0; i < membership->probe_order->len; i++)
-    {
-      const Member *member = g_ptr_array_index (membership->probe_order, i);
-      if (is_owner_candidate (&member->info, data_centre))
-        count++;
-    }
-  return count;
-}
-
 guint64
 hbw_membership_epoch (const HbwMembership *membership)
 {
@@ -765,7 +655,7 @@
 {
   for (guint i = 0; i < membership->probe_order->len; i++)
     {
-      const Member *member = g_ptr_array_index (membership->probe_order, i);
+      const HbwMember *member = g_ptr_array_index (membership->probe_order, i);
       if (is_present (member))
         visit (&member->info, data);
     }
@@ -773,7 +663,7 @@
 
 /* Returns whether MEMBER runs requests, or may do so. */
 static gboolean
-is_in_use (const Member *member, gint64 now_us)
+is_in_use (const HbwMember *member, gint64 now_us)
 {
   gboolean is_leaving = member->info.state == HBW_MEMBER_LEFT
                         && now_us - member->state_changed_us < HBW_MEMBER_LEAVING_US;
@@ -786,7 +676,7 @@
 {
   for (guint i = 0; i < membership->probe_order->len; i++)
     {
-      const Member *member = g_ptr_array_index (membership->probe_order, i);
+      const HbwMember *member = g_ptr_array_index (membership->probe_order, i);
       gboolean is_addressed = data_centre == NULL
                               || strcmp (member->info.data_centre, data_centre) == 0;
       if (is_addressed && is_in_use (member, context->now_us))
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -24,8 +24,8 @@
 /* Age of the catalogue before its first confirmation. */
 #define UNCONFIRMED_AGE_US (3600 * HBW_US_PER_S)
 
-static guint64
-find_owner (const HbwShardKey *key, void *data)
+guint64
+hbw_reducer_find_owner (const HbwShardKey *key, void *data)
 {
   HbwReducer *reducer = data;
   if (!reducer->policy->single_owner)
@@ -37,8 +37,8 @@
   return owner != 0 ? owner : reducer->context.self;
 }
 
-static HbwShard *
-find_shard (const HbwReducer *reducer, const HbwShardKey *key)
+HbwShard *
+hbw_reducer_find_shard (const HbwReducer *reducer, const HbwShardKey *key)
 {
   char text[HBW_SHARD_KEY_TEXT_MAX];
   hbw_shard_key_format (key, text, sizeof text);
@@ -57,10 +57,10 @@
 }
 
 /* Returns the shard of KEY; creates it if this instance does not hold it yet. */
-static HbwShard *
-get_or_create_shard (HbwReducer *reducer, const HbwShardKey *key)
+HbwShard *
+hbw_reducer_ensure_shard (HbwReducer *reducer, const HbwShardKey *key)
 {
-  HbwShard *shard = find_shard (reducer, key);
+  HbwShard *shard = hbw_reducer_find_shard (reducer, key);
   if (shard != NULL)
     return shard;
   HbwContext *context = &reducer->context;
@@ -85,7 +85,7 @@
   if (context->now_us - shard->last_entry_message_us < SHARD_IDLE_TIMEOUT_US
       || g_hash_table_size (shard->reservations) > 0
       || hbw_queue_length (shard->queue) > 0
-      || find_owner (&shard->key, reducer) == context->self)
+      || hbw_reducer_find_owner (&shard->key, reducer) == context->self)
     return FALSE;
   hbw_effects_log (context->effects, HBW_LOG_OWNER_LOST, "shard=%s",
                    (const char *) key);
@@ -115,8 +115,8 @@
                    "in_progress=%u", hbw_ingress_request_count (reducer->ingress));
 }
 
-static void
-observe_store_era (HbwReducer *reducer, gint64 number, gint64 age_us)
+void
+hbw_reducer_observe_store_era (HbwReducer *reducer, gint64 number, gint64 age_us)
 {
   HbwContext *context = &reducer->context;
   gint64 before = context->store_era.number;
@@ -145,166 +145,13 @@
                                   context, ping);
 }
 
-static void
-record_reported_version (HbwReducer *reducer, guint64 from, gint64 version)
-{
-  HbwReportedVersion *reported
-      = g_hash_table_lookup (reducer->reported_versions, &from);
-  if (reported == NULL)
-    {
-      reported = g_new0 (HbwReportedVersion, 1);
-      reported->identity = from;
-      g_hash_table_insert (reducer->reported_versions, &reported->identity,
-                           reported);
-    }
-  reported->version = version;
-  reported->reported_us = reducer->context.now_us;
-}
-
-static gboolean
-is_unknown_instance (gpointer key, gpointer value G_GNUC_UNUSED, gpointer data)
-{
-  const guint64 *identity = key;
-  HbwReducer *reducer = data;
-  return hbw_membership_find_address (reducer->context.membership, *identity)
-         == NULL;
-}
-
-static void
-handle_ping (HbwReducer *reducer, const HbwMessage *message)
-{
-  HbwContext *context = &reducer->context;
-  const HbwPing *ping = &message->ping;
-  HbwShardRouter *router = hbw_ingress_shard_router (reducer->ingress);
-  observe_store_era (reducer, ping->store_era, ping->store_era_age_us);
-  record_reported_version (reducer, message->from,
-                           ping->versions[HBW_DOCUMENT_CATALOGUE]);
-  for (guint i = 0; i < ping->summary_count; i++)
-    if (find_owner (&ping->summaries[i].key, reducer) != context->self)
-      hbw_shard_router_update_summary (router, &ping->summaries[i], context->now_us);
-  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
-    if (ping->versions[i] == HBW_VERSION_ABSENT)
-      {
-        const HbwDocument absent = { .kind = (HbwDocumentKind) i };
-        hbw_reducer_handle_document (reducer, &absent);
-      }
-  hbw_documents_request_newer (reducer->documents, context, message->from, ping);
-  hbw_suspect_share_handle_ping (context->suspect_share, context, message);
-}
-
-static void
-handle_loads (HbwReducer *reducer, const HbwMessage *message)
-{
-  HbwContext *context = &reducer->context;
-  if (context->load_share == NULL)
-    return;
-  hbw_load_share_handle_message (context->load_share, context, message);
-  GHashTableIter iter;
-  gpointer shard;
-  g_hash_table_iter_init (&iter, reducer->shards);
-  while (g_hash_table_iter_next (&iter, NULL, &shard))
-    hbw_shard_record_remote_prompts (shard, &message->loads);
-}
-
-static void
-handle_message (HbwReducer *reducer, const HbwMessage *message)
-{
-  HbwContext *context = &reducer->context;
-  HbwLimiter *limiter = hbw_ingress_limiter (reducer->ingress);
-  if ((guint) message->kind >= HBW_MESSAGE_COUNT)
-    return;
-  hbw_metrics_control (context->metrics)->messages_received[message->kind]++;
-  hbw_membership_handle_message (context->membership, context, message);
-  switch (message->kind)
-    {
-    case HBW_MESSAGE_ACK:
-      hbw_freshness_monitor_handle_ack (
-          reducer->freshness_monitor, context, message,
-          hbw_documents_version (reducer->documents, HBW_DOCUMENT_CATALOGUE));
-      handle_ping (reducer, message);
-      break;
-    case HBW_MESSAGE_PING:
-      handle_ping (reducer, message);
-      break;
-    case HBW_MESSAGE_WANT:
-      hbw_shard_handle_want (get_or_create_shard (reducer, &message->want.shard),
-                             context, message->from, &message->want);
-      break;
-    case HBW_MESSAGE_WITHDRAW:
-      {
-        GHashTableIter iter;
-        gpointer shard;
-        g_hash_table_iter_init (&iter, reducer->shards);
-        while (g_hash_table_iter_next (&iter, NULL, &shard))
-          hbw_shard_handle_withdrawal (shard, context, &message->refusal);
-        break;
-      }
-    case HBW_MESSAGE_GRANT:
-      hbw_ingress_handle_grant (reducer->ingress, context, message->from,
-                                &message->grant);
-      break;
-    case HBW_MESSAGE_REFUSAL:
-      hbw_ingress_handle_refusal (reducer->ingress, context, &message->refusal);
-      break;
-    case HBW_MESSAGE_ACTIVE:
-      hbw_shard_handle_active (get_or_create_shard (reducer, &message->active.shard),
-                               context, message->from, &message->active);
-      break;
-    case HBW_MESSAGE_BEGUN:
-      {
-        HbwShard *shard = find_shard (reducer, &message->begun.shard);
-        if (shard != NULL)
-          hbw_shard_handle_begun (shard, context, &message->begun);
-        break;
-      }
-    case HBW_MESSAGE_DONE:
-      {
-        HbwShard *shard = find_shard (reducer, &message->done.shard);
-        if (shard != NULL)
-          hbw_shard_handle_done (shard, context, &message->done);
-        break;
-      }
-    case HBW_MESSAGE_LOADS:
-      handle_loads (reducer, message);
-      break;
-    case HBW_MESSAGE_DOCUMENT_ASK:
-      hbw_documents_handle_request (reducer->documents, context, message->from,
-                                    &message->document);
-      break;
-    case HBW_MESSAGE_DOCUMENT:
-      hbw_reducer_handle_document (reducer, &message->document);
-      break;
-    case HBW_MESSAGE_SUSPECT:
-      hbw_suspect_share_handle_report (context->suspect_share, context, message);
-      hbw_ingress_handle_suspect (reducer->ingress, context,
-                                  &message->suspect.fingerprint);
-      break;
-    case HBW_MESSAGE_STREAM_VERSION:
-      hbw_stream_versions_handle_message (context->stream_versions, context,
-                                          message);
-      hbw_ingress_handle_stream_version (reducer->ingress, context,
-                                         message->stream_version.key);
-      break;
-    case HBW_MESSAGE_CLEARED_PARTS:
-      hbw_quarantine_merge_cleared_parts (context->quarantine,
-                                          &message->cleared_parts, context->now_us);
-      break;
-    case HBW_MESSAGE_SERVER_NOTICE:
-      hbw_server_notices_handle_message (context->server_notices, context, message);
-      break;
-    default:
-      hbw_limiter_handle_message (limiter, context, message);
-      break;
-    }
-}
-
 static void
 deliver_loopback (HbwReducer *reducer)
 {
   HbwMessage *message;
   while ((message = g_queue_pop_head (reducer->context.loopback)) != NULL)
     {
-      handle_message (reducer, message);
+      hbw_reducer_handle_message (reducer, message);
       hbw_message_clear (message);
       g_free (message);
     }
@@ -338,6 +185,15 @@
   handle_pause (reducer, elapsed_us);
 }
 
+static gboolean
+is_unknown_instance (gpointer key, gpointer value G_GNUC_UNUSED, gpointer data)
+{
+  const guint64 *identity = key;
+  HbwReducer *reducer = data;
+  return hbw_membership_find_address (reducer->context.membership, *identity)
+         == NULL;
+}
+
 static void
 handle_membership_change (HbwReducer *reducer)
 {
@@ -367,7 +223,7 @@
     {
       HbwShard *shard = value;
       hbw_shard_tick (shard, context);
-      if (find_owner (&shard->key, reducer) != context->self)
+      if (hbw_reducer_find_owner (&shard->key, reducer) != context->self)
         continue;
       HbwShardSummary summary;
       hbw_shard_summarize (shard, &summary);
@@ -417,7 +273,7 @@
 static void
 handle_store_state (HbwReducer *reducer, const HbwStoreState *state)
 {
-  observe_store_era (reducer, state->era, 0);
+  hbw_reducer_observe_store_era (reducer, state->era, 0);
 
   HbwControlMetrics *metrics = hbw_metrics_control (reducer->context.metrics);
   metrics->store_call_count[state->document] += state->calls;
@@ -435,20 +291,24 @@
 {
   HbwContext *context = &reducer->context;
   hbw_metrics_control (context->metrics)->suspect_store_calls += stored->calls;
-  observe_store_era (reducer, stored->era, 0);
+  hbw_reducer_observe_store_era (reducer, stored->era, 0);
   hbw_suspect_archive_handle_read (reducer->suspect_archive, context, stored);
   hbw_suspect_share_handle_stored (context->suspect_share, context);
 }
 
+static const HbwServerEntry *
+find_server (const HbwReducer *reducer, const char *id)
+{
+  HbwShardKey key;
+  const HbwTopology *topology = hbw_server_list_topology (reducer->server_list);
+  return topology != NULL ? hbw_topology_find_server (topology, id, &key) : NULL;
+}
+
 static void
 handle_server_notice (HbwReducer *reducer, const HbwServerNotice *notice)
 {
   HbwContext *context = &reducer->context;
-  HbwShardKey key;
-  const HbwTopology *topology = hbw_server_list_topology (reducer->server_list);
-  const HbwServerEntry *entry
-      = topology != NULL ? hbw_topology_find_server (topology, notice->server, &key)
-                         : NULL;
+  const HbwServerEntry *entry = find_server (reducer, notice->server);
   if (entry != NULL)
     hbw_server_notices_handle_response (context->server_notices, context, notice,
                                         entry->start_number);
@@ -460,11 +320,7 @@
 answer_tunnel (HbwReducer *reducer, const HbwTunnelRequest *request)
 {
   HbwContext *context = &reducer->context;
-  HbwShardKey key;
-  const HbwTopology *topology = hbw_server_list_topology (reducer->server_list);
-  const HbwServerEntry *entry
-      = topology != NULL ? hbw_topology_find_server (topology, request->server, &key)
-                         : NULL;
+  const HbwServerEntry *entry = find_server (reducer, request->server);
   gboolean accepted
       = entry != NULL && !reducer->draining
         && hbw_server_path_state (context->server_path) != HBW_PATH_LOST
@@ -539,7 +395,7 @@
     case HBW_EVENT_SUSPECTS_WRITTEN:
       hbw_metrics_control (context->metrics)->suspect_store_calls
           += event->suspects.calls;
-      observe_store_era (reducer, event->suspects.era, 0);
+      hbw_reducer_observe_store_era (reducer, event->suspects.era, 0);
       hbw_suspect_archive_handle_written (reducer->suspect_archive, context,
                                           &event->suspects);
       break;
@@ -547,7 +403,7 @@
       handle_store_state (reducer, &event->store);
       break;
     case HBW_EVENT_MESSAGE:
-      handle_message (reducer, &event->message);
+      hbw_reducer_handle_message (reducer, &event->message);
       break;
     case HBW_EVENT_DRAIN:
       hbw_reducer_handle_drain (reducer);
@@ -635,7 +491,7 @@
       reducer->policy->spans_data_centres ? context->data_centre : NULL);
   reducer->freshness_monitor = hbw_freshness_monitor_create ();
   reducer->suspect_archive = hbw_suspect_archive_create ();
-  reducer->ingress = hbw_ingress_create (find_owner, reducer,
+  reducer->ingress = hbw_ingress_create (hbw_reducer_find_owner, reducer,
                                          config->retry_limits.window_us > 0
                                              ? &config->retry_limits
                                              : &default_retry_limits);
--- a/core/stream_versions.c
+++ b/core/stream_versions.c
@@ -145,15 +145,15 @@
   g_snprintf (search.key, sizeof search.key, "%016" G_GINT64_MODIFIER "x", key);
   hbw_membership_foreach (context->membership, add_holder, &search);
   g_array_sort (search.holders, compare_weights);
+  GHashTable *counts = g_hash_table_new (g_str_hash, g_str_equal);
   for (guint i = 0; i < search.holders->len; i++)
     {
       Holder *holder = &g_array_index (search.holders, Holder, i);
-      for (guint k = 0; k < i; k++)
-        holder->rank
-            += strcmp (g_array_index (search.holders, Holder, k).data_centre,
-                       holder->data_centre)
-               == 0;
+      gpointer name = (gpointer) holder->data_centre;
+      holder->rank = GPOINTER_TO_UINT (g_hash_table_lookup (counts, name));
+      g_hash_table_replace (counts, name, GUINT_TO_POINTER (holder->rank + 1));
     }
+  g_hash_table_destroy (counts);
   g_array_sort (search.holders, compare_ranks);
   return search.holders;
 }
--- a/include/hornbeamwall/core/reducer_state.h
+++ b/include/hornbeamwall/core/reducer_state.h
@@ -41,6 +41,23 @@
 
 void hbw_reducer_handle_drain (HbwReducer *reducer);
 
+/* Returns the instance that schedules the shard KEY; DATA is the reducer. */
+guint64 hbw_reducer_find_owner (const HbwShardKey *key, void *data);
+
+/* Returns the shard that this instance holds, or NULL. */
+HbwShard *hbw_reducer_find_shard (const HbwReducer *reducer, const HbwShardKey *key);
+
+/* The same; creates the shard if this instance does not hold it yet. */
+HbwShard *hbw_reducer_ensure_shard (HbwReducer *reducer, const HbwShardKey *key);
+
+/* Notes the era NUMBER of the store, which has lasted for AGE_US at least. */
+void hbw_reducer_observe_store_era (HbwReducer *reducer, gint64 number,
+                                    gint64 age_us);
+
+/* --- reducer_messages.c -------------------------------------------------------- */
+
+void hbw_reducer_handle_message (HbwReducer *reducer, const HbwMessage *message);
+
 /* --- reducer_documents.c ------------------------------------------------------- */
 
 /* Adopts DOCUMENT of another instance if it is valid and newer. */
