--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -1,5 +1,6 @@
 #include "world.h"
 
+#include "action_queue.h"
 #include "notice_check.h"
 #include "part_watch.h"
 
@@ -54,14 +55,6 @@
 /* Stands before the number of upgrades in a server's id. */
 #define UPGRADE_SEPARATOR "."
 
-typedef struct
-{
-  gint64 at_us;
-  guint64 order;
-  void (*run) (World *world, void *data);
-  void *data;
-} Action;
-
 typedef struct
 {
   char name[HBW_NAME_MAX];
@@ -157,8 +150,7 @@
 struct World
 {
   gint64 now_us;
-  guint64 next_action_order;
-  GPtrArray *heap; /* Action */
+  ActionQueue *actions;
   GRand *random;
   guint32 seed;
   const HbwPolicy *policy;
@@ -199,58 +191,11 @@
 
 /* --- scheduler ----------------------------------------------------------- */
 
-static gboolean
-is_before (const Action *a, const Action *b)
-{
-  return a->at_us < b->at_us || (a->at_us == b->at_us && a->order < b->order);
-}
-
-static void
-swap (GPtrArray *heap, guint a, guint b)
-{
-  gpointer temporary = heap->pdata[a];
-  heap->pdata[a] = heap->pdata[b];
-  heap->pdata[b] = temporary;
-}
-
 static void
 schedule (World *world, gint64 at_us, void (*run) (World *world, void *data),
           void *data)
 {
-  Action *action = g_new (Action, 1);
-  action->at_us = MAX (at_us, world->now_us);
-  action->order = world->next_action_order++;
-  action->run = run;
-  action->data = data;
-  g_ptr_array_add (world->heap, action);
-  guint at = world->heap->len - 1;
-  while (at > 0
-         && is_before (world->heap->pdata[at], world->heap->pdata[(at - 1) / 2]))
-    {
-      swap (world->heap, at, (at - 1) / 2);
-      at = (at - 1) / 2;
-    }
-}
-
-static Action *
-pop_action (World *world)
-{
-  GPtrArray *heap = world->heap;
-  Action *first = heap->pdata[0];
-  g_ptr_array_remove_index_fast (heap, 0);
-  guint at = 0;
-  for (;;)
-    {
-      guint least = at;
-      for (guint child = 2 * at + 1; child <= 2 * at + 2 && child < heap->len;
-           child++)
-        if (is_before (heap->pdata[child], heap->pdata[least]))
-          least = child;
-      if (least == at)
-        return first;
-      swap (heap, at, least);
-      at = least;
-    }
+  action_queue_add (world->actions, MAX (at_us, world->now_us), run, data);
 }
 
 static void G_GNUC_PRINTF (2, 3)
@@ -1825,7 +1770,7 @@
 world_create (guint32 seed, const char *policy)
 {
   World *world = g_new0 (World, 1);
-  world->heap = g_ptr_array_new ();
+  world->actions = action_queue_create ();
   world->random = g_rand_new_with_seed (seed);
   world->seed = seed;
   world->policy = hbw_policy_find (policy);
@@ -1869,11 +1814,9 @@
 void
 world_destroy (World *world)
 {
-  for (guint i = 0; i < world->heap->len; i++)
-    {
-      discard_action (world->heap->pdata[i]);
-      g_free (world->heap->pdata[i]);
-    }
+  Action action;
+  while (action_queue_pop (world->actions, G_MAXINT64, &action))
+    discard_action (&action);
   for (guint i = 0; i < world->instances->len; i++)
     {
       Instance *instance = world->instances->pdata[i];
@@ -1891,7 +1834,7 @@
       notice_check_destroy (server->notices);
       g_free (server);
     }
-  g_ptr_array_free (world->heap, TRUE);
+  action_queue_destroy (world->actions);
   g_ptr_array_free (world->instances, TRUE);
   g_ptr_array_free (world->servers, TRUE);
   g_ptr_array_free (world->attempts, TRUE);
@@ -2062,16 +2005,14 @@
 {
   if (world->now_us == 0)
     start_world (world);
-  while (world->heap->len > 0 && world->violation == NULL)
-    {
-      if (((Action *) world->heap->pdata[0])->at_us > START_US + until_us)
-        break;
-      Action *action = pop_action (world);
-      world->now_us = action->at_us;
-      action->run (world, action->data);
-      if (action->run == apply_fault)
-        g_free (action->data);
-      g_free (action);
+  Action action;
+  while (world->violation == NULL
+         && action_queue_pop (world->actions, START_US + until_us, &action))
+    {
+      world->now_us = action.at_us;
+      action.run (world, action.data);
+      if (action.run == apply_fault)
+        g_free (action.data);
     }
   g_ptr_array_sort (world->classes, compare_classes);
   return world->violation == NULL;
