--- a/core/reducer.c
+++ b/core/reducer.c
@@ -314,8 +314,8 @@
                                         entry->start_number);
 }
 
-/* Opens the way to a listed server for another instance, unless this one doubts its own
-   path or is stopping. */
+/* Opens the way to a listed server for another instance, unless this one doubts its
+   own path or is stopping. */
 static void
 answer_tunnel (HbwReducer *reducer, const HbwTunnelRequest *request)
 {
