Failing: a surge of long prompts that share parts leaves a fleet that reads them again

The scenario world has engines that batch, read prompts in chunks and cache their shared parts (tests/scenario/batch_engine.c), and requests carry the tier of their class beside their own.

The engines could serve them.

--- a/core/request_spec.c
+++ b/core/request_spec.c
@@ -59,6 +59,7 @@
 {
   g_strlcpy (spec->class_name, class->name, sizeof spec->class_name);
   spec->tier = class->tier;
+  spec->class_tier = class->tier;
   spec->queue_bound = class->queue_bound;
   spec->first_token_target_us = class->first_token_target_us;
   spec->inter_token_target_us = class->inter_token_target_us;
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -95,6 +95,7 @@
   char class_name[HBW_NAME_MAX];
   char pool[HBW_NAME_MAX];
   HbwTier tier;
+  HbwTier class_tier; /* tier of its class, which orders the requests of one tier */
   gboolean idempotent;
   guint weight;
   guint cost_tokens;
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -122,6 +122,7 @@
   for (guint i = 0; i < spec->part_count; i++)
     pack_part (packer, &spec->parts[i]);
   msgpack_pack_uint64 (packer, spec->version_hash);
+  msgpack_pack_uint8 (packer, spec->class_tier);
 }
 
 static void
@@ -351,7 +352,7 @@
 /* Number of fields that pack_fields() packs, by kind. */
 static const guint field_counts[HBW_MESSAGE_COUNT] = {
   [HBW_MESSAGE_PING] = 10,          [HBW_MESSAGE_ACK] = 10,
-  [HBW_MESSAGE_PROBE_FOR] = 10,     [HBW_MESSAGE_WANT] = 28,
+  [HBW_MESSAGE_PROBE_FOR] = 10,     [HBW_MESSAGE_WANT] = 29,
   [HBW_MESSAGE_WITHDRAW] = 5,       [HBW_MESSAGE_GRANT] = 14,
   [HBW_MESSAGE_REFUSAL] = 5,        [HBW_MESSAGE_ACTIVE] = 10,
   [HBW_MESSAGE_DONE] = 11,          [HBW_MESSAGE_DOCUMENT_ASK] = 4,
--- a/net/codec_unpack.c
+++ b/net/codec_unpack.c
@@ -213,6 +213,9 @@
   reader->failed |= parts.failed;
   if (!reader->failed && reader->next < reader->count)
     spec->version_hash = hbw_field_reader_unpack_uint (reader, G_MAXUINT64);
+  if (!reader->failed && reader->next < reader->count)
+    spec->class_tier
+        = (HbwTier) hbw_field_reader_unpack_uint (reader, HBW_TIER_COUNT - 1);
 }
 
 static void
--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -3,6 +3,9 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Different shared parts of one length. */
+#define PARTS_PER_LENGTH_MAX 10000
+
 typedef struct
 {
   guint number;
@@ -126,6 +129,29 @@
   return TRUE;
 }
 
+/* Lets the servers of a pool batch requests and cache prompts. */
+static gboolean
+apply_engine (World *world, const Line *line, guint seed G_GNUC_UNUSED)
+{
+  BatchEngineSpec spec = { 0 };
+  spec.step_us = duration_option (line, "step", "5ms");
+  spec.prompt_tokens_per_ms = number_option (line, "speed", "50");
+  spec.chunk_tokens = count_option (line, "chunk", "4096");
+  spec.memory_tokens = count_option (line, "memory", "500000");
+  world_set_engines (world, line->argv[1], &spec);
+  return TRUE;
+}
+
+/* Loads with the same shared tokens have the same shared parts. */
+static void
+set_prompt (WorldPrompt *prompt, const Line *line)
+{
+  prompt->shared_tokens = count_option (line, "shared", "0");
+  prompt->shared_count = count_option (line, "of", "0");
+  prompt->first_part = (guint64) prompt->shared_tokens * PARTS_PER_LENGTH_MAX + 1;
+  range_option (line, "own", "1", &prompt->own_min, &prompt->own_max);
+}
+
 static gboolean
 apply_load (World *world, const Line *line, guint seed G_GNUC_UNUSED)
 {
@@ -145,6 +171,7 @@
   load.poison = strcmp (find_option (line, "poison", "no"), "yes") == 0;
   load.silent = strcmp (find_option (line, "silent", "no"), "yes") == 0;
   g_strlcpy (load.parts, find_option (line, "parts", ""), sizeof load.parts);
+  set_prompt (&load.prompt, line);
   load.whole = strcmp (find_option (line, "whole", "no"), "yes") == 0;
   load.resumable = strcmp (find_option (line, "resumable", "no"), "yes") == 0;
   load.attempts_max = count_option (line, "attempts", "0");
@@ -224,6 +251,7 @@
   { "pool", 3, accept_statement },
   { "instances", 2, apply_instances },
   { "servers", 3, apply_servers },
+  { "engine", 2, apply_engine },
   { "poison_restart", 2, apply_poison_restart },
   { "harmful_part", 2, apply_harmful_part },
   { "load", 2, apply_load },
@@ -264,13 +292,17 @@
 {
   char **classes = g_strsplit (find_option (line, "classes", ""), ",", -1);
   char *list = g_strjoinv ("\",\"", classes);
+  const char *tier_option = find_option (line, "tier", NULL);
+  char *tier = tier_option != NULL ? g_strdup_printf ("\"tier\":%s,", tier_option)
+                                   : g_strdup ("");
   g_string_append_printf (
       text,
-      "\"%s\":{\"keys\":[],\"classes\":[\"%s\"],\"weight\":%u,\"limits\":"
+      "\"%s\":{\"keys\":[],\"classes\":[\"%s\"],\"weight\":%u,%s\"limits\":"
       "{\"requests_per_s\":%u,\"tokens_per_s\":%u,\"in_progress\":%u}}",
-      line->argv[1], list, count_option (line, "weight", "1"),
+      line->argv[1], list, count_option (line, "weight", "1"), tier,
       count_option (line, "requests", "0"), count_option (line, "tokens", "0"),
       count_option (line, "in_progress", "0"));
+  g_free (tier);
   g_free (list);
   g_strfreev (classes);
 }
@@ -372,6 +404,19 @@
   return 0;
 }
 
+static double
+prompt_value (const PromptWatch *watch, const char *quantity, gboolean *known)
+{
+  if (strcmp (quantity, "reread") == 0)
+    return (double) watch->reread_tokens / MAX (1.0, (double) watch->shared_tokens);
+  if (strcmp (quantity, "preempted") == 0)
+    return watch->preempted_count;
+  if (strcmp (quantity, "inversions") == 0)
+    return watch->inversion_count;
+  *known = FALSE;
+  return 0;
+}
+
 static double
 subject_value (const World *world, const char *subject, const char *quantity,
                gboolean *known)
@@ -384,6 +429,8 @@
     return world_limited_request_count (world);
   if (strcmp (subject, "part") == 0)
     return part_value (world_part_watch (world), quantity, known);
+  if (strcmp (subject, "prompts") == 0)
+    return prompt_value (world_prompt_watch (world), quantity, known);
   if (strcmp (subject, "streams") == 0)
     return stream_value (world_stream_watch (world), quantity, known);
   if (strcmp (quantity, "received") == 0)
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -1,6 +1,7 @@
 #include "world.h"
 
 #include "action_queue.h"
+#include "batch_engine.h"
 #include "notice_check.h"
 #include "part_watch.h"
 
@@ -39,6 +40,9 @@
 /* Fingerprints from here on belong to the bodies of loads. */
 #define SHARED_FINGERPRINT_MIN ((guint64) 1 << 30)
 
+/* Hashes from here on belong to parts that only one request has. */
+#define OWN_PARTS_MIN ((guint64) 1 << 32)
+
 /* How long an instance keeps a connection without requests. */
 #define IDLE_TIMEOUT_US (4 * HBW_US_PER_S)
 
@@ -88,6 +92,7 @@
   GArray *turned_away_us;  /* gint64: when it turned a request away, while brittle */
   GHashTable *connections; /* identity of the instance -> Connection */
   NoticeCheck *notices;    /* what it says of itself since its start */
+  BatchEngine *engine;     /* or NULL: it has no model of prompts */
 } Server;
 
 /* The oldest connection of an instance to a server. */
@@ -174,6 +179,7 @@
   GHashTable *planned_stops;
   PartWatch *parts;
   StreamWatch *streams;
+  PromptWatch *prompts;
   gboolean tunnel_accepted; /* the last that was asked for */
   gboolean part_refused;    /* the next refusal is because of a part */
   guint poisoned_server_count;
@@ -558,6 +564,8 @@
 fail_server (World *world, Server *server, gboolean by_poison)
 {
   server->failed = TRUE;
+  if (server->engine != NULL)
+    batch_engine_clear (server->engine);
   if (by_poison)
     world->poisoned_server_count++;
   if (server->silent)
@@ -697,9 +705,84 @@
               complete_attempt, attempt);
 }
 
+/* The caller is gone at its deadline, and the connection to the server with it. */
+static void
+stop_late_attempt (World *world, void *data)
+{
+  Attempt *attempt = data;
+  if (attempt->ended)
+    return;
+  batch_engine_remove (attempt->server->engine, attempt);
+  g_ptr_array_remove (attempt->server->running, attempt);
+  report_end (world, attempt, HBW_OUTCOME_CANCELLED, tokens_so_far (world, attempt));
+}
+
+static void
+handle_engine_event (void *request, BatchEngineEvent engine_event, void *data)
+{
+  World *world = data;
+  Attempt *attempt = request;
+  if (engine_event == BATCH_ENGINE_COMPLETE)
+    {
+      gint64 generating_us
+          = world->now_us - attempt->started_us - attempt->first_token_us;
+      attempt->token_us = generating_us / MAX (1, attempt->request->tokens);
+      complete_attempt (world, attempt);
+      return;
+    }
+  attempt->first_token_us = world->now_us - attempt->started_us;
+  attempt->token_us = attempt->server->token_us;
+  if (!is_running (attempt->instance, attempt->identity))
+    return;
+  HbwEvent event = { .kind = HBW_EVENT_FIRST_TOKEN };
+  event.first_token.sequence = attempt->request->sequence;
+  event.first_token.attempt = attempt->number;
+  event.first_token.first_token_us = world->now_us - attempt->created_us;
+  run_reducer (world, attempt->instance, &event);
+}
+
+static void end_engine_step (World *world, void *data);
+
+static void
+begin_engine_step (World *world, Server *server)
+{
+  gint64 step_us = batch_engine_begin_step (server->engine);
+  if (step_us > 0)
+    schedule (world, world->now_us + (gint64) ((double) step_us * server->slowdown),
+              end_engine_step, server);
+}
+
+static void
+end_engine_step (World *world, void *data)
+{
+  Server *server = data;
+  batch_engine_end_step (server->engine, handle_engine_event, world);
+  begin_engine_step (world, server);
+}
+
+static void
+pass_to_engine (World *world, Server *server, Attempt *attempt)
+{
+  Request *request = attempt->request;
+  g_ptr_array_add (server->running, attempt);
+  attempt->started_us = world->now_us;
+  attempt->first_token_us = G_MAXINT64 / 2;
+  find_connection (world, attempt);
+  batch_engine_add (server->engine, attempt, &request->spec, request->tokens);
+  schedule (world, request->arrived_us + request->spec.deadline_us,
+            stop_late_attempt, attempt);
+}
+
 static void
 fill_batch (World *world, Server *server)
 {
+  if (server->engine != NULL)
+    {
+      while (server->queue->len > 0)
+        pass_to_engine (world, server, g_ptr_array_remove_index (server->queue, 0));
+      begin_engine_step (world, server);
+      return;
+    }
   guint batch_max = server->entry.slots * (100 + BATCH_EXTRA_PERCENT) / 100;
   while (server->queue->len > 0 && server->running->len < batch_max)
     {
@@ -802,6 +885,8 @@
   if (attempt->ended)
     return;
   attempt->ended = TRUE;
+  if (server->engine != NULL)
+    batch_engine_remove (server->engine, attempt);
   if (g_ptr_array_remove (server->running, attempt))
     attempt->request->class->wasted_tokens += tokens_so_far (world, attempt);
   g_ptr_array_remove (server->queue, attempt);
@@ -1400,6 +1485,25 @@
   return NULL;
 }
 
+/* Draws the shared part of a prompt, and adds one of the request's own. */
+static void
+fill_prompt (World *world, const WorldLoad *load, HbwRequestSpec *spec)
+{
+  const WorldPrompt *prompt = &load->prompt;
+  if (prompt->shared_count == 0)
+    return;
+  guint64 shared
+      = (guint64) g_rand_int_range (load->random, 0, (gint32) prompt->shared_count);
+  spec->part_count = 2;
+  spec->parts[0].hash = prompt->first_part + shared;
+  spec->parts[0].tokens = prompt->shared_tokens;
+  spec->parts[1].hash = OWN_PARTS_MIN + world->last_sequence;
+  spec->parts[1].tokens = (guint) g_rand_int_range (
+      load->random, (gint32) prompt->own_min, (gint32) prompt->own_max + 1);
+  spec->prompt_tokens = spec->parts[0].tokens + spec->parts[1].tokens;
+  spec->prefix_hash = spec->parts[0].hash;
+}
+
 static gboolean
 fill_spec (World *world, const WorldLoad *load, Request *request)
 {
@@ -1414,7 +1518,10 @@
   HbwRequestSpec *spec = &request->spec;
   if (known)
     {
-      spec->tier = class->tier;
+      spec->class_tier = class->tier;
+      spec->tier = organisation->tier != HBW_TIER_FROM_CLASS
+                       ? (HbwTier) organisation->tier
+                       : class->tier;
       spec->weight = organisation->weight;
       spec->cost_tokens = class->expected_tokens;
       spec->queue_bound = class->queue_bound;
@@ -1431,6 +1538,7 @@
       g_strlcpy (spec->class_name, load->class_name, sizeof spec->class_name);
       g_strlcpy (spec->pool, load->pool, sizeof spec->pool);
       part_watch_fill (load->parts, load->random, spec);
+      fill_prompt (world, load, spec);
     }
   hbw_catalogue_unref (catalogue);
   return known;
@@ -1789,6 +1897,7 @@
   world->poison_failures = g_hash_table_new (NULL, NULL);
   world->parts = part_watch_create ();
   world->streams = stream_watch_create ();
+  world->prompts = prompt_watch_create ();
   world->planned_stops
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   schedule (world, HBW_US_PER_S, update_longest_gaps, NULL);
@@ -1832,6 +1941,7 @@
       g_hash_table_destroy (server->connections);
       g_array_free (server->turned_away_us, TRUE);
       notice_check_destroy (server->notices);
+      g_clear_pointer (&server->engine, batch_engine_destroy);
       g_free (server);
     }
   action_queue_destroy (world->actions);
@@ -1847,6 +1957,7 @@
   g_hash_table_destroy (world->poison_failures);
   part_watch_destroy (world->parts);
   stream_watch_destroy (world->streams);
+  prompt_watch_destroy (world->prompts);
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     g_free (world->documents[i]);
   g_rand_free (world->random);
@@ -1913,6 +2024,20 @@
     }
 }
 
+void
+world_set_engines (World *world, const char *pool, const BatchEngineSpec *spec)
+{
+  for (guint i = 0; i < world->servers->len; i++)
+    {
+      Server *server = world->servers->pdata[i];
+      if (strcmp (server->entry.pool, pool) != 0)
+        continue;
+      server->token_us = spec->step_us;
+      server->engine
+          = batch_engine_create (spec, server->entry.slots, world->prompts);
+    }
+}
+
 guint
 world_limited_request_count (const World *world)
 {
@@ -2076,6 +2201,12 @@
   return world->streams;
 }
 
+const PromptWatch *
+world_prompt_watch (const World *world)
+{
+  return world->prompts;
+}
+
 guint
 world_toppled_count (const World *world)
 {
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -8,6 +8,7 @@
 #ifndef HORNBEAMWALL_TESTS_WORLD_H
 #define HORNBEAMWALL_TESTS_WORLD_H
 
+#include "batch_engine.h"
 #include "part_watch.h"
 #include "stream_watch.h"
 
@@ -22,6 +23,16 @@
 
 typedef struct World World;
 
+/* Prompts of a shared part and one of the request's own. */
+typedef struct
+{
+  guint64 first_part; /* hash of the first shared part; the others follow */
+  guint shared_count; /* different shared parts; 0: requests without prompts */
+  guint shared_tokens;
+  guint own_min; /* tokens of the own part */
+  guint own_max;
+} WorldPrompt;
+
 typedef struct
 {
   char name[HBW_NAME_MAX];
@@ -42,6 +53,7 @@
   gboolean whole;     /* its answer ends with its connection, without a length, and
                          whole by its form even if the server fails */
   char parts[128];    /* ids of the shared parts; see part_watch_fill() */
+  WorldPrompt prompt;
   gboolean resumable; /* streams, which their callers resume if they break */
   guint attempts_max; /* of a request, on different servers; 0: the default */
   gint64 timeout_us;  /* of a request; 0 is none */
@@ -92,6 +104,9 @@
                         guint count, guint slots, gint64 prefill_us, gint64 token_us,
                         const char *version);
 
+/* Lets the servers of POOL, which were added before, read prompts in batches. */
+void world_set_engines (World *world, const char *pool, const BatchEngineSpec *spec);
+
 /* Sets how long a server takes to restart after a poison request. */
 void world_set_poison_restart (World *world, gint64 restart_us);
 
@@ -141,6 +156,9 @@
 /* Returns what callers got of streams that may be resumed. */
 const StreamWatch *world_stream_watch (const World *world);
 
+/* Returns what happened to the prompts of all servers with engines. */
+const PromptWatch *world_prompt_watch (const World *world);
+
 /* Returns how often brittle servers failed as they turned too much away. */
 guint world_toppled_count (const World *world);
 
