Requests of one tier are served by the tier of their class

Cause: where organisations bring a tier of their own, that tier replaced the one of the class. The engines got one priority for short urgent and long patient requests of an organisation, and preempted the newest of them, whichever it was; the queue served them by organisation and target alone.

One selection in eight begins with the last class.

Tests: queue_serves_requests_of_a_tier_by_the_tier_of_their_class and priority_orders_the_classes_of_one_tier fail on the code before.

--- a/core/queue.c
+++ b/core/queue.c
@@ -80,13 +80,22 @@
   return flow;
 }
 
+static gboolean
+is_before (const HbwTicket *ticket, const HbwTicket *other)
+{
+  HbwTier class_tier = ticket->want.spec.class_tier;
+  HbwTier other_class_tier = other->want.spec.class_tier;
+  if (class_tier != other_class_tier)
+    return class_tier < other_class_tier;
+  return ticket->target_at_us < other->target_at_us;
+}
+
 static void
 insert_by_target (struct cds_list_head *list, HbwTicket *ticket)
 {
   struct cds_list_head *position = list->prev;
   while (position != list
-         && cds_list_entry (position, HbwTicket, flow_link)->target_at_us
-                > ticket->target_at_us)
+         && is_before (ticket, cds_list_entry (position, HbwTicket, flow_link)))
     position = position->prev;
   cds_list_add (&ticket->flow_link, position);
 }
@@ -100,38 +109,42 @@
 static void
 flow_move_deadline_misses (Flow *flow, gint64 now_us)
 {
-  while (!cds_list_empty (&flow->misses_target))
+  HbwTicket *ticket;
+  HbwTicket *next;
+  cds_list_for_each_entry_safe (ticket, next, &flow->misses_target, flow_link)
     {
-      HbwTicket *head
-          = cds_list_first_entry (&flow->misses_target, HbwTicket, flow_link);
-      if (!will_miss_deadline (head, now_us))
-        return;
-      cds_list_del (&head->flow_link);
-      insert_by_target (&flow->misses_deadline, head);
+      if (!will_miss_deadline (ticket, now_us))
+        continue;
+      cds_list_del (&ticket->flow_link);
+      insert_by_target (&flow->misses_deadline, ticket);
     }
 }
 
 static void
 flow_move_target_misses (Flow *flow, gint64 first_token_at_us)
 {
-  while (!cds_list_empty (&flow->on_time))
+  HbwTicket *ticket;
+  HbwTicket *next;
+  cds_list_for_each_entry_safe (ticket, next, &flow->on_time, flow_link)
     {
-      HbwTicket *head = cds_list_first_entry (&flow->on_time, HbwTicket, flow_link);
-      if (head->target_at_us >= first_token_at_us)
-        return;
-      cds_list_del (&head->flow_link);
-      head->late = TRUE;
-      insert_by_target (&flow->misses_target, head);
+      if (ticket->target_at_us >= first_token_at_us)
+        continue;
+      cds_list_del (&ticket->flow_link);
+      ticket->late = TRUE;
+      insert_by_target (&flow->misses_target, ticket);
     }
 }
 
 static HbwTicket *
-list_find_first (struct cds_list_head *list, HbwTicketFilter filter, void *data)
+list_find_first (struct cds_list_head *list, HbwTier class_tier,
+                 HbwTicketFilter filter, void *data)
 {
   guint rejected = 0;
   HbwTicket *ticket;
   cds_list_for_each_entry (ticket, list, flow_link)
     {
+      if (ticket->want.spec.class_tier != class_tier)
+        continue;
       if (filter == NULL || filter (ticket, data))
         return ticket;
       rejected += ticket->want.spec.version_hash != 0 ? 1 : FILTER_BOUND_CANDIDATES;
@@ -156,8 +169,8 @@
 }
 
 static HbwTicket *
-tier_select_next (Tier *tier, ExpectedResult expected_result, HbwTicketFilter filter,
-                  void *data)
+tier_select_next (Tier *tier, HbwTier class_tier, ExpectedResult expected_result,
+                  HbwTicketFilter filter, void *data)
 {
   HbwTicket *best = NULL;
   double lowest = 0;
@@ -166,8 +179,8 @@
       Flow *flow = g_ptr_array_index (tier->order, i);
       if (flow->length == 0 || (best != NULL && flow->service >= lowest))
         continue;
-      HbwTicket *ticket
-          = list_find_first (flow_get_list (flow, expected_result), filter, data);
+      HbwTicket *ticket = list_find_first (flow_get_list (flow, expected_result),
+                                           class_tier, filter, data);
       if (ticket == NULL)
         continue;
       best = ticket;
@@ -282,14 +295,19 @@
       flow_move_target_misses (flow, now_us + lead_us);
       flow_move_deadline_misses (flow, now_us);
     }
+  /* The last class comes first then, too. */
   gboolean late_first = (tier->selection_count + 1) % HBW_QUEUE_LATE_INTERVAL == 0;
   const ExpectedResult order[]
       = { late_first ? EXPECTED_TARGET_MISS : EXPECTED_ON_TIME,
           late_first ? EXPECTED_ON_TIME : EXPECTED_TARGET_MISS,
           EXPECTED_DEADLINE_MISS };
   HbwTicket *ticket = NULL;
-  for (gsize i = 0; i < G_N_ELEMENTS (order) && ticket == NULL; i++)
-    ticket = tier_select_next (tier, order[i], filter, data);
+  for (HbwTier i = 0; i < HBW_TIER_COUNT && ticket == NULL; i++)
+    {
+      HbwTier class_tier = late_first ? HBW_TIER_COUNT - 1 - i : i;
+      for (gsize k = 0; k < G_N_ELEMENTS (order) && ticket == NULL; k++)
+        ticket = tier_select_next (tier, class_tier, order[k], filter, data);
+    }
   return ticket;
 }
 
--- a/tests/adapter_test.c
+++ b/tests/adapter_test.c
@@ -13,6 +13,7 @@
 #include "hornbeamwall/runtime/object_cache.h"
 #include "platform/config.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -299,6 +300,40 @@
 }
 END_TEST
 
+/* Returns the priority that a server is sent for a request of TIER in a class of
+   CLASS_TIER. */
+static guint
+write_priority (guint tier, guint class_tier)
+{
+  HbwRequestSpec spec = { .tier = tier, .class_tier = class_tier };
+  spec.prompt_tokens = 100;
+  const HbwForwardedRequest forwarded = { &spec, "s", HBW_US_PER_S };
+  GString *text = g_string_new (NULL);
+  guint priority = G_MAXUINT;
+  hbw_platform_protocol_adapter ()->class->write_fields (text, &forwarded);
+  const char *field = strstr (text->str, "-Request-Priority: ");
+  ck_assert_ptr_nonnull (field);
+  sscanf (field, "-Request-Priority: %u", &priority);
+  g_string_free (text, TRUE);
+  return priority;
+}
+
+/* An engine preempts the least urgent of its requests: of one organisation's, those
+   of the lowest class. */
+START_TEST (priority_orders_the_classes_of_one_tier)
+{
+  guint last = 0;
+  for (guint tier = 0; tier < HBW_TIER_COUNT; tier++)
+    for (guint class_tier = 0; class_tier < HBW_TIER_COUNT; class_tier++)
+      {
+        guint priority = write_priority (tier, class_tier);
+        ck_assert (tier + class_tier == 0 || priority > last);
+        ck_assert_uint_le (priority, 9);
+        last = priority;
+      }
+}
+END_TEST
+
 /* A refusal of a request that was not executed has a status with that meaning. No
    refusal has status 422, which callers would take for an error of their own. */
 START_TEST (refusal_status_reports_whether_request_was_executed)
@@ -566,6 +601,7 @@
   tcase_add_test (tests, new_cache_has_no_higher_version);
   tcase_add_test (tests, object_pages_are_parsed);
   tcase_add_test (tests, ignored_entries_are_logged);
+  tcase_add_test (tests, priority_orders_the_classes_of_one_tier);
   suite_add_tcase (suite, tests);
   suite_add_test (suite, "fields_of_brittle_servers_are_read",
                   fields_of_brittle_servers_are_read);
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -96,6 +96,48 @@
 }
 END_TEST
 
+static HbwGrantRequest
+make_class_request (guint64 sequence, guint class_tier, gint64 target_us)
+{
+  HbwGrantRequest request = make_grant_request (sequence, "a", 0, target_us);
+  request.spec.class_tier = (HbwTier) class_tier;
+  return request;
+}
+
+START_TEST (queue_serves_requests_of_a_tier_by_the_tier_of_their_class)
+{
+  HbwQueue *queue = hbw_queue_create ();
+  const HbwGrantRequest last = make_class_request (1, 2, 100000);
+  const HbwGrantRequest first = make_class_request (2, 0, 100000);
+  const HbwGrantRequest late = make_class_request (3, 0, 10);
+  hbw_queue_add (queue, &last, 1, 0, 0);
+  hbw_queue_add (queue, &first, 1, 0, 0);
+  hbw_queue_add (queue, &late, 1, 0, 0);
+  ck_assert_uint_eq (serve_next (queue, 0, 100), 2);
+  ck_assert_uint_eq (serve_next (queue, 0, 100), 3);
+  ck_assert_uint_eq (serve_next (queue, 0, 100), 1);
+  hbw_queue_destroy (queue);
+}
+END_TEST
+
+START_TEST (last_class_of_a_tier_is_not_starved)
+{
+  HbwQueue *queue = hbw_queue_create ();
+  const HbwGrantRequest last = make_class_request (1000, 2, 100000);
+  hbw_queue_add (queue, &last, 1, 0, 0);
+  guint served = 0;
+  for (guint64 i = 0; hbw_queue_find (queue, &last.id) != NULL; i++)
+    {
+      const HbwGrantRequest first = make_class_request (i, 0, 100000);
+      hbw_queue_add (queue, &first, 1, 0, 0);
+      serve_next (queue, 0, 0);
+      served++;
+    }
+  ck_assert_uint_le (served, HBW_QUEUE_LATE_INTERVAL);
+  hbw_queue_destroy (queue);
+}
+END_TEST
+
 START_TEST (queue_shares_service_between_organisations)
 {
   HbwQueue *queue = hbw_queue_create ();
@@ -919,6 +961,8 @@
   tcase_add_test (cases, manual_clock_changes_only_when_advanced);
   tcase_add_test (cases, histogram_quantile_error_is_below_one_eighth);
   tcase_add_test (cases, queue_serves_late_requests_last);
+  tcase_add_test (cases, queue_serves_requests_of_a_tier_by_the_tier_of_their_class);
+  tcase_add_test (cases, last_class_of_a_tier_is_not_starved);
   tcase_add_test (cases, queue_shares_service_between_organisations);
   tcase_add_test (cases, higher_tier_is_granted_before_longer_waiting_requests);
   tcase_add_test (cases, limit_is_divided_by_demand);
