A full server that has a request's prefix is waited for

Cause: a server without a free slot was no candidate.

Change: core/placement.c estimates the cost of each server, the wait for a slot included; policy_direct takes the cheapest and lets the request wait if that is full. Those that wait count at that server, also at the peers (a third list in the message of loads, which older builds skip).

--- a/core/load_share.c
+++ b/core/load_share.c
@@ -75,7 +75,8 @@
 {
   ServerAccount *account = ensure_account (share, server->id_hash);
   account->local_load.in_progress = server->in_progress;
-  account->local_load.unread_tokens = server->unread_tokens;
+  account->local_load.unread_tokens = server->unread_tokens + server->waiting_tokens;
+  account->local_load.waiting = server->waiting;
 }
 
 void
@@ -93,13 +94,19 @@
     }
 }
 
+static gboolean
+is_idle (const HbwServerWork *load)
+{
+  return load->in_progress == 0 && load->waiting == 0;
+}
+
 static gboolean
 is_due (const ServerAccount *account, gint64 now_us)
 {
   if (memcmp (&account->local_load, &account->sent_load, sizeof account->local_load)
       != 0)
     return TRUE;
-  return account->local_load.in_progress > 0
+  return !is_idle (&account->local_load)
          && now_us - account->last_sent_us >= HBW_LOAD_RESEND_INTERVAL_US;
 }
 
@@ -155,7 +162,7 @@
       if (other->peer == peer || now_us - other->heard_us > HBW_LOAD_AGE_MAX_US)
         g_array_remove_index_fast (account->peer_loads, i - 1);
     }
-  if (load->in_progress > 0)
+  if (!is_idle (load))
     g_array_append_val (account->peer_loads, peer_load);
 }
 
@@ -173,7 +180,7 @@
 hbw_load_share_sum_peers (const HbwLoadShare *share, const HbwServer *server,
                           gint64 now_us)
 {
-  HbwServerWork sum = { 0, 0 };
+  HbwServerWork sum = { 0 };
   const ServerAccount *account
       = g_hash_table_lookup (share->servers_by_hash, &server->id_hash);
   for (guint i = 0; account != NULL && i < account->peer_loads->len; i++)
@@ -183,6 +190,7 @@
         continue;
       sum.in_progress += peer_load->load.in_progress;
       sum.unread_tokens += peer_load->load.unread_tokens;
+      sum.waiting += peer_load->load.waiting;
     }
   return sum;
 }
--- /dev/null
+++ b/core/placement.c
@@ -0,0 +1,310 @@
+#include "hornbeamwall/core/placement.h"
+
+#include "hornbeamwall/core/load_share.h"
+#include "hornbeamwall/core/server_notice.h"
+#include "hornbeamwall/core/shard_estimate.h"
+
+#include <string.h>
+
+/* Added cost of another data centre: the round trip and the bandwidth. */
+#define REMOTE_COST_US (2 * HBW_US_PER_MS)
+
+/* Delay that each request in progress on a server adds to another one. */
+#define LOAD_COST_US (1 * HBW_US_PER_MS)
+
+/* Cost of a failure and the retry on another server. */
+#define FAILURE_COST_US (400 * HBW_US_PER_MS)
+
+/* Cost of a server other than the one that cache affinity selects for the prompt. */
+#define NO_AFFINITY_COST_US (50 * HBW_US_PER_MS)
+
+/* Added cost, in tokens, of each shared prompt token that is processed again: the
+   server could process other prompts in that time. */
+#define REREAD_COST_FACTOR 9
+
+/* Percentage of its slots up to which a server gets requests without a prompt.  It
+   queues those beyond its slots itself. */
+#define PLAIN_SLOTS_PERCENT 150
+
+/* Percentage of its slots up to which an engine gets requests with a prompt.  An
+   engine without a free slot preempts other requests for one of the highest tier and
+   processes their prompts again.  The lower tiers therefore leave some slots free,
+   because the load of other instances is known only after a delay. */
+#define MODEL_SLOTS_PERCENT 90
+#define MODEL_SLOTS_TOP_TIER_PERCENT 100
+
+/* Smallest share of the servers in the partition of each prompt length.  The rest is
+   divided in proportion to the prompt tokens of each length. */
+#define PARTITION_SHARE_MIN 0.1
+
+/* A shard with fewer servers is not partitioned. */
+#define PARTITION_SERVERS_MIN 6
+
+/* Cost of a server in a partition, by prompt length and partition. */
+static const gint64 partition_costs_us[HBW_PROMPT_LENGTH_COUNT]
+                                      [HBW_PROMPT_LENGTH_COUNT]
+    = {
+        [HBW_PROMPT_LENGTH_LONG] = { 0, 2000 * HBW_US_PER_MS, 4000 * HBW_US_PER_MS },
+        [HBW_PROMPT_LENGTH_MEDIUM]
+        = { 200 * HBW_US_PER_MS, 0, 1000 * HBW_US_PER_MS },
+        [HBW_PROMPT_LENGTH_SHORT] = { 600 * HBW_US_PER_MS, 200 * HBW_US_PER_MS, 0 },
+      };
+
+/* A server's load report is ignored after this time. */
+#define REPORT_AGE_MAX_US (500 * HBW_US_PER_MS)
+
+struct HbwPlacement
+{
+  const HbwShard *shard;
+  const HbwContext *context;
+  const HbwGrantRequest *want;
+  guint64 awaited_server;
+  HbwPromptLength prompt_length;
+  const HbwServer *preferred_server; /* preferred for the shared prefix, or NULL */
+  GArray *usable_hashes; /* hashes of the usable servers, ascending; guint64 */
+};
+
+static gboolean
+is_model_request (const HbwRequestSpec *spec)
+{
+  return spec->prompt_tokens > 0;
+}
+
+/* Returns the hash of the prompt without its last part, which belongs to one request
+   or session.  Returns the hash of the whole prompt if it has only one part, and 0
+   without parts. */
+static guint64
+find_shared_prefix_hash (const HbwRequestSpec *spec)
+{
+  if (spec->part_count == 0)
+    return 0;
+  return spec->parts[spec->part_count > 1 ? spec->part_count - 2 : 0].hash;
+}
+
+static int
+compare_hashes (gconstpointer a, gconstpointer b)
+{
+  guint64 left = *(const guint64 *) a;
+  guint64 right = *(const guint64 *) b;
+  return left < right ? -1 : left > right;
+}
+
+static GArray *
+sort_usable_hashes (const HbwShard *shard)
+{
+  GArray *hashes
+      = g_array_sized_new (FALSE, FALSE, sizeof (guint64), shard->servers->len);
+  for (guint i = 0; i < shard->servers->len; i++)
+    {
+      const HbwServer *server = g_ptr_array_index (shard->servers, i);
+      if (hbw_server_is_usable (server))
+        g_array_append_val (hashes, server->id_hash);
+    }
+  g_array_sort (hashes, compare_hashes);
+  return hashes;
+}
+
+/* Returns how many of the sorted HASHES are lower than HASH. */
+static guint
+count_lower_hashes (const GArray *hashes, guint64 hash)
+{
+  guint low = 0;
+  guint high = hashes->len;
+  while (low < high)
+    {
+      guint middle = low + (high - low) / 2;
+      if (g_array_index (hashes, guint64, middle) < hash)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+/* Returns the position of SERVER in the sorted usable servers, from 0 to 1. */
+static double
+compute_relative_position (const HbwPlacement *placement, const HbwServer *server)
+{
+  guint others
+      = placement->usable_hashes->len - (hbw_server_is_usable (server) ? 1 : 0);
+  guint before = count_lower_hashes (placement->usable_hashes, server->id_hash);
+  return others > 0 ? (double) before / others : 0;
+}
+
+/* Returns the prompt length to whose partition SERVER belongs. */
+static HbwPromptLength
+find_partition (const HbwPlacement *placement, const HbwServer *server)
+{
+  if (placement->shard->servers->len < PARTITION_SERVERS_MIN)
+    return placement->prompt_length;
+  double position = compute_relative_position (placement, server);
+  double end = 0;
+  for (guint length = 0; length + 1 < HBW_PROMPT_LENGTH_COUNT; length++)
+    {
+      end += PARTITION_SHARE_MIN
+             + (1.0 - PARTITION_SHARE_MIN * HBW_PROMPT_LENGTH_COUNT)
+                   * placement->shard->prompt_length_shares[length];
+      if (position < end)
+        return (HbwPromptLength) length;
+    }
+  return HBW_PROMPT_LENGTH_COUNT - 1;
+}
+
+static const HbwServer *
+find_affinity_server (const HbwPlacement *placement)
+{
+  const HbwShard *shard = placement->shard;
+  guint64 hash = find_shared_prefix_hash (&placement->want->spec);
+  const HbwServer *affinity_server = NULL;
+  guint64 highest = 0;
+  for (guint i = 0; hash != 0 && i < shard->servers->len; i++)
+    {
+      const HbwServer *server = g_ptr_array_index (shard->servers, i);
+      guint64 weight = hbw_rendezvous_weight (hash, server->entry.id);
+      if (!hbw_server_is_usable (server) || weight < highest
+          || find_partition (placement, server) != placement->prompt_length)
+        continue;
+      affinity_server = server;
+      highest = weight;
+    }
+  return affinity_server;
+}
+
+/* Returns how many of the UNREAD tokens of a prompt belong to shared parts. */
+static guint
+count_shared_tokens (const HbwRequestSpec *spec, guint unread)
+{
+  guint own = spec->part_count > 0 ? spec->parts[spec->part_count - 1].tokens
+                                   : spec->prompt_tokens;
+  return unread - MIN (unread, own);
+}
+
+/* Every server has to process the unshared part of the prompt.  Processing shared
+   parts again on a server that has not cached them is wasted work, which costs
+   extra. */
+static double
+estimate_prompt_cost_us (const HbwPlacement *placement, const HbwServer *server,
+                         const HbwServerWork *work)
+{
+  const HbwRequestSpec *spec = &placement->want->spec;
+  guint unread = hbw_server_uncached_tokens (server, spec);
+  guint reread = count_shared_tokens (spec, unread);
+  double tokens
+      = (double) work->unread_tokens + unread + reread * REREAD_COST_FACTOR;
+  double time = tokens * HBW_US_PER_S / placement->shard->prompt_tokens_per_s;
+  return server == placement->preferred_server ? time : time + NO_AFFINITY_COST_US;
+}
+
+static guint
+usable_slots_percent (const HbwRequestSpec *spec)
+{
+  if (!is_model_request (spec))
+    return PLAIN_SLOTS_PERCENT;
+  /* A request that is bound to a version may have few servers to choose from. */
+  gboolean uses_all = spec->tier == 0 || spec->version_hash != 0;
+  return uses_all ? MODEL_SLOTS_TOP_TIER_PERCENT : MODEL_SLOTS_PERCENT;
+}
+
+/* Returns how long the request would wait for a slot. */
+static double
+estimate_slot_wait_us (const HbwPlacement *placement, const HbwServer *server,
+                       const HbwServerWork *work)
+{
+  guint slots = hbw_placement_count_slots (placement, server);
+  guint ahead = work->in_progress + work->waiting;
+  if (ahead < slots)
+    return 0;
+  return (double) (ahead - slots + 1) * placement->shard->average_service_us / slots;
+}
+
+static double
+find_partition_cost_us (const HbwPlacement *placement, const HbwServer *server)
+{
+  return (double) partition_costs_us[placement->prompt_length]
+                                    [find_partition (placement, server)];
+}
+
+HbwPlacement *
+hbw_placement_create (const HbwShard *shard, const HbwContext *context,
+                      const HbwGrantRequest *want, guint64 awaited_server)
+{
+  HbwPlacement *placement = g_new0 (HbwPlacement, 1);
+  placement->shard = shard;
+  placement->context = context;
+  placement->want = want;
+  placement->awaited_server = awaited_server;
+  placement->prompt_length = hbw_shard_classify_prompt (shard, &want->spec);
+  placement->usable_hashes = sort_usable_hashes (shard);
+  placement->preferred_server = find_affinity_server (placement);
+  return placement;
+}
+
+void
+hbw_placement_destroy (HbwPlacement *placement)
+{
+  g_array_free (placement->usable_hashes, TRUE);
+  g_free (placement);
+}
+
+gboolean
+hbw_placement_has_usable_server (const HbwPlacement *placement)
+{
+  return placement->usable_hashes->len > 0;
+}
+
+/* The server's own report covers instances whose messages do not arrive. */
+HbwServerWork
+hbw_placement_sum_work (const HbwPlacement *placement, const HbwServer *server)
+{
+  const HbwContext *context = placement->context;
+  HbwServerWork work = { 0 };
+  if (context->load_share != NULL)
+    work = hbw_load_share_sum_peers (context->load_share, server, context->now_us);
+  if (context->now_us - server->reported_at_us < REPORT_AGE_MAX_US)
+    work.in_progress = MAX (work.in_progress, server->others_in_progress);
+  work.in_progress += server->in_progress;
+  work.unread_tokens += server->unread_tokens + server->waiting_tokens;
+  work.waiting += server->waiting;
+  if (placement->awaited_server != server->id_hash)
+    return work;
+  guint own_tokens = hbw_server_uncached_tokens (server, &placement->want->spec);
+  work.waiting -= MIN (work.waiting, 1);
+  work.unread_tokens -= MIN (work.unread_tokens, own_tokens);
+  return work;
+}
+
+guint
+hbw_placement_count_slots (const HbwPlacement *placement, const HbwServer *server)
+{
+  const HbwRequestSpec *spec = &placement->want->spec;
+  guint brittle_percent = hbw_server_notices_slots_percent (
+      placement->context->server_notices, &server->entry, spec->tier,
+      placement->context->now_us);
+  guint percent = MIN (usable_slots_percent (spec), brittle_percent);
+  return MAX (1, server->entry.slots) * percent / 100;
+}
+
+double
+hbw_placement_estimate_cost_us (const HbwPlacement *placement,
+                                const HbwServer *server, const HbwServerWork *work)
+{
+  double cost = (double) work->in_progress * LOAD_COST_US
+                + estimate_slot_wait_us (placement, server, work)
+                + server->failure_rate * FAILURE_COST_US;
+  if (is_model_request (&placement->want->spec))
+    cost += estimate_prompt_cost_us (placement, server, work)
+            + find_partition_cost_us (placement, server);
+  if (strcmp (server->entry.data_centre, placement->context->data_centre) != 0)
+    cost += REMOTE_COST_US;
+  return cost;
+}
+
+double
+hbw_placement_estimate_wait_us (const HbwPlacement *placement,
+                                const HbwServer *server, const HbwServerWork *work)
+{
+  const HbwRequestSpec *spec = &placement->want->spec;
+  guint unread = hbw_server_uncached_tokens (server, spec);
+  double tokens = (double) work->unread_tokens + count_shared_tokens (spec, unread);
+  return tokens * HBW_US_PER_S / placement->shard->prompt_tokens_per_s;
+}
--- a/core/policy.c
+++ b/core/policy.c
@@ -79,7 +79,7 @@
                                  const HbwRequestSpec *spec);
 
 static HbwServer *
-select_least_loaded (HbwShard *shard, HbwContext *context, const HbwTicket *ticket,
+select_least_loaded (HbwShard *shard, HbwContext *context, HbwTicket *ticket,
                      ScoreFunction score)
 {
   const HbwGrantRequest *want = &ticket->want;
@@ -112,7 +112,7 @@
 }
 
 static HbwServer *
-owner_select_server (HbwShard *shard, HbwContext *context, const HbwTicket *ticket)
+owner_select_server (HbwShard *shard, HbwContext *context, HbwTicket *ticket)
 {
   return select_least_loaded (shard, context, ticket, score_by_reservations);
 }
@@ -129,7 +129,7 @@
 }
 
 static gboolean
-ticket_fits (const HbwTicket *ticket, void *data)
+ticket_fits (HbwTicket *ticket, void *data)
 {
   Selection *selection = data;
   return hbw_shard_select_server (selection->shard, selection->context, ticket)
@@ -180,8 +180,7 @@
 }
 
 static HbwServer *
-independent_select_server (HbwShard *shard, HbwContext *context,
-                           const HbwTicket *ticket)
+independent_select_server (HbwShard *shard, HbwContext *context, HbwTicket *ticket)
 {
   HbwServer *server = select_least_loaded (shard, context, ticket, score_by_report);
   if (server == NULL || score_by_report (server, &ticket->want.spec) > 1.0)
@@ -207,7 +206,7 @@
 
 static HbwServer *
 round_robin_select_server (HbwShard *shard, HbwContext *context G_GNUC_UNUSED,
-                           const HbwTicket *ticket)
+                           HbwTicket *ticket)
 {
   for (guint i = 0; i < shard->servers->len; i++)
     {
--- a/core/shard.c
+++ b/core/shard.c
@@ -6,6 +6,7 @@
 #include "hornbeamwall/core/server_notice.h"
 #include "hornbeamwall/core/shard_estimate.h"
 #include "hornbeamwall/core/shard_health.h"
+#include "hornbeamwall/core/shard_waiting.h"
 #include "hornbeamwall/core/suspect_share.h"
 
 #include <string.h>
@@ -83,13 +84,6 @@
   return TRUE;
 }
 
-static void
-share_server_load (HbwContext *context, const HbwServer *server)
-{
-  if (context->load_share != NULL)
-    hbw_load_share_update_local (context->load_share, server);
-}
-
 static void
 clear_unread_tokens (HbwServer *server, Reservation *reservation)
 {
@@ -117,7 +111,7 @@
   if (context->load_share != NULL)
     hbw_load_share_record_prompt (context->load_share, server, spec);
   hbw_server_begin_request (server, spec);
-  share_server_load (context, server);
+  hbw_shard_share_server_load (context, server);
   if (reservation->suspect)
     server->suspect_requests++;
   shard->in_progress[spec->tier]++;
@@ -137,7 +131,7 @@
       if (reservation->suspect && server->suspect_requests > 0)
         server->suspect_requests--;
       clear_unread_tokens (server, reservation);
-      share_server_load (context, server);
+      hbw_shard_share_server_load (context, server);
       if (server->stopping && server->in_progress == 0)
         hbw_effects_log (context->effects, HBW_LOG_SERVER_DRAINED,
                          "server=%s pool=%s", server->entry.id, server->entry.pool);
@@ -217,12 +211,11 @@
                HbwReason reason)
 {
   send_refusal (context, shard, ticket->origin, &ticket->want, reason);
-  hbw_queue_remove (shard->queue, ticket);
+  hbw_shard_remove_ticket (shard, context, ticket);
 }
 
 HbwServer *
-hbw_shard_select_server (HbwShard *shard, HbwContext *context,
-                         const HbwTicket *ticket)
+hbw_shard_select_server (HbwShard *shard, HbwContext *context, HbwTicket *ticket)
 {
   HbwQuarantineStatus status
       = hbw_quarantine_check (context->quarantine, &ticket->want.spec.fingerprint,
@@ -249,7 +242,7 @@
   hbw_server_notices_use (context->server_notices, &server->entry, context->now_us);
   hbw_queue_charge (shard->queue, ticket);
   send_grant (context, shard, ticket->origin, reservation, server);
-  hbw_queue_remove (shard->queue, ticket);
+  hbw_shard_remove_ticket (shard, context, ticket);
   return TRUE;
 }
 
@@ -313,7 +306,7 @@
   HbwShard *shard = arguments[0];
   HbwContext *context = arguments[1];
   if (context->now_us - ticket->last_resent_us > HBW_TICKET_TIMEOUT_US)
-    hbw_queue_remove (shard->queue, ticket);
+    hbw_shard_remove_ticket (shard, context, ticket);
   else if (ticket->deadline_at_us > 0 && context->now_us >= ticket->deadline_at_us)
     refuse_ticket (shard, context, ticket, HBW_REASON_DEADLINE);
   else if (hbw_quarantine_check (context->quarantine, &ticket->want.spec.fingerprint,
@@ -496,7 +489,7 @@
 {
   HbwTicket *ticket = hbw_queue_find (shard->queue, &withdrawal->id);
   if (ticket != NULL && ticket->want.attempt <= withdrawal->attempt)
-    hbw_queue_remove (shard->queue, ticket);
+    hbw_shard_remove_ticket (shard, context, ticket);
   grant_waiting_requests (shard, context);
 }
 
@@ -534,7 +527,7 @@
   hbw_shard_record_prompt_rate (shard, reservation->unread_tokens,
                                 reservation->ahead_tokens, begun->first_token_us);
   clear_unread_tokens (server, reservation);
-  share_server_load (context, server);
+  hbw_shard_share_server_load (context, server);
 }
 
 void
@@ -602,7 +595,7 @@
   HbwShard *shard = arguments[0];
   HbwContext *context = arguments[1];
   if (hbw_membership_is_dead (context->membership, ticket->origin))
-    hbw_queue_remove (shard->queue, ticket);
+    hbw_shard_remove_ticket (shard, context, ticket);
 }
 
 void
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -325,7 +325,8 @@
 typedef struct
 {
   guint in_progress;
-  guint unread_tokens; /* unprocessed prompt tokens */
+  guint unread_tokens; /* unprocessed prompt tokens, also of waiting requests */
+  guint waiting;       /* requests that wait for a slot */
 } HbwServerWork;
 
 typedef struct
--- a/include/hornbeamwall/core/policy_direct.h
+++ b/include/hornbeamwall/core/policy_direct.h
@@ -20,9 +20,9 @@
 
 #include "hornbeamwall/core/shard.h"
 
-/* Returns the server for TICKET, or NULL if none has room. */
+/* Returns the server for TICKET, or NULL if it should wait for one. */
 HbwServer *hbw_policy_direct_select_server (HbwShard *shard, HbwContext *context,
-                                            const HbwTicket *ticket);
+                                            HbwTicket *ticket);
 
 /* Returns the shortest expected wait for WANT at any usable server, in microseconds:
    the time to process the prompts queued there and the shared parts of the prompt
--- a/include/hornbeamwall/core/queue.h
+++ b/include/hornbeamwall/core/queue.h
@@ -34,10 +34,12 @@
   gint64 deadline_at_us;  /* 0 is none */
   gint64 latest_start_us; /* a later start probably misses the deadline; 0 is none */
   gboolean late;          /* expected to miss its target */
+  guint64 awaited_server; /* hash of the full server that it waits for; 0: none */
+  guint awaited_tokens;   /* of its prompt, that are not cached there */
 } HbwTicket;
 
 /* Returns whether TICKET may be selected now. */
-typedef gboolean (*HbwTicketFilter) (const HbwTicket *ticket, void *data);
+typedef gboolean (*HbwTicketFilter) (HbwTicket *ticket, void *data);
 
 HbwQueue *hbw_queue_create (void);
 void hbw_queue_destroy (HbwQueue *queue);
--- a/include/hornbeamwall/core/server.h
+++ b/include/hornbeamwall/core/server.h
@@ -33,6 +33,8 @@
   double concurrency_limit; /* of requests in progress */
   guint in_progress;
   guint suspect_requests; /* suspect requests in progress */
+  guint waiting;          /* requests that wait for a slot of this server */
+  guint waiting_tokens;   /* of their prompts, that are not cached here */
   guint consecutive_failures;
   gint64 probe_at_us;
   gint64 last_decrease_us;       /* last multiplicative decrease */
--- a/include/hornbeamwall/core/shard.h
+++ b/include/hornbeamwall/core/shard.h
@@ -60,7 +60,7 @@
   gboolean spans_data_centres; /* a shard contains the servers of all data centres */
   HbwTicket *(*select_ticket) (HbwShard *shard, HbwContext *context);
   HbwServer *(*select_server) (HbwShard *shard, HbwContext *context,
-                               const HbwTicket *ticket);
+                               HbwTicket *ticket);
   /* Returns how long WANT is expected to wait at a server, in microseconds; NULL if
      the policy does not estimate it. */
   gint64 (*estimate_wait_us) (HbwShard *shard, HbwContext *context,
@@ -154,7 +154,7 @@
 
 /* Returns the server on which TICKET may run now, or NULL. */
 HbwServer *hbw_shard_select_server (HbwShard *shard, HbwContext *context,
-                                    const HbwTicket *ticket);
+                                    HbwTicket *ticket);
 
 /* Returns the total slots of the servers that are not stopping. */
 guint hbw_shard_count_slots (const HbwShard *shard);
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -199,6 +199,9 @@
       msgpack_pack_uint64 (packer, loads->parts[i].server_hash);
       msgpack_pack_uint64 (packer, loads->parts[i].part_hash);
     }
+  msgpack_pack_array (packer, loads->load_count);
+  for (guint i = 0; i < loads->load_count; i++)
+    msgpack_pack_uint32 (packer, loads->loads[i].load.waiting);
 }
 
 /* Packs what earlier versions read instead of the list of failures: a change, the
@@ -358,7 +361,7 @@
   [HBW_MESSAGE_DONE] = 11,          [HBW_MESSAGE_DOCUMENT_ASK] = 4,
   [HBW_MESSAGE_DOCUMENT] = 4,       [HBW_MESSAGE_SUSPECT] = 14,
   [HBW_MESSAGE_DEMAND] = 5,         [HBW_MESSAGE_SHARE] = 5,
-  [HBW_MESSAGE_BEGUN] = 7,          [HBW_MESSAGE_LOADS] = 2,
+  [HBW_MESSAGE_BEGUN] = 7,          [HBW_MESSAGE_LOADS] = 3,
   [HBW_MESSAGE_SERVER_NOTICE] = 10, [HBW_MESSAGE_CLEARED_PARTS] = 1,
   [HBW_MESSAGE_STREAM_VERSION] = 3,
 };
--- a/net/codec_unpack.c
+++ b/net/codec_unpack.c
@@ -317,6 +317,14 @@
       part->part_hash = hbw_field_reader_unpack_uint (&parts, G_MAXUINT64);
     }
   reader->failed |= inner.failed || parts.failed;
+  if (reader->failed || reader->next >= reader->count)
+    return;
+  /* Earlier versions do not send these. */
+  HbwFieldReader waiting = hbw_field_reader_unpack_array (reader, HBW_LOADS_MAX);
+  for (guint i = 0; i < MIN (waiting.count, loads->load_count); i++)
+    loads->loads[i].load.waiting
+        = (guint) hbw_field_reader_unpack_uint (&waiting, G_MAXUINT16);
+  reader->failed |= waiting.failed;
 }
 
 /* Unpacks the fields that earlier versions send.  They send one failure at a time;
--- a/tests/scenario/batch_engine.c
+++ b/tests/scenario/batch_engine.c
@@ -11,7 +11,7 @@
   guint urgency; /* lower is more urgent */
   guint tokens;
   guint generated;
-  guint unread; /* prompt tokens that are not read yet */
+  guint unread;  /* prompt tokens that are not read yet */
   guint reading; /* of them, those that the current step reads */
 } Job;
 
@@ -254,8 +254,8 @@
   engine->is_stepping = engine->running->len > 0;
   if (!engine->is_stepping)
     return 0;
-  double reading_ms = (engine->spec.chunk_tokens - chunk)
-                      / engine->spec.prompt_tokens_per_ms;
+  double reading_ms
+      = (engine->spec.chunk_tokens - chunk) / engine->spec.prompt_tokens_per_ms;
   return engine->spec.step_us + (gint64) (reading_ms * HBW_US_PER_MS);
 }
 
