One instance of all data centres watches the store

Change: the first seed that is alive watches for all, two deputies and a few relays in each data centre ask it, the others ask a relay; ages add up, as before. An instance that starts reads nothing while others answer. The watch of the catalogue ends after 0.5 s, so that two more steps leave its age below 1.9 s, as before.

--- a/core/membership.c
+++ b/core/membership.c
@@ -634,12 +634,17 @@
 }
 
 guint64
-hbw_membership_ping_random (HbwMembership *membership, HbwContext *context)
+hbw_membership_find_random (HbwMembership *membership, HbwContext *context)
 {
   const HbwMember *member = random_member (membership, context, is_ping_candidate);
-  return member != NULL ? hbw_membership_ping_member (membership, context,
-                                                      member->info.identity)
-                        : 0;
+  return member != NULL ? member->info.identity : 0;
+}
+
+guint64
+hbw_membership_ping_random (HbwMembership *membership, HbwContext *context)
+{
+  guint64 identity = hbw_membership_find_random (membership, context);
+  return hbw_membership_ping_member (membership, context, identity);
 }
 
 guint64
--- a/core/membership_owners.c
+++ b/core/membership_owners.c
@@ -34,6 +34,66 @@
   return best;
 }
 
+typedef struct
+{
+  guint64 identity;
+  guint seed_position;
+  guint64 weight;
+} Candidate;
+
+static guint
+find_seed_position (const HbwMembership *membership, const char *address)
+{
+  guint position = 0;
+  while (position < membership->seeds->len
+         && strcmp (g_ptr_array_index (membership->seeds, position), address) != 0)
+    position++;
+  return position;
+}
+
+static int
+compare_candidates (gconstpointer a, gconstpointer b)
+{
+  const Candidate *left = a;
+  const Candidate *right = b;
+  if (left->seed_position != right->seed_position)
+    return left->seed_position < right->seed_position ? -1 : 1;
+  return left->weight > right->weight ? -1 : left->weight < right->weight;
+}
+
+guint
+hbw_membership_list_top (HbwMembership *membership, const char *data_centre,
+                         const char *key, gboolean seeds_first, guint64 *identities,
+                         guint max)
+{
+  GArray *candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
+  for (guint i = 0; i <= membership->probe_order->len; i++)
+    {
+      const HbwMemberUpdate *info = &membership->self;
+      if (i > 0)
+        info = &((HbwMember *) membership->probe_order->pdata[i - 1])->info;
+      if (!is_owner_candidate (info, data_centre))
+        continue;
+      Candidate candidate = { .identity = info->identity };
+      candidate.weight = hbw_rendezvous_weight (info->identity, key);
+      if (seeds_first)
+        candidate.seed_position = find_seed_position (membership, info->address);
+      g_array_append_val (candidates, candidate);
+    }
+  g_array_sort (candidates, compare_candidates);
+  guint count = MIN (max, candidates->len);
+  for (guint i = 0; i < count; i++)
+    identities[i] = g_array_index (candidates, Candidate, i).identity;
+  g_array_free (candidates, TRUE);
+  return count;
+}
+
+guint
+hbw_membership_seed_position (const HbwMembership *membership)
+{
+  return find_seed_position (membership, membership->self.address);
+}
+
 gboolean
 hbw_membership_is_self_in_top (HbwMembership *membership, const char *key,
                                guint count)
--- a/include/hornbeamwall/core/membership.h
+++ b/include/hornbeamwall/core/membership.h
@@ -85,6 +85,17 @@
 guint64 hbw_membership_find_owner (HbwMembership *membership,
                                    const char *data_centre, const char *key);
 
+/* Fills IDENTITIES with at most MAX live instances of DATA_CENTRE (NULL: of all),
+   first those with the addresses of the seeds if SEEDS_FIRST, in the order of the
+   settings, then the others by rendezvous hashing for KEY.  Returns their number. */
+guint hbw_membership_list_top (HbwMembership *membership, const char *data_centre,
+                               const char *key, gboolean seeds_first,
+                               guint64 *identities, guint max);
+
+/* Returns the position of this instance among the seeds, or their number if it is
+   none of them. */
+guint hbw_membership_seed_position (const HbwMembership *membership);
+
 /* Returns whether this instance is among the top COUNT of its data centre for KEY by
    rendezvous hashing. */
 gboolean hbw_membership_is_self_in_top (HbwMembership *membership, const char *key,
@@ -102,6 +113,9 @@
 /* Pings all seeds of the settings that are not known as members. */
 void hbw_membership_ping_seeds (HbwMembership *membership, HbwContext *context);
 
+/* Returns a random member of any data centre that is alive or suspect, or 0. */
+guint64 hbw_membership_find_random (HbwMembership *membership, HbwContext *context);
+
 /* Pings a random member of any data centre.  Returns the number that the ack will
    carry, or 0 if there is none. */
 guint64 hbw_membership_ping_random (HbwMembership *membership, HbwContext *context);
--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -8,8 +8,7 @@
 #include <stdatomic.h>
 #include <string.h>
 
-/* Timeout of one watch, in milliseconds.  An unchanged catalogue is confirmed only
-   when its watch ends. */
+/* Timeout of one watch, in milliseconds. */
 static const guint watch_timeout_ms[HBW_DOCUMENT_COUNT] = {
   [HBW_DOCUMENT_CATALOGUE] = 900,
   [HBW_DOCUMENT_SERVERS] = 2000,
@@ -21,6 +20,13 @@
    servers start at the same time. */
 #define COALESCE_US (150 * HBW_US_PER_MS)
 
+/* Timeout of a watch of the catalogue if its age is bounded.  An unchanged catalogue
+   is confirmed only when its watch ends, by its age then. */
+#define CONFIRMING_WATCH_TIMEOUT_MS 500
+
+/* Timeout of the first watch after others had confirmed the documents. */
+#define FIRST_WATCH_TIMEOUT_MS 50
+
 /* Interval at which an instance that is not a watcher checks its role again. */
 #define NON_WATCHER_PAUSE_US (100 * HBW_US_PER_MS)
 
@@ -53,6 +59,7 @@
   pthread_mutex_t lock;
   pthread_cond_t wake;
   atomic_bool stopping;
+  gboolean peers_have_documents; /* nothing has to be read at the start */
   DocumentWatch document_watches[HBW_DOCUMENT_COUNT];
 };
 
@@ -97,16 +104,17 @@
   hbw_control_submit (watch->control, &event, NULL);
 }
 
-/* Waits once for a newer version and submits the result.  Returns the pause before
-   the next call, in microseconds.  BACKOFF_US holds the pause after a failure. */
+/* Waits up to TIMEOUT_MS for a newer version and submits the result.  Returns the
+   pause before the next call, in microseconds.  BACKOFF_US holds the pause after a
+   failure. */
 static gint64
-poll_document (DocumentWatch *document_watch, gint64 *backoff_us)
+poll_document (DocumentWatch *document_watch, guint timeout_ms, gint64 *backoff_us)
 {
   HbwWatch *watch = document_watch->watch;
   HbwError error = { HBW_ERROR_NONE, "" };
   gint64 asked_us = hbw_clock_now (hbw_control_clock (watch->control));
   HbwFeedResult result = document_watch->feed->class->wait_next (
-      document_watch->feed, watch_timeout_ms[document_watch->kind], &error);
+      document_watch->feed, timeout_ms, &error);
   gboolean failed = result.status == HBW_STORE_FAILED;
   submit_store_state (watch, document_watch->kind, &result);
   if (result.status == HBW_STORE_OK)
@@ -138,18 +146,33 @@
   return pause;
 }
 
+static guint
+select_timeout_ms (const DocumentWatch *document_watch, gboolean was_idle)
+{
+  if (was_idle)
+    return FIRST_WATCH_TIMEOUT_MS;
+  if (document_watch->watch->peers_have_documents
+      && document_watch->kind == HBW_DOCUMENT_CATALOGUE)
+    return CONFIRMING_WATCH_TIMEOUT_MS;
+  return watch_timeout_ms[document_watch->kind];
+}
+
 static void *
 run_document_watch (void *data)
 {
   DocumentWatch *document_watch = data;
   HbwWatch *watch = document_watch->watch;
-  gboolean has_read = FALSE;
+  gboolean has_read = watch->peers_have_documents;
+  gboolean was_idle = FALSE;
   gint64 backoff_us = BACKOFF_MIN_US;
   while (!atomic_load (&watch->stopping))
     {
       gboolean is_idle = has_read && !hbw_control_is_store_watcher (watch->control);
-      gint64 pause = is_idle ? NON_WATCHER_PAUSE_US
-                             : poll_document (document_watch, &backoff_us);
+      guint timeout_ms = select_timeout_ms (document_watch, was_idle);
+      gint64 pause = is_idle
+                         ? NON_WATCHER_PAUSE_US
+                         : poll_document (document_watch, timeout_ms, &backoff_us);
+      was_idle = is_idle;
       /* After a failed call or a missing object, the pause is at least this long. */
       if (!is_idle && pause < BACKOFF_MIN_US)
         has_read = TRUE;
@@ -202,6 +225,7 @@
 {
   HbwWatch *watch = g_new0 (HbwWatch, 1);
   watch->control = control;
+  watch->peers_have_documents = settings->max_revocation_delay_us > 0;
   hbw_condition_init (&watch->wake);
   pthread_mutex_init (&watch->lock, NULL);
   error->kind = HBW_ERROR_NONE;
--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -104,6 +104,13 @@
   return TRUE;
 }
 
+static gboolean
+apply_revocation (World *world, const Line *line, guint seed G_GNUC_UNUSED)
+{
+  world_set_revocation (world, parse_duration (line->argv[1]));
+  return TRUE;
+}
+
 static gboolean
 apply_poison_restart (World *world, const Line *line, guint seed G_GNUC_UNUSED)
 {
@@ -252,6 +259,7 @@
   { "instances", 2, apply_instances },
   { "servers", 3, apply_servers },
   { "engine", 2, apply_engine },
+  { "revocation", 2, apply_revocation },
   { "poison_restart", 2, apply_poison_restart },
   { "harmful_part", 2, apply_harmful_part },
   { "load", 2, apply_load },
@@ -427,6 +435,8 @@
     return world_toppled_count (world);
   if (strcmp (subject, "servers") == 0 && strcmp (quantity, "limited") == 0)
     return world_limited_request_count (world);
+  if (strcmp (subject, "store") == 0 && strcmp (quantity, "calls") == 0)
+    return world_store_call_count (world);
   if (strcmp (subject, "part") == 0)
     return part_value (world_part_watch (world), quantity, known);
   if (strcmp (subject, "prompts") == 0)
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -31,6 +31,9 @@
 #define BRITTLE_WAITING_MAX 2
 #define TOPPLE_US (3 * HBW_US_PER_S)
 
+/* Addresses that an instance knows at its start. */
+#define SEEDS_MAX 2
+
 /* Time that the store takes for a call. */
 #define STORE_CALL_US (4 * HBW_US_PER_MS)
 
@@ -183,6 +186,8 @@
   gboolean tunnel_accepted; /* the last that was asked for */
   gboolean part_refused;    /* the next refusal is because of a part */
   guint poisoned_server_count;
+  gint64 revocation_us;        /* bound on the age of the catalogue; 0 is none */
+  guint store_call_count;      /* polls of the store for its documents */
   guint toppled_count;         /* servers that failed as they turned too much away */
   gint64 poison_restart_us;    /* until a server restarts after a poison request */
   GHashTable *poison_failures; /* fingerprint -> number of servers made to fail */
@@ -1375,6 +1380,16 @@
   run_reducer (world, instance, &event);
 }
 
+/* The store reports that the catalogue that was just read is the newest. */
+static void
+confirm_catalogue (World *world, Instance *instance)
+{
+  HbwEvent event = { .kind = HBW_EVENT_CATALOGUE_CONFIRMED };
+  event.confirmation.requested_us = world->now_us;
+  event.confirmation.version = world->versions[HBW_DOCUMENT_CATALOGUE];
+  run_reducer (world, instance, &event);
+}
+
 static void
 poll_store (World *world, void *data)
 {
@@ -1383,9 +1398,11 @@
   if (instance->identity == 0 || world->now_us < instance->paused_until_us
       || !can_reach_store (world, instance))
     return;
-  if (instance->has_read && !hbw_reducer_is_store_watcher (instance->reducer))
+  gboolean peers_have_documents = instance->has_read || world->revocation_us > 0;
+  if (peers_have_documents && !hbw_reducer_is_store_watcher (instance->reducer))
     return;
   instance->has_read = TRUE;
+  world->store_call_count++;
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     {
       gint64 offered_version = world->versions[i] - (world->store_stale ? 1 : 0);
@@ -1403,17 +1420,20 @@
       run_reducer (world, instance, &event);
       g_clear_pointer (&body, g_bytes_unref);
     }
+  if (world->revocation_us > 0)
+    confirm_catalogue (world, instance);
 }
 
 static void
 start_instance (World *world, Instance *instance)
 {
-  const char *seeds[] = { NULL, NULL, NULL };
+  const char *seeds[SEEDS_MAX + 1] = { NULL };
+  gboolean same_for_all = world->revocation_us > 0;
   guint count = 0;
-  for (guint i = 0; i < world->instances->len && count < 2; i++)
+  for (guint i = 0; i < world->instances->len && count < SEEDS_MAX; i++)
     {
       const Instance *other = world->instances->pdata[i];
-      if (other != instance)
+      if (other != instance || same_for_all)
         seeds[count++] = other->address;
     }
   instance->start_count++;
@@ -1427,6 +1447,7 @@
   HbwReducerConfig config = { .policy = world->policy, .now_us = world->now_us };
   config.seeds = seeds;
   config.stores_suspects = TRUE;
+  config.max_revocation_delay_us = world->revocation_us;
   config.seed = g_rand_int (world->random);
   config.self.identity = instance->identity;
   config.self.tunnel_port = 2;
@@ -2024,6 +2045,18 @@
     }
 }
 
+void
+world_set_revocation (World *world, gint64 bound_us)
+{
+  world->revocation_us = bound_us;
+}
+
+guint
+world_store_call_count (const World *world)
+{
+  return world->store_call_count;
+}
+
 void
 world_set_engines (World *world, const char *pool, const BatchEngineSpec *spec)
 {
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -107,6 +107,13 @@
 /* Lets the servers of POOL, which were added before, read prompts in batches. */
 void world_set_engines (World *world, const char *pool, const BatchEngineSpec *spec);
 
+/* Bounds the age of the catalogue.  The instances then read from the store only
+   while they have to watch it. */
+void world_set_revocation (World *world, gint64 bound_us);
+
+/* Returns how often instances polled the store for its documents. */
+guint world_store_call_count (const World *world);
+
 /* Sets how long a server takes to restart after a poison request. */
 void world_set_poison_restart (World *world, gint64 restart_us);
 
