Relays sum the loads on servers; an instance that starts waits for the catalogue, not for a confirmation

Cause: each instance told its loads to each other one: messages, processor time and memory grew with the square of the fleet.

Change: beyond 12 instances, each sends its loads to the relay of its data centre; relays exchange sums and send those of the fleet to their own (core/load_share.c, core/load_route.c). Lookups of servers go by hash; counts of live members are kept.

An instance without a catalogue reads the store itself after 0.6 s; one whose relay is fresh again stops watching.

--- a/core/freshness_monitor.c
+++ b/core/freshness_monitor.c
@@ -23,13 +23,18 @@
 /* A deputy begins to watch the store this much later than the one before it. */
 #define DEPUTY_DELAY_US (300 * HBW_US_PER_MS)
 
-/* Interval of the polls after an answer of an old confirmation, and while this
-   instance covers the watcher, to find out soon whether it still has to. */
-#define URGENT_INTERVAL_US (100 * HBW_US_PER_MS)
+/* Interval of the polls after an answer of an old confirmation, before the first
+   one, and while this instance covers the watcher, to find out whether it still has
+   to. */
+#define URGENT_INTERVAL_US (75 * HBW_US_PER_MS)
 
-/* After its start, an instance waits this long for the seeds that precede it, so
+/* After its start, an instance waits this long for each seed that precedes it, so
    that not all instances of a fleet that starts read from the store. */
-#define START_DELAY_US (300 * HBW_US_PER_MS)
+#define START_DELAY_US (100 * HBW_US_PER_MS)
+
+/* An instance that has not got the catalogue from others after this time reads it
+   from the store, as when a fleet starts with a large one. */
+#define START_WAIT_US (600 * HBW_US_PER_MS)
 
 /* From HBW_FRESHNESS_MAX_AGE_US on, the number of instances that watch the store
    because their catalogue is old doubles at this interval, up to the maximum. */
@@ -50,6 +55,7 @@
   guint64 targets[TARGETS_MAX]; /* instances to poll, in this order */
   guint target_count;
   guint next_target;
+  gboolean lacks_catalogue;           /* for some time since the start */
   gint64 started_us;                  /* first tick; 0 before it */
   gint64 era;                         /* of the store's last report */
   gint64 first_version;               /* the store's first one in that era */
@@ -302,11 +308,14 @@
   if (monitor->poll_number != 0 && elapsed_us >= HBW_FRESHNESS_POLL_TIMEOUT_US)
     handle_silence (monitor);
   gint64 age_us = get_age_us (monitor, context);
-  monitor->covers |= monitor->rank > 0 && must_cover (monitor, context, age_us);
+  gboolean has_started = context->catalogue_confirmed_us >= monitor->started_us;
+  monitor->lacks_catalogue = version < 0 && age_us > START_WAIT_US;
+  if (monitor->rank > 0 && must_cover (monitor, context, age_us))
+    monitor->covers = TRUE;
   gboolean must_poll = monitor->rank > 0 || age_us > HBW_FRESHNESS_FRESH_US;
-  gboolean is_urgent = monitor->got_old_answer || monitor->covers;
-  gint64 interval_us
-      = is_urgent ? URGENT_INTERVAL_US : HBW_FRESHNESS_POLL_INTERVAL_US;
+  gint64 interval_us = HBW_FRESHNESS_POLL_INTERVAL_US;
+  if (monitor->got_old_answer || monitor->covers || !has_started)
+    interval_us = URGENT_INTERVAL_US;
   if (must_poll && monitor->poll_number == 0 && elapsed_us >= interval_us)
     send_poll (monitor, context);
 }
@@ -321,7 +330,7 @@
     return;
   monitor->poll_number = 0;
   monitor->silent_polls = 0;
-  gboolean is_known = ping->catalogue_age_us >= 0
+  gboolean is_known = ping->catalogue_age_us >= 0 && version >= 0
                       && ping->versions[HBW_DOCUMENT_CATALOGUE] == version;
   gboolean is_old = ping->catalogue_age_us < 0
                     || ping->catalogue_age_us > HBW_FRESHNESS_RELAY_AGE_US;
@@ -331,8 +340,10 @@
   if (!is_known)
     return; /* its confirmation is of another catalogue */
   gint64 confirmed_us = monitor->polled_us - ping->catalogue_age_us;
-  /* One that is not newer may be this instance's own. */
-  if (confirmed_us > context->catalogue_confirmed_us)
+  /* What a deputy hears may be its own confirmation, unless it is newer. */
+  gboolean is_deputy = monitor->rank < WATCHERS_MAX;
+  if (is_deputy ? confirmed_us > context->catalogue_confirmed_us
+                : ping->catalogue_age_us < HBW_FRESHNESS_FRESH_US)
     monitor->covers = FALSE;
   confirm (monitor, context, confirmed_us, message->from, version);
 }
@@ -356,6 +367,6 @@
   if (!has_waited_for_seeds (monitor, context))
     return FALSE;
   guint silent_max = MIN (monitor->target_count, SILENT_POLLS_MAX);
-  return monitor->rank == 0 || monitor->covers
+  return monitor->rank == 0 || monitor->covers || monitor->lacks_catalogue
          || monitor->silent_polls >= MAX (1, silent_max);
 }
--- a/core/ingress_suspects.c
+++ b/core/ingress_suspects.c
@@ -2,6 +2,7 @@
 
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/quarantine_lost.h"
+#include "hornbeamwall/core/server.h"
 #include "hornbeamwall/core/server_check.h"
 #include "hornbeamwall/core/server_path.h"
 #include "hornbeamwall/core/suspect_share.h"
@@ -69,7 +70,7 @@
       gboolean runs = request->state == HBW_REQUEST_RUNNING;
       activity = MAX (activity, runs ? HBW_SUSPECT_RUNNING : HBW_SUSPECT_WAITING);
       if (runs)
-        server = hbw_rendezvous_weight (0, request->server);
+        server = hbw_server_hash_id (request->server);
     }
   hbw_quarantine_set_activity (context->quarantine, fingerprint, activity, server,
                                context->now_us);
@@ -87,11 +88,10 @@
 static HbwServerFailure
 describe_failure (const HbwContext *context, const HbwRequest *request)
 {
-  const HbwServerFailure failure
-      = { .id = compute_attempt_id (context, request),
-          .server = hbw_rendezvous_weight (0, request->server),
-          .started_us = request->started_us,
-          .failed_us = context->now_us };
+  const HbwServerFailure failure = { .id = compute_attempt_id (context, request),
+                                     .server = hbw_server_hash_id (request->server),
+                                     .started_us = request->started_us,
+                                     .failed_us = context->now_us };
   return failure;
 }
 
@@ -139,8 +139,7 @@
     hbw_quarantine_clear_parts (quarantine, &request->spec.part_ids,
                                 hbw_rendezvous_weight (0, request->spec.pool),
                                 request->started_us, now_us);
-  hbw_quarantine_handle_response (quarantine,
-                                  hbw_rendezvous_weight (0, request->server),
+  hbw_quarantine_handle_response (quarantine, hbw_server_hash_id (request->server),
                                   request->started_us, now_us);
 }
 
@@ -212,7 +211,7 @@
     check_unproved_end (suspects, context, request);
   else if (end->outcome == HBW_OUTCOME_COMPLETE)
     record_response (context, request, end);
-  guint64 server = hbw_rendezvous_weight (0, request->server);
+  guint64 server = hbw_server_hash_id (request->server);
   if (hbw_outcome_proves_not_executed (end->outcome))
     hbw_quarantine_forget_attempt (context->quarantine, &request->spec.fingerprint,
                                    server, context->now_us);
--- a/core/load_share.c
+++ b/core/load_share.c
@@ -1,36 +1,72 @@
 #include "hornbeamwall/core/load_share.h"
 
 #include "hornbeamwall/common/clock.h"
+#include "hornbeamwall/core/load_route.h"
 #include "hornbeamwall/core/membership.h"
 
 #include <string.h>
+#include <urcu/list.h>
 
 /* The message interval grows by HBW_LOAD_SHARE_INTERVAL_US for each this many
-   members. */
-#define MEMBERS_PER_INTERVAL 8
+   receivers. */
+#define RECEIVERS_PER_INTERVAL 8
+
+/* A load counts in the relay's sums after this time. */
+#define RELAY_ROUND_TRIP_US (4 * HBW_US_PER_MS)
+
+/* Messages that a relay sends to each receiver at a time. */
+#define SUM_MESSAGES_MAX 4
+
+/* A part that was sent to a server is told again after one to two of these. */
+#define PART_REPEAT_INTERVAL_US (1 * HBW_US_PER_S)
 
 /* Load on one server that one peer has reported. */
 typedef struct
 {
   guint64 peer;
+  gboolean is_sum; /* by a relay, of several other instances */
   HbwServerWork load;
   gint64 heard_us;
 } PeerLoad;
 
+typedef struct
+{
+  struct cds_list_head due_link; /* in Outbox.due, or empty */
+  gboolean is_due;
+} DueLink;
+
+/* What one kind of receivers has not been sent yet. */
+typedef struct
+{
+  struct cds_list_head due; /* DueLink of ServerAccount */
+  HbwPromptPlacement parts[HBW_LOAD_PARTS_MAX];
+  guint part_count;
+} Outbox;
+
 typedef struct
 {
   guint64 server; /* hash of its id */
   HbwServerWork local_load;
   HbwServerWork sent_load;
-  gint64 last_sent_us;
+  HbwServerWork earlier_load; /* sent before that */
+  gint64 sent_us;
   GArray *peer_loads; /* PeerLoad */
+  DueLink near;       /* for the relay, or the instances that a relay or a direct
+                         sender addresses */
+  DueLink remote;     /* for the relays of other data centres */
 } ServerAccount;
 
 struct HbwLoadShare
 {
   GHashTable *servers_by_hash; /* server hash -> ServerAccount */
-  HbwLoadUpdate unsent_parts;  /* prompt parts that are not sent yet */
+  HbwLoadRoute *route;
+  Outbox near;
+  Outbox remote;
+  GHashTable *recent_parts; /* hashes of placements that were told */
+  GHashTable *older_parts;
   gint64 last_message_us;
+  gint64 last_resend_us;
+  gint64 parts_since_us; /* when the recent parts began */
 };
 
 static void
@@ -54,12 +90,23 @@
   return account;
 }
 
+static GHashTable *
+create_part_set (void)
+{
+  return g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+}
+
 HbwLoadShare *
 hbw_load_share_create (void)
 {
   HbwLoadShare *share = g_new0 (HbwLoadShare, 1);
   share->servers_by_hash = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                                   server_account_free);
+  share->route = hbw_load_route_create ();
+  share->recent_parts = create_part_set ();
+  share->older_parts = create_part_set ();
+  CDS_INIT_LIST_HEAD (&share->near.due);
+  CDS_INIT_LIST_HEAD (&share->remote.due);
   return share;
 }
 
@@ -67,31 +114,143 @@
 hbw_load_share_destroy (HbwLoadShare *share)
 {
   g_hash_table_destroy (share->servers_by_hash);
+  g_hash_table_destroy (share->recent_parts);
+  g_hash_table_destroy (share->older_parts);
+  hbw_load_route_destroy (share->route);
   g_free (share);
 }
 
+static void
+set_due (Outbox *outbox, DueLink *link)
+{
+  if (link->is_due)
+    return;
+  link->is_due = TRUE;
+  cds_list_add_tail (&link->due_link, &outbox->due);
+}
+
+static void
+set_account_due (HbwLoadShare *share, ServerAccount *account)
+{
+  set_due (&share->near, &account->near);
+  set_due (&share->remote, &account->remote);
+}
+
 void
 hbw_load_share_update_local (HbwLoadShare *share, const HbwServer *server)
 {
   ServerAccount *account = ensure_account (share, server->id_hash);
   account->local_load.in_progress = server->in_progress;
-  account->local_load.unread_tokens = server->unread_tokens + server->waiting_tokens;
+  account->local_load.unread_tokens = server->unread_tokens;
   account->local_load.waiting = server->waiting;
+  set_account_due (share, account);
+}
+
+static void
+add_part (Outbox *outbox, const HbwPromptPlacement *part)
+{
+  if (outbox->part_count < HBW_LOAD_PARTS_MAX)
+    outbox->parts[outbox->part_count++] = *part;
+}
+
+/* Returns whether PART was not told recently, and counts it as told. */
+static gboolean
+is_news (HbwLoadShare *share, const HbwPromptPlacement *part)
+{
+  guint64 hash = part->server_hash ^ part->part_hash;
+  if (g_hash_table_contains (share->older_parts, &hash))
+    return FALSE;
+  return g_hash_table_add (share->recent_parts, g_memdup2 (&hash, sizeof hash));
 }
 
 void
 hbw_load_share_record_prompt (HbwLoadShare *share, const HbwServer *server,
                               const HbwRequestSpec *spec)
 {
-  HbwLoadUpdate *pending = &share->unsent_parts;
   for (guint i = 0; i + 1 < spec->part_count; i++)
     {
-      if (pending->part_count >= HBW_LOAD_PARTS_MAX)
-        return;
-      HbwPromptPlacement *part = &pending->parts[pending->part_count++];
-      part->server_hash = server->id_hash;
-      part->part_hash = spec->parts[i].hash;
+      const HbwPromptPlacement part = { server->id_hash, spec->parts[i].hash };
+      if (!is_news (share, &part))
+        continue;
+      add_part (&share->near, &part);
+      add_part (&share->remote, &part);
+    }
+}
+
+static void
+forget_old_parts (HbwLoadShare *share, gint64 now_us)
+{
+  if (now_us - share->parts_since_us < PART_REPEAT_INTERVAL_US)
+    return;
+  share->parts_since_us = now_us;
+  g_hash_table_destroy (share->older_parts);
+  share->older_parts = share->recent_parts;
+  share->recent_parts = create_part_set ();
+}
+
+static void
+add_work (HbwServerWork *sum, const HbwServerWork *work)
+{
+  sum->in_progress += work->in_progress;
+  sum->unread_tokens += work->unread_tokens;
+  sum->waiting += work->waiting;
+}
+
+static void
+subtract_work (HbwServerWork *sum, const HbwServerWork *work)
+{
+  sum->in_progress -= MIN (sum->in_progress, work->in_progress);
+  sum->unread_tokens -= MIN (sum->unread_tokens, work->unread_tokens);
+  sum->waiting -= MIN (sum->waiting, work->waiting);
+}
+
+static gboolean
+is_remote_relay (const HbwLoadShare *share, guint64 peer)
+{
+  const GArray *relays = share->route->remote_relays;
+  for (guint i = 0; i < relays->len; i++)
+    if (g_array_index (relays, guint64, i) == peer)
+      return TRUE;
+  return FALSE;
+}
+
+/* Returns the sum of what instances have reported themselves, and of what the relays
+   of other data centres have reported if WITH_REMOTE. */
+static HbwServerWork
+sum_peer_loads (const HbwLoadShare *share, const ServerAccount *account,
+                gboolean with_remote, gint64 now_us)
+{
+  HbwServerWork sum = { 0 };
+  for (guint i = 0; i < account->peer_loads->len; i++)
+    {
+      const PeerLoad *peer_load = &g_array_index (account->peer_loads, PeerLoad, i);
+      gboolean counts = peer_load->is_sum
+                            ? with_remote && is_remote_relay (share, peer_load->peer)
+                            : TRUE;
+      if (counts && now_us - peer_load->heard_us <= HBW_LOAD_AGE_MAX_US)
+        add_work (&sum, &peer_load->load);
     }
+  return sum;
+}
+
+typedef enum
+{
+  SCOPE_INSTANCE,
+  SCOPE_DATA_CENTRE,
+  SCOPE_FLEET,
+} Scope;
+
+static HbwServerWork
+sum_scope (const HbwLoadShare *share, const ServerAccount *account, Scope scope,
+           gint64 now_us)
+{
+  HbwServerWork sum = account->local_load;
+  if (scope == SCOPE_INSTANCE)
+    return sum;
+  const HbwServerWork peers
+      = sum_peer_loads (share, account, scope == SCOPE_FLEET, now_us);
+  add_work (&sum, &peers);
+  return sum;
 }
 
 static gboolean
@@ -100,97 +259,223 @@
   return load->in_progress == 0 && load->waiting == 0;
 }
 
+/* Adds the loads of the accounts that are due, up to the capacity of the message. */
+static void
+take_near_loads (HbwLoadShare *share, HbwLoadUpdate *loads, Scope scope,
+                 gint64 now_us)
+{
+  guint max = scope == SCOPE_INSTANCE ? HBW_LOADS_MAX : HBW_LOAD_SUMS_MAX;
+  while (!cds_list_empty (&share->near.due) && loads->load_count < max)
+    {
+      ServerAccount *account
+          = cds_list_first_entry (&share->near.due, ServerAccount, near.due_link);
+      cds_list_del (&account->near.due_link);
+      account->near.is_due = FALSE;
+      account->earlier_load = account->sent_load;
+      account->sent_load = account->local_load;
+      account->sent_us = now_us;
+      HbwServerLoad *load = &loads->loads[loads->load_count++];
+      load->server_hash = account->server;
+      load->load = sum_scope (share, account, scope, now_us);
+    }
+}
+
+static void
+take_remote_loads (HbwLoadShare *share, HbwLoadUpdate *loads, gint64 now_us)
+{
+  while (!cds_list_empty (&share->remote.due)
+         && loads->load_count < HBW_LOAD_SUMS_MAX)
+    {
+      ServerAccount *account = cds_list_first_entry (&share->remote.due,
+                                                     ServerAccount, remote.due_link);
+      cds_list_del (&account->remote.due_link);
+      account->remote.is_due = FALSE;
+      HbwServerLoad *load = &loads->loads[loads->load_count++];
+      load->server_hash = account->server;
+      load->load = sum_scope (share, account, SCOPE_DATA_CENTRE, now_us);
+    }
+}
+
+static void
+take_parts (Outbox *outbox, HbwLoadUpdate *loads)
+{
+  memcpy (loads->parts, outbox->parts, sizeof loads->parts);
+  loads->part_count = outbox->part_count;
+  outbox->part_count = 0;
+}
+
 static gboolean
-is_due (const ServerAccount *account, gint64 now_us)
+is_empty (const HbwLoadUpdate *loads)
+{
+  return loads->load_count == 0 && loads->part_count == 0;
+}
+
+/* Sends its own loads to all other instances, or to the relay. */
+static void
+send_own_loads (HbwLoadShare *share, HbwContext *context)
+{
+  HbwMessage message = { .kind = HBW_MESSAGE_LOADS };
+  take_near_loads (share, &message.loads, SCOPE_INSTANCE, context->now_us);
+  take_parts (&share->near, &message.loads);
+  if (is_empty (&message.loads))
+    return;
+  if (share->route->is_direct)
+    hbw_membership_broadcast (context->membership, context, NULL, &message);
+  else
+    hbw_context_send (context, share->route->relay, &message);
+}
+
+static void
+send_sums_near (HbwLoadShare *share, HbwContext *context)
+{
+  HbwMessage message = { .kind = HBW_MESSAGE_LOAD_SUMS };
+  take_near_loads (share, &message.loads, SCOPE_FLEET, context->now_us);
+  take_parts (&share->near, &message.loads);
+  if (!is_empty (&message.loads))
+    hbw_membership_broadcast (context->membership, context, context->data_centre,
+                              &message);
+}
+
+static void
+send_sums_remote (HbwLoadShare *share, HbwContext *context)
 {
-  if (memcmp (&account->local_load, &account->sent_load, sizeof account->local_load)
-      != 0)
-    return TRUE;
-  return !is_idle (&account->local_load)
-         && now_us - account->last_sent_us >= HBW_LOAD_RESEND_INTERVAL_US;
+  HbwMessage message = { .kind = HBW_MESSAGE_LOAD_SUMS };
+  const GArray *relays = share->route->remote_relays;
+  take_remote_loads (share, &message.loads, context->now_us);
+  take_parts (&share->remote, &message.loads);
+  for (guint i = 0; i < relays->len && !is_empty (&message.loads); i++)
+    hbw_context_send (context, g_array_index (relays, guint64, i), &message);
 }
 
-/* Adds the loads that are due to LOADS, up to its capacity. */
 static void
-collect_due_loads (HbwLoadShare *share, HbwLoadUpdate *loads, gint64 now_us)
+send_sums (HbwLoadShare *share, HbwContext *context)
+{
+  for (guint i = 0; i < SUM_MESSAGES_MAX; i++)
+    {
+      send_sums_near (share, context);
+      send_sums_remote (share, context);
+    }
+}
+
+static void
+resend_loads (HbwLoadShare *share, gint64 now_us)
 {
   GHashTableIter iter;
   gpointer value;
+  if (now_us - share->last_resend_us < HBW_LOAD_RESEND_INTERVAL_US)
+    return;
+  share->last_resend_us = now_us;
   g_hash_table_iter_init (&iter, share->servers_by_hash);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      ServerAccount *account = value;
-      if (!is_due (account, now_us))
-        continue;
-      if (loads->load_count >= HBW_LOADS_MAX)
-        return;
-      HbwServerLoad *load = &loads->loads[loads->load_count++];
-      load->server_hash = account->server;
-      load->load = account->local_load;
-      account->sent_load = account->local_load;
-      account->last_sent_us = now_us;
+      const HbwServerWork sum = sum_scope (share, value, SCOPE_FLEET, now_us);
+      if (!is_idle (&sum))
+        set_account_due (share, value);
     }
 }
 
 void
 hbw_load_share_send (HbwLoadShare *share, HbwContext *context)
 {
-  guint members = hbw_membership_count_alive (context->membership, NULL);
-  gint64 interval_us
-      = HBW_LOAD_SHARE_INTERVAL_US * (1 + members / MEMBERS_PER_INTERVAL);
+  gint64 interval_us = HBW_LOAD_SHARE_INTERVAL_US
+                       * (1 + share->route->receivers / RECEIVERS_PER_INTERVAL);
   if (context->now_us - share->last_message_us < interval_us)
     return;
-  HbwMessage message = { .kind = HBW_MESSAGE_LOADS };
-  HbwLoadUpdate *loads = &message.loads;
-  *loads = share->unsent_parts;
-  collect_due_loads (share, loads, context->now_us);
-  if (loads->load_count == 0 && loads->part_count == 0)
+  hbw_load_route_update (share->route, context);
+  resend_loads (share, context->now_us);
+  forget_old_parts (share, context->now_us);
+  if (cds_list_empty (&share->near.due) && share->near.part_count == 0)
     return;
-  share->unsent_parts.part_count = 0;
   share->last_message_us = context->now_us;
-  hbw_membership_broadcast (context->membership, context, NULL, &message);
+  if (hbw_load_route_is_relay (share->route, context))
+    send_sums (share, context);
+  else
+    send_own_loads (share, context);
 }
 
 static void
-set_peer_load (ServerAccount *account, guint64 peer, const HbwServerWork *load,
-               gint64 now_us)
+set_peer_load (ServerAccount *account, const PeerLoad *peer_load)
 {
-  const PeerLoad peer_load = { peer, *load, now_us };
   for (guint i = account->peer_loads->len; i > 0; i--)
     {
       PeerLoad *other = &g_array_index (account->peer_loads, PeerLoad, i - 1);
-      if (other->peer == peer || now_us - other->heard_us > HBW_LOAD_AGE_MAX_US)
+      if (other->peer == peer_load->peer
+          || peer_load->heard_us - other->heard_us > HBW_LOAD_AGE_MAX_US)
         g_array_remove_index_fast (account->peer_loads, i - 1);
     }
-  if (!is_idle (load))
-    g_array_append_val (account->peer_loads, peer_load);
+  if (!is_idle (&peer_load->load))
+    g_array_append_vals (account->peer_loads, peer_load, 1);
 }
 
+/* Returns LOAD, a sum of the fleet, without the part of it that is this instance's.
+ */
+static HbwServerWork
+subtract_own_load (const ServerAccount *account, const HbwServerWork *load,
+                   gint64 now_us)
+{
+  HbwServerWork others = *load;
+  gboolean is_counted = now_us - account->sent_us >= RELAY_ROUND_TRIP_US;
+  subtract_work (&others, is_counted ? &account->sent_load : &account->earlier_load);
+  return others;
+}
+
+/* A relay passes on what it hears: to the instances of its data centre, and to the
+   other relays if it comes from one of these instances. */
 void
 hbw_load_share_handle_message (HbwLoadShare *share, HbwContext *context,
                                const HbwMessage *message)
 {
   const HbwLoadUpdate *loads = &message->loads;
+  gboolean is_sum = message->kind == HBW_MESSAGE_LOAD_SUMS;
+  gboolean is_relay = hbw_load_route_is_relay (share->route, context);
   for (guint i = 0; i < loads->load_count; i++)
-    set_peer_load (ensure_account (share, loads->loads[i].server_hash),
-                   message->from, &loads->loads[i].load, context->now_us);
+    {
+      ServerAccount *account = ensure_account (share, loads->loads[i].server_hash);
+      PeerLoad peer_load
+          = { message->from, is_sum, loads->loads[i].load, context->now_us };
+      if (is_sum && !is_relay)
+        peer_load.load
+            = subtract_own_load (account, &peer_load.load, context->now_us);
+      set_peer_load (account, &peer_load);
+      if (is_relay)
+        set_due (&share->near, &account->near);
+      if (is_relay && !is_sum)
+        set_due (&share->remote, &account->remote);
+    }
+  for (guint i = 0; i < loads->part_count && is_relay; i++)
+    {
+      if (!is_news (share, &loads->parts[i]))
+        continue;
+      add_part (&share->near, &loads->parts[i]);
+      if (!is_sum)
+        add_part (&share->remote, &loads->parts[i]);
+    }
+}
+
+/* Returns the load of all others by the relay's last sum, or NULL. */
+static const HbwServerWork *
+find_relayed_load (const HbwLoadShare *share, const ServerAccount *account,
+                   gint64 now_us)
+{
+  for (guint i = 0; i < account->peer_loads->len; i++)
+    {
+      const PeerLoad *peer_load = &g_array_index (account->peer_loads, PeerLoad, i);
+      if (peer_load->is_sum && peer_load->peer == share->route->relay
+          && now_us - peer_load->heard_us <= HBW_LOAD_AGE_MAX_US)
+        return &peer_load->load;
+    }
+  return NULL;
 }
 
 HbwServerWork
 hbw_load_share_sum_peers (const HbwLoadShare *share, const HbwServer *server,
                           gint64 now_us)
 {
-  HbwServerWork sum = { 0 };
+  const HbwServerWork none = { 0 };
   const ServerAccount *account
       = g_hash_table_lookup (share->servers_by_hash, &server->id_hash);
-  for (guint i = 0; account != NULL && i < account->peer_loads->len; i++)
-    {
-      const PeerLoad *peer_load = &g_array_index (account->peer_loads, PeerLoad, i);
-      if (now_us - peer_load->heard_us > HBW_LOAD_AGE_MAX_US)
-        continue;
-      sum.in_progress += peer_load->load.in_progress;
-      sum.unread_tokens += peer_load->load.unread_tokens;
-      sum.waiting += peer_load->load.waiting;
-    }
-  return sum;
+  if (account == NULL)
+    return none;
+  const HbwServerWork *relayed = find_relayed_load (share, account, now_us);
+  return relayed != NULL ? *relayed : sum_peer_loads (share, account, TRUE, now_us);
 }
--- a/core/membership_owners.c
+++ b/core/membership_owners.c
@@ -125,8 +125,8 @@
   return rank;
 }
 
-guint
-hbw_membership_count_alive (HbwMembership *membership, const char *data_centre)
+static guint
+count_candidates (const HbwMembership *membership, const char *data_centre)
 {
   guint count = is_owner_candidate (&membership->self, data_centre) ? 1 : 0;
   for (guint i = 0; i < membership->probe_order->len; i++)
@@ -137,3 +137,18 @@
     }
   return count;
 }
+
+guint
+hbw_membership_count_alive (HbwMembership *membership, const char *data_centre)
+{
+  const char *own = membership->self.data_centre;
+  if (data_centre != NULL && strcmp (data_centre, own) != 0)
+    return count_candidates (membership, data_centre);
+  if (membership->count_epoch != membership->epoch)
+    {
+      membership->count_epoch = membership->epoch;
+      membership->alive_count = count_candidates (membership, NULL);
+      membership->near_count = count_candidates (membership, own);
+    }
+  return data_centre == NULL ? membership->alive_count : membership->near_count;
+}
--- a/core/placement.c
+++ b/core/placement.c
@@ -263,13 +263,10 @@
   if (context->now_us - server->reported_at_us < REPORT_AGE_MAX_US)
     work.in_progress = MAX (work.in_progress, server->others_in_progress);
   work.in_progress += server->in_progress;
-  work.unread_tokens += server->unread_tokens + server->waiting_tokens;
+  work.unread_tokens += server->unread_tokens;
   work.waiting += server->waiting;
-  if (placement->awaited_server != server->id_hash)
-    return work;
-  guint own_tokens = hbw_server_uncached_tokens (server, &placement->want->spec);
-  work.waiting -= MIN (work.waiting, 1);
-  work.unread_tokens -= MIN (work.unread_tokens, own_tokens);
+  if (placement->awaited_server == server->id_hash)
+    work.waiting -= MIN (work.waiting, 1);
   return work;
 }
 
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -5,6 +5,7 @@
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/quarantine.h"
+#include "hornbeamwall/core/server.h"
 #include "hornbeamwall/core/server_notice.h"
 #include "hornbeamwall/core/server_path.h"
 #include "hornbeamwall/core/shard_health.h"
@@ -371,7 +372,7 @@
       }
     case HBW_EVENT_SERVER_RESPONDED:
       hbw_quarantine_handle_response (
-          context->quarantine, hbw_rendezvous_weight (0, event->response.server),
+          context->quarantine, hbw_server_hash_id (event->response.server),
           event->response.connection_opened_us, context->now_us);
       if (!event->response.is_tunnelled)
         hbw_server_path_handle_heard (context->server_path, context->now_us);
--- a/core/reducer_messages.c
+++ b/core/reducer_messages.c
@@ -122,6 +122,7 @@
         break;
       }
     case HBW_MESSAGE_LOADS:
+    case HBW_MESSAGE_LOAD_SUMS:
       handle_loads (reducer, message);
       break;
     case HBW_MESSAGE_DOCUMENT_ASK:
--- a/core/server.c
+++ b/core/server.c
@@ -155,12 +155,18 @@
   return !server->stopping && server->state == HBW_SERVER_UP;
 }
 
+guint64
+hbw_server_hash_id (const char *id)
+{
+  return hbw_rendezvous_weight (0, id);
+}
+
 HbwServer *
 hbw_server_create (const HbwServerEntry *entry)
 {
   HbwServer *server = g_new0 (HbwServer, 1);
   server->entry = *entry;
-  server->id_hash = hbw_rendezvous_weight (0, entry->id);
+  server->id_hash = hbw_server_hash_id (entry->id);
   server->concurrency_limit = entry->slots;
   server->stopping = entry->leaving;
   server->cached_prompts = hbw_prompt_cache_create ();
--- a/core/server_check.c
+++ b/core/server_check.c
@@ -1,6 +1,7 @@
 #include "hornbeamwall/core/server_check.h"
 
 #include "hornbeamwall/core/metrics.h"
+#include "hornbeamwall/core/server.h"
 
 #include <string.h>
 
@@ -166,7 +167,7 @@
       else if (attempt->failure.failed_us > check->requested_us)
         hbw_server_checks_add (checks, context, attempt);
     }
-  guint64 server = hbw_rendezvous_weight (0, result->server);
+  guint64 server = hbw_server_hash_id (result->server);
   if (result->kind == HBW_SERVER_CHECK_REFUSED)
     hbw_quarantine_handle_refused_connection (context->quarantine, server,
                                               context->now_us);
--- a/core/shard.c
+++ b/core/shard.c
@@ -361,6 +361,7 @@
   shard->key = *key;
   shard->servers
       = g_ptr_array_new_with_free_func ((GDestroyNotify) hbw_server_destroy);
+  shard->servers_by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
   shard->queue = hbw_queue_create ();
   shard->reservations
       = g_hash_table_new_full (reservation_hash, reservation_equal, NULL, g_free);
@@ -378,6 +379,7 @@
 void
 hbw_shard_destroy (HbwShard *shard)
 {
+  g_hash_table_destroy (shard->servers_by_hash);
   g_ptr_array_free (shard->servers, TRUE);
   hbw_queue_destroy (shard->queue);
   g_hash_table_destroy (shard->reservations);
@@ -385,6 +387,14 @@
   g_free (shard);
 }
 
+static void
+remove_server_at (HbwShard *shard, guint index)
+{
+  HbwServer *server = g_ptr_array_index (shard->servers, index);
+  g_hash_table_remove (shard->servers_by_hash, &server->id_hash);
+  g_ptr_array_remove_index (shard->servers, index);
+}
+
 static const HbwServerEntry *
 find_entry (const GPtrArray *entries, const char *id)
 {
@@ -408,7 +418,7 @@
         continue;
       set_stopping (context, server, TRUE);
       if (server->in_progress == 0)
-        g_ptr_array_remove_index (shard->servers, i - 1);
+        remove_server_at (shard, i - 1);
     }
   for (guint i = 0; i < entries->len; i++)
     {
@@ -427,6 +437,7 @@
           server = hbw_server_create (entry);
           server->stopping = FALSE;
           g_ptr_array_add (shard->servers, server);
+          g_hash_table_insert (shard->servers_by_hash, &server->id_hash, server);
         }
       gboolean stopping
           = entry->leaving
@@ -568,13 +579,13 @@
 hbw_shard_record_remote_prompts (HbwShard *shard, const HbwLoadUpdate *loads)
 {
   for (guint i = 0; i < loads->part_count; i++)
-    for (guint k = 0; k < shard->servers->len; k++)
-      {
-        HbwServer *server = g_ptr_array_index (shard->servers, k);
-        if (server->id_hash == loads->parts[i].server_hash)
-          hbw_prompt_cache_add_part (server->cached_prompts,
-                                     loads->parts[i].part_hash);
-      }
+    {
+      HbwServer *server
+          = hbw_shard_find_server_by_hash (shard, loads->parts[i].server_hash);
+      if (server != NULL)
+        hbw_prompt_cache_add_part (server->cached_prompts,
+                                   loads->parts[i].part_hash);
+    }
 }
 
 void
@@ -644,13 +655,13 @@
 HbwServer *
 hbw_shard_find_server (const HbwShard *shard, const char *id)
 {
-  for (guint i = 0; i < shard->servers->len; i++)
-    {
-      HbwServer *server = g_ptr_array_index (shard->servers, i);
-      if (strcmp (server->entry.id, id) == 0)
-        return server;
-    }
-  return NULL;
+  return hbw_shard_find_server_by_hash (shard, hbw_server_hash_id (id));
+}
+
+HbwServer *
+hbw_shard_find_server_by_hash (const HbwShard *shard, guint64 hash)
+{
+  return g_hash_table_lookup (shard->servers_by_hash, &hash);
 }
 
 guint
--- a/include/hornbeamwall/core/membership_state.h
+++ b/include/hornbeamwall/core/membership_state.h
@@ -38,6 +38,9 @@
   gint64 next_probe_us;
   gint64 next_remote_ping_us;
   guint64 epoch;
+  guint64 count_epoch; /* for which the counts hold */
+  guint alive_count;   /* live instances of all data centres */
+  guint near_count;    /* of the own one */
   guint self_transmits_left;
   HbwPingDecorator decorator;
   void *decorator_data;
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -138,6 +138,7 @@
   HBW_MESSAGE_SERVER_NOTICE,  /* what a server says of itself, and permits */
   HBW_MESSAGE_CLEARED_PARTS,  /* parts of prompts that did not make servers fail */
   HBW_MESSAGE_STREAM_VERSION, /* which version began a stream, or who knows it */
+  HBW_MESSAGE_LOAD_SUMS,      /* loads of several instances together, from a relay */
   HBW_MESSAGE_COUNT,
 } HbwMessageKind;
 
@@ -317,15 +318,17 @@
   double in_progress;
 } HbwRates;
 
-/* Maximum number of servers, and of prompt parts, in one message. */
+/* Maximum number of servers in one message of loads, and of sums, and of prompt
+   parts in one of either. */
 #define HBW_LOADS_MAX 32
+#define HBW_LOAD_SUMS_MAX 64
 #define HBW_LOAD_PARTS_MAX 32
 
 /* Work that instances have in progress on a server. */
 typedef struct
 {
   guint in_progress;
-  guint unread_tokens; /* unprocessed prompt tokens, also of waiting requests */
+  guint unread_tokens; /* unprocessed prompt tokens */
   guint waiting;       /* requests that wait for a slot */
 } HbwServerWork;
 
@@ -345,7 +348,7 @@
 typedef struct
 {
   guint load_count;
-  HbwServerLoad loads[HBW_LOADS_MAX];
+  HbwServerLoad loads[HBW_LOAD_SUMS_MAX];
   guint part_count;
   HbwPromptPlacement parts[HBW_LOAD_PARTS_MAX];
 } HbwLoadUpdate;
--- a/include/hornbeamwall/core/queue.h
+++ b/include/hornbeamwall/core/queue.h
@@ -35,7 +35,6 @@
   gint64 latest_start_us; /* a later start probably misses the deadline; 0 is none */
   gboolean late;          /* expected to miss its target */
   guint64 awaited_server; /* hash of the full server that it waits for; 0: none */
-  guint awaited_tokens;   /* of its prompt, that are not cached there */
 } HbwTicket;
 
 /* Returns whether TICKET may be selected now. */
--- a/include/hornbeamwall/core/server.h
+++ b/include/hornbeamwall/core/server.h
@@ -34,7 +34,6 @@
   guint in_progress;
   guint suspect_requests; /* suspect requests in progress */
   guint waiting;          /* requests that wait for a slot of this server */
-  guint waiting_tokens;   /* of their prompts, that are not cached here */
   guint consecutive_failures;
   gint64 probe_at_us;
   gint64 last_decrease_us;       /* last multiplicative decrease */
@@ -53,6 +52,9 @@
   HbwPromptCache *cached_prompts; /* parts that it probably has cached; owned */
 } HbwServer;
 
+/* Returns the hash by which instances name the server ID to each other. */
+guint64 hbw_server_hash_id (const char *id);
+
 HbwServer *hbw_server_create (const HbwServerEntry *entry);
 void hbw_server_destroy (HbwServer *server);
 
--- a/include/hornbeamwall/core/shard.h
+++ b/include/hornbeamwall/core/shard.h
@@ -71,7 +71,8 @@
 {
   const HbwPolicy *policy;
   HbwShardKey key;
-  GPtrArray *servers; /* HbwServer, owned */
+  GPtrArray *servers;          /* HbwServer, owned */
+  GHashTable *servers_by_hash; /* hash of its id -> HbwServer, borrowed */
   HbwQueue *queue;
   GHashTable *reservations;
   guint in_progress[HBW_TIER_COUNT];
@@ -142,6 +143,9 @@
 
 HbwServer *hbw_shard_find_server (const HbwShard *shard, const char *id);
 
+/* Returns the server whose id has HASH, or NULL. */
+HbwServer *hbw_shard_find_server_by_hash (const HbwShard *shard, guint64 hash);
+
 /* Returns whether servers have failed while they ran the request.  Its entry
    instance may know of a failure whose report has not arrived here. */
 gboolean hbw_shard_is_suspect (const HbwContext *context,
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -319,6 +319,7 @@
       msgpack_pack_int64 (packer, message->begun.first_token_us);
       break;
     case HBW_MESSAGE_LOADS:
+    case HBW_MESSAGE_LOAD_SUMS:
       pack_loads (packer, &message->loads);
       break;
     case HBW_MESSAGE_DONE:
@@ -363,7 +364,7 @@
   [HBW_MESSAGE_DEMAND] = 5,         [HBW_MESSAGE_SHARE] = 5,
   [HBW_MESSAGE_BEGUN] = 7,          [HBW_MESSAGE_LOADS] = 3,
   [HBW_MESSAGE_SERVER_NOTICE] = 10, [HBW_MESSAGE_CLEARED_PARTS] = 1,
-  [HBW_MESSAGE_STREAM_VERSION] = 3,
+  [HBW_MESSAGE_STREAM_VERSION] = 3, [HBW_MESSAGE_LOAD_SUMS] = 3,
 };
 
 void
--- a/net/codec_unpack.c
+++ b/net/codec_unpack.c
@@ -298,7 +298,8 @@
 static void
 unpack_loads (HbwFieldReader *reader, HbwLoadUpdate *loads)
 {
-  HbwFieldReader inner = hbw_field_reader_unpack_array (reader, 3 * HBW_LOADS_MAX);
+  HbwFieldReader inner
+      = hbw_field_reader_unpack_array (reader, 3 * HBW_LOAD_SUMS_MAX);
   while (!inner.failed && inner.next < inner.count)
     {
       HbwServerLoad *load = &loads->loads[loads->load_count++];
@@ -320,7 +321,7 @@
   if (reader->failed || reader->next >= reader->count)
     return;
   /* Earlier versions do not send these. */
-  HbwFieldReader waiting = hbw_field_reader_unpack_array (reader, HBW_LOADS_MAX);
+  HbwFieldReader waiting = hbw_field_reader_unpack_array (reader, HBW_LOAD_SUMS_MAX);
   for (guint i = 0; i < MIN (waiting.count, loads->load_count); i++)
     loads->loads[i].load.waiting
         = (guint) hbw_field_reader_unpack_uint (&waiting, G_MAXUINT16);
@@ -466,6 +467,7 @@
       message->begun.first_token_us = unpack_int (reader);
       break;
     case HBW_MESSAGE_LOADS:
+    case HBW_MESSAGE_LOAD_SUMS:
       unpack_loads (reader, &message->loads);
       break;
     case HBW_MESSAGE_DONE:
