--- a/core/placement.c
+++ b/core/placement.c
@@ -210,7 +210,8 @@
 estimate_slot_wait_us (const HbwPlacement *placement, const HbwServer *server,
                        const HbwServerWork *work)
 {
-  guint slots = hbw_placement_count_slots (placement, server);
+  guint slots = MIN (hbw_placement_count_slots (placement, server),
+                     MAX (1, server->entry.slots));
   guint ahead = work->in_progress + work->waiting;
   if (ahead < slots)
     return 0;
--- a/net/peer_transport.c
+++ b/net/peer_transport.c
@@ -8,7 +8,7 @@
 #include <zmq.h>
 
 /* How long a sending socket may be idle before it is closed. */
-#define LINK_IDLE_TIMEOUT_US (60 * HBW_US_PER_S)
+#define LINK_IDLE_TIMEOUT_US (20 * HBW_US_PER_S)
 
 /* Size from which a frame is sent without waiting for the flush, in bytes. */
 #define FRAME_FLUSH_SIZE 65536
