--- a/core/reducer_messages.c
+++ b/core/reducer_messages.c
@@ -61,6 +61,16 @@
     hbw_shard_record_remote_prompts (shard, &message->loads);
 }
 
+static void
+handle_withdrawal (HbwReducer *reducer, const HbwMessage *message)
+{
+  GHashTableIter iter;
+  gpointer shard;
+  g_hash_table_iter_init (&iter, reducer->shards);
+  while (g_hash_table_iter_next (&iter, NULL, &shard))
+    hbw_shard_handle_withdrawal (shard, &reducer->context, &message->refusal);
+}
+
 void
 hbw_reducer_handle_message (HbwReducer *reducer, const HbwMessage *message)
 {
@@ -87,14 +97,8 @@
           message->from, &message->want);
       break;
     case HBW_MESSAGE_WITHDRAW:
-      {
-        GHashTableIter iter;
-        gpointer shard;
-        g_hash_table_iter_init (&iter, reducer->shards);
-        while (g_hash_table_iter_next (&iter, NULL, &shard))
-          hbw_shard_handle_withdrawal (shard, context, &message->refusal);
-        break;
-      }
+      handle_withdrawal (reducer, message);
+      break;
     case HBW_MESSAGE_GRANT:
       hbw_ingress_handle_grant (reducer->ingress, context, message->from,
                                 &message->grant);
