A second SIGTERM does not end the drain

Cause: a drain ended at once at a second SIGTERM, and the requests in progress lost their connections. Change: only SIGINT ends a drain early, besides the end of the grace period (hornbeamwall/commands/serve.c).

--- a/hornbeamwall/commands/serve.c
+++ b/hornbeamwall/commands/serve.c
@@ -47,9 +47,9 @@
 }
 
 /* Drains the instance.  Returns when all requests have ended and a load balancer has
-   had time to redirect callers, when the grace period is nearly over, or on a second
-   signal.  After a stall it waits for another check, as requests that arrived
-   meanwhile may not have been read. */
+   had time to redirect callers, when the grace period is nearly over, or on SIGINT.
+   Further SIGTERMs change nothing.  After a stall it waits for another check, as
+   requests that arrived meanwhile may not have been read. */
 static void
 wait_for_drain (HbwInstance *instance, const HbwSettings *settings, HbwClock *clock,
                 const sigset_t *set)
@@ -67,7 +67,7 @@
   do
     {
       int signal_number = sigtimedwait (set, NULL, &interval);
-      if (signal_number == SIGTERM || signal_number == SIGINT)
+      if (signal_number == SIGINT)
         return;
       gint64 now_us = hbw_clock_now (clock);
       is_late = now_us - checked_us > LATE_CHECK_US;
--- a/tests/soak_play.c
+++ b/tests/soak_play.c
@@ -102,6 +102,9 @@
   gint64 send_last_us;
   gint64 stop_us; /* 0 if the instance isn't stopped */
   gint64 go_on_us;
+  gint64 work_us;            /* of the servers for each request; 0: as they are */
+  gint64 terminate_us;       /* SIGTERM; 0 is none */
+  gint64 terminate_again_us; /* a second SIGTERM */
 } IdlePlay;
 
 static const IdlePlay idle_plays[] = {
@@ -109,6 +112,7 @@
   { "idle-edge", 2000, 0, 0, 1970000, 2010000, 0, 0 },
   { "idle-lower", 6000, 1000, 500000, 100000, 4800000, 0, 0 },
   { "idle-raise", 1000, 6000, 500000, 100000, 1600000, 0, 0 },
+  { "idle-terminate", 2000, 0, 0, 100000, 100000, 0, 0, 200000, 450000, 500000 },
 };
 
 static const PartPlay *
@@ -272,12 +276,21 @@
   return NULL;
 }
 
+static void
+terminate_at (Soak *soak, gint64 time_us)
+{
+  sleep_until (time_us);
+  soak_processes_signal (soak->processes, 0, SIGTERM);
+}
+
 static void
 run_idle_play (Soak *soak, const IdlePlay *play)
 {
   IdleConnection connections[IDLE_CONNECTIONS];
   guint counts[IDLE_RESULT_COUNT] = { 0 };
   soak_set_idle_timeout (soak, play->timeout_ms);
+  for (guint i = 0; i < soak->servers && play->work_us > 0; i++)
+    replica_set_work (soak->replicas[i], play->work_us);
   g_usleep (START_US);
   gint64 begin_us = g_get_monotonic_time () + 100000;
   for (guint i = 0; i < IDLE_CONNECTIONS; i++)
@@ -292,6 +305,11 @@
       sleep_until (begin_us + play->stop_us);
       soak_processes_pause (soak->processes, 0, play->go_on_us - play->stop_us);
     }
+  if (play->terminate_us > 0)
+    {
+      terminate_at (soak, begin_us + play->terminate_us);
+      terminate_at (soak, begin_us + play->terminate_again_us);
+    }
   if (play->changed_timeout_ms > 0)
     {
       sleep_until (begin_us + play->change_us);
--- a/tests/soak_play.h
+++ b/tests/soak_play.h
@@ -6,6 +6,7 @@
  *   idle-edge    the same requests around the end of the idle timeout
  *   idle-lower   a config shortens the idle timeout meanwhile
  *   idle-raise   a config lengthens it meanwhile
+ *   idle-terminate  the instance gets two SIGTERMs while requests are in progress
  *   part-*       requests with a part of a prompt that crashes servers
  * (soak_part.h): "first", "second", "unsafe", "silent", "close", "open" (answers
  * with neither a length nor chunks), "same" (servers keep their ids), "killed" (an
