--- a/core/load_share.c
+++ b/core/load_share.c
@@ -51,8 +51,7 @@
   HbwServerWork earlier_load; /* sent before that */
   gint64 sent_us;
   GArray *peer_loads; /* PeerLoad */
-  DueLink near;       /* for the relay, or the instances that a relay or a direct
-                         sender addresses */
+  DueLink near;       /* for the receivers of Outbox near */
   DueLink remote;     /* for the relays of other data centres */
 } ServerAccount;
 
@@ -60,8 +59,8 @@
 {
   GHashTable *servers_by_hash; /* server hash -> ServerAccount */
   HbwLoadRoute *route;
-  Outbox near;
-  Outbox remote;
+  Outbox near;   /* for all instances, for the relay, or from it for its own */
+  Outbox remote; /* for the relays of other data centres */
   GHashTable *recent_parts; /* hashes of placements that were told */
   GHashTable *older_parts;
   gint64 last_message_us;
@@ -407,8 +406,7 @@
     g_array_append_vals (account->peer_loads, peer_load, 1);
 }
 
-/* Returns LOAD, a sum of the fleet, without the part of it that is this instance's.
- */
+/* Returns LOAD, a sum of the fleet, without the share of this instance. */
 static HbwServerWork
 subtract_own_load (const ServerAccount *account, const HbwServerWork *load,
                    gint64 now_us)
--- a/include/hornbeamwall/core/policy_direct.h
+++ b/include/hornbeamwall/core/policy_direct.h
@@ -1,13 +1,9 @@
 /*
  * policy_direct - selects the backend server with the lowest estimated cost
  *
- * Each instance selects servers on its own, among those of all data centres.  The
- * estimate adds the requests at the server (those of this instance, of its peers and
- * of the server's last load report), the part of the prompt that is not cached
- * there, the distance, and the recent failure rate.  Rendezvous hashing gives
- * prompts with a common prefix the same preferred server in all instances, for cache
- * affinity.  The load of a busy server outweighs the affinity, so that a popular
- * prefix spreads over several servers.
+ * Each instance selects servers on its own, among those of all data centres that the
+ * request may use.  placement.h estimates the cost.  If the cheapest server is full,
+ * a request with a prompt waits for it; one without goes to another server.
  *
  * Lower tiers leave a tenth of the slots of each engine free, so that a burst of
  * them does not make the engine preempt requests for more urgent ones.
--- a/include/hornbeamwall/core/queue.h
+++ b/include/hornbeamwall/core/queue.h
@@ -2,12 +2,14 @@
  * queue - the requests that wait in one shard
  *
  * Tiers have strict priority, apart from the slots guaranteed to each lower tier
- * (HBW_TIER_FLOOR_PERCENT).  Within a tier, requests that can still meet their
- * target for the first token come first, then those that cannot, and last those that
+ * (HBW_TIER_FLOOR_PERCENT).  Within a tier, the tier of the class comes first, for
+ * organisations that have a tier of their own.  Then come requests that can still
+ * meet their target for the first token, then those that cannot, and last those that
  * are expected to miss their deadline.  Among these, the organisation with the least
  * service for its weight comes first (weighted fair queueing), then the earliest
  * target.  One in HBW_QUEUE_LATE_INTERVAL selections of a tier prefers requests that
- * miss their target, so that they make progress during a long burst.
+ * miss their target, and begins with the last class, so that these make progress
+ * during a long burst.
  *
  * A ticket represents one waiting request.  The queue owns its tickets.
  */
@@ -24,7 +26,7 @@
 
 typedef struct
 {
-  struct cds_list_head flow_link;    /* in the flow of its organisation, by target */
+  struct cds_list_head flow_link;    /* in the flow of its organisation */
   struct cds_list_head arrival_link; /* in the whole queue, by arrival */
   HbwGrantRequest want;
   guint64 origin; /* identity of the instance that received it */
@@ -37,7 +39,7 @@
   guint64 awaited_server; /* hash of the full server that it waits for; 0: none */
 } HbwTicket;
 
-/* Returns whether TICKET may be selected now. */
+/* Returns whether TICKET may be selected now.  May record what it waits for. */
 typedef gboolean (*HbwTicketFilter) (HbwTicket *ticket, void *data);
 
 HbwQueue *hbw_queue_create (void);
