--- a/core/metrics.c
+++ b/core/metrics.c
@@ -172,6 +172,9 @@
   g_string_append_printf (
       text, "hornbeamwall_grants_handed_back_total %" G_GUINT64_FORMAT "\n",
       metrics->control.grants_handed_back);
-  g_string_append_printf (text, "hornbeamwall_spilled_total %" G_GUINT64_FORMAT "\n",
-                          metrics->control.spilled);
+  g_string_append_printf (
+      text,
+      "hornbeamwall_spilled_total %" G_GUINT64_FORMAT "\n"
+      "hornbeamwall_servers_compared_total %" G_GUINT64_FORMAT "\n",
+      metrics->control.spilled, metrics->control.servers_compared);
 }
--- a/core/placement.c
+++ b/core/placement.c
@@ -1,6 +1,7 @@
 #include "hornbeamwall/core/placement.h"
 
 #include "hornbeamwall/core/load_share.h"
+#include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/server_notice.h"
 #include "hornbeamwall/core/shard_estimate.h"
 
@@ -259,6 +260,7 @@
 {
   const HbwContext *context = placement->context;
   HbwServerWork work = { 0 };
+  hbw_metrics_control (context->metrics)->servers_compared++;
   if (context->load_share != NULL)
     work = hbw_load_share_sum_peers (context->load_share, server, context->now_us);
   if (context->now_us - server->reported_at_us < REPORT_AGE_MAX_US)
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -636,6 +636,12 @@
       hbw_stream_versions_count (reducer->context.stream_versions));
 }
 
+const HbwControlMetrics *
+hbw_reducer_control_metrics (const HbwReducer *reducer)
+{
+  return hbw_metrics_control (reducer->context.metrics);
+}
+
 static HbwStatusSource
 status_source (const HbwReducer *reducer)
 {
--- a/include/hornbeamwall/core/metrics.h
+++ b/include/hornbeamwall/core/metrics.h
@@ -53,6 +53,7 @@
   guint64 suspect_store_calls; /* to read and write the suspects */
   guint64 grants_handed_back;  /* returned unused */
   guint64 spilled;             /* sent to another data centre */
+  guint64 servers_compared;    /* estimates of one server for one request */
 } HbwControlMetrics;
 
 HbwControlMetrics *hbw_metrics_control (HbwMetrics *metrics);
--- a/include/hornbeamwall/core/reducer.h
+++ b/include/hornbeamwall/core/reducer.h
@@ -11,6 +11,7 @@
 
 #include "hornbeamwall/core/effect.h"
 #include "hornbeamwall/core/event.h"
+#include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/retry_budget.h"
 #include "hornbeamwall/core/shard.h"
 
@@ -68,6 +69,9 @@
 /* Appends the metrics in the Prometheus text format. */
 void hbw_reducer_render_metrics (const HbwReducer *reducer, GString *text);
 
+/* Returns the counters (borrowed) of the control plane. */
+const HbwControlMetrics *hbw_reducer_control_metrics (const HbwReducer *reducer);
+
 /* Appends the state as a JSON object: versions, members, shards, servers, stops. */
 void hbw_reducer_render_status (const HbwReducer *reducer, GString *text);
 
--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -451,6 +451,8 @@
     return world_rollout_quantile_s (world, 0.99);
   if (strcmp (subject, "messages") == 0 && strcmp (quantity, "rate") == 0)
     return world_message_rate (world);
+  if (strcmp (subject, "comparisons") == 0 && strcmp (quantity, "request") == 0)
+    return world_comparisons_per_request (world);
   const GPtrArray *classes = world_classes (world);
   for (guint i = 0; i < classes->len; i++)
     {
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -2252,6 +2252,21 @@
   return world->poisoned_server_count;
 }
 
+double
+world_comparisons_per_request (const World *world)
+{
+  guint64 compared = 0;
+  for (guint i = 0; i < world->instances->len; i++)
+    {
+      const Instance *instance = world->instances->pdata[i];
+      if (instance->reducer != NULL)
+        compared
+            += hbw_reducer_control_metrics (instance->reducer)->servers_compared;
+    }
+  return (double) compared / MAX (1, world->servers->len)
+         / MAX (1, g_hash_table_size (world->requests));
+}
+
 double
 world_message_rate (const World *world)
 {
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -194,4 +194,7 @@
 /* Returns the average number of messages that one instance sends per second. */
 double world_message_rate (const World *world);
 
+/* Returns how often a request is compared with all servers, on average. */
+double world_comparisons_per_request (const World *world);
+
 #endif
