A request that waits is compared with all servers when its server has a slot, else each 0.1 s

Cause: each response, message of loads and tick compared every waiting request with all servers, twice where its tier has guaranteed slots, and once more when it was granted; each comparison sorted the servers for the partitions of prompt lengths.

Change: policy_direct compares a request that waits for a server again when that has a free slot, or after 0.1 s; select_ticket returns the server that it found; partitions are kept for 0.1 s (core/prompt_partition.c, taken out of placement.c).

--- a/core/placement.c
+++ b/core/placement.c
@@ -2,6 +2,7 @@
 
 #include "hornbeamwall/core/load_share.h"
 #include "hornbeamwall/core/metrics.h"
+#include "hornbeamwall/core/prompt_partition.h"
 #include "hornbeamwall/core/server_notice.h"
 #include "hornbeamwall/core/shard_estimate.h"
 
@@ -34,13 +35,6 @@
 #define MODEL_SLOTS_PERCENT 90
 #define MODEL_SLOTS_TOP_TIER_PERCENT 100
 
-/* Smallest share of the servers in the partition of each prompt length.  The rest is
-   divided in proportion to the prompt tokens of each length. */
-#define PARTITION_SHARE_MIN 0.1
-
-/* A shard with fewer servers is not partitioned. */
-#define PARTITION_SERVERS_MIN 6
-
 /* Cost of a server in a partition, by prompt length and partition. */
 static const gint64 partition_costs_us[HBW_PROMPT_LENGTH_COUNT]
                                       [HBW_PROMPT_LENGTH_COUNT]
@@ -62,7 +56,6 @@
   guint64 awaited_server;
   HbwPromptLength prompt_length;
   const HbwServer *preferred_server; /* preferred for the shared prefix, or NULL */
-  GArray *usable_hashes; /* hashes of the usable servers, ascending; guint64 */
 };
 
 static gboolean
@@ -82,73 +75,11 @@
   return spec->parts[spec->part_count > 1 ? spec->part_count - 2 : 0].hash;
 }
 
-static int
-compare_hashes (gconstpointer a, gconstpointer b)
-{
-  guint64 left = *(const guint64 *) a;
-  guint64 right = *(const guint64 *) b;
-  return left < right ? -1 : left > right;
-}
-
-static GArray *
-sort_usable_hashes (const HbwShard *shard)
-{
-  GArray *hashes
-      = g_array_sized_new (FALSE, FALSE, sizeof (guint64), shard->servers->len);
-  for (guint i = 0; i < shard->servers->len; i++)
-    {
-      const HbwServer *server = g_ptr_array_index (shard->servers, i);
-      if (hbw_server_is_usable (server))
-        g_array_append_val (hashes, server->id_hash);
-    }
-  g_array_sort (hashes, compare_hashes);
-  return hashes;
-}
-
-/* Returns how many of the sorted HASHES are lower than HASH. */
-static guint
-count_lower_hashes (const GArray *hashes, guint64 hash)
-{
-  guint low = 0;
-  guint high = hashes->len;
-  while (low < high)
-    {
-      guint middle = low + (high - low) / 2;
-      if (g_array_index (hashes, guint64, middle) < hash)
-        low = middle + 1;
-      else
-        high = middle;
-    }
-  return low;
-}
-
-/* Returns the position of SERVER in the sorted usable servers, from 0 to 1. */
-static double
-compute_relative_position (const HbwPlacement *placement, const HbwServer *server)
-{
-  guint others
-      = placement->usable_hashes->len - (hbw_server_is_usable (server) ? 1 : 0);
-  guint before = count_lower_hashes (placement->usable_hashes, server->id_hash);
-  return others > 0 ? (double) before / others : 0;
-}
-
-/* Returns the prompt length to whose partition SERVER belongs. */
 static HbwPromptLength
 find_partition (const HbwPlacement *placement, const HbwServer *server)
 {
-  if (placement->shard->servers->len < PARTITION_SERVERS_MIN)
-    return placement->prompt_length;
-  double position = compute_relative_position (placement, server);
-  double end = 0;
-  for (guint length = 0; length + 1 < HBW_PROMPT_LENGTH_COUNT; length++)
-    {
-      end += PARTITION_SHARE_MIN
-             + (1.0 - PARTITION_SHARE_MIN * HBW_PROMPT_LENGTH_COUNT)
-                   * placement->shard->prompt_length_shares[length];
-      if (position < end)
-        return (HbwPromptLength) length;
-    }
-  return HBW_PROMPT_LENGTH_COUNT - 1;
+  return hbw_prompt_partition_of (placement->shard, server,
+                                  placement->prompt_length);
 }
 
 static const HbwServer *
@@ -161,10 +92,12 @@
   for (guint i = 0; hash != 0 && i < shard->servers->len; i++)
     {
       const HbwServer *server = g_ptr_array_index (shard->servers, i);
-      guint64 weight = hbw_rendezvous_weight (hash, server->entry.id);
-      if (!hbw_server_is_usable (server) || weight < highest
+      if (!hbw_server_is_usable (server)
           || find_partition (placement, server) != placement->prompt_length)
         continue;
+      guint64 weight = hbw_rendezvous_weight (hash, server->entry.id);
+      if (weight < highest)
+        continue;
       affinity_server = server;
       highest = weight;
     }
@@ -236,7 +169,6 @@
   placement->want = want;
   placement->awaited_server = awaited_server;
   placement->prompt_length = hbw_shard_classify_prompt (shard, &want->spec);
-  placement->usable_hashes = sort_usable_hashes (shard);
   placement->preferred_server = find_affinity_server (placement);
   return placement;
 }
@@ -244,23 +176,24 @@
 void
 hbw_placement_destroy (HbwPlacement *placement)
 {
-  g_array_free (placement->usable_hashes, TRUE);
   g_free (placement);
 }
 
 gboolean
 hbw_placement_has_usable_server (const HbwPlacement *placement)
 {
-  return placement->usable_hashes->len > 0;
+  const GPtrArray *servers = placement->shard->servers;
+  for (guint i = 0; i < servers->len; i++)
+    if (hbw_server_is_usable (g_ptr_array_index (servers, i)))
+      return TRUE;
+  return FALSE;
 }
 
 /* The server's own report covers instances whose messages do not arrive. */
-HbwServerWork
-hbw_placement_sum_work (const HbwPlacement *placement, const HbwServer *server)
+static HbwServerWork
+sum_work (const HbwContext *context, const HbwServer *server)
 {
-  const HbwContext *context = placement->context;
   HbwServerWork work = { 0 };
-  hbw_metrics_control (context->metrics)->servers_compared++;
   if (context->load_share != NULL)
     work = hbw_load_share_sum_peers (context->load_share, server, context->now_us);
   if (context->now_us - server->reported_at_us < REPORT_AGE_MAX_US)
@@ -268,6 +201,32 @@
   work.in_progress += server->in_progress;
   work.unread_tokens += server->unread_tokens;
   work.waiting += server->waiting;
+  return work;
+}
+
+static guint
+count_slots (const HbwContext *context, const HbwRequestSpec *spec,
+             const HbwServer *server)
+{
+  guint brittle_percent = hbw_server_notices_slots_percent (
+      context->server_notices, &server->entry, spec->tier, context->now_us);
+  guint percent = MIN (usable_slots_percent (spec), brittle_percent);
+  return MAX (1, server->entry.slots) * percent / 100;
+}
+
+gboolean
+hbw_placement_has_slot (const HbwContext *context, const HbwRequestSpec *spec,
+                        const HbwServer *server)
+{
+  return sum_work (context, server).in_progress
+         < count_slots (context, spec, server);
+}
+
+HbwServerWork
+hbw_placement_sum_work (const HbwPlacement *placement, const HbwServer *server)
+{
+  hbw_metrics_control (placement->context->metrics)->servers_compared++;
+  HbwServerWork work = sum_work (placement->context, server);
   if (placement->awaited_server == server->id_hash)
     work.waiting -= MIN (work.waiting, 1);
   return work;
@@ -276,12 +235,7 @@
 guint
 hbw_placement_count_slots (const HbwPlacement *placement, const HbwServer *server)
 {
-  const HbwRequestSpec *spec = &placement->want->spec;
-  guint brittle_percent = hbw_server_notices_slots_percent (
-      placement->context->server_notices, &server->entry, spec->tier,
-      placement->context->now_us);
-  guint percent = MIN (usable_slots_percent (spec), brittle_percent);
-  return MAX (1, server->entry.slots) * percent / 100;
+  return count_slots (placement->context, &placement->want->spec, server);
 }
 
 double
--- a/core/policy.c
+++ b/core/policy.c
@@ -13,6 +13,7 @@
 {
   HbwShard *shard;
   HbwContext *context;
+  HbwServer *server; /* of the last request that fits */
 } Selection;
 
 static guint
@@ -132,8 +133,11 @@
 ticket_fits (HbwTicket *ticket, void *data)
 {
   Selection *selection = data;
-  return hbw_shard_select_server (selection->shard, selection->context, ticket)
-         != NULL;
+  HbwServer *server
+      = hbw_shard_select_server (selection->shard, selection->context, ticket);
+  if (server != NULL)
+    selection->server = server;
+  return server != NULL;
 }
 
 static gint64
@@ -151,31 +155,34 @@
 }
 
 static HbwTicket *
-select_next_of_tier (HbwShard *shard, HbwContext *context, HbwTier tier)
+select_next_of_tier (HbwShard *shard, HbwContext *context, HbwTier tier,
+                     HbwServer **server)
 {
   if (hbw_queue_tier_length (shard->queue, tier) == 0)
     return NULL;
   if (!shard->policy->spans_data_centres
       && !any_server_has_room (shard, context, tier))
     return NULL;
-  Selection selection = { shard, context };
-  return hbw_queue_select_next (shard->queue, tier, context->now_us,
-                                lowest_first_token_us (shard), ticket_fits,
-                                &selection);
+  Selection selection = { shard, context, NULL };
+  HbwTicket *ticket = hbw_queue_select_next (shard->queue, tier, context->now_us,
+                                             lowest_first_token_us (shard),
+                                             ticket_fits, &selection);
+  *server = selection.server;
+  return ticket;
 }
 
 static HbwTicket *
-tiers_select_ticket (HbwShard *shard, HbwContext *context)
+tiers_select_ticket (HbwShard *shard, HbwContext *context, HbwServer **server)
 {
   HbwTicket *ticket = NULL;
   guint guaranteed_slots = tier_guaranteed_slots (shard);
   shard->selected_for_floor = TRUE;
   for (HbwTier tier = 1; tier < HBW_TIER_COUNT && ticket == NULL; tier++)
     if (shard->in_progress[tier] < guaranteed_slots)
-      ticket = select_next_of_tier (shard, context, tier);
+      ticket = select_next_of_tier (shard, context, tier, server);
   shard->selected_for_floor = ticket != NULL;
   for (HbwTier tier = 0; tier < HBW_TIER_COUNT && ticket == NULL; tier++)
-    ticket = select_next_of_tier (shard, context, tier);
+    ticket = select_next_of_tier (shard, context, tier, server);
   return ticket;
 }
 
@@ -197,11 +204,13 @@
 }
 
 static HbwTicket *
-fifo_select_ticket (HbwShard *shard, HbwContext *context G_GNUC_UNUSED)
+fifo_select_ticket (HbwShard *shard, HbwContext *context, HbwServer **server)
 {
   HbwTicket *first = NULL;
   hbw_queue_foreach (shard->queue, remember_first_ticket, &first);
-  return first;
+  if (first != NULL)
+    *server = hbw_shard_select_server (shard, context, first);
+  return *server != NULL ? first : NULL;
 }
 
 static HbwServer *
--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -1,6 +1,7 @@
 #include "hornbeamwall/core/policy_direct.h"
 
 #include "hornbeamwall/core/placement.h"
+#include "hornbeamwall/core/prompt_partition.h"
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/server_notice.h"
 #include "hornbeamwall/core/shard_waiting.h"
@@ -8,6 +9,9 @@
 
 #include <string.h>
 
+/* How often a request that waits for a server is compared with all of them. */
+#define COMPARISON_INTERVAL_US (100 * HBW_US_PER_MS)
+
 typedef struct
 {
   HbwShard *shard;
@@ -105,11 +109,27 @@
   return best.server != NULL ? best : avoided;
 }
 
+/* Comparing hundreds of servers for each request that waits, whenever anything
+   happens, would take the processor time of the requests in progress. */
+static gboolean
+is_comparison_due (const HbwShard *shard, const HbwContext *context,
+                   const HbwTicket *ticket)
+{
+  const HbwServer *awaited
+      = hbw_shard_find_server_by_hash (shard, ticket->awaited_server);
+  return awaited == NULL || context->now_us >= ticket->next_comparison_us
+         || hbw_placement_has_slot (context, &ticket->want.spec, awaited);
+}
+
 HbwServer *
 hbw_policy_direct_select_server (HbwShard *shard, HbwContext *context,
                                  HbwTicket *ticket)
 {
   const HbwGrantRequest *want = &ticket->want;
+  if (!is_comparison_due (shard, context, ticket))
+    return NULL;
+  ticket->next_comparison_us = context->now_us + COMPARISON_INTERVAL_US;
+  hbw_prompt_partition_update (shard, context->now_us);
   Selection selection = { .shard = shard, .context = context, .want = want };
   selection.placement
       = hbw_placement_create (shard, context, want, ticket->awaited_server);
@@ -135,6 +155,7 @@
 hbw_policy_direct_expected_wait_us (HbwShard *shard, HbwContext *context,
                                     const HbwGrantRequest *want)
 {
+  hbw_prompt_partition_update (shard, context->now_us);
   HbwPlacement *placement = hbw_placement_create (shard, context, want, 0);
   double lowest = -1;
   for (guint i = 0; i < shard->servers->len; i++)
--- a/core/shard.c
+++ b/core/shard.c
@@ -229,12 +229,10 @@
 static gboolean
 grant_next_request (HbwShard *shard, HbwContext *context)
 {
-  HbwTicket *ticket = shard->policy->select_ticket (shard, context);
+  HbwServer *server = NULL;
+  HbwTicket *ticket = shard->policy->select_ticket (shard, context, &server);
   if (ticket == NULL)
     return FALSE;
-  HbwServer *server = hbw_shard_select_server (shard, context, ticket);
-  if (server == NULL)
-    return FALSE;
   const HbwGrantRequest *want = &ticket->want;
   Reservation *reservation = create_reservation (shard, context, server, &want->id,
                                                  want->attempt, &want->spec);
@@ -393,6 +391,7 @@
   HbwServer *server = g_ptr_array_index (shard->servers, index);
   g_hash_table_remove (shard->servers_by_hash, &server->id_hash);
   g_ptr_array_remove_index (shard->servers, index);
+  shard->partitions_current = FALSE;
 }
 
 static const HbwServerEntry *
@@ -437,6 +436,7 @@
           server = hbw_server_create (entry);
           server->stopping = FALSE;
           g_ptr_array_add (shard->servers, server);
+          shard->partitions_current = FALSE;
           g_hash_table_insert (shard->servers_by_hash, &server->id_hash, server);
         }
       gboolean stopping
--- a/include/hornbeamwall/core/placement.h
+++ b/include/hornbeamwall/core/placement.h
@@ -26,6 +26,11 @@
                                     guint64 awaited_server);
 void hbw_placement_destroy (HbwPlacement *placement);
 
+/* Returns whether a request of SPEC finds a free slot at SERVER now. */
+gboolean hbw_placement_has_slot (const HbwContext *context,
+                                 const HbwRequestSpec *spec,
+                                 const HbwServer *server);
+
 /* Returns whether any server is usable. */
 gboolean hbw_placement_has_usable_server (const HbwPlacement *placement);
 
--- a/include/hornbeamwall/core/queue.h
+++ b/include/hornbeamwall/core/queue.h
@@ -37,6 +37,7 @@
   gint64 latest_start_us; /* a later start probably misses the deadline; 0 is none */
   gboolean late;          /* expected to miss its target */
   guint64 awaited_server; /* hash of the full server that it waits for; 0: none */
+  gint64 next_comparison_us; /* with all servers, while it waits for one */
 } HbwTicket;
 
 /* Returns whether TICKET may be selected now.  May record what it waits for. */
@@ -56,9 +57,9 @@
 /* Returns the ticket of a request, or NULL. */
 HbwTicket *hbw_queue_find (HbwQueue *queue, const HbwRequestId *id);
 
-/* Returns the next request of TIER that FILTER accepts, or NULL.  LEAD_US is the
-   expected time to the first token; a request whose first token would come after its
-   target counts as late. */
+/* Returns the next request of TIER that FILTER accepts, or NULL; that is the last
+   one that FILTER accepted.  LEAD_US is the expected time to the first token; a
+   request whose first token would come after its target counts as late. */
 HbwTicket *hbw_queue_select_next (HbwQueue *queue, HbwTier tier, gint64 now_us,
                                   gint64 lead_us, HbwTicketFilter filter,
                                   void *data);
--- a/include/hornbeamwall/core/server.h
+++ b/include/hornbeamwall/core/server.h
@@ -14,6 +14,15 @@
 
 #define HBW_SERVER_PREFIXES_MAX 128
 
+/* Length of a prompt relative to the average prompt of its shard. */
+typedef enum
+{
+  HBW_PROMPT_LENGTH_LONG,
+  HBW_PROMPT_LENGTH_MEDIUM,
+  HBW_PROMPT_LENGTH_SHORT,
+  HBW_PROMPT_LENGTH_COUNT,
+} HbwPromptLength;
+
 typedef enum
 {
   HBW_SERVER_UP,
@@ -49,6 +58,7 @@
   double failure_rate;      /* moving average of the failed share of responses */
   guint64 prefixes[HBW_SERVER_PREFIXES_MAX]; /* hashes of the latest prompts */
   guint next_prefix;
+  HbwPromptLength partition;      /* the length of prompts it is for */
   HbwPromptCache *cached_prompts; /* parts that it probably has cached; owned */
 } HbwServer;
 
--- a/include/hornbeamwall/core/shard.h
+++ b/include/hornbeamwall/core/shard.h
@@ -41,15 +41,6 @@
    requests. */
 #define HBW_TIER_FLOOR_PERCENT 5
 
-/* Length of a prompt relative to the average prompt of its shard. */
-typedef enum
-{
-  HBW_PROMPT_LENGTH_LONG,
-  HBW_PROMPT_LENGTH_MEDIUM,
-  HBW_PROMPT_LENGTH_SHORT,
-  HBW_PROMPT_LENGTH_COUNT,
-} HbwPromptLength;
-
 typedef struct HbwShard HbwShard;
 
 /* Scheduling policy of a shard; see policy.h. */
@@ -58,7 +49,10 @@
   const char *name;
   gboolean single_owner; /* one instance owns a shard; otherwise each runs its own */
   gboolean spans_data_centres; /* a shard contains the servers of all data centres */
-  HbwTicket *(*select_ticket) (HbwShard *shard, HbwContext *context);
+  /* Returns the request that starts next and sets SERVER to where; or returns NULL.
+   */
+  HbwTicket *(*select_ticket) (HbwShard *shard, HbwContext *context,
+                               HbwServer **server);
   HbwServer *(*select_server) (HbwShard *shard, HbwContext *context,
                                HbwTicket *ticket);
   /* Returns how long WANT is expected to wait at a server, in microseconds; NULL if
@@ -86,6 +80,8 @@
                                      parts */
   /* Moving averages of each length's token share. */
   double prompt_length_shares[HBW_PROMPT_LENGTH_COUNT];
+  gboolean partitions_current;      /* computed for the servers it has now */
+  gint64 partitioned_us;            /* when they were computed */
   double prompt_tokens_per_s;       /* moving average of the prefill speed */
   GHashTable *average_class_tokens; /* class name -> moving average, owned */
   guint rotation_index;             /* next server for round robin */
