--- a/net/peer_transport.c
+++ b/net/peer_transport.c
@@ -5,11 +5,15 @@
 
 #include <errno.h>
 #include <string.h>
+#include <urcu/list.h>
 #include <zmq.h>
 
 /* How long a sending socket may be idle before it is closed. */
 #define LINK_IDLE_TIMEOUT_US (20 * HBW_US_PER_S)
 
+/* Interval of the search for idle sockets. */
+#define LINK_IDLE_CHECK_US (1 * HBW_US_PER_S)
+
 /* Size from which a frame is sent without waiting for the flush, in bytes. */
 #define FRAME_FLUSH_SIZE 65536
 
@@ -18,6 +22,7 @@
 
 typedef struct
 {
+  struct cds_list_head pending_link; /* in HbwPeerTransport.pending, or alone */
   void *socket;
   HbwFrame *frame;
   gint64 used_us;
@@ -29,7 +34,9 @@
   void *router;
   char address[HBW_ADDRESS_MAX];
   guint64 identity;
-  GHashTable *links; /* address -> Link */
+  GHashTable *links;            /* address -> Link */
+  struct cds_list_head pending; /* Link with messages that are not sent yet */
+  gint64 idle_checked_us;
   guint64 bytes_sent;
   guint64 bytes_received;
 };
@@ -38,6 +45,7 @@
 link_free (gpointer data)
 {
   Link *link = data;
+  cds_list_del (&link->pending_link);
   zmq_close (link->socket);
   hbw_frame_destroy (link->frame);
   g_free (link);
@@ -63,6 +71,7 @@
   Link *link = g_new0 (Link, 1);
   link->socket = socket;
   link->frame = hbw_frame_create (transport->identity);
+  CDS_INIT_LIST_HEAD (&link->pending_link);
   g_hash_table_insert (transport->links, g_strdup (address), link);
   return link;
 }
@@ -83,6 +92,7 @@
 {
   HbwPeerTransport *transport = g_new0 (HbwPeerTransport, 1);
   transport->identity = identity;
+  CDS_INIT_LIST_HEAD (&transport->pending);
   transport->links
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, link_free);
   transport->zmq = zmq_ctx_new ();
@@ -136,30 +146,45 @@
   if (link == NULL)
     return;
   hbw_frame_add (link->frame, message);
+  if (cds_list_empty (&link->pending_link))
+    cds_list_add_tail (&link->pending_link, &transport->pending);
   if (hbw_frame_size (link->frame) >= FRAME_FLUSH_SIZE
       || hbw_frame_message_count (link->frame) >= HBW_FRAME_MESSAGES_MAX)
     link_send (transport, link);
 }
 
-void
-hbw_peer_transport_flush (HbwPeerTransport *transport, gint64 now_us)
+static void
+close_idle_links (HbwPeerTransport *transport, gint64 now_us)
 {
   GHashTableIter iter;
   gpointer value;
+  if (now_us - transport->idle_checked_us < LINK_IDLE_CHECK_US)
+    return;
+  transport->idle_checked_us = now_us;
   g_hash_table_iter_init (&iter, transport->links);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      Link *link = value;
-      if (hbw_frame_message_count (link->frame) > 0)
-        {
-          link_send (transport, link);
-          link->used_us = now_us;
-        }
-      else if (link->used_us != 0 && now_us - link->used_us > LINK_IDLE_TIMEOUT_US)
+      const Link *link = value;
+      if (link->used_us != 0 && now_us - link->used_us > LINK_IDLE_TIMEOUT_US)
         g_hash_table_iter_remove (&iter);
     }
 }
 
+void
+hbw_peer_transport_flush (HbwPeerTransport *transport, gint64 now_us)
+{
+  Link *link;
+  Link *next;
+  cds_list_for_each_entry_safe (link, next, &transport->pending, pending_link)
+    {
+      cds_list_del_init (&link->pending_link);
+      if (hbw_frame_message_count (link->frame) > 0)
+        link_send (transport, link);
+      link->used_us = now_us;
+    }
+  close_idle_links (transport, now_us);
+}
+
 void
 hbw_peer_transport_wait (HbwPeerTransport *transport, int fd, int timeout_ms)
 {
