The largest machine of a data centre relays the loads, and tells all prompt parts

Cause: the relay was chosen by rendezvous hashing, on 22 of 24 machines with 0.12 of a core and 10 Mbit/s. It sends and receives some 1,150 messages a second each and cannot; loads and prompt parts are heard late, and instances send prompts where they are read again. Besides, it kept 32 parts between two rounds of messages and dropped the others, which then counted as told.

Change: instances tell each other their link and processor share (settings link_mbps and processor_cores); the relay is the one with the largest product. If the best has less than half a core, all of its data centre send less often. Loads take half of a link at most. Parts wait in a list.

The scenarios' machines have a processor for messages now.

--- a/core/load_route.c
+++ b/core/load_route.c
@@ -6,12 +6,17 @@
 /* Rendezvous key of the relay of a data centre. */
 #define RELAY_KEY "load-relay"
 
+/* Percentage of a core with which a relay keeps up with all messages of its data
+   centre.  With less there are fewer. */
+#define FULL_SPEED_PERCENT 50
+
 HbwLoadRoute *
 hbw_load_route_create (void)
 {
   HbwLoadRoute *route = g_new0 (HbwLoadRoute, 1);
   route->epoch = G_MAXUINT64;
   route->is_direct = TRUE;
+  route->slowdown = 1;
   route->remote_relays = g_array_new (FALSE, FALSE, sizeof (guint64));
   return route;
 }
@@ -41,14 +46,17 @@
   g_hash_table_iter_init (&iter, data_centres);
   while (g_hash_table_iter_next (&iter, &name, NULL))
     {
-      guint64 relay
-          = hbw_membership_find_owner (context->membership, name, RELAY_KEY);
-      if (relay != 0)
-        g_array_append_val (route->remote_relays, relay);
+      const HbwMemberUpdate *relay
+          = hbw_membership_find_relay (context->membership, name, RELAY_KEY);
+      if (relay != NULL)
+        g_array_append_val (route->remote_relays, relay->identity);
     }
   g_hash_table_destroy (data_centres);
-  route->relay = hbw_membership_find_owner (context->membership,
-                                            context->data_centre, RELAY_KEY);
+  const HbwMemberUpdate *own = hbw_membership_find_relay (
+      context->membership, context->data_centre, RELAY_KEY);
+  route->relay = own != NULL ? own->identity : 0;
+  if (own != NULL && own->processor_percent > 0)
+    route->slowdown = MAX (1, FULL_SPEED_PERCENT / own->processor_percent);
 }
 
 void
@@ -60,6 +68,7 @@
   route->epoch = epoch;
   g_array_set_size (route->remote_relays, 0);
   route->relay = 0;
+  route->slowdown = 1;
   route->receivers = hbw_membership_count_alive (context->membership, NULL);
   route->is_direct = route->receivers <= HBW_LOAD_DIRECT_INSTANCES_MAX;
   if (route->is_direct)
--- a/core/load_share.c
+++ b/core/load_share.c
@@ -17,6 +17,17 @@
 /* Messages that a relay sends to each receiver at a time. */
 #define SUM_MESSAGES_MAX 4
 
+/* Percentage of the link that loads may take; the rest is for requests. */
+#define LINK_PERCENT 50
+
+/* Sizes of a message, of the load of a server and of a part in it, in bytes. */
+#define MESSAGE_BYTES 100
+#define LOAD_BYTES 20
+#define PART_BYTES 20
+
+/* Parts that wait to be told; further ones are told when they are used again. */
+#define PARTS_WAITING_MAX 2048
+
 /* A part that was sent to a server is told again after one to two of these. */
 #define PART_REPEAT_INTERVAL_US (1 * HBW_US_PER_S)
 
@@ -39,8 +50,7 @@
 typedef struct
 {
   struct cds_list_head due; /* DueLink of ServerAccount */
-  HbwPromptPlacement parts[HBW_LOAD_PARTS_MAX];
-  guint part_count;
+  GArray *parts;            /* HbwPromptPlacement, latest last */
 } Outbox;
 
 typedef struct
@@ -64,6 +74,7 @@
   GHashTable *recent_parts; /* hashes of placements that were told */
   GHashTable *older_parts;
   gint64 last_message_us;
+  guint64 last_message_bytes; /* sent then, to all receivers together */
   gint64 last_resend_us;
   gint64 parts_since_us; /* when the recent parts began */
 };
@@ -95,6 +106,13 @@
   return g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
 }
 
+static void
+init_outbox (Outbox *outbox)
+{
+  CDS_INIT_LIST_HEAD (&outbox->due);
+  outbox->parts = g_array_new (FALSE, FALSE, sizeof (HbwPromptPlacement));
+}
+
 HbwLoadShare *
 hbw_load_share_create (void)
 {
@@ -104,8 +122,8 @@
   share->route = hbw_load_route_create ();
   share->recent_parts = create_part_set ();
   share->older_parts = create_part_set ();
-  CDS_INIT_LIST_HEAD (&share->near.due);
-  CDS_INIT_LIST_HEAD (&share->remote.due);
+  init_outbox (&share->near);
+  init_outbox (&share->remote);
   return share;
 }
 
@@ -115,6 +133,8 @@
   g_hash_table_destroy (share->servers_by_hash);
   g_hash_table_destroy (share->recent_parts);
   g_hash_table_destroy (share->older_parts);
+  g_array_free (share->near.parts, TRUE);
+  g_array_free (share->remote.parts, TRUE);
   hbw_load_route_destroy (share->route);
   g_free (share);
 }
@@ -148,8 +168,8 @@
 static void
 add_part (Outbox *outbox, const HbwPromptPlacement *part)
 {
-  if (outbox->part_count < HBW_LOAD_PARTS_MAX)
-    outbox->parts[outbox->part_count++] = *part;
+  if (outbox->parts->len < PARTS_WAITING_MAX)
+    g_array_append_val (outbox->parts, *part);
 }
 
 /* Returns whether PART was not told recently, and counts it as told. */
@@ -298,9 +318,22 @@
 static void
 take_parts (Outbox *outbox, HbwLoadUpdate *loads)
 {
-  memcpy (loads->parts, outbox->parts, sizeof loads->parts);
-  loads->part_count = outbox->part_count;
-  outbox->part_count = 0;
+  loads->part_count = MIN (outbox->parts->len, HBW_LOAD_PARTS_MAX);
+  if (loads->part_count == 0)
+    return;
+  guint first = outbox->parts->len - loads->part_count;
+  memcpy (loads->parts, &g_array_index (outbox->parts, HbwPromptPlacement, first),
+          loads->part_count * sizeof loads->parts[0]);
+  g_array_set_size (outbox->parts, first);
+}
+
+/* Counts the bytes of a message with LOADS to so many RECEIVERS. */
+static void
+count_bytes (HbwLoadShare *share, const HbwLoadUpdate *loads, guint receivers)
+{
+  share->last_message_bytes += (guint64) receivers
+                               * (MESSAGE_BYTES + loads->load_count * LOAD_BYTES
+                                  + loads->part_count * PART_BYTES);
 }
 
 static gboolean
@@ -318,6 +351,8 @@
   take_parts (&share->near, &message.loads);
   if (is_empty (&message.loads))
     return;
+  count_bytes (share, &message.loads,
+               share->route->is_direct ? share->route->receivers : 1);
   if (share->route->is_direct)
     hbw_membership_broadcast (context->membership, context, NULL, &message);
   else
@@ -330,9 +365,11 @@
   HbwMessage message = { .kind = HBW_MESSAGE_LOAD_SUMS };
   take_near_loads (share, &message.loads, SCOPE_FLEET, context->now_us);
   take_parts (&share->near, &message.loads);
-  if (!is_empty (&message.loads))
-    hbw_membership_broadcast (context->membership, context, context->data_centre,
-                              &message);
+  if (is_empty (&message.loads))
+    return;
+  count_bytes (share, &message.loads, share->route->receivers);
+  hbw_membership_broadcast (context->membership, context, context->data_centre,
+                            &message);
 }
 
 static void
@@ -342,7 +379,10 @@
   const GArray *relays = share->route->remote_relays;
   take_remote_loads (share, &message.loads, context->now_us);
   take_parts (&share->remote, &message.loads);
-  for (guint i = 0; i < relays->len && !is_empty (&message.loads); i++)
+  if (is_empty (&message.loads))
+    return;
+  count_bytes (share, &message.loads, relays->len);
+  for (guint i = 0; i < relays->len; i++)
     hbw_context_send (context, g_array_index (relays, guint64, i), &message);
 }
 
@@ -373,19 +413,34 @@
     }
 }
 
+/* Returns how long the last messages hold back the next ones, so that they take no
+   more than their part of the link. */
+static gint64
+find_interval_us (const HbwLoadShare *share, const HbwContext *context)
+{
+  gint64 interval_us = HBW_LOAD_SHARE_INTERVAL_US * share->route->slowdown
+                       * (1 + share->route->receivers / RECEIVERS_PER_INTERVAL);
+  guint mbps = hbw_membership_link_mbps (context->membership);
+  if (mbps == 0)
+    return interval_us;
+  /* A Mbit/s is a bit in a microsecond. */
+  double link_us
+      = (double) share->last_message_bytes * 8 / mbps * 100 / LINK_PERCENT;
+  return MAX (interval_us, (gint64) link_us);
+}
+
 void
 hbw_load_share_send (HbwLoadShare *share, HbwContext *context)
 {
-  gint64 interval_us = HBW_LOAD_SHARE_INTERVAL_US
-                       * (1 + share->route->receivers / RECEIVERS_PER_INTERVAL);
-  if (context->now_us - share->last_message_us < interval_us)
+  if (context->now_us - share->last_message_us < find_interval_us (share, context))
     return;
   hbw_load_route_update (share->route, context);
   resend_loads (share, context->now_us);
   forget_old_parts (share, context->now_us);
-  if (cds_list_empty (&share->near.due) && share->near.part_count == 0)
+  if (cds_list_empty (&share->near.due) && share->near.parts->len == 0)
     return;
   share->last_message_us = context->now_us;
+  share->last_message_bytes = 0;
   if (hbw_load_route_is_relay (share->route, context))
     send_sums (share, context);
   else
--- a/core/membership_owners.c
+++ b/core/membership_owners.c
@@ -34,6 +34,42 @@
   return best;
 }
 
+/* Returns what MEMBER can spend on messages for others; 0 if that is not known. */
+static guint64
+find_capacity (const HbwMemberUpdate *member)
+{
+  return (guint64) member->link_mbps * member->processor_percent;
+}
+
+static gboolean
+is_better_relay (const HbwMemberUpdate *member, const HbwMemberUpdate *other,
+                 const char *key)
+{
+  guint64 capacity = find_capacity (member);
+  guint64 other_capacity = find_capacity (other);
+  if (capacity != other_capacity)
+    return capacity > other_capacity;
+  return hbw_rendezvous_weight (member->identity, key)
+         > hbw_rendezvous_weight (other->identity, key);
+}
+
+const HbwMemberUpdate *
+hbw_membership_find_relay (HbwMembership *membership, const char *data_centre,
+                           const char *key)
+{
+  const HbwMemberUpdate *best = NULL;
+  for (guint i = 0; i <= membership->probe_order->len; i++)
+    {
+      const HbwMemberUpdate *info = &membership->self;
+      if (i > 0)
+        info = &((HbwMember *) membership->probe_order->pdata[i - 1])->info;
+      if (is_owner_candidate (info, data_centre)
+          && (best == NULL || is_better_relay (info, best, key)))
+        best = info;
+    }
+  return best;
+}
+
 typedef struct
 {
   guint64 identity;
@@ -88,6 +124,12 @@
   return count;
 }
 
+guint
+hbw_membership_link_mbps (const HbwMembership *membership)
+{
+  return membership->self.link_mbps;
+}
+
 guint
 hbw_membership_seed_position (const HbwMembership *membership)
 {
--- a/include/hornbeamwall/core/load_route.h
+++ b/include/hornbeamwall/core/load_route.h
@@ -1,8 +1,9 @@
 /*
  * load_route - selects the instances to which loads on servers are sent
  *
- * A small fleet needs no relays.  In a larger one, each data centre has one, the
- * owner of a key by rendezvous hashing over its live instances.
+ * A small fleet needs no relays.  In a larger one, each data centre has one: a live
+ * instance with the largest link and processor share, as a relay sends some hundred
+ * times as much as the others.
  */
 #ifndef HORNBEAMWALL_CORE_LOAD_ROUTE_H
 #define HORNBEAMWALL_CORE_LOAD_ROUTE_H
@@ -15,6 +16,7 @@
   gboolean is_direct;
   guint64 relay;         /* of this data centre, unless direct */
   GArray *remote_relays; /* guint64, of the other data centres, unless direct */
+  guint slowdown;        /* multiple of the interval of messages */
   guint receivers; /* instances of the fleet if direct, else of the data centre */
 } HbwLoadRoute;
 
--- a/include/hornbeamwall/core/membership.h
+++ b/include/hornbeamwall/core/membership.h
@@ -85,6 +85,17 @@
 guint64 hbw_membership_find_owner (HbwMembership *membership,
                                    const char *data_centre, const char *key);
 
+/* Returns the live instance of DATA_CENTRE (borrowed, until a member changes) that
+   relays messages for the others there, or NULL: the one with the largest product of
+   link and processor share, and of several the owner of KEY. */
+const HbwMemberUpdate *hbw_membership_find_relay (HbwMembership *membership,
+                                                  const char *data_centre,
+                                                  const char *key);
+
+/* Returns the bandwidth of this instance's machine, in Mbit/s; 0 if it is not known.
+ */
+guint hbw_membership_link_mbps (const HbwMembership *membership);
+
 /* Fills IDENTITIES with at most MAX live instances of DATA_CENTRE (NULL: of all),
    first those with the addresses of the seeds if SEEDS_FIRST, in the order of the
    settings, then the others by rendezvous hashing for KEY.  Returns their number. */
--- a/include/hornbeamwall/core/message.h
+++ b/include/hornbeamwall/core/message.h
@@ -44,7 +44,9 @@
   char name[HBW_NAME_MAX];
   char data_centre[HBW_NAME_MAX];
   char address[HBW_ADDRESS_MAX];
-  guint16 tunnel_port; /* where it accepts tunnels; 0: it does not */
+  guint16 tunnel_port;       /* where it accepts tunnels; 0: it does not */
+  guint32 link_mbps;         /* bandwidth of its machine, in Mbit/s; 0: not known */
+  guint32 processor_percent; /* of one core that it may use; 0: not known */
   HbwMemberState state;
   guint32 incarnation; /* incremented by the instance to refute a suspicion */
 } HbwMemberUpdate;
--- a/include/hornbeamwall/runtime/settings.h
+++ b/include/hornbeamwall/runtime/settings.h
@@ -47,7 +47,9 @@
   HbwRetryLimits retry_limits;
   gint64 max_revocation_delay_us; /* until a revoked key is refused; 0 is no bound */
   gboolean load_in_responses;     /* servers report their load in each response */
-  gint64 stop_grace_us; /* from the stop signal until the process is killed */
+  guint link_mbps;         /* bandwidth of the machine, in Mbit/s; 0: not known */
+  guint processor_percent; /* of one core that it may use; 0: not known */
+  gint64 stop_grace_us;    /* from the stop signal until the process is killed */
 } HbwSettings;
 
 /* Reads and validates the file at PATH.  If it is not valid, returns NULL and sets
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -40,7 +40,7 @@
 static void
 pack_member (msgpack_packer *packer, const HbwMemberUpdate *member)
 {
-  msgpack_pack_array (packer, 7);
+  msgpack_pack_array (packer, 9);
   msgpack_pack_uint64 (packer, member->identity);
   pack_text (packer, member->name);
   pack_text (packer, member->data_centre);
@@ -48,6 +48,8 @@
   msgpack_pack_uint8 (packer, (guint8) member->state);
   msgpack_pack_uint32 (packer, member->incarnation);
   msgpack_pack_uint16 (packer, member->tunnel_port);
+  msgpack_pack_uint32 (packer, member->link_mbps);
+  msgpack_pack_uint32 (packer, member->processor_percent);
 }
 
 static void
--- a/net/codec_unpack.c
+++ b/net/codec_unpack.c
@@ -123,6 +123,13 @@
   if (!inner.failed && inner.next < inner.count) /* older versions do not send it */
     member->tunnel_port
         = (guint16) hbw_field_reader_unpack_uint (&inner, G_MAXUINT16);
+  if (!inner.failed && inner.next + 1 < inner.count)
+    {
+      member->link_mbps
+          = (guint32) hbw_field_reader_unpack_uint (&inner, G_MAXUINT32);
+      member->processor_percent
+          = (guint32) hbw_field_reader_unpack_uint (&inner, G_MAXUINT32);
+    }
   reader->failed |= inner.failed || member->identity == 0;
 }
 
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -379,6 +379,8 @@
   HbwHostPort tunnel;
   if (hbw_address_parse (settings->tunnel_address, &tunnel))
     config.self.tunnel_port = (guint16) tunnel.port;
+  config.self.link_mbps = settings->link_mbps;
+  config.self.processor_percent = settings->processor_percent;
   config.stores_suspects = TRUE;
   g_strlcpy (config.self.name, settings->name, sizeof config.self.name);
   g_strlcpy (config.self.data_centre, settings->data_centre,
--- a/runtime/settings.c
+++ b/runtime/settings.c
@@ -20,6 +20,8 @@
 #define CALLER_TIMEOUT_DEFAULT_S 60
 #define CALLER_TIMEOUT_MAX_S 86400
 #define RETRY_EXTRA_MAX 1000000
+#define LINK_MAX_MBPS 1000000
+#define PROCESSOR_MAX_CORES 1024
 
 static gboolean
 is_address (const char *text)
@@ -158,6 +160,13 @@
       = read_duration (reader, "revocation_ms", HBW_US_PER_MS, 0, 0);
   settings->stop_grace_us
       = read_duration (reader, "stop_grace_s", HBW_US_PER_S, 0, 0);
+  settings->link_mbps
+      = (guint) hbw_json_reader_real (reader, "link_mbps", 0, LINK_MAX_MBPS, 0);
+  settings->processor_percent
+      = (guint) (100
+                     * hbw_json_reader_real (reader, "processor_cores", 0,
+                                             PROCESSOR_MAX_CORES, 0)
+                 + 0.5);
   HbwRetryLimits *limits = &settings->retry_limits;
   limits->percent
       = (guint) (100 * hbw_json_reader_real (reader, "retry_ratio", 0, 1, 0.1)
--- a/tests/capacity.c
+++ b/tests/capacity.c
@@ -42,6 +42,7 @@
 {
   World *world = world_create (1, "owner");
   const WorldLink link = { .local_us = 1000, .remote_us = 5000, .jitter_us = 500 };
+  const WorldMachine machine = { 0 };
   char *text = g_strdup_printf (catalogue_format, requests_per_s);
   world_set_link (world, &link);
   world_set_cost_measurement (world, TRUE);
@@ -51,7 +52,7 @@
     {
       char name[16];
       g_snprintf (name, sizeof name, "dublin-%u-", i);
-      world_add_instances (world, name, instances_per_data_centre);
+      world_add_instances (world, name, instances_per_data_centre, &machine);
       world_add_servers (world, "assistant-pool", name, servers_per_data_centre,
                          slots, 80 * HBW_US_PER_MS, 40 * HBW_US_PER_MS, "");
     }
--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -100,7 +100,12 @@
 static gboolean
 apply_instances (World *world, const Line *line, guint seed G_GNUC_UNUSED)
 {
-  world_add_instances (world, line->argv[1], count_option (line, "count", "1"));
+  const WorldMachine machine = {
+    .link_mbps = count_option (line, "link", "0"),
+    .processor_percent = (guint) (100 * number_option (line, "cores", "0")),
+  };
+  world_add_instances (world, line->argv[1], count_option (line, "count", "1"),
+                       &machine);
   return TRUE;
 }
 
@@ -157,6 +162,7 @@
   prompt->shared_count = count_option (line, "of", "0");
   prompt->first_part = (guint64) prompt->shared_tokens * PARTS_PER_LENGTH_MAX + 1;
   range_option (line, "own", "1", &prompt->own_min, &prompt->own_max);
+  prompt->spread = number_option (line, "spread", "1");
 }
 
 static gboolean
@@ -451,6 +457,8 @@
     return world_rollout_quantile_s (world, 0.99);
   if (strcmp (subject, "messages") == 0 && strcmp (quantity, "rate") == 0)
     return world_message_rate (world);
+  if (strcmp (subject, "messages") == 0 && strcmp (quantity, "wait") == 0)
+    return world_longest_message_wait_s (world);
   if (strcmp (subject, "comparisons") == 0 && strcmp (quantity, "request") == 0)
     return world_comparisons_per_request (world);
   const GPtrArray *classes = world_classes (world);
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -16,6 +16,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <xxhash.h>
 
 #define TICK_US (25 * HBW_US_PER_MS)
 #define STORE_POLL_US (300 * HBW_US_PER_MS)
@@ -59,6 +60,10 @@
 /* Default time until a server that failed because of a poison request restarts. */
 #define POISON_RESTART_US (15 * HBW_US_PER_S)
 
+/* Processor time that a message between instances takes, and each KB of it. */
+#define MESSAGE_PROCESSOR_US 45
+#define KILOBYTE_PROCESSOR_US 15
+
 /* Stands before the number of upgrades in a server's id. */
 #define UPGRADE_SEPARATOR "."
 
@@ -77,6 +82,8 @@
   gint64 versions[HBW_DOCUMENT_COUNT]; /* last adopted */
   gboolean has_read;
   gboolean draining;
+  WorldMachine machine;
+  gint64 free_us; /* when its machine is done with all messages */
 } Instance;
 
 typedef struct
@@ -192,6 +199,7 @@
   gint64 poison_restart_us;    /* until a server restarts after a poison request */
   GHashTable *poison_failures; /* fingerprint -> number of servers made to fail */
   guint64 messages;
+  gint64 longest_message_wait_us;
   gboolean measure_cost;
   WorldCost cost;
   GArray *rollout_delays; /* gint64: delay from a change of the catalogue to each
@@ -1049,6 +1057,35 @@
   schedule_caller_retry (world, request);
 }
 
+static gsize
+count_encoded_bytes (const Instance *from, const HbwMessage *message)
+{
+  HbwFrame *frame = hbw_frame_create (from->identity);
+  hbw_frame_add (frame, message);
+  GBytes *bytes = hbw_frame_encode (frame);
+  gsize size = g_bytes_get_size (bytes);
+  g_bytes_unref (bytes);
+  hbw_frame_destroy (frame);
+  return size;
+}
+
+/* Keeps the machine of INSTANCE busy with a message that it sends or receives.
+   Returns when it is done, after those before it. */
+static gint64
+pass_machine (World *world, Instance *instance, const HbwMessage *message)
+{
+  const WorldMachine *machine = &instance->machine;
+  if (machine->processor_percent == 0)
+    return world->now_us;
+  gint64 bytes = (gint64) count_encoded_bytes (instance, message);
+  gint64 processor_us = MESSAGE_PROCESSOR_US + bytes * KILOBYTE_PROCESSOR_US / 1024;
+  gint64 starts_us = MAX (world->now_us, instance->free_us);
+  instance->free_us = starts_us + processor_us * 100 / machine->processor_percent;
+  world->longest_message_wait_us
+      = MAX (world->longest_message_wait_us, starts_us - world->now_us);
+  return instance->free_us;
+}
+
 static void
 deliver (World *world, void *data)
 {
@@ -1061,6 +1098,7 @@
           schedule (world, instance->paused_until_us, deliver, delivery);
           return;
         }
+      pass_machine (world, instance, &delivery->message);
       HbwEvent event = { .kind = HBW_EVENT_MESSAGE, .message = delivery->message };
       run_reducer (world, instance, &event);
     }
@@ -1069,20 +1107,16 @@
 }
 
 static void
-send_message (World *world, const Instance *from, const HbwSendMessage *send)
+send_message (World *world, Instance *from, const HbwSendMessage *send)
 {
   const WorldLink *link = &world->link;
   const Instance *to = find_instance (world, send->address);
   world->messages++;
+  gint64 sent_us = pass_machine (world, from, &send->message);
   if (world->measure_cost)
     {
-      HbwFrame *frame = hbw_frame_create (from->identity);
-      hbw_frame_add (frame, &send->message);
-      GBytes *bytes = hbw_frame_encode (frame);
-      world->cost.bytes += g_bytes_get_size (bytes);
+      world->cost.bytes += count_encoded_bytes (from, &send->message);
       world->cost.messages++;
-      g_bytes_unref (bytes);
-      hbw_frame_destroy (frame);
     }
   if (to == NULL || !can_reach (world, from, to))
     return;
@@ -1100,7 +1134,7 @@
       gint64 delay = remote ? link->remote_us : link->local_us;
       if (link->jitter_us > 0)
         delay += g_rand_int_range (world->random, 0, (gint32) link->jitter_us);
-      schedule (world, world->now_us + delay, deliver, delivery);
+      schedule (world, sent_us + delay, deliver, delivery);
     }
 }
 
@@ -1451,6 +1485,8 @@
   config.seed = g_rand_int (world->random);
   config.self.identity = instance->identity;
   config.self.tunnel_port = 2;
+  config.self.link_mbps = instance->machine.link_mbps;
+  config.self.processor_percent = instance->machine.processor_percent;
   g_strlcpy (config.self.name, instance->name, sizeof config.self.name);
   g_strlcpy (config.self.data_centre, instance->data_centre,
              sizeof config.self.data_centre);
@@ -1506,6 +1542,24 @@
   return NULL;
 }
 
+/* Returns the length of a shared part, the same for each of its requests. */
+static guint
+shared_part_tokens (const WorldPrompt *prompt, guint64 hash)
+{
+  double exponent = (double) (XXH3_64bits (&hash, sizeof hash) % 2001) / 1000 - 1;
+  return (guint) (prompt->shared_tokens * pow (prompt->spread, exponent));
+}
+
+static guint
+draw_own_tokens (const WorldPrompt *prompt, GRand *random)
+{
+  if (prompt->spread <= 1)
+    return (guint) g_rand_int_range (random, (gint32) prompt->own_min,
+                                     (gint32) prompt->own_max + 1);
+  return (guint) exp (g_rand_double_range (random, log (prompt->own_min),
+                                           log (prompt->own_max + 1)));
+}
+
 /* Draws the shared part of a prompt, and adds one of the request's own. */
 static void
 fill_prompt (World *world, const WorldLoad *load, HbwRequestSpec *spec)
@@ -1517,10 +1571,9 @@
       = (guint64) g_rand_int_range (load->random, 0, (gint32) prompt->shared_count);
   spec->part_count = 2;
   spec->parts[0].hash = prompt->first_part + shared;
-  spec->parts[0].tokens = prompt->shared_tokens;
+  spec->parts[0].tokens = shared_part_tokens (prompt, spec->parts[0].hash);
   spec->parts[1].hash = OWN_PARTS_MIN + world->last_sequence;
-  spec->parts[1].tokens = (guint) g_rand_int_range (
-      load->random, (gint32) prompt->own_min, (gint32) prompt->own_max + 1);
+  spec->parts[1].tokens = draw_own_tokens (prompt, load->random);
   spec->prompt_tokens = spec->parts[0].tokens + spec->parts[1].tokens;
   spec->prefix_hash = spec->parts[0].hash;
 }
@@ -2000,13 +2053,22 @@
 }
 
 void
-world_add_instances (World *world, const char *data_centre, guint count)
+world_add_instances (World *world, const char *data_centre, guint count,
+                     const WorldMachine *machine)
 {
+  guint number = 1;
+  for (guint i = 0; i < world->instances->len; i++)
+    {
+      const Instance *instance = world->instances->pdata[i];
+      number += strcmp (instance->data_centre, data_centre) == 0;
+    }
   for (guint i = 0; i < count; i++)
     {
       Instance *instance = g_new0 (Instance, 1);
       instance->index = world->instances->len;
-      g_snprintf (instance->name, sizeof instance->name, "%s%u", data_centre, i + 1);
+      instance->machine = *machine;
+      g_snprintf (instance->name, sizeof instance->name, "%s%u", data_centre,
+                  number + i);
       g_strlcpy (instance->data_centre, data_centre, sizeof instance->data_centre);
       g_snprintf (instance->address, sizeof instance->address, "10.0.%u.%u:1",
                   instance->index / 250, instance->index % 250 + 1);
@@ -2252,6 +2314,12 @@
   return world->poisoned_server_count;
 }
 
+double
+world_longest_message_wait_s (const World *world)
+{
+  return (double) world->longest_message_wait_us / HBW_US_PER_S;
+}
+
 double
 world_comparisons_per_request (const World *world)
 {
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -23,6 +23,13 @@
 
 typedef struct World World;
 
+/* What the machine of an instance offers. */
+typedef struct
+{
+  guint link_mbps;
+  guint processor_percent; /* of one core, for messages; 0: unlimited */
+} WorldMachine;
+
 /* Prompts of a shared part and one of the request's own. */
 typedef struct
 {
@@ -31,6 +38,8 @@
   guint shared_tokens;
   guint own_min; /* tokens of the own part */
   guint own_max;
+  double spread; /* largest ratio of the length of a shared part to the mean one, and
+                    back; 1: all have one length */
 } WorldPrompt;
 
 typedef struct
@@ -99,7 +108,8 @@
 void world_set_document (World *world, HbwDocumentKind kind, const char *body);
 
 /* Add instances, servers and loads, which start with world_run(). */
-void world_add_instances (World *world, const char *data_centre, guint count);
+void world_add_instances (World *world, const char *data_centre, guint count,
+                          const WorldMachine *machine);
 void world_add_servers (World *world, const char *pool, const char *data_centre,
                         guint count, guint slots, gint64 prefill_us, gint64 token_us,
                         const char *version);
@@ -194,6 +204,10 @@
 /* Returns the average number of messages that one instance sends per second. */
 double world_message_rate (const World *world);
 
+/* Returns for how many seconds a message waited at most for the processor of its
+   sender or receiver. */
+double world_longest_message_wait_s (const World *world);
+
 /* Returns how often a request is compared with all servers, on average. */
 double world_comparisons_per_request (const World *world);
 
