A failed server is looked up among the suspects that other instances run

Cause: each report that a server had refused a connection went through all suspects, up to 4,096, each time it was heard.

Change: suspects that another instance runs are listed. Metric suspects_searched_total.

report_of_a_failure_looks_at_suspects_that_run_only: the search looked at all suspects before (by reading; the count is new).

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -27,6 +27,7 @@
 remove_suspect (HbwQuarantine *quarantine, HbwSuspect *suspect)
 {
   hbw_suspect_close (quarantine, suspect);
+  cds_list_del (&suspect->running_link);
   quarantine->quarantined_parts
       -= hbw_suspect_is_part (suspect) && hbw_suspect_is_quarantined (suspect);
   if (suspect->transmits_left > 0)
@@ -75,6 +76,7 @@
   HbwSuspect *suspect
       = g_malloc0 (sizeof *suspect + record_max * sizeof suspect->records[0]);
   suspect->fingerprint = *fingerprint;
+  CDS_INIT_LIST_HEAD (&suspect->running_link);
   cds_list_add_tail (&suspect->link, &quarantine->by_age);
   g_hash_table_insert (quarantine->suspects, &suspect->fingerprint, suspect);
   return suspect;
@@ -124,6 +126,7 @@
   quarantine->suspects
       = g_hash_table_new_full (fingerprint_hash, fingerprint_equal, NULL, g_free);
   CDS_INIT_LIST_HEAD (&quarantine->by_age);
+  CDS_INIT_LIST_HEAD (&quarantine->run_by_peers);
   CDS_INIT_LIST_HEAD (&quarantine->held);
   CDS_INIT_LIST_HEAD (&quarantine->held_parts);
   quarantine->unsent_clearings
@@ -532,6 +535,12 @@
   return g_hash_table_size (quarantine->suspects);
 }
 
+guint64
+hbw_quarantine_searched_count (const HbwQuarantine *quarantine)
+{
+  return quarantine->searched_count;
+}
+
 guint64
 hbw_quarantine_evicted_count (const HbwQuarantine *quarantine)
 {
--- a/core/quarantine_lost.c
+++ b/core/quarantine_lost.c
@@ -62,22 +62,32 @@
     failure->suspended_until_us = MAX (failure->suspended_until_us, until_us);
 }
 
+static void
+note_ended (HbwQuarantine *quarantine, HbwSuspect *suspect, guint64 server,
+            gint64 ended_us, gint64 now_us)
+{
+  for (guint i = 0; may_become_held (suspect) && i < HBW_SUSPECT_PEERS_MAX; i++)
+    {
+      HbwPeerActivity *peer = &suspect->peers[i];
+      if (peer->server != server || peer->since_us > ended_us || peer->is_lost
+          || !is_running (quarantine, suspect, peer, now_us))
+        continue;
+      if (peer->server_ended_us == 0)
+        peer->server_ended_us = ended_us;
+      suspend_decisions (quarantine, server, peer->heard_us + SUSPENSION_US);
+    }
+}
+
 void
 hbw_quarantine_note_server_ended (HbwQuarantine *quarantine, guint64 server,
                                   gint64 ended_us, gint64 now_us)
 {
   HbwSuspect *suspect;
-  cds_list_for_each_entry (suspect, &quarantine->by_age, link)
-    for (guint i = 0; may_become_held (suspect) && i < HBW_SUSPECT_PEERS_MAX; i++)
-      {
-        HbwPeerActivity *peer = &suspect->peers[i];
-        if (peer->server != server || peer->since_us > ended_us || peer->is_lost
-            || !is_running (quarantine, suspect, peer, now_us))
-          continue;
-        if (peer->server_ended_us == 0)
-          peer->server_ended_us = ended_us;
-        suspend_decisions (quarantine, server, peer->heard_us + SUSPENSION_US);
-      }
+  cds_list_for_each_entry (suspect, &quarantine->run_by_peers, running_link)
+    {
+      quarantine->searched_count++;
+      note_ended (quarantine, suspect, server, ended_us, now_us);
+    }
 }
 
 static gboolean
@@ -174,7 +184,7 @@
     return;
   const Visit visit = { context, checks, topology,
                         g_array_new (FALSE, FALSE, sizeof (HbwSilentAttempt)) };
-  cds_list_for_each_entry (suspect, &context->quarantine->by_age, link)
+  cds_list_for_each_entry (suspect, &context->quarantine->run_by_peers, running_link)
     visit_suspect (&visit, suspect);
   for (guint i = 0; i < visit.failed->len; i++)
     {
--- a/core/quarantine_report.c
+++ b/core/quarantine_report.c
@@ -19,8 +19,20 @@
 }
 
 static void
-merge_activity (HbwSuspect *suspect, guint64 from, const HbwSuspicionReport *report,
-                gint64 now_us)
+track_running (HbwQuarantine *quarantine, HbwSuspect *suspect)
+{
+  gboolean is_run = FALSE;
+  for (guint i = 0; i < HBW_SUSPECT_PEERS_MAX; i++)
+    is_run |= suspect->peers[i].activity == HBW_SUSPECT_RUNNING;
+  if (!is_run)
+    cds_list_del_init (&suspect->running_link);
+  else if (cds_list_empty (&suspect->running_link))
+    cds_list_add_tail (&suspect->running_link, &quarantine->run_by_peers);
+}
+
+static void
+merge_activity (HbwQuarantine *quarantine, HbwSuspect *suspect, guint64 from,
+                const HbwSuspicionReport *report, gint64 now_us)
 {
   HbwPeerActivity *peer = find_peer_slot (suspect, from, now_us);
   if (peer == NULL)
@@ -33,6 +45,7 @@
   peer->activity = report->activity;
   peer->server = report->running_server_hash;
   peer->heard_us = now_us;
+  track_running (quarantine, suspect);
 }
 
 /* Dismisses FAILURE for the parts that were charged with it. */
@@ -145,7 +158,7 @@
                                 now_us - report->completed_ago_us, now_us);
   for (guint i = 0; i < report->failure_count; i++)
     added += merge_failure (quarantine, suspect, &report->failures[i], now_us);
-  merge_activity (suspect, from, report, now_us);
+  merge_activity (quarantine, suspect, from, report, now_us);
   merge_parts (quarantine, suspect, report, now_us);
   if (hbw_suspect_is_part (suspect))
     hbw_quarantine_merge_part (quarantine, suspect, report, now_us);
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -629,9 +629,11 @@
       text,
       "hornbeamwall_suspects %u\n"
       "hornbeamwall_suspects_evicted_total %" G_GUINT64_FORMAT "\n"
+      "hornbeamwall_suspects_searched_total %" G_GUINT64_FORMAT "\n"
       "hornbeamwall_servers_limited %u\n"
       "hornbeamwall_stream_versions %u\n",
       hbw_quarantine_size (quarantine), hbw_quarantine_evicted_count (quarantine),
+      hbw_quarantine_searched_count (quarantine),
       hbw_server_notices_count_limited (reducer->context.server_notices),
       hbw_stream_versions_count (reducer->context.stream_versions));
 }
--- a/include/hornbeamwall/core/quarantine.h
+++ b/include/hornbeamwall/core/quarantine.h
@@ -273,6 +273,9 @@
 
 guint hbw_quarantine_size (const HbwQuarantine *quarantine);
 
+/* Returns how many entries were looked at so far because a server had ended. */
+guint64 hbw_quarantine_searched_count (const HbwQuarantine *quarantine);
+
 /* Returns how many entries were replaced because the table was full. */
 guint64 hbw_quarantine_evicted_count (const HbwQuarantine *quarantine);
 
--- a/include/hornbeamwall/core/quarantine_state.h
+++ b/include/hornbeamwall/core/quarantine_state.h
@@ -97,9 +97,10 @@
   HbwPeerActivity peers[HBW_SUSPECT_PEERS_MAX];
   gint64 expire_at_us;
   gboolean is_stored; /* the platform's store has these failures and this verdict */
-  struct cds_list_head held_link;   /* in quarantine->held or ->held_parts */
-  gboolean is_in_held;              /* it has as many failures as a verdict needs */
-  struct cds_list_head unsent_link; /* in quarantine->unsent, if transmits_left */
+  struct cds_list_head running_link; /* in quarantine->run_by_peers, or alone */
+  struct cds_list_head held_link;    /* in quarantine->held or ->held_parts */
+  gboolean is_in_held;               /* it has as many failures as a verdict needs */
+  struct cds_list_head unsent_link;  /* in quarantine->unsent, if transmits_left */
   guint transmits_left;
   gint64 next_transmit_us;
   HbwFailureRecord records[]; /* hbw_suspect_record_max() */
@@ -118,6 +119,8 @@
   gboolean has_peers;
   GHashTable *suspects; /* HbwFingerprint -> HbwSuspect */
   struct cds_list_head by_age;
+  struct cds_list_head run_by_peers; /* suspects that another instance runs */
+  guint64 searched_count;            /* of them, so far, when a server had ended */
   struct cds_list_head held; /* suspects with HBW_QUARANTINE_FAILURES_MIN failures */
   guint held_count;
   struct cds_list_head held_parts; /* with HBW_PART_FAILURES_MIN failures */
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -1595,6 +1595,38 @@
 }
 END_TEST
 
+/* Reports that SUSPECT has failed the server 7, by an instance that runs it on the
+   server RUNNING, if that is not 0. */
+static void
+merge_refused_failure (HbwQuarantine *quarantine, guint suspect, guint64 running)
+{
+  const HbwFailureReport failure
+      = { .id = suspect, .server_hash = 7, .is_refused = TRUE };
+  HbwSuspicionReport report = { .fingerprint = { 0, suspect },
+                                .remaining_us = 60 * HBW_US_PER_S,
+                                .completed_ago_us = -1,
+                                .failure_count = 1 };
+  report.failures[0] = failure;
+  report.activity = running != 0 ? HBW_SUSPECT_RUNNING : HBW_SUSPECT_WAITING;
+  report.running_server_hash = running;
+  hbw_quarantine_merge (quarantine, 5, &report, 10 * HBW_US_PER_S);
+}
+
+/* Many servers that fail at once leave hundreds of suspects, and each is reported
+   several times by each instance that has it. */
+START_TEST (report_of_a_failure_looks_at_suspects_that_run_only)
+{
+  HbwQuarantine *quarantine = hbw_quarantine_create (1);
+  for (guint i = 1; i <= 300; i++)
+    merge_refused_failure (quarantine, i, 0);
+  ck_assert_uint_eq (hbw_quarantine_searched_count (quarantine), 0);
+  merge_refused_failure (quarantine, 301, 8);
+  merge_refused_failure (quarantine, 302, 0);
+  ck_assert_uint_eq (hbw_quarantine_searched_count (quarantine), 1);
+  hbw_quarantine_destroy (quarantine);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -1645,5 +1677,7 @@
   tcase_add_test (tests, silent_watcher_is_replaced_within_a_second);
   tcase_add_test (tests, watcher_with_another_catalogue_confirms_nothing);
   suite_add_tcase (suite, tests);
+  suite_add_test (suite, "report_of_a_failure_looks_at_suspects_that_run_only",
+                  report_of_a_failure_looks_at_suspects_that_run_only);
   return suite_run (suite);
 }
