Requests that wait are compared at intervals that grow with the servers; suspects too

A suspect that finds no server was compared with all of them at each event, and each comparison counts the servers before each server.

--- a/core/policy_direct.c
+++ b/core/policy_direct.c
@@ -9,8 +9,9 @@
 
 #include <string.h>
 
-/* How often a request that waits for a server is compared with all of them. */
-#define COMPARISON_INTERVAL_US (100 * HBW_US_PER_MS)
+/* A request that waits is compared with all servers at intervals that grow by this
+   for each of them. */
+#define COMPARISON_INTERVAL_US 500
 
 typedef struct
 {
@@ -115,10 +116,13 @@
 is_comparison_due (const HbwShard *shard, const HbwContext *context,
                    const HbwTicket *ticket)
 {
+  const HbwRequestSpec *spec = &ticket->want.spec;
   const HbwServer *awaited
       = hbw_shard_find_server_by_hash (shard, ticket->awaited_server);
-  return awaited == NULL || context->now_us >= ticket->next_comparison_us
-         || hbw_placement_has_slot (context, &ticket->want.spec, awaited);
+  if (context->now_us >= ticket->next_comparison_us)
+    return TRUE;
+  return awaited != NULL ? hbw_placement_has_slot (context, spec, awaited)
+                         : !hbw_shard_is_suspect (context, spec);
 }
 
 HbwServer *
@@ -128,7 +132,8 @@
   const HbwGrantRequest *want = &ticket->want;
   if (!is_comparison_due (shard, context, ticket))
     return NULL;
-  ticket->next_comparison_us = context->now_us + COMPARISON_INTERVAL_US;
+  ticket->next_comparison_us
+      = context->now_us + (gint64) shard->servers->len * COMPARISON_INTERVAL_US;
   hbw_prompt_partition_update (shard, context->now_us);
   Selection selection = { .shard = shard, .context = context, .want = want };
   selection.placement
--- a/include/hornbeamwall/core/queue.h
+++ b/include/hornbeamwall/core/queue.h
@@ -37,7 +37,7 @@
   gint64 latest_start_us; /* a later start probably misses the deadline; 0 is none */
   gboolean late;          /* expected to miss its target */
   guint64 awaited_server; /* hash of the full server that it waits for; 0: none */
-  gint64 next_comparison_us; /* with all servers, while it waits for one */
+  gint64 next_comparison_us; /* with all servers */
 } HbwTicket;
 
 /* Returns whether TICKET may be selected now.  May record what it waits for. */
