A path on which connections are accepted and nothing is answered is left

Cause: an accepted connection ended the doubt about a path, and a single silent server raised none. An instance on such a path answered each request with 504 at its time limit.

Change: silence of two requests raises the doubt, at two servers or in turn; if it was silence, only bytes from a server end it. Two answers through tunnels and a second of silence show that the path is lost; then a request that may be repeated tries it each second (core/server_path.c).

--- a/core/ingress_path.c
+++ b/core/ingress_path.c
@@ -9,7 +9,8 @@
                          HbwStartAttempt *start)
 {
   HbwPathChoice choice;
-  hbw_server_path_choose (context->server_path, context, &choice);
+  hbw_server_path_choose (context->server_path, context, request->spec.idempotent,
+                          &choice);
   request->tunnel_peer = choice.peer;
   start->opened_since_us = choice.opened_since_us;
   g_strlcpy (start->tunnel_address, choice.address, sizeof start->tunnel_address);
@@ -62,9 +63,10 @@
 }
 
 /* Returns the number of servers, up to HBW_PATH_SERVERS_MIN, at which attempts have
-   been in progress for HBW_PATH_SILENT_US. */
+   been in progress for HBW_PATH_SILENT_US, and sets SEQUENCE to that of one. */
 static guint
-count_waited_for (const HbwContext *context, const struct cds_list_head *requests)
+count_waited_for (const HbwContext *context, const struct cds_list_head *requests,
+                  guint64 *sequence)
 {
   const HbwRequest *first = NULL;
   const HbwRequest *request;
@@ -77,6 +79,7 @@
         first = request;
       else if (strcmp (first->server, request->server) != 0)
         return HBW_PATH_SERVERS_MIN;
+      *sequence = first->sequence;
     }
   return first != NULL ? 1 : 0;
 }
@@ -87,7 +90,10 @@
 {
   HbwServerPath *path = context->server_path;
   if (hbw_server_path_state (path) == HBW_PATH_DIRECT)
-    hbw_server_path_handle_waiting (path, context,
-                                    count_waited_for (context, requests));
+    {
+      guint64 sequence = 0;
+      guint count = count_waited_for (context, requests, &sequence);
+      hbw_server_path_handle_waiting (path, context, sequence, count);
+    }
   hbw_server_path_tick (path, context, topology);
 }
--- a/tests/standin/proxy.c
+++ b/tests/standin/proxy.c
@@ -63,7 +63,8 @@
   if (client < 0)
     return;
   guint source = ntohl (address.sin_addr.s_addr) % SOURCES_MAX;
-  if (atomic_load (&proxy->cuts[source]) != PROXY_PASS)
+  int cut = atomic_load (&proxy->cuts[source]);
+  if (cut != PROXY_PASS && cut != PROXY_ABSORB)
     {
       const struct linger linger = { 1, 0 };
       setsockopt (client, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
@@ -102,7 +103,7 @@
   if (count <= 0)
     return count == 0 && !connection->is_torn ? PROXY_CONNECTION_CLOSED
                                               : PROXY_CONNECTION_RESET;
-  gboolean dropped = mode == PROXY_DROP_ALL
+  gboolean dropped = mode == PROXY_DROP_ALL || mode == PROXY_ABSORB
                      || (mode == PROXY_DROP_FROM_CLIENT && from == 0)
                      || (mode == PROXY_DROP_FROM_SERVER && from == 1);
   if (mode == PROXY_DELAY)
--- a/tests/standin/proxy.h
+++ b/tests/standin/proxy.h
@@ -14,6 +14,7 @@
   PROXY_DROP_FROM_CLIENT, /* drop data from the client */
   PROXY_DROP_FROM_SERVER, /* drop data from the server */
   PROXY_DROP_ALL,         /* drop data in both directions */
+  PROXY_ABSORB,           /* the same; a cut accepts new connections */
   /* A connection that has lost data ends with a reset: nothing follows it. */
   PROXY_MODE_COUNT,
 } ProxyMode;
@@ -31,7 +32,7 @@
 void proxy_set_mode (Proxy *proxy, ProxyMode mode);
 
 /* Sets the mode for the connections of clients whose IP address ends with SOURCE;
-   unless it is PROXY_PASS, their new connections are reset. */
+   unless it is PROXY_PASS or PROXY_ABSORB, their new connections are reset. */
 void proxy_set_cut (Proxy *proxy, guint source, ProxyMode mode);
 
 /* Changes the port to which new connections are forwarded. */
--- a/tests/tunnel_test.c
+++ b/tests/tunnel_test.c
@@ -14,6 +14,9 @@
 
 #define REQUESTS 12
 
+/* Requests after which an instance knows of a change of its path. */
+#define SETTLING_REQUESTS 4
+
 /* Last byte of the IP address from which the instance without a path connects. */
 #define CUT_SOURCE 2
 
@@ -142,6 +145,37 @@
 }
 END_TEST
 
+/* Sends requests until the path is found lost or found again, and then some more.
+   Returns how many of the latter were served. */
+static guint
+count_served (const TunnelFixture *fixture, const char *prefix)
+{
+  guint served = 0;
+  for (guint i = 0; i < SETTLING_REQUESTS + REQUESTS; i++)
+    {
+      char *path = g_strdup_printf ("/safe/%s%u/ok", prefix, i);
+      RawResponse response
+          = platform_fixture_post (fixture->cut, path, API_KEY_FIELD, "body");
+      served += i >= SETTLING_REQUESTS && response.status == 200;
+      g_free (response.text);
+      g_free (path);
+    }
+  return served;
+}
+
+START_TEST (path_that_accepts_and_never_answers_is_left)
+{
+  TunnelFixture fixture = tunnel_fixture_create ();
+  tunnel_fixture_cut (&fixture, PROXY_ABSORB);
+  guint served = count_served (&fixture, "cut");
+  tunnel_fixture_cut (&fixture, PROXY_PASS);
+  guint served_again = count_served (&fixture, "whole");
+  tunnel_fixture_destroy (&fixture);
+  ck_assert_uint_eq (served, REQUESTS);
+  ck_assert_uint_eq (served_again, REQUESTS);
+}
+END_TEST
+
 /* Returns what the peer answers to TEXT at its tunnel address; '\0' if it closes. */
 static char
 ask_for_tunnel (const TunnelFixture *fixture, const char *text)
@@ -181,6 +215,8 @@
                   requests_without_a_path_go_through_another_instance);
   suite_add_test (suite, "response_that_breaks_in_a_tunnel_is_not_whole",
                   response_that_breaks_in_a_tunnel_is_not_whole);
+  suite_add_test (suite, "path_that_accepts_and_never_answers_is_left",
+                  path_that_accepts_and_never_answers_is_left);
   suite_add_test (suite, "tunnels_lead_to_listed_servers_only",
                   tunnels_lead_to_listed_servers_only);
   return suite_run (suite);
