--- a/core/quarantine_lost.c
+++ b/core/quarantine_lost.c
@@ -66,10 +66,11 @@
 note_ended (HbwQuarantine *quarantine, HbwSuspect *suspect, guint64 server,
             gint64 ended_us, gint64 now_us)
 {
-  for (guint i = 0; may_become_held (suspect) && i < HBW_SUSPECT_PEERS_MAX; i++)
+  for (guint i = 0; i < HBW_SUSPECT_PEERS_MAX; i++)
     {
       HbwPeerActivity *peer = &suspect->peers[i];
       if (peer->server != server || peer->since_us > ended_us || peer->is_lost
+          || !may_become_held (suspect)
           || !is_running (quarantine, suspect, peer, now_us))
         continue;
       if (peer->server_ended_us == 0)
@@ -78,6 +79,17 @@
     }
 }
 
+/* Returns whether no instance has reported lately that it runs the suspect. */
+static gboolean
+is_out_of_date (const HbwSuspect *suspect, gint64 now_us)
+{
+  for (guint i = 0; i < HBW_SUSPECT_PEERS_MAX; i++)
+    if (suspect->peers[i].activity == HBW_SUSPECT_RUNNING
+        && now_us - suspect->peers[i].heard_us < REPORT_AGE_MAX_US)
+      return FALSE;
+  return TRUE;
+}
+
 void
 hbw_quarantine_note_server_ended (HbwQuarantine *quarantine, guint64 server,
                                   gint64 ended_us, gint64 now_us)
@@ -180,12 +192,17 @@
     void (*handle_suspect) (const HbwSilentAttempt *attempt, void *data), void *data)
 {
   HbwSuspect *suspect;
+  HbwSuspect *next;
   if (!hbw_suspect_share_is_complete (context->suspect_share))
     return;
   const Visit visit = { context, checks, topology,
                         g_array_new (FALSE, FALSE, sizeof (HbwSilentAttempt)) };
-  cds_list_for_each_entry (suspect, &context->quarantine->run_by_peers, running_link)
-    visit_suspect (&visit, suspect);
+  cds_list_for_each_entry_safe (suspect, next, &context->quarantine->run_by_peers,
+                                running_link)
+    if (is_out_of_date (suspect, context->now_us))
+      cds_list_del_init (&suspect->running_link);
+    else
+      visit_suspect (&visit, suspect);
   for (guint i = 0; i < visit.failed->len; i++)
     {
       const HbwSilentAttempt *attempt
