--- a/scripts/build-release.sh
+++ b/scripts/build-release.sh
@@ -3,5 +3,5 @@
 # empty or an existing build directory.
 set -eu
 cd "$(dirname "$0")/.."
-test -f "$1/build.ninja" || meson setup "$1" --buildtype=release -Dtests=false >/dev/null
+test -f "$1/build.ninja" || meson setup "$1" --buildtype=release -Db_lto=true -Dtests=false >/dev/null
 ninja -C "$1"
