Unread messages of other instances do not keep the buffers they arrived in

Cause: ZeroMQ hands out messages inside its receive buffer, which has 18 KB, and takes a new one as long as a message in it is unread. While the processor of an instance was busy, each message of some 50 bytes that waited kept 18 KB.

Change: messages are copied out of the buffer (net/peer_transport.c).

--- a/net/peer_transport.c
+++ b/net/peer_transport.c
@@ -17,6 +17,9 @@
 /* Size from which a frame is sent without waiting for the flush, in bytes. */
 #define FRAME_FLUSH_SIZE 65536
 
+/* ZMQ_ZERO_COPY_RECV, which the header of the library has among its drafts only. */
+#define ZERO_COPY_OPTION 10
+
 /* Frames that are received per call, so that other work is not starved. */
 #define RECEIVE_BATCH 256
 
@@ -96,6 +99,9 @@
   transport->links
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, link_free);
   transport->zmq = zmq_ctx_new ();
+  /* Each unread message would keep a receive buffer of 18 KB, however short it is.
+   */
+  zmq_ctx_set (transport->zmq, ZERO_COPY_OPTION, 0);
   transport->router = zmq_socket (transport->zmq, ZMQ_ROUTER);
   int linger = 0;
   gint64 max_size = HBW_FRAME_MAX;
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -8,9 +8,11 @@
 #include "hornbeamwall/net/event_stream.h"
 #include "hornbeamwall/net/http_parser.h"
 #include "hornbeamwall/net/loop.h"
+#include "hornbeamwall/net/peer_transport.h"
 #include "hornbeamwall/net/upstream.h"
 
 #include <netinet/in.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -486,6 +488,49 @@
 }
 END_TEST
 
+/* Peers, the messages of each that are not read yet, and the memory for all. */
+#define SENDERS 8
+#define UNREAD_MESSAGES 800
+#define UNREAD_BYTES_MAX (8 * 1024 * 1024)
+
+static gsize
+count_resident_bytes (void)
+{
+  long total = 0;
+  long resident = 0;
+  FILE *file = fopen ("/proc/self/statm", "r");
+  ck_assert_ptr_nonnull (file);
+  ck_assert_int_eq (fscanf (file, "%ld %ld", &total, &resident), 2);
+  fclose (file);
+  return (gsize) resident * (gsize) sysconf (_SC_PAGESIZE);
+}
+
+/* The messages of hundreds of peers wait while the processor is busy. */
+START_TEST (unread_peer_messages_take_little_memory)
+{
+  HbwError error = { HBW_ERROR_NONE, "" };
+  HbwPeerTransport *to = hbw_peer_transport_create ("127.0.0.1:0", 1, &error);
+  HbwPeerTransport *from[SENDERS];
+  const HbwMessage message = { .kind = HBW_MESSAGE_LOADS, .loads.load_count = 8 };
+  for (guint i = 0; i < SENDERS; i++)
+    from[i] = hbw_peer_transport_create ("127.0.0.1:0", 2 + i, &error);
+  gsize before = count_resident_bytes ();
+  for (guint i = 0; i < SENDERS * UNREAD_MESSAGES; i++)
+    {
+      HbwPeerTransport *peer = from[i % SENDERS];
+      hbw_peer_transport_post (peer, hbw_peer_transport_address (to), &message);
+      hbw_peer_transport_flush (peer, 0);
+      g_usleep (50); /* so that they arrive one by one */
+    }
+  g_usleep (100000);
+  gsize after = count_resident_bytes ();
+  for (guint i = 0; i < SENDERS; i++)
+    hbw_peer_transport_destroy (from[i]);
+  hbw_peer_transport_destroy (to);
+  ck_assert_uint_le (after - MIN (before, after), UNREAD_BYTES_MAX);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -502,6 +547,8 @@
                   response_to_half_a_request_is_read_before_the_reset);
   suite_add_test (suite, "server_connection_idle_for_too_long_is_not_reused",
                   server_connection_idle_for_too_long_is_not_reused);
+  suite_add_test (suite, "unread_peer_messages_take_little_memory",
+                  unread_peer_messages_take_little_memory);
   suite_add_test (suite, "idle_connections_to_all_servers_are_bounded",
                   idle_connections_to_all_servers_are_bounded);
   return suite_run (suite);
