A lost path is tried with requests only that may be sent again

The trial of a silent path may get no answer; a request with one attempt would be lost with it. Found when the change was read. tunnel, decision, core and golden tests run after it.

--- a/core/ingress_path.c
+++ b/core/ingress_path.c
@@ -4,12 +4,19 @@
 
 #include <string.h>
 
+/* Returns whether the request may run again if its attempt gets no answer. */
+static gboolean
+may_try_again (const HbwRequest *request)
+{
+  return request->spec.idempotent && request->spec.attempts_max != 1;
+}
+
 void
 hbw_ingress_path_choose (HbwContext *context, HbwRequest *request,
                          HbwStartAttempt *start)
 {
   HbwPathChoice choice;
-  hbw_server_path_choose (context->server_path, context, request->spec.idempotent,
+  hbw_server_path_choose (context->server_path, context, may_try_again (request),
                           &choice);
   request->tunnel_peer = choice.peer;
   start->opened_since_us = choice.opened_since_us;
--- a/core/server_path.c
+++ b/core/server_path.c
@@ -351,13 +351,13 @@
 }
 
 void
-hbw_server_path_choose (HbwServerPath *path, HbwContext *context,
-                        gboolean is_idempotent, HbwPathChoice *choice)
+hbw_server_path_choose (HbwServerPath *path, HbwContext *context, gboolean may_retry,
+                        HbwPathChoice *choice)
 {
   TunnelSearch search = { path, context, choice, 0 };
   memset (choice, 0, sizeof *choice);
   choice->opened_since_us = path->found_us;
-  if (is_idempotent && is_trial_due (path, context->now_us))
+  if (may_retry && is_trial_due (path, context->now_us))
     choice->opened_since_us = context->now_us;
   else if (path->state != HBW_PATH_DIRECT)
     hbw_membership_foreach (context->membership, consider_peer, &search);
--- a/include/hornbeamwall/core/server_path.h
+++ b/include/hornbeamwall/core/server_path.h
@@ -79,10 +79,10 @@
 void hbw_server_path_tick (HbwServerPath *path, HbwContext *context,
                            const HbwTopology *topology);
 
-/* Chooses the way of the next attempt, of a request that may be repeated if
-   IS_IDEMPOTENT. */
+/* Chooses the way of the next attempt, of a request that may be sent again
+   without an answer if MAY_RETRY. */
 void hbw_server_path_choose (HbwServerPath *path, HbwContext *context,
-                             gboolean is_idempotent, HbwPathChoice *choice);
+                             gboolean may_retry, HbwPathChoice *choice);
 
 /* Returns whether requests can reach servers, by whatever way. */
 gboolean hbw_server_path_is_usable (const HbwServerPath *path, gint64 now_us);
