Single bytes of an event do not keep a stalled stream at its server

Cause: each byte of a response restarted the wait for a silent server. A stream whose server sent a byte of an event now and then stayed there until the time limit of its request, and the caller got it torn.

Change: in an event stream, whole events restart the wait (net/exchange_response.c).

stream_of_single_bytes_resumes_on_another_server fails before (the stream is torn) and passes.

--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -350,8 +350,12 @@
       hbw_exchange_end_attempt (exchange, HBW_OUTCOME_BROKEN);
       return;
     }
+  guint pieces = exchange->piece_count;
   while (hbw_event_stream_next (exchange->events, out))
     record_piece (exchange);
+  /* A byte of an event now and then is no progress. */
+  if (exchange->piece_count > pieces)
+    hbw_exchange_set_silence_timeout (exchange, exchange->stall_timeout_us);
   forward_bytes (exchange, out);
   g_byte_array_free (out, TRUE);
 }
@@ -360,13 +364,13 @@
 handle_body (HbwUpstreamHandler *handler, const char *bytes, gsize length)
 {
   HbwExchange *exchange = exchange_of_upstream (handler);
-  hbw_exchange_set_silence_timeout (exchange, exchange->stall_timeout_us);
   report_response (exchange);
   if (exchange->is_event_stream)
     {
       forward_events (exchange, bytes, length);
       return;
     }
+  hbw_exchange_set_silence_timeout (exchange, exchange->stall_timeout_us);
   if (exchange->first_piece_us == 0)
     record_piece (exchange);
   exchange->last_piece_us = hbw_exchange_now (exchange);
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -17,6 +17,7 @@
  *   torn       response without a length, ended by a reset
  *   cut        stream that ends in the middle of the third event
  *   mute       as "cut", but the connection stays open without data
+ *   dribble    as "mute", but a byte follows now and then
  *   extra      responds twice
  *   early      responds before it has read the body
  *   crash      executes the request, then the server fails: it resets all
@@ -34,7 +35,7 @@
  *
  * A number after the name, as in "reset1", limits how many requests fail in this
  * way, counted over all replicas of the process.  Later requests are handled as
- * "ok", or as "events" for "cut" and "mute".
+ * "ok", or as "events" for "cut", "mute" and "dribble".
  */
 #ifndef HORNBEAMWALL_TESTS_STANDIN_REPLICA_H
 #define HORNBEAMWALL_TESTS_STANDIN_REPLICA_H
--- a/tests/standin/replica_session.c
+++ b/tests/standin/replica_session.c
@@ -12,6 +12,10 @@
 #define ID_FIELD "X-Hornbeamwall-Attempt-Id"
 #define SEAL "X-Hornbeamwall-Response-Seal: 1.2.3\r\n"
 #define EVENTS 6
+/* Bytes of an event that are sent with a pause before each. */
+#define DRIBBLED_BYTES 30
+#define DRIBBLE_PAUSE_US 200000
+
 #define EVENT_PAUSE_US 2000
 #define HEAD_MAX 32768
 
@@ -205,6 +209,17 @@
   return recv (session->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+/* Sends a byte of an event now and then, and never the whole of it. */
+static void
+dribble_bytes (Session *session)
+{
+  for (guint i = 0; i < DRIBBLED_BYTES && !is_closed (session); i++)
+    {
+      g_usleep (DRIBBLE_PAUSE_US);
+      send_text (session, "x");
+    }
+}
+
 /* Sends the events after the one in Last-Event-Id.  CUT ends the stream in the
    middle of the third event.  Returns whether the stream was completed. */
 static gboolean
@@ -345,9 +360,11 @@
     return send_events (session, FALSE);
   if (strcmp (behaviour, "cut") == 0)
     return send_events (session, TRUE);
-  if (strcmp (behaviour, "mute") == 0)
+  if (strcmp (behaviour, "mute") == 0 || strcmp (behaviour, "dribble") == 0)
     {
       send_events (session, TRUE);
+      if (strcmp (behaviour, "dribble") == 0)
+        dribble_bytes (session);
       wait_for_close (session);
       return FALSE;
     }
@@ -402,8 +419,9 @@
   *digits = '\0';
   if (run_count < limit)
     return behaviour;
-  gboolean streams
-      = strcmp (behaviour, "cut") == 0 || strcmp (behaviour, "mute") == 0;
+  gboolean streams = strcmp (behaviour, "cut") == 0
+                     || strcmp (behaviour, "mute") == 0
+                     || strcmp (behaviour, "dribble") == 0;
   const char *fallback = streams ? "events" : "ok";
   g_free (behaviour);
   return g_strdup (fallback);
--- a/tests/traffic_test.c
+++ b/tests/traffic_test.c
@@ -209,6 +209,19 @@
 }
 END_TEST
 
+START_TEST (stream_of_single_bytes_resumes_on_another_server)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  RawResponse response
+      = platform_fixture_post (fixture, "/stream/a/dribble1", API_KEY_FIELD, "b");
+  ck_assert_uint_eq (response.status, 200);
+  ck_assert_msg (raw_response_is_complete (response.text), "%s", response.text);
+  check_each_event_once (response.text);
+  g_free (response.text);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 START_TEST (extra_response_is_not_passed_to_another_request)
 {
   PlatformFixture *fixture = platform_fixture_create ();
@@ -679,6 +692,7 @@
   tcase_add_test (tests, truncated_response_never_looks_complete);
   tcase_add_test (tests, stream_resumes_on_another_server_after_break);
   tcase_add_test (tests, stalled_stream_resumes_on_another_server);
+  tcase_add_test (tests, stream_of_single_bytes_resumes_on_another_server);
   tcase_add_test (tests, extra_response_is_not_passed_to_another_request);
   tcase_add_test (tests, request_is_cancelled_when_caller_disconnects);
   tcase_add_test (tests, connection_of_given_up_request_is_reset);
