Take the mend of silent paths back: failures of servers were kept back meanwhile

Cause: while a path is in doubt, an instance keeps the failures of servers back, and a lost path withdraws them. With the mend, a server that fell silent could leave a path in doubt for seconds, as an accepted connection ended it no more.

--- a/core/ingress_path.c
+++ b/core/ingress_path.c
@@ -4,20 +4,12 @@
 
 #include <string.h>
 
-/* Returns whether the request may run again if its attempt gets no answer. */
-static gboolean
-may_try_again (const HbwRequest *request)
-{
-  return request->spec.idempotent && request->spec.attempts_max != 1;
-}
-
 void
 hbw_ingress_path_choose (HbwContext *context, HbwRequest *request,
                          HbwStartAttempt *start)
 {
   HbwPathChoice choice;
-  hbw_server_path_choose (context->server_path, context, may_try_again (request),
-                          &choice);
+  hbw_server_path_choose (context->server_path, context, &choice);
   request->tunnel_peer = choice.peer;
   start->opened_since_us = choice.opened_since_us;
   g_strlcpy (start->tunnel_address, choice.address, sizeof start->tunnel_address);
@@ -70,10 +62,9 @@
 }
 
 /* Returns the number of servers, up to HBW_PATH_SERVERS_MIN, at which attempts have
-   been in progress for HBW_PATH_SILENT_US, and sets SEQUENCE to that of one. */
+   been in progress for HBW_PATH_SILENT_US. */
 static guint
-count_waited_for (const HbwContext *context, const struct cds_list_head *requests,
-                  guint64 *sequence)
+count_waited_for (const HbwContext *context, const struct cds_list_head *requests)
 {
   const HbwRequest *first = NULL;
   const HbwRequest *request;
@@ -86,7 +77,6 @@
         first = request;
       else if (strcmp (first->server, request->server) != 0)
         return HBW_PATH_SERVERS_MIN;
-      *sequence = first->sequence;
     }
   return first != NULL ? 1 : 0;
 }
@@ -97,10 +87,7 @@
 {
   HbwServerPath *path = context->server_path;
   if (hbw_server_path_state (path) == HBW_PATH_DIRECT)
-    {
-      guint64 sequence = 0;
-      guint count = count_waited_for (context, requests, &sequence);
-      hbw_server_path_handle_waiting (path, context, sequence, count);
-    }
+    hbw_server_path_handle_waiting (path, context,
+                                    count_waited_for (context, requests));
   hbw_server_path_tick (path, context, topology);
 }
--- a/core/server_path.c
+++ b/core/server_path.c
@@ -19,14 +19,6 @@
 #define CHECK_ANSWER_US (150 * HBW_US_PER_MS)
 #define LOST_CHECKS_ACCEPTED 2
 
-/* A path is lost if it has been silent for this long, and there were so many answers
-   through tunnels meanwhile. */
-#define LOST_SILENT_US (1 * HBW_US_PER_S)
-#define LOST_TUNNEL_ANSWERS 2
-
-/* Interval of the requests that try a path on which connections are accepted. */
-#define TRIAL_INTERVAL_US (1 * HBW_US_PER_S)
-
 /* An instance that could not open a tunnel is not asked again for this long. */
 #define TUNNEL_RETRY_US (1 * HBW_US_PER_S)
 
@@ -39,22 +31,16 @@
 struct HbwServerPath
 {
   HbwPathState state;
-  gboolean is_silent; /* in doubt because servers did not answer: that a connection
-                         is accepted proves nothing then */
   gint64 heard_us;
   gint64 doubted_us;                /* as hbw_server_path_doubted_us() */
   gint64 found_us;                  /* when it was found again; 0 is never lost */
   char failed_server[HBW_NAME_MAX]; /* last one without a connection */
   gint64 failed_us;
-  guint64 silent_request; /* last one that alone waited for a server */
-  gint64 silent_us;
   gint64 checked_us;       /* when checks were last requested; 0 in a new doubt */
   gint64 first_checked_us; /* in this doubt; 0 before */
   guint checks_accepted;   /* in a row, while it is lost */
   char proof_server[HBW_NAME_MAX]; /* answered through a tunnel, and is checked */
-  guint tunnel_answers;            /* in this doubt */
-  gint64 next_trial_us;
-  GHashTable *tunnel_failures; /* identity of a peer -> gint64, when it failed */
+  GHashTable *tunnel_failures;     /* identity of a peer -> gint64, when it failed */
   gint64 tunnel_opened_us;
   gint64 tunnel_failed_us;
 };
@@ -96,13 +82,11 @@
 /* --- states ---------------------------------------------------------------- */
 
 static void
-set_doubtful (HbwServerPath *path, gint64 since_us, gboolean is_silent)
+set_doubtful (HbwServerPath *path, gint64 since_us)
 {
   if (path->state != HBW_PATH_DIRECT)
     return;
   path->state = HBW_PATH_DOUBTFUL;
-  path->is_silent = is_silent;
-  path->tunnel_answers = 0;
   path->doubted_us = since_us;
   path->checked_us = 0;
   path->first_checked_us = 0;
@@ -128,7 +112,6 @@
 {
   path->state = HBW_PATH_LOST;
   path->checks_accepted = 0;
-  path->next_trial_us = context->now_us + TRIAL_INTERVAL_US;
   path->tunnel_opened_us = context->now_us;
   hbw_effects_log (context->effects, HBW_LOG_PATH_LOST,
                    "doubted_ms=%" G_GINT64_FORMAT " server=%s",
@@ -146,31 +129,16 @@
   path->failed_us = context->now_us;
   g_strlcpy (path->failed_server, server, sizeof path->failed_server);
   if (is_another && context->now_us - since_us < FAILURE_WINDOW_US)
-    set_doubtful (path, since_us, FALSE);
-}
-
-/* Returns whether another request has waited in vain, and no server has sent
-   anything since. */
-static gboolean
-is_second_silence (HbwServerPath *path, guint64 sequence, gint64 now_us)
-{
-  if (path->silent_us != 0 && path->heard_us < path->silent_us
-      && path->silent_request != sequence)
-    return TRUE;
-  path->silent_us = now_us;
-  path->silent_request = sequence;
-  return FALSE;
+    set_doubtful (path, since_us);
 }
 
 void
 hbw_server_path_handle_waiting (HbwServerPath *path, HbwContext *context,
-                                guint64 sequence, guint count)
+                                guint count)
 {
-  if (count == 0 || context->now_us - path->heard_us < HBW_PATH_SILENT_US)
-    return;
   if (count >= HBW_PATH_SERVERS_MIN
-      || is_second_silence (path, sequence, context->now_us))
-    set_doubtful (path, context->now_us - HBW_PATH_SILENT_US, TRUE);
+      && context->now_us - path->heard_us >= HBW_PATH_SILENT_US)
+    set_doubtful (path, context->now_us - HBW_PATH_SILENT_US);
 }
 
 void
@@ -184,14 +152,14 @@
     case HBW_PATH_DIRECT:
       break;
     case HBW_PATH_DOUBTFUL:
-      if (accepted && !path->is_silent)
+      if (accepted)
         set_direct (path, context);
-      else if (!accepted && is_proof)
+      else if (is_proof)
         set_lost (path, context);
       break;
     case HBW_PATH_LOST:
       path->checks_accepted = accepted ? path->checks_accepted + 1 : 0;
-      if (path->checks_accepted >= LOST_CHECKS_ACCEPTED && !path->is_silent)
+      if (path->checks_accepted >= LOST_CHECKS_ACCEPTED)
         set_direct (path, context);
       break;
     }
@@ -259,9 +227,6 @@
 hbw_server_path_tick (HbwServerPath *path, HbwContext *context,
                       const HbwTopology *topology)
 {
-  if (path->state != HBW_PATH_DIRECT && path->is_silent
-      && path->heard_us > path->doubted_us)
-    set_direct (path, context);
   if (topology == NULL || path->state == HBW_PATH_DIRECT)
     return;
   if (path->checked_us == 0)
@@ -275,26 +240,12 @@
 
 /* --- tunnels --------------------------------------------------------------- */
 
-/* Counts an answer through a tunnel while no server answers directly. */
-static void
-count_tunnel_answer (HbwServerPath *path, HbwContext *context)
-{
-  if (path->state != HBW_PATH_DOUBTFUL || !path->is_silent
-      || path->heard_us > path->doubted_us)
-    return;
-  path->tunnel_answers++;
-  if (path->tunnel_answers >= LOST_TUNNEL_ANSWERS
-      && context->now_us - path->doubted_us >= LOST_SILENT_US)
-    set_lost (path, context);
-}
-
 void
 hbw_server_path_handle_tunnel (HbwServerPath *path, HbwContext *context,
                                guint64 peer, const char *server, const char *address)
 {
   path->tunnel_opened_us = context->now_us;
   g_hash_table_remove (path->tunnel_failures, &peer);
-  count_tunnel_answer (path, context);
   if (path->state != HBW_PATH_DOUBTFUL || *path->proof_server != '\0'
       || path->first_checked_us == 0
       || context->now_us - path->first_checked_us < CHECK_ANSWER_US)
@@ -338,28 +289,14 @@
               parts.host, member->tunnel_port);
 }
 
-/* Returns whether a request tries a path that is lost, on which connections are
-   accepted. */
-static gboolean
-is_trial_due (HbwServerPath *path, gint64 now_us)
-{
-  if (path->state != HBW_PATH_LOST || !path->is_silent || path->checks_accepted == 0
-      || now_us < path->next_trial_us)
-    return FALSE;
-  path->next_trial_us = now_us + TRIAL_INTERVAL_US;
-  return TRUE;
-}
-
 void
-hbw_server_path_choose (HbwServerPath *path, HbwContext *context, gboolean may_retry,
+hbw_server_path_choose (HbwServerPath *path, HbwContext *context,
                         HbwPathChoice *choice)
 {
   TunnelSearch search = { path, context, choice, 0 };
   memset (choice, 0, sizeof *choice);
   choice->opened_since_us = path->found_us;
-  if (may_retry && is_trial_due (path, context->now_us))
-    choice->opened_since_us = context->now_us;
-  else if (path->state != HBW_PATH_DIRECT)
+  if (path->state != HBW_PATH_DIRECT)
     hbw_membership_foreach (context->membership, consider_peer, &search);
 }
 
--- a/include/hornbeamwall/core/server_path.h
+++ b/include/hornbeamwall/core/server_path.h
@@ -9,12 +9,8 @@
  *
  * The servers may have failed instead.  The path is lost only once a server has
  * answered through a tunnel and accepts no connection from this instance after that.
- *
- * Connections may be accepted on a path that carries no answers.  If the doubt is
- * due to silence, only bytes from a server end it, and answers of two servers
- * through tunnels show that the path is lost; then a request that may be repeated
- * tries it now and then. What happens to the attempts of an instance whose path is
- * lost is no evidence against a server.
+ * What happens to the attempts of an instance whose path is lost is no evidence
+ * against a server.
  */
 #ifndef HORNBEAMWALL_CORE_SERVER_PATH_H
 #define HORNBEAMWALL_CORE_SERVER_PATH_H
@@ -58,10 +54,10 @@
 void hbw_server_path_handle_unconnected (HbwServerPath *path, HbwContext *context,
                                          const char *server);
 
-/* Handles that requests, one of them SEQUENCE, have been in progress on COUNT
-   servers for HBW_PATH_SILENT_US. */
+/* Handles that requests have been in progress on COUNT servers for
+   HBW_PATH_SILENT_US. */
 void hbw_server_path_handle_waiting (HbwServerPath *path, HbwContext *context,
-                                     guint64 sequence, guint count);
+                                     guint count);
 
 void hbw_server_path_handle_check (HbwServerPath *path, HbwContext *context,
                                    const HbwServerCheckResult *result);
@@ -79,10 +75,9 @@
 void hbw_server_path_tick (HbwServerPath *path, HbwContext *context,
                            const HbwTopology *topology);
 
-/* Chooses the way of the next attempt, of a request that may be sent again
-   without an answer if MAY_RETRY. */
+/* Chooses the way of the next attempt. */
 void hbw_server_path_choose (HbwServerPath *path, HbwContext *context,
-                             gboolean may_retry, HbwPathChoice *choice);
+                             HbwPathChoice *choice);
 
 /* Returns whether requests can reach servers, by whatever way. */
 gboolean hbw_server_path_is_usable (const HbwServerPath *path, gint64 now_us);
