--- a/core/membership_owners.c
+++ b/core/membership_owners.c
@@ -9,26 +9,37 @@
          && (data_centre == NULL || strcmp (info->data_centre, data_centre) == 0);
 }
 
+/* Members are counted from 0, this instance first. */
+static guint
+count_members (const HbwMembership *membership)
+{
+  return membership->probe_order->len + 1;
+}
+
+static const HbwMemberUpdate *
+get_member (const HbwMembership *membership, guint index)
+{
+  if (index == 0)
+    return &membership->self;
+  const HbwMember *member = g_ptr_array_index (membership->probe_order, index - 1);
+  return &member->info;
+}
+
 guint64
 hbw_membership_find_owner (HbwMembership *membership, const char *data_centre,
                            const char *key)
 {
   guint64 best = 0;
   guint64 highest = 0;
-  if (is_owner_candidate (&membership->self, data_centre))
-    {
-      best = membership->self.identity;
-      highest = hbw_rendezvous_weight (best, key);
-    }
-  for (guint i = 0; i < membership->probe_order->len; i++)
+  for (guint i = 0; i < count_members (membership); i++)
     {
-      const HbwMember *member = g_ptr_array_index (membership->probe_order, i);
-      if (!is_owner_candidate (&member->info, data_centre))
+      const HbwMemberUpdate *info = get_member (membership, i);
+      if (!is_owner_candidate (info, data_centre))
         continue;
-      guint64 weight = hbw_rendezvous_weight (member->info.identity, key);
+      guint64 weight = hbw_rendezvous_weight (info->identity, key);
       if (best != 0 && weight <= highest)
         continue;
-      best = member->info.identity;
+      best = info->identity;
       highest = weight;
     }
   return best;
@@ -58,11 +69,9 @@
                            const char *key)
 {
   const HbwMemberUpdate *best = NULL;
-  for (guint i = 0; i <= membership->probe_order->len; i++)
+  for (guint i = 0; i < count_members (membership); i++)
     {
-      const HbwMemberUpdate *info = &membership->self;
-      if (i > 0)
-        info = &((HbwMember *) membership->probe_order->pdata[i - 1])->info;
+      const HbwMemberUpdate *info = get_member (membership, i);
       if (is_owner_candidate (info, data_centre)
           && (best == NULL || is_better_relay (info, best, key)))
         best = info;
@@ -103,11 +112,9 @@
                          guint max)
 {
   GArray *candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
-  for (guint i = 0; i <= membership->probe_order->len; i++)
+  for (guint i = 0; i < count_members (membership); i++)
     {
-      const HbwMemberUpdate *info = &membership->self;
-      if (i > 0)
-        info = &((HbwMember *) membership->probe_order->pdata[i - 1])->info;
+      const HbwMemberUpdate *info = get_member (membership, i);
       if (!is_owner_candidate (info, data_centre))
         continue;
       Candidate candidate = { .identity = info->identity };
@@ -170,13 +177,9 @@
 static guint
 count_candidates (const HbwMembership *membership, const char *data_centre)
 {
-  guint count = is_owner_candidate (&membership->self, data_centre) ? 1 : 0;
-  for (guint i = 0; i < membership->probe_order->len; i++)
-    {
-      const HbwMember *member = g_ptr_array_index (membership->probe_order, i);
-      if (is_owner_candidate (&member->info, data_centre))
-        count++;
-    }
+  guint count = 0;
+  for (guint i = 0; i < count_members (membership); i++)
+    count += is_owner_candidate (get_member (membership, i), data_centre);
   return count;
 }
 
--- a/include/hornbeamwall/core/load_route.h
+++ b/include/hornbeamwall/core/load_route.h
@@ -2,8 +2,8 @@
  * load_route - selects the instances to which loads on servers are sent
  *
  * A small fleet needs no relays.  In a larger one, each data centre has one: a live
- * instance with the largest link and processor share, as a relay sends some hundred
- * times as much as the others.
+ * instance with the largest link and processor share, as a relay sends and receives
+ * the messages of all others there.
  */
 #ifndef HORNBEAMWALL_CORE_LOAD_ROUTE_H
 #define HORNBEAMWALL_CORE_LOAD_ROUTE_H
--- a/include/hornbeamwall/core/load_share.h
+++ b/include/hornbeamwall/core/load_share.h
@@ -24,7 +24,8 @@
 #define HBW_LOAD_DIRECT_INSTANCES_MAX 12
 
 /* Minimum interval between two messages.  It grows by the same amount for each eight
-   instances of the fleet, or of the data centre if there are relays. */
+   instances of the fleet, or of the data centre if there are relays, and with a
+   relay of a small processor share or an own link that messages would fill. */
 #define HBW_LOAD_SHARE_INTERVAL_US (5 * HBW_US_PER_MS)
 
 #define HBW_LOAD_RESEND_INTERVAL_US (1 * HBW_US_PER_S)
--- a/include/hornbeamwall/core/quarantine_state.h
+++ b/include/hornbeamwall/core/quarantine_state.h
@@ -120,7 +120,7 @@
   GHashTable *suspects; /* HbwFingerprint -> HbwSuspect */
   struct cds_list_head by_age;
   struct cds_list_head run_by_peers; /* suspects that another instance runs */
-  guint64 searched_count;            /* of them, so far, when a server had ended */
+  guint64 searched_count;    /* entries looked at so far as a server had ended */
   struct cds_list_head held; /* suspects with HBW_QUARANTINE_FAILURES_MIN failures */
   guint held_count;
   struct cds_list_head held_parts; /* with HBW_PART_FAILURES_MIN failures */
--- a/tests/suite.c
+++ b/tests/suite.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <stdio.h>
+#include <unistd.h>
 
 static char *known_failures; /* contents of KNOWN-RED.txt, or NULL */
 
@@ -45,6 +46,17 @@
   suite_add_tcase (suite, tests);
 }
 
+size_t
+suite_count_resident_bytes (void)
+{
+  char *text = NULL;
+  unsigned long pages = 0;
+  g_file_get_contents ("/proc/self/statm", &text, NULL, NULL);
+  sscanf (text != NULL ? text : "", "%*u %lu", &pages);
+  g_free (text);
+  return pages * (size_t) sysconf (_SC_PAGESIZE);
+}
+
 int
 suite_run (Suite *suite)
 {
--- a/tests/suite.h
+++ b/tests/suite.h
@@ -14,6 +14,9 @@
    ..." of KNOWN-RED.txt passes over its failure, which is then printed. */
 void suite_add_test (Suite *suite, const char *name, const TTest *test);
 
+/* Returns the resident memory of the process, in bytes. */
+size_t suite_count_resident_bytes (void);
+
 /* Runs SUITE and frees it. Returns the exit status: 0 if all tests passed. */
 int suite_run (Suite *suite);
 
