--- a/include/hornbeamwall/runtime/object_cache.h
+++ b/include/hornbeamwall/runtime/object_cache.h
@@ -72,6 +72,7 @@
   const char *name;
   json_t *value;
   gboolean missing; /* not in the store, but still in its grace period */
+  gboolean is_new;  /* its value has changed since it was last visited */
 } HbwCachedObject;
 
 void hbw_object_cache_foreach (HbwObjectCache *cache,
--- a/runtime/list_watch_feed.c
+++ b/runtime/list_watch_feed.c
@@ -110,10 +110,19 @@
           begin_list (feed, page);
         }
       is_first = FALSE;
-      after = page->truncated ? last_object_name (page) : NULL;
+      gboolean truncated = page->truncated;
+      after = truncated ? last_object_name (page) : NULL;
       apply_page (feed, page);
-      if (after == NULL)
-        break;
+      if (after != NULL)
+        continue;
+      if (truncated)
+        {
+          hbw_error_set (error, HBW_ERROR_STORE,
+                         "store: a page of a list has no name to continue after; "
+                         "check the store");
+          status = HBW_STORE_FAILED;
+        }
+      break;
     }
   g_free (after);
   if (status == HBW_STORE_OK)
--- a/runtime/object_cache.c
+++ b/runtime/object_cache.c
@@ -9,6 +9,7 @@
   json_t *value;
   gboolean in_current_list; /* applied since the current list began */
   gboolean missing;         /* not in the store, but in its grace period */
+  gboolean is_new;          /* its value has changed since it was last visited */
 } Entry;
 
 struct HbwObjectCache
@@ -152,8 +153,10 @@
   set_missing (cache, entry, FALSE);
   if (entry->value != NULL && change->revision <= entry->revision)
     return;
-  cache->changed
-      |= entry->value == NULL || !json_equal (entry->value, change->value);
+  gboolean is_new
+      = entry->value == NULL || !json_equal (entry->value, change->value);
+  cache->changed |= is_new;
+  entry->is_new |= is_new;
   json_decref (entry->value);
   entry->value = json_incref (change->value);
   entry->revision = change->revision;
@@ -233,8 +236,10 @@
   g_hash_table_iter_init (&iter, cache->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const Entry *entry = value;
-      const HbwCachedObject object = { entry->name, entry->value, entry->missing };
+      Entry *entry = value;
+      const HbwCachedObject object
+          = { entry->name, entry->value, entry->missing, entry->is_new };
       visit (&object, data);
+      entry->is_new = FALSE;
     }
 }
--- a/tests/fuzz_test.c
+++ b/tests/fuzz_test.c
@@ -230,6 +230,18 @@
   return read_objects (HBW_DOCUMENT_SERVERS, TRUE, bytes, length);
 }
 
+static gboolean
+read_suspects (const char *bytes, gsize length)
+{
+  HbwError error;
+  gint64 version;
+  GBytes *body
+      = hbw_platform_suspects_adapter ()->parse (bytes, length, &version, &error);
+  gboolean valid = body != NULL;
+  g_clear_pointer (&body, g_bytes_unref);
+  return valid;
+}
+
 static const struct
 {
   const char *directory;
@@ -241,7 +253,7 @@
   { "delta", apply_delta, FALSE },        { "request", parse_request, TRUE },
   { "answer", parse_response, TRUE },     { "events", split_events, TRUE },
   { "config", read_config, TRUE },        { "servers", read_servers, TRUE },
-  { "changes", read_changes, TRUE },
+  { "changes", read_changes, TRUE },      { "suspects", read_suspects, TRUE },
 };
 
 static void
