CONNECTION_CLOSED tells the request, what was written and what was dropped, and connections beyond the limit

Read in net/downstream.c: no line told whether a response had been begun, bytes behind the last request that is answered were dropped untold, as were a response that its caller never took and a connection for which there was no room.

--- a/include/hornbeamwall/net/downstream.h
+++ b/include/hornbeamwall/net/downstream.h
@@ -17,6 +17,9 @@
 /* Takes ownership of the connected socket FD and serves the caller. */
 void hbw_downstream_adopt (HbwTraffic *traffic, int fd);
 
+/* Closes the connected socket FD of a caller, as there is no room for it. */
+void hbw_downstream_turn_away (int fd);
+
 /* Closes the connection that has waited longest for a request, if its idle timeout
    has passed.  Returns FALSE if there is none. */
 gboolean hbw_downstream_close_past_limit (HbwTraffic *traffic);
--- a/include/hornbeamwall/net/exchange.h
+++ b/include/hornbeamwall/net/exchange.h
@@ -24,6 +24,9 @@
 /* Appends BYTES to the request body; returns the length of the body so far. */
 gsize hbw_exchange_add_body (HbwExchange *exchange, const char *bytes, gsize length);
 
+/* Returns the caller's own id of the request, "" if it has none. */
+const char *hbw_exchange_caller_request_id (const HbwExchange *exchange);
+
 /* Submits the request, which is complete, to the reducer, or answers it directly if
    it is a readiness probe or is refused by the admission check.  May destroy
    EXCHANGE. */
--- a/net/downstream.c
+++ b/net/downstream.c
@@ -6,6 +6,7 @@
 
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 /* Bytes of pipelined requests that are buffered before reading pauses. */
 #define PIPELINED_BYTES_MAX ((guint) 64 * 1024)
@@ -52,11 +53,12 @@
   CLOSE_STOP,         /* this instance has stopped */
   CLOSE_CALLER_END,   /* the caller has closed it */
   CLOSE_CALLER_RESET, /* the caller has reset it, or is not reachable */
+  CLOSE_LIMIT,        /* there is no room for another connection */
 } CloseCause;
 
 static const char *const close_cause_names[] = {
-  "none",  "idle",  "timeout", "refusal",    "drain",
-  "asked", "abort", "stop",    "caller_end", "caller_reset",
+  "none",  "idle", "timeout",    "refusal",      "drain", "asked",
+  "abort", "stop", "caller_end", "caller_reset", "limit",
 };
 
 struct HbwDownstream
@@ -79,11 +81,14 @@
   CloseCause close_cause;
   const char *close_state; /* what had been read when the cause arose */
   gint64 close_wait_us;    /* how long it had waited when the cause arose */
+  char close_request_id[HBW_CALLER_REQUEST_ID_MAX]; /* in progress then, or "" */
   guint request_count;
-  gsize request_bytes;      /* of the request in progress that were parsed */
-  gsize close_bytes;        /* request_bytes when the cause arose */
-  gsize late_bytes;         /* received after this side began to close */
-  guint refusal_status;     /* status with which the request is refused, or 0 */
+  gsize request_bytes;  /* of the request in progress that were parsed */
+  gsize close_bytes;    /* request_bytes when the cause arose */
+  gsize late_bytes;     /* received after this side began to close */
+  gsize response_bytes; /* written, of the response in progress or the last one */
+  gsize unsent_bytes;   /* of these, when the channel was destroyed */
+  guint refusal_status; /* status with which the request is refused, or 0 */
   gboolean reading_request; /* the request in progress is incomplete */
   gboolean responding;
   gboolean response_chunked;
@@ -119,6 +124,17 @@
   downstream->close_state = get_state_name (downstream);
   downstream->close_bytes = downstream->request_bytes;
   downstream->close_wait_us = get_now (downstream) - downstream->wait_began_us;
+  if (downstream->exchange != NULL)
+    g_strlcpy (downstream->close_request_id,
+               hbw_exchange_caller_request_id (downstream->exchange),
+               sizeof downstream->close_request_id);
+}
+
+static void
+write_response (HbwDownstream *downstream, const char *bytes, gsize length)
+{
+  downstream->response_bytes += length;
+  hbw_channel_write (downstream->channel, bytes, length);
 }
 
 /* A connection that was closed by the caller, or as it asked, between two requests
@@ -130,21 +146,26 @@
                        || downstream->close_cause == CLOSE_CALLER_END
                        || downstream->close_cause == CLOSE_CALLER_RESET;
   return by_caller && downstream->exchange == NULL && downstream->request_bytes == 0
-         && downstream->late_bytes == 0;
+         && downstream->late_bytes == 0 && downstream->input->len == 0
+         && downstream->unsent_bytes == 0;
 }
 
 static void
 log_close (const HbwDownstream *downstream)
 {
-  char text[256];
-  if (downstream->close_cause == CLOSE_NONE || is_routine_close (downstream))
+  const char *id = downstream->close_request_id;
+  char text[512];
+  if (is_routine_close (downstream))
     return;
-  g_snprintf (text, sizeof text,
-              "cause=%s state=%s requests=%u request_bytes=%zu late_bytes=%zu "
-              "waited_ms=%" G_GINT64_FORMAT,
-              close_cause_names[downstream->close_cause], downstream->close_state,
-              downstream->request_count, downstream->close_bytes,
-              downstream->late_bytes, downstream->close_wait_us / HBW_US_PER_MS);
+  g_snprintf (
+      text, sizeof text,
+      "cause=%s state=%s requests=%u request_bytes=%zu buffered_bytes=%u "
+      "late_bytes=%zu response_bytes=%zu unsent_bytes=%zu "
+      "waited_ms=%" G_GINT64_FORMAT "%s%s",
+      close_cause_names[downstream->close_cause], downstream->close_state,
+      downstream->request_count, downstream->close_bytes, downstream->input->len,
+      downstream->late_bytes, downstream->response_bytes, downstream->unsent_bytes,
+      downstream->close_wait_us / HBW_US_PER_MS, *id != '\0' ? " request=" : "", id);
   hbw_log_write (HBW_LOG_CONNECTION_CLOSED, text);
 }
 
@@ -153,6 +174,8 @@
 {
   HbwTraffic *traffic = downstream->traffic;
   HbwExchange *exchange = downstream->exchange;
+  if (downstream->channel != NULL)
+    downstream->unsent_bytes = hbw_channel_pending_bytes (downstream->channel);
   if (!downstream->destroyed)
     log_close (downstream);
   downstream->exchange = NULL;
@@ -360,6 +383,8 @@
 {
   gsize used;
   downstream->limits = hbw_traffic_caller_limits (downstream->traffic);
+  if (downstream->request_bytes == 0)
+    downstream->response_bytes = 0;
   HbwHttpParserState state
       = hbw_http_parser_feed (downstream->parser, bytes, length, &used);
   if (downstream->destroyed)
@@ -509,10 +534,22 @@
   traffic->downstream_count++;
   downstream->channel
       = hbw_channel_adopt (traffic->loop, fd, &downstream->channel_handler);
-  if (downstream->channel == NULL)
-    downstream_destroy (downstream);
-  else
-    begin_idle_wait (downstream);
+  if (downstream->channel != NULL)
+    {
+      begin_idle_wait (downstream);
+      return;
+    }
+  set_close_cause (downstream, CLOSE_LIMIT);
+  downstream_destroy (downstream);
+}
+
+void
+hbw_downstream_turn_away (int fd)
+{
+  char text[64];
+  close (fd);
+  g_snprintf (text, sizeof text, "cause=%s", close_cause_names[CLOSE_LIMIT]);
+  hbw_log_write (HBW_LOG_CONNECTION_CLOSED, text);
 }
 
 /* Those that have waited longest come first.  No limit is shorter than the current
@@ -544,6 +581,7 @@
   downstream->exchange = NULL;
   if (downstream->channel != NULL)
     {
+      downstream->unsent_bytes = hbw_channel_pending_bytes (downstream->channel);
       hbw_channel_abort (downstream->channel);
       downstream->channel = NULL;
     }
@@ -593,7 +631,7 @@
   else
     announce_idle_timeout (downstream, head);
   g_string_append (head, "\r\n");
-  hbw_channel_write (downstream->channel, head->str, head->len);
+  write_response (downstream, head->str, head->len);
   g_string_free (head, TRUE);
 }
 
@@ -605,14 +643,14 @@
     return;
   if (!downstream->response_chunked)
     {
-      hbw_channel_write (downstream->channel, (const char *) bytes, length);
+      write_response (downstream, (const char *) bytes, length);
       return;
     }
   GString *chunk = g_string_sized_new (length + 16);
   g_string_append_printf (chunk, "%zx\r\n", length);
   g_string_append_len (chunk, (const char *) bytes, (gssize) length);
   g_string_append (chunk, "\r\n");
-  hbw_channel_write (downstream->channel, chunk->str, chunk->len);
+  write_response (downstream, chunk->str, chunk->len);
   g_string_free (chunk, TRUE);
 }
 
@@ -621,7 +659,7 @@
 {
   static const char last_chunk[] = "0\r\n\r\n";
   if (downstream->response_chunked)
-    hbw_channel_write (downstream->channel, last_chunk, strlen (last_chunk));
+    write_response (downstream, last_chunk, strlen (last_chunk));
   downstream->response_chunked = FALSE;
   downstream->exchange = NULL;
   downstream->responding = FALSE;
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -169,6 +169,12 @@
   g_free (exchange);
 }
 
+const char *
+hbw_exchange_caller_request_id (const HbwExchange *exchange)
+{
+  return exchange->caller_request_id;
+}
+
 gsize
 hbw_exchange_add_body (HbwExchange *exchange, const char *bytes, gsize length)
 {
--- a/net/traffic.c
+++ b/net/traffic.c
@@ -173,7 +173,7 @@
       || hbw_downstream_close_past_limit (traffic))
     hbw_downstream_adopt (traffic, fd);
   else
-    close (fd);
+    hbw_downstream_turn_away (fd);
 }
 
 static void
--- a/tests/log_test.c
+++ b/tests/log_test.c
@@ -12,6 +12,7 @@
 #include <jansson.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 /* Limit of lines of one event in a second, as documented in OPERATIONS.md. */
@@ -115,9 +116,10 @@
     }
 }
 
-/* Reads OUTPUT until it has a CONNECTION_CLOSED line with TEXT. */
-static void
-wait_for_close (const CapturedOutput *output, const char *text)
+/* Reads OUTPUT until it has a CONNECTION_CLOSED line with TEXT; returns the line,
+   which the caller frees. */
+static json_t *
+read_close (const CapturedOutput *output, const char *text)
 {
   GString *lines = g_string_new (NULL);
   char *expected = g_strdup_printf ("\"event\":\"CONNECTION_CLOSED\",%s", text);
@@ -128,15 +130,37 @@
       ssize_t length = read (output->read_fd, bytes, sizeof bytes);
       if (length > 0)
         g_string_append_len (lines, bytes, length);
-      if (strstr (lines->str, expected) != NULL)
+      const char *found = strstr (lines->str, expected);
+      if (found != NULL && strchr (found, '\n') != NULL)
         break;
       if (length <= 0)
         g_usleep (10000);
     }
-  ck_assert_msg (strstr (lines->str, expected) != NULL, "no %s in %s", expected,
-                 lines->str);
+  char *found = strstr (lines->str, expected);
+  ck_assert_msg (found != NULL, "no %s in %s", expected, lines->str);
+  const char *begin = found;
+  while (begin > lines->str && begin[-1] != '\n')
+    begin--;
+  json_t *line = json_loadb (begin, strcspn (begin, "\n"), 0, NULL);
+  ck_assert (line != NULL);
   g_free (expected);
   g_string_free (lines, TRUE);
+  return line;
+}
+
+/* Reads OUTPUT until it has a CONNECTION_CLOSED line with TEXT. */
+static void
+wait_for_close (const CapturedOutput *output, const char *text)
+{
+  json_decref (read_close (output, text));
+}
+
+static json_int_t
+get_number (const json_t *line, const char *field)
+{
+  const json_t *value = json_object_get (line, field);
+  ck_assert_msg (json_is_integer (value), "no number %s", field);
+  return json_integer_value (value);
 }
 
 START_TEST (closed_connection_is_logged_with_what_was_read)
@@ -165,6 +189,119 @@
 }
 END_TEST
 
+#define REQUEST_WITH_ID(path, id)                                                   \
+  "POST " path " HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamwall-Attempt-Id: " id     \
+  "\r\n" API_KEY_FIELD "Content-Length: 0\r\n"
+
+/* Bytes after a request that asks for the end of the connection. */
+#define LATER_BYTES "POST "
+
+START_TEST (closed_connection_is_logged_with_what_was_written)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  CapturedOutput output = output_capture ();
+  int broken = platform_fixture_connect (fixture);
+  caller_send (broken, REQUEST_WITH_ID ("/once/cut", "closed-1") "\r\n");
+  RawResponse response = caller_receive (broken);
+  json_t *line = read_close (
+      &output, "\"cause\":\"abort\",\"state\":\"response\",\"requests\":1,");
+  ck_assert_str_eq (json_string_value (json_object_get (line, "request")),
+                    "closed-1");
+  ck_assert_int_gt (get_number (line, "response_bytes"), 0);
+  ck_assert_int_eq (get_number (line, "unsent_bytes"), 0);
+  json_decref (line);
+  g_free (response.text);
+  close (broken);
+  int unanswered = platform_fixture_connect (fixture);
+  caller_send (unanswered, REQUEST_WITH_ID ("/safe/hang", "closed-2") "\r\n");
+  while (platform_fixture_count_runs (fixture, "/safe/hang") == 0)
+    g_usleep (10000);
+  close (unanswered);
+  line = read_close (&output, "\"cause\":\"caller_end\",\"state\":\"response\",");
+  ck_assert_str_eq (json_string_value (json_object_get (line, "request")),
+                    "closed-2");
+  ck_assert_int_eq (get_number (line, "response_bytes"), 0);
+  json_decref (line);
+  platform_fixture_destroy (fixture);
+  output_restore (&output);
+}
+END_TEST
+
+/* Bytes behind the last request that is answered are not parsed. */
+START_TEST (closed_connection_is_logged_with_what_was_left)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  CapturedOutput output = output_capture ();
+  int fd = platform_fixture_connect (fixture);
+  caller_send (fd,
+               REQUEST_WITH_ID ("/safe/ok",
+                                "closed-3") "Connection: close\r\n\r\n" LATER_BYTES);
+  raw_response_check (caller_receive (fd), 200, NULL);
+  close (fd);
+  json_t *line = read_close (&output, "\"cause\":\"asked\",\"state\":\"idle\",");
+  ck_assert_int_eq (get_number (line, "buffered_bytes"), strlen (LATER_BYTES));
+  ck_assert_int_gt (get_number (line, "response_bytes"), 0);
+  json_decref (line);
+  platform_fixture_destroy (fixture);
+  output_restore (&output);
+}
+END_TEST
+
+/* More than the buffers of a connection hold, of responses that are written without
+   a pause. */
+#define UNREAD_RESPONSES 200
+#define UNREAD_BODY_SIZE 60000
+#define UNREAD_BUFFER_SIZE 4096
+
+START_TEST (closed_connection_is_logged_with_what_was_not_sent)
+{
+  const int buffer_size = UNREAD_BUFFER_SIZE;
+  PlatformFixture *fixture = platform_fixture_create ();
+  CapturedOutput output = output_capture ();
+  int fd = platform_fixture_connect (fixture);
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer_size, sizeof buffer_size);
+  char *body = g_strnfill (UNREAD_BODY_SIZE, 'b');
+  for (guint i = 0; i < UNREAD_RESPONSES; i++)
+    {
+      char *request
+          = caller_format_request ("POST", "/safe/ok", API_KEY_FIELD, body);
+      caller_send (fd, request);
+      g_free (request);
+    }
+  while (platform_fixture_count_runs (fixture, "/safe/ok") < UNREAD_RESPONSES)
+    g_usleep (10000);
+  ck_assert (platform_fixture_wait_until_idle (fixture));
+  close (fd);
+  json_t *line
+      = read_close (&output, "\"cause\":\"caller_reset\",\"state\":\"idle\",");
+  ck_assert_int_gt (get_number (line, "unsent_bytes"), 0);
+  json_decref (line);
+  g_free (body);
+  platform_fixture_destroy (fixture);
+  output_restore (&output);
+}
+END_TEST
+
+START_TEST (connection_beyond_the_limit_is_logged)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  fixture->settings->connection_limit = 1;
+  platform_fixture_restart_instance (fixture);
+  CapturedOutput output = output_capture ();
+  int first = platform_fixture_connect (fixture);
+  raw_response_check (caller_post (first, "/safe/ok", API_KEY_FIELD, ""), 200, NULL);
+  int second = platform_fixture_connect (fixture);
+  RawResponse response = caller_receive (second);
+  ck_assert_uint_eq (response.status, 0);
+  wait_for_close (&output, "\"cause\":\"limit\"");
+  g_free (response.text);
+  close (second);
+  close (first);
+  platform_fixture_destroy (fixture);
+  output_restore (&output);
+}
+END_TEST
+
 START_TEST (repeated_event_is_rate_limited_and_counted)
 {
   CapturedOutput output = output_capture ();
@@ -201,6 +338,10 @@
   tcase_set_timeout (tests, 0);
   tcase_add_test (tests, unread_output_does_not_block_requests);
   tcase_add_test (tests, closed_connection_is_logged_with_what_was_read);
+  tcase_add_test (tests, closed_connection_is_logged_with_what_was_written);
+  tcase_add_test (tests, closed_connection_is_logged_with_what_was_left);
+  tcase_add_test (tests, closed_connection_is_logged_with_what_was_not_sent);
+  tcase_add_test (tests, connection_beyond_the_limit_is_logged);
   tcase_add_test (tests, repeated_event_is_rate_limited_and_counted);
   suite_add_tcase (suite, tests);
   hbw_log_open ();
