Tests of requests in progress while the config changes: many routes, and servers that pause

One of them is red: a resumable stream is cut when its sound server is silent and no retry is left. Requests are as many as the servers take at the same time: with more, the last ones wait for a slot and reach the timeout of their route (traced: reason=timeout, after_ms 3,007 to 3,025).

--- a/tests/platform_fixture.c
+++ b/tests/platform_fixture.c
@@ -19,10 +19,26 @@
 #define HEADER_TIMEOUT_MS 3000
 #define IDLE_TIMEOUT_MS 15000
 
+static char *
+format_unused_routes (guint count)
+{
+  GString *text = g_string_new ("");
+  for (guint i = 0; i < count; i++)
+    g_string_append_printf (
+        text,
+        ",{\"name\":\"unused%u\",\"hostname\":\"h.example\","
+        "\"path_prefix\":\"/unused%u/\",\"route_type\":\"safe\",\"timeout_ms\":3000,"
+        "\"latency_goal_ms\":100,\"priority\":0,\"backend\":\"b\","
+        "\"max_attempts\":2}",
+        i, i);
+  return g_string_free (text, FALSE);
+}
+
 void
 platform_fixture_put_config (PlatformFixture *fixture, guint version,
                              const char *keys)
 {
+  char *unused_routes = format_unused_routes (fixture->unused_routes);
   char *text = g_strdup_printf (
       "{\"version\":%u,\"routes\":["
       "{\"name\":\"safe\",\"hostname\":\"h.example\",\"path_prefix\":\"/safe/\","
@@ -44,13 +60,15 @@
       "\"backend\":\"b\",\"max_attempts\":2},"
       "{\"name\":\"open\",\"hostname\":\"h.example\",\"path_prefix\":\"/open/\","
       "\"route_type\":\"safe\",\"timeout_ms\":3000,\"latency_goal_ms\":100,"
-      "\"priority\":0,\"backend\":\"b\",\"max_attempts\":2,\"anonymous\":true}],"
+      "\"priority\":0,\"backend\":\"b\",\"max_attempts\":2,\"anonymous\":true}%s],"
       "\"backends\":[{\"name\":\"b\",\"health_path\":\"/healthz\"}],"
       "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"
       "\"header_timeout_ms\":%u,\"idle_timeout_ms\":%u},"
       "\"tenants\":[{\"name\":\"t\",\"api_keys\":[%s]}]}",
-      version, fixture->header_timeout_ms, fixture->idle_timeout_ms, keys);
+      version, unused_routes, fixture->header_timeout_ms, fixture->idle_timeout_ms,
+      keys);
   objects_set (fixture->object_store, "config", "main", text);
+  g_free (unused_routes);
   g_free (text);
 }
 
--- a/tests/platform_fixture.h
+++ b/tests/platform_fixture.h
@@ -33,6 +33,7 @@
   guint revocation_ms;     /* bound for refusing a removed key */
   guint header_timeout_ms; /* limits of the config */
   guint idle_timeout_ms;
+  guint unused_routes; /* routes of the config that no test requests */
 } PlatformFixture;
 
 /* Creates a fixture with config version 3, which has the API keys k1 and k2, and
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -18,6 +18,8 @@
  *   cut        stream that ends in the middle of the third event
  *   mute       as "cut", but the connection stays open without data
  *   dribble    as "mute", but a byte follows now and then
+ *   pause      as "events", with a pause of REPLICA_PAUSE_US after the second event
+ *              of a stream that begins with the first one
  *   extra      responds twice
  *   early      responds before it has read the body
  *   crash      executes the request, then the server fails: it resets all
@@ -45,6 +47,9 @@
 /* How long a replica that crashed refuses connections, in microseconds. */
 #define REPLICA_OUTAGE_US (1500 * 1000)
 
+/* How long a stream "pause" pauses, in microseconds. */
+#define REPLICA_PAUSE_US (1000 * 1000)
+
 typedef struct Replica Replica;
 
 /* Listens on ADDRESS as the server ID; port 0 selects a free port. */
--- a/tests/standin/replica_session.c
+++ b/tests/standin/replica_session.c
@@ -260,9 +260,10 @@
 }
 
 /* Sends the events after the one in Last-Event-Id.  CUT ends the stream in the
-   middle of the third event.  Returns whether the stream was completed. */
+   middle of the third event.  PAUSE_US is a pause before it, if the stream begins
+   with the first one.  Returns whether the stream was completed. */
 static gboolean
-send_events (Session *session, gboolean cut)
+send_events (Session *session, gboolean cut, gulong pause_us)
 {
   char *last = find_field (session->head, "Last-Event-Id");
   guint first = last != NULL ? (guint) strtoul (last, NULL, 10) + 1 : 1;
@@ -277,6 +278,8 @@
           = g_strdup_printf (":%s\nid: %u\ndata: %s %u\n\n", session->replica->id, i,
                              session->attempt_id, i);
       gboolean truncated = cut && i == 3;
+      if (i == 3 && first == 1)
+        g_usleep (pause_us);
       char *chunk = g_strdup_printf ("%zx\r\n%.*s", strlen (event),
                                      truncated ? 8 : (int) strlen (event), event);
       send_text (session, chunk);
@@ -396,12 +399,14 @@
   if (strcmp (behaviour, "ok") == 0)
     return send_ok (session);
   if (strcmp (behaviour, "events") == 0)
-    return send_events (session, FALSE);
+    return send_events (session, FALSE, 0);
+  if (strcmp (behaviour, "pause") == 0)
+    return send_events (session, FALSE, REPLICA_PAUSE_US);
   if (strcmp (behaviour, "cut") == 0)
-    return send_events (session, TRUE);
+    return send_events (session, TRUE, 0);
   if (strcmp (behaviour, "mute") == 0 || strcmp (behaviour, "dribble") == 0)
     {
-      send_events (session, TRUE);
+      send_events (session, TRUE, 0);
       if (strcmp (behaviour, "dribble") == 0)
         dribble_bytes (session);
       wait_for_close (session);
