A stream that its caller does not name goes on only if all instances agree

Cause: a caller that does not name the request that began its stream is known by its request alone, and may have begun it more than once. The instance went by its own record of that request, however old: it had heard of the first time, of the old version, and not of the second, of the new one. Class: local knowledge of something shared is taken for complete. A caller that names its stream is not affected: an unknown name is asked for, and a known one has one version.

Change: for such a request all other instances are asked, 16 at most, and each answers, also that it knows of none or of several versions. Questions of callers that name their stream, and older builds, are as before.

The scenarios' world decided whether a server has the id that a request names when the request was sent; a server answers 421 when the request arrives, so that is when the world decides it now.

--- a/core/ingress.c
+++ b/core/ingress.c
@@ -358,14 +358,17 @@
 
 void
 hbw_ingress_handle_stream_version (HbwIngress *ingress, HbwContext *context,
-                                   guint64 key)
+                                   guint64 from, guint64 key)
 {
   HbwRequest *request;
   HbwRequest *next;
   cds_list_for_each_entry_safe (request, next, &ingress->order, link)
     if (request->state == HBW_REQUEST_ASKING && request->resumed_key == key)
-      handle_resumption (ingress, context, request,
-                         hbw_ingress_streams_update (context, request));
+      {
+        hbw_ingress_streams_handle_answer (request, from);
+        handle_resumption (ingress, context, request,
+                           hbw_ingress_streams_update (context, request));
+      }
 }
 
 void
--- a/core/ingress_streams.c
+++ b/core/ingress_streams.c
@@ -28,6 +28,14 @@
                            count);
 }
 
+/* Returns whether the request names the stream that it resumes. */
+static gboolean
+is_named (const HbwRequest *request)
+{
+  return request->resumed_key
+         != hbw_stream_fingerprint_key (&request->spec.fingerprint);
+}
+
 static void
 tell (HbwContext *context, HbwRequest *request)
 {
@@ -51,16 +59,50 @@
   request->resumed_key = hbw_stream_key (organisation, arrival->resumed_id);
   if (request->resumed_key == 0)
     request->resumed_key = hbw_stream_fingerprint_key (&request->spec.fingerprint);
+  if (!is_named (request))
+    {
+      request->answers.asked_count = hbw_stream_versions_ask_all (
+          context->stream_versions, context, request->resumed_key);
+      return hbw_ingress_streams_update (context, request);
+    }
   HbwResumption resumption = hbw_ingress_streams_update (context, request);
   if (resumption == HBW_RESUMPTION_ASKING)
     ask (context, request, HBW_STREAM_ASKED_FIRST);
   return resumption;
 }
 
+void
+hbw_ingress_streams_handle_answer (HbwRequest *request, guint64 from)
+{
+  hbw_stream_answers_add (&request->answers, from);
+}
+
+/* Returns what is known for a request that names no stream. */
+static HbwResumption
+update_unnamed (HbwContext *context, HbwRequest *request, gint64 waited_us)
+{
+  guint64 version_hash;
+  gboolean is_known
+      = hbw_stream_versions_find (context->stream_versions, request->resumed_key,
+                                  context->now_us, &version_hash);
+  gboolean has_lost = hbw_membership_has_lost (
+      context->membership, context->now_us - HBW_STREAM_VERSION_KEEP_US);
+  gboolean is_complete = hbw_stream_answers_are_complete (&request->answers);
+  if (has_lost || (is_known && version_hash == 0) || (is_complete && !is_known))
+    return HBW_RESUMPTION_UNKNOWN;
+  if (!is_complete)
+    return waited_us < HBW_STREAM_ANSWER_TIMEOUT_US ? HBW_RESUMPTION_ASKING
+                                                    : HBW_RESUMPTION_UNKNOWN;
+  request->spec.version_hash = version_hash;
+  return HBW_RESUMPTION_READY;
+}
+
 HbwResumption
 hbw_ingress_streams_update (HbwContext *context, HbwRequest *request)
 {
   gint64 waited_us = context->now_us - request->arrived_us;
+  if (!is_named (request))
+    return update_unnamed (context, request, waited_us);
   if (hbw_stream_versions_find (context->stream_versions, request->resumed_key,
                                 context->now_us, &request->spec.version_hash))
     return request->spec.version_hash != 0 ? HBW_RESUMPTION_READY
--- a/core/membership.c
+++ b/core/membership.c
@@ -666,6 +666,19 @@
     }
 }
 
+gboolean
+hbw_membership_has_lost (const HbwMembership *membership, gint64 since_us)
+{
+  for (guint i = 0; i < membership->probe_order->len; i++)
+    {
+      const HbwMember *member = g_ptr_array_index (membership->probe_order, i);
+      if (member->info.state == HBW_MEMBER_DEAD
+          && member->state_changed_us >= since_us)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* Returns whether MEMBER runs requests, or may do so. */
 static gboolean
 is_in_use (const HbwMember *member, gint64 now_us)
--- a/core/reducer_messages.c
+++ b/core/reducer_messages.c
@@ -144,8 +144,9 @@
     case HBW_MESSAGE_STREAM_VERSION:
       hbw_stream_versions_handle_message (context->stream_versions, context,
                                           message);
-      hbw_ingress_handle_stream_version (reducer->ingress, context,
-                                         message->stream_version.key);
+      if (message->stream_version.version_hash != 0)
+        hbw_ingress_handle_stream_version (reducer->ingress, context, message->from,
+                                           message->stream_version.key);
       break;
     case HBW_MESSAGE_CLEARED_PARTS:
       hbw_quarantine_merge_cleared_parts (context->quarantine,
--- a/core/stream_versions.c
+++ b/core/stream_versions.c
@@ -87,13 +87,32 @@
       record->version_hash = version_hash;
       g_hash_table_insert (versions->records, &record->key, record);
     }
-  if (record->version_hash != version_hash)
+  if (record->version_hash != version_hash
+      || version_hash == HBW_STREAM_VERSION_SEVERAL)
     record->version_hash = 0;
   record->heard_us = now_us;
   cds_list_add_tail (&record->link, &versions->order);
   remove_old (versions, now_us);
 }
 
+/* --- answers ---------------------------------------------------------------- */
+
+void
+hbw_stream_answers_add (HbwStreamAnswers *answers, guint64 instance)
+{
+  for (guint i = 0; i < answers->count; i++)
+    if (answers->instances[i] == instance)
+      return;
+  if (answers->count < HBW_STREAM_ASKED_MAX)
+    answers->instances[answers->count++] = instance;
+}
+
+gboolean
+hbw_stream_answers_are_complete (const HbwStreamAnswers *answers)
+{
+  return answers->count >= answers->asked_count;
+}
+
 /* --- holders --------------------------------------------------------------- */
 
 typedef struct
@@ -158,17 +177,20 @@
   return search.holders;
 }
 
-static void
+/* Returns to how many instances the message was sent, COUNT at most. */
+static guint
 send_to_holders (HbwContext *context, const HbwStreamVersion *report,
                  guint64 fingerprint_key, guint count)
 {
   HbwMessage message
       = { .kind = HBW_MESSAGE_STREAM_VERSION, .stream_version = *report };
   GArray *holders = sort_holders (context, fingerprint_key);
-  for (guint i = 0; i < MIN (count, holders->len); i++)
+  guint sent_count = MIN (count, holders->len);
+  for (guint i = 0; i < sent_count; i++)
     hbw_context_send (context, g_array_index (holders, Holder, i).identity,
                       &message);
   g_array_free (holders, TRUE);
+  return sent_count;
 }
 
 static void
@@ -200,22 +222,47 @@
   send_to_holders (context, &question, fingerprint_key, count);
 }
 
+guint
+hbw_stream_versions_ask_all (HbwStreamVersions *versions G_GNUC_UNUSED,
+                             HbwContext *context, guint64 fingerprint_key)
+{
+  const HbwStreamVersion question
+      = { .key = fingerprint_key, .fingerprint_key = fingerprint_key };
+  hbw_metrics_control (context->metrics)->stream_questions++;
+  return send_to_holders (context, &question, fingerprint_key, HBW_STREAM_ASKED_MAX);
+}
+
+/* Returns what is answered to QUESTION; 0 is no answer. */
+static guint64
+find_answer (HbwStreamVersions *versions, const HbwStreamVersion *question,
+             gint64 now_us)
+{
+  guint64 version_hash;
+  gboolean wants_answer = question->fingerprint_key != 0;
+  gboolean is_known
+      = hbw_stream_versions_find (versions, question->key, now_us, &version_hash);
+  if (version_hash != 0 || !wants_answer)
+    return version_hash;
+  return is_known ? HBW_STREAM_VERSION_SEVERAL : HBW_STREAM_VERSION_NONE;
+}
+
 void
 hbw_stream_versions_handle_message (HbwStreamVersions *versions, HbwContext *context,
                                     const HbwMessage *message)
 {
   const HbwStreamVersion *report = &message->stream_version;
   HbwMessage answer = { .kind = HBW_MESSAGE_STREAM_VERSION };
-  HbwStreamVersion *known = &answer.stream_version;
+  if (report->version_hash == HBW_STREAM_VERSION_NONE)
+    return;
   if (report->version_hash != 0)
     {
       record_report (versions, report, context->now_us);
       return;
     }
-  known->key = report->key;
-  if (hbw_stream_versions_find (versions, report->key, context->now_us,
-                                &known->version_hash)
-      && known->version_hash != 0)
+  answer.stream_version.key = report->key;
+  answer.stream_version.version_hash
+      = find_answer (versions, report, context->now_us);
+  if (answer.stream_version.version_hash != 0)
     hbw_context_send (context, message->from, &answer);
 }
 
--- a/include/hornbeamwall/core/ingress.h
+++ b/include/hornbeamwall/core/ingress.h
@@ -41,9 +41,9 @@
 
 void hbw_ingress_handle_arrival (HbwIngress *ingress, HbwContext *context,
                                  const HbwArrival *arrival);
-/* Handles that something may have become known of the stream KEY. */
+/* Handles that the instance FROM has said what it knows of the stream KEY. */
 void hbw_ingress_handle_stream_version (HbwIngress *ingress, HbwContext *context,
-                                        guint64 key);
+                                        guint64 from, guint64 key);
 
 /* Handles that FINGERPRINT is a suspect, as a peer reported. */
 void hbw_ingress_handle_suspect (HbwIngress *ingress, HbwContext *context,
--- a/include/hornbeamwall/core/ingress_streams.h
+++ b/include/hornbeamwall/core/ingress_streams.h
@@ -5,6 +5,10 @@
  * that its caller gets, or on arrival if it resumes a stream.  It is not sent to
  * servers of other versions from then on.  A server whose version is not known has
  * the version of no other.
+ *
+ * A caller that does not name the stream it resumes may have begun it more than
+ * once. Its request is bound only if all instances that are asked have answered, and
+ * none was lost lately: one that is out of reach may have begun the stream last.
  */
 #ifndef HORNBEAMWALL_CORE_INGRESS_STREAMS_H
 #define HORNBEAMWALL_CORE_INGRESS_STREAMS_H
@@ -26,6 +30,9 @@
 HbwResumption hbw_ingress_streams_prepare (HbwContext *context, HbwRequest *request,
                                            const HbwArrival *arrival);
 
+/* Notes that the instance FROM has answered. */
+void hbw_ingress_streams_handle_answer (HbwRequest *request, guint64 from);
+
 /* Returns what has become known for a request that is ASKING. */
 HbwResumption hbw_ingress_streams_update (HbwContext *context, HbwRequest *request);
 
--- a/include/hornbeamwall/core/membership.h
+++ b/include/hornbeamwall/core/membership.h
@@ -55,6 +55,10 @@
 void hbw_membership_handle_message (HbwMembership *membership, HbwContext *context,
                                     const HbwMessage *message);
 
+/* Returns whether a member was marked dead at SINCE_US or later, and is not alive.
+ */
+gboolean hbw_membership_has_lost (const HbwMembership *membership, gint64 since_us);
+
 /* Pings every other member of DATA_CENTRE (NULL: of all). */
 void hbw_membership_ping_all (HbwMembership *membership, HbwContext *context,
                               const char *data_centre);
--- a/include/hornbeamwall/core/request.h
+++ b/include/hornbeamwall/core/request.h
@@ -8,6 +8,7 @@
 
 #include "hornbeamwall/core/context.h"
 #include "hornbeamwall/core/event.h"
+#include "hornbeamwall/core/stream_versions.h"
 
 #include <urcu/list.h>
 
@@ -56,6 +57,7 @@
   guint64 attempt_version_hash; /* of the server of the attempt; 0 if unknown */
   gboolean is_version_lost;     /* events came from a server of unknown version */
   gboolean has_asked_more;      /* while ASKING */
+  HbwStreamAnswers answers;     /* while ASKING, if it names no stream */
   gint64 told_us;               /* when the others were told; 0 is never */
   guint64 told_epoch;           /* of the membership, at that time */
 } HbwRequest;
--- a/include/hornbeamwall/core/stream_versions.h
+++ b/include/hornbeamwall/core/stream_versions.h
@@ -12,7 +12,7 @@
  * A version is recorded under two keys: the caller's id of the request that began
  * the stream, and the request's fingerprint, for callers that do not name the
  * former. Streams with the same fingerprint that were begun by different versions
- * cannot be told apart by the latter.
+ * cannot be told apart by the latter, and an instance may know of one of them only.
  *
  * At most HBW_STREAM_VERSIONS_MAX versions are kept, each for
  * HBW_STREAM_VERSION_KEEP_US after it was last heard of.  The oldest is dropped
@@ -35,6 +35,21 @@
 #define HBW_STREAM_ASKED_FIRST 6
 #define HBW_STREAM_ASKED_MAX 16
 
+/* Answers to a question that wants one in any case, in place of a version. */
+#define HBW_STREAM_VERSION_SEVERAL G_MAXUINT64
+#define HBW_STREAM_VERSION_NONE (G_MAXUINT64 - 1)
+
+/* Who has answered a question that went to ASKED_COUNT instances. */
+typedef struct
+{
+  guint asked_count;
+  guint count;
+  guint64 instances[HBW_STREAM_ASKED_MAX];
+} HbwStreamAnswers;
+
+void hbw_stream_answers_add (HbwStreamAnswers *answers, guint64 instance);
+gboolean hbw_stream_answers_are_complete (const HbwStreamAnswers *answers);
+
 typedef struct HbwStreamVersions HbwStreamVersions;
 
 HbwStreamVersions *hbw_stream_versions_create (void);
@@ -58,6 +73,12 @@
 void hbw_stream_versions_ask (HbwStreamVersions *versions, HbwContext *context,
                               guint64 key, guint64 fingerprint_key, guint count);
 
+/* Asks all other instances, HBW_STREAM_ASKED_MAX at most, for the version of the
+   streams with FINGERPRINT_KEY; each answers, also if it knows of none or of
+   several. Returns how many were asked. */
+guint hbw_stream_versions_ask_all (HbwStreamVersions *versions, HbwContext *context,
+                                   guint64 fingerprint_key);
+
 /* Handles STREAM_VERSION: records a version, or sends it to the instance that asks.
  */
 void hbw_stream_versions_handle_message (HbwStreamVersions *versions,
--- a/tests/scenario/script.c
+++ b/tests/scenario/script.c
@@ -187,6 +187,7 @@
   set_prompt (&load.prompt, line);
   load.whole = strcmp (find_option (line, "whole", "no"), "yes") == 0;
   load.resumable = strcmp (find_option (line, "resumable", "no"), "yes") == 0;
+  load.unnamed = strcmp (find_option (line, "unnamed", "no"), "yes") == 0;
   load.attempts_max = count_option (line, "attempts", "0");
   load.timeout_us = duration_option (line, "timeout", "0");
   load.max_resends = count_option (line, "resend", "0");
--- a/tests/scenario/stream_watch.c
+++ b/tests/scenario/stream_watch.c
@@ -11,6 +11,8 @@
   char version[HBW_VERSION_MAX]; /* of the first event; "" before */
   guint64 first_request;         /* that got it */
   guint64 last_served;           /* last request that got one */
+  gboolean is_unnamed;
+  guint request_count;
   gboolean is_mixed;
 };
 
@@ -38,9 +40,10 @@
 }
 
 Stream *
-stream_watch_add (StreamWatch *watch)
+stream_watch_add (StreamWatch *watch, gboolean is_unnamed)
 {
   Stream *stream = g_new0 (Stream, 1);
+  stream->is_unnamed = is_unnamed;
   g_ptr_array_add (watch->streams, stream);
   return stream;
 }
@@ -51,12 +54,22 @@
   g_snprintf (id, HBW_CALLER_REQUEST_ID_MAX, "%" G_GUINT64_FORMAT, request);
 }
 
+/* The caller drops what it has got. */
+static void
+begin_anew (Stream *stream)
+{
+  stream->first_request = 0;
+  *stream->version = '\0';
+}
+
 void
 stream_watch_fill (StreamWatch *watch, Stream *stream, HbwArrival *arrival)
 {
   format_id (arrival->sequence, arrival->caller_request_id);
+  if (stream->is_unnamed && stream->request_count++ % 2 == 1)
+    begin_anew (stream);
   arrival->is_resumption = stream->first_request != 0;
-  if (arrival->is_resumption)
+  if (arrival->is_resumption && !stream->is_unnamed)
     format_id (stream->first_request, arrival->resumed_id);
   (arrival->is_resumption ? &watch->resumed : &watch->begun)->sent++;
 }
--- a/tests/scenario/stream_watch.h
+++ b/tests/scenario/stream_watch.h
@@ -17,7 +17,9 @@
 StreamWatch *stream_watch_create (void);
 void stream_watch_destroy (StreamWatch *watch);
 
-Stream *stream_watch_add (StreamWatch *watch);
+/* Adds a stream.  If IS_UNNAMED, its caller does not name the request that began the
+   stream, and begins it anew instead of resuming it every other time. */
+Stream *stream_watch_add (StreamWatch *watch, gboolean is_unnamed);
 
 /* Counts the caller's request, and fills in what it says of the stream. */
 void stream_watch_fill (StreamWatch *watch, Stream *stream, HbwArrival *arrival);
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -144,7 +144,7 @@
   gint64 first_token_us; /* time to first token */
   gint64 token_us;
   gboolean ended;
-  gboolean is_misdirected;              /* its server has another id by now */
+  char server_id[HBW_NAME_MAX];         /* that the request names */
   char tunnel_address[HBW_ADDRESS_MAX]; /* "": direct */
   gboolean tunnel_failed;
 } Attempt;
@@ -855,7 +855,7 @@
       report_end (world, attempt, HBW_OUTCOME_NOT_CONNECTED, 0);
       return;
     }
-  if (attempt->is_misdirected)
+  if (strcmp (server->entry.id, attempt->server_id) != 0)
     {
       report_end (world, attempt, HBW_OUTCOME_MISDIRECTED, 0);
       return;
@@ -1016,7 +1016,7 @@
   Attempt *attempt = g_new0 (Attempt, 1);
   attempt->request = request;
   attempt->server = find_server (world, start->server);
-  attempt->is_misdirected = strcmp (attempt->server->entry.id, start->server) != 0;
+  g_strlcpy (attempt->server_id, start->server, sizeof attempt->server_id);
   attempt->instance = instance;
   attempt->identity = instance->identity;
   attempt->number = start->attempt;
@@ -1664,7 +1664,7 @@
     request->tokens = (guint) g_rand_int_range (
         load->random, (gint32) load->tokens_min, (gint32) load->tokens_max + 1);
   if (load->resumable)
-    request->stream = stream_watch_add (world->streams);
+    request->stream = stream_watch_add (world->streams, load->unnamed);
   if (fill_spec (world, load, request))
     {
       request->class = find_or_create_class (world, load->class_name,
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -64,6 +64,7 @@
   char parts[128];    /* ids of the shared parts; see part_watch_fill() */
   WorldPrompt prompt;
   gboolean resumable; /* streams, which their callers resume if they break */
+  gboolean unnamed;   /* callers do not name the stream that they resume */
   guint attempts_max; /* of a request, on different servers; 0: the default */
   gint64 timeout_us;  /* of a request; 0 is none */
   GRand *random;      /* separate, so that every policy receives the same requests */
