One place records the failure of a silent attempt; one place has a request refused

It stood twice, in core/server_check.c and core/quarantine_lost.c, and in the tests of repeated refusals. No change of behaviour: decision, core, golden and repeated_refusal tests pass.

--- a/core/quarantine_lost.c
+++ b/core/quarantine_lost.c
@@ -2,6 +2,7 @@
 
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/quarantine_state.h"
+#include "hornbeamwall/core/server_check.h"
 #include "hornbeamwall/core/suspect_share.h"
 
 #include <xxhash.h>
@@ -125,12 +126,7 @@
 static void
 record_failure (HbwContext *context, const HbwSilentAttempt *attempt)
 {
-  guint failures
-      = hbw_quarantine_add_failure (context->quarantine, &attempt->fingerprint,
-                                    &attempt->failure, context->now_us);
-  hbw_quarantine_charge_parts (context->quarantine, &attempt->fingerprint,
-                               attempt->failure.id, &attempt->part_ids,
-                               attempt->pool_hash, context->now_us);
+  guint failures = hbw_silent_attempt_record_failure (attempt, context);
   hbw_quarantine_handle_refused_connection (
       context->quarantine, attempt->failure.server, context->now_us);
   hbw_effects_log (context->effects, HBW_LOG_REQUEST_SUSPECT,
--- a/core/server_check.c
+++ b/core/server_check.c
@@ -115,8 +115,9 @@
   add_attempt (checks, context, attempt, context->now_us + BROKEN_DELAY_US);
 }
 
-static void
-record_failure (HbwContext *context, const HbwSilentAttempt *attempt)
+guint
+hbw_silent_attempt_record_failure (const HbwSilentAttempt *attempt,
+                                   HbwContext *context)
 {
   guint failures
       = hbw_quarantine_add_failure (context->quarantine, &attempt->fingerprint,
@@ -124,6 +125,13 @@
   hbw_quarantine_charge_parts (context->quarantine, &attempt->fingerprint,
                                attempt->failure.id, &attempt->part_ids,
                                attempt->pool_hash, context->now_us);
+  return failures;
+}
+
+static void
+record_failure (HbwContext *context, const HbwSilentAttempt *attempt)
+{
+  guint failures = hbw_silent_attempt_record_failure (attempt, context);
   hbw_effects_log (context->effects, HBW_LOG_REQUEST_SUSPECT,
                    "request=%s fingerprint=%016" G_GINT64_MODIFIER
                    "x server=%s failures=%u evidence=refused_connection",
--- a/include/hornbeamwall/core/server_check.h
+++ b/include/hornbeamwall/core/server_check.h
@@ -42,6 +42,11 @@
   HbwServerFailure failure; /* that of the server, if it has failed */
 } HbwSilentAttempt;
 
+/* Records that the server of ATTEMPT has failed, for its request and the parts of
+   its prompt.  Returns how many failures of the request are known. */
+guint hbw_silent_attempt_record_failure (const HbwSilentAttempt *attempt,
+                                         HbwContext *context);
+
 HbwServerChecks *hbw_server_checks_create (void);
 void hbw_server_checks_destroy (HbwServerChecks *checks);
 
--- a/tests/repeated_refusal_test.c
+++ b/tests/repeated_refusal_test.c
@@ -44,8 +44,18 @@
   return caller_receive (fd);
 }
 
-/* In each round, a request is refused, and then another one is sent with NEXT_ID, or
-   with its own id again if that is NULL. */
+/* Has a request refused on the connection FD; the servers accept requests then. */
+static void
+have_refused (PlatformFixture *fixture, int fd, const char *path, const char *id,
+              ReplicaRepetition repetition)
+{
+  set_servers (fixture, TRUE, REPLICA_REPEATS_NOTHING);
+  raw_response_check (post_with_id (fd, path, id), 503, NULL);
+  set_servers (fixture, FALSE, repetition);
+}
+
+/* In each round, a request is refused, and one is sent whose id begins with NEXT_ID:
+   the same one for "refused". */
 static void
 play_rounds (PlatformFixture *fixture, ReplicaRepetition repetition,
              const char *next_id)
@@ -54,17 +64,13 @@
     {
       char path[32];
       char id[32];
-      char other_id[64];
       int fd = platform_fixture_connect (fixture);
       g_snprintf (path, sizeof path, "/unsafe/%u/ok", i);
       g_snprintf (id, sizeof id, "refused%u", i);
-      g_snprintf (other_id, sizeof other_id, "%s%u",
-                  next_id != NULL ? next_id : "refused", i);
-      set_servers (fixture, TRUE, REPLICA_REPEATS_NOTHING);
-      raw_response_check (post_with_id (fd, path, id), 503, NULL);
+      have_refused (fixture, fd, path, id, repetition);
       ck_assert_uint_eq (platform_fixture_count_runs (fixture, path), 0);
-      set_servers (fixture, FALSE, repetition);
-      raw_response_check (post_with_id (fd, path, other_id), 200, path);
+      g_snprintf (id, sizeof id, "%s%u", next_id, i);
+      raw_response_check (post_with_id (fd, path, id), 200, path);
       ck_assert_uint_eq (platform_fixture_count_runs (fixture, path), 1);
       close (fd);
     }
@@ -73,7 +79,7 @@
 START_TEST (repeated_refusal_is_not_taken_for_that_of_the_same_request)
 {
   PlatformFixture *fixture = platform_fixture_create ();
-  play_rounds (fixture, REPLICA_REPEATS_REFUSALS, NULL);
+  play_rounds (fixture, REPLICA_REPEATS_REFUSALS, "refused");
   platform_fixture_destroy (fixture);
 }
 END_TEST
@@ -103,9 +109,8 @@
   for (guint i = 0; i < ROUNDS; i++)
     {
       int fd = platform_fixture_connect (fixture);
-      set_servers (fixture, TRUE, REPLICA_REPEATS_NOTHING);
-      raw_response_check (post_with_id (fd, "/unsafe/ok", "refused"), 503, NULL);
-      set_servers (fixture, FALSE, REPLICA_REPEATS_REFUSALS_WITHOUT_ID);
+      have_refused (fixture, fd, "/unsafe/ok", "refused",
+                    REPLICA_REPEATS_REFUSALS_WITHOUT_ID);
       caller_send (fd,
                    "POST /unsafe/ok HTTP/1.1\r\nHost: h.example\r\n" API_KEY_FIELD
                    "Content-Length: 1\r\n\r\nb");
