--- a/core/ingress.c
+++ b/core/ingress.c
@@ -257,8 +257,10 @@
       || (!not_executed && !may_rerun (request, end))
       || !hbw_ingress_streams_has_server (context, ingress->topology, request))
     return FALSE;
-  return hbw_retry_budget_consume (ingress->budget, request->spec.pool,
-                                   count_known_instances (context), context->now_us);
+  return request->has_retry
+         || hbw_retry_budget_consume (ingress->budget, request->spec.pool,
+                                      count_known_instances (context),
+                                      context->now_us);
 }
 
 static void
@@ -358,14 +360,17 @@
 
 void
 hbw_ingress_handle_stream_version (HbwIngress *ingress, HbwContext *context,
-                                   guint64 key)
+                                   guint64 from, guint64 key)
 {
   HbwRequest *request;
   HbwRequest *next;
   cds_list_for_each_entry_safe (request, next, &ingress->order, link)
     if (request->state == HBW_REQUEST_ASKING && request->resumed_key == key)
-      handle_resumption (ingress, context, request,
-                         hbw_ingress_streams_update (context, request));
+      {
+        hbw_ingress_streams_handle_answer (request, from);
+        handle_resumption (ingress, context, request,
+                           hbw_ingress_streams_update (context, request));
+      }
 }
 
 void
@@ -444,6 +449,22 @@
   hbw_request_send_begun (request, context, first_token);
 }
 
+void
+hbw_ingress_handle_silence (HbwIngress *ingress, HbwContext *context,
+                            const HbwAttemptSilence *silence)
+{
+  HbwRequest *request = find_request (ingress, silence->sequence);
+  const HbwAttemptEnd end
+      = { .outcome = HBW_OUTCOME_TIMED_OUT, .response_started = TRUE };
+  if (request == NULL || request->state != HBW_REQUEST_RUNNING
+      || request->attempt != silence->attempt
+      || !may_retry (ingress, context, request, &end))
+    return;
+  request->has_retry = TRUE;
+  hbw_effects_add (context->effects, HBW_EFFECT_CANCEL_ATTEMPT)->sequence
+      = request->sequence;
+}
+
 void
 hbw_ingress_handle_attempt_end (HbwIngress *ingress, HbwContext *context,
                                 const HbwAttemptEnd *end)
@@ -540,6 +561,7 @@
   set_spilled (ingress, request, FALSE);
   request->state = HBW_REQUEST_RUNNING;
   request->first_token_seen = FALSE;
+  request->has_retry = FALSE;
   request->refresh_interval_us = HBW_REFRESH_INTERVAL_MAX_US;
   request->granter = from;
   request->shard = grant->shard;
--- a/include/hornbeamwall/core/ingress.h
+++ b/include/hornbeamwall/core/ingress.h
@@ -41,9 +41,9 @@
 
 void hbw_ingress_handle_arrival (HbwIngress *ingress, HbwContext *context,
                                  const HbwArrival *arrival);
-/* Handles that something may have become known of the stream KEY. */
+/* Handles that the instance FROM has said what it knows of the stream KEY. */
 void hbw_ingress_handle_stream_version (HbwIngress *ingress, HbwContext *context,
-                                        guint64 key);
+                                        guint64 from, guint64 key);
 
 /* Handles that FINGERPRINT is a suspect, as a peer reported. */
 void hbw_ingress_handle_suspect (HbwIngress *ingress, HbwContext *context,
@@ -53,6 +53,11 @@
                                      guint64 sequence);
 void hbw_ingress_handle_first_token (HbwIngress *ingress, HbwContext *context,
                                      const HbwAttemptFirstToken *first_token);
+
+/* Cancels the attempt if the request may be sent to another server; otherwise it
+   goes on, as the silent server may, too. */
+void hbw_ingress_handle_silence (HbwIngress *ingress, HbwContext *context,
+                                 const HbwAttemptSilence *silence);
 void hbw_ingress_handle_attempt_end (HbwIngress *ingress, HbwContext *context,
                                      const HbwAttemptEnd *end);
 /* Handles the result of HBW_EFFECT_CHECK_SERVER. */
--- a/include/hornbeamwall/core/request.h
+++ b/include/hornbeamwall/core/request.h
@@ -8,6 +8,7 @@
 
 #include "hornbeamwall/core/context.h"
 #include "hornbeamwall/core/event.h"
+#include "hornbeamwall/core/stream_versions.h"
 
 #include <urcu/list.h>
 
@@ -32,6 +33,7 @@
   guint sent_attempts;
   gboolean may_have_run;
   gboolean first_token_seen; /* first token of the current attempt received */
+  gboolean has_retry;        /* counted for when the current attempt is given up */
   gboolean spill_allowed;
   gboolean limit_held; /* counted against the organisation's limits */
   gboolean spilled;    /* waits for a shard of another data centre */
@@ -56,6 +58,7 @@
   guint64 attempt_version_hash; /* of the server of the attempt; 0 if unknown */
   gboolean is_version_lost;     /* events came from a server of unknown version */
   gboolean has_asked_more;      /* while ASKING */
+  HbwStreamAnswers answers;     /* while ASKING, if it names no stream */
   gint64 told_us;               /* when the others were told; 0 is never */
   guint64 told_epoch;           /* of the membership, at that time */
 } HbwRequest;
