The largest entry of the store does not hide the others

Cause: a response of the store was read up to 1 MB. The store accepts objects of 1,048,576 bytes (value_bytes), and a page or an event has some bytes around them, so that a response with such an object was a failed call. The watch failed, the list that followed it failed, and so on.

Change: responses are read up to 4 MB: a page of 1 MB that ends in such an entry, or a watch with three of them. A watch that has more is a failed call as before, after which the objects are listed.

--- a/net/store_client.c
+++ b/net/store_client.c
@@ -12,8 +12,9 @@
 #define CONNECT_TIMEOUT_S 2
 #define READ_TIMEOUT_S 5
 
-/* Largest object that is read, in bytes. */
-#define OBJECT_MAX (1024 * 1024)
+/* Largest response that is read, in bytes.  An object may have 1 MB, and a page or a
+   watch has several. */
+#define RESPONSE_MAX (4 * 1024 * 1024)
 
 /* The same for a client that keeps its connection, where a dead connection must be
    detected sooner. */
@@ -48,7 +49,7 @@
 handle_body_block (void *data, const char *bytes, size_t length)
 {
   ResponseBody *response_body = data;
-  if (response_body->body->len + length > OBJECT_MAX)
+  if (response_body->body->len + length > RESPONSE_MAX)
     {
       response_body->too_large = TRUE;
       return NE_ERROR;
--- a/tests/odd_entry_test.c
+++ b/tests/odd_entry_test.c
@@ -15,6 +15,9 @@
 #define NESTED_ARRAYS 3000
 #define NESTED_OBJECTS 20000
 
+/* The most that the store accepts. */
+#define LARGE_ENTRY_BYTES ((gsize) 1024 * 1024)
+
 /* Requests that show which servers are in use. */
 #define REQUESTS 20
 
@@ -135,6 +138,34 @@
 }
 END_TEST
 
+static void
+put_large_entry (PlatformFixture *fixture, const char *name)
+{
+  static const char opening[] = "{" SOUND_MEMBERS ",\"slots\":0,\"further\":\"";
+  GString *spec = g_string_new (opening);
+  char *text = g_strnfill (LARGE_ENTRY_BYTES - strlen (opening) - 2, 'x');
+  g_string_append_printf (spec, "%s\"}", text);
+  objects_set (fixture->object_store, "servers", name, spec->str);
+  g_free (text);
+  g_string_free (spec, TRUE);
+}
+
+/* The response with it is larger than the entry. */
+START_TEST (largest_entry_does_not_stop_an_instance)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  objects_set (fixture->object_store, "servers", "i-1", NULL);
+  ck_assert (wait_until_only_server_serves (fixture, 0));
+  put_large_entry (fixture, "a");
+  platform_fixture_put_server (fixture, 1, "ready");
+  objects_set (fixture->object_store, "servers", "i-0", NULL);
+  ck_assert (wait_until_only_server_serves (fixture, 1));
+  platform_fixture_restart_instance (fixture);
+  ck_assert (wait_until_only_server_serves (fixture, 1));
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 /* The stored suspects are replaced at the next write. */
 START_TEST (odd_suspects_do_not_stop_an_instance_that_starts)
 {
@@ -328,6 +359,8 @@
                   odd_entry_does_not_stop_the_watch);
   suite_add_test (suite, "odd_entry_does_not_stop_an_instance_that_starts",
                   odd_entry_does_not_stop_an_instance_that_starts);
+  suite_add_test (suite, "largest_entry_does_not_stop_an_instance",
+                  largest_entry_does_not_stop_an_instance);
   suite_add_test (suite, "odd_suspects_do_not_stop_an_instance_that_starts",
                   odd_suspects_do_not_stop_an_instance_that_starts);
   TCase *tests = tcase_create ("pages");
