An instance's report of its loads is read whatever prompts callers announce

A caller that announces prompts of 2,147,483,647 tokens can make the other instances reject what its instance reports.

Cause: the unread prompt tokens of a server are a sum over its requests, and each request announces up to 2^31 - 1. The sender packs 32 bits and the receiver accepts 2^31 - 1, so that two such prompts on one server, or one beside any other, made the whole message of loads invalid, and with it all messages after it in the frame: responses to pings and reports of suspects, too. The free slots of a shard and the requests that wait at a server, which servers report themselves, have the same gap.

Change: the sender reduces these sums to the largest number that a receiver accepts; both take it from the same definition. Instances of before understand them.

Evidence: core_test, codec_packs_sums_of_any_size: failed before (invalid message of kind loads), passes now. That a sum grows so large is read from the code (core/shard.c, core/load_share.c), not played.

--- a/include/hornbeamwall/net/codec_fields.h
+++ b/include/hornbeamwall/net/codec_fields.h
@@ -10,6 +10,12 @@
 
 #include <msgpack.h>
 
+/* Largest numbers in a message, which a receiver accepts: free slots of a shard, and
+   requests and prompt tokens on a server. */
+#define HBW_FREE_SLOTS_MAX ((guint) G_MAXUINT16)
+#define HBW_LOAD_REQUESTS_MAX ((guint) G_MAXUINT16)
+#define HBW_LOAD_TOKENS_MAX ((guint) G_MAXINT32)
+
 /* Reads the fields of one array in order; FAILED stays set after an error. */
 typedef struct
 {
--- a/net/codec_pack.c
+++ b/net/codec_pack.c
@@ -58,7 +58,7 @@
   msgpack_pack_array (packer, 6 + HBW_TIER_COUNT);
   pack_shard (packer, &summary->key);
   msgpack_pack_int64 (packer, summary->age_us);
-  msgpack_pack_uint32 (packer, summary->free_slots);
+  msgpack_pack_uint32 (packer, MIN (summary->free_slots, HBW_FREE_SLOTS_MAX));
   for (guint i = 0; i < HBW_TIER_COUNT; i++)
     msgpack_pack_int64 (packer, summary->expected_wait_us[i]);
   msgpack_pack_uint32 (packer, summary->draining_requests);
@@ -185,15 +185,17 @@
   msgpack_pack_int64 (packer, document->base_version);
 }
 
+/* A receiver rejects larger numbers. */
 static void
 pack_loads (msgpack_packer *packer, const HbwLoadUpdate *loads)
 {
   msgpack_pack_array (packer, 3 * loads->load_count);
   for (guint i = 0; i < loads->load_count; i++)
     {
+      const HbwServerWork *load = &loads->loads[i].load;
       msgpack_pack_uint64 (packer, loads->loads[i].server_hash);
-      msgpack_pack_uint32 (packer, loads->loads[i].load.in_progress);
-      msgpack_pack_uint32 (packer, loads->loads[i].load.unread_tokens);
+      msgpack_pack_uint32 (packer, MIN (load->in_progress, HBW_LOAD_REQUESTS_MAX));
+      msgpack_pack_uint32 (packer, MIN (load->unread_tokens, HBW_LOAD_TOKENS_MAX));
     }
   msgpack_pack_array (packer, 2 * loads->part_count);
   for (guint i = 0; i < loads->part_count; i++)
@@ -203,7 +205,8 @@
     }
   msgpack_pack_array (packer, loads->load_count);
   for (guint i = 0; i < loads->load_count; i++)
-    msgpack_pack_uint32 (packer, loads->loads[i].load.waiting);
+    msgpack_pack_uint32 (packer,
+                         MIN (loads->loads[i].load.waiting, HBW_LOAD_REQUESTS_MAX));
 }
 
 /* Packs what earlier versions read instead of the list of failures: a change, the
--- a/net/codec_unpack.c
+++ b/net/codec_unpack.c
@@ -139,7 +139,8 @@
   HbwFieldReader inner = hbw_field_reader_unpack_array (reader, G_MAXUINT16);
   unpack_shard (&inner, &summary->key);
   summary->age_us = unpack_int (&inner);
-  summary->free_slots = (guint) hbw_field_reader_unpack_uint (&inner, G_MAXUINT16);
+  summary->free_slots
+      = (guint) hbw_field_reader_unpack_uint (&inner, HBW_FREE_SLOTS_MAX);
   for (guint i = 0; i < HBW_TIER_COUNT; i++)
     summary->expected_wait_us[i] = unpack_int (&inner);
   summary->draining_requests
@@ -312,9 +313,9 @@
       HbwServerLoad *load = &loads->loads[loads->load_count++];
       load->server_hash = hbw_field_reader_unpack_uint (&inner, G_MAXUINT64);
       load->load.in_progress
-          = (guint) hbw_field_reader_unpack_uint (&inner, G_MAXUINT16);
+          = (guint) hbw_field_reader_unpack_uint (&inner, HBW_LOAD_REQUESTS_MAX);
       load->load.unread_tokens
-          = (guint) hbw_field_reader_unpack_uint (&inner, G_MAXINT32);
+          = (guint) hbw_field_reader_unpack_uint (&inner, HBW_LOAD_TOKENS_MAX);
     }
   HbwFieldReader parts
       = hbw_field_reader_unpack_array (reader, 2 * HBW_LOAD_PARTS_MAX);
@@ -331,7 +332,7 @@
   HbwFieldReader waiting = hbw_field_reader_unpack_array (reader, HBW_LOAD_SUMS_MAX);
   for (guint i = 0; i < MIN (waiting.count, loads->load_count); i++)
     loads->loads[i].load.waiting
-        = (guint) hbw_field_reader_unpack_uint (&waiting, G_MAXUINT16);
+        = (guint) hbw_field_reader_unpack_uint (&waiting, HBW_LOAD_REQUESTS_MAX);
   reader->failed |= waiting.failed;
 }
 
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -775,6 +775,44 @@
 }
 END_TEST
 
+/* Packs SENT and fills RECEIVED from the frame. */
+static void
+send_message (const HbwMessage *sent, HbwMessage *received)
+{
+  gsize size;
+  HbwError error;
+  HbwFrame *frame = hbw_frame_create (77);
+  hbw_frame_add (frame, sent);
+  GBytes *bytes = hbw_frame_encode (frame);
+  const void *data = g_bytes_get_data (bytes, &size);
+  received->kind = HBW_MESSAGE_COUNT;
+  ck_assert_msg (hbw_frame_parse (data, size, copy_message, received, &error), "%s",
+                 error.message);
+  ck_assert_uint_eq (received->kind, sent->kind);
+  g_bytes_unref (bytes);
+  hbw_frame_destroy (frame);
+}
+
+/* Callers name the length of their prompts, and several long ones may be on one
+   server.  A receiver rejects a number that is too large. */
+START_TEST (codec_packs_sums_of_any_size)
+{
+  HbwMessage received;
+  HbwMessage loads = { .kind = HBW_MESSAGE_LOADS, .loads = { .load_count = 1 } };
+  loads.loads.loads[0].load = (HbwServerWork){ G_MAXUINT, G_MAXUINT, G_MAXUINT };
+  send_message (&loads, &received);
+  ck_assert_uint_eq (received.loads.load_count, 1);
+  const HbwServerWork *load = &received.loads.loads[0].load;
+  ck_assert_uint_eq (load->in_progress, G_MAXUINT16);
+  ck_assert_uint_eq (load->unread_tokens, G_MAXINT32);
+  ck_assert_uint_eq (load->waiting, G_MAXUINT16);
+  HbwMessage ping = make_message (HBW_MESSAGE_PING);
+  ping.ping.summaries[0].free_slots = G_MAXUINT;
+  send_message (&ping, &received);
+  ck_assert_uint_eq (received.ping.summaries[0].free_slots, G_MAXUINT16);
+}
+END_TEST
+
 static void
 ignore_message (const HbwMessage *message G_GNUC_UNUSED, void *data G_GNUC_UNUSED)
 {
@@ -985,6 +1023,7 @@
   tcase_add_test (cases, permits_are_given_in_turn_at_the_rate);
   tcase_add_test (cases, codec_round_trips_every_message_kind);
   tcase_add_test (cases, codec_reads_suspect_of_earlier_version);
+  tcase_add_test (cases, codec_packs_sums_of_any_size);
   tcase_add_test (cases, codec_survives_damaged_frames);
   tcase_add_test (cases, lease_never_has_two_holders);
   tcase_add_test (cases, lease_lost_by_restore_has_no_second_holder);
