A peer message that is not valid does not hide those after it

Cause: a frame was read up to its first message that is not valid. The messages of a frame are of different kinds and origins (pings, loads, reports of suspects), and each has its own length, so that one of them says nothing about the others. Beside a version that packs a number which an older one does not accept, an older instance would lose pings of a sound peer.

Evidence: core_test, codec_reads_messages_around_invalid_ones: failed before (one of two valid messages read), passes now; codec_survives_damaged_frames and fuzz_test pass.

--- a/include/hornbeamwall/net/codec.h
+++ b/include/hornbeamwall/net/codec.h
@@ -37,8 +37,8 @@
 
 typedef void (*HbwMessageVisitor) (const HbwMessage *message, void *data);
 
-/* Calls VISIT for each message of a received frame.  Stops at the first message that
-   is not valid, sets ERROR and returns FALSE; those before it were visited. */
+/* Calls VISIT for each valid message of a received frame.  Sets ERROR and returns
+   FALSE if a message is not valid. */
 gboolean hbw_frame_parse (const void *bytes, gsize size, HbwMessageVisitor visit,
                           void *data, HbwError *error);
 
--- a/net/codec.c
+++ b/net/codec.c
@@ -200,10 +200,13 @@
           HBW_CODEC_VERSION);
       return FALSE;
     }
+  gboolean valid = TRUE;
   while (messages.next < messages.count)
-    if (!parse_message (&messages, from, visit, data, error))
-      return FALSE;
-  return TRUE;
+    {
+      valid &= parse_message (&messages, from, visit, data, error);
+      messages.failed = FALSE; /* the next message may be valid */
+    }
+  return valid;
 }
 
 gboolean
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -813,6 +813,30 @@
 }
 END_TEST
 
+static void
+count_message (const HbwMessage *message G_GNUC_UNUSED, void *data)
+{
+  (*(guint *) data)++;
+}
+
+/* The second message lacks a field, and the third is no array. */
+START_TEST (codec_reads_messages_around_invalid_ones)
+{
+  static const guint8 opening[] = { 0x93, HBW_CODEC_VERSION, 77, 0x94 };
+  static const guint8 messages[] = { 0x94, HBW_MESSAGE_STREAM_VERSION, 1, 2, 3,
+                                     0x93, HBW_MESSAGE_STREAM_VERSION, 1, 2, 7,
+                                     0x94, HBW_MESSAGE_STREAM_VERSION, 4, 5, 6 };
+  guint8 frame[sizeof opening + sizeof messages];
+  memcpy (frame, opening, sizeof opening);
+  memcpy (frame + sizeof opening, messages, sizeof messages);
+  guint count = 0;
+  HbwError error = { HBW_ERROR_NONE, "" };
+  ck_assert (!hbw_frame_parse (frame, sizeof frame, count_message, &count, &error));
+  ck_assert_int_eq (error.kind, HBW_ERROR_MESSAGE);
+  ck_assert_uint_eq (count, 2);
+}
+END_TEST
+
 static void
 ignore_message (const HbwMessage *message G_GNUC_UNUSED, void *data G_GNUC_UNUSED)
 {
@@ -1024,6 +1048,7 @@
   tcase_add_test (cases, codec_round_trips_every_message_kind);
   tcase_add_test (cases, codec_reads_suspect_of_earlier_version);
   tcase_add_test (cases, codec_packs_sums_of_any_size);
+  tcase_add_test (cases, codec_reads_messages_around_invalid_ones);
   tcase_add_test (cases, codec_survives_damaged_frames);
   tcase_add_test (cases, lease_never_has_two_holders);
   tcase_add_test (cases, lease_lost_by_restore_has_no_second_holder);
