A stored suspect that the JSON library rejects does not hide the others

One odd number in one entry of the stored suspects, and an instance that starts knows none of them from the store.

Cause: the suspects were loaded as a whole, and counted as an empty document where the library rejects them. Instances that run do not write theirs again before a suspect changes.

--- a/tests/odd_entry_test.c
+++ b/tests/odd_entry_test.c
@@ -305,6 +305,32 @@
 }
 END_TEST
 
+/* Null is an entry that the router ignores and logs. */
+START_TEST (odd_suspect_does_not_hide_the_others)
+{
+  static const char text[]
+      = "{\"metadata\":{\"name\":\"main\",\"revision\":3},\"spec\":{\"suspects\":"
+        "[{\"high\":\"1\"},{\"high\":\"2\",\"remaining_ms\":1e999},{\"high\":\"3\"}"
+        "],\"settled_era\":5}}";
+  HbwError error;
+  gint64 version = 0;
+  GBytes *body = hbw_platform_suspects_adapter ()->parse (text, strlen (text),
+                                                          &version, &error);
+  ck_assert_ptr_nonnull (body);
+  ck_assert_int_eq (version, 3);
+  gsize length;
+  const char *bytes = g_bytes_get_data (body, &length);
+  json_t *found = json_loadb (bytes, length, 0, NULL);
+  json_t *expected = json_loads (
+      "{\"suspects\":[{\"high\":\"1\"},null,{\"high\":\"3\"}],\"settled_era\":5}", 0,
+      NULL);
+  ck_assert (json_equal (found, expected));
+  json_decref (expected);
+  json_decref (found);
+  g_bytes_unref (body);
+}
+END_TEST
+
 /* --- scanning ------------------------------------------------------------------ */
 
 static void
@@ -367,6 +393,7 @@
   tcase_add_test (tests, odd_entry_is_left_out_and_logged_once);
   tcase_add_test (tests, sound_entry_with_an_odd_further_member_is_used);
   tcase_add_test (tests, config_with_an_odd_member_is_not_adopted);
+  tcase_add_test (tests, odd_suspect_does_not_hide_the_others);
   tcase_add_test (tests, text_that_is_no_value_is_refused);
   tcase_add_test (tests, each_member_and_element_is_visited);
   suite_add_tcase (suite, tests);
