Test of idle connections: its requests have ids again

server_connection_idle_for_too_long_is_not_reused sent requests without an id. Since such a request always gets a new connection, so that the test passed whatever the pool does: with the check of the idle timeout removed (a trial), it passed without ids, and fails with them. Its requests have ids now, each its own.

--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -403,7 +403,8 @@
   int listener = hbw_listen ("127.0.0.1:0", &error);
   char address[32];
   g_snprintf (address, sizeof address, "127.0.0.1:%u", hbw_listen_port (listener));
-  HbwUpstreamConfig config = { .server_name = "s", .address = address };
+  HbwUpstreamConfig config
+      = { .server_name = "s", .address = address, .request_id = "first" };
   config.request = g_bytes_new_static (request, strlen (request));
   config.connect_timeout_us = HBW_US_PER_S;
   hbw_upstream_send (pool, &config, &requester.handler);
@@ -412,6 +413,7 @@
   ck_assert_int_gt (send (first, response, strlen (response), 0), 0);
   hbw_loop_run (requester.loop);
   hbw_clock_advance (clock, HBW_US_PER_S);
+  config.request_id = "second";
   hbw_upstream_send (pool, &config, &requester.handler);
   int second = accept (listener, NULL, NULL);
   ck_assert_int_ge (second, 0);
