The response to a HEAD request ends with its head after one that was skipped, too

What callers saw: a HEAD request whose server sends an interim response (103) first, or an earlier refusal once more, got no answer before the timeout; on a route that may run once, it then counts as executed.

Cause: after a response that is not the request's, the parser was prepared for one with a body, whatever the request, and waited for the bytes that Content-Length announces.

Change: the connection keeps whether its request is a HEAD request.

Evidence: net_test, response_to_head_request_ends_after_an_interim_one: failed before (no end within a second), passes now.

--- a/net/upstream.c
+++ b/net/upstream.c
@@ -71,6 +71,7 @@
   HbwUpstreamHandler *handler; /* NULL while detached or idle */
   GBytes *request;
   GArray *carried_ids; /* guint64: hashes of the ids of its requests */
+  gboolean is_head_request;
   gboolean is_idle;
   gboolean connected;
   char tunnel_server[HBW_NAME_MAX]; /* to be named to another instance; "": direct */
@@ -284,7 +285,7 @@
           complete_request (upstream, length > 0);
           return;
         }
-      hbw_http_parser_reset (upstream->parser, FALSE);
+      hbw_http_parser_reset (upstream->parser, upstream->is_head_request);
       if (length == 0)
         return;
     }
@@ -552,6 +553,7 @@
   upstream->skipping_response = FALSE;
   upstream->response_rejected = FALSE;
   upstream->keep_alive = FALSE;
+  upstream->is_head_request = config->is_head_request;
   hbw_http_parser_reset (upstream->parser, config->is_head_request);
   if (upstream->channel == NULL)
     {
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -389,6 +389,22 @@
     = { requester_handle_open, requester_handle_head, requester_handle_body,
         requester_handle_end };
 
+/* Ends a loop that waits in vain. */
+typedef struct
+{
+  HbwTimer timer;
+  HbwLoop *loop;
+  gboolean is_due;
+} Stopper;
+
+static void
+stopper_handle_due (HbwTimer *timer)
+{
+  Stopper *stopper = caa_container_of (timer, Stopper, timer);
+  stopper->is_due = TRUE;
+  hbw_loop_stop (stopper->loop);
+}
+
 /* A request may come before the timer that closes the connection runs. */
 START_TEST (server_connection_idle_for_too_long_is_not_reused)
 {
@@ -427,6 +443,46 @@
 }
 END_TEST
 
+/* A response that precedes the one to a HEAD request does not change that its body
+   is announced only. */
+START_TEST (response_to_head_request_ends_after_an_interim_one)
+{
+  static const char response[] = "HTTP/1.1 103 Early Hints\r\n\r\n"
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+  static const char request[] = "HEAD / HTTP/1.1\r\n\r\n";
+  HbwError error = { HBW_ERROR_NONE, "" };
+  HbwClock *clock = hbw_clock_create_system ();
+  Requester requester = { .handler = { &requester_class } };
+  requester.loop = hbw_loop_create (clock, NULL, &error);
+  HbwUpstreamPool *pool = hbw_upstream_pool_create (requester.loop, "");
+  int listener = hbw_listen ("127.0.0.1:0", &error);
+  char address[32];
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", hbw_listen_port (listener));
+  HbwUpstreamConfig config = { .server_name = "s",
+                               .address = address,
+                               .request_id = "first",
+                               .is_head_request = TRUE };
+  config.request = g_bytes_new_static (request, strlen (request));
+  config.connect_timeout_us = HBW_US_PER_S;
+  Stopper stopper = { .timer = { .handle_due = stopper_handle_due } };
+  stopper.loop = requester.loop;
+  hbw_loop_set_timer (requester.loop, &stopper.timer, HBW_US_PER_S);
+  hbw_upstream_send (pool, &config, &requester.handler);
+  int fd = accept (listener, NULL, NULL);
+  ck_assert_int_ge (fd, 0);
+  ck_assert_int_gt (send (fd, response, strlen (response), 0), 0);
+  hbw_loop_run (requester.loop);
+  ck_assert (!stopper.is_due);
+  hbw_loop_clear_timer (requester.loop, &stopper.timer);
+  close (fd);
+  close (listener);
+  g_bytes_unref (config.request);
+  hbw_upstream_pool_destroy (pool);
+  hbw_loop_destroy (requester.loop, NULL);
+  hbw_clock_destroy (clock);
+}
+END_TEST
+
 /* More than the pool keeps in total, one to each server. */
 #define IDLE_SERVERS 260
 #define IDLE_KEPT_MAX 256
@@ -556,6 +612,8 @@
                   server_connection_idle_for_too_long_is_not_reused);
   suite_add_test (suite, "unread_peer_messages_take_little_memory",
                   unread_peer_messages_take_little_memory);
+  suite_add_test (suite, "response_to_head_request_ends_after_an_interim_one",
+                  response_to_head_request_ends_after_an_interim_one);
   suite_add_test (suite, "idle_connections_to_all_servers_are_bounded",
                   idle_connections_to_all_servers_are_bounded);
   return suite_run (suite);
