The lint passes again: older connections are closed after one is taken

The connection to use is found first, and older ones are passed over and closed afterwards; which connections are used and closed is the same.

--- a/net/upstream.c
+++ b/net/upstream.c
@@ -457,15 +457,18 @@
 }
 
 /* Skips connections that the server has closed, or may be closing; the loop frees
-   them when it handles their events and timers.  Skips those that have carried ID
-   before. */
+   them when it handles their events and timers.  Skips those that have carried the
+   id of the request before, and those of before CONFIG->opened_since_us. */
 static HbwUpstream *
-find_idle_connection (const HbwUpstreamPool *pool, const Server *server, guint64 id)
+find_idle_connection (const HbwUpstreamPool *pool, const Server *server,
+                      const HbwUpstreamConfig *config)
 {
   gint64 now_us = hbw_clock_now (hbw_loop_clock (pool->loop));
+  guint64 id = hash_id (config->request_id);
   HbwUpstream *upstream;
   cds_list_for_each_entry (upstream, &server->idle, idle_link)
     if (upstream->timer.due_us > now_us && hbw_channel_is_idle (upstream->channel)
+        && upstream->created_us >= config->opened_since_us
         && !has_carried (upstream, id))
       return upstream;
   return NULL;
@@ -487,15 +490,14 @@
                       const HbwUpstreamConfig *config)
 {
   Server *server = get_or_create_server (pool, way);
-  close_older (server, config->opened_since_us);
-  if (!has_id (config))
-    return NULL;
   HbwUpstream *upstream
-      = find_idle_connection (pool, server, hash_id (config->request_id));
-  if (upstream == NULL)
-    return NULL;
-  remove_from_idle (upstream);
-  hbw_loop_clear_timer (pool->loop, &upstream->timer);
+      = has_id (config) ? find_idle_connection (pool, server, config) : NULL;
+  if (upstream != NULL)
+    {
+      remove_from_idle (upstream);
+      hbw_loop_clear_timer (pool->loop, &upstream->timer);
+    }
+  close_older (server, config->opened_since_us);
   return upstream;
 }
 
