Fuzz targets for JSON spans, heads of both sides, load reports and the lease

Responses to orders have only a status. Damaged copies are of the exact size, so that the address sanitizer sees a read of the byte after them.

--- a/include/hornbeamwall/net/server_orders.h
+++ b/include/hornbeamwall/net/server_orders.h
@@ -25,6 +25,10 @@
   HbwClock *clock;
 } HbwServerOrdersConfig;
 
+/* Sets the holder and the fencing number of RECORD from the body of the lease's
+   object; 0 where it names none. */
+void hbw_lease_record_parse (HbwLeaseRecord *record, const char *text, gsize length);
+
 /* CONFIG is copied; the data that it points to must outlive the result.  Returns
    NULL and sets ERROR if the platform address is not valid. */
 HbwServerOrders *hbw_server_orders_create (const HbwServerOrdersConfig *config,
--- a/include/hornbeamwall/runtime/load_poller.h
+++ b/include/hornbeamwall/runtime/load_poller.h
@@ -10,6 +10,11 @@
 
 typedef struct HbwLoadPoller HbwLoadPoller;
 
+/* Sets the numbers of REPORT.  Returns FALSE if TEXT, the body of a response, is no
+   report. */
+gboolean hbw_load_report_parse (HbwLoadReport *report, const char *text,
+                                gsize length);
+
 HbwLoadPoller *hbw_load_poller_create (HbwControl *control);
 
 /* Waits for the polls in progress to end. */
--- a/net/server_orders.c
+++ b/net/server_orders.c
@@ -54,6 +54,17 @@
   g_free (orders);
 }
 
+void
+hbw_lease_record_parse (HbwLeaseRecord *record, const char *text, gsize length)
+{
+  json_t *root = json_loadb (text, length, 0, NULL);
+  const char *holder = json_string_value (json_object_get (root, "holder"));
+  record->holder = holder != NULL ? g_ascii_strtoull (holder, NULL, 16) : 0;
+  record->fencing_number
+      = (guint64) json_integer_value (json_object_get (root, "number"));
+  json_decref (root);
+}
+
 static gboolean
 read_lease (HbwServerOrders *orders, HbwLeaseRecord *record)
 {
@@ -68,13 +79,8 @@
     return FALSE;
   gsize length;
   const char *text = g_bytes_get_data (response.body, &length);
-  json_t *root = json_loadb (text, length, 0, NULL);
-  const char *holder = json_string_value (json_object_get (root, "holder"));
+  hbw_lease_record_parse (record, text, length);
   record->version = response.version;
-  record->holder = holder != NULL ? g_ascii_strtoull (holder, NULL, 16) : 0;
-  record->fencing_number
-      = (guint64) json_integer_value (json_object_get (root, "number"));
-  json_decref (root);
   g_bytes_unref (response.body);
   return TRUE;
 }
--- a/runtime/load_poller.c
+++ b/runtime/load_poller.c
@@ -21,25 +21,33 @@
   guint thread_count;
 };
 
-static void
-submit_report (HbwLoadPoller *poller, const HbwPollLoad *poll, const char *text,
-               gsize length, gint64 age_us)
+static guint
+get_count (json_t *number)
+{
+  return (guint) CLAMP (json_integer_value (number), 0, G_MAXINT32);
+}
+
+gboolean
+hbw_load_report_parse (HbwLoadReport *report, const char *text, gsize length)
 {
   json_t *root = json_loadb (text, length, 0, NULL);
   json_t *running = json_object_get (root, "running");
   json_t *waiting = json_object_get (root, "waiting");
-  if (json_is_integer (running) && json_is_integer (waiting))
-    {
-      HbwEvent event = { .kind = HBW_EVENT_LOAD_REPORT };
-      g_strlcpy (event.load.server, poll->server, sizeof event.load.server);
-      event.load.running
-          = (guint) CLAMP (json_integer_value (running), 0, G_MAXINT32);
-      event.load.waiting
-          = (guint) CLAMP (json_integer_value (waiting), 0, G_MAXINT32);
-      event.load.age_us = age_us;
-      hbw_control_submit (poller->control, &event, NULL);
-    }
+  gboolean valid = json_is_integer (running) && json_is_integer (waiting);
+  report->running = get_count (running);
+  report->waiting = get_count (waiting);
   json_decref (root);
+  return valid;
+}
+
+static void
+submit_report (HbwLoadPoller *poller, const HbwPollLoad *poll, const char *text,
+               gsize length, gint64 age_us)
+{
+  HbwEvent event = { .kind = HBW_EVENT_LOAD_REPORT, .load.age_us = age_us };
+  g_strlcpy (event.load.server, poll->server, sizeof event.load.server);
+  if (hbw_load_report_parse (&event.load, text, length))
+    hbw_control_submit (poller->control, &event, NULL);
 }
 
 static void
--- a/tests/fuzz_test.c
+++ b/tests/fuzz_test.c
@@ -6,13 +6,18 @@
  * sanitizer builds detect. Of a target's files, all undamaged ones must be valid, or
  * none (original_is_valid).
  */
+#include "hornbeamwall/common/json_scan.h"
 #include "hornbeamwall/core/catalogue.h"
 #include "hornbeamwall/core/delta.h"
 #include "hornbeamwall/core/directory.h"
+#include "hornbeamwall/core/server_notice.h"
 #include "hornbeamwall/net/codec.h"
 #include "hornbeamwall/net/event_stream.h"
 #include "hornbeamwall/net/http_parser.h"
+#include "hornbeamwall/net/server_orders.h"
+#include "hornbeamwall/platform/protocol_adapter.h"
 #include "hornbeamwall/platform/store_adapter.h"
+#include "hornbeamwall/runtime/load_poller.h"
 #include "hornbeamwall/runtime/settings.h"
 
 #include <stdio.h>
@@ -187,6 +192,194 @@
   return valid;
 }
 
+/* --- heads ----------------------------------------------------------------- */
+
+typedef struct
+{
+  HbwHttpParserHandler handler;
+  void (*check) (const HbwHttpHead *head);
+} HeadReader;
+
+static void
+check_head (HbwHttpParserHandler *handler, HbwHttpHead *head)
+{
+  ((HeadReader *) handler)->check (head);
+}
+
+static void
+ignore_body (HbwHttpParserHandler *handler G_GNUC_UNUSED,
+             const char *bytes G_GNUC_UNUSED, gsize length G_GNUC_UNUSED)
+{
+}
+
+static gboolean
+read_with_check (HbwHttpParserKind kind, void (*check) (const HbwHttpHead *head),
+                 const char *bytes, gsize length)
+{
+  static const HbwHttpParserHandlerClass class = { check_head, ignore_body };
+  HeadReader reader = { { &class }, check };
+  HbwHttpParser *parser = hbw_http_parser_create (kind, &reader.handler);
+  gsize used;
+  HbwHttpParserState state = hbw_http_parser_feed (parser, bytes, length, &used);
+  hbw_http_parser_destroy (parser);
+  return state == HBW_HTTP_PARSER_COMPLETE;
+}
+
+/* Reads the fields of a server.  Numbers are within the bounds that the router
+   counts with, and a refusal through 421 says nothing of the server. */
+static void
+check_response_fields (const HbwHttpHead *head)
+{
+  const HbwProtocolAdapterClass *adapter = hbw_platform_protocol_adapter ()->class;
+  HbwResponseInfo info = { .request_id = "" };
+  adapter->read_response (head, &info);
+  g_assert_cmpuint (strlen (info.request_id), <, sizeof info.request_id);
+  g_assert_cmpuint (info.running, <=, G_MAXUINT16);
+  g_assert_cmpuint (info.waiting, <=, G_MAXUINT16);
+  g_assert_cmpuint (info.notice.brittle, <=, G_MAXUINT16);
+  g_assert_true (info.notice.limit >= 0 && info.notice.limit <= 1e6);
+  g_assert_cmpint (info.notice.pause_us, >=, 0);
+  g_assert_cmpint (info.notice.pause_us, <=, HBW_SERVER_PAUSE_MAX_US);
+  g_assert_true (!info.has_seal || *info.request_id != '\0');
+  if (info.misdirected)
+    g_assert_true (info.not_executed && hbw_server_notice_is_empty (&info.notice));
+}
+
+static gboolean
+read_response_fields (const char *bytes, gsize length)
+{
+  return read_with_check (HBW_HTTP_PARSER_RESPONSE, check_response_fields, bytes,
+                          length);
+}
+
+static void
+check_request_fields (const HbwHttpHead *head)
+{
+  const HbwProtocolAdapterClass *adapter = hbw_platform_protocol_adapter ()->class;
+  HbwAdmissionInput input = { .host = NULL };
+  char id[HBW_CALLER_REQUEST_ID_MAX];
+  GStringChunk *scratch = g_string_chunk_new (512);
+  adapter->read_admission_input (head, scratch, &input);
+  g_assert_nonnull (input.path);
+  g_assert_cmpint (input.deadline_us, >=, 0);
+  g_assert_cmpuint (input.prompt_tokens, <=, G_MAXINT32);
+  g_assert_cmpuint (input.max_tokens, <=, G_MAXINT32);
+  g_assert_cmpuint (input.part_count, <=, HBW_PROMPT_PARTS_MAX);
+  g_assert_cmpuint (input.part_ids.count, <=, HBW_PART_IDS_MAX);
+  adapter->read_request_id (head, id, sizeof id);
+  g_assert_cmpuint (strlen (id), <, sizeof id);
+  adapter->read_resumed_id (head, id, sizeof id);
+  g_assert_cmpuint (strlen (id), <, sizeof id);
+  g_string_chunk_free (scratch);
+}
+
+static gboolean
+read_request_fields (const char *bytes, gsize length)
+{
+  return read_with_check (HBW_HTTP_PARSER_REQUEST, check_request_fields, bytes,
+                          length);
+}
+
+/* --- JSON ------------------------------------------------------------------ */
+
+/* A value, and what its visits must be within. */
+typedef struct
+{
+  json_t *value; /* object or array that the visits fill */
+  const char *end;
+  const char *last; /* end of the last visit */
+} Rebuild;
+
+static json_t *rebuild (HbwJsonSpan span);
+
+/* Spans follow each other within the value. */
+static void
+check_span (Rebuild *check, HbwJsonSpan span)
+{
+  g_assert_true (span.length > 0 && span.text > check->last);
+  check->last = span.text + span.length;
+  g_assert_true (check->last < check->end);
+}
+
+static void
+rebuild_visit (const char *key, HbwJsonSpan span, void *data)
+{
+  Rebuild *parent = data;
+  check_span (parent, span);
+  if (key != NULL)
+    json_object_set_new (parent->value, key, rebuild (span));
+  else
+    json_array_append_new (parent->value, rebuild (span));
+}
+
+/* Returns the value of SPAN, put together from its parts. */
+static json_t *
+rebuild (HbwJsonSpan span)
+{
+  if (*span.text != '{' && *span.text != '[')
+    return hbw_json_load (span);
+  Rebuild parent
+      = { *span.text == '{' ? json_object () : json_array (), NULL, span.text };
+  parent.end = span.text + span.length;
+  hbw_json_scan_foreach (span, rebuild_visit, &parent);
+  return parent.value;
+}
+
+static void
+check_visit (const char *key G_GNUC_UNUSED, HbwJsonSpan span, void *data)
+{
+  HbwJsonSpan again;
+  check_span (data, span);
+  g_assert_true (hbw_json_scan (span.text, span.length, &again));
+  g_assert_true (again.text == span.text && again.length == span.length);
+}
+
+/* What the library accepts is accepted, and its parts are those of the library. */
+static gboolean
+scan_json (const char *bytes, gsize length)
+{
+  HbwJsonSpan span;
+  json_t *whole = json_loadb (bytes, length, JSON_DECODE_ANY, NULL);
+  gboolean valid = hbw_json_scan (bytes, length, &span);
+  g_assert_true (whole == NULL || valid);
+  if (valid)
+    {
+      Rebuild bounds = { NULL, span.text + span.length, span.text };
+      g_assert_true (span.text >= bytes && bounds.end <= bytes + length);
+      hbw_json_scan_foreach (span, check_visit, &bounds);
+      json_t *members = hbw_json_load_members (span);
+      g_assert_nonnull (members);
+      g_assert_true (whole == NULL || json_equal (whole, members));
+      json_decref (members);
+    }
+  if (whole != NULL)
+    {
+      json_t *copy = rebuild (span);
+      g_assert_true (json_equal (whole, copy));
+      json_decref (copy);
+    }
+  json_decref (whole);
+  return valid;
+}
+
+static gboolean
+parse_load (const char *bytes, gsize length)
+{
+  HbwLoadReport report = { .server = "" };
+  gboolean valid = hbw_load_report_parse (&report, bytes, length);
+  g_assert_cmpuint (report.running, <=, G_MAXINT32);
+  g_assert_cmpuint (report.waiting, <=, G_MAXINT32);
+  return valid;
+}
+
+static gboolean
+parse_lease (const char *bytes, gsize length)
+{
+  HbwLeaseRecord record = { 0 };
+  hbw_lease_record_parse (&record, bytes, length);
+  return record.holder != 0;
+}
+
 /* --- objects of the platform's store ------------------------------------- */
 
 static gboolean
@@ -248,12 +441,23 @@
   Target target;
   gboolean original_is_valid;
 } targets[] = {
-  { "settings", parse_settings, TRUE },   { "catalogue", parse_catalogue, TRUE },
-  { "directory", parse_directory, TRUE }, { "frame", parse_frame, FALSE },
-  { "delta", apply_delta, FALSE },        { "request", parse_request, TRUE },
-  { "answer", parse_response, TRUE },     { "events", split_events, TRUE },
-  { "config", read_config, TRUE },        { "servers", read_servers, TRUE },
-  { "changes", read_changes, TRUE },      { "suspects", read_suspects, TRUE },
+  { "settings", parse_settings, TRUE },
+  { "catalogue", parse_catalogue, TRUE },
+  { "directory", parse_directory, TRUE },
+  { "frame", parse_frame, FALSE },
+  { "delta", apply_delta, FALSE },
+  { "request", parse_request, TRUE },
+  { "answer", parse_response, TRUE },
+  { "events", split_events, TRUE },
+  { "config", read_config, TRUE },
+  { "servers", read_servers, TRUE },
+  { "changes", read_changes, TRUE },
+  { "suspects", read_suspects, TRUE },
+  { "json", scan_json, TRUE },
+  { "load", parse_load, TRUE },
+  { "lease", parse_lease, TRUE },
+  { "answer", read_response_fields, TRUE },
+  { "request", read_request_fields, TRUE },
 };
 
 static void
@@ -293,7 +497,10 @@
       gsize damaged_length = length;
       char *copy = g_memdup2 (bytes, length);
       damage (copy, &damaged_length, random);
-      target (copy, damaged_length);
+      char *exact = g_malloc (MAX (1, damaged_length)); /* for the sanitizers */
+      memcpy (exact, copy, damaged_length);
+      target (exact, damaged_length);
+      g_free (exact);
       g_free (copy);
     }
   g_rand_free (random);
