Load generator: each request has an id of its own

path_load sent all requests with one id. Since a connection carries an id only once, so that scripts/overhead.sh measured a new connection to a server for each request.

--- a/tests/path_load.c
+++ b/tests/path_load.c
@@ -27,20 +27,28 @@
   atomic_bool stopping;
   atomic_uint completed;
   atomic_uint failed; /* responses with a status other than 200 */
+  atomic_uint last_id;
 } Load;
 
+/* Each request has an id of its own, as a connection carries an id only once. */
+static char *
+format_request (Load *load)
+{
+  return g_strdup_printf ("GET %s HTTP/1.1\r\nHost: h.example\r\n" API_KEY_FIELD
+                          "X-Hornbeamwall-Attempt-Id: load%u\r\n\r\n",
+                          load->path, atomic_fetch_add (&load->last_id, 1));
+}
+
 static void *
 run_caller (void *data)
 {
   Load *load = data;
-  char *request
-      = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: h.example\r\n" API_KEY_FIELD
-                         "X-Hornbeamwall-Attempt-Id: load\r\n\r\n",
-                         load->path);
   int fd = caller_connect (load->port);
   while (fd >= 0 && !atomic_load (&load->stopping))
     {
+      char *request = format_request (load);
       caller_send (fd, request);
+      g_free (request);
       RawResponse response = caller_receive (fd);
       atomic_fetch_add (response.status == 200 ? &load->completed : &load->failed,
                         1);
@@ -48,7 +56,6 @@
     }
   if (fd >= 0)
     close (fd);
-  g_free (request);
   return NULL;
 }
 
