A lease that cannot be read counts as held, and its number never falls

If another writer replaces the lease's object by an odd one, two instances may send orders to the servers of a data centre at a time, the second with a number that the servers have seen before.

Cause: a document that the JSON library rejects, or that lacks a member, was read as a lease that nobody holds, with the number 0. Another instance took it at once, with the number 1, while the holder goes on until it reads the lease again.

Change: the holder of such a lease is unknown, so that it is taken only after it has not changed for the duration and the margin; in one era, an instance never goes below a number that it has seen.

Evidence: core_test, unreadable_lease_counts_as_held: failed before (taken at once), passes now; the other tests of leases, path_test and fuzz_test pass.

--- a/core/lease.c
+++ b/core/lease.c
@@ -37,8 +37,11 @@
     lease->free_at_us = now_us + HBW_LEASE_DURATION_US + HBW_LEASE_MARGIN_US;
   if (record->holder != lease->self || record->era != lease->record.era)
     lease->held = FALSE;
+  guint64 seen_number
+      = record->era == lease->record.era ? lease->record.fencing_number : 0;
   lease->observed = TRUE;
   lease->record = *record;
+  lease->record.fencing_number = MAX (record->fencing_number, seen_number);
 }
 
 static gboolean
--- a/include/hornbeamwall/core/lease.h
+++ b/include/hornbeamwall/core/lease.h
@@ -23,6 +23,9 @@
 #define HBW_LEASE_MARGIN_US (2 * HBW_US_PER_S)
 #define HBW_LEASE_RENEW_INTERVAL_US (5 * HBW_US_PER_S)
 
+/* Holder of a lease that names none which can be read. */
+#define HBW_LEASE_HOLDER_UNKNOWN G_MAXUINT64
+
 /* State of the lease in the store. */
 typedef struct
 {
@@ -37,7 +40,8 @@
 HbwLease *hbw_lease_create (guint64 self);
 void hbw_lease_destroy (HbwLease *lease);
 
-/* Records the state that was read from the store at NOW_US. */
+/* Records the state that was read from the store at NOW_US.  In one era, the fencing
+   number never falls. */
 void hbw_lease_observe (HbwLease *lease, const HbwLeaseRecord *record,
                         gint64 now_us);
 
--- a/include/hornbeamwall/net/server_orders.h
+++ b/include/hornbeamwall/net/server_orders.h
@@ -26,7 +26,8 @@
 } HbwServerOrdersConfig;
 
 /* Sets the holder and the fencing number of RECORD from the body of the lease's
-   object; 0 where it names none. */
+   object.  Somebody may hold the lease if another writer has replaced the object:
+   the holder is unknown and the number 0 if one of them cannot be read. */
 void hbw_lease_record_parse (HbwLeaseRecord *record, const char *text, gsize length);
 
 /* CONFIG is copied; the data that it points to must outlive the result.  Returns
--- a/net/server_orders.c
+++ b/net/server_orders.c
@@ -59,9 +59,12 @@
 {
   json_t *root = json_loadb (text, length, 0, NULL);
   const char *holder = json_string_value (json_object_get (root, "holder"));
-  record->holder = holder != NULL ? g_ascii_strtoull (holder, NULL, 16) : 0;
-  record->fencing_number
-      = (guint64) json_integer_value (json_object_get (root, "number"));
+  json_t *number = json_object_get (root, "number");
+  gboolean valid = holder != NULL && json_is_integer (number)
+                   && json_integer_value (number) >= 0;
+  record->holder
+      = valid ? g_ascii_strtoull (holder, NULL, 16) : HBW_LEASE_HOLDER_UNKNOWN;
+  record->fencing_number = valid ? (guint64) json_integer_value (number) : 0;
   json_decref (root);
 }
 
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -22,6 +22,7 @@
 #include "hornbeamwall/core/server.h"
 #include "hornbeamwall/core/topology.h"
 #include "hornbeamwall/net/codec.h"
+#include "hornbeamwall/net/server_orders.h"
 #include "hornbeamwall/runtime/settings.h"
 
 #include <string.h>
@@ -903,6 +904,33 @@
 }
 END_TEST
 
+/* Another writer may replace the lease while it is held. */
+START_TEST (unreadable_lease_counts_as_held)
+{
+  static const char *const odd[] = { "",
+                                     "[]",
+                                     "{}",
+                                     "{\"holder\":\"1\",\"number\":1e999}",
+                                     "{\"holder\":\"1\",\"number\":-1}",
+                                     "{\"holder\":7,\"number\":7}" };
+  for (gsize i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      HbwLease *lease = hbw_lease_create (2);
+      HbwLeaseRecord record = { .version = 1, .holder = 1, .fencing_number = 7 };
+      HbwLeaseRecord next;
+      hbw_lease_observe (lease, &record, 0);
+      hbw_lease_record_parse (&record, odd[i], strlen (odd[i]));
+      record.version = 2;
+      hbw_lease_observe (lease, &record, 100);
+      ck_assert_msg (!hbw_lease_wants_write (lease, 100, &next), "%s", odd[i]);
+      gint64 end_us = 101 + HBW_LEASE_DURATION_US + HBW_LEASE_MARGIN_US;
+      ck_assert (hbw_lease_wants_write (lease, end_us, &next));
+      ck_assert_uint_eq (next.fencing_number, 8);
+      hbw_lease_destroy (lease);
+    }
+}
+END_TEST
+
 /* The store loses the lease while it is held; the holder reads it again only when it
    has to renew it. */
 START_TEST (lease_lost_by_restore_has_no_second_holder)
@@ -1051,6 +1079,7 @@
   tcase_add_test (cases, codec_reads_messages_around_invalid_ones);
   tcase_add_test (cases, codec_survives_damaged_frames);
   tcase_add_test (cases, lease_never_has_two_holders);
+  tcase_add_test (cases, unreadable_lease_counts_as_held);
   tcase_add_test (cases, lease_lost_by_restore_has_no_second_holder);
   tcase_add_test (cases, settings_accept_fractions);
   tcase_add_test (cases, settings_report_every_error);
--- a/tests/fuzz_test.c
+++ b/tests/fuzz_test.c
@@ -377,7 +377,7 @@
 {
   HbwLeaseRecord record = { 0 };
   hbw_lease_record_parse (&record, bytes, length);
-  return record.holder != 0;
+  return record.holder != HBW_LEASE_HOLDER_UNKNOWN;
 }
 
 /* --- objects of the platform's store ------------------------------------- */
