--- a/tests/fuzz_test.c
+++ b/tests/fuzz_test.c
@@ -10,6 +10,9 @@
 #include "hornbeamwall/core/catalogue.h"
 #include "hornbeamwall/core/delta.h"
 #include "hornbeamwall/core/directory.h"
+#include "hornbeamwall/core/documents.h"
+#include "hornbeamwall/core/policy.h"
+#include "hornbeamwall/core/reducer.h"
 #include "hornbeamwall/core/server_notice.h"
 #include "hornbeamwall/net/codec.h"
 #include "hornbeamwall/net/event_stream.h"
@@ -77,6 +80,100 @@
   return hbw_frame_parse (bytes, length, ignore, NULL, &error);
 }
 
+/* --- the reducer ----------------------------------------------------------- */
+
+#define TICK_US (250 * HBW_US_PER_MS)
+
+typedef struct
+{
+  HbwReducer *reducer;
+  HbwEffects *effects;
+  HbwEvent event; /* of the next step */
+} Instance;
+
+static void
+step (Instance *instance)
+{
+  hbw_reducer_step (instance->reducer, &instance->event, instance->effects);
+  hbw_effects_clear (instance->effects);
+}
+
+/* Starts an instance that knows a server and has read that no suspects are stored.
+ */
+static Instance
+instance_create (void)
+{
+  static const char *const seeds[] = { "10.1.0.77:1", NULL };
+  static const char servers[]
+      = "{\"servers\":[{\"id\":\"e0\",\"pool\":\"m\",\"data_centre\":\"a\","
+        "\"address\":\"10.0.0.1:1\",\"slots\":2,\"start\":1}]}";
+  HbwReducerConfig config = { .policy = hbw_policy_find ("direct"), .seed = 1 };
+  config.self.identity = 1;
+  config.seeds = seeds;
+  config.stores_suspects = TRUE;
+  config.load_in_answers = TRUE;
+  g_strlcpy (config.self.data_centre, "a", sizeof config.self.data_centre);
+  Instance instance = { hbw_reducer_create (&config),
+                        hbw_effects_create (),
+                        { .kind = HBW_EVENT_DOCUMENT_READ } };
+  instance.event.document.kind = HBW_DOCUMENT_SERVERS;
+  instance.event.document.version = 1;
+  instance.event.document.body = g_bytes_new_static (servers, strlen (servers));
+  step (&instance);
+  g_bytes_unref (instance.event.document.body);
+  instance.event = (HbwEvent){ .kind = HBW_EVENT_SUSPECTS_READ };
+  instance.event.suspects.version = HBW_VERSION_ABSENT;
+  step (&instance);
+  return instance;
+}
+
+/* Lets the instance act on what it has been told. */
+static void
+instance_destroy (Instance *instance)
+{
+  for (guint i = 1; i <= 8; i++)
+    {
+      instance->event = (HbwEvent){ .kind = HBW_EVENT_TICK, .now_us = i * TICK_US };
+      step (instance);
+    }
+  hbw_effects_destroy (instance->effects);
+  hbw_reducer_destroy (instance->reducer);
+}
+
+static void
+handle_message (const HbwMessage *message, void *data)
+{
+  Instance *instance = data;
+  instance->event = (HbwEvent){ .kind = HBW_EVENT_MESSAGE };
+  instance->event.message = *message;
+  step (instance);
+}
+
+static gboolean
+handle_frame (const char *bytes, gsize length)
+{
+  HbwError error;
+  Instance instance = instance_create ();
+  gboolean valid
+      = hbw_frame_parse (bytes, length, handle_message, &instance, &error);
+  instance_destroy (&instance);
+  return valid;
+}
+
+static gboolean
+handle_archive (const char *bytes, gsize length)
+{
+  Instance instance = instance_create ();
+  GBytes *body = g_bytes_new (bytes, length);
+  instance.event = (HbwEvent){ .kind = HBW_EVENT_SUSPECTS_READ };
+  instance.event.suspects.version = 1;
+  instance.event.suspects.body = body;
+  step (&instance);
+  g_bytes_unref (body);
+  instance_destroy (&instance);
+  return TRUE;
+}
+
 static gboolean
 apply_delta (const char *bytes, gsize length)
 {
@@ -458,6 +555,8 @@
   { "lease", parse_lease, TRUE },
   { "answer", read_response_fields, TRUE },
   { "request", read_request_fields, TRUE },
+  { "messages", handle_frame, TRUE },
+  { "archive", handle_archive, TRUE },
 };
 
 static void
