--- a/net/upstream.c
+++ b/net/upstream.c
@@ -2,11 +2,11 @@
 
 #include "hornbeamwall/core/types.h"
 #include "hornbeamwall/net/channel.h"
+#include "hornbeamwall/net/id_history.h"
 #include "hornbeamwall/net/tunnel.h"
 
 #include <string.h>
 #include <urcu/list.h>
-#include <xxhash.h>
 
 /* How long a connection may be idle if the server announces no idle timeout. */
 #define IDLE_TIMEOUT_DEFAULT_US (300 * HBW_US_PER_MS)
@@ -26,10 +26,6 @@
 /* Maximum number of idle connections to all servers. */
 #define IDLE_CONNECTIONS_TOTAL_MAX 256
 
-/* Requests that a connection carries before it is closed, so that the ids of all are
-   kept. */
-#define REQUESTS_MAX 512
-
 /* Responses to earlier requests that are skipped before the expected one. */
 #define SKIPPED_RESPONSES_MAX 2
 
@@ -70,7 +66,7 @@
   HbwTimer timer;              /* connect, detached or idle timeout */
   HbwUpstreamHandler *handler; /* NULL while detached or idle */
   GBytes *request;
-  GArray *carried_ids; /* guint64: hashes of the ids of its requests */
+  HbwIdHistory *id_history; /* of all requests on the connection */
   gboolean is_head_request;
   gboolean is_idle;
   gboolean connected;
@@ -138,7 +134,7 @@
     hbw_channel_destroy (upstream->channel);
   hbw_http_parser_destroy (upstream->parser);
   g_clear_pointer (&upstream->request, g_bytes_unref);
-  g_array_free (upstream->carried_ids, TRUE);
+  hbw_id_history_destroy (upstream->id_history);
   g_free (upstream);
 }
 
@@ -225,7 +221,8 @@
   Server *server = upstream->server;
   HbwUpstreamPool *pool = upstream->pool;
   if (!upstream->keep_alive || server->idle_count >= IDLE_CONNECTIONS_MAX
-      || upstream->idle_timeout_us <= 0 || upstream->carried_ids->len >= REQUESTS_MAX
+      || upstream->idle_timeout_us <= 0
+      || hbw_id_history_count (upstream->id_history) >= HBW_ID_HISTORY_MAX
       || hbw_channel_pending_bytes (upstream->channel) > 0)
     {
       upstream_destroy (upstream);
@@ -428,7 +425,7 @@
   upstream->parser_handler.class = &parser_handler_class;
   upstream->pool = pool;
   upstream->server = get_or_create_server (pool, way);
-  upstream->carried_ids = g_array_new (FALSE, FALSE, sizeof (guint64));
+  upstream->id_history = hbw_id_history_create ();
   if (!is_direct)
     g_strlcpy (upstream->tunnel_server, config->server_name,
                sizeof upstream->tunnel_server);
@@ -441,21 +438,6 @@
   return upstream;
 }
 
-static guint64
-hash_id (const char *request_id)
-{
-  return XXH3_64bits (request_id, strlen (request_id));
-}
-
-static gboolean
-has_carried (const HbwUpstream *upstream, guint64 id)
-{
-  for (guint i = 0; i < upstream->carried_ids->len; i++)
-    if (g_array_index (upstream->carried_ids, guint64, i) == id)
-      return TRUE;
-  return FALSE;
-}
-
 /* Skips connections that the server has closed, or may be closing; the loop frees
    them when it handles their events and timers.  Skips those that have carried the
    id of the request before, and those of before CONFIG->opened_since_us. */
@@ -464,12 +446,11 @@
                       const HbwUpstreamConfig *config)
 {
   gint64 now_us = hbw_clock_now (hbw_loop_clock (pool->loop));
-  guint64 id = hash_id (config->request_id);
   HbwUpstream *upstream;
   cds_list_for_each_entry (upstream, &server->idle, idle_link)
     if (upstream->timer.due_us > now_us && hbw_channel_is_idle (upstream->channel)
         && upstream->created_us >= config->opened_since_us
-        && !has_carried (upstream, id))
+        && !hbw_id_history_has (upstream->id_history, config->request_id))
       return upstream;
   return NULL;
 }
@@ -547,8 +528,7 @@
   gboolean reused = upstream != NULL;
   if (!reused)
     upstream = open_connection (pool, config, way);
-  guint64 id = has_id (config) ? hash_id (config->request_id) : 0;
-  g_array_append_val (upstream->carried_ids, id);
+  hbw_id_history_add (upstream->id_history, config->request_id);
   upstream->handler = handler;
   upstream->request = g_bytes_ref (config->request);
   upstream->skipped_count = 0;
@@ -604,7 +584,7 @@
 gboolean
 hbw_upstream_was_reused (const HbwUpstream *upstream)
 {
-  return upstream->carried_ids->len > 1;
+  return hbw_id_history_count (upstream->id_history) > 1;
 }
 
 gint64
