--- a/net/upstream.c
+++ b/net/upstream.c
@@ -440,7 +440,7 @@
 
 /* Skips connections that the server has closed, or may be closing; the loop frees
    them when it handles their events and timers.  Skips those that have carried the
-   id of the request before, and those of before CONFIG->opened_since_us. */
+   id of the request before. */
 static HbwUpstream *
 find_idle_connection (const HbwUpstreamPool *pool, const Server *server,
                       const HbwUpstreamConfig *config)
@@ -449,21 +449,20 @@
   HbwUpstream *upstream;
   cds_list_for_each_entry (upstream, &server->idle, idle_link)
     if (upstream->timer.due_us > now_us && hbw_channel_is_idle (upstream->channel)
-        && upstream->created_us >= config->opened_since_us
         && !hbw_id_history_has (upstream->id_history, config->request_id))
       return upstream;
   return NULL;
 }
 
-/* Connections of before an outage of the path may be silent. */
+/* Has the loop close the connections of before an outage of the path, which may be
+   silent. */
 static void
-close_older (Server *server, gint64 since_us)
+expire_older (HbwUpstreamPool *pool, Server *server, gint64 since_us)
 {
   HbwUpstream *upstream;
-  HbwUpstream *next;
-  cds_list_for_each_entry_safe (upstream, next, &server->idle, idle_link)
+  cds_list_for_each_entry (upstream, &server->idle, idle_link)
     if (upstream->created_us < since_us)
-      upstream_destroy (upstream);
+      hbw_loop_set_timer (pool->loop, &upstream->timer, 0);
 }
 
 static HbwUpstream *
@@ -471,14 +470,13 @@
                       const HbwUpstreamConfig *config)
 {
   Server *server = get_or_create_server (pool, way);
+  expire_older (pool, server, config->opened_since_us);
   HbwUpstream *upstream
       = has_id (config) ? find_idle_connection (pool, server, config) : NULL;
-  if (upstream != NULL)
-    {
-      remove_from_idle (upstream);
-      hbw_loop_clear_timer (pool->loop, &upstream->timer);
-    }
-  close_older (server, config->opened_since_us);
+  if (upstream == NULL)
+    return NULL;
+  remove_from_idle (upstream);
+  hbw_loop_clear_timer (pool->loop, &upstream->timer);
   return upstream;
 }
 
