A peer's frame with extensions cannot announce more objects than it holds

A damaged frame made the MessagePack library allocate 137 GB, which the address sanitizer reports; elsewhere the allocation fails or its memory is never touched.

Cause: counts_fit() walks over a frame before the library does, but took an extension for an object of one byte. From there on it read the frame at other places than the library, and missed a header that announces 2^32 - 1 objects.

Change: a frame with an object of a type that the codec never packs is rejected.

Evidence: fuzz_test with tests/fuzz/frame/extension.bin under the address sanitizer: aborted before (allocation of 0x2000000008 bytes), passes now.

--- a/net/codec.c
+++ b/net/codec.c
@@ -161,6 +161,15 @@
   return extent;
 }
 
+/* Returns whether the type is not used by the codec: extensions, and the one that
+   MessagePack leaves out. */
+static gboolean
+is_foreign_type (guint8 type)
+{
+  return type == 0xc1 || (type >= 0xc7 && type <= 0xc9)
+         || (type >= 0xd4 && type <= 0xd8);
+}
+
 /* Returns whether no header announces more objects or bytes than the frame can hold.
    The library allocates memory for as many objects as a header announces, so this is
    checked before unpacking. */
@@ -172,7 +181,7 @@
     {
       ObjectExtent extent = read_extent (bytes + offset, size - offset);
       gsize remaining = size - offset - 1;
-      if (extent.header_size > remaining
+      if (is_foreign_type (bytes[offset]) || extent.header_size > remaining
           || extent.payload_size > remaining - extent.header_size
           || extent.child_count > remaining - extent.header_size)
         return FALSE;
