--- a/net/exchange.c
+++ b/net/exchange.c
@@ -104,7 +104,10 @@
 {
   if (exchange->upstream == NULL)
     return; /* its end was already reported to the reducer */
-  hbw_exchange_end_attempt (exchange, HBW_OUTCOME_CANCELLED);
+  if (exchange->caller == NULL)
+    hbw_exchange_end_attempt (exchange, HBW_OUTCOME_CANCELLED);
+  else if (exchange->reported_silent) /* and the server was not heard since */
+    hbw_exchange_end_attempt (exchange, HBW_OUTCOME_TIMED_OUT);
 }
 
 void
@@ -169,6 +172,12 @@
   g_free (exchange);
 }
 
+const char *
+hbw_exchange_caller_request_id (const HbwExchange *exchange)
+{
+  return exchange->caller_request_id;
+}
+
 gsize
 hbw_exchange_add_body (HbwExchange *exchange, const char *bytes, gsize length)
 {
