--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -794,8 +794,9 @@
   hbw_frame_destroy (frame);
 }
 
-/* Callers name the length of their prompts, and several long ones may be on one
-   server.  A receiver rejects a number that is too large. */
+/* Callers name the length of their prompts, and instances that have not heard of
+   each other's may put several long ones on one server: a relay sends their sum.  A
+   receiver rejects a number that is too large. */
 START_TEST (codec_packs_sums_of_any_size)
 {
   HbwMessage received;
