--- a/net/upstream.c
+++ b/net/upstream.c
@@ -2,11 +2,11 @@
 
 #include "hornbeamwall/core/types.h"
 #include "hornbeamwall/net/channel.h"
+#include "hornbeamwall/net/id_history.h"
 #include "hornbeamwall/net/tunnel.h"
 
 #include <string.h>
 #include <urcu/list.h>
-#include <xxhash.h>
 
 /* How long a connection may be idle if the server announces no idle timeout. */
 #define IDLE_TIMEOUT_DEFAULT_US (300 * HBW_US_PER_MS)
@@ -26,10 +26,6 @@
 /* Maximum number of idle connections to all servers. */
 #define IDLE_CONNECTIONS_TOTAL_MAX 256
 
-/* Requests that a connection carries before it is closed, so that the ids of all are
-   kept. */
-#define REQUESTS_MAX 512
-
 /* Responses to earlier requests that are skipped before the expected one. */
 #define SKIPPED_RESPONSES_MAX 2
 
@@ -70,7 +66,8 @@
   HbwTimer timer;              /* connect, detached or idle timeout */
   HbwUpstreamHandler *handler; /* NULL while detached or idle */
   GBytes *request;
-  GArray *carried_ids; /* guint64: hashes of the ids of its requests */
+  HbwIdHistory *id_history; /* of all requests on the connection */
+  gboolean is_head_request;
   gboolean is_idle;
   gboolean connected;
   char tunnel_server[HBW_NAME_MAX]; /* to be named to another instance; "": direct */
@@ -137,7 +134,7 @@
     hbw_channel_destroy (upstream->channel);
   hbw_http_parser_destroy (upstream->parser);
   g_clear_pointer (&upstream->request, g_bytes_unref);
-  g_array_free (upstream->carried_ids, TRUE);
+  hbw_id_history_destroy (upstream->id_history);
   g_free (upstream);
 }
 
@@ -224,7 +221,8 @@
   Server *server = upstream->server;
   HbwUpstreamPool *pool = upstream->pool;
   if (!upstream->keep_alive || server->idle_count >= IDLE_CONNECTIONS_MAX
-      || upstream->idle_timeout_us <= 0 || upstream->carried_ids->len >= REQUESTS_MAX
+      || upstream->idle_timeout_us <= 0
+      || hbw_id_history_count (upstream->id_history) >= HBW_ID_HISTORY_MAX
       || hbw_channel_pending_bytes (upstream->channel) > 0)
     {
       upstream_destroy (upstream);
@@ -284,7 +282,7 @@
           complete_request (upstream, length > 0);
           return;
         }
-      hbw_http_parser_reset (upstream->parser, FALSE);
+      hbw_http_parser_reset (upstream->parser, upstream->is_head_request);
       if (length == 0)
         return;
     }
@@ -427,7 +425,7 @@
   upstream->parser_handler.class = &parser_handler_class;
   upstream->pool = pool;
   upstream->server = get_or_create_server (pool, way);
-  upstream->carried_ids = g_array_new (FALSE, FALSE, sizeof (guint64));
+  upstream->id_history = hbw_id_history_create ();
   if (!is_direct)
     g_strlcpy (upstream->tunnel_server, config->server_name,
                sizeof upstream->tunnel_server);
@@ -440,45 +438,31 @@
   return upstream;
 }
 
-static guint64
-hash_id (const char *request_id)
-{
-  return XXH3_64bits (request_id, strlen (request_id));
-}
-
-static gboolean
-has_carried (const HbwUpstream *upstream, guint64 id)
-{
-  for (guint i = 0; i < upstream->carried_ids->len; i++)
-    if (g_array_index (upstream->carried_ids, guint64, i) == id)
-      return TRUE;
-  return FALSE;
-}
-
 /* Skips connections that the server has closed, or may be closing; the loop frees
-   them when it handles their events and timers.  Skips those that have carried ID
-   before. */
+   them when it handles their events and timers.  Skips those that have carried the
+   id of the request before. */
 static HbwUpstream *
-find_idle_connection (const HbwUpstreamPool *pool, const Server *server, guint64 id)
+find_idle_connection (const HbwUpstreamPool *pool, const Server *server,
+                      const HbwUpstreamConfig *config)
 {
   gint64 now_us = hbw_clock_now (hbw_loop_clock (pool->loop));
   HbwUpstream *upstream;
   cds_list_for_each_entry (upstream, &server->idle, idle_link)
     if (upstream->timer.due_us > now_us && hbw_channel_is_idle (upstream->channel)
-        && !has_carried (upstream, id))
+        && !hbw_id_history_has (upstream->id_history, config->request_id))
       return upstream;
   return NULL;
 }
 
-/* Connections of before an outage of the path may be silent. */
+/* Has the loop close the connections of before an outage of the path, which may be
+   silent. */
 static void
-close_older (Server *server, gint64 since_us)
+expire_older (HbwUpstreamPool *pool, Server *server, gint64 since_us)
 {
   HbwUpstream *upstream;
-  HbwUpstream *next;
-  cds_list_for_each_entry_safe (upstream, next, &server->idle, idle_link)
+  cds_list_for_each_entry (upstream, &server->idle, idle_link)
     if (upstream->created_us < since_us)
-      upstream_destroy (upstream);
+      hbw_loop_set_timer (pool->loop, &upstream->timer, 0);
 }
 
 static HbwUpstream *
@@ -486,11 +470,9 @@
                       const HbwUpstreamConfig *config)
 {
   Server *server = get_or_create_server (pool, way);
-  close_older (server, config->opened_since_us);
-  if (!has_id (config))
-    return NULL;
+  expire_older (pool, server, config->opened_since_us);
   HbwUpstream *upstream
-      = find_idle_connection (pool, server, hash_id (config->request_id));
+      = has_id (config) ? find_idle_connection (pool, server, config) : NULL;
   if (upstream == NULL)
     return NULL;
   remove_from_idle (upstream);
@@ -544,14 +526,14 @@
   gboolean reused = upstream != NULL;
   if (!reused)
     upstream = open_connection (pool, config, way);
-  guint64 id = has_id (config) ? hash_id (config->request_id) : 0;
-  g_array_append_val (upstream->carried_ids, id);
+  hbw_id_history_add (upstream->id_history, config->request_id);
   upstream->handler = handler;
   upstream->request = g_bytes_ref (config->request);
   upstream->skipped_count = 0;
   upstream->skipping_response = FALSE;
   upstream->response_rejected = FALSE;
   upstream->keep_alive = FALSE;
+  upstream->is_head_request = config->is_head_request;
   hbw_http_parser_reset (upstream->parser, config->is_head_request);
   if (upstream->channel == NULL)
     {
@@ -600,7 +582,7 @@
 gboolean
 hbw_upstream_was_reused (const HbwUpstream *upstream)
 {
-  return upstream->carried_ids->len > 1;
+  return hbw_id_history_count (upstream->id_history) > 1;
 }
 
 gint64
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -22,6 +22,7 @@
 #include "hornbeamwall/core/server.h"
 #include "hornbeamwall/core/topology.h"
 #include "hornbeamwall/net/codec.h"
+#include "hornbeamwall/net/server_orders.h"
 #include "hornbeamwall/runtime/settings.h"
 
 #include <string.h>
@@ -775,6 +776,69 @@
 }
 END_TEST
 
+/* Packs SENT and fills RECEIVED from the frame. */
+static void
+send_message (const HbwMessage *sent, HbwMessage *received)
+{
+  gsize size;
+  HbwError error;
+  HbwFrame *frame = hbw_frame_create (77);
+  hbw_frame_add (frame, sent);
+  GBytes *bytes = hbw_frame_encode (frame);
+  const void *data = g_bytes_get_data (bytes, &size);
+  received->kind = HBW_MESSAGE_COUNT;
+  ck_assert_msg (hbw_frame_parse (data, size, copy_message, received, &error), "%s",
+                 error.message);
+  ck_assert_uint_eq (received->kind, sent->kind);
+  g_bytes_unref (bytes);
+  hbw_frame_destroy (frame);
+}
+
+/* Callers name the length of their prompts, and instances that have not heard of
+   each other's may put several long ones on one server: a relay sends their sum.  A
+   receiver rejects a number that is too large. */
+START_TEST (codec_packs_sums_of_any_size)
+{
+  HbwMessage received;
+  HbwMessage loads = { .kind = HBW_MESSAGE_LOADS, .loads = { .load_count = 1 } };
+  loads.loads.loads[0].load = (HbwServerWork){ G_MAXUINT, G_MAXUINT, G_MAXUINT };
+  send_message (&loads, &received);
+  ck_assert_uint_eq (received.loads.load_count, 1);
+  const HbwServerWork *load = &received.loads.loads[0].load;
+  ck_assert_uint_eq (load->in_progress, G_MAXUINT16);
+  ck_assert_uint_eq (load->unread_tokens, G_MAXINT32);
+  ck_assert_uint_eq (load->waiting, G_MAXUINT16);
+  HbwMessage ping = make_message (HBW_MESSAGE_PING);
+  ping.ping.summaries[0].free_slots = G_MAXUINT;
+  send_message (&ping, &received);
+  ck_assert_uint_eq (received.ping.summaries[0].free_slots, G_MAXUINT16);
+}
+END_TEST
+
+static void
+count_message (const HbwMessage *message G_GNUC_UNUSED, void *data)
+{
+  (*(guint *) data)++;
+}
+
+/* The second message lacks a field, and the third is no array. */
+START_TEST (codec_reads_messages_around_invalid_ones)
+{
+  static const guint8 opening[] = { 0x93, HBW_CODEC_VERSION, 77, 0x94 };
+  static const guint8 messages[] = { 0x94, HBW_MESSAGE_STREAM_VERSION, 1, 2, 3,
+                                     0x93, HBW_MESSAGE_STREAM_VERSION, 1, 2, 7,
+                                     0x94, HBW_MESSAGE_STREAM_VERSION, 4, 5, 6 };
+  guint8 frame[sizeof opening + sizeof messages];
+  memcpy (frame, opening, sizeof opening);
+  memcpy (frame + sizeof opening, messages, sizeof messages);
+  guint count = 0;
+  HbwError error = { HBW_ERROR_NONE, "" };
+  ck_assert (!hbw_frame_parse (frame, sizeof frame, count_message, &count, &error));
+  ck_assert_int_eq (error.kind, HBW_ERROR_MESSAGE);
+  ck_assert_uint_eq (count, 2);
+}
+END_TEST
+
 static void
 ignore_message (const HbwMessage *message G_GNUC_UNUSED, void *data G_GNUC_UNUSED)
 {
@@ -841,6 +905,33 @@
 }
 END_TEST
 
+/* Another writer may replace the lease while it is held. */
+START_TEST (unreadable_lease_counts_as_held)
+{
+  static const char *const odd[] = { "",
+                                     "[]",
+                                     "{}",
+                                     "{\"holder\":\"1\",\"number\":1e999}",
+                                     "{\"holder\":\"1\",\"number\":-1}",
+                                     "{\"holder\":7,\"number\":7}" };
+  for (gsize i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      HbwLease *lease = hbw_lease_create (2);
+      HbwLeaseRecord record = { .version = 1, .holder = 1, .fencing_number = 7 };
+      HbwLeaseRecord next;
+      hbw_lease_observe (lease, &record, 0);
+      hbw_lease_record_parse (&record, odd[i], strlen (odd[i]));
+      record.version = 2;
+      hbw_lease_observe (lease, &record, 100);
+      ck_assert_msg (!hbw_lease_wants_write (lease, 100, &next), "%s", odd[i]);
+      gint64 end_us = 101 + HBW_LEASE_DURATION_US + HBW_LEASE_MARGIN_US;
+      ck_assert (hbw_lease_wants_write (lease, end_us, &next));
+      ck_assert_uint_eq (next.fencing_number, 8);
+      hbw_lease_destroy (lease);
+    }
+}
+END_TEST
+
 /* The store loses the lease while it is held; the holder reads it again only when it
    has to renew it. */
 START_TEST (lease_lost_by_restore_has_no_second_holder)
@@ -985,8 +1076,11 @@
   tcase_add_test (cases, permits_are_given_in_turn_at_the_rate);
   tcase_add_test (cases, codec_round_trips_every_message_kind);
   tcase_add_test (cases, codec_reads_suspect_of_earlier_version);
+  tcase_add_test (cases, codec_packs_sums_of_any_size);
+  tcase_add_test (cases, codec_reads_messages_around_invalid_ones);
   tcase_add_test (cases, codec_survives_damaged_frames);
   tcase_add_test (cases, lease_never_has_two_holders);
+  tcase_add_test (cases, unreadable_lease_counts_as_held);
   tcase_add_test (cases, lease_lost_by_restore_has_no_second_holder);
   tcase_add_test (cases, settings_accept_fractions);
   tcase_add_test (cases, settings_report_every_error);
--- a/tests/odd_entry_test.c
+++ b/tests/odd_entry_test.c
@@ -15,6 +15,9 @@
 #define NESTED_ARRAYS 3000
 #define NESTED_OBJECTS 20000
 
+/* The most that the store accepts. */
+#define LARGE_ENTRY_BYTES ((gsize) 1024 * 1024)
+
 /* Requests that show which servers are in use. */
 #define REQUESTS 20
 
@@ -135,6 +138,34 @@
 }
 END_TEST
 
+static void
+put_large_entry (PlatformFixture *fixture, const char *name)
+{
+  static const char opening[] = "{" SOUND_MEMBERS ",\"slots\":0,\"further\":\"";
+  GString *spec = g_string_new (opening);
+  char *text = g_strnfill (LARGE_ENTRY_BYTES - strlen (opening) - 2, 'x');
+  g_string_append_printf (spec, "%s\"}", text);
+  objects_set (fixture->object_store, "servers", name, spec->str);
+  g_free (text);
+  g_string_free (spec, TRUE);
+}
+
+/* The response with it is larger than the entry. */
+START_TEST (largest_entry_does_not_stop_an_instance)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  objects_set (fixture->object_store, "servers", "i-1", NULL);
+  ck_assert (wait_until_only_server_serves (fixture, 0));
+  put_large_entry (fixture, "a");
+  platform_fixture_put_server (fixture, 1, "ready");
+  objects_set (fixture->object_store, "servers", "i-0", NULL);
+  ck_assert (wait_until_only_server_serves (fixture, 1));
+  platform_fixture_restart_instance (fixture);
+  ck_assert (wait_until_only_server_serves (fixture, 1));
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 /* The stored suspects are replaced at the next write. */
 START_TEST (odd_suspects_do_not_stop_an_instance_that_starts)
 {
@@ -274,6 +305,32 @@
 }
 END_TEST
 
+/* Null is an entry that the router ignores and logs. */
+START_TEST (odd_suspect_does_not_hide_the_others)
+{
+  static const char text[]
+      = "{\"metadata\":{\"name\":\"main\",\"revision\":3},\"spec\":{\"suspects\":"
+        "[{\"high\":\"1\"},{\"high\":\"2\",\"remaining_ms\":1e999},{\"high\":\"3\"}"
+        "],\"settled_era\":5}}";
+  HbwError error;
+  gint64 version = 0;
+  GBytes *body = hbw_platform_suspects_adapter ()->parse (text, strlen (text),
+                                                          &version, &error);
+  ck_assert_ptr_nonnull (body);
+  ck_assert_int_eq (version, 3);
+  gsize length;
+  const char *bytes = g_bytes_get_data (body, &length);
+  json_t *found = json_loadb (bytes, length, 0, NULL);
+  json_t *expected = json_loads (
+      "{\"suspects\":[{\"high\":\"1\"},null,{\"high\":\"3\"}],\"settled_era\":5}", 0,
+      NULL);
+  ck_assert (json_equal (found, expected));
+  json_decref (expected);
+  json_decref (found);
+  g_bytes_unref (body);
+}
+END_TEST
+
 /* --- scanning ------------------------------------------------------------------ */
 
 static void
@@ -328,12 +385,15 @@
                   odd_entry_does_not_stop_the_watch);
   suite_add_test (suite, "odd_entry_does_not_stop_an_instance_that_starts",
                   odd_entry_does_not_stop_an_instance_that_starts);
+  suite_add_test (suite, "largest_entry_does_not_stop_an_instance",
+                  largest_entry_does_not_stop_an_instance);
   suite_add_test (suite, "odd_suspects_do_not_stop_an_instance_that_starts",
                   odd_suspects_do_not_stop_an_instance_that_starts);
   TCase *tests = tcase_create ("pages");
   tcase_add_test (tests, odd_entry_is_left_out_and_logged_once);
   tcase_add_test (tests, sound_entry_with_an_odd_further_member_is_used);
   tcase_add_test (tests, config_with_an_odd_member_is_not_adopted);
+  tcase_add_test (tests, odd_suspect_does_not_hide_the_others);
   tcase_add_test (tests, text_that_is_no_value_is_refused);
   tcase_add_test (tests, each_member_and_element_is_visited);
   suite_add_tcase (suite, tests);
