--- a/core/ingress.c
+++ b/core/ingress.c
@@ -514,6 +514,7 @@
 fill_start (HbwIngress *ingress, HbwContext *context, HbwRequest *request,
             const HbwGrant *grant, HbwStartAttempt *start)
 {
+  hbw_ingress_path_choose (context, request, start);
   start->sequence = request->sequence;
   start->attempt = request->attempt;
   start->valid_for_us = MIN (grant->valid_for_us, G_GINT64_CONSTANT (1000000));
@@ -526,7 +527,6 @@
                                 : 0;
   g_strlcpy (start->server, grant->server, sizeof start->server);
   g_strlcpy (start->address, grant->address, sizeof start->address);
-  hbw_ingress_path_choose (context, request, start);
 }
 
 void
--- a/core/ingress_path.c
+++ b/core/ingress_path.c
@@ -9,9 +9,7 @@
                          HbwStartAttempt *start)
 {
   HbwPathChoice choice;
-  hbw_server_path_choose (context->server_path, context,
-                          start->first_byte_timeout_us, request->unexecuted_attempts,
-                          &choice);
+  hbw_server_path_choose (context->server_path, context, &choice);
   request->tunnel_peer = choice.peer;
   start->opened_since_us = choice.opened_since_us;
   g_strlcpy (start->tunnel_address, choice.address, sizeof start->tunnel_address);
@@ -39,14 +37,6 @@
                                    request->address);
 }
 
-static void
-handle_silent (HbwContext *context, const HbwRequest *request)
-{
-  if (request->tunnel_peer == 0
-      && context->now_us - request->started_us >= HBW_PATH_SILENT_US)
-    hbw_server_path_handle_silent (context->server_path, context, request->server);
-}
-
 gboolean
 hbw_ingress_path_handle_end (HbwContext *context, const HbwRequest *request,
                              const HbwAttemptEnd *end)
@@ -66,24 +56,38 @@
   if (is_unconnected
       || (end->outcome == HBW_OUTCOME_BROKEN && end->first_token_us == 0))
     hbw_server_path_handle_unconnected (path, context, request->server);
-  if (end->outcome == HBW_OUTCOME_TIMED_OUT && end->server_silent)
-    handle_silent (context, request);
   return hbw_server_path_state (path) == HBW_PATH_LOST
          && (is_unconnected || end->outcome == HBW_OUTCOME_BROKEN
              || end->server_silent);
 }
 
-void
-hbw_ingress_path_tick (HbwContext *context, const HbwTopology *topology,
-                       const struct cds_list_head *requests)
+/* Returns the number of servers, up to HBW_PATH_SERVERS_MIN, at which attempts have
+   been in progress for HBW_PATH_SILENT_US. */
+static guint
+count_waited_for (const HbwContext *context, const struct cds_list_head *requests)
 {
+  const HbwRequest *first = NULL;
   const HbwRequest *request;
   cds_list_for_each_entry (request, requests, link)
     {
-      if (hbw_server_path_state (context->server_path) != HBW_PATH_DIRECT)
-        break;
-      if (request->state == HBW_REQUEST_RUNNING)
-        handle_silent (context, request);
+      if (request->state != HBW_REQUEST_RUNNING || request->tunnel_peer != 0
+          || context->now_us - request->started_us < HBW_PATH_SILENT_US)
+        continue;
+      if (first == NULL)
+        first = request;
+      else if (strcmp (first->server, request->server) != 0)
+        return HBW_PATH_SERVERS_MIN;
     }
-  hbw_server_path_tick (context->server_path, context, topology);
+  return first != NULL ? 1 : 0;
+}
+
+void
+hbw_ingress_path_tick (HbwContext *context, const HbwTopology *topology,
+                       const struct cds_list_head *requests)
+{
+  HbwServerPath *path = context->server_path;
+  if (hbw_server_path_state (path) == HBW_PATH_DIRECT)
+    hbw_server_path_handle_waiting (path, context,
+                                    count_waited_for (context, requests));
+  hbw_server_path_tick (path, context, topology);
 }
--- a/core/server_path.c
+++ b/core/server_path.c
@@ -19,13 +19,6 @@
 #define CHECK_ANSWER_US (150 * HBW_US_PER_MS)
 #define LOST_CHECKS_ACCEPTED 2
 
-/* Interval of the requests that try a silent path. */
-#define TRIAL_INTERVAL_US (1 * HBW_US_PER_S)
-
-/* While a path is silent, a request that has failed this often without being sent
-   tries it: all may wait for silent servers, and then nobody opens tunnels. */
-#define SILENT_UNEXECUTED_MAX 3
-
 /* An instance that could not open a tunnel is not asked again for this long. */
 #define TUNNEL_RETRY_US (1 * HBW_US_PER_S)
 
@@ -38,15 +31,11 @@
 struct HbwServerPath
 {
   HbwPathState state;
-  gboolean is_silence; /* the doubt is due to servers that sent nothing */
   gint64 heard_us;
   gint64 doubted_us;                /* as hbw_server_path_doubted_us() */
   gint64 found_us;                  /* when it was found again; 0 is never lost */
   char failed_server[HBW_NAME_MAX]; /* last one without a connection */
   gint64 failed_us;
-  char silent_server[HBW_NAME_MAX]; /* last one that sent nothing */
-  gint64 silent_us;
-  gint64 next_trial_us;
   gint64 checked_us;       /* when checks were last requested; 0 in a new doubt */
   gint64 first_checked_us; /* in this doubt; 0 before */
   guint checks_accepted;   /* in a row, while it is lost */
@@ -95,6 +84,8 @@
 static void
 set_doubtful (HbwServerPath *path, gint64 since_us)
 {
+  if (path->state != HBW_PATH_DIRECT)
+    return;
   path->state = HBW_PATH_DOUBTFUL;
   path->doubted_us = since_us;
   path->checked_us = 0;
@@ -105,30 +96,17 @@
 static void
 set_direct (HbwServerPath *path, HbwContext *context)
 {
-  HbwPathState before = path->state;
+  gboolean was_lost = path->state == HBW_PATH_LOST;
   path->state = HBW_PATH_DIRECT;
-  path->is_silence = FALSE;
   path->heard_us = context->now_us;
   *path->failed_server = '\0';
-  *path->silent_server = '\0';
-  if (before == HBW_PATH_DOUBTFUL)
+  if (!was_lost)
     return;
-  /* Connections from before a silence may be silent still. */
-  path->found_us = before == HBW_PATH_LOST ? context->now_us : path->doubted_us;
+  path->found_us = context->now_us;
   hbw_effects_log (context->effects, HBW_LOG_PATH_FOUND, "lost_ms=%" G_GINT64_FORMAT,
                    (context->now_us - path->doubted_us) / HBW_US_PER_MS);
 }
 
-static void
-set_silent (HbwServerPath *path, HbwContext *context)
-{
-  path->state = HBW_PATH_SILENT;
-  hbw_effects_log (context->effects, HBW_LOG_PATH_SILENT,
-                   "doubted_ms=%" G_GINT64_FORMAT " server=%s",
-                   (context->now_us - path->doubted_us) / HBW_US_PER_MS,
-                   path->silent_server);
-}
-
 static void
 set_lost (HbwServerPath *path, HbwContext *context)
 {
@@ -150,30 +128,17 @@
   gint64 since_us = path->failed_us;
   path->failed_us = context->now_us;
   g_strlcpy (path->failed_server, server, sizeof path->failed_server);
-  if (path->state == HBW_PATH_SILENT)
-    set_doubtful (path, context->now_us);
-  else if (path->state == HBW_PATH_DIRECT && is_another
-           && context->now_us - since_us < FAILURE_WINDOW_US)
+  if (is_another && context->now_us - since_us < FAILURE_WINDOW_US)
     set_doubtful (path, since_us);
 }
 
 void
-hbw_server_path_handle_silent (HbwServerPath *path, HbwContext *context,
-                               const char *server)
+hbw_server_path_handle_waiting (HbwServerPath *path, HbwContext *context,
+                                guint count)
 {
-  gint64 now_us = context->now_us;
-  if (path->state != HBW_PATH_DIRECT || now_us - path->heard_us < HBW_PATH_SILENT_US)
-    return;
-  gboolean is_another = *path->silent_server != '\0'
-                        && path->silent_us > path->heard_us
-                        && strcmp (path->silent_server, server) != 0;
-  path->silent_us = now_us;
-  g_strlcpy (path->silent_server, server, sizeof path->silent_server);
-  if (!is_another)
-    return;
-  set_doubtful (path, now_us - HBW_PATH_SILENT_US);
-  path->is_silence = TRUE;
-  path->next_trial_us = now_us;
+  if (count >= HBW_PATH_SERVERS_MIN
+      && context->now_us - path->heard_us >= HBW_PATH_SILENT_US)
+    set_doubtful (path, context->now_us - HBW_PATH_SILENT_US);
 }
 
 void
@@ -185,12 +150,9 @@
   switch (path->state)
     {
     case HBW_PATH_DIRECT:
-    case HBW_PATH_SILENT:
       break;
     case HBW_PATH_DOUBTFUL:
-      if (accepted && path->is_silence)
-        set_silent (path, context);
-      else if (accepted)
+      if (accepted)
         set_direct (path, context);
       else if (is_proof)
         set_lost (path, context);
@@ -265,10 +227,7 @@
 hbw_server_path_tick (HbwServerPath *path, HbwContext *context,
                       const HbwTopology *topology)
 {
-  if (path->state == HBW_PATH_SILENT && path->heard_us > path->doubted_us)
-    set_direct (path, context);
-  if (topology == NULL || path->state == HBW_PATH_DIRECT
-      || path->state == HBW_PATH_SILENT)
+  if (topology == NULL || path->state == HBW_PATH_DIRECT)
     return;
   if (path->checked_us == 0)
     {
@@ -330,30 +289,14 @@
               parts.host, member->tunnel_port);
 }
 
-/* Returns whether a request tries a silent path. */
-static gboolean
-is_trial (HbwServerPath *path, gint64 silence_us, guint unexecuted, gint64 now_us)
-{
-  if (path->state != HBW_PATH_SILENT)
-    return FALSE;
-  if (unexecuted >= SILENT_UNEXECUTED_MAX)
-    return TRUE;
-  if (silence_us == 0 || now_us < path->next_trial_us)
-    return FALSE;
-  path->next_trial_us = now_us + MAX (TRIAL_INTERVAL_US, silence_us);
-  return TRUE;
-}
-
 void
-hbw_server_path_choose (HbwServerPath *path, HbwContext *context, gint64 silence_us,
-                        guint unexecuted, HbwPathChoice *choice)
+hbw_server_path_choose (HbwServerPath *path, HbwContext *context,
+                        HbwPathChoice *choice)
 {
   TunnelSearch search = { path, context, choice, 0 };
   memset (choice, 0, sizeof *choice);
   choice->opened_since_us = path->found_us;
-  if (is_trial (path, silence_us, unexecuted, context->now_us))
-    choice->opened_since_us = context->now_us;
-  else if (path->state != HBW_PATH_DIRECT)
+  if (path->state != HBW_PATH_DIRECT)
     hbw_membership_foreach (context->membership, consider_peer, &search);
 }
 
--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -95,11 +95,6 @@
   X (5012, SERVER_BRITTLE, INFO,                                                    \
      "A backend server says that it fails if it turns many requests away.",         \
      "Nothing; it gets fewer requests than usual.")                                 \
-  X (5013, PATH_SILENT, WARN,                                                       \
-     "Servers accept connections from this instance and send nothing; requests go " \
-     "through others.",                                                             \
-     "Check the network between this instance and the backend servers if it "       \
-     "lasts.")                                                                      \
   X (6010, REQUEST_ADMITTED, INFO, "A caller's request was admitted.", "Nothing.")  \
   X (6011, REQUEST_DENIED, INFO,                                                    \
      "A caller's request was denied by the catalogue that is active here.",         \
--- a/include/hornbeamwall/core/ingress_path.h
+++ b/include/hornbeamwall/core/ingress_path.h
@@ -9,7 +9,7 @@
 #include "hornbeamwall/core/request.h"
 #include "hornbeamwall/core/server_path.h"
 
-/* Chooses the way of the attempt START of REQUEST, whose timeouts are set. */
+/* Chooses the way of the attempt START of REQUEST. */
 void hbw_ingress_path_choose (HbwContext *context, HbwRequest *request,
                               HbwStartAttempt *start);
 
--- a/include/hornbeamwall/core/server_path.h
+++ b/include/hornbeamwall/core/server_path.h
@@ -11,13 +11,6 @@
  * answered through a tunnel and accepts no connection from this instance after that.
  * What happens to the attempts of an instance whose path is lost is no evidence
  * against a server.
- *
- * Connections may be accepted on a path that carries no answers.  If the doubt is
- * due to silence, and a server accepts a connection, the path is silent: requests go
- * through tunnels, one a second that may be sent again tries the path, and the first
- * bytes from a server on a direct connection end it.  The servers may be silent
- * instead, so that all failures count as ever, and none is withdrawn.  Answers
- * through tunnels decide nothing then.
  */
 #ifndef HORNBEAMWALL_CORE_SERVER_PATH_H
 #define HORNBEAMWALL_CORE_SERVER_PATH_H
@@ -27,15 +20,17 @@
 #include "hornbeamwall/core/event.h"
 #include "hornbeamwall/core/topology.h"
 
-/* Requests at two servers, at once or in turn, without any byte from a server
-   for this long make the path doubtful. */
+/* Requests at several servers without any byte from a server for this long make the
+   path doubtful. */
 #define HBW_PATH_SILENT_US (500 * HBW_US_PER_MS)
 
+/* Servers whose failures or silence make it doubtful. */
+#define HBW_PATH_SERVERS_MIN 2
+
 typedef enum
 {
   HBW_PATH_DIRECT,
   HBW_PATH_DOUBTFUL,
-  HBW_PATH_SILENT,
   HBW_PATH_LOST,
 } HbwPathState;
 
@@ -59,10 +54,10 @@
 void hbw_server_path_handle_unconnected (HbwServerPath *path, HbwContext *context,
                                          const char *server);
 
-/* Handles that a request has waited for SERVER, on a direct connection, for
+/* Handles that requests have been in progress on COUNT servers for
    HBW_PATH_SILENT_US. */
-void hbw_server_path_handle_silent (HbwServerPath *path, HbwContext *context,
-                                    const char *server);
+void hbw_server_path_handle_waiting (HbwServerPath *path, HbwContext *context,
+                                     guint count);
 
 void hbw_server_path_handle_check (HbwServerPath *path, HbwContext *context,
                                    const HbwServerCheckResult *result);
@@ -80,11 +75,8 @@
 void hbw_server_path_tick (HbwServerPath *path, HbwContext *context,
                            const HbwTopology *topology);
 
-/* Chooses the way of the next attempt, which ends after SILENCE_US without a byte,
-   so that the request can be sent again; 0: it may not.  UNEXECUTED attempts of it
-   were not sent. */
+/* Chooses the way of the next attempt. */
 void hbw_server_path_choose (HbwServerPath *path, HbwContext *context,
-                             gint64 silence_us, guint unexecuted,
                              HbwPathChoice *choice);
 
 /* Returns whether requests can reach servers, by whatever way. */
--- a/tests/soak_path.h
+++ b/tests/soak_path.h
@@ -4,8 +4,8 @@
  *
  *   versions   half of the streams break, and instances are killed, while callers
  * take streams up at other instances: none holds events of two versions cut half of
- * the instances lose the path to all servers, three times: by resets, with old
- * connections that fall silent, and with new ones that are accepted and fall silent
+ * the instances lose the path to all servers, twice: by resets, and with old
+ * connections that fall silent
  */
 #ifndef HORNBEAMWALL_TESTS_SOAK_PATH_H
 #define HORNBEAMWALL_TESTS_SOAK_PATH_H
