--- a/review/standin/rig.c
+++ b/review/standin/rig.c
@@ -132,13 +132,28 @@
   rig_finish (RIG_NOT_RUN);
 }
 
+/* Adds what ran at the servers to the record. */
+static void
+record_runs (void)
+{
+  char line[1024];
+  FILE *file = fopen (runs_path, "r");
+  if (file == NULL)
+    return;
+  fprintf (record_file, "run at the servers (time, id, server, method, path):\n");
+  while (fgets (line, sizeof line, file) != NULL)
+    fprintf (record_file, "%s", line);
+  fclose (file);
+}
+
 void
 rig_finish (int result)
 {
   static const char *const names[]
       = { "the rule held", "the rule was broken", "the case could not run" };
-  rig_record ("result %d: %s", result, names[result]);
   end_processes ();
+  record_runs ();
+  rig_record ("result %d: %s", result, names[result]);
   remove_temporary ();
   fprintf (stderr, "result %d: %s\n", result, names[result]);
   fclose (record_file);
@@ -495,6 +510,14 @@
   server->pid = 0;
 }
 
+void
+rig_note_answered (const char *server, const RigRequest *request)
+{
+  RigRequest answered = *request;
+  snprintf (answered.method, sizeof answered.method, "answered");
+  rig_note_run (server, &answered);
+}
+
 void
 rig_note_run (const char *server, const RigRequest *request)
 {
@@ -519,7 +542,9 @@
   while (fgets (line, sizeof line, file) != NULL)
     {
       char run_id[128];
-      if (sscanf (line, "%*s %127s", run_id) == 1 && strcmp (run_id, id) == 0)
+      char method[16];
+      if (sscanf (line, "%*s %127s %*s %15s", run_id, method) == 2
+          && strcmp (run_id, id) == 0 && strcmp (method, "answered") != 0)
         count++;
     }
   fclose (file);
--- a/review/standin/rig.h
+++ b/review/standin/rig.h
@@ -112,6 +112,9 @@
 /* Notes in the servers' common list that a request ran; for handlers. */
 void rig_note_run (const char *server, const RigRequest *request);
 
+/* Notes that the whole answer to a request was sent. */
+void rig_note_answered (const char *server, const RigRequest *request);
+
 /* Returns how often a request with ID ran on all servers. */
 unsigned rig_count_runs (const char *id);
 
