--- a/review/standin/rig.c
+++ b/review/standin/rig.c
@@ -13,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -262,6 +263,7 @@
   pid_t pid = fork ();
   if (pid == 0)
     {
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
       int log = open (log_path, O_CREAT | O_WRONLY | O_APPEND, 0644);
       dup2 (log, STDOUT_FILENO);
       dup2 (log, STDERR_FILENO);
@@ -491,6 +493,7 @@
   server->pid = fork ();
   if (server->pid == 0)
     {
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
       alarm (0);
       run_server (listener, server->id, handler);
     }
