--- a/review/1/check.c
+++ b/review/1/check.c
@@ -38,7 +38,7 @@
       "\"timeout_ms\":15000,\"latency_goal_ms\":300,\"priority\":0,"
       "\"backend\":\"b\",\"max_attempts\":1,\"anonymous\":false,\"sticky\":true,"
       "\"resumable\":false,\"gap_target_ms\":250},"
-      "{\"name\":\"work\",\"hostname\":\"h.example\",\"path_prefix\":\"/work/\","
+      "{\"name\":\"task\",\"hostname\":\"h.example\",\"path_prefix\":\"/task/\","
       "\"route_type\":\"unsafe\",\"timeout_ms\":15000,\"latency_goal_ms\":8000,"
       "\"priority\":0,\"backend\":\"b\",\"max_attempts\":1,\"anonymous\":false}],"
       "\"backends\":[{\"name\":\"b\",\"health_path\":\"/healthz\","
@@ -93,7 +93,7 @@
   char id[32];
   snprintf (id, sizeof id, "long-%ld", (long) data);
   int fd = rig_connect (caller_port, 0);
-  rig_send_request (fd, "POST", "h.example", "/work/x", id, TIME_LIMIT_MS, "", 100);
+  rig_send_request (fd, "POST", "h.example", "/task/x", id, TIME_LIMIT_MS, "", 100);
   RigAnswer answer = rig_read_answer (fd, TIME_LIMIT_MS, 4096, 0);
   rig_record ("%s: status %d, complete %d", id, answer.status, answer.complete);
   close (fd);
@@ -172,7 +172,7 @@
   RigServer servers[SERVERS];
   RigRouter routers[2];
   pthread_t threads[LONG_REQUESTS + STREAMS];
-  rig_begin (argc > 1 ? argv[1] : "review/1", 60);
+  rig_begin (argc > 1 ? argv[1] : "review/1/record.txt", 60);
   for (int i = 0; i < SERVERS; i++)
     {
       char id[16];
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Runs the case; see claim.txt.  TROUBLE=0 leaves the disruption out.
+# Runs the case and writes record.txt; see claim.txt.  TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/build/check-1 ] || exit 2
-exec review/build/check-1 review/1
+exec review/build/check-1 review/1/record.txt
--- a/review/3/check.c
+++ b/review/3/check.c
@@ -154,7 +154,7 @@
   RigServer servers[SERVERS];
   RigRouter routers[ROUTERS];
   Counts counts = { 0, 0, 0 };
-  rig_begin (argc > 1 ? argv[1] : "review/3", 90);
+  rig_begin (argc > 1 ? argv[1] : "review/3/record.txt", 90);
   for (int i = 0; i < SERVERS; i++)
     {
       char id[16];
