Log how the end of an answer was known, and by which way it came

ATTEMPT_ENDED said how many events a stream had, but not whether a length, the last chunk or the end of the connection had ended it, nor through which instance it came.

The attempt's end now carries how its end was known; it replaces the flag that a response ended with its connection, which was never reset for a later attempt of the same request.

--- a/core/ingress_suspects.c
+++ b/core/ingress_suspects.c
@@ -207,7 +207,8 @@
 hbw_ingress_suspects_handle_end (HbwIngressSuspects *suspects, HbwContext *context,
                                  const HbwRequest *request, const HbwAttemptEnd *end)
 {
-  if (end->outcome == HBW_OUTCOME_COMPLETE && end->is_unproved)
+  if (end->outcome == HBW_OUTCOME_COMPLETE
+      && end->response_end == HBW_RESPONSE_END_CLOSE)
     check_unproved_end (suspects, context, request);
   else if (end->outcome == HBW_OUTCOME_COMPLETE)
     record_response (context, request, end);
--- a/core/request.c
+++ b/core/request.c
@@ -26,6 +26,13 @@
   return id;
 }
 
+static const char *const response_end_names[HBW_RESPONSE_END_COUNT] = {
+  [HBW_RESPONSE_END_NONE] = "none",
+  [HBW_RESPONSE_END_LENGTH] = "length",
+  [HBW_RESPONSE_END_CHUNKS] = "chunks",
+  [HBW_RESPONSE_END_CLOSE] = "close",
+};
+
 /* Every log line begins with the caller's id of the request and the sequence number
    that this instance assigned to it. */
 #define LOG_PREFIX "request=%s sequence=%" G_GUINT64_FORMAT " "
@@ -84,11 +91,13 @@
       context->effects, HBW_LOG_ATTEMPT_ENDED,
       LOG_PREFIX "attempt=%u server=%s outcome=%s next=%s begun=%d "
                  "first_ms=%" G_GINT64_FORMAT " gap_ms=%" G_GINT64_FORMAT
-                 " longest_gap_ms=%" G_GINT64_FORMAT " pieces=%u",
+                 " longest_gap_ms=%" G_GINT64_FORMAT " pieces=%u end=%s through=%s",
       request->caller_request_id, request->sequence, end->attempt, request->server,
       hbw_outcome_name (end->outcome), next, end->response_started,
       to_ms (end->first_token_us), to_ms (end->inter_token_us),
-      to_ms (end->longest_gap_us), end->tokens);
+      to_ms (end->longest_gap_us), end->tokens,
+      response_end_names[end->response_end],
+      hbw_membership_find_name (context->membership, request->tunnel_peer));
 }
 
 void
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -55,16 +55,25 @@
   gboolean is_event;     /* of a stream of events: the caller gets it at once */
 } HbwAttemptFirstToken;
 
+/* How the end of a response is known. */
+typedef enum
+{
+  HBW_RESPONSE_END_NONE, /* it has not ended, or was not complete */
+  HBW_RESPONSE_END_LENGTH,
+  HBW_RESPONSE_END_CHUNKS,
+  HBW_RESPONSE_END_CLOSE, /* by the orderly end of its connection */
+  HBW_RESPONSE_END_COUNT,
+} HbwResponseEnd;
+
 typedef struct
 {
   guint64 sequence;
   guint attempt;
   HbwOutcome outcome;
+  HbwResponseEnd response_end;
   HbwReason reason;     /* with DENIED */
   gboolean is_rejected; /* COMPLETE: the status says that the request is at fault,
                            so that its prompt was not read */
-  gboolean is_unproved; /* COMPLETE: the response had neither a length nor chunks,
-                           and ended with its connection */
   gboolean response_started; /* bytes of the response were sent to the caller */
   gint64 first_token_us;     /* from the start of the attempt; 0 if none came */
   gint64 inter_token_us;
--- a/include/hornbeamwall/net/exchange_state.h
+++ b/include/hornbeamwall/net/exchange_state.h
@@ -51,13 +51,13 @@
   gint64 longest_gap_us;
   guint piece_count;
 
-  guint response_status;      /* forwarded to the caller */
-  char *response_fields;      /* forwarded to the caller */
-  gint64 response_length;     /* of its body; -1 is not known */
-  gboolean buffers_response;  /* it is read completely before it is forwarded */
-  gboolean is_event_stream;   /* text/event-stream with a 2xx status */
-  gboolean end_is_unproved;   /* the response ended with its connection */
-  gboolean has_explicit_end;  /* a length or chunks, not the connection's end */
+  guint response_status;        /* forwarded to the caller */
+  char *response_fields;        /* forwarded to the caller */
+  gint64 response_length;       /* of its body; -1 is not known */
+  gboolean buffers_response;    /* it is read completely before it is forwarded */
+  gboolean is_event_stream;     /* text/event-stream with a 2xx status */
+  HbwResponseEnd announced_end; /* by the head of the response */
+  HbwResponseEnd response_end;
   gboolean response_started;  /* its head has been forwarded */
   gboolean holds_failure;     /* until the reducer decides on a retry */
   gboolean response_finished; /* nothing more is sent to the caller */
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -20,6 +20,7 @@
   exchange->last_piece_us = 0;
   exchange->piece_count = 0;
   exchange->longest_gap_us = 0;
+  exchange->response_end = HBW_RESPONSE_END_NONE;
   exchange->first_byte_timeout_us = start->first_byte_timeout_us;
   exchange->stall_timeout_us = start->stall_timeout_us;
   g_strlcpy (exchange->server, start->server, sizeof exchange->server);
--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -52,7 +52,7 @@
   end->outcome = outcome;
   end->response_started = exchange->response_started;
   end->is_rejected = exchange->response_status / 100 == 4;
-  end->is_unproved = exchange->end_is_unproved;
+  end->response_end = exchange->response_end;
   end->tokens = exchange->piece_count;
   end->server_silent = is_server_silent (exchange, outcome);
   end->tunnel_failed = exchange->tunnel_failed;
@@ -259,11 +259,19 @@
                 == 0;
 }
 
+static HbwResponseEnd
+get_announced_end (const HbwHttpHead *head)
+{
+  if (head->chunked)
+    return HBW_RESPONSE_END_CHUNKS;
+  return head->has_length ? HBW_RESPONSE_END_LENGTH : HBW_RESPONSE_END_CLOSE;
+}
+
 static void
 accept_head (HbwExchange *exchange, const HbwHttpHead *head)
 {
   gboolean events = is_event_stream (head) && head->status / 100 == 2;
-  exchange->has_explicit_end = head->has_length || head->chunked;
+  exchange->announced_end = get_announced_end (head);
   if (exchange->response_started)
     return; /* another server resumes the stream; the caller already has a head */
   exchange->response_status = head->status;
@@ -415,7 +423,7 @@
 handle_response_complete (HbwExchange *exchange)
 {
   gboolean failed = is_failure_status (exchange->response_status);
-  if (exchange->is_event_stream && !exchange->has_explicit_end
+  if (exchange->is_event_stream && exchange->response_end == HBW_RESPONSE_END_CLOSE
       && hbw_event_stream_has_partial (exchange->events))
     {
       hbw_exchange_report_attempt_end (exchange, HBW_OUTCOME_BROKEN);
@@ -441,10 +449,11 @@
   switch (end)
     {
     case HBW_UPSTREAM_COMPLETE_BY_CLOSE:
-      exchange->end_is_unproved = TRUE;
+      exchange->response_end = HBW_RESPONSE_END_CLOSE;
       handle_response_complete (exchange);
       break;
     case HBW_UPSTREAM_COMPLETE:
+      exchange->response_end = exchange->announced_end;
       handle_response_complete (exchange);
       break;
     case HBW_UPSTREAM_NO_TUNNEL:
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -449,7 +449,8 @@
       event.end.outcome = report->outcome;
       event.end.tokens = report->tokens;
       event.end.server_silent = report->server_silent;
-      event.end.is_unproved = report->is_unproved;
+      event.end.response_end
+          = report->is_unproved ? HBW_RESPONSE_END_CLOSE : HBW_RESPONSE_END_CHUNKS;
       event.end.response_started = attempt->request->response_started;
       event.end.tunnel_failed = attempt->tunnel_failed;
       if (report->outcome == HBW_OUTCOME_COMPLETE)
