The end of an instance between no longer ends an answer

An instance in doubt of its path sends through another one; where that one stopped, its connection ended in order, and the near side took this for the server's own end. A reset at a planned stop would not help where the instance between is killed, runs out of memory or is cut off by the kernel: a connection says nothing of why it ended.

So the server's bytes now travel in blocks with their lengths, and an empty block says that the server has ended its side in order. Without it the end of a tunnel completes nothing, whatever its cause. Frames are asked for behind a null byte, at which earlier versions end the server's id: beside them the bytes come as before, and the end of such a tunnel completes nothing either. Towards earlier versions, which believe an orderly end, a tunnel that is cut is reset. The other direction needs no sign: requests have a length.

--- a/include/hornbeamwall/net/channel.h
+++ b/include/hornbeamwall/net/channel.h
@@ -9,6 +9,9 @@
 
 #include "hornbeamwall/net/loop.h"
 
+/* Maximum number of bytes that handle_bytes() gets at once. */
+#define HBW_CHANNEL_READ_SIZE ((gsize) 16 * 1024)
+
 typedef struct HbwChannel HbwChannel;
 
 /* Callbacks of a channel; the structure is embedded in the owner's. */
--- a/net/channel.c
+++ b/net/channel.c
@@ -11,9 +11,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Maximum number of bytes per read. */
-#define READ_SIZE ((gsize) 16 * 1024)
-
 /* Connections that may wait to be accepted on a listening socket. */
 #define LISTEN_BACKLOG 512
 
@@ -99,7 +96,7 @@
 static void
 handle_readable (HbwChannel *channel)
 {
-  char bytes[READ_SIZE];
+  char bytes[HBW_CHANNEL_READ_SIZE];
   ssize_t count = recv (channel->watcher.fd, bytes, sizeof bytes, MSG_DONTWAIT);
   if (count > 0)
     channel->handler->class->handle_bytes (channel->handler, bytes, (gsize) count);
--- a/net/tunnel.c
+++ b/net/tunnel.c
@@ -1,9 +1,13 @@
 #include "hornbeamwall/net/tunnel.h"
 
 #include "hornbeamwall/net/channel.h"
+#include "hornbeamwall/net/tunnel_frame.h"
 
 #include <string.h>
 
+/* Longest first line, without its line feed, in bytes. */
+#define LINE_LENGTH_MAX (HBW_NAME_MAX - 1 + HBW_TUNNEL_ASK_FRAMED_SIZE)
+
 /* How long the other instance may take to name the server. */
 #define NAME_TIMEOUT_US (1 * HBW_US_PER_S)
 
@@ -25,21 +29,33 @@
   HbwChannel *far;  /* to the server; NULL before, and after its end */
   HbwTimer timer;
   gint64 last_bytes_us;
-  char server[HBW_NAME_MAX];
-  gsize server_length;
+  char line[LINE_LENGTH_MAX + 1]; /* received from the other instance */
+  gsize line_length;
+  gboolean is_framed; /* the other instance understands frames */
   gboolean is_open;
 } Tunnel;
 
+/* Returns whether the server's bytes are cut here: an orderly end of the connection
+   would look like the server's end to earlier versions. */
+static gboolean
+is_cut (const Tunnel *tunnel)
+{
+  return tunnel->is_open
+         && (tunnel->far != NULL || hbw_channel_pending_bytes (tunnel->near) > 0);
+}
+
 static void
 tunnel_destroy (Tunnel *tunnel)
 {
   cds_list_del (&tunnel->link);
   tunnel->traffic->tunnel_count--;
   hbw_loop_clear_timer (tunnel->traffic->loop, &tunnel->timer);
+  if (tunnel->near != NULL && is_cut (tunnel))
+    hbw_channel_abort (tunnel->near);
+  else if (tunnel->near != NULL)
+    hbw_channel_destroy (tunnel->near);
   if (tunnel->far != NULL)
     hbw_channel_abort (tunnel->far);
-  if (tunnel->near != NULL)
-    hbw_channel_destroy (tunnel->near);
   g_free (tunnel);
 }
 
@@ -69,28 +85,41 @@
   HbwEvent event = { .kind = HBW_EVENT_TUNNEL_ASKED };
   tunnel->sequence = hbw_control_next_request_sequence (tunnel->traffic->control);
   event.tunnel.sequence = tunnel->sequence;
-  g_strlcpy (event.tunnel.server, tunnel->server, sizeof event.tunnel.server);
+  g_strlcpy (event.tunnel.server, tunnel->line, sizeof event.tunnel.server);
   hbw_channel_get_peer_host (tunnel->near, event.tunnel.peer_host,
                              sizeof event.tunnel.peer_host);
   hbw_channel_set_reading (tunnel->near, FALSE);
   hbw_control_submit (tunnel->traffic->control, &event, NULL);
 }
 
+/* Returns whether the line asks for frames. */
+static gboolean
+asks_for_frames (const Tunnel *tunnel)
+{
+  gsize name_length = strlen (tunnel->line);
+  return tunnel->line_length == name_length + HBW_TUNNEL_ASK_FRAMED_SIZE
+         && memcmp (tunnel->line + name_length, HBW_TUNNEL_ASK_FRAMED,
+                    HBW_TUNNEL_ASK_FRAMED_SIZE)
+                == 0;
+}
+
 static void
-read_server (Tunnel *tunnel, const char *bytes, gsize length)
+read_line (Tunnel *tunnel, const char *bytes, gsize length)
 {
   const char *end = memchr (bytes, '\n', length);
   gsize count = end != NULL ? (gsize) (end - bytes) : length;
-  if (tunnel->server_length + count >= sizeof tunnel->server
+  if (tunnel->line_length + count > LINE_LENGTH_MAX
       || (end != NULL && end + 1 != bytes + length))
     {
       tunnel_destroy (tunnel);
       return;
     }
-  memcpy (tunnel->server + tunnel->server_length, bytes, count);
-  tunnel->server_length += count;
-  if (end != NULL)
-    ask (tunnel);
+  memcpy (tunnel->line + tunnel->line_length, bytes, count);
+  tunnel->line_length += count;
+  if (end == NULL)
+    return;
+  tunnel->is_framed = asks_for_frames (tunnel);
+  ask (tunnel);
 }
 
 static void
@@ -98,7 +127,7 @@
 {
   Tunnel *tunnel = caa_container_of (handler, Tunnel, near_handler);
   if (tunnel->sequence == 0)
-    read_server (tunnel, bytes, length);
+    read_line (tunnel, bytes, length);
   else if (tunnel->is_open && tunnel->far != NULL)
     pass_on (tunnel, tunnel->far, tunnel->near, bytes, length);
   else
@@ -144,7 +173,7 @@
 handle_far_connected (HbwChannelHandler *handler)
 {
   Tunnel *tunnel = caa_container_of (handler, Tunnel, far_handler);
-  const char reply = HBW_TUNNEL_OPEN;
+  const char reply = tunnel->is_framed ? HBW_TUNNEL_OPEN_FRAMED : HBW_TUNNEL_OPEN;
   tunnel->is_open = TRUE;
   tunnel->last_bytes_us = hbw_loop_now (tunnel->traffic->loop);
   tunnel->timer.handle_due = handle_idle;
@@ -153,10 +182,22 @@
   hbw_channel_set_reading (tunnel->near, TRUE);
 }
 
+/* Announces a block of LENGTH bytes; 0 is the server's end. */
+static void
+write_frame_header (Tunnel *tunnel, gsize length)
+{
+  guint8 header[HBW_TUNNEL_FRAME_HEADER_SIZE];
+  if (!tunnel->is_framed)
+    return;
+  hbw_tunnel_frame_write_header (header, (guint32) length);
+  hbw_channel_write (tunnel->near, (const char *) header, sizeof header);
+}
+
 static void
 handle_far_bytes (HbwChannelHandler *handler, const char *bytes, gsize length)
 {
   Tunnel *tunnel = caa_container_of (handler, Tunnel, far_handler);
+  write_frame_header (tunnel, length);
   pass_on (tunnel, tunnel->near, tunnel->far, bytes, length);
 }
 
@@ -184,11 +225,10 @@
     {
       hbw_channel_destroy (tunnel->far);
       tunnel->far = NULL;
+      write_frame_header (tunnel, 0);
       hbw_channel_shutdown_write (tunnel->near);
       return;
     }
-  hbw_channel_abort (tunnel->near);
-  tunnel->near = NULL;
   tunnel_destroy (tunnel);
 }
 
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -4,6 +4,7 @@
 #include "hornbeamwall/net/channel.h"
 #include "hornbeamwall/net/id_history.h"
 #include "hornbeamwall/net/tunnel.h"
+#include "hornbeamwall/net/tunnel_frame.h"
 
 #include <string.h>
 #include <urcu/list.h>
@@ -72,6 +73,8 @@
   gboolean connected;
   char tunnel_server[HBW_NAME_MAX]; /* to be named to another instance; "": direct */
   gboolean tunnel_open;
+  gboolean tunnel_framed;
+  HbwTunnelFrameReader tunnel_frames;
   gboolean skipping_response; /* the response being read is not for the handler */
   gboolean response_rejected; /* the handler rejected the response */
   gboolean keep_alive;        /* the response allows the connection to be reused */
@@ -220,8 +223,8 @@
 {
   Server *server = upstream->server;
   HbwUpstreamPool *pool = upstream->pool;
-  if (!upstream->keep_alive || server->idle_count >= IDLE_CONNECTIONS_MAX
-      || upstream->idle_timeout_us <= 0
+  if (!upstream->keep_alive || upstream->tunnel_frames.ended
+      || server->idle_count >= IDLE_CONNECTIONS_MAX || upstream->idle_timeout_us <= 0
       || hbw_id_history_count (upstream->id_history) >= HBW_ID_HISTORY_MAX
       || hbw_channel_pending_bytes (upstream->channel) > 0)
     {
@@ -253,7 +256,8 @@
     handler->class->handle_end (handler, HBW_UPSTREAM_COMPLETE);
 }
 
-static void
+/* Returns whether the connection still waits for the rest of a response. */
+static gboolean
 read_response (HbwUpstream *upstream, const char *bytes, gsize length)
 {
   while (TRUE)
@@ -266,25 +270,25 @@
       if (upstream->cancelled)
         {
           upstream_destroy (upstream);
-          return;
+          return FALSE;
         }
       if (state == HBW_HTTP_PARSER_ERROR || upstream->response_rejected)
         {
           fail_request (upstream, HBW_UPSTREAM_BROKEN);
-          return;
+          return FALSE;
         }
       if (state == HBW_HTTP_PARSER_INCOMPLETE)
-        return;
+        return TRUE;
       bytes += used;
       length -= used;
       if (!upstream->skipping_response)
         {
           complete_request (upstream, length > 0);
-          return;
+          return FALSE;
         }
       hbw_http_parser_reset (upstream->parser, upstream->is_head_request);
       if (length == 0)
-        return;
+        return TRUE;
     }
 }
 
@@ -319,6 +323,8 @@
     }
   hbw_channel_write (upstream->channel, upstream->tunnel_server,
                      strlen (upstream->tunnel_server));
+  hbw_channel_write (upstream->channel, HBW_TUNNEL_ASK_FRAMED,
+                     HBW_TUNNEL_ASK_FRAMED_SIZE);
   hbw_channel_write (upstream->channel, "\n", 1);
 }
 
@@ -334,7 +340,8 @@
 static void
 handle_tunnel_answer (HbwUpstream *upstream, char answer)
 {
-  upstream->tunnel_open = answer == HBW_TUNNEL_OPEN;
+  upstream->tunnel_framed = answer == HBW_TUNNEL_OPEN_FRAMED;
+  upstream->tunnel_open = upstream->tunnel_framed || answer == HBW_TUNNEL_OPEN;
   if (upstream->tunnel_open)
     send_request (upstream);
   else
@@ -343,29 +350,10 @@
                                 : HBW_UPSTREAM_NO_TUNNEL);
 }
 
+/* Handles the server's end, or that of the way to it. */
 static void
-handle_bytes (HbwChannelHandler *handler, const char *bytes, gsize length)
-{
-  HbwUpstream *upstream = upstream_of_channel (handler);
-  HbwUpstreamPool *pool = upstream->pool;
-  if (*upstream->tunnel_server != '\0' && !upstream->tunnel_open)
-    {
-      handle_tunnel_answer (upstream, *bytes);
-      return;
-    }
-  upstream->server->last_received_us = hbw_loop_now (pool->loop);
-  if (*upstream->tunnel_server == '\0')
-    pool->last_heard_us = upstream->server->last_received_us;
-  if (upstream->is_idle)
-    upstream_destroy (upstream); /* unsolicited bytes */
-  else
-    read_response (upstream, bytes, length);
-}
-
-static void
-handle_end (HbwChannelHandler *handler, gboolean clean)
+handle_close (HbwUpstream *upstream, gboolean by_server)
 {
-  HbwUpstream *upstream = upstream_of_channel (handler);
   if (upstream->is_idle)
     {
       upstream_destroy (upstream);
@@ -377,13 +365,61 @@
       return;
     }
   /* A response without a length ends with its connection, but not with a reset. */
-  gboolean whole = clean && hbw_http_parser_has_begun (upstream->parser)
+  gboolean whole = by_server && hbw_http_parser_has_begun (upstream->parser)
                    && !upstream->skipping_response
                    && hbw_http_parser_handle_eof (upstream->parser);
   fail_request (upstream,
                 whole ? HBW_UPSTREAM_COMPLETE_BY_CLOSE : HBW_UPSTREAM_BROKEN);
 }
 
+/* Handles bytes of the server.  Returns whether the connection still waits for the
+   rest of a response. */
+static gboolean
+handle_server_bytes (HbwUpstream *upstream, const char *bytes, gsize length)
+{
+  HbwUpstreamPool *pool = upstream->pool;
+  upstream->server->last_received_us = hbw_loop_now (pool->loop);
+  if (*upstream->tunnel_server == '\0')
+    pool->last_heard_us = upstream->server->last_received_us;
+  if (!upstream->is_idle)
+    return read_response (upstream, bytes, length);
+  upstream_destroy (upstream); /* unsolicited bytes */
+  return FALSE;
+}
+
+static void
+handle_frames (HbwUpstream *upstream, const char *bytes, gsize length)
+{
+  char payload[HBW_CHANNEL_READ_SIZE];
+  gsize count
+      = hbw_tunnel_frame_read (&upstream->tunnel_frames, bytes, length, payload);
+  gboolean has_ended = upstream->tunnel_frames.ended;
+  if (count > 0 && !handle_server_bytes (upstream, payload, count))
+    return;
+  if (has_ended)
+    handle_close (upstream, TRUE);
+}
+
+static void
+handle_bytes (HbwChannelHandler *handler, const char *bytes, gsize length)
+{
+  HbwUpstream *upstream = upstream_of_channel (handler);
+  if (*upstream->tunnel_server != '\0' && !upstream->tunnel_open)
+    handle_tunnel_answer (upstream, *bytes);
+  else if (upstream->tunnel_framed)
+    handle_frames (upstream, bytes, length);
+  else
+    handle_server_bytes (upstream, bytes, length);
+}
+
+/* The end of a tunnel says nothing of the server. */
+static void
+handle_end (HbwChannelHandler *handler, gboolean clean)
+{
+  HbwUpstream *upstream = upstream_of_channel (handler);
+  handle_close (upstream, clean && *upstream->tunnel_server == '\0');
+}
+
 static const HbwChannelHandlerClass channel_handler_class = {
   .handle_connected = handle_connected,
   .handle_bytes = handle_bytes,
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -9,6 +9,7 @@
 #include "hornbeamwall/net/http_parser.h"
 #include "hornbeamwall/net/loop.h"
 #include "hornbeamwall/net/peer_transport.h"
+#include "hornbeamwall/net/tunnel_frame.h"
 #include "hornbeamwall/net/upstream.h"
 
 #include <netinet/in.h>
@@ -139,6 +140,26 @@
 }
 END_TEST
 
+/* Guards against a server's end that is read from a cut block, or missed. */
+START_TEST (frames_say_when_the_server_has_ended)
+{
+  static const char frames[] = "\0\0\0\3abc\0\0\0\1d\0\0\0\0rest";
+  const gsize end = sizeof frames - sizeof "rest";
+  for (gsize split = 0; split < sizeof frames - 1; split++)
+    {
+      HbwTunnelFrameReader reader = { .ended = FALSE };
+      char out[sizeof frames];
+      gsize count = hbw_tunnel_frame_read (&reader, frames, split, out);
+      ck_assert_int_eq (reader.ended, split >= end);
+      count += hbw_tunnel_frame_read (&reader, frames + split,
+                                      sizeof frames - 1 - split, out + count);
+      ck_assert (reader.ended);
+      ck_assert_uint_eq (count, 4);
+      ck_assert_mem_eq (out, "abcd", count);
+    }
+}
+END_TEST
+
 START_TEST (resumed_stream_has_each_event_once)
 {
   static const char first[] = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndat";
@@ -602,6 +623,7 @@
   tcase_add_test (tests, parsed_message_does_not_depend_on_piece_size);
   tcase_add_test (tests, message_with_invalid_framing_is_rejected);
   tcase_add_test (tests, response_without_length_ends_when_connection_closes);
+  tcase_add_test (tests, frames_say_when_the_server_has_ended);
   tcase_add_test (tests, resumed_stream_has_each_event_once);
   tcase_add_test (tests, timer_runs_after_what_arrived_in_a_stall_is_handled);
   tcase_add_test (tests, timers_run_while_all_descriptors_stay_ready);
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -27,6 +27,7 @@
  *   silent     the same, but the connections stay open until then
  *   openok     as "ok", without a length, ended by closing the connection
  *   openevents as "events", without chunks, ended by closing the connection
+ *   openpause  the same, with a pause of REPLICA_PAUSE_US after the second event
  *   opencrash  begins "openok", then the server fails: it closes all connections
  *              without a reset
  *   opencut    the same after two events of "openevents"
--- a/tests/standin/replica_session.c
+++ b/tests/standin/replica_session.c
@@ -331,9 +331,10 @@
   return TRUE;
 }
 
-/* Sends the events of a stream without chunks, COUNT at most. */
+/* Sends the events of a stream without chunks, COUNT at most.  PAUSE_US is a pause
+   after the second one. */
 static void
-send_open_events (Session *session, guint count)
+send_open_events (Session *session, guint count, gulong pause_us)
 {
   char *last = find_field (session->head, "Last-Event-Id");
   guint first = last != NULL ? (guint) strtoul (last, NULL, 10) + 1 : 1;
@@ -347,7 +348,7 @@
           = g_strdup_printf ("id: %u\ndata: %s %u\n\n", i, session->attempt_id, i);
       send_text (session, event);
       g_free (event);
-      g_usleep (EVENT_PAUSE_US);
+      g_usleep (EVENT_PAUSE_US + (i == 2 ? pause_us : 0));
     }
 }
 
@@ -364,9 +365,11 @@
       g_free (body);
     }
   else if (strcmp (behaviour, "openevents") == 0)
-    send_open_events (session, EVENTS);
+    send_open_events (session, EVENTS, 0);
+  else if (strcmp (behaviour, "openpause") == 0)
+    send_open_events (session, EVENTS, REPLICA_PAUSE_US);
   else if (strcmp (behaviour, "opencut") == 0)
-    send_open_events (session, 2);
+    send_open_events (session, 2, 0);
   else
     return FALSE;
   if (strcmp (behaviour, "opencrash") == 0 || strcmp (behaviour, "opencut") == 0)
--- a/tests/tunnel_test.c
+++ b/tests/tunnel_test.c
@@ -136,13 +136,20 @@
 }
 END_TEST
 
+/* Makes the cut instance send through the other one. */
+static void
+use_tunnels (TunnelFixture *fixture)
+{
+  tunnel_fixture_cut (fixture, PROXY_RESET);
+  for (guint i = 0; i < SETTLING_REQUESTS; i++)
+    g_free (
+        platform_fixture_post (fixture->cut, "/safe/a/ok", API_KEY_FIELD, "b").text);
+}
+
 START_TEST (response_that_breaks_in_a_tunnel_is_not_whole)
 {
   TunnelFixture fixture = tunnel_fixture_create ();
-  tunnel_fixture_cut (&fixture, PROXY_RESET);
-  for (guint i = 0; i < 4; i++) /* until the path is lost */
-    g_free (
-        platform_fixture_post (fixture.cut, "/safe/a/ok", API_KEY_FIELD, "b").text);
+  use_tunnels (&fixture);
   RawResponse response
       = platform_fixture_post (fixture.cut, "/unsafe/a/torn", API_KEY_FIELD, "b");
   ck_assert (!raw_response_is_complete (response.text) || response.status >= 500);
@@ -156,6 +163,74 @@
 }
 END_TEST
 
+static void
+end_peer (TunnelFixture *fixture)
+{
+  hbw_instance_destroy (fixture->peer->instance);
+  fixture->peer->instance = NULL;
+}
+
+/* Guards against an end of the instance between that is taken for the server's: the
+   caller got the first events of a stream without a length as all of it. */
+START_TEST (stream_through_an_instance_that_ends_is_not_complete)
+{
+  TunnelFixture fixture = tunnel_fixture_create ();
+  use_tunnels (&fixture);
+  int fd = platform_fixture_connect (fixture.cut);
+  char *request
+      = caller_format_request ("POST", "/once/a/openpause", API_KEY_FIELD, "b");
+  caller_send (fd, request);
+  g_usleep (REPLICA_PAUSE_US / 2);
+  end_peer (&fixture);
+  RawResponse response = caller_receive (fd);
+  ck_assert_uint_eq (response.status, 200);
+  ck_assert_ptr_nonnull (strstr (response.text, "id: 2"));
+  ck_assert (!raw_response_is_complete (response.text));
+  g_free (response.text);
+  g_free (request);
+  close (fd);
+  tunnel_fixture_destroy (&fixture);
+}
+END_TEST
+
+/* The server's own end is still one, also beside instances of earlier versions. */
+START_TEST (stream_without_a_length_is_complete_through_a_tunnel)
+{
+  TunnelFixture fixture = tunnel_fixture_create ();
+  use_tunnels (&fixture);
+  RawResponse response = platform_fixture_post (fixture.cut, "/once/a/openevents",
+                                                API_KEY_FIELD, "b");
+  ck_assert (raw_response_is_complete (response.text));
+  raw_response_check (response, 200, "id: 6");
+  tunnel_fixture_destroy (&fixture);
+}
+END_TEST
+
+/* Guards against an orderly end where an earlier version, which knows no frames,
+   would take it for the server's. */
+START_TEST (tunnel_without_frames_that_is_cut_is_reset)
+{
+  TunnelFixture fixture = tunnel_fixture_create ();
+  char text[4096];
+  char *request = caller_format_request ("POST", "/once/a/openpause",
+                                         "Connection: close\r\n", "b");
+  int fd = caller_connect (fixture.tunnel_port);
+  caller_send (fd, "i-0\n");
+  ck_assert_int_eq (recv (fd, text, 1, 0), 1);
+  ck_assert_int_eq (*text, HBW_TUNNEL_OPEN);
+  caller_send (fd, request);
+  ck_assert_int_gt (recv (fd, text, sizeof text, 0), 0);
+  end_peer (&fixture);
+  ssize_t count;
+  while ((count = recv (fd, text, sizeof text, 0)) > 0)
+    continue;
+  ck_assert_int_lt (count, 0);
+  close (fd);
+  g_free (request);
+  tunnel_fixture_destroy (&fixture);
+}
+END_TEST
+
 /* Sends requests until the path is found lost or found again, and then some more.
    Returns how many of the latter were served. */
 static guint
@@ -226,6 +301,12 @@
                   requests_without_a_path_go_through_another_instance);
   suite_add_test (suite, "response_that_breaks_in_a_tunnel_is_not_whole",
                   response_that_breaks_in_a_tunnel_is_not_whole);
+  suite_add_test (suite, "stream_through_an_instance_that_ends_is_not_complete",
+                  stream_through_an_instance_that_ends_is_not_complete);
+  suite_add_test (suite, "stream_without_a_length_is_complete_through_a_tunnel",
+                  stream_without_a_length_is_complete_through_a_tunnel);
+  suite_add_test (suite, "tunnel_without_frames_that_is_cut_is_reset",
+                  tunnel_without_frames_that_is_cut_is_reset);
   suite_add_test (suite, "path_that_accepts_and_never_answers_is_left",
                   path_that_accepts_and_never_answers_is_left);
   suite_add_test (suite, "tunnels_lead_to_listed_servers_only",
