A config as large as the store accepts comes into force

The catalogue that is made of a config was held to the store's limit of 1 MiB, though each key becomes a hash and each route a class and an endpoint.

The limit of 1 MiB now holds for what comes from outside; a catalogue may have 16 MiB, and so may a frame between instances. Previous versions of a document are kept up to 4 MiB, so that large ones do not fill the memory.

--- a/core/admission.c
+++ b/core/admission.c
@@ -16,12 +16,12 @@
 static const HbwEndpointTarget *
 select_target (const HbwEndpoint *endpoint, guint32 random)
 {
-  guint total = 0;
+  guint64 total = 0;
   for (guint i = 0; i < endpoint->target_count; i++)
     total += endpoint->targets[i].weight;
   if (total == 0)
     return endpoint->target_count > 0 ? &endpoint->targets[0] : NULL;
-  guint offset = random % total;
+  guint64 offset = random % total;
   for (guint i = 0; i < endpoint->target_count; i++)
     {
       if (offset < endpoint->targets[i].weight)
--- a/core/catalogue.c
+++ b/core/catalogue.c
@@ -55,17 +55,34 @@
   return catalogue;
 }
 
+static void
+report_name (HbwErrorReport *report, const char *location, const char *name,
+             const char *hint)
+{
+  json_t *found = json_string (name);
+  hbw_error_report_add (report, location, found, hint);
+  json_decref (found);
+}
+
 static gboolean
 check_name (HbwErrorReport *report, const char *location, const char *name)
 {
-  if (*name != '\0' && strlen (name) < HBW_NAME_MAX
-      && strpbrk (name, "/\"\\ \n{}") == NULL)
+  if (hbw_is_name (name))
     return TRUE;
-  json_t *found = json_string (name);
-  hbw_error_report_add (report, location, found,
-                        "expected a name of 1 to 47 bytes without spaces, quotes, "
-                        "braces or slashes");
-  json_decref (found);
+  report_name (report, location, name,
+               "expected a name of 1 to 47 bytes without spaces, quotes, braces or "
+               "slashes");
+  return FALSE;
+}
+
+static gboolean
+check_organisation_name (HbwErrorReport *report, const char *location,
+                         const char *name)
+{
+  if (hbw_is_organisation_name (name))
+    return TRUE;
+  report_name (report, location, name,
+               "expected a name of 1 to 47 bytes without quotes or backslashes");
   return FALSE;
 }
 
@@ -246,13 +263,15 @@
   hbw_json_reader_destroy (reader);
 }
 
+typedef gboolean (*CheckName) (HbwErrorReport *report, const char *location,
+                               const char *name);
 typedef void (*ParseEntry) (HbwCatalogue *catalogue, HbwErrorReport *report,
                             const char *name, json_t *value, const char *location);
 
 static void
 parse_section (HbwCatalogue *catalogue, HbwJsonReader *reader,
                HbwErrorReport *report, const char *key, gboolean required,
-               ParseEntry parse_entry)
+               CheckName check, ParseEntry parse_entry)
 {
   json_t *section = hbw_json_reader_member (reader, key, JSON_OBJECT, required);
   const char *name;
@@ -260,7 +279,7 @@
   json_object_foreach (section, name, value)
     {
       char *location = g_strdup_printf ("/%s/%s", key, name);
-      if (check_name (report, location, name))
+      if (check (report, location, name))
         parse_entry (catalogue, report, name, value, location);
       g_free (location);
     }
@@ -272,11 +291,13 @@
   HbwJsonReader *reader = hbw_json_reader_create (report, root, "");
   /* Marks the key as known; only net/document_edit.c uses these change ids. */
   hbw_json_reader_member (reader, "changes", JSON_ARRAY, FALSE);
-  parse_section (catalogue, reader, report, "classes", TRUE, parse_class);
-  parse_section (catalogue, reader, report, "pools", TRUE, parse_pool);
+  parse_section (catalogue, reader, report, "classes", TRUE, check_name,
+                 parse_class);
+  parse_section (catalogue, reader, report, "pools", TRUE, check_name, parse_pool);
   parse_section (catalogue, reader, report, "organisations", TRUE,
-                 parse_organisation);
-  parse_section (catalogue, reader, report, "endpoints", FALSE, parse_endpoint);
+                 check_organisation_name, parse_organisation);
+  parse_section (catalogue, reader, report, "endpoints", FALSE, check_name,
+                 parse_endpoint);
   catalogue->keys_required = hbw_json_reader_bool (reader, "keys_required", FALSE);
   parse_caller_limits (catalogue, reader, report);
   hbw_json_reader_destroy (reader);
@@ -285,11 +306,11 @@
 HbwCatalogue *
 hbw_catalogue_parse (const char *text, gsize length, gint64 version, HbwError *error)
 {
-  if (length > HBW_DOCUMENT_SIZE_MAX)
+  if (length > HBW_CATALOGUE_SIZE_MAX)
     {
       hbw_error_set (error, HBW_ERROR_DOCUMENT,
                      "catalogue has %" G_GSIZE_FORMAT " bytes; the maximum is %d",
-                     length, HBW_DOCUMENT_SIZE_MAX);
+                     length, HBW_CATALOGUE_SIZE_MAX);
       return NULL;
     }
   json_t *root = hbw_json_parse (text, length, HBW_ERROR_DOCUMENT, error);
--- a/core/documents.c
+++ b/core/documents.c
@@ -32,6 +32,23 @@
   g_clear_pointer (&previous->delta, g_bytes_unref);
 }
 
+/* Drops the oldest previous versions until the others fit. */
+static void
+limit_history (DocumentState *state)
+{
+  gsize size = 0;
+  for (guint age = 1; age <= HBW_DOCUMENT_HISTORY; age++)
+    {
+      guint index = (state->next_previous + HBW_DOCUMENT_HISTORY - age)
+                    % HBW_DOCUMENT_HISTORY;
+      PreviousVersion *previous = &state->previous[index];
+      if (previous->body != NULL)
+        size += g_bytes_get_size (previous->body);
+      if (size > HBW_DOCUMENT_HISTORY_BYTES_MAX)
+        clear_previous_version (previous);
+    }
+}
+
 /* Saves the current version before it is replaced, and drops all deltas. */
 static void
 save_previous_version (DocumentState *state)
@@ -46,6 +63,7 @@
   previous->version = state->version;
   previous->body = state->body;
   state->body = NULL;
+  limit_history (state);
 }
 
 /* Returns the delta from VERSION to the newest version (borrowed), or NULL. */
--- a/core/endpoint.c
+++ b/core/endpoint.c
@@ -29,6 +29,7 @@
 {
   HbwEndpoint *endpoint = data;
   g_free (endpoint->path_prefix);
+  g_free (endpoint->targets);
   g_free (endpoint);
 }
 
@@ -45,12 +46,9 @@
   size_t index;
   json_t *value;
   char *location = hbw_json_reader_location (reader, "targets");
-  if (json_array_size (list) > HBW_ENDPOINT_TARGETS_MAX)
-    hbw_error_report_add (report, location, NULL, "expected at most 8 pools");
+  endpoint->targets = g_new0 (HbwEndpointTarget, json_array_size (list));
   json_array_foreach (list, index, value)
     {
-      if (index >= HBW_ENDPOINT_TARGETS_MAX)
-        break;
       HbwEndpointTarget *target = &endpoint->targets[endpoint->target_count++];
       HbwJsonReader *item = hbw_json_reader_create (report, value, location);
       hbw_json_reader_string (item, "pool", target->pool, sizeof target->pool, NULL);
--- a/core/ingress_suspects.c
+++ b/core/ingress_suspects.c
@@ -196,7 +196,7 @@
   char *parts = format_parts (&spec->part_ids);
   hbw_effects_log (context->effects, HBW_LOG_REQUEST_SUSPECT,
                    "request=%s fingerprint=%016" G_GINT64_MODIFIER
-                   "x organisation=%s class=%s server=%s failures=%u%s",
+                   "x organisation=\"%s\" class=%s server=%s failures=%u%s",
                    request->caller_request_id, spec->fingerprint.low,
                    spec->organisation, spec->class_name, request->server, failures,
                    parts);
--- a/core/request.c
+++ b/core/request.c
@@ -50,7 +50,7 @@
   const HbwRequestSpec *spec = &request->spec;
   hbw_effects_log (
       context->effects, HBW_LOG_REQUEST_ADMITTED,
-      LOG_PREFIX "class=%s organisation=%s pool=%s tier=%u "
+      LOG_PREFIX "class=%s organisation=\"%s\" pool=%s tier=%u "
                  "catalogue=%" G_GINT64_FORMAT " catalogue_age_ms=%" G_GINT64_FORMAT
                  " confirmed_by=%s era=%" G_GINT64_FORMAT
                  " deadline_ms=%" G_GINT64_FORMAT
--- a/core/types.c
+++ b/core/types.c
@@ -35,6 +35,30 @@
   [HBW_REASON_VERSION_GONE] = "version_gone",
 };
 
+static gboolean
+is_name_without (const char *text, const char *rejected)
+{
+  gsize length = strlen (text);
+  if (length == 0 || length >= HBW_NAME_MAX)
+    return FALSE;
+  for (gsize i = 0; i < length; i++)
+    if (g_ascii_iscntrl (text[i]) || strchr (rejected, text[i]) != NULL)
+      return FALSE;
+  return TRUE;
+}
+
+gboolean
+hbw_is_name (const char *text)
+{
+  return is_name_without (text, "/\"\\ {}");
+}
+
+gboolean
+hbw_is_organisation_name (const char *text)
+{
+  return is_name_without (text, "\"\\");
+}
+
 const char *
 hbw_outcome_name (HbwOutcome outcome)
 {
--- a/include/hornbeamwall/core/catalogue.h
+++ b/include/hornbeamwall/core/catalogue.h
@@ -11,10 +11,14 @@
 #include "hornbeamwall/common/error.h"
 #include "hornbeamwall/core/types.h"
 
-/* Maximum size of the catalogue document, in bytes, as limited by the platform's
-   store. */
+/* Maximum size of a document that comes from outside, in bytes, as limited by the
+   platform's store. */
 #define HBW_DOCUMENT_SIZE_MAX (1024 * 1024)
 
+/* Maximum size of a catalogue, in bytes.  One that is made from a document of the
+   platform is longer than that: each of its keys becomes a hash. */
+#define HBW_CATALOGUE_SIZE_MAX (16 * 1024 * 1024)
+
 /* Size of a host name, in bytes, including the terminating NUL. */
 #define HBW_HOSTNAME_MAX 256
 
@@ -62,9 +66,6 @@
   HBW_REPEAT_RESUME, /* only to continue its stream where it broke off */
 } HbwRepeat;
 
-/* Maximum number of pools that the requests of one endpoint are split over. */
-#define HBW_ENDPOINT_TARGETS_MAX 8
-
 typedef struct
 {
   char pool[HBW_NAME_MAX];
@@ -79,7 +80,7 @@
   char *path_prefix;
   char class_name[HBW_NAME_MAX];
   guint target_count;
-  HbwEndpointTarget targets[HBW_ENDPOINT_TARGETS_MAX];
+  HbwEndpointTarget *targets; /* over which the requests are split */
   HbwRepeat repeat;
   gboolean streaming;
   gboolean anonymous; /* no key is required */
--- a/include/hornbeamwall/core/documents.h
+++ b/include/hornbeamwall/core/documents.h
@@ -18,6 +18,9 @@
 /* Number of previous versions that are kept, to compute deltas from. */
 #define HBW_DOCUMENT_HISTORY 4
 
+/* Size of all previous versions of a document that are kept, in bytes. */
+#define HBW_DOCUMENT_HISTORY_BYTES_MAX ((gsize) 4 * 1024 * 1024)
+
 /* Version of a document that is unknown, and of one that is known not to exist. */
 #define HBW_VERSION_UNKNOWN (-1)
 #define HBW_VERSION_ABSENT 0
--- a/include/hornbeamwall/core/types.h
+++ b/include/hornbeamwall/core/types.h
@@ -68,6 +68,14 @@
   HBW_REASON_COUNT,
 } HbwReason;
 
+/* Returns whether TEXT may be the name of a class, a pool or an endpoint: 1 to
+   HBW_NAME_MAX - 1 bytes without spaces, quotes, braces or slashes. */
+gboolean hbw_is_name (const char *text);
+
+/* The same for an organisation, whose name may also hold spaces, braces and slashes.
+ */
+gboolean hbw_is_organisation_name (const char *text);
+
 const char *hbw_outcome_name (HbwOutcome outcome);
 const char *hbw_reason_name (HbwReason reason);
 
--- a/include/hornbeamwall/net/codec.h
+++ b/include/hornbeamwall/net/codec.h
@@ -10,12 +10,13 @@
 #define HORNBEAMWALL_NET_CODEC_H
 
 #include "hornbeamwall/common/error.h"
+#include "hornbeamwall/core/catalogue.h"
 #include "hornbeamwall/core/message.h"
 
 #define HBW_CODEC_VERSION 1
 
 /* Largest frame, in bytes: the largest document and its framing. */
-#define HBW_FRAME_MAX (1024 * 1024 + 4096)
+#define HBW_FRAME_MAX (HBW_CATALOGUE_SIZE_MAX + 4096)
 
 /* Maximum number of messages in one frame. */
 #define HBW_FRAME_MESSAGES_MAX 4096
