--- a/net/attempt.c
+++ b/net/attempt.c
@@ -423,10 +423,21 @@
   return (guint) CLAMP (tokens, 0, G_MAXINT32);
 }
 
+static HbwResponseEnd
+get_response_end (const HbwAttempt *attempt, HbwOutcome outcome)
+{
+  if (outcome != HBW_OUTCOME_COMPLETE)
+    return HBW_RESPONSE_END_NONE;
+  if (attempt->chunked)
+    return HBW_RESPONSE_END_CHUNKS;
+  return attempt->has_length ? HBW_RESPONSE_END_LENGTH : HBW_RESPONSE_END_CLOSE;
+}
+
 void
 hbw_attempt_result (const HbwAttempt *attempt, HbwAttemptEnd *end)
 {
   end->outcome = get_outcome (attempt);
+  end->response_end = get_response_end (attempt, end->outcome);
   end->is_rejected = hbw_attempt_status (attempt) / 100 == 4;
   end->tokens = count_tokens (attempt);
   if (attempt->first_byte_us > 0)
