Bytes without an id on a kept connection answer no request

A response without an id was taken for the answer to the request in progress, unless it said "not executed".

Such a response now counts only on a connection that has carried nothing before, whatever its status, and is skipped on others, as the true answer follows. Up to eight responses and 1 MiB of them are skipped, where two in a row cost the next request a 502 before; without end they are read no longer. Interim responses are bounded as well.

--- a/include/hornbeamwall/net/protocol_adapter.h
+++ b/include/hornbeamwall/net/protocol_adapter.h
@@ -23,8 +23,9 @@
   /* Id of the request that it responds to, or "". */
   char request_id[HBW_CALLER_REQUEST_ID_MAX];
   gboolean not_executed; /* the server states that it did not execute the request */
-  gboolean misdirected;  /* it is not the server that the request was addressed to */
-  gboolean has_seal;     /* the server itself produced it, not an intermediary */
+  gboolean claims_not_executed; /* callers infer the same from the status */
+  gboolean misdirected; /* it is not the server that the request was addressed to */
+  gboolean has_seal;    /* the server itself produced it, not an intermediary */
   gboolean has_load;
   guint running;
   guint waiting;
--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -302,6 +302,9 @@
     return FALSE; /* callers request no coding, so the server did not apply one */
   if (exchange->response_started)
     return head->status == exchange->response_status && info->has_seal;
+  /* Callers would believe the status, though nothing backs it. */
+  if (info->claims_not_executed && !info->not_executed)
+    return info->has_seal;
   return head->status / 100 != 2 || info->has_seal;
 }
 
@@ -320,15 +323,14 @@
   hbw_exchange_set_silence_timeout (exchange, exchange->first_byte_timeout_us);
 }
 
-/* Returns whether the response is for the request.  An earlier refusal that came
-   without an id, and comes once more, must not say that this request was not
-   executed. */
+/* Returns whether the response is for the request.  One without an id may belong to
+   any request that the connection has carried, or to none. */
 static gboolean
 is_response_to_request (const HbwExchange *exchange, const HbwResponseInfo *info)
 {
   if (*info->request_id != '\0')
     return strcmp (info->request_id, exchange->caller_request_id) == 0;
-  return !info->not_executed || !hbw_upstream_was_reused (exchange->upstream);
+  return !hbw_upstream_was_reused (exchange->upstream);
 }
 
 static HbwResponseAction
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -27,8 +27,13 @@
 /* Maximum number of idle connections to all servers. */
 #define IDLE_CONNECTIONS_TOTAL_MAX 256
 
-/* Responses to earlier requests that are skipped before the expected one. */
-#define SKIPPED_RESPONSES_MAX 2
+/* Responses to earlier requests, and bytes of them, that are skipped before the
+   expected one. */
+#define SKIPPED_RESPONSES_MAX 8
+#define SKIPPED_BYTES_MAX ((gsize) 1024 * 1024)
+
+/* Interim responses to one request. */
+#define INTERIM_RESPONSES_MAX 64
 
 struct HbwUpstreamPool
 {
@@ -81,6 +86,8 @@
   gboolean in_parser;         /* the parser is running, so nothing may be freed */
   gboolean cancelled;
   guint skipped_count;
+  gsize skipped_bytes;
+  guint interim_count;
   gint64 idle_timeout_us; /* how long it may be idle */
   gint64 opened_us;       /* or last reused */
   gint64 created_us;      /* when it was opened first */
@@ -184,6 +191,8 @@
   upstream->keep_alive = head->keep_alive;
   upstream->idle_timeout_us = get_idle_timeout_us (head);
   upstream->skipping_response = is_interim (head);
+  if (upstream->skipping_response)
+    upstream->response_rejected = ++upstream->interim_count > INTERIM_RESPONSES_MAX;
   if (upstream->skipping_response || upstream->handler == NULL)
     return;
   HbwResponseAction action
@@ -202,6 +211,11 @@
 handle_body (HbwHttpParserHandler *handler, const char *bytes, gsize length)
 {
   HbwUpstream *upstream = upstream_of_parser (handler);
+  if (upstream->skipping_response)
+    {
+      upstream->skipped_bytes += length;
+      upstream->response_rejected |= upstream->skipped_bytes > SKIPPED_BYTES_MAX;
+    }
   if (upstream->handler != NULL && !upstream->skipping_response
       && !upstream->response_rejected)
     upstream->handler->class->handle_body (upstream->handler, bytes, length);
@@ -566,6 +580,8 @@
   upstream->handler = handler;
   upstream->request = g_bytes_ref (config->request);
   upstream->skipped_count = 0;
+  upstream->skipped_bytes = 0;
+  upstream->interim_count = 0;
   upstream->skipping_response = FALSE;
   upstream->response_rejected = FALSE;
   upstream->keep_alive = FALSE;
--- a/tests/repeated_refusal_test.c
+++ b/tests/repeated_refusal_test.c
@@ -102,6 +102,41 @@
 }
 END_TEST
 
+/* Sends requests on one connection, each after bytes that belong to none. */
+static void
+play_added_responses (ReplicaRepetition repetition)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  int fd = platform_fixture_connect (fixture);
+  set_servers (fixture, FALSE, repetition);
+  for (guint i = 0; i < ROUNDS; i++)
+    {
+      char *path = g_strdup_printf ("/unsafe/%u/ok", i);
+      raw_response_check (caller_post (fd, path, API_KEY_FIELD, "b"), 200, path);
+      ck_assert_uint_eq (platform_fixture_count_runs (fixture, path), 1);
+      g_free (path);
+    }
+  ck_assert_uint_gt (count_repetitions (fixture), 0);
+  close (fd);
+  platform_fixture_destroy (fixture);
+}
+
+/* Guards against a failure without an id that answers the request that is in
+   progress. */
+START_TEST (failure_without_id_on_a_kept_connection_answers_no_request)
+{
+  play_added_responses (REPLICA_ADDS_FAILURES);
+}
+END_TEST
+
+/* Guards against a 503 without an id that says "not executed" of a request that
+   runs. */
+START_TEST (refusal_without_id_on_a_kept_connection_answers_no_request)
+{
+  play_added_responses (REPLICA_ADDS_UNBACKED_REFUSALS);
+}
+END_TEST
+
 /* A response to a request without an id cannot be told from an earlier one. */
 START_TEST (request_without_id_is_sent_on_a_new_connection)
 {
@@ -153,6 +188,8 @@
   tcase_add_test (cases, repeated_refusal_is_not_taken_for_that_of_the_same_request);
   tcase_add_test (cases, repeated_refusal_is_not_taken_for_that_of_another_request);
   tcase_add_test (cases, repeated_refusal_without_id_is_taken_for_none);
+  tcase_add_test (cases, failure_without_id_on_a_kept_connection_answers_no_request);
+  tcase_add_test (cases, refusal_without_id_on_a_kept_connection_answers_no_request);
   tcase_add_test (cases, request_without_id_is_sent_on_a_new_connection);
   tcase_add_test (
       cases, refusals_of_a_full_server_do_not_open_connections_for_other_requests);
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -65,17 +65,20 @@
    replica_set_fields(). */
 void replica_set_refusing (Replica *replica, gboolean refusing);
 
-/* What a replica sends once more before its response to the next request on the
-   connection, as a faulty one does. */
+/* What a replica sends before its response to the next request on the connection, as
+   a faulty one does: its last response once more, or bytes that belong to no request
+   (REPLICA_ADDS_*: a response that says nothing but its status, three times). */
 typedef enum
 {
   REPLICA_REPEATS_NOTHING,
   REPLICA_REPEATS_REFUSALS,
   REPLICA_REPEATS_REFUSALS_WITHOUT_ID,
+  REPLICA_ADDS_FAILURES,
+  REPLICA_ADDS_UNBACKED_REFUSALS,
 } ReplicaRepetition;
 void replica_set_repetition (Replica *replica, ReplicaRepetition repetition);
 
-/* Returns how many refusals were sent once more. */
+/* Returns how often that happened. */
 guint replica_repetition_count (Replica *replica);
 
 /* Sets how long a crash lasts, REPLICA_OUTAGE_US at first, and whether the replica
--- a/tests/standin/replica_session.c
+++ b/tests/standin/replica_session.c
@@ -17,6 +17,10 @@
 #define DRIBBLE_PAUSE_US 200000
 
 #define EVENT_PAUSE_US 2000
+
+/* Responses that a faulty replica adds, and the pause after them. */
+#define ADDED_RESPONSES 3
+#define ADDED_PAUSE_US 1000
 #define HEAD_MAX 32768
 
 typedef struct
@@ -31,7 +35,8 @@
   char *head;
   gsize body_length;
   char *body;
-  char *refused_id; /* of the last request, if it was turned away; else NULL */
+  gboolean has_served; /* an earlier request */
+  char *refused_id;    /* of the last request, if it was turned away; else NULL */
 } Session;
 
 /* Returns whether the replica crashed since the connection was accepted. */
@@ -170,12 +175,34 @@
   session->refused_id = g_strdup (session->attempt_id);
 }
 
-/* Sends the last refusal on the connection once more, if the replica is faulty. */
 static void
-repeat_refusal (Session *session)
+add_responses (Session *session, const char *status)
+{
+  for (guint i = 0; i < ADDED_RESPONSES; i++)
+    {
+      char *text
+          = g_strdup_printf ("HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", status);
+      send_text (session, text);
+      g_free (text);
+    }
+  g_usleep (ADDED_PAUSE_US);
+  atomic_fetch_add (&session->replica->repetition_count, 1);
+}
+
+/* Sends what a faulty replica sends before its response. */
+static void
+send_repetition (Session *session)
 {
   int repetition = atomic_load (&session->replica->repetition);
-  if (session->refused_id == NULL || repetition == REPLICA_REPEATS_NOTHING)
+  gboolean is_first = !session->has_served;
+  session->has_served = TRUE;
+  if (repetition == REPLICA_ADDS_FAILURES && !is_first)
+    add_responses (session, "500 Failed");
+  if (repetition == REPLICA_ADDS_UNBACKED_REFUSALS && !is_first)
+    add_responses (session, "503 Full");
+  if (session->refused_id == NULL
+      || (repetition != REPLICA_REPEATS_REFUSALS
+          && repetition != REPLICA_REPEATS_REFUSALS_WITHOUT_ID))
     return;
   send_refusal (session,
                 repetition == REPLICA_REPEATS_REFUSALS ? session->refused_id : NULL);
@@ -537,7 +564,7 @@
     }
   atomic_fetch_add (&replica->received_count, 1);
   HarmfulEnd harmful_end = find_harmful_end (session);
-  repeat_refusal (session);
+  send_repetition (session);
   if (g_str_has_suffix (session->target, "/shed")
       || atomic_load (&replica->is_refusing))
     {
