Only events of another server continue a stream

A second server's 200 was taken for the rest of the stream, and the end of its answer for the end of the stream.

A response that continues one must be an event stream, and the end of a continuation without any event completes nothing: the attempt is broken, and the request is retried or the caller's connection reset, so that the caller can resume. A response that began without events is continued by none.

odd_continuation_of_a_stream_does_not_complete_it failed before.

--- a/include/hornbeamwall/net/exchange_state.h
+++ b/include/hornbeamwall/net/exchange_state.h
@@ -55,6 +55,7 @@
   char *response_fields;        /* forwarded to the caller */
   gint64 response_length;       /* of its body; -1 is not known */
   gboolean buffers_response;    /* it is read completely before it is forwarded */
+  gboolean continues_stream;    /* the caller had events before this attempt */
   gboolean is_event_stream;     /* text/event-stream with a 2xx status */
   HbwResponseEnd announced_end; /* by the head of the response */
   HbwResponseEnd response_end;
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -12,6 +12,7 @@
 {
   hbw_exchange_drop_attempt (exchange);
   exchange->attempt = start->attempt;
+  exchange->continues_stream = exchange->response_started;
   exchange->holds_failure = FALSE;
   exchange->has_unread_bytes = FALSE;
   exchange->started_us = hbw_exchange_now (exchange);
--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -292,6 +292,14 @@
   return status >= 500;
 }
 
+/* Only events may follow the events that the caller has. */
+static gboolean
+can_continue_stream (const HbwExchange *exchange, const HbwHttpHead *head)
+{
+  return exchange->is_event_stream && is_event_stream (head)
+         && head->status == exchange->response_status;
+}
+
 /* Returns whether the response comes from the server itself, not from an
    intermediary, and is not truncated as far as its head shows. */
 static gboolean
@@ -301,7 +309,7 @@
   if (hbw_http_head_find (head, "Content-Encoding") != NULL)
     return FALSE; /* callers request no coding, so the server did not apply one */
   if (exchange->response_started)
-    return head->status == exchange->response_status && info->has_seal;
+    return can_continue_stream (exchange, head) && info->has_seal;
   /* Callers would believe the status, though nothing backs it. */
   if (info->claims_not_executed && !info->not_executed)
     return info->has_seal;
@@ -425,8 +433,13 @@
 handle_response_complete (HbwExchange *exchange)
 {
   gboolean failed = is_failure_status (exchange->response_status);
-  if (exchange->is_event_stream && exchange->response_end == HBW_RESPONSE_END_CLOSE
-      && hbw_event_stream_has_partial (exchange->events))
+  gboolean is_torn = exchange->is_event_stream
+                     && exchange->response_end == HBW_RESPONSE_END_CLOSE
+                     && hbw_event_stream_has_partial (exchange->events);
+  /* The end of a continuation without an event does not say that the stream is over.
+   */
+  gboolean is_empty = exchange->continues_stream && exchange->piece_count == 0;
+  if (is_torn || is_empty)
     {
       hbw_exchange_report_attempt_end (exchange, HBW_OUTCOME_BROKEN);
       return;
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -16,6 +16,8 @@
  *   open       response without a length, ended by closing the connection
  *   torn       response without a length, ended by a reset
  *   cut        stream that ends in the middle of the third event
+ *   cutbody    as "cut"; then, for a stream that goes on, as "ok"
+ *   cutempty   the same, but then a stream without events
  *   mute       as "cut", but the connection stays open without data
  *   dribble    as "mute", but a byte follows now and then
  *   pause      as "events", with a pause of REPLICA_PAUSE_US after the second event
--- a/tests/standin/replica_session.c
+++ b/tests/standin/replica_session.c
@@ -333,6 +333,23 @@
   return TRUE;
 }
 
+/* Breaks a stream off, and answers a request to continue it with a stream without
+   events, or with no stream. */
+static gboolean
+send_odd_continuation (Session *session, gboolean is_empty)
+{
+  char *last = find_field (session->head, "Last-Event-Id");
+  gboolean is_continuation = last != NULL;
+  g_free (last);
+  if (!is_continuation)
+    return send_events (session, TRUE, 0);
+  if (!is_empty)
+    return send_ok (session);
+  send_response (session, "200 OK", SEAL "Content-Type: text/event-stream\r\n", "",
+                 0);
+  return TRUE;
+}
+
 /* Sends BEGIN, and then REPEATED until the connection is closed. */
 static void
 send_without_end (Session *session, const char *begin, const char *repeated)
@@ -434,6 +451,8 @@
     return send_events (session, FALSE, REPLICA_PAUSE_US);
   if (strcmp (behaviour, "cut") == 0)
     return send_events (session, TRUE, 0);
+  if (strcmp (behaviour, "cutbody") == 0 || strcmp (behaviour, "cutempty") == 0)
+    return send_odd_continuation (session, strcmp (behaviour, "cutempty") == 0);
   if (strcmp (behaviour, "mute") == 0 || strcmp (behaviour, "dribble") == 0)
     {
       send_events (session, TRUE, 0);
--- a/tests/traffic_test.c
+++ b/tests/traffic_test.c
@@ -195,6 +195,26 @@
   platform_fixture_destroy (fixture);
 }
 
+/* Guards against a body of another server within a stream, and against an end that
+   such a server only seems to state. */
+START_TEST (odd_continuation_of_a_stream_does_not_complete_it)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  static const char *const paths[] = { "/stream/a/cutbody", "/stream/a/cutempty" };
+  for (gsize i = 0; i < G_N_ELEMENTS (paths); i++)
+    {
+      RawResponse response
+          = platform_fixture_post (fixture, paths[i], API_KEY_FIELD, "b");
+      ck_assert_ptr_nonnull (strstr (response.text, "id: 2"));
+      ck_assert_ptr_null (strstr (response.text, "POST"));
+      ck_assert (!raw_response_is_complete (response.text));
+      ck_assert_uint_eq (platform_fixture_count_runs (fixture, paths[i]), 2);
+      g_free (response.text);
+    }
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 START_TEST (stream_resumes_on_another_server_after_break)
 {
   check_stream_resumes ("/stream/a/cut1");
@@ -671,6 +691,7 @@
   tcase_add_test (tests, broken_response_is_retried_only_where_allowed);
   tcase_add_test (tests, truncated_response_never_looks_complete);
   tcase_add_test (tests, stream_resumes_on_another_server_after_break);
+  tcase_add_test (tests, odd_continuation_of_a_stream_does_not_complete_it);
   tcase_add_test (tests, stalled_stream_resumes_on_another_server);
   tcase_add_test (tests, stream_of_single_bytes_resumes_on_another_server);
   tcase_add_test (tests, extra_response_is_not_passed_to_another_request);
