The end of a killed server's connection does not complete its answer

An answer that ends with its connection is now followed by a new connection to the server, on the same way, also through another instance. If it is accepted, or nothing is heard of it within 0.2 s, the end is believed, and the connection carries later requests, in place of the one that has ended. If it is refused, the attempt is broken, unless the server is leaving or has left: it exits after its last answer. A stream that may be resumed then goes on at another server, and the caller's connection is reset otherwise.

The stand-in's listener now closes before its connections do, as that of a killed process does.

--- a/core/ingress.c
+++ b/core/ingress.c
@@ -194,8 +194,9 @@
                 const HbwAttemptEnd *end)
 {
   hbw_request_log_ended (request, context, end->outcome);
-  hbw_effects_add (context->effects, HBW_EFFECT_FINISH_REQUEST)->sequence
-      = request->sequence;
+  HbwEffect *effect = hbw_effects_add (context->effects, HBW_EFFECT_FINISH_REQUEST);
+  effect->finish.sequence = request->sequence;
+  effect->finish.is_complete = end->outcome == HBW_OUTCOME_COMPLETE;
   hbw_request_count_ended (request, context, end);
   remove_request (ingress, context, request, end->tokens);
 }
@@ -429,7 +430,8 @@
     }
   hbw_request_log_ended (request, context, HBW_OUTCOME_CANCELLED);
   hbw_request_count_caller_gone (request, context);
-  hbw_effects_add (context->effects, HBW_EFFECT_FINISH_REQUEST)->sequence = sequence;
+  hbw_effects_add (context->effects, HBW_EFFECT_FINISH_REQUEST)->finish.sequence
+      = sequence;
   hbw_request_send_withdraw (request, context);
   remove_request (ingress, context, request, 0);
 }
@@ -465,14 +467,10 @@
       = request->sequence;
 }
 
-void
-hbw_ingress_handle_attempt_end (HbwIngress *ingress, HbwContext *context,
-                                const HbwAttemptEnd *end)
+static void
+end_attempt (HbwIngress *ingress, HbwContext *context, HbwRequest *request,
+             const HbwAttemptEnd *end)
 {
-  HbwRequest *request = find_request (ingress, end->sequence);
-  if (request == NULL || request->state != HBW_REQUEST_RUNNING
-      || request->attempt != end->attempt)
-    return;
   if (end->outcome == HBW_OUTCOME_REFUSED)
     hbw_server_notices_handle_refusal (context->server_notices, context,
                                        request->server);
@@ -510,6 +508,37 @@
     end_without_retry (ingress, context, request, end);
 }
 
+/* Returns whether the response is complete although its server refuses connections:
+   one that leaves exits after its last response. */
+static gboolean
+is_last_response (const HbwIngress *ingress, const HbwRequest *request,
+                  const HbwAttemptEnd *end)
+{
+  HbwShardKey key;
+  if (end->outcome != HBW_OUTCOME_BROKEN
+      || end->response_end != HBW_RESPONSE_END_CLOSE)
+    return FALSE;
+  const HbwServerEntry *server
+      = ingress->topology != NULL
+            ? hbw_topology_find_server (ingress->topology, request->server, &key)
+            : NULL;
+  return server == NULL || server->leaving;
+}
+
+void
+hbw_ingress_handle_attempt_end (HbwIngress *ingress, HbwContext *context,
+                                const HbwAttemptEnd *end)
+{
+  HbwRequest *request = find_request (ingress, end->sequence);
+  HbwAttemptEnd judged = *end;
+  if (request == NULL || request->state != HBW_REQUEST_RUNNING
+      || request->attempt != end->attempt)
+    return;
+  if (is_last_response (ingress, request, end))
+    judged.outcome = HBW_OUTCOME_COMPLETE;
+  end_attempt (ingress, context, request, &judged);
+}
+
 static void
 fill_start (HbwIngress *ingress, HbwContext *context, HbwRequest *request,
             const HbwGrant *grant, HbwStartAttempt *start)
--- a/include/hornbeamwall/core/effect.h
+++ b/include/hornbeamwall/core/effect.h
@@ -53,6 +53,12 @@
   gint64 retry_after_us;
 } HbwRefuseRequest;
 
+typedef struct
+{
+  guint64 sequence;
+  gboolean is_complete; /* the response is the whole one */
+} HbwFinishRequest;
+
 typedef struct
 {
   guint64 to; /* identity of the peer; 0 if only its address is known */
@@ -98,7 +104,8 @@
   union
   {
     HbwStartAttempt start;
-    guint64 sequence; /* CANCEL_ATTEMPT, FINISH_REQUEST */
+    guint64 sequence; /* CANCEL_ATTEMPT */
+    HbwFinishRequest finish;
     HbwRefuseRequest refuse;
     HbwSendMessage send;
     HbwPollLoad poll;
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -70,8 +70,9 @@
   guint64 sequence;
   guint attempt;
   HbwOutcome outcome;
-  HbwResponseEnd response_end;
-  HbwReason reason;     /* with DENIED */
+  HbwResponseEnd response_end; /* BROKEN: CLOSE if the response could be complete,
+                                  but the server refuses connections since */
+  HbwReason reason;            /* with DENIED */
   gboolean is_rejected; /* COMPLETE: the status says that the request is at fault,
                            so that its prompt was not read */
   gboolean response_started; /* bytes of the response were sent to the caller */
--- a/include/hornbeamwall/net/exchange_state.h
+++ b/include/hornbeamwall/net/exchange_state.h
@@ -28,7 +28,11 @@
   gboolean submitted; /* to the reducer */
 
   HbwUpstream *upstream; /* of the attempt in progress, or NULL */
+  HbwUpstreamHandler end_check_handler;
+  HbwUpstream *end_check; /* see whether the server still accepts connections after
+                             its response has ended with one, or NULL */
   guint attempt;
+  char address[HBW_ADDRESS_MAX]; /* of the server */
   char server[HBW_NAME_MAX];
   char tunnel_address[HBW_ADDRESS_MAX]; /* of the attempt; "": it is direct */
   gboolean tunnel_failed;
@@ -61,6 +65,7 @@
   HbwResponseEnd response_end;
   gboolean response_started;  /* its head has been forwarded */
   gboolean holds_failure;     /* until the reducer decides on a retry */
+  gboolean holds_end;         /* the same, as the server refuses connections */
   gboolean response_finished; /* nothing more is sent to the caller */
   GByteArray *response_body;
   HbwEventStream *events;
@@ -69,9 +74,15 @@
 /* Callbacks for the upstream of the attempt in progress. */
 extern const HbwUpstreamHandlerClass hbw_exchange_upstream_handler_class;
 
+/* Callbacks for the check of its end. */
+extern const HbwUpstreamHandlerClass hbw_exchange_end_check_handler_class;
+
 /* Returns the current time on the loop's clock, in microseconds. */
 gint64 hbw_exchange_now (const HbwExchange *exchange);
 
+/* Returns whether the attempt in progress has not been reported as ended. */
+gboolean hbw_exchange_has_attempt (const HbwExchange *exchange);
+
 /* Reports to the reducer how the attempt in progress ended. */
 void hbw_exchange_report_attempt_end (HbwExchange *exchange, HbwOutcome outcome);
 
--- a/include/hornbeamwall/net/upstream.h
+++ b/include/hornbeamwall/net/upstream.h
@@ -31,7 +31,9 @@
   HBW_UPSTREAM_COMPLETE_BY_CLOSE, /* it has neither a length nor chunks */
   HBW_UPSTREAM_NOT_CONNECTED,     /* no byte of the request was sent */
   HBW_UPSTREAM_NO_TUNNEL, /* the same, as another instance did not open the way */
-  HBW_UPSTREAM_BROKEN,    /* the response is incomplete or not valid */
+  HBW_UPSTREAM_NOT_LISTENING, /* the server refuses connections, as far as that is
+                                 known; hbw_upstream_open() only */
+  HBW_UPSTREAM_BROKEN,        /* the response is incomplete or not valid */
 } HbwUpstreamEnd;
 
 /* Callbacks of an upstream; the structure is embedded in the owner's.  The upstream
@@ -79,6 +81,13 @@
                                 const HbwUpstreamConfig *config,
                                 HbwUpstreamHandler *handler);
 
+/* Opens a connection and sends nothing; it can carry requests afterwards.  Calls
+   handle_end() with HBW_UPSTREAM_COMPLETE once the server has accepted it, otherwise
+   with the reason.  If it fails immediately, calls handle_end() and returns NULL. */
+HbwUpstream *hbw_upstream_open (HbwUpstreamPool *pool,
+                                const HbwUpstreamConfig *config,
+                                HbwUpstreamHandler *handler);
+
 /* Ends the request and closes its connection; handle_end() is not called. */
 void hbw_upstream_cancel (HbwUpstream *upstream);
 
--- a/include/hornbeamwall/runtime/request_command.h
+++ b/include/hornbeamwall/runtime/request_command.h
@@ -23,6 +23,7 @@
   HbwStartAttempt start;
   gint64 expires_us; /* START: time after which the attempt must not connect */
   HbwRefuseRequest refuse;
+  gboolean is_complete; /* FINISH: the response is the whole one */
 } HbwRequestCommand;
 
 /* Receives the commands of all requests that have no mailbox.  Embedded in its
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -14,6 +14,7 @@
   exchange->attempt = start->attempt;
   exchange->continues_stream = exchange->response_started;
   exchange->holds_failure = FALSE;
+  exchange->holds_end = FALSE;
   exchange->has_unread_bytes = FALSE;
   exchange->started_us = hbw_exchange_now (exchange);
   exchange->sent_us = 0;
@@ -25,6 +26,7 @@
   exchange->first_byte_timeout_us = start->first_byte_timeout_us;
   exchange->stall_timeout_us = start->stall_timeout_us;
   g_strlcpy (exchange->server, start->server, sizeof exchange->server);
+  g_strlcpy (exchange->address, start->address, sizeof exchange->address);
   exchange->tunnel_failed = FALSE;
   g_strlcpy (exchange->tunnel_address, start->tunnel_address,
              sizeof exchange->tunnel_address);
@@ -77,10 +79,10 @@
 /* --- commands of the reducer --------------------------------------------------- */
 
 static void
-handle_finish_command (HbwExchange *exchange)
+handle_finish_command (HbwExchange *exchange, gboolean is_complete)
 {
   hbw_exchange_drop_attempt (exchange);
-  if (exchange->holds_failure)
+  if (exchange->holds_failure || (exchange->holds_end && is_complete))
     {
       hbw_exchange_forward_buffered (exchange);
       hbw_exchange_finish_response (exchange);
@@ -104,7 +106,7 @@
 static void
 handle_cancel_command (HbwExchange *exchange)
 {
-  if (exchange->upstream == NULL)
+  if (!hbw_exchange_has_attempt (exchange))
     return; /* its end was already reported to the reducer */
   if (exchange->caller == NULL)
     hbw_exchange_end_attempt (exchange, HBW_OUTCOME_CANCELLED);
@@ -127,7 +129,7 @@
       handle_refuse_command (exchange, &command->refuse);
       break;
     case HBW_REQUEST_COMMAND_FINISH:
-      handle_finish_command (exchange);
+      handle_finish_command (exchange, command->is_complete);
       break;
     default:
       break;
@@ -141,6 +143,7 @@
 {
   HbwExchange *exchange = g_new0 (HbwExchange, 1);
   exchange->upstream_handler.class = &hbw_exchange_upstream_handler_class;
+  exchange->end_check_handler.class = &hbw_exchange_end_check_handler_class;
   exchange->traffic = traffic;
   exchange->caller = caller;
   exchange->request_head = head;
@@ -322,7 +325,7 @@
       hbw_exchange_destroy (exchange);
       return;
     }
-  if (exchange->upstream != NULL)
+  if (hbw_exchange_has_attempt (exchange))
     {
       hbw_exchange_end_attempt (exchange, HBW_OUTCOME_CANCELLED);
       return;
--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -16,6 +16,10 @@
 /* The reducer learns at this interval that a server responds. */
 #define RESPONSE_REPORT_INTERVAL_US (100 * HBW_US_PER_MS)
 
+/* How long a server may take to accept a connection after its response has ended
+   with one, until the end is believed. */
+#define END_CHECK_TIMEOUT_US (200 * HBW_US_PER_MS)
+
 #define EVENT_STREAM_TYPE "text/event-stream"
 
 /* --- reports to the reducer ------------------------------------------------ */
@@ -180,12 +184,21 @@
     hbw_downstream_abort (caller);
 }
 
+gboolean
+hbw_exchange_has_attempt (const HbwExchange *exchange)
+{
+  return exchange->upstream != NULL || exchange->end_check != NULL;
+}
+
 void
 hbw_exchange_drop_attempt (HbwExchange *exchange)
 {
   if (exchange->upstream != NULL)
     hbw_upstream_cancel (exchange->upstream);
+  if (exchange->end_check != NULL)
+    hbw_upstream_cancel (exchange->end_check);
   exchange->upstream = NULL;
+  exchange->end_check = NULL;
   hbw_loop_clear_timer (exchange->traffic->loop, &exchange->silence_timer);
 }
 
@@ -429,18 +442,26 @@
          && exchange->spec.idempotent;
 }
 
-static void
-handle_response_complete (HbwExchange *exchange)
+/* Returns whether a response that has ended cannot be the whole one. */
+static gboolean
+is_visibly_incomplete (const HbwExchange *exchange)
 {
-  gboolean failed = is_failure_status (exchange->response_status);
   gboolean is_torn = exchange->is_event_stream
                      && exchange->response_end == HBW_RESPONSE_END_CLOSE
                      && hbw_event_stream_has_partial (exchange->events);
   /* The end of a continuation without an event does not say that the stream is over.
    */
   gboolean is_empty = exchange->continues_stream && exchange->piece_count == 0;
-  if (is_torn || is_empty)
+  return is_torn || is_empty;
+}
+
+static void
+handle_response_complete (HbwExchange *exchange)
+{
+  gboolean failed = is_failure_status (exchange->response_status);
+  if (is_visibly_incomplete (exchange))
     {
+      exchange->response_end = HBW_RESPONSE_END_NONE;
       hbw_exchange_report_attempt_end (exchange, HBW_OUTCOME_BROKEN);
       return;
     }
@@ -456,6 +477,55 @@
   hbw_exchange_finish_response (exchange);
 }
 
+/* --- the end of a connection as that of the response ------------------------- */
+
+static HbwExchange *
+exchange_of_end_check (HbwUpstreamHandler *handler)
+{
+  return caa_container_of (handler, HbwExchange, end_check_handler);
+}
+
+/* Does nothing: no request is sent. */
+static void
+handle_check_open (HbwUpstreamHandler *handler G_GNUC_UNUSED)
+{
+}
+
+/* A process that is killed ends its connections in order, too, but accepts none
+   afterwards; whether the server was leaving is known to the reducer. */
+static void
+handle_check_end (HbwUpstreamHandler *handler, HbwUpstreamEnd end)
+{
+  HbwExchange *exchange = exchange_of_end_check (handler);
+  exchange->end_check = NULL;
+  if (end != HBW_UPSTREAM_NOT_LISTENING)
+    {
+      handle_response_complete (exchange);
+      return;
+    }
+  exchange->holds_end = TRUE;
+  hbw_exchange_report_attempt_end (exchange, HBW_OUTCOME_BROKEN);
+}
+
+const HbwUpstreamHandlerClass hbw_exchange_end_check_handler_class = {
+  .handle_open = handle_check_open,
+  .handle_end = handle_check_end,
+};
+
+/* Sees by a new connection, on the way of the response, whether the server is there.
+ */
+static void
+check_end (HbwExchange *exchange)
+{
+  const HbwUpstreamConfig config = { .server_name = exchange->server,
+                                     .address = exchange->address,
+                                     .tunnel_address = exchange->tunnel_address,
+                                     .connect_timeout_us = END_CHECK_TIMEOUT_US };
+  hbw_loop_clear_timer (exchange->traffic->loop, &exchange->silence_timer);
+  exchange->end_check = hbw_upstream_open (exchange->traffic->upstream_pool, &config,
+                                           &exchange->end_check_handler);
+}
+
 static void
 handle_upstream_end (HbwUpstreamHandler *handler, HbwUpstreamEnd end)
 {
@@ -465,7 +535,10 @@
     {
     case HBW_UPSTREAM_COMPLETE_BY_CLOSE:
       exchange->response_end = HBW_RESPONSE_END_CLOSE;
-      handle_response_complete (exchange);
+      if (is_visibly_incomplete (exchange))
+        handle_response_complete (exchange);
+      else
+        check_end (exchange);
       break;
     case HBW_UPSTREAM_COMPLETE:
       exchange->response_end = exchange->announced_end;
@@ -476,6 +549,7 @@
       hbw_exchange_report_attempt_end (exchange, HBW_OUTCOME_NOT_CONNECTED);
       break;
     case HBW_UPSTREAM_NOT_CONNECTED:
+    case HBW_UPSTREAM_NOT_LISTENING:
       hbw_exchange_report_attempt_end (exchange, HBW_OUTCOME_NOT_CONNECTED);
       break;
     case HBW_UPSTREAM_BROKEN:
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -76,6 +76,8 @@
   gboolean is_head_request;
   gboolean is_idle;
   gboolean connected;
+  gboolean opens_only;              /* no request is to be sent */
+  gboolean is_refused;              /* the server refused the connection */
   char tunnel_server[HBW_NAME_MAX]; /* to be named to another instance; "": direct */
   gboolean tunnel_open;
   gboolean tunnel_framed;
@@ -312,10 +314,30 @@
   return caa_container_of (handler, HbwUpstream, channel_handler);
 }
 
+static void
+finish_opening (HbwUpstream *upstream)
+{
+  HbwUpstreamHandler *handler = upstream->handler;
+  upstream->handler = NULL;
+  upstream->opens_only = FALSE;
+  upstream->connected = TRUE;
+  upstream->opened_us = hbw_loop_now (upstream->pool->loop);
+  upstream->keep_alive = TRUE;
+  upstream->idle_timeout_us = IDLE_TIMEOUT_DEFAULT_US;
+  keep_idle (upstream);
+  handler->class->handle_end (handler, HBW_UPSTREAM_COMPLETE);
+}
+
+/* The way to the server is open. */
 static void
 send_request (HbwUpstream *upstream)
 {
   gsize length;
+  if (upstream->opens_only)
+    {
+      finish_opening (upstream);
+      return;
+    }
   const char *bytes = g_bytes_get_data (upstream->request, &length);
   hbw_loop_clear_timer (upstream->pool->loop, &upstream->timer);
   upstream->connected = TRUE;
@@ -346,6 +368,8 @@
 static HbwUpstreamEnd
 unopened_end (const HbwUpstream *upstream)
 {
+  if (upstream->opens_only && upstream->is_refused)
+    return HBW_UPSTREAM_NOT_LISTENING;
   return *upstream->tunnel_server != '\0' ? HBW_UPSTREAM_NO_TUNNEL
                                           : HBW_UPSTREAM_NOT_CONNECTED;
 }
@@ -356,12 +380,13 @@
 {
   upstream->tunnel_framed = answer == HBW_TUNNEL_OPEN_FRAMED;
   upstream->tunnel_open = upstream->tunnel_framed || answer == HBW_TUNNEL_OPEN;
+  upstream->is_refused = answer == HBW_TUNNEL_NO_SERVER;
   if (upstream->tunnel_open)
     send_request (upstream);
+  else if (upstream->is_refused && !upstream->opens_only)
+    fail_request (upstream, HBW_UPSTREAM_NOT_CONNECTED);
   else
-    fail_request (upstream, answer == HBW_TUNNEL_NO_SERVER
-                                ? HBW_UPSTREAM_NOT_CONNECTED
-                                : HBW_UPSTREAM_NO_TUNNEL);
+    fail_request (upstream, unopened_end (upstream));
 }
 
 /* Handles the server's end, or that of the way to it. */
@@ -375,6 +400,7 @@
     }
   if (!upstream->connected)
     {
+      upstream->is_refused |= hbw_channel_is_refused (upstream->channel);
       fail_request (upstream, unopened_end (upstream));
       return;
     }
@@ -482,9 +508,10 @@
   upstream->parser
       = hbw_http_parser_create (HBW_HTTP_PARSER_RESPONSE, &upstream->parser_handler);
   cds_list_add_tail (&upstream->link, &pool->connections);
-  upstream->channel = hbw_channel_connect (
+  upstream->channel = hbw_channel_connect_checked (
       pool->loop, is_direct ? config->address : config->tunnel_address,
-      is_direct ? pool->source : "", &upstream->channel_handler);
+      is_direct ? pool->source : "", &upstream->channel_handler,
+      &upstream->is_refused);
   return upstream;
 }
 
@@ -565,13 +592,34 @@
     upstream_destroy (upstream);
 }
 
+static void
+get_way (const HbwUpstreamConfig *config, char *way)
+{
+  format_way (way, config->server_name,
+              has_tunnel (config) ? config->tunnel_address : "");
+}
+
+/* Returns UPSTREAM, or NULL if its connection has failed immediately. */
+static HbwUpstream *
+wait_for_connection (HbwUpstream *upstream, const HbwUpstreamConfig *config)
+{
+  if (upstream->channel == NULL)
+    {
+      fail_request (upstream, unopened_end (upstream));
+      return NULL;
+    }
+  upstream->timer.handle_due = handle_timeout;
+  hbw_loop_set_timer (upstream->pool->loop, &upstream->timer,
+                      config->connect_timeout_us);
+  return upstream;
+}
+
 HbwUpstream *
 hbw_upstream_send (HbwUpstreamPool *pool, const HbwUpstreamConfig *config,
                    HbwUpstreamHandler *handler)
 {
   char way[WAY_MAX];
-  format_way (way, config->server_name,
-              has_tunnel (config) ? config->tunnel_address : "");
+  get_way (config, way);
   HbwUpstream *upstream = take_idle_connection (pool, way, config);
   gboolean reused = upstream != NULL;
   if (!reused)
@@ -587,21 +635,24 @@
   upstream->keep_alive = FALSE;
   upstream->is_head_request = config->is_head_request;
   hbw_http_parser_reset (upstream->parser, config->is_head_request);
-  if (upstream->channel == NULL)
-    {
-      fail_request (upstream, unopened_end (upstream));
-      return NULL;
-    }
-  if (reused)
-    send_request (upstream);
-  else
-    {
-      upstream->timer.handle_due = handle_timeout;
-      hbw_loop_set_timer (pool->loop, &upstream->timer, config->connect_timeout_us);
-    }
+  if (!reused)
+    return wait_for_connection (upstream, config);
+  send_request (upstream);
   return upstream;
 }
 
+HbwUpstream *
+hbw_upstream_open (HbwUpstreamPool *pool, const HbwUpstreamConfig *config,
+                   HbwUpstreamHandler *handler)
+{
+  char way[WAY_MAX];
+  get_way (config, way);
+  HbwUpstream *upstream = open_connection (pool, config, way);
+  upstream->handler = handler;
+  upstream->opens_only = TRUE;
+  return wait_for_connection (upstream, config);
+}
+
 void
 hbw_upstream_cancel (HbwUpstream *upstream)
 {
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -141,7 +141,8 @@
       break;
     case HBW_EFFECT_FINISH_REQUEST:
       command.kind = HBW_REQUEST_COMMAND_FINISH;
-      post_command (control, effect->sequence, &command);
+      command.is_complete = effect->finish.is_complete;
+      post_command (control, effect->finish.sequence, &command);
       break;
     case HBW_EFFECT_SEND_MESSAGE:
       hbw_peer_transport_post (control->peer, effect->send.address,
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -1321,7 +1321,7 @@
       refuse_request (world, &effect->refuse);
       break;
     case HBW_EFFECT_FINISH_REQUEST:
-      request = g_hash_table_lookup (world->requests, &effect->sequence);
+      request = g_hash_table_lookup (world->requests, &effect->finish.sequence);
       end_request (world, request);
       if (request->stream != NULL && !request->completed)
         schedule_caller_retry (world, request);
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -30,6 +30,7 @@
   struct sockaddr_in address = standin_loopback (replica->port);
   atomic_store (&replica->is_up, FALSE);
   close (replica->fd);
+  atomic_store (&replica->handled_crash_count, atomic_load (&replica->crash_count));
   g_usleep ((gulong) atomic_load (&replica->outage_us));
   if (atomic_load (&replica->renames))
     rename_replica (replica);
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -33,6 +33,7 @@
  *   opencrash  begins "openok", then the server fails: it closes all connections
  *              without a reset
  *   opencut    the same after two events of "openevents"
+ *   openlast   "openpause", then the same
  *   flood      bytes that are no response, until the connection is closed
  *   headflood  the same, as header fields without end
  *   bodyflood  the same, as a body without end and without the server's mark
@@ -40,7 +41,7 @@
  *
  * A number after the name, as in "reset1", limits how many requests fail in this
  * way, counted over all replicas of the process.  Later requests are handled as
- * "ok", or as "events" for "cut", "mute" and "dribble".
+ * "ok", or as "events" for "cut", "opencut", "mute" and "dribble".
  */
 #ifndef HORNBEAMWALL_TESTS_STANDIN_REPLICA_H
 #define HORNBEAMWALL_TESTS_STANDIN_REPLICA_H
--- a/tests/standin/replica_internal.h
+++ b/tests/standin/replica_internal.h
@@ -42,7 +42,8 @@
   atomic_bool renames;            /* after each crash */
   _Atomic gint64 silent_until_us; /* monotonic time */
   atomic_bool is_refusing;
-  atomic_int repetition; /* a ReplicaRepetition */
+  atomic_uint handled_crash_count; /* by the listener, which was closed then */
+  atomic_int repetition;           /* a ReplicaRepetition */
   atomic_uint repetition_count;
   atomic_bool is_up;
   atomic_int crash_kind; /* a ReplicaCrash, of the last crash */
--- a/tests/standin/replica_session.c
+++ b/tests/standin/replica_session.c
@@ -410,13 +410,15 @@
     }
   else if (strcmp (behaviour, "openevents") == 0)
     send_open_events (session, EVENTS, 0);
-  else if (strcmp (behaviour, "openpause") == 0)
+  else if (strcmp (behaviour, "openpause") == 0
+           || strcmp (behaviour, "openlast") == 0)
     send_open_events (session, EVENTS, REPLICA_PAUSE_US);
   else if (strcmp (behaviour, "opencut") == 0)
     send_open_events (session, 2, 0);
   else
     return FALSE;
-  if (strcmp (behaviour, "opencrash") == 0 || strcmp (behaviour, "opencut") == 0)
+  if (strcmp (behaviour, "opencrash") == 0 || strcmp (behaviour, "opencut") == 0
+      || strcmp (behaviour, "openlast") == 0)
     replica_crash (session->replica, REPLICA_CRASH_CLOSE);
   return TRUE;
 }
@@ -512,9 +514,9 @@
   *digits = '\0';
   if (run_count < limit)
     return behaviour;
-  gboolean streams = strcmp (behaviour, "cut") == 0
-                     || strcmp (behaviour, "mute") == 0
-                     || strcmp (behaviour, "dribble") == 0;
+  gboolean streams
+      = strcmp (behaviour, "cut") == 0 || strcmp (behaviour, "opencut") == 0
+        || strcmp (behaviour, "mute") == 0 || strcmp (behaviour, "dribble") == 0;
   const char *fallback = streams ? "events" : "ok";
   g_free (behaviour);
   return g_strdup (fallback);
@@ -608,6 +610,16 @@
   return keep_open;
 }
 
+/* A process that is killed accepts no connections by the time the others end. */
+static void
+wait_for_closed_listener (const Session *session)
+{
+  const Replica *replica = session->replica;
+  while (session->crash_count == atomic_load (&replica->handled_crash_count)
+         && !atomic_load (&replica->stopping))
+    g_usleep (1000);
+}
+
 static void *
 run_session (void *data)
 {
@@ -623,6 +635,8 @@
   if (has_crashed (session)
       && atomic_load (&replica->crash_kind) != REPLICA_CRASH_CLOSE)
     reset_on_close (session);
+  else if (has_crashed (session))
+    wait_for_closed_listener (session);
   close (session->fd);
   g_string_free (session->input, TRUE);
   g_free (session->head);
--- a/tests/traffic_test.c
+++ b/tests/traffic_test.c
@@ -234,6 +234,46 @@
 }
 END_TEST
 
+/* Guards against the orderly end of a killed server's connection that is taken for
+   the end of its stream. */
+START_TEST (stream_of_a_killed_server_is_not_complete)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  RawResponse response
+      = platform_fixture_post (fixture, "/once/a/opencut", API_KEY_FIELD, "b");
+  ck_assert_ptr_nonnull (strstr (response.text, "id: 2"));
+  ck_assert (!raw_response_is_complete (response.text));
+  g_free (response.text);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
+START_TEST (stream_of_a_killed_server_goes_on_at_another)
+{
+  check_stream_resumes ("/stream/a/opencut1");
+}
+END_TEST
+
+/* A server that leaves exits after its last stream, which is complete. */
+START_TEST (last_stream_of_a_leaving_server_is_complete)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  int fd = platform_fixture_connect (fixture);
+  char *request
+      = caller_format_request ("POST", "/once/a/openlast", API_KEY_FIELD, "b");
+  caller_send (fd, request);
+  g_usleep (REPLICA_PAUSE_US / 2);
+  for (guint i = 0; i < PLATFORM_FIXTURE_SERVERS; i++)
+    platform_fixture_put_server (fixture, i, "draining");
+  RawResponse response = caller_receive (fd);
+  ck_assert (raw_response_is_complete (response.text));
+  raw_response_check (response, 200, "id: 6");
+  g_free (request);
+  close (fd);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 START_TEST (extra_response_is_not_passed_to_another_request)
 {
   PlatformFixture *fixture = platform_fixture_create ();
@@ -694,6 +734,9 @@
   tcase_add_test (tests, odd_continuation_of_a_stream_does_not_complete_it);
   tcase_add_test (tests, stalled_stream_resumes_on_another_server);
   tcase_add_test (tests, stream_of_single_bytes_resumes_on_another_server);
+  tcase_add_test (tests, stream_of_a_killed_server_is_not_complete);
+  tcase_add_test (tests, stream_of_a_killed_server_goes_on_at_another);
+  tcase_add_test (tests, last_stream_of_a_leaving_server_is_complete);
   tcase_add_test (tests, extra_response_is_not_passed_to_another_request);
   tcase_add_test (tests, request_is_cancelled_when_caller_disconnects);
   tcase_add_test (tests, connection_of_given_up_request_is_reset);
