A planned stop answers what it has read

An exit was taken for an answer to those who wait.

Requests that wait for a server are refused as not run after 75 % of the grace period, with a short Retry-After, as others serve. At 91 %, or once all has been answered, the listeners and the idle connections are closed, a request that crosses this being reset unread, and what has been read is answered before the exit at 94 %. Until then the instance also waits while a caller has bytes to get, or another instance's request is in progress. The loop is a module of its own (runtime/drain.c), so that tests can run it.

--- a/core/ingress.c
+++ b/core/ingress.c
@@ -21,6 +21,10 @@
 /* Retry hint for the caller if no better estimate is known. */
 #define RETRY_AFTER_DEFAULT_US (1 * HBW_US_PER_S)
 
+/* The same if this instance stops and the request has waited already: others serve.
+ */
+#define RETRY_AFTER_DRAINING_US (100 * HBW_US_PER_MS)
+
 struct HbwIngress
 {
   GHashTable *requests; /* sequence -> HbwRequest */
@@ -33,7 +37,8 @@
   HbwRetryBudget *budget;
   HbwIngressSuspects *suspects;
   guint spilled_waiting;
-  gint64 closed_at_us; /* requests that arrive from then on are refused */
+  gint64 closed_at_us;     /* requests that arrive from then on are refused */
+  gint64 waiting_until_us; /* and those that wait for a server from then on */
 };
 
 static guint64
@@ -114,6 +119,17 @@
   return TRUE;
 }
 
+/* Returns TRUE, and refuses REQUEST, if this instance stops too soon to serve it. */
+static gboolean
+refuse_for_drain (HbwIngress *ingress, HbwContext *context, HbwRequest *request)
+{
+  if (context->now_us < ingress->waiting_until_us)
+    return FALSE;
+  refuse_request (ingress, context, request, HBW_REASON_DRAINING,
+                  RETRY_AFTER_DRAINING_US);
+  return TRUE;
+}
+
 static gboolean
 select_shard (HbwIngress *ingress, HbwContext *context, HbwRequest *request)
 {
@@ -135,7 +151,8 @@
 static void
 request_grant (HbwIngress *ingress, HbwContext *context, HbwRequest *request)
 {
-  if (refuse_for_part (ingress, context, request))
+  if (refuse_for_part (ingress, context, request)
+      || refuse_for_drain (ingress, context, request))
     return;
   set_spilled (ingress, request, FALSE);
   if (!select_shard (ingress, context, request))
@@ -314,6 +331,7 @@
   ingress->budget = hbw_retry_budget_create (retry_limits);
   ingress->suspects = hbw_ingress_suspects_create (&ingress->order);
   ingress->closed_at_us = G_MAXINT64;
+  ingress->waiting_until_us = G_MAXINT64;
   return ingress;
 }
 
@@ -708,6 +726,9 @@
       end_timed_out_attempt (ingress, context, request);
       return;
     }
+  if (request->state != HBW_REQUEST_RUNNING
+      && refuse_for_drain (ingress, context, request))
+    return;
   if (request->state != HBW_REQUEST_RUNNING
       && hbw_request_is_past_deadline (request, context->now_us))
     refuse_request (ingress, context, request, HBW_REASON_DEADLINE,
@@ -750,8 +771,9 @@
 }
 
 void
-hbw_ingress_drain (HbwIngress *ingress, gint64 closed_at_us)
+hbw_ingress_drain (HbwIngress *ingress, gint64 closed_at_us, gint64 waiting_until_us)
 {
+  ingress->waiting_until_us = waiting_until_us;
   ingress->closed_at_us = closed_at_us;
 }
 
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -109,8 +109,11 @@
   if (reducer->draining)
     return;
   reducer->draining = TRUE;
-  hbw_ingress_drain (reducer->ingress,
-                     reducer->context.now_us + reducer->drain_grace_us);
+  gint64 now_us = reducer->context.now_us;
+  hbw_ingress_drain (reducer->ingress, now_us + reducer->drain_grace_us,
+                     reducer->drain_waiting_us > 0
+                         ? now_us + reducer->drain_waiting_us
+                         : G_MAXINT64);
   hbw_membership_leave (reducer->context.membership, &reducer->context);
   hbw_effects_log (reducer->context.effects, HBW_LOG_INSTANCE_DRAINING,
                    "in_progress=%u", hbw_ingress_request_count (reducer->ingress));
@@ -487,6 +490,7 @@
   reducer->policy = config->policy;
   reducer->max_revocation_delay_us = config->max_revocation_delay_us;
   reducer->drain_grace_us = config->drain_grace_us;
+  reducer->drain_waiting_us = config->drain_waiting_us;
   context->catalogue_confirmed_us = config->now_us - UNCONFIRMED_AGE_US;
   context->load_in_answers = config->load_in_answers;
   g_strlcpy (reducer->name, config->self.name, sizeof reducer->name);
--- a/hornbeamwall/commands/serve.c
+++ b/hornbeamwall/commands/serve.c
@@ -1,22 +1,13 @@
 #include "hornbeamwall/commands.h"
 #include "hornbeamwall/common/log.h"
-#include "hornbeamwall/runtime/instance.h"
+#include "hornbeamwall/runtime/drain.h"
 
 #include <signal.h>
 #include <stdio.h>
 #include <time.h>
 
 /* Interval between checks whether to stop, or whether draining is done. */
-#define CHECK_INTERVAL_NS 50000000
-
-/* A check that is later than this comes after a stall of the process. */
-#define LATE_CHECK_US (200 * HBW_US_PER_MS)
-
-/* Percentages of the stop grace period.  A draining instance waits at least the
-   first even if no requests are in progress, and exits at the second even if some
-   are. */
-#define STOP_WAIT_MIN_PERCENT 40
-#define STOP_WAIT_MAX_PERCENT 94
+#define CHECK_INTERVAL_NS (HBW_DRAIN_INTERVAL_US * 1000)
 
 static void
 block_signals (sigset_t *set)
@@ -46,40 +37,13 @@
   hbw_settings_destroy (settings);
 }
 
-/* Drains the instance.  Returns when all requests have ended and a load balancer has
-   had time to redirect callers, when the grace period is nearly over, or on SIGINT.
-   Further SIGTERMs change nothing.  After a stall it waits for another check, as
-   requests that arrived meanwhile may not have been read. */
-static void
-wait_for_drain (HbwInstance *instance, const HbwSettings *settings, HbwClock *clock,
-                const sigset_t *set)
+/* Further SIGTERMs change nothing; SIGINT ends the drain. */
+static gboolean
+wait_in_drain (void *data)
 {
+  const sigset_t *set = data;
   const struct timespec interval = { 0, CHECK_INTERVAL_NS };
-  gint64 grace_us = settings->stop_grace_us;
-  gint64 start_us = hbw_clock_now (clock);
-  gint64 min_wait_us = grace_us / 100 * STOP_WAIT_MIN_PERCENT;
-  gint64 max_wait_us = grace_us / 100 * STOP_WAIT_MAX_PERCENT;
-  gint64 accepting_us = grace_us / 100 * HBW_STOP_ACCEPTING_PERCENT;
-  gint64 checked_us = start_us;
-  gint64 elapsed_us;
-  gboolean is_late;
-  hbw_instance_drain (instance);
-  do
-    {
-      int signal_number = sigtimedwait (set, NULL, &interval);
-      if (signal_number == SIGINT)
-        return;
-      gint64 now_us = hbw_clock_now (clock);
-      is_late = now_us - checked_us > LATE_CHECK_US;
-      checked_us = now_us;
-      elapsed_us = now_us - start_us;
-      if (elapsed_us > accepting_us)
-        hbw_instance_stop_store_watch (instance);
-      if (max_wait_us > 0 && elapsed_us >= max_wait_us)
-        return;
-    }
-  while (hbw_instance_has_requests (instance) || is_late
-         || elapsed_us < min_wait_us);
+  return sigtimedwait (set, NULL, &interval) != SIGINT;
 }
 
 /* Waits for a stop signal or until a planned stop of this instance is declared. */
@@ -108,7 +72,8 @@
   if (instance != NULL)
     {
       wait_for_stop (instance, path, set);
-      wait_for_drain (instance, settings, clock, set);
+      hbw_drain_run (instance, settings->stop_grace_us, clock, wait_in_drain,
+                     (void *) set);
       hbw_instance_destroy (instance);
       hbw_log_write (HBW_LOG_INSTANCE_STOPPED, settings->name);
     }
--- a/include/hornbeamwall/core/ingress.h
+++ b/include/hornbeamwall/core/ingress.h
@@ -71,8 +71,10 @@
 /* Ends overdue requests and refreshes the others with their owners. */
 void hbw_ingress_tick (HbwIngress *ingress, HbwContext *context);
 
-/* Refuses every request that arrives at CLOSED_AT_US or later. */
-void hbw_ingress_drain (HbwIngress *ingress, gint64 closed_at_us);
+/* Refuses every request that arrives at CLOSED_AT_US or later, and every one that
+   waits for a server at WAITING_UNTIL_US or later. */
+void hbw_ingress_drain (HbwIngress *ingress, gint64 closed_at_us,
+                        gint64 waiting_until_us);
 
 guint hbw_ingress_request_count (const HbwIngress *ingress);
 HbwLimiter *hbw_ingress_limiter (HbwIngress *ingress);
--- a/include/hornbeamwall/core/reducer.h
+++ b/include/hornbeamwall/core/reducer.h
@@ -25,6 +25,8 @@
   HbwRetryLimits retry_limits;    /* a window of 0 selects the default limits */
   gint64 max_revocation_delay_us; /* see HbwFreshness; 0 if nothing needs
                                      confirmation */
+  gint64 drain_waiting_us; /* after a planned stop, requests wait for a server this
+                              long; 0 is no limit */
   gint64 drain_grace_us; /* after a planned stop, requests are accepted this long */
   gboolean stores_suspects; /* the runtime reads and writes the suspects in the
                                platform's store */
--- a/include/hornbeamwall/core/reducer_state.h
+++ b/include/hornbeamwall/core/reducer_state.h
@@ -28,6 +28,7 @@
   gint64 last_tick_us;
   gint64 max_revocation_delay_us;
   gint64 drain_grace_us;
+  gint64 drain_waiting_us;
   gboolean store_up;
   gboolean draining;
   gboolean path_lost; /* to the servers, at the last tick */
--- a/include/hornbeamwall/net/downstream.h
+++ b/include/hornbeamwall/net/downstream.h
@@ -28,6 +28,12 @@
    complete one. */
 void hbw_downstream_abort (HbwDownstream *downstream);
 
+/* Returns whether a caller waits for a response, or for the rest of one. */
+gboolean hbw_downstream_any_in_use (const HbwTraffic *traffic);
+
+/* Closes the connections on which nothing of a request has come. */
+void hbw_downstream_close_idle (HbwTraffic *traffic);
+
 /* Closes all connections immediately. */
 void hbw_downstream_abort_all (HbwTraffic *traffic);
 
--- a/include/hornbeamwall/net/traffic.h
+++ b/include/hornbeamwall/net/traffic.h
@@ -22,6 +22,16 @@
 /* Closes each connection after its current request.  Thread-safe. */
 void hbw_traffic_drain (HbwTraffic *traffic);
 
+/* Returns whether, after hbw_traffic_drain(), a caller waits for a response or for
+   the rest of one, or a request of another instance goes through this one.
+   Thread-safe.
+ */
+gboolean hbw_traffic_is_in_use (const HbwTraffic *traffic);
+
+/* Accepts no more connections and closes idle ones, so that only requests that have
+   come are to be answered.  Thread-safe. */
+void hbw_traffic_close_idle (HbwTraffic *traffic);
+
 /* Returns the port that was bound for callers. */
 guint hbw_traffic_port (const HbwTraffic *traffic);
 
--- a/include/hornbeamwall/net/traffic_state.h
+++ b/include/hornbeamwall/net/traffic_state.h
@@ -14,6 +14,7 @@
 #include "hornbeamwall/runtime/control.h"
 #include "hornbeamwall/runtime/settings.h"
 
+#include <stdatomic.h>
 #include <urcu/list.h>
 
 typedef struct HbwDownstream HbwDownstream;
@@ -38,6 +39,8 @@
   struct cds_list_head tunnels;       /* see net/tunnel.h */
   guint tunnel_count;
   gboolean draining;
+  HbwTimer use_timer;    /* while draining */
+  atomic_bool is_in_use; /* as of the last look */
 };
 
 /* Returns the limits on what callers may send, from the current catalogue or, where
--- a/include/hornbeamwall/net/tunnel.h
+++ b/include/hornbeamwall/net/tunnel.h
@@ -40,6 +40,9 @@
 /* Handles the answer to HBW_EVENT_TUNNEL_ASKED. */
 void hbw_tunnel_handle_answer (HbwTraffic *traffic, const HbwAnswerTunnel *answer);
 
+/* Returns whether a request of another instance seems to be in progress. */
+gboolean hbw_tunnel_any_in_use (const HbwTraffic *traffic);
+
 /* Closes all tunnels. */
 void hbw_tunnel_abort_all (HbwTraffic *traffic);
 
--- a/include/hornbeamwall/runtime/instance.h
+++ b/include/hornbeamwall/runtime/instance.h
@@ -22,7 +22,11 @@
 /* Stops watching the store, which is not needed once new requests are refused. */
 void hbw_instance_stop_store_watch (HbwInstance *instance);
 
-/* Returns whether any request is in progress. */
+/* Accepts no more connections of callers; see hbw_traffic_close_idle().
+ */
+void hbw_instance_close_idle (HbwInstance *instance);
+
+/* Returns whether any request is in progress, or a response is still being sent. */
 gboolean hbw_instance_has_requests (const HbwInstance *instance);
 
 void hbw_instance_destroy (HbwInstance *instance);
--- a/include/hornbeamwall/runtime/settings.h
+++ b/include/hornbeamwall/runtime/settings.h
@@ -16,6 +16,10 @@
    because a load balancer needs time to redirect its callers. */
 #define HBW_STOP_ACCEPTING_PERCENT 35
 
+/* Percentage of the stop grace period after which requests that wait for a server
+   are refused: their callers have time to go elsewhere. */
+#define HBW_STOP_WAITING_PERCENT 75
+
 /* Values of HbwSettings.interface. */
 #define HBW_INTERFACE_NATIVE "native"
 #define HBW_INTERFACE_PLATFORM "platform"
--- a/net/downstream.c
+++ b/net/downstream.c
@@ -588,6 +588,40 @@
   downstream_destroy (downstream);
 }
 
+gboolean
+hbw_downstream_any_in_use (const HbwTraffic *traffic)
+{
+  const HbwDownstream *downstream;
+  cds_list_for_each_entry (downstream, &traffic->downstreams, link)
+    if (downstream->exchange != NULL
+        || hbw_channel_pending_bytes (downstream->channel) > 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* Returns whether nothing of a request has come, and no response is being sent. */
+static gboolean
+is_unused (const HbwDownstream *downstream)
+{
+  return downstream->wait == WAIT_REQUEST && downstream->exchange == NULL
+         && downstream->input->len == 0 && hbw_channel_is_idle (downstream->channel)
+         && hbw_channel_pending_bytes (downstream->channel) == 0;
+}
+
+/* A request that crosses the close is reset, as nobody has read it. */
+void
+hbw_downstream_close_idle (HbwTraffic *traffic)
+{
+  HbwDownstream *downstream;
+  HbwDownstream *next;
+  cds_list_for_each_entry_safe (downstream, next, &traffic->downstreams, link)
+    if (is_unused (downstream))
+      {
+        set_close_cause (downstream, CLOSE_DRAIN);
+        downstream_destroy (downstream);
+      }
+}
+
 void
 hbw_downstream_abort_all (HbwTraffic *traffic)
 {
--- a/net/traffic.c
+++ b/net/traffic.c
@@ -24,6 +24,9 @@
    is left. */
 #define ACCEPT_RETRY_US (50 * HBW_US_PER_MS)
 
+/* How often it is looked at whether anything is in progress, while draining. */
+#define USE_INTERVAL_US (20 * HBW_US_PER_MS)
+
 /* Limits for callers if the catalogue sets none. */
 #define HEADER_MAX_DEFAULT ((guint) 64 * 1024)
 #define HEADER_TIMEOUT_DEFAULT_US (10 * HBW_US_PER_S)
@@ -135,11 +138,44 @@
 static const HbwRequestCommandSinkClass command_sink_class
     = { post_command, post_check, post_tunnel_answer };
 
+static void
+close_listener (HbwLoop *loop, Listener *listener)
+{
+  if (listener->watcher.fd < 0)
+    return;
+  hbw_loop_clear_timer (loop, &listener->retry_timer);
+  hbw_loop_unwatch (loop, &listener->watcher);
+  close (listener->watcher.fd);
+  listener->watcher.fd = -1;
+}
+
+static void
+handle_use_timer (HbwTimer *timer)
+{
+  HbwTraffic *traffic = caa_container_of (timer, HbwTraffic, use_timer);
+  atomic_store (&traffic->is_in_use, hbw_downstream_any_in_use (traffic)
+                                         || hbw_tunnel_any_in_use (traffic));
+  hbw_loop_set_timer (traffic->loop, timer, USE_INTERVAL_US);
+}
+
 static void
 handle_drain (HbwTask *task, void *data)
 {
   HbwTraffic *traffic = data;
   traffic->draining = TRUE;
+  traffic->use_timer.handle_due = handle_use_timer;
+  hbw_loop_set_timer (traffic->loop, &traffic->use_timer, USE_INTERVAL_US);
+  g_free (task);
+}
+
+static void
+handle_close_idle (HbwTask *task, void *data)
+{
+  HbwTraffic *traffic = data;
+  TrafficThread *thread = thread_of (traffic);
+  close_listener (traffic->loop, &thread->caller_listener);
+  close_listener (traffic->loop, &thread->tunnel_listener);
+  hbw_downstream_close_idle (traffic);
   g_free (task);
 }
 
@@ -229,13 +265,6 @@
          && hbw_loop_watch (traffic->loop, &listener->watcher, EPOLLIN);
 }
 
-static void
-close_listener (Listener *listener)
-{
-  if (listener->watcher.fd >= 0)
-    close (listener->watcher.fd);
-}
-
 static void
 destroy_exchanges (HbwTraffic *traffic)
 {
@@ -334,9 +363,9 @@
   hbw_notice_reporter_destroy (traffic->notice_reporter);
   if (traffic->upstream_pool != NULL)
     hbw_upstream_pool_destroy (traffic->upstream_pool);
-  close_listener (&thread->caller_listener);
-  close_listener (&thread->readiness_listener);
-  close_listener (&thread->tunnel_listener);
+  close_listener (traffic->loop, &thread->caller_listener);
+  close_listener (traffic->loop, &thread->readiness_listener);
+  close_listener (traffic->loop, &thread->tunnel_listener);
   if (traffic->loop != NULL)
     hbw_loop_destroy (traffic->loop, discard_task);
   g_free (thread);
@@ -345,9 +374,22 @@
 void
 hbw_traffic_drain (HbwTraffic *traffic)
 {
+  atomic_store (&traffic->is_in_use, TRUE);
   post_task (traffic, handle_drain);
 }
 
+gboolean
+hbw_traffic_is_in_use (const HbwTraffic *traffic)
+{
+  return atomic_load (&traffic->is_in_use);
+}
+
+void
+hbw_traffic_close_idle (HbwTraffic *traffic)
+{
+  post_task (traffic, handle_close_idle);
+}
+
 guint
 hbw_traffic_port (const HbwTraffic *traffic)
 {
--- a/net/tunnel.c
+++ b/net/tunnel.c
@@ -14,6 +14,9 @@
 /* A tunnel without bytes for this long is closed: the other instance may be gone. */
 #define IDLE_TIMEOUT_US (120 * HBW_US_PER_S)
 
+/* A response whose last bytes came longer ago is taken for a whole one. */
+#define PAUSE_MAX_US (1 * HBW_US_PER_S)
+
 /* A server that sent bytes this long ago, or later, shows that this instance has a
    path. */
 #define HEARD_MAX_US (500 * HBW_US_PER_MS)
@@ -33,6 +36,7 @@
   gsize line_length;
   gboolean is_framed; /* the other instance understands frames */
   gboolean is_open;
+  gboolean is_asked; /* bytes went to the server, and none have come since */
 } Tunnel;
 
 /* Returns whether the server's bytes are cut here: an orderly end of the connection
@@ -129,7 +133,10 @@
   if (tunnel->sequence == 0)
     read_line (tunnel, bytes, length);
   else if (tunnel->is_open && tunnel->far != NULL)
-    pass_on (tunnel, tunnel->far, tunnel->near, bytes, length);
+    {
+      tunnel->is_asked = TRUE;
+      pass_on (tunnel, tunnel->far, tunnel->near, bytes, length);
+    }
   else
     tunnel_destroy (tunnel); /* bytes for a server that is not connected */
 }
@@ -197,6 +204,7 @@
 handle_far_bytes (HbwChannelHandler *handler, const char *bytes, gsize length)
 {
   Tunnel *tunnel = caa_container_of (handler, Tunnel, far_handler);
+  tunnel->is_asked = FALSE;
   write_frame_header (tunnel, length);
   pass_on (tunnel, tunnel->near, tunnel->far, bytes, length);
 }
@@ -315,6 +323,24 @@
     }
 }
 
+static gboolean
+is_in_use (const Tunnel *tunnel, gint64 now_us)
+{
+  return tunnel->is_asked || now_us - tunnel->last_bytes_us < PAUSE_MAX_US
+         || hbw_channel_pending_bytes (tunnel->near) > 0;
+}
+
+gboolean
+hbw_tunnel_any_in_use (const HbwTraffic *traffic)
+{
+  gint64 now_us = hbw_loop_now (traffic->loop);
+  const Tunnel *tunnel;
+  cds_list_for_each_entry (tunnel, &traffic->tunnels, link)
+    if (is_in_use (tunnel, now_us))
+      return TRUE;
+  return FALSE;
+}
+
 void
 hbw_tunnel_abort_all (HbwTraffic *traffic)
 {
--- a/runtime/control.c
+++ b/runtime/control.c
@@ -376,6 +376,7 @@
   config.retry_limits = settings->retry_limits;
   config.max_revocation_delay_us = settings->max_revocation_delay_us;
   config.drain_grace_us = settings->stop_grace_us / 100 * HBW_STOP_ACCEPTING_PERCENT;
+  config.drain_waiting_us = settings->stop_grace_us / 100 * HBW_STOP_WAITING_PERCENT;
   config.load_in_answers = settings->load_in_responses;
   HbwHostPort tunnel;
   if (hbw_address_parse (settings->tunnel_address, &tunnel))
--- a/runtime/instance.c
+++ b/runtime/instance.c
@@ -97,7 +97,15 @@
 gboolean
 hbw_instance_has_requests (const HbwInstance *instance)
 {
-  return hbw_control_request_count (instance->control) > 0;
+  return hbw_control_request_count (instance->control) > 0
+         || (instance->traffic != NULL && hbw_traffic_is_in_use (instance->traffic));
+}
+
+void
+hbw_instance_close_idle (HbwInstance *instance)
+{
+  if (instance->traffic != NULL)
+    hbw_traffic_close_idle (instance->traffic);
 }
 
 void
--- /dev/null
+++ b/tests/drain_test.c
@@ -0,0 +1,204 @@
+/*
+ * Tests of planned stops: each request that was read gets an answer, and each answer
+ * that was begun is sent.
+ */
+#include "platform_fixture.h"
+#include "suite.h"
+
+#include "hornbeamwall/runtime/drain.h"
+
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define GRACE_US (8 * HBW_US_PER_S)
+
+/* More than the servers take at the same time. */
+#define REQUESTS 60
+
+/* Callers that send one request after the other. */
+#define CALLERS 16
+
+/* How much a slow caller reads at once, and the pause before it reads again. */
+#define READ_BYTES 4096
+#define READ_PAUSE_US 4000
+#define CALLER_BUFFER_BYTES (256 * 1024)
+
+static gboolean
+wait_for_interval (void *data G_GNUC_UNUSED)
+{
+  g_usleep (HBW_DRAIN_INTERVAL_US);
+  return TRUE;
+}
+
+static void
+stop_instance (PlatformFixture *fixture)
+{
+  hbw_drain_run (fixture->instance, GRACE_US, fixture->clock, wait_for_interval,
+                 NULL);
+  g_clear_pointer (&fixture->instance, hbw_instance_destroy);
+}
+
+static void *
+run_stop (void *data)
+{
+  stop_instance (data);
+  return NULL;
+}
+
+static void
+put_config (PlatformFixture *fixture)
+{
+  objects_set (
+      fixture->object_store, "config", "main",
+      "{\"version\":9,\"routes\":[{\"name\":\"long\",\"hostname\":\"h.example\","
+      "\"path_prefix\":\"/long/\",\"route_type\":\"unsafe\",\"timeout_ms\":20000,"
+      "\"latency_goal_ms\":100,\"priority\":0,\"backend\":\"b\",\"max_attempts\":1}]"
+      ","
+      "\"backends\":[{\"name\":\"b\",\"health_path\":\"/healthz\"}],"
+      "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"
+      "\"header_timeout_ms\":2000,\"idle_timeout_ms\":10000},"
+      "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\"]}]}");
+  g_usleep (1000000); /* it is in force */
+}
+
+static void
+send_request (int fd, const char *path)
+{
+  char *request = g_strdup_printf (
+      "POST %s HTTP/1.1\r\nHost: h.example\r\n" API_KEY_FIELD
+      "X-Hornbeamwall-Attempt-Id: %s\r\nX-Hornbeamwall-Deadline-Ms: 18000\r\n"
+      "Content-Length: 1\r\n\r\nb",
+      path, path + 1);
+  caller_send (fd, request);
+  g_free (request);
+}
+
+/* Guards against an exit that closes requests which no server has got, where their
+   callers could be told so. */
+START_TEST (request_that_waits_at_a_stop_is_refused)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  int fds[REQUESTS];
+  guint waited = 0;
+  put_config (fixture);
+  for (guint i = 0; i < REQUESTS; i++)
+    {
+      char path[32];
+      g_snprintf (path, sizeof path, "/long/%u/hang", i);
+      fds[i] = platform_fixture_connect (fixture);
+      send_request (fds[i], path);
+    }
+  g_usleep (200000);
+  stop_instance (fixture);
+  for (guint i = 0; i < REQUESTS; i++)
+    {
+      char path[32];
+      g_snprintf (path, sizeof path, "/long/%u/hang", i);
+      RawResponse response = caller_receive (fds[i]);
+      if (platform_fixture_count_runs (fixture, path) == 0)
+        {
+          waited++;
+          ck_assert_uint_eq (response.status, 503);
+        }
+      g_free (response.text);
+      close (fds[i]);
+    }
+  ck_assert_uint_gt (waited, 0);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
+typedef struct
+{
+  guint port;
+  guint unanswered; /* requests that were read */
+} Caller;
+
+/* Sends requests on new connections until none is accepted. */
+static void *
+run_caller (void *data)
+{
+  Caller *caller = data;
+  int fd;
+  while ((fd = caller_connect (caller->port)) >= 0)
+    {
+      send_request (fd, "/long/a/shed");
+      RawResponse response = caller_receive (fd);
+      /* A request that was not read is reset. */
+      caller->unanswered += response.status == 0 && !response.reset;
+      g_free (response.text);
+      close (fd);
+    }
+  return NULL;
+}
+
+/* Guards against requests that are read and not answered, as the instance exits. */
+START_TEST (request_that_is_read_before_the_exit_is_answered)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  Caller callers[CALLERS];
+  pthread_t threads[CALLERS];
+  guint unanswered = 0;
+  put_config (fixture);
+  for (guint i = 0; i < CALLERS; i++)
+    {
+      callers[i] = (Caller){ hbw_instance_caller_port (fixture->instance), 0 };
+      pthread_create (&threads[i], NULL, run_caller, &callers[i]);
+    }
+  stop_instance (fixture);
+  for (guint i = 0; i < CALLERS; i++)
+    {
+      pthread_join (threads[i], NULL);
+      unanswered += callers[i].unanswered;
+    }
+  ck_assert_uint_eq (unanswered, 0);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
+static gsize
+count_bytes_until_end (int fd)
+{
+  char bytes[READ_BYTES];
+  gsize total = 0;
+  ssize_t count;
+  while ((count = recv (fd, bytes, sizeof bytes, 0)) > 0)
+    {
+      total += (gsize) count;
+      g_usleep (READ_PAUSE_US);
+    }
+  return total;
+}
+
+/* Guards against an exit that discards what a slow caller has still to read. */
+START_TEST (response_is_sent_to_a_slow_caller_before_the_exit)
+{
+  const int size = CALLER_BUFFER_BYTES;
+  PlatformFixture *fixture = platform_fixture_create ();
+  put_config (fixture);
+  int fd = platform_fixture_connect (fixture);
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  send_request (fd, "/long/a/large");
+  pthread_t thread;
+  pthread_create (&thread, NULL, run_stop, fixture);
+  ck_assert_uint_gt (count_bytes_until_end (fd), REPLICA_LARGE_BYTES);
+  pthread_join (thread, NULL);
+  close (fd);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("drain");
+  suite_add_test (suite, "request_that_waits_at_a_stop_is_refused",
+                  request_that_waits_at_a_stop_is_refused);
+  suite_add_test (suite, "request_that_is_read_before_the_exit_is_answered",
+                  request_that_is_read_before_the_exit_is_answered);
+  suite_add_test (suite, "response_is_sent_to_a_slow_caller_before_the_exit",
+                  response_is_sent_to_a_slow_caller_before_the_exit);
+  return suite_run (suite);
+}
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -6,6 +6,7 @@
  * last segment of the path selects the response:
  *
  *   ok         200 with the request's method, target and body
+ *   large      200 with a body of REPLICA_LARGE_BYTES
  *   events     200 with a stream of six events
  *   fail       500 from the server itself
  *   shed       503, not executed
@@ -54,6 +55,9 @@
 /* How long a stream "pause" pauses, in microseconds. */
 #define REPLICA_PAUSE_US (1000 * 1000)
 
+/* More than the buffers of a connection hold. */
+#define REPLICA_LARGE_BYTES ((gsize) 7 * 1024 * 1024)
+
 typedef struct Replica Replica;
 
 /* Listens on ADDRESS as the server ID; port 0 selects a free port. */
--- a/tests/standin/replica_session.c
+++ b/tests/standin/replica_session.c
@@ -463,7 +463,13 @@
       wait_for_close (session);
       return FALSE;
     }
-  if (strcmp (behaviour, "fail") == 0)
+  if (strcmp (behaviour, "large") == 0)
+    {
+      char *body = g_strnfill (REPLICA_LARGE_BYTES, 'x');
+      send_response (session, "200 OK", SEAL, body, REPLICA_LARGE_BYTES);
+      g_free (body);
+    }
+  else if (strcmp (behaviour, "fail") == 0)
     send_response (session, "500 Failed", SEAL, "own", 3);
   else if (strcmp (behaviour, "noseal") == 0)
     send_response (session, "200 OK", "", "unmarked", 8);
