--- a/net/upstream.c
+++ b/net/upstream.c
@@ -328,16 +328,10 @@
   handler->class->handle_end (handler, HBW_UPSTREAM_COMPLETE);
 }
 
-/* The way to the server is open. */
 static void
 send_request (HbwUpstream *upstream)
 {
   gsize length;
-  if (upstream->opens_only)
-    {
-      finish_opening (upstream);
-      return;
-    }
   const char *bytes = g_bytes_get_data (upstream->request, &length);
   hbw_loop_clear_timer (upstream->pool->loop, &upstream->timer);
   upstream->connected = TRUE;
@@ -347,6 +341,16 @@
     upstream->handler->class->handle_open (upstream->handler);
 }
 
+/* The way to the server is open. */
+static void
+handle_way_open (HbwUpstream *upstream)
+{
+  if (upstream->opens_only)
+    finish_opening (upstream);
+  else
+    send_request (upstream);
+}
+
 static void
 handle_connected (HbwChannelHandler *handler)
 {
@@ -354,7 +358,7 @@
   upstream->created_us = hbw_loop_now (upstream->pool->loop);
   if (*upstream->tunnel_server == '\0')
     {
-      send_request (upstream);
+      handle_way_open (upstream);
       return;
     }
   hbw_channel_write (upstream->channel, upstream->tunnel_server,
@@ -382,7 +386,7 @@
   upstream->tunnel_open = upstream->tunnel_framed || answer == HBW_TUNNEL_OPEN;
   upstream->is_refused = answer == HBW_TUNNEL_NO_SERVER;
   if (upstream->tunnel_open)
-    send_request (upstream);
+    handle_way_open (upstream);
   else if (upstream->is_refused && !upstream->opens_only)
     fail_request (upstream, HBW_UPSTREAM_NOT_CONNECTED);
   else
