--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -12,7 +12,9 @@
 #include "hornbeamwall/net/tunnel_frame.h"
 #include "hornbeamwall/net/upstream.h"
 
+#include <fcntl.h>
 #include <netinet/in.h>
+#include <pthread.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -504,6 +506,107 @@
 }
 END_TEST
 
+#define OPEN_HEAD "HTTP/1.1 200 OK\r\n\r\n"
+#define OPEN_FRAME "\0\0\0\x15" OPEN_HEAD "ab"
+
+/* An instance between that answers ANSWER, and PAYLOAD to the request, and ends. */
+typedef struct
+{
+  int listener;
+  char answer;
+  const char *payload;
+  gsize length;
+} Between;
+
+static void
+read_until (int fd, const char *end)
+{
+  gsize matched = 0;
+  char byte;
+  while (end[matched] != '\0' && recv (fd, &byte, 1, 0) == 1)
+    matched = byte == end[matched] ? matched + 1 : byte == end[0];
+}
+
+static void *
+run_between (void *data)
+{
+  const Between *between = data;
+  int fd = accept (between->listener, NULL, NULL);
+  read_until (fd, "\n");
+  send (fd, &between->answer, 1, 0);
+  read_until (fd, "\r\n\r\n");
+  send (fd, between->payload, between->length, 0);
+  close (fd);
+  return NULL;
+}
+
+typedef struct
+{
+  HbwUpstreamHandler handler;
+  HbwLoop *loop;
+  HbwUpstreamEnd end;
+} EndRecorder;
+
+static void
+recorder_handle_end (HbwUpstreamHandler *handler, HbwUpstreamEnd end)
+{
+  EndRecorder *recorder = caa_container_of (handler, EndRecorder, handler);
+  recorder->end = end;
+  hbw_loop_stop (recorder->loop);
+}
+
+static const HbwUpstreamHandlerClass recorder_class
+    = { requester_handle_open, requester_handle_head, requester_handle_body,
+        recorder_handle_end };
+
+static HbwUpstreamEnd
+request_through (char answer, const char *payload, gsize length)
+{
+  static const char request[] = "GET / HTTP/1.1\r\n\r\n";
+  HbwError error = { HBW_ERROR_NONE, "" };
+  HbwClock *clock = hbw_clock_create_system ();
+  EndRecorder recorder = { .handler = { &recorder_class } };
+  recorder.loop = hbw_loop_create (clock, NULL, &error);
+  HbwUpstreamPool *pool = hbw_upstream_pool_create (recorder.loop, "");
+  Between between = { hbw_listen ("127.0.0.1:0", &error), answer, payload, length };
+  char address[32];
+  pthread_t thread;
+  g_snprintf (address, sizeof address, "127.0.0.1:%u",
+              hbw_listen_port (between.listener));
+  const int flags = fcntl (between.listener, F_GETFL);
+  fcntl (between.listener, F_SETFL, flags & ~O_NONBLOCK);
+  pthread_create (&thread, NULL, run_between, &between);
+  HbwUpstreamConfig config = { .server_name = "s",
+                               .tunnel_address = address,
+                               .request_id = "first",
+                               .connect_timeout_us = HBW_US_PER_S };
+  config.request = g_bytes_new_static (request, strlen (request));
+  hbw_upstream_send (pool, &config, &recorder.handler);
+  hbw_loop_run (recorder.loop);
+  pthread_join (thread, NULL);
+  close (between.listener);
+  g_bytes_unref (config.request);
+  hbw_upstream_pool_destroy (pool);
+  hbw_loop_destroy (recorder.loop, NULL);
+  hbw_clock_destroy (clock);
+  return recorder.end;
+}
+
+/* Guards against the end of an instance between, also of an earlier version, that is
+   taken for the server's. */
+START_TEST (end_of_a_tunnel_completes_nothing_by_itself)
+{
+  static const char plain[] = OPEN_HEAD "ab";
+  static const char cut[] = OPEN_FRAME;
+  static const char whole[] = OPEN_FRAME "\0\0\0\0";
+  ck_assert_int_eq (request_through ('+', plain, sizeof plain - 1),
+                    HBW_UPSTREAM_BROKEN);
+  ck_assert_int_eq (request_through ('*', cut, sizeof cut - 1), HBW_UPSTREAM_BROKEN);
+  ck_assert_int_eq (request_through ('*', whole, sizeof whole - 1),
+                    HBW_UPSTREAM_COMPLETE_BY_CLOSE);
+}
+END_TEST
+
 /* More than the pool keeps in total, one to each server. */
 #define IDLE_SERVERS 260
 #define IDLE_KEPT_MAX 256
@@ -628,6 +731,8 @@
   tcase_add_test (tests, timer_runs_after_what_arrived_in_a_stall_is_handled);
   tcase_add_test (tests, timers_run_while_all_descriptors_stay_ready);
   suite_add_tcase (suite, tests);
+  suite_add_test (suite, "end_of_a_tunnel_completes_nothing_by_itself",
+                  end_of_a_tunnel_completes_nothing_by_itself);
   suite_add_test (suite, "response_to_half_a_request_is_read_before_the_reset",
                   response_to_half_a_request_is_read_before_the_reset);
   suite_add_test (suite, "server_connection_idle_for_too_long_is_not_reused",
