A response without a body is sent without a chunk

The absence of a length was taken for a body of unknown length.

Responses that cannot have a body, by their status or the request's method, now state none. response_without_a_body_is_followed_by_the_next_one failed before.

--- a/include/hornbeamwall/net/downstream.h
+++ b/include/hornbeamwall/net/downstream.h
@@ -37,8 +37,11 @@
 /* Closes all connections immediately. */
 void hbw_downstream_abort_all (HbwTraffic *traffic);
 
+/* A response without a body, whose head states no length. */
+#define HBW_DOWNSTREAM_NO_BODY (-2)
+
 /* Sends the status and the header fields FIELDS (each line ends with CRLF).  LENGTH
-   is the size of the body, -1 if it is not known. */
+   is the size of the body, -1 if it is not known, or HBW_DOWNSTREAM_NO_BODY. */
 void hbw_downstream_begin_response (HbwDownstream *downstream, guint status,
                                     const char *fields, gint64 length);
 
--- a/net/downstream.c
+++ b/net/downstream.c
@@ -652,13 +652,13 @@
 {
   downstream->responding = TRUE;
   downstream->close_after_response |= downstream->traffic->draining;
-  downstream->response_chunked = length < 0;
+  downstream->response_chunked = length < 0 && length != HBW_DOWNSTREAM_NO_BODY;
   GString *head = g_string_new (NULL);
   g_string_append_printf (head, "HTTP/1.1 %u \r\n%s", status, fields);
   if (length >= 0)
     g_string_append_printf (head, "Content-Length: %" G_GINT64_FORMAT "\r\n",
                             length);
-  else
+  else if (downstream->response_chunked)
     g_string_append (head, "Transfer-Encoding: chunked\r\n");
   if (downstream->close_after_response)
     g_string_append (head, "Connection: close\r\n");
--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -20,6 +20,9 @@
    with one, until the end is believed. */
 #define END_CHECK_TIMEOUT_US (200 * HBW_US_PER_MS)
 
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
+
 #define EVENT_STREAM_TYPE "text/event-stream"
 
 /* --- reports to the reducer ------------------------------------------------ */
@@ -141,15 +144,25 @@
 
 /* --- the response to the caller -------------------------------------------- */
 
+static gboolean
+may_have_body (const HbwExchange *exchange)
+{
+  return exchange->response_status != STATUS_NO_CONTENT
+         && exchange->response_status != STATUS_NOT_MODIFIED
+         && strcmp (exchange->request_head->method, "HEAD") != 0;
+}
+
 static void
 begin_response (HbwExchange *exchange)
 {
   if (exchange->response_started || exchange->caller == NULL)
     return;
   exchange->response_started = TRUE;
+  gint64 length = exchange->response_length;
+  if (length < 0 && !may_have_body (exchange))
+    length = HBW_DOWNSTREAM_NO_BODY;
   hbw_downstream_begin_response (exchange->caller, exchange->response_status,
-                                 exchange->response_fields,
-                                 exchange->response_length);
+                                 exchange->response_fields, length);
 }
 
 static void
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -6,6 +6,7 @@
  * last segment of the path selects the response:
  *
  *   ok         200 with the request's method, target and body
+ *   nobody     204 without a length
  *   large      200 with a body of REPLICA_LARGE_BYTES
  *   events     200 with a stream of six events
  *   fail       500 from the server itself
--- a/tests/standin/replica_session.c
+++ b/tests/standin/replica_session.c
@@ -463,7 +463,9 @@
       wait_for_close (session);
       return FALSE;
     }
-  if (strcmp (behaviour, "large") == 0)
+  if (strcmp (behaviour, "nobody") == 0)
+    send_head (session, "204 No Content", SEAL "Keep-Alive: timeout=5\r\n");
+  else if (strcmp (behaviour, "large") == 0)
     {
       char *body = g_strnfill (REPLICA_LARGE_BYTES, 'x');
       send_response (session, "200 OK", SEAL, body, REPLICA_LARGE_BYTES);
--- a/tests/traffic_test.c
+++ b/tests/traffic_test.c
@@ -274,6 +274,36 @@
 }
 END_TEST
 
+/* Guards against a chunk after a response without a body, which the caller takes for
+   a part of its next response. */
+START_TEST (response_without_a_body_is_followed_by_the_next_one)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  int fd = platform_fixture_connect (fixture);
+  char *requests[]
+      = { caller_format_request ("POST", "/safe/a/nobody", API_KEY_FIELD, "b"),
+          caller_format_request ("HEAD", "/safe/a/openevents", API_KEY_FIELD, ""),
+          caller_format_request ("POST", "/safe/a/ok", API_KEY_FIELD, "b") };
+  static const guint statuses[] = { 204, 200, 200 };
+  for (gsize i = 0; i < G_N_ELEMENTS (requests); i++)
+    {
+      char text[1024];
+      guint status = 0;
+      caller_send (fd, requests[i]);
+      g_usleep (200000);
+      ssize_t count = recv (fd, text, sizeof text - 1, MSG_DONTWAIT);
+      ck_assert_int_gt (count, 0);
+      text[count] = '\0';
+      ck_assert_int_eq (sscanf (text, "HTTP/1.1 %u", &status), 1);
+      ck_assert_uint_eq (status, statuses[i]);
+      ck_assert_ptr_null (strstr (text, "\r\n0\r\n"));
+      g_free (requests[i]);
+    }
+  close (fd);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 START_TEST (extra_response_is_not_passed_to_another_request)
 {
   PlatformFixture *fixture = platform_fixture_create ();
@@ -737,6 +767,7 @@
   tcase_add_test (tests, stream_of_a_killed_server_is_not_complete);
   tcase_add_test (tests, stream_of_a_killed_server_goes_on_at_another);
   tcase_add_test (tests, last_stream_of_a_leaving_server_is_complete);
+  tcase_add_test (tests, response_without_a_body_is_followed_by_the_next_one);
   tcase_add_test (tests, extra_response_is_not_passed_to_another_request);
   tcase_add_test (tests, request_is_cancelled_when_caller_disconnects);
   tcase_add_test (tests, connection_of_given_up_request_is_reset);
