A caller may pause for half a minute

A caller that read nothing for 6 s of an answer was reset: the limit of 4 s on unacknowledged bytes, which finds peers behind a cut, held for callers whose window was closed, too. It is 30 s for callers now.

--- a/include/hornbeamwall/net/channel.h
+++ b/include/hornbeamwall/net/channel.h
@@ -75,6 +75,10 @@
 /* Writes the peer's IP address to HOST, of SIZE bytes; "" if it is unknown. */
 void hbw_channel_get_peer_host (const HbwChannel *channel, char *host, gsize size);
 
+/* Sets how long sent bytes may stay unacknowledged, or a peer may receive nothing,
+   until the connection is closed. */
+void hbw_channel_set_user_timeout (HbwChannel *channel, guint timeout_ms);
+
 /* Pauses or resumes reading. */
 void hbw_channel_set_reading (HbwChannel *channel, gboolean reading);
 
--- a/net/channel.c
+++ b/net/channel.c
@@ -305,6 +305,13 @@
     inet_ntop (AF_INET, &address.sin_addr, host, (socklen_t) size);
 }
 
+void
+hbw_channel_set_user_timeout (HbwChannel *channel, guint timeout_ms)
+{
+  setsockopt (channel->watcher.fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+              sizeof timeout_ms);
+}
+
 void
 hbw_channel_set_reading (HbwChannel *channel, gboolean reading)
 {
--- a/net/downstream.c
+++ b/net/downstream.c
@@ -22,6 +22,9 @@
 /* After which a connection is looked at again while a response is being sent. */
 #define SENDING_DELAY_US (1 * HBW_US_PER_S)
 
+/* How long a caller may read nothing of a response, in milliseconds. */
+#define PAUSE_MAX_MS 30000
+
 /* How long a caller may take to close the connection after this side has. */
 #define LINGER_TIMEOUT_US (1 * HBW_US_PER_S)
 
@@ -536,6 +539,7 @@
       = hbw_channel_adopt (traffic->loop, fd, &downstream->channel_handler);
   if (downstream->channel != NULL)
     {
+      hbw_channel_set_user_timeout (downstream->channel, PAUSE_MAX_MS);
       begin_idle_wait (downstream);
       return;
     }
--- a/tests/drain_test.c
+++ b/tests/drain_test.c
@@ -1,6 +1,6 @@
 /*
- * Tests of planned stops: each request that was read gets an answer, and each answer
- * that was begun is sent.
+ * Tests of planned stops and of slow callers: each request that was read gets an
+ * answer, and each answer that was begun is sent.
  */
 #include "platform_fixture.h"
 #include "suite.h"
@@ -25,6 +25,9 @@
 #define READ_PAUSE_US 4000
 #define CALLER_BUFFER_BYTES (256 * 1024)
 
+/* A pause of a caller. */
+#define CALLER_PAUSE_US (6 * HBW_US_PER_S)
+
 static gboolean
 wait_for_interval (void *data G_GNUC_UNUSED)
 {
@@ -158,13 +161,14 @@
 }
 END_TEST
 
+/* Reads slowly until the end, or until there are at least COUNT_MAX bytes. */
 static gsize
-count_bytes_until_end (int fd)
+count_bytes (int fd, gsize count_max)
 {
   char bytes[READ_BYTES];
   gsize total = 0;
   ssize_t count;
-  while ((count = recv (fd, bytes, sizeof bytes, 0)) > 0)
+  while (total < count_max && (count = recv (fd, bytes, sizeof bytes, 0)) > 0)
     {
       total += (gsize) count;
       g_usleep (READ_PAUSE_US);
@@ -183,13 +187,29 @@
   send_request (fd, "/long/a/large");
   pthread_t thread;
   pthread_create (&thread, NULL, run_stop, fixture);
-  ck_assert_uint_gt (count_bytes_until_end (fd), REPLICA_LARGE_BYTES);
+  ck_assert_uint_gt (count_bytes (fd, G_MAXSIZE), REPLICA_LARGE_BYTES);
   pthread_join (thread, NULL);
   close (fd);
   platform_fixture_destroy (fixture);
 }
 END_TEST
 
+/* Guards against a reset of a caller that only pauses. */
+START_TEST (caller_that_pauses_gets_the_whole_response)
+{
+  const int size = CALLER_BUFFER_BYTES;
+  PlatformFixture *fixture = platform_fixture_create ();
+  put_config (fixture);
+  int fd = platform_fixture_connect (fixture);
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  send_request (fd, "/long/a/large");
+  g_usleep (CALLER_PAUSE_US);
+  ck_assert_uint_ge (count_bytes (fd, REPLICA_LARGE_BYTES), REPLICA_LARGE_BYTES);
+  close (fd);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -200,5 +220,7 @@
                   request_that_is_read_before_the_exit_is_answered);
   suite_add_test (suite, "response_is_sent_to_a_slow_caller_before_the_exit",
                   response_is_sent_to_a_slow_caller_before_the_exit);
+  suite_add_test (suite, "caller_that_pauses_gets_the_whole_response",
+                  caller_that_pauses_gets_the_whole_response);
   return suite_run (suite);
 }
