A refused connection tells of the server only if it is direct

The check after an answer that ended with its connection took a refusal of the instance between, which had gone after it had passed on the server's end, for one of the server: the complete answer would have been cut. Found by reading the diff.

refused_connection_tells_of_the_server_only_if_it_is_direct failed before.

--- a/net/upstream.c
+++ b/net/upstream.c
@@ -404,7 +404,8 @@
     }
   if (!upstream->connected)
     {
-      upstream->is_refused |= hbw_channel_is_refused (upstream->channel);
+      if (*upstream->tunnel_server == '\0')
+        upstream->is_refused = hbw_channel_is_refused (upstream->channel);
       fail_request (upstream, unopened_end (upstream));
       return;
     }
@@ -501,6 +502,7 @@
 {
   HbwUpstream *upstream = g_new0 (HbwUpstream, 1);
   gboolean is_direct = !has_tunnel (config);
+  gboolean is_refused;
   upstream->channel_handler.class = &channel_handler_class;
   upstream->parser_handler.class = &parser_handler_class;
   upstream->pool = pool;
@@ -514,8 +516,8 @@
   cds_list_add_tail (&upstream->link, &pool->connections);
   upstream->channel = hbw_channel_connect_checked (
       pool->loop, is_direct ? config->address : config->tunnel_address,
-      is_direct ? pool->source : "", &upstream->channel_handler,
-      &upstream->is_refused);
+      is_direct ? pool->source : "", &upstream->channel_handler, &is_refused);
+  upstream->is_refused = is_direct && is_refused;
   return upstream;
 }
 
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -607,6 +607,40 @@
 }
 END_TEST
 
+static HbwUpstreamEnd
+open_to (HbwUpstreamConfig *config)
+{
+  HbwError error = { HBW_ERROR_NONE, "" };
+  HbwClock *clock = hbw_clock_create_system ();
+  EndRecorder recorder = { .handler = { &recorder_class } };
+  recorder.loop = hbw_loop_create (clock, NULL, &error);
+  HbwUpstreamPool *pool = hbw_upstream_pool_create (recorder.loop, "");
+  config->server_name = "s";
+  config->connect_timeout_us = HBW_US_PER_S;
+  if (hbw_upstream_open (pool, config, &recorder.handler) != NULL)
+    hbw_loop_run (recorder.loop);
+  hbw_upstream_pool_destroy (pool);
+  hbw_loop_destroy (recorder.loop, NULL);
+  hbw_clock_destroy (clock);
+  return recorder.end;
+}
+
+/* Guards against an instance between that is gone and is taken for the server. */
+START_TEST (refused_connection_tells_of_the_server_only_if_it_is_direct)
+{
+  HbwError error = { HBW_ERROR_NONE, "" };
+  char address[32];
+  int listener = hbw_listen ("127.0.0.1:0", &error);
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", hbw_listen_port (listener));
+  HbwUpstreamConfig direct = { .address = address };
+  HbwUpstreamConfig tunnelled = { .tunnel_address = address };
+  ck_assert_int_eq (open_to (&direct), HBW_UPSTREAM_COMPLETE);
+  close (listener);
+  ck_assert_int_eq (open_to (&direct), HBW_UPSTREAM_NOT_LISTENING);
+  ck_assert_int_eq (open_to (&tunnelled), HBW_UPSTREAM_NO_TUNNEL);
+}
+END_TEST
+
 /* More than the pool keeps in total, one to each server. */
 #define IDLE_SERVERS 260
 #define IDLE_KEPT_MAX 256
@@ -733,6 +767,9 @@
   suite_add_tcase (suite, tests);
   suite_add_test (suite, "end_of_a_tunnel_completes_nothing_by_itself",
                   end_of_a_tunnel_completes_nothing_by_itself);
+  suite_add_test (suite,
+                  "refused_connection_tells_of_the_server_only_if_it_is_direct",
+                  refused_connection_tells_of_the_server_only_if_it_is_direct);
   suite_add_test (suite, "response_to_half_a_request_is_read_before_the_reset",
                   response_to_half_a_request_is_read_before_the_reset);
   suite_add_test (suite, "server_connection_idle_for_too_long_is_not_reused",
