--- a/core/catalogue.c
+++ b/core/catalogue.c
@@ -8,7 +8,6 @@
 #include <string.h>
 
 /* Limits and defaults of numbers in the catalogue. */
-#define DURATION_MAX_MS 86400000
 #define QUEUE_BOUND_MAX 100000
 #define QUEUE_BOUND_DEFAULT 1000
 #define TOKENS_MAX 1000000
@@ -95,15 +94,17 @@
   HbwJsonReader *reader = hbw_json_reader_create (report, value, location);
   class->tier = (HbwTier) hbw_json_reader_required_int (reader, "tier", 0,
                                                         HBW_TIER_COUNT - 1);
-  class->first_token_target_us = HBW_US_PER_MS
-                                 * hbw_json_reader_required_int (
-                                     reader, "first_token_ms", 1, DURATION_MAX_MS);
-  class->inter_token_target_us = HBW_US_PER_MS
-                                 * hbw_json_reader_required_int (
-                                     reader, "inter_token_ms", 1, DURATION_MAX_MS);
-  class->deadline_us
+  class->first_token_target_us
       = HBW_US_PER_MS
-        * hbw_json_reader_int (reader, "deadline_ms", 0, DURATION_MAX_MS, 0);
+        * hbw_json_reader_required_int (reader, "first_token_ms", 1,
+                                        HBW_CATALOGUE_DURATION_MAX_MS);
+  class->inter_token_target_us
+      = HBW_US_PER_MS
+        * hbw_json_reader_required_int (reader, "inter_token_ms", 1,
+                                        HBW_CATALOGUE_DURATION_MAX_MS);
+  class->deadline_us = HBW_US_PER_MS
+                       * hbw_json_reader_int (reader, "deadline_ms", 0,
+                                              HBW_CATALOGUE_DURATION_MAX_MS, 0);
   class->queue_bound = (guint) hbw_json_reader_int (
       reader, "queue_bound", 1, QUEUE_BOUND_MAX, QUEUE_BOUND_DEFAULT);
   class->expected_tokens = (guint) hbw_json_reader_int (
@@ -250,16 +251,17 @@
     return;
   HbwCallerLimits *limits = &catalogue->caller_limits;
   HbwJsonReader *reader = hbw_json_reader_create (report, value, "/caller_limits");
-  limits->header_max
-      = (guint) hbw_json_reader_int (reader, "header_max", 0, RATE_MAX, 0);
-  limits->body_max
-      = (guint) hbw_json_reader_int (reader, "body_max", 0, RATE_MAX, 0);
+  limits->header_max = (guint) hbw_json_reader_int (reader, "header_max", 0,
+                                                    HBW_CATALOGUE_BYTES_MAX, 0);
+  limits->body_max = (guint) hbw_json_reader_int (reader, "body_max", 0,
+                                                  HBW_CATALOGUE_BYTES_MAX, 0);
   limits->header_timeout_us
       = HBW_US_PER_MS
-        * hbw_json_reader_int (reader, "header_timeout_ms", 0, DURATION_MAX_MS, 0);
-  limits->idle_timeout_us
-      = HBW_US_PER_MS
-        * hbw_json_reader_int (reader, "idle_timeout_ms", 0, DURATION_MAX_MS, 0);
+        * hbw_json_reader_int (reader, "header_timeout_ms", 0,
+                               HBW_CATALOGUE_DURATION_MAX_MS, 0);
+  limits->idle_timeout_us = HBW_US_PER_MS
+                            * hbw_json_reader_int (reader, "idle_timeout_ms", 0,
+                                                   HBW_CATALOGUE_DURATION_MAX_MS, 0);
   hbw_json_reader_destroy (reader);
 }
 
--- a/core/endpoint.c
+++ b/core/endpoint.c
@@ -4,14 +4,6 @@
 
 #include <string.h>
 
-/* Limits of the numbers of an endpoint. */
-#define ATTEMPTS_MAX 16
-#define TIMEOUT_MAX_MS 86400000
-#define WEIGHT_MAX 1000000
-
-/* Size of a path prefix, in bytes, including the terminating NUL. */
-#define PATH_PREFIX_SIZE 1024
-
 /* Names of the values of HbwRepeat. */
 static const char *const repeat_names[] = {
   [HBW_REPEAT_ALWAYS] = "always",
@@ -52,8 +44,8 @@
       HbwEndpointTarget *target = &endpoint->targets[endpoint->target_count++];
       HbwJsonReader *item = hbw_json_reader_create (report, value, location);
       hbw_json_reader_string (item, "pool", target->pool, sizeof target->pool, NULL);
-      target->weight
-          = (guint) hbw_json_reader_int (item, "weight", 0, WEIGHT_MAX, 1);
+      target->weight = (guint) hbw_json_reader_int (item, "weight", 0,
+                                                    HBW_ENDPOINT_WEIGHT_MAX, 1);
       hbw_json_reader_destroy (item);
     }
   g_free (location);
@@ -94,7 +86,7 @@
 hbw_endpoints_add (HbwEndpoints *endpoints, HbwErrorReport *report, const char *name,
                    json_t *value, const char *location)
 {
-  char prefix[PATH_PREFIX_SIZE];
+  char prefix[HBW_PATH_PREFIX_MAX];
   HbwEndpoint *endpoint = g_new0 (HbwEndpoint, 1);
   g_strlcpy (endpoint->name, name, sizeof endpoint->name);
   HbwJsonReader *reader = hbw_json_reader_create (report, value, location);
@@ -107,11 +99,11 @@
   endpoint->repeat = parse_repeat (reader, report, value);
   endpoint->streaming = hbw_json_reader_bool (reader, "streaming", FALSE);
   endpoint->anonymous = hbw_json_reader_bool (reader, "anonymous", FALSE);
-  endpoint->attempts_max
-      = (guint) hbw_json_reader_int (reader, "attempts", 1, ATTEMPTS_MAX, 1);
-  endpoint->timeout_us
-      = HBW_US_PER_MS
-        * hbw_json_reader_required_int (reader, "timeout_ms", 1, TIMEOUT_MAX_MS);
+  endpoint->attempts_max = (guint) hbw_json_reader_int (
+      reader, "attempts", 1, HBW_ENDPOINT_ATTEMPTS_MAX, 1);
+  endpoint->timeout_us = HBW_US_PER_MS
+                         * hbw_json_reader_required_int (
+                             reader, "timeout_ms", 1, HBW_CATALOGUE_DURATION_MAX_MS);
   parse_targets (reader, report, endpoint);
   hbw_json_reader_destroy (reader);
   gsize length = strlen (prefix);
--- a/include/hornbeamwall/core/catalogue.h
+++ b/include/hornbeamwall/core/catalogue.h
@@ -58,6 +58,15 @@
 
 #define HBW_TIER_FROM_CLASS (-1)
 
+/* Largest numbers in a catalogue. */
+#define HBW_CATALOGUE_DURATION_MAX_MS 86400000
+#define HBW_CATALOGUE_BYTES_MAX 100000000
+#define HBW_ENDPOINT_ATTEMPTS_MAX 16
+#define HBW_ENDPOINT_WEIGHT_MAX 1000000
+
+/* Size of a path prefix, in bytes, including the terminating NUL. */
+#define HBW_PATH_PREFIX_MAX 1024
+
 /* Whether an endpoint's request may be sent again after it may have run. */
 typedef enum
 {
--- a/include/hornbeamwall/net/exchange_state.h
+++ b/include/hornbeamwall/net/exchange_state.h
@@ -29,8 +29,8 @@
 
   HbwUpstream *upstream; /* of the attempt in progress, or NULL */
   HbwUpstreamHandler end_check_handler;
-  HbwUpstream *end_check; /* see whether the server still accepts connections after
-                             its response has ended with one, or NULL */
+  HbwUpstream *end_check; /* shows whether the server still accepts connections,
+                             after its response has ended with one; or NULL */
   guint attempt;
   char address[HBW_ADDRESS_MAX]; /* of the server */
   char server[HBW_NAME_MAX];
--- a/include/hornbeamwall/runtime/instance.h
+++ b/include/hornbeamwall/runtime/instance.h
@@ -22,8 +22,7 @@
 /* Stops watching the store, which is not needed once new requests are refused. */
 void hbw_instance_stop_store_watch (HbwInstance *instance);
 
-/* Accepts no more connections of callers; see hbw_traffic_close_idle().
- */
+/* Accepts no more connections of callers, and closes idle ones. */
 void hbw_instance_close_idle (HbwInstance *instance);
 
 /* Returns whether any request is in progress, or a response is still being sent. */
--- a/tests/adapter_test.c
+++ b/tests/adapter_test.c
@@ -551,17 +551,16 @@
     (*(guint *) data)++;
 }
 
-/* Guards against a part of a valid config that rejects the whole of it, so that the
-   older one stays in force. */
+/* Guards against a part of a valid config that rejects the whole of it. */
 START_TEST (odd_part_of_a_config_rejects_no_other)
 {
   guint ignored = 0;
   GString *text = g_string_new (
       "{\"routes\":["
-      "{\"name\":\"lot dossier at \\\"hall\\\", part 0 of a long name that goes "
-      "on\","
+      "{\"name\":\"a \\\"quoted\\\" name with spaces that is too long for a "
+      "document\","
       "\"hostname\":\"h\",\"path_prefix\":\"/a/\",\"timeout_ms\":99999999999,"
-      "\"backend\":\"the desk\"},"
+      "\"backend\":\"a service\"},"
       "{\"name\":\"split\",\"hostname\":\"h\",\"path_prefix\":\"/b/\",\"split\":[");
   for (guint i = 0; i < 40; i++)
     g_string_append_printf (text, "%s{\"backend\":\"s%u\",\"weight\":9999999}",
@@ -574,7 +573,7 @@
                    "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k1\"]},"
                    "{\"name\":\"the {other} one\",\"api_keys\":[\"k2\",\"k1\"]},"
                    "{\"name\":\"the \\\"third\\\"\",\"api_keys\":[\"k3\"]}],"
-                   "\"backends\":[{\"name\":\"the desk\"}");
+                   "\"backends\":[{\"name\":\"a service\"}");
   for (guint i = 0; i < 40; i++)
     g_string_append_printf (text, ",{\"name\":\"s%u\"}", i);
   g_string_append (text, "]}");
@@ -583,7 +582,7 @@
   hbw_log_set_hook (NULL, NULL);
   const HbwEndpoint *named = hbw_catalogue_find_endpoint (catalogue, "h", "/a/x");
   char pool[HBW_NAME_MAX];
-  platform_name_translate ("the desk", pool);
+  platform_name_translate ("a service", pool);
   ck_assert_uint_eq (named->target_count, 1);
   ck_assert_str_eq (named->targets[0].pool, pool);
   ck_assert (hbw_is_name (pool));
--- a/tests/config_size_test.c
+++ b/tests/config_size_test.c
@@ -118,8 +118,7 @@
 }
 
 /* Guards against a limit on what is made of a config that is narrower than the
-   store's on the config: the older one stayed in force, and all keys were refused.
- */
+   store's on the config. */
 START_TEST (largest_configs_are_in_force_in_time)
 {
   PlatformFixture *fixture = platform_fixture_create ();
--- a/tests/drain_test.c
+++ b/tests/drain_test.c
@@ -176,15 +176,23 @@
   return total;
 }
 
-/* Guards against an exit that discards what a slow caller has still to read. */
-START_TEST (response_is_sent_to_a_slow_caller_before_the_exit)
+/* Sends a request for a large response on a connection that buffers little of it. */
+static int
+connect_slow_caller (PlatformFixture *fixture)
 {
   const int size = CALLER_BUFFER_BYTES;
-  PlatformFixture *fixture = platform_fixture_create ();
-  put_config (fixture);
   int fd = platform_fixture_connect (fixture);
   setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
   send_request (fd, "/long/a/large");
+  return fd;
+}
+
+/* Guards against an exit that discards what a slow caller has still to read. */
+START_TEST (response_is_sent_to_a_slow_caller_before_the_exit)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  put_config (fixture);
+  int fd = connect_slow_caller (fixture);
   pthread_t thread;
   pthread_create (&thread, NULL, run_stop, fixture);
   ck_assert_uint_gt (count_bytes (fd, G_MAXSIZE), REPLICA_LARGE_BYTES);
@@ -197,12 +205,9 @@
 /* Guards against a reset of a caller that only pauses. */
 START_TEST (caller_that_pauses_gets_the_whole_response)
 {
-  const int size = CALLER_BUFFER_BYTES;
   PlatformFixture *fixture = platform_fixture_create ();
   put_config (fixture);
-  int fd = platform_fixture_connect (fixture);
-  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
-  send_request (fd, "/long/a/large");
+  int fd = connect_slow_caller (fixture);
   g_usleep (CALLER_PAUSE_US);
   ck_assert_uint_ge (count_bytes (fd, REPLICA_LARGE_BYTES), REPLICA_LARGE_BYTES);
   close (fd);
--- a/tests/tunnel_test.c
+++ b/tests/tunnel_test.c
@@ -170,8 +170,7 @@
   fixture->peer->instance = NULL;
 }
 
-/* Guards against an end of the instance between that is taken for the server's: the
-   caller got the first events of a stream without a length as all of it. */
+/* Guards against an end of the instance between that is taken for the server's. */
 START_TEST (stream_through_an_instance_that_ends_is_not_complete)
 {
   TunnelFixture fixture = tunnel_fixture_create ();
@@ -193,7 +192,7 @@
 }
 END_TEST
 
-/* The server's own end is still one, also beside instances of earlier versions. */
+/* The server's own end still completes a response. */
 START_TEST (stream_without_a_length_is_complete_through_a_tunnel)
 {
   TunnelFixture fixture = tunnel_fixture_create ();
