--- a/review/standin-2/rig.c
+++ b/review/standin-2/rig.c
@@ -65,6 +65,11 @@
 {
   GDir *dir = g_dir_open (directory, 0, NULL);
   const char *name;
+  if (g_getenv ("KEEP_LOGS") != NULL)
+    {
+      rig_record ("logs are in %s", directory);
+      return;
+    }
   while (dir != NULL && (name = g_dir_read_name (dir)) != NULL)
     {
       char *path = g_build_filename (directory, name, NULL);
@@ -105,15 +110,15 @@
   _exit (status);
 }
 
-static guint
-create_ports (RigInstance *instance)
+static void
+set_up_instance (RigInstance *instance)
 {
+  instance->zone = 'a';
   instance->caller_port = standin_free_port ();
   instance->ready_port = standin_free_port ();
   instance->tunnel_port = standin_free_port ();
   instance->peer_port = standin_free_port ();
   instance->admin_port = standin_free_port ();
-  return instance->caller_port;
 }
 
 Rig *
@@ -149,7 +154,7 @@
       rig_put_server (rig, i, "ready");
     }
   for (guint i = 0; i < instance_count; i++)
-    create_ports (&rig->instances[i]);
+    set_up_instance (&rig->instances[i]);
   rig_record ("%u servers, %u instances, %s", replica_count, instance_count,
               rig->with_trouble ? "with the disruption" : "without the disruption");
   return rig;
@@ -158,8 +163,13 @@
 void
 rig_put_server (Rig *rig, guint index, const char *state)
 {
-  objects_set_server (rig->store, index, replica_port (rig->replicas[index]), 64,
-                      state, 1);
+  char name[16];
+  g_snprintf (name, sizeof name, "i-%u", index);
+  if (state == NULL)
+    objects_set (rig->store, "servers", name, NULL);
+  else
+    objects_set_server (rig->store, index, replica_port (rig->replicas[index]), 64,
+                        state, 1);
 }
 
 static void
@@ -207,7 +217,7 @@
     g_string_append_printf (seeds, "%s\"127.0.0.1:%u\"", i > 0 ? "," : "",
                             rig->instances[i].peer_port);
   char *text = g_strdup_printf (
-      "{\"name\":\"edge-%u\",\"data_centre\":\"z\",\"interface\":\"platform\","
+      "{\"name\":\"edge-%u\",\"data_centre\":\"hall-%c\",\"interface\":\"platform\","
       "\"policy\":\"direct\",\"caller_address\":\"127.0.0.1:%u\","
       "\"ready_address\":\"127.0.0.1:%u\",\"tunnel_address\":\"127.0.0.1:%u\","
       "\"peer_address\":\"127.0.0.1:%u\",\"admin_address\":\"127.0.0.1:%u\","
@@ -216,9 +226,9 @@
       "\"link_mbps\":1000,\"memory_mb\":260,\"processor_cores\":0.25,"
       "\"load_in_answers\":true,\"connect_timeout_ms\":150,\"connection_limit\":%u,"
       "\"caller_timeout_s\":60,\"seeds\":[%s]}",
-      index, instance->caller_port, instance->ready_port, instance->tunnel_port,
-      instance->peer_port, instance->admin_port, objects_port (rig->store),
-      rig->connection_limit, seeds->str);
+      index, instance->zone, instance->caller_port, instance->ready_port,
+      instance->tunnel_port, instance->peer_port, instance->admin_port,
+      objects_port (rig->store), rig->connection_limit, seeds->str);
   char *path = g_strdup_printf ("%s/edge-%u.json", directory, index);
   g_file_set_contents (path, text, -1, NULL);
   g_free (text);
--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -18,12 +18,13 @@
 #define RIG_BROKEN 1
 #define RIG_NOT_RUN 2
 
-#define RIG_REPLICAS_MAX 8
+#define RIG_REPLICAS_MAX 48
 #define RIG_INSTANCES_MAX 8
 
 typedef struct
 {
   pid_t pid; /* 0 if it does not run */
+  char zone; /* 'a' at first */
   guint caller_port;
   guint ready_port;
   guint tunnel_port;
@@ -62,7 +63,7 @@
    the routes /safe/, /unsafe/ and /stream/ (resumable) of the host h.example. */
 void rig_put_config (Rig *rig, guint version, const char *keys);
 
-/* Writes the entry of a server; STATE is "ready" or "draining". */
+/* Writes the entry of a server; STATE is "ready" or "draining", NULL removes it. */
 void rig_put_server (Rig *rig, guint index, const char *state);
 
 void rig_start_instance (Rig *rig, guint index);
