--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -39,6 +39,7 @@
   guint replica_count;
   RigInstance instances[RIG_INSTANCES_MAX];
   guint instance_count;
+  guint store_port;       /* to which the instances connect */
   guint timeout_ms;       /* of the routes */
   guint descriptors_max;  /* of an instance; 0 is the limit of the case */
   guint connection_limit; /* setting of the template: 3000 */
