Review case 9: nine rounds with four servers replaced in each

Cause: about one round in four shows the fault, so eight rounds could pass by chance.

Change: shorter rounds, one more of them, and four of nine servers replaced in each.

--- a/review/9/case.c
+++ b/review/9/case.c
@@ -11,9 +11,9 @@
 
 /* Servers in service, and those of them that a release replaces in each round, one
    after the other. */
-#define SERVERS 8
-#define REPLACED 3
-#define ROUNDS 8
+#define SERVERS 9
+#define REPLACED 4
+#define ROUNDS 9
 #define SERVERS_TOTAL (SERVERS + ROUNDS * REPLACED)
 
 /* Instances: the first seed in another data centre, and two in one. */
@@ -33,8 +33,8 @@
 #define RELEASE_MS 1800
 #define RELEASE_GAP_MS 940
 #define REGISTER_MS 300 /* the new server, before the old one leaves */
-#define END_MS 9000
-#define SETTLE_MS 3400
+#define END_MS 8200
+#define SETTLE_MS 2200
 
 #define CALL_INTERVAL_US 25000
 #define CALLS_MAX 6000
