--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -12,6 +12,6 @@
   cc -O1 -g -Wall -D_GNU_SOURCE -I. -Iinclude -Itests/standin -Ireview/standin-2 \
     $(pkg-config --cflags $libraries) -o "$out/case-$number" "review/$number/case.c" \
     review/standin-2/rig.c tests/standin/harmful.c tests/standin/listen.c \
-    tests/standin/objects.c tests/standin/proxy.c tests/standin/replica.c tests/standin/replica_session.c \
+    tests/standin/objects.c tests/standin/replica.c tests/standin/replica_session.c \
     common/address.c $(pkg-config --libs $libraries) -pthread
 done
--- a/review/standin-2/rig.c
+++ b/review/standin-2/rig.c
@@ -146,7 +146,6 @@
   rig->replica_count = replica_count;
   rig->instance_count = instance_count;
   rig->store = objects_create ("127.0.0.1:0", 500);
-  rig->store_port = objects_port (rig->store);
   for (guint i = 0; i < replica_count; i++)
     {
       char id[16];
@@ -229,7 +228,7 @@
       "\"caller_timeout_s\":60,\"seeds\":[%s]}",
       index, instance->zone, instance->caller_port, instance->ready_port,
       instance->tunnel_port, instance->peer_port, instance->admin_port,
-      rig->store_port, rig->connection_limit, seeds->str);
+      objects_port (rig->store), rig->connection_limit, seeds->str);
   char *path = g_strdup_printf ("%s/edge-%u.json", directory, index);
   g_file_set_contents (path, text, -1, NULL);
   g_free (text);
