--- a/review/9/case.c
+++ b/review/9/case.c
@@ -205,7 +205,7 @@
 {
   pthread_t thread;
   guint late = 0;
-  rig = rig_create (argc > 1 ? argv[1] : ".", SERVERS_TOTAL, INSTANCES);
+  rig = rig_create (argc > 1 ? argv[1] : "record.txt", SERVERS_TOTAL, INSTANCES);
   for (guint i = SERVERS; i < SERVERS_TOTAL; i++)
     rig_put_server (rig, i, NULL); /* not started yet */
   rig->instances[STOPPED].zone = 'b';
--- a/review/standin-2/rig.c
+++ b/review/standin-2/rig.c
@@ -122,10 +122,9 @@
 }
 
 Rig *
-rig_create (const char *folder, guint replica_count, guint instance_count)
+rig_create (const char *path, guint replica_count, guint instance_count)
 {
   const char *trouble = g_getenv ("TROUBLE");
-  char *path = g_build_filename (folder, "record.txt", NULL);
   Rig *rig = g_new0 (Rig, 1);
   start_us = g_get_monotonic_time ();
   record = fopen (path, "w");
@@ -135,7 +134,6 @@
       fprintf (stderr, "cannot run: %s, %s\n", path, PROGRAM);
       exit (RIG_NOT_RUN);
     }
-  g_free (path);
   signal (SIGPIPE, SIG_IGN);
   signal (SIGALRM, handle_alarm);
   alarm (RUN_MAX_S);
--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -3,7 +3,7 @@
  *
  * Runs the platform's store and the backend servers (the project's own stand-ins) in
  * the process of the case, and instances of the release build as separate processes.
- * Writes what was sent, answered and run to record.txt in the folder of the case.
+ * Writes what was sent, answered and run to the record.txt of the case.
  */
 #ifndef HORNBEAMWALL_REVIEW_RIG_H
 #define HORNBEAMWALL_REVIEW_RIG_H
@@ -46,10 +46,10 @@
   gboolean with_trouble;  /* FALSE if TROUBLE=0 */
 } Rig;
 
-/* Opens record.txt in FOLDER.  Creates the store, REPLICA_COUNT servers of the
-   backend "b" and the ports of INSTANCE_COUNT instances, which are not started yet.
-   Ends the process with RIG_NOT_RUN on failure. */
-Rig *rig_create (const char *folder, guint replica_count, guint instance_count);
+/* Opens PATH, the record.txt of the case.  Creates the store, REPLICA_COUNT servers
+   of the backend "b" and the ports of INSTANCE_COUNT instances, which are not
+   started yet. Ends the process with RIG_NOT_RUN on failure. */
+Rig *rig_create (const char *path, guint replica_count, guint instance_count);
 
 /* Ends all processes. */
 void rig_destroy (Rig *rig);
