Answers: a status that is none is no answer

What callers saw: an answer of a server in trouble whose status was 000, written to them as the status 0, with the server's body.

Cause: the parser takes any number as a status, and nothing behind it asks whether it is one; what is neither a refusal nor a 2xx was passed on without the server's mark. The framing check now requires three digits from 100 to 599 after the version (RFC 9110, 15), before a head becomes an answer. So the retry, the belief about the server, the quarantine and a resumed stream all see a broken answer: a request that may run twice goes to another server, the caller of another one gets a 502.

--- a/include/hornbeamwall/net/framing.h
+++ b/include/hornbeamwall/net/framing.h
@@ -3,8 +3,8 @@
  *
  * Checks the same bytes as the parser, in pieces of any size.  Rejects messages that
  * another implementation could delimit or interpret differently (request smuggling):
- * folded header lines, unknown protocol versions, bare CR or LF, and chunks whose
- * data does not match their size.
+ * folded header lines, unknown protocol versions, statuses that are not three digits
+ * from 100 to 599, bare CR or LF, and chunks whose data does not match their size.
  */
 #ifndef HORNBEAMWALL_NET_FRAMING_H
 #define HORNBEAMWALL_NET_FRAMING_H
@@ -18,7 +18,9 @@
 typedef enum
 {
   HBW_FRAMING_EMPTY_LINES, /* before the message */
-  HBW_FRAMING_START_LINE,
+  HBW_FRAMING_START_LINE,  /* of a response: its version */
+  HBW_FRAMING_STATUS,
+  HBW_FRAMING_REASON,
   HBW_FRAMING_FIELD_START, /* at the first byte of a header line */
   HBW_FRAMING_FIELD,
   HBW_FRAMING_HEAD_END, /* after the CR of the empty line that ends the head */
@@ -36,6 +38,8 @@
   gboolean after_cr; /* the last byte was CR */
   char version[HBW_HTTP_VERSION_MAX];
   guint version_length;
+  guint status; /* of a response */
+  guint status_digits;
   guint size_digits;       /* of the chunk size */
   guint64 chunk_remaining; /* bytes of the chunk that are still to come */
 } HbwFraming;
--- a/net/framing.c
+++ b/net/framing.c
@@ -6,6 +6,11 @@
    Longer sizes are rejected. */
 #define CHUNK_SIZE_DIGITS_MAX 15
 
+/* A status has three digits, the first of which names its class (RFC 9110, 15). */
+#define STATUS_DIGITS 3
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+
 void
 hbw_framing_reset (HbwFraming *framing, gboolean is_response)
 {
@@ -20,6 +25,34 @@
          || strcmp (framing->version, "HTTP/1.1") == 0;
 }
 
+static gboolean
+is_status (const HbwFraming *framing)
+{
+  return framing->status_digits == STATUS_DIGITS && framing->status >= STATUS_MIN
+         && framing->status <= STATUS_MAX;
+}
+
+/* A reason, which may be empty, follows the status. */
+static gboolean
+check_status (HbwFraming *framing, char byte)
+{
+  if (g_ascii_isdigit (byte))
+    {
+      framing->status = framing->status * 10 + (guint) g_ascii_digit_value (byte);
+      return ++framing->status_digits <= STATUS_DIGITS;
+    }
+  framing->state = HBW_FRAMING_REASON;
+  return (byte == ' ' || byte == '\r') && is_status (framing);
+}
+
+static gboolean
+check_reason (HbwFraming *framing, char byte)
+{
+  if (byte == '\n')
+    framing->state = HBW_FRAMING_FIELD_START;
+  return byte == '\n' || byte == '\r' || !g_ascii_iscntrl (byte);
+}
+
 /* The version is the first word of a response and the last word of a request. */
 static gboolean
 check_start_line (HbwFraming *framing, char byte)
@@ -27,10 +60,13 @@
   if (byte == '\n')
     {
       framing->state = HBW_FRAMING_FIELD_START;
-      return is_version (framing);
+      return is_version (framing) && !framing->is_response;
     }
   if (byte == ' ' && framing->is_response)
-    return is_version (framing);
+    {
+      framing->state = HBW_FRAMING_STATUS;
+      return is_version (framing);
+    }
   if (byte == ' ')
     {
       memset (framing->version, 0, sizeof framing->version);
@@ -39,8 +75,7 @@
     }
   if (g_ascii_iscntrl (byte) && byte != '\r')
     return FALSE;
-  if (byte != '\r' && framing->version_length < HBW_HTTP_VERSION_MAX - 1
-      && !(framing->is_response && is_version (framing)))
+  if (byte != '\r' && framing->version_length < HBW_HTTP_VERSION_MAX - 1)
     framing->version[framing->version_length++] = byte;
   return TRUE;
 }
@@ -71,6 +106,10 @@
       return check_start_line (framing, byte);
     case HBW_FRAMING_START_LINE:
       return check_start_line (framing, byte);
+    case HBW_FRAMING_STATUS:
+      return check_status (framing, byte);
+    case HBW_FRAMING_REASON:
+      return check_reason (framing, byte);
     case HBW_FRAMING_FIELD_START:
       return check_field_start (framing, byte);
     case HBW_FRAMING_HEAD_END:
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -104,6 +104,7 @@
   g_hash_table_destroy (replica->run_counts);
   g_free (replica->last_request_head);
   g_free (replica->fields);
+  odd_answer_free (replica->odd_answer);
   g_free (replica->id);
   g_free (replica->first_id);
   g_free (replica);
@@ -143,6 +144,15 @@
   pthread_mutex_unlock (&replica->lock);
 }
 
+void
+replica_set_odd_answer (Replica *replica, const OddAnswer *answer)
+{
+  pthread_mutex_lock (&replica->lock);
+  odd_answer_free (replica->odd_answer);
+  replica->odd_answer = odd_answer_copy (answer);
+  pthread_mutex_unlock (&replica->lock);
+}
+
 void
 replica_set_outage (Replica *replica, gint64 outage_us, gboolean renames)
 {
--- a/tests/standin/replica_session.c
+++ b/tests/standin/replica_session.c
@@ -441,6 +441,38 @@
   return TRUE;
 }
 
+/* Returns the odd answer of the replica; the caller frees it. */
+static OddAnswer *
+copy_odd_answer (const Session *session)
+{
+  Replica *replica = session->replica;
+  pthread_mutex_lock (&replica->lock);
+  OddAnswer *answer = odd_answer_copy (replica->odd_answer);
+  pthread_mutex_unlock (&replica->lock);
+  return answer;
+}
+
+/* Returns whether the connection is kept open. */
+static gboolean
+send_odd (const Session *session)
+{
+  OddAnswer *answer = copy_odd_answer (session);
+  gboolean keeps = answer->end == ODD_ANSWER_KEEPS;
+  odd_answer_send (answer, session->fd, session->attempt_id);
+  odd_answer_free (answer);
+  return keeps;
+}
+
+/* Breaks a stream off, and answers a request to continue it with the odd answer. */
+static gboolean
+send_odd_after_cut (Session *session)
+{
+  char *last = find_field (session->head, "Last-Event-Id");
+  gboolean is_continuation = last != NULL;
+  g_free (last);
+  return is_continuation ? send_odd (session) : send_events (session, TRUE, 0);
+}
+
 /* Begins an answer, and crashes as the part of the prompt in the request wants. */
 static void
 crash_in_answer (Session *session, HarmfulEnd end)
@@ -471,6 +503,10 @@
     return send_events (session, FALSE, REPLICA_PAUSE_US);
   if (strcmp (behaviour, "cut") == 0)
     return send_events (session, TRUE, 0);
+  if (strcmp (behaviour, "odd") == 0)
+    return send_odd (session);
+  if (strcmp (behaviour, "cutodd") == 0)
+    return send_odd_after_cut (session);
   if (strcmp (behaviour, "cutbody") == 0 || strcmp (behaviour, "cutempty") == 0)
     return send_odd_continuation (session, strcmp (behaviour, "cutempty") == 0);
   if (strcmp (behaviour, "mute") == 0 || strcmp (behaviour, "dribble") == 0)
@@ -596,22 +632,36 @@
   session->input = g_string_new (NULL);
 }
 
+/* Sends the answer to a request whose body is not read yet, if the request wants
+   that.  Returns whether it did; KEEP_OPEN is set to whether the connection is kept
+   open. */
+static gboolean
+respond_early (Session *session, gboolean *keep_open)
+{
+  gboolean is_early = g_str_has_suffix (session->target, "/early");
+  gboolean is_odd = g_str_has_suffix (session->target, "/earlyodd");
+  *keep_open = TRUE;
+  if (!(is_early || is_odd) || !is_expected_server (session))
+    return FALSE;
+  count_run (session);
+  if (is_odd)
+    *keep_open = send_odd (session);
+  else
+    send_response (session, "200 OK", SEAL, "early", 5);
+  return TRUE;
+}
+
 static gboolean
 serve_request (Session *session)
 {
   Replica *replica = session->replica;
   if (!read_head (session))
     return FALSE;
-  gboolean responds_early
-      = g_str_has_suffix (session->target, "/early") && is_expected_server (session);
-  if (responds_early)
-    {
-      count_run (session);
-      send_response (session, "200 OK", SEAL, "early", 5);
-    }
-  if (!read_body (session))
+  gboolean keep_open;
+  gboolean has_responded = respond_early (session, &keep_open);
+  if (!keep_open || !read_body (session))
     return FALSE;
-  if (responds_early)
+  if (has_responded)
     return TRUE;
   pthread_mutex_lock (&replica->lock);
   g_free (replica->last_request_head);
@@ -636,7 +686,7 @@
   guint run_count = count_run (session);
   char *behaviour = select_behaviour (session, run_count);
   atomic_fetch_add (&replica->active_requests, 1);
-  gboolean keep_open = work (session);
+  keep_open = work (session);
   if (keep_open && harmful_end != HARMFUL_NONE)
     {
       crash_in_answer (session, harmful_end);
