Answers: a trailer whose name is no token breaks the answer

What callers saw: an answer in chunks with a trailer such as "X Odd: 1", or a folded one, as a whole answer, without the trailer; in the head the same line is a 502.

Cause: the name of a field was looked at only when the next field or the end of the head came, so never for the last trailer. The framing check now looks at each name, byte by byte, in heads and trailers alike, of answers and requests; the parser's own look at names is gone.

Evidence: odd_trailer_line_is_no_answer and two cases of message_with_invalid_framing_is_rejected, which is now run in pieces of 1, 7 and 4096 bytes, failed on the code before and pass. With 17 kinds of line, four kinds of trailer came through: a blank in the name or before the colon, a folded line, and one folded by a tab after another trailer.

--- a/include/hornbeamwall/net/framing.h
+++ b/include/hornbeamwall/net/framing.h
@@ -3,8 +3,9 @@
  *
  * Checks the same bytes as the parser, in pieces of any size.  Rejects messages that
  * another implementation could delimit or interpret differently (request smuggling):
- * folded header lines, unknown protocol versions, statuses that are not three digits
- * from 100 to 599, bare CR or LF, and chunks whose data does not match their size.
+ * field names that are no tokens, folded lines, unknown protocol versions, statuses
+ * that are not three digits from 100 to 599, bare CR or LF, and chunks whose data
+ * does not match their size.
  */
 #ifndef HORNBEAMWALL_NET_FRAMING_H
 #define HORNBEAMWALL_NET_FRAMING_H
@@ -21,8 +22,9 @@
   HBW_FRAMING_START_LINE,  /* of a response: its version */
   HBW_FRAMING_STATUS,
   HBW_FRAMING_REASON,
-  HBW_FRAMING_FIELD_START, /* at the first byte of a header line */
-  HBW_FRAMING_FIELD,
+  HBW_FRAMING_FIELD_START, /* at the first byte of a header or trailer line */
+  HBW_FRAMING_FIELD_NAME,
+  HBW_FRAMING_FIELD_VALUE,
   HBW_FRAMING_HEAD_END, /* after the CR of the empty line that ends the head */
   HBW_FRAMING_BODY,
   HBW_FRAMING_CHUNK_SIZE,
@@ -47,15 +49,16 @@
 /* Starts the next message: a response if IS_RESPONSE is set, otherwise a request. */
 void hbw_framing_reset (HbwFraming *framing, gboolean is_response);
 
-/* Checks the part of BYTES that belongs to the head; sets USED to its length.
-   Returns FALSE if it is not well formed. */
+/* Checks the part of BYTES that belongs to the head, or to trailers; sets USED to
+   its length.  Returns FALSE if it is not well formed. */
 gboolean hbw_framing_check_head (HbwFraming *framing, const char *bytes,
                                  gsize length, gsize *used);
 
 /* Announces that the body is chunked. */
 void hbw_framing_begin_chunks (HbwFraming *framing);
 
-/* Checks BYTES of the body; returns FALSE if a chunk is not well formed. */
+/* Checks BYTES of the body and its trailers; returns FALSE if they are not well
+   formed. */
 gboolean hbw_framing_check_body (HbwFraming *framing, const char *bytes,
                                  gsize length);
 
--- a/net/framing.c
+++ b/net/framing.c
@@ -6,6 +6,9 @@
    Longer sizes are rejected. */
 #define CHUNK_SIZE_DIGITS_MAX 15
 
+/* Characters of a field name besides letters and digits (RFC 9110, token). */
+#define TOKEN_PUNCTUATION "!#$%&'*+-.^_`|~"
+
 /* A status has three digits, the first of which names its class (RFC 9110, 15). */
 #define STATUS_DIGITS 3
 #define STATUS_MIN 100
@@ -80,15 +83,29 @@
   return TRUE;
 }
 
-/* A line that begins with white space would continue the previous field (obsolete
-   line folding). */
+static gboolean
+is_token_byte (char byte)
+{
+  return g_ascii_isalnum (byte)
+         || (byte != '\0' && strchr (TOKEN_PUNCTUATION, byte) != NULL);
+}
+
+/* A name with white space could be interpreted differently by the next hop, and a
+   line that begins with it would continue the previous field (obsolete line
+   folding). */
 static gboolean
 check_field_start (HbwFraming *framing, char byte)
 {
-  if (byte == ' ' || byte == '\t')
-    return FALSE;
-  framing->state = byte == '\r' ? HBW_FRAMING_HEAD_END : HBW_FRAMING_FIELD;
-  return byte != '\n';
+  framing->state = byte == '\r' ? HBW_FRAMING_HEAD_END : HBW_FRAMING_FIELD_NAME;
+  return byte == '\r' || is_token_byte (byte);
+}
+
+static gboolean
+check_field_name (HbwFraming *framing, char byte)
+{
+  if (byte == ':')
+    framing->state = HBW_FRAMING_FIELD_VALUE;
+  return byte == ':' || is_token_byte (byte);
 }
 
 static gboolean
@@ -112,6 +129,8 @@
       return check_reason (framing, byte);
     case HBW_FRAMING_FIELD_START:
       return check_field_start (framing, byte);
+    case HBW_FRAMING_FIELD_NAME:
+      return check_field_name (framing, byte);
     case HBW_FRAMING_HEAD_END:
       framing->state = HBW_FRAMING_BODY;
       return TRUE;
@@ -147,12 +166,13 @@
   begin_chunk_size (framing);
 }
 
-/* The last chunk is empty; trailers, which are ignored, may follow it. */
+/* The last chunk is empty.  Trailers may follow it, which have the form of the
+   head's fields, and then an empty line. */
 static gboolean
 end_chunk_size (HbwFraming *framing)
 {
-  framing->state
-      = framing->chunk_remaining > 0 ? HBW_FRAMING_CHUNK_DATA : HBW_FRAMING_BODY;
+  framing->state = framing->chunk_remaining > 0 ? HBW_FRAMING_CHUNK_DATA
+                                                : HBW_FRAMING_FIELD_START;
   return framing->size_digits > 0;
 }
 
@@ -189,6 +209,14 @@
   return TRUE;
 }
 
+static gboolean
+check_body_byte (HbwFraming *framing, char byte)
+{
+  gboolean is_trailer = framing->state < HBW_FRAMING_BODY;
+  return is_trailer ? check_head_byte (framing, byte)
+                    : check_chunk_byte (framing, byte);
+}
+
 gboolean
 hbw_framing_check_body (HbwFraming *framing, const char *bytes, gsize length)
 {
@@ -197,7 +225,7 @@
     {
       if (framing->state != HBW_FRAMING_CHUNK_DATA)
         {
-          if (!check_chunk_byte (framing, bytes[offset++]))
+          if (!check_body_byte (framing, bytes[offset++]))
             return FALSE;
           continue;
         }
--- a/net/http_parser.c
+++ b/net/http_parser.c
@@ -5,9 +5,6 @@
 #include <http_parser.h>
 #include <string.h>
 
-/* Characters of a field name besides letters and digits (RFC 9110, token). */
-#define TOKEN_PUNCTUATION "!#$%&'*+-.^_`|~"
-
 /* Bytes that an allocation takes besides its contents. */
 #define ALLOCATION_OVERHEAD 16
 
@@ -18,7 +15,6 @@
   HbwHttpParserHandler *handler;
   HbwFraming framing;
   HbwHttpHead *head;
-  gsize name_offset;  /* in head->text, of the last field */
   gsize value_offset; /* of its value, if in_value is set */
   gboolean in_target; /* the target may not be complete */
   gboolean in_value;  /* the last bytes belonged to a value */
@@ -45,19 +41,6 @@
   return sizeof *head + head->text.capacity + 2 * ALLOCATION_OVERHEAD;
 }
 
-/* Returns whether NAME is a valid field name.  A name with white space could be
-   interpreted differently by the next hop. */
-static gboolean
-is_token (const char *name)
-{
-  if (*name == '\0')
-    return FALSE;
-  for (const char *c = name; *c != '\0'; c++)
-    if (!g_ascii_isalnum (*c) && strchr (TOKEN_PUNCTUATION, *c) == NULL)
-      return FALSE;
-  return TRUE;
-}
-
 /* A null would end a text within the head. */
 static gboolean
 append_text (HbwHttpHead *head, const char *bytes, gsize length)
@@ -83,26 +66,21 @@
   parser->in_target = FALSE;
   end_text (parser->head);
   parser->head->fields_offset = parser->head->text.length;
-  parser->name_offset = parser->head->fields_offset;
 }
 
-/* Ends the last field, without the white space at its end; returns whether it is
-   well formed. */
-static gboolean
+/* Ends the last field, without the white space at its end. */
+static void
 finish_field (HbwHttpParser *parser)
 {
   HbwByteBuffer *text = &parser->head->text;
   finish_target (parser);
   if (!parser->in_value)
-    return TRUE;
+    return;
   while (text->length > parser->value_offset
          && g_ascii_isspace (text->bytes[text->length - 1]))
     text->length--;
   end_text (parser->head);
-  gboolean valid = is_token (text->bytes + parser->name_offset);
-  parser->name_offset = text->length;
   parser->in_value = FALSE;
-  return valid;
 }
 
 static HbwHttpParser *
@@ -131,8 +109,7 @@
   HbwHttpParser *parser = parser_of (inner);
   if (parser->head == NULL)
     return 0; /* trailers are ignored */
-  if (!finish_field (parser))
-    return 1;
+  finish_field (parser);
   return append_text (parser->head, bytes, length) ? 0 : 1;
 }
 
@@ -165,7 +142,8 @@
 {
   HbwHttpParser *parser = parser_of (inner);
   HbwHttpHead *head = parser->head;
-  if (!finish_field (parser) || !is_coding_supported (head))
+  finish_field (parser);
+  if (!is_coding_supported (head))
     return -1;
   hbw_byte_buffer_fit (&head->text);
   head->status = inner->status_code;
@@ -236,7 +214,6 @@
   if (parser->head != NULL)
     hbw_http_head_destroy (parser->head);
   parser->head = g_new0 (HbwHttpHead, 1);
-  parser->name_offset = 0;
   parser->value_offset = 0;
   parser->in_target = TRUE;
   parser->in_value = FALSE;
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -105,16 +105,22 @@
     "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
     "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
     "garbage\r\n\r\n",
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "0\r\nX Odd: 1\r\n\r\n",
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "0\r\nX-Sound: 1\r\n X-Odd: 1\r\n\r\n",
   };
+  static const gsize piece_sizes[] = { 1, 7, 4096 };
   for (gsize i = 0; i < G_N_ELEMENTS (texts); i++)
-    {
-      ParserRecord record = { .head_count = 0 };
-      gsize used;
-      HbwHttpParserState state
-          = feed (&record, HBW_HTTP_PARSER_REQUEST, texts[i], 4096, &used);
-      ck_assert_msg (state == HBW_HTTP_PARSER_ERROR, "%zu: %d", i, state);
-      g_string_free (record.body, TRUE);
-    }
+    for (gsize j = 0; j < G_N_ELEMENTS (piece_sizes); j++)
+      {
+        ParserRecord record = { .head_count = 0 };
+        gsize used;
+        HbwHttpParserState state = feed (&record, HBW_HTTP_PARSER_REQUEST, texts[i],
+                                         piece_sizes[j], &used);
+        ck_assert_msg (state == HBW_HTTP_PARSER_ERROR, "%zu: %d", i, state);
+        g_string_free (record.body, TRUE);
+      }
 }
 END_TEST
 
--- a/tests/odd_answer_test.c
+++ b/tests/odd_answer_test.c
@@ -100,6 +100,23 @@
   check_retried (fixture, text);
 }
 
+/* Checks that TEXT, sent by the server, does not reach the caller as a whole answer.
+   Its body may have begun when it shows that it is none. */
+static void
+check_not_whole (PlatformFixture *fixture, const char *text, gsize length)
+{
+  const OddAnswer answer
+      = { .text = text, .length = length, .end = ODD_ANSWER_CLOSES };
+  char *path = make_path ("unsafe", "odd");
+  set_odd_answer (fixture, &answer);
+  serve_soundly (fixture);
+  RawResponse response = platform_fixture_post (fixture, path, API_KEY_FIELD, "b");
+  ck_assert_msg (response.status == 502 || !raw_response_is_complete (response.text),
+                 "%s: %s", text, response.text);
+  g_free (response.text);
+  g_free (path);
+}
+
 /* Guards against a number that is no status, which callers would get as one. */
 START_TEST (status_that_is_none_is_no_answer)
 {
@@ -224,6 +241,31 @@
 }
 END_TEST
 
+/* Guards against a trailer that is not looked at, as it is not passed on. */
+START_TEST (odd_trailer_line_is_no_answer)
+{
+  static const char head[]
+      = "HTTP/1.1 200 OK\r\n" OWN_FIELDS "Transfer-Encoding: chunked\r\n\r\n"
+        "8\r\n" ODD_MARK "\r\n0\r\n";
+  static const char sound[] = "X-Sound: 1\r\n";
+  char *after_sound = g_strconcat (head, sound, NULL);
+  PlatformFixture *fixture = platform_fixture_create ();
+  for (gsize i = 0; i < G_N_ELEMENTS (odd_lines); i++)
+    {
+      GString *texts[] = { join_line (head, &odd_lines[i], "\r\n\r\n"),
+                           join_line (head, &odd_lines[i], "\r\nX-Sound: 1\r\n\r\n"),
+                           join_line (after_sound, &odd_lines[i], "\r\n\r\n") };
+      for (gsize j = 0; j < G_N_ELEMENTS (texts); j++)
+        {
+          check_not_whole (fixture, texts[j]->str, texts[j]->len);
+          g_string_free (texts[j], TRUE);
+        }
+    }
+  g_free (after_sound);
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 /* Guards against a head that the end of the connection seems to complete. */
 START_TEST (head_that_stops_is_no_answer)
 {
@@ -350,6 +392,8 @@
                   status_that_is_none_after_an_interim_answer_is_no_answer);
   suite_add_test (suite, "unusual_status_is_an_answer", unusual_status_is_an_answer);
   suite_add_test (suite, "odd_field_line_is_no_answer", odd_field_line_is_no_answer);
+  suite_add_test (suite, "odd_trailer_line_is_no_answer",
+                  odd_trailer_line_is_no_answer);
   suite_add_test (suite, "head_that_stops_is_no_answer",
                   head_that_stops_is_no_answer);
   suite_add_test (suite, "reset_within_an_upload_does_not_complete_the_answer",
