Answers: chunks in HTTP/1.0 are faulty framing

What callers saw: an answer of HTTP/1.0 with Transfer-Encoding: chunked, as whole.

The version that the framing check has read decides now whether chunks are allowed, in answers and requests alike.

Evidence: chunks_of_http_1_0_are_no_answer failed on the code before and passes.

--- a/include/hornbeamwall/net/framing.h
+++ b/include/hornbeamwall/net/framing.h
@@ -54,6 +54,10 @@
 gboolean hbw_framing_check_head (HbwFraming *framing, const char *bytes,
                                  gsize length, gsize *used);
 
+/* Returns whether a message of the version in the head can be chunked (RFC 9112,
+   6.1). */
+gboolean hbw_framing_allows_chunks (const HbwFraming *framing);
+
 /* Announces that the body is chunked. */
 void hbw_framing_begin_chunks (HbwFraming *framing);
 
--- a/net/framing.c
+++ b/net/framing.c
@@ -160,6 +160,12 @@
   framing->chunk_remaining = 0;
 }
 
+gboolean
+hbw_framing_allows_chunks (const HbwFraming *framing)
+{
+  return strcmp (framing->version, "HTTP/1.1") == 0;
+}
+
 void
 hbw_framing_begin_chunks (HbwFraming *framing)
 {
--- a/net/http_parser.c
+++ b/net/http_parser.c
@@ -131,10 +131,13 @@
 /* Transfer-Encoding is not forwarded, so a body in another coding would reach the
    next hop without being marked as such. */
 static gboolean
-is_coding_supported (const HbwHttpHead *head)
+is_coding_supported (const HbwHttpParser *parser)
 {
-  const char *coding = hbw_http_head_find (head, "Transfer-Encoding");
-  return coding == NULL || g_ascii_strcasecmp (coding, "chunked") == 0;
+  const char *coding = hbw_http_head_find (parser->head, "Transfer-Encoding");
+  if (coding == NULL)
+    return TRUE;
+  return g_ascii_strcasecmp (coding, "chunked") == 0
+         && hbw_framing_allows_chunks (&parser->framing);
 }
 
 static int
@@ -143,7 +146,7 @@
   HbwHttpParser *parser = parser_of (inner);
   HbwHttpHead *head = parser->head;
   finish_field (parser);
-  if (!is_coding_supported (head))
+  if (!is_coding_supported (parser))
     return -1;
   hbw_byte_buffer_fit (&head->text);
   head->status = inner->status_code;
--- a/tests/odd_answer_test.c
+++ b/tests/odd_answer_test.c
@@ -266,6 +266,25 @@
 }
 END_TEST
 
+static void
+check_each_not_whole (const char *const *texts, gsize count)
+{
+  PlatformFixture *fixture = platform_fixture_create ();
+  for (gsize i = 0; i < count; i++)
+    check_not_whole (fixture, texts[i], strlen (texts[i]));
+  platform_fixture_destroy (fixture);
+}
+
+/* Guards against a body whose end depends on who reads it. */
+START_TEST (chunks_of_http_1_0_are_no_answer)
+{
+  static const char *const texts[] = { "HTTP/1.0 200 OK\r\n" OWN_FIELDS WITH_CHUNKS,
+                                       "HTTP/1.0 200 OK\r\n" OWN_FIELDS
+                                       "Connection: keep-alive\r\n" WITH_CHUNKS };
+  check_each_not_whole (texts, G_N_ELEMENTS (texts));
+}
+END_TEST
+
 /* Guards against a head that the end of the connection seems to complete. */
 START_TEST (head_that_stops_is_no_answer)
 {
@@ -394,6 +413,8 @@
   suite_add_test (suite, "odd_field_line_is_no_answer", odd_field_line_is_no_answer);
   suite_add_test (suite, "odd_trailer_line_is_no_answer",
                   odd_trailer_line_is_no_answer);
+  suite_add_test (suite, "chunks_of_http_1_0_are_no_answer",
+                  chunks_of_http_1_0_are_no_answer);
   suite_add_test (suite, "head_that_stops_is_no_answer",
                   head_that_stops_is_no_answer);
   suite_add_test (suite, "reset_within_an_upload_does_not_complete_the_answer",
