Answers: only one Transfer-Encoding field, as further ones are not read

What callers saw: an answer marked as chunked and, in a second field, as gzip: its body as it came, whole and without a mark of its coding; and one marked as chunked twice, as whole.

Cause: only the first field was looked at, while the field is not passed on. A head with more than one is rejected now, in answers and requests alike.

Evidence: odd_length_or_coding_is_no_answer and the last case of message_with_invalid_framing_is_rejected failed on the code before and pass. Of eight kinds of length and coding these two came through.

--- a/net/http_parser.c
+++ b/net/http_parser.c
@@ -137,6 +137,7 @@
   if (coding == NULL)
     return TRUE;
   return g_ascii_strcasecmp (coding, "chunked") == 0
+         && hbw_http_head_count (parser->head, "Transfer-Encoding") == 1
          && hbw_framing_allows_chunks (&parser->framing);
 }
 
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -109,6 +109,9 @@
     "0\r\nX Odd: 1\r\n\r\n",
     "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
     "0\r\nX-Sound: 1\r\n X-Odd: 1\r\n\r\n",
+    "POST / HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
   };
   static const gsize piece_sizes[] = { 1, 7, 4096 };
   for (gsize i = 0; i < G_N_ELEMENTS (texts); i++)
--- a/tests/odd_answer_test.c
+++ b/tests/odd_answer_test.c
@@ -285,6 +285,25 @@
 }
 END_TEST
 
+/* Guards against a body in a coding that its reader does not learn of. */
+START_TEST (odd_length_or_coding_is_no_answer)
+{
+  static const char *const texts[]
+      = { "HTTP/1.1 200 OK\r\n" OWN_FIELDS "Transfer-Encoding: gzip\r\n" WITH_CHUNKS,
+          "HTTP/1.1 200 OK\r\n" OWN_FIELDS
+          "Transfer-Encoding: chunked\r\n" WITH_CHUNKS,
+          "HTTP/1.1 200 OK\r\n" OWN_FIELDS
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n" WITH_CLOSE,
+          "HTTP/1.1 200 OK\r\n" OWN_FIELDS
+          "Transfer-Encoding: chunked, chunked\r\n" WITH_CLOSE,
+          "HTTP/1.1 200 OK\r\n" OWN_FIELDS "Content-Length: 8\r\n" WITH_LENGTH,
+          "HTTP/1.1 200 OK\r\n" OWN_FIELDS "Content-Length: +8\r\n" WITH_CLOSE,
+          "HTTP/1.1 200 OK\r\n" OWN_FIELDS "Content-Length: 8, 8\r\n" WITH_CLOSE,
+          "HTTP/1.1 200 OK\r\n" OWN_FIELDS "Content-Length: 8\r\n" WITH_CHUNKS };
+  check_each_not_whole (texts, G_N_ELEMENTS (texts));
+}
+END_TEST
+
 /* Guards against a head that the end of the connection seems to complete. */
 START_TEST (head_that_stops_is_no_answer)
 {
@@ -415,6 +434,8 @@
                   odd_trailer_line_is_no_answer);
   suite_add_test (suite, "chunks_of_http_1_0_are_no_answer",
                   chunks_of_http_1_0_are_no_answer);
+  suite_add_test (suite, "odd_length_or_coding_is_no_answer",
+                  odd_length_or_coding_is_no_answer);
   suite_add_test (suite, "head_that_stops_is_no_answer",
                   head_that_stops_is_no_answer);
   suite_add_test (suite, "reset_within_an_upload_does_not_complete_the_answer",
