Native interface: an answer whose head is odd or stops is none

What callers saw: on the native interface, an answer with a status such as 600, or with a blank in the name of a field, and a whole answer without a body from a server that had stopped amid the head, after its length of 0 or its status 204.

Cause: libcurl takes any number as a status, and the end of the connection for that of the head; nothing behind it looked. Each line of a head that libcurl delivers goes through the same framing check as the heads of the other way now, and an attempt is complete only if the line that ends the head came. What is none counts as broken.

Evidence: odd_client_test, new, with a server that gives each request the same answer. attempt_takes_no_odd_status, attempt_takes_no_odd_field_line and attempt_takes_no_head_that_stops failed on the code before and pass; attempt_takes_sound_answers passed on both.

--- a/include/hornbeamwall/net/framing.h
+++ b/include/hornbeamwall/net/framing.h
@@ -54,6 +54,18 @@
 gboolean hbw_framing_check_head (HbwFraming *framing, const char *bytes,
                                  gsize length, gsize *used);
 
+/* Checks a line of a response's head, with its CR and LF, that a library has split
+   off. A status line begins a head, also after that of an interim response; lines
+   after the head are not looked at.  Returns FALSE if it is not well formed. */
+gboolean hbw_framing_check_head_line (HbwFraming *framing, const char *line,
+                                      gsize length);
+
+/* Returns whether the empty line that ends the head was checked. */
+gboolean hbw_framing_is_head_complete (const HbwFraming *framing);
+
+/* Returns whether STATUS is one of HTTP. */
+gboolean hbw_framing_is_status (guint status);
+
 /* Returns whether a message of the version in the head can be chunked (RFC 9112,
    6.1). */
 gboolean hbw_framing_allows_chunks (const HbwFraming *framing);
--- a/net/attempt.c
+++ b/net/attempt.c
@@ -1,5 +1,7 @@
 #include "hornbeamwall/net/attempt.h"
 
+#include "hornbeamwall/net/framing.h"
+
 #include <curl/curl.h>
 #include <jansson.h>
 #include <pthread.h>
@@ -22,6 +24,7 @@
   CURL *easy;
   CURLM *multi;
   struct curl_slist *headers;
+  HbwFraming framing; /* of the response's head */
   char url[HBW_ADDRESS_MAX + 2048];
   gboolean request_sent;  /* a byte of the request may have been sent */
   gboolean grant_expired; /* expires_us passed before the request was sent */
@@ -91,6 +94,8 @@
   HbwAttempt *attempt = data;
   gsize length = size * count;
   char value[128];
+  if (!hbw_framing_check_head_line (&attempt->framing, line, length))
+    return 0; /* fails the transfer */
   if (parse_header (line, length, "Content-Type", value, sizeof value))
     {
       g_strlcpy (attempt->content_type, value, sizeof attempt->content_type);
@@ -212,6 +217,7 @@
   HbwAttempt *attempt = g_new0 (HbwAttempt, 1);
   attempt->config = *config;
   attempt->response_body = g_byte_array_new ();
+  hbw_framing_reset (&attempt->framing, TRUE);
   attempt->started_us = hbw_clock_now (config->clock);
   attempt->last_activity_us = attempt->started_us;
   g_snprintf (attempt->url, sizeof attempt->url, "http://%s%s", config->address,
@@ -390,6 +396,15 @@
   return attempt->not_executed && (status == 429 || status == 503);
 }
 
+/* libcurl takes the end of the connection for that of the head, and chunks in any
+   version. */
+static gboolean
+has_sound_head (const HbwAttempt *attempt)
+{
+  return hbw_framing_is_head_complete (&attempt->framing)
+         && (!attempt->chunked || hbw_framing_allows_chunks (&attempt->framing));
+}
+
 static HbwOutcome
 get_outcome (const HbwAttempt *attempt)
 {
@@ -401,7 +416,8 @@
     return HBW_OUTCOME_NOT_CONNECTED;
   if (attempt->timed_out)
     return HBW_OUTCOME_TIMED_OUT;
-  if (attempt->curl_code != CURLE_OK || attempt->id_mismatch)
+  if (attempt->curl_code != CURLE_OK || attempt->id_mismatch
+      || !has_sound_head (attempt))
     return HBW_OUTCOME_BROKEN;
   if (is_refusal (attempt))
     return HBW_OUTCOME_REFUSED;
--- a/net/framing.c
+++ b/net/framing.c
@@ -10,6 +10,7 @@
 #define TOKEN_PUNCTUATION "!#$%&'*+-.^_`|~"
 
 /* A status has three digits, the first of which names its class (RFC 9110, 15). */
+#define STATUS_LINE_START "HTTP/"
 #define STATUS_DIGITS 3
 #define STATUS_MIN 100
 #define STATUS_MAX 599
@@ -28,11 +29,10 @@
          || strcmp (framing->version, "HTTP/1.1") == 0;
 }
 
-static gboolean
-is_status (const HbwFraming *framing)
+gboolean
+hbw_framing_is_status (guint status)
 {
-  return framing->status_digits == STATUS_DIGITS && framing->status >= STATUS_MIN
-         && framing->status <= STATUS_MAX;
+  return status >= STATUS_MIN && status <= STATUS_MAX;
 }
 
 /* A reason, which may be empty, follows the status. */
@@ -45,7 +45,8 @@
       return ++framing->status_digits <= STATUS_DIGITS;
     }
   framing->state = HBW_FRAMING_REASON;
-  return (byte == ' ' || byte == '\r') && is_status (framing);
+  return (byte == ' ' || byte == '\r') && framing->status_digits == STATUS_DIGITS
+         && hbw_framing_is_status (framing->status);
 }
 
 static gboolean
@@ -152,6 +153,22 @@
   return TRUE;
 }
 
+gboolean
+hbw_framing_check_head_line (HbwFraming *framing, const char *line, gsize length)
+{
+  gsize used;
+  if (length >= strlen (STATUS_LINE_START)
+      && memcmp (line, STATUS_LINE_START, strlen (STATUS_LINE_START)) == 0)
+    hbw_framing_reset (framing, TRUE);
+  return hbw_framing_check_head (framing, line, length, &used);
+}
+
+gboolean
+hbw_framing_is_head_complete (const HbwFraming *framing)
+{
+  return framing->state >= HBW_FRAMING_BODY;
+}
+
 static void
 begin_chunk_size (HbwFraming *framing)
 {
--- /dev/null
+++ b/tests/odd_client_test.c
@@ -0,0 +1,190 @@
+/*
+ * Tests of the clients that read answers through a library: attempts of the native
+ * interface, calls of the duties, and the store.  What breaks the rules of HTTP is
+ * no answer to any of them.
+ */
+#include "standin/odd_server.h"
+#include "suite.h"
+
+#include "hornbeamwall/net/attempt.h"
+
+#include <string.h>
+
+#define TIMEOUT_MS 10000
+
+/* Heads whose first line has no status, to which a length and a body are added. */
+static const char *const odd_status_lines[] = {
+  "HTTP/1.1 000\r\n",      "HTTP/1.1 000 Odd\r\n", "HTTP/1.1 001 Odd\r\n",
+  "HTTP/1.1 099 Odd\r\n",  "HTTP/1.1 600 Odd\r\n", "HTTP/1.1 999 Odd\r\n",
+  "HTTP/1.1 0 Odd\r\n",    "HTTP/1.1 20 OK\r\n",   "HTTP/1.1 2 OK\r\n",
+  "HTTP/1.1 0200 OK\r\n",  "HTTP/1.1 2000 OK\r\n", "HTTP/1.1 +200 OK\r\n",
+  "HTTP/1.1 -200 OK\r\n",  "HTTP/1.1 2x0 OK\r\n",  "HTTP/1.1 200.1 OK\r\n",
+  "HTTP/1.1  200 OK\r\n",  "HTTP/1.1\r\n",         "HTTP/1.1 200OK\r\n",
+  "HTTP/1.1 \t200 OK\r\n", "HTTP/3.1 200 OK\r\n",  "200 OK\r\n",
+};
+
+#define WITH_LENGTH "Content-Length: 2\r\n\r\n{}"
+
+/* A head that stops anywhere before its last byte says nothing. */
+static const char whole_head[] = "HTTP/1.1 200 OK\r\nETag: \"7\"\r\n"
+                                 "Content-Type: application/json\r\n"
+                                 "Content-Length: 0\r\n\r\n";
+static const char whole_empty_head[]
+    = "HTTP/1.1 204 No Content\r\nETag: \"7\"\r\n\r\n";
+
+typedef void (*CheckAnswer) (OddServer *server, const char *name);
+
+static void
+answer_with (OddServer *server, const char *text, gsize length, OddAnswerEnd end)
+{
+  const OddAnswer answer = { .text = text, .length = length, .end = end };
+  odd_server_set_answer (server, &answer);
+}
+
+static void
+check_odd_statuses (CheckAnswer check)
+{
+  OddServer *server = odd_server_create ();
+  for (gsize i = 0; i < G_N_ELEMENTS (odd_status_lines); i++)
+    {
+      char *text = g_strconcat (odd_status_lines[i], WITH_LENGTH, NULL);
+      answer_with (server, text, strlen (text), ODD_ANSWER_CLOSES);
+      check (server, odd_status_lines[i]);
+      char *late = g_strconcat ("HTTP/1.1 103 Early\r\n\r\n", text, NULL);
+      answer_with (server, late, strlen (late), ODD_ANSWER_CLOSES);
+      check (server, late);
+      g_free (late);
+      g_free (text);
+    }
+  odd_server_destroy (server);
+}
+
+static void
+check_heads_that_stop (CheckAnswer check)
+{
+  static const char *const heads[] = { whole_head, whole_empty_head };
+  OddServer *server = odd_server_create ();
+  for (gsize i = 0; i < G_N_ELEMENTS (heads); i++)
+    for (gsize length = 0; length < strlen (heads[i]); length++)
+      {
+        char *name = g_strndup (heads[i], length);
+        answer_with (server, heads[i], length,
+                     length % 2 == 0 ? ODD_ANSWER_CLOSES : ODD_ANSWER_RESETS);
+        check (server, name);
+        answer_with (server, heads[i], length,
+                     length % 2 == 0 ? ODD_ANSWER_RESETS : ODD_ANSWER_CLOSES);
+        check (server, name);
+        g_free (name);
+      }
+  odd_server_destroy (server);
+}
+
+/* --- attempts of the native interface ---------------------------------------- */
+
+static HbwOutcome
+run_attempt (OddServer *server, const char *method)
+{
+  HbwAttemptEnd end = { .response_started = FALSE };
+  HbwClock *clock = hbw_clock_create_system ();
+  HbwMailbox *mailbox = hbw_mailbox_create (1);
+  const HbwAttemptConfig config = { .method = method,
+                                    .address = odd_server_address (server),
+                                    .path = "/",
+                                    .body = "b",
+                                    .body_length = strcmp (method, "POST") == 0,
+                                    .attempt_id = "a",
+                                    .expires_us = G_MAXINT64,
+                                    .connect_timeout_ms = TIMEOUT_MS,
+                                    .first_byte_timeout_ms = TIMEOUT_MS,
+                                    .stall_timeout_ms = TIMEOUT_MS,
+                                    .buffered_response_max = 1024,
+                                    .clock = clock,
+                                    .mailbox = mailbox,
+                                    .caller_fd = -1 };
+  HbwAttempt *attempt = hbw_attempt_create (&config);
+  hbw_attempt_begin (attempt);
+  hbw_attempt_result (attempt, &end);
+  hbw_attempt_destroy (attempt);
+  hbw_mailbox_unref (mailbox);
+  hbw_clock_destroy (clock);
+  return end.outcome;
+}
+
+static void
+check_attempt (OddServer *server, const char *name)
+{
+  ck_assert_msg (run_attempt (server, "POST") == HBW_OUTCOME_BROKEN, "%s", name);
+  ck_assert_msg (run_attempt (server, "HEAD") == HBW_OUTCOME_BROKEN, "HEAD: %s",
+                 name);
+}
+
+START_TEST (attempt_takes_no_odd_status) { check_odd_statuses (check_attempt); }
+END_TEST
+
+START_TEST (attempt_takes_no_head_that_stops)
+{
+  check_heads_that_stop (check_attempt);
+}
+END_TEST
+
+/* Checks COUNT answers of which each is odd. */
+static void
+check_odd_attempts (const char *const *texts, gsize count)
+{
+  OddServer *server = odd_server_create ();
+  for (gsize i = 0; i < count; i++)
+    {
+      answer_with (server, texts[i], strlen (texts[i]), ODD_ANSWER_CLOSES);
+      ck_assert_msg (run_attempt (server, "POST") == HBW_OUTCOME_BROKEN, "%s",
+                     texts[i]);
+    }
+  odd_server_destroy (server);
+}
+
+START_TEST (attempt_takes_no_odd_field_line)
+{
+  static const char *const texts[] = {
+    "HTTP/1.1 200 OK\r\nX Odd: 1\r\n" WITH_LENGTH,
+    "HTTP/1.1 200 OK\r\nX-Odd : 1\r\n" WITH_LENGTH,
+    "HTTP/1.1 200 OK\r\nX\001Odd: 1\r\n" WITH_LENGTH,
+    "HTTP/1.1 200 OK\r\nX-Odd\r\n" WITH_LENGTH,
+    "HTTP/1.1 200 OK\r\n X-Odd: 1\r\n" WITH_LENGTH,
+  };
+  check_odd_attempts (texts, G_N_ELEMENTS (texts));
+}
+END_TEST
+
+START_TEST (attempt_takes_sound_answers)
+{
+  static const char *const texts[]
+      = { "HTTP/1.1 200 OK\r\n" WITH_LENGTH,
+          "HTTP/1.0 200 OK\r\n" WITH_LENGTH,
+          "HTTP/1.1 200\r\n" WITH_LENGTH,
+          "HTTP/1.1 599 Other\r\n" WITH_LENGTH,
+          "HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n" WITH_LENGTH,
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"
+          "0\r\nX-Trailer: 1\r\n\r\n",
+          "HTTP/1.1 204 No Content\r\n\r\n" };
+  OddServer *server = odd_server_create ();
+  for (gsize i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      answer_with (server, texts[i], strlen (texts[i]), ODD_ANSWER_CLOSES);
+      ck_assert_msg (run_attempt (server, "POST") == HBW_OUTCOME_COMPLETE, "%s",
+                     texts[i]);
+    }
+  odd_server_destroy (server);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("odd_client");
+  suite_add_test (suite, "attempt_takes_no_odd_status", attempt_takes_no_odd_status);
+  suite_add_test (suite, "attempt_takes_no_head_that_stops",
+                  attempt_takes_no_head_that_stops);
+  suite_add_test (suite, "attempt_takes_no_odd_field_line",
+                  attempt_takes_no_odd_field_line);
+  suite_add_test (suite, "attempt_takes_sound_answers", attempt_takes_sound_answers);
+  return suite_run (suite);
+}
--- /dev/null
+++ b/tests/standin/odd_server.c
@@ -0,0 +1,138 @@
+#include "odd_server.h"
+
+#include "listen.h"
+
+#include <poll.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define POLL_INTERVAL_MS 20
+
+struct OddServer
+{
+  int fd;
+  char *address;
+  pthread_t thread;
+  pthread_mutex_t lock;
+  OddAnswer *answer;
+  atomic_uint count;
+  atomic_bool stopping;
+};
+
+/* Returns FALSE once the server stops. */
+static gboolean
+wait_readable (const OddServer *server, int fd)
+{
+  struct pollfd input = { fd, POLLIN, 0 };
+  while (!atomic_load (&server->stopping))
+    if (poll (&input, 1, POLL_INTERVAL_MS) > 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* Returns the size of the request that TEXT begins with, or G_MAXSIZE if its head is
+   not complete. */
+static gsize
+request_size (const GString *text)
+{
+  const char *end = strstr (text->str, "\r\n\r\n");
+  const char *length = strstr (text->str, "Content-Length: ");
+  if (end == NULL)
+    return G_MAXSIZE;
+  gsize head_size = (gsize) (end - text->str) + 4;
+  return length != NULL && length < end
+             ? head_size + strtoul (length + strlen ("Content-Length: "), NULL, 10)
+             : head_size;
+}
+
+static gboolean
+read_request (const OddServer *server, int fd)
+{
+  char bytes[4096];
+  ssize_t count = 1;
+  GString *text = g_string_new (NULL);
+  while (text->len < request_size (text) && wait_readable (server, fd)
+         && (count = recv (fd, bytes, sizeof bytes, 0)) > 0)
+    g_string_append_len (text, bytes, count);
+  gboolean is_whole = text->len >= request_size (text);
+  g_string_free (text, TRUE);
+  return is_whole;
+}
+
+static void
+answer_request (OddServer *server, int fd)
+{
+  pthread_mutex_lock (&server->lock);
+  OddAnswer *answer = odd_answer_copy (server->answer);
+  pthread_mutex_unlock (&server->lock);
+  odd_answer_send (answer, fd, "");
+  odd_answer_free (answer);
+  atomic_fetch_add (&server->count, 1);
+}
+
+static void *
+run (void *data)
+{
+  OddServer *server = data;
+  while (wait_readable (server, server->fd))
+    {
+      int fd = accept (server->fd, NULL, NULL);
+      if (read_request (server, fd))
+        answer_request (server, fd);
+      close (fd);
+    }
+  return NULL;
+}
+
+OddServer *
+odd_server_create (void)
+{
+  OddServer *server = g_new0 (OddServer, 1);
+  const OddAnswer empty = { .text = "", .end = ODD_ANSWER_CLOSES };
+  const unsigned port = standin_free_port ();
+  const struct sockaddr_in address = standin_loopback (port);
+  server->fd = standin_listen_socket (&address);
+  server->address = g_strdup_printf ("127.0.0.1:%u", port);
+  server->answer = odd_answer_copy (&empty);
+  pthread_mutex_init (&server->lock, NULL);
+  if (pthread_create (&server->thread, NULL, run, server) != 0)
+    g_error ("odd server: no thread");
+  return server;
+}
+
+void
+odd_server_destroy (OddServer *server)
+{
+  atomic_store (&server->stopping, TRUE);
+  pthread_join (server->thread, NULL);
+  pthread_mutex_destroy (&server->lock);
+  close (server->fd);
+  odd_answer_free (server->answer);
+  g_free (server->address);
+  g_free (server);
+}
+
+const char *
+odd_server_address (const OddServer *server)
+{
+  return server->address;
+}
+
+void
+odd_server_set_answer (OddServer *server, const OddAnswer *answer)
+{
+  pthread_mutex_lock (&server->lock);
+  odd_answer_free (server->answer);
+  server->answer = odd_answer_copy (answer);
+  pthread_mutex_unlock (&server->lock);
+}
+
+guint
+odd_server_count (OddServer *server)
+{
+  return atomic_load (&server->count);
+}
