Native interface: an answer framed in two ways is broken

What callers saw: on the native interface, a whole answer from a head with two lengths, with a length beside chunks, or with chunks in HTTP/1.0.

Cause: libcurl prefers chunks to a length, in any version, and the last length to those before. The attempt notes what the head says of the body's end, and counts as broken if readers could differ, as on the other way.

Evidence: attempt_takes_no_odd_framing failed on the code before and passes.

--- a/net/attempt.c
+++ b/net/attempt.c
@@ -35,6 +35,7 @@
   gboolean is_stream;
   gboolean chunked;
   gboolean has_length;
+  gboolean has_two_lengths;
   gboolean id_mismatch;
   gboolean not_executed;
   gboolean done_seen;
@@ -104,7 +105,10 @@
   else if (parse_header (line, length, "Transfer-Encoding", value, sizeof value))
     attempt->chunked = strstr (value, "chunked") != NULL;
   else if (parse_header (line, length, "Content-Length", value, sizeof value))
-    attempt->has_length = TRUE;
+    {
+      attempt->has_two_lengths = attempt->has_length;
+      attempt->has_length = TRUE;
+    }
   else if (parse_header (line, length, HEADER_REQUEST_ID, value, sizeof value))
     attempt->id_mismatch = strcmp (value, attempt->config.attempt_id) != 0;
   else if (parse_header (line, length, HEADER_EXECUTED, value, sizeof value))
@@ -396,13 +400,22 @@
   return attempt->not_executed && (status == 429 || status == 503);
 }
 
-/* libcurl takes the end of the connection for that of the head, and chunks in any
-   version. */
+/* Returns whether the end of the body is the same for every reader.  libcurl prefers
+   chunks to a length, in any version, and the last length to those before. */
+static gboolean
+has_sound_framing (const HbwAttempt *attempt)
+{
+  if (!attempt->chunked)
+    return !attempt->has_two_lengths;
+  return !attempt->has_length && hbw_framing_allows_chunks (&attempt->framing);
+}
+
+/* libcurl takes the end of the connection for that of the head. */
 static gboolean
 has_sound_head (const HbwAttempt *attempt)
 {
   return hbw_framing_is_head_complete (&attempt->framing)
-         && (!attempt->chunked || hbw_framing_allows_chunks (&attempt->framing));
+         && has_sound_framing (attempt);
 }
 
 static HbwOutcome
--- a/tests/odd_client_test.c
+++ b/tests/odd_client_test.c
@@ -154,6 +154,22 @@
 }
 END_TEST
 
+START_TEST (attempt_takes_no_odd_framing)
+{
+  static const char *const texts[] = {
+    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" WITH_LENGTH,
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" WITH_LENGTH,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" WITH_LENGTH,
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "2\r\n{}\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+  };
+  check_odd_attempts (texts, G_N_ELEMENTS (texts));
+}
+END_TEST
+
 START_TEST (attempt_takes_sound_answers)
 {
   static const char *const texts[]
@@ -185,6 +201,8 @@
                   attempt_takes_no_head_that_stops);
   suite_add_test (suite, "attempt_takes_no_odd_field_line",
                   attempt_takes_no_odd_field_line);
+  suite_add_test (suite, "attempt_takes_no_odd_framing",
+                  attempt_takes_no_odd_framing);
   suite_add_test (suite, "attempt_takes_sound_answers", attempt_takes_sound_answers);
   return suite_run (suite);
 }
