Duties: an answer whose status is none, or whose head stops, says nothing

What the platform's operators saw: a call of a duty that was answered with the status 600 was taken for rejected, and one whose answer stopped after its first line for accepted, though the head was never whole. Nothing of it reaches callers.

Cause: libcurl's status was taken as it is. The head goes through the framing check; a call whose answer is none is unknown, as one that no answer came to.

Evidence: duty_call_takes_no_odd_status and duty_call_takes_no_head_that_stops failed on the code before and pass.

--- a/runtime/duty_sender.c
+++ b/runtime/duty_sender.c
@@ -1,5 +1,7 @@
 #include "hornbeamwall/runtime/duty_sender.h"
 
+#include "hornbeamwall/net/framing.h"
+
 #include <curl/curl.h>
 #include <pthread.h>
 #include <string.h>
@@ -13,6 +15,7 @@
 {
   const HbwDutySender *sender;
   const HbwSendDutyCall *call;
+  HbwFraming framing; /* of the response's head */
   gboolean is_sent;
 } Sending;
 
@@ -41,6 +44,15 @@
   return CURL_PREREQFUNC_OK;
 }
 
+static size_t
+check_header (char *line, size_t size, size_t count, void *data)
+{
+  Sending *sending = data;
+  gboolean is_sound
+      = hbw_framing_check_head_line (&sending->framing, line, size * count);
+  return is_sound ? size * count : 0;
+}
+
 /* Only the status of a response counts. */
 static size_t
 drop_body (char *bytes G_GNUC_UNUSED, size_t size, size_t count,
@@ -87,16 +99,21 @@
                     (long) (sending->sender->timeout_us / HBW_US_PER_MS));
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, handle_before_request);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, sending);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, check_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, sending);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, drop_body);
 }
 
-/* The status is enough, also if the body does not end. */
+/* The status is enough, also if the body does not end; but not if the head does not.
+ */
 static HbwDutyOutcome
 find_outcome (CURL *easy, const Sending *sending)
 {
   long status = 0;
   if (!sending->is_sent)
     return HBW_DUTY_NOT_SENT;
+  if (!hbw_framing_is_head_complete (&sending->framing))
+    return HBW_DUTY_UNKNOWN;
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
   return status >= 200 ? sending->sender->adapter->outcome ((guint) status)
                        : HBW_DUTY_UNKNOWN;
@@ -106,7 +123,8 @@
 hbw_duty_sender_send (const HbwDutySender *sender, const HbwSendDutyCall *call)
 {
   pthread_once (&curl_once, init_curl);
-  Sending sending = { sender, call, FALSE };
+  Sending sending = { .sender = sender, .call = call };
+  hbw_framing_reset (&sending.framing, TRUE);
   CURL *easy = is_expired (sender, call) ? NULL : curl_easy_init ();
   if (easy == NULL)
     return HBW_DUTY_NOT_SENT;
--- a/tests/odd_client_test.c
+++ b/tests/odd_client_test.c
@@ -7,6 +7,8 @@
 #include "suite.h"
 
 #include "hornbeamwall/net/attempt.h"
+#include "hornbeamwall/platform/duty_adapter.h"
+#include "hornbeamwall/runtime/duty_sender.h"
 
 #include <string.h>
 
@@ -192,6 +194,31 @@
 }
 END_TEST
 
+/* --- calls of the duties ------------------------------------------------------ */
+
+static void
+check_duty (OddServer *server, const char *name)
+{
+  HbwClock *clock = hbw_clock_create_system ();
+  const HbwDutySender sender
+      = { hbw_platform_duty_adapter (), odd_server_address (server), "i1", clock,
+          TIMEOUT_MS * HBW_US_PER_MS };
+  HbwSendDutyCall send = { .fencing_token = 1, .send_before_us = G_MAXINT64 };
+  send.call.kind = HBW_DUTY_CALL_ORDER;
+  HbwDutyOutcome outcome = hbw_duty_sender_send (&sender, &send);
+  ck_assert_msg (outcome == HBW_DUTY_UNKNOWN, "%d: %s", outcome, name);
+  hbw_clock_destroy (clock);
+}
+
+START_TEST (duty_call_takes_no_odd_status) { check_odd_statuses (check_duty); }
+END_TEST
+
+START_TEST (duty_call_takes_no_head_that_stops)
+{
+  check_heads_that_stop (check_duty);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -204,5 +231,9 @@
   suite_add_test (suite, "attempt_takes_no_odd_framing",
                   attempt_takes_no_odd_framing);
   suite_add_test (suite, "attempt_takes_sound_answers", attempt_takes_sound_answers);
+  suite_add_test (suite, "duty_call_takes_no_odd_status",
+                  duty_call_takes_no_odd_status);
+  suite_add_test (suite, "duty_call_takes_no_head_that_stops",
+                  duty_call_takes_no_head_that_stops);
   return suite_run (suite);
 }
