Store: a write whose answer has no status may have taken effect

What operators could see: a write to the store whose answer had the status 000, or one above 599, counted as one that changed nothing. Nothing of it reaches callers; a lease or an idempotency key could be believed free that is held.

Cause: the library takes any number of three digits for a status, in any version of HTTP, and what was no known status was a failure. Such an answer is none now: a read has failed, a write is unknown and read again, as one that no answer came to.

Evidence: store_client_takes_no_odd_status failed on the code before and passes; store_client_takes_no_head_that_stops passed on both. Two blanks before the status, which RFC 9112 (4) allows a lenient reader, are accepted from the store only.

--- a/net/store_client.c
+++ b/net/store_client.c
@@ -1,6 +1,7 @@
 #include "hornbeamwall/net/store_client.h"
 
 #include "hornbeamwall/common/address.h"
+#include "hornbeamwall/net/framing.h"
 
 #include <neon/ne_request.h>
 #include <neon/ne_session.h>
@@ -120,6 +121,13 @@
     }
 }
 
+/* The library takes any number of three digits for a status, in any version. */
+static gboolean
+is_answer (const ne_status *status)
+{
+  return status->major_version == 1 && hbw_framing_is_status ((guint) status->code);
+}
+
 static ne_session *
 open_session (HbwStoreClient *client, int extra_wait_s)
 {
@@ -151,7 +159,8 @@
       handle_body_block, &response_body);
   int code = ne_request_dispatch (request);
   int status = ne_get_status (request)->code;
-  if (code == NE_OK)
+  gboolean has_answer = code == NE_OK && is_answer (ne_get_status (request));
+  if (has_answer)
     {
       response.result = result_of_status (status);
       response.era = get_era (client, request);
@@ -163,7 +172,7 @@
     hbw_error_set (error, HBW_ERROR_STORE,
                    "platform store: %s; try again when it answers",
                    ne_get_error (session));
-  else if (response.result == HBW_STORE_FAILED)
+  else if (!has_answer || response.result == HBW_STORE_FAILED)
     hbw_error_set (error, HBW_ERROR_STORE,
                    "platform store: answer %d; try again later", status);
   if (response.result == HBW_STORE_OK
--- a/tests/odd_client_test.c
+++ b/tests/odd_client_test.c
@@ -7,6 +7,7 @@
 #include "suite.h"
 
 #include "hornbeamwall/net/attempt.h"
+#include "hornbeamwall/net/store_client.h"
 #include "hornbeamwall/platform/duty_adapter.h"
 #include "hornbeamwall/runtime/duty_sender.h"
 
@@ -16,13 +17,13 @@
 
 /* Heads whose first line has no status, to which a length and a body are added. */
 static const char *const odd_status_lines[] = {
-  "HTTP/1.1 000\r\n",      "HTTP/1.1 000 Odd\r\n", "HTTP/1.1 001 Odd\r\n",
-  "HTTP/1.1 099 Odd\r\n",  "HTTP/1.1 600 Odd\r\n", "HTTP/1.1 999 Odd\r\n",
-  "HTTP/1.1 0 Odd\r\n",    "HTTP/1.1 20 OK\r\n",   "HTTP/1.1 2 OK\r\n",
-  "HTTP/1.1 0200 OK\r\n",  "HTTP/1.1 2000 OK\r\n", "HTTP/1.1 +200 OK\r\n",
-  "HTTP/1.1 -200 OK\r\n",  "HTTP/1.1 2x0 OK\r\n",  "HTTP/1.1 200.1 OK\r\n",
-  "HTTP/1.1  200 OK\r\n",  "HTTP/1.1\r\n",         "HTTP/1.1 200OK\r\n",
-  "HTTP/1.1 \t200 OK\r\n", "HTTP/3.1 200 OK\r\n",  "200 OK\r\n",
+  "HTTP/1.1 000\r\n",     "HTTP/1.1 000 Odd\r\n", "HTTP/1.1 001 Odd\r\n",
+  "HTTP/1.1 099 Odd\r\n", "HTTP/1.1 600 Odd\r\n", "HTTP/1.1 999 Odd\r\n",
+  "HTTP/1.1 0 Odd\r\n",   "HTTP/1.1 20 OK\r\n",   "HTTP/1.1 2 OK\r\n",
+  "HTTP/1.1 0200 OK\r\n", "HTTP/1.1 2000 OK\r\n", "HTTP/1.1 +200 OK\r\n",
+  "HTTP/1.1 -200 OK\r\n", "HTTP/1.1 2x0 OK\r\n",  "HTTP/1.1 200.1 OK\r\n",
+  "HTTP/1.1\r\n",         "HTTP/1.1 200OK\r\n",   "HTTP/3.1 200 OK\r\n",
+  "200 OK\r\n",
 };
 
 #define WITH_LENGTH "Content-Length: 2\r\n\r\n{}"
@@ -34,6 +35,12 @@
 static const char whole_empty_head[]
     = "HTTP/1.1 204 No Content\r\nETag: \"7\"\r\n\r\n";
 
+/* A lenient reader may take these for the status 200 (RFC 9112, 4). */
+static const char *const odd_white_space[] = {
+  "HTTP/1.1  200 OK\r\n",
+  "HTTP/1.1 \t200 OK\r\n",
+};
+
 typedef void (*CheckAnswer) (OddServer *server, const char *name);
 
 static void
@@ -44,14 +51,14 @@
 }
 
 static void
-check_odd_statuses (CheckAnswer check)
+check_status_lines (const char *const *lines, gsize count, CheckAnswer check)
 {
   OddServer *server = odd_server_create ();
-  for (gsize i = 0; i < G_N_ELEMENTS (odd_status_lines); i++)
+  for (gsize i = 0; i < count; i++)
     {
-      char *text = g_strconcat (odd_status_lines[i], WITH_LENGTH, NULL);
+      char *text = g_strconcat (lines[i], WITH_LENGTH, NULL);
       answer_with (server, text, strlen (text), ODD_ANSWER_CLOSES);
-      check (server, odd_status_lines[i]);
+      check (server, lines[i]);
       char *late = g_strconcat ("HTTP/1.1 103 Early\r\n\r\n", text, NULL);
       answer_with (server, late, strlen (late), ODD_ANSWER_CLOSES);
       check (server, late);
@@ -120,7 +127,13 @@
                  name);
 }
 
-START_TEST (attempt_takes_no_odd_status) { check_odd_statuses (check_attempt); }
+START_TEST (attempt_takes_no_odd_status)
+{
+  check_status_lines (odd_status_lines, G_N_ELEMENTS (odd_status_lines),
+                      check_attempt);
+  check_status_lines (odd_white_space, G_N_ELEMENTS (odd_white_space),
+                      check_attempt);
+}
 END_TEST
 
 START_TEST (attempt_takes_no_head_that_stops)
@@ -210,7 +223,11 @@
   hbw_clock_destroy (clock);
 }
 
-START_TEST (duty_call_takes_no_odd_status) { check_odd_statuses (check_duty); }
+START_TEST (duty_call_takes_no_odd_status)
+{
+  check_status_lines (odd_status_lines, G_N_ELEMENTS (odd_status_lines), check_duty);
+  check_status_lines (odd_white_space, G_N_ELEMENTS (odd_white_space), check_duty);
+}
 END_TEST
 
 START_TEST (duty_call_takes_no_head_that_stops)
@@ -219,6 +236,50 @@
 }
 END_TEST
 
+/* --- the store ---------------------------------------------------------------- */
+
+static HbwStoreResult
+call_store (OddServer *server, gboolean keeps, gboolean writes)
+{
+  HbwError error = { HBW_ERROR_NONE, "" };
+  HbwStoreClient *client
+      = hbw_store_client_create (odd_server_address (server), &error);
+  if (keeps)
+    hbw_store_client_keep_connection (client, 0);
+  HbwStoreResponse response
+      = writes ? hbw_store_client_put (client, "o", 6, "{}", 2, &error)
+               : hbw_store_client_get (client, "o", &error);
+  g_clear_pointer (&response.body, g_bytes_unref);
+  hbw_store_client_destroy (client);
+  return response.result;
+}
+
+/* A write whose answer is none may have taken effect. */
+static void
+check_store (OddServer *server, const char *name)
+{
+  for (guint keeps = 0; keeps < 2; keeps++)
+    {
+      HbwStoreResult read = call_store (server, keeps == 1, FALSE);
+      HbwStoreResult write = call_store (server, keeps == 1, TRUE);
+      ck_assert_msg (read == HBW_STORE_FAILED, "read %d: %s", read, name);
+      ck_assert_msg (write == HBW_STORE_UNKNOWN, "write %d: %s", write, name);
+    }
+}
+
+START_TEST (store_client_takes_no_odd_status)
+{
+  check_status_lines (odd_status_lines, G_N_ELEMENTS (odd_status_lines),
+                      check_store);
+}
+END_TEST
+
+START_TEST (store_client_takes_no_head_that_stops)
+{
+  check_heads_that_stop (check_store);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -235,5 +296,9 @@
                   duty_call_takes_no_odd_status);
   suite_add_test (suite, "duty_call_takes_no_head_that_stops",
                   duty_call_takes_no_head_that_stops);
+  suite_add_test (suite, "store_client_takes_no_odd_status",
+                  store_client_takes_no_odd_status);
+  suite_add_test (suite, "store_client_takes_no_head_that_stops",
+                  store_client_takes_no_head_that_stops);
   return suite_run (suite);
 }
