Channel: a reset that a write or a look has met is no clean end

What callers could get: the part of an answer without a length before its server's reset, as whole.

Cause: the system tells of a reset once only. If a write met it first, or the look for unread bytes at a timeout, its error was dropped and the next read said that the peer had ended in order; which completes an answer without a length. A write that fails marks the connection now, as one from the buffer did before, and the look asks for the count of bytes, which leaves the reset where it is.

--- a/net/channel.c
+++ b/net/channel.c
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <unistd.h>
@@ -133,9 +134,10 @@
   return TRUE;
 }
 
-/* Returns how many of BYTES the socket has taken. */
+/* Returns how many of BYTES the socket has taken.  The system tells of a reset once
+   only, so that it is recorded here. */
 static gsize
-send_directly (const HbwChannel *channel, const char *bytes, gsize length)
+send_directly (HbwChannel *channel, const char *bytes, gsize length)
 {
   ssize_t count;
   if (channel->connecting || hbw_channel_pending_bytes (channel) > 0)
@@ -143,6 +145,8 @@
   do
     count = send (channel->watcher.fd, bytes, length, MSG_NOSIGNAL | MSG_DONTWAIT);
   while (count < 0 && errno == EINTR);
+  if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
+    channel->send_failed = TRUE;
   return count > 0 ? (gsize) count : 0;
 }
 
@@ -353,8 +357,8 @@
   hbw_byte_buffer_append (&channel->send_buffer, bytes, length);
   if (hbw_byte_blocks_length (tail) > 0)
     channel->tail = hbw_byte_blocks_ref (tail);
-  if (!channel->connecting)
-    flush_send_buffer (channel);
+  if (!channel->connecting && !flush_send_buffer (channel))
+    channel->send_failed = TRUE;
   update_events (channel);
 }
 
@@ -377,8 +381,8 @@
 gboolean
 hbw_channel_has_unread_bytes (const HbwChannel *channel)
 {
-  char byte;
-  return recv (channel->watcher.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  int count = 0; /* recv() would take a reset that the next read has to meet */
+  return ioctl (channel->watcher.fd, FIONREAD, &count) == 0 && count > 0;
 }
 
 gsize
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -385,6 +385,115 @@
 }
 END_TEST
 
+/* A connection, and another one whose first bytes come before its end and make the
+   loop write to it or look at it. */
+typedef struct
+{
+  HbwChannelHandler handler;
+  HbwChannelHandler other_handler;
+  HbwLoop *loop;
+  HbwChannel *channel;
+  void (*handle_other_bytes) (HbwChannel *channel);
+  gboolean is_clean;
+} ResetWatch;
+
+static void
+reset_watch_handle_bytes (HbwChannelHandler *handler G_GNUC_UNUSED,
+                          const char *bytes G_GNUC_UNUSED,
+                          gsize length G_GNUC_UNUSED)
+{
+}
+
+static void
+reset_watch_handle_end (HbwChannelHandler *handler, gboolean clean)
+{
+  ResetWatch *watch = caa_container_of (handler, ResetWatch, handler);
+  watch->is_clean = clean;
+  hbw_loop_stop (watch->loop);
+}
+
+static void
+reset_watch_handle_other_bytes (HbwChannelHandler *handler,
+                                const char *bytes G_GNUC_UNUSED,
+                                gsize length G_GNUC_UNUSED)
+{
+  ResetWatch *watch = caa_container_of (handler, ResetWatch, other_handler);
+  watch->handle_other_bytes (watch->channel);
+}
+
+static void
+write_byte (HbwChannel *channel)
+{
+  hbw_channel_write (channel, "x", 1);
+}
+
+static void
+write_byte_with_tail (HbwChannel *channel)
+{
+  HbwByteBlocks *tail = hbw_byte_blocks_create ();
+  hbw_channel_write_with_tail (channel, "x", 1, tail);
+  hbw_byte_blocks_unref (tail);
+}
+
+static void
+look_for_unread_bytes (HbwChannel *channel)
+{
+  hbw_channel_has_unread_bytes (channel);
+}
+
+static const HbwChannelHandlerClass reset_watch_class
+    = { .handle_bytes = reset_watch_handle_bytes,
+        .handle_end = reset_watch_handle_end };
+
+static const HbwChannelHandlerClass reset_watch_other_class
+    = { .handle_bytes = reset_watch_handle_other_bytes,
+        .handle_end = reset_watch_handle_end };
+
+static void
+check_reset_is_no_clean_end (void (*handle_other_bytes) (HbwChannel *channel))
+{
+  const struct linger reset_on_close = { 1, 0 };
+  HbwError error = { HBW_ERROR_NONE, "" };
+  HbwClock *clock = hbw_clock_create_manual (HBW_US_PER_S);
+  ResetWatch watch = { .handler = { &reset_watch_class },
+                       .other_handler = { &reset_watch_other_class },
+                       .handle_other_bytes = handle_other_bytes,
+                       .is_clean = TRUE };
+  int fds[2];
+  int other_fds[2];
+  watch.loop = hbw_loop_create (clock, NULL, &error);
+  connect_pair (fds);
+  connect_pair (other_fds);
+  watch.channel = hbw_channel_adopt (watch.loop, fds[0], &watch.handler);
+  HbwChannel *other
+      = hbw_channel_adopt (watch.loop, other_fds[0], &watch.other_handler);
+  ck_assert_int_eq (send (other_fds[1], "x", 1, 0), 1);
+  setsockopt (fds[1], SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof reset_on_close);
+  close (fds[1]);
+  hbw_loop_run (watch.loop);
+  ck_assert (!watch.is_clean);
+  hbw_channel_destroy (watch.channel);
+  hbw_channel_destroy (other);
+  close (other_fds[1]);
+  hbw_loop_destroy (watch.loop, NULL);
+  hbw_clock_destroy (clock);
+}
+
+/* Guards against a reset that is taken for an orderly end, and so completes a
+   response without a length, because a write has met it first. */
+START_TEST (reset_that_a_write_meets_is_no_clean_end)
+{
+  check_reset_is_no_clean_end (write_byte);
+  check_reset_is_no_clean_end (write_byte_with_tail);
+}
+END_TEST
+
+START_TEST (reset_that_a_look_at_the_bytes_meets_is_no_clean_end)
+{
+  check_reset_is_no_clean_end (look_for_unread_bytes);
+}
+END_TEST
+
 typedef struct
 {
   HbwUpstreamHandler handler;
@@ -781,6 +890,10 @@
                   refused_connection_tells_of_the_server_only_if_it_is_direct);
   suite_add_test (suite, "response_to_half_a_request_is_read_before_the_reset",
                   response_to_half_a_request_is_read_before_the_reset);
+  suite_add_test (suite, "reset_that_a_write_meets_is_no_clean_end",
+                  reset_that_a_write_meets_is_no_clean_end);
+  suite_add_test (suite, "reset_that_a_look_at_the_bytes_meets_is_no_clean_end",
+                  reset_that_a_look_at_the_bytes_meets_is_no_clean_end);
   suite_add_test (suite, "server_connection_idle_for_too_long_is_not_reused",
                   server_connection_idle_for_too_long_is_not_reused);
   suite_add_test (suite, "unread_peer_messages_take_little_memory",
