Log: RESPONSE_FAULTY says why an answer of a server was dropped

What was missing: of a 502 or a cut answer the log said "outcome=broken" and nothing of what the server had sent.

Change: a line for each dropped answer that had begun, with the request's id, its attempt, the server, the fault (invalid, rejected, ended, reset) and the part of the answer where it was found. The upstream reports it, as the parser knows the place.

--- a/include/hornbeamwall/net/framing.h
+++ b/include/hornbeamwall/net/framing.h
@@ -46,6 +46,9 @@
   guint64 chunk_remaining; /* bytes of the chunk that are still to come */
 } HbwFraming;
 
+/* Returns the name of the part of a message that STATE belongs to, for the log. */
+const char *hbw_framing_part_name (HbwFramingState state);
+
 /* Starts the next message: a response if IS_RESPONSE is set, otherwise a request. */
 void hbw_framing_reset (HbwFraming *framing, gboolean is_response);
 
--- a/include/hornbeamwall/net/http_parser.h
+++ b/include/hornbeamwall/net/http_parser.h
@@ -9,6 +9,7 @@
 #define HORNBEAMWALL_NET_HTTP_PARSER_H
 
 #include "hornbeamwall/net/byte_buffer.h"
+#include "hornbeamwall/net/framing.h"
 
 /* Size of a request method, in bytes, including the terminating null. */
 #define HBW_HTTP_METHOD_MAX 24
@@ -82,6 +83,10 @@
 /* Returns whether a message has begun since the last reset. */
 gboolean hbw_http_parser_has_begun (const HbwHttpParser *parser);
 
+/* Returns where in the message the last byte was, or the one that made it invalid.
+ */
+HbwFramingState hbw_http_parser_position (const HbwHttpParser *parser);
+
 /* Returns the bytes that the parser and its head occupy. */
 gsize hbw_http_parser_cost (const HbwHttpParser *parser);
 
--- a/include/hornbeamwall/net/upstream.h
+++ b/include/hornbeamwall/net/upstream.h
@@ -38,6 +38,15 @@
   HBW_UPSTREAM_BROKEN,        /* the response is incomplete or not valid */
 } HbwUpstreamEnd;
 
+/* Why a response is not passed on, wholly or in part. */
+typedef enum
+{
+  HBW_RESPONSE_FAULT_INVALID,  /* it breaks the rules of HTTP */
+  HBW_RESPONSE_FAULT_REJECTED, /* by handle_head(), or as there were too many */
+  HBW_RESPONSE_FAULT_ENDED,    /* the connection ended within it */
+  HBW_RESPONSE_FAULT_RESET,    /* the same, but not in order */
+} HbwResponseFault;
+
 /* Callbacks of an upstream; the structure is embedded in the owner's.  The upstream
    must not be used after handle_end(); handle_head() and handle_body() may cancel
    it.  On a connection that is reused, handle_open() is called before
@@ -50,6 +59,10 @@
   HbwResponseAction (*handle_head) (HbwUpstreamHandler *handler, HbwHttpHead *head);
   void (*handle_body) (HbwUpstreamHandler *handler, const char *bytes, gsize length);
   void (*handle_end) (HbwUpstreamHandler *handler, HbwUpstreamEnd end);
+  /* A response that had begun has a fault, at POSITION; handle_end() follows.  May
+     be NULL. */
+  void (*handle_fault) (HbwUpstreamHandler *handler, HbwResponseFault fault,
+                        HbwFramingState position);
 } HbwUpstreamHandlerClass;
 struct HbwUpstreamHandler
 {
--- a/net/exchange_response.c
+++ b/net/exchange_response.c
@@ -1,3 +1,4 @@
+#include "hornbeamwall/common/log.h"
 #include "hornbeamwall/core/server_check.h"
 #include "hornbeamwall/net/downstream.h"
 #include "hornbeamwall/net/exchange_state.h"
@@ -543,6 +544,25 @@
                                            &exchange->end_check_handler);
 }
 
+static void
+handle_fault (HbwUpstreamHandler *handler, HbwResponseFault fault,
+              HbwFramingState position)
+{
+  static const char *const names[] = { [HBW_RESPONSE_FAULT_INVALID] = "invalid",
+                                       [HBW_RESPONSE_FAULT_REJECTED] = "rejected",
+                                       [HBW_RESPONSE_FAULT_ENDED] = "ended",
+                                       [HBW_RESPONSE_FAULT_RESET] = "reset" };
+  const HbwExchange *exchange = exchange_of_upstream (handler);
+  char text[512];
+  g_snprintf (text, sizeof text,
+              "request=%s sequence=%" G_GUINT64_FORMAT
+              " attempt=%u server=%s fault=%s part=%s begun=%d",
+              exchange->caller_request_id, exchange->sequence, exchange->attempt,
+              exchange->server, names[fault], hbw_framing_part_name (position),
+              exchange->response_started);
+  hbw_log_write (HBW_LOG_RESPONSE_FAULTY, text);
+}
+
 static void
 handle_upstream_end (HbwUpstreamHandler *handler, HbwUpstreamEnd end)
 {
@@ -579,6 +599,7 @@
   .handle_open = handle_open,
   .handle_head = handle_head,
   .handle_body = handle_body,
+  .handle_fault = handle_fault,
   .handle_end = handle_upstream_end,
 };
 
--- a/net/framing.c
+++ b/net/framing.c
@@ -15,6 +15,30 @@
 #define STATUS_MIN 100
 #define STATUS_MAX 599
 
+const char *
+hbw_framing_part_name (HbwFramingState state)
+{
+  switch (state)
+    {
+    case HBW_FRAMING_EMPTY_LINES:
+      return "none";
+    case HBW_FRAMING_START_LINE:
+      return "version";
+    case HBW_FRAMING_STATUS:
+    case HBW_FRAMING_REASON:
+      return "status";
+    case HBW_FRAMING_FIELD_START:
+    case HBW_FRAMING_FIELD_NAME:
+    case HBW_FRAMING_FIELD_VALUE:
+    case HBW_FRAMING_HEAD_END:
+      return "field";
+    case HBW_FRAMING_BODY:
+      return "body";
+    default:
+      return "chunk";
+    }
+}
+
 void
 hbw_framing_reset (HbwFraming *framing, gboolean is_response)
 {
--- a/net/http_parser.c
+++ b/net/http_parser.c
@@ -1,7 +1,5 @@
 #include "hornbeamwall/net/http_parser.h"
 
-#include "hornbeamwall/net/framing.h"
-
 #include <http_parser.h>
 #include <string.h>
 
@@ -259,6 +257,12 @@
   return parser->begun;
 }
 
+HbwFramingState
+hbw_http_parser_position (const HbwHttpParser *parser)
+{
+  return parser->framing.state;
+}
+
 gsize
 hbw_http_parser_cost (const HbwHttpParser *parser)
 {
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -311,6 +311,18 @@
     handler->class->handle_end (handler, HBW_UPSTREAM_COMPLETE);
 }
 
+/* Ends the request, as its response has FAULT; one that has not begun has none. */
+static void
+fail_response (HbwUpstream *upstream, HbwResponseFault fault)
+{
+  HbwUpstreamHandler *handler = upstream->handler;
+  HbwFramingState position = hbw_http_parser_position (upstream->parser);
+  if (handler != NULL && handler->class->handle_fault != NULL
+      && position != HBW_FRAMING_EMPTY_LINES)
+    handler->class->handle_fault (handler, fault, position);
+  fail_request (upstream, HBW_UPSTREAM_BROKEN);
+}
+
 /* Returns whether the connection still waits for the rest of a response. */
 static gboolean
 read_response (HbwUpstream *upstream, const char *bytes, gsize length)
@@ -329,7 +341,9 @@
         }
       if (state == HBW_HTTP_PARSER_ERROR || upstream->response_rejected)
         {
-          fail_request (upstream, HBW_UPSTREAM_BROKEN);
+          fail_response (upstream, upstream->response_rejected
+                                       ? HBW_RESPONSE_FAULT_REJECTED
+                                       : HBW_RESPONSE_FAULT_INVALID);
           return FALSE;
         }
       if (state == HBW_HTTP_PARSER_INCOMPLETE)
@@ -457,8 +471,11 @@
   gboolean whole = by_server && hbw_http_parser_has_begun (upstream->parser)
                    && !upstream->skipping_response
                    && hbw_http_parser_handle_eof (upstream->parser);
-  fail_request (upstream,
-                whole ? HBW_UPSTREAM_COMPLETE_BY_CLOSE : HBW_UPSTREAM_BROKEN);
+  if (whole)
+    fail_request (upstream, HBW_UPSTREAM_COMPLETE_BY_CLOSE);
+  else
+    fail_response (upstream,
+                   by_server ? HBW_RESPONSE_FAULT_ENDED : HBW_RESPONSE_FAULT_RESET);
 }
 
 /* Handles bytes of the server.  Returns whether the connection still waits for the
--- a/tests/log_test.c
+++ b/tests/log_test.c
@@ -116,13 +116,13 @@
     }
 }
 
-/* Reads OUTPUT until it has a CONNECTION_CLOSED line with TEXT; returns the line,
-   which the caller frees. */
+/* Reads OUTPUT until it has a line of EVENT whose members begin with TEXT; returns
+   the line, which the caller frees. */
 static json_t *
-read_close (const CapturedOutput *output, const char *text)
+read_event (const CapturedOutput *output, const char *event, const char *text)
 {
   GString *lines = g_string_new (NULL);
-  char *expected = g_strdup_printf ("\"event\":\"CONNECTION_CLOSED\",%s", text);
+  char *expected = g_strdup_printf ("\"event\":\"%s\",%s", event, text);
   fcntl (output->read_fd, F_SETFL, O_NONBLOCK);
   for (guint i = 0; i < PLATFORM_FIXTURE_POLLS_MAX; i++)
     {
@@ -148,6 +148,13 @@
   return line;
 }
 
+/* The same for the end of a connection. */
+static json_t *
+read_close (const CapturedOutput *output, const char *text)
+{
+  return read_event (output, "CONNECTION_CLOSED", text);
+}
+
 /* Reads OUTPUT until it has a CONNECTION_CLOSED line with TEXT. */
 static void
 wait_for_close (const CapturedOutput *output, const char *text)
@@ -189,6 +196,50 @@
 }
 END_TEST
 
+/* Guards against a 502 of which no line tells what the server had sent. */
+START_TEST (dropped_response_is_logged_with_its_fault)
+{
+  static const struct
+  {
+    const char *text;
+    OddAnswerEnd end;
+    const char *fault;
+    const char *part;
+  } cases[] = {
+    { "HTTP/1.1 000 Odd\r\n\r\n", ODD_ANSWER_CLOSES, "invalid", "status" },
+    { "HTTP/1.1 200 OK\r\nX Odd: 1\r\n", ODD_ANSWER_CLOSES, "invalid", "field" },
+    { "HTTP/1.1 200 OK\r\n\r\n", ODD_ANSWER_CLOSES, "rejected", "body" },
+    { "HTTP/1.1 200 OK\r\nContent-Length", ODD_ANSWER_CLOSES, "ended", "field" },
+    { "HTTP/1.1 20", ODD_ANSWER_RESETS, "reset", "status" }
+  };
+  PlatformFixture *fixture = platform_fixture_create ();
+  CapturedOutput output = output_capture ();
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const OddAnswer answer = { .text = cases[i].text,
+                                 .length = strlen (cases[i].text),
+                                 .pause_us = 100000,
+                                 .end = cases[i].end };
+      for (guint j = 0; j < PLATFORM_FIXTURE_SERVERS; j++)
+        replica_set_odd_answer (fixture->replicas[j], &answer);
+      char *path = g_strdup_printf ("/unsafe/%u/odd", i);
+      raw_response_check (platform_fixture_post (fixture, path, API_KEY_FIELD, "b"),
+                          502, NULL);
+      json_t *line = read_event (&output, "RESPONSE_FAULTY", "\"request\":\"id");
+      ck_assert_str_eq (json_string_value (json_object_get (line, "fault")),
+                        cases[i].fault);
+      ck_assert_str_eq (json_string_value (json_object_get (line, "part")),
+                        cases[i].part);
+      ck_assert (g_str_has_prefix (
+          json_string_value (json_object_get (line, "server")), "i-"));
+      json_decref (line);
+      g_free (path);
+    }
+  platform_fixture_destroy (fixture);
+  output_restore (&output);
+}
+END_TEST
+
 #define REQUEST_WITH_ID(path, id)                                                   \
   "POST " path " HTTP/1.1\r\nHost: h.example\r\nX-Hornbeamwall-Attempt-Id: " id     \
   "\r\n" API_KEY_FIELD "Content-Length: 0\r\n"
@@ -339,6 +390,7 @@
   TCase *tests = tcase_create ("log");
   tcase_set_timeout (tests, 0);
   tcase_add_test (tests, unread_output_does_not_block_requests);
+  tcase_add_test (tests, dropped_response_is_logged_with_its_fault);
   tcase_add_test (tests, closed_connection_is_logged_with_what_was_read);
   tcase_add_test (tests, closed_connection_is_logged_with_what_was_written);
   tcase_add_test (tests, closed_connection_is_logged_with_what_was_left);
