--- a/net/framing.c
+++ b/net/framing.c
@@ -9,8 +9,9 @@
 /* Characters of a field name besides letters and digits (RFC 9110, token). */
 #define TOKEN_PUNCTUATION "!#$%&'*+-.^_`|~"
 
-/* A status has three digits, the first of which names its class (RFC 9110, 15). */
 #define STATUS_LINE_START "HTTP/"
+
+/* A status has three digits, the first of which names its class (RFC 9110, 15). */
 #define STATUS_DIGITS 3
 #define STATUS_MIN 100
 #define STATUS_MAX 599
--- a/tests/odd_client_test.c
+++ b/tests/odd_client_test.c
@@ -180,6 +180,7 @@
     "2\r\n{}\r\n0\r\n\r\n",
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
     "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+    "HTTP/1.1 103 Early\r\nContent-Length: 0\r\n\r\n",
   };
   check_odd_attempts (texts, G_N_ELEMENTS (texts));
 }
