odd_answer_test: each form of answer is shown to be sound but for its oddity

The chunk of the form with events named two bytes more than it had, so that its cases would have failed for that, and proved nothing of the status. The size is right, and each_form_is_an_answer sends every form with nothing odd in it, which has to reach the caller as whole.

--- a/tests/odd_answer_test.c
+++ b/tests/odd_answer_test.c
@@ -23,7 +23,7 @@
   "Transfer-Encoding: chunked\r\n\r\n8\r\n" ODD_MARK "\r\n0\r\n\r\n"
 #define WITH_EVENTS                                                                 \
   "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"           \
-  "19\r\nid: 1\ndata: " ODD_MARK "\n\n\n\r\n0\r\n\r\n"
+  "17\r\nid: 1\ndata: " ODD_MARK "\n\n\n\r\n0\r\n\r\n"
 
 #define INTERIM "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 
@@ -156,6 +156,36 @@
 }
 END_TEST
 
+/* The forms that the tests of odd answers use are answers if nothing else is odd. */
+START_TEST (each_form_is_an_answer)
+{
+  static const char *const texts[]
+      = { "HTTP/1.1 200 OK\r\n" OWN_FIELDS WITH_LENGTH,
+          "HTTP/1.1 200 OK\r\n" OWN_FIELDS WITH_CLOSE,
+          "HTTP/1.1 200 OK\r\n" OWN_FIELDS WITH_CHUNKS,
+          "HTTP/1.1 200 OK\r\n" OWN_FIELDS WITH_EVENTS,
+          INTERIM "HTTP/1.1 200 OK\r\n" OWN_FIELDS WITH_LENGTH,
+          "HTTP/1.1 200 OK\r\n" OWN_FIELDS "Transfer-Encoding: chunked\r\n\r\n"
+          "8\r\n" ODD_MARK "\r\n0\r\nX-Sound: 1\r\n\r\n" };
+  PlatformFixture *fixture = platform_fixture_create ();
+  for (gsize i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      const OddAnswer answer = { .text = texts[i],
+                                 .length = strlen (texts[i]),
+                                 .end = ODD_ANSWER_CLOSES };
+      char *path = make_path ("unsafe", "odd");
+      set_odd_answer (fixture, &answer);
+      RawResponse response
+          = platform_fixture_post (fixture, path, API_KEY_FIELD, "b");
+      ck_assert_msg (raw_response_is_complete (response.text), "%s: %s", texts[i],
+                     response.text);
+      raw_response_check (response, 200, ODD_MARK);
+      g_free (path);
+    }
+  platform_fixture_destroy (fixture);
+}
+END_TEST
+
 /* A status of each class is passed on as it is. */
 START_TEST (unusual_status_is_an_answer)
 {
@@ -428,6 +458,7 @@
                   status_that_is_none_is_no_answer);
   suite_add_test (suite, "status_that_is_none_after_an_interim_answer_is_no_answer",
                   status_that_is_none_after_an_interim_answer_is_no_answer);
+  suite_add_test (suite, "each_form_is_an_answer", each_form_is_an_answer);
   suite_add_test (suite, "unusual_status_is_an_answer", unusual_status_is_an_answer);
   suite_add_test (suite, "odd_field_line_is_no_answer", odd_field_line_is_no_answer);
   suite_add_test (suite, "odd_trailer_line_is_no_answer",
