Orders: a response without a valid status confirms no order

What operators could see (native interface): an order to a server counted as confirmed, and was not sent again, after a response of "HTTP/3.1 200 OK", which the store client refused already. Nothing of it reaches callers.

Cause: three places read a status through neon, and each made its own sense of it. They ask one function now (net/response_status.c): the store client, orders to servers, and the command line, which names such a response as the error.

Evidence: order_is_not_confirmed_by_an_odd_status failed on the code before and passes; order_is_not_confirmed_by_a_head_that_stops and order_is_confirmed_by_a_sound_answer passed on both. The command line has no test of it.

--- a/hornbeamwall/client.c
+++ b/hornbeamwall/client.c
@@ -2,6 +2,7 @@
 
 #include "hornbeamwall/commands.h"
 #include "hornbeamwall/common/address.h"
+#include "hornbeamwall/net/response_status.h"
 
 #include <neon/ne_request.h>
 #include <neon/ne_session.h>
@@ -58,12 +59,14 @@
   add_headers (request, options, body, if_match);
   GString *text = g_string_new (NULL);
   ne_add_response_body_reader (request, ne_accept_always, append_body, text);
-  gboolean has_response = ne_request_dispatch (request) == NE_OK;
-  if (has_response)
-    {
-      response->http_status = ne_get_status (request)->code;
-      response->etag = g_strdup (ne_get_response_header (request, "ETag"));
-    }
+  gboolean is_read = ne_request_dispatch (request) == NE_OK;
+  response->http_status = is_read ? (int) hbw_response_status (request) : 0;
+  if (response->http_status != 0)
+    response->etag = g_strdup (ne_get_response_header (request, "ETag"));
+  else if (is_read)
+    hbw_error_set (error, HBW_ERROR_NETWORK,
+                   "%s: a response without a valid status; check the address",
+                   options->address);
   else
     hbw_error_set (error, HBW_ERROR_NETWORK,
                    "%s: %s; check the address and that the instance is running",
@@ -71,7 +74,7 @@
   response->body = g_string_free (text, FALSE);
   ne_request_destroy (request);
   ne_session_destroy (session);
-  return has_response;
+  return response->http_status != 0;
 }
 
 void
--- a/net/server_orders.c
+++ b/net/server_orders.c
@@ -3,6 +3,7 @@
 #include "hornbeamwall/common/address.h"
 #include "hornbeamwall/common/log.h"
 #include "hornbeamwall/core/directory.h"
+#include "hornbeamwall/net/response_status.h"
 #include "hornbeamwall/runtime/watch.h"
 
 #include <jansson.h>
@@ -172,7 +173,7 @@
    failure. */
 static gboolean
 send_order (HbwServerOrders *orders, const char *address, const char *text,
-            int *status)
+            guint *status)
 {
   HbwHostPort host_port;
   if (!hbw_address_parse (address, &host_port))
@@ -191,7 +192,7 @@
       ne_print_request_header (request, "X-Fencing-Number", "%" G_GUINT64_FORMAT,
                                number);
       *status = ne_request_dispatch (request) == NE_OK
-                    ? ne_get_status (request)->code
+                    ? hbw_response_status (request)
                     : 0;
     }
   ne_request_destroy (request);
@@ -215,7 +216,7 @@
   gboolean was_sent = FALSE;
   if (g_strcmp0 (g_hash_table_lookup (orders->confirmed_orders, key), text) != 0)
     {
-      int status = 0;
+      guint status = 0;
       was_sent = send_order (orders, address, text, &status);
       if (was_sent)
         hbw_log_write (status == 200 ? HBW_LOG_ORDER_SENT : HBW_LOG_ORDER_REFUSED,
--- a/net/store_client.c
+++ b/net/store_client.c
@@ -1,7 +1,7 @@
 #include "hornbeamwall/net/store_client.h"
 
 #include "hornbeamwall/common/address.h"
-#include "hornbeamwall/net/framing.h"
+#include "hornbeamwall/net/response_status.h"
 
 #include <neon/ne_request.h>
 #include <neon/ne_session.h>
@@ -100,7 +100,7 @@
 }
 
 static HbwStoreResult
-result_of_status (int status)
+result_of_status (guint status)
 {
   switch (status)
     {
@@ -121,13 +121,6 @@
     }
 }
 
-/* The library takes any number of three digits for a status, in any version. */
-static gboolean
-is_answer (const ne_status *status)
-{
-  return status->major_version == 1 && hbw_framing_is_status ((guint) status->code);
-}
-
 static ne_session *
 open_session (HbwStoreClient *client, int extra_wait_s)
 {
@@ -158,9 +151,8 @@
       request, client->reads_conflicts ? accept_result : ne_accept_2xx,
       handle_body_block, &response_body);
   int code = ne_request_dispatch (request);
-  int status = ne_get_status (request)->code;
-  gboolean has_answer = code == NE_OK && is_answer (ne_get_status (request));
-  if (has_answer)
+  guint status = code == NE_OK ? hbw_response_status (request) : 0;
+  if (status != 0)
     {
       response.result = result_of_status (status);
       response.era = get_era (client, request);
@@ -172,9 +164,13 @@
     hbw_error_set (error, HBW_ERROR_STORE,
                    "platform store: %s; try again when it answers",
                    ne_get_error (session));
-  else if (!has_answer || response.result == HBW_STORE_FAILED)
+  else if (status == 0)
+    hbw_error_set (
+        error, HBW_ERROR_STORE,
+        "platform store: a response without a valid status; check the store");
+  else if (response.result == HBW_STORE_FAILED)
     hbw_error_set (error, HBW_ERROR_STORE,
-                   "platform store: answer %d; try again later", status);
+                   "platform store: answer %u; try again later", status);
   if (response.result == HBW_STORE_OK
       || (response.result == HBW_STORE_CONFLICT && client->reads_conflicts))
     response.body = g_byte_array_free_to_bytes (response_body.body);
--- a/tests/odd_client_test.c
+++ b/tests/odd_client_test.c
@@ -4,9 +4,11 @@
  * no answer to any of them.
  */
 #include "standin/odd_server.h"
+#include "standin/store.h"
 #include "suite.h"
 
 #include "hornbeamwall/net/attempt.h"
+#include "hornbeamwall/net/server_orders.h"
 #include "hornbeamwall/net/store_client.h"
 #include "hornbeamwall/platform/duty_adapter.h"
 #include "hornbeamwall/runtime/duty_sender.h"
@@ -281,6 +283,66 @@
 }
 END_TEST
 
+/* --- orders to servers -------------------------------------------------------- */
+
+/* Returns how many orders are sent in two rounds; an order that the server has
+   confirmed in the first one is not sent again. */
+static guint
+send_orders_twice (OddServer *server)
+{
+  HbwError error = { HBW_ERROR_NONE, "" };
+  Store *store = store_create ("127.0.0.1:0");
+  HbwClock *clock = hbw_clock_create_manual (1000);
+  char *address = g_strdup_printf ("127.0.0.1:%u", store_port (store));
+  char *servers
+      = g_strdup_printf ("{\"servers\":[{\"id\":\"e\",\"data_centre\":\"a\","
+                         "\"address\":\"%s\",\"start\":1}]}",
+                         odd_server_address (server));
+  store_set (store, "servers", servers);
+  store_set (store, "hornbeamwall-orders", "{\"orders\":{\"e\":{\"model\":\"x\"}}}");
+  const HbwServerOrdersConfig config = { address, "a", 100, clock };
+  HbwServerOrders *orders = hbw_server_orders_create (&config, &error);
+  hbw_server_orders_update_lease (orders);
+  guint sent = hbw_server_orders_send (orders);
+  sent += hbw_server_orders_send (orders);
+  hbw_server_orders_destroy (orders);
+  hbw_clock_destroy (clock);
+  store_destroy (store);
+  g_free (servers);
+  g_free (address);
+  return sent;
+}
+
+static void
+check_order (OddServer *server, const char *name)
+{
+  guint sent = send_orders_twice (server);
+  ck_assert_msg (sent == 2, "%u: %s", sent, name);
+}
+
+START_TEST (order_is_not_confirmed_by_an_odd_status)
+{
+  check_status_lines (odd_status_lines, G_N_ELEMENTS (odd_status_lines),
+                      check_order);
+}
+END_TEST
+
+START_TEST (order_is_not_confirmed_by_a_head_that_stops)
+{
+  check_heads_that_stop (check_order);
+}
+END_TEST
+
+START_TEST (order_is_confirmed_by_a_sound_answer)
+{
+  static const char text[] = "HTTP/1.1 200 OK\r\n" WITH_LENGTH;
+  OddServer *server = odd_server_create ();
+  answer_with (server, text, strlen (text), ODD_ANSWER_CLOSES);
+  ck_assert_uint_eq (send_orders_twice (server), 1);
+  odd_server_destroy (server);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -301,5 +363,11 @@
                   store_client_takes_no_odd_status);
   suite_add_test (suite, "store_client_takes_no_head_that_stops",
                   store_client_takes_no_head_that_stops);
+  suite_add_test (suite, "order_is_not_confirmed_by_an_odd_status",
+                  order_is_not_confirmed_by_an_odd_status);
+  suite_add_test (suite, "order_is_not_confirmed_by_a_head_that_stops",
+                  order_is_not_confirmed_by_a_head_that_stops);
+  suite_add_test (suite, "order_is_confirmed_by_a_sound_answer",
+                  order_is_confirmed_by_a_sound_answer);
   return suite_run (suite);
 }
