--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -118,7 +118,7 @@
      "request.",                                                                    \
      "See cause; state tells what had been read from it since the last response.")  \
   X (6017, RESPONSE_FAULTY, WARN,                                                   \
-     "A backend server's response is not passed on, or not to its end.",            \
+     "A backend server's response was malformed, rejected or cut off.",             \
      "Check the backend server; fault and part tell what was wrong, and where.")    \
   X (6001, REQUEST_SUSPECT, INFO,                                                   \
      "A request was in progress when its backend server failed.", "Nothing.")       \
--- a/include/hornbeamwall/net/framing.h
+++ b/include/hornbeamwall/net/framing.h
@@ -57,16 +57,16 @@
 gboolean hbw_framing_check_head (HbwFraming *framing, const char *bytes,
                                  gsize length, gsize *used);
 
-/* Checks a line of a response's head, with its CR and LF, that a library has split
-   off. A status line begins a head, also after that of an interim response; lines
-   after the head are not looked at.  Returns FALSE if it is not well formed. */
+/* Checks one line of a response's head, including CR LF, as an HTTP library delivers
+   it.  A status line begins a new head, as after an interim response; lines after
+   the head are ignored.  Returns FALSE if the line is not well formed. */
 gboolean hbw_framing_check_head_line (HbwFraming *framing, const char *line,
                                       gsize length);
 
-/* Returns whether the empty line that ends the head was checked. */
+/* Returns whether the head is complete, with the empty line that ends it. */
 gboolean hbw_framing_is_head_complete (const HbwFraming *framing);
 
-/* Returns whether STATUS is one of HTTP. */
+/* Returns whether STATUS is a valid status code (RFC 9110, 15). */
 gboolean hbw_framing_is_status (guint status);
 
 /* Returns whether a message of the version in the head can be chunked (RFC 9112,
--- a/include/hornbeamwall/net/http_parser.h
+++ b/include/hornbeamwall/net/http_parser.h
@@ -83,8 +83,7 @@
 /* Returns whether a message has begun since the last reset. */
 gboolean hbw_http_parser_has_begun (const HbwHttpParser *parser);
 
-/* Returns where in the message the last byte was, or the one that made it invalid.
- */
+/* Returns the part of the message at which parsing stopped. */
 HbwFramingState hbw_http_parser_position (const HbwHttpParser *parser);
 
 /* Returns the bytes that the parser and its head occupy. */
--- a/include/hornbeamwall/net/upstream.h
+++ b/include/hornbeamwall/net/upstream.h
@@ -38,13 +38,13 @@
   HBW_UPSTREAM_BROKEN,        /* the response is incomplete or not valid */
 } HbwUpstreamEnd;
 
-/* Why a response is not passed on, wholly or in part. */
+/* Why a response is dropped, or only its beginning is forwarded. */
 typedef enum
 {
-  HBW_RESPONSE_FAULT_INVALID,  /* it breaks the rules of HTTP */
-  HBW_RESPONSE_FAULT_REJECTED, /* by handle_head(), or as there were too many */
+  HBW_RESPONSE_FAULT_INVALID,  /* it is malformed */
+  HBW_RESPONSE_FAULT_REJECTED, /* by handle_head(), or there were too many to skip */
   HBW_RESPONSE_FAULT_ENDED,    /* the connection ended within it */
-  HBW_RESPONSE_FAULT_RESET,    /* the same, but not in order */
+  HBW_RESPONSE_FAULT_RESET,    /* the connection was reset or lost within it */
 } HbwResponseFault;
 
 /* Callbacks of an upstream; the structure is embedded in the owner's.  The upstream
@@ -59,8 +59,8 @@
   HbwResponseAction (*handle_head) (HbwUpstreamHandler *handler, HbwHttpHead *head);
   void (*handle_body) (HbwUpstreamHandler *handler, const char *bytes, gsize length);
   void (*handle_end) (HbwUpstreamHandler *handler, HbwUpstreamEnd end);
-  /* A response that had begun has a fault, at POSITION; handle_end() follows.  May
-     be NULL. */
+  /* A response that had begun failed with FAULT at POSITION; handle_end() follows.
+     Optional. */
   void (*handle_fault) (HbwUpstreamHandler *handler, HbwResponseFault fault,
                         HbwFramingState position);
 } HbwUpstreamHandlerClass;
--- a/net/attempt.c
+++ b/net/attempt.c
@@ -400,22 +400,22 @@
   return attempt->not_executed && (status == 429 || status == 503);
 }
 
-/* Returns whether the end of the body is the same for every reader.  libcurl prefers
-   chunks to a length, in any version, and the last length to those before. */
+/* Returns whether the length of the body is unambiguous.  libcurl prefers chunks to
+   a length, in any version, and the last length to those before. */
 static gboolean
-has_sound_framing (const HbwAttempt *attempt)
+has_valid_framing (const HbwAttempt *attempt)
 {
   if (!attempt->chunked)
     return !attempt->has_two_lengths;
   return !attempt->has_length && hbw_framing_allows_chunks (&attempt->framing);
 }
 
-/* libcurl takes the end of the connection for that of the head. */
+/* libcurl accepts a head that is cut off by the end of the connection. */
 static gboolean
-has_sound_head (const HbwAttempt *attempt)
+has_valid_head (const HbwAttempt *attempt)
 {
   return hbw_framing_is_head_complete (&attempt->framing)
-         && has_sound_framing (attempt);
+         && has_valid_framing (attempt);
 }
 
 static HbwOutcome
@@ -430,7 +430,7 @@
   if (attempt->timed_out)
     return HBW_OUTCOME_TIMED_OUT;
   if (attempt->curl_code != CURLE_OK || attempt->id_mismatch
-      || !has_sound_head (attempt))
+      || !has_valid_head (attempt))
     return HBW_OUTCOME_BROKEN;
   if (is_refusal (attempt))
     return HBW_OUTCOME_REFUSED;
--- a/net/channel.c
+++ b/net/channel.c
@@ -134,8 +134,8 @@
   return TRUE;
 }
 
-/* Returns how many of BYTES the socket has taken.  The system tells of a reset once
-   only, so that it is recorded here. */
+/* Returns how many of BYTES the socket has taken.  The kernel reports a reset only
+   once, so it is recorded for the next read. */
 static gsize
 send_directly (HbwChannel *channel, const char *bytes, gsize length)
 {
@@ -381,7 +381,7 @@
 gboolean
 hbw_channel_has_unread_bytes (const HbwChannel *channel)
 {
-  int count = 0; /* recv() would take a reset that the next read has to meet */
+  int count = 0; /* recv() would clear a pending socket error */
   return ioctl (channel->watcher.fd, FIONREAD, &count) == 0 && count > 0;
 }
 
--- a/net/upstream.c
+++ b/net/upstream.c
@@ -311,7 +311,8 @@
     handler->class->handle_end (handler, HBW_UPSTREAM_COMPLETE);
 }
 
-/* Ends the request, as its response has FAULT; one that has not begun has none. */
+/* Ends the request because its response failed.  FAULT is reported only if a byte of
+   the response had arrived. */
 static void
 fail_response (HbwUpstream *upstream, HbwResponseFault fault)
 {
--- a/runtime/duty_sender.c
+++ b/runtime/duty_sender.c
@@ -48,9 +48,9 @@
 check_header (char *line, size_t size, size_t count, void *data)
 {
   Sending *sending = data;
-  gboolean is_sound
+  gboolean is_valid
       = hbw_framing_check_head_line (&sending->framing, line, size * count);
-  return is_sound ? size * count : 0;
+  return is_valid ? size * count : 0; /* fails the transfer */
 }
 
 /* Only the status of a response counts. */
@@ -104,8 +104,7 @@
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, drop_body);
 }
 
-/* The status is enough, also if the body does not end; but not if the head does not.
- */
+/* The status is enough once the head is complete, even if the body is cut off. */
 static HbwDutyOutcome
 find_outcome (CURL *easy, const Sending *sending)
 {
