--- a/tests/log_test.c
+++ b/tests/log_test.c
@@ -202,27 +202,29 @@
   static const struct
   {
     const char *text;
-    OddAnswerEnd end;
+    CannedResponseEnd end;
     const char *fault;
     const char *part;
-  } cases[] = {
-    { "HTTP/1.1 000 Odd\r\n\r\n", ODD_ANSWER_CLOSES, "invalid", "status" },
-    { "HTTP/1.1 200 OK\r\nX Odd: 1\r\n", ODD_ANSWER_CLOSES, "invalid", "field" },
-    { "HTTP/1.1 200 OK\r\n\r\n", ODD_ANSWER_CLOSES, "rejected", "body" },
-    { "HTTP/1.1 200 OK\r\nContent-Length", ODD_ANSWER_CLOSES, "ended", "field" },
-    { "HTTP/1.1 20", ODD_ANSWER_RESETS, "reset", "status" }
-  };
+  } cases[]
+      = { { "HTTP/1.1 000 Odd\r\n\r\n", CANNED_RESPONSE_CLOSES, "invalid",
+            "status" },
+          { "HTTP/1.1 200 OK\r\nX Odd: 1\r\n", CANNED_RESPONSE_CLOSES, "invalid",
+            "field" },
+          { "HTTP/1.1 200 OK\r\n\r\n", CANNED_RESPONSE_CLOSES, "rejected", "body" },
+          { "HTTP/1.1 200 OK\r\nContent-Length", CANNED_RESPONSE_CLOSES, "ended",
+            "field" },
+          { "HTTP/1.1 20", CANNED_RESPONSE_RESETS, "reset", "status" } };
   PlatformFixture *fixture = platform_fixture_create ();
   CapturedOutput output = output_capture ();
   for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      const OddAnswer answer = { .text = cases[i].text,
-                                 .length = strlen (cases[i].text),
-                                 .pause_us = 100000,
-                                 .end = cases[i].end };
+      const CannedResponse answer = { .text = cases[i].text,
+                                      .length = strlen (cases[i].text),
+                                      .pause_us = 100000,
+                                      .end = cases[i].end };
       for (guint j = 0; j < PLATFORM_FIXTURE_SERVERS; j++)
-        replica_set_odd_answer (fixture->replicas[j], &answer);
-      char *path = g_strdup_printf ("/unsafe/%u/odd", i);
+        replica_set_canned_response (fixture->replicas[j], &answer);
+      char *path = g_strdup_printf ("/unsafe/%u/canned", i);
       raw_response_check (platform_fixture_post (fixture, path, API_KEY_FIELD, "b"),
                           502, NULL);
       json_t *line = read_event (&output, "RESPONSE_FAULTY", "\"request\":\"id");
--- a/tests/odd_client_test.c
+++ b/tests/malformed_response_client_test.c
@@ -1,9 +1,9 @@
 /*
- * Tests of the clients that read answers through a library: attempts of the native
- * interface, calls of the duties, and the store.  What breaks the rules of HTTP is
- * no answer to any of them.
+ * Tests of the clients that read responses through a library: attempts of the native
+ * interface, calls of the duties, the store, and orders to servers.  Each of them
+ * rejects a malformed response.
  */
-#include "standin/odd_server.h"
+#include "standin/canned_server.h"
 #include "standin/store.h"
 #include "suite.h"
 
@@ -17,8 +17,8 @@
 
 #define TIMEOUT_MS 10000
 
-/* Heads whose first line has no status, to which a length and a body are added. */
-static const char *const odd_status_lines[] = {
+/* Status lines without a valid status code. */
+static const char *const invalid_status_lines[] = {
   "HTTP/1.1 000\r\n",     "HTTP/1.1 000 Odd\r\n", "HTTP/1.1 001 Odd\r\n",
   "HTTP/1.1 099 Odd\r\n", "HTTP/1.1 600 Odd\r\n", "HTTP/1.1 999 Odd\r\n",
   "HTTP/1.1 0 Odd\r\n",   "HTTP/1.1 20 OK\r\n",   "HTTP/1.1 2 OK\r\n",
@@ -30,7 +30,7 @@
 
 #define WITH_LENGTH "Content-Length: 2\r\n\r\n{}"
 
-/* A head that stops anywhere before its last byte says nothing. */
+/* Truncated anywhere before its last byte, a head says nothing. */
 static const char whole_head[] = "HTTP/1.1 200 OK\r\nETag: \"7\"\r\n"
                                  "Content-Type: application/json\r\n"
                                  "Content-Length: 0\r\n\r\n";
@@ -38,68 +38,71 @@
     = "HTTP/1.1 204 No Content\r\nETag: \"7\"\r\n\r\n";
 
 /* A lenient reader may take these for the status 200 (RFC 9112, 4). */
-static const char *const odd_white_space[] = {
+static const char *const lenient_status_lines[] = {
   "HTTP/1.1  200 OK\r\n",
   "HTTP/1.1 \t200 OK\r\n",
 };
 
-typedef void (*CheckAnswer) (OddServer *server, const char *name);
+typedef void (*CheckAnswer) (CannedServer *server, const char *name);
 
 static void
-answer_with (OddServer *server, const char *text, gsize length, OddAnswerEnd end)
+answer_with (CannedServer *server, const char *text, gsize length,
+             CannedResponseEnd end)
 {
-  const OddAnswer answer = { .text = text, .length = length, .end = end };
-  odd_server_set_answer (server, &answer);
+  const CannedResponse answer = { .text = text, .length = length, .end = end };
+  canned_server_set_answer (server, &answer);
 }
 
 static void
 check_status_lines (const char *const *lines, gsize count, CheckAnswer check)
 {
-  OddServer *server = odd_server_create ();
+  CannedServer *server = canned_server_create ();
   for (gsize i = 0; i < count; i++)
     {
       char *text = g_strconcat (lines[i], WITH_LENGTH, NULL);
-      answer_with (server, text, strlen (text), ODD_ANSWER_CLOSES);
+      answer_with (server, text, strlen (text), CANNED_RESPONSE_CLOSES);
       check (server, lines[i]);
       char *late = g_strconcat ("HTTP/1.1 103 Early\r\n\r\n", text, NULL);
-      answer_with (server, late, strlen (late), ODD_ANSWER_CLOSES);
+      answer_with (server, late, strlen (late), CANNED_RESPONSE_CLOSES);
       check (server, late);
       g_free (late);
       g_free (text);
     }
-  odd_server_destroy (server);
+  canned_server_destroy (server);
 }
 
 static void
-check_heads_that_stop (CheckAnswer check)
+check_truncated_heads (CheckAnswer check)
 {
   static const char *const heads[] = { whole_head, whole_empty_head };
-  OddServer *server = odd_server_create ();
+  CannedServer *server = canned_server_create ();
   for (gsize i = 0; i < G_N_ELEMENTS (heads); i++)
     for (gsize length = 0; length < strlen (heads[i]); length++)
       {
         char *name = g_strndup (heads[i], length);
         answer_with (server, heads[i], length,
-                     length % 2 == 0 ? ODD_ANSWER_CLOSES : ODD_ANSWER_RESETS);
+                     length % 2 == 0 ? CANNED_RESPONSE_CLOSES
+                                     : CANNED_RESPONSE_RESETS);
         check (server, name);
         answer_with (server, heads[i], length,
-                     length % 2 == 0 ? ODD_ANSWER_RESETS : ODD_ANSWER_CLOSES);
+                     length % 2 == 0 ? CANNED_RESPONSE_RESETS
+                                     : CANNED_RESPONSE_CLOSES);
         check (server, name);
         g_free (name);
       }
-  odd_server_destroy (server);
+  canned_server_destroy (server);
 }
 
 /* --- attempts of the native interface ---------------------------------------- */
 
 static HbwOutcome
-run_attempt (OddServer *server, const char *method)
+run_attempt (CannedServer *server, const char *method)
 {
   HbwAttemptEnd end = { .response_started = FALSE };
   HbwClock *clock = hbw_clock_create_system ();
   HbwMailbox *mailbox = hbw_mailbox_create (1);
   const HbwAttemptConfig config = { .method = method,
-                                    .address = odd_server_address (server),
+                                    .address = canned_server_address (server),
                                     .path = "/",
                                     .body = "b",
                                     .body_length = strcmp (method, "POST") == 0,
@@ -122,43 +125,43 @@
 }
 
 static void
-check_attempt (OddServer *server, const char *name)
+check_attempt (CannedServer *server, const char *name)
 {
   ck_assert_msg (run_attempt (server, "POST") == HBW_OUTCOME_BROKEN, "%s", name);
   ck_assert_msg (run_attempt (server, "HEAD") == HBW_OUTCOME_BROKEN, "HEAD: %s",
                  name);
 }
 
-START_TEST (attempt_takes_no_odd_status)
+START_TEST (attempt_rejects_invalid_status)
 {
-  check_status_lines (odd_status_lines, G_N_ELEMENTS (odd_status_lines),
+  check_status_lines (invalid_status_lines, G_N_ELEMENTS (invalid_status_lines),
                       check_attempt);
-  check_status_lines (odd_white_space, G_N_ELEMENTS (odd_white_space),
+  check_status_lines (lenient_status_lines, G_N_ELEMENTS (lenient_status_lines),
                       check_attempt);
 }
 END_TEST
 
-START_TEST (attempt_takes_no_head_that_stops)
+START_TEST (attempt_rejects_truncated_head)
 {
-  check_heads_that_stop (check_attempt);
+  check_truncated_heads (check_attempt);
 }
 END_TEST
 
-/* Checks COUNT answers of which each is odd. */
+/* Checks that each of COUNT responses is rejected. */
 static void
-check_odd_attempts (const char *const *texts, gsize count)
+check_rejected_attempts (const char *const *texts, gsize count)
 {
-  OddServer *server = odd_server_create ();
+  CannedServer *server = canned_server_create ();
   for (gsize i = 0; i < count; i++)
     {
-      answer_with (server, texts[i], strlen (texts[i]), ODD_ANSWER_CLOSES);
+      answer_with (server, texts[i], strlen (texts[i]), CANNED_RESPONSE_CLOSES);
       ck_assert_msg (run_attempt (server, "POST") == HBW_OUTCOME_BROKEN, "%s",
                      texts[i]);
     }
-  odd_server_destroy (server);
+  canned_server_destroy (server);
 }
 
-START_TEST (attempt_takes_no_odd_field_line)
+START_TEST (attempt_rejects_invalid_field_line)
 {
   static const char *const texts[] = {
     "HTTP/1.1 200 OK\r\nX Odd: 1\r\n" WITH_LENGTH,
@@ -167,11 +170,11 @@
     "HTTP/1.1 200 OK\r\nX-Odd\r\n" WITH_LENGTH,
     "HTTP/1.1 200 OK\r\n X-Odd: 1\r\n" WITH_LENGTH,
   };
-  check_odd_attempts (texts, G_N_ELEMENTS (texts));
+  check_rejected_attempts (texts, G_N_ELEMENTS (texts));
 }
 END_TEST
 
-START_TEST (attempt_takes_no_odd_framing)
+START_TEST (attempt_rejects_ambiguous_framing)
 {
   static const char *const texts[] = {
     "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
@@ -184,11 +187,11 @@
     "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
     "HTTP/1.1 103 Early\r\nContent-Length: 0\r\n\r\n",
   };
-  check_odd_attempts (texts, G_N_ELEMENTS (texts));
+  check_rejected_attempts (texts, G_N_ELEMENTS (texts));
 }
 END_TEST
 
-START_TEST (attempt_takes_sound_answers)
+START_TEST (attempt_accepts_valid_responses)
 {
   static const char *const texts[]
       = { "HTTP/1.1 200 OK\r\n" WITH_LENGTH,
@@ -199,25 +202,25 @@
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"
           "0\r\nX-Trailer: 1\r\n\r\n",
           "HTTP/1.1 204 No Content\r\n\r\n" };
-  OddServer *server = odd_server_create ();
+  CannedServer *server = canned_server_create ();
   for (gsize i = 0; i < G_N_ELEMENTS (texts); i++)
     {
-      answer_with (server, texts[i], strlen (texts[i]), ODD_ANSWER_CLOSES);
+      answer_with (server, texts[i], strlen (texts[i]), CANNED_RESPONSE_CLOSES);
       ck_assert_msg (run_attempt (server, "POST") == HBW_OUTCOME_COMPLETE, "%s",
                      texts[i]);
     }
-  odd_server_destroy (server);
+  canned_server_destroy (server);
 }
 END_TEST
 
 /* --- calls of the duties ------------------------------------------------------ */
 
 static void
-check_duty (OddServer *server, const char *name)
+check_duty (CannedServer *server, const char *name)
 {
   HbwClock *clock = hbw_clock_create_system ();
   const HbwDutySender sender
-      = { hbw_platform_duty_adapter (), odd_server_address (server), "i1", clock,
+      = { hbw_platform_duty_adapter (), canned_server_address (server), "i1", clock,
           TIMEOUT_MS * HBW_US_PER_MS };
   HbwSendDutyCall send = { .fencing_token = 1, .send_before_us = G_MAXINT64 };
   send.call.kind = HBW_DUTY_CALL_ORDER;
@@ -226,27 +229,26 @@
   hbw_clock_destroy (clock);
 }
 
-START_TEST (duty_call_takes_no_odd_status)
+START_TEST (duty_call_rejects_invalid_status)
 {
-  check_status_lines (odd_status_lines, G_N_ELEMENTS (odd_status_lines), check_duty);
-  check_status_lines (odd_white_space, G_N_ELEMENTS (odd_white_space), check_duty);
+  check_status_lines (invalid_status_lines, G_N_ELEMENTS (invalid_status_lines),
+                      check_duty);
+  check_status_lines (lenient_status_lines, G_N_ELEMENTS (lenient_status_lines),
+                      check_duty);
 }
 END_TEST
 
-START_TEST (duty_call_takes_no_head_that_stops)
-{
-  check_heads_that_stop (check_duty);
-}
+START_TEST (duty_call_rejects_truncated_head) { check_truncated_heads (check_duty); }
 END_TEST
 
 /* --- the store ---------------------------------------------------------------- */
 
 static HbwStoreResult
-call_store (OddServer *server, gboolean keeps, gboolean writes)
+call_store (CannedServer *server, gboolean keeps, gboolean writes)
 {
   HbwError error = { HBW_ERROR_NONE, "" };
   HbwStoreClient *client
-      = hbw_store_client_create (odd_server_address (server), &error);
+      = hbw_store_client_create (canned_server_address (server), &error);
   if (keeps)
     hbw_store_client_keep_connection (client, 0);
   HbwStoreResponse response
@@ -257,9 +259,9 @@
   return response.result;
 }
 
-/* A write whose answer is none may have taken effect. */
+/* A write whose response is malformed may have taken effect. */
 static void
-check_store (OddServer *server, const char *name)
+check_store (CannedServer *server, const char *name)
 {
   for (guint keeps = 0; keeps < 2; keeps++)
     {
@@ -270,16 +272,16 @@
     }
 }
 
-START_TEST (store_client_takes_no_odd_status)
+START_TEST (store_client_rejects_invalid_status)
 {
-  check_status_lines (odd_status_lines, G_N_ELEMENTS (odd_status_lines),
+  check_status_lines (invalid_status_lines, G_N_ELEMENTS (invalid_status_lines),
                       check_store);
 }
 END_TEST
 
-START_TEST (store_client_takes_no_head_that_stops)
+START_TEST (store_client_rejects_truncated_head)
 {
-  check_heads_that_stop (check_store);
+  check_truncated_heads (check_store);
 }
 END_TEST
 
@@ -288,7 +290,7 @@
 /* Returns how many orders are sent in two rounds; an order that the server has
    confirmed in the first one is not sent again. */
 static guint
-send_orders_twice (OddServer *server)
+send_orders_twice (CannedServer *server)
 {
   HbwError error = { HBW_ERROR_NONE, "" };
   Store *store = store_create ("127.0.0.1:0");
@@ -297,7 +299,7 @@
   char *servers
       = g_strdup_printf ("{\"servers\":[{\"id\":\"e\",\"data_centre\":\"a\","
                          "\"address\":\"%s\",\"start\":1}]}",
-                         odd_server_address (server));
+                         canned_server_address (server));
   store_set (store, "servers", servers);
   store_set (store, "hornbeamwall-orders", "{\"orders\":{\"e\":{\"model\":\"x\"}}}");
   const HbwServerOrdersConfig config = { address, "a", 100, clock };
@@ -314,60 +316,62 @@
 }
 
 static void
-check_order (OddServer *server, const char *name)
+check_order (CannedServer *server, const char *name)
 {
   guint sent = send_orders_twice (server);
   ck_assert_msg (sent == 2, "%u: %s", sent, name);
 }
 
-START_TEST (order_is_not_confirmed_by_an_odd_status)
+START_TEST (order_is_not_confirmed_by_invalid_status)
 {
-  check_status_lines (odd_status_lines, G_N_ELEMENTS (odd_status_lines),
+  check_status_lines (invalid_status_lines, G_N_ELEMENTS (invalid_status_lines),
                       check_order);
 }
 END_TEST
 
-START_TEST (order_is_not_confirmed_by_a_head_that_stops)
+START_TEST (order_is_not_confirmed_by_truncated_head)
 {
-  check_heads_that_stop (check_order);
+  check_truncated_heads (check_order);
 }
 END_TEST
 
-START_TEST (order_is_confirmed_by_a_sound_answer)
+START_TEST (order_is_confirmed_by_valid_response)
 {
   static const char text[] = "HTTP/1.1 200 OK\r\n" WITH_LENGTH;
-  OddServer *server = odd_server_create ();
-  answer_with (server, text, strlen (text), ODD_ANSWER_CLOSES);
+  CannedServer *server = canned_server_create ();
+  answer_with (server, text, strlen (text), CANNED_RESPONSE_CLOSES);
   ck_assert_uint_eq (send_orders_twice (server), 1);
-  odd_server_destroy (server);
+  canned_server_destroy (server);
 }
 END_TEST
 
 int
 main (void)
 {
-  Suite *suite = suite_create ("odd_client");
-  suite_add_test (suite, "attempt_takes_no_odd_status", attempt_takes_no_odd_status);
-  suite_add_test (suite, "attempt_takes_no_head_that_stops",
-                  attempt_takes_no_head_that_stops);
-  suite_add_test (suite, "attempt_takes_no_odd_field_line",
-                  attempt_takes_no_odd_field_line);
-  suite_add_test (suite, "attempt_takes_no_odd_framing",
-                  attempt_takes_no_odd_framing);
-  suite_add_test (suite, "attempt_takes_sound_answers", attempt_takes_sound_answers);
-  suite_add_test (suite, "duty_call_takes_no_odd_status",
-                  duty_call_takes_no_odd_status);
-  suite_add_test (suite, "duty_call_takes_no_head_that_stops",
-                  duty_call_takes_no_head_that_stops);
-  suite_add_test (suite, "store_client_takes_no_odd_status",
-                  store_client_takes_no_odd_status);
-  suite_add_test (suite, "store_client_takes_no_head_that_stops",
-                  store_client_takes_no_head_that_stops);
-  suite_add_test (suite, "order_is_not_confirmed_by_an_odd_status",
-                  order_is_not_confirmed_by_an_odd_status);
-  suite_add_test (suite, "order_is_not_confirmed_by_a_head_that_stops",
-                  order_is_not_confirmed_by_a_head_that_stops);
-  suite_add_test (suite, "order_is_confirmed_by_a_sound_answer",
-                  order_is_confirmed_by_a_sound_answer);
+  Suite *suite = suite_create ("malformed_response_client");
+  suite_add_test (suite, "attempt_rejects_invalid_status",
+                  attempt_rejects_invalid_status);
+  suite_add_test (suite, "attempt_rejects_truncated_head",
+                  attempt_rejects_truncated_head);
+  suite_add_test (suite, "attempt_rejects_invalid_field_line",
+                  attempt_rejects_invalid_field_line);
+  suite_add_test (suite, "attempt_rejects_ambiguous_framing",
+                  attempt_rejects_ambiguous_framing);
+  suite_add_test (suite, "attempt_accepts_valid_responses",
+                  attempt_accepts_valid_responses);
+  suite_add_test (suite, "duty_call_rejects_invalid_status",
+                  duty_call_rejects_invalid_status);
+  suite_add_test (suite, "duty_call_rejects_truncated_head",
+                  duty_call_rejects_truncated_head);
+  suite_add_test (suite, "store_client_rejects_invalid_status",
+                  store_client_rejects_invalid_status);
+  suite_add_test (suite, "store_client_rejects_truncated_head",
+                  store_client_rejects_truncated_head);
+  suite_add_test (suite, "order_is_not_confirmed_by_invalid_status",
+                  order_is_not_confirmed_by_invalid_status);
+  suite_add_test (suite, "order_is_not_confirmed_by_truncated_head",
+                  order_is_not_confirmed_by_truncated_head);
+  suite_add_test (suite, "order_is_confirmed_by_valid_response",
+                  order_is_confirmed_by_valid_response);
   return suite_run (suite);
 }
--- a/tests/odd_answer_test.c
+++ b/tests/malformed_response_test.c
@@ -1,6 +1,6 @@
 /*
- * Tests of answers of backend servers that break the rules of HTTP: none of them
- * reaches a caller, wholly or in part, as an answer.
+ * Tests of malformed responses of backend servers: callers never get one as a
+ * complete response.
  */
 #include "platform_fixture.h"
 #include "suite.h"
@@ -11,19 +11,19 @@
 
 /* Fields of an answer that a server would vouch for. */
 #define OWN_FIELDS                                                                  \
-  "X-Hornbeamwall-Attempt-Id: " ODD_ANSWER_ID "\r\n"                                \
+  "X-Hornbeamwall-Attempt-Id: " CANNED_RESPONSE_ID "\r\n"                           \
   "X-Hornbeamwall-Response-Seal: 1.2.3\r\n"
 
-/* In the bodies of odd answers only. */
-#define ODD_MARK "odd-body"
+/* In the bodies of canned responses only. */
+#define BODY_MARK "canned--"
 
-#define WITH_LENGTH "Content-Length: 8\r\n\r\n" ODD_MARK
-#define WITH_CLOSE "\r\n" ODD_MARK
+#define WITH_LENGTH "Content-Length: 8\r\n\r\n" BODY_MARK
+#define WITH_CLOSE "\r\n" BODY_MARK
 #define WITH_CHUNKS                                                                 \
-  "Transfer-Encoding: chunked\r\n\r\n8\r\n" ODD_MARK "\r\n0\r\n\r\n"
+  "Transfer-Encoding: chunked\r\n\r\n8\r\n" BODY_MARK "\r\n0\r\n\r\n"
 #define WITH_EVENTS                                                                 \
   "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"           \
-  "17\r\nid: 1\ndata: " ODD_MARK "\n\n\n\r\n0\r\n\r\n"
+  "17\r\nid: 1\ndata: " BODY_MARK "\n\n\n\r\n0\r\n\r\n"
 
 #define INTERIM "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 
@@ -31,10 +31,22 @@
 #define UPLOAD_SIZE ((gsize) 8 * 1024 * 1024)
 
 static void
-set_odd_answer (PlatformFixture *fixture, const OddAnswer *answer)
+set_canned_response (PlatformFixture *fixture, const CannedResponse *answer)
 {
   for (guint i = 0; i < PLATFORM_FIXTURE_SERVERS; i++)
-    replica_set_odd_answer (fixture->replicas[i], answer);
+    replica_set_canned_response (fixture->replicas[i], answer);
+}
+
+/* Posts to PATH while the servers' canned response is TEXT, after which they close
+   the connection. */
+static RawResponse
+post_canned (PlatformFixture *fixture, const char *path, const char *text,
+             gsize length)
+{
+  const CannedResponse answer
+      = { .text = text, .length = length, .end = CANNED_RESPONSE_CLOSES };
+  set_canned_response (fixture, &answer);
+  return platform_fixture_post (fixture, path, API_KEY_FIELD, "b");
 }
 
 /* Returns a path that was not requested before; the caller frees it. */
@@ -49,12 +61,12 @@
 static void
 check_retried (PlatformFixture *fixture, const char *name)
 {
-  char *path = make_path ("safe", "odd1");
+  char *path = make_path ("safe", "canned1");
   RawResponse response = platform_fixture_post (fixture, path, API_KEY_FIELD, "b");
   ck_assert_msg (response.status == 200, "%s: %s", name, response.text);
   ck_assert_msg (strstr (response.text, path) != NULL, "%s: %s", name,
                  response.text);
-  ck_assert_msg (strstr (response.text, ODD_MARK) == NULL, "%s: %s", name,
+  ck_assert_msg (strstr (response.text, BODY_MARK) == NULL, "%s: %s", name,
                  response.text);
   ck_assert_uint_eq (platform_fixture_count_runs (fixture, path), 2);
   g_free (response.text);
@@ -65,13 +77,13 @@
 static void
 check_refused (PlatformFixture *fixture, const char *method, const char *name)
 {
-  char *path = make_path ("unsafe", "odd");
+  char *path = make_path ("unsafe", "canned");
   char *request = caller_format_request (method, path, API_KEY_FIELD, "b");
   int fd = platform_fixture_connect (fixture);
   caller_send (fd, request);
   RawResponse response = caller_receive (fd);
   ck_assert_msg (response.status == 502, "%s: %s", name, response.text);
-  ck_assert_msg (strstr (response.text, ODD_MARK) == NULL, "%s: %s", name,
+  ck_assert_msg (strstr (response.text, BODY_MARK) == NULL, "%s: %s", name,
                  response.text);
   ck_assert_uint_eq (platform_fixture_count_runs (fixture, path), 1);
   g_free (response.text);
@@ -88,37 +100,34 @@
       platform_fixture_post (fixture, "/safe/a/ok", API_KEY_FIELD, "b"), 200, NULL);
 }
 
-/* Checks that TEXT, sent by the server, is no answer. */
+/* Checks that the server's response TEXT is rejected. */
 static void
-check_no_answer (PlatformFixture *fixture, const char *text, gsize length)
+check_rejected (PlatformFixture *fixture, const char *text, gsize length)
 {
-  const OddAnswer answer
-      = { .text = text, .length = length, .end = ODD_ANSWER_CLOSES };
-  set_odd_answer (fixture, &answer);
+  const CannedResponse answer
+      = { .text = text, .length = length, .end = CANNED_RESPONSE_CLOSES };
+  set_canned_response (fixture, &answer);
   serve_soundly (fixture);
   check_refused (fixture, "POST", text);
   check_retried (fixture, text);
 }
 
 /* Checks that TEXT, sent by the server, does not reach the caller as a whole answer.
-   Its body may have begun when it shows that it is none. */
+   Its body may have begun before the fault is seen. */
 static void
 check_not_whole (PlatformFixture *fixture, const char *text, gsize length)
 {
-  const OddAnswer answer
-      = { .text = text, .length = length, .end = ODD_ANSWER_CLOSES };
-  char *path = make_path ("unsafe", "odd");
-  set_odd_answer (fixture, &answer);
+  char *path = make_path ("unsafe", "canned");
   serve_soundly (fixture);
-  RawResponse response = platform_fixture_post (fixture, path, API_KEY_FIELD, "b");
+  RawResponse response = post_canned (fixture, path, text, length);
   ck_assert_msg (response.status == 502 || !raw_response_is_complete (response.text),
                  "%s: %s", text, response.text);
   g_free (response.text);
   g_free (path);
 }
 
-/* Guards against a number that is no status, which callers would get as one. */
-START_TEST (status_that_is_none_is_no_answer)
+/* Guards against an invalid status code that is forwarded to callers. */
+START_TEST (invalid_status_is_rejected)
 {
   static const char *const statuses[]
       = { "000",      "000 ",     "000 Odd", "001 Odd", "099 Odd", "600 Odd",
@@ -133,31 +142,31 @@
       {
         char *text = g_strdup_printf ("HTTP/1.1 %s\r\n" OWN_FIELDS "%s", statuses[i],
                                       forms[j]);
-        check_no_answer (fixture, text, strlen (text));
+        check_rejected (fixture, text, strlen (text));
         g_free (text);
       }
   platform_fixture_destroy (fixture);
 }
 END_TEST
 
-START_TEST (status_that_is_none_after_an_interim_answer_is_no_answer)
+START_TEST (invalid_status_after_interim_response_is_rejected)
 {
   static const char text[]
       = INTERIM INTERIM "HTTP/1.1 000 Odd\r\n" OWN_FIELDS WITH_LENGTH;
   static const char single[] = "HTTP/1.1 000 Odd\r\n" OWN_FIELDS WITH_LENGTH;
   PlatformFixture *fixture = platform_fixture_create ();
-  check_no_answer (fixture, text, sizeof text - 1);
-  const OddAnswer slow
+  check_rejected (fixture, text, sizeof text - 1);
+  const CannedResponse slow
       = { .text = single, .length = sizeof single - 1, .piece_size = 1 };
-  set_odd_answer (fixture, &slow);
+  set_canned_response (fixture, &slow);
   check_refused (fixture, "POST", "a byte at a time");
   check_refused (fixture, "HEAD", "HEAD");
   platform_fixture_destroy (fixture);
 }
 END_TEST
 
-/* The forms that the tests of odd answers use are answers if nothing else is odd. */
-START_TEST (each_form_is_an_answer)
+/* Shows that the other tests reject a response for the one fault in it. */
+START_TEST (each_form_is_valid_by_itself)
 {
   static const char *const texts[]
       = { "HTTP/1.1 200 OK\r\n" OWN_FIELDS WITH_LENGTH,
@@ -166,20 +175,16 @@
           "HTTP/1.1 200 OK\r\n" OWN_FIELDS WITH_EVENTS,
           INTERIM "HTTP/1.1 200 OK\r\n" OWN_FIELDS WITH_LENGTH,
           "HTTP/1.1 200 OK\r\n" OWN_FIELDS "Transfer-Encoding: chunked\r\n\r\n"
-          "8\r\n" ODD_MARK "\r\n0\r\nX-Sound: 1\r\n\r\n" };
+          "8\r\n" BODY_MARK "\r\n0\r\nX-Sound: 1\r\n\r\n" };
   PlatformFixture *fixture = platform_fixture_create ();
   for (gsize i = 0; i < G_N_ELEMENTS (texts); i++)
     {
-      const OddAnswer answer = { .text = texts[i],
-                                 .length = strlen (texts[i]),
-                                 .end = ODD_ANSWER_CLOSES };
-      char *path = make_path ("unsafe", "odd");
-      set_odd_answer (fixture, &answer);
+      char *path = make_path ("unsafe", "canned");
       RawResponse response
-          = platform_fixture_post (fixture, path, API_KEY_FIELD, "b");
+          = post_canned (fixture, path, texts[i], strlen (texts[i]));
       ck_assert_msg (raw_response_is_complete (response.text), "%s: %s", texts[i],
                      response.text);
-      raw_response_check (response, 200, ODD_MARK);
+      raw_response_check (response, 200, BODY_MARK);
       g_free (path);
     }
   platform_fixture_destroy (fixture);
@@ -187,7 +192,7 @@
 END_TEST
 
 /* A status of each class is passed on as it is. */
-START_TEST (unusual_status_is_an_answer)
+START_TEST (unusual_status_is_forwarded)
 {
   static const struct
   {
@@ -200,11 +205,11 @@
     {
       char *text = g_strdup_printf ("HTTP/1.1 %s\r\n" OWN_FIELDS WITH_LENGTH,
                                     cases[i].line);
-      const OddAnswer answer = { .text = text, .length = strlen (text) };
-      set_odd_answer (fixture, &answer);
-      char *path = make_path ("unsafe", "odd");
+      const CannedResponse answer = { .text = text, .length = strlen (text) };
+      set_canned_response (fixture, &answer);
+      char *path = make_path ("unsafe", "canned");
       raw_response_check (platform_fixture_post (fixture, path, API_KEY_FIELD, "b"),
-                          cases[i].status, ODD_MARK);
+                          cases[i].status, BODY_MARK);
       g_free (path);
       g_free (text);
     }
@@ -224,7 +229,7 @@
     line, sizeof line - 1                                                           \
   }
 
-static const FieldLine odd_lines[] = {
+static const FieldLine invalid_lines[] = {
   FIELD_LINE ("X Odd: 1"),      FIELD_LINE ("X-Odd : 1"),
   FIELD_LINE (" X-Odd: 1"),     FIELD_LINE ("\tX-Odd: 1"),
   FIELD_LINE ("X\tOdd: 1"),     FIELD_LINE ("X\001Odd: 1"),
@@ -248,7 +253,7 @@
 
 /* Guards against a line that the next reader takes for another field, or for the
    body. */
-START_TEST (odd_field_line_is_no_answer)
+START_TEST (invalid_field_line_is_rejected)
 {
   static const struct
   {
@@ -259,32 +264,33 @@
                  { "HTTP/1.1 103 Early\r\n",
                    "\r\n\r\nHTTP/1.1 200 OK\r\n" OWN_FIELDS WITH_LENGTH } };
   PlatformFixture *fixture = platform_fixture_create ();
-  for (gsize i = 0; i < G_N_ELEMENTS (odd_lines); i++)
+  for (gsize i = 0; i < G_N_ELEMENTS (invalid_lines); i++)
     for (gsize j = 0; j < G_N_ELEMENTS (places); j++)
       {
         GString *text
-            = join_line (places[j].prefix, &odd_lines[i], places[j].suffix);
-        check_no_answer (fixture, text->str, text->len);
+            = join_line (places[j].prefix, &invalid_lines[i], places[j].suffix);
+        check_rejected (fixture, text->str, text->len);
         g_string_free (text, TRUE);
       }
   platform_fixture_destroy (fixture);
 }
 END_TEST
 
-/* Guards against a trailer that is not looked at, as it is not passed on. */
-START_TEST (odd_trailer_line_is_no_answer)
+/* Guards against trailers that are not checked because they are not forwarded. */
+START_TEST (invalid_trailer_is_rejected)
 {
   static const char head[]
       = "HTTP/1.1 200 OK\r\n" OWN_FIELDS "Transfer-Encoding: chunked\r\n\r\n"
-        "8\r\n" ODD_MARK "\r\n0\r\n";
+        "8\r\n" BODY_MARK "\r\n0\r\n";
   static const char sound[] = "X-Sound: 1\r\n";
   char *after_sound = g_strconcat (head, sound, NULL);
   PlatformFixture *fixture = platform_fixture_create ();
-  for (gsize i = 0; i < G_N_ELEMENTS (odd_lines); i++)
+  for (gsize i = 0; i < G_N_ELEMENTS (invalid_lines); i++)
     {
-      GString *texts[] = { join_line (head, &odd_lines[i], "\r\n\r\n"),
-                           join_line (head, &odd_lines[i], "\r\nX-Sound: 1\r\n\r\n"),
-                           join_line (after_sound, &odd_lines[i], "\r\n\r\n") };
+      GString *texts[]
+          = { join_line (head, &invalid_lines[i], "\r\n\r\n"),
+              join_line (head, &invalid_lines[i], "\r\nX-Sound: 1\r\n\r\n"),
+              join_line (after_sound, &invalid_lines[i], "\r\n\r\n") };
       for (gsize j = 0; j < G_N_ELEMENTS (texts); j++)
         {
           check_not_whole (fixture, texts[j]->str, texts[j]->len);
@@ -305,8 +311,8 @@
   platform_fixture_destroy (fixture);
 }
 
-/* Guards against a body whose end depends on who reads it. */
-START_TEST (chunks_of_http_1_0_are_no_answer)
+/* Guards against a body whose end depends on the version that a reader assumes. */
+START_TEST (chunks_in_http_1_0_are_rejected)
 {
   static const char *const texts[] = { "HTTP/1.0 200 OK\r\n" OWN_FIELDS WITH_CHUNKS,
                                        "HTTP/1.0 200 OK\r\n" OWN_FIELDS
@@ -315,8 +321,8 @@
 }
 END_TEST
 
-/* Guards against a body in a coding that its reader does not learn of. */
-START_TEST (odd_length_or_coding_is_no_answer)
+/* Guards against a body whose coding or length readers may disagree on. */
+START_TEST (ambiguous_length_or_coding_is_rejected)
 {
   static const char *const texts[]
       = { "HTTP/1.1 200 OK\r\n" OWN_FIELDS "Transfer-Encoding: gzip\r\n" WITH_CHUNKS,
@@ -334,22 +340,23 @@
 }
 END_TEST
 
-/* Guards against a head that the end of the connection seems to complete. */
-START_TEST (head_that_stops_is_no_answer)
+/* Guards against a truncated head that the end of the connection completes. */
+START_TEST (truncated_head_is_rejected)
 {
   static const char *const heads[]
       = { "HTTP/1.1 200 OK\r\n" OWN_FIELDS "Content-Length: 0\r\n\r\n",
           "HTTP/1.1 200 OK\r\n" OWN_FIELDS
           "Content-Type: text/event-stream\r\n\r\n" };
-  static const OddAnswerEnd ends[] = { ODD_ANSWER_CLOSES, ODD_ANSWER_RESETS };
+  static const CannedResponseEnd ends[]
+      = { CANNED_RESPONSE_CLOSES, CANNED_RESPONSE_RESETS };
   PlatformFixture *fixture = platform_fixture_create ();
   for (gsize i = 0; i < G_N_ELEMENTS (heads); i++)
     for (gsize length = 1; length < strlen (heads[i]); length++)
       {
-        const OddAnswer answer
+        const CannedResponse answer
             = { .text = heads[i], .length = length, .end = ends[length % 2] };
         char *name = g_strdup_printf ("%zu bytes of head %zu", length, i);
-        set_odd_answer (fixture, &answer);
+        set_canned_response (fixture, &answer);
         if (length % 3 == 0)
           serve_soundly (fixture);
         check_refused (fixture, length % 5 == 0 ? "HEAD" : "POST", name);
@@ -365,11 +372,11 @@
    what comes is not complete with a 2xx status. */
 static void
 check_upload_is_not_answered (PlatformFixture *fixture, const char *body,
-                              const OddAnswer *answer)
+                              const CannedResponse *answer)
 {
-  char *path = make_path ("unsafe", "earlyodd");
+  char *path = make_path ("unsafe", "earlycanned");
   char *request = caller_format_request ("POST", path, API_KEY_FIELD, body);
-  set_odd_answer (fixture, answer);
+  set_canned_response (fixture, answer);
   int fd = platform_fixture_connect (fixture);
   gsize length = strlen (request);
   gsize sent = 0;
@@ -391,15 +398,15 @@
 
 /* Guards against the part of an answer before a reset that ends it as if it had
    ended by itself. */
-START_TEST (reset_within_an_upload_does_not_complete_the_answer)
+START_TEST (reset_within_upload_does_not_complete_the_response)
 {
   static const char *const texts[]
       = { "HTTP/1.1 200 OK\r\n" OWN_FIELDS WITH_CLOSE,
           "HTTP/1.1 200 OK\r\n" OWN_FIELDS
           "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: 1\n\n",
           "HTTP/1.1 200 OK\r\n" OWN_FIELDS
-          "Transfer-Encoding: chunked\r\n\r\n8\r\n" ODD_MARK "\r\n",
-          "HTTP/1.1 200 OK\r\n" OWN_FIELDS "Content-Length: 9\r\n\r\n" ODD_MARK };
+          "Transfer-Encoding: chunked\r\n\r\n8\r\n" BODY_MARK "\r\n",
+          "HTTP/1.1 200 OK\r\n" OWN_FIELDS "Content-Length: 9\r\n\r\n" BODY_MARK };
   static const gulong pauses_us[] = { 0, 1000, 30000, 300000 };
   PlatformFixture *fixture
       = platform_fixture_create_with_memory (0, 4096, 2 * UPLOAD_SIZE);
@@ -407,13 +414,13 @@
   for (gsize i = 0; i < G_N_ELEMENTS (texts); i++)
     for (gsize j = 0; j < G_N_ELEMENTS (pauses_us); j++)
       {
-        OddAnswer answer = { .text = texts[i],
-                             .length = strlen (texts[i]),
-                             .pause_us = pauses_us[j],
-                             .end = ODD_ANSWER_RESETS };
+        CannedResponse answer = { .text = texts[i],
+                                  .length = strlen (texts[i]),
+                                  .pause_us = pauses_us[j],
+                                  .end = CANNED_RESPONSE_RESETS };
         check_upload_is_not_answered (fixture, "small", &answer);
         check_upload_is_not_answered (fixture, body, &answer);
-        answer.end = ODD_ANSWER_CLOSES; /* a reset, too, as bytes are unread */
+        answer.end = CANNED_RESPONSE_CLOSES; /* a reset, too, as bytes are unread */
         check_upload_is_not_answered (fixture, body, &answer);
       }
   g_free (body);
@@ -421,8 +428,8 @@
 }
 END_TEST
 
-/* Guards against an odd answer that seems to be the rest of a stream. */
-START_TEST (odd_continuation_of_a_stream_is_no_answer)
+/* Guards against a malformed response that is taken for the rest of a stream. */
+START_TEST (malformed_continuation_of_a_stream_is_rejected)
 {
   static const char *const texts[]
       = { "HTTP/1.1 000 Odd\r\n" OWN_FIELDS WITH_EVENTS,
@@ -432,15 +439,11 @@
   PlatformFixture *fixture = platform_fixture_create ();
   for (gsize i = 0; i < G_N_ELEMENTS (texts); i++)
     {
-      const OddAnswer answer = { .text = texts[i],
-                                 .length = strlen (texts[i]),
-                                 .end = ODD_ANSWER_CLOSES };
-      set_odd_answer (fixture, &answer);
-      char *path = make_path ("stream", "cutodd");
+      char *path = make_path ("stream", "cutcanned");
       RawResponse response
-          = platform_fixture_post (fixture, path, API_KEY_FIELD, "b");
+          = post_canned (fixture, path, texts[i], strlen (texts[i]));
       ck_assert_msg (strstr (response.text, "id: 2\n") != NULL, "%s", response.text);
-      ck_assert_msg (strstr (response.text, ODD_MARK) == NULL, "%s", response.text);
+      ck_assert_msg (strstr (response.text, BODY_MARK) == NULL, "%s", response.text);
       ck_assert_msg (!raw_response_is_complete (response.text), "%s", response.text);
       ck_assert_uint_eq (platform_fixture_count_runs (fixture, path), 2);
       g_free (response.text);
@@ -453,25 +456,24 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("odd_answer");
-  suite_add_test (suite, "status_that_is_none_is_no_answer",
-                  status_that_is_none_is_no_answer);
-  suite_add_test (suite, "status_that_is_none_after_an_interim_answer_is_no_answer",
-                  status_that_is_none_after_an_interim_answer_is_no_answer);
-  suite_add_test (suite, "each_form_is_an_answer", each_form_is_an_answer);
-  suite_add_test (suite, "unusual_status_is_an_answer", unusual_status_is_an_answer);
-  suite_add_test (suite, "odd_field_line_is_no_answer", odd_field_line_is_no_answer);
-  suite_add_test (suite, "odd_trailer_line_is_no_answer",
-                  odd_trailer_line_is_no_answer);
-  suite_add_test (suite, "chunks_of_http_1_0_are_no_answer",
-                  chunks_of_http_1_0_are_no_answer);
-  suite_add_test (suite, "odd_length_or_coding_is_no_answer",
-                  odd_length_or_coding_is_no_answer);
-  suite_add_test (suite, "head_that_stops_is_no_answer",
-                  head_that_stops_is_no_answer);
-  suite_add_test (suite, "reset_within_an_upload_does_not_complete_the_answer",
-                  reset_within_an_upload_does_not_complete_the_answer);
-  suite_add_test (suite, "odd_continuation_of_a_stream_is_no_answer",
-                  odd_continuation_of_a_stream_is_no_answer);
+  Suite *suite = suite_create ("malformed_response");
+  suite_add_test (suite, "invalid_status_is_rejected", invalid_status_is_rejected);
+  suite_add_test (suite, "invalid_status_after_interim_response_is_rejected",
+                  invalid_status_after_interim_response_is_rejected);
+  suite_add_test (suite, "each_form_is_valid_by_itself",
+                  each_form_is_valid_by_itself);
+  suite_add_test (suite, "unusual_status_is_forwarded", unusual_status_is_forwarded);
+  suite_add_test (suite, "invalid_field_line_is_rejected",
+                  invalid_field_line_is_rejected);
+  suite_add_test (suite, "invalid_trailer_is_rejected", invalid_trailer_is_rejected);
+  suite_add_test (suite, "chunks_in_http_1_0_are_rejected",
+                  chunks_in_http_1_0_are_rejected);
+  suite_add_test (suite, "ambiguous_length_or_coding_is_rejected",
+                  ambiguous_length_or_coding_is_rejected);
+  suite_add_test (suite, "truncated_head_is_rejected", truncated_head_is_rejected);
+  suite_add_test (suite, "reset_within_upload_does_not_complete_the_response",
+                  reset_within_upload_does_not_complete_the_response);
+  suite_add_test (suite, "malformed_continuation_of_a_stream_is_rejected",
+                  malformed_continuation_of_a_stream_is_rejected);
   return suite_run (suite);
 }
--- a/tests/standin/odd_answer.c
+++ b/tests/standin/canned_response.c
@@ -1,4 +1,4 @@
-#include "odd_answer.h"
+#include "canned_response.h"
 
 #include <string.h>
 #include <sys/socket.h>
@@ -6,16 +6,16 @@
 /* Pause between the pieces of an answer, so that each is received alone. */
 #define PIECE_PAUSE_US 300
 
-OddAnswer *
-odd_answer_copy (const OddAnswer *answer)
+CannedResponse *
+canned_response_copy (const CannedResponse *answer)
 {
-  OddAnswer *copy = g_memdup2 (answer, sizeof *answer);
+  CannedResponse *copy = g_memdup2 (answer, sizeof *answer);
   copy->text = g_memdup2 (answer->text, answer->length);
   return copy;
 }
 
 void
-odd_answer_free (OddAnswer *answer)
+canned_response_free (CannedResponse *answer)
 {
   if (answer == NULL)
     return;
@@ -23,23 +23,23 @@
   g_free (answer);
 }
 
-/* Returns the text with ID in place of ODD_ANSWER_ID; the caller frees it. */
+/* Returns the text with ID in place of CANNED_RESPONSE_ID; the caller frees it. */
 static GString *
-format_text (const OddAnswer *answer, const char *id)
+format_text (const CannedResponse *answer, const char *id)
 {
   GString *text = g_string_new_len (answer->text, (gssize) answer->length);
-  const char *mark
-      = memmem (text->str, text->len, ODD_ANSWER_ID, strlen (ODD_ANSWER_ID));
+  const char *mark = memmem (text->str, text->len, CANNED_RESPONSE_ID,
+                             strlen (CANNED_RESPONSE_ID));
   if (mark == NULL)
     return text;
   gssize offset = mark - text->str;
-  g_string_erase (text, offset, strlen (ODD_ANSWER_ID));
+  g_string_erase (text, offset, strlen (CANNED_RESPONSE_ID));
   g_string_insert (text, offset, id);
   return text;
 }
 
 static void
-send_pieces (const OddAnswer *answer, int fd, const GString *text)
+send_pieces (const CannedResponse *answer, int fd, const GString *text)
 {
   gsize offset = 0;
   while (offset < text->len)
@@ -56,7 +56,7 @@
 }
 
 void
-odd_answer_send (const OddAnswer *answer, int fd, const char *id)
+canned_response_send (const CannedResponse *answer, int fd, const char *id)
 {
   const struct linger linger = { 1, 0 };
   GString *text = format_text (answer, id);
@@ -64,6 +64,6 @@
   g_string_free (text, TRUE);
   if (answer->pause_us > 0)
     g_usleep (answer->pause_us);
-  if (answer->end == ODD_ANSWER_RESETS)
+  if (answer->end == CANNED_RESPONSE_RESETS)
     setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
 }
--- a/tests/standin/odd_server.c
+++ b/tests/standin/canned_server.c
@@ -1,4 +1,4 @@
-#include "odd_server.h"
+#include "canned_server.h"
 
 #include "listen.h"
 
@@ -12,20 +12,20 @@
 
 #define POLL_INTERVAL_MS 20
 
-struct OddServer
+struct CannedServer
 {
   int fd;
   char *address;
   pthread_t thread;
   pthread_mutex_t lock;
-  OddAnswer *answer;
+  CannedResponse *answer;
   atomic_uint count;
   atomic_bool stopping;
 };
 
 /* Returns FALSE once the server stops. */
 static gboolean
-wait_readable (const OddServer *server, int fd)
+wait_readable (const CannedServer *server, int fd)
 {
   struct pollfd input = { fd, POLLIN, 0 };
   while (!atomic_load (&server->stopping))
@@ -50,7 +50,7 @@
 }
 
 static gboolean
-read_request (const OddServer *server, int fd)
+read_request (const CannedServer *server, int fd)
 {
   char bytes[4096];
   ssize_t count = 1;
@@ -64,20 +64,20 @@
 }
 
 static void
-answer_request (OddServer *server, int fd)
+answer_request (CannedServer *server, int fd)
 {
   pthread_mutex_lock (&server->lock);
-  OddAnswer *answer = odd_answer_copy (server->answer);
+  CannedResponse *answer = canned_response_copy (server->answer);
   pthread_mutex_unlock (&server->lock);
-  odd_answer_send (answer, fd, "");
-  odd_answer_free (answer);
+  canned_response_send (answer, fd, "");
+  canned_response_free (answer);
   atomic_fetch_add (&server->count, 1);
 }
 
 static void *
 run (void *data)
 {
-  OddServer *server = data;
+  CannedServer *server = data;
   while (wait_readable (server, server->fd))
     {
       int fd = accept (server->fd, NULL, NULL);
@@ -88,51 +88,51 @@
   return NULL;
 }
 
-OddServer *
-odd_server_create (void)
+CannedServer *
+canned_server_create (void)
 {
-  OddServer *server = g_new0 (OddServer, 1);
-  const OddAnswer empty = { .text = "", .end = ODD_ANSWER_CLOSES };
+  CannedServer *server = g_new0 (CannedServer, 1);
+  const CannedResponse empty = { .text = "", .end = CANNED_RESPONSE_CLOSES };
   const unsigned port = standin_free_port ();
   const struct sockaddr_in address = standin_loopback (port);
   server->fd = standin_listen_socket (&address);
   server->address = g_strdup_printf ("127.0.0.1:%u", port);
-  server->answer = odd_answer_copy (&empty);
+  server->answer = canned_response_copy (&empty);
   pthread_mutex_init (&server->lock, NULL);
   if (pthread_create (&server->thread, NULL, run, server) != 0)
-    g_error ("odd server: no thread");
+    g_error ("canned server: no thread");
   return server;
 }
 
 void
-odd_server_destroy (OddServer *server)
+canned_server_destroy (CannedServer *server)
 {
   atomic_store (&server->stopping, TRUE);
   pthread_join (server->thread, NULL);
   pthread_mutex_destroy (&server->lock);
   close (server->fd);
-  odd_answer_free (server->answer);
+  canned_response_free (server->answer);
   g_free (server->address);
   g_free (server);
 }
 
 const char *
-odd_server_address (const OddServer *server)
+canned_server_address (const CannedServer *server)
 {
   return server->address;
 }
 
 void
-odd_server_set_answer (OddServer *server, const OddAnswer *answer)
+canned_server_set_answer (CannedServer *server, const CannedResponse *answer)
 {
   pthread_mutex_lock (&server->lock);
-  odd_answer_free (server->answer);
-  server->answer = odd_answer_copy (answer);
+  canned_response_free (server->answer);
+  server->answer = canned_response_copy (answer);
   pthread_mutex_unlock (&server->lock);
 }
 
 guint
-odd_server_count (OddServer *server)
+canned_server_count (CannedServer *server)
 {
   return atomic_load (&server->count);
 }
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -104,7 +104,7 @@
   g_hash_table_destroy (replica->run_counts);
   g_free (replica->last_request_head);
   g_free (replica->fields);
-  odd_answer_free (replica->odd_answer);
+  canned_response_free (replica->canned_response);
   g_free (replica->id);
   g_free (replica->first_id);
   g_free (replica);
@@ -145,11 +145,11 @@
 }
 
 void
-replica_set_odd_answer (Replica *replica, const OddAnswer *answer)
+replica_set_canned_response (Replica *replica, const CannedResponse *answer)
 {
   pthread_mutex_lock (&replica->lock);
-  odd_answer_free (replica->odd_answer);
-  replica->odd_answer = odd_answer_copy (answer);
+  canned_response_free (replica->canned_response);
+  replica->canned_response = canned_response_copy (answer);
   pthread_mutex_unlock (&replica->lock);
 }
 
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -41,9 +41,9 @@
  *   headflood  the same, as header fields without end
  *   bodyflood  the same, as a body without end and without the server's mark
  *   noseal     200 without the header field that marks a server's own response
- *   odd        the answer of replica_set_odd_answer()
- *   earlyodd   the same, before it has read the body
- *   cutodd     as "cut"; then, for a stream that goes on, as "odd"
+ *   canned     the response of replica_set_canned_response()
+ *   earlycanned   the same, before it has read the body
+ *   cutcanned     as "cut"; then, for a stream that goes on, as "canned"
  *
  * A number after the name, as in "reset1", limits how many requests fail in this
  * way, counted over all replicas of the process.  Later requests are handled as
@@ -52,7 +52,7 @@
 #ifndef HORNBEAMWALL_TESTS_STANDIN_REPLICA_H
 #define HORNBEAMWALL_TESTS_STANDIN_REPLICA_H
 
-#include "odd_answer.h"
+#include "canned_response.h"
 
 /* How long a replica that crashed refuses connections, in microseconds. */
 #define REPLICA_OUTAGE_US (1500 * 1000)
@@ -73,8 +73,8 @@
 /* Sets complete header lines for all further responses, or "". */
 void replica_set_fields (Replica *replica, const char *fields);
 
-/* Sets what the behaviour "odd" sends. */
-void replica_set_odd_answer (Replica *replica, const OddAnswer *answer);
+/* Sets what the behaviour "canned" sends. */
+void replica_set_canned_response (Replica *replica, const CannedResponse *answer);
 
 /* Turns further requests away, not executed, with 503 and the header lines of
    replica_set_fields(). */
--- a/tests/standin/replica_internal.h
+++ b/tests/standin/replica_internal.h
@@ -29,7 +29,7 @@
   GHashTable *run_counts; /* target -> count */
   char *last_request_head;
   char *fields; /* of all responses */
-  OddAnswer *odd_answer;
+  CannedResponse *canned_response;
   guint open_connections;
   atomic_uint connection_count;
   atomic_uint active_requests;
--- a/tests/standin/replica_session.c
+++ b/tests/standin/replica_session.c
@@ -354,7 +354,7 @@
 /* Breaks a stream off, and answers a request to continue it with a stream without
    events, or with no stream. */
 static gboolean
-send_odd_continuation (Session *session, gboolean is_empty)
+send_canned_continuation (Session *session, gboolean is_empty)
 {
   char *last = find_field (session->head, "Last-Event-Id");
   gboolean is_continuation = last != NULL;
@@ -441,36 +441,37 @@
   return TRUE;
 }
 
-/* Returns the odd answer of the replica; the caller frees it. */
-static OddAnswer *
-copy_odd_answer (const Session *session)
+/* Returns the canned response of the replica; the caller frees it. */
+static CannedResponse *
+copy_canned_response (const Session *session)
 {
   Replica *replica = session->replica;
   pthread_mutex_lock (&replica->lock);
-  OddAnswer *answer = odd_answer_copy (replica->odd_answer);
+  CannedResponse *answer = canned_response_copy (replica->canned_response);
   pthread_mutex_unlock (&replica->lock);
   return answer;
 }
 
 /* Returns whether the connection is kept open. */
 static gboolean
-send_odd (const Session *session)
+send_canned (const Session *session)
 {
-  OddAnswer *answer = copy_odd_answer (session);
-  gboolean keeps = answer->end == ODD_ANSWER_KEEPS;
-  odd_answer_send (answer, session->fd, session->attempt_id);
-  odd_answer_free (answer);
+  CannedResponse *answer = copy_canned_response (session);
+  gboolean keeps = answer->end == CANNED_RESPONSE_KEEPS;
+  canned_response_send (answer, session->fd, session->attempt_id);
+  canned_response_free (answer);
   return keeps;
 }
 
-/* Breaks a stream off, and answers a request to continue it with the odd answer. */
+/* Breaks a stream off, and answers a request to continue it with the canned
+ * response. */
 static gboolean
-send_odd_after_cut (Session *session)
+send_canned_after_cut (Session *session)
 {
   char *last = find_field (session->head, "Last-Event-Id");
   gboolean is_continuation = last != NULL;
   g_free (last);
-  return is_continuation ? send_odd (session) : send_events (session, TRUE, 0);
+  return is_continuation ? send_canned (session) : send_events (session, TRUE, 0);
 }
 
 /* Begins an answer, and crashes as the part of the prompt in the request wants. */
@@ -503,12 +504,12 @@
     return send_events (session, FALSE, REPLICA_PAUSE_US);
   if (strcmp (behaviour, "cut") == 0)
     return send_events (session, TRUE, 0);
-  if (strcmp (behaviour, "odd") == 0)
-    return send_odd (session);
-  if (strcmp (behaviour, "cutodd") == 0)
-    return send_odd_after_cut (session);
+  if (strcmp (behaviour, "canned") == 0)
+    return send_canned (session);
+  if (strcmp (behaviour, "cutcanned") == 0)
+    return send_canned_after_cut (session);
   if (strcmp (behaviour, "cutbody") == 0 || strcmp (behaviour, "cutempty") == 0)
-    return send_odd_continuation (session, strcmp (behaviour, "cutempty") == 0);
+    return send_canned_continuation (session, strcmp (behaviour, "cutempty") == 0);
   if (strcmp (behaviour, "mute") == 0 || strcmp (behaviour, "dribble") == 0)
     {
       send_events (session, TRUE, 0);
@@ -639,13 +640,13 @@
 respond_early (Session *session, gboolean *keep_open)
 {
   gboolean is_early = g_str_has_suffix (session->target, "/early");
-  gboolean is_odd = g_str_has_suffix (session->target, "/earlyodd");
+  gboolean is_canned = g_str_has_suffix (session->target, "/earlycanned");
   *keep_open = TRUE;
-  if (!(is_early || is_odd) || !is_expected_server (session))
+  if (!(is_early || is_canned) || !is_expected_server (session))
     return FALSE;
   count_run (session);
-  if (is_odd)
-    *keep_open = send_odd (session);
+  if (is_canned)
+    *keep_open = send_canned (session);
   else
     send_response (session, "200 OK", SEAL, "early", 5);
   return TRUE;
--- a/tests/tunnel_test.c
+++ b/tests/tunnel_test.c
@@ -231,7 +231,7 @@
 END_TEST
 
 #define OWN_FIELDS                                                                  \
-  "X-Hornbeamwall-Attempt-Id: " ODD_ANSWER_ID "\r\n"                                \
+  "X-Hornbeamwall-Attempt-Id: " CANNED_RESPONSE_ID "\r\n"                           \
   "X-Hornbeamwall-Response-Seal: 1.2.3\r\n"
 
 /* An upload that no buffer on its way holds, in bytes, and how often it is sent. */
@@ -241,11 +241,11 @@
 /* Posts BODY to servers that answer TEXT and end the connection as END says.  Checks
    that what comes is not a whole answer. */
 static void
-check_odd_answer (TunnelFixture *fixture, const char *path, const char *body,
-                  const OddAnswer *answer)
+check_canned_response (TunnelFixture *fixture, const char *path, const char *body,
+                       const CannedResponse *answer)
 {
   for (guint i = 0; i < PLATFORM_FIXTURE_SERVERS; i++)
-    replica_set_odd_answer (fixture->peer->replicas[i], answer);
+    replica_set_canned_response (fixture->peer->replicas[i], answer);
   RawResponse response
       = platform_fixture_post (fixture->cut, path, API_KEY_FIELD, body);
   ck_assert_msg (response.status == 502 || !raw_response_is_complete (response.text),
@@ -253,7 +253,7 @@
   g_free (response.text);
 }
 
-START_TEST (odd_answer_through_a_tunnel_is_no_answer)
+START_TEST (malformed_response_through_a_tunnel_is_rejected)
 {
   static const char *const texts[]
       = { "HTTP/1.1 000 Odd\r\n" OWN_FIELDS "Content-Length: 3\r\n\r\nodd",
@@ -266,11 +266,11 @@
   use_tunnels (&fixture);
   for (gsize i = 0; i < G_N_ELEMENTS (texts); i++)
     {
-      const OddAnswer answer = { .text = texts[i],
-                                 .length = strlen (texts[i]),
-                                 .end = ODD_ANSWER_CLOSES };
-      char *path = g_strdup_printf ("/unsafe/n%zu/odd", i);
-      check_odd_answer (&fixture, path, "b", &answer);
+      const CannedResponse answer = { .text = texts[i],
+                                      .length = strlen (texts[i]),
+                                      .end = CANNED_RESPONSE_CLOSES };
+      char *path = g_strdup_printf ("/unsafe/n%zu/canned", i);
+      check_canned_response (&fixture, path, "b", &answer);
       ck_assert_uint_eq (platform_fixture_count_runs (fixture.peer, path), 1);
       g_free (path);
     }
@@ -279,7 +279,7 @@
 END_TEST
 
 /* Guards against a server's reset that the instance between takes for its end. */
-START_TEST (reset_within_an_upload_through_a_tunnel_completes_nothing)
+START_TEST (reset_within_upload_through_a_tunnel_does_not_complete_the_response)
 {
   static const char text[] = "HTTP/1.1 200 OK\r\n" OWN_FIELDS "\r\npart";
   TunnelFixture fixture = tunnel_fixture_create ();
@@ -289,12 +289,12 @@
   char *body = g_strnfill (UPLOAD_SIZE, 'x');
   for (guint i = 0; i < UPLOADS; i++)
     {
-      const OddAnswer answer = { .text = text,
-                                 .length = strlen (text),
-                                 .pause_us = i * 3000,
-                                 .end = ODD_ANSWER_RESETS };
-      char *path = g_strdup_printf ("/unsafe/u%u/earlyodd", i);
-      check_odd_answer (&fixture, path, body, &answer);
+      const CannedResponse answer = { .text = text,
+                                      .length = strlen (text),
+                                      .pause_us = i * 3000,
+                                      .end = CANNED_RESPONSE_RESETS };
+      char *path = g_strdup_printf ("/unsafe/u%u/earlycanned", i);
+      check_canned_response (&fixture, path, body, &answer);
       ck_assert_uint_eq (platform_fixture_count_runs (fixture.peer, path), 1);
       g_free (path);
     }
@@ -379,10 +379,11 @@
                   stream_without_a_length_is_complete_through_a_tunnel);
   suite_add_test (suite, "tunnel_without_frames_that_is_cut_is_reset",
                   tunnel_without_frames_that_is_cut_is_reset);
-  suite_add_test (suite, "odd_answer_through_a_tunnel_is_no_answer",
-                  odd_answer_through_a_tunnel_is_no_answer);
-  suite_add_test (suite, "reset_within_an_upload_through_a_tunnel_completes_nothing",
-                  reset_within_an_upload_through_a_tunnel_completes_nothing);
+  suite_add_test (suite, "malformed_response_through_a_tunnel_is_rejected",
+                  malformed_response_through_a_tunnel_is_rejected);
+  suite_add_test (
+      suite, "reset_within_upload_through_a_tunnel_does_not_complete_the_response",
+      reset_within_upload_through_a_tunnel_does_not_complete_the_response);
   suite_add_test (suite, "path_that_accepts_and_never_answers_is_left",
                   path_that_accepts_and_never_answers_is_left);
   suite_add_test (suite, "tunnels_lead_to_listed_servers_only",
