Native interface: a trailer that is malformed breaks the response

Cause: the check of lines that libcurl delivers ignored all that came after the head, while the fields of trailers were read as if they stood in the head: a Content-Length among them counted as a second framing. Trailers go through the framing check now, and their fields are ignored.

--- a/include/hornbeamwall/net/framing.h
+++ b/include/hornbeamwall/net/framing.h
@@ -58,10 +58,11 @@
                                  gsize length, gsize *used);
 
 /* Checks one line of a response's head, including CR LF, as an HTTP library delivers
-   it.  A status line begins a new head, as after an interim response; lines after
-   the head are ignored.  Returns FALSE if the line is not well formed. */
-gboolean hbw_framing_check_head_line (HbwFraming *framing, const char *line,
-                                      gsize length);
+   it.  A status line begins a new head, as after an interim response; other lines
+   after the head are trailers, and leave it complete.  Returns FALSE if the line is
+   not well formed. */
+gboolean hbw_framing_check_line (HbwFraming *framing, const char *line,
+                                 gsize length);
 
 /* Returns whether the head is complete, with the empty line that ends it. */
 gboolean hbw_framing_is_head_complete (const HbwFraming *framing);
--- a/net/attempt.c
+++ b/net/attempt.c
@@ -95,8 +95,10 @@
   HbwAttempt *attempt = data;
   gsize length = size * count;
   char value[128];
-  if (!hbw_framing_check_head_line (&attempt->framing, line, length))
+  if (!hbw_framing_check_line (&attempt->framing, line, length))
     return 0; /* fails the transfer */
+  if (hbw_framing_is_head_complete (&attempt->framing))
+    return length; /* trailers are ignored */
   if (parse_header (line, length, "Content-Type", value, sizeof value))
     {
       g_strlcpy (attempt->content_type, value, sizeof attempt->content_type);
--- a/net/framing.c
+++ b/net/framing.c
@@ -178,13 +178,31 @@
   return TRUE;
 }
 
+static gboolean
+is_status_line (const char *line, gsize length)
+{
+  return length >= strlen (STATUS_LINE_START)
+         && memcmp (line, STATUS_LINE_START, strlen (STATUS_LINE_START)) == 0;
+}
+
+static gboolean
+check_trailer_line (HbwFraming *framing, const char *line, gsize length)
+{
+  gsize used;
+  framing->state = HBW_FRAMING_FIELD_START;
+  gboolean is_valid = hbw_framing_check_head (framing, line, length, &used);
+  framing->state = HBW_FRAMING_BODY;
+  return is_valid;
+}
+
 gboolean
-hbw_framing_check_head_line (HbwFraming *framing, const char *line, gsize length)
+hbw_framing_check_line (HbwFraming *framing, const char *line, gsize length)
 {
   gsize used;
-  if (length >= strlen (STATUS_LINE_START)
-      && memcmp (line, STATUS_LINE_START, strlen (STATUS_LINE_START)) == 0)
+  if (is_status_line (line, length))
     hbw_framing_reset (framing, TRUE);
+  else if (hbw_framing_is_head_complete (framing))
+    return check_trailer_line (framing, line, length);
   return hbw_framing_check_head (framing, line, length, &used);
 }
 
--- a/runtime/duty_sender.c
+++ b/runtime/duty_sender.c
@@ -48,8 +48,7 @@
 check_header (char *line, size_t size, size_t count, void *data)
 {
   Sending *sending = data;
-  gboolean is_valid
-      = hbw_framing_check_head_line (&sending->framing, line, size * count);
+  gboolean is_valid = hbw_framing_check_line (&sending->framing, line, size * count);
   return is_valid ? size * count : 0; /* fails the transfer */
 }
 
--- a/tests/malformed_response_client_test.c
+++ b/tests/malformed_response_client_test.c
@@ -191,6 +191,29 @@
 }
 END_TEST
 
+/* Guards against trailers that are not checked because they are not forwarded. */
+START_TEST (attempt_rejects_invalid_trailer)
+{
+  static const char head[] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "2\r\n{}\r\n0\r\n";
+  static const char *const trailers[] = {
+    "X Odd: 1\r\n",
+    "X-Odd : 1\r\n",
+    "X\001Odd: 1\r\n",
+    "X-Odd\r\n",
+    " X-Odd: 1\r\n",
+    "X-Sound: 1\r\n X-Odd: 1\r\n",
+    "X Odd: 1\r\nX-Sound: 1\r\n",
+  };
+  char *texts[G_N_ELEMENTS (trailers)];
+  for (gsize i = 0; i < G_N_ELEMENTS (trailers); i++)
+    texts[i] = g_strconcat (head, trailers[i], "\r\n", NULL);
+  check_rejected_attempts ((const char *const *) texts, G_N_ELEMENTS (texts));
+  for (gsize i = 0; i < G_N_ELEMENTS (trailers); i++)
+    g_free (texts[i]);
+}
+END_TEST
+
 START_TEST (attempt_accepts_valid_responses)
 {
   static const char *const texts[]
@@ -201,6 +224,8 @@
           "HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n" WITH_LENGTH,
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"
           "0\r\nX-Trailer: 1\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"
+          "0\r\nX-Trailer: 1\r\nContent-Length: 9\r\n\r\n",
           "HTTP/1.1 204 No Content\r\n\r\n" };
   CannedServer *server = canned_server_create ();
   for (gsize i = 0; i < G_N_ELEMENTS (texts); i++)
@@ -357,6 +382,8 @@
                   attempt_rejects_invalid_field_line);
   suite_add_test (suite, "attempt_rejects_ambiguous_framing",
                   attempt_rejects_ambiguous_framing);
+  suite_add_test (suite, "attempt_rejects_invalid_trailer",
+                  attempt_rejects_invalid_trailer);
   suite_add_test (suite, "attempt_accepts_valid_responses",
                   attempt_accepts_valid_responses);
   suite_add_test (suite, "duty_call_rejects_invalid_status",
