Native interface: only one coding of a response, as others are not read

What callers saw: on the native interface, a response marked as chunked twice, or as "identity" beside a length, as a whole response. Readers disagree on the body of either; through the event loop both are broken already.

Cause: the last Transfer-Encoding field stood for all of them, and any that did not mention chunks for none. Fields are counted now, and the only one allowed is "chunked", without a length and in HTTP/1.1.

--- a/net/attempt.c
+++ b/net/attempt.c
@@ -34,8 +34,8 @@
   gboolean too_large;
   gboolean is_stream;
   gboolean chunked;
-  gboolean has_length;
-  gboolean has_two_lengths;
+  guint coding_count; /* of Transfer-Encoding fields */
+  guint length_count; /* of Content-Length fields */
   gboolean id_mismatch;
   gboolean not_executed;
   gboolean done_seen;
@@ -105,12 +105,12 @@
       attempt->is_stream = g_str_has_prefix (value, "text/event-stream");
     }
   else if (parse_header (line, length, "Transfer-Encoding", value, sizeof value))
-    attempt->chunked = strstr (value, "chunked") != NULL;
-  else if (parse_header (line, length, "Content-Length", value, sizeof value))
     {
-      attempt->has_two_lengths = attempt->has_length;
-      attempt->has_length = TRUE;
+      attempt->chunked = g_ascii_strcasecmp (value, "chunked") == 0;
+      attempt->coding_count++;
     }
+  else if (parse_header (line, length, "Content-Length", value, sizeof value))
+    attempt->length_count++;
   else if (parse_header (line, length, HEADER_REQUEST_ID, value, sizeof value))
     attempt->id_mismatch = strcmp (value, attempt->config.attempt_id) != 0;
   else if (parse_header (line, length, HEADER_EXECUTED, value, sizeof value))
@@ -391,7 +391,7 @@
 {
   if (attempt->is_stream)
     return attempt->done_seen;
-  return attempt->has_length || attempt->chunked
+  return attempt->length_count > 0 || attempt->chunked
          || hbw_attempt_status (attempt) == 204;
 }
 
@@ -402,14 +402,16 @@
   return attempt->not_executed && (status == 429 || status == 503);
 }
 
-/* Returns whether the length of the body is unambiguous.  libcurl prefers chunks to
-   a length, in any version, and the last length to those before. */
+/* Returns whether the length of the body is unambiguous, and "chunked" its only
+   coding.  libcurl prefers chunks to a length, in any version, and the last length
+   to those before. */
 static gboolean
 has_valid_framing (const HbwAttempt *attempt)
 {
-  if (!attempt->chunked)
-    return !attempt->has_two_lengths;
-  return !attempt->has_length && hbw_framing_allows_chunks (&attempt->framing);
+  if (attempt->coding_count == 0)
+    return attempt->length_count <= 1;
+  return attempt->coding_count == 1 && attempt->chunked && attempt->length_count == 0
+         && hbw_framing_allows_chunks (&attempt->framing);
 }
 
 /* libcurl accepts a head that is cut off by the end of the connection. */
@@ -461,7 +463,8 @@
     return HBW_RESPONSE_END_NONE;
   if (attempt->chunked)
     return HBW_RESPONSE_END_CHUNKS;
-  return attempt->has_length ? HBW_RESPONSE_END_LENGTH : HBW_RESPONSE_END_CLOSE;
+  return attempt->length_count > 0 ? HBW_RESPONSE_END_LENGTH
+                                   : HBW_RESPONSE_END_CLOSE;
 }
 
 void
--- a/tests/malformed_response_client_test.c
+++ b/tests/malformed_response_client_test.c
@@ -29,6 +29,7 @@
 };
 
 #define WITH_LENGTH "Content-Length: 2\r\n\r\n{}"
+#define WITH_CHUNKS "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"
 
 /* Truncated anywhere before its last byte, a head says nothing. */
 static const char whole_head[] = "HTTP/1.1 200 OK\r\nETag: \"7\"\r\n"
@@ -177,15 +178,23 @@
 START_TEST (attempt_rejects_ambiguous_framing)
 {
   static const char *const texts[] = {
-    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+    "HTTP/1.0 200 OK\r\n" WITH_CHUNKS,
     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" WITH_LENGTH,
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" WITH_LENGTH,
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" WITH_LENGTH,
-    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
-    "2\r\n{}\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" WITH_CHUNKS,
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
     "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
     "HTTP/1.1 103 Early\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n" WITH_CHUNKS,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" WITH_CHUNKS,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+    "Transfer-Encoding: gzip\r\n" WITH_LENGTH,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+    "Transfer-Encoding: identity\r\n" WITH_LENGTH,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n{}",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n" WITH_LENGTH,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n" WITH_LENGTH,
   };
   check_rejected_attempts (texts, G_N_ELEMENTS (texts));
 }
@@ -222,6 +231,7 @@
           "HTTP/1.1 200\r\n" WITH_LENGTH,
           "HTTP/1.1 599 Other\r\n" WITH_LENGTH,
           "HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n" WITH_LENGTH,
+          "HTTP/1.1 200 OK\r\n" WITH_CHUNKS,
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"
           "0\r\nX-Trailer: 1\r\n\r\n",
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"
