Store: tests of malformed responses to lists, watches and load reports

No fault was found: each way of reading the store, or a server's load report, rejects a response without a valid status, with a truncated head or with a truncated body, on new and on kept connections. The tests passed on the code before and are kept.

--- a/tests/malformed_response_client_test.c
+++ b/tests/malformed_response_client_test.c
@@ -278,17 +278,40 @@
 
 /* --- the store ---------------------------------------------------------------- */
 
+typedef enum
+{
+  STORE_GET,   /* an object */
+  STORE_PATH,  /* a list, or a server's load report */
+  STORE_WATCH, /* an object that changes */
+  STORE_PUT,
+  STORE_CALLS
+} StoreCall;
+
+static HbwStoreResponse
+make_store_call (HbwStoreClient *client, StoreCall call, HbwError *error)
+{
+  switch (call)
+    {
+    case STORE_PATH:
+      return hbw_store_client_get_path (client, "/load", error);
+    case STORE_WATCH:
+      return hbw_store_client_watch (client, "o", 6, TIMEOUT_MS, error);
+    case STORE_PUT:
+      return hbw_store_client_put (client, "o", 6, "{}", 2, error);
+    default:
+      return hbw_store_client_get (client, "o", error);
+    }
+}
+
 static HbwStoreResult
-call_store (CannedServer *server, gboolean keeps, gboolean writes)
+call_store (CannedServer *server, gboolean keeps, StoreCall call)
 {
   HbwError error = { HBW_ERROR_NONE, "" };
   HbwStoreClient *client
       = hbw_store_client_create (canned_server_address (server), &error);
   if (keeps)
     hbw_store_client_keep_connection (client, 0);
-  HbwStoreResponse response
-      = writes ? hbw_store_client_put (client, "o", 6, "{}", 2, &error)
-               : hbw_store_client_get (client, "o", &error);
+  HbwStoreResponse response = make_store_call (client, call, &error);
   g_clear_pointer (&response.body, g_bytes_unref);
   hbw_store_client_destroy (client);
   return response.result;
@@ -299,12 +322,13 @@
 check_store (CannedServer *server, const char *name)
 {
   for (guint keeps = 0; keeps < 2; keeps++)
-    {
-      HbwStoreResult read = call_store (server, keeps == 1, FALSE);
-      HbwStoreResult write = call_store (server, keeps == 1, TRUE);
-      ck_assert_msg (read == HBW_STORE_FAILED, "read %d: %s", read, name);
-      ck_assert_msg (write == HBW_STORE_UNKNOWN, "write %d: %s", write, name);
-    }
+    for (StoreCall call = STORE_GET; call < STORE_CALLS; call++)
+      {
+        HbwStoreResult result = call_store (server, keeps == 1, call);
+        HbwStoreResult expected
+            = call == STORE_PUT ? HBW_STORE_UNKNOWN : HBW_STORE_FAILED;
+        ck_assert_msg (result == expected, "call %d, %d: %s", call, result, name);
+      }
 }
 
 START_TEST (store_client_rejects_invalid_status)
@@ -320,6 +344,31 @@
 }
 END_TEST
 
+/* Guards against a part of a list or of an object that is taken for the whole. */
+START_TEST (store_client_rejects_truncated_body)
+{
+  static const CannedResponse answers[] = {
+    { .text = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+      .end = CANNED_RESPONSE_CLOSES },
+    { .text = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+      .end = CANNED_RESPONSE_RESETS },
+    { .text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
+      .end = CANNED_RESPONSE_CLOSES },
+    { .text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{}",
+      .end = CANNED_RESPONSE_CLOSES },
+    { .text = "HTTP/1.1 200 OK\r\n\r\n{}", .end = CANNED_RESPONSE_RESETS },
+  };
+  CannedServer *server = canned_server_create ();
+  for (gsize i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      answer_with (server, answers[i].text, strlen (answers[i].text),
+                   answers[i].end);
+      check_store (server, answers[i].text);
+    }
+  canned_server_destroy (server);
+}
+END_TEST
+
 /* --- orders to servers -------------------------------------------------------- */
 
 /* Returns how many orders are sent in two rounds; an order that the server has
@@ -404,6 +453,8 @@
                   store_client_rejects_invalid_status);
   suite_add_test (suite, "store_client_rejects_truncated_head",
                   store_client_rejects_truncated_head);
+  suite_add_test (suite, "store_client_rejects_truncated_body",
+                  store_client_rejects_truncated_body);
   suite_add_test (suite, "order_is_not_confirmed_by_invalid_status",
                   order_is_not_confirmed_by_invalid_status);
   suite_add_test (suite, "order_is_not_confirmed_by_truncated_head",
