Traffic: a drain waits until all that had arrived at the closing was read

What callers could see: at a planned stop of an instance short of processor time, a connection that ends in order without an answer, after the instance has read their request.

Cause: the drain asks whether the thread of the connections is in use, and gets its last check. If that thread is not scheduled while the drain closes idle connections and checks twice (100 ms), the check is from before: the requests that had arrived are read after that, just before the stop. From the call that closes idle connections until the first check after it the thread counts as in use now. Its timer waits until all that has arrived was read.

--- a/include/hornbeamwall/net/traffic.h
+++ b/include/hornbeamwall/net/traffic.h
@@ -23,9 +23,9 @@
 void hbw_traffic_drain (HbwTraffic *traffic);
 
 /* Returns whether, after hbw_traffic_drain(), a caller waits for a response or for
-   the rest of one, or a request of another instance goes through this one.
-   Thread-safe.
- */
+   the rest of one, or a request of another instance goes through this one; or,
+   after hbw_traffic_close_idle(), what had arrived by then has not been read yet.
+   Thread-safe. */
 gboolean hbw_traffic_is_in_use (const HbwTraffic *traffic);
 
 /* Accepts no more connections and closes idle ones, so that only requests that have
--- a/include/hornbeamwall/net/traffic_state.h
+++ b/include/hornbeamwall/net/traffic_state.h
@@ -42,8 +42,11 @@
   struct cds_list_head tunnels;       /* see net/tunnel.h */
   guint tunnel_count;
   gboolean draining;
-  HbwTimer use_timer;    /* while draining */
-  atomic_bool is_in_use; /* as of the last look */
+  gboolean has_closed_idle; /* only requests that had arrived are answered */
+  HbwTimer use_timer;       /* while draining */
+  atomic_bool is_in_use;    /* as of the last check */
+  /* From the call that closes idle connections to the first check after that. */
+  atomic_bool is_closing_idle;
 };
 
 /* Returns the limits on what callers may send, from the current catalogue or, where
--- a/net/traffic.c
+++ b/net/traffic.c
@@ -24,7 +24,7 @@
    is left. */
 #define ACCEPT_RETRY_US (50 * HBW_US_PER_MS)
 
-/* How often it is looked at whether anything is in progress, while draining. */
+/* How often it is checked whether anything is in progress, while draining. */
 #define USE_INTERVAL_US (20 * HBW_US_PER_MS)
 
 /* Limits for callers if the catalogue sets none. */
@@ -164,6 +164,8 @@
   HbwTraffic *traffic = caa_container_of (timer, HbwTraffic, use_timer);
   atomic_store (&traffic->is_in_use, hbw_downstream_any_in_use (traffic)
                                          || hbw_tunnel_any_in_use (traffic));
+  if (traffic->has_closed_idle)
+    atomic_store (&traffic->is_closing_idle, FALSE);
   hbw_loop_set_timer (traffic->loop, timer, USE_INTERVAL_US);
 }
 
@@ -185,6 +187,9 @@
   close_listener (traffic->loop, &thread->caller_listener);
   close_listener (traffic->loop, &thread->tunnel_listener);
   hbw_downstream_close_idle (traffic);
+  traffic->has_closed_idle = TRUE;
+  /* A timer that is set now waits until all that has arrived was read. */
+  hbw_loop_set_timer (traffic->loop, &traffic->use_timer, USE_INTERVAL_US);
   g_free (task);
 }
 
@@ -394,15 +399,18 @@
   post_task (traffic, handle_drain);
 }
 
+/* The order matters: a check stores its result before it ends the closing. */
 gboolean
 hbw_traffic_is_in_use (const HbwTraffic *traffic)
 {
-  return atomic_load (&traffic->is_in_use);
+  return atomic_load (&traffic->is_closing_idle)
+         || atomic_load (&traffic->is_in_use);
 }
 
 void
 hbw_traffic_close_idle (HbwTraffic *traffic)
 {
+  atomic_store (&traffic->is_closing_idle, TRUE);
   post_task (traffic, handle_close_idle);
 }
 
--- a/tests/drain_test.c
+++ b/tests/drain_test.c
@@ -5,9 +5,11 @@
 #include "platform_fixture.h"
 #include "suite.h"
 
+#include "hornbeamwall/common/log.h"
 #include "hornbeamwall/runtime/drain.h"
 
 #include <pthread.h>
+#include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -161,6 +163,83 @@
 }
 END_TEST
 
+/* How long the thread that serves callers is stalled: for longer than the drain
+   checks for requests after it has closed idle connections. */
+#define STALL_US (400 * HBW_US_PER_MS)
+
+/* What a drain has waited for when it has closed idle connections, in percent of the
+   grace period. */
+#define WAITED_PERCENT 50
+
+/* A drain, beside a stall of the thread that serves callers. */
+typedef struct
+{
+  HbwClock *clock;    /* of the drain */
+  int closed_fd;      /* of a connection whose end starts the stall */
+  int request_fd;     /* of one on which a request is sent within the stall */
+  guint waits;        /* of the drain */
+  atomic_bool is_due; /* the next connection that is closed starts the stall */
+} StalledDrain;
+
+/* Runs on the thread that serves callers. */
+static void
+stall_at_close (const HbwLogEventInfo *info, const char *text G_GNUC_UNUSED,
+                void *data)
+{
+  StalledDrain *stalled = data;
+  if (info->number == HBW_LOG_CONNECTION_CLOSED
+      && atomic_exchange (&stalled->is_due, FALSE))
+    g_usleep (STALL_US);
+}
+
+/* A connection that is closed within a request is logged. */
+static void
+begin_stall (StalledDrain *stalled)
+{
+  atomic_store (&stalled->is_due, TRUE);
+  caller_send (stalled->closed_fd, "POST");
+  close (stalled->closed_fd);
+  while (atomic_load (&stalled->is_due))
+    g_usleep (1000);
+  send_request (stalled->request_fd, "/long/a/ok");
+}
+
+/* By the drain's clock the first wait is a long one, so that idle connections are
+   closed after the second one. */
+static gboolean
+wait_with_stall (void *data)
+{
+  StalledDrain *stalled = data;
+  g_usleep (HBW_DRAIN_INTERVAL_US);
+  stalled->waits++;
+  if (stalled->waits == 1)
+    hbw_clock_advance (stalled->clock, GRACE_US / 100 * WAITED_PERCENT);
+  else if (stalled->waits == 2)
+    begin_stall (stalled);
+  return TRUE;
+}
+
+/* Guards against an exit after a check that was made before the last request was
+   read, as the thread that reads requests was not scheduled. */
+START_TEST (request_that_arrives_in_a_stall_is_answered)
+{
+  StalledDrain stalled = { .clock = hbw_clock_create_manual (0) };
+  hbw_log_set_hook (stall_at_close, &stalled);
+  PlatformFixture *fixture = platform_fixture_create ();
+  put_config (fixture);
+  stalled.closed_fd = platform_fixture_connect (fixture);
+  stalled.request_fd = platform_fixture_connect (fixture);
+  hbw_drain_run (fixture->instance, GRACE_US, stalled.clock, wait_with_stall,
+                 &stalled);
+  g_clear_pointer (&fixture->instance, hbw_instance_destroy);
+  raw_response_check (caller_receive (stalled.request_fd), 200, NULL);
+  close (stalled.request_fd);
+  platform_fixture_destroy (fixture);
+  hbw_log_set_hook (NULL, NULL);
+  hbw_clock_destroy (stalled.clock);
+}
+END_TEST
+
 /* Reads slowly until the end, or until there are at least COUNT_MAX bytes. */
 static gsize
 count_bytes (int fd, gsize count_max)
@@ -221,6 +300,8 @@
   Suite *suite = suite_create ("drain");
   suite_add_test (suite, "request_that_waits_at_a_stop_is_refused",
                   request_that_waits_at_a_stop_is_refused);
+  suite_add_test (suite, "request_that_arrives_in_a_stall_is_answered",
+                  request_that_arrives_in_a_stall_is_answered);
   suite_add_test (suite, "request_that_is_read_before_the_exit_is_answered",
                   request_that_is_read_before_the_exit_is_answered);
   suite_add_test (suite, "response_is_sent_to_a_slow_caller_before_the_exit",
