--- a/tests/malformed_response_client_test.c
+++ b/tests/malformed_response_client_test.c
@@ -1,12 +1,13 @@
 /*
  * Tests of the clients that read responses through a library: attempts of the native
- * interface, calls of the duties, the store, and orders to servers.  Each of them
- * rejects a malformed response.
+ * interface, calls of the duties, the store, orders to servers, and the command
+ * line. Each of them rejects a malformed response.
  */
 #include "standin/canned_server.h"
 #include "standin/store.h"
 #include "suite.h"
 
+#include "hornbeamwall/client.h"
 #include "hornbeamwall/net/attempt.h"
 #include "hornbeamwall/net/server_orders.h"
 #include "hornbeamwall/net/store_client.h"
@@ -429,6 +430,50 @@
 }
 END_TEST
 
+/* --- the command line --------------------------------------------------------- */
+
+static gboolean
+call_administration (CannedServer *server)
+{
+  HbwError error = { HBW_ERROR_NONE, "" };
+  HbwClientResponse response;
+  const HbwClientOptions options
+      = { .address = (char *) canned_server_address (server) };
+  gboolean is_ok = hbw_client_call (&options, "GET", "/admin/v1/status", NULL, NULL,
+                                    &response, &error);
+  hbw_client_response_clear (&response);
+  return is_ok;
+}
+
+static void
+check_command (CannedServer *server, const char *name)
+{
+  ck_assert_msg (!call_administration (server), "%s", name);
+}
+
+START_TEST (command_rejects_invalid_status)
+{
+  check_status_lines (invalid_status_lines, G_N_ELEMENTS (invalid_status_lines),
+                      check_command);
+}
+END_TEST
+
+START_TEST (command_rejects_truncated_head)
+{
+  check_truncated_heads (check_command);
+}
+END_TEST
+
+START_TEST (command_accepts_valid_response)
+{
+  static const char text[] = "HTTP/1.1 200 OK\r\n" WITH_LENGTH;
+  CannedServer *server = canned_server_create ();
+  answer_with (server, text, strlen (text), CANNED_RESPONSE_CLOSES);
+  ck_assert (call_administration (server));
+  canned_server_destroy (server);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -461,5 +506,11 @@
                   order_is_not_confirmed_by_truncated_head);
   suite_add_test (suite, "order_is_confirmed_by_valid_response",
                   order_is_confirmed_by_valid_response);
+  suite_add_test (suite, "command_rejects_invalid_status",
+                  command_rejects_invalid_status);
+  suite_add_test (suite, "command_rejects_truncated_head",
+                  command_rejects_truncated_head);
+  suite_add_test (suite, "command_accepts_valid_response",
+                  command_accepts_valid_response);
   return suite_run (suite);
 }
