Native interface: tests of responses whose body stops before its end

No fault was found: an attempt without a length, chunks or the last event of a stream is never complete, however its connection ends, so a reset within an upload completes none either. The test passed on the code before and is kept.

--- a/tests/malformed_response_client_test.c
+++ b/tests/malformed_response_client_test.c
@@ -95,6 +95,32 @@
   canned_server_destroy (server);
 }
 
+/* Responses whose body stops before its end. */
+static const CannedResponse truncated_bodies[] = {
+  { .text = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+    .end = CANNED_RESPONSE_CLOSES },
+  { .text = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+    .end = CANNED_RESPONSE_RESETS },
+  { .text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
+    .end = CANNED_RESPONSE_CLOSES },
+  { .text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{}",
+    .end = CANNED_RESPONSE_CLOSES },
+  { .text = "HTTP/1.1 200 OK\r\n\r\n{}", .end = CANNED_RESPONSE_RESETS },
+};
+
+static void
+check_truncated_bodies (CheckAnswer check)
+{
+  CannedServer *server = canned_server_create ();
+  for (gsize i = 0; i < G_N_ELEMENTS (truncated_bodies); i++)
+    {
+      const CannedResponse *answer = &truncated_bodies[i];
+      answer_with (server, answer->text, strlen (answer->text), answer->end);
+      check (server, answer->text);
+    }
+  canned_server_destroy (server);
+}
+
 /* --- attempts of the native interface ---------------------------------------- */
 
 static HbwOutcome
@@ -127,9 +153,15 @@
 }
 
 static void
-check_attempt (CannedServer *server, const char *name)
+check_post (CannedServer *server, const char *name)
 {
   ck_assert_msg (run_attempt (server, "POST") == HBW_OUTCOME_BROKEN, "%s", name);
+}
+
+static void
+check_attempt (CannedServer *server, const char *name)
+{
+  check_post (server, name);
   ck_assert_msg (run_attempt (server, "HEAD") == HBW_OUTCOME_BROKEN, "HEAD: %s",
                  name);
 }
@@ -157,8 +189,7 @@
   for (gsize i = 0; i < count; i++)
     {
       answer_with (server, texts[i], strlen (texts[i]), CANNED_RESPONSE_CLOSES);
-      ck_assert_msg (run_attempt (server, "POST") == HBW_OUTCOME_BROKEN, "%s",
-                     texts[i]);
+      check_post (server, texts[i]);
     }
   canned_server_destroy (server);
 }
@@ -201,6 +232,18 @@
 }
 END_TEST
 
+/* Guards against a response that only the end of the connection ends. */
+START_TEST (attempt_rejects_truncated_body)
+{
+  static const char *const texts[] = {
+    "HTTP/1.1 200 OK\r\n\r\n{}",
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: 1\n\n",
+  };
+  check_truncated_bodies (check_post);
+  check_rejected_attempts (texts, G_N_ELEMENTS (texts));
+}
+END_TEST
+
 /* Guards against trailers that are not checked because they are not forwarded. */
 START_TEST (attempt_rejects_invalid_trailer)
 {
@@ -348,25 +391,7 @@
 /* Guards against a part of a list or of an object that is taken for the whole. */
 START_TEST (store_client_rejects_truncated_body)
 {
-  static const CannedResponse answers[] = {
-    { .text = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
-      .end = CANNED_RESPONSE_CLOSES },
-    { .text = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
-      .end = CANNED_RESPONSE_RESETS },
-    { .text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
-      .end = CANNED_RESPONSE_CLOSES },
-    { .text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{}",
-      .end = CANNED_RESPONSE_CLOSES },
-    { .text = "HTTP/1.1 200 OK\r\n\r\n{}", .end = CANNED_RESPONSE_RESETS },
-  };
-  CannedServer *server = canned_server_create ();
-  for (gsize i = 0; i < G_N_ELEMENTS (answers); i++)
-    {
-      answer_with (server, answers[i].text, strlen (answers[i].text),
-                   answers[i].end);
-      check_store (server, answers[i].text);
-    }
-  canned_server_destroy (server);
+  check_truncated_bodies (check_store);
 }
 END_TEST
 
@@ -486,6 +511,8 @@
                   attempt_rejects_invalid_field_line);
   suite_add_test (suite, "attempt_rejects_ambiguous_framing",
                   attempt_rejects_ambiguous_framing);
+  suite_add_test (suite, "attempt_rejects_truncated_body",
+                  attempt_rejects_truncated_body);
   suite_add_test (suite, "attempt_rejects_invalid_trailer",
                   attempt_rejects_invalid_trailer);
   suite_add_test (suite, "attempt_accepts_valid_responses",
