--- a/tests/log_test.c
+++ b/tests/log_test.c
@@ -3,6 +3,7 @@
  * instance, and repeated lines of one event are limited in rate and counted.
  */
 #include "platform_fixture.h"
+#include "standin/canned_replica.h"
 #include "suite.h"
 
 #include "hornbeamwall/common/log.h"
--- a/tests/malformed_response_test.c
+++ b/tests/malformed_response_test.c
@@ -3,6 +3,7 @@
  * complete response.
  */
 #include "platform_fixture.h"
+#include "standin/canned_replica.h"
 #include "suite.h"
 
 #include <string.h>
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -104,7 +104,7 @@
   g_hash_table_destroy (replica->run_counts);
   g_free (replica->last_request_head);
   g_free (replica->fields);
-  canned_response_free (replica->canned_response);
+  replica_release_responder (replica->responder);
   g_free (replica->id);
   g_free (replica->first_id);
   g_free (replica);
@@ -144,13 +144,28 @@
   pthread_mutex_unlock (&replica->lock);
 }
 
+static void
+clear_responder (gpointer data)
+{
+  ReplicaResponder *responder = data;
+  responder->class->clear (responder);
+}
+
+void
+replica_release_responder (ReplicaResponder *responder)
+{
+  if (responder != NULL)
+    g_atomic_rc_box_release_full (responder, clear_responder);
+}
+
 void
-replica_set_canned_response (Replica *replica, const CannedResponse *answer)
+replica_set_responder (Replica *replica, ReplicaResponder *responder)
 {
   pthread_mutex_lock (&replica->lock);
-  canned_response_free (replica->canned_response);
-  replica->canned_response = canned_response_copy (answer);
+  ReplicaResponder *former = replica->responder;
+  replica->responder = responder;
   pthread_mutex_unlock (&replica->lock);
+  replica_release_responder (former);
 }
 
 void
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -41,7 +41,7 @@
  *   headflood  the same, as header fields without end
  *   bodyflood  the same, as a body without end and without the server's mark
  *   noseal     200 without the header field that marks a server's own response
- *   canned     the response of replica_set_canned_response()
+ *   canned     what the responder of replica_set_responder() sends
  *   earlycanned   the same, before it has read the body
  *   cutcanned     as "cut"; then, for a stream that goes on, as "canned"
  *
@@ -52,7 +52,7 @@
 #ifndef HORNBEAMWALL_TESTS_STANDIN_REPLICA_H
 #define HORNBEAMWALL_TESTS_STANDIN_REPLICA_H
 
-#include "canned_response.h"
+#include <glib.h>
 
 /* How long a replica that crashed refuses connections, in microseconds. */
 #define REPLICA_OUTAGE_US (1500 * 1000)
@@ -73,8 +73,26 @@
 /* Sets complete header lines for all further responses, or "". */
 void replica_set_fields (Replica *replica, const char *fields);
 
-/* Sets what the behaviour "canned" sends. */
-void replica_set_canned_response (Replica *replica, const CannedResponse *answer);
+/* Sends responses in place of a replica.  Created by g_atomic_rc_box_new(). */
+typedef struct ReplicaResponder ReplicaResponder;
+
+typedef struct
+{
+  /* Sends the response to the request ATTEMPT_ID on the socket FD.  Returns whether
+     the connection is kept open. */
+  gboolean (*respond) (const ReplicaResponder *responder, int fd,
+                       const char *attempt_id);
+  void (*clear) (ReplicaResponder *responder);
+} ReplicaResponderClass;
+
+struct ReplicaResponder
+{
+  const ReplicaResponderClass *class;
+};
+
+/* Sets what sends the response of the behaviour "canned", and takes over the
+   reference. */
+void replica_set_responder (Replica *replica, ReplicaResponder *responder);
 
 /* Turns further requests away, not executed, with 503 and the header lines of
    replica_set_fields(). */
--- a/tests/standin/replica_internal.h
+++ b/tests/standin/replica_internal.h
@@ -28,8 +28,8 @@
   pthread_cond_t connection_ended;
   GHashTable *run_counts; /* target -> count */
   char *last_request_head;
-  char *fields; /* of all responses */
-  CannedResponse *canned_response;
+  char *fields;                /* of all responses */
+  ReplicaResponder *responder; /* of the behaviour "canned"; NULL: none */
   guint open_connections;
   atomic_uint connection_count;
   atomic_uint active_requests;
@@ -54,6 +54,9 @@
 /* Fails: ends all connections, and refuses new ones for a while. */
 void replica_crash (Replica *replica, ReplicaCrash kind);
 
+/* Drops a reference to RESPONDER, which may be NULL. */
+void replica_release_responder (ReplicaResponder *responder);
+
 /* Waits until the replica is not silent, or is being destroyed. */
 void replica_wait_while_silent (const Replica *replica);
 
--- a/tests/standin/replica_session.c
+++ b/tests/standin/replica_session.c
@@ -441,25 +441,25 @@
   return TRUE;
 }
 
-/* Returns the canned response of the replica; the caller frees it. */
-static CannedResponse *
-copy_canned_response (const Session *session)
+/* Returns a reference to the responder of the replica. */
+static ReplicaResponder *
+acquire_responder (const Session *session)
 {
   Replica *replica = session->replica;
   pthread_mutex_lock (&replica->lock);
-  CannedResponse *answer = canned_response_copy (replica->canned_response);
+  ReplicaResponder *responder = g_atomic_rc_box_acquire (replica->responder);
   pthread_mutex_unlock (&replica->lock);
-  return answer;
+  return responder;
 }
 
 /* Returns whether the connection is kept open. */
 static gboolean
 send_canned (const Session *session)
 {
-  CannedResponse *answer = copy_canned_response (session);
-  gboolean keeps = answer->end == CANNED_RESPONSE_KEEPS;
-  canned_response_send (answer, session->fd, session->attempt_id);
-  canned_response_free (answer);
+  ReplicaResponder *responder = acquire_responder (session);
+  gboolean keeps
+      = responder->class->respond (responder, session->fd, session->attempt_id);
+  replica_release_responder (responder);
   return keeps;
 }
 
--- a/tests/tunnel_test.c
+++ b/tests/tunnel_test.c
@@ -2,6 +2,7 @@
  * tunnel_test - an instance without a path to the servers, and another one with
  */
 #include "platform_fixture.h"
+#include "standin/canned_replica.h"
 #include "standin/proxy.h"
 #include "suite.h"
 
