Logs: who was asked for a document, who did not answer, which messages were dropped

Four hypotheses look the same in the log: nobody offers a newer version, it is offered and not asked for, it is asked for and the question is lost here, or it is asked for and not answered.

- DOCUMENT_REQUESTED: document, versions held and offered, the peer;
- DOCUMENT_UNANSWERED: that peer had not sent it when the next one is asked;
- DOCUMENT_ADOPTED names its source;
- MESSAGE_DROPPED and hornbeamwall_messages_dropped_total{kind}: a message to an identity without an address, which was dropped in silence.

No decision changes. core_test, decision_test, golden_test, net_test, adapter_test and admin_test pass.

--- a/core/documents.c
+++ b/core/documents.c
@@ -1,6 +1,7 @@
 #include "hornbeamwall/core/documents.h"
 
 #include "hornbeamwall/core/delta.h"
+#include "hornbeamwall/core/membership.h"
 
 typedef struct
 {
@@ -15,6 +16,7 @@
   gint64 rejected_version; /* highest version that was invalid */
   GBytes *body;
   gint64 requested_us;
+  guint64 requested_from;    /* peer whose answer is outstanding; 0: none */
   gboolean request_complete; /* the next request is for the complete document */
   PreviousVersion previous[HBW_DOCUMENT_HISTORY];
   guint next_previous;
@@ -125,6 +127,7 @@
   DocumentState *state = &documents->states[kind];
   save_previous_version (state);
   state->request_complete = FALSE;
+  state->requested_from = 0;
   state->body = body != NULL ? g_bytes_ref (body) : NULL;
   state->version = version;
 }
@@ -160,6 +163,33 @@
   return documents->states[kind].body;
 }
 
+static void
+log_unanswered (const DocumentState *state, HbwContext *context,
+                HbwDocumentKind kind)
+{
+  if (state->requested_from == 0)
+    return;
+  hbw_effects_log (
+      context->effects, HBW_LOG_DOCUMENT_UNANSWERED,
+      "document=%s version=%" G_GINT64_FORMAT " peer=%" G_GUINT64_FORMAT
+      " instance=%s age_ms=%" G_GINT64_FORMAT,
+      hbw_document_kind_name (kind), state->version, state->requested_from,
+      hbw_membership_find_name (context->membership, state->requested_from),
+      (context->now_us - state->requested_us) / HBW_US_PER_MS);
+}
+
+static void
+log_request (const DocumentState *state, HbwContext *context, HbwDocumentKind kind,
+             gint64 offered)
+{
+  hbw_effects_log (
+      context->effects, HBW_LOG_DOCUMENT_REQUESTED,
+      "document=%s version=%" G_GINT64_FORMAT " offered=%" G_GINT64_FORMAT
+      " peer=%" G_GUINT64_FORMAT " instance=%s",
+      hbw_document_kind_name (kind), state->version, offered, state->requested_from,
+      hbw_membership_find_name (context->membership, state->requested_from));
+}
+
 void
 hbw_documents_request_newer (HbwDocuments *documents, HbwContext *context,
                              guint64 from, const HbwPing *ping)
@@ -173,7 +203,10 @@
           || context->now_us - state->requested_us
                  < HBW_DOCUMENT_REQUEST_INTERVAL_US)
         continue;
+      log_unanswered (state, context, (HbwDocumentKind) i);
       state->requested_us = context->now_us;
+      state->requested_from = from;
+      log_request (state, context, (HbwDocumentKind) i, ping->versions[i]);
       HbwMessage message = { .kind = HBW_MESSAGE_DOCUMENT_ASK };
       message.document.kind = (HbwDocumentKind) i;
       message.document.version
--- a/core/metrics.c
+++ b/core/metrics.c
@@ -166,6 +166,8 @@
                       metrics->control.messages_sent[i]);
       render_counter (text, "messages_received", "kind", kind,
                       metrics->control.messages_received[i]);
+      render_counter (text, "messages_dropped", "kind", kind,
+                      metrics->control.messages_dropped[i]);
     }
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     {
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -442,6 +442,21 @@
     }
 }
 
+/* Counts and logs the message of the effect INDEX, and removes it. */
+static void
+drop_message (HbwReducer *reducer, HbwEffects *effects, guint index)
+{
+  const HbwSendMessage *send = &hbw_effects_get (effects, index)->send;
+  HbwMessageKind kind = send->message.kind;
+  guint64 to = send->to;
+  hbw_metrics_control (reducer->context.metrics)->messages_dropped[kind]++;
+  hbw_effects_remove (effects, index);
+  hbw_effects_log (effects, HBW_LOG_MESSAGE_DROPPED,
+                   "kind=%s to=%" G_GUINT64_FORMAT " instance=%s",
+                   hbw_message_kind_name (kind), to,
+                   hbw_membership_find_name (reducer->context.membership, to));
+}
+
 /* Adds the addresses of the messages' receivers; drops messages to unknown ones. */
 static void
 address_messages (HbwReducer *reducer, HbwEffects *effects, guint from)
@@ -456,7 +471,7 @@
       if (address != NULL)
         g_strlcpy (effect->send.address, address, sizeof effect->send.address);
       else
-        hbw_effects_remove (effects, i - 1);
+        drop_message (reducer, effects, i - 1);
     }
 }
 
--- a/core/reducer_documents.c
+++ b/core/reducer_documents.c
@@ -96,7 +96,7 @@
 }
 
 static void
-adopt_document (HbwReducer *reducer, const HbwDocument *document)
+adopt_document (HbwReducer *reducer, const HbwDocument *document, const char *source)
 {
   HbwContext *context = &reducer->context;
   const char *name = hbw_document_kind_name (document->kind);
@@ -112,11 +112,14 @@
   hbw_documents_adopt (reducer->documents, document->kind, document->version,
                        document->body);
   hbw_effects_log (context->effects, HBW_LOG_DOCUMENT_ADOPTED,
-                   "document=%s version=%" G_GINT64_FORMAT, name, document->version);
+                   "document=%s version=%" G_GINT64_FORMAT " source=%s", name,
+                   document->version, source);
 }
 
-void
-hbw_reducer_handle_document (HbwReducer *reducer, const HbwDocument *document)
+/* SOURCE is the name of the instance that sent it, or "store". */
+static void
+handle_document (HbwReducer *reducer, const HbwDocument *document,
+                 const char *source)
 {
   HbwContext *context = &reducer->context;
   HbwVersionOrder order = hbw_documents_compare_version (
@@ -141,10 +144,18 @@
   if (body == NULL)
     return;
   const HbwDocument whole = { document->kind, document->version, 0, body };
-  adopt_document (reducer, &whole);
+  adopt_document (reducer, &whole, source);
   g_bytes_unref (body);
 }
 
+void
+hbw_reducer_handle_document (HbwReducer *reducer, const HbwDocument *document,
+                             guint64 from)
+{
+  handle_document (reducer, document,
+                   hbw_membership_find_name (reducer->context.membership, from));
+}
+
 /* Pings the data centre after a new version was read from the store, because
    instances that do not watch the store learn of new versions from pings. */
 void
@@ -152,7 +163,7 @@
 {
   HbwContext *context = &reducer->context;
   gint64 before = hbw_documents_version (reducer->documents, document->kind);
-  hbw_reducer_handle_document (reducer, document);
+  handle_document (reducer, document, "store");
   if (reducer->max_revocation_delay_us > 0
       && hbw_documents_version (reducer->documents, document->kind) > before)
     hbw_membership_ping_all (context->membership, context, context->data_centre);
--- a/core/reducer_messages.c
+++ b/core/reducer_messages.c
@@ -41,7 +41,7 @@
     if (ping->versions[i] == HBW_VERSION_ABSENT)
       {
         const HbwDocument absent = { .kind = (HbwDocumentKind) i };
-        hbw_reducer_handle_document (reducer, &absent);
+        hbw_reducer_handle_document (reducer, &absent, message->from);
       }
   hbw_documents_request_newer (reducer->documents, context, message->from, ping);
   hbw_suspect_share_handle_ping (context->suspect_share, context, message);
@@ -141,7 +141,7 @@
                                     &message->document);
       break;
     case HBW_MESSAGE_DOCUMENT:
-      hbw_reducer_handle_document (reducer, &message->document);
+      hbw_reducer_handle_document (reducer, &message->document, message->from);
       break;
     case HBW_MESSAGE_SUSPECT:
       hbw_suspect_share_handle_report (context->suspect_share, context, message);
--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -51,6 +51,12 @@
   X (2009, CATALOGUE_UNCONFIRMED, WARN,                                             \
      "The platform's store has another catalogue than the active one.",             \
      "Write the newest catalogue again if this persists; keys are refused then.")   \
+  X (2010, DOCUMENT_REQUESTED, INFO,                                                \
+     "A peer was asked for a newer version of a platform document.", "Nothing.")    \
+  X (2011, DOCUMENT_UNANSWERED, WARN,                                               \
+     "A peer that has a newer version of a platform document did not send it in "   \
+     "time.",                                                                       \
+     "Check the peer, and the network to it, if this persists.")                    \
   X (3001, PEER_JOINED, INFO, "An instance has joined.", "Nothing.")                \
   X (3002, PEER_SUSPECT, INFO, "An instance does not respond to probes.",           \
      "Nothing; it is marked failed or alive again within a second.")                \
@@ -62,6 +68,9 @@
      "Check the machine for overload if this happens often.")                       \
   X (3006, MESSAGE_REJECTED, WARN, "A peer message was invalid and was dropped.",   \
      "Check that all instances run compatible versions.")                           \
+  X (3007, MESSAGE_DROPPED, INFO,                                                   \
+     "A message was not sent, as the address of its receiver is not known.",        \
+     "Nothing if the receiver has ended.")                                          \
   X (4001, OWNER_GAINED, INFO, "This instance now schedules a shard.", "Nothing.")  \
   X (4002, OWNER_LOST, INFO, "This instance no longer schedules a shard.",          \
      "Nothing.")                                                                    \
--- a/include/hornbeamwall/core/metrics.h
+++ b/include/hornbeamwall/core/metrics.h
@@ -41,6 +41,7 @@
 {
   guint64 messages_sent[HBW_MESSAGE_COUNT];
   guint64 messages_received[HBW_MESSAGE_COUNT];
+  guint64 messages_dropped[HBW_MESSAGE_COUNT]; /* address of the receiver unknown */
   guint64 store_call_count[HBW_DOCUMENT_COUNT];
   guint64 store_failures[HBW_DOCUMENT_COUNT]; /* calls without a usable response */
   guint64 server_checks[HBW_SERVER_CHECK_COUNT]; /* by result */
--- a/include/hornbeamwall/core/reducer_state.h
+++ b/include/hornbeamwall/core/reducer_state.h
@@ -76,8 +76,9 @@
 
 /* --- reducer_documents.c ------------------------------------------------------- */
 
-/* Adopts DOCUMENT of another instance if it is valid and newer. */
-void hbw_reducer_handle_document (HbwReducer *reducer, const HbwDocument *document);
+/* Adopts DOCUMENT of the instance FROM if it is valid and newer. */
+void hbw_reducer_handle_document (HbwReducer *reducer, const HbwDocument *document,
+                                  guint64 from);
 
 /* Does so with one that was read from the store. */
 void hbw_reducer_handle_document_read (HbwReducer *reducer,
