Documents: a peer that cannot be reached does not keep others from being asked

Cause: an instance that stops goes on pinging, with the versions of its documents. A process that has started since does not know its address, as an unknown member that has left is not added. hbw_documents_request_newer() noted the request as sent, for all peers, before it was known whether it could be; then it was dropped. Pings come every 250 ms and a request may be repeated after 500 ms, so the same peer was asked again and again, and the peer that could have answered never.

Fix: a peer without an address is not asked, and its offer sets no time. The test failed before (no peer was asked, 3 expected).

--- a/core/documents.c
+++ b/core/documents.c
@@ -201,7 +201,8 @@
           documents, (HbwDocumentKind) i, ping->versions[i]);
       if (order != HBW_VERSION_NEWER || ping->versions[i] <= HBW_VERSION_ABSENT
           || context->now_us - state->requested_us
-                 < HBW_DOCUMENT_REQUEST_INTERVAL_US)
+                 < HBW_DOCUMENT_REQUEST_INTERVAL_US
+          || hbw_membership_find_address (context->membership, from) == NULL)
         continue;
       log_unanswered (state, context, (HbwDocumentKind) i);
       state->requested_us = context->now_us;
--- /dev/null
+++ b/tests/document_request_test.c
@@ -0,0 +1,150 @@
+/*
+ * Tests of requests between instances for newer versions of the platform's
+ * documents, on the reducer without I/O: which peer is asked, and who is asked next.
+ */
+#include "suite.h"
+
+#include "hornbeamwall/common/clock.h"
+#include "hornbeamwall/core/documents.h"
+#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/policy.h"
+#include "hornbeamwall/core/reducer.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SELF 1
+#define DATA_CENTRE "a"
+
+/* Versions of the list of servers. */
+#define HELD 1
+#define OFFERED 2
+
+#define SERVERS "{\"servers\":[]}"
+
+typedef struct
+{
+  HbwReducer *reducer;
+  HbwEffects *effects; /* of the most recent step */
+  gint64 now_us;
+} Instance;
+
+static void
+step (Instance *instance, HbwEvent *event)
+{
+  event->now_us = instance->now_us;
+  hbw_effects_clear (instance->effects);
+  hbw_reducer_step (instance->reducer, event, instance->effects);
+}
+
+static void
+read_from_store (Instance *instance, HbwDocumentKind kind, gint64 version,
+                 const char *text)
+{
+  HbwEvent event = { .kind = HBW_EVENT_DOCUMENT_READ };
+  event.document.kind = kind;
+  event.document.version = version;
+  event.document.body = g_bytes_new_static (text, strlen (text));
+  step (instance, &event);
+  g_bytes_unref (event.document.body);
+}
+
+/* Creates an instance that holds the version HELD of the list of servers. */
+static Instance
+instance_create (void)
+{
+  Instance instance = { .now_us = HBW_US_PER_S };
+  HbwReducerConfig config = { .policy = hbw_policy_find ("direct"), .seed = 1 };
+  config.now_us = instance.now_us;
+  config.self.identity = SELF;
+  config.max_revocation_delay_us = 5 * HBW_US_PER_S;
+  config.drain_grace_us = 2 * HBW_US_PER_S;
+  g_strlcpy (config.self.data_centre, DATA_CENTRE, HBW_NAME_MAX);
+  g_strlcpy (config.self.address, "10.1.0.1:1", HBW_ADDRESS_MAX);
+  instance.reducer = hbw_reducer_create (&config);
+  instance.effects = hbw_effects_create ();
+  read_from_store (&instance, HBW_DOCUMENT_SERVERS, HELD, SERVERS);
+  return instance;
+}
+
+static void
+instance_destroy (Instance *instance)
+{
+  hbw_effects_destroy (instance->effects);
+  hbw_reducer_destroy (instance->reducer);
+}
+
+static void
+tick (Instance *instance, gint64 elapsed_us)
+{
+  HbwEvent event = { .kind = HBW_EVENT_TICK };
+  instance->now_us += elapsed_us;
+  step (instance, &event);
+}
+
+/* Delivers a ping of the instance FROM, which says that it is in STATE and has
+   VERSION of the list of servers. */
+static void
+deliver_ping (Instance *instance, guint64 from, HbwMemberState state, gint64 version)
+{
+  HbwEvent event = { .kind = HBW_EVENT_MESSAGE };
+  HbwPing *ping = &event.message.ping;
+  event.message.kind = HBW_MESSAGE_PING;
+  event.message.from = from;
+  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+    ping->versions[i] = HBW_VERSION_UNKNOWN;
+  ping->versions[HBW_DOCUMENT_SERVERS] = version;
+  ping->catalogue_age_us = -1;
+  ping->member_count = 1;
+  HbwMemberUpdate *member = &ping->members[0];
+  member->identity = from;
+  member->state = state;
+  g_strlcpy (member->data_centre, DATA_CENTRE, HBW_NAME_MAX);
+  g_snprintf (member->address, HBW_ADDRESS_MAX, "10.1.0.%" G_GUINT64_FORMAT ":1",
+              from);
+  step (instance, &event);
+}
+
+/* Returns the instance that the most recent step asked for the list of servers, or
+   0. */
+static guint64
+asked_peer (const Instance *instance)
+{
+  for (guint i = 0; i < hbw_effects_count (instance->effects); i++)
+    {
+      const HbwEffect *effect = hbw_effects_get (instance->effects, i);
+      if (effect->kind == HBW_EFFECT_SEND_MESSAGE
+          && effect->send.message.kind == HBW_MESSAGE_DOCUMENT_ASK
+          && effect->send.message.document.kind == HBW_DOCUMENT_SERVERS)
+        return effect->send.to;
+    }
+  return 0;
+}
+
+/* Guards against review/9: an instance that stops pinged a new one, which did not
+   know its address, asked it again and again, and followed an old list of servers.
+ */
+START_TEST (peer_without_an_address_does_not_keep_others_from_being_asked)
+{
+  Instance instance = instance_create ();
+  deliver_ping (&instance, 3, HBW_MEMBER_ALIVE, HELD);
+  for (guint i = 0; i < 4; i++)
+    {
+      deliver_ping (&instance, 2, HBW_MEMBER_LEFT, OFFERED);
+      tick (&instance, HBW_DOCUMENT_REQUEST_INTERVAL_US / 2);
+    }
+  deliver_ping (&instance, 2, HBW_MEMBER_LEFT, OFFERED);
+  deliver_ping (&instance, 3, HBW_MEMBER_ALIVE, OFFERED);
+  ck_assert_uint_eq (asked_peer (&instance), 3);
+  instance_destroy (&instance);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("document requests");
+  suite_add_test (suite, "peer_without_an_address_does_not_keep_others",
+                  peer_without_an_address_does_not_keep_others_from_being_asked);
+  return suite_run (suite);
+}
