--- a/core/delta.c
+++ b/core/documents/delta.c
@@ -1,4 +1,4 @@
-#include "hornbeamwall/core/delta.h"
+#include "hornbeamwall/core/documents/delta.h"
 
 #include <jansson.h>
 #include <stdlib.h>
--- a/core/documents.c
+++ b/core/documents/documents.c
@@ -1,6 +1,6 @@
-#include "hornbeamwall/core/documents.h"
+#include "hornbeamwall/core/documents/documents.h"
 
-#include "hornbeamwall/core/delta.h"
+#include "hornbeamwall/core/documents/delta.h"
 #include "hornbeamwall/core/membership.h"
 
 typedef struct
@@ -200,8 +200,7 @@
       HbwVersionOrder order = hbw_documents_compare_version (
           documents, (HbwDocumentKind) i, ping->versions[i]);
       if (order != HBW_VERSION_NEWER || ping->versions[i] <= HBW_VERSION_ABSENT
-          || context->now_us - state->requested_us
-                 < HBW_DOCUMENT_REQUEST_INTERVAL_US
+          || context->now_us - state->requested_us < HBW_DOCUMENT_REQUEST_INTERVAL_US
           || hbw_membership_find_address (context->membership, from) == NULL)
         continue;
       log_unanswered (state, context, (HbwDocumentKind) i);
--- a/core/suspect_archive.c
+++ b/core/suspect_archive.c
@@ -1,7 +1,7 @@
 #include "hornbeamwall/core/suspect_archive.h"
 
 #include "hornbeamwall/common/json_reader.h"
-#include "hornbeamwall/core/documents.h"
+#include "hornbeamwall/core/documents/documents.h"
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/quarantine.h"
 
--- a/include/hornbeamwall/core/delta.h
+++ b/include/hornbeamwall/core/documents/delta.h
@@ -4,8 +4,8 @@
  * A delta is a JSON merge patch (RFC 7396) with a hash of the resulting document, so
  * that applying it to the wrong base version is detected.
  */
-#ifndef HORNBEAMWALL_CORE_DELTA_H
-#define HORNBEAMWALL_CORE_DELTA_H
+#ifndef HORNBEAMWALL_CORE_DOCUMENTS_DELTA_H
+#define HORNBEAMWALL_CORE_DOCUMENTS_DELTA_H
 
 #include <glib.h>
 
--- a/include/hornbeamwall/core/documents.h
+++ b/include/hornbeamwall/core/documents/documents.h
@@ -6,8 +6,8 @@
  * requests each document of which a peer has a newer version.  A peer that holds a
  * recent version receives only a delta.
  */
-#ifndef HORNBEAMWALL_CORE_DOCUMENTS_H
-#define HORNBEAMWALL_CORE_DOCUMENTS_H
+#ifndef HORNBEAMWALL_CORE_DOCUMENTS_DOCUMENTS_H
+#define HORNBEAMWALL_CORE_DOCUMENTS_DOCUMENTS_H
 
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/context.h"
--- a/include/hornbeamwall/core/reducer_state.h
+++ b/include/hornbeamwall/core/reducer_state.h
@@ -6,7 +6,7 @@
 #ifndef HORNBEAMWALL_CORE_REDUCER_STATE_H
 #define HORNBEAMWALL_CORE_REDUCER_STATE_H
 
-#include "hornbeamwall/core/documents.h"
+#include "hornbeamwall/core/documents/documents.h"
 #include "hornbeamwall/core/freshness_monitor.h"
 #include "hornbeamwall/core/ingress.h"
 #include "hornbeamwall/core/reducer.h"
--- a/include/hornbeamwall/core/status.h
+++ b/include/hornbeamwall/core/status.h
@@ -5,7 +5,7 @@
 #define HORNBEAMWALL_CORE_STATUS_H
 
 #include "hornbeamwall/core/context.h"
-#include "hornbeamwall/core/documents.h"
+#include "hornbeamwall/core/documents/documents.h"
 #include "hornbeamwall/core/shard_router.h"
 
 /* Catalogue version that an instance last reported. */
--- a/net/exchange.c
+++ b/net/exchange.c
@@ -1,7 +1,7 @@
 #include "hornbeamwall/net/exchange_state.h"
 
 #include "hornbeamwall/common/log.h"
-#include "hornbeamwall/core/documents.h"
+#include "hornbeamwall/core/documents/documents.h"
 #include "hornbeamwall/net/downstream.h"
 
 #include <string.h>
--- a/runtime/feed.c
+++ b/runtime/feed.c
@@ -1,6 +1,6 @@
 #include "hornbeamwall/runtime/feed.h"
 
-#include "hornbeamwall/core/documents.h"
+#include "hornbeamwall/core/documents/documents.h"
 
 typedef struct
 {
--- a/runtime/list_watch_feed.c
+++ b/runtime/list_watch_feed.c
@@ -1,6 +1,6 @@
 #include "hornbeamwall/runtime/list_watch_feed.h"
 
-#include "hornbeamwall/core/documents.h"
+#include "hornbeamwall/core/documents/documents.h"
 
 #include <string.h>
 
--- a/runtime/suspect_store.c
+++ b/runtime/suspect_store.c
@@ -1,6 +1,6 @@
 #include "hornbeamwall/runtime/suspect_store.h"
 
-#include "hornbeamwall/core/documents.h"
+#include "hornbeamwall/core/documents/documents.h"
 #include "hornbeamwall/platform/store_adapter.h"
 #include "hornbeamwall/runtime/condition.h"
 #include "hornbeamwall/runtime/shared_object.h"
--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -1,6 +1,6 @@
 #include "hornbeamwall/runtime/watch.h"
 
-#include "hornbeamwall/core/documents.h"
+#include "hornbeamwall/core/documents/documents.h"
 #include "hornbeamwall/platform/store_adapter.h"
 #include "hornbeamwall/runtime/condition.h"
 #include "hornbeamwall/runtime/feed.h"
--- a/tests/document_request_test.c
+++ b/tests/document_request_test.c
@@ -5,7 +5,7 @@
 #include "suite.h"
 
 #include "hornbeamwall/common/clock.h"
-#include "hornbeamwall/core/documents.h"
+#include "hornbeamwall/core/documents/documents.h"
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/policy.h"
 #include "hornbeamwall/core/reducer.h"
--- a/tests/fuzz_test.c
+++ b/tests/fuzz_test.c
@@ -8,9 +8,9 @@
  */
 #include "hornbeamwall/common/json_scan.h"
 #include "hornbeamwall/core/catalogue.h"
-#include "hornbeamwall/core/delta.h"
+#include "hornbeamwall/core/documents/delta.h"
 #include "hornbeamwall/core/directory.h"
-#include "hornbeamwall/core/documents.h"
+#include "hornbeamwall/core/documents/documents.h"
 #include "hornbeamwall/core/policy.h"
 #include "hornbeamwall/core/duty/usage_task.h"
 #include "hornbeamwall/core/reducer_state.h"
