Documents: a peer that does not answer is followed by the next one

Cause: an instance remembered when it had asked, not whom, and asked only when a ping came. Nothing noticed that no answer came.

Change: document_offers keeps, for each document, the peers that have a newer version. One is asked; if it does not answer in time (250 ms where a delta may answer, 500 ms for a complete document), a tick asks the next one, and a peer that was silent comes last and is not waited for once another one offers. A peer is asked twice in 500 ms only after it has answered: a delta that does not apply is followed by the request for the complete document at the next tick, in place of 500 ms later.

--- a/core/documents/documents.c
+++ b/core/documents/documents.c
@@ -1,6 +1,7 @@
 #include "hornbeamwall/core/documents/documents.h"
 
 #include "hornbeamwall/core/documents/delta.h"
+#include "hornbeamwall/core/documents/document_offers.h"
 #include "hornbeamwall/core/membership.h"
 
 typedef struct
@@ -15,8 +16,7 @@
   gint64 version;          /* adopted */
   gint64 rejected_version; /* highest version that was invalid */
   GBytes *body;
-  gint64 requested_us;
-  guint64 requested_from;    /* peer whose answer is outstanding; 0: none */
+  HbwDocumentOffers offers;  /* of newer versions, by peers */
   gboolean request_complete; /* the next request is for the complete document */
   PreviousVersion previous[HBW_DOCUMENT_HISTORY];
   guint next_previous;
@@ -90,7 +90,6 @@
   HbwDocuments *documents = g_new0 (HbwDocuments, 1);
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     {
-      documents->states[i].requested_us = -HBW_DOCUMENT_REQUEST_INTERVAL_US;
       documents->states[i].version = HBW_VERSION_UNKNOWN;
       documents->states[i].rejected_version = HBW_VERSION_UNKNOWN;
     }
@@ -127,7 +126,7 @@
   DocumentState *state = &documents->states[kind];
   save_previous_version (state);
   state->request_complete = FALSE;
-  state->requested_from = 0;
+  hbw_document_offers_cancel_request (&state->offers);
   state->body = body != NULL ? g_bytes_ref (body) : NULL;
   state->version = version;
 }
@@ -167,54 +166,107 @@
 log_unanswered (const DocumentState *state, HbwContext *context,
                 HbwDocumentKind kind)
 {
-  if (state->requested_from == 0)
-    return;
+  const HbwDocumentOffers *offers = &state->offers;
   hbw_effects_log (
       context->effects, HBW_LOG_DOCUMENT_UNANSWERED,
       "document=%s version=%" G_GINT64_FORMAT " peer=%" G_GUINT64_FORMAT
       " instance=%s age_ms=%" G_GINT64_FORMAT,
-      hbw_document_kind_name (kind), state->version, state->requested_from,
-      hbw_membership_find_name (context->membership, state->requested_from),
-      (context->now_us - state->requested_us) / HBW_US_PER_MS);
+      hbw_document_kind_name (kind), state->version, offers->asked_peer,
+      hbw_membership_find_name (context->membership, offers->asked_peer),
+      (context->now_us - offers->asked_us) / HBW_US_PER_MS);
 }
 
 static void
-log_request (const DocumentState *state, HbwContext *context, HbwDocumentKind kind,
-             gint64 offered)
+send_request (DocumentState *state, HbwContext *context, HbwDocumentKind kind,
+              guint64 peer)
 {
-  hbw_effects_log (
-      context->effects, HBW_LOG_DOCUMENT_REQUESTED,
-      "document=%s version=%" G_GINT64_FORMAT " offered=%" G_GINT64_FORMAT
-      " peer=%" G_GUINT64_FORMAT " instance=%s",
-      hbw_document_kind_name (kind), state->version, offered, state->requested_from,
-      hbw_membership_find_name (context->membership, state->requested_from));
+  hbw_document_offers_begin_request (&state->offers, peer, context->now_us);
+  HbwMessage message = { .kind = HBW_MESSAGE_DOCUMENT_ASK };
+  message.document.kind = kind;
+  message.document.version
+      = state->request_complete ? HBW_VERSION_UNKNOWN : state->version;
+  hbw_context_send (context, peer, &message);
+  hbw_effects_log (context->effects, HBW_LOG_DOCUMENT_REQUESTED,
+                   "document=%s version=%" G_GINT64_FORMAT
+                   " offered=%" G_GINT64_FORMAT " peer=%" G_GUINT64_FORMAT
+                   " instance=%s",
+                   hbw_document_kind_name (kind), state->version,
+                   hbw_document_offers_version (&state->offers, peer), peer,
+                   hbw_membership_find_name (context->membership, peer));
+}
+
+/* Returns how long a peer may take to answer; a complete document takes longer than
+   a delta. */
+static gint64
+answer_timeout_us (const DocumentState *state)
+{
+  gboolean expects_delta
+      = state->version > HBW_VERSION_ABSENT && !state->request_complete;
+  return expects_delta ? HBW_DOCUMENT_DELTA_TIMEOUT_US
+                       : HBW_DOCUMENT_REQUEST_INTERVAL_US;
+}
+
+/* Returns whether the answer to the last request is outstanding and not late. */
+static gboolean
+has_time_to_answer (const DocumentState *state, const HbwContext *context)
+{
+  const HbwDocumentOffers *offers = &state->offers;
+  return offers->asked_peer != 0
+         && context->now_us - offers->asked_us < answer_timeout_us (state);
+}
+
+/* Asks a peer for a newer version, unless another one has still time to answer.  One
+   that has been silent is not waited for. */
+static void
+request_newer (DocumentState *state, HbwContext *context, HbwDocumentKind kind)
+{
+  HbwDocumentOffers *offers = &state->offers;
+  gboolean is_awaited = has_time_to_answer (state, context);
+  if (offers->asked_peer != 0 && !is_awaited)
+    {
+      log_unanswered (state, context, kind);
+      hbw_document_offers_handle_timeout (offers);
+    }
+  gint64 known = MAX (state->version, state->rejected_version);
+  guint64 peer = hbw_document_offers_select (offers, context, known);
+  gboolean replaces_silent
+      = hbw_document_offers_is_silent (offers, offers->asked_peer)
+        && !hbw_document_offers_is_silent (offers, peer);
+  if (peer != 0 && (!is_awaited || replaces_silent))
+    send_request (state, context, kind, peer);
 }
 
 void
-hbw_documents_request_newer (HbwDocuments *documents, HbwContext *context,
-                             guint64 from, const HbwPing *ping)
+hbw_documents_handle_ping (HbwDocuments *documents, HbwContext *context,
+                           guint64 from, const HbwPing *ping)
 {
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     {
       DocumentState *state = &documents->states[i];
       HbwVersionOrder order = hbw_documents_compare_version (
           documents, (HbwDocumentKind) i, ping->versions[i]);
-      if (order != HBW_VERSION_NEWER || ping->versions[i] <= HBW_VERSION_ABSENT
-          || context->now_us - state->requested_us < HBW_DOCUMENT_REQUEST_INTERVAL_US
-          || hbw_membership_find_address (context->membership, from) == NULL)
+      if (order != HBW_VERSION_NEWER || ping->versions[i] <= HBW_VERSION_ABSENT)
         continue;
-      log_unanswered (state, context, (HbwDocumentKind) i);
-      state->requested_us = context->now_us;
-      state->requested_from = from;
-      log_request (state, context, (HbwDocumentKind) i, ping->versions[i]);
-      HbwMessage message = { .kind = HBW_MESSAGE_DOCUMENT_ASK };
-      message.document.kind = (HbwDocumentKind) i;
-      message.document.version
-          = state->request_complete ? HBW_VERSION_UNKNOWN : state->version;
-      hbw_context_send (context, from, &message);
+      hbw_document_offers_add (&state->offers, from, ping->versions[i],
+                               context->now_us);
+      request_newer (state, context, (HbwDocumentKind) i);
     }
 }
 
+void
+hbw_documents_handle_answer (HbwDocuments *documents, guint64 from,
+                             HbwDocumentKind kind)
+{
+  hbw_document_offers_handle_answer (&documents->states[kind].offers, from);
+}
+
+void
+hbw_documents_tick (HbwDocuments *documents, HbwContext *context)
+{
+  for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+    request_newer (&documents->states[i], context, (HbwDocumentKind) i);
+}
+
 void
 hbw_documents_handle_request (HbwDocuments *documents, HbwContext *context,
                               guint64 to, const HbwDocument *request)
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -265,6 +265,7 @@
   reducer->last_tick_us = context->now_us;
   hbw_membership_tick (context->membership, context);
   handle_membership_change (reducer);
+  hbw_documents_tick (reducer->documents, context);
   hbw_reducer_settle_servers (reducer);
   tick_shards (reducer);
   hbw_ingress_tick (reducer->ingress, context);
--- a/core/reducer_messages.c
+++ b/core/reducer_messages.c
@@ -43,7 +43,7 @@
         const HbwDocument absent = { .kind = (HbwDocumentKind) i };
         hbw_reducer_handle_document (reducer, &absent, message->from);
       }
-  hbw_documents_request_newer (reducer->documents, context, message->from, ping);
+  hbw_documents_handle_ping (reducer->documents, context, message->from, ping);
   hbw_suspect_share_handle_ping (context->suspect_share, context, message);
 }
 
@@ -141,6 +141,8 @@
                                     &message->document);
       break;
     case HBW_MESSAGE_DOCUMENT:
+      hbw_documents_handle_answer (reducer->documents, message->from,
+                                   message->document.kind);
       hbw_reducer_handle_document (reducer, &message->document, message->from);
       break;
     case HBW_MESSAGE_SUSPECT:
--- a/include/hornbeamwall/core/documents/documents.h
+++ b/include/hornbeamwall/core/documents/documents.h
@@ -3,8 +3,9 @@
  *
  * Documents come from the platform's store or from peers, and only a higher version
  * is ever adopted.  Pings carry the versions of their sender, and an instance
- * requests each document of which a peer has a newer version.  A peer that holds a
- * recent version receives only a delta.
+ * requests each document of which a peer has a newer version, from another peer if
+ * the first one does not answer.  A peer that holds a recent version receives only a
+ * delta.
  */
 #ifndef HORNBEAMWALL_CORE_DOCUMENTS_DOCUMENTS_H
 #define HORNBEAMWALL_CORE_DOCUMENTS_DOCUMENTS_H
@@ -12,9 +13,13 @@
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/context.h"
 
-/* Minimum interval between two requests for the same document. */
+/* Minimum interval between two requests to the same peer for the same document, and
+   timeout of a request for a complete one. */
 #define HBW_DOCUMENT_REQUEST_INTERVAL_US (500 * HBW_US_PER_MS)
 
+/* Timeout of a request that a delta may answer. */
+#define HBW_DOCUMENT_DELTA_TIMEOUT_US (250 * HBW_US_PER_MS)
+
 /* Number of previous versions that are kept, to compute deltas from. */
 #define HBW_DOCUMENT_HISTORY 4
 
@@ -62,9 +67,17 @@
 /* Returns the body of the adopted document (borrowed), or NULL if there is none. */
 GBytes *hbw_documents_body (const HbwDocuments *documents, HbwDocumentKind kind);
 
-/* Requests each document of which the sender of PING has a newer version. */
-void hbw_documents_request_newer (HbwDocuments *documents, HbwContext *context,
-                                  guint64 from, const HbwPing *ping);
+/* Records the versions that the sender of PING has, and requests the newer ones from
+   it unless another peer was asked and has still time to answer. */
+void hbw_documents_handle_ping (HbwDocuments *documents, HbwContext *context,
+                                guint64 from, const HbwPing *ping);
+
+/* Records that FROM has sent a document of KIND, of whatever version. */
+void hbw_documents_handle_answer (HbwDocuments *documents, guint64 from,
+                                  HbwDocumentKind kind);
+
+/* Asks other peers in place of those that did not answer in time. */
+void hbw_documents_tick (HbwDocuments *documents, HbwContext *context);
 
 /* Sends a peer the document that it requested, if the version held here is newer
    than the peer's. */
--- a/tests/document_request_test.c
+++ b/tests/document_request_test.c
@@ -105,10 +105,27 @@
   step (instance, &event);
 }
 
-/* Returns the instance that the most recent step asked for the list of servers, or
-   0. */
-static guint64
-asked_peer (const Instance *instance)
+/* Delivers VERSION of the list of servers from the instance FROM: the delta BODY
+   from BASE_VERSION, or the complete BODY if that is 0. */
+static void
+deliver_document (Instance *instance, guint64 from, gint64 version,
+                  gint64 base_version, const char *body)
+{
+  HbwEvent event = { .kind = HBW_EVENT_MESSAGE };
+  event.message.kind = HBW_MESSAGE_DOCUMENT;
+  event.message.from = from;
+  event.message.document.kind = HBW_DOCUMENT_SERVERS;
+  event.message.document.version = version;
+  event.message.document.base_version = base_version;
+  event.message.document.body = g_bytes_new_static (body, strlen (body));
+  step (instance, &event);
+  g_bytes_unref (event.message.document.body);
+}
+
+/* Returns the request for the list of servers that the most recent step sent, or
+   NULL. */
+static const HbwSendMessage *
+find_request (const Instance *instance)
 {
   for (guint i = 0; i < hbw_effects_count (instance->effects); i++)
     {
@@ -116,9 +133,26 @@
       if (effect->kind == HBW_EFFECT_SEND_MESSAGE
           && effect->send.message.kind == HBW_MESSAGE_DOCUMENT_ASK
           && effect->send.message.document.kind == HBW_DOCUMENT_SERVERS)
-        return effect->send.to;
+        return &effect->send;
     }
-  return 0;
+  return NULL;
+}
+
+/* Returns the instance that was asked, or 0. */
+static guint64
+asked_peer (const Instance *instance)
+{
+  const HbwSendMessage *request = find_request (instance);
+  return request != NULL ? request->to : 0;
+}
+
+/* Returns the version than which a newer one was asked for. */
+static gint64
+asked_version (const Instance *instance)
+{
+  const HbwSendMessage *request = find_request (instance);
+  ck_assert_ptr_nonnull (request);
+  return request->message.document.version;
 }
 
 /* Guards against review/9: an instance that stops pinged a new one, which did not
@@ -140,11 +174,81 @@
 }
 END_TEST
 
+/* Guards against an old list of servers beside a peer that is heard and does not
+   answer: it is paused after its ping, or cut off in one direction. */
+START_TEST (silent_peer_is_followed_by_the_next)
+{
+  Instance instance = instance_create ();
+  deliver_ping (&instance, 2, HBW_MEMBER_ALIVE, HELD);
+  deliver_ping (&instance, 3, HBW_MEMBER_ALIVE, HELD);
+  deliver_ping (&instance, 2, HBW_MEMBER_ALIVE, OFFERED);
+  ck_assert_uint_eq (asked_peer (&instance), 2);
+  deliver_ping (&instance, 3, HBW_MEMBER_ALIVE, OFFERED);
+  ck_assert_uint_eq (asked_peer (&instance), 0);
+  tick (&instance, HBW_DOCUMENT_DELTA_TIMEOUT_US - 1);
+  ck_assert_uint_eq (asked_peer (&instance), 0);
+  tick (&instance, 1);
+  ck_assert_uint_eq (asked_peer (&instance), 3);
+  instance_destroy (&instance);
+}
+END_TEST
+
+/* Guards against a peer that is asked again and again as its pings come first. */
+START_TEST (silent_peer_is_not_waited_for_again)
+{
+  Instance instance = instance_create ();
+  deliver_ping (&instance, 2, HBW_MEMBER_ALIVE, OFFERED);
+  tick (&instance, HBW_DOCUMENT_REQUEST_INTERVAL_US);
+  ck_assert_uint_eq (asked_peer (&instance), 2);
+  deliver_ping (&instance, 3, HBW_MEMBER_ALIVE, OFFERED);
+  ck_assert_uint_eq (asked_peer (&instance), 3);
+  instance_destroy (&instance);
+}
+END_TEST
+
+START_TEST (only_peer_is_asked_again)
+{
+  Instance instance = instance_create ();
+  deliver_ping (&instance, 2, HBW_MEMBER_ALIVE, OFFERED);
+  ck_assert_uint_eq (asked_peer (&instance), 2);
+  tick (&instance, HBW_DOCUMENT_REQUEST_INTERVAL_US - 1);
+  ck_assert_uint_eq (asked_peer (&instance), 0);
+  tick (&instance, 1);
+  ck_assert_uint_eq (asked_peer (&instance), 2);
+  instance_destroy (&instance);
+}
+END_TEST
+
+/* Guards against an old list of servers for another interval where a delta was made
+   from a version that is not held here. */
+START_TEST (complete_document_is_asked_for_after_a_delta_that_does_not_apply)
+{
+  Instance instance = instance_create ();
+  deliver_ping (&instance, 2, HBW_MEMBER_ALIVE, OFFERED);
+  deliver_document (&instance, 2, OFFERED, HELD + 5, "delta");
+  tick (&instance, 1);
+  ck_assert_uint_eq (asked_peer (&instance), 2);
+  ck_assert_int_eq (asked_version (&instance), HBW_VERSION_UNKNOWN);
+  deliver_document (&instance, 2, OFFERED, 0, SERVERS);
+  ck_assert_int_eq (
+      hbw_reducer_document_version (instance.reducer, HBW_DOCUMENT_SERVERS),
+      OFFERED);
+  instance_destroy (&instance);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *suite = suite_create ("document requests");
   suite_add_test (suite, "peer_without_an_address_does_not_keep_others",
                   peer_without_an_address_does_not_keep_others_from_being_asked);
+  suite_add_test (suite, "silent_peer_is_followed_by_the_next",
+                  silent_peer_is_followed_by_the_next);
+  suite_add_test (suite, "silent_peer_is_not_waited_for_again",
+                  silent_peer_is_not_waited_for_again);
+  suite_add_test (suite, "only_peer_is_asked_again", only_peer_is_asked_again);
+  suite_add_test (suite, "complete_document_is_asked_for_after_a_delta",
+                  complete_document_is_asked_for_after_a_delta_that_does_not_apply);
   return suite_run (suite);
 }
