Membership: an instance that was first heard when it left can be answered

Cause: an unknown member that has left is not added, so that its tombstone does not go round for ever. But the leaving instance itself still runs, and pings.

Change: it is added, as a member that has left, if it says so itself. News of it by others is still ignored.

--- a/core/membership.c
+++ b/core/membership.c
@@ -127,9 +127,19 @@
   membership->self_transmits_left = dissemination_count (membership);
 }
 
+/* Returns whether a member that is not known is added.  One that has left is only if
+   it says so itself, as FROM: it still runs and may be answered. */
+static gboolean
+must_add (const HbwMemberUpdate *update, guint64 from)
+{
+  return update->state == HBW_MEMBER_ALIVE || update->state == HBW_MEMBER_SUSPECT
+         || (update->state == HBW_MEMBER_LEFT && update->identity == from);
+}
+
+/* Handles an update that the instance FROM has sent. */
 static void
 apply_update (HbwMembership *membership, HbwContext *context,
-              const HbwMemberUpdate *update)
+              const HbwMemberUpdate *update, guint64 from)
 {
   if (update->identity == membership->self.identity)
     {
@@ -141,9 +151,8 @@
   HbwMember *member = find_member (membership, update->identity);
   if (member == NULL)
     {
-      if (update->state != HBW_MEMBER_ALIVE && update->state != HBW_MEMBER_SUSPECT)
-        return;
-      if (replace_older_identity (membership, context, update))
+      if (must_add (update, from)
+          && replace_older_identity (membership, context, update))
         add_member (membership, context, update);
       return;
     }
@@ -506,7 +515,7 @@
     return;
   const HbwPing *ping = &message->ping;
   for (guint i = 0; i < ping->member_count; i++)
-    apply_update (membership, context, &ping->members[i]);
+    apply_update (membership, context, &ping->members[i], message->from);
   sender = find_member (membership, message->from);
   if (sender != NULL)
     sender->last_heard_us = context->now_us;
--- a/tests/document_request_test.c
+++ b/tests/document_request_test.c
@@ -82,10 +82,11 @@
   step (instance, &event);
 }
 
-/* Delivers a ping of the instance FROM, which says that it is in STATE and has
-   VERSION of the list of servers. */
+/* Delivers a ping of the instance FROM, which says that it is in STATE, has VERSION
+   of the list of servers and listens on the host HOST. */
 static void
-deliver_ping (Instance *instance, guint64 from, HbwMemberState state, gint64 version)
+deliver_ping_from_address (Instance *instance, guint64 from, HbwMemberState state,
+                           gint64 version, guint64 host)
 {
   HbwEvent event = { .kind = HBW_EVENT_MESSAGE };
   HbwPing *ping = &event.message.ping;
@@ -101,10 +102,16 @@
   member->state = state;
   g_strlcpy (member->data_centre, DATA_CENTRE, HBW_NAME_MAX);
   g_snprintf (member->address, HBW_ADDRESS_MAX, "10.1.0.%" G_GUINT64_FORMAT ":1",
-              from);
+              host);
   step (instance, &event);
 }
 
+static void
+deliver_ping (Instance *instance, guint64 from, HbwMemberState state, gint64 version)
+{
+  deliver_ping_from_address (instance, from, state, version, from);
+}
+
 /* Delivers VERSION of the list of servers from the instance FROM: the delta BODY
    from BASE_VERSION, or the complete BODY if that is 0. */
 static void
@@ -122,27 +129,27 @@
   g_bytes_unref (event.message.document.body);
 }
 
-/* Returns the request for the list of servers that the most recent step sent, or
-   NULL. */
+/* Returns the message of KIND about the list of servers that the most recent step
+   sent, or NULL. */
 static const HbwSendMessage *
-find_request (const Instance *instance)
+find_message (const Instance *instance, HbwMessageKind kind)
 {
   for (guint i = 0; i < hbw_effects_count (instance->effects); i++)
     {
       const HbwEffect *effect = hbw_effects_get (instance->effects, i);
       if (effect->kind == HBW_EFFECT_SEND_MESSAGE
-          && effect->send.message.kind == HBW_MESSAGE_DOCUMENT_ASK
+          && effect->send.message.kind == kind
           && effect->send.message.document.kind == HBW_DOCUMENT_SERVERS)
         return &effect->send;
     }
   return NULL;
 }
 
-/* Returns the instance that was asked, or 0. */
+/* Returns the instance that was asked for the list, or 0. */
 static guint64
 asked_peer (const Instance *instance)
 {
-  const HbwSendMessage *request = find_request (instance);
+  const HbwSendMessage *request = find_message (instance, HBW_MESSAGE_DOCUMENT_ASK);
   return request != NULL ? request->to : 0;
 }
 
@@ -150,7 +157,7 @@
 static gint64
 asked_version (const Instance *instance)
 {
-  const HbwSendMessage *request = find_request (instance);
+  const HbwSendMessage *request = find_message (instance, HBW_MESSAGE_DOCUMENT_ASK);
   ck_assert_ptr_nonnull (request);
   return request->message.document.version;
 }
@@ -174,6 +181,41 @@
 }
 END_TEST
 
+/* Guards against the same where an address is not known for another reason: the peer
+   has a lower identity than the instance that is known at its address. */
+START_TEST (peer_with_a_rejected_identity_does_not_keep_others_from_being_asked)
+{
+  Instance instance = instance_create ();
+  deliver_ping (&instance, 3, HBW_MEMBER_ALIVE, HELD);
+  deliver_ping (&instance, 4, HBW_MEMBER_ALIVE, HELD);
+  deliver_ping_from_address (&instance, 2, HBW_MEMBER_ALIVE, OFFERED, 4);
+  ck_assert_uint_eq (asked_peer (&instance), 0);
+  deliver_ping (&instance, 3, HBW_MEMBER_ALIVE, OFFERED);
+  ck_assert_uint_eq (asked_peer (&instance), 3);
+  instance_destroy (&instance);
+}
+END_TEST
+
+/* Guards against an instance that stops and follows an old list of servers, as the
+   process that it asks has started since, does not know its address and drops the
+   answer. */
+START_TEST (instance_that_was_first_heard_when_it_left_is_answered)
+{
+  Instance instance = instance_create ();
+  deliver_ping (&instance, 2, HBW_MEMBER_LEFT, HBW_VERSION_UNKNOWN);
+  HbwEvent request = { .kind = HBW_EVENT_MESSAGE };
+  request.message.kind = HBW_MESSAGE_DOCUMENT_ASK;
+  request.message.from = 2;
+  request.message.document.kind = HBW_DOCUMENT_SERVERS;
+  request.message.document.version = HBW_VERSION_UNKNOWN;
+  step (&instance, &request);
+  const HbwSendMessage *answer = find_message (&instance, HBW_MESSAGE_DOCUMENT);
+  ck_assert_ptr_nonnull (answer);
+  ck_assert_str_eq (answer->address, "10.1.0.2:1");
+  instance_destroy (&instance);
+}
+END_TEST
+
 /* Guards against an old list of servers beside a peer that is heard and does not
    answer: it is paused after its ping, or cut off in one direction. */
 START_TEST (silent_peer_is_followed_by_the_next)
@@ -243,6 +285,11 @@
   Suite *suite = suite_create ("document requests");
   suite_add_test (suite, "peer_without_an_address_does_not_keep_others",
                   peer_without_an_address_does_not_keep_others_from_being_asked);
+  suite_add_test (
+      suite, "peer_with_a_rejected_identity_does_not_keep_others",
+      peer_with_a_rejected_identity_does_not_keep_others_from_being_asked);
+  suite_add_test (suite, "instance_that_was_first_heard_when_it_left_is_answered",
+                  instance_that_was_first_heard_when_it_left_is_answered);
   suite_add_test (suite, "silent_peer_is_followed_by_the_next",
                   silent_peer_is_followed_by_the_next);
   suite_add_test (suite, "silent_peer_is_not_waited_for_again",
