Suspects: a peer that cannot be reached does not delay what others are sent

What is seen: an instance that lacks entries of the quarantine gets them a quarter of a second later for each ping that comes from an identity without an address, again and again if its pings keep coming first; what it lacks it may run.

Cause: the same as in the request for documents: the time of the next comparison, which is one for all peers, was set and the turn of the entries moved on before it was known whether they can be sent; address_messages() then dropped them.

Change: nothing is sent to, and no time set for, a peer without an address.

Evidence: peer_without_an_address_does_not_delay_reports_of_suspects fails without the change. decision_test, core_test and part_test pass.

--- a/core/suspect_share.c
+++ b/core/suspect_share.c
@@ -175,7 +175,8 @@
   gboolean equal = digest == own_digest (context);
   if (!share->is_complete && equal && is_recent_ack (share, message))
     set_complete (share, context);
-  if (equal || context->now_us < share->next_sync_us)
+  if (equal || context->now_us < share->next_sync_us
+      || hbw_membership_find_address (context->membership, message->from) == NULL)
     return;
   share->next_sync_us = context->now_us + SYNC_INTERVAL_US;
   send_entries (share, context, message->from);
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -623,9 +623,10 @@
 /* Time without renewal after which an entry of a server lapses. */
 #define LAPSE_US (3 * HBW_US_PER_S)
 
+/* Delivers a ping of the instance IDENTITY, which listens on the host HOST. */
 static void
-send_peer_state (ReducerFixture *fixture, guint64 identity, const char *data_centre,
-                 HbwMemberState state)
+send_peer_state_from (ReducerFixture *fixture, guint64 identity, guint64 host,
+                      const char *data_centre, HbwMemberState state)
 {
   HbwEvent event = { .kind = HBW_EVENT_MESSAGE };
   event.message.kind = HBW_MESSAGE_PING;
@@ -637,12 +638,19 @@
   member->state = state;
   g_strlcpy (member->data_centre, data_centre, sizeof member->data_centre);
   g_snprintf (member->address, sizeof member->address,
-              "10.1.0.%" G_GUINT64_FORMAT ":1", identity);
+              "10.1.0.%" G_GUINT64_FORMAT ":1", host);
   for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
     event.message.ping.versions[i] = -1;
   step_reducer (fixture, &event);
 }
 
+static void
+send_peer_state (ReducerFixture *fixture, guint64 identity, const char *data_centre,
+                 HbwMemberState state)
+{
+  send_peer_state_from (fixture, identity, identity, data_centre, state);
+}
+
 static void
 introduce_peer (ReducerFixture *fixture, guint64 identity, const char *data_centre)
 {
@@ -1110,6 +1118,21 @@
 }
 END_TEST
 
+/* Guards against entries that were sent to nobody in place of a peer that lacks
+   them: the first ping came from an instance without a known address. */
+START_TEST (peer_without_an_address_does_not_delay_reports_of_suspects)
+{
+  ReducerFixture fixture = fixture_create (1, 3, 8);
+  deliver_many_suspects (&fixture, 3);
+  introduce_peer (&fixture, 3, "a");
+  fixture.now_us += 300 * HBW_US_PER_MS;
+  send_peer_state_from (&fixture, 2, 3, "a", HBW_MEMBER_ALIVE);
+  introduce_peer (&fixture, 3, "a");
+  ck_assert (reports_to (&fixture, 3));
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* Reports of suspects still come in when an instance that has just started may
    otherwise run requests. */
 START_TEST (starting_instance_waits_while_suspects_are_reported)
@@ -1660,6 +1683,7 @@
   tcase_add_test (tests, leaving_instance_gets_reports_of_suspects);
   tcase_add_test (tests, server_is_checked_after_each_broken_response);
   tcase_add_test (tests, all_suspects_are_sent_in_turn);
+  tcase_add_test (tests, peer_without_an_address_does_not_delay_reports_of_suspects);
   tcase_add_test (tests, starting_instance_waits_while_suspects_are_reported);
   tcase_add_test (tests, starting_instance_pings_all_seeds);
   tcase_add_test (tests, starting_instance_that_hears_of_nobody_waits_for_store);
