Documents: several silent peers in a row are passed by within a second

What callers would see: requests at servers that have left, beside several peers that are heard and do not answer.

Change: after a request that was not answered, the next peer has 100 ms for a document of up to 64 KiB, where a second answer costs little.

Evidence: answering_peer_is_asked_within_a_second_beside_silent_ones fails without the change; eight peers offer, the last one answers.

--- a/core/documents/document_offers.c
+++ b/core/documents/document_offers.c
@@ -101,12 +101,14 @@
   if (offer != NULL)
     offer->is_silent = TRUE;
   offers->asked_peer = 0;
+  offers->unanswered++;
 }
 
 void
 hbw_document_offers_cancel_request (HbwDocumentOffers *offers)
 {
   offers->asked_peer = 0;
+  offers->unanswered = 0;
 }
 
 gboolean
@@ -132,6 +134,7 @@
       offer->is_silent = FALSE;
       offer->asked_us = 0;
     }
+  offers->unanswered = 0;
   if (offers->asked_peer == peer)
     offers->asked_peer = 0;
 }
--- a/core/documents/documents.c
+++ b/core/documents/documents.c
@@ -200,10 +200,11 @@
 static gint64
 answer_timeout_us (const DocumentState *state)
 {
-  gboolean expects_delta
-      = state->version > HBW_VERSION_ABSENT && !state->request_complete;
-  return expects_delta ? HBW_DOCUMENT_DELTA_TIMEOUT_US
-                       : HBW_DOCUMENT_REQUEST_INTERVAL_US;
+  if (state->body == NULL || state->request_complete)
+    return HBW_DOCUMENT_REQUEST_INTERVAL_US;
+  gboolean is_small = g_bytes_get_size (state->body) <= HBW_DOCUMENT_SMALL_BYTES;
+  return is_small && state->offers.unanswered > 0 ? HBW_DOCUMENT_FAILOVER_TIMEOUT_US
+                                                  : HBW_DOCUMENT_DELTA_TIMEOUT_US;
 }
 
 /* Returns whether the answer to the last request is outstanding and not late. */
--- a/include/hornbeamwall/core/documents/document_offers.h
+++ b/include/hornbeamwall/core/documents/document_offers.h
@@ -31,6 +31,7 @@
   guint count;
   guint64 asked_peer; /* whose answer is outstanding; 0: none */
   gint64 asked_us;
+  guint unanswered; /* requests in a row that were not answered in time */
 } HbwDocumentOffers;
 
 /* Records that PEER has VERSION. */
--- a/include/hornbeamwall/core/documents/documents.h
+++ b/include/hornbeamwall/core/documents/documents.h
@@ -20,6 +20,11 @@
 /* Timeout of a request that a delta may answer. */
 #define HBW_DOCUMENT_DELTA_TIMEOUT_US (250 * HBW_US_PER_MS)
 
+/* The same after one that was not answered, for a document of up to
+   HBW_DOCUMENT_SMALL_BYTES: several answers to the same request cost little. */
+#define HBW_DOCUMENT_FAILOVER_TIMEOUT_US (100 * HBW_US_PER_MS)
+#define HBW_DOCUMENT_SMALL_BYTES ((gsize) 64 * 1024)
+
 /* Number of previous versions that are kept, to compute deltas from. */
 #define HBW_DOCUMENT_HISTORY 4
 
--- a/tests/document_request_test.c
+++ b/tests/document_request_test.c
@@ -5,6 +5,7 @@
 #include "suite.h"
 
 #include "hornbeamwall/common/clock.h"
+#include "hornbeamwall/core/documents/document_offers.h"
 #include "hornbeamwall/core/documents/documents.h"
 #include "hornbeamwall/core/membership.h"
 #include "hornbeamwall/core/policy.h"
@@ -248,6 +249,32 @@
 }
 END_TEST
 
+/* Guards against a list that stays old for longer than the rules allow while many
+   peers are heard and do not answer.  Of drain_ms, 2 s, the watch of the store, its
+   pause and a poll take half. */
+START_TEST (answering_peer_is_asked_within_a_second_beside_silent_ones)
+{
+  const gint64 bound_us = HBW_US_PER_S;
+  const guint64 answering = 1 + HBW_DOCUMENT_OFFERS_MAX;
+  gboolean is_asked = FALSE;
+  Instance instance = instance_create ();
+  gint64 start_us = instance.now_us;
+  for (guint64 peer = answering; peer > SELF; peer--)
+    deliver_ping (&instance, peer, HBW_MEMBER_ALIVE, HELD);
+  for (guint64 peer = 2; peer <= answering; peer++)
+    deliver_ping (&instance, peer, HBW_MEMBER_ALIVE, OFFERED);
+  while (!is_asked && instance.now_us - start_us < bound_us)
+    {
+      tick (&instance, 25 * HBW_US_PER_MS);
+      is_asked = asked_peer (&instance) == answering;
+      for (guint64 peer = answering; peer > SELF; peer--)
+        deliver_ping (&instance, peer, HBW_MEMBER_ALIVE, OFFERED);
+    }
+  ck_assert (is_asked);
+  instance_destroy (&instance);
+}
+END_TEST
+
 START_TEST (only_peer_is_asked_again)
 {
   Instance instance = instance_create ();
@@ -294,6 +321,8 @@
                   silent_peer_is_followed_by_the_next);
   suite_add_test (suite, "silent_peer_is_not_waited_for_again",
                   silent_peer_is_not_waited_for_again);
+  suite_add_test (suite, "answering_peer_is_asked_within_a_second",
+                  answering_peer_is_asked_within_a_second_beside_silent_ones);
   suite_add_test (suite, "only_peer_is_asked_again", only_peer_is_asked_again);
   suite_add_test (suite, "complete_document_is_asked_for_after_a_delta",
                   complete_document_is_asked_for_after_a_delta_that_does_not_apply);
