Tests: uploads that are still being written when the server answers and resets

On the native interface: six responses with three pauses, each attempt is broken.

The fixture of tunnel_test is in files of its own, as two programs use it. The attempts of malformed_response_client_test read a stream to its end, as the relay does.

--- a/tests/malformed_response_client_test.c
+++ b/tests/malformed_response_client_test.c
@@ -18,6 +18,9 @@
 
 #define TIMEOUT_MS 10000
 
+/* More than the buffers of a connection hold, in bytes. */
+#define UPLOAD_SIZE ((gsize) 8 * 1024 * 1024)
+
 /* Status lines without a valid status code. */
 static const char *const invalid_status_lines[] = {
   "HTTP/1.1 000\r\n",     "HTTP/1.1 000 Odd\r\n", "HTTP/1.1 001 Odd\r\n",
@@ -124,16 +127,17 @@
 /* --- attempts of the native interface ---------------------------------------- */
 
 static HbwOutcome
-run_attempt (CannedServer *server, const char *method)
+run_attempt_with_body (CannedServer *server, const char *method, const char *body)
 {
+  char bytes[1024];
   HbwAttemptEnd end = { .response_started = FALSE };
   HbwClock *clock = hbw_clock_create_system ();
   HbwMailbox *mailbox = hbw_mailbox_create (1);
   const HbwAttemptConfig config = { .method = method,
                                     .address = canned_server_address (server),
                                     .path = "/",
-                                    .body = "b",
-                                    .body_length = strcmp (method, "POST") == 0,
+                                    .body = body,
+                                    .body_length = strlen (body),
                                     .attempt_id = "a",
                                     .expires_us = G_MAXINT64,
                                     .connect_timeout_ms = TIMEOUT_MS,
@@ -145,6 +149,9 @@
                                     .caller_fd = -1 };
   HbwAttempt *attempt = hbw_attempt_create (&config);
   hbw_attempt_begin (attempt);
+  while (!hbw_attempt_has_ended (attempt)
+         && hbw_attempt_read (attempt, bytes, sizeof bytes) > 0)
+    continue; /* a stream */
   hbw_attempt_result (attempt, &end);
   hbw_attempt_destroy (attempt);
   hbw_mailbox_unref (mailbox);
@@ -152,6 +159,13 @@
   return end.outcome;
 }
 
+static HbwOutcome
+run_attempt (CannedServer *server, const char *method)
+{
+  return run_attempt_with_body (server, method,
+                                strcmp (method, "POST") == 0 ? "b" : "");
+}
+
 static void
 check_post (CannedServer *server, const char *name)
 {
@@ -244,6 +258,39 @@
 }
 END_TEST
 
+/* Guards against the part of a response before a reset that ends it as if it had
+   ended by itself, while the upload is still being written. */
+START_TEST (attempt_rejects_response_that_is_reset_within_the_upload)
+{
+  static const char *const texts[] = {
+    "HTTP/1.1 200 OK\r\n\r\n",
+    "HTTP/1.1 200 OK\r\n\r\npart",
+    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: 1\n\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npart",
+  };
+  static const gulong pauses_us[] = { 0, 3000, 60000 };
+  CannedServer *server = canned_server_create ();
+  char *body = g_strnfill (UPLOAD_SIZE, 'x');
+  canned_server_answer_early (server);
+  for (gsize i = 0; i < G_N_ELEMENTS (texts); i++)
+    for (gsize j = 0; j < G_N_ELEMENTS (pauses_us); j++)
+      {
+        const CannedResponse response = { .text = texts[i],
+                                          .length = strlen (texts[i]),
+                                          .pause_us = pauses_us[j],
+                                          .end = CANNED_RESPONSE_RESETS };
+        canned_server_set_answer (server, &response);
+        HbwOutcome outcome = run_attempt_with_body (server, "POST", body);
+        ck_assert_msg (outcome == HBW_OUTCOME_BROKEN, "%d, pause %lu: %s",
+                       (int) outcome, pauses_us[j], texts[i]);
+      }
+  g_free (body);
+  canned_server_destroy (server);
+}
+END_TEST
+
 /* Guards against trailers that are not checked because they are not forwarded. */
 START_TEST (attempt_rejects_invalid_trailer)
 {
@@ -513,6 +560,8 @@
                   attempt_rejects_ambiguous_framing);
   suite_add_test (suite, "attempt_rejects_truncated_body",
                   attempt_rejects_truncated_body);
+  suite_add_test (suite, "attempt_rejects_response_that_is_reset_within_the_upload",
+                  attempt_rejects_response_that_is_reset_within_the_upload);
   suite_add_test (suite, "attempt_rejects_invalid_trailer",
                   attempt_rejects_invalid_trailer);
   suite_add_test (suite, "attempt_accepts_valid_responses",
--- a/tests/standin/canned_server.c
+++ b/tests/standin/canned_server.c
@@ -20,6 +20,7 @@
   pthread_mutex_t lock;
   CannedResponse *answer;
   atomic_uint count;
+  atomic_bool answers_early;
   atomic_bool stopping;
 };
 
@@ -34,17 +35,17 @@
   return FALSE;
 }
 
-/* Returns the size of the request that TEXT begins with, or G_MAXSIZE if its head is
-   not complete. */
+/* Returns how much is read of the request that TEXT begins with, or G_MAXSIZE if its
+   head is not complete. */
 static gsize
-request_size (const GString *text)
+request_size (const CannedServer *server, const GString *text)
 {
   const char *end = strstr (text->str, "\r\n\r\n");
   const char *length = strstr (text->str, "Content-Length: ");
   if (end == NULL)
     return G_MAXSIZE;
   gsize head_size = (gsize) (end - text->str) + 4;
-  return length != NULL && length < end
+  return length != NULL && length < end && !atomic_load (&server->answers_early)
              ? head_size + strtoul (length + strlen ("Content-Length: "), NULL, 10)
              : head_size;
 }
@@ -55,10 +56,10 @@
   char bytes[4096];
   ssize_t count = 1;
   GString *text = g_string_new (NULL);
-  while (text->len < request_size (text) && wait_readable (server, fd)
+  while (text->len < request_size (server, text) && wait_readable (server, fd)
          && (count = recv (fd, bytes, sizeof bytes, 0)) > 0)
     g_string_append_len (text, bytes, count);
-  gboolean is_whole = text->len >= request_size (text);
+  gboolean is_whole = text->len >= request_size (server, text);
   g_string_free (text, TRUE);
   return is_whole;
 }
@@ -131,6 +132,12 @@
   pthread_mutex_unlock (&server->lock);
 }
 
+void
+canned_server_answer_early (CannedServer *server)
+{
+  atomic_store (&server->answers_early, TRUE);
+}
+
 guint
 canned_server_count (CannedServer *server)
 {
--- a/tests/standin/canned_server.h
+++ b/tests/standin/canned_server.h
@@ -18,6 +18,9 @@
 /* Sets the response to further requests, after which the connection is ended. */
 void canned_server_set_answer (CannedServer *server, const CannedResponse *answer);
 
+/* Answers further requests once their heads have come, and reads no body. */
+void canned_server_answer_early (CannedServer *server);
+
 /* Returns how many requests were answered. */
 guint canned_server_count (CannedServer *server);
 
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -43,6 +43,7 @@
  *   noseal     200 without the header field that marks a server's own response
  *   canned     what the responder of replica_set_responder() sends
  *   earlycanned   the same, before it has read the body
+ *   halfcanned    the same after half of the body; then it ends the connection
  *   cutcanned     as "cut"; then, for a stream that goes on, as "canned"
  *
  * A number after the name, as in "reset1", limits how many requests fail in this
--- a/tests/standin/replica_session.c
+++ b/tests/standin/replica_session.c
@@ -108,11 +108,11 @@
   return TRUE;
 }
 
-/* Reads the body without keeping it. */
+/* Reads COUNT bytes of the body without keeping them. */
 static gboolean
-skip_body (Session *session)
+skip_bytes (Session *session, gsize count)
 {
-  gsize left = session->body_length;
+  gsize left = count;
   while (left > session->input->len)
     {
       left -= session->input->len;
@@ -128,7 +128,7 @@
 read_body (Session *session)
 {
   if (g_str_has_suffix (session->target, "/sink"))
-    return skip_body (session);
+    return skip_bytes (session, session->body_length);
   while (session->input->len < session->body_length)
     if (!read_more (session))
       return FALSE;
@@ -640,10 +640,16 @@
 respond_early (Session *session, gboolean *keep_open)
 {
   gboolean is_early = g_str_has_suffix (session->target, "/early");
-  gboolean is_canned = g_str_has_suffix (session->target, "/earlycanned");
+  gboolean is_half = g_str_has_suffix (session->target, "/halfcanned");
+  gboolean is_canned = is_half || g_str_has_suffix (session->target, "/earlycanned");
   *keep_open = TRUE;
   if (!(is_early || is_canned) || !is_expected_server (session))
     return FALSE;
+  if (is_half && !skip_bytes (session, session->body_length / 2))
+    {
+      *keep_open = FALSE;
+      return TRUE;
+    }
   count_run (session);
   if (is_canned)
     *keep_open = send_canned (session);
--- a/tests/tunnel_test.c
+++ b/tests/tunnel_test.c
@@ -3,8 +3,8 @@
  */
 #include "platform_fixture.h"
 #include "standin/canned_replica.h"
-#include "standin/proxy.h"
 #include "suite.h"
+#include "tunnel_fixture.h"
 
 #include "hornbeamwall/net/channel.h"
 #include "hornbeamwall/net/tunnel.h"
@@ -15,106 +15,6 @@
 
 #define REQUESTS 12
 
-#define PORT_MIN 12000
-#define PORT_MAX 32000
-
-/* Requests after which an instance knows of a change of its path. */
-#define SETTLING_REQUESTS 4
-
-/* Last byte of the IP address from which the instance without a path connects. */
-#define CUT_SOURCE 2
-
-typedef struct
-{
-  PlatformFixture *peer; /* its instance reaches the servers */
-  PlatformFixture
-      *cut; /* with the same store and servers; see tunnel_fixture_cut() */
-  Proxy *proxies[PLATFORM_FIXTURE_SERVERS];
-  guint tunnel_port; /* of the peer */
-} TunnelFixture;
-
-/* Returns a port of 127.0.0.1 at which nothing listens, below those that the kernel
-   gives to sockets by itself. */
-static guint
-find_closed_port (void)
-{
-  HbwError error;
-  int fd = -1;
-  guint port = 0;
-  while (fd < 0)
-    {
-      char address[HBW_ADDRESS_MAX];
-      port = (guint) g_random_int_range (PORT_MIN, PORT_MAX + 1);
-      g_snprintf (address, sizeof address, "127.0.0.1:%u", port);
-      fd = hbw_listen (address, &error);
-    }
-  close (fd);
-  return port;
-}
-
-static void
-start_instance (PlatformFixture *fixture, guint source, guint peer_port,
-                guint tunnel_port, guint seed_port)
-{
-  HbwError error = { HBW_ERROR_NONE, "" };
-  char *text = g_strdup_printf (
-      "{\"name\":\"i%u\",\"data_centre\":\"z\",\"interface\":\"platform\","
-      "\"policy\":\"direct\",\"caller_address\":\"127.0.0.1:0\","
-      "\"admin_address\":\"127.0.0.1:0\",\"peer_address\":\"127.0.0.1:%u\","
-      "\"tunnel_address\":\"127.0.0.1:%u\",\"platform_address\":\"127.0.0.1:%u\","
-      "\"source_address\":\"127.0.0.%u\",\"load_in_answers\":true,"
-      "\"connect_timeout_ms\":500,\"stop_grace_s\":8,\"retry_ratio\":1.0,"
-      "\"retry_extra\":1000,\"seeds\":[\"127.0.0.1:%u\"]}",
-      source, peer_port, tunnel_port, objects_port (fixture->object_store), source,
-      seed_port);
-  fixture->settings = hbw_settings_parse (text, strlen (text), &error);
-  ck_assert_msg (fixture->settings != NULL, "%s", error.message);
-  g_free (text);
-  fixture->clock = hbw_clock_create_system ();
-  platform_fixture_start_instance (fixture);
-}
-
-/* Ends the path of one instance to all servers. */
-static void
-tunnel_fixture_cut (TunnelFixture *fixture, ProxyMode mode)
-{
-  for (guint i = 0; i < PLATFORM_FIXTURE_SERVERS; i++)
-    proxy_set_cut (fixture->proxies[i], CUT_SOURCE, mode);
-}
-
-static TunnelFixture
-tunnel_fixture_create (void)
-{
-  TunnelFixture fixture = { .tunnel_port = find_closed_port () };
-  guint ports[] = { find_closed_port (), find_closed_port () };
-  fixture.peer = platform_fixture_create_without_instance ();
-  fixture.cut = g_new0 (PlatformFixture, 1);
-  fixture.cut->object_store = fixture.peer->object_store;
-  for (guint i = 0; i < PLATFORM_FIXTURE_SERVERS; i++)
-    {
-      fixture.proxies[i] = proxy_create (replica_port (fixture.peer->replicas[i]));
-      objects_set_server (fixture.peer->object_store, i,
-                          proxy_port (fixture.proxies[i]), 8, "ready", 1);
-    }
-  start_instance (fixture.peer, CUT_SOURCE + 1, ports[0], fixture.tunnel_port,
-                  ports[1]);
-  start_instance (fixture.cut, CUT_SOURCE, ports[1], find_closed_port (), ports[0]);
-  g_usleep (2000000); /* they are ready, and know each other */
-  return fixture;
-}
-
-static void
-tunnel_fixture_destroy (TunnelFixture *fixture)
-{
-  hbw_instance_destroy (fixture->cut->instance);
-  hbw_settings_destroy (fixture->cut->settings);
-  hbw_clock_destroy (fixture->cut->clock);
-  g_free (fixture->cut);
-  platform_fixture_destroy (fixture->peer);
-  for (guint i = 0; i < PLATFORM_FIXTURE_SERVERS; i++)
-    proxy_destroy (fixture->proxies[i]);
-}
-
 START_TEST (requests_without_a_path_go_through_another_instance)
 {
   TunnelFixture fixture = tunnel_fixture_create ();
@@ -137,20 +37,10 @@
 }
 END_TEST
 
-/* Makes the cut instance send through the other one. */
-static void
-use_tunnels (TunnelFixture *fixture)
-{
-  tunnel_fixture_cut (fixture, PROXY_RESET);
-  for (guint i = 0; i < SETTLING_REQUESTS; i++)
-    g_free (
-        platform_fixture_post (fixture->cut, "/safe/a/ok", API_KEY_FIELD, "b").text);
-}
-
 START_TEST (response_that_breaks_in_a_tunnel_is_not_whole)
 {
   TunnelFixture fixture = tunnel_fixture_create ();
-  use_tunnels (&fixture);
+  tunnel_fixture_use_tunnels (&fixture);
   RawResponse response
       = platform_fixture_post (fixture.cut, "/unsafe/a/torn", API_KEY_FIELD, "b");
   ck_assert (!raw_response_is_complete (response.text) || response.status >= 500);
@@ -175,7 +65,7 @@
 START_TEST (stream_through_an_instance_that_ends_is_not_complete)
 {
   TunnelFixture fixture = tunnel_fixture_create ();
-  use_tunnels (&fixture);
+  tunnel_fixture_use_tunnels (&fixture);
   int fd = platform_fixture_connect (fixture.cut);
   char *request
       = caller_format_request ("POST", "/once/a/openpause", API_KEY_FIELD, "b");
@@ -197,7 +87,7 @@
 START_TEST (stream_without_a_length_is_complete_through_a_tunnel)
 {
   TunnelFixture fixture = tunnel_fixture_create ();
-  use_tunnels (&fixture);
+  tunnel_fixture_use_tunnels (&fixture);
   RawResponse response = platform_fixture_post (fixture.cut, "/once/a/openevents",
                                                 API_KEY_FIELD, "b");
   ck_assert (raw_response_is_complete (response.text));
@@ -264,7 +154,7 @@
           "HTTP/1.1 200 OK\r\n",
           "HTTP/1.1 20" };
   TunnelFixture fixture = tunnel_fixture_create ();
-  use_tunnels (&fixture);
+  tunnel_fixture_use_tunnels (&fixture);
   for (gsize i = 0; i < G_N_ELEMENTS (texts); i++)
     {
       const CannedResponse answer = { .text = texts[i],
@@ -286,7 +176,7 @@
   TunnelFixture fixture = tunnel_fixture_create ();
   fixture.peer->body_max = 2 * UPLOAD_SIZE;
   platform_fixture_put_config (fixture.peer, 4, "\"k1\",\"k2\"");
-  use_tunnels (&fixture);
+  tunnel_fixture_use_tunnels (&fixture);
   char *body = g_strnfill (UPLOAD_SIZE, 'x');
   for (guint i = 0; i < UPLOADS; i++)
     {
@@ -310,12 +200,12 @@
 count_served (const TunnelFixture *fixture, const char *prefix)
 {
   guint served = 0;
-  for (guint i = 0; i < SETTLING_REQUESTS + REQUESTS; i++)
+  for (guint i = 0; i < TUNNEL_FIXTURE_SETTLING_REQUESTS + REQUESTS; i++)
     {
       char *path = g_strdup_printf ("/safe/%s%u/ok", prefix, i);
       RawResponse response
           = platform_fixture_post (fixture->cut, path, API_KEY_FIELD, "body");
-      served += i >= SETTLING_REQUESTS && response.status == 200;
+      served += i >= TUNNEL_FIXTURE_SETTLING_REQUESTS && response.status == 200;
       g_free (response.text);
       g_free (path);
     }
