Soak: a play of servers that leave while instances are stopped, killed and paused

In two data centres of two instances, one is stopped as planned beside a long request, the other one is killed; some of the stopped ones are paused. Servers leave meanwhile, and no request may run at one of them that was sent more than 2 s later through an instance that has run for 3 s.

--- a/tests/soak_play.c
+++ b/tests/soak_play.c
@@ -1,6 +1,7 @@
 #include "soak_play.h"
 
 #include "soak_connection.h"
+#include "soak_drain.h"
 #include "soak_duty.h"
 #include "soak_part.h"
 #include "soak_path.h"
@@ -143,7 +144,7 @@
   soak->servers = REQUEST_SERVERS;
   if (play == NULL)
     return find_idle_play (name) != NULL || strcmp (name, "usage") == 0
-           || soak_path_prepare (soak, name);
+           || soak_path_prepare (soak, name) || soak_drain_prepare (soak, name);
   soak->renames_servers = !play->keeps_ids;
   if (play->config.parts != NULL)
     soak->servers = PART_SERVERS;
@@ -346,6 +347,8 @@
     run_idle_play (soak, find_idle_play (name));
   else if (strcmp (name, "usage") == 0)
     soak_duty_run_play (soak->duty, seed);
+  else if (strcmp (name, "drain") == 0)
+    soak_drain_run (soak, seed);
   else
     soak_path_run (soak, name, seed);
   printf ("seed %u: play %s, %u breaches\n", seed, name,
--- a/tests/soak_play.h
+++ b/tests/soak_play.h
@@ -14,6 +14,7 @@
  * crashes each server within such an answer
  *   versions, cut   see soak_path.h
  *   usage   see soak_duty.h
+ *   drain   see soak_drain.h
  */
 #ifndef HORNBEAMWALL_TESTS_SOAK_PLAY_H
 #define HORNBEAMWALL_TESTS_SOAK_PLAY_H
--- a/tests/soak_site.c
+++ b/tests/soak_site.c
@@ -12,6 +12,12 @@
 /* Time after which idle connections are closed at first. */
 #define IDLE_TIMEOUT_MS 2000
 
+/* Timeout of the route /once/, unless a play sets another one. */
+#define TIMEOUT_MS 2000
+
+/* Grace period of instances that are stopped, unless a play sets another one. */
+#define GRACE_S 4
+
 /* Ports of instances and servers, below those that the system gives to outgoing
  * connections. */
 #define PORT_MIN 12000
@@ -65,7 +71,7 @@
       "\"latency_goal_ms\":100,\"gap_target_ms\":250,\"priority\":0,"
       "\"backend\":\"b\",\"max_attempts\":2},"
       "{\"name\":\"once\",\"hostname\":\"h.example\",\"path_prefix\":\"/once/\","
-      "\"route_type\":\"streaming\",\"resumable\":false,\"timeout_ms\":2000,"
+      "\"route_type\":\"streaming\",\"resumable\":false,\"timeout_ms\":%u,"
       "\"latency_goal_ms\":100,\"gap_target_ms\":250,\"priority\":2,"
       "\"backend\":\"b\",\"max_attempts\":2}],"
       "\"backends\":[{\"name\":\"b\",\"scaling\":{\"min_replicas\":1,"
@@ -74,7 +80,7 @@
       "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"
       "\"header_timeout_ms\":3000,\"idle_timeout_ms\":%u},"
       "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"%s]}]}",
-      version, soak->config_idle_timeout_ms, keys);
+      version, soak->once_timeout_ms, soak->config_idle_timeout_ms, keys);
   objects_set (soak->objects, "config", "main", text);
   g_free (text);
   g_free (keys);
@@ -195,16 +201,16 @@
           "\"admin_address\":\"127.0.0.1:%u\",\"peer_address\":\"127.0.0.1:%u\","
           "\"platform_address\":\"127.0.0.1:%u\",\"load_in_answers\":true,"
           "\"revocation_ms\":%u,\"retry_ratio\":0.2,\"retry_extra\":54,"
-          "\"stop_grace_s\":4,\"connect_timeout_ms\":150,"
+          "\"stop_grace_s\":%u,\"connect_timeout_ms\":150,"
           "\"tunnel_address\":\"127.0.0.1:%u\",\"source_address\":\"127.0.0.%u\","
           "\"duty_address\":\"127.0.0.1:%u\","
           "\"duties\":[\"metering\",\"autoscale\"],\"duty_lease_ms\":%u,"
           "\"usage_window_s\":%u,\"usage_late_s\":%u,"
           "\"seeds\":[\"127.0.0.1:%u\"]}",
           i, "zyx"[i % 3], soak -> ports[i], next_port (soak), peers[i],
-          proxy_port (soak->store_proxy), SOAK_REVOCATION_MS, next_port (soak),
-          SOAK_SOURCE_MIN + i, soak_duty_port (soak->duty), SOAK_LEASE_MS,
-          SOAK_USAGE_WINDOW_S, SOAK_USAGE_LATE_S, peers[0]);
+          proxy_port (soak->store_proxy), SOAK_REVOCATION_MS, soak -> grace_s,
+          next_port (soak), SOAK_SOURCE_MIN + i, soak_duty_port (soak->duty),
+          SOAK_LEASE_MS, SOAK_USAGE_WINDOW_S, SOAK_USAGE_LATE_S, peers[0]);
       if (!g_file_set_contents (path, text, -1, NULL))
         g_error ("cannot write %s", path);
       g_free (text);
@@ -226,6 +232,10 @@
   soak->last_port
       = PORT_MIN + (guint) getpid () * PORTS_OF_A_RUN % (PORT_MAX - PORT_MIN);
   soak->versions = MAX (1, soak->versions);
+  if (soak->once_timeout_ms == 0)
+    soak->once_timeout_ms = TIMEOUT_MS;
+  if (soak->grace_s == 0)
+    soak->grace_s = GRACE_S;
   soak->config_idle_timeout_ms = IDLE_TIMEOUT_MS;
   atomic_store (&soak->idle_timeout_ms, IDLE_TIMEOUT_MS);
   for (guint i = 0; i < SOAK_CHANGING_KEYS; i++)
--- a/tests/soak_state.h
+++ b/tests/soak_state.h
@@ -54,6 +54,8 @@
   guint versions;                  /* of the servers */
   gboolean renames_servers;        /* each start of a server has a new id */
   gint64 outage_us;                /* of servers that crash */
+  guint once_timeout_ms;           /* of the route /once/ */
+  guint grace_s;                   /* for planned stops of instances */
   GRand *fault_random;             /* used for faults only */
   GRand *change_random; /* used for changes of keys and for restores only */
   guint config_version;
