--- a/core/capacity/capacity_task.c
+++ b/core/capacity/capacity_task.c
@@ -4,7 +4,7 @@
 #include "hornbeamwall/core/capacity/capacity_demand.h"
 #include "hornbeamwall/core/capacity/capacity_history.h"
 #include "hornbeamwall/core/capacity/capacity_orders.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 
 #include <string.h>
 
--- a/core/documents/document_offers.c
+++ b/core/documents/document_offers.c
@@ -1,7 +1,7 @@
 #include "hornbeamwall/core/documents/document_offers.h"
 
 #include "hornbeamwall/core/documents/documents.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 
 /* Returns the index of the offer of PEER, or the number of offers. */
 static guint
--- a/core/documents/documents.c
+++ b/core/documents/documents.c
@@ -2,7 +2,7 @@
 
 #include "hornbeamwall/core/documents/delta.h"
 #include "hornbeamwall/core/documents/document_offers.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 
 typedef struct
 {
--- a/core/duty/duty.c
+++ b/core/duty/duty.c
@@ -3,7 +3,7 @@
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/duty/duty_fleet.h"
 #include "hornbeamwall/core/duty/duty_lease.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 
 #include <string.h>
 
--- a/core/duty/duty_fleet.c
+++ b/core/duty/duty_fleet.c
@@ -1,6 +1,6 @@
 #include "hornbeamwall/core/duty/duty_fleet.h"
 
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 
 /* Interval of updates while the membership does not change. */
 #define UPDATE_INTERVAL_US HBW_US_PER_S
--- a/core/duty/usage_task.c
+++ b/core/duty/usage_task.c
@@ -4,7 +4,7 @@
 #include "hornbeamwall/core/duty/usage_count.h"
 #include "hornbeamwall/core/duty/usage_ledger.h"
 #include "hornbeamwall/core/duty/usage_reports.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/metrics.h"
 
 #include <string.h>
--- a/core/freshness_monitor.c
+++ b/core/freshness_monitor.c
@@ -1,6 +1,6 @@
 #include "hornbeamwall/core/freshness_monitor.h"
 
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 
 #include <math.h>
 
--- a/core/ingress.c
+++ b/core/ingress.c
@@ -5,7 +5,7 @@
 #include "hornbeamwall/core/ingress_path.h"
 #include "hornbeamwall/core/ingress_streams.h"
 #include "hornbeamwall/core/ingress_suspects.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/request_metrics.h"
 #include "hornbeamwall/core/server_notice.h"
--- a/core/ingress_streams.c
+++ b/core/ingress_streams.c
@@ -1,6 +1,6 @@
 #include "hornbeamwall/core/ingress_streams.h"
 
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/stream_versions.h"
 
 #include <string.h>
--- a/core/limiter.c
+++ b/core/limiter.c
@@ -1,6 +1,6 @@
 #include "hornbeamwall/core/limiter.h"
 
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 
 /* Capacity of a token bucket, in seconds of its rate. */
 #define BURST_SECONDS 1.0
--- a/core/load_route.c
+++ b/core/load_route.c
@@ -1,7 +1,7 @@
 #include "hornbeamwall/core/load_route.h"
 
 #include "hornbeamwall/core/load_share.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 
 /* Rendezvous key of the relay of a data centre. */
 #define RELAY_KEY "load-relay"
--- a/core/load_share.c
+++ b/core/load_share.c
@@ -2,7 +2,7 @@
 
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/load_route.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 
 #include <math.h>
 #include <string.h>
--- a/core/membership.c
+++ b/core/membership/membership.c
@@ -1,4 +1,4 @@
-#include "hornbeamwall/core/membership_state.h"
+#include "hornbeamwall/core/membership/membership_state.h"
 
 #include "hornbeamwall/common/address.h"
 
--- a/core/quarantine_lost.c
+++ b/core/quarantine_lost.c
@@ -1,6 +1,6 @@
 #include "hornbeamwall/core/quarantine_lost.h"
 
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/quarantine_state.h"
 #include "hornbeamwall/core/server_check.h"
 #include "hornbeamwall/core/suspect_share.h"
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -4,7 +4,7 @@
 #include "hornbeamwall/core/capacity/capacity_task.h"
 #include "hornbeamwall/core/duty/duty.h"
 #include "hornbeamwall/core/load_share.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/server.h"
--- a/core/reducer_documents.c
+++ b/core/reducer_documents.c
@@ -1,6 +1,6 @@
 #include "hornbeamwall/core/reducer_state.h"
 
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 
 static gboolean
 adopt_catalogue (HbwReducer *reducer, const char *text, gsize length, gint64 version,
--- a/core/reducer_messages.c
+++ b/core/reducer_messages.c
@@ -1,7 +1,7 @@
 #include "hornbeamwall/core/reducer_state.h"
 
 #include "hornbeamwall/core/load_share.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/server_notice.h"
--- a/core/request.c
+++ b/core/request.c
@@ -1,7 +1,7 @@
 #include "hornbeamwall/core/request.h"
 
 #include "hornbeamwall/core/freshness_monitor.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/quarantine.h"
 
 gint64
--- a/core/server_notice.c
+++ b/core/server_notice.c
@@ -1,6 +1,6 @@
 #include "hornbeamwall/core/server_notice.h"
 
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/permit_bucket.h"
 
--- a/core/server_path.c
+++ b/core/server_path.c
@@ -1,7 +1,7 @@
 #include "hornbeamwall/core/server_path.h"
 
 #include "hornbeamwall/common/address.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 
 #include <string.h>
 
--- a/core/shard.c
+++ b/core/shard.c
@@ -2,7 +2,7 @@
 
 #include "hornbeamwall/core/capacity/capacity_task.h"
 #include "hornbeamwall/core/load_share.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/prompt_partition.h"
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/server_notice.h"
--- a/core/status.c
+++ b/core/status.c
@@ -1,6 +1,6 @@
 #include "hornbeamwall/core/status.h"
 
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/shard.h"
 
--- a/core/stream_versions.c
+++ b/core/stream_versions.c
@@ -1,6 +1,6 @@
 #include "hornbeamwall/core/stream_versions.h"
 
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/metrics.h"
 
 #include <string.h>
--- a/core/suspect_archive.c
+++ b/core/suspect_archive.c
@@ -2,7 +2,7 @@
 
 #include "hornbeamwall/common/json_reader.h"
 #include "hornbeamwall/core/documents/documents.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/quarantine.h"
 
 #include <stdlib.h>
--- a/core/suspect_share.c
+++ b/core/suspect_share.c
@@ -1,6 +1,6 @@
 #include "hornbeamwall/core/suspect_share.h"
 
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/quarantine.h"
 
 /* Average interval between reports in a fleet of up to MEMBERS_PER_INTERVAL
--- a/include/hornbeamwall/core/membership.h
+++ b/include/hornbeamwall/core/membership/membership.h
@@ -9,8 +9,8 @@
  * that is marked dead are also pinged regularly, so that the membership recovers
  * after a network partition.
  */
-#ifndef HORNBEAMWALL_CORE_MEMBERSHIP_H
-#define HORNBEAMWALL_CORE_MEMBERSHIP_H
+#ifndef HORNBEAMWALL_CORE_MEMBERSHIP_MEMBERSHIP_H
+#define HORNBEAMWALL_CORE_MEMBERSHIP_MEMBERSHIP_H
 
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/context.h"
--- a/include/hornbeamwall/core/membership_state.h
+++ b/include/hornbeamwall/core/membership/membership_state.h
@@ -3,10 +3,10 @@
  *
  * For core/membership*.c only.
  */
-#ifndef HORNBEAMWALL_CORE_MEMBERSHIP_STATE_H
-#define HORNBEAMWALL_CORE_MEMBERSHIP_STATE_H
+#ifndef HORNBEAMWALL_CORE_MEMBERSHIP_MEMBERSHIP_STATE_H
+#define HORNBEAMWALL_CORE_MEMBERSHIP_MEMBERSHIP_STATE_H
 
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 
 typedef struct
 {
--- a/tests/capacity_plan_test.c
+++ b/tests/capacity_plan_test.c
@@ -11,7 +11,7 @@
 #include "hornbeamwall/core/capacity/capacity_orders.h"
 #include "hornbeamwall/core/capacity/capacity_task.h"
 #include "hornbeamwall/core/catalogue.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/policy.h"
 #include "hornbeamwall/core/reducer_state.h"
 #include "hornbeamwall/net/codec.h"
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -14,7 +14,7 @@
 #include "hornbeamwall/core/documents/documents.h"
 #include "hornbeamwall/core/lease.h"
 #include "hornbeamwall/core/limiter.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/policy.h"
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/queue.h"
--- a/tests/decision_test.c
+++ b/tests/decision_test.c
@@ -7,7 +7,7 @@
 
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/admission.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/quarantine.h"
 #include "hornbeamwall/core/policy.h"
 #include "hornbeamwall/core/reducer.h"
--- a/tests/document_request_test.c
+++ b/tests/document_request_test.c
@@ -7,7 +7,7 @@
 #include "hornbeamwall/common/clock.h"
 #include "hornbeamwall/core/documents/document_offers.h"
 #include "hornbeamwall/core/documents/documents.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/policy.h"
 #include "hornbeamwall/core/reducer.h"
 
--- a/tests/duty_test.c
+++ b/tests/duty_test.c
@@ -4,7 +4,7 @@
 #include "suite.h"
 
 #include "hornbeamwall/core/duty/duty.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 
 #include <string.h>
 
--- a/tests/part_test.c
+++ b/tests/part_test.c
@@ -4,7 +4,7 @@
 #include "suite.h"
 
 #include "hornbeamwall/core/quarantine.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/net/codec.h"
 
 #include <check.h>
--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -6,7 +6,7 @@
 #include "part_watch.h"
 
 #include "hornbeamwall/common/address.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/policy.h"
 #include "hornbeamwall/core/quarantine.h"
--- a/tests/usage_test.c
+++ b/tests/usage_test.c
@@ -11,7 +11,7 @@
 #include "hornbeamwall/core/duty/usage_count.h"
 #include "hornbeamwall/core/duty/usage_ledger.h"
 #include "hornbeamwall/core/duty/usage_task.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/policy.h"
 #include "hornbeamwall/core/reducer_state.h"
--- a/tests/version_test.c
+++ b/tests/version_test.c
@@ -4,7 +4,7 @@
 #include "suite.h"
 
 #include "hornbeamwall/core/directory.h"
-#include "hornbeamwall/core/membership.h"
+#include "hornbeamwall/core/membership/membership.h"
 #include "hornbeamwall/core/metrics.h"
 #include "hornbeamwall/core/stream_versions.h"
 #include "hornbeamwall/core/topology.h"
