Membership: pings and updates of members in files of their own

membership.c had 720 lines with three jobs: members and their states (now membership_updates.c), pings and acks (membership_ping.c), and what others ask of them.

--- a/include/hornbeamwall/core/membership/membership_state.h
+++ b/include/hornbeamwall/core/membership/membership_state.h
@@ -1,7 +1,7 @@
 /*
  * membership_state - the state of the membership, private to it
  *
- * For core/membership*.c only.
+ * For core/membership/ only.
  */
 #ifndef HORNBEAMWALL_CORE_MEMBERSHIP_MEMBERSHIP_STATE_H
 #define HORNBEAMWALL_CORE_MEMBERSHIP_MEMBERSHIP_STATE_H
@@ -46,4 +46,41 @@
   void *decorator_data;
 };
 
+/* --- membership_updates.c ------------------------------------------------------ */
+
+/* Returns whether MEMBER is alive or suspect. */
+gboolean hbw_member_is_present (const HbwMember *member);
+
+/* The same in DATA_CENTRE, NULL for any. */
+gboolean hbw_member_is_present_in (const HbwMember *member, const char *data_centre);
+
+/* Returns the member (borrowed), or NULL. */
+HbwMember *hbw_membership_find_member (HbwMembership *membership, guint64 identity);
+
+void hbw_membership_set_state (HbwMembership *membership, HbwContext *context,
+                               HbwMember *member, HbwMemberState state,
+                               guint32 incarnation);
+
+/* Handles an update that the instance FROM has sent. */
+void hbw_membership_apply_update (HbwMembership *membership, HbwContext *context,
+                                  const HbwMemberUpdate *update, guint64 from);
+
+/* Marks members dead that did not refute a suspicion, and removes old tombstones. */
+void hbw_membership_expire_members (HbwMembership *membership, HbwContext *context);
+
+/* --- membership_ping.c --------------------------------------------------------- */
+
+/* Sends indirect probes, or marks the member suspect, if an ack is late. */
+void hbw_membership_check_probe (HbwMembership *membership, HbwContext *context);
+
+/* Sends the pings that are due. */
+void hbw_membership_send_pings (HbwMembership *membership, HbwContext *context);
+
+void hbw_membership_handle_ping (HbwMembership *membership, HbwContext *context,
+                                 const HbwMessage *message);
+void hbw_membership_handle_probe_for (HbwMembership *membership, HbwContext *context,
+                                      const HbwMessage *message);
+void hbw_membership_handle_ack (HbwMembership *membership, HbwContext *context,
+                                const HbwMessage *message);
+
 #endif
