Scenarios: no event reaches a caller after its final response

Traced: request 2194 begins its attempt 35 ms before its timeout, is refused at the timeout (41.502 s), and the world lets its first event, of the other version, reach the caller 15 ms after the refusal (deliver_first_event looked at the attempt, not at the request). No caller gets this: the exchange ends the attempt with the refusal. The caller's next request then goes on with the version that is known.

All checks of the scenario are as they were; what is counted is what a caller can get.

--- a/tests/scenario/world.c
+++ b/tests/scenario/world.c
@@ -661,13 +661,14 @@
   schedule (world, world->now_us + world->poison_restart_us, restart_server, server);
 }
 
-/* The caller gets the first event that this attempt adds to its stream. */
+/* The caller gets the first event that this attempt adds to its stream, unless it
+   has got its final response. */
 static void
 deliver_first_event (World *world, void *data)
 {
   Attempt *attempt = data;
   Request *request = attempt->request;
-  if (attempt->ended || is_silenced (world, attempt)
+  if (attempt->ended || request->ended || is_silenced (world, attempt)
       || !is_running (attempt->instance, attempt->identity))
     return;
   request->response_started = TRUE;
