--- a/tests/document_request_test.c
+++ b/tests/document_request_test.c
@@ -11,7 +11,6 @@
 #include "hornbeamwall/core/policy.h"
 #include "hornbeamwall/core/reducer.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 #define SELF 1
