Stand-ins: the responder of a replica is counted under its lock

GLib's atomic counters are not instrumented, so the sanitizer does not see that the last release comes after the use.

Cause: counted references with an atomic counter of GLib. They are counted under the replica's lock now, which also guards the responder itself.

--- a/tests/standin/canned_replica.c
+++ b/tests/standin/canned_replica.c
@@ -26,7 +26,7 @@
 void
 replica_set_canned_response (Replica *replica, const CannedResponse *response)
 {
-  CannedResponder *responder = g_atomic_rc_box_new0 (CannedResponder);
+  CannedResponder *responder = g_rc_box_new0 (CannedResponder);
   responder->base.class = &responder_class;
   responder->response = canned_response_copy (response);
   replica_set_responder (replica, &responder->base);
--- a/tests/standin/replica.c
+++ b/tests/standin/replica.c
@@ -89,6 +89,20 @@
   return replica;
 }
 
+static void
+clear_responder (gpointer data)
+{
+  ReplicaResponder *responder = data;
+  responder->class->clear (responder);
+}
+
+static void
+release_responder (ReplicaResponder *responder)
+{
+  if (responder != NULL)
+    g_rc_box_release_full (responder, clear_responder);
+}
+
 void
 replica_destroy (Replica *replica)
 {
@@ -104,7 +118,7 @@
   g_hash_table_destroy (replica->run_counts);
   g_free (replica->last_request_head);
   g_free (replica->fields);
-  replica_release_responder (replica->responder);
+  release_responder (replica->responder);
   g_free (replica->id);
   g_free (replica->first_id);
   g_free (replica);
@@ -144,28 +158,30 @@
   pthread_mutex_unlock (&replica->lock);
 }
 
-static void
-clear_responder (gpointer data)
+ReplicaResponder *
+replica_acquire_responder (Replica *replica)
 {
-  ReplicaResponder *responder = data;
-  responder->class->clear (responder);
+  pthread_mutex_lock (&replica->lock);
+  ReplicaResponder *responder = g_rc_box_acquire (replica->responder);
+  pthread_mutex_unlock (&replica->lock);
+  return responder;
 }
 
 void
-replica_release_responder (ReplicaResponder *responder)
+replica_release_responder (Replica *replica, ReplicaResponder *responder)
 {
-  if (responder != NULL)
-    g_atomic_rc_box_release_full (responder, clear_responder);
+  pthread_mutex_lock (&replica->lock);
+  release_responder (responder);
+  pthread_mutex_unlock (&replica->lock);
 }
 
 void
 replica_set_responder (Replica *replica, ReplicaResponder *responder)
 {
   pthread_mutex_lock (&replica->lock);
-  ReplicaResponder *former = replica->responder;
+  release_responder (replica->responder);
   replica->responder = responder;
   pthread_mutex_unlock (&replica->lock);
-  replica_release_responder (former);
 }
 
 void
--- a/tests/standin/replica.h
+++ b/tests/standin/replica.h
@@ -74,7 +74,7 @@
 /* Sets complete header lines for all further responses, or "". */
 void replica_set_fields (Replica *replica, const char *fields);
 
-/* Sends responses in place of a replica.  Created by g_atomic_rc_box_new(). */
+/* Sends responses in place of a replica.  Created by g_rc_box_new0(). */
 typedef struct ReplicaResponder ReplicaResponder;
 
 typedef struct
--- a/tests/standin/replica_internal.h
+++ b/tests/standin/replica_internal.h
@@ -29,7 +29,7 @@
   GHashTable *run_counts; /* target -> count */
   char *last_request_head;
   char *fields;                /* of all responses */
-  ReplicaResponder *responder; /* of the behaviour "canned"; NULL: none */
+  ReplicaResponder *responder; /* of the behaviour "canned", under lock; or NULL */
   guint open_connections;
   atomic_uint connection_count;
   atomic_uint active_requests;
@@ -54,8 +54,9 @@
 /* Fails: ends all connections, and refuses new ones for a while. */
 void replica_crash (Replica *replica, ReplicaCrash kind);
 
-/* Drops a reference to RESPONDER, which may be NULL. */
-void replica_release_responder (ReplicaResponder *responder);
+/* Returns a reference to the responder of the replica. */
+ReplicaResponder *replica_acquire_responder (Replica *replica);
+void replica_release_responder (Replica *replica, ReplicaResponder *responder);
 
 /* Waits until the replica is not silent, or is being destroyed. */
 void replica_wait_while_silent (const Replica *replica);
--- a/tests/standin/replica_session.c
+++ b/tests/standin/replica_session.c
@@ -441,25 +441,14 @@
   return TRUE;
 }
 
-/* Returns a reference to the responder of the replica. */
-static ReplicaResponder *
-acquire_responder (const Session *session)
-{
-  Replica *replica = session->replica;
-  pthread_mutex_lock (&replica->lock);
-  ReplicaResponder *responder = g_atomic_rc_box_acquire (replica->responder);
-  pthread_mutex_unlock (&replica->lock);
-  return responder;
-}
-
 /* Returns whether the connection is kept open. */
 static gboolean
 send_canned (const Session *session)
 {
-  ReplicaResponder *responder = acquire_responder (session);
+  ReplicaResponder *responder = replica_acquire_responder (session->replica);
   gboolean keeps
       = responder->class->respond (responder, session->fd, session->attempt_id);
-  replica_release_responder (responder);
+  replica_release_responder (session->replica, responder);
   return keeps;
 }
 
