--- a/tests/document_request_test.c
+++ b/tests/document_request_test.c
@@ -129,22 +129,31 @@
   g_bytes_unref (event.message.document.body);
 }
 
-/* Returns the message of KIND about the list of servers that the most recent step
-   sent, or NULL. */
+/* Returns the message of KIND about DOCUMENT that the most recent step sent, or
+ * NULL.
+ */
 static const HbwSendMessage *
-find_message (const Instance *instance, HbwMessageKind kind)
+find_message_about (const Instance *instance, HbwMessageKind kind,
+                    HbwDocumentKind document)
 {
   for (guint i = 0; i < hbw_effects_count (instance->effects); i++)
     {
       const HbwEffect *effect = hbw_effects_get (instance->effects, i);
       if (effect->kind == HBW_EFFECT_SEND_MESSAGE
           && effect->send.message.kind == kind
-          && effect->send.message.document.kind == HBW_DOCUMENT_SERVERS)
+          && effect->send.message.document.kind == document)
         return &effect->send;
     }
   return NULL;
 }
 
+/* The same about the list of servers. */
+static const HbwSendMessage *
+find_message (const Instance *instance, HbwMessageKind kind)
+{
+  return find_message_about (instance, kind, HBW_DOCUMENT_SERVERS);
+}
+
 /* Returns the instance that was asked for the list, or 0. */
 static guint64
 asked_peer (const Instance *instance)
@@ -181,6 +190,30 @@
 }
 END_TEST
 
+/* The same for each document, as all of them are asked for in this way. */
+START_TEST (peer_without_an_address_holds_up_no_document)
+{
+  for (guint kind = 0; kind < HBW_DOCUMENT_COUNT; kind++)
+    {
+      Instance instance = instance_create ();
+      HbwEvent offer = { .kind = HBW_EVENT_MESSAGE };
+      deliver_ping (&instance, 3, HBW_MEMBER_ALIVE, HELD);
+      offer.message.kind = HBW_MESSAGE_PING;
+      for (guint i = 0; i < HBW_DOCUMENT_COUNT; i++)
+        offer.message.ping.versions[i] = i == kind ? OFFERED : HBW_VERSION_UNKNOWN;
+      offer.message.from = 2; /* not known, as it does not say who it is */
+      step (&instance, &offer);
+      offer.message.from = 3;
+      step (&instance, &offer);
+      const HbwSendMessage *request = find_message_about (
+          &instance, HBW_MESSAGE_DOCUMENT_ASK, (HbwDocumentKind) kind);
+      ck_assert_msg (request != NULL && request->to == 3, "%s",
+                     hbw_document_kind_name ((HbwDocumentKind) kind));
+      instance_destroy (&instance);
+    }
+}
+END_TEST
+
 /* Guards against the same where an address is not known for another reason: the peer
    has a lower identity than the instance that is known at its address. */
 START_TEST (peer_with_a_rejected_identity_does_not_keep_others_from_being_asked)
@@ -311,6 +344,8 @@
   Suite *suite = suite_create ("document requests");
   suite_add_test (suite, "peer_without_an_address_does_not_keep_others",
                   peer_without_an_address_does_not_keep_others_from_being_asked);
+  suite_add_test (suite, "peer_without_an_address_holds_up_no_document",
+                  peer_without_an_address_holds_up_no_document);
   suite_add_test (
       suite, "peer_with_a_rejected_identity_does_not_keep_others",
       peer_with_a_rejected_identity_does_not_keep_others_from_being_asked);
