--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -135,11 +135,14 @@
 class Listener:
     """Accepts connections and serves each in a thread."""
 
+    BACKLOG = 512
+
     def __init__(self, ip="127.0.0.1", port=0):
+        self.is_dark = False
         self.sock = socket.socket()
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind((ip, port))
-        self.sock.listen(512)
+        self.sock.listen(self.BACKLOG)
         self.ip, self.port = self.sock.getsockname()
         self.address = "%s:%d" % (self.ip, self.port)
         threading.Thread(target=self._accept, daemon=True).start()
@@ -150,6 +153,8 @@
                 sock, peer = self.sock.accept()
             except OSError:
                 return
+            if self.is_dark:
+                return
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(
                 target=self._run, args=(sock, peer[0]), daemon=True
