--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -21,6 +21,10 @@
 HOST = "h.example"
 KEY = "key-of-tenant-one"
 
+# What a process receives of its caller's environment, as DEPLOY.md says.
+ENVIRONMENT = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
+               if name in os.environ}
+
 EXIT_HELD = 0
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
@@ -466,7 +470,7 @@
         log = open(self.log_path, "ab")
         self.process = subprocess.Popen(
             [PROGRAM, "serve", "--config", self.path], cwd=ROOT, stdout=log,
-            stderr=log, stdin=subprocess.DEVNULL)
+            stderr=log, stdin=subprocess.DEVNULL, env=ENVIRONMENT)
         log.close()
         note("%s starts, process %d" % (self.name, self.process.pid))
 
@@ -609,9 +613,9 @@
 class Site:
     """A store, replicas and routers with their folder."""
 
-    def __init__(self, replicas, routers=1, config=None, **settings):
+    def __init__(self, replicas, routers=1, config=None, store=None, **settings):
         self.folder = tempfile.mkdtemp(prefix="hornbeamwall-")
-        self.store = Store()
+        self.store = store or Store()
         self.replicas = replicas
         for replica in replicas:
             self.store.put("servers", replica.identity, replica.entry())
