--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""Requests of legal size whose path is made of slashes stop all other callers."""
+"""Replicas leave without a word while the store cuts off watches that wait."""
 
 import os
 import sys
@@ -11,84 +11,107 @@
 import standin
 from standin import note
 
-MAX_HEADER_BYTES = 16384
-ODD_REQUESTS = 240
-PATH_BYTES = 15900
-ORDINARY_REQUESTS = 60
-ORDINARY_INTERVAL_S = 0.1
-TIMEOUT_S = 1.5
-SLACK_S = 0.5
-# "Eight or more of them, and over a quarter"
-UNANSWERED_MIN = 8
-UNANSWERED_SHARE = 0.25
+REPLICAS = 22
+LEAVING = 18
+# The times between two that leave differ, so that they meet each moment of a watch.
+LEAVE_INTERVALS_S = [2.4 + 0.17 * i % 1.2 for i in range(LEAVING)]
+CUT_AFTER_S = 0.5
+# "It continues serving for `drain_ms` [...] and a little longer (at times many seconds)"
+SERVES_ON_S = 10
+DRAIN_S = 2.0
+STABLE_WINDOW_S = 3.0
+CLIENTS = 12
+PAUSE_S = 0.02
 
 
-class Ordinary(threading.Thread):
-    """A client with one request, on a connection that it had opened before."""
+class CuttingStore(standin.Store):
+    """Cuts off each watch of the servers that has waited for CUT_AFTER_S."""
 
-    def __init__(self, router, number):
+    cuts = False
+
+    def watch(self, kind, since, wait_ms):
+        if not self.cuts or kind != "servers" or wait_ms <= 1000 * CUT_AFTER_S:
+            return super().watch(kind, since, wait_ms)
+        status, answer = super().watch(kind, since, int(1000 * CUT_AFTER_S))
+        if not answer["events"]:
+            raise OSError("the watch is cut off")
+        return status, answer
+
+
+class Load(threading.Thread):
+    def __init__(self, router, number, sent, end):
         super().__init__(daemon=True)
-        self.number = number
-        self.client = standin.Client(router, 60)
-        self.took_s = None
-        self.answer = None
+        self.router, self.number, self.sent, self.end = router, number, sent, end
 
     def run(self):
-        began = time.monotonic()
-        _, self.answer = self.client.ask("POST", "/unsafe/%d" % self.number, b"order",
-                                         deadline_ms=int(1000 * TIMEOUT_S))
-        self.took_s = time.monotonic() - began
+        client = None
+        count = 0
+        while standin.now() < self.end[0]:
+            try:
+                client = client or standin.Client(self.router, 5)
+                count += 1
+                identity = standin.new_id()
+                self.sent[identity] = standin.now()
+                client.sock.sendall(standin.format_request(
+                    "GET", "/safe/%d-%d" % (self.number, count), identity))
+                if not client.receive().complete:
+                    client.close()
+                    client = None
+                time.sleep(PAUSE_S)
+            except OSError:
+                client = None
+                time.sleep(PAUSE_S)
+
+
+def behave(replica, sock, request):
+    replica.runs.append(request)
+    replica.send(sock, request, 200, b"ok")
+    return True
 
 
-def make_odd_requests(site, trouble):
-    """Opens a connection for each request, and returns what is to be sent on it."""
-    filler = "/" if trouble else "a"
-    requests = []
-    for number in range(ODD_REQUESTS):
-        path = "/safe/" + filler * PATH_BYTES + "x"
-        data = standin.format_request("GET", path, standin.new_id())
-        assert len(data) <= MAX_HEADER_BYTES
-        requests.append((standin.Client(site.routers[0], 110), data))
-    return requests
+def find_late(replica, left_s, sent):
+    """Returns how late, in seconds, requests were sent that reached the replica."""
+    return sorted(sent[request.id] - left_s for request in replica.runs
+                  if sent.get(request.id, 0) > left_s + DRAIN_S)
 
 
 def case(trouble):
-    replicas = [standin.Replica("i-%d" % i) for i in range(2)]
-    config = standin.make_config()
-    config["limits"]["max_header_bytes"] = MAX_HEADER_BYTES
-    for route in config["routes"]:
-        if route["name"] == "unsafe":
-            route["timeout_ms"] = int(1000 * TIMEOUT_S)
-    site = standin.Site(replicas, config=config)
+    replicas = [standin.Replica("i-%02d" % i, behave) for i in range(REPLICAS)]
+    site = standin.Site(replicas, routers=3, store=CuttingStore())
+    sent = {}
+    left = {}
+    end = [1e9]
     try:
         if not site.start():
             return standin.EXIT_NOT_RUN
-        time.sleep(1)
-        odd = make_odd_requests(site, trouble)
-        ordinary = [Ordinary(site.routers[0], i) for i in range(ORDINARY_REQUESTS)]
-        note("%d requests with a path of %d bytes are sent" % (len(odd), PATH_BYTES))
-        for client, data in odd:
-            client.sock.sendall(data)
-        for thread in ordinary:
+        time.sleep(STABLE_WINDOW_S + 1)
+        site.store.cuts = trouble
+        load = [Load(site.routers[i % 3], i, sent, end) for i in range(CLIENTS)]
+        for thread in load:
             thread.start()
-            time.sleep(ORDINARY_INTERVAL_S)
-        silent = 0
-        for _ in range(3):
-            silent += not site.routers[0].is_ready()
-        note("questions for readiness without an answer in a second: %d of 3" % silent)
-        end = time.monotonic() + 80
-        for thread in ordinary:
-            thread.join(max(0, end - time.monotonic()))
+        time.sleep(2)
+        for replica, interval_s in zip(replicas[:LEAVING], LEAVE_INTERVALS_S):
+            site.store.remove("servers", replica.identity)
+            left[replica.identity] = standin.now()
+            note("the store has removed the entry of %s" % replica.identity)
+            time.sleep(interval_s)
+        time.sleep(SERVES_ON_S)
+        end[0] = standin.now()
+        for thread in load:
+            thread.join(10)
     finally:
         site.stop()
-    bound = TIMEOUT_S + SLACK_S
-    late = [t for t in ordinary if t.took_s is None or t.took_s > bound]
-    longest = max(t.took_s or 80 for t in ordinary)
-    note("ordinary requests without an answer %.1f s after they were sent: %d of %d; "
-         "the longest took %.1f s" % (bound, len(late), len(ordinary), longest))
-    is_broken = (len(late) >= UNANSWERED_MIN
-                 and len(late) > UNANSWERED_SHARE * len(ordinary))
-    return standin.EXIT_BROKEN if is_broken else standin.EXIT_HELD
+    total = 0
+    for replica in replicas[:LEAVING]:
+        late = find_late(replica, left[replica.identity], sent)
+        late = [s for s in late if s <= SERVES_ON_S]
+        total += len(late)
+        if late:
+            note("%s: %d requests were sent more than %.1f s after its entry was "
+                 "removed, the last %.2f s after it" % (
+                     replica.identity, len(late), DRAIN_S, late[-1]))
+    note("requests that reached replicas too late: %d of %d" % (total, len(sent)))
+    return standin.EXIT_BROKEN if total > 0 else standin.EXIT_HELD
 
 
 standin.main(FOLDER, case)
