--- a/review/14/case.py
+++ b/review/14/case.py
@@ -114,4 +114,5 @@
     return standin.EXIT_BROKEN if total > 0 else standin.EXIT_HELD
 
 
-standin.main(FOLDER, case)
+standin.main(os.path.join(FOLDER, "record.txt"),
+             os.environ.get("TROUBLE", "1") != "0", case)
--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -647,10 +647,9 @@
         os.rmdir(self.folder)
 
 
-def main(folder, case):
-    """Runs CASE with whether the trouble is wanted; exits with its result."""
-    open_record(os.path.join(folder, "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+def main(record_path, trouble, case):
+    """Runs CASE, with its trouble or without; exits with its result."""
+    open_record(record_path)
     note("trouble: %s" % ("yes" if trouble else "no"))
     try:
         result = case(trouble)
@@ -658,6 +657,7 @@
         note("could not run: %r" % error)
         result = EXIT_NOT_RUN
     note("result: %d" % result)
-    print(open(os.path.join(folder, "record.txt")).read().splitlines()[-1])
+    with open(record_path, encoding="utf-8") as record:
+        print(record.read().splitlines()[-1])
     sys.stdout.flush()
     os._exit(result)
