Logs and metrics tell why an entry that is missing from the store is kept

An operator who sees a server get requests that has left had nothing to go by: STORE_DOWN and STORE_UP name neither the document nor the call, and the list of servers says only by its version that entries are kept.

STORE_OUTAGE says when the store is taken to have been away (time since its last answer, failed calls in between), ENTRY_KEPT and ENTRY_KEPT_END which entry is kept, since when and until when. STORE_DOWN names the document and how long the failed call took. Metrics count the watches that were cut off, the outages, and the entries that are kept now.

No decision changes.

--- a/core/metrics.c
+++ b/core/metrics.c
@@ -176,6 +176,14 @@
                       metrics->control.store_call_count[i]);
       render_counter (text, "store_failures", "document", kind,
                       metrics->control.store_failures[i]);
+      render_counter (text, "store_cut_watches", "document", kind,
+                      metrics->control.store_cut_watches[i]);
+      render_counter (text, "store_outages", "document", kind,
+                      metrics->control.store_outages[i]);
+      g_string_append_printf (
+          text,
+          "hornbeamwall_store_kept_entries{document=\"%s\"} %" G_GINT64_FORMAT "\n",
+          kind, metrics->control.store_kept_entries[i]);
     }
   for (guint i = 0; i < HBW_SERVER_CHECK_COUNT; i++)
     render_counter (text, "server_checks", "result",
--- a/core/reducer.c
+++ b/core/reducer.c
@@ -288,12 +288,17 @@
   HbwControlMetrics *metrics = hbw_metrics_control (reducer->context.metrics);
   metrics->store_call_count[state->document] += state->calls;
   metrics->store_failures[state->document] += state->up ? 0 : 1;
+  metrics->store_cut_watches[state->document] += state->cut_watches;
+  metrics->store_outages[state->document] = state->outages;
+  metrics->store_kept_entries[state->document] = state->kept;
   if (reducer->store_up == state->up)
     return;
   reducer->store_up = state->up;
-  hbw_effects_log (reducer->context.effects,
-                   state->up ? HBW_LOG_STORE_UP : HBW_LOG_STORE_DOWN,
-                   "instance=%" G_GUINT64_FORMAT, reducer->context.self);
+  hbw_effects_log (
+      reducer->context.effects, state->up ? HBW_LOG_STORE_UP : HBW_LOG_STORE_DOWN,
+      "instance=%" G_GUINT64_FORMAT " document=%s failed_after_ms=%" G_GINT64_FORMAT,
+      reducer->context.self, hbw_document_kind_name (state->document),
+      state->failed_after_us / HBW_US_PER_MS);
 }
 
 static void
--- a/include/hornbeamwall/common/log.h
+++ b/include/hornbeamwall/common/log.h
@@ -57,6 +57,17 @@
      "A peer that has a newer version of a platform document did not send it in "   \
      "time.",                                                                       \
      "Check the peer, and the network to it, if this persists.")                    \
+  X (2012, STORE_OUTAGE, INFO,                                                      \
+     "The platform's store responds again after failed calls for a document; "      \
+     "entries that are missing now may have lapsed and are kept for a while.",      \
+     "Check the store if away_ms is large or this repeats.")                        \
+  X (2013, ENTRY_KEPT, INFO,                                                        \
+     "An entry is missing from the platform's store, and is kept as it may have "   \
+     "lapsed in the outage before.",                                                \
+     "Nothing; ENTRY_KEPT_END follows.")                                            \
+  X (2014, ENTRY_KEPT_END, INFO,                                                    \
+     "An entry that was kept is in the platform's store again, or was dropped.",    \
+     "Check the backend server if the outcome is expired and it still runs.")       \
   X (3001, PEER_JOINED, INFO, "An instance has joined.", "Nothing.")                \
   X (3002, PEER_SUSPECT, INFO, "An instance does not respond to probes.",           \
      "Nothing; it is marked failed or alive again within a second.")                \
--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -173,8 +173,12 @@
 {
   HbwDocumentKind document;
   guint calls;
-  gboolean up; /* the last call succeeded */
-  gint64 era;  /* of the store, as in its last response; 0 if it sent none */
+  guint cut_watches;      /* watches among them that failed after they had waited */
+  guint outages;          /* that have ended since the start */
+  guint kept;             /* entries that are missing from the store and kept */
+  gboolean up;            /* the last call succeeded */
+  gint64 failed_after_us; /* duration of the last call, if it failed */
+  gint64 era; /* of the store, as in its last response; 0 if it sent none */
 } HbwStoreState;
 
 /* Suspects in the platform's store after a read or a write. */
--- a/include/hornbeamwall/core/metrics.h
+++ b/include/hornbeamwall/core/metrics.h
@@ -44,6 +44,9 @@
   guint64 messages_dropped[HBW_MESSAGE_COUNT]; /* address of the receiver unknown */
   guint64 store_call_count[HBW_DOCUMENT_COUNT];
   guint64 store_failures[HBW_DOCUMENT_COUNT]; /* calls without a usable response */
+  guint64 store_cut_watches[HBW_DOCUMENT_COUNT]; /* that failed after a wait */
+  guint64 store_outages[HBW_DOCUMENT_COUNT];     /* that have ended */
+  gint64 store_kept_entries[HBW_DOCUMENT_COUNT]; /* missing there, and kept */
   guint64 server_checks[HBW_SERVER_CHECK_COUNT]; /* by result */
   guint64 server_pauses;                         /* that servers asked for */
   guint64 tunnelled_attempts;                    /* sent through other instances */
--- a/include/hornbeamwall/runtime/feed.h
+++ b/include/hornbeamwall/runtime/feed.h
@@ -10,12 +10,16 @@
 
 typedef struct
 {
-  HbwStoreResult status; /* HBW_STORE_OK: there is a newer version */
-  guint call_count;      /* calls made to the store */
-  gint64 version;        /* with HBW_STORE_OK, or if confirmed: that of the store */
-  GBytes *body;          /* with HBW_STORE_OK; owned by the caller */
-  gboolean confirmed;    /* the store has no other version now */
-  gint64 era;            /* of the store, see core/store_era.h; 0 if unknown */
+  HbwStoreResult status;  /* HBW_STORE_OK: there is a newer version */
+  guint call_count;       /* calls made to the store */
+  guint cut_watch_count;  /* watches among them that failed after they had waited */
+  gint64 failed_after_us; /* duration of the last call, if it failed */
+  guint outage_count;     /* outages of the store that have ended since the start */
+  guint kept_count;       /* objects that are missing from the store and kept */
+  gint64 version;         /* with HBW_STORE_OK, or if confirmed: that of the store */
+  GBytes *body;           /* with HBW_STORE_OK; owned by the caller */
+  gboolean confirmed;     /* the store has no other version now */
+  gint64 era;             /* of the store, see core/store_era.h; 0 if unknown */
 } HbwFeedResult;
 
 typedef struct HbwFeed HbwFeed;
--- a/include/hornbeamwall/runtime/object_cache.h
+++ b/include/hornbeamwall/runtime/object_cache.h
@@ -29,7 +29,8 @@
 
 typedef struct HbwObjectCache HbwObjectCache;
 
-HbwObjectCache *hbw_object_cache_create (void);
+/* Creates a cache of objects of KIND, which is borrowed. */
+HbwObjectCache *hbw_object_cache_create (const char *kind);
 void hbw_object_cache_destroy (HbwObjectCache *cache);
 
 /* Records that a call to the store failed. */
@@ -56,6 +57,12 @@
    none. */
 gint64 hbw_object_cache_next_expiry (const HbwObjectCache *cache);
 
+/* Returns the number of objects that are missing and kept. */
+guint hbw_object_cache_missing_count (const HbwObjectCache *cache);
+
+/* Returns how many outages of the store have ended so far. */
+guint hbw_object_cache_outage_count (const HbwObjectCache *cache);
+
 /* Returns the version of the document built at REVISION of the store.  It is higher
    in a higher ERA of the store, then at a higher revision, then if no cached object
    is missing from the store and the store first responded longer ago than the grace
--- a/runtime/list_watch_feed.c
+++ b/runtime/list_watch_feed.c
@@ -4,6 +4,10 @@
 
 #include <string.h>
 
+/* A watch that fails after it has waited this long was cut off while it waited;
+   before that, its call itself failed. */
+#define CUT_WATCH_MIN_US (50 * HBW_US_PER_MS)
+
 /* Limit on the pages read of one list, so that reading ends even if each page refers
    to another one. */
 #define PAGES_MAX 1000
@@ -19,6 +23,8 @@
   gint64 document_version; /* of the cached objects; -1 if they form no document */
   gint64 era;              /* of the store when the objects were listed */
   guint call_count;        /* calls to the store made for the current result */
+  guint cut_watch_count;   /* watches among them that were cut off */
+  gint64 failed_after_us;  /* duration of the last call, if it failed */
   gint64 sent_us;          /* when the first of them was sent */
 } ListWatchFeed;
 
@@ -35,8 +41,14 @@
 fetch_page (ListWatchFeed *feed, char *path, gboolean is_watch, HbwStorePage *page,
             HbwError *error)
 {
+  gint64 called_us = hbw_clock_now (feed->clock);
   HbwStoreResponse response = hbw_store_client_get_path (feed->client, path, error);
+  gint64 duration_us = hbw_clock_now (feed->clock) - called_us;
+  gboolean failed = response.result == HBW_STORE_FAILED;
+  feed->failed_after_us = failed ? duration_us : 0;
   feed->call_count++;
+  if (failed && is_watch && duration_us >= CUT_WATCH_MIN_US)
+    feed->cut_watch_count++;
   g_free (path);
   page->era = response.era;
   if (response.result != HBW_STORE_OK)
@@ -169,6 +181,17 @@
   g_free (text);
 }
 
+static void
+fill_counts (const ListWatchFeed *feed, HbwFeedResult *result)
+{
+  result->call_count = feed->call_count;
+  result->cut_watch_count = feed->cut_watch_count;
+  result->failed_after_us = feed->failed_after_us;
+  result->era = feed->era;
+  result->outage_count = hbw_object_cache_outage_count (feed->cache);
+  result->kept_count = hbw_object_cache_missing_count (feed->cache);
+}
+
 /* Shortens WAIT_MS so that missing objects expire on time even if the store reports
    no changes. */
 static guint
@@ -185,6 +208,7 @@
   ListWatchFeed *feed = (ListWatchFeed *) base;
   HbwFeedResult result = { .status = HBW_STORE_NOT_MODIFIED };
   feed->call_count = 0;
+  feed->cut_watch_count = 0;
   feed->sent_us = hbw_clock_now (feed->clock);
   HbwStorePage page
       = { .changes = g_array_new (FALSE, FALSE, sizeof (HbwObjectChange)) };
@@ -196,16 +220,17 @@
     status = list_objects (feed, &page, error);
   page_clear (&page);
   g_array_free (page.changes, TRUE);
-  result.call_count = feed->call_count;
-  result.era = feed->era;
+  if (status == HBW_STORE_OK)
+    hbw_object_cache_expire (feed->cache, feed->sent_us);
+  else
+    hbw_object_cache_record_store_failure (feed->cache);
+  fill_counts (feed, &result);
   if (status != HBW_STORE_OK)
     {
-      hbw_object_cache_record_store_failure (feed->cache);
       feed->revision = 0; /* the next call lists again to find missed changes */
       result.status = HBW_STORE_FAILED;
       return result;
     }
-  hbw_object_cache_expire (feed->cache, feed->sent_us);
   if (hbw_object_cache_test_and_clear_changed (feed->cache))
     fill_document (feed, &result);
   result.version = feed->document_version;
@@ -237,7 +262,7 @@
   feed->client = client;
   feed->adapter = adapter;
   feed->clock = clock;
-  feed->cache = hbw_object_cache_create ();
+  feed->cache = hbw_object_cache_create (adapter->object_kind);
   feed->document_version = HBW_VERSION_UNKNOWN;
   hbw_store_client_set_era_field (client, adapter->era_field);
   return &feed->base;
--- a/runtime/object_cache.c
+++ b/runtime/object_cache.c
@@ -1,6 +1,8 @@
 #include "hornbeamwall/runtime/object_cache.h"
 
+#include "hornbeamwall/common/log.h"
 #include "hornbeamwall/net/store_client.h"
+#include "hornbeamwall/runtime/store_outage.h"
 
 typedef struct
 {
@@ -9,17 +11,17 @@
   json_t *value;
   gboolean in_current_list; /* applied since the current list began */
   gboolean missing;         /* not in the store, but in its grace period */
+  gint64 missing_since_us;  /* first list without it */
   gboolean is_new;          /* its value has changed since it was last visited */
 } Entry;
 
 struct HbwObjectCache
 {
-  GHashTable *entries;       /* name -> Entry */
-  gboolean store_failed;     /* the last call to the store failed */
-  gint64 store_recovered_us; /* end of the last outage of the store; 0 is none */
-  gint64 first_response_us;  /* first response of the store; 0 is none yet */
-  gint64 last_response_us;   /* last response of the store */
-  gint64 last_sent_us;       /* when its call was sent */
+  const char *kind;         /* of the objects; borrowed */
+  GHashTable *entries;      /* name -> Entry */
+  HbwStoreOutage outage;    /* of the store */
+  gint64 first_response_us; /* first response of the store; 0 is none yet */
+  gint64 last_sent_us;      /* when the call of the last response was sent */
   guint missing_count;
   gboolean changed;
 };
@@ -41,9 +43,10 @@
 }
 
 HbwObjectCache *
-hbw_object_cache_create (void)
+hbw_object_cache_create (const char *kind)
 {
   HbwObjectCache *cache = g_new0 (HbwObjectCache, 1);
+  cache->kind = kind;
   cache->entries = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, entry_free);
   return cache;
 }
@@ -58,28 +61,38 @@
 void
 hbw_object_cache_record_store_failure (HbwObjectCache *cache)
 {
-  cache->store_failed = TRUE;
+  hbw_store_outage_record_failure (&cache->outage);
+}
+
+static void
+log_outage (const HbwObjectCache *cache, guint failures)
+{
+  char *text = g_strdup_printf (
+      "kind=%s away_ms=%" G_GINT64_FORMAT
+      " failures=%u missing=%u keep_ms=%" G_GINT64_FORMAT,
+      cache->kind, cache->outage.duration_us / HBW_US_PER_MS, failures,
+      cache->missing_count, HBW_OBJECT_CACHE_GRACE_US / HBW_US_PER_MS);
+  hbw_log_write (HBW_LOG_STORE_OUTAGE, text);
+  g_free (text);
 }
 
 void
 hbw_object_cache_record_store_response (HbwObjectCache *cache, gint64 sent_us,
                                         gint64 now_us)
 {
+  guint failures = cache->outage.failures;
   cache->last_sent_us = sent_us;
-  cache->last_response_us = now_us;
   if (cache->first_response_us == 0)
     cache->first_response_us = now_us;
-  if (!cache->store_failed)
-    return;
-  cache->store_failed = FALSE;
-  cache->store_recovered_us = now_us;
+  if (hbw_store_outage_record_response (&cache->outage, now_us))
+    log_outage (cache, failures);
 }
 
 static gboolean
 in_grace_period (const HbwObjectCache *cache, gint64 now_us)
 {
-  return cache->store_recovered_us > 0
-         && now_us - cache->store_recovered_us < HBW_OBJECT_CACHE_GRACE_US;
+  return cache->outage.end_us > 0
+         && now_us - cache->outage.end_us < HBW_OBJECT_CACHE_GRACE_US;
 }
 
 /* A list replaces the entry, whatever its revision: the store may have been restored
@@ -100,20 +113,57 @@
 }
 
 static void
-set_missing (HbwObjectCache *cache, Entry *entry, gboolean missing)
+log_kept (const HbwObjectCache *cache, const Entry *entry)
+{
+  char *text = g_strdup_printf (
+      "kind=%s name=\"%s\" away_ms=%" G_GINT64_FORMAT
+      " returned_ago_ms=%" G_GINT64_FORMAT,
+      cache->kind, entry->name, cache->outage.duration_us / HBW_US_PER_MS,
+      (entry->missing_since_us - cache->outage.end_us) / HBW_US_PER_MS);
+  hbw_log_write (HBW_LOG_ENTRY_KEPT, text);
+  g_free (text);
+}
+
+static void
+log_kept_end (const HbwObjectCache *cache, const Entry *entry, const char *outcome)
+{
+  char *text = g_strdup_printf (
+      "kind=%s name=\"%s\" outcome=%s kept_ms=%" G_GINT64_FORMAT, cache->kind,
+      entry->name, outcome,
+      (cache->outage.last_response_us - entry->missing_since_us) / HBW_US_PER_MS);
+  hbw_log_write (HBW_LOG_ENTRY_KEPT_END, text);
+  g_free (text);
+}
+
+static void
+set_missing (HbwObjectCache *cache, Entry *entry)
 {
-  if (entry->missing == missing)
+  if (entry->missing)
     return;
-  entry->missing = missing;
-  cache->missing_count += missing ? 1 : -1;
+  entry->missing = TRUE;
+  entry->missing_since_us = cache->outage.last_response_us;
+  cache->missing_count++;
   cache->changed = TRUE;
+  log_kept (cache, entry);
+}
+
+/* OUTCOME tells why ENTRY, if it was kept, is not any more. */
+static void
+clear_missing (HbwObjectCache *cache, Entry *entry, const char *outcome)
+{
+  if (!entry->missing)
+    return;
+  entry->missing = FALSE;
+  cache->missing_count--;
+  cache->changed = TRUE;
+  log_kept_end (cache, entry, outcome);
 }
 
 /* Updates the counters for ENTRY, which the caller then frees. */
 static void
-record_removal (HbwObjectCache *cache, Entry *entry)
+record_removal (HbwObjectCache *cache, Entry *entry, const char *outcome)
 {
-  set_missing (cache, entry, FALSE);
+  clear_missing (cache, entry, outcome);
   cache->changed = TRUE;
 }
 
@@ -126,10 +176,10 @@
     return FALSE;
   if (in_grace_period (cache, cache->last_sent_us))
     {
-      set_missing (cache, entry, TRUE);
+      set_missing (cache, entry);
       return FALSE;
     }
-  record_removal (cache, entry);
+  record_removal (cache, entry, "expired");
   return TRUE;
 }
 
@@ -150,7 +200,7 @@
       g_hash_table_insert (cache->entries, entry->name, entry);
     }
   entry->in_current_list = TRUE;
-  set_missing (cache, entry, FALSE);
+  clear_missing (cache, entry, "renewed");
   if (entry->value != NULL && change->revision <= entry->revision)
     return;
   gboolean is_new
@@ -168,7 +218,7 @@
   Entry *entry = g_hash_table_lookup (cache->entries, change->name);
   if (entry == NULL || change->revision < entry->revision)
     return;
-  record_removal (cache, entry);
+  record_removal (cache, entry, "removed");
   g_hash_table_remove (cache->entries, change->name);
 }
 
@@ -189,31 +239,43 @@
   Entry *entry = value;
   if (!entry->missing)
     return FALSE;
-  record_removal (cache, entry);
+  record_removal (cache, entry, "expired");
   return TRUE;
 }
 
 void
 hbw_object_cache_expire (HbwObjectCache *cache, gint64 sent_us)
 {
-  if (!in_grace_period (cache, sent_us) && !cache->store_failed)
+  if (!in_grace_period (cache, sent_us) && cache->outage.failures == 0)
     g_hash_table_foreach_remove (cache->entries, remove_missing, cache);
 }
 
 gint64
 hbw_object_cache_next_expiry (const HbwObjectCache *cache)
 {
-  return cache->missing_count > 0
-             ? cache->store_recovered_us + HBW_OBJECT_CACHE_GRACE_US
-             : G_MAXINT64;
+  return cache->missing_count > 0 ? cache->outage.end_us + HBW_OBJECT_CACHE_GRACE_US
+                                  : G_MAXINT64;
+}
+
+guint
+hbw_object_cache_missing_count (const HbwObjectCache *cache)
+{
+  return cache->missing_count;
+}
+
+guint
+hbw_object_cache_outage_count (const HbwObjectCache *cache)
+{
+  return cache->outage.count;
 }
 
 gint64
 hbw_object_cache_document_version (const HbwObjectCache *cache, gint64 era,
                                    gint64 revision)
 {
-  gboolean within_first_grace = cache->last_response_us - cache->first_response_us
-                                < HBW_OBJECT_CACHE_GRACE_US;
+  gboolean within_first_grace
+      = cache->outage.last_response_us - cache->first_response_us
+        < HBW_OBJECT_CACHE_GRACE_US;
   gboolean complete = cache->missing_count == 0 && !within_first_grace;
   return hbw_store_version (era, 2 * revision + (complete ? 1 : 0));
 }
--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -79,6 +79,10 @@
   HbwEvent event = { .kind = HBW_EVENT_STORE_STATE };
   event.store.document = kind;
   event.store.calls = result->call_count;
+  event.store.cut_watches = result->cut_watch_count;
+  event.store.outages = result->outage_count;
+  event.store.kept = result->kept_count;
+  event.store.failed_after_us = result->failed_after_us;
   event.store.up = result->status != HBW_STORE_FAILED;
   event.store.era = result->era;
   hbw_control_submit (watch->control, &event, NULL);
