A list of an older era of the store begins no grace period

While copies of the store in different eras answered by turns, a server that had left stayed in the list of the instance that watches the store, and got requests, for as long as they did.

Each list in another era than the list before counted as an outage, in a lower one too, and began the grace period anew. Only a higher era than all before means that the store has lost changes.

--- a/runtime/list_watch_feed.c
+++ b/runtime/list_watch_feed.c
@@ -25,6 +25,7 @@
   gint64 revision; /* all changes up to it are applied; 0 requests a new list */
   gint64 document_version; /* of the cached objects; -1 if they form no document */
   gint64 era;              /* of the store when the objects were listed */
+  gint64 highest_era;      /* of all lists; 0 is none */
   guint call_count;        /* calls to the store made for the current result */
   guint cut_watch_count;   /* watches among them that were cut off */
   gint64 failed_after_us;  /* duration of the last call, if it failed */
@@ -100,15 +101,17 @@
       g_array_index (page->changes, HbwObjectChange, page->changes->len - 1).name);
 }
 
-/* Handles the first page of a list.  In a new era, objects may be missing because
-   the store lost them, as after an outage. */
+/* Handles the first page of a list.  In a higher era than before, objects may be
+   missing because the store lost them, as after an outage.  A copy of the store that
+   is still in an older era has lost nothing more. */
 static void
 begin_list (ListWatchFeed *feed, const HbwStorePage *page)
 {
   gint64 now_us = hbw_clock_now (feed->clock);
   hbw_object_cache_record_store_response (feed->cache, feed->sent_us, now_us);
-  if (page->era != feed->era && feed->document_version != HBW_VERSION_UNKNOWN)
+  if (feed->highest_era > 0 && page->era > feed->highest_era)
     hbw_object_cache_record_store_loss (feed->cache, now_us);
+  feed->highest_era = MAX (feed->highest_era, page->era);
   feed->era = page->era;
   hbw_object_cache_begin_list (feed->cache);
 }
--- a/tests/standin/objects.c
+++ b/tests/standin/objects.c
@@ -478,6 +478,15 @@
   pthread_mutex_unlock (&objects->lock);
 }
 
+void
+objects_set_era (Objects *objects, gint64 era)
+{
+  pthread_mutex_lock (&objects->lock);
+  objects->era = era;
+  pthread_cond_broadcast (&objects->changed);
+  pthread_mutex_unlock (&objects->lock);
+}
+
 void
 objects_compact_history (Objects *objects)
 {
--- a/tests/standin/objects.h
+++ b/tests/standin/objects.h
@@ -66,6 +66,9 @@
    revisions are given out again.  The era that responses carry rises by one. */
 void objects_restore (Objects *objects, gint64 revision);
 
+/* Makes responses carry ERA, as those of an older or a newer copy of the store. */
+void objects_set_era (Objects *objects, gint64 era);
+
 /* Returns the revision of the last change. */
 gint64 objects_revision (Objects *objects);
 
--- a/tests/store_watch_test.c
+++ b/tests/store_watch_test.c
@@ -34,6 +34,8 @@
 /* Pause of the feed's caller after a failed call. */
 #define FAILURE_PAUSE_US (200 * HBW_US_PER_MS)
 
+#define ERA_CHANGE_US (300 * HBW_US_PER_MS)
+
 /* A thread reads the feed, as runtime/watch.c does, into LIST. */
 typedef struct
 {
@@ -254,6 +256,26 @@
 }
 END_TEST
 
+/* Copies of the store answer by turns.  Each list began a grace period anew, as its
+   era was another one than that of the list before. */
+START_TEST (server_that_leaves_while_eras_alternate_is_dropped)
+{
+  WatchFixture *fixture = watch_fixture_create ();
+  objects_set_era (fixture->objects, 2);
+  g_usleep (ERA_CHANGE_US);
+  remove_server (fixture, 0);
+  for (gint64 passed_us = 0; passed_us < EXPIRY_MAX_US; passed_us += ERA_CHANGE_US)
+    {
+      objects_set_era (fixture->objects, 1 + passed_us / ERA_CHANGE_US % 2);
+      g_usleep (ERA_CHANGE_US);
+    }
+  ck_assert_uint_eq (count_kept (fixture), 0);
+  ck_assert (!is_listed (fixture, 0));
+  ck_assert_uint_eq (count_listed (fixture, 1, SERVERS - 1), SERVERS - 1);
+  watch_fixture_destroy (fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -264,6 +286,7 @@
   tcase_add_test (tests, server_that_leaves_beside_refused_watches_is_dropped);
   tcase_add_test (
       tests, entries_that_lapsed_are_kept_for_the_grace_period_beside_cut_watches);
+  tcase_add_test (tests, server_that_leaves_while_eras_alternate_is_dropped);
   suite_add_tcase (suite, tests);
   return suite_run (suite);
 }
