Soak: watches of the store are cut off, and entries of servers go without a word

The soak knew the store as a whole that is away, slow or restored. Now its changes also switch cuts of waiting watches on and off, and in the play "drain" all watches are cut off after 300 ms while every second server leaves by the removal of its entry.

--- a/tests/platform_soak.c
+++ b/tests/platform_soak.c
@@ -65,6 +65,9 @@
 #define PAUSE_WINDOW_US 1900000
 #define PAUSE_REQUESTS_MAX 2 /* of one instance */
 
+/* Watches of the store are cut off after this time without a change. */
+#define CUT_WATCH_AFTER_MS 300
+
 /* Time after which changes of the servers are followed everywhere. */
 #define FOLLOW_US 6000000
 
@@ -198,6 +201,9 @@
       objects_set_behaviour (soak->objects, OBJECTS_UNAVAILABLE);
       soak->restore_at_us = random_time (soak, RESTORE_OUTAGE_MAX_US);
     }
+  else if (choice == 5 || choice == 6)
+    objects_cut_watches (soak->objects, choice == 5 ? CUT_WATCH_AFTER_MS : 0,
+                         OBJECTS_CUT_CLOSE);
   if (soak->restore_at_us > 0 && now_us >= soak->restore_at_us)
     restore_store (soak);
   if (soak->rewrite_at_us > 0 && now_us >= soak->rewrite_at_us)
@@ -210,6 +216,7 @@
 {
   printf ("heal\n");
   objects_set_behaviour (soak->objects, OBJECTS_NORMAL);
+  objects_cut_watches (soak->objects, 0, OBJECTS_CUT_CLOSE);
   proxy_set_mode (soak->store_proxy, PROXY_PASS);
   for (guint i = 0; i < soak->servers; i++)
     {
--- a/tests/soak_drain.c
+++ b/tests/soak_drain.c
@@ -19,6 +19,9 @@
 #define SERVERS 12
 #define SERVERS_LEAVING 5
 
+/* Watches are cut off after this time without a change. */
+#define CUT_WATCH_AFTER_MS 300
+
 /* The times of a round, after the SIGTERM. */
 #define KILL_MIN_US 20000
 #define KILL_MAX_US 400000
@@ -190,6 +193,16 @@
       soak_processes_pause (soak->processes, STOPPED (i), PAUSE_US);
 }
 
+/* Some servers report that they are leaving, of others only the entry goes. */
+static void
+leave (Soak *soak, guint server)
+{
+  if (server % 2 == 0)
+    soak_put_server (soak, server, "draining");
+  else
+    soak_remove_server (soak, server);
+}
+
 static void
 play_round (Soak *soak, GRand *random, Caller *callers, guint round)
 {
@@ -204,7 +217,7 @@
   for (guint i = 0; i < SERVERS_LEAVING; i++)
     {
       sleep_until (start_us + LEAVE_US + i * LEAVE_INTERVAL_US);
-      soak_put_server (soak, (round * SERVERS_LEAVING + i) % SERVERS, "draining");
+      leave (soak, (round * SERVERS_LEAVING + i) % SERVERS);
       left_us[i] = now_us ();
     }
   sleep_until (start_us + END_US);
@@ -239,6 +252,7 @@
   GRand *random = g_rand_new_with_seed (seed);
   Caller *callers = g_new0 (Caller, PAIRS);
   g_usleep (START_US);
+  objects_cut_watches (soak->objects, CUT_WATCH_AFTER_MS, OBJECTS_CUT_CLOSE);
   for (guint round = 0; round < ROUNDS; round++)
     {
       play_round (soak, random, callers, round);
--- a/tests/soak_site.c
+++ b/tests/soak_site.c
@@ -132,8 +132,8 @@
       1 + replica_crash_count (replica), 1 + index % soak->versions);
 }
 
-static void
-remove_server (Soak *soak, guint index)
+void
+soak_remove_server (Soak *soak, guint index)
 {
   if (soak->entries[index] == NULL)
     return;
@@ -175,7 +175,7 @@
       guint crash_count = replica_crash_count (soak->replicas[i]);
       gboolean is_up = replica_is_up (soak->replicas[i]);
       if (!is_up || crash_count != soak->crash_counts[i])
-        remove_server (soak, i);
+        soak_remove_server (soak, i);
       if (!is_up || crash_count == soak->crash_counts[i])
         continue;
       soak->crash_counts[i] = crash_count;
--- a/tests/soak_site.h
+++ b/tests/soak_site.h
@@ -25,6 +25,9 @@
 
 void soak_put_server (Soak *soak, guint index, const char *state);
 
+/* Removes the entry of a server, if it has one. */
+void soak_remove_server (Soak *soak, guint index);
+
 /* Writes the entries of all servers that are up, and removes those of earlier
    starts, which a store that was restored has again. */
 void soak_put_servers (Soak *soak);
