--- a/include/hornbeamwall/core/event.h
+++ b/include/hornbeamwall/core/event.h
@@ -173,7 +173,7 @@
 {
   HbwDocumentKind document;
   guint calls;
-  guint cut_watches;      /* watches among them that failed after they had waited */
+  guint cut_watches;      /* watches among them that were cut off */
   guint outages;          /* that have ended since the start */
   guint kept;             /* entries that are missing from the store and kept */
   gboolean up;            /* the last call succeeded */
--- a/include/hornbeamwall/runtime/feed.h
+++ b/include/hornbeamwall/runtime/feed.h
@@ -12,7 +12,7 @@
 {
   HbwStoreResult status;  /* HBW_STORE_OK: there is a newer version */
   guint call_count;       /* calls made to the store */
-  guint cut_watch_count;  /* watches among them that failed after they had waited */
+  guint cut_watch_count;  /* watches among them that were cut off */
   gint64 failed_after_us; /* duration of the last call, if it failed */
   guint outage_count;     /* outages of the store that have ended since the start */
   guint kept_count;       /* objects that are missing from the store and kept */
--- a/include/hornbeamwall/runtime/settings.h
+++ b/include/hornbeamwall/runtime/settings.h
@@ -60,7 +60,7 @@
   guint link_mbps;   /* bandwidth of the machine, in Mbit/s; 0: not known */
   guint processor_percent;    /* of one core that it may use; 0: not known */
   gsize memory_bytes;         /* of the machine, for this process; 0: no limit */
-  gint64 server_heartbeat_us; /* at which servers renew their entries in the store */
+  gint64 server_heartbeat_us; /* interval at which servers renew their entries */
   gint64 stop_grace_us;       /* from the stop signal until the process is killed */
   char duty_address[HBW_ADDRESS_MAX]; /* of the duty interface; "" is none */
   gboolean reports_usage;             /* duty "metering" */
--- a/runtime/list_watch_feed.c
+++ b/runtime/list_watch_feed.c
@@ -4,8 +4,8 @@
 
 #include <string.h>
 
-/* A watch that fails after it has waited this long was cut off while it waited;
-   before that, its call itself failed. */
+/* A watch that fails later than this was cut off while it waited; one that fails
+   sooner was rejected. */
 #define CUT_WATCH_MIN_US (100 * HBW_US_PER_MS)
 
 /* Timeout of a watch after a failed call, which only asks what has changed since. */
@@ -40,8 +40,9 @@
   g_array_set_size (page->changes, 0);
 }
 
-/* Makes one call to the store and counts it.  If entries may lapse, each failed
-   watch has to be noticed, so that it is not repeated by the HTTP library. */
+/* Makes one call to the store and counts it.  Where entries may lapse, the HTTP
+   library must not repeat a watch: the time without a response would not be known.
+ */
 static HbwStoreResponse
 call_store (ListWatchFeed *feed, const char *path, gboolean is_watch,
             HbwError *error)
@@ -232,8 +233,8 @@
   return (guint) CLAMP (remaining_us / HBW_US_PER_MS + 1, 1, wait_ms);
 }
 
-/* Watches from the revision that is known, which tells apart what was removed from
-   what may have lapsed.  Returns HBW_STORE_GONE if only a list can tell. */
+/* Watches from the known revision.  Returns HBW_STORE_GONE if the objects have to be
+   listed instead, as there is none, or removals may be lapses. */
 static HbwStoreResult
 watch_if_possible (ListWatchFeed *feed, guint wait_ms, HbwStorePage *page,
                    HbwError *error)
@@ -244,8 +245,8 @@
   return watch_objects (feed, limit_wait (feed, wait_ms), page, error);
 }
 
-/* Reads what has changed.  A watch that is cut off says nothing about the store,
-   which is asked again at once.  If that fails too, the objects are listed next. */
+/* Reads what has changed.  After a watch was cut off, the store is asked at once for
+   the changes until then.  If that fails too, the objects are listed next. */
 static HbwStoreResult
 read_changes (ListWatchFeed *feed, guint wait_ms, HbwStorePage *page,
               HbwError *error)
--- a/runtime/watch.c
+++ b/runtime/watch.c
@@ -190,9 +190,8 @@
   return NULL;
 }
 
-/* Returns the shortest outage of the store in which an entry may lapse.  The last
-   heartbeat of its server may have been half of that time ago when the store went
-   away. */
+/* Returns the shortest outage of the store in which an entry may lapse: its server
+   may have been silent for up to half of the time before the store went away. */
 static gint64
 shortest_outage_us (const HbwSettings *settings)
 {
