Test of the feed: a lock that the thread sanitizer sees

The accesses were under a GMutex, whose lock and unlock it does not see in a GLib that is not built for it. The test uses pthread's, as the program does; its checks are as they were. store_watch_test passes under the thread sanitizer without a report.

--- a/tests/store_watch_test.c
+++ b/tests/store_watch_test.c
@@ -10,6 +10,7 @@
 #include "hornbeamwall/runtime/list_watch_feed.h"
 #include "standin/objects.h"
 
+#include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
 
@@ -42,9 +43,9 @@
   Objects *objects;
   HbwClock *clock;
   HbwFeed *feed;
-  GThread *thread;
+  pthread_t thread;
   atomic_bool stopping;
-  GMutex lock;
+  pthread_mutex_t lock;
   char *list; /* newest document */
   guint kept_count;
   guint cut_watch_count;
@@ -53,7 +54,7 @@
 static void
 record_result (WatchFixture *fixture, const HbwFeedResult *result)
 {
-  g_mutex_lock (&fixture->lock);
+  pthread_mutex_lock (&fixture->lock);
   fixture->kept_count = result->kept_count;
   fixture->cut_watch_count += result->cut_watch_count;
   if (result->status == HBW_STORE_OK)
@@ -64,7 +65,7 @@
       fixture->list = g_strndup (text, length);
       g_bytes_unref (result->body);
     }
-  g_mutex_unlock (&fixture->lock);
+  pthread_mutex_unlock (&fixture->lock);
 }
 
 static void *
@@ -102,9 +103,9 @@
 {
   char quoted[16];
   g_snprintf (quoted, sizeof quoted, "\"i-%u\"", number);
-  g_mutex_lock (&fixture->lock);
+  pthread_mutex_lock (&fixture->lock);
   gboolean found = fixture->list != NULL && strstr (fixture->list, quoted) != NULL;
-  g_mutex_unlock (&fixture->lock);
+  pthread_mutex_unlock (&fixture->lock);
   return found;
 }
 
@@ -120,18 +121,18 @@
 static guint
 count_kept (WatchFixture *fixture)
 {
-  g_mutex_lock (&fixture->lock);
+  pthread_mutex_lock (&fixture->lock);
   guint count = fixture->kept_count;
-  g_mutex_unlock (&fixture->lock);
+  pthread_mutex_unlock (&fixture->lock);
   return count;
 }
 
 static guint
 count_cut_watches (WatchFixture *fixture)
 {
-  g_mutex_lock (&fixture->lock);
+  pthread_mutex_lock (&fixture->lock);
   guint count = fixture->cut_watch_count;
-  g_mutex_unlock (&fixture->lock);
+  pthread_mutex_unlock (&fixture->lock);
   return count;
 }
 
@@ -150,7 +151,7 @@
   HbwError error = { HBW_ERROR_NONE, "" };
   fixture->objects = objects_create ("127.0.0.1:0", 100);
   fixture->clock = hbw_clock_create_system ();
-  g_mutex_init (&fixture->lock);
+  pthread_mutex_init (&fixture->lock, NULL);
   char *address = g_strdup_printf ("127.0.0.1:%u", objects_port (fixture->objects));
   fixture->feed = hbw_list_watch_feed_create (
       address, hbw_platform_store_adapter (HBW_DOCUMENT_SERVERS), WATCH_TIMEOUT_MS,
@@ -159,7 +160,7 @@
   ck_assert (fixture->feed != NULL);
   for (guint i = 0; i < SERVERS; i++)
     put_server (fixture, i);
-  fixture->thread = g_thread_new ("feed", read_feed, fixture);
+  pthread_create (&fixture->thread, NULL, read_feed, fixture);
   while (count_listed (fixture, 0, SERVERS) < SERVERS)
     g_usleep (10 * HBW_US_PER_MS);
   return fixture;
@@ -170,11 +171,11 @@
 {
   atomic_store (&fixture->stopping, TRUE);
   objects_cut_watches (fixture->objects, 0, OBJECTS_CUT_CLOSE);
-  g_thread_join (fixture->thread);
+  pthread_join (fixture->thread, NULL);
   fixture->feed->class->destroy (fixture->feed);
   objects_destroy (fixture->objects);
   hbw_clock_destroy (fixture->clock);
-  g_mutex_clear (&fixture->lock);
+  pthread_mutex_destroy (&fixture->lock);
   g_free (fixture->list);
   g_free (fixture);
 }
